Set-up: module, shared types, wire messages

Cause: the packages are to be written side by side, so the types they share come first. Ruled out: partition-level epochs as the fence (a claim per partition and a stalled partition at every planned stop); each program's own row revision is the fence instead, see docs/design.

--- /dev/null
+++ b/api/codes.go
@@ -0,0 +1,195 @@
+// Package api holds the types that callers and operators exchange with a
+// node: programs, calls, results, and the numbered result codes. It has no
+// dependencies inside the project, so that a client can import it alone.
+package api
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Execution says what is known about whether a call ran at a back end.
+type Execution string
+
+const (
+	// NotRun means the call certainly did not run and never will under
+	// the attempt that was refused.
+	NotRun Execution = "not_run"
+	// Ran means the call ran to its end.
+	Ran Execution = "ran"
+	// Unknown means the call was, or may have been, dispatched and its
+	// outcome cannot be established.
+	Unknown Execution = "unknown"
+)
+
+// Code is a numbered result code. The numbers are stable: a code is never
+// renumbered and a retired number is never used again. The table with each
+// code's name, HTTP status, execution and retry advice is docs/result-codes.md.
+type Code int
+
+// Result codes. Hundreds group them: 1xx caller's mistake, 2xx limits,
+// 3xx conditions that pass, 4xx back ends, 5xx faults of the system.
+const (
+	OK Code = 0
+
+	MalformedRequest  Code = 101
+	RequestTooLarge   Code = 102
+	Unauthenticated   Code = 103
+	ProgramNotFound   Code = 104
+	CallNotFound      Code = 105
+	SequenceConflict  Code = 106 // another body under a used number
+	SequenceGap       Code = 107 // the number is too far ahead
+	UnknownTarget     Code = 108
+	ProgramEnded      Code = 109
+	CallTooLarge      Code = 110 // one call's dearest cost can never fit
+	MethodNotAllowed  Code = 111
+	BundleInvalid     Code = 120
+	BundleUnsigned    Code = 121
+	BundleStale       Code = 122
+	OperatorForbidden Code = 123
+
+	BudgetExhausted  Code = 201
+	CallLimit        Code = 202
+	DepthLimit       Code = 203
+	TokenLimit       Code = 204
+	WallTimeLimit    Code = 205
+	TenantLimit      Code = 206
+	DeadlineExceeded Code = 207 // given up before dispatch
+	TargetForbidden  Code = 208 // the tenant may not use this target
+
+	Overloaded     Code = 301
+	NoReadyBackend Code = 302
+	Draining       Code = 303
+	OwnerMoving    Code = 304
+	StoreDown      Code = 305
+	CallPending    Code = 306 // asked for an answer that is not final yet
+	NotReady       Code = 307
+
+	BackendFailed  Code = 401 // ran, and failed for good
+	OutcomeUnknown Code = 402
+	Cancelled      Code = 403 // cut off after dispatch, by caller or limit
+
+	Internal Code = 501
+)
+
+// CodeInfo is one row of the result-code table.
+type CodeInfo struct {
+	Code       Code
+	Name       string
+	HTTPStatus int
+	Execution  Execution
+	Retry      bool // whether the same request may succeed later
+	Meaning    string
+}
+
+var codeTable = []CodeInfo{
+	{OK, "ok", http.StatusOK, Ran, false, "The call ran and its result is recorded."},
+	{MalformedRequest, "malformed_request", http.StatusBadRequest, NotRun, false, "The request could not be read."},
+	{RequestTooLarge, "request_too_large", http.StatusRequestEntityTooLarge, NotRun, false, "The body or a header is over its limit."},
+	{Unauthenticated, "unauthenticated", http.StatusUnauthorized, NotRun, false, "The key is missing or wrong."},
+	{ProgramNotFound, "program_not_found", http.StatusNotFound, NotRun, false, "No such program for this tenant."},
+	{CallNotFound, "call_not_found", http.StatusNotFound, NotRun, false, "The program has no call under this number."},
+	{SequenceConflict, "sequence_conflict", http.StatusConflict, NotRun, false, "This number was used with another body."},
+	{SequenceGap, "sequence_gap", http.StatusConflict, NotRun, true, "The number is further ahead than calls may wait."},
+	{UnknownTarget, "unknown_target", http.StatusUnprocessableEntity, NotRun, false, "The bundle names no such model or tool."},
+	{ProgramEnded, "program_ended", http.StatusConflict, NotRun, false, "The program has ended."},
+	{CallTooLarge, "call_too_large", http.StatusUnprocessableEntity, NotRun, false, "The call is larger than the target can take."},
+	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, NotRun, false, "The path does not take this method."},
+	{BundleInvalid, "bundle_invalid", http.StatusUnprocessableEntity, NotRun, false, "The bundle does not pass its checks."},
+	{BundleUnsigned, "bundle_unsigned", http.StatusForbidden, NotRun, false, "The bundle lacks the sign-offs that the one in force demands."},
+	{BundleStale, "bundle_stale", http.StatusConflict, NotRun, false, "The bundle is based on a version that is no longer in force."},
+	{OperatorForbidden, "operator_forbidden", http.StatusForbidden, NotRun, false, "The key is not an operator's."},
+	{BudgetExhausted, "budget_exhausted", http.StatusPaymentRequired, NotRun, false, "The call's dearest cost does not fit the program's budget."},
+	{CallLimit, "call_limit", http.StatusTooManyRequests, NotRun, false, "The program has made as many calls as its class allows."},
+	{DepthLimit, "depth_limit", http.StatusTooManyRequests, NotRun, false, "Sub-agents are nested as deep as the class allows."},
+	{TokenLimit, "token_limit", http.StatusTooManyRequests, NotRun, false, "The program has used as many tokens as its class allows."},
+	{WallTimeLimit, "wall_time_limit", http.StatusTooManyRequests, NotRun, false, "The program has lasted as long as its class allows."},
+	{TenantLimit, "tenant_limit", http.StatusTooManyRequests, NotRun, true, "The tenant is at its limit; Retry-After says when to come back."},
+	{DeadlineExceeded, "deadline_exceeded", http.StatusGatewayTimeout, NotRun, true, "The deadline left no time to run the call; it was not dispatched."},
+	{TargetForbidden, "target_forbidden", http.StatusForbidden, NotRun, false, "The tenant may not use this target."},
+	{Overloaded, "overloaded", http.StatusServiceUnavailable, NotRun, true, "The queue is too long; Retry-After says when to come back."},
+	{NoReadyBackend, "no_ready_backend", http.StatusServiceUnavailable, NotRun, true, "No back end that can serve the call is ready."},
+	{Draining, "draining", http.StatusServiceUnavailable, NotRun, true, "This node is stopping; ask another."},
+	{OwnerMoving, "owner_moving", http.StatusServiceUnavailable, NotRun, true, "The program is moving between nodes."},
+	{StoreDown, "store_down", http.StatusServiceUnavailable, NotRun, true, "The table service cannot record the call, so it was not run."},
+	{CallPending, "call_pending", http.StatusAccepted, Unknown, true, "The call is under way; ask again."},
+	{NotReady, "not_ready", http.StatusServiceUnavailable, NotRun, true, "This node has no configuration yet."},
+	{BackendFailed, "backend_failed", http.StatusBadGateway, Ran, false, "The back end ran the call and reported failure."},
+	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, false, "The call may have run; its outcome cannot be established."},
+	{Cancelled, "cancelled", http.StatusConflict, Unknown, false, "The call was cut off after it was dispatched."},
+	{Internal, "internal", http.StatusInternalServerError, Unknown, true, "A fault of the system; the log has it under the same code."},
+}
+
+var codeIndex = func() map[Code]CodeInfo {
+	index := make(map[Code]CodeInfo, len(codeTable))
+	for _, info := range codeTable {
+		index[info.Code] = info
+	}
+	return index
+}()
+
+// Codes returns every result code in ascending order.
+func Codes() []CodeInfo {
+	return append([]CodeInfo(nil), codeTable...)
+}
+
+// Info returns the code's row; an unlisted number yields Internal's.
+func (c Code) Info() CodeInfo {
+	if info, ok := codeIndex[c]; ok {
+		return info
+	}
+	return codeIndex[Internal]
+}
+
+// String returns the code's name.
+func (c Code) String() string { return c.Info().Name }
+
+// Error is a refusal or failure with its code. Execution may be narrower
+// than the code's usual one; RetryAfter is zero where a retry cannot help.
+type Error struct {
+	Code       Code
+	Detail     string
+	Execution  Execution
+	RetryAfter time.Duration
+}
+
+// Errorf returns an Error with the code's usual execution.
+func Errorf(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...), Execution: code.Info().Execution}
+}
+
+// After returns a copy that tells the caller when to come back.
+func (e *Error) After(delay time.Duration) *Error {
+	copied := *e
+	copied.RetryAfter = delay
+	return &copied
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("%s (%d): %s", e.Code, int(e.Code), e.Detail) }
+
+// Problem is the RFC 9457 body of every non-2xx answer.
+type Problem struct {
+	Type              string    `json:"type"`
+	Title             string    `json:"title"`
+	Status            int       `json:"status"`
+	Detail            string    `json:"detail,omitempty"`
+	Code              Code      `json:"code"`
+	Execution         Execution `json:"execution"`
+	RetryAfterSeconds float64   `json:"retry_after_seconds,omitempty"`
+}
+
+// Problem returns the error as its RFC 9457 body.
+func (e *Error) Problem() Problem {
+	info := e.Code.Info()
+	return Problem{
+		Type:              "urn:pewtermill:code:" + info.Name,
+		Title:             info.Meaning,
+		Status:            info.HTTPStatus,
+		Detail:            e.Detail,
+		Code:              e.Code,
+		Execution:         e.Execution,
+		RetryAfterSeconds: e.RetryAfter.Seconds(),
+	}
+}
--- /dev/null
+++ b/internal/program/types.go
@@ -0,0 +1,117 @@
+// Package program is the state machine of one program: the order of its
+// calls, its budget, its intents and its limits. It is pure: time comes in as
+// an argument, and nothing here does I/O. Whoever drives it must make each
+// returned Header durable, by a write conditional on the row's revision,
+// before acting on it.
+package program
+
+import (
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+)
+
+// Header is a program's durable row. The row's revision is the fence: a node
+// that takes the program over rewrites the row with Epoch+1, after which no
+// write of the former owner can succeed.
+type Header struct {
+	ID            string            `json:"id"`
+	Tenant        string            `json:"tenant"`
+	Class         string            `json:"class"`
+	Parent        string            `json:"parent,omitempty"`
+	Depth         int               `json:"depth"` // 0 for a program without parent
+	Status        api.ProgramStatus `json:"status"`
+	Epoch         uint64            `json:"epoch"`
+	Owner         string            `json:"owner"`                 // node name
+	OwnerStart    uint64            `json:"owner_start,omitempty"` // owner's incarnation
+	Budget        api.Credits       `json:"budget"`
+	Spent         api.Credits       `json:"spent"`
+	Reserved      api.Credits       `json:"reserved"` // what a call under way may cost; durable before dispatch
+	NextSequence  int64             `json:"next_sequence"`
+	Intent        *Intent           `json:"intent,omitempty"`
+	Calls         int64             `json:"calls"`
+	Tokens        int64             `json:"tokens"`             // all billed tokens
+	HistoryTokens int64             `json:"history_tokens"`     // length of the model history
+	Children      []string          `json:"children,omitempty"` // open sub-agents
+	Holds         []string          `json:"holds,omitempty"`    // engines that may hold cache for it
+	CreatedAt     time.Time         `json:"created_at"`
+	DeadlineAt    time.Time         `json:"deadline_at"` // wish for the whole program; orders the queue
+	ExpiresAt     time.Time         `json:"expires_at"`  // hard wall-time limit
+	EndedAt       time.Time         `json:"ended_at,omitzero"`
+	EndReason     api.Code          `json:"end_reason,omitempty"`
+}
+
+// Intent says that a not-repeatable call may have been dispatched.
+type Intent struct {
+	Sequence       int64  `json:"sequence"`
+	RequestDigest  string `json:"request_digest"`
+	IdempotencyKey string `json:"idempotency_key"`
+	Target         string `json:"target"`
+	Epoch          uint64 `json:"epoch"`
+}
+
+// CallRow is the durable row of one final call: a segment of the history.
+// Large Segments are moved to the object store and named by SegmentObject.
+type CallRow struct {
+	Program       string   `json:"program"`
+	Tenant        string   `json:"tenant"`
+	Sequence      int64    `json:"sequence"`
+	RequestDigest string   `json:"request_digest"`
+	Segment       *Segment `json:"segment,omitempty"`
+	SegmentObject string   `json:"segment_object,omitempty"`
+}
+
+// Segment is what the call added to the history, with its final answer.
+type Segment struct {
+	Messages []api.Message  `json:"messages,omitempty"` // caller's delta, then the answer
+	Result   api.CallResult `json:"result"`
+}
+
+// ClassLimits are the limits of the program's class. Zero means no limit.
+type ClassLimits struct {
+	MaxCalls  int64
+	MaxDepth  int
+	MaxTokens int64
+}
+
+// Call is a call as the machine needs to know it.
+type Call struct {
+	Sequence      int64
+	RequestDigest string
+	Target        string
+	Repeatable    bool
+	DearestCost   api.Credits
+	MaxTokens     int64 // most tokens it can add
+}
+
+// Verdict says what to do with an arriving call.
+type Verdict int
+
+// Verdicts.
+const (
+	// Run: make the new Header durable if NeedsCommit, then dispatch.
+	Run Verdict = iota + 1
+	// Replay: the sequence is final; answer from its CallRow, if the digest matches.
+	Replay
+	// Wait: an earlier sequence is not final yet.
+	Wait
+	// Refuse: Error says why; the sequence number stays free.
+	Refuse
+)
+
+// Admission is the machine's answer to an arriving call.
+type Admission struct {
+	Verdict     Verdict
+	Header      Header // next state, with Verdict Run
+	NeedsCommit bool
+	Error       *api.Error
+}
+
+// Outcome is the end of a call under way.
+type Outcome struct {
+	Sequence      int64
+	Cost          api.Credits // never more than the reservation counts
+	Tokens        int64
+	HistoryTokens int64  // added to the model history
+	Backend       string // engine that now may hold cache; empty for tools
+}
--- /dev/null
+++ b/internal/scheduler/types.go
@@ -0,0 +1,78 @@
+// Package scheduler makes the pure decisions: where a model call runs, when
+// it waits, and when it is refused. Time and randomness come in as arguments.
+// A Core is not safe for concurrent use; its owner serialises access.
+package scheduler
+
+import (
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/explain"
+)
+
+// Call is one model call that wants an engine.
+type Call struct {
+	ID              string // unique per attempt
+	Program         string
+	Sequence        int64
+	Tenant          string
+	Class           string
+	Model           string
+	Zone            string   // of the node that asks
+	PrefixBlocks    []uint64 // chained hashes of the rendered prompt's blocks
+	PromptTokens    int64
+	ExpectedTokens  int64 // guess of the answer's length
+	Submitted       time.Time
+	Deadline        time.Time // of the call; zero = none
+	ProgramStarted  time.Time
+	ProgramDeadline time.Time
+	Attained        time.Duration // engine service that the program has had
+	LastEngine      string        // served the program's previous turn
+	Excluded        []string      // engines already tried
+}
+
+// EngineView is what is known of one engine; all of it may be late.
+type EngineView struct {
+	Name                string
+	Zone                string
+	Models              []string
+	Ready               bool
+	Leaving             bool
+	Running             int
+	Waiting             int
+	MaxRunning          int
+	CacheUsedTokens     int64
+	CacheCapacityTokens int64
+	PrefillTokensPerSec float64
+	DecodeTokensPerSec  float64
+	ObservedAt          time.Time
+}
+
+// PrefixIndex tells how much of a prompt an engine has cached. A hint.
+type PrefixIndex interface {
+	// CachedBlocks returns how many leading blocks the engine has.
+	CachedBlocks(engine string, blocks []uint64) int
+}
+
+// Assignment sends a queued call to an engine.
+type Assignment struct {
+	Call     Call
+	Engine   string
+	Decision explain.Decision
+}
+
+// Refusal turns a queued call away before dispatch.
+type Refusal struct {
+	Call     Call
+	Error    *api.Error
+	Decision explain.Decision
+}
+
+// Result tells the core how an assigned call ended.
+type Result struct {
+	Engine       string
+	Succeeded    bool // false counts towards ejection
+	Duration     time.Duration
+	CachedTokens int64
+	PromptTokens int64
+}
