settings: what a node learns at its start

A strictly decoded YAML file that flags may override. Check returns every fault at once, each naming its key, the value and what is allowed, and leaves the cluster key out of its messages.

--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,70 @@
+package settings
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const validFile = `
+name: leon-a-1
+cell: c1
+zone: leon-a
+caller_address: 127.0.0.1:7101
+operator_address: 127.0.0.1:7201
+peer_address: 127.0.0.1:7301
+seeds: [127.0.0.1:7301, 127.0.0.2:7301]
+platform_url: http://127.0.0.1:7000
+cluster_key: sixteen-or-more-bytes
+drain_timeout: 5s
+`
+
+func TestFileWithFlagsPassesCheck(t *testing.T) {
+	decoded, err := Decode([]byte(validFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	merged := decoded.Override(Settings{Zone: "leon-b"}).WithDefaults()
+	if faults := Check(merged); faults != nil {
+		t.Fatalf("valid settings refused:\n%v", faults)
+	}
+	if merged.Zone != "leon-b" || merged.DrainTimeout != 5*time.Second || merged.LogLevel != DefaultLogLevel {
+		t.Fatalf("wrong merge: %+v", merged)
+	}
+}
+
+func TestDecodeRefusesUnknownKeyAndBadDuration(t *testing.T) {
+	for _, line := range []string{"zome: leon-a", "name: again", "drain_timeout: soon"} {
+		_, err := Decode([]byte("name: n1\n" + line + "\n"))
+		key, _, _ := strings.Cut(line, ":")
+		if err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%q: error %v does not name the key", line, err)
+		}
+	}
+}
+
+func TestCheckNamesEveryFault(t *testing.T) {
+	faults := Check(Settings{
+		Name:            "Leon A",
+		CallerAddress:   "127.0.0.1:7101",
+		OperatorAddress: "127.0.0.1:7101",
+		PeerAddress:     "0.0.0.0:7301",
+		Seeds:           []string{"127.0.0.1:7301", "leon-a-2:7301"},
+		PlatformURL:     "127.0.0.1:7000",
+		ClusterKey:      "secret-key",
+		LogLevel:        "loud",
+	})
+	var keys []string
+	for _, fault := range faults {
+		keys = append(keys, fault.Key)
+	}
+	want := []string{"name", "cell", "zone", "operator_address", "peer_address", "seeds[1]",
+		"platform_url", "cluster_key", "log_level", "drain_timeout"}
+	if !slices.Equal(keys, want) {
+		t.Fatalf("faults on %v, want %v", keys, want)
+	}
+	if strings.Contains(faults.Error(), "secret-key") {
+		t.Fatal("the error shows the cluster key")
+	}
+}
