--- /dev/null
+++ b/internal/script/run.go
@@ -0,0 +1,162 @@
+package script
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+)
+
+// Caller makes a tenant's requests. Implementations retry what can be
+// retried; an error is final. Safe for concurrent use.
+type Caller interface {
+	CreateProgram(ctx context.Context, idempotencyKey string, request api.CreateProgramRequest) (api.Program, error)
+	EndProgram(ctx context.Context, program string) (api.Program, error)
+	// ExecuteCall streams the answer's text to onPart, unless that is nil.
+	ExecuteCall(ctx context.Context, program string, sequence int64, request api.CallRequest, onPart func(api.StreamPart)) (api.CallResult, error)
+}
+
+// Options are what a run may watch and choose.
+type Options struct {
+	// RunID makes the run's idempotency keys unique.
+	RunID string
+	// Stream asks for streamed answers.
+	Stream bool
+	// OnProgram is called with each program once it is created; may be nil.
+	OnProgram func(api.Program)
+	// OnResult is called with each step's name and result; may be nil.
+	OnResult func(step string, result api.CallResult)
+}
+
+// Report is the end of a run.
+type Report struct {
+	Answer   string        // of the root's last step
+	Programs []api.Program // ended; the root first, then sub-agents in the order of their creation
+	Results  []api.CallResult
+}
+
+// Cost returns what all calls of the run cost together.
+func (r Report) Cost() api.Credits {
+	var total api.Credits
+	for _, result := range r.Results {
+		total += result.Cost
+	}
+	return total
+}
+
+// run is the state of one run.
+type run struct {
+	caller  Caller
+	options Options
+	report  Report
+}
+
+// Run runs the script to its end and ends its programs. After an error the
+// programs are ended too, and the report holds what was done.
+func Run(ctx context.Context, caller Caller, script *Script, options Options) (Report, error) {
+	r := &run{caller: caller, options: options}
+	answer, err := r.agent(ctx, &script.Agent, "", nil)
+	r.report.Answer = answer
+	return r.report, err
+}
+
+// agent creates one program, runs its steps and ends it.
+func (r *run) agent(ctx context.Context, agent *Agent, parent string, parentAnswers []string) (answer string, err error) {
+	index := len(r.report.Programs)
+	created, err := r.caller.CreateProgram(ctx, fmt.Sprintf("%s-%d", r.options.RunID, index), api.CreateProgramRequest{
+		Class:  agent.Class,
+		Budget: agent.Budget,
+		Parent: parent,
+	})
+	if err != nil {
+		return "", errors.Wrap(err, "create program")
+	}
+	r.report.Programs = append(r.report.Programs, created)
+	if r.options.OnProgram != nil {
+		r.options.OnProgram(created)
+	}
+	answer, err = r.steps(ctx, agent, created.ID, parentAnswers)
+	ended, endErr := r.caller.EndProgram(context.WithoutCancel(ctx), created.ID)
+	if endErr != nil {
+		return answer, errors.CombineErrors(err, errors.Wrapf(endErr, "end program %s", created.ID))
+	}
+	r.report.Programs[index] = ended
+	return answer, err
+}
+
+// steps runs an agent's steps in order and returns the last one's answer.
+func (r *run) steps(ctx context.Context, agent *Agent, program string, parentAnswers []string) (string, error) {
+	known := answers{parent: parentAnswers}
+	sequence := int64(0)
+	for _, step := range agent.Steps {
+		if step.SubAgent != nil {
+			answer, err := r.agent(ctx, step.SubAgent, program, known.own)
+			if err != nil {
+				return "", errors.Wrapf(err, "sub-agent %q", step.Name)
+			}
+			known.own = append(known.own, answer)
+			continue
+		}
+		sequence++
+		answer, err := r.call(ctx, step, program, sequence, known)
+		if err != nil {
+			return "", errors.Wrapf(err, "step %q, call %d of %s", step.Name, sequence, program)
+		}
+		known.own = append(known.own, answer)
+	}
+	return known.own[len(known.own)-1], nil
+}
+
+// call makes one model or tool call and returns its answer as text.
+func (r *run) call(ctx context.Context, step Step, program string, sequence int64, known answers) (string, error) {
+	var onPart func(api.StreamPart)
+	var streamed []byte
+	if r.options.Stream {
+		onPart = func(part api.StreamPart) {
+			streamed = append(streamed[:min(int64(len(streamed)), part.Offset)], part.Text...)
+		}
+	}
+	result, err := r.caller.ExecuteCall(ctx, program, sequence, request(step, known), onPart)
+	if err != nil {
+		return "", err
+	}
+	r.report.Results = append(r.report.Results, result)
+	if r.options.OnResult != nil {
+		r.options.OnResult(step.Name, result)
+	}
+	if result.Code != api.OK {
+		return "", errors.Newf("result %s (%d): %s", result.Code, int(result.Code), result.Detail)
+	}
+	if step.Tool != nil {
+		return string(result.Result), nil
+	}
+	if r.options.Stream && string(streamed) != result.Output {
+		return "", errors.Newf("the streamed text (%d bytes) is not the final output (%d bytes)", len(streamed), len(result.Output))
+	}
+	return result.Output, nil
+}
+
+// request fills the step's references and returns the call's body.
+func request(step Step, known answers) api.CallRequest {
+	if step.Tool != nil {
+		repeatable := step.Tool.Repeatable
+		return api.CallRequest{
+			Kind:       api.KindTool,
+			Target:     step.Tool.Target,
+			Input:      []byte(known.substitute(string(step.Tool.Input), insideJSONString)),
+			Repeatable: &repeatable,
+		}
+	}
+	messages := make([]api.Message, len(step.Model.Messages))
+	for i, message := range step.Model.Messages {
+		messages[i] = api.Message{Role: message.Role, Content: known.substitute(message.Content, plain)}
+	}
+	return api.CallRequest{
+		Kind:      api.KindModel,
+		Target:    step.Model.Target,
+		Messages:  messages,
+		MaxTokens: step.Model.MaxTokens,
+	}
+}
