--- /dev/null
+++ b/cmd/pewtermill/node.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/command"
+	"github.com/pewtermill/pewtermill/internal/node"
+	"github.com/pewtermill/pewtermill/internal/settings"
+)
+
+// nodeCommand runs one node. Each flag but --settings replaces the setting
+// of the same name.
+type nodeCommand struct {
+	Settings        string        `help:"Settings file (YAML). Flags replace what it says." type:"existingfile" placeholder:"FILE"`
+	Name            string        `help:"Name of this node, unique in the fleet."`
+	Cell            string        `help:"Cell of the bundle that this node belongs to."`
+	Zone            string        `help:"Zone of the bundle that this node runs in."`
+	CallerAddress   string        `help:"IP:port for callers." placeholder:"IP:PORT"`
+	OperatorAddress string        `help:"IP:port for operators." placeholder:"IP:PORT"`
+	PeerAddress     string        `help:"IP:port for other nodes." placeholder:"IP:PORT"`
+	Seeds           []string      `help:"Peer addresses of nodes to join by, separated by commas." name:"seed" placeholder:"IP:PORT"`
+	PlatformURL     string        `help:"Base URL of the platform's services." name:"platform-url" placeholder:"URL"`
+	ClusterKey      string        `help:"Secret that all nodes share; better given in the file or the environment." env:"PEWTERMILL_CLUSTER_KEY"`
+	LogLevel        string        `help:"Least level that is logged: debug, info, warn or error."`
+	DrainTimeout    time.Duration `help:"Longest planned stop."`
+}
+
+// Run implements the verb.
+func (n *nodeCommand) Run(streams command.Streams) error {
+	chosen, err := n.chosen()
+	if err != nil {
+		return err
+	}
+	logger, err := command.NewLogger(streams.Err, chosen.LogLevel)
+	if err != nil {
+		return err
+	}
+	signals, stopSignals := command.Signals()
+	defer stopSignals()
+	started, err := node.New(chosen, node.Dependencies{Logger: logger})
+	if err != nil {
+		return err
+	}
+	defer started.Close()
+	return serve(started, chosen.DrainTimeout, signals)
+}
+
+// serve starts the node and stops it on a signal.
+func serve(started *node.Node, drainTimeout time.Duration, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := started.Start(ctx); err != nil {
+		return errors.Wrap(err, "start node")
+	}
+	return command.StopOnSignal(signals, nil, drainTimeout, started.Drain)
+}
+
+// chosen returns the checked settings from file and flags.
+func (n *nodeCommand) chosen() (settings.Settings, error) {
+	var fromFile settings.Settings
+	if n.Settings != "" {
+		var err error
+		fromFile, err = settings.Read(n.Settings)
+		if err != nil {
+			return settings.Settings{}, errors.Mark(err, command.ErrUsage)
+		}
+	}
+	chosen := fromFile.Override(n.flags()).WithDefaults()
+	if faults := settings.Check(chosen); faults != nil {
+		return settings.Settings{}, errors.Mark(errors.Wrap(faults, "settings are not allowed"), command.ErrUsage)
+	}
+	return chosen, nil
+}
+
+// flags returns the flags as settings; those not given are zero.
+func (n *nodeCommand) flags() settings.Settings {
+	return settings.Settings{
+		Name:            n.Name,
+		Cell:            n.Cell,
+		Zone:            n.Zone,
+		CallerAddress:   n.CallerAddress,
+		OperatorAddress: n.OperatorAddress,
+		PeerAddress:     n.PeerAddress,
+		Seeds:           n.Seeds,
+		PlatformURL:     n.PlatformURL,
+		ClusterKey:      n.ClusterKey,
+		LogLevel:        n.LogLevel,
+		DrainTimeout:    n.DrainTimeout,
+	}
+}
--- /dev/null
+++ b/internal/command/decision.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/explain"
+)
+
+// InProgram reports whether id is program or one of its sub-agents.
+func InProgram(id, program string) bool {
+	return id == program || strings.HasPrefix(id, program+".")
+}
+
+// DecisionLine writes one decision as one line: when, where, what, about
+// which call, where it goes, and why. Write errors are ignored.
+func DecisionLine(w io.Writer, decision explain.Decision) {
+	subject := OrDash(decision.Program)
+	if decision.Sequence > 0 {
+		subject = fmt.Sprintf("%s/%d", decision.Program, decision.Sequence)
+	}
+	_, _ = fmt.Fprintf(w, "%s  %-8s  %-9s  %-24s  %-14s  %s\n",
+		decision.At.UTC().Format(time.TimeOnly+".000"), decision.Node, decision.Kind,
+		subject, OrDash(decision.Chosen), decision.Reason)
+}
+
+// OrDash returns a dash in place of an empty text.
+func OrDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
