Bundle: decode, check, digest, compile and keeper

Decode uses go.yaml.in/yaml/v2 directly, as sigs.k8s.io/yaml passes through JSON and loses the line numbers; a second pass through sigs.k8s.io/yaml refuses fractions and infinities, which the first one takes in silence. The canonical form sorts the named lists, so that a bundle put together from parts has the digest that was signed. Defaults are filled in by Compile and are not under the digest, so that a later default cannot break a sign-off.

--- /dev/null
+++ b/internal/bundle/check.go
@@ -0,0 +1,126 @@
+package bundle
+
+import (
+	"fmt"
+	"math"
+	"strings"
+)
+
+// Fault is one thing wrong with a bundle. Path names the place, such as
+// engines[3].zone with the item's position from 0; Message says what is
+// allowed there.
+type Fault struct {
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+// String returns "path: message".
+func (f Fault) String() string { return f.Path + ": " + f.Message }
+
+// FaultsError is the error of a bundle that does not pass Check.
+type FaultsError struct{ Faults []Fault }
+
+// Error names every fault.
+func (e *FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, fault := range e.Faults {
+		lines = append(lines, fault.String())
+	}
+	return fmt.Sprintf("%d faults: %s", len(lines), strings.Join(lines, "; "))
+}
+
+// Upper bounds that catch slips of the keyboard.
+const (
+	maxWeight         = 1e6
+	maxDistanceMillis = 10_000
+	maxDurationMillis = 31 * 24 * 3_600_000
+	maxCount          = 1e12
+	maxBodyBytes      = 64 << 20
+	maxSequenceAhead  = 10_000
+	maxProgramDepth   = 64
+)
+
+// Check returns everything that is wrong with the meaning of a decoded
+// bundle, in the order of the schema; none for a good one.
+func Check(b *Bundle) []Fault {
+	c := &checker{bundle: b, names: namesOf(b)}
+	c.checkVersion()
+	c.checkOperators()
+	c.checkReviewers()
+	c.checkZones()
+	c.checkCells()
+	c.checkTenants()
+	c.checkClasses()
+	c.checkModels()
+	c.checkTools()
+	c.checkEngines()
+	c.checkScheduling()
+	c.checkLimits()
+	return c.faults
+}
+
+// checker collects faults.
+type checker struct {
+	bundle *Bundle
+	names  names
+	faults []Fault
+}
+
+func (c *checker) fault(path, format string, args ...any) {
+	c.faults = append(c.faults, Fault{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) checkVersion() {
+	b := c.bundle
+	if b.Version == 0 || b.BaseVersion != b.Version-1 {
+		c.fault("version", "is %d on base_version %d; must be base_version + 1", b.Version, b.BaseVersion)
+	}
+	c.checkName("deployment", b.Deployment)
+}
+
+func (c *checker) checkScheduling() {
+	s := c.bundle.Scheduling
+	if s.Policy != "" {
+		c.reference("scheduling.policy", "policy", s.Policy, policies)
+	}
+	weights := []namedNumber{
+		{"wait_weight", s.WaitWeight},
+		{"prefix_weight", s.PrefixWeight},
+		{"distance_weight", s.DistanceWeight},
+		{"worth_weight", s.WorthWeight},
+		{"slack_weight", s.SlackWeight},
+		{"attained_weight", s.AttainedWeight},
+		{"aging_per_second", s.AgingPerSecond},
+	}
+	for _, weight := range weights {
+		c.numberWithin("scheduling."+weight.name, weight.value, 0, maxWeight)
+	}
+	c.within("scheduling.max_queue", int64(s.MaxQueue), 0, maxCount)
+	c.numberWithin("scheduling.retry_budget", s.RetryBudget, 0, 1)
+	c.within("scheduling.engine_max_age_millis", s.EngineMaxAgeMillis, 0, maxDurationMillis)
+}
+
+func (c *checker) checkLimits() {
+	limits := c.bundle.Limits
+	c.within("limits.max_body_bytes", limits.MaxBodyBytes, 0, maxBodyBytes)
+	c.within("limits.max_sequence_ahead", limits.MaxSequenceAhead, 0, maxSequenceAhead)
+	c.within("limits.hold_millis", limits.HoldMillis, 0, maxDurationMillis)
+	c.within("limits.ended_keep_millis", limits.EndedKeepMillis, 0, maxDurationMillis)
+}
+
+type namedNumber struct {
+	name  string
+	value float64
+}
+
+func (c *checker) within(path string, value, low, high int64) {
+	if value < low || value > high {
+		c.fault(path, "is %d; must be from %d to %d", value, low, high)
+	}
+}
+
+func (c *checker) numberWithin(path string, value, low, high float64) {
+	if math.IsNaN(value) || value < low || value > high {
+		c.fault(path, "is %v; must be from %v to %v", value, low, high)
+	}
+}
--- /dev/null
+++ b/internal/bundle/defaults.go
@@ -0,0 +1,39 @@
+package bundle
+
+import "slices"
+
+// Defaults that Compile puts in place of zero values.
+const (
+	DefaultTenantWeight      = 1.0
+	DefaultToolTimeoutMillis = 30_000
+	DefaultMaxBodyBytes      = 1 << 20
+	DefaultMaxSequenceAhead  = 16
+	DefaultHoldMillis        = 10 * 60_000
+	DefaultEndedKeepMillis   = 60 * 60_000
+)
+
+// withDefaults returns a copy with the defaults filled in. Digests and
+// sign-offs are over the bundle as declared, without them.
+func withDefaults(declared *Bundle) *Bundle {
+	filled := *declared
+	filled.Tenants = slices.Clone(declared.Tenants)
+	for index := range filled.Tenants {
+		setDefault(&filled.Tenants[index].Weight, DefaultTenantWeight)
+	}
+	filled.Tools = slices.Clone(declared.Tools)
+	for index := range filled.Tools {
+		setDefault(&filled.Tools[index].TimeoutMillis, DefaultToolTimeoutMillis)
+	}
+	setDefault(&filled.Limits.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&filled.Limits.MaxSequenceAhead, DefaultMaxSequenceAhead)
+	setDefault(&filled.Limits.HoldMillis, DefaultHoldMillis)
+	setDefault(&filled.Limits.EndedKeepMillis, DefaultEndedKeepMillis)
+	return &filled
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/bundle/keeper.go
@@ -0,0 +1,176 @@
+package bundle
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/platform"
+)
+
+// TableKey is the row that holds the bundle in force, as JSON of Signed.
+const TableKey = "bundle/current"
+
+// offerLoadTimeout bounds the read of the table that an offer may need.
+const offerLoadTimeout = 5 * time.Second
+
+// ErrNoBundle: the table holds no bundle yet.
+var ErrNoBundle = errors.New("no bundle in force yet")
+
+// Keeper holds the bundle in force on one node. The version in force never
+// falls. A Keeper is safe for concurrent use; InForce takes no lock.
+type Keeper struct {
+	table   platform.Table
+	onApply func(*Snapshot)
+
+	inForce atomic.Pointer[Snapshot]
+	applyMu sync.Mutex // serialises replacing inForce and calling onApply
+}
+
+// NewKeeper returns a keeper with no bundle in force. onApply, if not nil, is
+// called after each bundle comes into force, in the order of versions and one
+// call at a time; it must not call Load, Submit or Offer.
+func NewKeeper(table platform.Table, onApply func(*Snapshot)) *Keeper {
+	return &Keeper{table: table, onApply: onApply}
+}
+
+// InForce returns the bundle in force on this node, nil before the first.
+func (k *Keeper) InForce() *Snapshot { return k.inForce.Load() }
+
+// Load reads the table and puts its bundle in force unless it is older than
+// the one in force. Errors: ErrNoBundle, the table's, or a row that does not
+// compile.
+func (k *Keeper) Load(ctx context.Context) error {
+	current, _, err := k.readTable(ctx)
+	if err != nil {
+		return err
+	}
+	if current == nil {
+		return ErrNoBundle
+	}
+	k.applyFromTable(current)
+	return nil
+}
+
+// Offer takes a bundle from a peer. One that is not newer than the one in
+// force is ignored. The next version comes into force if its sign-offs verify
+// against the one in force. Where they do not, or cannot tell because
+// versions were skipped or another bundle bears the same version, the table
+// decides. Errors: the refusal, or that of Load.
+func (k *Keeper) Offer(signed Signed) error {
+	offered, err := Compile(signed)
+	if err != nil {
+		return err
+	}
+	inForce := k.InForce()
+	switch {
+	case offered.Version() < inForce.Version():
+		return nil
+	case inForce != nil && offered.Digest == inForce.Digest:
+		return nil
+	case inForce != nil && offered.Version() == inForce.Version()+1:
+		return k.offerNext(inForce, offered)
+	default:
+		return k.loadForOffer()
+	}
+}
+
+// offerNext takes the version after the one in force. The table is asked
+// about one that does not verify, as the bundle in force here may be one that
+// lost its race and so names the wrong reviewers.
+func (k *Keeper) offerNext(inForce, offered *Snapshot) error {
+	refusal := verifyDecoded(inForce, offered.Declared, offered.Signed.SignOffs)
+	if refusal == nil {
+		k.apply(offered)
+		return nil
+	}
+	if err := k.loadForOffer(); err != nil {
+		return errors.WithSecondaryError(refusal, err)
+	}
+	if k.InForce().Version() < offered.Version() {
+		return refusal
+	}
+	return nil
+}
+
+func (k *Keeper) loadForOffer() error {
+	ctx, cancel := context.WithTimeout(context.Background(), offerLoadTimeout)
+	defer cancel()
+	return k.Load(ctx)
+}
+
+// apply puts a verified snapshot in force if it is newer.
+func (k *Keeper) apply(next *Snapshot) {
+	k.applyIf(next, func(current *Snapshot) bool {
+		return next.Version() > current.Version()
+	})
+}
+
+// applyFromTable also replaces another bundle of the same version: the table
+// alone says which of two racing bundles won.
+func (k *Keeper) applyFromTable(next *Snapshot) {
+	k.applyIf(next, func(current *Snapshot) bool {
+		if next.Version() != current.Version() {
+			return next.Version() > current.Version()
+		}
+		return next.Digest != current.Digest
+	})
+}
+
+func (k *Keeper) applyIf(next *Snapshot, replaces func(current *Snapshot) bool) {
+	k.applyMu.Lock()
+	defer k.applyMu.Unlock()
+	if !replaces(k.inForce.Load()) {
+		return
+	}
+	k.inForce.Store(next)
+	if k.onApply != nil {
+		k.onApply(next)
+	}
+}
+
+// readTable returns the bundle in the table, nil if none, and the revision
+// of its row.
+func (k *Keeper) readTable(ctx context.Context) (*Snapshot, uint64, error) {
+	row, err := k.table.Get(ctx, TableKey)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "read bundle from table")
+	}
+	if row.Revision == 0 {
+		return nil, 0, nil
+	}
+	var signed Signed
+	if err := json.Unmarshal(row.Value, &signed); err != nil {
+		return nil, 0, errors.Wrap(err, "bundle in table")
+	}
+	snapshot, err := Compile(signed)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "bundle in table")
+	}
+	return snapshot, row.Revision, nil
+}
+
+// Submit makes a bundle the one in force in the table, and here. It is
+// checked and verified against the bundle in force in the table, and written
+// only if that is still there, so that of operators racing on one base one
+// wins. Submitting the bundle that is already in force succeeds. Errors:
+// BundleInvalid with every fault, BundleUnsigned, BundleStale naming the
+// version in force, StoreDown (not written), OutcomeUnknown (may have been
+// written: submit it again to learn).
+func (k *Keeper) Submit(ctx context.Context, signed Signed) (*Snapshot, *api.Error) {
+	next, err := Compile(signed)
+	if err != nil {
+		return nil, api.Errorf(api.BundleInvalid, "%v", err)
+	}
+	submission := &submission{keeper: k, next: next}
+	if refusal := submission.run(ctx); refusal != nil {
+		return nil, refusal
+	}
+	k.applyFromTable(next)
+	return next, nil
+}
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -7,136 +7,142 @@
 
 // Bundle is one version of the configuration, as written in YAML.
 // Unknown fields are errors. Durations are in milliseconds, money in
-// api.Credits, token prices in Credits per million tokens.
+// api.Credits, token prices in Credits per million tokens. The order of the
+// named lists (operators to engines) carries no meaning. The json and yaml
+// tags of every field name it alike: YAML is for people, JSON is canonical.
 type Bundle struct {
-	Version     uint64     `json:"version"`
-	BaseVersion uint64     `json:"base_version"` // version that this one replaces; 0 for the first
-	Deployment  string     `json:"deployment"`
-	Operators   []Operator `json:"operators"`
-	Reviewers   []Reviewer `json:"reviewers"`
-	SignOffs    int        `json:"sign_offs"` // distinct reviewers that the next bundle needs
-	Zones       []Zone     `json:"zones"`
-	Cells       []Cell     `json:"cells"`
-	Tenants     []Tenant   `json:"tenants"`
-	Classes     []Class    `json:"classes"`
-	Models      []Model    `json:"models"`
-	Tools       []Tool     `json:"tools"`
-	Engines     []Engine   `json:"engines"`
-	Scheduling  Scheduling `json:"scheduling"`
-	Limits      Limits     `json:"limits"`
+	Version     uint64     `json:"version" yaml:"version"`
+	BaseVersion uint64     `json:"base_version" yaml:"base_version"` // version that this one replaces; 0 for the first
+	Deployment  string     `json:"deployment" yaml:"deployment"`
+	Operators   []Operator `json:"operators" yaml:"operators"`
+	Reviewers   []Reviewer `json:"reviewers" yaml:"reviewers"`
+	SignOffs    int        `json:"sign_offs" yaml:"sign_offs"` // distinct reviewers that the next bundle needs; at least 1
+	Zones       []Zone     `json:"zones" yaml:"zones"`
+	Cells       []Cell     `json:"cells" yaml:"cells"`
+	Tenants     []Tenant   `json:"tenants" yaml:"tenants"`
+	Classes     []Class    `json:"classes" yaml:"classes"`
+	Models      []Model    `json:"models" yaml:"models"`
+	Tools       []Tool     `json:"tools" yaml:"tools"`
+	Engines     []Engine   `json:"engines" yaml:"engines"`
+	Scheduling  Scheduling `json:"scheduling" yaml:"scheduling"`
+	Limits      Limits     `json:"limits" yaml:"limits"`
 }
 
 // Operator may read status and submit bundles. KeyDigest is SHA-256 of the
 // operator's key, hexadecimal.
 type Operator struct {
-	Name      string `json:"name"`
-	KeyDigest string `json:"key_digest"`
+	Name      string `json:"name" yaml:"name"`
+	KeyDigest string `json:"key_digest" yaml:"key_digest"`
 }
 
 // Reviewer signs bundles. PublicKey is ed25519, base64.
 type Reviewer struct {
-	Name      string `json:"name"`
-	PublicKey string `json:"public_key"`
+	Name      string `json:"name" yaml:"name"`
+	PublicKey string `json:"public_key" yaml:"public_key"`
 }
 
-// Zone is a place. Distances lists one-way delay to other zones.
+// Zone is a place. Distances lists the one-way delay to other zones; every
+// pair of zones needs one, given at either end, or alike at both.
 type Zone struct {
-	Name      string     `json:"name"`
-	Region    string     `json:"region"`
-	Distances []Distance `json:"distances,omitempty"`
+	Name      string     `json:"name" yaml:"name"`
+	Region    string     `json:"region" yaml:"region"`
+	Distances []Distance `json:"distances,omitempty" yaml:"distances"`
 }
 
 // Distance is a one-way network delay in milliseconds.
 type Distance struct {
-	To     string  `json:"to"`
-	Millis float64 `json:"millis"`
+	To     string  `json:"to" yaml:"to"`
+	Millis float64 `json:"millis" yaml:"millis"`
 }
 
 // Cell names a group of nodes; Seeds are peer addresses by which nodes of
-// other cells, and its own at start, reach it.
+// other cells, and its own at start, reach it, each as HOST:PORT.
 type Cell struct {
-	Name   string   `json:"name"`
-	Region string   `json:"region"`
-	Seeds  []string `json:"seeds"`
+	Name   string   `json:"name" yaml:"name"`
+	Region string   `json:"region" yaml:"region"`
+	Seeds  []string `json:"seeds" yaml:"seeds"`
 }
 
-// Tenant is a customer. KeyDigests are SHA-256 of its keys, hexadecimal.
+// Tenant is a customer. KeyDigests are SHA-256 of its keys, 64 hexadecimal
+// digits each; at least one.
 type Tenant struct {
-	Name        string   `json:"name"`
-	KeyDigests  []string `json:"key_digests"`
-	Weight      float64  `json:"weight"` // share under contention; default 1
-	Models      []string `json:"models"` // allowed; empty means all
-	Tools       []string `json:"tools"`
-	MaxPrograms int      `json:"max_programs,omitempty"` // per node; 0 = no limit
+	Name        string   `json:"name" yaml:"name"`
+	KeyDigests  []string `json:"key_digests" yaml:"key_digests"`
+	Weight      float64  `json:"weight" yaml:"weight"`                       // share under contention; 0 = DefaultTenantWeight
+	Models      []string `json:"models" yaml:"models"`                       // allowed; empty means all
+	Tools       []string `json:"tools" yaml:"tools"`                         // allowed; empty means all
+	MaxPrograms int      `json:"max_programs,omitempty" yaml:"max_programs"` // per node; 0 = no limit
 }
 
-// Class is a kind of program, with its worth and its limits.
+// Class is a kind of program, with its worth and its limits. A limit of 0
+// means none, save MaxBudget, which every class must give.
 type Class struct {
-	Name           string      `json:"name"`
-	Worth          float64     `json:"worth"`           // of one completed program
-	DeadlineMillis int64       `json:"deadline_millis"` // usual, for the whole program
-	MaxBudget      api.Credits `json:"max_budget"`
-	MaxCalls       int64       `json:"max_calls"`
-	MaxDepth       int         `json:"max_depth"`
-	MaxTokens      int64       `json:"max_tokens"`
-	MaxWallMillis  int64       `json:"max_wall_millis"`
+	Name           string      `json:"name" yaml:"name"`
+	Worth          float64     `json:"worth" yaml:"worth"`                     // of one completed program
+	DeadlineMillis int64       `json:"deadline_millis" yaml:"deadline_millis"` // usual, for the whole program
+	MaxBudget      api.Credits `json:"max_budget" yaml:"max_budget"`
+	MaxCalls       int64       `json:"max_calls" yaml:"max_calls"`
+	MaxDepth       int         `json:"max_depth" yaml:"max_depth"`
+	MaxTokens      int64       `json:"max_tokens" yaml:"max_tokens"`
+	MaxWallMillis  int64       `json:"max_wall_millis" yaml:"max_wall_millis"`
 }
 
 // Model is what engines serve.
 type Model struct {
-	Name             string      `json:"name"`
-	Version          string      `json:"version,omitempty"`
-	ContextTokens    int64       `json:"context_tokens"`
-	DefaultMaxTokens int64       `json:"default_max_tokens"`
-	PromptPrice      api.Credits `json:"prompt_price"`
-	CachedPrice      api.Credits `json:"cached_price"`
-	CompletionPrice  api.Credits `json:"completion_price"`
-	MinReadyEngines  int         `json:"min_ready_engines,omitempty"`
+	Name             string      `json:"name" yaml:"name"`
+	Version          string      `json:"version,omitempty" yaml:"version"` // of the weights; empty = whatever the engine has
+	ContextTokens    int64       `json:"context_tokens" yaml:"context_tokens"`
+	DefaultMaxTokens int64       `json:"default_max_tokens" yaml:"default_max_tokens"`
+	PromptPrice      api.Credits `json:"prompt_price" yaml:"prompt_price"`
+	CachedPrice      api.Credits `json:"cached_price" yaml:"cached_price"`
+	CompletionPrice  api.Credits `json:"completion_price" yaml:"completion_price"`
+	MinReadyEngines  int         `json:"min_ready_engines,omitempty" yaml:"min_ready_engines"` // engines to keep ready; default 0
 }
 
 // Tool is a tool service. Lookup says that the tool can tell the outcome of
 // an idempotency key.
 type Tool struct {
-	Name          string      `json:"name"`
-	URL           string      `json:"url"`
-	Zone          string      `json:"zone"`
-	Price         api.Credits `json:"price"`
-	Lookup        bool        `json:"lookup"`
-	TimeoutMillis int64       `json:"timeout_millis"`
-	MaxConcurrent int         `json:"max_concurrent,omitempty"` // per node; 0 = no limit
+	Name          string      `json:"name" yaml:"name"`
+	URL           string      `json:"url" yaml:"url"`
+	Zone          string      `json:"zone" yaml:"zone"`
+	Price         api.Credits `json:"price" yaml:"price"`
+	Lookup        bool        `json:"lookup" yaml:"lookup"`
+	TimeoutMillis int64       `json:"timeout_millis" yaml:"timeout_millis"`           // 0 = DefaultToolTimeoutMillis
+	MaxConcurrent int         `json:"max_concurrent,omitempty" yaml:"max_concurrent"` // per node; 0 = no limit
 }
 
 // Engine is a model engine.
 type Engine struct {
-	Name   string   `json:"name"`
-	URL    string   `json:"url"`
-	Zone   string   `json:"zone"`
-	Cell   string   `json:"cell"`
-	Models []string `json:"models"`
+	Name   string   `json:"name" yaml:"name"`
+	URL    string   `json:"url" yaml:"url"`
+	Zone   string   `json:"zone" yaml:"zone"`
+	Cell   string   `json:"cell" yaml:"cell"`
+	Models []string `json:"models" yaml:"models"`
 }
 
 // Scheduling holds every weight of placement and ordering. A zero value
 // means the default that internal/scheduler documents.
 type Scheduling struct {
-	Policy             string  `json:"policy,omitempty"` // program_aware (default), round_robin, least_loaded, session_affinity
-	WaitWeight         float64 `json:"wait_weight,omitempty"`
-	PrefixWeight       float64 `json:"prefix_weight,omitempty"`
-	DistanceWeight     float64 `json:"distance_weight,omitempty"`
-	WorthWeight        float64 `json:"worth_weight,omitempty"`
-	SlackWeight        float64 `json:"slack_weight,omitempty"`
-	AttainedWeight     float64 `json:"attained_weight,omitempty"`
-	AgingPerSecond     float64 `json:"aging_per_second,omitempty"`
-	MaxQueue           int     `json:"max_queue,omitempty"`
-	RetryBudget        float64 `json:"retry_budget,omitempty"`
-	EngineMaxAgeMillis int64   `json:"engine_max_age_millis,omitempty"`
+	Policy             string  `json:"policy,omitempty" yaml:"policy"` // program_aware (default), round_robin, least_loaded, session_affinity
+	WaitWeight         float64 `json:"wait_weight,omitempty" yaml:"wait_weight"`
+	PrefixWeight       float64 `json:"prefix_weight,omitempty" yaml:"prefix_weight"`
+	DistanceWeight     float64 `json:"distance_weight,omitempty" yaml:"distance_weight"`
+	WorthWeight        float64 `json:"worth_weight,omitempty" yaml:"worth_weight"`
+	SlackWeight        float64 `json:"slack_weight,omitempty" yaml:"slack_weight"`
+	AttainedWeight     float64 `json:"attained_weight,omitempty" yaml:"attained_weight"`
+	AgingPerSecond     float64 `json:"aging_per_second,omitempty" yaml:"aging_per_second"`
+	MaxQueue           int     `json:"max_queue,omitempty" yaml:"max_queue"`
+	RetryBudget        float64 `json:"retry_budget,omitempty" yaml:"retry_budget"`
+	EngineMaxAgeMillis int64   `json:"engine_max_age_millis,omitempty" yaml:"engine_max_age_millis"`
 }
 
-// Limits bounds what callers may send.
+// Limits bounds what callers may send and how long things are kept. Zero
+// means the Default constant of the same name.
 type Limits struct {
-	MaxBodyBytes     int64 `json:"max_body_bytes,omitempty"`
-	MaxSequenceAhead int64 `json:"max_sequence_ahead,omitempty"`
-	HoldMillis       int64 `json:"hold_millis,omitempty"` // engine holds time out after this
-	EndedKeepMillis  int64 `json:"ended_keep_millis,omitempty"`
+	MaxBodyBytes     int64 `json:"max_body_bytes,omitempty" yaml:"max_body_bytes"`
+	MaxSequenceAhead int64 `json:"max_sequence_ahead,omitempty" yaml:"max_sequence_ahead"`
+	HoldMillis       int64 `json:"hold_millis,omitempty" yaml:"hold_millis"` // engine holds time out after this
+	EndedKeepMillis  int64 `json:"ended_keep_millis,omitempty" yaml:"ended_keep_millis"`
 }
 
 // Signed is a bundle in force or on its way: the exact YAML that was signed.
--- /dev/null
+++ b/internal/bundle/submission.go
@@ -0,0 +1,98 @@
+package bundle
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/platform"
+)
+
+const (
+	// maxSubmitAttempts bounds the writes of one submission.
+	maxSubmitAttempts = 4
+	// storeRetryAfter is the advice given while the table cannot be reached.
+	storeRetryAfter = 2 * time.Second
+)
+
+// submission is one try to put a bundle in force in the table.
+type submission struct {
+	keeper *Keeper
+	next   *Snapshot
+	// uncertain is set once a write's outcome is unknown: from then on the
+	// bundle may be, or have been, in force.
+	uncertain bool
+}
+
+// run reads, verifies and writes until the outcome is known.
+func (s *submission) run(ctx context.Context) *api.Error {
+	value, err := json.Marshal(s.next.Signed)
+	if err != nil {
+		return api.Errorf(api.BundleInvalid, "%v", err)
+	}
+	for range maxSubmitAttempts {
+		current, revision, err := s.keeper.readTable(ctx)
+		if err != nil {
+			return s.storeFailed(err)
+		}
+		if current != nil && current.Digest == s.next.Digest {
+			return nil
+		}
+		if refusal := s.verify(current); refusal != nil {
+			return refusal
+		}
+		err = s.write(ctx, value, revision)
+		if err == nil {
+			return nil
+		}
+		if !s.mayReadBack(err) {
+			return s.storeFailed(err)
+		}
+	}
+	return s.storeFailed(platform.ErrUnknownOutcome)
+}
+
+// verify refuses a bundle that may not follow the one in the table.
+func (s *submission) verify(current *Snapshot) *api.Error {
+	refusal := verifyDecoded(current, s.next.Declared, s.next.Signed.SignOffs)
+	if refusal == nil || !s.uncertain || current.Version() <= s.next.Version() {
+		return refusal
+	}
+	return api.Errorf(api.OutcomeUnknown,
+		"version %d is in force; whether it replaced this bundle cannot be established", current.Version())
+}
+
+// write replaces the row if it still has the revision that was verified.
+func (s *submission) write(ctx context.Context, value []byte, revision uint64) error {
+	_, err := s.keeper.table.Commit(ctx, platform.Transaction{
+		WriteID:    "bundle-" + rand.Text(),
+		Conditions: []platform.Condition{{Key: TableKey, Revision: revision}},
+		Writes:     []platform.Write{{Key: TableKey, Value: value}},
+	})
+	return err
+}
+
+// mayReadBack tells whether reading the row again can settle a failed write.
+// Any error that does not promise that nothing was written may hide a write.
+func (s *submission) mayReadBack(err error) bool {
+	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrThrottled) {
+		return false
+	}
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		s.uncertain = true
+	}
+	return true
+}
+
+// storeFailed says what is known when the table cannot be read or written.
+func (s *submission) storeFailed(err error) *api.Error {
+	if s.uncertain {
+		return api.Errorf(api.OutcomeUnknown, "the bundle may have been written: %v", err).After(storeRetryAfter)
+	}
+	return api.Errorf(api.StoreDown, "the bundle was not written: %v", err).After(storeRetryAfter)
+}
