--- /dev/null
+++ b/internal/backend/engine_client.go
@@ -0,0 +1,167 @@
+package backend
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// cancelTimeout bounds the call that cancels a stream after its context ended.
+const cancelTimeout = 2 * time.Second
+
+// errStreamUnknown: the engine has no stream under this request id.
+var errStreamUnknown = errors.New("engine does not know the stream")
+
+// EngineClient implements Engine against an OpenAI-style HTTP engine with
+// resumable streams. It is safe for concurrent use.
+type EngineClient struct {
+	endpoint endpoint
+	resume   resumePolicy
+}
+
+var _ Engine = (*EngineClient)(nil)
+
+// NewEngineClient returns a client of the engine at a base URL. A nil client
+// means one of its own from NewHTTPClient.
+func NewEngineClient(url string, client *http.Client) *EngineClient {
+	return &EngineClient{endpoint: newEndpoint(url, client), resume: defaultResumePolicy}
+}
+
+// Chat implements Engine. Its errors:
+//   - ErrUnreachable: the request was not sent;
+//   - ErrRefused, ErrLeaving, ErrFenced: the engine did not run it;
+//   - ErrBroken: it may have run, wholly or in part. This includes the end of
+//     ctx after sending, when the stream is cancelled at the engine by a short
+//     call of its own, and the context's error is wrapped too.
+func (c *EngineClient) Chat(ctx context.Context, request ChatRequest, onText func(offset int64, text string)) (ChatResult, error) {
+	stream := &chatStream{onText: onText}
+	err := c.startStream(ctx, request, stream)
+	if errors.Is(err, errLinkCut) {
+		err = c.resumeStream(ctx, request.Request, stream, err)
+	}
+	if err == nil {
+		err = stream.check()
+	}
+	if err == nil {
+		return stream.result(), nil
+	}
+	if errors.Is(err, ErrBroken) {
+		go c.cancelStream(context.WithoutCancel(ctx), request.Request)
+	}
+	return ChatResult{}, err
+}
+
+// startStream posts the call and reads its stream. An error after sending is
+// errLinkCut if the stream may be resumed.
+func (c *EngineClient) startStream(ctx context.Context, request ChatRequest, stream *chatStream) error {
+	body := WireChatRequest{
+		Model:     request.Model,
+		Adapter:   request.Adapter,
+		Messages:  request.Messages,
+		MaxTokens: request.MaxTokens,
+		Stream:    true,
+		Program:   request.Program,
+		RequestID: request.Request,
+		Epoch:     request.Epoch,
+		Priority:  request.Priority,
+	}
+	response, err := c.endpoint.do(ctx, http.MethodPost, "/v1/chat/completions", body)
+	if errors.Is(err, ErrBroken) {
+		return ofKind(ctx, errLinkCut, err)
+	}
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return statusError(response)
+	}
+	return stream.read(ctx, response.Body, c.resume.idleTimeout)
+}
+
+// resumeStream asks for the rest of a cut stream until it is whole, the
+// attempts without progress are used up, or ctx ends.
+func (c *EngineClient) resumeStream(ctx context.Context, id string, stream *chatStream, cause error) error {
+	for attempt := 0; attempt < c.resume.attempts; attempt++ {
+		if err := c.resume.wait(ctx, attempt); err != nil {
+			return ofKind(ctx, ErrBroken, err)
+		}
+		before := stream.offset()
+		cause = c.resumeOnce(ctx, id, stream)
+		if !errors.Is(cause, errLinkCut) {
+			return cause
+		}
+		if stream.offset() > before {
+			attempt = -1
+		}
+	}
+	return ofKind(ctx, ErrBroken, errors.Wrap(cause, "stream not resumed"))
+}
+
+func (c *EngineClient) resumeOnce(ctx context.Context, id string, stream *chatStream) error {
+	path := streamPath(id) + "?offset=" + strconv.FormatInt(stream.offset(), 10)
+	response, err := c.endpoint.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return ofKind(ctx, errLinkCut, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusOK {
+		return stream.read(ctx, response.Body, c.resume.idleTimeout)
+	}
+	err = statusError(response)
+	if errors.Is(err, errStreamUnknown) {
+		return ofKind(ctx, ErrBroken, err)
+	}
+	return ofKind(ctx, errLinkCut, err)
+}
+
+func (c *EngineClient) cancelStream(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	// Best effort: nobody waits for the stream any more.
+	_ = c.endpoint.doJSON(ctx, http.MethodDelete, streamPath(id), nil, nil)
+}
+
+func streamPath(id string) string { return "/v1/streams/" + url.PathEscape(id) }
+
+// Release implements Engine.
+func (c *EngineClient) Release(ctx context.Context, program string) error {
+	return c.endpoint.doJSON(ctx, http.MethodDelete, "/holds/"+url.PathEscape(program), nil, nil)
+}
+
+// Holds implements Engine.
+func (c *EngineClient) Holds(ctx context.Context) ([]string, error) {
+	var holds WireHolds
+	if err := c.endpoint.doJSON(ctx, http.MethodGet, "/holds", nil, &holds); err != nil {
+		return nil, err
+	}
+	return holds.Programs, nil
+}
+
+// Load implements Engine.
+func (c *EngineClient) Load(ctx context.Context) (Load, error) {
+	var load Load
+	if err := c.endpoint.doJSON(ctx, http.MethodGet, "/load", nil, &load); err != nil {
+		return Load{}, err
+	}
+	return load, nil
+}
+
+// CacheEvents implements Engine. After 0 the engine answers with a snapshot.
+func (c *EngineClient) CacheEvents(ctx context.Context, after uint64) (CacheEvents, error) {
+	var events CacheEvents
+	path := "/cache/events?after=" + strconv.FormatUint(after, 10)
+	if err := c.endpoint.doJSON(ctx, http.MethodGet, path, nil, &events); err != nil {
+		return CacheEvents{}, err
+	}
+	return events, nil
+}
+
+// Order implements Engine. ErrFenced means that a higher fence was seen.
+func (c *EngineClient) Order(ctx context.Context, order Order) error {
+	return c.endpoint.doJSON(ctx, http.MethodPost, "/orders", order, nil)
+}
--- /dev/null
+++ b/internal/backend/index.go
@@ -0,0 +1,227 @@
+package backend
+
+import (
+	"maps"
+	"strconv"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	// indexShards splits an engine's blocks, so that an update copies only
+	// the shards that it touches.
+	indexShards = 64
+	// DefaultMaxBlocksPerEngine bounds an engine's part of an Index.
+	DefaultMaxBlocksPerEngine = 1 << 18
+)
+
+// Index knows which prefix blocks each engine has cached, as far as their
+// cache events tell. It is a hint. Reads take no lock; updates of one engine
+// are serialised and replace the shards that change. Safe for concurrent use.
+type Index struct {
+	maxBlocks int
+	mutex     sync.Mutex // serialises changes of the engine table
+	engines   atomic.Pointer[map[string]*engineBlocks]
+}
+
+// engineBlocks is what is known of one engine.
+type engineBlocks struct {
+	mutex    sync.Mutex // serialises Apply
+	sequence atomic.Uint64
+	count    int // blocks in all shards; guarded by mutex
+	table    atomic.Pointer[blockTable]
+}
+
+type blockTable [indexShards]atomic.Pointer[blockSet]
+
+type blockSet map[uint64]struct{}
+
+// NewIndex returns an empty index. MaxBlocksPerEngine bounds its memory;
+// zero means DefaultMaxBlocksPerEngine. Blocks over the bound stay unknown.
+func NewIndex(maxBlocksPerEngine int) *Index {
+	if maxBlocksPerEngine <= 0 {
+		maxBlocksPerEngine = DefaultMaxBlocksPerEngine
+	}
+	index := &Index{maxBlocks: maxBlocksPerEngine}
+	index.engines.Store(&map[string]*engineBlocks{})
+	return index
+}
+
+// CachedBlocks returns how many leading blocks the engine has cached.
+func (x *Index) CachedBlocks(engine string, blocks []uint64) int {
+	known := (*x.engines.Load())[engine]
+	if known == nil {
+		return 0
+	}
+	table := known.table.Load()
+	for position, block := range blocks {
+		if !table.has(block) {
+			return position
+		}
+	}
+	return len(blocks)
+}
+
+// Sequence returns the sequence number up to which the engine's events were
+// applied, or 0.
+func (x *Index) Sequence(engine string) uint64 {
+	if known := (*x.engines.Load())[engine]; known != nil {
+		return known.sequence.Load()
+	}
+	return 0
+}
+
+// Remove forgets an engine.
+func (x *Index) Remove(engine string) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	engines := maps.Clone(*x.engines.Load())
+	delete(engines, engine)
+	x.engines.Store(&engines)
+}
+
+// Apply takes one page of an engine's cache events. A snapshot, or a page
+// with a gap after what was applied before, replaces all that is known of the
+// engine by the page's Blocks; of a page with a gap the events after its last
+// gap are then applied in order. Events applied before are skipped.
+func (x *Index) Apply(engine string, page CacheEvents) {
+	known := x.engine(engine)
+	known.mutex.Lock()
+	defer known.mutex.Unlock()
+	events, gap := page.following(known.sequence.Load())
+	if gap || page.Snapshot {
+		known.replace(page.Blocks, x.maxBlocks)
+	}
+	if !page.Snapshot {
+		known.applyEvents(events, x.maxBlocks)
+	}
+	known.sequence.Store(page.Sequence)
+}
+
+// HasGap tells whether events are missing between the sequence number after
+// and this page, or inside the page. A page that ends before after comes from
+// an engine that has restarted, and counts as a gap.
+func (p CacheEvents) HasGap(after uint64) bool {
+	_, gap := p.following(after)
+	return gap
+}
+
+// following returns the events that follow the sequence number after without
+// a gap or, if there are gaps, those that follow the last gap.
+func (p CacheEvents) following(after uint64) (events []CacheEvent, gap bool) {
+	if p.Sequence < after {
+		return p.Events, true
+	}
+	newest := after
+	start := 0
+	for position, event := range p.Events {
+		if event.Sequence <= after {
+			start = position + 1
+			continue
+		}
+		if event.Sequence != newest+1 {
+			gap = true
+			start = position
+		}
+		newest = event.Sequence
+	}
+	if newest != p.Sequence {
+		return nil, true
+	}
+	return p.Events[start:], gap
+}
+
+// engine returns an engine's entry, made if it is new.
+func (x *Index) engine(name string) *engineBlocks {
+	if known := (*x.engines.Load())[name]; known != nil {
+		return known
+	}
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	engines := maps.Clone(*x.engines.Load())
+	if known := engines[name]; known != nil {
+		return known
+	}
+	known := &engineBlocks{}
+	known.table.Store(&blockTable{})
+	engines[name] = known
+	x.engines.Store(&engines)
+	return known
+}
+
+// replace swaps in a new table, so that readers see the old or the new one.
+func (e *engineBlocks) replace(blocks []string, limit int) {
+	var sets [indexShards]blockSet
+	e.count = 0
+	for _, text := range blocks {
+		block, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || e.count >= limit {
+			continue
+		}
+		shard := shardOf(block)
+		if sets[shard] == nil {
+			sets[shard] = blockSet{}
+		}
+		if _, found := sets[shard][block]; !found {
+			sets[shard][block] = struct{}{}
+			e.count++
+		}
+	}
+	table := &blockTable{}
+	for shard, set := range sets {
+		if set != nil {
+			table[shard].Store(&set)
+		}
+	}
+	e.table.Store(table)
+}
+
+// applyEvents copies each shard that the events touch, once, and publishes
+// the copies when all events are in.
+func (e *engineBlocks) applyEvents(events []CacheEvent, limit int) {
+	table := e.table.Load()
+	var changed [indexShards]blockSet
+	for _, event := range events {
+		shard := shardOf(event.Block)
+		if changed[shard] == nil {
+			changed[shard] = table.cloneShard(shard)
+		}
+		e.applyEvent(changed[shard], event, limit)
+	}
+	for shard, set := range changed {
+		if set != nil {
+			table[shard].Store(&set)
+		}
+	}
+}
+
+func (e *engineBlocks) applyEvent(set blockSet, event CacheEvent, limit int) {
+	_, found := set[event.Block]
+	switch {
+	case event.Stored && !found && e.count < limit:
+		set[event.Block] = struct{}{}
+		e.count++
+	case !event.Stored && found:
+		delete(set, event.Block)
+		e.count--
+	}
+}
+
+func (t *blockTable) has(block uint64) bool {
+	set := t[shardOf(block)].Load()
+	if set == nil {
+		return false
+	}
+	_, found := (*set)[block]
+	return found
+}
+
+func (t *blockTable) cloneShard(shard int) blockSet {
+	set := t[shard].Load()
+	if set == nil {
+		return blockSet{}
+	}
+	return maps.Clone(*set)
+}
+
+func shardOf(block uint64) int { return int(block % indexShards) }
--- /dev/null
+++ b/internal/backend/observer.go
@@ -0,0 +1,154 @@
+package backend
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults of ObserverOptions.
+const (
+	DefaultObserveInterval    = 250 * time.Millisecond
+	DefaultObserveTimeout     = 2 * time.Second
+	DefaultObserveMaxInterval = 2 * time.Second
+)
+
+// errNotObserved: no poll has ended yet.
+var errNotObserved = errors.New("engine not observed yet")
+
+// ObserverOptions tunes an Observer; zero values mean the defaults.
+type ObserverOptions struct {
+	Interval    time.Duration // between polls, with a tenth of jitter
+	Timeout     time.Duration // of one poll
+	MaxInterval time.Duration // between polls of an engine that fails
+	// OnPoll is called after each poll, in the goroutine of Run.
+	OnPoll func(load Load, observedAt time.Time, err error)
+}
+
+// Observer polls the load and the cache events of one engine, and feeds the
+// events to an Index. Run must be called once; Latest is safe for concurrent
+// use.
+type Observer struct {
+	name    string
+	engine  Engine
+	index   *Index
+	options ObserverOptions
+	latest  atomic.Pointer[observation]
+}
+
+// observation is the outcome of a poll. A failed poll keeps the load and the
+// time of the last that succeeded.
+type observation struct {
+	load       Load
+	observedAt time.Time
+	err        error
+}
+
+// NewObserver returns an observer of the named engine. Index may be nil: then
+// cache events are not polled.
+func NewObserver(name string, engine Engine, index *Index, options ObserverOptions) *Observer {
+	if options.Interval <= 0 {
+		options.Interval = DefaultObserveInterval
+	}
+	if options.Timeout <= 0 {
+		options.Timeout = DefaultObserveTimeout
+	}
+	if options.MaxInterval <= 0 {
+		options.MaxInterval = max(DefaultObserveMaxInterval, options.Interval)
+	}
+	observer := &Observer{name: name, engine: engine, index: index, options: options}
+	observer.latest.Store(&observation{err: errNotObserved})
+	return observer
+}
+
+// Run polls until ctx ends. What the index knows of the engine stays; the
+// caller removes it when the engine is gone.
+func (o *Observer) Run(ctx context.Context) {
+	failures := 0
+	for {
+		err := o.poll(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			failures = 0
+		} else {
+			failures++
+		}
+		if !sleep(ctx, o.delay(failures)) {
+			return
+		}
+	}
+}
+
+// Latest returns the newest load that was read, when it was read, and the
+// error of the newest poll, if that failed.
+func (o *Observer) Latest() (Load, time.Time, error) {
+	latest := o.latest.Load()
+	return latest.load, latest.observedAt, latest.err
+}
+
+// poll reads load and events once. The load counts as soon as it is read;
+// only it decides whether the poll failed, as the index is a hint.
+func (o *Observer) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, o.options.Timeout)
+	defer cancel()
+	next := *o.latest.Load()
+	load, err := o.engine.Load(ctx)
+	next.err = err
+	if err == nil {
+		next.load = load
+		next.observedAt = time.Now()
+	}
+	o.latest.Store(&next)
+	if err == nil && o.index != nil {
+		o.pollEvents(ctx)
+	}
+	if o.options.OnPoll != nil {
+		o.options.OnPoll(next.load, next.observedAt, next.err)
+	}
+	return err
+}
+
+// pollEvents applies the newest events. After a gap it asks for a snapshot
+// first, so that readers of the index don't see the blocks vanish for a while.
+func (o *Observer) pollEvents(ctx context.Context) {
+	after := o.index.Sequence(o.name)
+	page, err := o.engine.CacheEvents(ctx, after)
+	if err != nil {
+		return
+	}
+	if !page.Snapshot && page.HasGap(after) {
+		snapshot, err := o.engine.CacheEvents(ctx, 0)
+		if err == nil {
+			page = snapshot
+		}
+	}
+	o.index.Apply(o.name, page)
+}
+
+// delay doubles the interval with each failure in a row, up to MaxInterval,
+// and adds up to a tenth of jitter.
+func (o *Observer) delay(failures int) time.Duration {
+	delay := o.options.Interval
+	for ; failures > 0 && delay < o.options.MaxInterval; failures-- {
+		delay *= 2
+	}
+	delay = min(delay, max(o.options.MaxInterval, o.options.Interval))
+	return delay + rand.N(delay/10+1)
+}
+
+// sleep waits; it returns false if ctx ended first.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/backend/prompt.go
@@ -0,0 +1,59 @@
+package backend
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pewtermill/pewtermill/api"
+)
+
+// RenderPrompt returns the text that an engine sees for the messages: for
+// each message its role, a newline, its content and a newline.
+func RenderPrompt(messages []api.Message) string {
+	size := 0
+	for _, message := range messages {
+		size += len(message.Role) + len(message.Content) + 2
+	}
+	var prompt strings.Builder
+	prompt.Grow(size)
+	for _, message := range messages {
+		prompt.WriteString(message.Role)
+		prompt.WriteByte('\n')
+		prompt.WriteString(message.Content)
+		prompt.WriteByte('\n')
+	}
+	return prompt.String()
+}
+
+// PrefixBlocks returns one hash for each whole block of BlockBytes of the
+// rendered prompt. Each hash is the xxhash64 of the prompt from its start to
+// that block's end, so equal hashes mean equal prefixes. A partial last block
+// has no hash.
+func PrefixBlocks(messages []api.Message) []uint64 {
+	return TextBlocks(RenderPrompt(messages))
+}
+
+// TextBlocks is PrefixBlocks for a prompt that is rendered already.
+func TextBlocks(prompt string) []uint64 {
+	blocks := make([]uint64, 0, len(prompt)/BlockBytes)
+	var digest xxhash.Digest
+	digest.Reset()
+	for end := BlockBytes; end <= len(prompt); end += BlockBytes {
+		_, _ = digest.WriteString(prompt[end-BlockBytes : end])
+		blocks = append(blocks, digest.Sum64())
+	}
+	return blocks
+}
+
+// EstimateTokens returns the number of tokens of a text of that many bytes,
+// rounded up.
+func EstimateTokens(bytes int) int64 {
+	return (int64(bytes) + BytesPerToken - 1) / BytesPerToken
+}
+
+// TextDigest returns the xxhash64 of a text as 16 hexadecimal digits.
+func TextDigest(text string) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64String(text))
+}
