wire: framed protobuf between nodes

Client and Server per the contract: one multiplexed connection per address, mutual HMAC handshake, per-stream windows so that a slow consumer slows only its own stream, ErrNotSent and ErrLinkBroken told apart by each frame's stage in the send queue. wire.proto gains Window (additive).

--- /dev/null
+++ b/internal/wire/client.go
@@ -0,0 +1,244 @@
+package wire
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// Reasons for which a request was not sent.
+var (
+	errClientClosed = errors.New("client closed")
+	errRedialDelay  = errors.New("waiting before the next dial")
+)
+
+// Client sends requests to peers over one connection per address, which it
+// opens when needed. After a failed dial, requests to that address fail at
+// once with ErrNotSent until a delay of up to one second has passed. Safe for
+// concurrent use.
+type Client struct {
+	traffic
+	options Options
+	ctx     context.Context // ends with Close
+	stop    context.CancelFunc
+	tasks   sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// peer is what the client knows of one address. Guarded by Client.mu.
+type peer struct {
+	session  *session
+	dial     *dialAttempt
+	failures int // dials failed in a row
+	lastErr  error
+	retryAt  time.Time
+}
+
+// dialAttempt is shared by all requests that wait for one dial. The result
+// is valid once done is closed.
+type dialAttempt struct {
+	done    chan struct{}
+	session *session
+	err     error
+}
+
+// NewClient returns a client that must be closed.
+func NewClient(options Options) *Client {
+	ctx, stop := context.WithCancel(context.Background())
+	client := &Client{
+		options: options.withDefaults(), ctx: ctx, stop: stop,
+		peers: make(map[string]*peer),
+	}
+	client.tasks.Go(client.dropIdleRegularly)
+	return client
+}
+
+// Do sends a request and waits for its reply. Parts that come before it are
+// passed to onPart (nil: discarded) in order, on the caller's goroutine; a
+// slow onPart slows only this stream. When ctx ends first, the other side is
+// told. Every error satisfies errors.Is with one of ErrNotSent, ErrLinkBroken.
+func (c *Client) Do(
+	ctx context.Context, address string, request *wirepb.Request, onPart func(offset int64, text []byte),
+) (*wirepb.Reply, error) {
+	var reply *wirepb.Reply
+	err := c.withSession(ctx, address, func(s *session) (err error) {
+		reply, err = s.exchange(ctx, request, onPart)
+		return err
+	})
+	return reply, err
+}
+
+// Send queues a one-way request and returns without waiting for it to leave:
+// nil does not mean that it arrived. Its errors are ErrNotSent.
+func (c *Client) Send(ctx context.Context, address string, request *wirepb.Request) error {
+	return c.withSession(ctx, address, func(s *session) error { return s.send(ctx, request) })
+}
+
+// withSession runs the exchange, once more on a new connection if the old
+// one turned out to be closed before the request was queued.
+func (c *Client) withSession(ctx context.Context, address string, exchange func(*session) error) error {
+	var err error
+	for range sendAttemptsPerRequest {
+		var s *session
+		s, err = c.session(ctx, address)
+		if err != nil {
+			return errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNotSent)
+		}
+		err = exchange(s)
+		if !errors.Is(err, errQueueClosed) {
+			return err
+		}
+	}
+	return err
+}
+
+// session returns the connection to the address, dialing if there is none.
+func (c *Client) session(ctx context.Context, address string) (*session, error) {
+	ready, dial, err := c.sessionOrDial(address)
+	if ready != nil || err != nil {
+		return ready, err
+	}
+	select {
+	case <-dial.done:
+		return dial.session, dial.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// sessionOrDial returns the present connection, or the dial under way.
+func (c *Client) sessionOrDial(address string) (*session, *dialAttempt, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil {
+		return nil, nil, errClientClosed
+	}
+	known := c.peers[address]
+	if known == nil {
+		known = &peer{}
+		c.peers[address] = known
+	}
+	if known.session != nil && !known.session.link.hasEnded() {
+		return known.session, nil, nil
+	}
+	if known.dial != nil {
+		return nil, known.dial, nil
+	}
+	if time.Now().Before(known.retryAt) {
+		return nil, nil, errors.Mark(errors.Wrap(known.lastErr, "waiting before the next dial"), errRedialDelay)
+	}
+	attempt := &dialAttempt{done: make(chan struct{})}
+	known.dial = attempt
+	c.tasks.Go(func() { c.runDial(address, known, attempt) })
+	return nil, attempt, nil
+}
+
+// runDial dials and, on success, serves the connection until it ends.
+func (c *Client) runDial(address string, known *peer, attempt *dialAttempt) {
+	attempt.session, attempt.err = c.dial(address)
+	c.mu.Lock()
+	known.dial = nil
+	known.session = attempt.session
+	if attempt.err == nil {
+		known.failures = 0
+	} else {
+		known.failures++
+		known.lastErr = attempt.err
+		known.retryAt = time.Now().Add(redialDelay(known.failures))
+	}
+	c.mu.Unlock()
+	close(attempt.done)
+	if attempt.err != nil {
+		c.options.Logger.Warn("connection failed", "address", address, "error", attempt.err.Error())
+		return
+	}
+	unhook := context.AfterFunc(c.ctx, func() { attempt.session.link.fail(errClientClosed) })
+	defer unhook()
+	attempt.session.run()
+}
+
+// dial opens a connection and does the handshake.
+func (c *Client) dial(address string) (*session, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(c.ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	unhook := context.AfterFunc(c.ctx, func() { _ = conn.Close() })
+	defer unhook()
+	remote, err := c.prepare(conn)
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "handshake")
+	}
+	return newSession(newLink(conn, remote, c.options, &c.traffic)), nil
+}
+
+func (c *Client) prepare(conn net.Conn) (string, error) {
+	if err := tune(conn); err != nil {
+		return "", err
+	}
+	return dialHandshake(conn, c.options, &c.traffic)
+}
+
+// redialDelay doubles with every failure, with random spread.
+func redialDelay(failures int) time.Duration {
+	delay := maxRedialDelay
+	if shift := failures - 1; shift < 8 {
+		delay = min(delay, minRedialDelay<<shift)
+	}
+	return delay/2 + rand.N(delay/2)
+}
+
+// dropIdleRegularly closes connections that nobody used for idleTimeout and
+// forgets addresses without connection, until the client is closed.
+func (c *Client) dropIdleRegularly() {
+	ticker := time.NewTicker(idleCheckEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case now := <-ticker.C:
+			c.dropIdle(now)
+		}
+	}
+}
+
+func (c *Client) dropIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, known := range c.peers {
+		if known.dial != nil || now.Before(known.retryAt) {
+			continue
+		}
+		if known.session == nil || known.session.link.hasEnded() {
+			delete(c.peers, address)
+			continue
+		}
+		if known.session.idle() && now.Sub(known.session.link.idleSince()) > idleTimeout {
+			known.session.link.fail(errIdle)
+		}
+	}
+}
+
+// errIdle closes a connection that nobody uses.
+var errIdle = errors.New("connection idle")
+
+// Close ends all connections and waits for their goroutines. Requests under
+// way fail. Later requests fail with ErrNotSent.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	c.stop()
+	c.mu.Unlock()
+	c.tasks.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,73 @@
+package wire
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// lengthBytes is the size of the length in front of every frame.
+const lengthBytes = 4
+
+// Errors that end a connection.
+var (
+	errFrameTooLarge = errors.New("frame over the size limit")
+	errBrokenFrame   = errors.New("frame cannot be decoded")
+)
+
+// encodeFrame returns the length and the frame, ready for the socket.
+func encodeFrame(frame *wirepb.Frame, maxBytes int) ([]byte, error) {
+	size := proto.Size(frame)
+	if size > maxBytes {
+		return nil, errors.Wrapf(errFrameTooLarge, "%d bytes, limit %d", size, maxBytes)
+	}
+	encoded := make([]byte, lengthBytes, lengthBytes+size)
+	encoded, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(encoded, frame)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode frame")
+	}
+	binary.BigEndian.PutUint32(encoded, uint32(len(encoded)-lengthBytes))
+	return encoded, nil
+}
+
+// readFrame reads one frame and returns it with its size on the wire in
+// bytes. It allocates only as bytes arrive, so a false length costs nothing.
+func readFrame(reader io.Reader, maxBytes int) (*wirepb.Frame, int, error) {
+	var prefix [lengthBytes]byte
+	if _, err := io.ReadFull(reader, prefix[:]); err != nil {
+		return nil, 0, err
+	}
+	size := binary.BigEndian.Uint32(prefix[:])
+	if uint64(size) > uint64(maxBytes) {
+		return nil, lengthBytes, errors.Wrapf(errFrameTooLarge, "%d bytes, limit %d", size, maxBytes)
+	}
+	body, err := readBody(reader, int(size))
+	if err != nil {
+		return nil, lengthBytes + len(body), err
+	}
+	frame := &wirepb.Frame{}
+	if err := proto.Unmarshal(body, frame); err != nil {
+		return nil, lengthBytes + len(body), errors.Mark(errors.Wrap(err, "decode frame"), errBrokenFrame)
+	}
+	return frame, lengthBytes + len(body), nil
+}
+
+// readBody reads size bytes, growing the buffer in steps for large sizes.
+func readBody(reader io.Reader, size int) ([]byte, error) {
+	const step = 64 << 10
+	body := make([]byte, 0, min(size, step))
+	for len(body) < size {
+		have := len(body)
+		want := min(size-have, max(step, have))
+		body = append(body, make([]byte, want)...)
+		read, err := io.ReadFull(reader, body[have:])
+		if err != nil {
+			return body[:have+read], errors.Mark(errors.Wrap(err, "frame cut short"), io.ErrUnexpectedEOF)
+		}
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/wire/options.go
@@ -0,0 +1,71 @@
+package wire
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ProtocolVersion is exchanged in the handshake; both sides must agree.
+const ProtocolVersion = 1
+
+// Limits and intervals of every connection.
+const (
+	// DefaultMaxFrameBytes bounds one frame when Options leaves it unset.
+	DefaultMaxFrameBytes = 8 << 20
+	// StreamWindowBytes of parts may be sent ahead of the consumer, per
+	// stream. A single part may exceed what is left of the window.
+	StreamWindowBytes = 256 << 10
+	// DeadPeerTimeout ends a connection whose data is not acknowledged.
+	DeadPeerTimeout = 10 * time.Second
+
+	sendQueueBytes         = 1 << 20
+	maxHandshakeBytes      = 4 << 10
+	maxRequestsPerLink     = 8192
+	dialTimeout            = 3 * time.Second
+	handshakeTimeout       = 3 * time.Second
+	writeTimeout           = 10 * time.Second
+	idleTimeout            = 10 * time.Minute
+	idleCheckEvery         = time.Minute
+	minRedialDelay         = 50 * time.Millisecond
+	maxRedialDelay         = time.Second
+	readBufferBytes        = 32 << 10
+	keepAliveIdle          = 15 * time.Second
+	keepAliveProbeEvery    = 5 * time.Second
+	keepAliveProbes        = 3
+	sendAttemptsPerRequest = 2
+)
+
+// Errors that tell what became of a request. See the package comment.
+var (
+	// ErrNotSent: the request certainly never reached the other side.
+	ErrNotSent = errors.New("request not sent")
+	// ErrLinkBroken: the request may have been sent; its outcome is unknown.
+	ErrLinkBroken = errors.New("link broken, outcome unknown")
+)
+
+// Options configure a Client or a Server.
+type Options struct {
+	// Node is the name by which this side introduces itself.
+	Node string
+	// ClusterKey is the secret that all nodes of the fleet share.
+	ClusterKey []byte
+	// Logger gets handshake failures and broken frames; nil: discarded.
+	Logger *slog.Logger
+	// Fault drops traffic in tests; nil in production.
+	Fault *Faults
+	// MaxFrameBytes bounds one frame both ways; 0: DefaultMaxFrameBytes.
+	MaxFrameBytes int
+}
+
+// withDefaults returns the options with unset fields filled in.
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.MaxFrameBytes == 0 {
+		o.MaxFrameBytes = DefaultMaxFrameBytes
+	}
+	return o
+}
--- /dev/null
+++ b/internal/wire/responder.go
@@ -0,0 +1,193 @@
+package wire
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// overloadRetryAfter is advised when one peer has too many requests open.
+const overloadRetryAfter = time.Second
+
+// responder is the answering side of one connection. Safe for concurrent use.
+type responder struct {
+	server *Server
+	link   *link
+	ctx    context.Context // ends with the link
+	stop   context.CancelFunc
+
+	mu        sync.Mutex
+	exchanges map[uint64]*exchange // by correlation id
+	open      int                  // requests being answered, one-way ones too
+}
+
+func newResponder(server *Server, link *link) *responder {
+	ctx, stop := context.WithCancel(server.ctx)
+	return &responder{
+		server: server, link: link, ctx: ctx, stop: stop,
+		exchanges: make(map[uint64]*exchange),
+	}
+}
+
+// run reads requests until the link ends. Handlers may outlive it; the server
+// waits for them when it is closed.
+func (r *responder) run() {
+	r.link.read(r.handle)
+	r.stop()
+	<-r.link.writerDone
+}
+
+// handle starts a request, or applies a Cancel or Window to its exchange.
+func (r *responder) handle(frame *wirepb.Frame) error {
+	switch body := frame.GetBody().(type) {
+	case *wirepb.Frame_Request:
+		r.begin(frame.GetCorrelation(), body.Request)
+	case *wirepb.Frame_Cancel:
+		if found := r.lookup(frame.GetCorrelation()); found != nil {
+			found.cancel()
+		}
+	case *wirepb.Frame_Window:
+		if found := r.lookup(frame.GetCorrelation()); found != nil {
+			found.window.add(int(body.Window.GetBytes()))
+		}
+	default:
+		return errUnexpectedFrame
+	}
+	return nil
+}
+
+// begin answers a request on its own goroutine. A second request under the
+// correlation id of an open one is dropped.
+func (r *responder) begin(correlation uint64, request *wirepb.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if correlation != 0 && r.exchanges[correlation] != nil {
+		return
+	}
+	if r.open >= maxRequestsPerLink {
+		r.refuse(correlation)
+		return
+	}
+	started := newExchange(r, correlation)
+	if correlation != 0 {
+		r.exchanges[correlation] = started
+	}
+	r.open++
+	r.server.tasks.Go(func() {
+		defer r.end(started)
+		started.answer(request)
+	})
+}
+
+// refuse answers a request that was not started.
+func (r *responder) refuse(correlation uint64) {
+	if correlation == 0 {
+		return
+	}
+	reply := &wirepb.Reply{
+		Code:             int32(api.Overloaded),
+		Execution:        string(api.NotRun),
+		Detail:           "too many open requests of one peer",
+		RetryAfterMillis: overloadRetryAfter.Milliseconds(),
+	}
+	r.link.control(&wirepb.Frame{Correlation: correlation, Body: &wirepb.Frame_Reply{Reply: reply}})
+}
+
+func (r *responder) lookup(correlation uint64) *exchange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.exchanges[correlation]
+}
+
+func (r *responder) end(ended *exchange) {
+	ended.cancel()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open--
+	if ended.correlation != 0 {
+		delete(r.exchanges, ended.correlation)
+	}
+}
+
+// exchange is the answering side of one request.
+type exchange struct {
+	responder   *responder
+	correlation uint64 // 0: one-way
+	ctx         context.Context
+	cancel      context.CancelFunc
+	window      *window
+}
+
+func newExchange(r *responder, correlation uint64) *exchange {
+	ctx, cancel := context.WithCancel(r.ctx)
+	return &exchange{
+		responder: r, correlation: correlation, ctx: ctx, cancel: cancel,
+		window: newWindow(StreamWindowBytes),
+	}
+}
+
+// answer runs the handler and sends its reply unless nobody waits for it.
+func (e *exchange) answer(request *wirepb.Request) {
+	reply := e.responder.server.handler.ServePeer(e.ctx, request, e.sendPart)
+	if e.correlation == 0 || e.ctx.Err() != nil {
+		return
+	}
+	if reply == nil {
+		reply = failedReply("the handler gave no reply")
+	}
+	encoded, err := e.encode(&wirepb.Frame{Body: &wirepb.Frame_Reply{Reply: reply}})
+	if err != nil {
+		encoded, err = e.encode(&wirepb.Frame{Body: &wirepb.Frame_Reply{Reply: failedReply(err.Error())}})
+	}
+	if err != nil {
+		e.responder.link.fail(err)
+		return
+	}
+	_ = e.responder.link.queue.push(e.ctx, &outgoing{encoded: encoded})
+}
+
+// failedReply is for a request that was handled but whose answer cannot be
+// passed on.
+func failedReply(detail string) *wirepb.Reply {
+	return &wirepb.Reply{Code: int32(api.Internal), Execution: string(api.Unknown), Detail: detail}
+}
+
+// sendPart sends text in pieces of at most maxPartBytes, waiting while the
+// stream's window or the link's queue is full.
+func (e *exchange) sendPart(offset int64, text []byte) {
+	if e.correlation == 0 {
+		return
+	}
+	for {
+		piece := text[:min(len(text), maxPartBytes)]
+		if err := e.sendPiece(offset, piece); err != nil {
+			return
+		}
+		offset += int64(len(piece))
+		text = text[len(piece):]
+		if len(text) == 0 {
+			return
+		}
+	}
+}
+
+func (e *exchange) sendPiece(offset int64, text []byte) error {
+	if err := e.window.take(e.ctx, partCost(text)); err != nil {
+		return err
+	}
+	part := &wirepb.Part{Offset: offset, Text: text}
+	encoded, err := e.encode(&wirepb.Frame{Body: &wirepb.Frame_Part{Part: part}})
+	if err != nil {
+		e.responder.link.fail(err)
+		return err
+	}
+	return e.responder.link.queue.push(e.ctx, &outgoing{encoded: encoded})
+}
+
+func (e *exchange) encode(frame *wirepb.Frame) ([]byte, error) {
+	frame.Correlation = e.correlation
+	return encodeFrame(frame, e.responder.link.options.MaxFrameBytes)
+}
