program: state machine of one program

Replay comes before the checks for an ended or expired program: those refuse as not run, which would be false for a call that is final. For the same reason Header gains AttemptedSequence: after a takeover with a reservation outstanding, refusals of that call say unknown.

--- /dev/null
+++ b/internal/program/admit.go
@@ -0,0 +1,120 @@
+package program
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+)
+
+// Admit decides about an arriving call. It knows only what is durable: its
+// caller must first join the call to a copy of it that is under way, and
+// must compare digests before it replays.
+//
+// With Run the Admission's Header holds a reservation of at least
+// call.DearestCost, and an Intent if the call is not repeatable. If
+// NeedsCommit is set, this Header must be durable before the dispatch.
+// With any other verdict Header is h, unchanged.
+//
+// A call that may have run is never refused as not run: a final one is
+// replayed even when the program has ended since, one with an intent is
+// refused as OutcomeUnknown, and where MayHaveRun holds every other refusal
+// says Unknown too.
+func Admit(h Header, call Call, limits ClassLimits, now time.Time) Admission {
+	if err := checkCall(call); err != nil {
+		return refuse(h, err)
+	}
+	if call.Sequence < h.NextSequence {
+		return Admission{Verdict: Replay, Header: h}
+	}
+	if err := checkOpen(h, call, now); err != nil {
+		return refuse(h, narrow(h, call, err))
+	}
+	if call.Sequence > h.NextSequence {
+		return Admission{Verdict: Wait, Header: h}
+	}
+	if err := checkLimits(h, call, limits); err != nil {
+		return refuse(h, narrow(h, call, err))
+	}
+	if call.Repeatable && call.DearestCost <= h.Reserved {
+		return Admission{Verdict: Run, Header: h}
+	}
+	return Admission{Verdict: Run, Header: reserve(h, call), NeedsCommit: true}
+}
+
+// IdempotencyKey returns the key under which every attempt at the call is
+// known to its tool.
+func IdempotencyKey(id string, sequence int64) string {
+	return id + "/" + strconv.FormatInt(sequence, 10)
+}
+
+func checkCall(call Call) *api.Error {
+	if call.Sequence < 1 {
+		return api.Errorf(api.MalformedRequest, "sequence number %d is below 1", call.Sequence)
+	}
+	if call.DearestCost < 0 || call.MaxTokens < 0 {
+		return api.Errorf(api.MalformedRequest, "cost %d or tokens %d negative", call.DearestCost, call.MaxTokens)
+	}
+	return nil
+}
+
+// checkOpen checks whether the program takes any call with this number.
+func checkOpen(h Header, call Call, now time.Time) *api.Error {
+	switch {
+	case h.Intent != nil && call.Sequence == h.Intent.Sequence:
+		return api.Errorf(api.OutcomeUnknown, "call %d was dispatched in epoch %d and has no outcome yet", call.Sequence, h.Intent.Epoch)
+	case h.Status == api.ProgramClosed:
+		return api.Errorf(api.ProgramEnded, "program %s has ended", h.ID)
+	case h.expired(now):
+		return api.Errorf(api.WallTimeLimit, "program expired at %s", h.ExpiresAt.Format(time.RFC3339))
+	}
+	return nil
+}
+
+// checkLimits checks the next call against the limits and the budget. The
+// sums are arranged so that no caller's number can overflow them.
+func checkLimits(h Header, call Call, limits ClassLimits) *api.Error {
+	unspent := h.Available() + h.Reserved
+	switch {
+	case limits.MaxCalls > 0 && h.Calls >= limits.MaxCalls:
+		return api.Errorf(api.CallLimit, "%d calls made of %d", h.Calls, limits.MaxCalls)
+	case limits.MaxTokens > 0 && call.MaxTokens > limits.MaxTokens-h.Tokens:
+		return api.Errorf(api.TokenLimit, "%d tokens used of %d; the call may add %d", h.Tokens, limits.MaxTokens, call.MaxTokens)
+	case call.DearestCost > unspent:
+		return api.Errorf(api.BudgetExhausted, "the call may cost %d; %d is left", call.DearestCost, unspent)
+	}
+	return nil
+}
+
+// reserve returns the header that must be durable before the dispatch.
+func reserve(h Header, call Call) Header {
+	h.Reserved = call.DearestCost
+	if call.Repeatable {
+		return h
+	}
+	h.Intent = &Intent{
+		Sequence:       call.Sequence,
+		RequestDigest:  call.RequestDigest,
+		IdempotencyKey: IdempotencyKey(h.ID, call.Sequence),
+		Target:         call.Target,
+		Epoch:          h.Epoch,
+	}
+	return h
+}
+
+func refuse(h Header, err *api.Error) Admission {
+	return Admission{Verdict: Refuse, Header: h, Error: err}
+}
+
+// narrow corrects the execution of a refusal where the call may have run.
+func narrow(h Header, call Call, err *api.Error) *api.Error {
+	if h.MayHaveRun(call.Sequence) {
+		err.Execution = api.Unknown
+	}
+	return err
+}
+
+// expired reports whether the program is over its wall-time limit.
+func (h Header) expired(now time.Time) bool {
+	return !h.ExpiresAt.IsZero() && now.After(h.ExpiresAt)
+}
--- /dev/null
+++ b/internal/program/lifecycle.go
@@ -0,0 +1,110 @@
+package program
+
+import (
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+)
+
+// Params describes a program to create. Zero Deadline or MaxWall means none.
+type Params struct {
+	ID         string // ignored by NewChild
+	Tenant     string // ignored by NewChild
+	Class      string
+	Owner      string // node name
+	OwnerStart uint64 // the node's incarnation
+	Budget     api.Credits
+	Now        time.Time
+	Deadline   time.Duration // wish, from Now
+	MaxWall    time.Duration // hard limit, from Now
+}
+
+// New returns the header of a new open program, at epoch 1, waiting for its
+// first call. Its row must be written on condition that it is absent.
+func New(params Params) Header {
+	now := params.Now.UTC()
+	return Header{
+		ID:           params.ID,
+		Tenant:       params.Tenant,
+		Class:        params.Class,
+		Status:       api.ProgramOpen,
+		Epoch:        1,
+		Owner:        params.Owner,
+		OwnerStart:   params.OwnerStart,
+		Budget:       params.Budget,
+		NextSequence: 1,
+		CreatedAt:    now,
+		DeadlineAt:   timeAfter(now, params.Deadline),
+		ExpiresAt:    timeAfter(now, params.MaxWall),
+	}
+}
+
+// Available returns what is neither spent nor reserved.
+func (h Header) Available() api.Credits {
+	return h.Budget - h.Spent - h.Reserved
+}
+
+// MayHaveRun reports whether the call with this number, though not final, may
+// have been dispatched before: an intent stands for it, or a former owner
+// held a reservation when the program was taken over. A refusal of such a
+// call must not say that it was not run.
+func (h Header) MayHaveRun(sequence int64) bool {
+	if h.Intent != nil && h.Intent.Sequence == sequence {
+		return true
+	}
+	return h.AttemptedSequence == sequence
+}
+
+// Claim takes the program over for another owner, or another start of the
+// same one. The former owner may have dispatched a call under its
+// reservation, and nobody can say what that cost, so the whole reservation
+// counts as spent. An intent is kept: its call must never be dispatched
+// again, and ends by Settle, if its outcome can be learnt, or SettleUnknown.
+//
+// An owner may also claim its own program: this is how it pays for a failed
+// attempt at a repeatable call before it tries again.
+func Claim(h Header, owner string, start uint64) Header {
+	if h.Reserved > 0 {
+		h.AttemptedSequence = h.NextSequence
+	}
+	h.Epoch++
+	h.Owner = owner
+	h.OwnerStart = start
+	h.Spent += h.Reserved
+	h.Reserved = 0
+	return h
+}
+
+// HandOver frees the standing reservation at a planned stop, so that the next
+// owner's Claim charges nothing. The program must be idle: no call may be
+// under way. With an intent the header is returned unchanged.
+func HandOver(h Header) Header {
+	if h.Intent != nil {
+		return h
+	}
+	h.Reserved = 0
+	return h
+}
+
+// End closes the program. The program must be idle: no call may be under way.
+// With an intent, or if already closed, the header is returned unchanged.
+// Sub-agents may still be open; each returns its unspent budget when it ends.
+func End(h Header, reason api.Code, now time.Time) Header {
+	if h.Intent != nil || h.Status == api.ProgramClosed {
+		return h
+	}
+	h.Status = api.ProgramClosed
+	h.Reserved = 0
+	h.EndedAt = now.UTC()
+	h.EndReason = reason
+	return h
+}
+
+// timeAfter returns the time delay after start, or the zero time if delay is
+// zero.
+func timeAfter(start time.Time, delay time.Duration) time.Time {
+	if delay == 0 {
+		return time.Time{}
+	}
+	return start.Add(delay)
+}
