Scheduler core and decision log, first version

Filters, scores, queue order, tenant fairness, admission, ejection, retry budget, cache retention, and the explain log with timeline and card. Unit tests cover waiting for a prefix, refusals and ejection; properties and benchmarks follow.

--- a/internal/explain/record.go
+++ b/internal/explain/record.go
@@ -40,11 +40,13 @@
 	Waited        time.Duration `json:"waited,omitempty"`
 	BundleVersion uint64        `json:"bundle_version,omitempty"`
 	Candidates    []Candidate   `json:"candidates,omitempty"`
+	Omitted       int           `json:"omitted,omitempty"` // candidates left out of Candidates, none better than those in it
 }
 
 // Candidate is one back end that was considered. FilteredBy names the rule
 // that excluded it; otherwise Scores holds each rule's part of Total, in
-// estimated milliseconds of delay, lower is better.
+// estimated milliseconds of delay, lower is better. An engine excluded only
+// because it is full has Scores too: what waiting for it would have cost.
 type Candidate struct {
 	Name       string  `json:"name"`
 	FilteredBy string  `json:"filtered_by,omitempty"`
--- /dev/null
+++ b/internal/scheduler/core_test.go
@@ -0,0 +1,192 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/explain"
+)
+
+// start is the virtual time at which every test begins.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// testView returns a ready engine that serves model "m".
+func testView(name string, maxRunning int, now time.Time) EngineView {
+	return EngineView{
+		Name: name, Zone: "z1", Models: []string{"m"}, Ready: true, MaxRunning: maxRunning,
+		PrefillTokensPerSec: 1000, DecodeTokensPerSec: 50, ObservedAt: now,
+	}
+}
+
+// testCall returns a call of tenant "t" for model "m".
+func testCall(id string, now time.Time) Call {
+	return Call{
+		ID: id, Program: "p-" + id, Sequence: 1, Tenant: "t", Model: "m", Zone: "z1",
+		PromptTokens: 1000, ExpectedTokens: 100, Submitted: now,
+	}
+}
+
+// mustQueue submits a call that must not be refused.
+func mustQueue(t *testing.T, core *Core, call Call, now time.Time) {
+	t.Helper()
+	if refusal := core.Submit(call, now); refusal != nil {
+		t.Fatalf("call %s was refused: %v", call.ID, refusal.Error)
+	}
+}
+
+// prefixes is an index that knows whole prompts.
+type prefixes map[string]int
+
+func (p prefixes) CachedBlocks(engine string, blocks []uint64) int {
+	return min(p[engine], len(blocks))
+}
+
+// decisions keeps what a core records.
+type decisions []explain.Decision
+
+func (d *decisions) Record(decision explain.Decision) { *d = append(*d, decision) }
+
+func TestWaitsForTheEngineThatHoldsThePrefix(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		tokens     int64
+		wantEngine string // at once; empty means that the call waits
+		servedIn   time.Duration
+	}{
+		{"prefill elsewhere costs more than the wait", 64 * 400, "", time.Second},
+		{"the wait costs more than prefill elsewhere", 64 * 4, "b", time.Minute},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			core := New(ProgramAware, bundle.Scheduling{}, "node")
+			recorded := &decisions{}
+			core.SetRecorder(recorded)
+			core.SetEngines([]EngineView{testView("a", 1, start), testView("b", 1, start)})
+			// Engine a is known to serve in servedIn and is then filled.
+			now := start
+			for i := range 50 {
+				call := testCall(fmt.Sprintf("warm-%d", i), now)
+				call.Excluded = []string{"b"}
+				mustQueue(t, core, call, now)
+				core.Next(now)
+				if i < 49 {
+					core.Finish(call.ID, Result{Succeeded: true, Duration: test.servedIn}, now)
+				}
+			}
+			core.SetIndex(prefixes{"a": 1000})
+			call := testCall("next", now)
+			call.PromptTokens = test.tokens
+			call.PrefixBlocks = make([]uint64, test.tokens/64)
+			mustQueue(t, core, call, now)
+			assigned, _ := core.Next(now)
+			if test.wantEngine != "" {
+				if len(assigned) != 1 || assigned[0].Engine != test.wantEngine {
+					t.Fatalf("assigned %+v, want engine %s", assigned, test.wantEngine)
+				}
+				return
+			}
+			if len(assigned) != 0 {
+				t.Fatalf("assigned to %s at once, want a wait", assigned[0].Engine)
+			}
+			if len(*recorded) != 1 || (*recorded)[0].Kind != explain.Queued {
+				t.Fatalf("recorded %+v, want one queued decision", *recorded)
+			}
+			now = now.Add(500 * time.Millisecond)
+			core.Finish("warm-49", Result{Succeeded: true, Duration: time.Second}, now)
+			assigned, _ = core.Next(now)
+			if len(assigned) != 1 || assigned[0].Engine != "a" {
+				t.Fatalf("assigned %+v, want engine a", assigned)
+			}
+			if assigned[0].Decision.Waited != 500*time.Millisecond {
+				t.Fatalf("waited %v", assigned[0].Decision.Waited)
+			}
+		})
+	}
+}
+
+func TestRefusalsCarryCodeAndDecision(t *testing.T) {
+	expectRefusal := func(t *testing.T, refusal *Refusal, code api.Code) {
+		t.Helper()
+		if refusal == nil || refusal.Error.Code != code {
+			t.Fatalf("got %+v, want %v", refusal, code)
+		}
+		decision := refusal.Decision
+		if refusal.Error.Execution != api.NotRun || decision.Reason == "" ||
+			decision.Kind != explain.Refused || decision.Code != int(code) || decision.BundleVersion != 7 {
+			t.Fatalf("incomplete refusal %+v", refusal)
+		}
+	}
+	core := New(ProgramAware, bundle.Scheduling{}, "node")
+	core.SetWeights(ProgramAware, bundle.Scheduling{MaxQueue: 2}, 7)
+
+	refusal := core.Submit(testCall("none", start), start)
+	expectRefusal(t, refusal, api.NoReadyBackend)
+	if refusal.Error.RetryAfter <= 0 {
+		t.Fatal("no advice when to come back")
+	}
+	core.SetEngines([]EngineView{testView("a", 1, start)})
+	mustQueue(t, core, testCall("1", start), start)
+	core.Next(start)
+	mustQueue(t, core, testCall("2", start), start)
+	late := testCall("late", start)
+	late.Deadline = start.Add(time.Second)
+	expectRefusal(t, core.Submit(late, start), api.DeadlineExceeded)
+	mustQueue(t, core, testCall("3", start), start)
+	refusal = core.Submit(testCall("4", start), start)
+	expectRefusal(t, refusal, api.Overloaded)
+	if refusal.Error.RetryAfter <= 0 {
+		t.Fatal("no advice when to come back")
+	}
+	// Another tenant displaces the last call of the one that fills the queue.
+	other := testCall("5", start)
+	other.Tenant = "u"
+	mustQueue(t, core, other, start)
+	_, refused := core.Next(start)
+	if len(refused) != 1 || refused[0].Call.ID != "3" {
+		t.Fatalf("displaced %+v, want call 3", refused)
+	}
+	expectRefusal(t, &refused[0], api.Overloaded)
+}
+
+func TestEjectsFailingEngineButNeverTheLast(t *testing.T) {
+	core := New(LeastLoaded, bundle.Scheduling{}, "node")
+	core.SetEngines([]EngineView{testView("a", 4, start), testView("b", 4, start)})
+	fail := func(exclude string) (string, bool) {
+		call := testCall("x", start)
+		call.Excluded = []string{exclude}
+		mustQueue(t, core, call, start)
+		assigned, _ := core.Next(start)
+		core.Finish("x", Result{Succeeded: false}, start)
+		for _, state := range core.EngineStates(start) {
+			if state.Name == assigned[0].Engine {
+				return state.Name, state.Ejected
+			}
+		}
+		return "", false
+	}
+	for i := range ejectAfterFailures {
+		if _, ejected := fail("b"); ejected != (i == ejectAfterFailures-1) {
+			t.Fatalf("after %d failures: ejected=%v", i+1, ejected)
+		}
+	}
+	for range 3 * ejectAfterFailures {
+		if _, ejected := fail("a"); ejected {
+			t.Fatal("the last engine was ejected")
+		}
+	}
+	// After the delay one call probes the engine, and its success ends it.
+	now := start.Add(2 * ejectionBaseDelay)
+	core.SetEngines([]EngineView{testView("a", 4, now)})
+	mustQueue(t, core, testCall("probe", now), now)
+	mustQueue(t, core, testCall("second", now), now)
+	assigned, _ := core.Next(now)
+	if len(assigned) != 1 {
+		t.Fatalf("%d calls probe the engine, want 1", len(assigned))
+	}
+	core.Finish(assigned[0].Call.ID, Result{Succeeded: true, Duration: time.Second}, now)
+	if slots := core.EngineStates(now)[0].Slots; slots < 2 {
+		t.Fatalf("slots %d after a good probe", slots)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/decision.go
@@ -0,0 +1,132 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/explain"
+)
+
+// newDecision fills in what every decision about a call has.
+func (c *Core) newDecision(kind explain.Kind, call *Call, waited time.Duration, now time.Time) explain.Decision {
+	return explain.Decision{
+		At:            now,
+		Kind:          kind,
+		Program:       call.Program,
+		Tenant:        call.Tenant,
+		Sequence:      call.Sequence,
+		Target:        call.Model,
+		Waited:        waited,
+		BundleVersion: c.bundleVersion,
+	}
+}
+
+// refuse returns a refusal with its decision, candidates left out.
+func (c *Core) refuse(call *Call, waited time.Duration, now time.Time, problem *api.Error) *Refusal {
+	problem.Execution = api.NotRun
+	decision := c.newDecision(explain.Refused, call, waited, now)
+	decision.Code = int(problem.Code)
+	decision.Reason = problem.Detail
+	if problem.RetryAfter > 0 {
+		decision.Reason += fmt.Sprintf("; come back in %s", problem.RetryAfter.Round(time.Millisecond))
+	}
+	return &Refusal{Call: *call, Error: problem, Decision: decision}
+}
+
+// placementReason says in words why the candidate at a position was taken.
+// waitedFor is the full engine that the call first waited for, or empty.
+func (c *Core) placementReason(call *Call, position int, waitedFor string) string {
+	name := c.candidates[position].engine.view.Name
+	switch c.policy {
+	case RoundRobin:
+		return "next free engine in turn"
+	case LeastLoaded:
+		return "smallest share of its batch in use"
+	case SessionAffinity:
+		if name == call.LastEngine {
+			return "served the program's previous turn"
+		}
+		return "smallest share of its batch in use; the previous turn's engine is not free"
+	}
+	reason := c.lowestDelayReason(position)
+	switch waitedFor {
+	case "":
+		return reason
+	case name:
+		return reason + "; the call waited for this engine because that cost less than going elsewhere"
+	default:
+		return reason + "; the call gave up waiting for " + waitedFor
+	}
+}
+
+// lowestDelayReason compares the taken candidate with the next best free one.
+func (c *Core) lowestDelayReason(position int) string {
+	total := c.candidates[position].total
+	next := c.chooseTotal(func(other *candidate) bool {
+		return other.free() && other != &c.candidates[position]
+	})
+	if next < 0 {
+		return fmt.Sprintf("the only free engine, estimated delay %.0f ms", total)
+	}
+	return fmt.Sprintf("lowest estimated delay, %.0f ms; next best is %s with %.0f ms",
+		total, c.candidates[next].engine.view.Name, c.candidates[next].total)
+}
+
+// explainCandidates lists the chosen engine, then the usable ones by total,
+// then the excluded ones, up to maxCandidates.
+func (c *Core) explainCandidates(decision *explain.Decision, chosen string) {
+	c.order = c.order[:0]
+	for i := range c.candidates {
+		c.order = append(c.order, i)
+	}
+	slices.SortFunc(c.order, func(a, b int) int {
+		return compareCandidates(&c.candidates[a], &c.candidates[b], chosen)
+	})
+	listed := min(maxCandidates, len(c.order))
+	decision.Omitted = len(c.order) - listed
+	decision.Candidates = make([]explain.Candidate, listed)
+	scores := make([]explain.Score, 0, listed*len(scorers))
+	for i, position := range c.order[:listed] {
+		judged := &c.candidates[position]
+		entry := &decision.Candidates[i]
+		entry.Name = judged.engine.view.Name
+		entry.FilteredBy = judged.filteredBy
+		if !judged.usable() {
+			continue
+		}
+		if judged.full {
+			entry.FilteredBy = filterFull{}.name()
+		}
+		entry.Total = judged.total
+		first := len(scores)
+		for rule, value := range judged.scores {
+			scores = append(scores, explain.Score{Rule: scorers[rule].name(), Value: value})
+		}
+		entry.Scores = scores[first:len(scores):len(scores)]
+	}
+}
+
+// compareCandidates orders for explainCandidates.
+func compareCandidates(a, b *candidate, chosen string) int {
+	if chosen != "" {
+		if a.engine.view.Name == chosen {
+			return -1
+		}
+		if b.engine.view.Name == chosen {
+			return 1
+		}
+	}
+	if a.usable() != b.usable() {
+		if a.usable() {
+			return -1
+		}
+		return 1
+	}
+	if order := cmp.Compare(a.total, b.total); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.engine.view.Name, b.engine.view.Name)
+}
--- /dev/null
+++ b/internal/scheduler/defaults.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/bundle"
+)
+
+// Defaults of the weights in bundle.Scheduling. A field left at zero takes
+// its default; a negative field turns its rule off.
+const (
+	DefaultWaitWeight     = 1.0 // per estimated millisecond of waiting at the engine
+	DefaultPrefixWeight   = 1.0 // per estimated millisecond of prefill, own and that of evicted cache
+	DefaultDistanceWeight = 1.0 // per estimated millisecond on the network
+
+	DefaultWorthWeight    = 10.0 // seconds of head start per doubling of (1 + class worth)
+	DefaultSlackWeight    = 0.5  // seconds of delay per second of slack to the program's deadline
+	DefaultAttainedWeight = 10.0 // seconds of delay per doubling of (1 + attained seconds)
+	DefaultAgingPerSecond = 1.0  // seconds gained per second in the queue
+
+	DefaultMaxQueue     = 2000 // queued calls per node
+	DefaultRetryBudget  = 0.1  // retries per fresh call
+	DefaultEngineMaxAge = 10 * time.Second
+)
+
+// Fixed parameters of the queue order and of admission.
+const (
+	// maxSlack bounds the slack that ordering counts, so that a distant
+	// deadline delays a call but cannot starve it.
+	maxSlack = 10 * time.Minute
+	// maxOverdue bounds the credit of a program that is past its deadline.
+	maxOverdue = time.Minute
+	// fairnessWindow is how far apart, in seconds of engine service divided
+	// by weight, tenants may drift before the one ahead has to wait.
+	fairnessWindow = 5.0
+	// strandedGrace is how long queued calls outlive the last engine that
+	// could serve them.
+	strandedGrace = 2 * time.Second
+	// noBackendRetryAfter is the advice given when no engine can serve.
+	noBackendRetryAfter = time.Second
+	minRetryAfter       = 100 * time.Millisecond
+	maxRetryAfter       = time.Minute
+	// maxCandidates bounds the candidates that one decision lists.
+	maxCandidates = 12
+)
+
+// Assumptions about engines that have not reported a figure.
+const (
+	defaultMaxRunning          = 8
+	defaultPrefillTokensPerSec = 5000.0
+	defaultDecodeTokensPerSec  = 50.0
+	defaultExpectedTokens      = 200
+	defaultServiceMillis       = 4000.0
+)
+
+// Parameters of the concurrency limit and of ejection.
+const (
+	limitDecreaseFactor   = 0.7
+	limitDecreaseInterval = 2 * time.Second
+	serviceSmoothing      = 0.1 // share of the newest duration in the mean
+	ejectAfterFailures    = 5
+	ejectionBaseDelay     = 5 * time.Second
+	ejectionMaxDelay      = 2 * time.Minute
+)
+
+// Parameters of the scores.
+const (
+	// batchSlowdown is the share of the expected decode time that a full
+	// batch adds over an empty one.
+	batchSlowdown = 0.5
+	// evictedReuseShare is the assumed chance that evicted cache would have
+	// been used again.
+	evictedReuseShare = 0.25
+)
+
+// weights are bundle.Scheduling with every default filled in.
+type weights struct {
+	wait, prefix, distance        float64
+	worth, slack, attained, aging float64
+	maxQueue                      int
+	engineMaxAge                  time.Duration
+}
+
+// resolveWeights fills in defaults.
+func resolveWeights(configured bundle.Scheduling) weights {
+	resolved := weights{
+		wait:         valueOr(configured.WaitWeight, DefaultWaitWeight),
+		prefix:       valueOr(configured.PrefixWeight, DefaultPrefixWeight),
+		distance:     valueOr(configured.DistanceWeight, DefaultDistanceWeight),
+		worth:        valueOr(configured.WorthWeight, DefaultWorthWeight),
+		slack:        valueOr(configured.SlackWeight, DefaultSlackWeight),
+		attained:     valueOr(configured.AttainedWeight, DefaultAttainedWeight),
+		aging:        valueOr(configured.AgingPerSecond, DefaultAgingPerSecond),
+		maxQueue:     configured.MaxQueue,
+		engineMaxAge: time.Duration(configured.EngineMaxAgeMillis) * time.Millisecond,
+	}
+	if resolved.maxQueue <= 0 {
+		resolved.maxQueue = DefaultMaxQueue
+	}
+	if resolved.engineMaxAge <= 0 {
+		resolved.engineMaxAge = DefaultEngineMaxAge
+	}
+	return resolved
+}
+
+// valueOr returns the default for zero, and zero for a negative value.
+func valueOr(configured, fallback float64) float64 {
+	if configured == 0 {
+		return fallback
+	}
+	return max(0, configured)
+}
--- /dev/null
+++ b/internal/scheduler/engine.go
@@ -0,0 +1,184 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/backend"
+)
+
+// tokensPerBlock is the size of one prefix block in tokens.
+const tokensPerBlock = backend.BlockBytes / backend.BytesPerToken
+
+// maxLoadHistory bounds how many changes of the in-flight count are kept
+// between two reports.
+const maxLoadHistory = 512
+
+// engine is what the core knows of one engine: the last report, its own
+// calls there, the concurrency limit and the record of failures.
+type engine struct {
+	view          EngineView
+	listed        bool    // in the last SetEngines
+	inFlight      int     // this node's own calls
+	others        int     // calls of other nodes, by the last report
+	waitingFor    int     // queued calls that wait for this engine
+	limit         float64 // own calls that may be in flight, at least 1
+	lastDecrease  time.Time
+	serviceMillis float64 // smoothed duration of a call
+	history       []loadChange
+
+	failures     int // consecutive
+	ejections    int // consecutive
+	ejectedUntil time.Time
+}
+
+// loadChange says how many own calls were in flight from a time on.
+type loadChange struct {
+	at       time.Time
+	inFlight int
+}
+
+// newEngine returns an engine whose limit is its whole batch.
+func newEngine(view EngineView) *engine {
+	e := &engine{serviceMillis: defaultServiceMillis}
+	e.view.MaxRunning = view.MaxRunning
+	e.limit = float64(e.batchSize())
+	return e
+}
+
+// observe takes a new view. A newer report adapts the limit: additive
+// increase while the limit is in use and nothing waits at the engine,
+// multiplicative decrease when calls wait there.
+func (e *engine) observe(view EngineView) {
+	newer := view.ObservedAt.After(e.view.ObservedAt)
+	e.view = view
+	e.listed = true
+	if !newer {
+		return
+	}
+	e.others = max(0, view.Running+view.Waiting-e.inFlightAt(view.ObservedAt))
+	if view.Waiting > 0 {
+		e.decreaseLimit(view.ObservedAt)
+	} else if e.inFlight >= int(e.limit) {
+		e.limit++
+	}
+	e.limit = min(e.limit, float64(e.batchSize()))
+}
+
+// decreaseLimit lowers the limit, at most once per interval, because several
+// reports may show the same congestion.
+func (e *engine) decreaseLimit(now time.Time) {
+	if now.Sub(e.lastDecrease) < limitDecreaseInterval {
+		return
+	}
+	e.lastDecrease = now
+	e.limit = max(1, e.limit*limitDecreaseFactor)
+}
+
+// setInFlight records a change of the own calls in flight.
+func (e *engine) setInFlight(count int, now time.Time) {
+	e.inFlight = count
+	if len(e.history) >= maxLoadHistory {
+		e.history = slices.Delete(e.history, 0, maxLoadHistory/2)
+	}
+	e.history = append(e.history, loadChange{at: now, inFlight: count})
+}
+
+// inFlightAt returns the own calls in flight at a time and forgets changes
+// before it.
+func (e *engine) inFlightAt(at time.Time) int {
+	last := -1
+	for i := range e.history {
+		if e.history[i].at.After(at) {
+			break
+		}
+		last = i
+	}
+	if last < 0 {
+		return 0
+	}
+	e.history = slices.Delete(e.history, 0, last)
+	return e.history[0].inFlight
+}
+
+// batchSize returns how many calls the engine runs at once.
+func (e *engine) batchSize() int {
+	if e.view.MaxRunning <= 0 {
+		return defaultMaxRunning
+	}
+	return e.view.MaxRunning
+}
+
+// slots returns how many own calls may be in flight: the adaptive limit, or
+// what other nodes leave of the batch, and at least one. An engine that is
+// being probed after an ejection gets one.
+func (e *engine) slots(now time.Time) int {
+	if e.probing(now) {
+		return 1
+	}
+	return max(1, min(int(e.limit), e.batchSize()-e.others))
+}
+
+// freeSlots returns how many more own calls the engine may take now.
+func (e *engine) freeSlots(now time.Time) int { return e.slots(now) - e.inFlight }
+
+// utilisation returns the estimated calls at the engine over its batch size.
+func (e *engine) utilisation() float64 {
+	return float64(e.others+e.inFlight) / float64(e.batchSize())
+}
+
+// queueMillis estimates the wait for a slot, behind the calls in flight and
+// those that already wait for this engine.
+func (e *engine) queueMillis(now time.Time) float64 {
+	slots := e.slots(now)
+	ahead := e.inFlight + e.waitingFor - slots + 1
+	queuedAtEngine := e.others + e.inFlight + 1 - e.batchSize()
+	ahead = max(ahead, queuedAtEngine)
+	if ahead <= 0 {
+		return 0
+	}
+	return float64(ahead) * e.serviceMillis / float64(slots)
+}
+
+// prefillMillis returns the time to prefill tokens.
+func (e *engine) prefillMillis(tokens int64) float64 {
+	rate := e.view.PrefillTokensPerSec
+	if rate <= 0 {
+		rate = defaultPrefillTokensPerSec
+	}
+	return float64(tokens) * 1000 / rate
+}
+
+// decodeMillis returns the time to decode the call's expected answer on an
+// unloaded engine.
+func (e *engine) decodeMillis(call *Call) float64 {
+	rate := e.view.DecodeTokensPerSec
+	if rate <= 0 {
+		rate = defaultDecodeTokensPerSec
+	}
+	return float64(expectedTokens(call)) * 1000 / rate
+}
+
+// expectedTokens returns the call's guess of its answer, or the default.
+func expectedTokens(call *Call) int64 {
+	if call.ExpectedTokens <= 0 {
+		return defaultExpectedTokens
+	}
+	return call.ExpectedTokens
+}
+
+// missingTokens returns how many prompt tokens the engine has not cached,
+// as far as the index knows.
+func missingTokens(r *request, e *engine) int64 {
+	if r.index == nil || len(r.call.PrefixBlocks) == 0 {
+		return r.call.PromptTokens
+	}
+	cached := int64(r.index.CachedBlocks(e.view.Name, r.call.PrefixBlocks)) * tokensPerBlock
+	return max(0, r.call.PromptTokens-cached)
+}
+
+// served records a finished call's duration.
+func (e *engine) served(duration time.Duration) {
+	millis := float64(duration) / float64(time.Millisecond)
+	e.serviceMillis += serviceSmoothing * (millis - e.serviceMillis)
+}
--- /dev/null
+++ b/internal/scheduler/filter_excluded.go
@@ -0,0 +1,13 @@
+package scheduler
+
+import "slices"
+
+// filterExcluded excludes engines that earlier attempts of the call have
+// tried. Called for engines that have the model.
+type filterExcluded struct{}
+
+func (filterExcluded) name() string { return "already_tried" }
+
+func (filterExcluded) rejects(r *request, e *engine) bool {
+	return slices.Contains(r.call.Excluded, e.view.Name)
+}
--- /dev/null
+++ b/internal/scheduler/order.go
@@ -0,0 +1,42 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+// rank returns a call's place in its queue, in seconds; higher runs first.
+//
+// Under ProgramAware it adds, each with its weight from the bundle:
+//   - worth: the doublings of (1 + class worth);
+//   - attained: minus the doublings of (1 + seconds of engine service that
+//     the program has had), so that programs that turn out short finish soon.
+//     The difference of the two is the logarithm of worth per service;
+//   - slack: minus the seconds left to the program's deadline at Submit,
+//     bounded on both sides;
+//   - aging: minus the time of Submit, so that a call gains on every later
+//     one. Slack and aging with equal weights are earliest deadline first.
+//
+// Every part is bounded except aging, so no call starves. No part changes
+// while the call waits, so queues stay sorted. The baselines rank by time of
+// Submit alone.
+func (c *Core) rank(call *Call, now time.Time) float64 {
+	age := now.Sub(c.origin).Seconds()
+	if c.policy != ProgramAware {
+		return -age
+	}
+	rank := -c.weights.aging * age
+	rank += c.weights.worth * math.Log2(1+max(0, c.classWorth(call.Class)))
+	rank -= c.weights.attained * math.Log2(1+max(0, call.Attained.Seconds()))
+	rank -= c.weights.slack * boundedSlack(call, now).Seconds()
+	return rank
+}
+
+// boundedSlack returns the time left to the program's deadline; a program
+// without one counts as having the most.
+func boundedSlack(call *Call, now time.Time) time.Duration {
+	if call.ProgramDeadline.IsZero() {
+		return maxSlack
+	}
+	return min(maxSlack, max(-maxOverdue, call.ProgramDeadline.Sub(now)))
+}
--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,199 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/explain"
+)
+
+// Next assigns as many queued calls as fit now, and refuses those whose
+// deadline has passed, that were displaced, or that no engine can serve.
+// The owner calls it after every Submit, Finish and SetEngines, and at least
+// every few hundred milliseconds while calls are queued.
+func (c *Core) Next(now time.Time) ([]Assignment, []Refusal) {
+	refusals := c.displaced
+	c.displaced = nil
+	refusals = c.refuseExpired(refusals, now)
+	for _, queue := range c.queues {
+		refusals = c.beginPass(queue, refusals, now)
+	}
+	var assignments []Assignment
+	for {
+		call := c.pick(now)
+		if call == nil {
+			return assignments, refusals
+		}
+		assignments, refusals = c.place(call, assignments, refusals, now)
+	}
+}
+
+// refuseExpired refuses the queued calls whose deadline has come.
+func (c *Core) refuseExpired(refusals []Refusal, now time.Time) []Refusal {
+	for len(c.deadlines) > 0 && !c.deadlines[0].call.Deadline.After(now) {
+		call := c.deadlines[0]
+		c.dequeue(call)
+		refusals = append(refusals, *c.refuse(&call.call, now.Sub(call.queued), now,
+			api.Errorf(api.DeadlineExceeded, "the deadline passed while the call was queued")))
+	}
+	return refusals
+}
+
+// beginPass counts a model's free slots. When no engine has been able to
+// serve the model for strandedGrace, it refuses the model's calls.
+func (c *Core) beginPass(queue *modelQueue, refusals []Refusal, now time.Time) []Refusal {
+	queue.free = 0
+	if queue.length == 0 {
+		queue.strandedSince = time.Time{}
+		return refusals
+	}
+	queue.capacity = c.capacityOf(queue.model, now)
+	queue.free = queue.capacity.free
+	for _, owned := range queue.tenants {
+		owned.cursor = 0
+	}
+	if queue.capacity.usable > 0 {
+		queue.strandedSince = time.Time{}
+		return refusals
+	}
+	if queue.strandedSince.IsZero() {
+		queue.strandedSince = now
+	}
+	if now.Sub(queue.strandedSince) < strandedGrace {
+		return refusals
+	}
+	for _, owned := range queue.tenants {
+		for len(owned.calls) > 0 {
+			refusals = append(refusals, c.refuseQueued(owned.calls[0], now))
+		}
+	}
+	return refusals
+}
+
+// refuseQueued refuses a queued call that no engine can serve.
+func (c *Core) refuseQueued(call *queuedCall, now time.Time) Refusal {
+	c.judge(c.newRequest(&call.call, call.owner.model, now))
+	c.dequeue(call)
+	refusal := c.refuse(&call.call, now.Sub(call.queued), now, c.noBackendError(&call.call))
+	c.explainCandidates(&refusal.Decision, "")
+	return *refusal
+}
+
+// newRequest gathers what the plugins look at.
+func (c *Core) newRequest(call *Call, queue *modelQueue, now time.Time) *request {
+	return &request{
+		call:           call,
+		now:            now,
+		weights:        &c.weights,
+		index:          c.index,
+		distance:       c.distance,
+		ignoreEjection: queue.capacity.ignoreEjection,
+	}
+}
+
+// place judges the engines for one call and assigns it, lets it wait, or
+// refuses it when every engine that could serve it has been tried.
+func (c *Core) place(call *queuedCall, assignments []Assignment, refusals []Refusal, now time.Time) ([]Assignment, []Refusal) {
+	c.stopWaiting(call)
+	if c.judge(c.newRequest(&call.call, call.owner.model, now)) == 0 {
+		return assignments, append(refusals, c.refuseQueued(call, now))
+	}
+	chosen := c.choose(&call.call)
+	if chosen < 0 {
+		call.owner.cursor++
+		return assignments, refusals
+	}
+	if c.waitForBetter(call, chosen, now) {
+		call.owner.cursor++
+		return assignments, refusals
+	}
+	return append(assignments, c.assign(call, chosen, now)), refusals
+}
+
+// waitForBetter lets a call stay queued for a full engine whose total, wait
+// included, is below that of the best free one: waiting for the engine that
+// holds the prefix then costs less than prefilling elsewhere. The wait is
+// bounded by what it may save, counted from its beginning.
+func (c *Core) waitForBetter(call *queuedCall, free int, now time.Time) bool {
+	if c.policy != ProgramAware {
+		return false
+	}
+	better := c.chooseTotal(func(judged *candidate) bool { return judged.usable() && judged.full })
+	if better < 0 || c.candidates[better].total >= c.candidates[free].total {
+		return false
+	}
+	full := &c.candidates[better]
+	if call.patienceEnds.IsZero() {
+		gain := c.candidates[free].total - (full.total - full.scores[waitScorer])
+		call.patienceEnds = now.Add(millis(gain))
+		call.patienceEngine = full.engine.view.Name
+		c.recordWait(call, full, &c.candidates[free], now)
+	}
+	if !now.Before(call.patienceEnds) {
+		return false
+	}
+	call.waitsFor = full.engine
+	call.waitsFor.waitingFor++
+	call.recheckAt = call.patienceEnds
+	if expected := now.Add(millis(full.scores[waitScorer] / c.weights.wait)); expected.After(now) && expected.Before(call.recheckAt) {
+		call.recheckAt = expected
+	}
+	return true
+}
+
+// recordWait records that a call waits for a full engine.
+func (c *Core) recordWait(call *queuedCall, full, free *candidate, now time.Time) {
+	if c.recorder == nil {
+		return
+	}
+	decision := c.newDecision(explain.Queued, &call.call, now.Sub(call.queued), now)
+	decision.Reason = fmt.Sprintf("waits for %s, which is full: %.0f ms there with the wait, %.0f ms on %s, the best free engine",
+		full.engine.view.Name, full.total, free.total, free.engine.view.Name)
+	c.explainCandidates(&decision, "")
+	c.record(decision)
+}
+
+// assign gives a queued call to the candidate at a position.
+func (c *Core) assign(call *queuedCall, position int, now time.Time) Assignment {
+	chosen := &c.candidates[position]
+	e := chosen.engine
+	wasFull := call.patienceEngine
+	c.dequeue(call)
+	service := c.estimateService(&call.call, e, now)
+	owner := call.owner.tenant
+	owner.inFlight++
+	owner.charge(service)
+	c.inFlight[call.call.ID] = flight{engine: e, tenant: owner, assigned: now, charged: service}
+	c.lastInTurn = e.view.Name
+
+	decision := c.newDecision(explain.Placed, &call.call, now.Sub(call.queued), now)
+	decision.Chosen = e.view.Name
+	decision.Reason = c.placementReason(&call.call, position, wasFull)
+	c.explainCandidates(&decision, e.view.Name)
+
+	e.setInFlight(e.inFlight+1, now)
+	for _, queue := range c.queues {
+		if slices.Contains(e.view.Models, queue.model) {
+			queue.free--
+		}
+	}
+	return Assignment{Call: call.call, Engine: e.view.Name, Decision: decision}
+}
+
+// estimateService estimates how long the engine will work on the call.
+func (c *Core) estimateService(call *Call, e *engine, now time.Time) time.Duration {
+	missing := missingTokens(&request{call: call, index: c.index, now: now}, e)
+	return millis(e.prefillMillis(missing) + e.decodeMillis(call))
+}
+
+// millis converts estimated milliseconds, at most an hour, to a duration.
+func millis(value float64) time.Duration {
+	const hour = float64(time.Hour / time.Millisecond)
+	if math.IsNaN(value) {
+		return 0
+	}
+	return time.Duration(min(hour, max(0, value)) * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/scheduler/plugin.go
@@ -0,0 +1,87 @@
+package scheduler
+
+import "time"
+
+// request is what plugins may look at when they judge one call's engines.
+type request struct {
+	call           *Call
+	now            time.Time
+	weights        *weights
+	index          PrefixIndex // may be nil
+	distance       func(a, b string) float64
+	ignoreEjection bool // every engine of the model is ejected
+}
+
+// filter excludes engines that must not get the call.
+type filter interface {
+	// name is what explain.Candidate.FilteredBy shows.
+	name() string
+	// rejects is called for each engine until one filter rejects it.
+	rejects(r *request, e *engine) bool
+}
+
+// scorer estimates one part of the delay of running the call at an engine.
+type scorer interface {
+	// name is what explain.Score.Rule shows.
+	name() string
+	// score returns estimated milliseconds, already weighted.
+	score(r *request, e *engine) float64
+}
+
+// filters run in this order; the first to reject an engine is the one that
+// explanations name. filterFull is last and apart: an engine that it alone
+// rejects may still be worth waiting for.
+var filters = [...]filter{
+	filterNotReady{}, filterLeaving{}, filterStale{}, filterModel{}, filterExcluded{}, filterEjected{},
+}
+
+// scorers add up to an engine's total.
+var scorers = [...]scorer{scoreWait{}, scorePrefill{}, scoreDistance{}, scoreEviction{}}
+
+// waitScorer is the position of scoreWait in scorers.
+const waitScorer = 0
+
+// candidate is one engine as judged for one call.
+type candidate struct {
+	engine     *engine
+	filteredBy string // of filters; empty if usable
+	full       bool   // usable, but at its concurrency limit
+	scores     [len(scorers)]float64
+	total      float64
+}
+
+// usable tells whether the engine could run the call, now or later.
+func (c *candidate) usable() bool { return c.filteredBy == "" }
+
+// free tells whether the engine can take the call now.
+func (c *candidate) free() bool { return c.filteredBy == "" && !c.full }
+
+// judge runs the plugins over every engine and leaves the outcome in
+// c.candidates, in order of name. It returns how many are usable.
+func (c *Core) judge(r *request) int {
+	usable := 0
+	c.candidates = c.candidates[:0]
+	for _, e := range c.engines {
+		judged := candidate{engine: e, filteredBy: firstRejection(r, e)}
+		if judged.usable() {
+			usable++
+			judged.full = filterFull{}.rejects(r, e)
+			for i, rule := range scorers {
+				judged.scores[i] = rule.score(r, e)
+				judged.total += judged.scores[i]
+			}
+		}
+		c.candidates = append(c.candidates, judged)
+	}
+	return usable
+}
+
+// firstRejection returns the name of the first filter that rejects, or "".
+func firstRejection(r *request, e *engine) string {
+	for _, rule := range filters {
+		if rule.rejects(r, e) {
+			return rule.name()
+		}
+	}
+	return ""
+}
