--- a/cmd/pewtermill/program.go
+++ b/cmd/pewtermill/program.go
@@ -25,7 +25,7 @@
 func (p *programShowCommand) Run(streams command.Streams) error {
 	ctx, cancel := command.RequestContext()
 	defer cancel()
-	program, err := p.Client().GetProgram(ctx, p.ID)
+	program, err := p.Client().Program(ctx, p.ID)
 	if err != nil {
 		return err
 	}
--- a/cmd/pewtermill/watch.go
+++ b/cmd/pewtermill/watch.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 
 	"github.com/cockroachdb/errors"
@@ -21,24 +20,27 @@
 func (w *watchCommand) Run(streams command.Streams) error {
 	ctx, cancel := command.Interruptible()
 	defer cancel()
+	decisions, err := w.Client().Watch(ctx, w.Program)
+	if err != nil {
+		return err
+	}
 	encoder := json.NewEncoder(streams.Out)
-	err := w.Client().Watch(ctx, func(decision explain.Decision) {
-		if !w.wants(decision) {
-			return
-		}
-		if w.Output.Output == command.FormatJSON {
-			_ = encoder.Encode(decision) // a closed pipe ends the process by signal
-			return
+	for decision := range decisions {
+		if err := w.printOne(streams, encoder, decision); err != nil {
+			return err
 		}
-		command.DecisionLine(streams.Out, decision)
-	})
-	if errors.Is(err, context.Canceled) {
-		return nil
 	}
-	return err
+	if ctx.Err() == nil {
+		return errors.New("the node ended the stream of decisions")
+	}
+	return nil
 }
 
-// wants reports whether the decision is about what the user watches.
-func (w *watchCommand) wants(decision explain.Decision) bool {
-	return w.Program == "" || command.InProgram(decision.Program, w.Program)
+// printOne prints one decision as a line of text or of JSON.
+func (w *watchCommand) printOne(streams command.Streams, encoder *json.Encoder, decision explain.Decision) error {
+	if w.Output.Output == command.FormatJSON {
+		return errors.Wrap(encoder.Encode(decision), "print decision")
+	}
+	command.DecisionLine(streams.Out, decision)
+	return nil
 }
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,10 @@
+// Package examples embeds the example files that the development deployment
+// starts with.
+package examples
+
+import _ "embed"
+
+// DevBundle is the bundle of the development deployment, unsigned.
+//
+//go:embed dev-bundle.yaml
+var DevBundle []byte
--- a/internal/command/decision.go
+++ b/internal/command/decision.go
@@ -3,17 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"strings"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/explain"
 )
 
-// InProgram reports whether id is program or one of its sub-agents.
-func InProgram(id, program string) bool {
-	return id == program || strings.HasPrefix(id, program+".")
-}
-
 // DecisionLine writes one decision as one line: when, where, what, about
 // which call, where it goes, and why. Write errors are ignored.
 func DecisionLine(w io.Writer, decision explain.Decision) {
--- a/internal/command/devcluster/configuration.go
+++ b/internal/command/devcluster/configuration.go
@@ -3,8 +3,6 @@
 import (
 	"crypto/ed25519"
 	"crypto/sha256"
-	"encoding/base64"
-	"encoding/hex"
 
 	"github.com/cockroachdb/errors"
 	"sigs.k8s.io/yaml"
@@ -12,87 +10,46 @@
 	"github.com/pewtermill/pewtermill/internal/bundle"
 )
 
-// reviewerName is the reviewer that signs an adapted bundle.
-const reviewerName = "dev-reviewer"
-
-// OperatorKey is the operator's key of every adapted bundle. It is public,
-// and so fit only for deployments that nobody else can reach.
-const OperatorKey = "dev-operator-key"
-
-// operatorName is the operator that OperatorKey belongs to.
-const operatorName = "dev-operator"
+// Keys of examples/dev-bundle.yaml. Everybody knows them, so they are fit
+// only for deployments that nobody else can reach.
+const (
+	TenantKey    = "dev-key"
+	OperatorKey  = "dev-operator"
+	ReviewerName = "dev-reviewer"
+)
 
-// TenantKey returns the key of a tenant in an adapted bundle. It is as
-// public as OperatorKey.
-func TenantKey(tenant string) string { return "dev-key-" + tenant }
+// ReviewerKey returns the private key of ReviewerName, as public as the rest.
+func ReviewerKey() ed25519.PrivateKey {
+	seed := sha256.Sum256([]byte(ReviewerName))
+	return ed25519.NewKeyFromSeed(seed[:])
+}
 
-// URLs are where the stand-ins of a bundle's back ends listen, by name.
-type URLs struct {
-	Engines map[string]string
-	Tools   map[string]string
+// Addresses are where the parts of a deployment really listen.
+type Addresses struct {
+	Seeds   []string          // peer addresses of nodes
+	Engines map[string]string // base URL by the engine's name in the bundle
+	Tools   map[string]string // base URL by the tool's name in the bundle
 }
 
-// Adapt returns a copy of a bundle, as the first version, for use with
-// stand-ins: back ends have the given URLs, cells no seeds but the given
-// ones, and the keys are OperatorKey and TenantKey.
-func Adapt(original *bundle.Bundle, urls URLs, seeds []string) (*bundle.Bundle, error) {
-	adapted, err := copyBundle(original)
-	if err != nil {
-		return nil, err
-	}
-	adapted.Version = 1
-	adapted.BaseVersion = 0
-	adapted.SignOffs = 1
-	adapted.Operators = []bundle.Operator{{Name: operatorName, KeyDigest: keyDigest(OperatorKey)}}
-	for i := range adapted.Tenants {
-		tenant := &adapted.Tenants[i]
-		tenant.KeyDigests = []string{keyDigest(TenantKey(tenant.Name))}
+// Relocate replaces a bundle's addresses.
+func Relocate(b *bundle.Bundle, addresses Addresses) {
+	for i := range b.Cells {
+		b.Cells[i].Seeds = addresses.Seeds
 	}
-	for i := range adapted.Cells {
-		adapted.Cells[i].Seeds = seeds
+	for i := range b.Engines {
+		b.Engines[i].URL = addresses.Engines[b.Engines[i].Name]
 	}
-	for i := range adapted.Engines {
-		adapted.Engines[i].URL = urls.Engines[adapted.Engines[i].Name]
+	for i := range b.Tools {
+		b.Tools[i].URL = addresses.Tools[b.Tools[i].Name]
 	}
-	for i := range adapted.Tools {
-		adapted.Tools[i].URL = urls.Tools[adapted.Tools[i].Name]
-	}
-	return adapted, nil
 }
 
-// Sign makes a fresh reviewer the bundle's only one and signs it as that
-// reviewer. The private key is forgotten.
-func Sign(adapted *bundle.Bundle) (bundle.Signed, error) {
-	public, private, err := ed25519.GenerateKey(nil)
-	if err != nil {
-		return bundle.Signed{}, errors.Wrap(err, "generate reviewer key")
-	}
-	adapted.Reviewers = []bundle.Reviewer{{
-		Name:      reviewerName,
-		PublicKey: base64.StdEncoding.EncodeToString(public),
-	}}
-	source, err := yaml.Marshal(adapted)
+// Sign signs a bundle as ReviewerName.
+func Sign(b *bundle.Bundle) (bundle.Signed, error) {
+	source, err := yaml.Marshal(b)
 	if err != nil {
 		return bundle.Signed{}, errors.Wrap(err, "encode bundle")
 	}
-	return bundle.Signed{
-		Source:   source,
-		SignOffs: []bundle.SignOff{bundle.Sign(adapted, reviewerName, private)},
-	}, nil
-}
-
-// copyBundle returns a copy that shares nothing with the original.
-func copyBundle(original *bundle.Bundle) (*bundle.Bundle, error) {
-	source, err := yaml.Marshal(original)
-	if err != nil {
-		return nil, errors.Wrap(err, "copy bundle")
-	}
-	copied, err := bundle.Decode(source)
-	return copied, errors.Wrap(err, "copy bundle")
-}
-
-// keyDigest returns the SHA-256 of a key, hexadecimal.
-func keyDigest(key string) string {
-	digest := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(digest[:])
+	signOff := bundle.Sign(b, ReviewerName, ReviewerKey())
+	return bundle.Signed{Source: source, SignOffs: []bundle.SignOff{signOff}}, nil
 }
--- a/internal/script/run.go
+++ b/internal/script/run.go
@@ -7,15 +7,16 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/client"
 )
 
-// Caller makes a tenant's requests. Implementations retry what can be
-// retried; an error is final. Safe for concurrent use.
+// Caller makes a tenant's requests; *client.Client is one. Requests that
+// fail are repeated as client.Retry does.
 type Caller interface {
 	CreateProgram(ctx context.Context, idempotencyKey string, request api.CreateProgramRequest) (api.Program, error)
 	EndProgram(ctx context.Context, program string) (api.Program, error)
-	// ExecuteCall streams the answer's text to onPart, unless that is nil.
-	ExecuteCall(ctx context.Context, program string, sequence int64, request api.CallRequest, onPart func(api.StreamPart)) (api.CallResult, error)
+	// Call streams the answer's text to onPart, unless that is nil.
+	Call(ctx context.Context, program string, sequence int64, request api.CallRequest, onPart func(api.StreamPart)) (api.CallResult, error)
 }
 
 // Options are what a run may watch and choose.
@@ -65,10 +66,13 @@
 // agent creates one program, runs its steps and ends it.
 func (r *run) agent(ctx context.Context, agent *Agent, parent string, parentAnswers []string) (answer string, err error) {
 	index := len(r.report.Programs)
-	created, err := r.caller.CreateProgram(ctx, fmt.Sprintf("%s-%d", r.options.RunID, index), api.CreateProgramRequest{
-		Class:  agent.Class,
-		Budget: agent.Budget,
-		Parent: parent,
+	idempotencyKey := fmt.Sprintf("%s-%d", r.options.RunID, index)
+	created, err := retry(ctx, func(ctx context.Context) (api.Program, error) {
+		return r.caller.CreateProgram(ctx, idempotencyKey, api.CreateProgramRequest{
+			Class:  agent.Class,
+			Budget: agent.Budget,
+			Parent: parent,
+		})
 	})
 	if err != nil {
 		return "", errors.Wrap(err, "create program")
@@ -78,7 +82,9 @@
 		r.options.OnProgram(created)
 	}
 	answer, err = r.steps(ctx, agent, created.ID, parentAnswers)
-	ended, endErr := r.caller.EndProgram(context.WithoutCancel(ctx), created.ID)
+	ended, endErr := retry(context.WithoutCancel(ctx), func(ctx context.Context) (api.Program, error) {
+		return r.caller.EndProgram(ctx, created.ID)
+	})
 	if endErr != nil {
 		return answer, errors.CombineErrors(err, errors.Wrapf(endErr, "end program %s", created.ID))
 	}
@@ -118,7 +124,10 @@
 			streamed = append(streamed[:min(int64(len(streamed)), part.Offset)], part.Text...)
 		}
 	}
-	result, err := r.caller.ExecuteCall(ctx, program, sequence, request(step, known), onPart)
+	body := request(step, known)
+	result, err := retry(ctx, func(ctx context.Context) (api.CallResult, error) {
+		return r.caller.Call(ctx, program, sequence, body, onPart)
+	})
 	if err != nil {
 		return "", err
 	}
@@ -160,3 +169,14 @@
 		MaxTokens: step.Model.MaxTokens,
 	}
 }
+
+// retry repeats a request, which must be idempotent, and returns its answer.
+func retry[T any](ctx context.Context, request func(context.Context) (T, error)) (T, error) {
+	var answer T
+	err := client.Retry(ctx, client.RetryPolicy{Idempotent: true}, func(ctx context.Context) error {
+		var err error
+		answer, err = request(ctx)
+		return err
+	})
+	return answer, err
+}
--- a/internal/script/script_test.go
+++ b/internal/script/script_test.go
@@ -52,7 +52,7 @@
 	return api.Program{ID: program, Status: api.ProgramClosed}, nil
 }
 
-func (r *recorder) ExecuteCall(_ context.Context, program string, sequence int64, request api.CallRequest, onPart func(api.StreamPart)) (api.CallResult, error) {
+func (r *recorder) Call(_ context.Context, program string, sequence int64, request api.CallRequest, onPart func(api.StreamPart)) (api.CallResult, error) {
 	body := string(request.Input)
 	if request.Kind == api.KindModel {
 		body = request.Messages[0].Content
