Callers' and operators' HTTP endpoints, client, result-code page

The gateway checks keys, bounds and the form of requests, answers problems by RFC 9457, and streams a call's output without blocking whoever delivers it. The operator endpoint serves status, decisions and the bundle. The client fails over between nodes, and never reports 'not run' once an earlier copy of the request may have run.

--- a/api/codes.go
+++ b/api/codes.go
@@ -44,6 +44,7 @@
 	ProgramEnded      Code = 109
 	CallTooLarge      Code = 110 // one call's dearest cost can never fit
 	MethodNotAllowed  Code = 111
+	PathNotFound      Code = 112
 	BundleInvalid     Code = 120
 	BundleUnsigned    Code = 121
 	BundleStale       Code = 122
@@ -96,6 +97,7 @@
 	{ProgramEnded, "program_ended", http.StatusConflict, NotRun, false, "The program has ended."},
 	{CallTooLarge, "call_too_large", http.StatusUnprocessableEntity, NotRun, false, "The call is larger than the target can take."},
 	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, NotRun, false, "The path does not take this method."},
+	{PathNotFound, "path_not_found", http.StatusNotFound, NotRun, false, "The endpoint has no such path."},
 	{BundleInvalid, "bundle_invalid", http.StatusUnprocessableEntity, NotRun, false, "The bundle does not pass its checks."},
 	{BundleUnsigned, "bundle_unsigned", http.StatusForbidden, NotRun, false, "The bundle lacks the sign-offs that the one in force demands."},
 	{BundleStale, "bundle_stale", http.StatusConflict, NotRun, false, "The bundle is based on a version that is no longer in force."},
@@ -142,6 +144,12 @@
 	return codeIndex[Internal]
 }
 
+// Known reports whether the table lists the code.
+func (c Code) Known() bool {
+	_, ok := codeIndex[c]
+	return ok
+}
+
 // String returns the code's name.
 func (c Code) String() string { return c.Info().Name }
 
--- /dev/null
+++ b/internal/client/transport.go
@@ -0,0 +1,227 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/httpapi"
+)
+
+// Bounds on what is read from a node.
+const (
+	maxAnswerBytes  = 256 << 20
+	maxProblemBytes = 1 << 20
+)
+
+// TransportError means that no node gave an answer.
+type TransportError struct {
+	Sent bool // whether a node may have received the request
+	Err  error
+}
+
+// Error implements error.
+func (e *TransportError) Error() string {
+	if e.Sent {
+		return fmt.Sprintf("no answer to a request that was sent: %v", e.Err)
+	}
+	return fmt.Sprintf("no node reached: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *TransportError) Unwrap() error { return e.Err }
+
+// call describes one request.
+type call struct {
+	method     string
+	path       string // with query
+	body       []byte
+	idempotent bool // the same request twice does what one does
+	accept     string
+	header     http.Header
+}
+
+// consume reads a successful answer.
+type consume func(response *http.Response) error
+
+// do sends the request to the current node, then to the others while that is
+// safe, each at most once.
+func (c *Client) do(ctx context.Context, request call, read consume) error {
+	first := c.current.Load()
+	var certainty certainty
+	var err error
+	for attempt := range uint32(len(c.baseURLs)) {
+		node := (first + attempt) % uint32(len(c.baseURLs))
+		err = c.doAt(ctx, c.baseURLs[node], request, read)
+		if err == nil {
+			c.current.Store(node)
+			return nil
+		}
+		goOn := ctx.Err() == nil && mayTryNext(err, request.idempotent)
+		err = certainty.after(err)
+		if !goOn {
+			c.current.Store(node)
+			return err
+		}
+	}
+	return err
+}
+
+// certainty remembers whether a copy of a request may have run, since then a
+// later copy's refusal says nothing about the first.
+type certainty struct {
+	mayHaveRun bool
+}
+
+// after takes the next copy's error and returns it with the execution that
+// holds for all copies so far.
+func (c *certainty) after(err error) error {
+	var transport *TransportError
+	if errors.As(err, &transport) {
+		c.mayHaveRun = c.mayHaveRun || transport.Sent
+		if c.mayHaveRun && !transport.Sent {
+			return &TransportError{Sent: true, Err: transport.Err}
+		}
+		return err
+	}
+	var problem *api.Error
+	if !errors.As(err, &problem) {
+		return err
+	}
+	if problem.Execution != api.NotRun {
+		c.mayHaveRun = true
+		return err
+	}
+	if !c.mayHaveRun {
+		return err
+	}
+	widened := *problem
+	widened.Execution = api.Unknown
+	return &widened
+}
+
+// mayTryNext reports whether another node may be asked after err.
+func mayTryNext(err error, idempotent bool) bool {
+	var transport *TransportError
+	if errors.As(err, &transport) {
+		return !transport.Sent || idempotent
+	}
+	var problem *api.Error
+	if !errors.As(err, &problem) || problem.Execution != api.NotRun {
+		return false
+	}
+	switch problem.Code {
+	case api.Draining, api.NotReady, api.OwnerMoving:
+		return true
+	}
+	return false
+}
+
+func (c *Client) doAt(ctx context.Context, baseURL string, request call, read consume) error {
+	httpRequest, err := http.NewRequestWithContext(ctx, request.method, baseURL+request.path, bytes.NewReader(request.body))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	for name, values := range request.header {
+		httpRequest.Header[name] = values
+	}
+	if c.key != "" {
+		httpRequest.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	if len(request.body) > 0 {
+		httpRequest.Header.Set("Content-Type", httpapi.ContentTypeJSON)
+	}
+	if request.accept != "" {
+		httpRequest.Header.Set("Accept", request.accept)
+	}
+	response, err := c.http.Do(httpRequest)
+	if err != nil {
+		return &TransportError{Sent: maybeSent(err), Err: err}
+	}
+	defer response.Body.Close()
+	if contentType(response) == httpapi.ContentTypeProblem {
+		return readProblem(response)
+	}
+	return read(response)
+}
+
+// maybeSent reports false only where no connection came about.
+func maybeSent(err error) bool {
+	var operation *net.OpError
+	return !errors.As(err, &operation) || operation.Op != "dial"
+}
+
+func contentType(response *http.Response) string {
+	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return mediaType
+}
+
+// readProblem returns the answer's problem as an *api.Error.
+func readProblem(response *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxProblemBytes))
+	if err != nil {
+		return &TransportError{Sent: true, Err: err}
+	}
+	var problem api.Problem
+	if err := json.Unmarshal(body, &problem); err != nil {
+		return unexpectedAnswer(response)
+	}
+	result := problemError(problem)
+	if result.RetryAfter == 0 {
+		result.RetryAfter = retryAfter(response.Header)
+	}
+	return result
+}
+
+func problemError(problem api.Problem) *api.Error {
+	return &api.Error{
+		Code:       problem.Code,
+		Detail:     problem.Detail,
+		Execution:  problem.Execution,
+		RetryAfter: time.Duration(problem.RetryAfterSeconds * float64(time.Second)),
+	}
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.ParseInt(header.Get("Retry-After"), 10, 32)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// unexpectedAnswer is for answers that no node gives, as from a proxy.
+func unexpectedAnswer(response *http.Response) error {
+	return &TransportError{Sent: true, Err: errors.Newf("unexpected answer: status %d, content type %q",
+		response.StatusCode, response.Header.Get("Content-Type"))}
+}
+
+// decodeInto returns a consume that decodes a JSON answer.
+func decodeInto(target any) consume {
+	return func(response *http.Response) error {
+		if contentType(response) != httpapi.ContentTypeJSON {
+			return unexpectedAnswer(response)
+		}
+		body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+		if err != nil {
+			return &TransportError{Sent: true, Err: err}
+		}
+		if err := json.Unmarshal(body, target); err != nil {
+			return &TransportError{Sent: true, Err: errors.Wrap(err, "decode answer")}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/httpapi"
+)
+
+// endpoint serves one request; an error is answered as a problem.
+type endpoint func(x *exchange) (answer, error)
+
+// answer is a body with its status and result code.
+type answer struct {
+	status int
+	code   api.Code
+	body   any
+}
+
+// exchange is one request on its way to its answer.
+type exchange struct {
+	writer   http.ResponseWriter
+	request  *http.Request
+	route    string
+	started  time.Time
+	snapshot *bundle.Snapshot
+	tenant   string
+	program  string
+	sequence int64
+	stream   *answerStream // nil unless the caller asked for events
+}
+
+// handle wraps an endpoint with panic recovery, the answer, metrics and log.
+func (g *gateway) handle(route string, serve endpoint) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		g.metrics.inFlight.Inc()
+		defer g.metrics.inFlight.Dec()
+		x := &exchange{writer: writer, request: request, route: route, started: time.Now()}
+		result, err := g.recovered(x, serve)
+		if err != nil {
+			problem := httpapi.Classify(err)
+			x.refuse(problem)
+			g.observe(x, problem.Code, err)
+			return
+		}
+		x.respond(result)
+		g.observe(x, result.code, nil)
+	})
+}
+
+// recovered turns a panic of the endpoint into Internal and logs it.
+func (g *gateway) recovered(x *exchange, serve endpoint) (result answer, err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if cause == http.ErrAbortHandler {
+			panic(cause)
+		}
+		g.options.Logger.Error("panic while serving a request",
+			slog.String("route", x.route),
+			slog.Any("panic", cause),
+			slog.String("stack", string(debug.Stack())))
+		err = api.Errorf(api.Internal, "unexpected fault")
+	}()
+	return serve(x)
+}
+
+// authenticated admits only requests with a tenant's key, and bounds how many
+// of one tenant are served at once.
+func (g *gateway) authenticated(serve endpoint) endpoint {
+	return func(x *exchange) (answer, error) {
+		x.snapshot = g.inForce()
+		if x.snapshot == nil {
+			return answer{}, api.Errorf(api.NotReady, "no bundle is in force").After(notReadyDelay)
+		}
+		if problem := httpapi.CheckHeaders(x.request, g.options.MaxHeaderBytes); problem != nil {
+			return answer{}, problem
+		}
+		key, _ := httpapi.BearerKey(x.request)
+		tenant, known := x.snapshot.TenantByKey(key)
+		if key == "" || !known {
+			return answer{}, api.Errorf(api.Unauthenticated, "")
+		}
+		x.tenant = tenant.Name
+		if !g.inFlight.acquire(x.tenant) {
+			return answer{}, api.Errorf(api.TenantLimit, "too many requests at once").After(tenantLimitDelay)
+		}
+		defer g.inFlight.release(x.tenant)
+		return serve(x)
+	}
+}
+
+// respond sends a successful endpoint's answer. Once a stream has begun, the
+// status is gone and the result is its last event.
+func (x *exchange) respond(result answer) {
+	callResult, isCall := result.body.(api.CallResult)
+	if x.stream != nil && isCall && (x.stream.started() || result.code == api.OK) {
+		x.stream.finish(callResult)
+		return
+	}
+	httpapi.WriteJSON(x.writer, result.status, result.body)
+}
+
+func (x *exchange) refuse(problem *api.Error) {
+	if x.stream != nil && x.stream.started() {
+		x.stream.fail(problem)
+		return
+	}
+	httpapi.WriteProblem(x.writer, problem)
+}
+
+// observe counts and logs the request once it is answered.
+func (g *gateway) observe(x *exchange, code api.Code, err error) {
+	elapsed := time.Since(x.started)
+	g.metrics.observe(x.route, code, elapsed)
+	attributes := []slog.Attr{
+		slog.String("route", x.route),
+		slog.String("program", x.program),
+		slog.Int64("sequence", x.sequence),
+		slog.String("tenant", x.tenant),
+		slog.Int("code", int(code)),
+		slog.String("code_name", code.String()),
+		slog.Duration("duration", elapsed),
+	}
+	level := slog.LevelDebug
+	if err != nil {
+		level = slog.LevelInfo
+		attributes = append(attributes, slog.String("error", err.Error()))
+	}
+	if code == api.Internal {
+		level = slog.LevelError
+	}
+	g.options.Logger.LogAttrs(x.request.Context(), level, "request", attributes...)
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,135 @@
+// Package operator serves operators' HTTP: the fleet's status, decisions, and
+// the bundle of configuration; and the endpoints for probes and metrics,
+// which need no key.
+package operator
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/httpapi"
+)
+
+// Service answers operators. Its errors are *api.Error; any other error is
+// answered as Internal. All methods are safe for concurrent use.
+type Service interface {
+	// Status describes the fleet as this node sees it.
+	Status(ctx context.Context) api.FleetStatus
+	// Programs lists programs; an empty tenant means all tenants.
+	Programs(ctx context.Context, tenant string) ([]api.Program, error)
+	// Explain returns the decisions about a program (empty: any) and one of
+	// its calls (0: all).
+	Explain(ctx context.Context, program string, sequence int64) ([]explain.Decision, error)
+	// SubmitBundle puts a bundle in force if it passes its checks, has its
+	// sign-offs and is based on the version in force.
+	SubmitBundle(ctx context.Context, signed bundle.Signed) (SubmitResult, error)
+	// BundleStatus tells which version each member has.
+	BundleStatus(ctx context.Context) (BundleStatus, error)
+	// Watch returns decisions as they are made, and a function that ends
+	// the subscription. The channel may be closed when the node stops.
+	Watch() (<-chan explain.Decision, func())
+	// Ready reports whether the node takes callers' work.
+	Ready() bool
+}
+
+// SubmitResult is the answer to an accepted bundle.
+type SubmitResult struct {
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"` // SHA-256 of the canonical form, hexadecimal
+}
+
+// BundleStatus is the answer to GET /v1/operator/bundle/status.
+type BundleStatus struct {
+	Version uint64         `json:"version"` // in force on the asked node
+	Digest  string         `json:"digest"`
+	Members []MemberBundle `json:"members"`
+}
+
+// MemberBundle is the version in force on one node, as the asked node last
+// heard.
+type MemberBundle struct {
+	Name      string    `json:"name"`
+	Version   uint64    `json:"version"`
+	LastHeard time.Time `json:"last_heard"`
+}
+
+const (
+	notReadyDelay     = time.Second
+	keepAliveInterval = 15 * time.Second
+	maxBundleBytes    = httpapi.DefaultMaxBodyBytes
+	eventDecision     = "decision"
+)
+
+// Option adjusts the endpoint.
+type Option func(*handler)
+
+// WithLogger sets where faults are logged; the default discards.
+func WithLogger(logger *slog.Logger) Option {
+	return func(h *handler) { h.logger = logger }
+}
+
+// handler is the endpoint's state, safe for concurrent use.
+type handler struct {
+	service  Service
+	inForce  func() *bundle.Snapshot
+	registry *prometheus.Registry
+	logger   *slog.Logger
+}
+
+// New returns the operators' endpoint. inForce returns the configuration in
+// force, or nil before there is one; registry holds the metrics to publish.
+func New(service Service, inForce func() *bundle.Snapshot, registry *prometheus.Registry, options ...Option) http.Handler {
+	h := &handler{
+		service:  service,
+		inForce:  inForce,
+		registry: registry,
+		logger:   slog.New(slog.DiscardHandler),
+	}
+	for _, option := range options {
+		option(h)
+	}
+	return h.routes()
+}
+
+func (h *handler) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/operator/status", h.handle(h.authenticated(h.status)))
+	mux.Handle("GET /v1/operator/programs", h.handle(h.authenticated(h.programs)))
+	mux.Handle("GET /v1/operator/explain", h.handle(h.authenticated(h.explain)))
+	mux.Handle("GET /v1/operator/watch", h.handle(h.authenticated(h.watch)))
+	mux.Handle("GET /v1/operator/bundle", h.handle(h.authenticated(h.bundle)))
+	mux.Handle("POST /v1/operator/bundle", h.handle(h.firstOrAuthenticated(h.submitBundle)))
+	mux.Handle("GET /v1/operator/bundle/status", h.handle(h.authenticated(h.bundleStatus)))
+	mux.Handle("GET /livez", h.handle(h.live))
+	mux.Handle("GET /readyz", h.handle(h.ready))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}))
+
+	for _, path := range []string{"status", "programs", "explain", "watch", "bundle/status"} {
+		mux.Handle("/v1/operator/"+path, h.handle(methodNotAllowed("GET")))
+	}
+	for _, path := range []string{"/livez", "/readyz", "/metrics"} {
+		mux.Handle(path, h.handle(methodNotAllowed("GET")))
+	}
+	mux.Handle("/v1/operator/bundle", h.handle(methodNotAllowed("GET, POST")))
+	mux.Handle("/", h.handle(pathNotFound))
+	return mux
+}
+
+func methodNotAllowed(allowed string) endpoint {
+	return func(writer http.ResponseWriter, _ *http.Request) error {
+		writer.Header().Set("Allow", allowed)
+		return api.Errorf(api.MethodNotAllowed, "the path takes %s", allowed)
+	}
+}
+
+func pathNotFound(http.ResponseWriter, *http.Request) error {
+	return api.Errorf(api.PathNotFound, "")
+}
