program: simulation of interleaved owners as properties

Checked on a simulated table with random takeovers, crashes, pauses, lost and late writes, hand-overs, sub-agents and ends.

--- /dev/null
+++ b/internal/program/simulation_test.go
@@ -0,0 +1,446 @@
+package program
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pewtermill/pewtermill/api"
+)
+
+const (
+	rootBudget    = api.Credits(4000)
+	standingSlice = api.Credits(30)
+)
+
+var simulationLimits = ClassLimits{MaxCalls: 15, MaxDepth: 2}
+
+// row is a row of the simulated table.
+type row struct {
+	value    []byte
+	revision uint64
+	writeID  int
+}
+
+// transaction writes header rows on condition of their revisions, and call
+// rows without condition: the header is what must fence them.
+type transaction struct {
+	id        int
+	writer    *owner
+	start     uint64
+	revisions map[string]uint64 // by header key; 0: absent
+	headers   map[string]Header // by header key
+	call      *CallRow
+}
+
+// owner is a node; a crash raises start and drops its sessions.
+type owner struct {
+	name  string
+	start uint64
+}
+
+// session is what an owner remembers about a program that it holds, or
+// believes to hold. Time passes between any two of its steps.
+type session struct {
+	owner      *owner
+	header     Header
+	encoded    []byte // header as it was stored, to detect changes in place
+	revision   uint64
+	call       *Call // admitted
+	dispatched bool
+	cost       api.Credits // billed for the dispatched call
+	pending    *transaction
+	then       func() // once pending is known to be applied
+}
+
+// world is one run of the simulation: owners, table and back end, the facts
+// that the properties are about, and the first violation.
+type world struct {
+	rows      map[string]row
+	revision  uint64
+	writes    int
+	delayed   []*transaction
+	owners    []*owner
+	sessions  []*session
+	programs  []string
+	executed  map[string]int
+	billed    map[string]api.Credits
+	answers   map[string][]byte
+	events    map[string]int // how often each kind of thing happened
+	violation string
+}
+
+func newWorld() *world {
+	w := &world{rows: map[string]row{}, executed: map[string]int{}, billed: map[string]api.Credits{},
+		answers: map[string][]byte{}, events: map[string]int{}}
+	for _, name := range []string{"a", "b", "c"} {
+		w.owners = append(w.owners, &owner{name: name, start: 1})
+	}
+	root := New(Params{ID: RootID("c1", 1), Owner: "a", OwnerStart: 1, Budget: rootBudget, Now: testNow})
+	s := &session{owner: w.owners[0], header: root}
+	w.sessions = append(w.sessions, s)
+	w.prepare(s, nil, nil, root)
+	w.send(s, 0)
+	return w
+}
+
+func (w *world) require(ok bool, format string, args ...any) {
+	if !ok && w.violation == "" {
+		w.violation = fmt.Sprintf(format, args...)
+	}
+}
+
+// callOf returns the call that the program's caller sends under a number.
+func callOf(id string, sequence int64) Call {
+	random := xxhash.Sum64String(IdempotencyKey(id, sequence))
+	return Call{Sequence: sequence, RequestDigest: fmt.Sprint(random), Repeatable: random%2 == 0,
+		DearestCost: api.Credits(1 + random>>8%60)}
+}
+
+// prepare makes headers (the session's own first) and a call row the
+// session's pending transaction. It is sent by a later step.
+func (w *world) prepare(s *session, call *CallRow, then func(), headers ...Header) {
+	w.writes++
+	s.pending = &transaction{id: w.writes, writer: s.owner, start: s.owner.start, call: call,
+		revisions: map[string]uint64{}, headers: map[string]Header{}}
+	s.then = then
+	for _, h := range headers {
+		key := HeaderKey(h.ID)
+		s.pending.headers[key] = h
+		s.pending.revisions[key] = w.rows[key].revision
+	}
+	s.pending.revisions[HeaderKey(headers[0].ID)] = s.revision
+}
+
+// send sends the pending transaction, again if its reply was lost before.
+// Fault 1 loses the reply, 2 the request, which may still arrive later.
+func (w *world) send(s *session, fault uint32) {
+	switch fault {
+	case 1:
+		w.apply(s.pending)
+		w.events["reply lost"]++
+		return
+	case 2:
+		w.delayed = append(w.delayed, s.pending)
+		return
+	}
+	key := HeaderKey(s.header.ID)
+	if !w.apply(s.pending) && w.rows[key].writeID != s.pending.id {
+		w.events["stale commit refused"]++
+		w.drop(s)
+		return
+	}
+	s.header = w.load(key)
+	s.encoded, s.revision = w.rows[key].value, w.rows[key].revision
+	s.pending = nil
+	if s.then != nil {
+		s.then()
+	}
+}
+
+// apply is the table service: all conditions hold and all is written, or
+// nothing is.
+func (w *world) apply(tx *transaction) bool {
+	for key, revision := range tx.revisions {
+		if w.rows[key].revision != revision {
+			return false
+		}
+	}
+	for key, h := range tx.headers {
+		w.checkTransition(tx, key, h)
+		w.write(tx, key, EncodeHeader(h))
+		if !slices.Contains(w.programs, h.ID) {
+			w.programs = append(w.programs, h.ID)
+		}
+	}
+	if tx.call != nil {
+		key := CallKey(tx.call.Program, tx.call.Sequence)
+		w.require(w.rows[key].revision == 0, "final call %s rewritten", key)
+		w.write(tx, key, EncodeCall(*tx.call))
+	}
+	w.checkState()
+	return true
+}
+
+func (w *world) write(tx *transaction, key string, value []byte) {
+	w.revision++
+	w.rows[key] = row{value: value, revision: w.revision, writeID: tx.id}
+}
+
+func (w *world) load(key string) Header {
+	h, err := DecodeHeader(w.rows[key].value)
+	w.require(err == nil, "%s: %v", key, err)
+	return h
+}
+
+func (w *world) drop(s *session) {
+	w.sessions = slices.DeleteFunc(w.sessions, func(other *session) bool { return other == s })
+}
+
+// checkTransition checks a header that is about to replace the durable one.
+func (w *world) checkTransition(tx *transaction, key string, h Header) {
+	if w.rows[key].revision == 0 {
+		return
+	}
+	old := w.load(key)
+	owns := h.Epoch > old.Epoch || (old.Owner == tx.writer.name && old.OwnerStart == tx.start)
+	w.require(owns || old.Status == api.ProgramClosed, "stale commit by %s on %s", tx.writer.name, h.ID)
+	w.require(h.Epoch >= old.Epoch && h.Spent >= old.Spent && h.NextSequence >= old.NextSequence, "%s went back", h.ID)
+}
+
+// checkState checks order and money on the durable state.
+func (w *world) checkState() {
+	var total api.Credits
+	for _, id := range w.programs {
+		h := w.load(HeaderKey(id))
+		total += h.Budget
+		w.require(min(h.Budget, h.Spent, h.Reserved, h.Available()) >= 0, "%s over budget: %+v", id, h)
+		w.require(w.billed[id] <= h.Spent+h.Reserved, "%s billed %d, accounts for %d+%d", id, w.billed[id], h.Spent, h.Reserved)
+		w.require(h.Calls == h.NextSequence-1, "%s counts %d calls before %d", id, h.Calls, h.NextSequence)
+		for sequence := int64(1); sequence <= h.NextSequence; sequence++ {
+			_, final := w.rows[CallKey(id, sequence)]
+			w.require(final == (sequence < h.NextSequence), "%s call %d final: %t, next is %d", id, sequence, final, h.NextSequence)
+		}
+	}
+	w.require(total == rootBudget, "tree holds %d", total)
+}
+
+// claim takes a program over, whether or not its owner still works.
+func (w *world) claim(o *owner, id string) {
+	key := HeaderKey(id)
+	h := w.load(key)
+	w.sessions = slices.DeleteFunc(w.sessions, func(s *session) bool { return s.owner == o && s.header.ID == id })
+	s := &session{owner: o, header: h, encoded: w.rows[key].value, revision: w.rows[key].revision}
+	w.sessions = append(w.sessions, s)
+	w.prepare(s, nil, func() { w.events["claim"]++ }, Claim(h, o.name, o.start))
+}
+
+func (w *world) crash(o *owner) {
+	o.start++
+	w.sessions = slices.DeleteFunc(w.sessions, func(s *session) bool { return s.owner == o })
+}
+
+// step lets a session do the next thing it would do by itself.
+func (w *world) step(s *session, fault, choice uint32) {
+	w.require(bytes.Equal(s.encoded, EncodeHeader(s.header)) || s.revision == 0, "%s changed in place", s.header.ID)
+	switch {
+	case s.pending != nil:
+		w.send(s, fault)
+	case s.header.Status == api.ProgramClosed:
+		w.drop(s)
+	case s.call != nil && !s.dispatched:
+		w.dispatch(s, choice)
+	case s.call != nil:
+		w.finish(s, choice)
+	case s.header.Intent != nil:
+		w.resolve(s, choice)
+	default:
+		w.admit(s, callOf(s.header.ID, s.header.NextSequence))
+	}
+}
+
+// admit passes an arriving call to Admit and follows its verdict.
+func (w *world) admit(s *session, call Call) {
+	id := s.header.ID
+	key := CallKey(id, call.Sequence)
+	admission := Admit(s.header, call, simulationLimits, testNow)
+	switch admission.Verdict {
+	case Replay:
+		w.events["replay"]++
+		w.answer(key, w.rows[key].value)
+	case Wait:
+		w.require(call.Sequence > s.header.NextSequence, "%s waits", key)
+	case Refuse:
+		w.events["refused "+admission.Error.Code.String()]++
+		current := w.rows[HeaderKey(id)].revision == s.revision
+		ran := w.executed[key] > 0
+		w.require(!current || !ran || admission.Error.Execution != api.NotRun, "%s ran, refused as not run: %v", key, admission.Error)
+	case Run:
+		start := func() { s.call, s.dispatched = &call, false }
+		if !admission.NeedsCommit {
+			w.events["run without commit"]++
+			start()
+			return
+		}
+		w.prepare(s, nil, start, admission.Header)
+	}
+}
+
+// dispatch sends the call to the back end, which refuses it or runs it.
+func (w *world) dispatch(s *session, choice uint32) {
+	id, call := s.header.ID, s.call
+	if choice%8 == 0 {
+		w.events["abandon"]++
+		w.prepare(s, nil, func() { s.call = nil }, Abandon(s.header, call.Sequence))
+		return
+	}
+	s.dispatched = true
+	s.cost = api.Credits(choice) % (call.DearestCost + 1)
+	key := CallKey(id, call.Sequence)
+	w.executed[key]++
+	w.billed[id] += s.cost
+	w.require(call.Repeatable || w.executed[key] == 1, "%s not repeatable, ran %d times", key, w.executed[key])
+	_, preceding := w.rows[CallKey(id, call.Sequence-1)]
+	w.require(call.Sequence == 1 || preceding, "%s ran before the call before it was final", key)
+	w.checkState()
+}
+
+// finish ends a dispatched call: with its outcome, or without.
+func (w *world) finish(s *session, choice uint32) {
+	done := func() { s.call, s.dispatched = nil, false }
+	switch {
+	case choice%8 == 0 && !s.call.Repeatable:
+		w.settleUnknown(s, done)
+	case choice%8 == 0:
+		w.events["attempt failed"]++
+		w.prepare(s, nil, done, Claim(s.header, s.owner.name, s.owner.start))
+	default:
+		w.settle(s, s.cost, choice, done)
+	}
+}
+
+// resolve ends an intent that a former owner left behind, by asking the tool
+// or without outcome.
+func (w *world) resolve(s *session, choice uint32) {
+	ran := w.executed[CallKey(s.header.ID, s.header.Intent.Sequence)] > 0
+	if ran && choice%2 == 0 {
+		w.events["intent looked up"]++
+		w.settle(s, 1, choice, nil)
+		return
+	}
+	w.settleUnknown(s, nil)
+}
+
+// settle ends a call with its outcome. Now and then the back end reports
+// more than the call can have cost.
+func (w *world) settle(s *session, cost api.Credits, choice uint32, done func()) {
+	outcome := Outcome{Sequence: s.header.NextSequence, Cost: cost, Backend: fmt.Sprint("e", choice%3)}
+	if choice%5 == 0 {
+		outcome.Cost = 2 * rootBudget
+	}
+	w.finalize(s, api.OK, Settle(s.header, outcome, standingSlice), done)
+}
+
+func (w *world) settleUnknown(s *session, done func()) {
+	w.events["settled unknown"]++
+	w.finalize(s, api.OutcomeUnknown, SettleUnknown(s.header), done)
+}
+
+// finalize commits a result that differs between attempts, and then answers.
+func (w *world) finalize(s *session, code api.Code, next Header, done func()) {
+	sequence := s.header.NextSequence
+	result := api.CallResult{Code: code, Output: fmt.Sprint("write ", w.writes), Result: []byte(`{ "a":"<" }`)}
+	call := &CallRow{Program: s.header.ID, Sequence: sequence, Segment: &Segment{Result: result}}
+	w.prepare(s, call, func() {
+		w.answer(CallKey(call.Program, sequence), EncodeCall(*call))
+		if done != nil {
+			done()
+		}
+	}, next)
+}
+
+// answer gives a caller the call's result.
+func (w *world) answer(key string, result []byte) {
+	if first, given := w.answers[key]; given {
+		w.require(bytes.Equal(first, result), "%s answered differently", key)
+	}
+	w.answers[key] = result
+	stored, err := DecodeCall(result)
+	w.require(err == nil && bytes.Equal(EncodeCall(stored), result), "%s does not decode: %v", key, err)
+}
+
+func (w *world) newChild(s *session, choice uint32) {
+	params := Params{Owner: s.owner.name, OwnerStart: s.owner.start, Budget: api.Credits(choice % 1500), Now: testNow}
+	number := 1 + int(choice%50)
+	if _, exists := w.rows[HeaderKey(childID(s.header.ID, number))]; exists {
+		return
+	}
+	parent, child, err := NewChild(s.header, number, params, simulationLimits)
+	if err != nil {
+		w.events["child refused "+err.Code.String()]++
+		return
+	}
+	w.prepare(s, nil, func() { w.events["child"]++ }, parent, child)
+}
+
+// returnChild settles with one of the session's sub-agents, ended or not.
+func (w *world) returnChild(s *session, choice uint32) {
+	if len(s.header.Children) == 0 {
+		return
+	}
+	id := s.header.Children[choice%uint32(len(s.header.Children))]
+	parent, child := ReturnToParent(s.header, w.load(HeaderKey(id)))
+	if len(parent.Children) == len(s.header.Children) {
+		return
+	}
+	w.prepare(s, nil, func() { w.events["child returned"]++ }, parent, child)
+}
+
+// event lets one random thing happen.
+func (w *world) event(code uint32) {
+	fault, choice := code>>8%8, code>>11
+	o := w.owners[choice%3]
+	switch kind := code % 64; {
+	case kind == 0:
+		w.crash(o)
+	case kind <= 3:
+		w.claim(o, w.programs[choice/3%uint32(len(w.programs))])
+	case kind <= 6 && len(w.delayed) > 0:
+		w.apply(w.delayed[0])
+		w.delayed = w.delayed[1:]
+	case len(w.sessions) > 0:
+		w.sessionEvent(w.sessions[code>>16%uint32(len(w.sessions))], kind, fault, choice)
+	}
+}
+
+func (w *world) sessionEvent(s *session, kind, fault, choice uint32) {
+	idle := s.pending == nil && s.call == nil
+	switch {
+	case kind <= 8 && idle:
+		w.prepare(s, nil, func() { w.drop(s) }, HandOver(s.header))
+	case kind <= 11 && s.pending == nil:
+		w.newChild(s, choice)
+	case kind <= 12 && idle:
+		w.prepare(s, nil, nil, End(s.header, api.OK, testNow.Add(time.Second)))
+	case kind <= 18 && s.pending == nil:
+		w.returnChild(s, choice)
+	case kind <= 22 && s.pending == nil && s.call == nil:
+		sequence := s.header.NextSequence + int64(choice%3) - 1
+		w.admit(s, callOf(s.header.ID, max(1, sequence)))
+	default:
+		w.step(s, fault, choice)
+	}
+}
+
+// closeAll lets one owner take all programs over and end them, and checks
+// that all unspent money has come back to the root.
+func (w *world) closeAll() {
+	for _, o := range w.owners {
+		w.crash(o)
+	}
+	slices.SortFunc(w.programs, func(a, b string) int { return strings.Count(b, ".") - strings.Count(a, ".") })
+	for _, id := range slices.Clone(w.programs) {
+		w.claim(w.owners[0], id)
+		s := w.sessions[0]
+		w.send(s, 0)
+		for s.header.Intent != nil {
+			w.step(s, 0, 1)
+		}
+		for len(s.header.Children) > 0 && w.violation == "" {
+			w.returnChild(s, 0)
+			w.send(s, 0)
+		}
+		w.prepare(s, nil, nil, End(s.header, api.OK, testNow))
+		w.send(s, 0)
+		w.require(s.header.Status == api.ProgramClosed, "%s does not end", id)
+		w.drop(s)
+	}
+	for _, id := range w.programs[:len(w.programs)-1] {
+		h := w.load(HeaderKey(id))
+		w.require(h.Available() == 0, "%s keeps %d", id, h.Available())
+	}
+}
