--- /dev/null
+++ b/internal/command/announce.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/platform"
+)
+
+// announceRetryInterval is the pause between attempts to reach the platform.
+const announceRetryInterval = 100 * time.Millisecond
+
+// Announce puts a machine on the stand-in platform's machine list, or
+// replaces the one of that name. It tries again until ctx ends.
+func Announce(ctx context.Context, platformURL string, machine platform.Machine) error {
+	body, err := json.Marshal(machine)
+	if err != nil {
+		return errors.Wrap(err, "encode machine")
+	}
+	for {
+		err := changeMachine(ctx, http.MethodPut, platformURL, machine.Name, body)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "announce %s", machine.Name)
+		case <-time.After(announceRetryInterval):
+		}
+	}
+}
+
+// Withdraw takes a machine off the list; it tries once.
+func Withdraw(ctx context.Context, platformURL, name string) error {
+	err := changeMachine(ctx, http.MethodDelete, platformURL, name, nil)
+	return errors.Wrapf(err, "withdraw %s", name)
+}
+
+func changeMachine(ctx context.Context, method, platformURL, name string, body []byte) error {
+	target, err := url.JoinPath(platformURL, "machines", name)
+	if err != nil {
+		return errors.Wrap(err, "platform URL")
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return errors.Newf("the platform answered %s", response.Status)
+	}
+	return nil
+}
