--- /dev/null
+++ b/internal/standin/platform/handler.go
@@ -0,0 +1,177 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/platform"
+)
+
+// maxBodyBytes bounds what one request may carry.
+const maxBodyBytes = 64 << 20
+
+// objectReply answers PUT /objects.
+type objectReply struct {
+	Digest string `json:"digest"`
+}
+
+// Handler serves the platform over HTTP JSON. A commit is answered with 200
+// and a Receipt, 409 and a ConflictError, 429 if throttled, 503 if not
+// applied; a lost reply is a connection cut without an answer.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /table/commit", p.serveCommit)
+	mux.HandleFunc("GET /table/row", p.serveRow)
+	mux.HandleFunc("GET /table/range", p.serveRange)
+	mux.HandleFunc("PUT /objects", p.servePutObject)
+	mux.HandleFunc("GET /objects/{digest}", p.serveGetObject)
+	mux.HandleFunc("GET /machines", p.serveMachines)
+	mux.HandleFunc("PUT /machines/{name}", p.serveAnnounce)
+	mux.HandleFunc("DELETE /machines/{name}", p.serveWithdraw)
+	mux.HandleFunc("POST /faults", p.serveFaults)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { answer(w, p.Stats()) })
+	mux.HandleFunc("GET /history", func(w http.ResponseWriter, _ *http.Request) { answer(w, p.History()) })
+	return mux
+}
+
+func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var transaction platform.Transaction
+	if !decode(w, r, &transaction) {
+		return
+	}
+	receipt, err := p.Commit(r.Context(), transaction)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answer(w, receipt)
+}
+
+func (p *Platform) serveRow(w http.ResponseWriter, r *http.Request) {
+	row, err := p.Get(r.Context(), r.URL.Query().Get("key"))
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answer(w, row)
+}
+
+func (p *Platform) serveRange(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil {
+		http.Error(w, "limit is not a number", http.StatusBadRequest)
+		return
+	}
+	rows, err := p.Range(r.Context(), query.Get("start"), query.Get("end"), limit)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answer(w, rows)
+}
+
+func (p *Platform) servePutObject(w http.ResponseWriter, r *http.Request) {
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	digest, err := p.PutObject(r.Context(), content)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answer(w, objectReply{Digest: digest})
+}
+
+func (p *Platform) serveGetObject(w http.ResponseWriter, r *http.Request) {
+	content, err := p.GetObject(r.Context(), r.PathValue("digest"))
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	_, _ = w.Write(content) // the client is gone: nobody is left to tell
+}
+
+func (p *Platform) serveMachines(w http.ResponseWriter, r *http.Request) {
+	machines, err := p.List(r.Context())
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	answer(w, machines)
+}
+
+func (p *Platform) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var machine platform.Machine
+	if !decode(w, r, &machine) {
+		return
+	}
+	machine.Name = r.PathValue("name")
+	p.Announce(machine)
+	answer(w, machine)
+}
+
+func (p *Platform) serveWithdraw(w http.ResponseWriter, r *http.Request) {
+	p.Withdraw(r.PathValue("name"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !decode(w, r, &faults) {
+		return
+	}
+	p.SetFaults(faults)
+	answer(w, faults)
+}
+
+// decode reads a JSON body strictly; on failure it answers 400.
+func decode(w http.ResponseWriter, r *http.Request, value any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// answer sends a JSON body with status 200.
+func answer(w http.ResponseWriter, value any) { answerStatus(w, http.StatusOK, value) }
+
+func answerStatus(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // the client is gone: nobody is left to tell
+}
+
+// refuse maps an error of the platform to a status, or cuts the connection.
+func refuse(w http.ResponseWriter, err error) {
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		answerStatus(w, http.StatusConflict, conflict)
+	case errors.Is(err, platform.ErrThrottled):
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
+	case errors.Is(err, platform.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, platform.ErrUnavailable):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/machines.go
@@ -0,0 +1,72 @@
+package platform
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/platform"
+)
+
+// machineList shows every change only after a lag.
+type machineList struct {
+	lag time.Duration
+
+	mu      sync.Mutex // guards all below
+	visible map[string]platform.Machine
+	pending []machineChange // not visible yet, oldest first
+}
+
+// machineChange announces a machine, or withdraws the one of that name.
+type machineChange struct {
+	at        time.Time
+	machine   platform.Machine
+	withdrawn bool
+}
+
+func (m *machineList) change(change machineChange) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pending = append(m.pending, change)
+}
+
+// list returns the machines as they were one lag before now, sorted by name.
+func (m *machineList) list(now time.Time) []platform.Machine {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for len(m.pending) > 0 && !now.Before(m.pending[0].at.Add(m.lag)) {
+		change := m.pending[0]
+		m.pending = m.pending[1:]
+		if change.withdrawn {
+			delete(m.visible, change.machine.Name)
+		} else {
+			m.visible[change.machine.Name] = change.machine
+		}
+	}
+	machines := make([]platform.Machine, 0, len(m.visible))
+	for _, name := range slices.Sorted(maps.Keys(m.visible)) {
+		machines = append(machines, m.visible[name])
+	}
+	return machines
+}
+
+// Announce adds a machine to the list or replaces the one of that name.
+func (p *Platform) Announce(machine platform.Machine) {
+	p.machines.change(machineChange{at: time.Now(), machine: machine})
+}
+
+// Withdraw takes a machine off the list.
+func (p *Platform) Withdraw(name string) {
+	machine := platform.Machine{Name: name}
+	p.machines.change(machineChange{at: time.Now(), machine: machine, withdrawn: true})
+}
+
+// List implements platform.Machines.
+func (p *Platform) List(ctx context.Context) ([]platform.Machine, error) {
+	if err := p.admitRead(ctx); err != nil {
+		return nil, err
+	}
+	return p.machines.list(time.Now()), nil
+}
--- /dev/null
+++ b/internal/standin/platform/table.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/platform"
+)
+
+// commitResult is the outcome of applying a transaction.
+type commitResult struct {
+	receipt platform.Receipt
+	err     error
+}
+
+// Commit implements platform.Table, subject to the fault switches.
+func (p *Platform) Commit(ctx context.Context, transaction platform.Transaction) (platform.Receipt, error) {
+	fate, slow, err := p.admit()
+	if err != nil {
+		return platform.Receipt{}, err
+	}
+	if fate.delay > 0 {
+		time.AfterFunc(slow+fate.delay, func() { p.apply(transaction) })
+		return platform.Receipt{}, platform.ErrUnknownOutcome
+	}
+	result, answered := p.applyAfter(ctx, slow, transaction)
+	if !answered || fate.lost {
+		return platform.Receipt{}, platform.ErrUnknownOutcome
+	}
+	return result.receipt, result.err
+}
+
+// applyAfter applies the transaction after the delay. If the context ends
+// first, answered is false and the transaction is still applied.
+func (p *Platform) applyAfter(ctx context.Context, delay time.Duration, transaction platform.Transaction) (result commitResult, answered bool) {
+	if delay == 0 {
+		return p.apply(transaction), true
+	}
+	results := make(chan commitResult, 1)
+	time.AfterFunc(delay, func() { results <- p.apply(transaction) })
+	select {
+	case result = <-results:
+		return result, true
+	case <-ctx.Done():
+		return commitResult{}, false
+	}
+}
+
+// apply checks the conditions and, if all hold, makes the writes.
+func (p *Platform) apply(transaction platform.Transaction) commitResult {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, condition := range transaction.Conditions {
+		row := p.row(condition.Key)
+		if row.Revision != condition.Revision {
+			p.stats.Conflicts++
+			return commitResult{err: &platform.ConflictError{Index: i, Current: row}}
+		}
+	}
+	p.revision++
+	receipt := platform.Receipt{Revisions: make(map[string]uint64, len(transaction.Writes))}
+	for _, write := range transaction.Writes {
+		receipt.Revisions[write.Key] = p.write(write, transaction.WriteID)
+	}
+	p.stats.Transactions++
+	p.stats.Rows += uint64(len(transaction.Writes))
+	p.remember(transaction)
+	return commitResult{receipt: receipt}
+}
+
+// write makes one write and returns the row's revision, 0 after a delete. It
+// needs p.mu.
+func (p *Platform) write(write platform.Write, writeID string) uint64 {
+	_, exists := p.rows[write.Key]
+	if write.Delete {
+		if exists {
+			delete(p.rows, write.Key)
+			p.keys.remove(write.Key)
+		}
+		return 0
+	}
+	if !exists {
+		p.keys.insert(write.Key)
+	}
+	p.rows[write.Key] = platform.Row{
+		Key:      write.Key,
+		Value:    bytes.Clone(write.Value),
+		Revision: p.revision,
+		WriteID:  writeID,
+	}
+	return p.revision
+}
+
+// remember needs p.mu.
+func (p *Platform) remember(transaction platform.Transaction) {
+	if p.historyLimit == 0 {
+		return
+	}
+	if len(p.history) >= 2*p.historyLimit {
+		p.history = append([]Committed(nil), p.history[len(p.history)-p.historyLimit:]...)
+	}
+	p.history = append(p.history, Committed{Sequence: p.revision, Transaction: transaction})
+}
+
+// row needs p.mu.
+func (p *Platform) row(key string) platform.Row {
+	row, exists := p.rows[key]
+	if !exists {
+		return platform.Row{Key: key}
+	}
+	return row
+}
+
+// Get implements platform.Table. The caller must not change the row's value.
+func (p *Platform) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := p.admitRead(ctx); err != nil {
+		return platform.Row{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Reads++
+	return p.row(key), nil
+}
+
+// Range implements platform.Table. A limit of 0 or less returns no rows.
+func (p *Platform) Range(ctx context.Context, start, end string, limit int) ([]platform.Row, error) {
+	if err := p.admitRead(ctx); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Reads++
+	rows := []platform.Row{}
+	for key := range p.keys.from(start) {
+		if key >= end || len(rows) >= limit {
+			break
+		}
+		rows = append(rows, p.rows[key])
+	}
+	return rows, nil
+}
