--- a/internal/backend/tool_client.go
+++ b/internal/backend/tool_client.go
@@ -26,12 +26,7 @@
 // mean that the tool did not run; ErrBroken that it may have, also when ctx
 // ended after a connection was had.
 func (c *ToolClient) Run(ctx context.Context, request ToolRequest) (ToolResult, error) {
-	body := WireToolRequest{
-		Tool:           request.Tool,
-		IdempotencyKey: request.IdempotencyKey,
-		Epoch:          request.Epoch,
-		Input:          request.Input,
-	}
+	body := WireToolRequest(request)
 	var answer WireToolResult
 	if err := c.endpoint.doJSON(ctx, http.MethodPost, "/run", body, &answer); err != nil {
 		return ToolResult{}, err
--- /dev/null
+++ b/internal/standin/engine/admin.go
@@ -0,0 +1,87 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/backend"
+)
+
+// Faults switches misbehaviour on; the zero value is none.
+type Faults struct {
+	CutStreamAfterBytes int     `json:"cut_stream_after_bytes"` // of text, on each link
+	CutForgetsStream    bool    `json:"cut_forgets_stream"`     // a cut stream can't be resumed
+	ResumeOverlapBytes  int     `json:"resume_overlap_bytes"`   // sent again at a resume
+	DropReplyNext       int     `json:"drop_reply_next"`        // requests that run and whose link is cut before any answer
+	SlowFactor          float64 `json:"slow_factor"`            // of all work; 0 means 1
+	Refuse              bool    `json:"refuse"`
+	Leaving             bool    `json:"leaving"`
+	DropEventsShare     float64 `json:"drop_events_share"` // of cache events, chosen by Seed
+	Seed                uint64  `json:"seed"`
+}
+
+// SetFaults replaces all fault switches.
+func (e *Engine) SetFaults(faults Faults) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.faults = faults
+	e.model.SetSlowFactor(time.Now(), faults.SlowFactor)
+	e.wakeDriver()
+}
+
+// takeDroppedReply uses up one dropped reply, if any is set.
+func (e *Engine) takeDroppedReply() bool {
+	if e.faults.DropReplyNext <= 0 {
+		return false
+	}
+	e.faults.DropReplyNext--
+	return true
+}
+
+func (e *Engine) serveFaults(writer http.ResponseWriter, request *http.Request) {
+	var faults Faults
+	decoder := json.NewDecoder(request.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		backend.WriteError(writer, http.StatusBadRequest, backend.WireInvalid, err.Error())
+		return
+	}
+	e.SetFaults(faults)
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveHolds(writer http.ResponseWriter, _ *http.Request) {
+	backend.WriteJSON(writer, http.StatusOK, backend.WireHolds{Programs: e.Holds()})
+}
+
+func (e *Engine) serveRelease(writer http.ResponseWriter, request *http.Request) {
+	e.mutex.Lock()
+	e.model.Release(time.Now(), request.PathValue("program"))
+	e.mutex.Unlock()
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveLoad(writer http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	load := e.reportedLoad()
+	e.mutex.Unlock()
+	backend.WriteJSON(writer, http.StatusOK, load)
+}
+
+func (e *Engine) serveCacheEvents(writer http.ResponseWriter, request *http.Request) {
+	after, err := strconv.ParseUint(request.FormValue("after"), 10, 64)
+	if err != nil {
+		backend.WriteError(writer, http.StatusBadRequest, backend.WireInvalid, "after is not a sequence number")
+		return
+	}
+	e.mutex.Lock()
+	page := e.publishedEvents(after)
+	e.mutex.Unlock()
+	backend.WriteJSON(writer, http.StatusOK, page)
+}
+
+func (e *Engine) serveLog(writer http.ResponseWriter, _ *http.Request) {
+	backend.WriteJSON(writer, http.StatusOK, e.Log())
+}
--- /dev/null
+++ b/internal/standin/engine/cachelog.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/backend"
+)
+
+const (
+	// eventLogSize is how many cache events are kept for readers.
+	eventLogSize = 1 << 13
+	// seenSetSize is how many blocks each half of a seenSet remembers.
+	seenSetSize = 1 << 20
+)
+
+// eventLog keeps the newest cache events.
+type eventLog struct {
+	sequence uint64 // of the newest event
+	events   []loggedEvent
+}
+
+type loggedEvent struct {
+	event backend.CacheEvent
+	at    time.Time
+}
+
+func newEventLog(firstSequence uint64) *eventLog { return &eventLog{sequence: firstSequence} }
+
+func (l *eventLog) append(hash uint64, stored bool, now time.Time) {
+	l.sequence++
+	event := backend.CacheEvent{Sequence: l.sequence, Block: hash, Stored: stored}
+	if len(l.events) >= 2*eventLogSize {
+		l.events = append(l.events[:0], l.events[eventLogSize:]...)
+	}
+	l.events = append(l.events, loggedEvent{event: event, at: now})
+}
+
+// page returns the events after a sequence number up to a point in time. If
+// after is 0, newer than the newest event, or older than what is kept, it
+// returns a snapshot of the cache as it is now.
+func (l *eventLog) page(after uint64, until time.Time, snapshot func() []string) backend.CacheEvents {
+	kept := uint64(len(l.events))
+	if after == 0 || after > l.sequence || l.sequence-after > kept {
+		return backend.CacheEvents{Snapshot: true, Blocks: snapshot(), Sequence: l.sequence}
+	}
+	page := backend.CacheEvents{Sequence: after}
+	for _, logged := range l.events[kept-(l.sequence-after):] {
+		if logged.at.After(until) {
+			break
+		}
+		page.Events = append(page.Events, logged.event)
+		page.Sequence = logged.event.Sequence
+	}
+	return page
+}
+
+// seenSet remembers blocks in two halves of bounded size: when the newer is
+// full, the older is forgotten.
+type seenSet struct {
+	newer map[uint64]struct{}
+	older map[uint64]struct{}
+}
+
+func newSeenSet() *seenSet { return &seenSet{newer: map[uint64]struct{}{}} }
+
+func (s *seenSet) add(hash uint64) {
+	if len(s.newer) >= seenSetSize {
+		s.older = s.newer
+		s.newer = map[uint64]struct{}{}
+	}
+	s.newer[hash] = struct{}{}
+}
+
+func (s *seenSet) has(hash uint64) bool {
+	if _, found := s.newer[hash]; found {
+		return true
+	}
+	_, found := s.older[hash]
+	return found
+}
--- /dev/null
+++ b/internal/standin/engine/stream.go
@@ -0,0 +1,115 @@
+package engine
+
+import (
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backend"
+)
+
+// keptStreams is how many ended streams can still be resumed.
+const keptStreams = 4096
+
+// stream is the answer to one request. The text is known from the start and
+// is readable up to ready.
+type stream struct {
+	request  backend.WireChatRequest
+	text     string
+	ready    int    // bytes decoded so far
+	finish   string // finish reason; empty while under way
+	usage    api.Usage
+	logIndex int           // of its execution, or -1
+	changed  chan struct{} // closed and replaced at each change
+}
+
+func (s *stream) startEntry(event Event) LogEntry {
+	return LogEntry{
+		RequestID:    s.request.RequestID,
+		Program:      s.request.Program,
+		Epoch:        s.request.Epoch,
+		Model:        s.request.Model,
+		Priority:     s.request.Priority,
+		Started:      event.At,
+		PromptTokens: event.PromptTokens,
+		CachedTokens: event.CachedTokens,
+		WastedTokens: event.WastedTokens,
+	}
+}
+
+// streamTable keeps streams by request id, and the newest ended ones so that
+// they can be resumed. It is guarded by the engine's mutex.
+type streamTable struct {
+	byID   map[string]*stream
+	active map[string]*stream
+	ended  []string // oldest first
+}
+
+func newStreamTable() *streamTable {
+	return &streamTable{byID: map[string]*stream{}, active: map[string]*stream{}}
+}
+
+func (t *streamTable) get(id string) *stream { return t.byID[id] }
+
+func (t *streamTable) add(request backend.WireChatRequest, text string) *stream {
+	added := &stream{request: request, text: text, logIndex: -1, changed: make(chan struct{})}
+	t.byID[request.RequestID] = added
+	t.active[request.RequestID] = added
+	return added
+}
+
+// remove forgets a stream whose request was not accepted.
+func (t *streamTable) remove(id string) {
+	delete(t.byID, id)
+	delete(t.active, id)
+}
+
+// addCancelled records that a request was cancelled before it came, so that
+// it is refused when it does.
+func (t *streamTable) addCancelled(id string) {
+	tombstone := t.add(backend.WireChatRequest{RequestID: id}, "")
+	t.end(tombstone, Event{Kind: EventCancelled})
+}
+
+// publishDecoded makes readable what the model has decoded.
+func (t *streamTable) publishDecoded(decoded func(id string) (int64, bool)) {
+	for id, entry := range t.active {
+		tokens, running := decoded(id)
+		ready := min(int(tokens)*backend.BytesPerToken, len(entry.text))
+		if running && ready > entry.ready {
+			entry.ready = ready
+			entry.notify()
+		}
+	}
+}
+
+// end closes a stream as its last event says.
+func (t *streamTable) end(entry *stream, event Event) {
+	entry.usage = api.Usage{
+		PromptTokens:     event.PromptTokens,
+		CachedTokens:     event.CachedTokens,
+		CompletionTokens: event.AnswerTokens,
+	}
+	entry.finish = backend.FinishCancelled
+	if event.Kind == EventFinished {
+		entry.ready = len(entry.text)
+		entry.finish = backend.FinishStop
+		if event.AnswerTokens >= entry.request.MaxTokens {
+			entry.finish = backend.FinishLength
+		}
+	}
+	entry.notify()
+	delete(t.active, entry.request.RequestID)
+	t.keep(entry.request.RequestID)
+}
+
+// keep remembers an ended stream and forgets the oldest over the bound.
+func (t *streamTable) keep(id string) {
+	t.ended = append(t.ended, id)
+	if len(t.ended) > keptStreams {
+		delete(t.byID, t.ended[0])
+		t.ended = t.ended[1:]
+	}
+}
+
+func (s *stream) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
