--- a/cmd/pewtermill/main.go
+++ b/cmd/pewtermill/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -30,29 +29,15 @@
 // run executes one command line and returns the exit code.
 func run(arguments []string, streams command.Streams) int {
 	var commandLine commandLine
-	parser, err := newParser(&commandLine, streams.Out)
-	if err != nil {
-		fmt.Fprintln(streams.Err, err)
-		return command.ExitFailure
-	}
-	context, err := parser.Parse(arguments)
-	if err != nil {
-		fmt.Fprintf(streams.Err, "%s: %v (see %s --help)\n", parser.Model.Name, err, parser.Model.Name)
-		return command.ExitUsage
-	}
-	if err := context.Run(streams); err != nil {
-		command.PrintError(streams.Err, err)
-		return command.ExitCode(err)
-	}
-	return command.ExitOK
-}
-
-// newParser builds the parser; help goes to out.
-func newParser(commandLine *commandLine, out io.Writer) (*kong.Kong, error) {
-	return kong.New(commandLine,
+	parser, err := kong.New(&commandLine,
 		kong.Name("pewtermill"),
 		kong.Description("A scheduler for agent programs."),
-		kong.Writers(out, out),
+		kong.Writers(streams.Out, streams.Err),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 	)
+	if err != nil {
+		fmt.Fprintln(streams.Err, err)
+		return command.ExitFailure
+	}
+	return command.Execute(parser, arguments, streams)
 }
--- a/internal/command/announce.go
+++ b/internal/command/announce.go
@@ -17,20 +17,26 @@
 const announceRetryInterval = 100 * time.Millisecond
 
 // Announce puts a machine on the stand-in platform's machine list, or
-// replaces the one of that name. It tries again until ctx ends.
+// replaces the one of that name. It tries once.
 func Announce(ctx context.Context, platformURL string, machine platform.Machine) error {
 	body, err := json.Marshal(machine)
 	if err != nil {
 		return errors.Wrap(err, "encode machine")
 	}
+	err = changeMachine(ctx, http.MethodPut, platformURL, machine.Name, body)
+	return errors.Wrapf(err, "announce %s", machine.Name)
+}
+
+// AnnounceUntilDone is like Announce, but tries again until ctx ends.
+func AnnounceUntilDone(ctx context.Context, platformURL string, machine platform.Machine) error {
 	for {
-		err := changeMachine(ctx, http.MethodPut, platformURL, machine.Name, body)
+		err := Announce(ctx, platformURL, machine)
 		if err == nil {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Wrapf(err, "announce %s", machine.Name)
+			return err
 		case <-time.After(announceRetryInterval):
 		}
 	}
--- a/internal/command/devcluster/cluster.go
+++ b/internal/command/devcluster/cluster.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,18 @@
 // clusterKey is what the nodes of a development deployment share.
 const clusterKey = "development cluster key"
 
+// loopbackAnyPort is an address that asks for a free port.
+const loopbackAnyPort = "127.0.0.1:0"
+
+// Sizes and speeds of the stand-ins: small and quick enough to watch.
+const (
+	engineMaxRunning  = 8
+	engineCacheTokens = 65_536
+	enginePrefillRate = 8_000 // tokens per second
+	engineDecodeRate  = 200   // tokens per second of one stream
+	toolDelay         = 50 * time.Millisecond
+)
+
 // Options say what to start.
 type Options struct {
 	Bundle []byte // YAML; must have the keys of examples/dev-bundle.yaml
@@ -47,12 +60,12 @@
 	Nodes       []Node
 	PlatformURL string
 
-	options  Options
-	bundle   *bundle.Bundle
-	running  []*node.Node
-	servers  []*command.Server
-	engines  []*engine.Engine
-	settings []settings.Settings
+	options   Options
+	bundle    *bundle.Bundle
+	addresses Addresses
+	running   []*node.Node
+	servers   []*command.Server
+	engines   []*engine.Engine
 }
 
 // Start starts everything and waits until each node serves callers, or ctx
@@ -74,8 +87,10 @@
 	if err := c.startStandIns(); err != nil {
 		return err
 	}
-	if err := c.startNodes(ctx); err != nil {
-		return err
+	for range c.options.Nodes {
+		if err := c.startNode(ctx); err != nil {
+			return err
+		}
 	}
 	if err := c.submitBundle(ctx); err != nil {
 		return err
@@ -83,38 +98,46 @@
 	return c.waitReady(ctx)
 }
 
-// startStandIns starts platform, engines and tools, and points the bundle
-// at them.
+// startStandIns starts a platform, each engine of the bundle, and one tool
+// service for all its tools.
 func (c *Cluster) startStandIns() error {
 	var err error
 	c.PlatformURL, err = c.serve(platform.New(platform.Options{}).Handler())
 	if err != nil {
 		return err
 	}
-	addresses := Addresses{Engines: map[string]string{}, Tools: map[string]string{}}
+	c.addresses.Engines = make(map[string]string)
 	for _, described := range c.bundle.Engines {
-		standIn := engine.New(engine.Options{Name: described.Name, Zone: described.Zone, Models: described.Models})
-		c.engines = append(c.engines, standIn)
-		addresses.Engines[described.Name], err = c.serve(standIn.Handler())
+		c.addresses.Engines[described.Name], err = c.startEngine(described)
 		if err != nil {
 			return err
 		}
 	}
-	toolURL, err := c.serve(tool.New(tool.Options{}).Handler())
+	toolURL, err := c.serve(tool.New(tool.Options{Name: "tools", Delay: toolDelay}).Handler())
 	if err != nil {
 		return err
 	}
+	c.addresses.Tools = make(map[string]string)
 	for _, described := range c.bundle.Tools {
-		addresses.Tools[described.Name] = toolURL
+		c.addresses.Tools[described.Name] = toolURL
 	}
-	if err := c.chooseSettings(); err != nil {
-		return err
-	}
-	addresses.Seeds = c.settings[0].Seeds
-	Relocate(c.bundle, addresses)
 	return nil
 }
 
+func (c *Cluster) startEngine(described bundle.Engine) (string, error) {
+	standIn := engine.New(engine.Options{
+		Name:        described.Name,
+		Zone:        described.Zone,
+		Models:      described.Models,
+		MaxRunning:  engineMaxRunning,
+		CacheTokens: engineCacheTokens,
+		PrefillRate: enginePrefillRate,
+		DecodeRate:  engineDecodeRate,
+	})
+	c.engines = append(c.engines, standIn)
+	return c.serve(standIn.Handler())
+}
+
 // serve serves a stand-in on loopback and returns its base URL.
 func (c *Cluster) serve(handler http.Handler) (string, error) {
 	server, err := command.Serve(loopbackAnyPort, handler)
@@ -125,62 +148,42 @@
 	return server.URL(), nil
 }
 
-// addressesPerNode are those for callers, operators and peers.
-const addressesPerNode = 3
-
-// chooseSettings places the nodes and gives each its addresses.
-func (c *Cluster) chooseSettings() error {
-	free, err := freeAddresses(c.options.Nodes * addressesPerNode)
+// startNode starts the next node, which joins by those started before it.
+func (c *Cluster) startNode(ctx context.Context) error {
+	index := len(c.running)
+	chosen := settings.Settings{
+		Name:            fmt.Sprintf("node-%d", index+1),
+		Cell:            c.bundle.Cells[0].Name,
+		Zone:            c.bundle.Zones[index%len(c.bundle.Zones)].Name,
+		CallerAddress:   loopbackAnyPort,
+		OperatorAddress: loopbackAnyPort,
+		PeerAddress:     loopbackAnyPort,
+		Seeds:           slices.Clone(c.addresses.Seeds),
+		PlatformURL:     c.PlatformURL,
+		ClusterKey:      clusterKey,
+	}
+	created, err := node.New(chosen.WithDefaults(), node.Dependencies{Logger: c.options.Logger})
 	if err != nil {
-		return err
-	}
-	var seeds []string
-	for i := range c.options.Nodes {
-		own := free[i*addressesPerNode:]
-		seeds = append(seeds, own[2])
-		chosen := settings.Settings{
-			Name:            fmt.Sprintf("node-%d", i+1),
-			Cell:            c.bundle.Cells[0].Name,
-			Zone:            c.bundle.Zones[i%len(c.bundle.Zones)].Name,
-			CallerAddress:   own[0],
-			OperatorAddress: own[1],
-			PeerAddress:     own[2],
-			PlatformURL:     c.PlatformURL,
-			ClusterKey:      clusterKey,
-		}
-		c.settings = append(c.settings, chosen.WithDefaults())
-		c.Nodes = append(c.Nodes, Node{
-			Name:        chosen.Name,
-			Zone:        chosen.Zone,
-			CallerURL:   "http://" + own[0],
-			OperatorURL: "http://" + own[1],
-		})
-	}
-	for i := range c.settings {
-		c.settings[i].Seeds = seeds
-	}
-	return nil
-}
-
-func (c *Cluster) startNodes(ctx context.Context) error {
-	for _, chosen := range c.settings {
-		logger := c.options.Logger.With("node", chosen.Name)
-		created, err := node.New(chosen, node.Dependencies{Logger: logger})
-		if err != nil {
-			return errors.Wrapf(err, "create %s", chosen.Name)
-		}
-		c.running = append(c.running, created)
-		// The node outlives the start's time limit; Close ends it.
-		if err := created.Start(context.WithoutCancel(ctx)); err != nil {
-			return errors.Wrapf(err, "start %s", chosen.Name)
-		}
-	}
+		return errors.Wrapf(err, "create %s", chosen.Name)
+	}
+	c.running = append(c.running, created)
+	if err := created.Start(ctx); err != nil {
+		return errors.Wrapf(err, "start %s", chosen.Name)
+	}
+	c.addresses.Seeds = append(c.addresses.Seeds, created.PeerAddress())
+	c.Nodes = append(c.Nodes, Node{
+		Name:        chosen.Name,
+		Zone:        chosen.Zone,
+		CallerURL:   created.CallerURL(),
+		OperatorURL: created.OperatorURL(),
+	})
 	return nil
 }
 
-// submitBundle signs the bundle and submits it to the first node, which
-// takes the first bundle without a key.
+// submitBundle points the bundle at the cluster, signs it and submits it to
+// the first node, which takes the first bundle without a key.
 func (c *Cluster) submitBundle(ctx context.Context) error {
+	Relocate(c.bundle, c.addresses)
 	signed, err := Sign(c.bundle)
 	if err != nil {
 		return err
