--- a/cmd/pewtermill/dev_report.go
+++ b/cmd/pewtermill/dev_report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 
+	"github.com/pewtermill/pewtermill/internal/client"
 	"github.com/pewtermill/pewtermill/internal/command"
 	"github.com/pewtermill/pewtermill/internal/command/devcluster"
 	"github.com/pewtermill/pewtermill/internal/explain"
@@ -11,7 +12,7 @@
 )
 
 // printReport prints a script's answer, its calls and cost, its programs,
-// and the timeline of the decisions about them.
+// and the timeline of the decisions about each of them.
 func printReport(w io.Writer, cluster *devcluster.Cluster, loaded *script.Script, report script.Report) error {
 	fmt.Fprintf(w, "Answer of %s\n  %s\n\n", loaded.Name, report.Answer)
 	if err := printCalls(w, report); err != nil {
@@ -20,15 +21,7 @@
 	if err := printCosts(w, report); err != nil {
 		return err
 	}
-	ctx, cancel := command.RequestContext()
-	defer cancel()
-	decisions, err := cluster.Decisions(ctx, report.Programs)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintln(w, "Decisions")
-	explain.Timeline(w, decisions)
-	return nil
+	return printTimelines(w, cluster, report)
 }
 
 // printCalls prints one line for each call.
@@ -58,3 +51,21 @@
 	_, err := fmt.Fprintln(w)
 	return err
 }
+
+// printTimelines prints the decisions about each program, which any node
+// collects from all.
+func printTimelines(w io.Writer, cluster *devcluster.Cluster, report script.Report) error {
+	ctx, cancel := command.RequestContext()
+	defer cancel()
+	operator := client.New(cluster.Nodes[0].OperatorURL, devcluster.OperatorKey)
+	for _, program := range report.Programs {
+		decisions, err := operator.Explain(ctx, program.ID, 0)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "Decisions about %s\n", program.ID)
+		explain.Timeline(w, decisions)
+		fmt.Fprintln(w)
+	}
+	return nil
+}
