--- a/cmd/pewtermill/node.go
+++ b/cmd/pewtermill/node.go
@@ -71,7 +71,7 @@
 	}
 	chosen := fromFile.Override(n.flags()).WithDefaults()
 	if faults := settings.Check(chosen); faults != nil {
-		return settings.Settings{}, errors.Mark(errors.Wrap(faults, "settings are not allowed"), command.ErrUsage)
+		return settings.Settings{}, errors.Mark(errors.Newf("a node cannot start with these settings:\n%v", faults), command.ErrUsage)
 	}
 	return chosen, nil
 }
