--- a/internal/client/transport.go
+++ b/internal/client/transport.go
@@ -68,7 +68,9 @@
 			return nil
 		}
 		goOn := ctx.Err() == nil && mayTryNext(err, request.idempotent)
-		err = certainty.after(err)
+		if request.method != http.MethodGet {
+			err = certainty.after(err)
+		}
 		if !goOn {
 			c.current.Store(node)
 			return err
