--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -190,11 +190,12 @@
 	return true
 }
 
-// Release drops the hold of a program, and lets what it has waiting or
-// running leave none.
+// Release drops the hold of a program and its imports under way, and lets
+// what it has waiting or running leave no hold.
 func (m *Model) Release(now time.Time, program string) {
 	m.advanceTo(now)
 	m.cache.release(program)
+	m.transfers = slices.DeleteFunc(m.transfers, func(t transfer) bool { return t.program == program })
 	for _, line := range [][]*sequence{m.waiting, m.running} {
 		for _, entry := range line {
 			if entry.request.Program == program {
