wire: drain, test faults, and the tests of outcomes

Test faults count lost frames per direction: with one flag for both, a lost reply also ended the direction that still worked (found by TestCutFromIsOneWay).

--- a/internal/wire/faults.go
+++ b/internal/wire/faults.go
@@ -7,8 +7,8 @@
 //
 // A dropped frame vanishes silently, as on a cut cable: the sender believes
 // it sent. As with TCP, no later frame gets through on a connection that lost
-// one: the connection ends at its next frame after Heal, or DeadPeerTimeout
-// after the first loss. New connections need both directions to be whole.
+// one in the same direction: the connection ends at the next such frame after
+// Heal, or DeadPeerTimeout after the first loss. New connections need both directions to be whole.
 type Faults struct {
 	mu   sync.RWMutex
 	to   map[string]bool
--- /dev/null
+++ b/internal/wire/faults_test.go
@@ -0,0 +1,136 @@
+package wire
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// faultPair is a client at node a and a server at node b; the faults are a's.
+type faultPair struct {
+	faults *Faults
+	client *Client
+	server *Server
+	heard  chan string // names in heartbeats that reached b
+}
+
+func newFaultPair(t *testing.T) faultPair {
+	heard := make(chan string, 100)
+	server := startServer(t, testOptions("b"), func(
+		ctx context.Context, request *wirepb.Request, onPart func(int64, []byte),
+	) *wirepb.Reply {
+		if heartbeat := request.GetHeartbeat(); heartbeat != nil {
+			heard <- heartbeat.GetNode()
+			return nil
+		}
+		return echo(ctx, request, onPart)
+	})
+	options := testOptions("a")
+	options.Fault = &Faults{}
+	return faultPair{faults: options.Fault, client: startClient(t, options), server: server, heard: heard}
+}
+
+// heartbeat sends one and fails the test if it cannot be queued.
+func (p faultPair) heartbeat(t *testing.T, ctx context.Context, name string) {
+	t.Helper()
+	request := &wirepb.Request{Body: &wirepb.Request_Heartbeat{Heartbeat: &wirepb.Heartbeat{Node: name}}}
+	if err := p.client.Send(ctx, p.server.Address(), request); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// link returns the client's connection.
+func (p faultPair) link() *link {
+	p.client.mu.Lock()
+	defer p.client.mu.Unlock()
+	return p.client.peers[p.server.Address()].session.link
+}
+
+// call returns a channel with the outcome of one request.
+func (p faultPair) call(ctx context.Context) <-chan error {
+	outcome := make(chan error, 1)
+	go func() {
+		_, err := p.client.Do(ctx, p.server.Address(), callRequest(nil, false), nil)
+		outcome <- err
+	}()
+	return outcome
+}
+
+// TestCutToDropsSilently checks that a request into a cut link hangs, that the
+// link ends instead of going on with a gap after the cut heals, and that a new
+// one then works.
+func TestCutToDropsSilently(t *testing.T) {
+	ctx := testContext(t)
+	pair := newFaultPair(t)
+	if err := <-pair.call(ctx); err != nil {
+		t.Fatal(err)
+	}
+	pair.faults.CutTo("b")
+	old := pair.link()
+	lost := pair.call(ctx)
+	waitUntil(t, ctx, old.lostTo.Load)
+	select {
+	case err := <-lost:
+		t.Fatalf("a request into a cut link ended with %v", err)
+	default:
+	}
+	pair.faults.Heal("b")
+	pair.heartbeat(t, ctx, "ends the link that lost a frame")
+	err := <-lost
+	expectOutcome(t, err, ErrLinkBroken)
+	if !errors.Is(err, errLostFrame) {
+		t.Fatalf("error %v", err)
+	}
+	if err := <-pair.call(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if len(pair.heard) != 0 {
+		t.Fatal("a frame got through behind a lost one")
+	}
+}
+
+// TestCutFromIsOneWay checks that frames still reach a peer from which
+// nothing is received.
+func TestCutFromIsOneWay(t *testing.T) {
+	ctx := testContext(t)
+	pair := newFaultPair(t)
+	if err := <-pair.call(ctx); err != nil {
+		t.Fatal(err)
+	}
+	pair.faults.CutFrom("b")
+	pair.heartbeat(t, ctx, "first")
+	if name := <-pair.heard; name != "first" {
+		t.Fatalf("heard %q", name)
+	}
+	limited, giveUp := context.WithCancel(ctx)
+	old := pair.link()
+	unanswered := pair.call(limited)
+	waitUntil(t, ctx, old.lostFrom.Load)
+	giveUp()
+	expectOutcome(t, <-unanswered, ErrLinkBroken)
+	pair.heartbeat(t, ctx, "second")
+	if name := <-pair.heard; name != "second" {
+		t.Fatalf("heard %q", name)
+	}
+}
+
+// TestNoHandshakeThroughACut checks that either cut stops new connections.
+func TestNoHandshakeThroughACut(t *testing.T) {
+	ctx := testContext(t)
+	var outcomes []<-chan error
+	for _, cut := range []func(*Faults, string){(*Faults).CutTo, (*Faults).CutFrom} {
+		pair := newFaultPair(t)
+		cut(pair.faults, "b")
+		outcomes = append(outcomes, pair.call(ctx))
+	}
+	for _, outcome := range outcomes {
+		err := <-outcome
+		expectOutcome(t, err, ErrNotSent)
+		if !errors.Is(err, errCut) {
+			t.Fatalf("error %v", err)
+		}
+	}
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -29,7 +29,8 @@
 	cause      error         // why the link ended; valid once ended is closed
 	ended      chan struct{} // closed when the link fails or is closed
 	writerDone chan struct{} // closed when no more bytes will leave
-	lost       atomic.Bool   // a test fault dropped a frame
+	lostTo     atomic.Bool   // a test fault dropped an outgoing frame
+	lostFrom   atomic.Bool   // a test fault dropped an incoming frame
 }
 
 func newLink(conn net.Conn, remote string, options Options, traffic *traffic) *link {
@@ -108,7 +109,7 @@
 		return nil
 	}
 	l.touch()
-	lost, err := l.loses(l.options.Fault.dropsTo(l.remote))
+	lost, err := l.loses(&l.lostTo, l.options.Fault.dropsTo(l.remote))
 	if lost || err != nil {
 		return err
 	}
@@ -119,8 +120,10 @@
 	l.traffic.addSent(int(written))
 	if err != nil {
 		withdrawUnsent(handed, written)
+		return err
 	}
-	return err
+	reportFlushed(handed)
+	return nil
 }
 
 // handAll hands over the frames that were not withdrawn.
@@ -136,6 +139,15 @@
 	return handed, buffers
 }
 
+// reportFlushed wakes those who wait for one of the frames.
+func reportFlushed(frames []*outgoing) {
+	for _, frame := range frames {
+		if frame.flushed != nil {
+			close(frame.flushed)
+		}
+	}
+}
+
 // withdrawUnsent marks the frames that begin after the accepted bytes.
 func withdrawUnsent(frames []*outgoing, written int64) {
 	var start int64
@@ -148,15 +160,16 @@
 }
 
 // loses applies test faults to one frame: it returns true if the frame is to
-// be dropped, and an error if the link lost a frame before and must end.
-func (l *link) loses(cut bool) (bool, error) {
+// be dropped, and an error if the link lost a frame in this direction before
+// and must end.
+func (l *link) loses(lost *atomic.Bool, cut bool) (bool, error) {
 	if !cut {
-		if l.lost.Load() {
+		if lost.Load() {
 			return false, errLostFrame
 		}
 		return false, nil
 	}
-	if l.lost.CompareAndSwap(false, true) {
+	if lost.CompareAndSwap(false, true) {
 		time.AfterFunc(DeadPeerTimeout, func() { l.fail(errLostFrame) })
 	}
 	return true, nil
@@ -183,7 +196,7 @@
 
 // receive handles one frame unless a test fault drops it.
 func (l *link) receive(frame *wirepb.Frame, handle func(*wirepb.Frame) error) error {
-	lost, err := l.loses(l.options.Fault.dropsFrom(l.remote))
+	lost, err := l.loses(&l.lostFrom, l.options.Fault.dropsFrom(l.remote))
 	if lost || err != nil {
 		return err
 	}
--- a/internal/wire/queue.go
+++ b/internal/wire/queue.go
@@ -22,6 +22,7 @@
 // whether the frame certainly did not leave.
 type outgoing struct {
 	encoded []byte
+	flushed chan struct{} // if set, closed once the frame is with the kernel
 	stage   atomic.Int32
 }
 
--- a/internal/wire/responder.go
+++ b/internal/wire/responder.go
@@ -76,6 +76,7 @@
 		r.exchanges[correlation] = started
 	}
 	r.open++
+	r.server.open.begin()
 	r.server.tasks.Go(func() {
 		defer r.end(started)
 		started.answer(request)
@@ -104,6 +105,7 @@
 
 func (r *responder) end(ended *exchange) {
 	ended.cancel()
+	defer r.server.open.end()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.open--
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -38,6 +38,7 @@
 	ctx        context.Context // ends with Close
 	stop       context.CancelFunc
 	tasks      sync.WaitGroup
+	open       openRequests
 	handshakes chan struct{} // one token per handshake under way
 
 	mu    sync.Mutex
@@ -67,7 +68,7 @@
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
-		if s.ctx.Err() != nil {
+		if s.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			if err == nil {
 				_ = conn.Close()
 			}
@@ -143,5 +144,8 @@
 	s.stop()
 	err := s.listener.Close()
 	s.tasks.Wait()
+	if errors.Is(err, net.ErrClosed) { // closed by Drain
+		return nil
+	}
 	return err
 }
