ownership: programs of one node, driven under conditional writes (draft)

Cause: the path needs the part that claims, runs and records programs. Ruled out: a lock service or leases for ownership; the revision of each header row is the fence.

--- /dev/null
+++ b/internal/ownership/claim.go
@@ -0,0 +1,165 @@
+package ownership
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/program"
+)
+
+// movingRetryAfter is when to come back while a program changes its owner.
+const movingRetryAfter = 500 * time.Millisecond
+
+// maxClaimAttempts bounds how often a lost race for a row is tried again.
+const maxClaimAttempts = 4
+
+// acquire returns the program's entry with its header loaded and claimed.
+// Errors: *api.Error, or *MovedError while a live owner is busy with it.
+func (p *Programs) acquire(ctx context.Context, id string) (*entry, error) {
+	for range maxClaimAttempts {
+		e := p.entry(id)
+		if _, owned := e.snapshot(); owned {
+			e.touch()
+			return e, nil
+		}
+		if err := e.lock(ctx); err != nil {
+			return nil, api.Errorf(api.OwnerMoving, "waited in vain for the program").After(movingRetryAfter)
+		}
+		err := p.loadLocked(ctx, e)
+		e.unlock()
+		if err == nil {
+			return e, nil
+		}
+		if !isConflict(err) && !errors.Is(err, errGone) {
+			return nil, err
+		}
+	}
+	return nil, api.Errorf(api.OwnerMoving, "other nodes claim the program too").After(movingRetryAfter)
+}
+
+// errGone means that the entry was dropped while its lock was awaited.
+var errGone = errors.New("entry dropped from memory")
+
+// loadLocked loads the row unless another caller has done so meanwhile. The
+// entry's commit lock is held. An entry that can't be loaded is dropped.
+func (p *Programs) loadLocked(ctx context.Context, e *entry) error {
+	if e.isGone() {
+		return errGone
+	}
+	if _, owned := e.snapshot(); owned {
+		return nil
+	}
+	err := p.load(ctx, e)
+	if err != nil {
+		p.forget(e)
+	}
+	return err
+}
+
+// load reads the row and claims it if it is open and not this node's yet.
+func (p *Programs) load(ctx context.Context, e *entry) error {
+	row, err := p.Store.Get(ctx, program.HeaderKey(e.id))
+	if err != nil {
+		return p.storeError(err)
+	}
+	if row.Revision == 0 {
+		return notFound(e.id)
+	}
+	header, err := program.DecodeHeader(row.Value)
+	if err != nil {
+		return api.Errorf(api.Internal, "program row cannot be read: %v", err)
+	}
+	if header.Status == api.ProgramClosed || p.isOurs(header) {
+		e.store(header, row.Revision)
+		return nil
+	}
+	return p.claim(ctx, e, header, row.Revision)
+}
+
+func (p *Programs) isOurs(header program.Header) bool {
+	return header.Owner == p.Node && header.OwnerStart == p.Incarnation
+}
+
+// claim raises the epoch under the condition that nobody else did meanwhile.
+// A live owner is asked to give the program up first; a dead one is fenced.
+func (p *Programs) claim(ctx context.Context, e *entry, header program.Header, revision uint64) error {
+	former := header.Owner
+	reason := "former owner " + former + " is gone"
+	if p.Peers.Alive(former, header.OwnerStart) {
+		if former == p.Node {
+			return api.Errorf(api.OwnerMoving, "an earlier run of this node still counts as alive").After(movingRetryAfter)
+		}
+		released, err := p.Peers.AskRelease(ctx, former, header.ID, header.Epoch)
+		if err != nil {
+			return api.Errorf(api.OwnerMoving, "owner %s does not answer", former).After(movingRetryAfter)
+		}
+		if !released {
+			return &MovedError{Owner: former}
+		}
+		header = program.HandOver(header)
+		reason = "handed over by " + former
+	}
+	claimed := program.Claim(header, p.Node, p.Incarnation)
+	receipt, err := p.Store.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: program.HeaderKey(e.id), Revision: revision}},
+		Writes:     []platform.Write{{Key: program.HeaderKey(e.id), Value: program.EncodeHeader(claimed)}},
+	})
+	if err != nil {
+		return p.storeError(err)
+	}
+	e.store(claimed, receipt.Revisions[program.HeaderKey(e.id)])
+	p.record(claimed, explain.Decision{Kind: explain.Claimed, Chosen: p.Node, Reason: reason})
+	if claimed.Intent != nil {
+		return p.resolveIntent(ctx, e)
+	}
+	return nil
+}
+
+// Release gives a program up if it is idle. It returns false while a call is
+// under way. Epoch is the one that the asker read from the row.
+func (p *Programs) Release(ctx context.Context, id string, epoch uint64) bool {
+	found, ok := p.entries.Load(id)
+	if !ok {
+		return true
+	}
+	e := found.(*entry)
+	if !e.idle() {
+		return false
+	}
+	if err := e.lock(ctx); err != nil {
+		return false
+	}
+	defer e.unlock()
+	if !e.idle() {
+		return false
+	}
+	header, owned := e.snapshot()
+	e.disown()
+	p.forget(e)
+	if owned {
+		p.record(header, explain.Decision{Kind: explain.Released, Reason: "another node is to own it"})
+	}
+	return true
+}
+
+// isConflict says that a row had changed under a transaction.
+func isConflict(err error) bool {
+	var conflict *platform.ConflictError
+	return errors.As(err, &conflict)
+}
+
+// storeError turns the store's error into the caller's; conflicts stay.
+func (p *Programs) storeError(err error) error {
+	if isConflict(err) {
+		return err
+	}
+	return api.Errorf(api.StoreDown, "%v", errors.UnwrapAll(err)).After(storeRetryAfter)
+}
+
+// storeRetryAfter is when to come back while the table service is down.
+const storeRetryAfter = 2 * time.Second
--- /dev/null
+++ b/internal/ownership/end.go
@@ -0,0 +1,221 @@
+package ownership
+
+import (
+	"context"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/program"
+)
+
+// CreateChild makes a sub-agent: its budget is moved out of the parent's in
+// the transaction that creates it. The key, if given, makes it repeatable.
+func (p *Programs) CreateChild(ctx context.Context, tenant, parentID string, number int, request api.CreateProgramRequest) (api.Program, error) {
+	class, refusal := p.classFor(request)
+	if refusal != nil {
+		return api.Program{}, refusal
+	}
+	parent, err := p.acquire(ctx, parentID)
+	if err != nil {
+		return api.Program{}, err
+	}
+	if err := parent.lock(ctx); err != nil {
+		return api.Program{}, api.Errorf(api.OwnerMoving, "the parent's row stayed busy").After(movingRetryAfter)
+	}
+	defer parent.unlock()
+	header, owned := parent.snapshot()
+	if !owned {
+		return api.Program{}, api.Errorf(api.OwnerMoving, "the parent moved meanwhile").After(movingRetryAfter)
+	}
+	if err := authorize(header, tenant); err != nil {
+		return api.Program{}, err
+	}
+	if parent.idle() {
+		header = program.HandOver(header)
+	}
+	nextParent, child, refusal := program.NewChild(header, number, p.params(tenant, "", request, class), LimitsOf(class))
+	if refusal != nil {
+		return api.Program{}, p.refuse(header, 0, "sub-agent", refusal)
+	}
+	err = p.write(ctx, parent, nextParent, platform.Write{Key: program.HeaderKey(child.ID), Value: program.EncodeHeader(child)})
+	if err != nil {
+		return api.Program{}, notRun(err)
+	}
+	p.created(child)
+	return View(child), nil
+}
+
+// End closes a program: sub-agents first, then the call under way is
+// cancelled, the rest of its budget returns to its parent, and engines free
+// what they hold for it.
+func (p *Programs) End(ctx context.Context, tenant, id string, reason api.Code) (api.Program, error) {
+	e, err := p.acquire(ctx, id)
+	if err != nil {
+		return api.Program{}, err
+	}
+	header, _ := e.snapshot()
+	if err := authorize(header, tenant); err != nil {
+		return api.Program{}, err
+	}
+	if header.Status == api.ProgramClosed {
+		return View(header), nil
+	}
+	for _, child := range header.Children {
+		if _, err := p.End(ctx, tenant, child, reason); err != nil {
+			return api.Program{}, err
+		}
+	}
+	if header.Parent == "" {
+		err = p.endAlone(ctx, e, reason)
+	} else {
+		err = p.endChild(ctx, e, header.Parent, reason)
+	}
+	if err != nil {
+		return api.Program{}, notRun(err)
+	}
+	ended, _ := e.snapshot()
+	p.record(ended, explain.Decision{Kind: explain.Ended, Code: int(reason), Reason: endReason(reason)})
+	p.releaseHolds(e)
+	return View(ended), nil
+}
+
+func endReason(reason api.Code) string {
+	if reason == api.OK {
+		return "ended by its caller"
+	}
+	return "ended by the system: " + reason.Info().Meaning
+}
+
+// quiesce takes the commit lock at a moment when no call is under way,
+// cancelling one that is.
+func (p *Programs) quiesce(ctx context.Context, e *entry) error {
+	for {
+		if err := e.lock(ctx); err != nil {
+			return api.Errorf(api.CallPending, "a call is still under way").After(movingRetryAfter)
+		}
+		e.mutex.Lock()
+		running := e.flight
+		e.mutex.Unlock()
+		if running == nil {
+			return nil
+		}
+		e.unlock()
+		running.cancel()
+		select {
+		case <-running.done:
+		case <-ctx.Done():
+			return api.Errorf(api.CallPending, "a call is still under way").After(movingRetryAfter)
+		}
+	}
+}
+
+func (p *Programs) endAlone(ctx context.Context, e *entry, reason api.Code) error {
+	if err := p.quiesce(ctx, e); err != nil {
+		return err
+	}
+	defer e.unlock()
+	header, owned := e.snapshot()
+	if !owned {
+		return api.Errorf(api.OwnerMoving, "the program moved meanwhile").After(movingRetryAfter)
+	}
+	if header.Status == api.ProgramClosed {
+		return nil
+	}
+	return p.write(ctx, e, program.End(header, reason, time.Now()))
+}
+
+// endChild closes a sub-agent and returns what is left of its budget, both
+// rows in one transaction.
+func (p *Programs) endChild(ctx context.Context, e *entry, parentID string, reason api.Code) error {
+	parent, err := p.acquire(ctx, parentID)
+	if err != nil {
+		return err
+	}
+	if err := parent.lock(ctx); err != nil {
+		return api.Errorf(api.OwnerMoving, "the parent's row stayed busy").After(movingRetryAfter)
+	}
+	defer parent.unlock()
+	if err := p.quiesce(ctx, e); err != nil {
+		return err
+	}
+	defer e.unlock()
+	parentHeader, parentOwned := parent.snapshot()
+	header, owned := e.snapshot()
+	if !owned || !parentOwned {
+		return api.Errorf(api.OwnerMoving, "the program moved meanwhile").After(movingRetryAfter)
+	}
+	if header.Status == api.ProgramClosed {
+		return nil
+	}
+	nextParent, nextChild := program.ReturnToParent(parentHeader, program.End(header, reason, time.Now()))
+	return p.writePair(ctx, parent, nextParent, e, nextChild)
+}
+
+// writePair makes two headers durable in one transaction. Both commit locks
+// are held.
+func (p *Programs) writePair(ctx context.Context, first *entry, firstHeader program.Header, second *entry, secondHeader program.Header) error {
+	keys := [2]string{program.HeaderKey(first.id), program.HeaderKey(second.id)}
+	receipt, err := p.Store.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: keys[0], Revision: first.revisionNow()}, {Key: keys[1], Revision: second.revisionNow()}},
+		Writes: []platform.Write{
+			{Key: keys[0], Value: program.EncodeHeader(firstHeader)},
+			{Key: keys[1], Value: program.EncodeHeader(secondHeader)},
+		},
+	})
+	if err != nil {
+		first.disown()
+		second.disown()
+		return p.storeError(err)
+	}
+	first.store(firstHeader, receipt.Revisions[keys[0]])
+	second.store(secondHeader, receipt.Revisions[keys[1]])
+	return nil
+}
+
+func (e *entry) revisionNow() uint64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.revision
+}
+
+// releaseHolds frees engine memory of an ended program in the background. A
+// release that fails here is repeated when the program's row is looked after,
+// and each engine's observer frees what it holds for programs that ended.
+func (p *Programs) releaseHolds(e *entry) {
+	go func() {
+		ctx, cancel := context.WithTimeout(p.closing, releaseTimeout)
+		defer cancel()
+		header, owned := e.snapshot()
+		if !owned || header.Status != api.ProgramClosed {
+			return
+		}
+		for _, engine := range header.Holds {
+			if err := p.Executor.Release(ctx, engine, e.id); err != nil {
+				p.Logger.Warn("engine memory is not released yet", "program", e.id, "engine", engine, "error", err.Error())
+				return
+			}
+		}
+		p.clearHolds(ctx, e)
+	}()
+}
+
+const releaseTimeout = 10 * time.Second
+
+// clearHolds records that no engine holds anything for the ended program, and
+// drops it from memory.
+func (p *Programs) clearHolds(ctx context.Context, e *entry) {
+	if err := e.lock(ctx); err != nil {
+		return
+	}
+	defer e.unlock()
+	header, owned := e.snapshot()
+	if !owned || header.Status != api.ProgramClosed || len(header.Holds) == 0 {
+		return
+	}
+	header.Holds = nil
+	if err := p.write(ctx, e, header); err != nil {
+		p.Logger.Info("release of engine memory is not recorded yet", "program", e.id, "error", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/ownership/executor.go
@@ -0,0 +1,51 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/program"
+)
+
+// Work is one call ready for dispatch: its intent and reservation are durable.
+type Work struct {
+	Header     program.Header // as it is durable; Epoch is the fence
+	Sequence   int64
+	Request    api.CallRequest
+	Repeatable bool
+	Key        string        // idempotency key, the same for every attempt
+	Messages   []api.Message // model: the whole history with the caller's delta
+	MaxTokens  int64
+	Arrived    time.Time
+	Deadline   time.Time
+	Replaced   string // explanation for the record when the call runs again
+}
+
+// Outcome is how a dispatched call ended. Exactly one case holds:
+// Refusal set: it certainly did not run; the number stays free.
+// Otherwise Code is final: OK, BackendFailed, OutcomeUnknown or Cancelled.
+type Outcome struct {
+	Refusal *api.Error
+	Code    api.Code
+	Detail  string
+	Text    string
+	Result  json.RawMessage
+	Usage   api.Usage
+	Engine  string // that may now hold cache for the program
+	Backend string
+}
+
+// Executor runs work at back ends. Safe for concurrent use.
+type Executor interface {
+	// Execute returns when the call has ended. It never dispatches work that
+	// is not repeatable a second time. onText gets pieces of a model's answer;
+	// an offset below what came before replaces the text from there on.
+	Execute(ctx context.Context, work Work, onText func(offset int64, text string)) Outcome
+	// Lookup asks a tool what became of an idempotency key; false if it
+	// cannot tell.
+	Lookup(ctx context.Context, tool, key string) (Outcome, bool)
+	// Release frees what the engine holds for the program.
+	Release(ctx context.Context, engine, program string) error
+}
--- /dev/null
+++ b/internal/ownership/lifecycle.go
@@ -0,0 +1,174 @@
+package ownership
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/program"
+)
+
+// Create makes a program without parent durable. A program that exists
+// already under the same id and tenant is returned as it is.
+func (p *Programs) Create(ctx context.Context, tenant, id string, request api.CreateProgramRequest) (api.Program, error) {
+	class, refusal := p.classFor(request)
+	if refusal != nil {
+		return api.Program{}, refusal
+	}
+	header := program.New(p.params(tenant, id, request, class))
+	e := p.entry(id)
+	if err := e.lock(ctx); err != nil {
+		return api.Program{}, api.Errorf(api.OwnerMoving, "the program's row stayed busy").After(movingRetryAfter)
+	}
+	if _, owned := e.snapshot(); owned || e.isGone() {
+		e.unlock()
+		return p.existing(ctx, tenant, id)
+	}
+	err := p.write(ctx, e, header)
+	e.unlock()
+	if isConflict(err) {
+		return p.existing(ctx, tenant, id)
+	}
+	if err != nil {
+		p.forget(e)
+		return api.Program{}, err
+	}
+	p.created(header)
+	return View(header), nil
+}
+
+func (p *Programs) created(header program.Header) {
+	p.record(header, explain.Decision{Kind: explain.Created, Chosen: p.Node, Reason: "class " + header.Class})
+}
+
+// existing answers a repeated creation.
+func (p *Programs) existing(ctx context.Context, tenant, id string) (api.Program, error) {
+	return p.Get(ctx, tenant, id)
+}
+
+func (p *Programs) params(tenant, id string, request api.CreateProgramRequest, class *bundle.Class) program.Params {
+	deadline := time.Duration(class.DeadlineMillis) * time.Millisecond
+	if request.DeadlineMillis > 0 {
+		deadline = time.Duration(request.DeadlineMillis) * time.Millisecond
+	}
+	return program.Params{
+		ID:         id,
+		Tenant:     tenant,
+		Class:      request.Class,
+		Owner:      p.Node,
+		OwnerStart: p.Incarnation,
+		Budget:     request.Budget,
+		Now:        time.Now(),
+		Deadline:   deadline,
+		MaxWall:    time.Duration(class.MaxWallMillis) * time.Millisecond,
+	}
+}
+
+// classFor checks a creation against the bundle.
+func (p *Programs) classFor(request api.CreateProgramRequest) (*bundle.Class, *api.Error) {
+	snapshot := p.InForce()
+	if snapshot == nil {
+		return nil, api.Errorf(api.NotReady, "no configuration is in force yet").After(movingRetryAfter)
+	}
+	class, ok := snapshot.Class(request.Class)
+	if !ok {
+		return nil, api.Errorf(api.MalformedRequest, "no class %q", request.Class)
+	}
+	if request.Budget <= 0 {
+		return nil, api.Errorf(api.MalformedRequest, "budget must be above 0")
+	}
+	if class.MaxBudget > 0 && request.Budget > class.MaxBudget {
+		return nil, api.Errorf(api.MalformedRequest, "budget %d is over the %d of class %s", request.Budget, class.MaxBudget, class.Name)
+	}
+	return class, nil
+}
+
+// Get returns the program as its owner sees it.
+func (p *Programs) Get(ctx context.Context, tenant, id string) (api.Program, error) {
+	e, err := p.acquire(ctx, id)
+	if err != nil {
+		return api.Program{}, err
+	}
+	header, _ := e.snapshot()
+	if err := authorize(header, tenant); err != nil {
+		return api.Program{}, err
+	}
+	return View(header), nil
+}
+
+// Call returns a final answer, or CallPending or CallNotFound.
+func (p *Programs) Call(ctx context.Context, tenant, id string, sequence int64) (api.CallResult, error) {
+	e, err := p.acquire(ctx, id)
+	if err != nil {
+		return api.CallResult{}, err
+	}
+	header, _ := e.snapshot()
+	if err := authorize(header, tenant); err != nil {
+		return api.CallResult{}, err
+	}
+	if e.isUnderWay(sequence) {
+		return api.CallResult{}, api.Errorf(api.CallPending, "call %d is under way", sequence).After(movingRetryAfter)
+	}
+	row, err := p.readCall(ctx, id, sequence)
+	if errors.Is(err, errNoCall) {
+		return api.CallResult{}, api.Errorf(api.CallNotFound, "no call %d", sequence)
+	}
+	if err != nil {
+		return api.CallResult{}, err
+	}
+	return row.Segment.Result, nil
+}
+
+func (e *entry) isUnderWay(sequence int64) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.flight != nil && e.flight.sequence == sequence
+}
+
+// resolveIntent settles a not-repeatable call that the former owner may have
+// dispatched. It is never dispatched again: the tool is asked, and where it
+// cannot tell, the call is final with an unknown outcome. The commit lock is
+// held.
+func (p *Programs) resolveIntent(ctx context.Context, e *entry) error {
+	header, _ := e.snapshot()
+	intent := header.Intent
+	outcome, known := p.Executor.Lookup(ctx, intent.Target, intent.IdempotencyKey)
+	if !known {
+		outcome = Outcome{Code: api.OutcomeUnknown, Detail: "its owner died and the back end cannot tell whether it ran"}
+	}
+	settled := program.SettleUnknown(header)
+	result := api.CallResult{
+		Program:   header.ID,
+		Sequence:  intent.Sequence,
+		Code:      outcome.Code,
+		Execution: outcome.Code.Info().Execution,
+		Result:    outcome.Result,
+		Detail:    outcome.Detail,
+		Backend:   intent.Target,
+		Digest:    digestOf(outcome.Result),
+	}
+	row := program.CallRow{
+		Program:       header.ID,
+		Tenant:        header.Tenant,
+		Sequence:      intent.Sequence,
+		RequestDigest: intent.RequestDigest,
+		Segment:       &program.Segment{Result: result},
+	}
+	write := platform.Write{Key: program.CallKey(header.ID, intent.Sequence), Value: program.EncodeCall(row)}
+	if err := p.write(ctx, e, settled, write); err != nil {
+		return err
+	}
+	p.record(settled, explain.Decision{
+		Kind:     explain.Finished,
+		Sequence: intent.Sequence,
+		Target:   intent.Target,
+		Code:     int(result.Code),
+		Reason:   "intent of the former owner settled: " + result.Code.String(),
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/ownership/maintain.go
@@ -0,0 +1,108 @@
+package ownership
+
+import (
+	"context"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/program"
+)
+
+// idleKeep is how long an idle program stays in memory. Its row stays in the
+// table, where the next call finds it.
+const idleKeep = 5 * time.Minute
+
+// scanPageRows is how many headers one range read of a scan returns.
+const scanPageRows = 200
+
+// Sweep drops programs from memory that nobody used for a while.
+func (p *Programs) Sweep(now time.Time) {
+	p.entries.Range(func(_, value any) bool {
+		e := value.(*entry)
+		select {
+		case e.commit <- struct{}{}:
+		default:
+			return true
+		}
+		if e.unusedSince(now.Add(-idleKeep)) {
+			p.forget(e)
+		}
+		e.unlock()
+		return true
+	})
+}
+
+func (e *entry) unusedSince(limit time.Time) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.flight == nil && e.lastUsed.Before(limit)
+}
+
+func (e *entry) touch() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.lastUsed = time.Now()
+}
+
+// LookAfter scans the programs of one partition and ends those past their
+// wall time, whether or not anyone calls them, and repeats releases of engine
+// memory that a former owner left undone.
+func (p *Programs) LookAfter(ctx context.Context, cell string, partition int) error {
+	start, end := program.HeaderRange(partition)
+	for {
+		rows, err := p.Store.Range(ctx, start, end, scanPageRows)
+		if err != nil {
+			return p.storeError(err)
+		}
+		for _, row := range rows {
+			header, err := program.DecodeHeader(row.Value)
+			if err != nil {
+				p.Logger.Error("program row cannot be read", "key", row.Key, "error", err.Error())
+				continue
+			}
+			if programCell, err := program.CellOf(header.ID); err == nil && programCell == cell {
+				p.lookAfter(ctx, header)
+			}
+		}
+		if len(rows) < scanPageRows {
+			return nil
+		}
+		start = rows[len(rows)-1].Key + "\x00"
+	}
+}
+
+func (p *Programs) lookAfter(ctx context.Context, header program.Header) {
+	now := time.Now()
+	switch {
+	case header.Status == api.ProgramClosed && len(header.Holds) > 0:
+		if e, err := p.acquire(ctx, header.ID); err == nil {
+			p.releaseHolds(e)
+		}
+	case header.Status == api.ProgramOpen && !header.ExpiresAt.IsZero() && now.After(header.ExpiresAt):
+		if _, err := p.End(ctx, "", header.ID, api.WallTimeLimit); err != nil {
+			p.Logger.Info("expired program is not ended yet", "program", header.ID, "error", err.Error())
+		}
+	}
+}
+
+// Live says whether a program is open, so that engine memory held for it is
+// in order. An error means that this cannot be told now.
+func (p *Programs) Live(ctx context.Context, id string) (bool, error) {
+	if found, ok := p.entries.Load(id); ok {
+		if header, owned := found.(*entry).snapshot(); owned {
+			return header.Status == api.ProgramOpen, nil
+		}
+	}
+	row, err := p.Store.Get(ctx, program.HeaderKey(id))
+	if err != nil {
+		return false, p.storeError(err)
+	}
+	if row.Revision == 0 {
+		return false, nil
+	}
+	header, err := program.DecodeHeader(row.Value)
+	if err != nil {
+		return false, err
+	}
+	return header.Status == api.ProgramOpen, nil
+}
--- /dev/null
+++ b/internal/ownership/run.go
@@ -0,0 +1,201 @@
+package ownership
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/program"
+)
+
+// Pauses between attempts to record a result while the table service is down.
+const (
+	recordPauseFirst = 100 * time.Millisecond
+	recordPauseLast  = 2 * time.Second
+)
+
+// start puts a flight in place. The entry's mutex is held.
+func (p *Programs) start(e *entry, planned plan, request api.CallRequest, digest string, arrived time.Time) *flight {
+	ctx, cancel := context.WithDeadline(p.closing, arrived.Add(planned.timeout))
+	f := newFlight(planned.call.Sequence, digest, cancel)
+	f.request = request
+	f.call = planned.call
+	e.flight = f
+	p.flights.Add(1)
+	p.inFlight.Add(1)
+	go func() {
+		defer p.flights.Done()
+		defer p.inFlight.Add(-1)
+		defer cancel()
+		result, err := p.run(ctx, e, f, planned, arrived)
+		e.land(f)
+		f.finish(result, err)
+	}()
+	return f
+}
+
+// land takes the flight off the entry.
+func (e *entry) land(f *flight) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.flight == f {
+		e.flight = nil
+	}
+	e.broadcast()
+}
+
+// run takes a call from admission to its recorded result.
+func (p *Programs) run(ctx context.Context, e *entry, f *flight, planned plan, arrived time.Time) (api.CallResult, error) {
+	header, err := p.admit(ctx, e, planned)
+	if err != nil {
+		return api.CallResult{}, err
+	}
+	work := Work{
+		Header:     header,
+		Sequence:   f.sequence,
+		Request:    f.request,
+		Repeatable: planned.call.Repeatable,
+		Key:        callKey(header.ID, f.sequence),
+		MaxTokens:  planned.call.MaxTokens,
+		Arrived:    arrived,
+	}
+	work.Deadline, _ = ctx.Deadline()
+	if planned.model != nil {
+		work.Messages, err = p.prompt(ctx, e, f.request.Messages)
+		if err != nil {
+			p.abandon(ctx, e, f.sequence)
+			return api.CallResult{}, err
+		}
+	}
+	outcome := p.Executor.Execute(ctx, work, f.write)
+	if outcome.Refusal != nil {
+		p.abandon(ctx, e, f.sequence)
+		return api.CallResult{}, p.refuse(header, f.sequence, f.request.Target, outcome.Refusal)
+	}
+	return p.recordResult(e, f, planned, outcome)
+}
+
+// callKey is the idempotency key of a call: the same for every attempt.
+func callKey(id string, sequence int64) string {
+	return id + "/" + strconv.FormatInt(sequence, 10)
+}
+
+// admit asks the state machine again under the commit lock and makes the
+// intent and the reservation durable. Nothing has been dispatched before it
+// returns, so every error of it means "not run".
+func (p *Programs) admit(ctx context.Context, e *entry, planned plan) (program.Header, error) {
+	if err := e.lock(ctx); err != nil {
+		return program.Header{}, api.Errorf(api.DeadlineExceeded, "the program's row stayed busy").After(movingRetryAfter)
+	}
+	defer e.unlock()
+	header, owned := e.snapshot()
+	if !owned {
+		return header, api.Errorf(api.OwnerMoving, "another node took the program over").After(movingRetryAfter)
+	}
+	admission := program.Admit(header, planned.call, planned.limits, time.Now())
+	if admission.Verdict == program.Refuse {
+		return header, p.refuse(header, planned.call.Sequence, planned.call.Target, admission.Error)
+	}
+	if admission.Verdict != program.Run {
+		return header, api.Errorf(api.OwnerMoving, "the program moved on meanwhile").After(movingRetryAfter)
+	}
+	if !admission.NeedsCommit {
+		return header, nil
+	}
+	if err := p.write(ctx, e, admission.Header); err != nil {
+		return header, notRun(err)
+	}
+	return admission.Header, nil
+}
+
+// notRun turns a failed write before dispatch into a refusal: whatever became
+// of the write, the call was not dispatched.
+func notRun(err error) error {
+	var refusal *api.Error
+	if errors.As(err, &refusal) {
+		narrowed := *refusal
+		narrowed.Execution = api.NotRun
+		return &narrowed
+	}
+	return api.Errorf(api.OwnerMoving, "another node took the program over").After(movingRetryAfter)
+}
+
+// write makes a header durable with further writes beside it. The commit lock
+// is held. After a conflict or an unknown outcome the entry is loaded afresh.
+func (p *Programs) write(ctx context.Context, e *entry, header program.Header, more ...platform.Write) error {
+	key := program.HeaderKey(e.id)
+	e.mutex.Lock()
+	revision := e.revision
+	e.mutex.Unlock()
+	transaction := platform.Transaction{
+		Conditions: []platform.Condition{{Key: key, Revision: revision}},
+		Writes:     append([]platform.Write{{Key: key, Value: program.EncodeHeader(header)}}, more...),
+	}
+	receipt, err := p.Store.Commit(ctx, transaction)
+	if err == nil {
+		e.store(header, receipt.Revisions[key])
+		return nil
+	}
+	if isConflict(err) || errors.Is(err, platform.ErrUnknownOutcome) {
+		e.disown()
+	}
+	return p.storeError(err)
+}
+
+// abandon frees the reservation and intent of a call that did not run. If it
+// cannot be recorded now, the next write of the header does it.
+func (p *Programs) abandon(ctx context.Context, e *entry, sequence int64) {
+	if err := e.lock(p.closing); err != nil {
+		return
+	}
+	defer e.unlock()
+	header, owned := e.snapshot()
+	if !owned {
+		return
+	}
+	freed := program.Abandon(header, sequence)
+	if header.Intent == nil {
+		e.replace(freed)
+		return
+	}
+	if err := p.write(context.WithoutCancel(ctx), e, freed); err != nil {
+		e.replace(freed)
+		p.Logger.Warn("intent of a call that did not run is not cleared yet",
+			"program", e.id, "call", sequence, "epoch", header.Epoch, "error", err.Error())
+	}
+}
+
+// replace changes the header in memory only.
+func (e *entry) replace(header program.Header) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.header = header
+	e.broadcast()
+}
+
+// digestOf is the digest of an answer, as callers can check it.
+func digestOf(content []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(content), 16)
+}
+
+// finished notes a recorded result.
+func (p *Programs) finished(header program.Header, f *flight, result api.CallResult) {
+	reason := "result recorded, cost " + strconv.FormatInt(int64(result.Cost), 10)
+	if result.Detail != "" {
+		reason += ": " + result.Detail
+	}
+	p.record(header, explain.Decision{
+		Kind:     explain.Finished,
+		Sequence: f.sequence,
+		Target:   f.request.Target,
+		Chosen:   result.Backend,
+		Code:     int(result.Code),
+		Reason:   reason,
+	})
+}
--- /dev/null
+++ b/internal/ownership/settle.go
@@ -0,0 +1,161 @@
+package ownership
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/program"
+)
+
+// maxInlineBytes is the largest segment kept in a table row; larger ones go
+// to the object store first.
+const maxInlineBytes = 16 << 10
+
+// recordResult makes the result, the history segment, the settled cost and the
+// next sequence number durable in one transaction. While the table service is
+// down it keeps trying and tells the callers who wait that the outcome is not
+// recorded yet.
+func (p *Programs) recordResult(e *entry, f *flight, planned plan, outcome Outcome) (api.CallResult, error) {
+	pause := recordPauseFirst
+	for {
+		result, err := p.settle(e, f, planned, outcome)
+		if err == nil {
+			return result, nil
+		}
+		refusal, passing := err.(*api.Error)
+		if !passing || refusal.Code != api.StoreDown {
+			return api.CallResult{}, ranElsewhere()
+		}
+		pending := *refusal
+		pending.Execution = api.Unknown
+		pending.Detail = "the call ran; its result is recorded as soon as the table service answers"
+		f.park(&pending)
+		if !wait(p.closing, jitter(pause)) {
+			return api.CallResult{}, &pending
+		}
+		pause = min(2*pause, recordPauseLast)
+	}
+}
+
+// ranElsewhere answers a call whose program was taken over while it ran. The
+// new owner has the say on its outcome.
+func ranElsewhere() *api.Error {
+	moved := api.Errorf(api.OwnerMoving, "another node took the program over while the call ran").After(movingRetryAfter)
+	moved.Execution = api.Unknown
+	return moved
+}
+
+// settle tries once to record the outcome.
+func (p *Programs) settle(e *entry, f *flight, planned plan, outcome Outcome) (api.CallResult, error) {
+	if err := e.lock(p.closing); err != nil {
+		return api.CallResult{}, ranElsewhere()
+	}
+	defer e.unlock()
+	header, owned := e.snapshot()
+	if !owned {
+		return api.CallResult{}, ranElsewhere()
+	}
+	result := p.resultOf(header, f, planned, outcome)
+	settled := p.settled(header, f, planned, outcome, result)
+	segment := program.Segment{Result: result}
+	if planned.model != nil && outcome.Code == api.OK {
+		segment.Messages = append(append([]api.Message(nil), f.request.Messages...), api.Message{Role: "assistant", Content: outcome.Text})
+	}
+	row, err := p.callRow(header, f, segment)
+	if err != nil {
+		return api.CallResult{}, p.storeError(err)
+	}
+	write := platform.Write{Key: program.CallKey(header.ID, f.sequence), Value: program.EncodeCall(row)}
+	if err := p.write(p.closing, e, settled, write); err != nil {
+		return api.CallResult{}, err
+	}
+	e.extend(segment.Messages)
+	p.finished(settled, f, result)
+	return result, nil
+}
+
+// resultOf is the caller's answer. An outcome that cannot be established is
+// charged in full, since the back end may bill it.
+func (p *Programs) resultOf(header program.Header, f *flight, planned plan, outcome Outcome) api.CallResult {
+	result := api.CallResult{
+		Program:   header.ID,
+		Sequence:  f.sequence,
+		Code:      outcome.Code,
+		Execution: outcome.Code.Info().Execution,
+		Output:    outcome.Text,
+		Result:    outcome.Result,
+		Detail:    outcome.Detail,
+		Usage:     outcome.Usage,
+		Backend:   outcome.Backend,
+		Cost:      planned.call.DearestCost,
+	}
+	if planned.model != nil && outcome.Code == api.OK {
+		result.Cost = min(billed(planned.model, outcome.Usage), planned.call.DearestCost)
+	}
+	result.Digest = digestOf([]byte(result.Output))
+	if planned.tool != nil {
+		result.Digest = digestOf(result.Result)
+	}
+	return result
+}
+
+// settled is the header after the call.
+func (p *Programs) settled(header program.Header, f *flight, planned plan, outcome Outcome, result api.CallResult) program.Header {
+	ended := program.Outcome{
+		Sequence: f.sequence,
+		Cost:     result.Cost,
+		Tokens:   outcome.Usage.PromptTokens + outcome.Usage.CompletionTokens,
+		Backend:  outcome.Engine,
+	}
+	var nextSlice api.Credits
+	if planned.model != nil && outcome.Code == api.OK {
+		length := outcome.Usage.PromptTokens + outcome.Usage.CompletionTokens
+		ended.HistoryTokens = length - header.HistoryTokens
+		nextSlice = dearest(planned.model, length+nextDeltaTokens, planned.call.MaxTokens)
+	} else {
+		nextSlice = header.Reserved
+	}
+	return program.Settle(header, ended, nextSlice)
+}
+
+// callRow builds the durable row; a large segment goes to the object store.
+func (p *Programs) callRow(header program.Header, f *flight, segment program.Segment) (program.CallRow, error) {
+	row := program.CallRow{
+		Program:       header.ID,
+		Tenant:        header.Tenant,
+		Sequence:      f.sequence,
+		RequestDigest: f.digest,
+		Segment:       &segment,
+	}
+	encoded := program.EncodeCall(row)
+	if len(encoded) <= maxInlineBytes {
+		return row, nil
+	}
+	digest, err := p.Store.PutObject(p.closing, encoded)
+	if err != nil {
+		return row, err
+	}
+	row.Segment = nil
+	row.SegmentObject = digest
+	return row, nil
+}
+
+// wait pauses, or returns false if the context ends first.
+func wait(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// jitter spreads a pause over half to one and a half times its length.
+func jitter(pause time.Duration) time.Duration {
+	return pause/2 + time.Duration(rand.Int64N(int64(pause)))
+}
