--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,114 @@
+// Package dispatch runs calls at back ends: it queues model calls with the
+// scheduler, talks to the engine that was chosen, repeats only what may be
+// repeated, and runs tool calls. It keeps the node's view of the engines.
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/ownership"
+)
+
+// Options configure a Dispatcher. All but Client are required.
+type Options struct {
+	Node     string
+	Zone     string
+	Cell     string
+	InForce  func() *bundle.Snapshot
+	Recorder explain.Recorder
+	Logger   *slog.Logger
+	Client   *http.Client // for engines and tools; nil takes a pooled one
+}
+
+// Dispatcher implements ownership.Executor. Safe for concurrent use.
+type Dispatcher struct {
+	Options
+	fleet *Fleet
+	queue *queue
+	tools *tools
+}
+
+// New returns a Dispatcher without engines; Apply gives it the bundle's.
+func New(options Options) *Dispatcher {
+	if options.Client == nil {
+		options.Client = NewClient()
+	}
+	d := &Dispatcher{Options: options}
+	d.fleet = newFleet(options)
+	d.queue = newQueue(options, d.fleet)
+	d.tools = newTools(options)
+	return d
+}
+
+// NewClient returns an HTTP client that keeps many connections per back end.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConns:        1024,
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     90 * time.Second,
+	}}
+}
+
+// Fleet returns the node's view of the engines.
+func (d *Dispatcher) Fleet() *Fleet { return d.fleet }
+
+// Apply puts a new bundle's engines, tools and weights in force.
+func (d *Dispatcher) Apply(snapshot *bundle.Snapshot) {
+	d.fleet.apply(snapshot)
+	d.tools.apply(snapshot)
+	d.queue.apply(snapshot)
+}
+
+// Run observes engines and moves the queue until the context ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	d.queue.run(ctx)
+	d.fleet.close()
+}
+
+// Execute implements ownership.Executor.
+func (d *Dispatcher) Execute(ctx context.Context, work ownership.Work, onText func(offset int64, text string)) ownership.Outcome {
+	if work.Request.Kind == api.KindTool {
+		return d.tools.execute(ctx, work, d.record)
+	}
+	return d.executeModel(ctx, work, onText)
+}
+
+// Lookup implements ownership.Executor.
+func (d *Dispatcher) Lookup(ctx context.Context, tool, key string) (ownership.Outcome, bool) {
+	return d.tools.lookup(ctx, tool, key)
+}
+
+// Release implements ownership.Executor. An engine that the bundle no longer
+// names holds nothing that matters.
+func (d *Dispatcher) Release(ctx context.Context, engine, program string) error {
+	member, ok := d.fleet.engine(engine)
+	if !ok {
+		return nil
+	}
+	return errors.Wrapf(member.client.Release(ctx, program), "release at %s", engine)
+}
+
+// record adds the call's identity to a decision and keeps it.
+func (d *Dispatcher) record(work ownership.Work, decision explain.Decision) {
+	decision.At = time.Now()
+	decision.Program = work.Header.ID
+	decision.Tenant = work.Header.Tenant
+	decision.Sequence = work.Sequence
+	decision.Epoch = work.Header.Epoch
+	decision.Target = work.Request.Target
+	d.Recorder.Record(decision)
+}
+
+// isRefusal says that the back end certainly did not run the call.
+func isRefusal(err error) bool {
+	return errors.Is(err, backend.ErrRefused) || errors.Is(err, backend.ErrLeaving) || errors.Is(err, backend.ErrUnreachable)
+}
--- /dev/null
+++ b/internal/dispatch/model.go
@@ -0,0 +1,154 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/ownership"
+	"github.com/pewtermill/pewtermill/internal/scheduler"
+)
+
+// maxModelAttempts bounds how many engines one call is tried at.
+const maxModelAttempts = 4
+
+// retryLater is when to come back after back ends refused a call.
+const retryLater = time.Second
+
+// executeModel places a model call and streams it, at another engine if the
+// first did not run it, or if it may run twice.
+func (d *Dispatcher) executeModel(ctx context.Context, work ownership.Work, onText func(offset int64, text string)) ownership.Outcome {
+	call := d.schedulerCall(work)
+	lost := 0 // attempts that may have run and will be billed
+	for attempt := 1; ; attempt++ {
+		call.ID = fmt.Sprintf("%s@%d.%d", work.Key, work.Header.Epoch, attempt)
+		call.Submitted = time.Now()
+		assignment, refusal := d.queue.acquire(ctx, call)
+		if refusal != nil {
+			return refused(refusal, lost)
+		}
+		result, err := d.chat(ctx, work, assignment, onText)
+		if err == nil {
+			return ownership.Outcome{
+				Code:         api.OK,
+				Text:         result.Text,
+				Usage:        result.Usage,
+				Engine:       assignment.Engine,
+				Backend:      assignment.Engine,
+				LostAttempts: lost,
+			}
+		}
+		final, ended := d.afterFailure(ctx, work, assignment.Engine, err, lost)
+		if ended {
+			return final
+		}
+		if !isRefusal(err) {
+			lost++
+		}
+		if attempt == maxModelAttempts {
+			return refused(api.Errorf(api.NoReadyBackend, "%d engines failed or refused, the last %s", attempt, assignment.Engine).After(retryLater), lost)
+		}
+		call.Excluded = append(call.Excluded, assignment.Engine)
+		d.record(work, explain.Decision{Kind: explain.Retried, Chosen: assignment.Engine, Reason: "engine " + assignment.Engine + ": " + err.Error()})
+	}
+}
+
+// afterFailure decides whether a failed attempt ends the call.
+func (d *Dispatcher) afterFailure(ctx context.Context, work ownership.Work, engine string, err error, lost int) (ownership.Outcome, bool) {
+	switch {
+	case errors.Is(err, backend.ErrFenced):
+		return refused(api.Errorf(api.OwnerMoving, "a newer owner has called %s for this program", engine).After(retryLater), lost), true
+	case isRefusal(err):
+		return ownership.Outcome{}, false
+	case ctx.Err() != nil:
+		return ownership.Outcome{Code: api.Cancelled, Detail: cancelDetail(ctx), Engine: engine, Backend: engine, LostAttempts: lost}, true
+	case !work.Repeatable:
+		return ownership.Outcome{Code: api.OutcomeUnknown, Detail: err.Error(), Engine: engine, Backend: engine, LostAttempts: lost}, true
+	}
+	if refusal := work.ReserveAgain(ctx); refusal != nil {
+		return ownership.Outcome{Code: api.OutcomeUnknown, Detail: "engine failed and no money is left to run it again: " + err.Error(), Engine: engine, Backend: engine, LostAttempts: lost}, true
+	}
+	return ownership.Outcome{}, false
+}
+
+func cancelDetail(ctx context.Context) string {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return "cut off at its deadline"
+	}
+	return "cut off because the program ended or the node stopped"
+}
+
+// refused is a refusal, unless an earlier attempt may have run: then the call
+// is final with an unknown outcome, and its money counts as spent.
+func refused(refusal *api.Error, lost int) ownership.Outcome {
+	if lost == 0 {
+		return ownership.Outcome{Refusal: refusal}
+	}
+	return ownership.Outcome{
+		Code:         api.OutcomeUnknown,
+		Detail:       "an engine failed while it ran the call, and then: " + refusal.Detail,
+		LostAttempts: lost - 1,
+	}
+}
+
+// chat streams one attempt and tells the scheduler how it went.
+func (d *Dispatcher) chat(ctx context.Context, work ownership.Work, assignment scheduler.Assignment, onText func(offset int64, text string)) (backend.ChatResult, error) {
+	started := time.Now()
+	member, ok := d.fleet.engine(assignment.Engine)
+	if !ok {
+		d.queue.finish(assignment.Call.ID, scheduler.Result{Engine: assignment.Engine})
+		return backend.ChatResult{}, errors.Wrap(backend.ErrLeaving, "no longer configured")
+	}
+	result, err := member.client.Chat(ctx, backend.ChatRequest{
+		Model:     work.Request.Target,
+		Program:   work.Header.ID,
+		Request:   assignment.Call.ID,
+		Epoch:     work.Header.Epoch,
+		Messages:  work.Messages,
+		MaxTokens: work.MaxTokens,
+	}, onText)
+	if errors.Is(err, backend.ErrLeaving) {
+		d.fleet.markLeaving(assignment.Engine)
+	}
+	d.queue.finish(assignment.Call.ID, scheduler.Result{
+		Engine:       assignment.Engine,
+		Succeeded:    err == nil || ctx.Err() != nil,
+		Duration:     time.Since(started),
+		CachedTokens: result.Usage.CachedTokens,
+		PromptTokens: result.Usage.PromptTokens,
+	})
+	return result, err
+}
+
+// schedulerCall is the work as the scheduler sees it.
+func (d *Dispatcher) schedulerCall(work ownership.Work) scheduler.Call {
+	header := work.Header
+	bytes := 0
+	for _, message := range work.Messages {
+		bytes += len(message.Role) + len(message.Content) + len("\n\n")
+	}
+	call := scheduler.Call{
+		Program:         header.ID,
+		Sequence:        work.Sequence,
+		Tenant:          header.Tenant,
+		Class:           header.Class,
+		Model:           work.Request.Target,
+		Zone:            d.Zone,
+		PrefixBlocks:    backend.PrefixBlocks(work.Messages),
+		PromptTokens:    backend.EstimateTokens(bytes),
+		ExpectedTokens:  work.MaxTokens / 2,
+		Deadline:        work.Deadline,
+		ProgramStarted:  header.CreatedAt,
+		ProgramDeadline: header.DeadlineAt,
+		Attained:        d.fleet.attained(header.Tokens),
+	}
+	if len(header.Holds) > 0 {
+		call.LastEngine = header.Holds[len(header.Holds)-1]
+	}
+	return call
+}
