ownership, dispatch: lost attempts are paid for by claiming anew (draft)

Cause: an attempt at an engine that broke off may be billed; the next attempt needs money of its own. Ruled out: counting lost attempts beside the budget. The owner claims its own program, which charges the reservation and raises the fence. Not measured yet.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -24,7 +24,7 @@
 // first did not run it, or if it may run twice.
 func (d *Dispatcher) executeModel(ctx context.Context, work ownership.Work, onText func(offset int64, text string)) ownership.Outcome {
 	call := d.schedulerCall(work)
-	lost := 0 // attempts that may have run and will be billed
+	lost := false // an earlier attempt may have run
 	for attempt := 1; ; attempt++ {
 		call.ID = fmt.Sprintf("%s@%d.%d", work.Key, work.Header.Epoch, attempt)
 		call.Submitted = time.Now()
@@ -35,20 +35,23 @@
 		result, err := d.chat(ctx, work, assignment, onText)
 		if err == nil {
 			return ownership.Outcome{
-				Code:         api.OK,
-				Text:         result.Text,
-				Usage:        result.Usage,
-				Engine:       assignment.Engine,
-				Backend:      assignment.Engine,
-				LostAttempts: lost,
+				Code:    api.OK,
+				Text:    result.Text,
+				Usage:   result.Usage,
+				Engine:  assignment.Engine,
+				Backend: assignment.Engine,
 			}
 		}
-		final, ended := d.afterFailure(ctx, work, assignment.Engine, err, lost)
-		if ended {
+		if final, ended := d.afterFailure(ctx, work, assignment.Engine, err, lost); ended {
 			return final
 		}
 		if !isRefusal(err) {
-			lost++
+			lost = true
+			epoch, refusal := work.ReserveAgain(ctx)
+			if refusal != nil {
+				return unknownOutcome(assignment.Engine, "engine failed, and the call cannot run again: "+refusal.Detail)
+			}
+			work.Header.Epoch = epoch
 		}
 		if attempt == maxModelAttempts {
 			return refused(api.Errorf(api.NoReadyBackend, "%d engines failed or refused, the last %s", attempt, assignment.Engine).After(retryLater), lost)
@@ -59,23 +62,24 @@
 }
 
 // afterFailure decides whether a failed attempt ends the call.
-func (d *Dispatcher) afterFailure(ctx context.Context, work ownership.Work, engine string, err error, lost int) (ownership.Outcome, bool) {
+func (d *Dispatcher) afterFailure(ctx context.Context, work ownership.Work, engine string, err error, lost bool) (ownership.Outcome, bool) {
 	switch {
 	case errors.Is(err, backend.ErrFenced):
 		return refused(api.Errorf(api.OwnerMoving, "a newer owner has called %s for this program", engine).After(retryLater), lost), true
 	case isRefusal(err):
 		return ownership.Outcome{}, false
 	case ctx.Err() != nil:
-		return ownership.Outcome{Code: api.Cancelled, Detail: cancelDetail(ctx), Engine: engine, Backend: engine, LostAttempts: lost}, true
+		return ownership.Outcome{Code: api.Cancelled, Detail: cancelDetail(ctx), Engine: engine, Backend: engine}, true
 	case !work.Repeatable:
-		return ownership.Outcome{Code: api.OutcomeUnknown, Detail: err.Error(), Engine: engine, Backend: engine, LostAttempts: lost}, true
-	}
-	if refusal := work.ReserveAgain(ctx); refusal != nil {
-		return ownership.Outcome{Code: api.OutcomeUnknown, Detail: "engine failed and no money is left to run it again: " + err.Error(), Engine: engine, Backend: engine, LostAttempts: lost}, true
+		return unknownOutcome(engine, err.Error()), true
 	}
 	return ownership.Outcome{}, false
 }
 
+func unknownOutcome(engine, detail string) ownership.Outcome {
+	return ownership.Outcome{Code: api.OutcomeUnknown, Detail: detail, Engine: engine, Backend: engine}
+}
+
 func cancelDetail(ctx context.Context) string {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return "cut off at its deadline"
@@ -84,15 +88,15 @@
 }
 
 // refused is a refusal, unless an earlier attempt may have run: then the call
-// is final with an unknown outcome, and its money counts as spent.
-func refused(refusal *api.Error, lost int) ownership.Outcome {
-	if lost == 0 {
+// is final with an unknown outcome.
+func refused(refusal *api.Error, lost bool) ownership.Outcome {
+	if !lost {
 		return ownership.Outcome{Refusal: refusal}
 	}
 	return ownership.Outcome{
-		Code:         api.OutcomeUnknown,
-		Detail:       "an engine failed while it ran the call, and then: " + refusal.Detail,
-		LostAttempts: lost - 1,
+		Code:     api.OutcomeUnknown,
+		Detail:   "an engine failed while it ran the call, and then: " + refusal.Detail,
+		Unbilled: true,
 	}
 }
 
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
@@ -26,6 +27,9 @@
 	}
 	defer parent.unlock()
 	header, owned := parent.snapshot()
+	if childID := program.ChildID(parentID, number); slices.Contains(header.Children, childID) {
+		return p.Get(ctx, tenant, childID)
+	}
 	if !owned {
 		return api.Program{}, api.Errorf(api.OwnerMoving, "the parent moved meanwhile").After(movingRetryAfter)
 	}
@@ -39,8 +43,10 @@
 	if refusal != nil {
 		return api.Program{}, p.refuse(header, 0, "sub-agent", refusal)
 	}
-	err = p.write(ctx, parent, nextParent, platform.Write{Key: program.HeaderKey(child.ID), Value: program.EncodeHeader(child)})
-	if err != nil {
+	childKey := program.HeaderKey(child.ID)
+	absent := []platform.Condition{{Key: childKey}}
+	create := []platform.Write{{Key: childKey, Value: program.EncodeHeader(child)}}
+	if err := p.writeIf(ctx, parent, nextParent, absent, create); err != nil {
 		return api.Program{}, notRun(err)
 	}
 	p.created(child)
--- a/internal/ownership/executor.go
+++ b/internal/ownership/executor.go
@@ -20,7 +20,10 @@
 	MaxTokens  int64
 	Arrived    time.Time
 	Deadline   time.Time
-	Replaced   string // explanation for the record when the call runs again
+	// ReserveAgain pays for an attempt that may have run and sets the call's
+	// dearest cost aside once more, durably, for the next attempt. It returns
+	// the epoch for that attempt.
+	ReserveAgain func(ctx context.Context) (epoch uint64, refusal *api.Error)
 }
 
 // Outcome is how a dispatched call ended. Exactly one case holds:
@@ -35,6 +38,9 @@
 	Usage   api.Usage
 	Engine  string // that may now hold cache for the program
 	Backend string
+	// Unbilled says that the reservation in force was not used: what may have
+	// run was an earlier attempt, which is paid for already.
+	Unbilled bool
 }
 
 // Executor runs work at back ends. Safe for concurrent use.
--- a/internal/ownership/flight.go
+++ b/internal/ownership/flight.go
@@ -16,15 +16,15 @@
 	call     program.Call
 	cancel   context.CancelFunc
 
-	mutex  sync.Mutex
-	text   []byte        // streamed so far
+	mutex sync.Mutex
+	text  []byte // streamed so far
 	// generation rises when streamed text is replaced: another attempt runs.
 	generation int
-	grown  chan struct{} // closed and replaced whenever text changes
-	parked *api.Error    // set while the result waits for the table service
-	done   chan struct{}
-	result api.CallResult // once done, if failure is nil
-	err    error          // once done: *api.Error or *MovedError
+	grown      chan struct{} // closed and replaced whenever text changes
+	parked     *api.Error    // set while the result waits for the table service
+	done       chan struct{}
+	result     api.CallResult // once done, if failure is nil
+	err        error          // once done: *api.Error or *MovedError
 }
 
 func newFlight(sequence int64, digest string, cancel context.CancelFunc) *flight {
--- a/internal/ownership/maintain.go
+++ b/internal/ownership/maintain.go
@@ -48,7 +48,7 @@
 // wall time, whether or not anyone calls them, and repeats releases of engine
 // memory that a former owner left undone.
 func (p *Programs) LookAfter(ctx context.Context, cell string, partition int) error {
-	start, end := program.HeaderRange(partition)
+	start, end := program.HeaderRange(cell, partition)
 	for {
 		rows, err := p.Store.Range(ctx, start, end, scanPageRows)
 		if err != nil {
@@ -60,9 +60,7 @@
 				p.Logger.Error("program row cannot be read", "key", row.Key, "error", err.Error())
 				continue
 			}
-			if programCell, err := program.CellOf(header.ID); err == nil && programCell == cell {
-				p.lookAfter(ctx, header)
-			}
+			p.lookAfter(ctx, header)
 		}
 		if len(rows) < scanPageRows {
 			return nil
--- a/internal/ownership/run.go
+++ b/internal/ownership/run.go
@@ -61,11 +61,12 @@
 		Sequence:   f.sequence,
 		Request:    f.request,
 		Repeatable: planned.call.Repeatable,
-		Key:        callKey(header.ID, f.sequence),
+		Key:        program.IdempotencyKey(header.ID, f.sequence),
 		MaxTokens:  planned.call.MaxTokens,
 		Arrived:    arrived,
 	}
 	work.Deadline, _ = ctx.Deadline()
+	work.ReserveAgain = func(ctx context.Context) (uint64, *api.Error) { return p.reserveAgain(ctx, e, planned) }
 	if planned.model != nil {
 		work.Messages, err = p.prompt(ctx, e, f.request.Messages)
 		if err != nil {
@@ -81,11 +82,6 @@
 	return p.recordResult(e, f, planned, outcome)
 }
 
-// callKey is the idempotency key of a call: the same for every attempt.
-func callKey(id string, sequence int64) string {
-	return id + "/" + strconv.FormatInt(sequence, 10)
-}
-
 // admit asks the state machine again under the commit lock and makes the
 // intent and the reservation durable. Nothing has been dispatched before it
 // returns, so every error of it means "not run".
@@ -129,12 +125,17 @@
 // write makes a header durable with further writes beside it. The commit lock
 // is held. After a conflict or an unknown outcome the entry is loaded afresh.
 func (p *Programs) write(ctx context.Context, e *entry, header program.Header, more ...platform.Write) error {
+	return p.writeIf(ctx, e, header, nil, more)
+}
+
+// writeIf is write with further conditions.
+func (p *Programs) writeIf(ctx context.Context, e *entry, header program.Header, conditions []platform.Condition, more []platform.Write) error {
 	key := program.HeaderKey(e.id)
 	e.mutex.Lock()
 	revision := e.revision
 	e.mutex.Unlock()
 	transaction := platform.Transaction{
-		Conditions: []platform.Condition{{Key: key, Revision: revision}},
+		Conditions: append([]platform.Condition{{Key: key, Revision: revision}}, conditions...),
 		Writes:     append([]platform.Write{{Key: key, Value: program.EncodeHeader(header)}}, more...),
 	}
 	receipt, err := p.Store.Commit(ctx, transaction)
@@ -148,6 +149,29 @@
 	return p.storeError(err)
 }
 
+// reserveAgain pays for an attempt that may have run, and makes a reservation
+// for the next one durable. The epoch rises, so that engines which honour
+// fences let the next attempt supersede the lost one.
+func (p *Programs) reserveAgain(ctx context.Context, e *entry, planned plan) (uint64, *api.Error) {
+	if err := e.lock(ctx); err != nil {
+		return 0, api.Errorf(api.DeadlineExceeded, "the program's row stayed busy")
+	}
+	defer e.unlock()
+	header, owned := e.snapshot()
+	if !owned {
+		return 0, api.Errorf(api.OwnerMoving, "another node took the program over")
+	}
+	paid := program.Claim(header, p.Node, p.Incarnation)
+	admission := program.Admit(paid, planned.call, planned.limits, time.Now())
+	if admission.Verdict != program.Run {
+		return 0, admission.Error
+	}
+	if err := p.write(ctx, e, admission.Header); err != nil {
+		return 0, api.Errorf(api.StoreDown, "%v", err)
+	}
+	return admission.Header.Epoch, nil
+}
+
 // abandon frees the reservation and intent of a call that did not run. If it
 // cannot be recorded now, the next write of the header does it.
 func (p *Programs) abandon(ctx context.Context, e *entry, sequence int64) {
--- a/internal/ownership/settle.go
+++ b/internal/ownership/settle.go
@@ -92,6 +92,9 @@
 		Backend:   outcome.Backend,
 		Cost:      planned.call.DearestCost,
 	}
+	if outcome.Unbilled {
+		result.Cost = 0
+	}
 	if planned.model != nil && outcome.Code == api.OK {
 		result.Cost = min(billed(planned.model, outcome.Usage), planned.call.DearestCost)
 	}
--- a/internal/program/ids.go
+++ b/internal/program/ids.go
@@ -20,8 +20,8 @@
 	return fmt.Sprintf("%s-%016x", cell, seed)
 }
 
-// childID returns the id of a program's numbered sub-agent.
-func childID(parent string, number int) string {
+// ChildID returns the id of a program's numbered sub-agent.
+func ChildID(parent string, number int) string {
 	return fmt.Sprintf("%s.%d", parent, number)
 }
 
@@ -105,3 +105,10 @@
 }
 
 func isDecimal(digit byte) bool { return digit >= '0' && digit <= '9' }
+
+// HeaderRange returns the keys between which the headers of one cell's
+// programs in one partition lie: start inclusive, end exclusive.
+func HeaderRange(cell string, partition int) (start, end string) {
+	prefix := fmt.Sprintf("program/%04d/%s", partition, cell)
+	return prefix + "-", prefix + "."
+}
--- a/internal/program/subagents.go
+++ b/internal/program/subagents.go
@@ -17,7 +17,7 @@
 // WallTimeLimit, DepthLimit, SequenceConflict (the number is in use) and
 // BudgetExhausted (the parent's Available does not cover the budget).
 func NewChild(parent Header, number int, params Params, limits ClassLimits) (newParent, child Header, err *api.Error) {
-	id := childID(parent.ID, number)
+	id := ChildID(parent.ID, number)
 	depth := parent.Depth + 1
 	if err := checkChild(parent, id, number, depth, params, limits); err != nil {
 		return parent, Header{}, err
