--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -40,7 +40,7 @@
 // New returns a Dispatcher without engines; Apply gives it the bundle's.
 func New(options Options) *Dispatcher {
 	if options.Client == nil {
-		options.Client = NewClient()
+		options.Client = backend.NewHTTPClient()
 	}
 	d := &Dispatcher{Options: options}
 	d.fleet = newFleet(options)
@@ -49,15 +49,6 @@
 	return d
 }
 
-// NewClient returns an HTTP client that keeps many connections per back end.
-func NewClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConns:        1024,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     90 * time.Second,
-	}}
-}
-
 // Fleet returns the node's view of the engines.
 func (d *Dispatcher) Fleet() *Fleet { return d.fleet }
 
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,310 @@
+// Package node puts the parts of one pewtermill node together: the callers'
+// and operators' endpoints, the programs that it owns, its membership in a
+// cell, its view of the back ends, and the configuration in force.
+//
+// A Node is a value without globals, so that many of them can share a
+// process.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/dispatch"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/gateway"
+	"github.com/pewtermill/pewtermill/internal/membership"
+	"github.com/pewtermill/pewtermill/internal/operator"
+	"github.com/pewtermill/pewtermill/internal/ownership"
+	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/settings"
+	"github.com/pewtermill/pewtermill/internal/wire"
+)
+
+// Bounds and periods of a node's own work.
+const (
+	decisionLogRecords = 8192
+	storeWindow        = 50 * time.Millisecond
+	storeMaxGroup      = 128
+	readHeaderTimeout  = 10 * time.Second
+	drainPoll          = 50 * time.Millisecond
+	// drainNotice is how long a leaving node goes on as before, so that peers
+	// and load balancers learn of it.
+	drainNotice = 500 * time.Millisecond
+)
+
+// Dependencies are what a node is given besides its settings. Zero values
+// take the usual: the platform at Settings.PlatformURL, a discarding logger.
+type Dependencies struct {
+	Logger   *slog.Logger
+	Table    platform.Table
+	Objects  platform.Objects
+	Machines platform.Machines
+	Faults   *wire.Faults // test switch for links to peers
+	// Heartbeats overrides the membership's periods; for tests.
+	Heartbeats membership.Config
+	// Hollow leaves out callers' and operators' HTTP: for measuring control.
+	Hollow bool
+}
+
+// Node is one member of a cell. Its methods are safe for concurrent use.
+type Node struct {
+	settings    settings.Settings
+	incarnation uint64
+	logger      *slog.Logger
+	registry    *prometheus.Registry
+	machines    platform.Machines
+	hollow      bool
+
+	store      *platform.GroupStore
+	keeper     *bundle.Keeper
+	decisions  *explain.Log
+	dispatcher *dispatch.Dispatcher
+	programs   *ownership.Programs
+	members    *members
+	peers      *wire.Client
+	peerServer *wire.Server
+
+	faults     *wire.Faults
+	heartbeats membership.Config
+
+	callerListener   net.Listener
+	operatorListener net.Listener
+	callerServer     *http.Server
+	operatorServer   *http.Server
+
+	leaving  atomic.Bool
+	serving  atomic.Int64    // requests of peers about programs
+	fetching atomic.Bool     // a bundle is being fetched from a peer
+	ctx      context.Context // ends with Close
+	stop     context.CancelFunc
+	tasks    sync.WaitGroup
+}
+
+// New prepares a node; Start makes it serve.
+func New(s settings.Settings, dependencies Dependencies) (*Node, error) {
+	if faults := settings.Check(s); len(faults) > 0 {
+		return nil, faults
+	}
+	logger := dependencies.Logger
+	if logger == nil {
+		logger = slog.New(slog.DiscardHandler)
+	}
+	n := &Node{
+		settings:    s,
+		incarnation: uint64(time.Now().UnixNano()),
+		logger:      logger.With("node", s.Name),
+		registry:    prometheus.NewRegistry(),
+		decisions:   explain.NewLog(s.Name, decisionLogRecords),
+		faults:      dependencies.Faults,
+		heartbeats:  dependencies.Heartbeats,
+		hollow:      dependencies.Hollow,
+	}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	n.usePlatform(dependencies)
+	n.keeper = bundle.NewKeeper(n.store, n.applyBundle)
+	n.dispatcher = dispatch.New(dispatch.Options{
+		Node:     s.Name,
+		Zone:     s.Zone,
+		Cell:     s.Cell,
+		InForce:  n.keeper.InForce,
+		Recorder: n.decisions,
+		Logger:   n.logger,
+	})
+	n.programs = ownership.New(ownership.Dependencies{
+		Node:        s.Name,
+		Incarnation: n.incarnation,
+		Store:       n.store,
+		Executor:    n.dispatcher,
+		Peers:       peerAccess{n},
+		InForce:     n.keeper.InForce,
+		Recorder:    n.decisions,
+		Logger:      n.logger,
+	})
+	n.registerMetrics()
+	return n, nil
+}
+
+func (n *Node) usePlatform(dependencies Dependencies) {
+	table, objects := dependencies.Table, dependencies.Objects
+	n.machines = dependencies.Machines
+	if table == nil {
+		remote := platform.NewHTTP(n.settings.PlatformURL, nil)
+		table, objects, n.machines = remote, remote, remote
+	}
+	n.store = platform.NewStore(table, objects, platform.StoreOptions{
+		Window:   storeWindow,
+		MaxGroup: storeMaxGroup,
+		Logger:   n.logger,
+		Node:     n.settings.Name,
+	})
+}
+
+// Start listens, joins the cell and begins to serve. It returns once the
+// listeners are open; Ready tells when the node takes work.
+func (n *Node) Start(context.Context) error {
+	options := wire.Options{
+		Node:       n.settings.Name,
+		ClusterKey: []byte(n.settings.ClusterKey),
+		Logger:     n.logger,
+		Fault:      n.faults,
+	}
+	n.peers = wire.NewClient(options)
+	server, err := wire.Listen(n.settings.PeerAddress, options, n)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	n.peerServer = server
+	n.members = newMembers(n, server.Address())
+	if !n.hollow {
+		if err := n.serveHTTP(); err != nil {
+			return err
+		}
+	}
+	n.run(n.dispatcher.Run)
+	n.run(n.members.run)
+	n.run(n.keepBundle)
+	n.run(n.watchMachines)
+	n.run(n.maintain)
+	n.run(n.reconcileHolds)
+	n.logger.Info("node started", "peer_address", server.Address(), "incarnation", n.incarnation)
+	return nil
+}
+
+// run starts a loop that ends with the node.
+func (n *Node) run(loop func(ctx context.Context)) {
+	n.tasks.Go(func() { loop(n.ctx) })
+}
+
+func (n *Node) serveHTTP() error {
+	var err error
+	if n.callerListener, err = net.Listen("tcp", n.settings.CallerAddress); err != nil {
+		return errors.Wrap(err, "caller address")
+	}
+	if n.operatorListener, err = net.Listen("tcp", n.settings.OperatorAddress); err != nil {
+		return errors.Wrap(err, "operator address")
+	}
+	callers := gateway.New(&router{n}, n.keeper.InForce, gateway.Options{Logger: n.logger, Registerer: n.registry})
+	operators := operator.New(&operatorService{n}, n.keeper.InForce, n.registry)
+	n.callerServer = n.serve(n.callerListener, callers)
+	n.operatorServer = n.serve(n.operatorListener, operators)
+	return nil
+}
+
+func (n *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog:          slog.NewLogLogger(n.logger.Handler(), slog.LevelWarn),
+	}
+	n.tasks.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.logger.Error("HTTP server ended", "error", err.Error())
+		}
+	})
+	return server
+}
+
+// CallerURL returns the base URL of the callers' endpoint.
+func (n *Node) CallerURL() string { return "http://" + n.callerListener.Addr().String() }
+
+// OperatorURL returns the base URL of the operators' endpoint.
+func (n *Node) OperatorURL() string { return "http://" + n.operatorListener.Addr().String() }
+
+// PeerAddress returns where other nodes reach this one.
+func (n *Node) PeerAddress() string { return n.peerServer.Address() }
+
+// Decisions returns the node's decision log.
+func (n *Node) Decisions() *explain.Log { return n.decisions }
+
+// InForce returns the bundle in force on this node, nil before any.
+func (n *Node) InForce() *bundle.Snapshot { return n.keeper.InForce() }
+
+// Ready reports whether the node takes new work: it has a bundle at least as
+// new as its peers', and it is not leaving.
+func (n *Node) Ready() bool {
+	snapshot := n.keeper.InForce()
+	if snapshot == nil || n.leaving.Load() {
+		return false
+	}
+	return snapshot.Version() >= n.members.newestBundle()
+}
+
+// Drain is a planned stop: peers are told, new work goes elsewhere, programs
+// are given up as they become idle, and every call under way ends in peace.
+// The callers' endpoint takes requests until the last call that this node
+// owns has ended, and hands them on to other nodes.
+func (n *Node) Drain(ctx context.Context) error {
+	n.logger.Info("draining", "programs", n.programs.Count(), "calls", n.programs.InFlight())
+	n.leaving.Store(true)
+	n.programs.Leave()
+	n.members.announce()
+	pauseFor(ctx, drainNotice)
+	for n.busy() {
+		if !pauseFor(ctx, drainPoll) {
+			return errors.Wrap(ctx.Err(), "calls are still under way")
+		}
+	}
+	if n.hollow {
+		return nil
+	}
+	if err := n.callerServer.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "requests are still under way")
+	}
+	n.logger.Info("drained")
+	return nil
+}
+
+// busy says that a call runs here, or that a peer waits for an answer.
+func (n *Node) busy() bool {
+	return n.programs.InFlight() > 0 || n.serving.Load() > 0
+}
+
+// Close ends the node at once and waits for its goroutines.
+func (n *Node) Close() {
+	n.programs.Close()
+	n.stop()
+	for _, server := range []*http.Server{n.callerServer, n.operatorServer} {
+		if server != nil {
+			_ = server.Close()
+		}
+	}
+	if n.peerServer != nil {
+		_ = n.peerServer.Close()
+	}
+	if n.peers != nil {
+		_ = n.peers.Close()
+	}
+	n.tasks.Wait()
+	n.store.Close()
+}
+
+// pauseFor waits, or returns false when ctx ends first.
+func pauseFor(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// jittered spreads a period over 0.75 to 1.25 of its length, so that nodes
+// don't act in step.
+func jittered(period time.Duration) time.Duration {
+	return period*3/4 + time.Duration(rand.Int64N(int64(period/2)))
+}
+
+var _ wire.ServerHandler = (*Node)(nil)
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/ownership"
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// releaseWait bounds how long a new owner waits for the former one's word.
+const releaseWait = 2 * time.Second
+
+// peerAccess implements ownership.Peers.
+type peerAccess struct{ node *Node }
+
+// Alive implements ownership.Peers.
+func (p peerAccess) Alive(node string, incarnation uint64) bool {
+	return p.node.members.View().Alive(node, incarnation)
+}
+
+// AskRelease implements ownership.Peers.
+func (p peerAccess) AskRelease(ctx context.Context, node, program string, epoch uint64) (bool, error) {
+	member, ok := p.node.members.View().Member(node)
+	if !ok {
+		return false, errors.Newf("member %s is not known", node)
+	}
+	ctx, cancel := context.WithTimeout(ctx, releaseWait)
+	defer cancel()
+	reply, err := p.node.peers.Do(ctx, member.Address, &wirepb.Request{
+		From: p.node.settings.Name,
+		Body: &wirepb.Request_ReleaseProgram{ReleaseProgram: &wirepb.ReleaseProgram{Program: program, Epoch: epoch}},
+	}, nil)
+	if err != nil {
+		return false, err
+	}
+	return api.Code(reply.GetCode()) == api.OK, nil
+}
+
+// ServePeer implements wire.ServerHandler.
+func (n *Node) ServePeer(ctx context.Context, request *wirepb.Request, onPart func(offset int64, text []byte)) *wirepb.Reply {
+	if timeout := request.GetTimeoutMillis(); timeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, time.Duration(timeout)*time.Millisecond)
+		defer cancel()
+		ctx = limited
+	}
+	switch body := request.GetBody().(type) {
+	case *wirepb.Request_Heartbeat:
+		n.members.receive(n.ctx, body.Heartbeat)
+		return nil
+	case *wirepb.Request_ReleaseProgram:
+		return n.serveRelease(ctx, body.ReleaseProgram)
+	case *wirepb.Request_FetchBundle:
+		return n.serveBundle(body.FetchBundle)
+	case *wirepb.Request_ListPrograms:
+		return replyWith(n.programs.List(body.ListPrograms.GetTenant()), nil)
+	case *wirepb.Request_Explain:
+		return replyWith(n.decisions.Recent(body.Explain.GetProgram(), body.Explain.GetSequence(), maxExplained), nil)
+	}
+	n.serving.Add(1)
+	defer n.serving.Add(-1)
+	if !request.GetRouted() {
+		return n.routeForPeer(ctx, request, onPart)
+	}
+	return n.serveRouted(ctx, request, onPart)
+}
+
+// maxExplained bounds how many decisions one node returns.
+const maxExplained = 500
+
+func (n *Node) serveRelease(ctx context.Context, request *wirepb.ReleaseProgram) *wirepb.Reply {
+	if n.programs.Release(ctx, request.GetProgram(), request.GetEpoch()) {
+		return &wirepb.Reply{}
+	}
+	return &wirepb.Reply{Code: int32(api.OwnerMoving), Execution: string(api.NotRun), Owner: n.settings.Name}
+}
+
+func (n *Node) serveBundle(request *wirepb.FetchBundle) *wirepb.Reply {
+	snapshot := n.keeper.InForce()
+	if snapshot == nil || snapshot.Version() <= request.GetHaveVersion() {
+		return &wirepb.Reply{}
+	}
+	return replyWith(snapshot.Signed, nil)
+}
+
+// serveRouted answers a request about a program as its owner.
+func (n *Node) serveRouted(ctx context.Context, request *wirepb.Request, onPart func(offset int64, text []byte)) *wirepb.Reply {
+	switch body := request.GetBody().(type) {
+	case *wirepb.Request_CreateProgram:
+		return replyWith(n.createHere(ctx, body.CreateProgram))
+	case *wirepb.Request_GetProgram:
+		return replyWith(n.programs.Get(ctx, body.GetProgram.GetTenant(), body.GetProgram.GetProgram()))
+	case *wirepb.Request_EndProgram:
+		return replyWith(n.programs.End(ctx, body.EndProgram.GetTenant(), body.EndProgram.GetProgram(), api.OK))
+	case *wirepb.Request_GetCall:
+		return replyWith(n.programs.Call(ctx, body.GetCall.GetTenant(), body.GetCall.GetProgram(), body.GetCall.GetSequence()))
+	case *wirepb.Request_ExecuteCall:
+		call := body.ExecuteCall
+		if !call.GetStream() {
+			onPart = nil
+		}
+		return replyWith(n.programs.Execute(ctx, call.GetTenant(), call.GetProgram(), call.GetSequence(), call.GetBody(), onPart))
+	}
+	return replyWith[any](nil, api.Errorf(api.MalformedRequest, "unknown request between nodes"))
+}
+
+func (n *Node) createHere(ctx context.Context, create *wirepb.CreateProgram) (api.Program, error) {
+	var request api.CreateProgramRequest
+	if err := json.Unmarshal(create.GetBody(), &request); err != nil {
+		return api.Program{}, api.Errorf(api.MalformedRequest, "%v", err)
+	}
+	if request.Parent == "" {
+		return n.programs.Create(ctx, create.GetTenant(), create.GetProgram(), request)
+	}
+	return n.programs.CreateChild(ctx, create.GetTenant(), request.Parent, create.GetProgram(), request)
+}
+
+// replyWith turns an answer or an error into a reply.
+func replyWith[T any](answer T, err error) *wirepb.Reply {
+	if err != nil {
+		return replyError(err)
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		return replyError(api.Errorf(api.Internal, "%v", err))
+	}
+	return &wirepb.Reply{Body: body}
+}
+
+func replyError(err error) *wirepb.Reply {
+	var moved *ownership.MovedError
+	if errors.As(err, &moved) {
+		return &wirepb.Reply{Code: int32(api.OwnerMoving), Execution: string(api.NotRun), Detail: moved.Error(), Owner: moved.Owner}
+	}
+	var refusal *api.Error
+	if !errors.As(err, &refusal) {
+		refusal = api.Errorf(api.Internal, "%v", err)
+	}
+	return &wirepb.Reply{
+		Code:             int32(refusal.Code),
+		Execution:        string(refusal.Execution),
+		Detail:           refusal.Detail,
+		RetryAfterMillis: refusal.RetryAfter.Milliseconds(),
+	}
+}
+
+// errorOf turns a reply's refusal back into an error, nil for an answer.
+func errorOf(reply *wirepb.Reply) error {
+	if reply.GetCode() == int32(api.OK) {
+		return nil
+	}
+	return &api.Error{
+		Code:       api.Code(reply.GetCode()),
+		Detail:     reply.GetDetail(),
+		Execution:  api.Execution(reply.GetExecution()),
+		RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond,
+	}
+}
+
+// decodeReply reads an answer's body.
+func decodeReply[T any](reply *wirepb.Reply) (T, error) {
+	var answer T
+	if err := errorOf(reply); err != nil {
+		return answer, err
+	}
+	if err := json.Unmarshal(reply.GetBody(), &answer); err != nil {
+		return answer, api.Errorf(api.Internal, "reply of a peer cannot be read: %v", err)
+	}
+	return answer, nil
+}
+
+// fetchBundle asks a peer for a newer bundle and offers it to the keeper.
+func (n *Node) fetchBundle(ctx context.Context, address string) error {
+	have := uint64(0)
+	if snapshot := n.keeper.InForce(); snapshot != nil {
+		have = snapshot.Version()
+	}
+	reply, err := n.peers.Do(ctx, address, &wirepb.Request{
+		From: n.settings.Name,
+		Body: &wirepb.Request_FetchBundle{FetchBundle: &wirepb.FetchBundle{HaveVersion: have}},
+	}, nil)
+	if err != nil {
+		return err
+	}
+	if len(reply.GetBody()) == 0 {
+		return errorOf(reply)
+	}
+	signed, err := decodeReply[bundle.Signed](reply)
+	if err != nil {
+		return err
+	}
+	return n.keeper.Offer(signed)
+}
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -88,6 +88,9 @@
 // claim raises the epoch under the condition that nobody else did meanwhile.
 // A live owner is asked to give the program up first; a dead one is fenced.
 func (p *Programs) claim(ctx context.Context, e *entry, header program.Header, revision uint64) error {
+	if p.leaving.Load() {
+		return api.Errorf(api.OwnerMoving, "this node is stopping and claims nothing").After(movingRetryAfter)
+	}
 	former := header.Owner
 	reason := "former owner " + former + " is gone"
 	if p.Peers.Alive(former, header.OwnerStart) {
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -12,12 +12,17 @@
 )
 
 // CreateChild makes a sub-agent: its budget is moved out of the parent's in
-// the transaction that creates it. The key, if given, makes it repeatable.
-func (p *Programs) CreateChild(ctx context.Context, tenant, parentID string, number int, request api.CreateProgramRequest) (api.Program, error) {
+// the transaction that creates it. A sub-agent that exists already under the
+// same id is returned as it is.
+func (p *Programs) CreateChild(ctx context.Context, tenant, parentID, childID string, request api.CreateProgramRequest) (api.Program, error) {
 	class, refusal := p.classFor(request)
 	if refusal != nil {
 		return api.Program{}, refusal
 	}
+	number, err := program.ChildNumber(parentID, childID)
+	if err != nil {
+		return api.Program{}, api.Errorf(api.MalformedRequest, "%v", err)
+	}
 	parent, err := p.acquire(ctx, parentID)
 	if err != nil {
 		return api.Program{}, err
@@ -27,7 +32,7 @@
 	}
 	defer parent.unlock()
 	header, owned := parent.snapshot()
-	if childID := program.ChildID(parentID, number); slices.Contains(header.Children, childID) {
+	if slices.Contains(header.Children, childID) {
 		return p.Get(ctx, tenant, childID)
 	}
 	if !owned {
--- a/internal/ownership/lifecycle.go
+++ b/internal/ownership/lifecycle.go
@@ -16,6 +16,9 @@
 // Create makes a program without parent durable. A program that exists
 // already under the same id and tenant is returned as it is.
 func (p *Programs) Create(ctx context.Context, tenant, id string, request api.CreateProgramRequest) (api.Program, error) {
+	if p.leaving.Load() {
+		return api.Program{}, api.Errorf(api.OwnerMoving, "this node is stopping").After(movingRetryAfter)
+	}
 	class, refusal := p.classFor(request)
 	if refusal != nil {
 		return api.Program{}, refusal
@@ -27,12 +30,12 @@
 	}
 	if _, owned := e.snapshot(); owned || e.isGone() {
 		e.unlock()
-		return p.existing(ctx, tenant, id)
+		return p.Get(ctx, tenant, id)
 	}
 	err := p.write(ctx, e, header)
 	e.unlock()
 	if isConflict(err) {
-		return p.existing(ctx, tenant, id)
+		return p.Get(ctx, tenant, id)
 	}
 	if err != nil {
 		p.forget(e)
@@ -46,11 +49,6 @@
 	p.record(header, explain.Decision{Kind: explain.Created, Chosen: p.Node, Reason: "class " + header.Class})
 }
 
-// existing answers a repeated creation.
-func (p *Programs) existing(ctx context.Context, tenant, id string) (api.Program, error) {
-	return p.Get(ctx, tenant, id)
-}
-
 func (p *Programs) params(tenant, id string, request api.CreateProgramRequest, class *bundle.Class) program.Params {
 	deadline := time.Duration(class.DeadlineMillis) * time.Millisecond
 	if request.DeadlineMillis > 0 {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -49,6 +49,7 @@
 	count    atomic.Int64
 	flights  sync.WaitGroup
 	inFlight atomic.Int64
+	leaving  atomic.Bool
 	closing  context.Context
 	close    context.CancelFunc
 }
@@ -65,6 +66,9 @@
 // Error implements error.
 func (e *MovedError) Error() string { return "program is owned by " + e.Owner }
 
+// Leave ends claiming: what is not this node's yet stays with others.
+func (p *Programs) Leave() { p.leaving.Store(true) }
+
 // Count returns how many programs are held in memory.
 func (p *Programs) Count() int { return int(p.count.Load()) }
 
--- a/internal/program/ids.go
+++ b/internal/program/ids.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +26,16 @@
 	return fmt.Sprintf("%s.%d", parent, number)
 }
 
+// ChildNumber returns the number of a sub-agent under its parent.
+func ChildNumber(parent, child string) (int, error) {
+	suffix, ok := strings.CutPrefix(child, parent+".")
+	number, err := strconv.Atoi(suffix)
+	if !ok || err != nil || number < 1 {
+		return 0, errors.Newf("%q is no sub-agent of %q", child, parent)
+	}
+	return number, nil
+}
+
 // RootOf returns the id of the root of the program's tree: id itself for a
 // root. A malformed id is its own root.
 func RootOf(id string) string {
