--- a/internal/program/properties_test.go
+++ b/internal/program/properties_test.go
@@ -114,7 +114,7 @@
 	properties.Property("ids name their root and cell", prop.ForAll(
 		func(seed uint64, cell string, first, second uint16) bool {
 			root := RootID(cell, seed)
-			id := childID(childID(root, int(first)+1), int(second)+1)
+			id := ChildID(ChildID(root, int(first)+1), int(second)+1)
 			got, err := CellOf(id)
 			return err == nil && got == cell && RootOf(id) == root && PartitionOf(id) == PartitionOf(root) &&
 				CallKey(id, 9) < CallKey(id, 10) && HeaderKey(id) != HeaderKey(root)
--- a/internal/program/simulation_test.go
+++ b/internal/program/simulation_test.go
@@ -356,7 +356,7 @@
 func (w *world) newChild(s *session, choice uint32) {
 	params := Params{Owner: s.owner.name, OwnerStart: s.owner.start, Budget: api.Credits(choice % 1500), Now: testNow}
 	number := 1 + int(choice%50)
-	if _, exists := w.rows[HeaderKey(childID(s.header.ID, number))]; exists {
+	if _, exists := w.rows[HeaderKey(ChildID(s.header.ID, number))]; exists {
 		return
 	}
 	parent, child, err := NewChild(s.header, number, params, simulationLimits)
