--- /dev/null
+++ b/internal/ownership/cluster_test.go
@@ -0,0 +1,177 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/platform"
+	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+)
+
+// testCluster is a cell of owners over one table stand-in. An owner that is
+// replaced keeps running, like a paused process that thaws: the others count
+// it as dead.
+type testCluster struct {
+	table    *standin.Platform
+	snapshot *bundle.Snapshot
+	executor *testExecutor
+
+	mutex   sync.Mutex
+	current map[string]*Programs
+	all     []*Programs
+	stores  []*platform.GroupStore
+	starts  uint64
+}
+
+func newTestCluster(t *testing.T, seed uint64, nodes ...string) *testCluster {
+	t.Helper()
+	source, err := os.ReadFile("../../examples/dev-bundle.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	snapshot, err := bundle.Compile(bundle.Signed{Source: source})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &testCluster{
+		table:    standin.New(standin.Options{}),
+		snapshot: snapshot,
+		executor: newTestExecutor(seed),
+		current:  make(map[string]*Programs),
+	}
+	for _, name := range nodes {
+		c.replace(name)
+	}
+	t.Cleanup(c.close)
+	return c
+}
+
+// replace starts a new run of a node; the former one goes on unseen.
+func (c *testCluster) replace(name string) *Programs {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.starts++
+	store := platform.NewStore(c.table, c.table, platform.StoreOptions{Node: fmt.Sprintf("%s-%d", name, c.starts)})
+	fresh := New(Dependencies{
+		Node:        name,
+		Incarnation: c.starts,
+		Store:       store,
+		Executor:    c.executor,
+		Peers:       c,
+		InForce:     func() *bundle.Snapshot { return c.snapshot },
+		Recorder:    explain.NewLog(name, 64),
+		Logger:      slog.New(slog.DiscardHandler),
+	})
+	c.current[name] = fresh
+	c.all = append(c.all, fresh)
+	c.stores = append(c.stores, store)
+	return fresh
+}
+
+func (c *testCluster) close() {
+	for _, programs := range c.all {
+		programs.Close()
+	}
+	for _, programs := range c.all {
+		_ = programs.WaitIdle(context.Background())
+	}
+	for _, store := range c.stores {
+		store.Close()
+	}
+}
+
+// node returns the present run of a node.
+func (c *testCluster) node(name string) *Programs {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.current[name]
+}
+
+// Alive implements Peers.
+func (c *testCluster) Alive(node string, incarnation uint64) bool {
+	present := c.node(node)
+	return present != nil && present.Incarnation == incarnation
+}
+
+// AskRelease implements Peers.
+func (c *testCluster) AskRelease(ctx context.Context, node, program string, epoch uint64) (bool, error) {
+	return c.node(node).Release(ctx, program, epoch), nil
+}
+
+// testExecutor answers at once and remembers what it ran.
+type testExecutor struct {
+	mutex      sync.Mutex
+	random     *rand.Rand
+	executions map[string]int      // by idempotency key
+	prompts    map[string][]string // by idempotency key: the contents sent
+	hang       chan struct{}       // if set, tool calls wait for it
+	entered    chan string         // if set, gets the key of each tool call
+}
+
+func newTestExecutor(seed uint64) *testExecutor {
+	return &testExecutor{
+		random:     rand.New(rand.NewPCG(seed, seed)),
+		executions: make(map[string]int),
+		prompts:    make(map[string][]string),
+	}
+}
+
+// Execute implements Executor.
+func (x *testExecutor) Execute(ctx context.Context, work Work, onText func(offset int64, text string)) Outcome {
+	x.mutex.Lock()
+	x.executions[work.Key]++
+	hang, entered := x.hang, x.entered
+	var prompt []string
+	for _, message := range work.Messages {
+		prompt = append(prompt, message.Content)
+	}
+	x.prompts[work.Key] = prompt
+	x.mutex.Unlock()
+	if work.Request.Kind == api.KindTool {
+		if entered != nil {
+			entered <- work.Key
+		}
+		if hang != nil {
+			select {
+			case <-hang:
+			case <-ctx.Done():
+				return Outcome{Code: api.OutcomeUnknown, Detail: "cut off"}
+			}
+		}
+		return Outcome{Code: api.OK, Result: json.RawMessage(`{"ran":"` + work.Key + `"}`), Backend: "tool"}
+	}
+	text := "answer to " + work.Key
+	onText(0, text)
+	bytes := len(backend.RenderPrompt(work.Messages))
+	return Outcome{
+		Code:    api.OK,
+		Text:    text,
+		Usage:   api.Usage{PromptTokens: backend.EstimateTokens(bytes), CompletionTokens: backend.EstimateTokens(len(text))},
+		Engine:  "engine-1",
+		Backend: "engine-1",
+	}
+}
+
+// Lookup implements Executor: this tool can't tell.
+func (x *testExecutor) Lookup(context.Context, string, string) (Outcome, bool) {
+	return Outcome{}, false
+}
+
+// Release implements Executor.
+func (x *testExecutor) Release(context.Context, string, string) error { return nil }
+
+func (x *testExecutor) ran(key string) int {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.executions[key]
+}
