membership: first version, with a simulated network

Pure core with Tick and Step, immutable views, rendezvous table. Heartbeats carry zone, address and cell only until the receiver has them, and addresses of other members only while the digests of the live sets differ.

--- /dev/null
+++ b/internal/membership/member.go
@@ -0,0 +1,109 @@
+package membership
+
+import "time"
+
+// Defaults for unset fields of Config.
+const (
+	DefaultHeartbeatEvery = time.Second
+	DefaultSuspectAfter   = 3 * time.Second
+	DefaultDeadAfter      = 5 * time.Second
+)
+
+const (
+	// forgetAfter is how long a dead member is still probed.
+	forgetAfter = 5 * time.Minute
+	// probeEveryBeats is the number of heartbeat rounds between two probes
+	// of a dead member.
+	probeEveryBeats = 5
+	// addressesEveryBeats is the number of heartbeat rounds after which
+	// addresses are sent again to a member whose digest still differs.
+	addressesEveryBeats = 5
+	// candidateBeats is the number of heartbeat rounds for which an address
+	// learned from others is tried.
+	candidateBeats = 10
+)
+
+// State says what this node believes of a member.
+type State int
+
+// States of a member. Alive, Suspect and Leaving members may be serving.
+const (
+	Alive State = iota
+	Suspect
+	// Leaving: it, or the machine list, announced that it stops. It gets
+	// no new programs.
+	Leaving
+	Dead
+)
+
+// String returns the name of the state in lower case.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
+
+// Member is one start of one node, as this node sees it.
+type Member struct {
+	Name, Zone, Address, Cell string
+	// Incarnation is higher for a later start of the same name. Unix
+	// milliseconds of the start serve well and stay small on the wire.
+	Incarnation   uint64
+	State         State
+	BundleVersion uint64
+	Programs      int
+	// Ready: the member says that it takes programs.
+	Ready bool
+	// Returning: it was dead, is heard again, and owns no partitions until
+	// it has been heard for a while.
+	Returning bool
+	// LastHeard is when the last heartbeat arrived; for the node itself,
+	// when the view was made.
+	LastHeard time.Time
+}
+
+// routable tells whether the member may own partitions.
+func (m Member) routable() bool {
+	return (m.State == Alive || m.State == Suspect) && m.Ready && !m.Returning
+}
+
+// sameSubstance tells whether nothing differs but counters and times.
+func (m Member) sameSubstance(other Member) bool {
+	m.Programs, other.Programs = 0, 0
+	m.LastHeard, other.LastHeard = time.Time{}, time.Time{}
+	return m == other
+}
+
+// Config describes this node and its intervals.
+type Config struct {
+	// Self gives name, zone, address, cell and incarnation.
+	Self Member
+	// Intervals; 0 means the default.
+	HeartbeatEvery, SuspectAfter, DeadAfter time.Duration
+	// Seeds are addresses of members to start from, written as the members
+	// themselves announce them. This node's own address may be among them.
+	Seeds []string
+}
+
+// withDefaults returns the configuration with unset intervals filled in.
+func (c Config) withDefaults() Config {
+	if c.HeartbeatEvery == 0 {
+		c.HeartbeatEvery = DefaultHeartbeatEvery
+	}
+	if c.SuspectAfter == 0 {
+		c.SuspectAfter = DefaultSuspectAfter
+	}
+	if c.DeadAfter == 0 {
+		c.DeadAfter = DefaultDeadAfter
+	}
+	return c
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,259 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// maxSteadyHeartbeat is the most that a heartbeat between members that know
+// each other may take, framed, in bytes.
+const maxSteadyHeartbeat = 60
+
+func newProperties(seed int64, runs int) *gopter.Properties {
+	parameters := gopter.DefaultTestParametersWithSeed(seed)
+	parameters.MinSuccessfulTests = runs
+	return gopter.NewProperties(parameters)
+}
+
+func reason(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+// TestViewsConverge disturbs a cell for a while, ends the faults, and compares
+// all views.
+func TestViewsConverge(t *testing.T) {
+	properties := newProperties(1, 150)
+	properties.Property("after faults end, all views are the same and right", prop.ForAll(
+		func(seed uint64, size, faults int) string {
+			s := newSimulation(seed, size)
+			for range faults {
+				if err := s.run(time.Duration(s.random.Int64N(int64(4 * time.Second)))); err != nil {
+					return err.Error()
+				}
+				s.disturb()
+			}
+			s.heal()
+			if err := s.run(settleTime); err != nil {
+				return err.Error()
+			}
+			return reason(s.converged())
+		}, gen.UInt64(), gen.IntRange(1, 9), gen.IntRange(0, 40)))
+	properties.Property("a new cell converges within three rounds", prop.ForAll(
+		func(seed uint64, size int) string {
+			s := newSimulation(seed, size)
+			if err := s.run(3 * DefaultHeartbeatEvery); err != nil {
+				return err.Error()
+			}
+			return reason(s.converged())
+		}, gen.UInt64(), gen.IntRange(1, 16)))
+	properties.TestingRun(t)
+}
+
+// TestMinimalMovement checks that the end of a member moves only what it owned.
+func TestMinimalMovement(t *testing.T) {
+	properties := newProperties(2, 200)
+	properties.Property("only the partitions of the member that ended move", prop.ForAll(
+		func(size, ended, firstName int) bool {
+			members := make([]Member, size)
+			for index := range members {
+				members[index] = Member{Name: fmt.Sprintf("c1-n%04d", firstName+index), Ready: true}
+			}
+			before := newView(members, nil)
+			changed := append([]Member(nil), members...)
+			changed[ended%size].State = Dead
+			after := newView(changed, before)
+			for partition := range Partitions {
+				was, _ := before.Owner(partition)
+				is, found := after.Owner(partition)
+				if found != (size > 1) {
+					return false
+				}
+				if was.Name != changed[ended%size].Name && is.Name != was.Name {
+					return false
+				}
+			}
+			return true
+		}, gen.IntRange(1, 16), gen.IntRange(0, 15), gen.IntRange(0, 5000)))
+	properties.TestingRun(t)
+}
+
+// newPair returns a core that knows one other member, heard at the given time.
+func newPair(now time.Time) (*Core, *wirepb.Heartbeat) {
+	core := New(Config{Self: Member{Name: "a", Address: "a:1", Cell: testCell, Incarnation: 1}}, now)
+	core.SetSelf(1, 0, true, false)
+	heartbeat := &wirepb.Heartbeat{
+		Node: "b", Zone: "z", Address: "b:1", Cell: testCell, Incarnation: 10, Sequence: 1, Ready: true,
+	}
+	core.Tick(now)
+	core.Step(heartbeat, now)
+	return core, heartbeat
+}
+
+// nextHeartbeat returns a later heartbeat of the same start.
+func nextHeartbeat(last *wirepb.Heartbeat) *wirepb.Heartbeat {
+	next := proto.CloneOf(last)
+	next.Sequence++
+	return next
+}
+
+// tickTo calls Tick in small steps.
+func tickTo(core *Core, from, to time.Time) {
+	for now := from; !now.After(to); now = now.Add(simulatedStep) {
+		core.Tick(now)
+	}
+}
+
+func expectState(t *testing.T, core *Core, state State, owns, returning bool) {
+	t.Helper()
+	member, _ := core.View().Member("b")
+	owned := false
+	for partition := range Partitions {
+		owner, _ := core.View().Owner(partition)
+		owned = owned || owner.Name == "b"
+	}
+	if member.State != state || owned != owns || member.Returning != returning {
+		t.Fatalf("state %v, owns %v, returning %v; want %v, %v, %v",
+			member.State, owned, member.Returning, state, owns, returning)
+	}
+}
+
+// TestSilenceAndReturn follows one member through suspicion, death and return.
+func TestSilenceAndReturn(t *testing.T) {
+	start := time.UnixMilli(1_790_000_000_000)
+	core, heartbeat := newPair(start)
+	expectState(t, core, Alive, true, false)
+	tickTo(core, start, start.Add(DefaultSuspectAfter-simulatedStep))
+	expectState(t, core, Alive, true, false)
+	tickTo(core, start.Add(DefaultSuspectAfter), start.Add(DefaultDeadAfter-simulatedStep))
+	expectState(t, core, Suspect, true, false)
+	if !core.View().Alive("b", 10) {
+		t.Fatal("a suspect may still be serving")
+	}
+	tickTo(core, start.Add(DefaultDeadAfter), start.Add(DefaultDeadAfter))
+	expectState(t, core, Dead, false, false)
+
+	heard := start.Add(DefaultDeadAfter)
+	for elapsed := time.Duration(0); elapsed < DefaultDeadAfter; elapsed += DefaultHeartbeatEvery {
+		heartbeat = nextHeartbeat(heartbeat)
+		core.Step(heartbeat, heard.Add(elapsed))
+		tickTo(core, heard.Add(elapsed), heard.Add(elapsed+DefaultHeartbeatEvery-simulatedStep))
+		expectState(t, core, Alive, false, true)
+	}
+	tickTo(core, heard.Add(DefaultDeadAfter), heard.Add(DefaultDeadAfter))
+	expectState(t, core, Alive, true, false)
+}
+
+// TestIncarnations checks restarts, stale heartbeats and leaving.
+func TestIncarnations(t *testing.T) {
+	now := time.UnixMilli(1_790_000_000_000)
+	core, heartbeat := newPair(now)
+	restarted := nextHeartbeat(heartbeat)
+	restarted.Incarnation, restarted.Sequence = 11, 1
+	output := core.Step(restarted, now)
+	if len(output.Changes) != 2 || output.Changes[0].State != Dead || output.Changes[1].Incarnation != 11 {
+		t.Fatalf("changes %+v", output.Changes)
+	}
+	core.Step(nextHeartbeat(heartbeat), now)
+	if view := core.View(); view.Alive("b", 10) || !view.Alive("b", 11) {
+		t.Fatal("the older incarnation must be dead, the newer alive")
+	}
+	core.MachineLeaving("b", true)
+	core.Tick(now)
+	expectState(t, core, Leaving, false, false)
+	if !core.View().Alive("b", 11) {
+		t.Fatal("a leaving member still serves")
+	}
+	core.MachineLeaving("b", false)
+	core.Tick(now)
+	expectState(t, core, Alive, true, false)
+	foreign := nextHeartbeat(heartbeat)
+	foreign.Node, foreign.Cell = "c", "c2"
+	core.Step(foreign, now)
+	if _, found := core.View().Member("c"); found {
+		t.Fatal("a member of another cell entered the view")
+	}
+}
+
+// TestOwnPauseIsNotSilence freezes this node for longer than DeadAfter.
+func TestOwnPauseIsNotSilence(t *testing.T) {
+	start := time.UnixMilli(1_790_000_000_000)
+	core, _ := newPair(start)
+	tickTo(core, start, start.Add(time.Second))
+	resumed := start.Add(time.Minute)
+	core.Tick(resumed)
+	expectState(t, core, Alive, true, false)
+	tickTo(core, resumed, resumed.Add(DefaultDeadAfter))
+	expectState(t, core, Dead, false, false)
+}
+
+// steadyTraffic returns a cell that has settled, after one more minute of
+// which alone the traffic is counted.
+func steadyTraffic(tb testing.TB, size int) *simulation {
+	tb.Helper()
+	s := newSimulation(1, size)
+	if err := s.run(settleTime); err != nil {
+		tb.Fatal(err)
+	}
+	s.sent, s.sentBytes, s.largest = 0, 0, 0
+	if err := s.run(time.Minute); err != nil {
+		tb.Fatal(err)
+	}
+	return s
+}
+
+// TestHeartbeatSize bounds a heartbeat in a settled cell and logs the traffic.
+func TestHeartbeatSize(t *testing.T) {
+	for _, size := range []int{3, 8, 16} {
+		s := steadyTraffic(t, size)
+		perNode := float64(s.sentBytes) / float64(size) / time.Minute.Seconds()
+		t.Logf("%d members: largest heartbeat %d bytes framed, %.1f messages/s and %.0f bytes/s sent per node",
+			size, s.largest, float64(s.sent)/float64(size)/time.Minute.Seconds(), perNode)
+		if s.largest > maxSteadyHeartbeat {
+			t.Errorf("%d members: heartbeat of %d bytes", size, s.largest)
+		}
+	}
+}
+
+func BenchmarkOwner(b *testing.B) {
+	s := steadyTraffic(b, 16)
+	view := s.nodes[0].core.View()
+	b.ReportAllocs()
+	partition := 0
+	for b.Loop() {
+		if _, found := view.Owner(partition % Partitions); !found {
+			b.Fatal("no owner")
+		}
+		partition++
+	}
+}
+
+// BenchmarkRound is the processor time of one node's heartbeat round in a cell
+// of 16: one Tick, and one Step per other member.
+func BenchmarkRound(b *testing.B) {
+	s := steadyTraffic(b, 16)
+	receiver := s.nodes[0].core
+	heartbeats := make([]*wirepb.Heartbeat, 0, len(s.nodes)-1)
+	for _, node := range s.nodes[1:] {
+		heartbeats = append(heartbeats, node.core.messageTo(node.core.records[s.nodes[0].name]).Heartbeat)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.now = s.now.Add(DefaultHeartbeatEvery)
+		for _, heartbeat := range heartbeats {
+			heartbeat.Sequence++
+			receiver.Step(heartbeat, s.now)
+		}
+		receiver.Tick(s.now)
+	}
+}
