node: fetch a newer bundle from the sender's known address

Cause: a heartbeat names its address only until its receiver knows it, so the fetch dialled an empty one.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -82,7 +82,9 @@
 	output := m.core.Step(heartbeat, time.Now())
 	m.mutex.Unlock()
 	m.apply(ctx, output)
-	m.node.noticeBundle(heartbeat.GetBundleVersion(), heartbeat.GetAddress())
+	if sender, ok := m.View().Member(heartbeat.GetNode()); ok {
+		m.node.noticeBundle(heartbeat.GetBundleVersion(), sender.Address)
+	}
 }
 
 func (m *members) apply(ctx context.Context, output membership.Output) {
