--- a/internal/program/ids.go
+++ b/internal/program/ids.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,11 +21,21 @@
 	return fmt.Sprintf("%s-%016x", cell, seed)
 }
 
-// childID returns the id of a program's numbered sub-agent.
-func childID(parent string, number int) string {
+// ChildID returns the id of a program's numbered sub-agent.
+func ChildID(parent string, number int) string {
 	return fmt.Sprintf("%s.%d", parent, number)
 }
 
+// ChildNumber returns the number of a sub-agent under its parent.
+func ChildNumber(parent, child string) (int, error) {
+	suffix, ok := strings.CutPrefix(child, parent+".")
+	number, err := strconv.Atoi(suffix)
+	if !ok || err != nil || number < 1 {
+		return 0, errors.Newf("%q is no sub-agent of %q", child, parent)
+	}
+	return number, nil
+}
+
 // RootOf returns the id of the root of the program's tree: id itself for a
 // root. A malformed id is its own root.
 func RootOf(id string) string {
@@ -105,3 +116,10 @@
 }
 
 func isDecimal(digit byte) bool { return digit >= '0' && digit <= '9' }
+
+// HeaderRange returns the keys between which the headers of one cell's
+// programs in one partition lie: start inclusive, end exclusive.
+func HeaderRange(cell string, partition int) (start, end string) {
+	prefix := fmt.Sprintf("program/%04d/%s", partition, cell)
+	return prefix + "-", prefix + "."
+}
