--- a/internal/bundle/canonical.go
+++ b/internal/bundle/canonical.go
@@ -57,10 +57,33 @@
 	if err != nil {
 		return ""
 	}
+	return digestOfSource(source)
+}
+
+// digestOfSource returns the digest of canonical JSON.
+func digestOfSource(source []byte) string {
 	sum := sha256.Sum256(source)
 	return hex.EncodeToString(sum[:])
 }
 
+// header returns the bundle without its named lists.
+func (b *Bundle) header() *Bundle { return withListsOf(b, &Bundle{}) }
+
+// withListsOf returns a copy of header with the named lists of lists.
+func withListsOf(header, lists *Bundle) *Bundle {
+	combined := *header
+	combined.Operators = lists.Operators
+	combined.Reviewers = lists.Reviewers
+	combined.Zones = lists.Zones
+	combined.Cells = lists.Cells
+	combined.Tenants = lists.Tenants
+	combined.Classes = lists.Classes
+	combined.Models = lists.Models
+	combined.Tools = lists.Tools
+	combined.Engines = lists.Engines
+	return &combined
+}
+
 func sortedByName[T any](items []T, name func(*T) string) []T {
 	if len(items) == 0 {
 		return nil
--- a/internal/bundle/check_test.go
+++ b/internal/bundle/check_test.go
@@ -41,7 +41,6 @@
 		{"scheduling.retry_budget", "from 0 to 1", func(b *Bundle) { b.Scheduling.RetryBudget = 2 }},
 		{"limits.hold_millis", "from 0", func(b *Bundle) { b.Limits.HoldMillis = -1 }},
 	}
-	everything := devBundle(t)
 	for _, c := range cases {
 		t.Run(c.path, func(t *testing.T) {
 			spoiled := devBundle(t)
@@ -51,6 +50,7 @@
 			}
 		})
 	}
+	everything := devBundle(t)
 	everything.Engines[2].Zone = "zone-d"
 	everything.Limits.HoldMillis = -1
 	everything.Tenants[0].Models = []string{"huge"}
--- a/internal/bundle/keeper.go
+++ b/internal/bundle/keeper.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"sync"
@@ -30,6 +31,7 @@
 
 	inForce atomic.Pointer[Snapshot]
 	applyMu sync.Mutex // serialises replacing inForce and calling onApply
+	history history
 }
 
 // NewKeeper returns a keeper with no bundle in force. onApply, if not nil, is
@@ -63,11 +65,14 @@
 // versions were skipped or another bundle bears the same version, the table
 // decides. Errors: the refusal, or that of Load.
 func (k *Keeper) Offer(signed Signed) error {
+	inForce := k.InForce()
+	if inForce != nil && bytes.Equal(signed.Source, inForce.Signed.Source) {
+		return nil
+	}
 	offered, err := Compile(signed)
 	if err != nil {
 		return err
 	}
-	inForce := k.InForce()
 	switch {
 	case offered.Version() < inForce.Version():
 		return nil
@@ -129,6 +134,7 @@
 		return
 	}
 	k.inForce.Store(next)
+	k.history.add(next)
 	if k.onApply != nil {
 		k.onApply(next)
 	}
--- a/internal/bundle/testing_test.go
+++ b/internal/bundle/testing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -115,9 +116,18 @@
 	if err := json.Unmarshal(rowValue, &signed); err != nil {
 		panic(err)
 	}
+	return mustCompile(signed)
+}
+
+func mustCompile(signed Signed) *Snapshot {
 	snapshot, err := Compile(signed)
 	if err != nil {
 		panic(err)
 	}
 	return snapshot
 }
+
+func publicKeyText(reviewer string) string {
+	public := reviewerKey(reviewer).Public().(ed25519.PublicKey)
+	return base64.StdEncoding.EncodeToString(public)
+}
