Group store: scripted tests of settlement, throttling and outages

Cause: the random runs do not meet every order of late applies and foreign writes. Ruled out (trials on a scratch copy, each one change): settling by the written row alone, answering a lost reply as unavailable, retrying it without recording the attempt, requeueing or refusing while an attempt is open, answering a conflict while an attempt is open: each fails TestEveryAnswerIsTrue. Forgetting members of an earlier attempt fails only TestConflictAfterLostReply; a group without the lane condition does not end.

--- a/internal/platform/group.go
+++ b/internal/platform/group.go
@@ -209,6 +209,7 @@
 	if !submitted.taken {
 		s.queue.take(submitted)
 		s.schedule()
+		submitted.throttled = submitted.throttled || s.throttleRetries > 0
 		return Receipt{}, errors.Wrap(submitted.refusal(), ctx.Err().Error())
 	}
 	select {
--- a/internal/platform/group_property_test.go
+++ b/internal/platform/group_property_test.go
@@ -136,7 +136,7 @@
 			revision += 1000000
 		}
 		transaction.Conditions = append(transaction.Conditions, platform.Condition{Key: key, Revision: revision})
-		write := platform.Write{Key: key, Value: []byte(token), Delete: random.IntN(4) == 0}
+		write := platform.Write{Key: key, Value: []byte(token), Delete: random.IntN(3) == 0}
 		transaction.Writes = append(transaction.Writes, write)
 	}
 	return transaction
@@ -229,7 +229,7 @@
 // refusal means never applied; unknown comes only after the context ended.
 func TestEveryAnswerIsTrue(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(propertySeed)
-	parameters.MinSuccessfulTests = 150
+	parameters.MinSuccessfulTests = 300
 	properties := gopter.NewProperties(parameters)
 	property := func(seed uint64, clients, keys int) (string, error) {
 		var fault error
--- /dev/null
+++ b/internal/platform/group_test.go
@@ -0,0 +1,285 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/platform"
+	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+)
+
+// scriptedTable passes on to a stand-in, but hands each commit to the next
+// step of a script while there is one. It is for one lane at a time.
+type scriptedTable struct {
+	*standin.Platform
+	steps []func(platform.Transaction) (platform.Receipt, error)
+}
+
+func (s *scriptedTable) Commit(ctx context.Context, transaction platform.Transaction) (platform.Receipt, error) {
+	if len(s.steps) == 0 {
+		return s.Platform.Commit(ctx, transaction)
+	}
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	return step(transaction)
+}
+
+// pass sends the transaction on after a preparation.
+func (s *scriptedTable) pass(prepare func()) func(platform.Transaction) (platform.Receipt, error) {
+	return func(transaction platform.Transaction) (platform.Receipt, error) {
+		prepare()
+		return s.Platform.Commit(context.Background(), transaction)
+	}
+}
+
+// put writes a row on behalf of another writer, whatever its revision.
+func put(t *testing.T, table platform.Table, write platform.Write) {
+	t.Helper()
+	transaction := platform.Transaction{WriteID: "other", Writes: []platform.Write{write}}
+	if _, err := table.Commit(context.Background(), transaction); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// create makes a row that must be absent.
+func create(key string) platform.Transaction {
+	return platform.Transaction{
+		Conditions: []platform.Condition{{Key: key}},
+		Writes:     []platform.Write{{Key: key, Value: []byte("mine")}},
+	}
+}
+
+// TestConflictAfterLostReply: the reply to a create is lost, another writer
+// creates and then deletes the row, so that the lost one could still apply
+// after its second sending has met a conflict. The answer must be the truth.
+func TestConflictAfterLostReply(t *testing.T) {
+	for _, applies := range []bool{true, false} {
+		t.Run(fmt.Sprintf("late apply %t", applies), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := &scriptedTable{Platform: standin.New(standin.Options{})}
+				var lost platform.Transaction
+				lose := func(transaction platform.Transaction) (platform.Receipt, error) {
+					lost = transaction
+					return platform.Receipt{}, platform.ErrUnknownOutcome
+				}
+				otherCreates := func() { put(t, table.Platform, platform.Write{Key: "row"}) }
+				otherDeletes := func() {
+					put(t, table.Platform, platform.Write{Key: "row", Delete: true})
+					if applies {
+						_, _ = table.Platform.Commit(context.Background(), lost)
+					}
+				}
+				table.steps = append(table.steps, lose, table.pass(otherCreates), table.pass(otherDeletes))
+				store := platform.NewStore(table, table, platform.StoreOptions{})
+				defer store.Close()
+				_, err := store.Commit(t.Context(), create("row"))
+				if !applies {
+					_, _ = table.Platform.Commit(context.Background(), lost) // too late
+				}
+				row, _ := table.Get(context.Background(), "row")
+				if applied := row.Revision != 0; applied != applies || applied != (err == nil) {
+					t.Errorf("answer %v, row %+v", err, row)
+				}
+			})
+		})
+	}
+}
+
+// TestRejectedAfterLostReply: a group whose reply was lost and which is then
+// rejected must not hold its lane for ever, nor be applied later.
+func TestRejectedAfterLostReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &scriptedTable{Platform: standin.New(standin.Options{})}
+		var lost platform.Transaction
+		lose := func(transaction platform.Transaction) (platform.Receipt, error) {
+			lost = transaction
+			return platform.Receipt{}, platform.ErrUnknownOutcome
+		}
+		reject := func(platform.Transaction) (platform.Receipt, error) {
+			return platform.Receipt{}, platform.ErrRejected
+		}
+		table.steps = append(table.steps, lose, reject)
+		store := platform.NewStore(table, table, platform.StoreOptions{})
+		defer store.Close()
+		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrRejected) {
+			t.Errorf("answered %v", err)
+		}
+		if _, err := table.Platform.Commit(t.Context(), lost); err == nil {
+			t.Error("the lost transaction could still apply")
+		}
+	})
+}
+
+// TestInvalidTransactions are refused before they are sent.
+func TestInvalidTransactions(t *testing.T) {
+	table := standin.New(standin.Options{})
+	store := platform.NewStore(table, table, platform.StoreOptions{})
+	defer store.Close()
+	twice := create("row")
+	twice.Writes = append(twice.Writes, twice.Writes[0])
+	otherKey := create("row")
+	otherKey.Conditions[0].Key = "other"
+	for _, transaction := range []platform.Transaction{{}, twice, otherKey} {
+		if _, err := store.Commit(t.Context(), transaction); !errors.Is(err, platform.ErrInvalidTransaction) {
+			t.Errorf("%+v answered %v", transaction, err)
+		}
+	}
+}
+
+// commitAll submits creates of different rows at once and returns the errors.
+func commitAll(ctx context.Context, store platform.Store, count int) []error {
+	failures := make([]error, count)
+	var submitters sync.WaitGroup
+	for i := range count {
+		submitters.Go(func() { _, failures[i] = store.Commit(ctx, create(fmt.Sprintf("row/%d", i))) })
+	}
+	submitters.Wait()
+	return failures
+}
+
+// TestGrouping: what is submitted while a group is in flight shares the next
+// transactions, none larger than MaxGroup.
+func TestGrouping(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.New(standin.Options{HistoryLimit: 1000})
+		table.SetFaults(standin.Faults{SlowMillis: 20})
+		store := platform.NewStore(table, table, platform.StoreOptions{MaxGroup: 40})
+		for i, err := range commitAll(t.Context(), store, 200) {
+			if err != nil {
+				t.Errorf("row %d: %v", i, err)
+			}
+		}
+		if stats := store.Stats(); stats.Groups > 7 || stats.Rows != 200 {
+			t.Errorf("stats %+v", stats)
+		}
+		store.Close()
+		for _, committed := range table.History() {
+			if rows := len(committed.Transaction.Writes); rows > 40+1 {
+				t.Errorf("%d rows in one transaction", rows)
+			}
+		}
+		if rows := table.Stats().RowsStored; rows != 200 {
+			t.Errorf("%d rows left, want 200 without lane rows", rows)
+		}
+	})
+}
+
+// TestOutage: while the service is down submissions are refused, soon without
+// asking it; once it is back they go through.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.New(standin.Options{})
+		table.SetFaults(standin.Faults{Down: true})
+		store := platform.NewStore(table, table, platform.StoreOptions{})
+		defer store.Close()
+		for range 20 {
+			for _, err := range commitAll(t.Context(), store, 50) {
+				if !errors.Is(err, platform.ErrUnavailable) {
+					t.Errorf("answered %v", err)
+				}
+			}
+		}
+		if sent := store.Stats().Transactions; store.Healthy() || store.RetryAfter() <= 0 || sent > 10 {
+			t.Errorf("healthy %t, retry after %v, %d sent", store.Healthy(), store.RetryAfter(), sent)
+		}
+		table.SetFaults(standin.Faults{})
+		time.Sleep(10 * time.Second) // virtual
+		if _, err := store.Commit(t.Context(), create("row")); err != nil || !store.Healthy() {
+			t.Errorf("answered %v, healthy %t", err, store.Healthy())
+		}
+	})
+}
+
+// TestThrottling: groups grow until the rate is kept; who can't wait so long
+// is answered ErrThrottled and not applied.
+func TestThrottling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.New(standin.Options{})
+		table.SetFaults(standin.Faults{TransactionsPerSecond: 1e-6})
+		store := platform.NewStore(table, table, platform.StoreOptions{MaxGroup: 10})
+		defer store.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		committed, throttled := 0, 0
+		for _, err := range commitAll(ctx, store, 300) {
+			switch {
+			case err == nil:
+				committed++
+			case errors.Is(err, platform.ErrThrottled):
+				throttled++
+			default:
+				t.Errorf("answered %v", err)
+			}
+		}
+		if stored := table.Stats().RowsStored; throttled == 0 || committed+throttled != 300 || stored < committed {
+			t.Errorf("%d committed, %d throttled, %d rows stored", committed, throttled, stored)
+		}
+	})
+}
+
+// TestForeignLaneWrite: if another writer changes the lane's row, a lost
+// reply can't be settled, and the answer says so.
+func TestForeignLaneWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &scriptedTable{Platform: standin.New(standin.Options{})}
+		table.steps = append(table.steps, func(transaction platform.Transaction) (platform.Receipt, error) {
+			put(t, table.Platform, platform.Write{Key: transaction.Conditions[0].Key})
+			return platform.Receipt{}, platform.ErrUnknownOutcome
+		})
+		store := platform.NewStore(table, table, platform.StoreOptions{})
+		defer store.Close()
+		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrUnknownOutcome) {
+			t.Errorf("answered %v", err)
+		}
+		if _, err := store.Commit(t.Context(), create("row")); err != nil {
+			t.Errorf("the lane is not usable any more: %v", err)
+		}
+	})
+}
+
+// TestCloseDuringSettlement: closing ends a settlement that gets no answer.
+func TestCloseDuringSettlement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &scriptedTable{Platform: standin.New(standin.Options{})}
+		table.steps = append(table.steps, func(platform.Transaction) (platform.Receipt, error) {
+			table.SetFaults(standin.Faults{Down: true})
+			return platform.Receipt{}, platform.ErrUnknownOutcome
+		})
+		store := platform.NewStore(table, table, platform.StoreOptions{})
+		time.AfterFunc(time.Second, store.Close)
+		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrUnknownOutcome) {
+			t.Errorf("answered %v", err)
+		}
+		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("answered %v after Close", err)
+		}
+		store.Close()
+	})
+}
+
+// TestObjects: contents come back by digest, and a changed one is noticed.
+func TestObjects(t *testing.T) {
+	table := standin.New(standin.Options{})
+	store := platform.NewStore(table, table, platform.StoreOptions{})
+	defer store.Close()
+	digest, err := store.PutObject(t.Context(), []byte("content"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if content, err := store.GetObject(t.Context(), digest); err != nil || string(content) != "content" {
+		t.Errorf("got %q, %v", content, err)
+	}
+	table.CorruptObject(digest, []byte("changed"))
+	if _, err := store.GetObject(t.Context(), digest); !errors.Is(err, platform.ErrCorrupt) {
+		t.Errorf("a changed object answered %v", err)
+	}
+	if _, err := store.GetObject(t.Context(), "none"); !errors.Is(err, platform.ErrNotFound) {
+		t.Errorf("a missing object answered %v", err)
+	}
+}
