ownership, dispatch: bounded waits for the table, bounded memory, cheap hold checks

Change: 3 s of patience, then a truthful answer with when to come back; an abandoned call without intent keeps the standing reservation; a program seen live is asked about once a minute; histories in memory are bounded.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -29,6 +29,8 @@
 	index   *backend.Index
 	members atomic.Pointer[map[string]*engineMember]
 
+	holds holdCheck
+
 	mutex   sync.Mutex // serialises apply and close, and guards leaving
 	leaving map[string]time.Time
 	listed  map[string]bool // the machine list says that it leaves
@@ -46,6 +48,7 @@
 	f := &Fleet{
 		options: options,
 		index:   backend.NewIndex(maxIndexBlocks),
+		holds:   holdCheck{liveAt: make(map[string]time.Time)},
 		leaving: make(map[string]time.Time),
 		listed:  make(map[string]bool),
 	}
@@ -193,28 +196,3 @@
 	}
 	return false
 }
-
-// ReleaseOrphans frees what engines hold for programs that are not live.
-// Live tells whether a program is open; on its error nothing is freed.
-func (f *Fleet) ReleaseOrphans(ctx context.Context, engines func(name string) bool, live func(ctx context.Context, program string) (bool, error)) {
-	for name, member := range *f.members.Load() {
-		if !engines(name) {
-			continue
-		}
-		holds, err := member.client.Holds(ctx)
-		if err != nil {
-			continue
-		}
-		for _, program := range holds {
-			open, err := live(ctx, program)
-			if err != nil || open {
-				continue
-			}
-			if err := member.client.Release(ctx, program); err != nil {
-				f.options.Logger.Warn("engine memory of an ended program is not released", "engine", name, "program", program, "error", err.Error())
-				continue
-			}
-			f.options.Logger.Info("released engine memory of an ended program", "engine", name, "program", program)
-		}
-	}
-}
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -30,7 +30,9 @@
 		if err := e.lock(ctx); err != nil {
 			return nil, api.Errorf(api.OwnerMoving, "waited in vain for the program").After(movingRetryAfter)
 		}
-		err := p.loadLocked(ctx, e)
+		limited, cancel := context.WithTimeout(ctx, storePatience)
+		err := p.loadLocked(limited, e)
+		cancel()
 		e.unlock()
 		if err == nil {
 			return e, nil
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -222,11 +222,15 @@
 	}
 	defer e.unlock()
 	header, owned := e.snapshot()
-	if !owned || header.Status != api.ProgramClosed || len(header.Holds) == 0 {
+	if !owned || header.Status != api.ProgramClosed {
 		return
 	}
-	header.Holds = nil
-	if err := p.write(ctx, e, header); err != nil {
-		p.Logger.Info("release of engine memory is not recorded yet", "program", e.id, "error", err.Error())
+	if len(header.Holds) > 0 {
+		header.Holds = nil
+		if err := p.write(ctx, e, header); err != nil {
+			p.Logger.Info("release of engine memory is not recorded yet", "program", e.id, "error", err.Error())
+			return
+		}
 	}
+	p.forget(e)
 }
--- a/internal/ownership/history.go
+++ b/internal/ownership/history.go
@@ -16,6 +16,14 @@
 // and extended by every recorded model call.
 type history struct {
 	messages []api.Message
+	bytes    int64 // of all contents
+}
+
+func (h *history) add(messages []api.Message) {
+	h.messages = append(h.messages, messages...)
+	for _, message := range messages {
+		h.bytes += int64(len(message.Content))
+	}
 }
 
 // extend adds what a recorded call said.
@@ -25,7 +33,7 @@
 	if e.history == nil || len(messages) == 0 {
 		return
 	}
-	e.history.messages = append(e.history.messages, messages...)
+	e.history.add(messages)
 }
 
 // prompt returns the whole history followed by the caller's new messages.
@@ -67,7 +75,7 @@
 			if err != nil {
 				return nil, err
 			}
-			read.messages = append(read.messages, segment.Messages...)
+			read.add(segment.Messages)
 			sequence++
 		}
 	}
--- a/internal/ownership/maintain.go
+++ b/internal/ownership/maintain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
@@ -15,8 +16,15 @@
 // scanPageRows is how many headers one range read of a scan returns.
 const scanPageRows = 200
 
-// Sweep drops programs from memory that nobody used for a while.
+// maxHistoryBytes bounds the conversations kept in memory. The table and the
+// object store have them all; a dropped one is read again at its next call.
+const maxHistoryBytes = 256 << 20
+
+// Sweep drops programs from memory that nobody used for a while, and the
+// conversations used longest ago while there are too many bytes of them.
 func (p *Programs) Sweep(now time.Time) {
+	var kept []*entry
+	var bytes int64
 	p.entries.Range(func(_, value any) bool {
 		e := value.(*entry)
 		select {
@@ -26,10 +34,56 @@
 		}
 		if e.unusedSince(now.Add(-idleKeep)) {
 			p.forget(e)
+		} else if held := e.historyBytes(); held > 0 {
+			kept = append(kept, e)
+			bytes += held
 		}
 		e.unlock()
 		return true
 	})
+	dropHistories(kept, bytes)
+}
+
+// dropHistories drops idle conversations, those used longest ago first, until
+// the rest is within its bound.
+func dropHistories(kept []*entry, bytes int64) {
+	if bytes <= maxHistoryBytes {
+		return
+	}
+	slices.SortFunc(kept, func(a, b *entry) int { return a.usedAt().Compare(b.usedAt()) })
+	for _, e := range kept {
+		if bytes <= maxHistoryBytes {
+			return
+		}
+		bytes -= e.dropHistory()
+	}
+}
+
+func (e *entry) historyBytes() int64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.history == nil {
+		return 0
+	}
+	return e.history.bytes
+}
+
+func (e *entry) usedAt() time.Time {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.lastUsed
+}
+
+// dropHistory returns how many bytes it freed: none while a call is under way.
+func (e *entry) dropHistory() int64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.flight != nil || e.history == nil {
+		return 0
+	}
+	freed := e.history.bytes
+	e.history = nil
+	return freed
 }
 
 func (e *entry) unusedSince(limit time.Time) bool {
--- a/internal/ownership/run.go
+++ b/internal/ownership/run.go
@@ -20,9 +20,13 @@
 	recordPauseLast  = 2 * time.Second
 )
 
+// storePatience is how long a caller is kept waiting for the table service.
+// After it the caller is told so, and when to come back.
+const storePatience = 3 * time.Second
+
 // start puts a flight in place. The entry's mutex is held.
 func (p *Programs) start(e *entry, planned plan, request api.CallRequest, digest string, arrived time.Time) *flight {
-	ctx, cancel := context.WithDeadline(p.closing, arrived.Add(planned.timeout))
+	ctx, cancel := context.WithDeadline(p.closing, lastMoment(e.header, arrived.Add(planned.timeout)))
 	f := newFlight(planned.call.Sequence, digest, cancel)
 	f.request = request
 	f.call = planned.call
@@ -40,6 +44,15 @@
 	return f
 }
 
+// lastMoment is when a call is cut off: at its deadline, or when its program
+// is past its wall time.
+func lastMoment(header program.Header, deadline time.Time) time.Time {
+	if !header.ExpiresAt.IsZero() && header.ExpiresAt.Before(deadline) {
+		return header.ExpiresAt
+	}
+	return deadline
+}
+
 // land takes the flight off the entry.
 func (e *entry) land(f *flight) {
 	e.mutex.Lock()
@@ -70,13 +83,13 @@
 	if planned.model != nil {
 		work.Messages, err = p.prompt(ctx, e, f.request.Messages)
 		if err != nil {
-			p.abandon(ctx, e, f.sequence)
+			p.abandon(e, f.sequence)
 			return api.CallResult{}, err
 		}
 	}
 	outcome := p.Executor.Execute(ctx, work, f.write)
 	if outcome.Refusal != nil {
-		p.abandon(ctx, e, f.sequence)
+		p.abandon(e, f.sequence)
 		return api.CallResult{}, p.refuse(header, f.sequence, f.request.Target, outcome.Refusal)
 	}
 	return p.recordResult(e, f, planned, outcome)
@@ -104,6 +117,8 @@
 	if !admission.NeedsCommit {
 		return header, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, storePatience)
+	defer cancel()
 	if err := p.write(ctx, e, admission.Header); err != nil {
 		return header, notRun(err)
 	}
@@ -172,23 +187,22 @@
 	return admission.Header.Epoch, nil
 }
 
-// abandon frees the reservation and intent of a call that did not run. If it
-// cannot be recorded now, the next write of the header does it.
-func (p *Programs) abandon(ctx context.Context, e *entry, sequence int64) {
+// abandon clears the intent of a call that did not run; without an intent the
+// standing reservation serves the next call. If it cannot be recorded now, the
+// next write of the header does it.
+func (p *Programs) abandon(e *entry, sequence int64) {
 	if err := e.lock(p.closing); err != nil {
 		return
 	}
 	defer e.unlock()
 	header, owned := e.snapshot()
-	if !owned {
+	if !owned || header.Intent == nil {
 		return
 	}
 	freed := program.Abandon(header, sequence)
-	if header.Intent == nil {
-		e.replace(freed)
-		return
-	}
-	if err := p.write(context.WithoutCancel(ctx), e, freed); err != nil {
+	ctx, cancel := context.WithTimeout(p.closing, storePatience)
+	defer cancel()
+	if err := p.write(ctx, e, freed); err != nil {
 		e.replace(freed)
 		p.Logger.Warn("intent of a call that did not run is not cleared yet",
 			"program", e.id, "call", sequence, "epoch", header.Epoch, "error", err.Error())
--- a/internal/ownership/settle.go
+++ b/internal/ownership/settle.go
@@ -20,6 +20,9 @@
 // recorded yet.
 func (p *Programs) recordResult(e *entry, f *flight, planned plan, outcome Outcome) (api.CallResult, error) {
 	pause := recordPauseFirst
+	pending := notRecorded()
+	slow := time.AfterFunc(storePatience, func() { f.park(pending) })
+	defer slow.Stop()
 	for {
 		result, err := p.settle(e, f, planned, outcome)
 		if err == nil {
@@ -29,17 +32,21 @@
 		if !passing || refusal.Code != api.StoreDown {
 			return api.CallResult{}, ranElsewhere()
 		}
-		pending := *refusal
-		pending.Execution = api.Unknown
-		pending.Detail = "the call ran; its result is recorded as soon as the table service answers"
-		f.park(&pending)
+		f.park(pending)
 		if !wait(p.closing, jitter(pause)) {
-			return api.CallResult{}, &pending
+			return api.CallResult{}, pending
 		}
 		pause = min(2*pause, recordPauseLast)
 	}
 }
 
+// notRecorded answers callers while a call that ran waits for the table.
+func notRecorded() *api.Error {
+	pending := api.Errorf(api.StoreDown, "the call ran; its result is recorded as soon as the table service answers").After(storeRetryAfter)
+	pending.Execution = api.Unknown
+	return pending
+}
+
 // ranElsewhere answers a call whose program was taken over while it ran. The
 // new owner has the say on its outcome.
 func ranElsewhere() *api.Error {
