ownership: a tenant's limit of open programs per node

Cause: tenants[].max_programs was read and checked but not enforced. Not measured; the scan is over the programs in memory, a few hundred a node.

--- a/internal/ownership/lifecycle.go
+++ b/internal/ownership/lifecycle.go
@@ -23,6 +23,9 @@
 	if refusal != nil {
 		return api.Program{}, refusal
 	}
+	if refusal := p.tenantLimit(tenant); refusal != nil {
+		return api.Program{}, refusal
+	}
 	header := program.New(p.params(tenant, id, request, class))
 	e := p.entry(id)
 	if err := e.lock(ctx); err != nil {
@@ -86,6 +89,30 @@
 	return class, nil
 }
 
+// tenantLimitRetryAfter is when to come back at a tenant's limit.
+const tenantLimitRetryAfter = 2 * time.Second
+
+// tenantLimit refuses a program beyond the tenant's limit of open programs on
+// one node. It looks at every program in memory: a few hundred.
+func (p *Programs) tenantLimit(tenant string) *api.Error {
+	config, ok := p.InForce().Tenant(tenant)
+	if !ok || config.MaxPrograms <= 0 {
+		return nil
+	}
+	open := 0
+	p.entries.Range(func(_, value any) bool {
+		header, owned := value.(*entry).snapshot()
+		if owned && header.Tenant == tenant && header.Status == api.ProgramOpen {
+			open++
+		}
+		return true
+	})
+	if open < config.MaxPrograms {
+		return nil
+	}
+	return api.Errorf(api.TenantLimit, "%d programs of the tenant are open on this node, its limit", open).After(tenantLimitRetryAfter)
+}
+
 // Get returns the program as its owner sees it.
 func (p *Programs) Get(ctx context.Context, tenant, id string) (api.Program, error) {
 	e, err := p.acquire(ctx, id)
