--- a/internal/platform/group_property_test.go
+++ b/internal/platform/group_property_test.go
@@ -21,7 +21,8 @@
 const (
 	propertySeed     = 20260101
 	longestLateApply = 400 * time.Millisecond
-	drainTime        = time.Minute // virtual
+	frozen           = 15 * time.Second // longer than any time limit of the store
+	drainTime        = time.Minute      // virtual
 )
 
 // submitted is one transaction of a run with the answer that it got. token
@@ -103,6 +104,9 @@
 	if random.IntN(3) > 0 {
 		faults.SlowMillis = random.Int64N(50)
 	}
+	if random.IntN(10) == 0 {
+		faults.SlowMillis = frozen.Milliseconds()
+	}
 	faults.Down = random.IntN(6) == 0
 	return faults
 }
--- /dev/null
+++ b/internal/platform/http_test.go
@@ -0,0 +1,139 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/platform"
+	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+)
+
+// serve starts the stand-in on loopback and returns a client of it.
+func serve(t testing.TB, table *standin.Platform) *platform.HTTP {
+	t.Helper()
+	server := httptest.NewServer(table.Handler())
+	t.Cleanup(server.Close)
+	return platform.NewHTTP(server.URL, nil)
+}
+
+// TestHTTPCommitAnswers: each answer of the service, and each way of not
+// getting one, is mapped to the error that is true.
+func TestHTTPCommitAnswers(t *testing.T) {
+	cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	status := func(code int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(code)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	truncated := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte(`{"revisions":`))
+	}
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    error
+	}{
+		{"cut without answer", cut, platform.ErrUnknownOutcome},
+		{"truncated answer", truncated, platform.ErrUnknownOutcome},
+		{"not JSON", status(http.StatusOK, "fine"), platform.ErrUnknownOutcome},
+		{"conflict not understood", status(http.StatusConflict, "busy"), platform.ErrUnknownOutcome},
+		{"internal error", status(http.StatusInternalServerError, ""), platform.ErrUnknownOutcome},
+		{"gateway error", status(http.StatusBadGateway, ""), platform.ErrUnknownOutcome},
+		{"unavailable", status(http.StatusServiceUnavailable, ""), platform.ErrUnavailable},
+		{"throttled", status(http.StatusTooManyRequests, ""), platform.ErrThrottled},
+		{"rejected", status(http.StatusBadRequest, "no"), platform.ErrRejected},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(c.handler)
+			defer server.Close()
+			_, err := platform.NewHTTP(server.URL, nil).Commit(t.Context(), create("row"))
+			if !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// TestHTTPNotSent: what never reached the service is unavailable, not unknown.
+func TestHTTPNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	client := platform.NewHTTP("http://"+address, nil)
+	if _, err := client.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("refused connection answered %v", err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := serve(t, standin.New(standin.Options{})).Commit(ctx, create("row")); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("ended context answered %v", err)
+	}
+}
+
+// TestHTTPTimeout: a request that was sent and got no answer in time may
+// still take effect.
+func TestHTTPTimeout(t *testing.T) {
+	arrived := make(chan struct{})
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(arrived)
+		<-release
+	}))
+	defer server.Close()
+	defer close(release)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	if _, err := platform.NewHTTP(server.URL, nil).Commit(ctx, create("row")); !errors.Is(err, platform.ErrUnknownOutcome) {
+		t.Errorf("answered %v", err)
+	}
+}
+
+// TestHTTPAgainstStandin: a store over HTTP commits, names conflicts, settles
+// lost replies, reads ranges and keeps objects.
+func TestHTTPAgainstStandin(t *testing.T) {
+	table := standin.New(standin.Options{})
+	client := serve(t, table)
+	store := platform.NewStore(client, client, platform.StoreOptions{Node: "a"})
+	defer store.Close()
+	table.SetFaults(standin.Faults{LoseRepliesNext: 1})
+	receipt, err := store.Commit(t.Context(), create("row/1 ä"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	row, err := store.Get(t.Context(), "row/1 ä")
+	if err != nil || string(row.Value) != "mine" || row.Revision != receipt.Revisions["row/1 ä"] {
+		t.Errorf("row %+v, receipt %+v, %v", row, receipt, err)
+	}
+	var conflict *platform.ConflictError
+	_, err = store.Commit(t.Context(), create("row/1 ä"))
+	if !errors.As(err, &conflict) || conflict.Current.Revision != row.Revision {
+		t.Errorf("second create answered %v", err)
+	}
+	if rows, err := store.Range(t.Context(), "row/", "row0", 10); err != nil || len(rows) != 1 {
+		t.Errorf("range %+v, %v", rows, err)
+	}
+	digest, err := store.PutObject(t.Context(), []byte("content"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if content, err := store.GetObject(t.Context(), digest); err != nil || string(content) != "content" {
+		t.Errorf("object %q, %v", content, err)
+	}
+	if stats := store.Stats(); stats.Settled != 1 {
+		t.Errorf("stats %+v", stats)
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/platform_test.go
@@ -0,0 +1,193 @@
+package platform
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/pewtermill/pewtermill/internal/platform"
+)
+
+const propertySeed = 20260102
+
+// TestKeyIndexMatchesSortedSet: inserts and removals in any order leave the
+// same keys, in order, as in a plain set; large enough to split chunks.
+func TestKeyIndexMatchesSortedSet(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(propertySeed)
+	parameters.MinSuccessfulTests = 30
+	properties := gopter.NewProperties(parameters)
+	property := func(seed uint64, removalPercent int) bool {
+		random := rand.New(rand.NewPCG(seed, 0))
+		var index keyIndex
+		present := make(map[string]bool)
+		for range 6000 {
+			key := fmt.Sprintf("key/%05d", random.IntN(8000))
+			switch {
+			case present[key] && random.IntN(100) < removalPercent:
+				index.remove(key)
+				delete(present, key)
+			case !present[key]:
+				index.insert(key)
+				present[key] = true
+			}
+		}
+		start := fmt.Sprintf("key/%05d", random.IntN(8000))
+		var want []string
+		for key := range present {
+			if key >= start {
+				want = append(want, key)
+			}
+		}
+		slices.Sort(want)
+		return slices.Equal(slices.Collect(index.from(start)), want)
+	}
+	properties.Property("same keys", prop.ForAll(property, gen.UInt64(), gen.IntRange(0, 100)))
+	properties.TestingRun(t)
+}
+
+// TestTransactionIsAllOrNothing: a failed condition is named with its row and
+// leaves everything as it was; revisions are not used again after a delete.
+func TestTransactionIsAllOrNothing(t *testing.T) {
+	p := New(Options{HistoryLimit: 2})
+	writeBoth := platform.Transaction{
+		WriteID:    "1",
+		Conditions: []platform.Condition{{Key: "a"}, {Key: "b"}},
+		Writes:     []platform.Write{{Key: "a"}, {Key: "b", Value: []byte("old")}},
+	}
+	first, err := p.Commit(t.Context(), writeBoth)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stale := platform.Transaction{
+		WriteID:    "2",
+		Conditions: []platform.Condition{{Key: "a", Revision: first.Revisions["a"]}, {Key: "b"}},
+		Writes:     []platform.Write{{Key: "a", Delete: true}, {Key: "b", Value: []byte("new")}},
+	}
+	var conflict *platform.ConflictError
+	_, err = p.Commit(t.Context(), stale)
+	if !errors.As(err, &conflict) || conflict.Index != 1 || string(conflict.Current.Value) != "old" {
+		t.Fatalf("answered %v", err)
+	}
+	rows, err := p.Range(t.Context(), "a", "c", 10)
+	if err != nil || len(rows) != 2 || rows[0].WriteID != "1" {
+		t.Fatalf("rows %+v, %v", rows, err)
+	}
+	for _, remove := range []bool{true, false} {
+		again := platform.Transaction{Writes: []platform.Write{{Key: "a", Delete: remove}}}
+		if _, err := p.Commit(t.Context(), again); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if row, _ := p.Get(t.Context(), "a"); row.Revision <= first.Revisions["a"] {
+		t.Errorf("revision %d after %d", row.Revision, first.Revisions["a"])
+	}
+	if history := p.History(); len(history) != 2 || history[1].Sequence != 3 {
+		t.Errorf("history %+v", history)
+	}
+}
+
+// TestLostRepliesMayApplyLate: about half of the writes with a lost reply
+// take effect at once, the others within the given time.
+func TestLostRepliesMayApplyLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(Options{})
+		p.SetFaults(Faults{LoseRepliesNext: 100, LateApplyMillis: 1000, Seed: 1})
+		for i := range 100 {
+			write := platform.Write{Key: fmt.Sprint(i)}
+			_, err := p.Commit(t.Context(), platform.Transaction{Writes: []platform.Write{write}})
+			if !errors.Is(err, platform.ErrUnknownOutcome) {
+				t.Fatalf("answered %v", err)
+			}
+		}
+		stats := p.Stats()
+		if late := int(stats.LateApplies); late < 30 || late > 70 || stats.RowsStored != 100-late {
+			t.Errorf("stats %+v", stats)
+		}
+		time.Sleep(time.Second) // virtual
+		synctest.Wait()
+		if stored := p.Stats().RowsStored; stored != 100 {
+			t.Errorf("%d rows in the end", stored)
+		}
+	})
+}
+
+// TestMachineListLags: a change is seen only after the lag.
+func TestMachineListLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(Options{MachineLag: 10 * time.Second})
+		p.Announce(platform.Machine{Name: "engine-1"})
+		time.Sleep(9 * time.Second) // virtual
+		if machines, _ := p.List(t.Context()); len(machines) != 0 {
+			t.Errorf("seen too early: %+v", machines)
+		}
+		p.Withdraw("engine-1")
+		time.Sleep(time.Second)
+		if machines, _ := p.List(t.Context()); len(machines) != 1 {
+			t.Errorf("not seen after the lag: %+v", machines)
+		}
+		time.Sleep(9 * time.Second)
+		if machines, _ := p.List(t.Context()); len(machines) != 0 {
+			t.Errorf("still seen after its withdrawal: %+v", machines)
+		}
+	})
+}
+
+// TestHandlerControls: machines, faults, statistics and history over HTTP.
+func TestHandlerControls(t *testing.T) {
+	server := httptest.NewServer(New(Options{HistoryLimit: 1}).Handler())
+	defer server.Close()
+	steps := []struct {
+		method, path, body string
+		status             int
+	}{
+		{"PUT", "/machines/node-1", `{"role":"node","zone":"z1"}`, http.StatusOK},
+		{"GET", "/machines", "", http.StatusOK},
+		{"DELETE", "/machines/node-1", "", http.StatusNoContent},
+		{"POST", "/table/commit", `{"writes":[{"key":"a"}]}`, http.StatusOK},
+		{"POST", "/table/commit", `{"writes":[{"key":"a","extra":1}]}`, http.StatusBadRequest},
+		{"POST", "/table/commit", `{"conditions":[{"key":"a"}]}`, http.StatusConflict},
+		{"GET", "/table/range?start=a&end=b&limit=x", "", http.StatusBadRequest},
+		{"GET", "/objects/none", "", http.StatusNotFound},
+		{"POST", "/faults", `{"down":true}`, http.StatusOK},
+		{"GET", "/table/row?key=a", "", http.StatusServiceUnavailable},
+		{"GET", "/stats", "", http.StatusOK},
+		{"GET", "/history", "", http.StatusOK},
+		{"POST", "/faults", `{"transactions_per_second":0.000001}`, http.StatusOK},
+	}
+	for _, step := range steps {
+		if status := send(t, step.method, server.URL+step.path, step.body); status != step.status {
+			t.Errorf("%s %s answered %d, want %d", step.method, step.path, status, step.status)
+		}
+	}
+	for range limiterBurst {
+		send(t, "POST", server.URL+"/table/commit", `{}`)
+	}
+	if status := send(t, "POST", server.URL+"/table/commit", `{}`); status != http.StatusTooManyRequests {
+		t.Errorf("over the rate limit answered %d", status)
+	}
+}
+
+func send(t *testing.T, method, url, body string) (status int) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply.Body.Close()
+	return reply.StatusCode
+}
