--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -40,6 +40,9 @@
 	maxProgramDepth   = 64
 )
 
+// ruleOff as a weight of scheduling turns its rule off, as 0 is the default.
+const ruleOff = -1
+
 // Check returns everything that is wrong with the meaning of a decoded
 // bundle, in the order of the schema; none for a good one.
 func Check(b *Bundle) []Fault {
@@ -93,10 +96,10 @@
 		{"aging_per_second", s.AgingPerSecond},
 	}
 	for _, weight := range weights {
-		c.numberWithin("scheduling."+weight.name, weight.value, 0, maxWeight)
+		c.numberWithin("scheduling."+weight.name, weight.value, ruleOff, maxWeight)
 	}
 	c.within("scheduling.max_queue", int64(s.MaxQueue), 0, maxCount)
-	c.numberWithin("scheduling.retry_budget", s.RetryBudget, 0, 1)
+	c.numberWithin("scheduling.retry_budget", s.RetryBudget, ruleOff, 1)
 	c.within("scheduling.engine_max_age_millis", s.EngineMaxAgeMillis, 0, maxDurationMillis)
 }
 
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -121,7 +121,8 @@
 }
 
 // Scheduling holds every weight of placement and ordering. A zero value
-// means the default that internal/scheduler documents.
+// means the default that internal/scheduler documents; a weight or the retry
+// budget at -1 turns its rule off.
 type Scheduling struct {
 	Policy             string  `json:"policy,omitempty" yaml:"policy"` // program_aware (default), round_robin, least_loaded, session_affinity
 	WaitWeight         float64 `json:"wait_weight,omitempty" yaml:"wait_weight"`
