--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -35,6 +35,7 @@
 func newQueue(options Options, fleet *Fleet) *queue {
 	core := scheduler.New(scheduler.ProgramAware, bundle.Scheduling{}, options.Node)
 	core.SetIndex(fleet.index)
+	core.SetRecorder(options.Recorder)
 	return &queue{
 		fleet:    fleet,
 		recorder: options.Recorder,
