bundle verbs; tests of whole deployments of separate processes

The tests build both binaries, start a platform, engines, a tool service and nodes on loopback, submit a signed bundle by the command line, and run the example program through a node that does not own it. Model answers are compared with what the stand-in says to the program's own history, so that a lost or mixed message shows. A second test stops the owner and the forwarding node while an answer is streamed.

--- a/cmd/pewtermill-lab/main.go
+++ b/cmd/pewtermill-lab/main.go
@@ -14,9 +14,10 @@
 
 // commandLine is the verbs of the program; each has a file of its own.
 type commandLine struct {
-	Platform platformCommand `cmd:"" help:"Run a platform: table, object store and machine list."`
-	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
-	Tool     toolCommand     `cmd:"" help:"Run a tool service."`
+	Platform    platformCommand    `cmd:"" help:"Run a platform: table, object store and machine list."`
+	Engine      engineCommand      `cmd:"" help:"Run a model engine."`
+	Tool        toolCommand        `cmd:"" help:"Run a tool service."`
+	ReviewerKey reviewerKeyCommand `cmd:"" help:"Print the private key of a reviewer of the example bundles."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/pewtermill-lab/reviewerkey.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"crypto/x509"
+	"encoding/pem"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/command"
+	"github.com/pewtermill/pewtermill/internal/command/devcluster"
+)
+
+// reviewerKeyCommand prints a key that the example bundles made public, so
+// that they can be signed. A real bundle's keys come from `bundle keygen`.
+type reviewerKeyCommand struct {
+	Reviewer string `arg:"" help:"Name of the reviewer, such as dev-reviewer."`
+}
+
+// Run implements the verb.
+func (r *reviewerKeyCommand) Run(streams command.Streams) error {
+	encoded, err := x509.MarshalPKCS8PrivateKey(devcluster.ReviewerKey(r.Reviewer))
+	if err != nil {
+		return errors.Wrap(err, "encode key")
+	}
+	block := &pem.Block{Type: "PRIVATE KEY", Bytes: encoded}
+	return errors.Wrap(pem.Encode(streams.Out, block), "print key")
+}
--- a/cmd/pewtermill/main.go
+++ b/cmd/pewtermill/main.go
@@ -9,17 +9,19 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/pewtermill/pewtermill/internal/command"
+	"github.com/pewtermill/pewtermill/internal/command/bundlecmd"
 )
 
 // commandLine is the verbs of the program; each has a file of its own.
 type commandLine struct {
-	Node    nodeCommand    `cmd:"" help:"Run one node until SIGTERM or SIGINT; a second signal ends it at once."`
-	Dev     devCommand     `cmd:"" help:"Run a whole deployment in this process on loopback: nodes, platform, engines and tools."`
-	Program programCommand `cmd:"" help:"Show programs."`
-	Explain explainCommand `cmd:"" help:"Show why a call was placed, queued or refused as it was."`
-	Watch   watchCommand   `cmd:"" help:"Print decisions as they are made, until interrupted."`
-	Status  statusCommand  `cmd:"" help:"Show nodes and engines as one node sees them."`
-	Version versionCommand `cmd:"" help:"Print the version of this program."`
+	Node    nodeCommand       `cmd:"" help:"Run one node until SIGTERM or SIGINT; a second signal ends it at once."`
+	Dev     devCommand        `cmd:"" help:"Run a whole deployment in this process on loopback: nodes, platform, engines and tools."`
+	Bundle  bundlecmd.Command `cmd:"" help:"Check, compare, sign and submit bundles of configuration."`
+	Program programCommand    `cmd:"" help:"Show programs."`
+	Explain explainCommand    `cmd:"" help:"Show why a call was placed, queued or refused as it was."`
+	Watch   watchCommand      `cmd:"" help:"Print decisions as they are made, until interrupted."`
+	Status  statusCommand     `cmd:"" help:"Show nodes and engines as one node sees them."`
+	Version versionCommand    `cmd:"" help:"Print the version of this program."`
 }
 
 func main() {
--- a/internal/command/devcluster/cluster.go
+++ b/internal/command/devcluster/cluster.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/client"
 	"github.com/pewtermill/pewtermill/internal/command"
@@ -192,13 +193,17 @@
 	return errors.Wrap(err, "submit bundle")
 }
 
+// engineReady is the state of an engine that takes calls.
+const engineReady = "ready"
+
 // readyPollInterval is how often a node is asked whether it is ready.
 const readyPollInterval = 20 * time.Millisecond
 
-// waitReady waits until every node serves callers.
+// waitReady waits until every node serves callers and has heard of every
+// engine, so that the first calls don't find a cluster still starting.
 func (c *Cluster) waitReady(ctx context.Context) error {
 	for _, started := range c.Nodes {
-		for !isReady(ctx, started.OperatorURL) {
+		for !isReady(ctx, started.OperatorURL) || !seesEngines(ctx, started.OperatorURL) {
 			select {
 			case <-ctx.Done():
 				return errors.Wrapf(ctx.Err(), "%s is not ready", started.Name)
@@ -222,6 +227,15 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// seesEngines reports whether the node would place calls on every engine.
+func seesEngines(ctx context.Context, operatorURL string) bool {
+	status, err := client.New(operatorURL, OperatorKey).Status(ctx)
+	if err != nil {
+		return false
+	}
+	return !slices.ContainsFunc(status.Engines, func(engine api.EngineStatus) bool { return engine.State != engineReady })
+}
+
 // Drain stops the nodes as planned, all at once, so that requests under way
 // end. Close must follow.
 func (c *Cluster) Drain(ctx context.Context) error {
--- a/internal/command/devcluster/configuration.go
+++ b/internal/command/devcluster/configuration.go
@@ -18,9 +18,10 @@
 	ReviewerName = "dev-reviewer"
 )
 
-// ReviewerKey returns the private key of ReviewerName, as public as the rest.
-func ReviewerKey() ed25519.PrivateKey {
-	seed := sha256.Sum256([]byte(ReviewerName))
+// ReviewerKey returns the private key of a reviewer of the example bundles,
+// as public as the rest: its seed is the SHA-256 of the reviewer's name.
+func ReviewerKey(reviewer string) ed25519.PrivateKey {
+	seed := sha256.Sum256([]byte(reviewer))
 	return ed25519.NewKeyFromSeed(seed[:])
 }
 
@@ -50,6 +51,6 @@
 	if err != nil {
 		return bundle.Signed{}, errors.Wrap(err, "encode bundle")
 	}
-	signOff := bundle.Sign(b, ReviewerName, ReviewerKey())
+	signOff := bundle.Sign(b, ReviewerName, ReviewerKey(ReviewerName))
 	return bundle.Signed{Source: source, SignOffs: []bundle.SignOff{signOff}}, nil
 }
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 
+	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
@@ -26,8 +27,9 @@
 // ErrStopped is returned when a second signal ended a process at once.
 var ErrStopped = errors.New("ended at once by a second signal")
 
-// ExitCode returns the exit code for a verb's error.
+// ExitCode returns the exit code for a verb's error, which may bring its own.
 func ExitCode(err error) int {
+	var coder kong.ExitCoder
 	switch {
 	case err == nil:
 		return ExitOK
@@ -35,6 +37,8 @@
 		return ExitUsage
 	case errors.Is(err, ErrStopped):
 		return ExitStopped
+	case errors.As(err, &coder):
+		return coder.ExitCode()
 	}
 	return ExitFailure
 }
--- /dev/null
+++ b/tests/deployment_test.go
@@ -0,0 +1,230 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"sigs.k8s.io/yaml"
+
+	"github.com/pewtermill/pewtermill/examples"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/client"
+	"github.com/pewtermill/pewtermill/internal/command/devcluster"
+)
+
+// Host numbers and ports of a deployment's processes in its subnet.
+const (
+	platformHost = 1
+	toolHost     = 2
+	engineHost   = 11 // and the numbers after it
+	nodeHost     = 51 // and the numbers after it
+
+	standInPort  = 7000
+	callerPort   = 7100
+	operatorPort = 7200
+	peerPort     = 7300
+)
+
+// size says how many processes of each kind a deployment has.
+type size struct{ engines, nodes int }
+
+// nodeProcess is one node.
+type nodeProcess struct {
+	*process
+	name        string
+	callerURL   string
+	operatorURL string
+}
+
+// deployment is a platform, engines, one tool service and nodes, each a
+// process of its own, with a bundle in force.
+type deployment struct {
+	t           *testing.T
+	subnet      subnet
+	bundle      *bundle.Bundle
+	platform    *process
+	platformURL string
+	engines     []*process
+	engineURLs  []string
+	tool        *process
+	toolURL     string
+	nodes       []*nodeProcess
+}
+
+// startDeployment starts everything, submits the bundle by the command line
+// and waits until each node serves callers.
+func startDeployment(t *testing.T, wanted size) *deployment {
+	t.Helper()
+	decoded, err := bundle.Decode(examples.DevBundle)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded.Engines = decoded.Engines[:wanted.engines]
+	d := &deployment{t: t, subnet: claimSubnet(t), bundle: decoded}
+	d.startPlatform()
+	for i := range decoded.Engines {
+		d.startEngine(i)
+	}
+	d.startTool()
+	for i := range wanted.nodes {
+		d.nodes = append(d.nodes, d.startNode(i, wanted.nodes))
+	}
+	d.submitBundle()
+	for _, node := range d.nodes {
+		d.waitReady(node)
+	}
+	return d
+}
+
+func (d *deployment) startPlatform() {
+	address := d.subnet.address(platformHost, standInPort)
+	d.platformURL = "http://" + address
+	d.platform = startProcess(d.t, "platform", labBinary, "platform", "--listen", address)
+	d.waitAnswers(d.platformURL + "/stats")
+}
+
+// startEngine starts the stand-in of the bundle's engine of that index.
+func (d *deployment) startEngine(index int) {
+	described := d.bundle.Engines[index]
+	address := d.subnet.address(engineHost+index, standInPort)
+	engine := startProcess(d.t, described.Name, labBinary, "engine",
+		"--listen", address, "--platform", d.platformURL,
+		"--name", described.Name, "--zone", described.Zone, "--model", strings.Join(described.Models, ","))
+	d.engines = append(d.engines, engine)
+	d.engineURLs = append(d.engineURLs, "http://"+address)
+	d.waitAnswers("http://" + address + "/load")
+}
+
+func (d *deployment) startTool() {
+	address := d.subnet.address(toolHost, standInPort)
+	d.toolURL = "http://" + address
+	d.tool = startProcess(d.t, "tool", labBinary, "tool",
+		"--listen", address, "--platform", d.platformURL, "--name", "tools", "--zone", d.bundle.Tools[0].Zone)
+	d.waitAnswers(d.toolURL + "/log")
+}
+
+// startNode starts the node of that index; count is how many there are to be.
+func (d *deployment) startNode(index, count int) *nodeProcess {
+	name := fmt.Sprintf("node-%d", index+1)
+	host := nodeHost + index
+	return &nodeProcess{
+		process: startProcess(d.t, name, pewtermillBinary, "node",
+			"--name", name,
+			"--cell", d.bundle.Cells[0].Name,
+			"--zone", d.bundle.Zones[index%len(d.bundle.Zones)].Name,
+			"--caller-address", d.subnet.address(host, callerPort),
+			"--operator-address", d.subnet.address(host, operatorPort),
+			"--peer-address", d.subnet.address(host, peerPort),
+			"--seed", strings.Join(d.seeds(count), ","),
+			"--platform-url", d.platformURL,
+			"--cluster-key", "key of the test deployment",
+			"--drain-timeout", "30s"),
+		name:        name,
+		callerURL:   "http://" + d.subnet.address(host, callerPort),
+		operatorURL: "http://" + d.subnet.address(host, operatorPort),
+	}
+}
+
+func (d *deployment) seeds(count int) []string {
+	var seeds []string
+	for i := range count {
+		seeds = append(seeds, d.subnet.address(nodeHost+i, peerPort))
+	}
+	return seeds
+}
+
+// submitBundle points the bundle at the stand-ins, then signs and submits it
+// as an operator does.
+func (d *deployment) submitBundle() {
+	addresses := devcluster.Addresses{
+		Seeds:   d.seeds(len(d.nodes)),
+		Engines: map[string]string{},
+		Tools:   map[string]string{},
+	}
+	for i, described := range d.bundle.Engines {
+		addresses.Engines[described.Name] = d.engineURLs[i]
+	}
+	for _, described := range d.bundle.Tools {
+		addresses.Tools[described.Name] = d.toolURL
+	}
+	devcluster.Relocate(d.bundle, addresses)
+	source, err := yaml.Marshal(d.bundle)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.waitAnswers(d.nodes[0].operatorURL + "/livez")
+	bundleFile := writeTemporary(d.t, "bundle.yaml", source)
+	key := runCommand(d.t, labBinary, "reviewer-key", devcluster.ReviewerName)
+	keyFile := writeTemporary(d.t, "reviewer.pem", []byte(key))
+	signOffFile := bundleFile + ".sig"
+	runCommand(d.t, pewtermillBinary, "bundle", "sign", bundleFile,
+		"--reviewer", devcluster.ReviewerName, "--key-file", keyFile, "--out", signOffFile)
+	runCommand(d.t, pewtermillBinary, "bundle", "submit", bundleFile,
+		"--sign-off", signOffFile, "--node", d.nodes[0].operatorURL)
+}
+
+func (d *deployment) waitAnswers(url string) {
+	d.t.Helper()
+	waitUntil(d.t, url+" answers", func(ctx context.Context) bool { return answers(ctx, url) })
+}
+
+func (d *deployment) waitReady(node *nodeProcess) { d.waitAnswers(node.operatorURL + "/readyz") }
+
+// owner returns the node of that name.
+func (d *deployment) owner(name string) *nodeProcess {
+	d.t.Helper()
+	for _, node := range d.nodes {
+		if node.name == name {
+			return node
+		}
+	}
+	d.t.Fatalf("no node is named %q", name)
+	return nil
+}
+
+// other returns a node that is not the named one.
+func (d *deployment) other(name string) *nodeProcess {
+	d.t.Helper()
+	for _, node := range d.nodes {
+		if node.name != name {
+			return node
+		}
+	}
+	d.t.Fatalf("no node but %q", name)
+	return nil
+}
+
+// caller returns a tenant's client of a node.
+func (n *nodeProcess) caller() *client.Client { return client.New(n.callerURL, devcluster.TenantKey) }
+
+// operator returns an operator's client of a node.
+func (n *nodeProcess) operator() *client.Client {
+	return client.New(n.operatorURL, devcluster.OperatorKey)
+}
+
+// stopAll stops everything as planned: nodes first, the platform last.
+func (d *deployment) stopAll() {
+	d.t.Helper()
+	for _, node := range d.nodes {
+		node.stop()
+	}
+	for _, engine := range d.engines {
+		engine.stop()
+	}
+	d.tool.stop()
+	d.platform.stop()
+}
+
+// writeTemporary writes a file that the test's end removes.
+func writeTemporary(t *testing.T, name string, content []byte) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
--- /dev/null
+++ b/tests/process_test.go
@@ -0,0 +1,227 @@
+package tests
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/client"
+	"github.com/pewtermill/pewtermill/internal/command"
+	"github.com/pewtermill/pewtermill/internal/script"
+	"github.com/pewtermill/pewtermill/internal/standin/engine"
+	"github.com/pewtermill/pewtermill/internal/standin/tool"
+)
+
+// foreignCaller is a script.Caller that asks a node which does not own the
+// program, and checks each model answer against the history that the engine
+// must have seen.
+type foreignCaller struct {
+	deployment *deployment
+	mutex      sync.Mutex
+	clients    map[string]*client.Client // by program
+	histories  map[string][]api.Message
+}
+
+func newForeignCaller(d *deployment) *foreignCaller {
+	return &foreignCaller{
+		deployment: d,
+		clients:    map[string]*client.Client{},
+		histories:  map[string][]api.Message{},
+	}
+}
+
+func (f *foreignCaller) CreateProgram(ctx context.Context, key string, request api.CreateProgramRequest) (api.Program, error) {
+	created, err := f.deployment.nodes[0].caller().CreateProgram(ctx, key, request)
+	if err != nil {
+		return created, err
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.clients[created.ID] = f.deployment.other(created.Owner).caller()
+	return created, nil
+}
+
+func (f *foreignCaller) EndProgram(ctx context.Context, program string) (api.Program, error) {
+	return f.client(program).EndProgram(ctx, program)
+}
+
+func (f *foreignCaller) Call(ctx context.Context, program string, sequence int64, request api.CallRequest, onPart func(api.StreamPart)) (api.CallResult, error) {
+	result, err := f.client(program).Call(ctx, program, sequence, request, onPart)
+	if err != nil || request.Kind != api.KindModel {
+		return result, err
+	}
+	return result, f.checkAnswer(program, request, result.Output)
+}
+
+func (f *foreignCaller) client(program string) *client.Client {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.clients[program]
+}
+
+// checkAnswer compares a model answer with what the stand-in says to this
+// program's history, and adds it to the history.
+func (f *foreignCaller) checkAnswer(program string, request api.CallRequest, output string) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	history := append(f.histories[program], request.Messages...)
+	want := engine.Answer(history, request.MaxTokens, engine.DefaultAnswerTokens)
+	f.histories[program] = append(history, api.Message{Role: api.RoleAssistant, Content: output})
+	if output != want {
+		return fmt.Errorf("the engine saw another history: answered %q, want %q", output, want)
+	}
+	return nil
+}
+
+// deductionScript returns the example script.
+func deductionScript(t *testing.T) *script.Script {
+	t.Helper()
+	source, err := os.ReadFile(filepath.Join("..", "examples", "deduction.yaml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := script.Decode(source)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return decoded
+}
+
+func TestProgramWithSubAgentThroughAnotherNode(t *testing.T) {
+	d := startDeployment(t, size{engines: 2, nodes: 3})
+	for _, stream := range []bool{false, true} {
+		runID := fmt.Sprintf("stream-%t", stream)
+		report, err := script.Run(t.Context(), newForeignCaller(d), deductionScript(t), script.Options{RunID: runID, Stream: stream})
+		if err != nil {
+			t.Fatalf("%s: %v", runID, err)
+		}
+		checkReport(t, report)
+	}
+	checkToolsRanOnce(t, d, 4)
+	d.waitHoldsReleased()
+	d.stopAll()
+}
+
+// checkReport checks the deduction script's programs against its calls.
+func checkReport(t *testing.T, report script.Report) {
+	t.Helper()
+	if len(report.Programs) != 2 || len(report.Results) != 7 {
+		t.Fatalf("%d programs with %d calls, want 2 with 7", len(report.Programs), len(report.Results))
+	}
+	root, subAgent := report.Programs[0], report.Programs[1]
+	for _, program := range report.Programs {
+		if program.Status != api.ProgramClosed || program.Reserved != 0 || program.Spent > program.Budget {
+			t.Errorf("not a settled end of a program: %+v", program)
+		}
+	}
+	if subAgent.Parent != root.ID {
+		t.Errorf("the sub-agent's parent is %q, want %q", subAgent.Parent, root.ID)
+	}
+	if spent := root.Spent + subAgent.Spent; spent != report.Cost() || spent == 0 {
+		t.Errorf("the programs spent %d, their calls cost %d", spent, report.Cost())
+	}
+}
+
+// checkToolsRanOnce checks that the tool executed that many calls, each once.
+func checkToolsRanOnce(t *testing.T, d *deployment, calls int) {
+	t.Helper()
+	executions := fetch[[]tool.Execution](t, d.toolURL+"/log")
+	if len(executions) != calls {
+		t.Errorf("the tool executed %d calls, want %d", len(executions), calls)
+	}
+	for _, execution := range executions {
+		if execution.Number != 1 {
+			t.Errorf("executed again: %+v", execution)
+		}
+	}
+}
+
+// waitHoldsReleased waits until no engine holds cache for any program.
+func (d *deployment) waitHoldsReleased() {
+	d.t.Helper()
+	for _, url := range d.engineURLs {
+		waitUntil(d.t, url+" holds nothing for ended programs", func(context.Context) bool {
+			holds := fetch[struct{ Programs []string }](d.t, url+"/holds")
+			return len(holds.Programs) == 0
+		})
+	}
+}
+
+// TestPlannedStopCutsNoCall stops the owner of a program, and a node that
+// forwards to it, while an answer is streamed. An operator watches the owner,
+// which must not hold up its stop.
+func TestPlannedStopCutsNoCall(t *testing.T) {
+	d := startDeployment(t, size{engines: 2, nodes: 3})
+	program, err := d.nodes[0].caller().CreateProgram(t.Context(), "planned-stop", api.CreateProgramRequest{
+		Class:  "interactive",
+		Budget: 1_000_000,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	owner := d.owner(program.Owner)
+	forwarder := d.other(program.Owner)
+	if _, err := owner.operator().Watch(t.Context(), ""); err != nil {
+		t.Fatal(err)
+	}
+	callWithRetry(t, forwarder, program.ID, 1)
+	var streamed []byte
+	result, err := forwarder.caller().Call(t.Context(), program.ID, 2, question, func(part api.StreamPart) {
+		if len(streamed) == 0 {
+			owner.signal(syscall.SIGTERM)
+			forwarder.signal(syscall.SIGTERM)
+		}
+		streamed = append(streamed[:part.Offset], part.Text...)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result.Code != api.OK || result.Output != string(streamed) || result.Output == "" {
+		t.Errorf("result %+v after the streamed text %q", result, streamed)
+	}
+	owner.waitExit()
+	forwarder.waitExit()
+}
+
+// question is a model call with a long answer.
+var question = api.CallRequest{
+	Kind:      api.KindModel,
+	Target:    "small",
+	Messages:  []api.Message{{Role: api.RoleUser, Content: "a question"}},
+	MaxTokens: 256,
+}
+
+// callWithRetry asks the question as callers should: what was not run, as
+// while engines are not known yet, is asked again.
+func callWithRetry(t *testing.T, node *nodeProcess, program string, sequence int64) {
+	t.Helper()
+	err := client.Retry(t.Context(), client.RetryPolicy{}, func(ctx context.Context) error {
+		_, err := node.caller().Call(ctx, program, sequence, question, nil)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestNodeNamesEveryWrongSetting(t *testing.T) {
+	path := writeTemporary(t, "settings.yaml", []byte("name: node-1\ncell: C 1\nzone: zone-a\nplatform_url: nowhere\n"))
+	output, err := exec.Command(pewtermillBinary, "node", "--settings", path, "--peer-address", "127.0.0.1").CombinedOutput()
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != command.ExitUsage {
+		t.Fatalf("ended with %v, want exit code %d\n%s", err, command.ExitUsage, output)
+	}
+	for _, key := range []string{"cell", "caller_address", "operator_address", "peer_address", "platform_url", "cluster_key"} {
+		if !strings.Contains(string(output), "\n"+key+": ") {
+			t.Errorf("the output does not name %s:\n%s", key, output)
+		}
+	}
+}
--- /dev/null
+++ b/tests/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package tests
+
+const raceEnabled = true
