--- a/internal/bundle/testing_test.go
+++ b/internal/bundle/testing_test.go
@@ -23,7 +23,6 @@
 	versions []uint64
 	// commitErrors are returned by the next commits, in order.
 	commitErrors []commitFailure
-	gets         int
 }
 
 // commitFailure makes one commit fail, applied or not.
@@ -57,7 +56,6 @@
 func (t *memoryTable) Get(context.Context, string) (platform.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.gets++
 	return t.row, nil
 }
 
