--- /dev/null
+++ b/internal/historycheck/historycheck.go
@@ -0,0 +1,187 @@
+// Package historycheck records what callers see of programs in a concurrent
+// run, and checks it: that every history is one of a program (porcupine), and
+// that no answer of "not run" was given for a call that had run. It serves
+// tests only.
+package historycheck
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+)
+
+// Input is one PUT of a call as a caller makes it.
+type Input struct {
+	Program  string
+	Sequence int64
+}
+
+// Output is what the caller was told. With Refused it was told not_run, with
+// Unanswered unknown or nothing; else Digest is that of the final answer.
+type Output struct {
+	Digest     string
+	Code       api.Code
+	Refused    bool
+	Unanswered bool
+}
+
+// IsFinal says that the answer will never change.
+func (o Output) IsFinal() bool { return !o.Refused && !o.Unanswered }
+
+// OutputOf classifies a caller's answer. An error that is not an api.Error is
+// no answer at all.
+func OutputOf(result api.CallResult, err error) Output {
+	if err == nil {
+		return Output{Digest: result.Digest, Code: result.Code}
+	}
+	var refusal *api.Error
+	if errors.As(err, &refusal) && refusal.Execution == api.NotRun {
+		return Output{Refused: true, Code: refusal.Code}
+	}
+	return Output{Unanswered: true}
+}
+
+// Recorder collects operations of concurrent callers. Safe for concurrent use.
+type Recorder struct {
+	mutex      sync.Mutex
+	operations []porcupine.Operation
+}
+
+// Call runs one PUT and records it.
+func (r *Recorder) Call(client int, input Input, put func() (api.CallResult, error)) (api.CallResult, Output) {
+	begun := time.Now().UnixNano()
+	result, err := put()
+	output := OutputOf(result, err)
+	ended := time.Now().UnixNano()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.operations = append(r.operations, porcupine.Operation{ClientId: client, Input: input, Call: begun, Output: output, Return: ended})
+	return result, output
+}
+
+// Operations returns how many were recorded, and how many of them were final.
+func (r *Recorder) Operations() (all, final int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, operation := range r.operations {
+		if operation.Output.(Output).IsFinal() {
+			final++
+		}
+	}
+	return len(r.operations), final
+}
+
+// Execution is one run of a call at a back end.
+type Execution struct {
+	Program  string
+	Sequence int64
+	Started  time.Time
+}
+
+// checkLimit bounds the search for a valid order of one run's operations.
+const checkLimit = time.Minute
+
+// Check returns an error if the histories are not those of programs, or if a
+// caller was told not_run about a call that had started before the answer.
+func (r *Recorder) Check(executions []Execution) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if result := porcupine.CheckOperationsTimeout(model, r.operations, checkLimit); result != porcupine.Ok {
+		return errors.Newf("histories are not those of programs: %s", result)
+	}
+	return r.checkRefusals(executions)
+}
+
+func (r *Recorder) checkRefusals(executions []Execution) error {
+	firstStart := make(map[Input]time.Time)
+	for _, execution := range executions {
+		input := Input{Program: execution.Program, Sequence: execution.Sequence}
+		if first, known := firstStart[input]; !known || execution.Started.Before(first) {
+			firstStart[input] = execution.Started
+		}
+	}
+	for _, operation := range r.operations {
+		output := operation.Output.(Output)
+		input := operation.Input.(Input)
+		started, ran := firstStart[input]
+		if output.Refused && ran && started.UnixNano() < operation.Return {
+			return errors.Newf("call %d of %s was answered not_run (%s) although it had started", input.Sequence, input.Program, output.Code)
+		}
+	}
+	return nil
+}
+
+// programState is the model's state: the digests of the final answers in
+// order, as JSON so that states compare. An empty digest is a call that may
+// have become final though nobody was told its answer.
+type programState struct{ answers string }
+
+// model says: call n becomes final after n-1, once, and every answer about it
+// is the same from then on.
+var model = (&porcupine.NondeterministicModel{
+	Partition: partitionByProgram,
+	Init:      func() []any { return []any{programState{}} },
+	Step: func(state, input, output any) []any {
+		return step(state.(programState), input.(Input), output.(Output))
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+}).ToModel()
+
+func partitionByProgram(history []porcupine.Operation) [][]porcupine.Operation {
+	byProgram := make(map[string][]porcupine.Operation)
+	for _, operation := range history {
+		id := operation.Input.(Input).Program
+		byProgram[id] = append(byProgram[id], operation)
+	}
+	var parts [][]porcupine.Operation
+	for _, part := range byProgram {
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+func step(state programState, input Input, output Output) []any {
+	answers := decode(state)
+	position := int(input.Sequence) - 1
+	switch {
+	case output.Refused:
+		return []any{state}
+	case output.Unanswered && position == len(answers):
+		return []any{state, encode(append(answers, ""))}
+	case output.Unanswered:
+		return []any{state}
+	case position == len(answers):
+		return []any{encode(append(answers, output.Digest))}
+	case position < len(answers) && answers[position] == "":
+		answers[position] = output.Digest
+		return []any{encode(answers)}
+	case position < len(answers) && answers[position] == output.Digest:
+		return []any{state}
+	}
+	return nil
+}
+
+func decode(state programState) []string {
+	var answers []string
+	if state.answers == "" {
+		return nil
+	}
+	if err := json.Unmarshal([]byte(state.answers), &answers); err != nil {
+		panic(err)
+	}
+	return answers
+}
+
+func encode(answers []string) programState {
+	encoded, err := json.Marshal(answers)
+	if err != nil {
+		panic(err)
+	}
+	return programState{answers: string(encoded)}
+}
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -9,11 +9,13 @@
 	"os"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/historycheck"
 	"github.com/pewtermill/pewtermill/internal/platform"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 )
@@ -112,7 +114,8 @@
 type testExecutor struct {
 	mutex      sync.Mutex
 	random     *rand.Rand
-	executions map[string]int      // by idempotency key
+	executions map[string]int // by idempotency key
+	starts     []historycheck.Execution
 	prompts    map[string][]string // by idempotency key: the contents sent
 	hang       chan struct{}       // if set, tool calls wait for it
 	entered    chan string         // if set, gets the key of each tool call
@@ -130,6 +133,7 @@
 func (x *testExecutor) Execute(ctx context.Context, work Work, onText func(offset int64, text string)) Outcome {
 	x.mutex.Lock()
 	x.executions[work.Key]++
+	x.starts = append(x.starts, historycheck.Execution{Program: work.Header.ID, Sequence: work.Sequence, Started: time.Now()})
 	hang, entered := x.hang, x.entered
 	var prompt []string
 	for _, message := range work.Messages {
@@ -170,6 +174,12 @@
 // Release implements Executor.
 func (x *testExecutor) Release(context.Context, string, string) error { return nil }
 
+func (x *testExecutor) started() []historycheck.Execution {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.starts
+}
+
 func (x *testExecutor) ran(key string) int {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -3,96 +3,25 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
-
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/historycheck"
 	"github.com/pewtermill/pewtermill/internal/program"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 )
 
-// callInput is one PUT of a call as a caller makes it.
-type callInput struct {
-	program  string
-	sequence int64
-}
-
-// callOutput is its final answer. Refused: the caller was told not_run.
-// Unanswered: told unknown, or nothing.
-type callOutput struct {
-	digest     string
-	code       api.Code
-	refused    bool
-	unanswered bool
-}
-
-// programState is the model: the digests of the final answers, in order. A
-// call that nobody answered may or may not have become final.
-type programState struct{ answers string }
-
-// programModel says: call n becomes final after n-1, once, and every answer
-// about it is the same from then on.
-var programModel = (&porcupine.NondeterministicModel{
-	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-		byProgram := make(map[string][]porcupine.Operation)
-		for _, operation := range history {
-			id := operation.Input.(callInput).program
-			byProgram[id] = append(byProgram[id], operation)
-		}
-		var parts [][]porcupine.Operation
-		for _, part := range byProgram {
-			parts = append(parts, part)
-		}
-		return parts
-	},
-	Init: func() []any { return []any{programState{}} },
-	Step: func(state, input, output any) []any {
-		return stepProgram(state.(programState), input.(callInput), output.(callOutput))
-	},
-}).ToModel()
-
-func stepProgram(state programState, input callInput, output callOutput) []any {
-	var answers []string
-	_ = json.Unmarshal([]byte(state.answers), &answers)
-	position := int(input.sequence) - 1
-	switch {
-	case output.refused:
-		return []any{state}
-	case output.unanswered && position == len(answers):
-		return []any{state, withAnswer(answers, "")}
-	case output.unanswered:
-		return []any{state}
-	case position == len(answers):
-		return []any{withAnswer(answers, output.digest)}
-	case position < len(answers) && answers[position] == "":
-		answers[position] = output.digest
-		return []any{withAnswer(answers[:len(answers):len(answers)])}
-	case position < len(answers) && answers[position] == output.digest:
-		return []any{state}
-	}
-	return nil
-}
-
-func withAnswer(answers []string, more ...string) programState {
-	encoded, err := json.Marshal(append(answers, more...))
-	if err != nil {
-		panic(err)
-	}
-	return programState{answers: string(encoded)}
-}
-
 // caller drives one program through random nodes and records what it sees.
 type caller struct {
-	cluster *testCluster
-	random  *rand.Rand
-	names   []string
-	record  func(input callInput, call int64, output callOutput, answered int64)
+	cluster  *testCluster
+	random   *rand.Rand
+	names    []string
+	index    int
+	recorder *historycheck.Recorder
 }
 
 const callsPerProgram = 12
@@ -104,28 +33,16 @@
 			return
 		}
 		node := c.cluster.node(c.names[c.random.IntN(len(c.names))])
-		input := callInput{program: id, sequence: sequence}
-		begun := time.Now().UnixNano()
-		result, err := node.Execute(ctx, "dev", id, sequence, bodyOf(id, sequence), nil)
-		output := outputOf(result, err)
-		c.record(input, begun, output, time.Now().UnixNano())
-		if !output.refused && !output.unanswered {
+		input := historycheck.Input{Program: id, Sequence: sequence}
+		_, output := c.recorder.Call(c.index, input, func() (api.CallResult, error) {
+			return node.Execute(ctx, "dev", id, sequence, bodyOf(id, sequence), nil)
+		})
+		if output.IsFinal() {
 			sequence++
 		}
 	}
 }
 
-func outputOf(result api.CallResult, err error) callOutput {
-	if err == nil {
-		return callOutput{digest: result.Digest, code: result.Code}
-	}
-	var refusal *api.Error
-	if errors.As(err, &refusal) && refusal.Execution != api.NotRun {
-		return callOutput{unanswered: true}
-	}
-	return callOutput{refused: true}
-}
-
 // bodyOf mixes model calls with tool calls, which are not repeatable.
 func bodyOf(id string, sequence int64) []byte {
 	request := api.CallRequest{Kind: api.KindModel, Target: "small", Messages: []api.Message{{Role: "user", Content: fmt.Sprintf("%s asks %d", id, sequence)}}}
@@ -159,17 +76,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 
-	var mutex sync.Mutex
-	var operations []porcupine.Operation
+	recorder := &historycheck.Recorder{}
 	var calls sync.WaitGroup
 	finished := make(chan struct{})
 	for index, id := range ids {
-		driver := &caller{cluster: c, names: names, random: rand.New(rand.NewPCG(seed, uint64(index)))}
-		driver.record = func(input callInput, call int64, output callOutput, answered int64) {
-			mutex.Lock()
-			defer mutex.Unlock()
-			operations = append(operations, porcupine.Operation{ClientId: index, Input: input, Call: call, Output: output, Return: answered})
-		}
+		driver := &caller{cluster: c, names: names, index: index, recorder: recorder}
+		driver.random = rand.New(rand.NewPCG(seed, uint64(index)))
 		calls.Go(func() { driver.run(ctx, t, id) })
 	}
 	go func() {
@@ -179,8 +91,8 @@
 	replaceUntil(finished, c, names, seed)
 	c.table.SetFaults(standin.Faults{})
 
-	if result := porcupine.CheckOperationsTimeout(programModel, operations, time.Minute); result != porcupine.Ok {
-		t.Errorf("histories are not those of programs: %v", result)
+	if err := recorder.Check(c.executor.started()); err != nil {
+		t.Error(err)
 	}
 	for _, id := range ids {
 		checkProgram(t, c, id)
--- a/tests/deployment_test.go
+++ b/tests/deployment_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"sigs.k8s.io/yaml"
@@ -52,7 +53,10 @@
 	engineURLs  []string
 	tool        *process
 	toolURL     string
-	nodes       []*nodeProcess
+
+	mutex    sync.Mutex // guards nodes where callers run beside the test
+	nodes    []*nodeProcess
+	nextHost int // host number for the next node
 }
 
 // startDeployment starts everything, submits the bundle by the command line
@@ -89,16 +93,26 @@
 
 // startEngine starts the stand-in of the bundle's engine of that index.
 func (d *deployment) startEngine(index int) {
-	described := d.bundle.Engines[index]
 	address := d.subnet.address(engineHost+index, standInPort)
-	engine := startProcess(d.t, described.Name, labBinary, "engine",
-		"--listen", address, "--platform", d.platformURL,
-		"--name", described.Name, "--zone", described.Zone, "--model", strings.Join(described.Models, ","))
-	d.engines = append(d.engines, engine)
+	d.engines = append(d.engines, d.runEngine(index, address))
 	d.engineURLs = append(d.engineURLs, "http://"+address)
 	d.waitAnswers("http://" + address + "/load")
 }
 
+func (d *deployment) runEngine(index int, address string) *process {
+	described := d.bundle.Engines[index]
+	return startProcess(d.t, described.Name, labBinary, "engine",
+		"--listen", address, "--platform", d.platformURL,
+		"--name", described.Name, "--zone", described.Zone, "--model", strings.Join(described.Models, ","))
+}
+
+// restartEngine starts an engine that was killed once more.
+func (d *deployment) restartEngine(index int) {
+	address := strings.TrimPrefix(d.engineURLs[index], "http://")
+	d.engines[index] = d.runEngine(index, address)
+	d.waitAnswers(d.engineURLs[index] + "/load")
+}
+
 func (d *deployment) startTool() {
 	address := d.subnet.address(toolHost, standInPort)
 	d.toolURL = "http://" + address
@@ -109,8 +123,23 @@
 
 // startNode starts the node of that index; count is how many there are to be.
 func (d *deployment) startNode(index, count int) *nodeProcess {
-	name := fmt.Sprintf("node-%d", index+1)
-	host := nodeHost + index
+	d.nextHost = count
+	return d.runNode(fmt.Sprintf("node-%d", index+1), index, nodeHost+index, count)
+}
+
+// replaceNode starts a node on a fresh address in place of another, which the
+// test has stopped or is to stop, and waits until it serves callers.
+func (d *deployment) replaceNode(index int, name string) {
+	d.t.Helper()
+	fresh := d.runNode(name, index, nodeHost+d.nextHost, len(d.nodes))
+	d.nextHost++
+	d.waitReady(fresh)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.nodes[index] = fresh
+}
+
+func (d *deployment) runNode(name string, index, host, count int) *nodeProcess {
 	return &nodeProcess{
 		process: startProcess(d.t, name, pewtermillBinary, "node",
 			"--name", name,
