--- /dev/null
+++ b/tests/failure_test.go
@@ -0,0 +1,62 @@
+package tests
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/standin/tool"
+)
+
+// TestOwnerKilledDuringToolCall kills a program's owner while a call that
+// must not run twice is at the tool. The next owner must not dispatch it
+// again, whatever it answers, and the program goes on with its history.
+func TestOwnerKilledDuringToolCall(t *testing.T) {
+	d := startDeployment(t, size{engines: 2, nodes: 3})
+	program := d.createProgram("owner-killed")
+	owner, other := d.owner(program.Owner), d.other(program.Owner)
+	history := newHistories()
+	history.ask(t, other, program.ID, 1)
+
+	setFaults(t, d.toolURL, tool.Faults{Hang: true})
+	var answered sync.WaitGroup
+	var result api.CallResult
+	answered.Go(func() { result = callWithRetry(t, other, program.ID, 2, publication) })
+	waitUntil(t, "the tool runs the call", func(context.Context) bool {
+		return len(fetch[[]tool.Execution](t, d.toolURL+"/log")) > 0
+	})
+	owner.kill()
+	setFaults(t, d.toolURL, tool.Faults{})
+	answered.Wait()
+
+	if result.Execution == api.NotRun {
+		t.Errorf("a call that ran was answered as not run: %+v", result)
+	}
+	checkToolsRanOnce(t, d, 1)
+	history.ask(t, other, program.ID, 3)
+}
+
+// TestFrozenOwnerIsFenced freezes a program's owner until another node has
+// taken the program over, and then lets it go on.
+func TestFrozenOwnerIsFenced(t *testing.T) {
+	d := startDeployment(t, size{engines: 2, nodes: 3})
+	program := d.createProgram("owner-frozen")
+	owner, other := d.owner(program.Owner), d.other(program.Owner)
+	history := newHistories()
+	history.ask(t, owner, program.ID, 1)
+
+	owner.freeze()
+	history.ask(t, other, program.ID, 2)
+	taken, err := other.caller().Program(t.Context(), program.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if taken.Owner == owner.name || taken.Epoch <= program.Epoch {
+		t.Fatalf("not taken over: owner %s, epoch %d", taken.Owner, taken.Epoch)
+	}
+
+	owner.thaw()
+	history.ask(t, owner, program.ID, 3)
+	history.ask(t, other, program.ID, 4)
+}
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -16,26 +16,21 @@
 	"github.com/pewtermill/pewtermill/internal/client"
 	"github.com/pewtermill/pewtermill/internal/command"
 	"github.com/pewtermill/pewtermill/internal/script"
-	"github.com/pewtermill/pewtermill/internal/standin/engine"
 	"github.com/pewtermill/pewtermill/internal/standin/tool"
 )
 
 // foreignCaller is a script.Caller that asks a node which does not own the
-// program, and checks each model answer against the history that the engine
-// must have seen.
+// program, and checks each model answer.
 type foreignCaller struct {
 	deployment *deployment
-	mutex      sync.Mutex
-	clients    map[string]*client.Client // by program
-	histories  map[string][]api.Message
+	histories  *histories
+
+	mutex   sync.Mutex
+	clients map[string]*client.Client // by program
 }
 
 func newForeignCaller(d *deployment) *foreignCaller {
-	return &foreignCaller{
-		deployment: d,
-		clients:    map[string]*client.Client{},
-		histories:  map[string][]api.Message{},
-	}
+	return &foreignCaller{deployment: d, histories: newHistories(), clients: map[string]*client.Client{}}
 }
 
 func (f *foreignCaller) CreateProgram(ctx context.Context, key string, request api.CreateProgramRequest) (api.Program, error) {
@@ -58,7 +53,7 @@
 	if err != nil || request.Kind != api.KindModel {
 		return result, err
 	}
-	return result, f.checkAnswer(program, request, result.Output)
+	return result, f.histories.check(program, request, result.Output)
 }
 
 func (f *foreignCaller) client(program string) *client.Client {
@@ -67,20 +62,6 @@
 	return f.clients[program]
 }
 
-// checkAnswer compares a model answer with what the stand-in says to this
-// program's history, and adds it to the history.
-func (f *foreignCaller) checkAnswer(program string, request api.CallRequest, output string) error {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	history := append(f.histories[program], request.Messages...)
-	want := engine.Answer(history, request.MaxTokens, engine.DefaultAnswerTokens)
-	f.histories[program] = append(history, api.Message{Role: api.RoleAssistant, Content: output})
-	if output != want {
-		return fmt.Errorf("the engine saw another history: answered %q, want %q", output, want)
-	}
-	return nil
-}
-
 // deductionScript returns the example script.
 func deductionScript(t *testing.T) *script.Script {
 	t.Helper()
@@ -160,19 +141,13 @@
 // which must not hold up its stop.
 func TestPlannedStopCutsNoCall(t *testing.T) {
 	d := startDeployment(t, size{engines: 2, nodes: 3})
-	program, err := d.nodes[0].caller().CreateProgram(t.Context(), "planned-stop", api.CreateProgramRequest{
-		Class:  "interactive",
-		Budget: 1_000_000,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	program := d.createProgram("planned-stop")
 	owner := d.owner(program.Owner)
 	forwarder := d.other(program.Owner)
 	if _, err := owner.operator().Watch(t.Context(), ""); err != nil {
 		t.Fatal(err)
 	}
-	callWithRetry(t, forwarder, program.ID, 1)
+	callWithRetry(t, forwarder, program.ID, 1, question)
 	var streamed []byte
 	result, err := forwarder.caller().Call(t.Context(), program.ID, 2, question, func(part api.StreamPart) {
 		if len(streamed) == 0 {
@@ -191,27 +166,6 @@
 	forwarder.waitExit()
 }
 
-// question is a model call with a long answer.
-var question = api.CallRequest{
-	Kind:      api.KindModel,
-	Target:    "small",
-	Messages:  []api.Message{{Role: api.RoleUser, Content: "a question"}},
-	MaxTokens: 256,
-}
-
-// callWithRetry asks the question as callers should: what was not run, as
-// while engines are not known yet, is asked again.
-func callWithRetry(t *testing.T, node *nodeProcess, program string, sequence int64) {
-	t.Helper()
-	err := client.Retry(t.Context(), client.RetryPolicy{}, func(ctx context.Context) error {
-		_, err := node.caller().Call(ctx, program, sequence, question, nil)
-		return err
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func TestNodeNamesEveryWrongSetting(t *testing.T) {
 	path := writeTemporary(t, "settings.yaml", []byte("name: node-1\ncell: C 1\nzone: zone-a\nplatform_url: nowhere\n"))
 	output, err := exec.Command(pewtermillBinary, "node", "--settings", path, "--peer-address", "127.0.0.1").CombinedOutput()
