--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -191,8 +191,8 @@
 	c.view.Store(newView(members, c.view.Load()))
 }
 
-// Step takes a received heartbeat in. Newcomers and members that were dead are
-// answered at once; that is the only case with messages.
+// Step takes a received heartbeat in. A newcomer is answered at once; that is
+// the only case with messages.
 func (c *Core) Step(heartbeat *wirepb.Heartbeat, now time.Time) Output {
 	if !c.concerns(heartbeat) {
 		return Output{}
@@ -211,7 +211,7 @@
 		c.publish(now)
 	}
 	output := Output{Changes: changes}
-	if isNew || before.State == Dead {
+	if isNew {
 		c.sequence++
 		output.Messages = append(output.Messages, c.messageTo(known))
 	}
