Group store: pace full groups too; count refusals of reads apart

Cause: under a rate limit full groups started without a wait, so that more than half of the requests were refused; and a read that had been throttled a few times was not retried after one refusal. Full groups now keep the pace that throttling imposes; only refusals count against a read's retries.

--- a/internal/platform/group.go
+++ b/internal/platform/group.go
@@ -92,9 +92,10 @@
 	held            keyLocks
 	idle            []*lane
 	groupsSent      uint64
-	active          int // groups in flight, without those being settled
-	pace            time.Duration
-	notBefore       time.Time // no group starts earlier, after throttling
+	active          int           // groups in flight, without those being settled
+	pace            time.Duration // wait imposed by throttling, up to window
+	lastStart       time.Time     // of a group
+	notBefore       time.Time     // no group starts earlier, after throttling
 	throttleRetries int
 	wake            *time.Timer
 	wakeAt          time.Time
@@ -244,12 +245,12 @@
 	}
 }
 
-// dueAt is when a group of so many rows may start: at once if it is full or
-// nothing hinders it, else when its oldest member has waited for others to
-// join. It needs s.mu.
+// dueAt is when a group of so many rows may start: a full one as soon as the
+// pace allows, another when its oldest member has waited for others to join.
+// It needs s.mu.
 func (s *GroupStore) dueAt(oldest *submission, rows int) time.Time {
 	if rows >= s.maxGroup {
-		return oldest.queuedAt
+		return s.lastStart.Add(s.pace)
 	}
 	gather := s.pace
 	if s.active > 0 {
@@ -283,6 +284,7 @@
 	used := s.idle[len(s.idle)-1]
 	s.idle = s.idle[:len(s.idle)-1]
 	s.active++
+	s.lastStart = time.Now()
 	group := newGroup(s, used, members)
 	s.groups.Go(group.run)
 }
--- a/internal/platform/group_property_test.go
+++ b/internal/platform/group_property_test.go
@@ -161,8 +161,12 @@
 func (r *run) check() error {
 	applied := make(map[string][]standin.Committed)
 	for _, committed := range r.table.History() {
-		for _, token := range tokensOf(committed) {
-			applied[token] = append(applied[token], committed)
+		for _, write := range committed.Transaction.Writes {
+			token := string(write.Value)
+			known := applied[token]
+			if len(known) == 0 || known[len(known)-1].Sequence != committed.Sequence {
+				applied[token] = append(known, committed)
+			}
 		}
 	}
 	for _, s := range r.done {
@@ -173,20 +177,6 @@
 	return nil
 }
 
-// tokensOf lists each token of the transaction once.
-func tokensOf(committed standin.Committed) []string {
-	var tokens []string
-	seen := make(map[string]bool)
-	for _, write := range committed.Transaction.Writes {
-		token := string(write.Value)
-		if token != "" && !seen[token] {
-			seen[token] = true
-			tokens = append(tokens, token)
-		}
-	}
-	return tokens
-}
-
 func (s submitted) check(applied []standin.Committed) error {
 	var conflict *platform.ConflictError
 	switch {
--- a/internal/platform/group_test.go
+++ b/internal/platform/group_test.go
@@ -15,10 +15,21 @@
 )
 
 // scriptedTable passes on to a stand-in, but hands each commit to the next
-// step of a script while there is one. It is for one lane at a time.
+// step of a script, and answers each read of a row with the next error, while
+// there is one. It is for one goroutine at a time.
 type scriptedTable struct {
 	*standin.Platform
 	steps []func(platform.Transaction) (platform.Receipt, error)
+	reads []error
+}
+
+func (s *scriptedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if len(s.reads) == 0 {
+		return s.Platform.Get(ctx, key)
+	}
+	err := s.reads[0]
+	s.reads = s.reads[1:]
+	return platform.Row{}, err
 }
 
 func (s *scriptedTable) Commit(ctx context.Context, transaction platform.Transaction) (platform.Receipt, error) {
@@ -38,6 +49,21 @@
 	}
 }
 
+// loseReply keeps the transaction, to be applied later or never.
+func loseReply(lost *platform.Transaction) func(platform.Transaction) (platform.Receipt, error) {
+	return func(transaction platform.Transaction) (platform.Receipt, error) {
+		*lost = transaction
+		return platform.Receipt{}, platform.ErrUnknownOutcome
+	}
+}
+
+// newStore returns a store that is closed at the test's end.
+func newStore(t *testing.T, client platform.Store, options platform.StoreOptions) *platform.GroupStore {
+	store := platform.NewStore(client, client, options)
+	t.Cleanup(store.Close)
+	return store
+}
+
 // put writes a row on behalf of another writer, whatever its revision.
 func put(t *testing.T, table platform.Table, write platform.Write) {
 	t.Helper()
@@ -64,10 +90,6 @@
 			synctest.Test(t, func(t *testing.T) {
 				table := &scriptedTable{Platform: standin.New(standin.Options{})}
 				var lost platform.Transaction
-				lose := func(transaction platform.Transaction) (platform.Receipt, error) {
-					lost = transaction
-					return platform.Receipt{}, platform.ErrUnknownOutcome
-				}
 				otherCreates := func() { put(t, table.Platform, platform.Write{Key: "row"}) }
 				otherDeletes := func() {
 					put(t, table.Platform, platform.Write{Key: "row", Delete: true})
@@ -75,9 +97,8 @@
 						_, _ = table.Platform.Commit(context.Background(), lost)
 					}
 				}
-				table.steps = append(table.steps, lose, table.pass(otherCreates), table.pass(otherDeletes))
-				store := platform.NewStore(table, table, platform.StoreOptions{})
-				defer store.Close()
+				table.steps = append(table.steps, loseReply(&lost), table.pass(otherCreates), table.pass(otherDeletes))
+				store := newStore(t, table, platform.StoreOptions{})
 				_, err := store.Commit(t.Context(), create("row"))
 				if !applies {
 					_, _ = table.Platform.Commit(context.Background(), lost) // too late
@@ -97,16 +118,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := &scriptedTable{Platform: standin.New(standin.Options{})}
 		var lost platform.Transaction
-		lose := func(transaction platform.Transaction) (platform.Receipt, error) {
-			lost = transaction
-			return platform.Receipt{}, platform.ErrUnknownOutcome
-		}
 		reject := func(platform.Transaction) (platform.Receipt, error) {
 			return platform.Receipt{}, platform.ErrRejected
 		}
-		table.steps = append(table.steps, lose, reject)
-		store := platform.NewStore(table, table, platform.StoreOptions{})
-		defer store.Close()
+		table.steps = append(table.steps, loseReply(&lost), reject)
+		store := newStore(t, table, platform.StoreOptions{})
 		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrRejected) {
 			t.Errorf("answered %v", err)
 		}
@@ -119,8 +135,7 @@
 // TestInvalidTransactions are refused before they are sent.
 func TestInvalidTransactions(t *testing.T) {
 	table := standin.New(standin.Options{})
-	store := platform.NewStore(table, table, platform.StoreOptions{})
-	defer store.Close()
+	store := newStore(t, table, platform.StoreOptions{})
 	twice := create("row")
 	twice.Writes = append(twice.Writes, twice.Writes[0])
 	otherKey := create("row")
@@ -176,8 +191,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := standin.New(standin.Options{})
 		table.SetFaults(standin.Faults{Down: true})
-		store := platform.NewStore(table, table, platform.StoreOptions{})
-		defer store.Close()
+		store := newStore(t, table, platform.StoreOptions{})
 		for range 20 {
 			for _, err := range commitAll(t.Context(), store, 50) {
 				if !errors.Is(err, platform.ErrUnavailable) {
@@ -196,14 +210,33 @@
 	})
 }
 
+// TestReadRetries: a read goes on while throttled, gives up after a few
+// refusals, and is then refused without being sent.
+func TestReadRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down, throttled := platform.ErrUnavailable, platform.ErrThrottled
+		table := &scriptedTable{Platform: standin.New(standin.Options{})}
+		store := newStore(t, table, platform.StoreOptions{})
+		table.reads = []error{throttled, throttled, throttled, down, throttled, down}
+		if _, err := store.Get(t.Context(), "row"); err != nil {
+			t.Errorf("answered %v", err)
+		}
+		table.reads = []error{down, down, down, platform.ErrRejected}
+		for range 2 {
+			if _, err := store.Get(t.Context(), "row"); !errors.Is(err, down) {
+				t.Errorf("answered %v", err)
+			}
+		}
+	})
+}
+
 // TestThrottling: groups grow until the rate is kept; who can't wait so long
 // is answered ErrThrottled and not applied.
 func TestThrottling(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := standin.New(standin.Options{})
 		table.SetFaults(standin.Faults{TransactionsPerSecond: 1e-6})
-		store := platform.NewStore(table, table, platform.StoreOptions{MaxGroup: 10})
-		defer store.Close()
+		store := newStore(t, table, platform.StoreOptions{MaxGroup: 10})
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		committed, throttled := 0, 0
@@ -232,8 +265,7 @@
 			put(t, table.Platform, platform.Write{Key: transaction.Conditions[0].Key})
 			return platform.Receipt{}, platform.ErrUnknownOutcome
 		})
-		store := platform.NewStore(table, table, platform.StoreOptions{})
-		defer store.Close()
+		store := newStore(t, table, platform.StoreOptions{})
 		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrUnknownOutcome) {
 			t.Errorf("answered %v", err)
 		}
@@ -263,11 +295,10 @@
 	})
 }
 
-// TestObjects: contents come back by digest, and a changed one is noticed.
+// TestObjects: contents come back by digest over HTTP; a changed one is noticed.
 func TestObjects(t *testing.T) {
 	table := standin.New(standin.Options{})
-	store := platform.NewStore(table, table, platform.StoreOptions{})
-	defer store.Close()
+	store := newStore(t, serve(t, table), platform.StoreOptions{})
 	digest, err := store.PutObject(t.Context(), []byte("content"))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/platform/http_test.go
+++ b/internal/platform/http_test.go
@@ -103,12 +103,11 @@
 }
 
 // TestHTTPAgainstStandin: a store over HTTP commits, names conflicts, settles
-// lost replies, reads ranges and keeps objects.
+// lost replies, reads ranges; the client lists machines.
 func TestHTTPAgainstStandin(t *testing.T) {
 	table := standin.New(standin.Options{})
 	client := serve(t, table)
-	store := platform.NewStore(client, client, platform.StoreOptions{Node: "a"})
-	defer store.Close()
+	store := newStore(t, client, platform.StoreOptions{Node: "a"})
 	table.SetFaults(standin.Faults{LoseRepliesNext: 1})
 	receipt, err := store.Commit(t.Context(), create("row/1 ä"))
 	if err != nil {
@@ -126,12 +125,9 @@
 	if rows, err := store.Range(t.Context(), "row/", "row0", 10); err != nil || len(rows) != 1 {
 		t.Errorf("range %+v, %v", rows, err)
 	}
-	digest, err := store.PutObject(t.Context(), []byte("content"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if content, err := store.GetObject(t.Context(), digest); err != nil || string(content) != "content" {
-		t.Errorf("object %q, %v", content, err)
+	table.Announce(platform.Machine{Name: "engine-1", Zone: "z1"})
+	if machines, err := client.List(t.Context()); err != nil || len(machines) != 1 || machines[0].Zone != "z1" {
+		t.Errorf("machines %+v, %v", machines, err)
 	}
 	if stats := store.Stats(); stats.Settled != 1 {
 		t.Errorf("stats %+v", stats)
--- a/internal/platform/reads.go
+++ b/internal/platform/reads.go
@@ -60,35 +60,28 @@
 // a few times if the service does not answer. It refuses at once while the
 // circuit breaker is open.
 func retryRead[T any](ctx context.Context, s *GroupStore, request func() (T, error)) (T, error) {
+	refusals := 0
 	for retry := 0; ; retry++ {
 		if !s.breaker.allow() {
 			var none T
 			return none, ErrUnavailable
 		}
 		result, err := request()
-		if !s.retryable(ctx, err, retry) {
+		if ctx.Err() != nil {
 			return result, err
 		}
-		if !pause(ctx, fullJitter(readRetryBase, readRetryMax, retry)) {
+		switch {
+		case errors.Is(err, ErrUnavailable):
+			s.failed()
+			refusals++
+		case errors.Is(err, ErrThrottled):
+			s.healthy()
+		default:
+			s.healthy()
+			return result, err
+		}
+		if refusals > readRetries || !pause(ctx, fullJitter(readRetryBase, readRetryMax, retry)) {
 			return result, err
 		}
-	}
-}
-
-// retryable records whether the service answered, and reports whether the
-// request should be sent again.
-func (s *GroupStore) retryable(ctx context.Context, err error, retry int) bool {
-	switch {
-	case ctx.Err() != nil:
-		return false
-	case errors.Is(err, ErrUnavailable):
-		s.failed()
-		return retry < readRetries
-	case errors.Is(err, ErrThrottled):
-		s.healthy()
-		return true
-	default:
-		s.healthy()
-		return false
 	}
 }
--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -11,7 +11,7 @@
 
 // Settings of one group's commit.
 const (
-	commitTimeout    = 10 * time.Second
+	commitTimeout    = 8 * time.Second // below that of the HTTP client
 	settleTimeout    = 5 * time.Second // of one read that settles
 	quickRetries     = 2               // after ErrUnavailable
 	quickRetryBase   = 20 * time.Millisecond
