ownership: a stale owner finds out before it waits, refuses or reports

Its timeline showed why: a node just started had not heard the program's owner yet, took it for dead and claimed the program; the former owner, alive and never asked, kept call 4 as the last one in memory, and calls routed to it waited for call 5 for ever. Ruled out: the engine client (the call had ended), the commit lock, the flight's end. The same fault lets a stale owner refuse as not run what its successor ran, and show a program as it was. Change: before a call waits or is refused, and before a program is shown, the owner reads the row's revision; a node takes members that it has not heard for alive until it has run for the time after which silence means death. Measured: TestStaleOwner* fail before (60 s without an answer; 'overloaded' as not run; next call 2 instead of 3) and pass after.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,6 +61,7 @@
 type Node struct {
 	settings    settings.Settings
 	incarnation uint64
+	startedAt   time.Time
 	logger      *slog.Logger
 	registry    *prometheus.Registry
 	machines    platform.Machines
@@ -100,9 +101,11 @@
 	if logger == nil {
 		logger = slog.New(slog.DiscardHandler)
 	}
+	now := time.Now()
 	n := &Node{
 		settings:    s,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(now.UnixNano()),
+		startedAt:   now,
 		logger:      logger.With("node", s.Name),
 		registry:    prometheus.NewRegistry(),
 		decisions:   explain.NewLog(s.Name, decisionLogRecords),
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/membership"
 	"github.com/pewtermill/pewtermill/internal/ownership"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -21,9 +22,17 @@
 
 // Alive implements ownership.Peers.
 func (p peerAccess) Alive(node string, incarnation uint64) bool {
-	return p.node.members.View().Alive(node, incarnation)
+	view := p.node.members.View()
+	if _, known := view.Member(node); !known && time.Since(p.node.startedAt) < acquaintance {
+		return true
+	}
+	return view.Alive(node, incarnation)
 }
 
+// acquaintance is how long after its start a node takes members that it has
+// not heard yet for alive.
+const acquaintance = membership.DefaultDeadAfter
+
 // AskRelease implements ownership.Peers.
 func (p peerAccess) AskRelease(ctx context.Context, node, program string, epoch uint64) (bool, error) {
 	member, ok := p.node.members.View().Member(node)
--- a/internal/ownership/call.go
+++ b/internal/ownership/call.go
@@ -47,19 +47,44 @@
 		case step.replay:
 			return p.replay(ctx, e, sequence, digest, onPart)
 		}
-		select {
-		case <-step.changed:
-		case <-ctx.Done():
+		if confirmed := p.confirm(ctx, e); !confirmed {
+			continue
+		}
+		if step.refusal != nil {
+			return api.CallResult{}, p.refuse(step.header, sequence, request.Target, step.refusal)
+		}
+		if !waitForChange(ctx, step.changed) {
 			return api.CallResult{}, api.Errorf(api.DeadlineExceeded, "call %d waits for an earlier one", sequence).After(movingRetryAfter)
 		}
 	}
 }
 
+// confirmPeriod is how often a call that waits for an earlier one makes sure
+// that this node still owns the program.
+const confirmPeriod = time.Second
+
+// waitForChange waits for a change of the entry, for confirmPeriod at most. It
+// returns false when ctx ends first.
+func waitForChange(ctx context.Context, changed <-chan struct{}) bool {
+	timer := time.NewTimer(confirmPeriod)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // step is what an arriving call does next: follow a flight, replay a final
-// answer, or wait for a change and look again.
+// answer, be refused, or wait for a change and look again. The last two rest
+// on what is in memory, so ownership is confirmed first.
 type step struct {
 	flight  *flight
 	replay  bool
+	header  program.Header
+	refusal *api.Error
 	changed <-chan struct{}
 }
 
@@ -82,17 +107,17 @@
 	}
 	plan, refusal := p.plan(e.header, sequence, request, digest)
 	if refusal != nil && sequence >= e.header.NextSequence {
-		return step{}, p.refuse(e.header, sequence, request.Target, refusal)
+		return refusedStep(e.header, sequence, refusal), nil
 	}
 	admission := program.Admit(e.header, plan.call, plan.limits, time.Now())
 	switch admission.Verdict {
 	case program.Replay:
 		return step{replay: true}, nil
 	case program.Refuse:
-		return step{}, p.refuse(e.header, sequence, request.Target, admission.Error)
+		return step{header: e.header, refusal: admission.Error}, nil
 	case program.Wait:
 		if sequence-e.header.NextSequence > plan.maxAhead {
-			return step{}, p.refuse(e.header, sequence, request.Target, gapError(e.header, sequence))
+			return step{header: e.header, refusal: gapError(e.header, sequence)}, nil
 		}
 		return step{changed: e.changed}, nil
 	}
@@ -102,6 +127,15 @@
 	return step{flight: p.start(e, plan, request, digest, arrived)}, nil
 }
 
+// refusedStep refuses a call before the state machine was asked. A call that
+// may have run under a former owner is not said to be not run.
+func refusedStep(header program.Header, sequence int64, refusal *api.Error) step {
+	if header.MayHaveRun(sequence) {
+		refusal.Execution = api.Unknown
+	}
+	return step{header: header, refusal: refusal}
+}
+
 // closedChannel makes a waiter look again at once.
 var closedChannel = func() chan struct{} {
 	channel := make(chan struct{})
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -125,6 +125,29 @@
 	return nil
 }
 
+// confirm reads the row to make sure that no other node has claimed the
+// program since, as can have happened to a node that was paused or that others
+// did not know. If one has, the program is dropped from memory and confirm
+// returns false. While the table can't be read, what is in memory counts.
+func (p *Programs) confirm(ctx context.Context, e *entry) bool {
+	limited, cancel := context.WithTimeout(ctx, storePatience)
+	defer cancel()
+	if err := e.lock(limited); err != nil {
+		return true
+	}
+	defer e.unlock()
+	if _, owned := e.snapshot(); !owned {
+		return false
+	}
+	row, err := p.Store.Get(limited, program.HeaderKey(e.id))
+	if err != nil || row.Revision == e.revisionNow() {
+		return true
+	}
+	e.disown()
+	p.forget(e)
+	return false
+}
+
 // Release gives a program up if it is idle. It returns false while a call is
 // under way. Epoch is the one that the asker read from the row.
 func (p *Programs) Release(ctx context.Context, id string, epoch uint64) bool {
@@ -158,6 +181,12 @@
 	return errors.As(err, &conflict)
 }
 
+// isConflictOn says that the row under this key had changed.
+func isConflictOn(err error, key string) bool {
+	var conflict *platform.ConflictError
+	return errors.As(err, &conflict) && conflict.Current.Key == key
+}
+
 // storeError turns the store's error into the caller's; conflicts stay.
 func (p *Programs) storeError(err error) error {
 	if isConflict(err) {
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -117,6 +117,7 @@
 	executions map[string]int // by idempotency key
 	starts     []historycheck.Execution
 	prompts    map[string][]string // by idempotency key: the contents sent
+	refusing   bool                // model calls are refused, as when overloaded
 	hang       chan struct{}       // if set, tool calls wait for it
 	entered    chan string         // if set, gets the key of each tool call
 }
@@ -132,6 +133,10 @@
 // Execute implements Executor.
 func (x *testExecutor) Execute(ctx context.Context, work Work, onText func(offset int64, text string)) Outcome {
 	x.mutex.Lock()
+	if x.refusing && work.Request.Kind == api.KindModel {
+		x.mutex.Unlock()
+		return Outcome{Refusal: api.Errorf(api.Overloaded, "too many calls").After(time.Second)}
+	}
 	x.executions[work.Key]++
 	x.starts = append(x.starts, historycheck.Execution{Program: work.Header.ID, Sequence: work.Sequence, Started: time.Now()})
 	hang, entered := x.hang, x.entered
@@ -174,6 +179,12 @@
 // Release implements Executor.
 func (x *testExecutor) Release(context.Context, string, string) error { return nil }
 
+func (x *testExecutor) refuse(refusing bool) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.refusing = refusing
+}
+
 func (x *testExecutor) started() []historycheck.Execution {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -51,7 +51,11 @@
 	childKey := program.HeaderKey(child.ID)
 	absent := []platform.Condition{{Key: childKey}}
 	create := []platform.Write{{Key: childKey, Value: program.EncodeHeader(child)}}
-	if err := p.writeIf(ctx, parent, nextParent, absent, create); err != nil {
+	err = p.writeIf(ctx, parent, nextParent, absent, create)
+	if isConflictOn(err, childKey) {
+		return p.Get(ctx, tenant, childID)
+	}
+	if err != nil {
 		return api.Program{}, notRun(err)
 	}
 	p.created(child)
--- a/internal/ownership/lifecycle.go
+++ b/internal/ownership/lifecycle.go
@@ -119,6 +119,11 @@
 	if err != nil {
 		return api.Program{}, err
 	}
+	if !p.confirm(ctx, e) {
+		if e, err = p.acquire(ctx, id); err != nil {
+			return api.Program{}, err
+		}
+	}
 	header, _ := e.snapshot()
 	if err := authorize(header, tenant); err != nil {
 		return api.Program{}, err
@@ -172,11 +177,11 @@
 		Sequence:  intent.Sequence,
 		Code:      outcome.Code,
 		Execution: outcome.Code.Info().Execution,
-		Result:    outcome.Result,
+		Result:    compact(outcome.Result),
 		Detail:    outcome.Detail,
 		Backend:   intent.Target,
-		Digest:    digestOf(outcome.Result),
 	}
+	result.Digest = digestOf(result.Result)
 	row := program.CallRow{
 		Program:       header.ID,
 		Tenant:        header.Tenant,
--- a/internal/ownership/run.go
+++ b/internal/ownership/run.go
@@ -90,7 +90,11 @@
 	outcome := p.Executor.Execute(ctx, work, f.write)
 	if outcome.Refusal != nil {
 		p.abandon(e, f.sequence)
-		return api.CallResult{}, p.refuse(header, f.sequence, f.request.Target, outcome.Refusal)
+		if !p.confirm(ctx, e) {
+			return api.CallResult{}, ranElsewhere()
+		}
+		refusal := refusedStep(header, f.sequence, outcome.Refusal).refusal
+		return api.CallResult{}, p.refuse(header, f.sequence, f.request.Target, refusal)
 	}
 	return p.recordResult(e, f, planned, outcome)
 }
--- a/internal/ownership/settle.go
+++ b/internal/ownership/settle.go
@@ -1,7 +1,9 @@
 package ownership
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -93,7 +95,7 @@
 		Code:      outcome.Code,
 		Execution: outcome.Code.Info().Execution,
 		Output:    outcome.Text,
-		Result:    outcome.Result,
+		Result:    compact(outcome.Result),
 		Detail:    outcome.Detail,
 		Usage:     outcome.Usage,
 		Backend:   outcome.Backend,
@@ -112,6 +114,16 @@
 	return result
 }
 
+// compact removes the white space that encoding into an answer would remove,
+// so that the digest is that of what the caller gets.
+func compact(result json.RawMessage) json.RawMessage {
+	var buffer bytes.Buffer
+	if err := json.Compact(&buffer, result); err != nil {
+		return result
+	}
+	return buffer.Bytes()
+}
+
 // settled is the header after the call.
 func (p *Programs) settled(header program.Header, f *flight, planned plan, outcome Outcome, result api.CallResult) program.Header {
 	ended := program.Outcome{
--- /dev/null
+++ b/internal/ownership/stale_test.go
@@ -0,0 +1,68 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+)
+
+// staleOwner returns a cluster in which "a" has run call 1 of a program and
+// was then replaced unseen, and "b" has claimed the program and run call 2.
+func staleOwner(t *testing.T) (stale *Programs, c *testCluster, id string) {
+	t.Helper()
+	c = newTestCluster(t, 1, "a", "b")
+	id = createPrograms(t, c, 1)[0]
+	stale = c.node("a")
+	execute(t, stale, id, 1)
+	c.replace("a")
+	execute(t, c.node("b"), id, 2)
+	return stale, c, id
+}
+
+func execute(t *testing.T, owner *Programs, id string, sequence int64) {
+	t.Helper()
+	if _, err := owner.Execute(context.Background(), "dev", id, sequence, bodyOf(id, sequence), nil); err != nil {
+		t.Fatalf("call %d: %v", sequence, err)
+	}
+}
+
+// TestStaleOwnerDoesNotWaitForever asks a stale owner for a call that, as far
+// as it knows, is ahead of its turn. It must find out that it was replaced
+// rather than wait for a call that was made elsewhere.
+func TestStaleOwnerDoesNotWaitForever(t *testing.T) {
+	stale, _, id := staleOwner(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	_, err := stale.Execute(ctx, "dev", id, 3, bodyOf(id, 3), nil)
+	var moved *MovedError
+	if err != nil && !errors.As(err, &moved) {
+		var refusal *api.Error
+		if !errors.As(err, &refusal) || refusal.Code != api.OwnerMoving {
+			t.Fatalf("answered %v, want the call's result or where to ask", err)
+		}
+	}
+}
+
+// TestStaleOwnerDoesNotRefuseWhatRan asks a stale owner to refuse a call that
+// its successor ran: it must not say "not run".
+func TestStaleOwnerDoesNotRefuseWhatRan(t *testing.T) {
+	stale, c, id := staleOwner(t)
+	c.executor.refuse(true)
+	_, err := stale.Execute(context.Background(), "dev", id, 2, bodyOf(id, 2), nil)
+	var refusal *api.Error
+	if errors.As(err, &refusal) && refusal.Execution == api.NotRun {
+		t.Fatalf("a call that ran was refused as not run: %v", refusal)
+	}
+}
+
+// TestStaleOwnerShowsTheProgramAsItIs reads a program at a stale owner.
+func TestStaleOwnerShowsTheProgramAsItIs(t *testing.T) {
+	stale, _, id := staleOwner(t)
+	program, err := stale.Get(context.Background(), "dev", id)
+	if err == nil && program.NextSequence != 3 {
+		t.Fatalf("next call is %d, want 3", program.NextSequence)
+	}
+}
--- a/tests/workload_test.go
+++ b/tests/workload_test.go
@@ -14,6 +14,7 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/client"
 	"github.com/pewtermill/pewtermill/internal/command/devcluster"
+	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/historycheck"
 	"github.com/pewtermill/pewtermill/internal/standin/engine"
 	"github.com/pewtermill/pewtermill/internal/standin/tool"
@@ -133,10 +134,27 @@
 		}
 		rest(ctx)
 	}
-	w.t.Errorf("call %d of %s got no final answer", sequence, id)
+	w.t.Errorf("call %d of %s got no final answer\n%s", sequence, id, w.d.timeline(id))
 	return api.CallResult{}, false
 }
 
+// timeline is what the nodes say about a program, for a failed test's log.
+func (d *deployment) timeline(id string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), attemptLimit)
+	defer cancel()
+	var text strings.Builder
+	for _, node := range d.nodes {
+		program, err := node.caller().Program(ctx, id)
+		fmt.Fprintf(&text, "%s: %+v %v\n", node.name, program, err)
+	}
+	decisions, err := d.nodes[0].operator().Explain(ctx, id, 0)
+	if err != nil {
+		fmt.Fprintln(&text, err)
+	}
+	explain.Timeline(&text, decisions)
+	return text.String()
+}
+
 // checkAnswer compares a model's answer with what the engine says to exactly
 // this program's history.
 func (w *workload) checkAnswer(id string, sequence int64, request api.CallRequest, result api.CallResult, history []api.Message) []api.Message {
