--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/leanovate/gopter"
@@ -90,6 +91,9 @@
 	if _, err := dialHandshake(conn, testOptions("raw").withDefaults(), &traffic{}); err != nil {
 		t.Fatal(err)
 	}
+	if err := conn.SetDeadline(time.Now().Add(testPatience)); err != nil {
+		t.Fatal(err)
+	}
 	return conn
 }
 
--- a/internal/wire/handshake_test.go
+++ b/internal/wire/handshake_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -56,6 +57,9 @@
 				t.Fatal(err)
 			}
 			defer func() { _ = conn.Close() }()
+			if err := conn.SetDeadline(time.Now().Add(testPatience)); err != nil {
+				t.Fatal(err)
+			}
 			if err := writeHello(conn, test.hello, &traffic{}); err != nil {
 				t.Fatal(err)
 			}
