tests: owners are settled, and read after the first call

The killed node was not the owner any more when the program had moved before its first call; a trial with the check of intents removed passed. With this change the same trial fails: the tool executed 2 calls, want 1.

--- a/tests/deployment_test.go
+++ b/tests/deployment_test.go
@@ -10,6 +10,7 @@
 
 	"sigs.k8s.io/yaml"
 
+	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/examples"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/client"
@@ -77,9 +78,34 @@
 	for _, node := range d.nodes {
 		d.waitReady(node)
 	}
+	d.waitOwnersSettled()
 	return d
 }
 
+// waitOwnersSettled waits until each node knows that all others take
+// programs, so that owners don't change any more.
+func (d *deployment) waitOwnersSettled() {
+	d.t.Helper()
+	for _, node := range d.nodes {
+		waitUntil(d.t, node.name+" knows all nodes", func(ctx context.Context) bool {
+			status, err := node.operator().Status(ctx)
+			return err == nil && d.allServe(status.Members)
+		})
+	}
+}
+
+// allServe reports whether each node of the deployment is alive and has the
+// bundle.
+func (d *deployment) allServe(members []api.MemberStatus) bool {
+	serving := 0
+	for _, member := range members {
+		if member.State == "alive" && member.BundleVersion == d.bundle.Version {
+			serving++
+		}
+	}
+	return serving == len(d.nodes)
+}
+
 func (d *deployment) startPlatform() {
 	address := d.subnet.address(platformHost, standInPort)
 	d.platformURL = "http://" + address
@@ -174,16 +200,20 @@
 
 func (d *deployment) waitReady(node *nodeProcess) { d.waitAnswers(node.operatorURL + "/readyz") }
 
-// owner returns the node of that name.
-func (d *deployment) owner(name string) *nodeProcess {
+// ownerAndOther returns the program's owner, and a node that is not.
+func (d *deployment) ownerAndOther(program string) (owner, other *nodeProcess) {
 	d.t.Helper()
+	current, err := d.nodes[0].caller().Program(d.t.Context(), program)
+	if err != nil {
+		d.t.Fatal(err)
+	}
 	for _, node := range d.nodes {
-		if node.name == name {
-			return node
+		if node.name == current.Owner {
+			return node, d.other(node.name)
 		}
 	}
-	d.t.Fatalf("no node is named %q", name)
-	return nil
+	d.t.Fatalf("no node is named %q", current.Owner)
+	return nil, nil
 }
 
 // other returns a node that is not the named one.
--- a/tests/failure_test.go
+++ b/tests/failure_test.go
@@ -14,10 +14,10 @@
 // again, whatever it answers, and the program goes on with its history.
 func TestOwnerKilledDuringToolCall(t *testing.T) {
 	d := startDeployment(t, size{engines: 2, nodes: 3})
-	program := d.createProgram("owner-killed")
-	owner, other := d.owner(program.Owner), d.other(program.Owner)
 	history := newHistories()
-	history.ask(t, other, program.ID, 1)
+	program := d.createProgram("owner-killed")
+	history.ask(t, d.nodes[0], program.ID, 1)
+	owner, other := d.ownerAndOther(program.ID)
 
 	setFaults(t, d.toolURL, tool.Faults{Hang: true})
 	var answered sync.WaitGroup
@@ -41,10 +41,10 @@
 // taken the program over, and then lets it go on.
 func TestFrozenOwnerIsFenced(t *testing.T) {
 	d := startDeployment(t, size{engines: 2, nodes: 3})
-	program := d.createProgram("owner-frozen")
-	owner, other := d.owner(program.Owner), d.other(program.Owner)
 	history := newHistories()
-	history.ask(t, owner, program.ID, 1)
+	program := d.createProgram("owner-frozen")
+	history.ask(t, d.nodes[0], program.ID, 1)
+	owner, other := d.ownerAndOther(program.ID)
 
 	owner.freeze()
 	history.ask(t, other, program.ID, 2)
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -142,12 +142,11 @@
 func TestPlannedStopCutsNoCall(t *testing.T) {
 	d := startDeployment(t, size{engines: 2, nodes: 3})
 	program := d.createProgram("planned-stop")
-	owner := d.owner(program.Owner)
-	forwarder := d.other(program.Owner)
+	callWithRetry(t, d.nodes[0], program.ID, 1, question)
+	owner, forwarder := d.ownerAndOther(program.ID)
 	if _, err := owner.operator().Watch(t.Context(), ""); err != nil {
 		t.Fatal(err)
 	}
-	callWithRetry(t, forwarder, program.ID, 1, question)
 	var streamed []byte
 	result, err := forwarder.caller().Call(t.Context(), program.ID, 2, question, func(part api.StreamPart) {
 		if len(streamed) == 0 {
