--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -165,6 +165,16 @@
 	forwarder.waitExit()
 }
 
+// TestDevRunsTheExample runs the second command of README.md.
+func TestDevRunsTheExample(t *testing.T) {
+	output := runCommand(t, pewtermillBinary, "dev", "--run", filepath.Join("..", "examples", "deduction.yaml"))
+	for _, part := range []string{"Answer of deduction\n", "Total cost ", "Decisions about ", "lowest estimated delay"} {
+		if !strings.Contains(output, part) {
+			t.Errorf("the output lacks %q:\n%s", part, output)
+		}
+	}
+}
+
 func TestNodeNamesEveryWrongSetting(t *testing.T) {
 	path := writeTemporary(t, "settings.yaml", []byte("name: node-1\ncell: C 1\nzone: zone-a\nplatform_url: nowhere\n"))
 	output, err := exec.Command(pewtermillBinary, "node", "--settings", path, "--peer-address", "127.0.0.1").CombinedOutput()
