--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -142,12 +142,11 @@
 func TestPlannedStopCutsNoCall(t *testing.T) {
 	d := startDeployment(t, size{engines: 2, nodes: 3})
 	program := d.createProgram("planned-stop")
-	owner := d.owner(program.Owner)
-	forwarder := d.other(program.Owner)
+	callWithRetry(t, d.nodes[0], program.ID, 1, question)
+	owner, forwarder := d.ownerAndOther(program.ID)
 	if _, err := owner.operator().Watch(t.Context(), ""); err != nil {
 		t.Fatal(err)
 	}
-	callWithRetry(t, forwarder, program.ID, 1, question)
 	var streamed []byte
 	result, err := forwarder.caller().Call(t.Context(), program.ID, 2, question, func(part api.StreamPart) {
 		if len(streamed) == 0 {
@@ -166,6 +165,16 @@
 	forwarder.waitExit()
 }
 
+// TestDevRunsTheExample runs the second command of README.md.
+func TestDevRunsTheExample(t *testing.T) {
+	output := runCommand(t, pewtermillBinary, "dev", "--run", filepath.Join("..", "examples", "deduction.yaml"))
+	for _, part := range []string{"Answer of deduction\n", "Total cost ", "Decisions about ", "lowest estimated delay"} {
+		if !strings.Contains(output, part) {
+			t.Errorf("the output lacks %q:\n%s", part, output)
+		}
+	}
+}
+
 func TestNodeNamesEveryWrongSetting(t *testing.T) {
 	path := writeTemporary(t, "settings.yaml", []byte("name: node-1\ncell: C 1\nzone: zone-a\nplatform_url: nowhere\n"))
 	output, err := exec.Command(pewtermillBinary, "node", "--settings", path, "--peer-address", "127.0.0.1").CombinedOutput()
