--- a/internal/bundle/keeper.go
+++ b/internal/bundle/keeper.go
@@ -20,7 +20,7 @@
 // offerLoadTimeout bounds the read of the table that an offer may need.
 const offerLoadTimeout = 5 * time.Second
 
-// ErrNoBundle: the table holds no bundle yet.
+// ErrNoBundle means that the table holds no bundle yet.
 var ErrNoBundle = errors.New("no bundle in force yet")
 
 // Keeper holds the bundle in force on one node. The version in force never
--- a/internal/platform/group.go
+++ b/internal/platform/group.go
@@ -32,7 +32,7 @@
 // has it, so a condition on it fails.
 const RevisionOverwritten uint64 = math.MaxUint64
 
-// ErrInvalidTransaction: the submitted transaction breaks the rules of Store,
+// ErrInvalidTransaction means that the submitted transaction breaks the rules of Store,
 // such as self-conditioning. It was not applied.
 var ErrInvalidTransaction = errors.New("invalid transaction")
 
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -17,7 +17,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrRejected: the service refused the request as malformed or too large; it
+// ErrRejected means that the service refused the request as malformed or too large; it
 // was not applied and no retry will help.
 var ErrRejected = errors.New("request rejected by the platform")
 
--- a/tests/workload_test.go
+++ b/tests/workload_test.go
@@ -44,7 +44,6 @@
 
 	mutex     sync.Mutex
 	programs  []api.Program // as they were when they ended
-	exhausted int           // programs that ended because a lost attempt used their budget up
 }
 
 func startWorkload(t *testing.T, d *deployment, seed uint64) *workload {
