pewtermill-lab fleet: many hollow nodes in one process, steady state

Hollow nodes run the real control code against in-process stand-ins for the platform and the engines; the verb prints processor time, memory, bytes between nodes, engine requests and table operations for one node.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,8 @@
 	Heartbeats membership.Config
 	// Hollow leaves out callers' and operators' HTTP: for measuring control.
 	Hollow bool
+	// BackendClient reaches engines and tools; nil takes a pooled one.
+	BackendClient *http.Client
 }
 
 // Node is one member of a cell. Its methods are safe for concurrent use.
@@ -120,6 +122,7 @@
 		InForce:  n.keeper.InForce,
 		Recorder: n.decisions,
 		Logger:   n.logger,
+		Client:   dependencies.BackendClient,
 	})
 	n.programs = ownership.New(ownership.Dependencies{
 		Node:        s.Name,
@@ -224,6 +227,19 @@
 // PeerAddress returns where other nodes reach this one.
 func (n *Node) PeerAddress() string { return n.peerServer.Address() }
 
+// PeerTraffic returns what the node has sent to and received from peers. It
+// may be called once Start has returned.
+func (n *Node) PeerTraffic() wire.Traffic {
+	return n.peers.Traffic().Add(n.peerServer.Traffic())
+}
+
+// Members returns the node's view of its cell. It may be called once Start
+// has returned.
+func (n *Node) Members() *membership.View { return n.members.View() }
+
+// Operator returns the operators' service, as their endpoint uses it.
+func (n *Node) Operator() operator.Service { return &operatorService{n} }
+
 // Decisions returns the node's decision log.
 func (n *Node) Decisions() *explain.Log { return n.decisions }
 
