--- a/cmd/pewtermill-lab/main.go
+++ b/cmd/pewtermill-lab/main.go
@@ -14,10 +14,11 @@
 
 // commandLine is the verbs of the program; each has a file of its own.
 type commandLine struct {
-	Platform platformCommand `cmd:"" help:"Run a platform: table, object store and machine list."`
-	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
-	Tool     toolCommand     `cmd:"" help:"Run a tool service."`
-	Fleet    fleetCommand    `cmd:"" help:"Measure what control costs a node, with many hollow nodes in one process."`
+	Platform    platformCommand    `cmd:"" help:"Run a platform: table, object store and machine list."`
+	Engine      engineCommand      `cmd:"" help:"Run a model engine."`
+	Tool        toolCommand        `cmd:"" help:"Run a tool service."`
+	ReviewerKey reviewerKeyCommand `cmd:"" help:"Print the private key of a reviewer of the example bundles."`
+	Fleet       fleetCommand       `cmd:"" help:"Measure what control costs a node, with many hollow nodes in one process."`
 }
 
 func main() {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -37,6 +36,8 @@
 	served  *observation.Served // of the others, from own calls
 	members atomic.Pointer[map[string]*engineMember]
 
+	holds holdCheck
+
 	mutex      sync.Mutex // guards all below, and the mode of each member
 	closed     bool
 	set        uint32          // hash of the cell's engines
@@ -52,6 +53,7 @@
 	f := &Fleet{
 		options: options,
 		index:   backend.NewIndex(maxIndexBlocks),
+		holds:   holdCheck{liveAt: make(map[string]time.Time)},
 		served:  observation.NewServed(maxServedMarks),
 		sender:  observation.NewSender(),
 		refused: make(map[string]time.Time),
@@ -237,29 +239,3 @@
 	}
 	return false
 }
-
-// ReleaseOrphans frees what engines hold for programs that are not live.
-// It looks at the engines that this node observes. Live tells whether a
-// program is open; on its error nothing is freed.
-func (f *Fleet) ReleaseOrphans(ctx context.Context, live func(ctx context.Context, program string) (bool, error)) {
-	for name, member := range *f.members.Load() {
-		if !member.observed.Load() {
-			continue
-		}
-		holds, err := member.client.Holds(ctx)
-		if err != nil {
-			continue
-		}
-		for _, program := range holds {
-			open, err := live(ctx, program)
-			if err != nil || open {
-				continue
-			}
-			if err := member.client.Release(ctx, program); err != nil {
-				f.options.Logger.Warn("engine memory of an ended program is not released", "engine", name, "program", program, "error", err.Error())
-				continue
-			}
-			f.options.Logger.Info("released engine memory of an ended program", "engine", name, "program", program)
-		}
-	}
-}
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -129,7 +129,7 @@
 // reconcileHolds frees what engines hold for programs that have ended.
 func (n *Node) reconcileHolds(ctx context.Context) {
 	for pauseFor(ctx, jittered(reconcilePeriod)) {
-		n.dispatcher.Fleet().ReleaseOrphans(ctx, n.programs.Live)
+		n.dispatcher.Fleet().ReleaseOrphans(ctx, n.observes, n.programs.Live)
 	}
 }
 
