pewtermill-lab fleet: churn

Bundles change, nodes restart and one is killed, all at once, at 3, 10 and 50 nodes; the time until a version is in force everywhere, until a restarted node is ready again and until a death is noticed.

--- a/cmd/pewtermill-lab/fleet.go
+++ b/cmd/pewtermill-lab/fleet.go
@@ -17,11 +17,13 @@
 	CellSize       int           `help:"Nodes in a cell." default:"16"`
 	EnginesPerNode float64       `help:"Engines of a cell over its nodes." default:"6.43"`
 	Measure        time.Duration `help:"Length of each steady measurement." default:"10s"`
+	ChurnSizes     []int         `help:"Numbers of hollow nodes that are measured under churn." default:"3,10,50"`
 }
 
 // fleetReport is what the verb prints as JSON.
 type fleetReport struct {
 	Steady []fleet.Steady `json:"steady"`
+	Churn  []fleet.Churn  `json:"churn"`
 }
 
 // Run implements the verb.
@@ -36,13 +38,44 @@
 		}
 		report.Steady = append(report.Steady, steady)
 	}
+	for _, size := range f.ChurnSizes {
+		churn, err := fleet.MeasureChurn(ctx, options, size)
+		if err != nil {
+			return err
+		}
+		report.Churn = append(report.Churn, churn)
+	}
 	return f.Print(streams.Out, report, func(w io.Writer) error { return printFleet(w, report) })
 }
 
 func printFleet(w io.Writer, report fleetReport) error {
+	if err := printSteady(w, report.Steady); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	return printChurn(w, report.Churn)
+}
+
+func printChurn(w io.Writer, rows []fleet.Churn) error {
+	fmt.Fprintln(w, "Churn: bundles change, nodes restart, one is killed")
+	table := command.NewTable(w, "NODES", "CORE % QUIET", "CORE % BUSY", "PEER B/S QUIET", "PEER B/S BUSY", "CHANGES/S",
+		"IN FORCE P50", "IN FORCE MAX", "REJOIN P50", "REJOIN MAX", "DEATH SEEN")
+	for _, row := range rows {
+		table.Row(row.Nodes, fmt.Sprintf("%.2f", row.Quiet.CorePercent), fmt.Sprintf("%.2f", row.Busy.CorePercent),
+			fmt.Sprintf("%.0f", row.Quiet.PeerBytes), fmt.Sprintf("%.0f", row.Busy.PeerBytes),
+			fmt.Sprintf("%.2f", row.Changes),
+			seconds(row.InForce.Median), seconds(row.InForce.Max),
+			seconds(row.Rejoin.Median), seconds(row.Rejoin.Max), seconds(row.Detect.Max))
+	}
+	return table.Flush()
+}
+
+func seconds(value float64) string { return fmt.Sprintf("%.2f s", value) }
+
+func printSteady(w io.Writer, rows []fleet.Steady) error {
 	fmt.Fprintln(w, "Steady state, each figure for one node")
 	table := command.NewTable(w, "NODES", "CORE %", "HEAP MB", "STACKS MB", "GOROUTINES", "PEER B/S", "SEGMENTS/S", "ENGINE REQ/S", "TABLE OPS/S", "TABLE KB/S", "ALLOC KB/S")
-	for _, row := range report.Steady {
+	for _, row := range rows {
 		table.Row(row.Nodes, fmt.Sprintf("%.2f", row.CorePercent), megabytes(row.HeapBytes), megabytes(row.StackBytes),
 			fmt.Sprintf("%.0f", row.Goroutines), fmt.Sprintf("%.0f", row.PeerBytes), fmt.Sprintf("%.1f", row.Segments),
 			fmt.Sprintf("%.1f", row.EngineRequests), fmt.Sprintf("%.2f", row.TableOperations),
--- a/internal/fleet/cluster.go
+++ b/internal/fleet/cluster.go
@@ -239,7 +239,11 @@
 
 // waitFor polls a condition until it holds or ctx ends.
 func waitFor(ctx context.Context, condition func() bool) error {
-	ticker := time.NewTicker(pollPeriod)
+	return waitEvery(ctx, pollPeriod, condition)
+}
+
+func waitEvery(ctx context.Context, period time.Duration, condition func() bool) error {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for !condition() {
 		select {
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -68,6 +69,15 @@
 	return max(c.cells, (c.options.Engines+c.enginesPerCell/2)/c.enginesPerCell)
 }
 
+// next changes one tenant and raises the version.
+func (c *configuration) next() {
+	changed := slices.Clone(c.current.Tenants)
+	c.current.BaseVersion = c.current.Version
+	c.current.Version++
+	changed[c.current.Version%uint64(len(changed))].Weight = float64(c.current.Version)
+	c.current.Tenants = changed
+}
+
 // signed returns the current version with its sign-off.
 func (c *configuration) signed() (bundle.Signed, error) {
 	source, err := bundle.CanonicalSource(&c.current)
--- a/internal/fleet/steady.go
+++ b/internal/fleet/steady.go
@@ -81,6 +81,12 @@
 	if err := c.start(ctx); err != nil {
 		return Steady{}, err
 	}
+	return c.measure(ctx, before, func() error { return pause(ctx, options.Measure) })
+}
+
+// measure lets the nodes settle and averages over what happens during the
+// given work.
+func (c *cluster) measure(ctx context.Context, before Memory, during func() error) (Steady, error) {
 	if err := pause(ctx, settleTime); err != nil {
 		return Steady{}, err
 	}
@@ -88,7 +94,7 @@
 	if err != nil {
 		return Steady{}, err
 	}
-	if err := pause(ctx, options.Measure); err != nil {
+	if err := during(); err != nil {
 		return Steady{}, err
 	}
 	last, err := c.read()
