--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
-	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/ownership"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -80,14 +79,6 @@
 	return &wirepb.Reply{Code: int32(api.OwnerMoving), Execution: string(api.NotRun), Owner: n.settings.Name}
 }
 
-func (n *Node) serveBundle(request *wirepb.FetchBundle) *wirepb.Reply {
-	snapshot := n.keeper.InForce()
-	if snapshot == nil || snapshot.Version() <= request.GetHaveVersion() {
-		return &wirepb.Reply{}
-	}
-	return replyWith(snapshot.Signed, nil)
-}
-
 // serveRouted answers a request about a program as its owner.
 func (n *Node) serveRouted(ctx context.Context, request *wirepb.Request, onPart func(offset int64, text []byte)) *wirepb.Reply {
 	switch body := request.GetBody().(type) {
@@ -173,26 +164,3 @@
 	}
 	return answer, nil
 }
-
-// fetchBundle asks a peer for a newer bundle and offers it to the keeper.
-func (n *Node) fetchBundle(ctx context.Context, address string) error {
-	have := uint64(0)
-	if snapshot := n.keeper.InForce(); snapshot != nil {
-		have = snapshot.Version()
-	}
-	reply, err := n.peers.Do(ctx, address, &wirepb.Request{
-		From: n.settings.Name,
-		Body: &wirepb.Request_FetchBundle{FetchBundle: &wirepb.FetchBundle{HaveVersion: have}},
-	}, nil)
-	if err != nil {
-		return err
-	}
-	if len(reply.GetBody()) == 0 {
-		return errorOf(reply)
-	}
-	signed, err := decodeReply[bundle.Signed](reply)
-	if err != nil {
-		return err
-	}
-	return n.keeper.Offer(signed)
-}
