backend, engine stand-in: what is loaded, how much fits, and the newest fence

A load report said only which models are ready. A planner of placement also needs versions, what is on its way in, the room that is left, and which order the report already reflects; without the last it cannot tell a lost order from one that is still to arrive. An engine without the model that a call asks for gets an error of its own (ErrNotLoaded, an ErrRefused), since it is no sign of a failing engine.

The stand-in keeps the old version of a model serving while the new one loads if it has room for both.

--- a/cmd/pewtermill-lab/engine.go
+++ b/cmd/pewtermill-lab/engine.go
@@ -13,6 +13,7 @@
 	listenFlags
 	machineFlags
 	Models        []string      `name:"model" help:"Models that it serves, separated by commas." required:""`
+	MaxModels     int           `help:"Models that fit beside each other; 0 is no limit." default:"0"`
 	Role          string        `help:"What it does." enum:"prefill,decode,both" default:"both"`
 	MaxRunning    int           `help:"Sequences in the batch." default:"8"`
 	MaxWaiting    int           `help:"Requests that may wait; more are refused." default:"1024"`
@@ -49,6 +50,7 @@
 		Name:          e.Name,
 		Zone:          e.Zone,
 		Models:        e.Models,
+		MaxModels:     e.MaxModels,
 		Role:          e.Role,
 		MaxRunning:    e.MaxRunning,
 		MaxWaiting:    e.MaxWaiting,
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -51,6 +51,9 @@
 var (
 	// ErrRefused: the back end refused and did not run the call.
 	ErrRefused = errors.New("back end refused the call")
+	// ErrNotLoaded is the ErrRefused of an engine that has not, or no more, the
+	// model that was asked for; it is no sign of a failing engine.
+	ErrNotLoaded = errors.Wrap(ErrRefused, "model is not loaded")
 	// ErrUnreachable: no connection was made; the call was not sent.
 	ErrUnreachable = errors.New("back end unreachable")
 	// ErrLeaving: the back end is leaving and refused the call.
@@ -95,6 +98,21 @@
 	Adapters            []string `json:"adapters,omitempty"`
 	Role                string   `json:"role"` // prefill, decode, both
 	Leaving             bool     `json:"leaving"`
+	// Fence is that of the newest order that the engine has taken; the rest of
+	// the report is no older than that order. 0 if there is none yet.
+	Fence         uint64      `json:"fence,omitempty"`
+	MaxModels     int         `json:"max_models,omitempty"` // that fit beside each other; 0 = no limit
+	ModelStates   []ItemState `json:"model_states,omitempty"`
+	AdapterStates []ItemState `json:"adapter_states,omitempty"`
+}
+
+// ItemState is one model or adapter in an engine's memory, ready for calls or
+// on its way in. While another version of it is on its way there are two
+// entries of one name.
+type ItemState struct {
+	Name    string `json:"name"`
+	Version string `json:"version,omitempty"`
+	Ready   bool   `json:"ready"`
 }
 
 // CacheEvent says that a block of a prompt prefix entered or left the cache.
@@ -115,11 +133,22 @@
 	Sequence uint64       `json:"sequence"`         // newest included
 }
 
+// Actions of an Order.
+const (
+	ActionRaiseFence    = "raise_fence" // changes nothing but the fence
+	ActionLoadModel     = "load_model"
+	ActionUnloadModel   = "unload_model"
+	ActionLoadAdapter   = "load_adapter"
+	ActionUnloadAdapter = "unload_adapter"
+	ActionSetRole       = "set_role"
+)
+
 // Order is an administrative order; the engine refuses a Fence lower than
-// the highest that it has seen.
+// the highest that it has seen. An order that it refuses for want of room
+// counts as seen.
 type Order struct {
 	Fence   uint64 `json:"fence"`
-	Action  string `json:"action"` // load_model, unload_model, load_adapter, unload_adapter, set_role
+	Action  string `json:"action"`
 	Model   string `json:"model,omitempty"`
 	Adapter string `json:"adapter,omitempty"`
 	Version string `json:"version,omitempty"`
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -161,7 +161,9 @@
 		return ErrNoRecord
 	case WireUnknownStream:
 		return errStreamUnknown
-	case WireRefused, WireOverloaded, WireUnknownModel, WireUnknownTool, WireInvalid, WireTooLarge:
+	case WireUnknownModel:
+		return ErrNotLoaded
+	case WireRefused, WireOverloaded, WireUnknownTool, WireInvalid, WireTooLarge:
 		return ErrRefused
 	default:
 		return ErrBroken
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -23,6 +23,7 @@
 	Name          string
 	Zone          string
 	Models        []string
+	MaxModels     int    // that fit beside each other; 0 means no limit
 	Role          string // prefill, decode or both; empty means both
 	MaxRunning    int
 	MaxWaiting    int // over which requests are refused
@@ -246,8 +247,12 @@
 	e.step()
 	load := e.model.Load(now)
 	load.Engine = e.options.Name
-	load.Models = e.orders.ready(e.orders.models, now)
-	load.Adapters = e.orders.ready(e.orders.adapters, now)
+	load.Models = ready(e.orders.models, now)
+	load.Adapters = ready(e.orders.adapters, now)
+	load.ModelStates = states(e.orders.models, now)
+	load.AdapterStates = states(e.orders.adapters, now)
+	load.MaxModels = e.orders.maxModels
+	load.Fence = e.orders.fence
 	load.Role = e.orders.role
 	load.Leaving = e.faults.Leaving
 	e.load = load
--- /dev/null
+++ b/internal/standin/engine/loaded_test.go
@@ -0,0 +1,40 @@
+package engine_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/standin/engine"
+)
+
+// TestRoomForModels: a new version takes a place of its own while there is
+// one, and the place of the old otherwise; another model needs a free place.
+func TestRoomForModels(t *testing.T) {
+	_, client := start(t, engine.Options{LoadTime: time.Hour, MaxModels: 2})
+	old, next := backend.ItemState{Name: "m", Ready: true}, backend.ItemState{Name: "m", Version: "2"}
+	steps := []struct {
+		order  backend.Order
+		want   error
+		states []backend.ItemState
+	}{
+		{backend.Order{Action: backend.ActionRaiseFence}, nil, []backend.ItemState{old}},
+		{backend.Order{Action: backend.ActionLoadModel, Model: "m", Version: "2"}, nil, []backend.ItemState{old, next}},
+		{backend.Order{Action: backend.ActionLoadModel, Model: "n"}, backend.ErrRefused, []backend.ItemState{old, next}},
+		{backend.Order{Action: backend.ActionUnloadModel, Model: "m"}, nil, nil},
+		{backend.Order{Action: backend.ActionLoadModel, Model: "n"}, nil, []backend.ItemState{{Name: "n"}}},
+	}
+	for number, step := range steps {
+		step.order.Fence = uint64(number + 1)
+		if err := client.Order(t.Context(), step.order); !errors.Is(err, step.want) {
+			t.Errorf("%+v: error %v", step.order, err)
+		}
+		load, err := client.Load(t.Context())
+		if err != nil || load.Fence != step.order.Fence || !slices.Equal(load.ModelStates, step.states) {
+			t.Errorf("after %+v: load %+v, error %v", step.order, load, err)
+		}
+	}
+}
