bundle: what placement of models needs

model_plan, weight_bytes and adapters of a model, max_models and role of an engine. All are optional, and a bundle without them keeps its digest.

--- a/internal/bundle/canonical.go
+++ b/internal/bundle/canonical.go
@@ -36,6 +36,10 @@
 		tenant.Models = emptyToNil(tenant.Models)
 		tenant.Tools = emptyToNil(tenant.Tools)
 	}
+	for index := range canonical.Models {
+		model := &canonical.Models[index]
+		model.Adapters = emptyToNil(model.Adapters)
+	}
 	for index := range canonical.Engines {
 		engine := &canonical.Engines[index]
 		engine.Models = emptyToNil(engine.Models)
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -36,6 +36,7 @@
 	maxDurationMillis = 31 * 24 * 3_600_000
 	maxCount          = 1e12
 	maxBodyBytes      = 64 << 20
+	maxWeightBytes    = 1 << 50
 	maxSequenceAhead  = 10_000
 	maxProgramDepth   = 64
 )
@@ -58,6 +59,7 @@
 	c.checkTools()
 	c.checkEngines()
 	c.checkScheduling()
+	c.checkModelPlan()
 	c.checkLimits()
 	return c.faults
 }
@@ -103,6 +105,22 @@
 	c.within("scheduling.engine_max_age_millis", s.EngineMaxAgeMillis, 0, maxDurationMillis)
 }
 
+func (c *checker) checkModelPlan() {
+	plan := c.bundle.ModelPlan
+	c.within("model_plan.max_concurrent_loads", int64(plan.MaxConcurrentLoads), 0, maxCount)
+	c.within("model_plan.weight_store_bytes_per_second", plan.WeightStoreBytesPerSecond, 0, maxWeightBytes)
+	c.numberWithin("model_plan.scale_up_utilisation", plan.ScaleUpUtilisation, 0, 1)
+	c.numberWithin("model_plan.scale_down_utilisation", plan.ScaleDownUtilisation, 0, 1)
+	if plan.ScaleUpUtilisation > 0 && plan.ScaleDownUtilisation > plan.ScaleUpUtilisation {
+		c.fault("model_plan.scale_down_utilisation", "is %v; must not pass scale_up_utilisation, %v",
+			plan.ScaleDownUtilisation, plan.ScaleUpUtilisation)
+	}
+	c.numberWithin("model_plan.scale_up_queue", plan.ScaleUpQueue, 0, maxWeight)
+	c.within("model_plan.warm_spares", int64(plan.WarmSpares), ruleOff, maxCount)
+	c.within("model_plan.cooldown_millis", plan.CooldownMillis, 0, maxDurationMillis)
+	c.within("model_plan.in_use_millis", plan.InUseMillis, 0, maxDurationMillis)
+}
+
 func (c *checker) checkLimits() {
 	limits := c.bundle.Limits
 	c.within("limits.max_body_bytes", limits.MaxBodyBytes, 0, maxBodyBytes)
--- a/internal/bundle/check_items.go
+++ b/internal/bundle/check_items.go
@@ -156,6 +156,13 @@
 		c.within(path+".cached_price", int64(model.CachedPrice), 0, max(0, int64(model.PromptPrice)))
 		c.within(path+".completion_price", int64(model.CompletionPrice), 0, maxCount)
 		c.within(path+".min_ready_engines", int64(model.MinReadyEngines), 0, c.enginesServing(model.Name))
+		c.within(path+".weight_bytes", model.WeightBytes, 0, maxWeightBytes)
+		checkItemNames(c, path+".adapters", model.Adapters, func(a *Adapter) string { return a.Name })
+		for position, adapter := range model.Adapters {
+			if adapter.Version != "" {
+				c.checkName(itemPath(path+".adapters", position)+".version", adapter.Version)
+			}
+		}
 	}
 }
 
@@ -196,5 +203,9 @@
 			c.fault(path+".models", "must have at least one")
 		}
 		c.references(path+".models", "model", engine.Models, c.names.models)
+		c.within(path+".max_models", int64(engine.MaxModels), 0, int64(len(engine.Models)))
+		if engine.Role != "" {
+			c.reference(path+".role", "role", engine.Role, engineRoles)
+		}
 	}
 }
--- a/internal/bundle/check_names.go
+++ b/internal/bundle/check_names.go
@@ -23,6 +23,9 @@
 // policies are the values of scheduling.policy.
 var policies = []string{"program_aware", "round_robin", "least_loaded", "session_affinity"}
 
+// engineRoles are the values of an engine's role.
+var engineRoles = []string{"prefill", "decode", "both"}
+
 // maxNamesInMessage bounds the list of what is allowed in one message.
 const maxNamesInMessage = 12
 
--- a/internal/bundle/check_test.go
+++ b/internal/bundle/check_test.go
@@ -37,6 +37,16 @@
 		{"engines[2].zone", "allowed: zone-a, zone-b, zone-c", func(b *Bundle) { b.Engines[2].Zone = "zone-d" }},
 		{"engines[0].cell", "allowed: dev", func(b *Bundle) { b.Engines[0].Cell = "prod" }},
 		{"engines[0].models", "at least one", func(b *Bundle) { b.Engines[0].Models = nil }},
+		{"engines[0].max_models", "from 0 to 2", func(b *Bundle) { b.Engines[0].MaxModels = 3 }},
+		{"engines[0].role", "allowed: prefill, decode, both", func(b *Bundle) { b.Engines[0].Role = "cook" }},
+		{"models[0].weight_bytes", "from 0", func(b *Bundle) { b.Models[0].WeightBytes = -1 }},
+		{"models[0].adapters[1].name", "already the name", func(b *Bundle) {
+			b.Models[0].Adapters = []Adapter{{Name: "x"}, {Name: "x"}}
+		}},
+		{"model_plan.warm_spares", "from -1", func(b *Bundle) { b.ModelPlan.WarmSpares = -2 }},
+		{"model_plan.scale_down_utilisation", "must not pass scale_up_utilisation, 0.5", func(b *Bundle) {
+			b.ModelPlan = ModelPlan{ScaleUpUtilisation: 0.5, ScaleDownUtilisation: 0.6}
+		}},
 		{"scheduling.policy", "allowed: program_aware", func(b *Bundle) { b.Scheduling.Policy = "lottery" }},
 		{"scheduling.retry_budget", "from -1 to 1", func(b *Bundle) { b.Scheduling.RetryBudget = 2 }},
 		{"scheduling.wait_weight", "from -1", func(b *Bundle) { b.Scheduling.WaitWeight = -2 }},
--- a/internal/bundle/defaults.go
+++ b/internal/bundle/defaults.go
@@ -6,6 +6,7 @@
 const (
 	DefaultTenantWeight      = 1.0
 	DefaultToolTimeoutMillis = 30_000
+	DefaultWeightBytes       = 16 << 30
 	DefaultMaxBodyBytes      = 1 << 20
 	DefaultMaxSequenceAhead  = 16
 	DefaultHoldMillis        = 10 * 60_000
@@ -24,6 +25,10 @@
 	for index := range filled.Tools {
 		setDefault(&filled.Tools[index].TimeoutMillis, DefaultToolTimeoutMillis)
 	}
+	filled.Models = slices.Clone(declared.Models)
+	for index := range filled.Models {
+		setDefault(&filled.Models[index].WeightBytes, DefaultWeightBytes)
+	}
 	setDefault(&filled.Limits.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&filled.Limits.MaxSequenceAhead, DefaultMaxSequenceAhead)
 	setDefault(&filled.Limits.HoldMillis, DefaultHoldMillis)
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -25,6 +25,7 @@
 	Tools       []Tool     `json:"tools" yaml:"tools"`
 	Engines     []Engine   `json:"engines" yaml:"engines"`
 	Scheduling  Scheduling `json:"scheduling" yaml:"scheduling"`
+	ModelPlan   ModelPlan  `json:"model_plan,omitzero" yaml:"model_plan"`
 	Limits      Limits     `json:"limits" yaml:"limits"`
 }
 
@@ -97,6 +98,14 @@
 	CachedPrice      api.Credits `json:"cached_price" yaml:"cached_price"`
 	CompletionPrice  api.Credits `json:"completion_price" yaml:"completion_price"`
 	MinReadyEngines  int         `json:"min_ready_engines,omitempty" yaml:"min_ready_engines"` // engines to keep ready; default 0
+	WeightBytes      int64       `json:"weight_bytes,omitempty" yaml:"weight_bytes"`           // read from the weight store by a load; 0 = DefaultWeightBytes
+	Adapters         []Adapter   `json:"adapters,omitempty" yaml:"adapters"`                   // kept loaded wherever the model is
+}
+
+// Adapter is a small set of weights that goes with a model.
+type Adapter struct {
+	Name    string `json:"name" yaml:"name"`
+	Version string `json:"version,omitempty" yaml:"version"`
 }
 
 // Tool is a tool service. Lookup says that the tool can tell the outcome of
@@ -111,13 +120,16 @@
 	MaxConcurrent int         `json:"max_concurrent,omitempty" yaml:"max_concurrent"` // per node; 0 = no limit
 }
 
-// Engine is a model engine.
+// Engine is a model engine. Models are those that it may hold; what it holds
+// at a time follows demand.
 type Engine struct {
-	Name   string   `json:"name" yaml:"name"`
-	URL    string   `json:"url" yaml:"url"`
-	Zone   string   `json:"zone" yaml:"zone"`
-	Cell   string   `json:"cell" yaml:"cell"`
-	Models []string `json:"models" yaml:"models"`
+	Name      string   `json:"name" yaml:"name"`
+	URL       string   `json:"url" yaml:"url"`
+	Zone      string   `json:"zone" yaml:"zone"`
+	Cell      string   `json:"cell" yaml:"cell"`
+	Models    []string `json:"models" yaml:"models"`
+	MaxModels int      `json:"max_models,omitempty" yaml:"max_models"` // that fit beside each other; 0 = all of Models
+	Role      string   `json:"role,omitempty" yaml:"role"`             // prefill, decode or both; empty = left as it is
 }
 
 // Scheduling holds every weight of placement and ordering. A zero value
@@ -137,6 +149,20 @@
 	EngineMaxAgeMillis int64   `json:"engine_max_age_millis,omitempty" yaml:"engine_max_age_millis"`
 }
 
+// ModelPlan sets how models are placed on engines. Zero means the default
+// that internal/modelplan documents.
+type ModelPlan struct {
+	Disabled                  bool    `json:"disabled,omitempty" yaml:"disabled"` // no orders are given
+	MaxConcurrentLoads        int     `json:"max_concurrent_loads,omitempty" yaml:"max_concurrent_loads"`
+	WeightStoreBytesPerSecond int64   `json:"weight_store_bytes_per_second,omitempty" yaml:"weight_store_bytes_per_second"` // of one cell
+	ScaleUpUtilisation        float64 `json:"scale_up_utilisation,omitempty" yaml:"scale_up_utilisation"`
+	ScaleDownUtilisation      float64 `json:"scale_down_utilisation,omitempty" yaml:"scale_down_utilisation"`
+	ScaleUpQueue              float64 `json:"scale_up_queue,omitempty" yaml:"scale_up_queue"`
+	WarmSpares                int     `json:"warm_spares,omitempty" yaml:"warm_spares"` // -1 = none
+	CooldownMillis            int64   `json:"cooldown_millis,omitempty" yaml:"cooldown_millis"`
+	InUseMillis               int64   `json:"in_use_millis,omitempty" yaml:"in_use_millis"`
+}
+
 // Limits bounds what callers may send and how long things are kept. Zero
 // means the Default constant of the same name.
 type Limits struct {
--- a/internal/command/devcluster/cluster.go
+++ b/internal/command/devcluster/cluster.go
@@ -129,6 +129,7 @@
 		Name:        described.Name,
 		Zone:        described.Zone,
 		Models:      described.Models,
+		MaxModels:   described.MaxModels,
 		MaxRunning:  engineMaxRunning,
 		CacheTokens: engineCacheTokens,
 		PrefillRate: enginePrefillRate,
