planner: one member of a cell carries the plan out

The member that rendezvous hashing names takes an epoch in the table row plan/{cell} by compare-and-set; every order carries it. Each few seconds it polls the engines, asks the members for their demand over the peer links (ModelDemand), plans and sends. It polls engines itself, since it needs what load reports say of fences and of loads under way, which no digest carries. Orders are recorded for explain and watch (kind "ordered"). Demand is measured where calls are dispatched, by time-weighted averages.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,9 +32,10 @@
 // Dispatcher implements ownership.Executor. Safe for concurrent use.
 type Dispatcher struct {
 	Options
-	fleet *Fleet
-	queue *queue
-	tools *tools
+	fleet  *Fleet
+	queue  *queue
+	tools  *tools
+	demand *demandMeter
 }
 
 // New returns a Dispatcher without engines; Apply gives it the bundle's.
@@ -42,7 +43,7 @@
 	if options.Client == nil {
 		options.Client = backend.NewHTTPClient()
 	}
-	d := &Dispatcher{Options: options}
+	d := &Dispatcher{Options: options, demand: newDemandMeter()}
 	d.fleet = newFleet(options)
 	d.queue = newQueue(options, d.fleet)
 	d.tools = newTools(options)
--- a/internal/explain/record.go
+++ b/internal/explain/record.go
@@ -21,6 +21,7 @@
 	Ended     Kind = "ended"
 	Ejected   Kind = "ejected" // a back end takes no new work for a while
 	Applied   Kind = "applied" // a bundle came into force
+	Ordered   Kind = "ordered" // an engine was told to load, unload or change its role
 )
 
 // Decision is one record. Fields that do not apply are empty.
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -83,6 +83,7 @@
 			}
 		}
 		n.dispatcher.Fleet().SetListed(leavingEngines)
+		n.planner.SetLeaving(leavingEngines)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/pewtermill/pewtermill/internal/membership"
 	"github.com/pewtermill/pewtermill/internal/operator"
 	"github.com/pewtermill/pewtermill/internal/ownership"
+	"github.com/pewtermill/pewtermill/internal/planner"
 	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/settings"
 	"github.com/pewtermill/pewtermill/internal/wire"
@@ -72,6 +73,7 @@
 	decisions  *explain.Log
 	dispatcher *dispatch.Dispatcher
 	programs   *ownership.Programs
+	planner    *planner.Planner
 	members    *members
 	peers      *wire.Client
 	peerServer *wire.Server
@@ -134,6 +136,7 @@
 		Recorder:    n.decisions,
 		Logger:      n.logger,
 	})
+	n.planner = n.newPlanner()
 	n.registerMetrics()
 	return n, nil
 }
@@ -180,6 +183,7 @@
 	n.run(n.watchMachines)
 	n.run(n.maintain)
 	n.run(n.reconcileHolds)
+	n.run(n.planner.Run)
 	n.logger.Info("node started", "peer_address", server.Address(), "incarnation", n.incarnation)
 	return nil
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -70,6 +70,8 @@
 		return replyWith(n.programs.List(body.ListPrograms.GetTenant()), nil)
 	case *wirepb.Request_Explain:
 		return replyWith(n.decisions.Recent(body.Explain.GetProgram(), body.Explain.GetSequence(), maxExplained), nil)
+	case *wirepb.Request_ModelDemand:
+		return replyWith(n.dispatcher.Demand(), nil)
 	}
 	n.serving.Add(1)
 	defer n.serving.Add(-1)
--- /dev/null
+++ b/internal/planner/epoch.go
@@ -0,0 +1,47 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/platform"
+)
+
+// row is the value of the table row that names a cell's planner.
+type row struct {
+	Owner       string `json:"owner"`
+	Epoch       uint64 `json:"epoch"`
+	Incarnation uint64 `json:"incarnation"` // of the owner
+}
+
+// RowKey returns the key of a cell's row.
+func RowKey(cell string) string { return "plan/" + cell }
+
+// takeEpoch raises the epoch in the cell's row by compare-and-set and returns
+// it. After an unknown outcome the epoch may have been used up; the next try
+// takes a later one.
+func (p *Planner) takeEpoch(ctx context.Context) (uint64, error) {
+	key := RowKey(p.options.Cell)
+	stored, err := p.options.Table.Get(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	var former row
+	if stored.Revision != 0 {
+		if err := json.Unmarshal(stored.Value, &former); err != nil {
+			return 0, errors.Wrapf(err, "row %s", key)
+		}
+	}
+	next := row{Owner: p.options.Node, Epoch: former.Epoch + 1, Incarnation: p.options.Incarnation}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return 0, err
+	}
+	_, err = p.options.Table.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: key, Revision: stored.Revision}},
+		Writes:     []platform.Write{{Key: key, Value: value}},
+	})
+	return next.Epoch, err
+}
