--- a/cmd/pewtermill-lab/main.go
+++ b/cmd/pewtermill-lab/main.go
@@ -17,6 +17,7 @@
 	Platform platformCommand `cmd:"" help:"Run a platform: table, object store and machine list."`
 	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
 	Tool     toolCommand     `cmd:"" help:"Run a tool service."`
+	Load     loadCommand     `cmd:"" help:"Compare scheduling policies in virtual time."`
 }
 
 func main() {
