Scheduler: prefix weight 8 by default

A move was weighed by its own delay alone, although an engine that prefills keeps its whole batch waiting. Ruled out: eviction, and the first turn's system prompt (0.2 million).

Two tests of waiting count in plain milliseconds, so they now set the weight to 1 themselves; what they demand is unchanged.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -109,7 +109,7 @@
 // TestGivesUpWaitingWhenItSavesNothingMore fills the engine that holds the
 // prefix and never frees it.
 func TestGivesUpWaitingWhenItSavesNothingMore(t *testing.T) {
-	core := New(ProgramAware, bundle.Scheduling{}, "node")
+	core := New(ProgramAware, bundle.Scheduling{PrefixWeight: 1}, "node")
 	core.SetEngines([]EngineView{testView("a", 1, start), testView("b", 1, start)})
 	core.SetIndex(prefixes{"a": 1000})
 	first := testCall("first", start)
@@ -137,7 +137,7 @@
 // TestWaitCountsThoseThatWaitAlready has calls arrive for a full engine until
 // one rather goes elsewhere.
 func TestWaitCountsThoseThatWaitAlready(t *testing.T) {
-	core := New(ProgramAware, bundle.Scheduling{}, "node")
+	core := New(ProgramAware, bundle.Scheduling{PrefixWeight: 1}, "node")
 	a, b := testView("a", 4, start), testView("b", 8, start)
 	a.Running = 3 // of other nodes
 	core.SetEngines([]EngineView{a, b})
--- a/internal/scheduler/decision.go
+++ b/internal/scheduler/decision.go
@@ -69,9 +69,9 @@
 		return other.free() && other != &c.candidates[position]
 	})
 	if next < 0 {
-		return fmt.Sprintf("the only free engine, estimated delay %.0f ms", total)
+		return fmt.Sprintf("the only free engine, weighted delay %.0f ms", total)
 	}
-	return fmt.Sprintf("lowest estimated delay, %.0f ms; next best is %s with %.0f ms",
+	return fmt.Sprintf("lowest weighted delay, %.0f ms; next best is %s with %.0f ms",
 		total, c.candidates[next].engine.view.Name, c.candidates[next].total)
 }
 
--- a/internal/scheduler/defaults.go
+++ b/internal/scheduler/defaults.go
@@ -9,8 +9,11 @@
 // Defaults of the weights in bundle.Scheduling. A field left at zero takes
 // its default; a negative field turns its rule off.
 const (
-	DefaultWaitWeight     = 1.0 // per estimated millisecond of waiting at the engine
-	DefaultPrefixWeight   = 1.0 // per estimated millisecond of prefill, own and that of evicted cache
+	DefaultWaitWeight = 1.0 // per estimated millisecond of waiting at the engine
+	// DefaultPrefixWeight is per estimated millisecond of prefill, own and
+	// that of evicted cache. It is that of a usual batch's size, because an
+	// engine that prefills keeps its whole batch waiting.
+	DefaultPrefixWeight   = 8.0
 	DefaultDistanceWeight = 1.0 // per estimated millisecond on the network
 
 	DefaultWorthWeight    = 10.0 // seconds of head start per doubling of (1 + class worth)
