Scheduler: attained weight 1 by default

Cause: least attained service. A reel's own turns follow its sub-agents' and share their long notes, so the program that is nearly done has attained the most and queued behind fresh sub-agents of later reels.

The rule stays, at a weight that only pushes back programs that go on and on.

--- a/internal/scheduler/defaults.go
+++ b/internal/scheduler/defaults.go
@@ -18,7 +18,7 @@
 
 	DefaultWorthWeight    = 10.0 // seconds of head start per doubling of (1 + class worth)
 	DefaultSlackWeight    = 0.5  // seconds of delay per second of slack to the program's deadline
-	DefaultAttainedWeight = 10.0 // seconds of delay per doubling of (1 + attained seconds)
+	DefaultAttainedWeight = 1.0  // seconds of delay per doubling of (1 + attained seconds)
 	DefaultAgingPerSecond = 1.0  // seconds gained per second in the queue
 
 	DefaultMaxQueue     = 2000 // queued calls per node
