--- a/internal/simulation/experiment.go
+++ b/internal/simulation/experiment.go
@@ -30,6 +30,7 @@
 	Seeds      int          `json:"seeds"`
 	Saturation Spread       `json:"saturation_programs_per_second"`
 	Cells      []ReportCell `json:"cells"`
+	Aims       []Aim        `json:"aims,omitempty"`
 }
 
 // ReportCell is one policy under one load, over all seeds.
@@ -108,7 +109,11 @@
 			}
 		}
 	}
-	return report, work.Wait()
+	if err := work.Wait(); err != nil {
+		return nil, err
+	}
+	report.Aims = report.compareWithBaselines()
+	return report, nil
 }
 
 // saturation returns, for each workload, the programs per second that the
--- a/internal/simulation/measure.go
+++ b/internal/simulation/measure.go
@@ -23,7 +23,8 @@
 	tenants    []*tenantMeasure
 	overall    *hdrhistogram.Histogram
 	unloaded   *hdrhistogram.Histogram
-	everStored map[uint64]struct{} // blocks that any engine has ever cached
+	added      *hdrhistogram.Histogram // latency beyond the unloaded one
+	everStored map[uint64]struct{}     // blocks that any engine has ever cached
 	refusals   map[api.Code]int64
 
 	promptTokens int64
@@ -41,6 +42,7 @@
 	class     *Class
 	latency   *hdrhistogram.Histogram
 	unloaded  *hdrhistogram.Histogram
+	added     *hdrhistogram.Histogram
 	completed int64
 	inTime    int64
 	refused   int64
@@ -59,6 +61,7 @@
 		deployment: deployment,
 		overall:    newHistogram(),
 		unloaded:   newHistogram(),
+		added:      newHistogram(),
 		everStored: make(map[uint64]struct{}),
 		refusals:   make(map[api.Code]int64),
 	}
@@ -67,6 +70,7 @@
 			class:    &deployment.Classes[i],
 			latency:  newHistogram(),
 			unloaded: newHistogram(),
+			added:    newHistogram(),
 		})
 	}
 	for _, tenant := range deployment.Tenants {
@@ -128,13 +132,15 @@
 	}
 	record(class.latency, latency)
 	record(class.unloaded, alone)
+	record(class.added, latency-alone)
 	record(m.overall, latency)
 	record(m.unloaded, alone)
+	record(m.added, latency-alone)
 }
 
 // record adds a latency to a histogram, cut to the histogram's bounds.
 func record(histogram *hdrhistogram.Histogram, latency time.Duration) {
-	_ = histogram.RecordValue(min(mostLatency, latency.Milliseconds()))
+	_ = histogram.RecordValue(max(0, min(mostLatency, latency.Milliseconds())))
 }
 
 func (m *measure) classMeasure(class *Class) *classMeasure {
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -18,8 +18,11 @@
 	Overall Latency `json:"overall"`
 	// Unloaded is what the latencies would be if each program ran alone on an
 	// engine: no policy can do much better.
-	Unloaded Latency       `json:"unloaded"`
-	Classes  []ClassResult `json:"classes"`
+	Unloaded Latency `json:"unloaded"`
+	// Added is each program's latency beyond its unloaded one: waiting,
+	// fuller batches, and prefill again. It is what policies can change.
+	Added   Latency       `json:"added"`
+	Classes []ClassResult `json:"classes"`
 
 	// WastedCacheShare is the prompt tokens that were prefilled again although
 	// an engine, the same or another, had cached them before, over all prompt
@@ -54,6 +57,7 @@
 	Class     string  `json:"class"`
 	Latency   Latency `json:"latency"`
 	Unloaded  Latency `json:"unloaded"`
+	Added     Latency `json:"added"`
 	Completed int64   `json:"completed"`
 	InTime    int64   `json:"in_time"`
 	Refused   int64   `json:"refused"`
@@ -74,6 +78,7 @@
 		Answered:          m.answered,
 		Overall:           latencyOf(m.overall),
 		Unloaded:          latencyOf(m.unloaded),
+		Added:             latencyOf(m.added),
 		WastedCacheShare:  ratio(float64(m.wastedTokens), float64(m.promptTokens)),
 		CachedShare:       ratio(float64(m.cachedTokens), float64(m.promptTokens)),
 		Fairness:          m.fairness(),
@@ -86,6 +91,7 @@
 			Class:     class.class.Name,
 			Latency:   latencyOf(class.latency),
 			Unloaded:  latencyOf(class.unloaded),
+			Added:     latencyOf(class.added),
 			Completed: class.completed,
 			InTime:    class.inTime,
 			Refused:   class.refused,
--- a/internal/simulation/table.go
+++ b/internal/simulation/table.go
@@ -25,19 +25,22 @@
 	if err := r.writeClasses(w); err != nil {
 		return err
 	}
+	if err := r.writeAims(w); err != nil {
+		return errors.Wrap(err, "print report")
+	}
 	_, err = fmt.Fprintln(w)
 	return errors.Wrap(err, "print report")
 }
 
 func (r *Report) writeOverall(w io.Writer) error {
-	table := command.NewTable(w, "LOAD", "POLICY", "P50 S", "P95 S", "P99 S", "WASTED %", "CACHED %",
+	table := command.NewTable(w, "LOAD", "POLICY", "P50 S", "P95 S", "P99 S", "ADDED P95 S", "WASTED %", "CACHED %",
 		"WORTH IN TIME %", "WORTH DONE %", "FAIRNESS", "REFUSED CALLS")
 	alone := &r.Cells[0]
 	table.Row("alone", "any",
 		alone.Spread(func(x *Result) float64 { return x.Unloaded.P50 }).format("%.1f"),
 		alone.Spread(func(x *Result) float64 { return x.Unloaded.P95 }).format("%.1f"),
 		alone.Spread(func(x *Result) float64 { return x.Unloaded.P99 }).format("%.1f"),
-		"", "", "", "", "", "")
+		"", "", "", "", "", "", "")
 	for i := range r.Cells {
 		cell := &r.Cells[i]
 		table.Row(
@@ -46,6 +49,7 @@
 			cell.Spread(func(x *Result) float64 { return x.Overall.P50 }).format("%.1f"),
 			cell.Spread(func(x *Result) float64 { return x.Overall.P95 }).format("%.1f"),
 			cell.Spread(func(x *Result) float64 { return x.Overall.P99 }).format("%.1f"),
+			cell.Spread(func(x *Result) float64 { return x.Added.P95 }).format("%.1f"),
 			cell.Spread(func(x *Result) float64 { return 100 * x.WastedCacheShare }).format("%.1f"),
 			cell.Spread(func(x *Result) float64 { return 100 * x.CachedShare }).format("%.1f"),
 			cell.Spread(func(x *Result) float64 { return 100 * x.WorthInTimeShare }).format("%.1f"),
@@ -61,7 +65,7 @@
 	if _, err := fmt.Fprintln(w); err != nil {
 		return errors.Wrap(err, "print report")
 	}
-	table := command.NewTable(w, "LOAD", "CLASS", "POLICY", "P50 S", "P95 S", "P99 S", "COMPLETED", "IN TIME", "REFUSED")
+	table := command.NewTable(w, "LOAD", "CLASS", "POLICY", "P50 S", "P95 S", "P99 S", "ADDED P95 S", "COMPLETED", "IN TIME", "REFUSED")
 	r.writeUnloaded(table)
 	for i := range r.Cells {
 		cell := &r.Cells[i]
@@ -76,6 +80,7 @@
 				figure(func(x *ClassResult) float64 { return x.Latency.P50 }).format("%.1f"),
 				figure(func(x *ClassResult) float64 { return x.Latency.P95 }).format("%.1f"),
 				figure(func(x *ClassResult) float64 { return x.Latency.P99 }).format("%.1f"),
+				figure(func(x *ClassResult) float64 { return x.Added.P95 }).format("%.1f"),
 				figure(func(x *ClassResult) float64 { return float64(x.Completed) }).format("%.0f"),
 				figure(func(x *ClassResult) float64 { return float64(x.InTime) }).format("%.0f"),
 				figure(func(x *ClassResult) float64 { return float64(x.Refused) }).format("%.0f"),
@@ -96,7 +101,7 @@
 			figure(func(x *Latency) float64 { return x.P50 }),
 			figure(func(x *Latency) float64 { return x.P95 }),
 			figure(func(x *Latency) float64 { return x.P99 }),
-			"", "", "")
+			"", "", "", "")
 	}
 }
 
