--- a/cmd/pewtermill-lab/main.go
+++ b/cmd/pewtermill-lab/main.go
@@ -19,6 +19,7 @@
 	Tool        toolCommand        `cmd:"" help:"Run a tool service."`
 	ReviewerKey reviewerKeyCommand `cmd:"" help:"Print the private key of a reviewer of the example bundles."`
 	Fleet       fleetCommand       `cmd:"" help:"Measure what control costs a node, with many hollow nodes in one process."`
+	Load        loadCommand        `cmd:"" help:"Compare scheduling policies in virtual time."`
 }
 
 func main() {
@@ -30,7 +31,7 @@
 	var commandLine commandLine
 	parser, err := kong.New(&commandLine,
 		kong.Name("pewtermill-lab"),
-		kong.Description("Stand-ins for what surrounds pewtermill."),
+		kong.Description("Stand-ins for what surrounds pewtermill, and experiments."),
 		kong.Writers(streams.Out, streams.Err),
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 	)
--- a/internal/scheduler/defaults.go
+++ b/internal/scheduler/defaults.go
@@ -9,13 +9,16 @@
 // Defaults of the weights in bundle.Scheduling. A field left at zero takes
 // its default; a negative field turns its rule off.
 const (
-	DefaultWaitWeight     = 1.0 // per estimated millisecond of waiting at the engine
-	DefaultPrefixWeight   = 1.0 // per estimated millisecond of prefill, own and that of evicted cache
+	DefaultWaitWeight = 1.0 // per estimated millisecond of waiting at the engine
+	// DefaultPrefixWeight is per estimated millisecond of prefill, own and
+	// that of evicted cache. It is that of a usual batch's size, because an
+	// engine that prefills keeps its whole batch waiting.
+	DefaultPrefixWeight   = 8.0
 	DefaultDistanceWeight = 1.0 // per estimated millisecond on the network
 
 	DefaultWorthWeight    = 10.0 // seconds of head start per doubling of (1 + class worth)
 	DefaultSlackWeight    = 0.5  // seconds of delay per second of slack to the program's deadline
-	DefaultAttainedWeight = 10.0 // seconds of delay per doubling of (1 + attained seconds)
+	DefaultAttainedWeight = 1.0  // seconds of delay per doubling of (1 + attained seconds)
 	DefaultAgingPerSecond = 1.0  // seconds gained per second in the queue
 
 	DefaultMaxQueue     = 2000 // queued calls per node
