A refusal says not_run only after the program's row was read

Cause: a node that could not read the program's row (table service down, or it took itself for the owner of a program that it had never loaded) answered store_down with execution not_run, and a stale owner did so from what it had in memory. It spoke of its own copy of the request; an earlier copy of the call could be running at another owner.

Now confirm tells a confirmed owner from one that can't read the row, and the latter leaves the execution open; it reads the row also when the caller's deadline has passed. The router says unknown about a call where no owner stands behind the refusal, the gateway where it did not ask. GET of a call that may have run under a former owner does not say not_run either. The client goes on to the next node after such an answer if the request is idempotent.

Ruled out: a race in confirm (the answer came from acquire, before any entry was loaded); relaxing the check to one copy of a request (the answer would be true only for callers that add up their copies).

--- a/api/codes.go
+++ b/api/codes.go
@@ -114,7 +114,7 @@
 	{NoReadyBackend, "no_ready_backend", http.StatusServiceUnavailable, NotRun, true, "No back end that can serve the call is ready."},
 	{Draining, "draining", http.StatusServiceUnavailable, NotRun, true, "This node is stopping; ask another."},
 	{OwnerMoving, "owner_moving", http.StatusServiceUnavailable, NotRun, true, "The program is moving between nodes."},
-	{StoreDown, "store_down", http.StatusServiceUnavailable, NotRun, true, "The table service cannot record the call, so it was not run."},
+	{StoreDown, "store_down", http.StatusServiceUnavailable, NotRun, true, "The table service does not answer, so the call cannot be recorded."},
 	{CallPending, "call_pending", http.StatusAccepted, Unknown, true, "The call is under way; ask again."},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, NotRun, true, "This node has no configuration yet."},
 	{BackendFailed, "backend_failed", http.StatusBadGateway, Ran, false, "The back end ran the call and reported failure."},
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -211,6 +211,7 @@
 	firstNodes := map[string]string{
 		"dead":            deadAddress(t),
 		"draining":        refusing(api.Errorf(api.Draining, "")).start(t),
+		"may have run":    refusing(&api.Error{Code: api.OwnerMoving, Execution: api.Unknown}).start(t),
 		"breaks":          serve(t, breaking("")),
 		"breaks midway":   serve(t, breaking("event: part\ndata: {\"offset\":0,\"text\":\"other\"}\n\n")),
 		"breaks at event": serve(t, breaking("event: result\ndata: {}\n")),
--- a/internal/client/transport.go
+++ b/internal/client/transport.go
@@ -119,7 +119,7 @@
 		return !transport.Sent || idempotent
 	}
 	var problem *api.Error
-	if !errors.As(err, &problem) || problem.Execution != api.NotRun {
+	if !errors.As(err, &problem) || (problem.Execution != api.NotRun && !idempotent) {
 		return false
 	}
 	switch problem.Code {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,8 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/httpapi"
@@ -96,6 +98,21 @@
 	}
 }
 
+// ofCall corrects refusals of calls that are made without asking the call's
+// owner: an earlier copy of the call may have run, so they can't say not_run.
+func ofCall(serve endpoint) endpoint {
+	return func(x *exchange) (answer, error) {
+		result, err := serve(x)
+		var problem *api.Error
+		if !errors.As(err, &problem) || (problem.Code != api.NotReady && problem.Code != api.TenantLimit) {
+			return result, err
+		}
+		unknown := *problem
+		unknown.Execution = api.Unknown
+		return result, &unknown
+	}
+}
+
 // respond sends a successful endpoint's answer. Once a stream has begun, the
 // status is gone and the result is its last event.
 func (x *exchange) respond(result answer) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,7 +95,7 @@
 	mux.Handle("POST /v1/programs", g.handle("create_program", g.authenticated(g.createProgram)))
 	mux.Handle("GET /v1/programs/{program}", g.handle("get_program", g.authenticated(g.getProgram)))
 	mux.Handle("DELETE /v1/programs/{program}", g.handle("end_program", g.authenticated(g.endProgram)))
-	mux.Handle("PUT /v1/programs/{program}/calls/{sequence}", g.handle("execute_call", g.authenticated(g.executeCall)))
+	mux.Handle("PUT /v1/programs/{program}/calls/{sequence}", g.handle("execute_call", ofCall(g.authenticated(g.executeCall))))
 	mux.Handle("GET /v1/programs/{program}/calls/{sequence}", g.handle("get_call", g.authenticated(g.getCall)))
 
 	mux.Handle("/v1/programs", g.handle("other", methodNotAllowed("POST")))
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -67,7 +67,7 @@
 
 // ExecuteCall implements gateway.Service.
 func (r *router) ExecuteCall(ctx context.Context, tenant, id string, sequence int64, body []byte, onPart func(offset int64, text []byte)) (api.CallResult, error) {
-	return routed[api.CallResult](ctx, r.node, id, &wirepb.Request{
+	result, err := routed[api.CallResult](ctx, r.node, id, &wirepb.Request{
 		Body: &wirepb.Request_ExecuteCall{ExecuteCall: &wirepb.ExecuteCall{
 			Tenant:   tenant,
 			Program:  id,
@@ -76,13 +76,32 @@
 			Stream:   onPart != nil,
 		}},
 	}, onPart)
+	return result, ofCall(err)
+}
+
+// ofCall corrects refusals of a call behind which no owner stands that has
+// read the program's row: an earlier copy of the call may have run, so they
+// can't say not_run.
+func ofCall(err error) error {
+	var refusal *api.Error
+	if !errors.As(err, &refusal) {
+		return err
+	}
+	switch refusal.Code {
+	case api.OwnerMoving, api.Draining, api.NotReady, api.StoreDown:
+		unknown := *refusal
+		unknown.Execution = api.Unknown
+		return &unknown
+	}
+	return err
 }
 
 // GetCall implements gateway.Service.
 func (r *router) GetCall(ctx context.Context, tenant, id string, sequence int64) (api.CallResult, error) {
-	return routed[api.CallResult](ctx, r.node, id, &wirepb.Request{
+	result, err := routed[api.CallResult](ctx, r.node, id, &wirepb.Request{
 		Body: &wirepb.Request_GetCall{GetCall: &wirepb.GetCall{Tenant: tenant, Program: id, Sequence: sequence}},
 	}, nil)
+	return result, ofCall(err)
 }
 
 // routed sends a request to the program's owner and decodes the answer.
--- a/internal/ownership/call.go
+++ b/internal/ownership/call.go
@@ -47,18 +47,32 @@
 		case step.replay:
 			return p.replay(ctx, e, sequence, digest, onPart)
 		}
-		if confirmed := p.confirm(ctx, e); !confirmed {
-			continue
+		standing := p.confirm(ctx, e)
+		if standing != standingLost && step.refusal == nil {
+			if waitForChange(ctx, step.changed) {
+				continue
+			}
+			step.refusal = api.Errorf(api.DeadlineExceeded, "call %d waits for an earlier one", sequence).After(movingRetryAfter)
+			standing = p.confirm(ctx, e)
 		}
-		if step.refusal != nil {
-			return api.CallResult{}, p.refuse(step.header, sequence, request.Target, step.refusal)
+		if standing == standingLost {
+			continue
 		}
-		if !waitForChange(ctx, step.changed) {
-			return api.CallResult{}, api.Errorf(api.DeadlineExceeded, "call %d waits for an earlier one", sequence).After(movingRetryAfter)
+		if standing == standingUnknown {
+			step.refusal = unconfirmed(step.refusal)
 		}
+		return api.CallResult{}, p.refuse(step.header, sequence, request.Target, step.refusal)
 	}
 }
 
+// unconfirmed returns a refusal of a node that can't tell whether another one
+// has taken the program over and run the call.
+func unconfirmed(refusal *api.Error) *api.Error {
+	unknown := *refusal
+	unknown.Execution = api.Unknown
+	return &unknown
+}
+
 // confirmPeriod is how often a call that waits for an earlier one makes sure
 // that this node still owns the program.
 const confirmPeriod = time.Second
@@ -119,10 +133,10 @@
 		if sequence-e.header.NextSequence > plan.maxAhead {
 			return step{header: e.header, refusal: gapError(e.header, sequence)}, nil
 		}
-		return step{changed: e.changed}, nil
+		return step{header: e.header, changed: e.changed}, nil
 	}
 	if e.flight != nil {
-		return step{changed: e.changed}, nil
+		return step{header: e.header, changed: e.changed}, nil
 	}
 	return step{flight: p.start(e, plan, request, digest, arrived)}, nil
 }
@@ -131,7 +145,7 @@
 // may have run under a former owner is not said to be not run.
 func refusedStep(header program.Header, sequence int64, refusal *api.Error) step {
 	if header.MayHaveRun(sequence) {
-		refusal.Execution = api.Unknown
+		refusal = unconfirmed(refusal)
 	}
 	return step{header: header, refusal: refusal}
 }
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -125,27 +125,42 @@
 	return nil
 }
 
+// standing is what a node knows of a program that it holds in memory.
+type standing int
+
+const (
+	// standingOwner: no other node had claimed the program.
+	standingOwner standing = iota
+	// standingLost: another node has claimed it; it is dropped from memory.
+	standingLost
+	// standingUnknown: the row can't be read, and what is in memory may be
+	// out of date.
+	standingUnknown
+)
+
 // confirm reads the row to make sure that no other node has claimed the
 // program since, as can have happened to a node that was paused or that others
-// did not know. If one has, the program is dropped from memory and confirm
-// returns false. While the table can't be read, what is in memory counts.
-func (p *Programs) confirm(ctx context.Context, e *entry) bool {
-	limited, cancel := context.WithTimeout(ctx, storePatience)
+// did not know. It does so even if ctx has ended, for storePatience at most.
+func (p *Programs) confirm(ctx context.Context, e *entry) standing {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), storePatience)
 	defer cancel()
 	if err := e.lock(limited); err != nil {
-		return true
+		return standingUnknown
 	}
 	defer e.unlock()
 	if _, owned := e.snapshot(); !owned {
-		return false
+		return standingLost
 	}
 	row, err := p.Store.Get(limited, program.HeaderKey(e.id))
-	if err != nil || row.Revision == e.revisionNow() {
-		return true
+	if err != nil {
+		return standingUnknown
+	}
+	if row.Revision == e.revisionNow() {
+		return standingOwner
 	}
 	e.disown()
 	p.forget(e)
-	return false
+	return standingLost
 }
 
 // Release gives a program up if it is idle. It returns false while a call is
--- a/internal/ownership/lifecycle.go
+++ b/internal/ownership/lifecycle.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return api.Program{}, err
 	}
-	if !p.confirm(ctx, e) {
+	if p.confirm(ctx, e) == standingLost {
 		if e, err = p.acquire(ctx, id); err != nil {
 			return api.Program{}, err
 		}
@@ -141,12 +141,9 @@
 	if err := authorize(header, tenant); err != nil {
 		return api.CallResult{}, err
 	}
-	if e.isUnderWay(sequence) {
-		return api.CallResult{}, api.Errorf(api.CallPending, "call %d is under way", sequence).After(movingRetryAfter)
-	}
 	row, err := p.readCall(ctx, id, sequence)
 	if errors.Is(err, errNoCall) {
-		return api.CallResult{}, api.Errorf(api.CallNotFound, "no call %d", sequence)
+		return api.CallResult{}, p.noAnswer(ctx, e, sequence)
 	}
 	if err != nil {
 		return api.CallResult{}, err
@@ -154,10 +151,21 @@
 	return row.Segment.Result, nil
 }
 
-func (e *entry) isUnderWay(sequence int64) bool {
+// noAnswer says what is known of a call that had no row just now.
+func (p *Programs) noAnswer(ctx context.Context, e *entry, sequence int64) *api.Error {
+	standing := p.confirm(ctx, e)
 	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.flight != nil && e.flight.sequence == sequence
+	header := e.header
+	underWay := e.flight != nil && e.flight.sequence == sequence
+	e.mutex.Unlock()
+	if underWay || standing != standingOwner || sequence < header.NextSequence {
+		return api.Errorf(api.CallPending, "call %d is under way", sequence).After(movingRetryAfter)
+	}
+	missing := api.Errorf(api.CallNotFound, "no call %d", sequence)
+	if header.MayHaveRun(sequence) {
+		return unconfirmed(missing)
+	}
+	return missing
 }
 
 // resolveIntent settles a not-repeatable call that the former owner may have
--- a/internal/ownership/run.go
+++ b/internal/ownership/run.go
@@ -90,10 +90,14 @@
 	outcome := p.Executor.Execute(ctx, work, f.write)
 	if outcome.Refusal != nil {
 		p.abandon(e, f.sequence)
-		if !p.confirm(ctx, e) {
+		standing := p.confirm(ctx, e)
+		if standing == standingLost {
 			return api.CallResult{}, ranElsewhere()
 		}
 		refusal := refusedStep(header, f.sequence, outcome.Refusal).refusal
+		if standing == standingUnknown {
+			refusal = unconfirmed(refusal)
+		}
 		return api.CallResult{}, p.refuse(header, f.sequence, f.request.Target, refusal)
 	}
 	return p.recordResult(e, f, planned, outcome)
--- a/internal/ownership/stale_test.go
+++ b/internal/ownership/stale_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 )
 
 // staleOwner returns a cluster in which "a" has run call 1 of a program and
@@ -58,6 +59,33 @@
 	}
 }
 
+// TestStaleOwnerWithoutTableDoesNotSayNotRun is the same while the table
+// service is down: a stale owner can't find out that it is one.
+func TestStaleOwnerWithoutTableDoesNotSayNotRun(t *testing.T) {
+	stale, c, id := staleOwner(t)
+	c.executor.refuse(true)
+	c.table.SetFaults(standin.Faults{Down: true})
+	_, err := stale.Execute(context.Background(), "dev", id, 2, bodyOf(id, 2), nil)
+	var refusal *api.Error
+	if !errors.As(err, &refusal) || refusal.Execution != api.Unknown {
+		t.Fatalf("answered %v, want a refusal that leaves open whether the call ran", err)
+	}
+}
+
+// TestLostCallIsNotReportedAsNotRun asks for the answer of a model call that
+// was under way when its owner died: nobody can tell whether it ran.
+func TestLostCallIsNotReportedAsNotRun(t *testing.T) {
+	c := newTestCluster(t, 1, "a", "b")
+	id := createPrograms(t, c, 1)[0]
+	execute(t, c.node("a"), id, 1)
+	c.replace("a")
+	_, err := c.node("b").Call(context.Background(), "dev", id, 2)
+	var refusal *api.Error
+	if !errors.As(err, &refusal) || refusal.Code != api.CallNotFound || refusal.Execution != api.Unknown {
+		t.Fatalf("answered %v, want that it may have run", err)
+	}
+}
+
 // TestStaleOwnerShowsTheProgramAsItIs reads a program at a stale owner.
 func TestStaleOwnerShowsTheProgramAsItIs(t *testing.T) {
 	stale, _, id := staleOwner(t)
