--- a/tests/deployment_test.go
+++ b/tests/deployment_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"sigs.k8s.io/yaml"
 
@@ -16,6 +17,7 @@
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/client"
 	"github.com/pewtermill/pewtermill/internal/command/devcluster"
+	"github.com/pewtermill/pewtermill/internal/settings"
 )
 
 // Host numbers and ports of a deployment's processes in its subnet.
@@ -32,14 +34,21 @@
 )
 
 // size says how many processes of each kind a deployment has.
-type size struct{ engines, nodes int }
+type size struct {
+	engines, nodes int
+	cells          int  // nodes and engines are placed in them in turn; 0 means 1
+	embedded       bool // nodes are values in the test's process, so that links can be cut
+}
 
-// nodeProcess is one node.
+// nodeProcess is one node: a process, or a value in the test's process.
 type nodeProcess struct {
 	*process
+	*embeddedNode
 	name        string
+	cell        string
 	callerURL   string
 	operatorURL string
+	peerAddress string
 }
 
 // deployment is a platform, engines, one tool service and nodes, each a
@@ -47,6 +56,7 @@
 type deployment struct {
 	t           *testing.T
 	subnet      subnet
+	size        size
 	bundle      *bundle.Bundle
 	platform    *process
 	platformURL string
@@ -69,7 +79,8 @@
 		t.Fatal(err)
 	}
 	decoded.Engines = decoded.Engines[:wanted.engines]
-	d := &deployment{t: t, subnet: claimSubnet(t), bundle: decoded}
+	d := &deployment{t: t, subnet: claimSubnet(t), size: wanted, bundle: decoded}
+	d.makeCells()
 	d.startPlatform()
 	for i := range decoded.Engines {
 		d.startEngine(i)
@@ -86,28 +97,59 @@
 	return d
 }
 
-// waitOwnersSettled waits until each node knows that all others take
-// programs, so that owners don't change any more.
+// makeCells gives the bundle as many cells as are wanted, and places its
+// engines in them in turn.
+func (d *deployment) makeCells() {
+	first := d.bundle.Cells[0]
+	for len(d.bundle.Cells) < d.size.cells {
+		next := first
+		next.Name = fmt.Sprintf("%s-%d", first.Name, len(d.bundle.Cells)+1)
+		d.bundle.Cells = append(d.bundle.Cells, next)
+	}
+	for index := range d.bundle.Engines {
+		d.bundle.Engines[index].Cell = d.cellOf(index)
+	}
+}
+
+// cellOf returns the cell of the node or engine of that index.
+func (d *deployment) cellOf(index int) string {
+	return d.bundle.Cells[index%len(d.bundle.Cells)].Name
+}
+
+// nodesIn returns the nodes of a cell.
+func (d *deployment) nodesIn(cell string) []*nodeProcess {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var nodes []*nodeProcess
+	for _, node := range d.nodes {
+		if node.cell == cell {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// waitOwnersSettled waits until each node knows that all others of its cell
+// take programs, so that owners don't change any more.
 func (d *deployment) waitOwnersSettled() {
 	d.t.Helper()
 	for _, node := range d.nodes {
 		waitUntil(d.t, node.name+" knows all nodes", func(ctx context.Context) bool {
 			status, err := node.operator().Status(ctx)
-			return err == nil && d.allServe(status.Members)
+			return err == nil && d.allServe(node.cell, status.Members)
 		})
 	}
 }
 
-// allServe reports whether each node of the deployment is alive and has the
-// bundle.
-func (d *deployment) allServe(members []api.MemberStatus) bool {
+// allServe reports whether each node of the cell is alive and has the bundle.
+func (d *deployment) allServe(cell string, members []api.MemberStatus) bool {
 	serving := 0
 	for _, member := range members {
 		if member.State == "alive" && member.BundleVersion == d.bundle.Version {
 			serving++
 		}
 	}
-	return serving == len(d.nodes)
+	return serving == len(d.nodesIn(cell))
 }
 
 func (d *deployment) startPlatform() {
@@ -150,14 +192,15 @@
 // startNode starts the node of that index; count is how many there are to be.
 func (d *deployment) startNode(index, count int) *nodeProcess {
 	d.nextHost = count
-	return d.runNode(fmt.Sprintf("node-%d", index+1), index, nodeHost+index, count)
+	return d.runNode(fmt.Sprintf("node-%d", index+1), index, nodeHost+index, d.firstSeeds(index, count))
 }
 
 // replaceNode starts a node on a fresh address in place of another, which the
-// test has stopped or is to stop, and waits until it serves callers.
+// test has stopped or is to stop, and waits until it serves callers. It joins
+// by the nodes that are there.
 func (d *deployment) replaceNode(index int, name string) {
 	d.t.Helper()
-	fresh := d.runNode(name, index, nodeHost+d.nextHost, len(d.nodes))
+	fresh := d.runNode(name, index, nodeHost+d.nextHost, d.seeds(d.cellOf(index)))
 	d.nextHost++
 	d.waitReady(fresh)
 	d.mutex.Lock()
@@ -165,29 +208,66 @@
 	d.nodes[index] = fresh
 }
 
-func (d *deployment) runNode(name string, index, host, count int) *nodeProcess {
-	return &nodeProcess{
-		process: startProcess(d.t, name, pewtermillBinary, "node",
-			"--name", name,
-			"--cell", d.bundle.Cells[0].Name,
-			"--zone", d.bundle.Zones[index%len(d.bundle.Zones)].Name,
-			"--caller-address", d.subnet.address(host, callerPort),
-			"--operator-address", d.subnet.address(host, operatorPort),
-			"--peer-address", d.subnet.address(host, peerPort),
-			"--seed", strings.Join(d.seeds(count), ","),
-			"--platform-url", d.platformURL,
-			"--cluster-key", "key of the test deployment",
-			"--drain-timeout", "30s"),
+func (d *deployment) runNode(name string, index, host int, seeds []string) *nodeProcess {
+	chosen := settings.Settings{
+		Name:            name,
+		Cell:            d.cellOf(index),
+		Zone:            d.bundle.Zones[index%len(d.bundle.Zones)].Name,
+		CallerAddress:   d.subnet.address(host, callerPort),
+		OperatorAddress: d.subnet.address(host, operatorPort),
+		PeerAddress:     d.subnet.address(host, peerPort),
+		Seeds:           seeds,
+		PlatformURL:     d.platformURL,
+		ClusterKey:      "key of the test deployment",
+		DrainTimeout:    30 * time.Second,
+	}
+	started := &nodeProcess{
 		name:        name,
-		callerURL:   "http://" + d.subnet.address(host, callerPort),
-		operatorURL: "http://" + d.subnet.address(host, operatorPort),
+		cell:        chosen.Cell,
+		callerURL:   "http://" + chosen.CallerAddress,
+		operatorURL: "http://" + chosen.OperatorAddress,
+		peerAddress: chosen.PeerAddress,
 	}
+	if d.size.embedded {
+		started.embeddedNode = startEmbedded(d.t, chosen)
+	} else {
+		started.process = startProcess(d.t, name, pewtermillBinary, nodeArguments(chosen)...)
+	}
+	return started
 }
 
-func (d *deployment) seeds(count int) []string {
+func nodeArguments(chosen settings.Settings) []string {
+	return []string{"node",
+		"--name", chosen.Name,
+		"--cell", chosen.Cell,
+		"--zone", chosen.Zone,
+		"--caller-address", chosen.CallerAddress,
+		"--operator-address", chosen.OperatorAddress,
+		"--peer-address", chosen.PeerAddress,
+		"--seed", strings.Join(chosen.Seeds, ","),
+		"--platform-url", chosen.PlatformURL,
+		"--cluster-key", chosen.ClusterKey,
+		"--drain-timeout", chosen.DrainTimeout.String(),
+	}
+}
+
+// firstSeeds are the addresses that the first nodes of the index's cell are
+// going to have.
+func (d *deployment) firstSeeds(index, count int) []string {
 	var seeds []string
 	for i := range count {
-		seeds = append(seeds, d.subnet.address(nodeHost+i, peerPort))
+		if d.cellOf(i) == d.cellOf(index) {
+			seeds = append(seeds, d.subnet.address(nodeHost+i, peerPort))
+		}
+	}
+	return seeds
+}
+
+// seeds are the peer addresses of a cell's nodes.
+func (d *deployment) seeds(cell string) []string {
+	var seeds []string
+	for _, node := range d.nodesIn(cell) {
+		seeds = append(seeds, node.peerAddress)
 	}
 	return seeds
 }
@@ -196,7 +276,6 @@
 // as an operator does.
 func (d *deployment) submitBundle() {
 	addresses := devcluster.Addresses{
-		Seeds:   d.seeds(len(d.nodes)),
 		Engines: map[string]string{},
 		Tools:   map[string]string{},
 	}
@@ -207,6 +286,9 @@
 		addresses.Tools[described.Name] = d.toolURL
 	}
 	devcluster.Relocate(d.bundle, addresses)
+	for i := range d.bundle.Cells {
+		d.bundle.Cells[i].Seeds = d.seeds(d.bundle.Cells[i].Name)
+	}
 	source, err := yaml.Marshal(d.bundle)
 	if err != nil {
 		d.t.Fatal(err)
--- /dev/null
+++ b/tests/embedded_test.go
@@ -0,0 +1,58 @@
+package tests
+
+import (
+	"log/slog"
+	"testing"
+
+	"github.com/pewtermill/pewtermill/internal/node"
+	"github.com/pewtermill/pewtermill/internal/settings"
+	"github.com/pewtermill/pewtermill/internal/wire"
+)
+
+// embeddedNode is a node as a value in the test's process. Its links to other
+// nodes can be cut.
+type embeddedNode struct {
+	*node.Node
+	faults *wire.Faults
+}
+
+// startEmbedded starts a node that ends with the test.
+func startEmbedded(t *testing.T, chosen settings.Settings) *embeddedNode {
+	t.Helper()
+	log := &logBuffer{}
+	faults := &wire.Faults{}
+	created, err := node.New(chosen.WithDefaults(), node.Dependencies{
+		Logger: slog.New(slog.NewJSONHandler(log, nil)),
+		Faults: faults,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := created.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		created.Close()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", chosen.Name, log)
+		}
+	})
+	return &embeddedNode{Node: created, faults: faults}
+}
+
+// cutOneWay loses all that one embedded node sends to the other.
+func cutOneWay(from, to *nodeProcess) {
+	from.faults.CutTo(to.name)
+	to.faults.CutFrom(from.name)
+}
+
+func cutBothWays(a, b *nodeProcess) {
+	cutOneWay(a, b)
+	cutOneWay(b, a)
+}
+
+// mend ends all cuts between two embedded nodes.
+func mend(a, b *nodeProcess) {
+	a.faults.Heal(b.name)
+	b.faults.Heal(a.name)
+}
--- a/tests/failure_test.go
+++ b/tests/failure_test.go
@@ -35,10 +35,15 @@
 // TestInvariantsUnderFailure runs programs while each failure strikes, and
 // checks what must always hold.
 func TestInvariantsUnderFailure(t *testing.T) {
+	checkInvariants(t, size{engines: 3, nodes: 3}, failures)
+}
+
+// checkInvariants runs programs in a deployment for each failure.
+func checkInvariants(t *testing.T, wanted size, failures []failure) {
 	for index, failure := range failures {
 		t.Run(failure.name, func(t *testing.T) {
 			t.Parallel()
-			d := startDeployment(t, size{engines: 3, nodes: 3})
+			d := startDeployment(t, wanted)
 			w := startWorkload(t, d, uint64(index+1))
 			w.waitProgress(callersAtOnce)
 			failure.strike(d, w)
