--- a/tests/deployment_test.go
+++ b/tests/deployment_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -36,8 +37,9 @@
 // size says how many processes of each kind a deployment has.
 type size struct {
 	engines, nodes int
-	cells          int  // nodes and engines are placed in them in turn; 0 means 1
-	embedded       bool // nodes are values in the test's process, so that links can be cut
+	cells          int                    // nodes and engines are placed in them in turn; 0 means 1
+	embedded       bool                   // nodes are values in the test's process, so that links can be cut
+	change         func(b *bundle.Bundle) // of the first bundle; may be nil
 }
 
 // nodeProcess is one node: a process, or a value in the test's process.
@@ -81,6 +83,9 @@
 	decoded.Engines = decoded.Engines[:wanted.engines]
 	d := &deployment{t: t, subnet: claimSubnet(t), size: wanted, bundle: decoded}
 	d.makeCells()
+	if wanted.change != nil {
+		wanted.change(decoded)
+	}
 	d.startPlatform()
 	for i := range decoded.Engines {
 		d.startEngine(i)
@@ -339,6 +344,20 @@
 	return nil
 }
 
+// neighbour returns another node of the named node's cell.
+func (d *deployment) neighbour(name string) *nodeProcess {
+	d.t.Helper()
+	for _, cell := range d.bundle.Cells {
+		nodes := d.nodesIn(cell.Name)
+		named := slices.IndexFunc(nodes, func(node *nodeProcess) bool { return node.name == name })
+		if named >= 0 && len(nodes) > 1 {
+			return nodes[(named+1)%len(nodes)]
+		}
+	}
+	d.t.Fatalf("%q has no neighbour", name)
+	return nil
+}
+
 // caller returns a tenant's client of a node.
 func (n *nodeProcess) caller() *client.Client { return client.New(n.callerURL, devcluster.TenantKey) }
 
--- a/tests/failure_test.go
+++ b/tests/failure_test.go
@@ -30,6 +30,9 @@
 	{"node killed while replies are lost", both(repliesLost, killNode)},
 	{"node frozen while the store is down", both(storeDown, freezeNode)},
 	{"rolling planned stops", rollingStops},
+	{"cache events lost", eventsLost},
+	{"engine says that it leaves", engineLeaves},
+	{"engine listed as leaving", engineListedLeaving},
 }
 
 // TestInvariantsUnderFailure runs programs while each failure strikes, and
@@ -96,7 +99,7 @@
 // answered calls since.
 func (w *workload) waitTakeover(name string) {
 	w.t.Helper()
-	observer := w.d.other(name).operator()
+	observer := w.d.neighbour(name).operator()
 	waitUntil(w.t, name+" counts as dead", func(ctx context.Context) bool {
 		status, err := observer.Status(ctx)
 		if err != nil {
@@ -152,6 +155,16 @@
 	setFaults(d.t, d.toolURL, tool.Faults{})
 }
 
+func eventsLost(d *deployment, w *workload) {
+	for _, url := range d.engineURLs {
+		setFaults(d.t, url, engine.Faults{DropEventsShare: 0.7, Seed: 5})
+	}
+	w.waitProgress(6 * callersAtOnce)
+	for _, url := range d.engineURLs {
+		setFaults(d.t, url, engine.Faults{})
+	}
+}
+
 // rollingStops stops every node as planned, each replaced by a new one under
 // another name, until none of the first is left.
 func rollingStops(d *deployment, w *workload) {
--- /dev/null
+++ b/tests/limits_test.go
@@ -0,0 +1,185 @@
+package tests
+
+import (
+	"context"
+	"errors"
+	"net/url"
+	"testing"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/program"
+	"github.com/pewtermill/pewtermill/internal/standin/engine"
+)
+
+// Limits of the class "bounded" of the tests.
+const (
+	boundedCalls      = 3
+	boundedDepth      = 2
+	boundedTokens     = 500
+	boundedWallMillis = 2000
+	boundedBudget     = 100_000
+)
+
+// boundClasses adds classes with narrow limits.
+func boundClasses(b *bundle.Bundle) {
+	b.Classes = append(b.Classes,
+		bundle.Class{Name: "bounded", Worth: 1, DeadlineMillis: 30_000, MaxBudget: boundedBudget,
+			MaxCalls: boundedCalls, MaxDepth: boundedDepth, MaxTokens: boundedTokens, MaxWallMillis: 600_000},
+		bundle.Class{Name: "endless", Worth: 1, DeadlineMillis: 1000, MaxBudget: boundedBudget,
+			MaxCalls: 1000, MaxDepth: boundedDepth, MaxTokens: 1_000_000, MaxWallMillis: boundedWallMillis})
+}
+
+// TestWallTimeEndsPrograms leaves a program and its sub-agents alone, once
+// they have made a call each, and lets another one call without end. The wall
+// time must end all of them, and engines must hold nothing for them.
+func TestWallTimeEndsPrograms(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t, size{engines: 2, nodes: 3, change: boundClasses})
+	idle := d.createChain("endless", boundedDepth)
+	for _, created := range idle {
+		callWithRetry(t, d.nodes[0], created.ID, 1, shortQuestion)
+	}
+	busy := d.create(api.CreateProgramRequest{Class: "endless", Budget: boundedBudget})
+	d.callUntilRefused(busy.ID)
+	for _, created := range append(idle, busy) {
+		d.waitEndedByWallTime(created.ID)
+	}
+	root := d.header(idle[0].ID)
+	if root.Budget+d.header(idle[1].ID).Budget+d.header(idle[2].ID).Budget != boundedBudget {
+		t.Errorf("the budgets of the sub-agents are not returned: %+v", root)
+	}
+	d.waitHoldsReleased()
+}
+
+// shortQuestion is a model call that takes little of a budget.
+var shortQuestion = api.CallRequest{
+	Kind:      api.KindModel,
+	Target:    "small",
+	Messages:  []api.Message{{Role: api.RoleUser, Content: "go on"}},
+	MaxTokens: 16,
+}
+
+func (d *deployment) create(request api.CreateProgramRequest) api.Program {
+	d.t.Helper()
+	created, err := d.nodes[0].caller().CreateProgram(d.t.Context(), "", request)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return created
+}
+
+// createChain creates a program with a sub-agent that has a sub-agent, and so
+// on to the depth, each with a third of its parent's budget.
+func (d *deployment) createChain(class string, depth int) []api.Program {
+	d.t.Helper()
+	budget := api.Credits(boundedBudget)
+	chain := []api.Program{d.create(api.CreateProgramRequest{Class: class, Budget: budget})}
+	for range depth {
+		budget /= 3
+		chain = append(chain, d.create(api.CreateProgramRequest{Class: class, Budget: budget, Parent: chain[len(chain)-1].ID}))
+	}
+	return chain
+}
+
+// callUntilRefused makes one call after the other until the program takes no
+// more, which must be because of its wall time.
+func (d *deployment) callUntilRefused(id string) {
+	d.t.Helper()
+	for sequence := int64(1); ; sequence++ {
+		result, err := d.nodes[int(sequence)%len(d.nodes)].caller().Call(d.t.Context(), id, sequence, shortQuestion, nil)
+		if err == nil && result.Code == api.OK {
+			continue
+		}
+		if err == nil && result.Code == api.Cancelled {
+			return
+		}
+		var refusal *api.Error
+		if !errors.As(err, &refusal) || (refusal.Code != api.WallTimeLimit && refusal.Code != api.ProgramEnded && refusal.Code != api.DeadlineExceeded) {
+			d.t.Fatalf("call %d: %+v, %v", sequence, result, err)
+		}
+		return
+	}
+}
+
+// waitEndedByWallTime looks at the program's row only, so that no request
+// about the program reaches any node.
+func (d *deployment) waitEndedByWallTime(id string) {
+	d.t.Helper()
+	waitUntil(d.t, id+" is ended", func(context.Context) bool {
+		return d.header(id).Status == api.ProgramClosed
+	})
+	if header := d.header(id); header.EndReason != api.WallTimeLimit || header.Reserved != 0 {
+		d.t.Errorf("ended otherwise: %+v", header)
+	}
+}
+
+// header reads a program's row from the platform.
+func (d *deployment) header(id string) program.Header {
+	d.t.Helper()
+	row := fetch[platform.Row](d.t, d.platformURL+"/table/row?key="+url.QueryEscape(program.HeaderKey(id)))
+	header, err := program.DecodeHeader(row.Value)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return header
+}
+
+// TestLimitsOfAClass takes programs to their limits on calls, tokens, depth
+// and budget. What is refused must not have been run.
+func TestLimitsOfAClass(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t, size{engines: 1, nodes: 3, change: boundClasses})
+	long := shortQuestion
+	long.MaxTokens = boundedTokens + 1
+	tests := []struct {
+		name   string
+		budget api.Credits
+		calls  int64 // that are answered before the one that is refused
+		last   api.CallRequest
+		code   api.Code
+	}{
+		{"calls", boundedBudget, boundedCalls, shortQuestion, api.CallLimit},
+		{"tokens", boundedBudget, 1, long, api.TokenLimit},
+		{"budget", 10, 0, shortQuestion, api.BudgetExhausted},
+	}
+	for _, test := range tests {
+		created := d.create(api.CreateProgramRequest{Class: "bounded", Budget: test.budget})
+		_, other := d.ownerAndOther(created.ID)
+		for sequence := range test.calls {
+			callWithRetry(t, other, created.ID, sequence+1, shortQuestion)
+		}
+		_, err := other.caller().Call(t.Context(), created.ID, test.calls+1, test.last, nil)
+		checkRefusedNotRun(t, test.name, err, test.code)
+		if started := d.startedCalls(created.ID); started != test.calls {
+			t.Errorf("%s: %d calls were started, want %d", test.name, started, test.calls)
+		}
+	}
+	chain := d.createChain("bounded", boundedDepth)
+	deepest := chain[len(chain)-1]
+	_, err := d.nodes[1].caller().CreateProgram(t.Context(), "", api.CreateProgramRequest{Class: "bounded", Budget: 1, Parent: deepest.ID})
+	checkRefusedNotRun(t, "depth", err, api.DepthLimit)
+}
+
+func checkRefusedNotRun(t *testing.T, name string, err error, code api.Code) {
+	t.Helper()
+	var refusal *api.Error
+	if !errors.As(err, &refusal) || refusal.Code != code || refusal.Execution != api.NotRun {
+		t.Errorf("%s: answered %v, want %s", name, err, code)
+	}
+}
+
+// startedCalls counts the program's requests in the engines' logs.
+func (d *deployment) startedCalls(id string) int64 {
+	d.t.Helper()
+	var started int64
+	for _, engineURL := range d.engineURLs {
+		for _, entry := range fetch[[]engine.LogEntry](d.t, engineURL+"/log") {
+			if entry.Program == id {
+				started++
+			}
+		}
+	}
+	return started
+}
--- a/tests/workload_test.go
+++ b/tests/workload_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/client"
-	"github.com/pewtermill/pewtermill/internal/command/devcluster"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/historycheck"
 	"github.com/pewtermill/pewtermill/internal/standin/engine"
@@ -73,7 +72,7 @@
 func (w *workload) runProgram(index int, key string, random *rand.Rand) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
-	created, err := untilAnswered(ctx, w.d, random, func(ctx context.Context, c *client.Client) (api.Program, error) {
+	created, err := untilAnswered(ctx, w.d.home(index, random), func(ctx context.Context, c *client.Client) (api.Program, error) {
 		return c.CreateProgram(ctx, key, api.CreateProgramRequest{Class: "batch", Budget: programBudget})
 	})
 	if err != nil {
@@ -89,7 +88,7 @@
 		}
 		history = w.checkAnswer(created.ID, sequence, request, result, history)
 	}
-	ended, err := untilAnswered(ctx, w.d, random, func(ctx context.Context, c *client.Client) (api.Program, error) {
+	ended, err := untilAnswered(ctx, w.d.anyNode(random), func(ctx context.Context, c *client.Client) (api.Program, error) {
 		return c.EndProgram(ctx, created.ID)
 	})
 	if err != nil {
@@ -114,7 +113,7 @@
 func (w *workload) call(ctx context.Context, index int, id string, sequence int64, request api.CallRequest, random *rand.Rand) (api.CallResult, bool) {
 	input := historycheck.Input{Program: id, Sequence: sequence}
 	for ctx.Err() == nil {
-		caller := w.d.randomCaller(random)
+		caller := w.d.anyNode(random)()
 		var last error
 		result, output := w.recorder.Call(index, input, func() (api.CallResult, error) {
 			limited, cancel := context.WithTimeout(ctx, attemptLimit)
@@ -223,11 +222,11 @@
 	return historycheck.Execution{Program: id, Sequence: sequence, Started: started}
 }
 
-// untilAnswered repeats a request at random nodes until it succeeds, or is
-// refused for good.
-func untilAnswered[T any](ctx context.Context, d *deployment, random *rand.Rand, ask func(ctx context.Context, c *client.Client) (T, error)) (T, error) {
+// untilAnswered repeats a request, each time at a node that next chooses,
+// until it succeeds or is refused for good.
+func untilAnswered[T any](ctx context.Context, next func() *client.Client, ask func(ctx context.Context, c *client.Client) (T, error)) (T, error) {
 	for {
-		caller := d.randomCaller(random)
+		caller := next()
 		limited, cancel := context.WithTimeout(ctx, attemptLimit)
 		answer, err := ask(limited, caller)
 		cancel()
@@ -259,9 +258,20 @@
 	}
 }
 
-// randomCaller returns a client of a random node.
-func (d *deployment) randomCaller(random *rand.Rand) *client.Client {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return client.New(d.nodes[random.IntN(len(d.nodes))].callerURL, devcluster.TenantKey)
+// anyNode returns a function that chooses a random node each time.
+func (d *deployment) anyNode(random *rand.Rand) func() *client.Client {
+	return func() *client.Client {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		return d.nodes[random.IntN(len(d.nodes))].caller()
+	}
+}
+
+// home is like anyNode for the nodes of one caller's cell. An idempotency key
+// finds the program that was created with it in its own cell only.
+func (d *deployment) home(index int, random *rand.Rand) func() *client.Client {
+	return func() *client.Client {
+		nodes := d.nodesIn(d.cellOf(index))
+		return nodes[random.IntN(len(nodes))].caller()
+	}
 }
