A planned stop releases idle programs in their rows

Cause: a node that had drained left its idle programs with its own name and their standing reservation in the rows. To the other nodes it looked like a dead owner: the next call of each such program waited until the node counted as dead (5 s), and the claim charged the reservation as lost. Found by the test that replaces all nodes: single calls took 4.6 to 4.8 s after planned stops. The new test before: row of a stopped owner with reservation 624, program charged 698 for calls of 35 and 39. After: no owner, 74 charged.

Now the drain writes a release (no owner, no reservation) for each idle program, in shared groups, once callers are gone and again after the last peer's request. A program that nobody used for 5 min is released the same way instead of being dropped with its reservation standing. A row without owner is claimed at once.

Ruled out: a goodbye heartbeat alone (nodes that join later, and those that miss it, would still charge the reservation).

--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -141,7 +141,7 @@
 // that this node is to own.
 func (n *Node) maintain(ctx context.Context) {
 	for pauseFor(ctx, jittered(maintainPeriod)) {
-		n.programs.Sweep(time.Now())
+		n.programs.Sweep(ctx, time.Now())
 		for partition := range program.Partitions {
 			owner, ok := n.members.View().Owner(partition)
 			if !ok || owner.Name != n.settings.Name {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -269,7 +269,7 @@
 }
 
 // Drain is a planned stop: peers are told, new work goes elsewhere, programs
-// are given up as they become idle, and every call under way ends in peace.
+// are released as they become idle, and every call under way ends in peace.
 // The callers' endpoint takes requests until the last call that this node
 // owns has ended, and hands them on to other nodes.
 func (n *Node) Drain(ctx context.Context) error {
@@ -289,9 +289,14 @@
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "requests are still under way")
 	}
+	n.programs.ReleaseAll(ctx)
 	if err := n.peerServer.Drain(ctx); err != nil {
 		return errors.Wrap(err, "peers still wait for answers")
 	}
+	if err := n.programs.WaitIdle(ctx); err != nil {
+		return errors.Wrap(err, "calls are still under way")
+	}
+	n.programs.ReleaseAll(ctx)
 	n.logger.Info("drained")
 	return nil
 }
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -95,7 +95,10 @@
 	}
 	former := header.Owner
 	reason := "former owner " + former + " is gone"
-	if p.Peers.Alive(former, header.OwnerStart) {
+	switch {
+	case former == "":
+		reason = "released by its former owner"
+	case p.Peers.Alive(former, header.OwnerStart):
 		if former == p.Node {
 			return api.Errorf(api.OwnerMoving, "an earlier run of this node still counts as alive").After(movingRetryAfter)
 		}
--- a/internal/ownership/maintain.go
+++ b/internal/ownership/maintain.go
@@ -20,28 +20,23 @@
 // object store have them all; a dropped one is read again at its next call.
 const maxHistoryBytes = 256 << 20
 
-// Sweep drops programs from memory that nobody used for a while, and the
+// Sweep releases programs that nobody used for a while, and drops the
 // conversations used longest ago while there are too many bytes of them.
-func (p *Programs) Sweep(now time.Time) {
-	var kept []*entry
+func (p *Programs) Sweep(ctx context.Context, now time.Time) {
+	var unused, kept []*entry
 	var bytes int64
 	p.entries.Range(func(_, value any) bool {
 		e := value.(*entry)
-		select {
-		case e.commit <- struct{}{}:
-		default:
-			return true
-		}
 		if e.unusedSince(now.Add(-idleKeep)) {
-			p.forget(e)
+			unused = append(unused, e)
 		} else if held := e.historyBytes(); held > 0 {
 			kept = append(kept, e)
 			bytes += held
 		}
-		e.unlock()
 		return true
 	})
 	dropHistories(kept, bytes)
+	p.release(ctx, unused, "nobody used it for a while")
 }
 
 // dropHistories drops idle conversations, those used longest ago first, until
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -86,6 +86,19 @@
 	return h
 }
 
+// Release hands the program over without naming a next owner: any node may
+// claim it at once, and loses nothing by it. The program must be idle. With an
+// intent the header is returned unchanged.
+func Release(h Header) Header {
+	if h.Intent != nil {
+		return h
+	}
+	h = HandOver(h)
+	h.Owner = ""
+	h.OwnerStart = 0
+	return h
+}
+
 // End closes the program. The program must be idle: no call may be under way.
 // With an intent, or if already closed, the header is returned unchanged.
 // Sub-agents may still be open; each returns its unspent budget when it ends.
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -22,7 +22,7 @@
 	Depth         int               `json:"depth"` // 0 for a program without parent
 	Status        api.ProgramStatus `json:"status"`
 	Epoch         uint64            `json:"epoch"`
-	Owner         string            `json:"owner"`                 // node name
+	Owner         string            `json:"owner"`                 // node name; empty after a release
 	OwnerStart    uint64            `json:"owner_start,omitempty"` // owner's incarnation
 	Budget        api.Credits       `json:"budget"`
 	Spent         api.Credits       `json:"spent"`
--- a/tests/calls_test.go
+++ b/tests/calls_test.go
@@ -77,7 +77,7 @@
 
 // ask asks the question through a node, repeats it until it is answered, and
 // checks the answer.
-func (h *histories) ask(t *testing.T, node *nodeProcess, program string, sequence int64) {
+func (h *histories) ask(t *testing.T, node *nodeProcess, program string, sequence int64) api.CallResult {
 	t.Helper()
 	result := callWithRetry(t, node, program, sequence, question)
 	if result.Code != api.OK {
@@ -86,4 +86,5 @@
 	if err := h.check(program, question, result.Output); err != nil {
 		t.Fatal(err)
 	}
+	return result
 }
--- a/tests/owner_test.go
+++ b/tests/owner_test.go
@@ -60,3 +60,22 @@
 	history.ask(t, owner, program.ID, 3)
 	history.ask(t, other, program.ID, 4)
 }
+
+// TestPlannedStopReleasesIdlePrograms stops the owner of a program between
+// two calls. No reservation may be lost by it, and nothing of the stopped node
+// may be left for the next owner to wait for.
+func TestPlannedStopReleasesIdlePrograms(t *testing.T) {
+	d := startDeployment(t, size{engines: 2, nodes: 3})
+	history := newHistories()
+	created := d.createProgram("idle-at-stop")
+	first := history.ask(t, d.nodes[0], created.ID, 1)
+	owner, other := d.ownerAndOther(created.ID)
+	owner.stop()
+	if header := d.header(created.ID); header.Owner == owner.name || header.Reserved != 0 {
+		t.Errorf("not released: owner %q, reserved %d", header.Owner, header.Reserved)
+	}
+	second := history.ask(t, other, created.ID, 2)
+	if header := d.header(created.ID); header.Spent != first.Cost+second.Cost {
+		t.Errorf("spent %d, the calls cost %d and %d", header.Spent, first.Cost, second.Cost)
+	}
+}
