A frozen seed of another cell does not hold requests up

Cause: a request for a program of another cell waits at a seed of that cell. Members of a node's own cell are watched by heartbeats, and waits for a dead one end; nothing watched the seeds of other cells. A paused seed keeps its connections open, so a caller without a time limit waited for as long as the seed was paused.

Now a node pings a seed each second while requests wait for it, ends the waits if a ping stays without answer for 3 s, and passes over for 10 s a seed that failed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	peers      *wire.Client
 	peerServer *wire.Server
 	forwards   *forwards
+	seeds      *seeds // of other cells
 
 	faults     *wire.Faults
 	heartbeats membership.Config
@@ -116,6 +117,7 @@
 		decisions:   explain.NewLog(s.Name, decisionLogRecords),
 		faults:      dependencies.Faults,
 		forwards:    newForwards(),
+		seeds:       newSeeds(),
 		heartbeats:  dependencies.Heartbeats,
 		hollow:      dependencies.Hollow,
 	}
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -233,8 +233,23 @@
 	}
 	t.request.Routed = false
 	t.request.From = t.node.settings.Name
-	seed := cell.Seeds[rand.IntN(len(cell.Seeds))]
-	return t.forward(ctx, seed, seed)
+	return t.throughSeed(ctx, t.node.seeds.choose(cell.Seeds, time.Now()))
+}
+
+// throughSeed forwards to a seed of another cell, which is watched meanwhile.
+func (t *trip) throughSeed(ctx context.Context, seed string) *wirepb.Reply {
+	if t.node.seeds.beginWait(seed) {
+		t.node.run(func(ctx context.Context) { t.node.watchSeed(ctx, seed) })
+	}
+	defer t.node.seeds.endWait(seed)
+	reply := t.forward(ctx, seed, seed)
+	switch {
+	case reply != nil:
+		t.node.seeds.noteAnswer(seed)
+	case ctx.Err() == nil:
+		t.node.seeds.noteFailure(seed, time.Now())
+	}
+	return reply
 }
 
 // forward sends the request to another node and waits for its answer, at most
--- a/tests/cells_test.go
+++ b/tests/cells_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+
+	"github.com/pewtermill/pewtermill/api"
 )
 
 // Failures of two cells of two nodes each, whose callers ask nodes of both.
@@ -33,3 +35,25 @@
 	stopped.stop()
 	w.waitProgress(4 * callersAtOnce)
 }
+
+// TestFrozenSeedOfAnotherCell freezes one of two seeds of a cell for good and
+// calls a program of that cell through the other cell. The caller sets no limit
+// to how long it waits for an answer, so the node that it asks has to find out
+// by itself that the seed does not answer.
+func TestFrozenSeedOfAnotherCell(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t, size{engines: 2, nodes: 4, cells: 2})
+	created, err := d.nodes[1].caller().CreateProgram(t.Context(), "", api.CreateProgramRequest{Class: "batch", Budget: programBudget})
+	if err != nil {
+		t.Fatal(err)
+	}
+	history := newHistories()
+	const calls = 8 // each goes by either seed, so that both are connected
+	for sequence := int64(1); sequence <= calls; sequence++ {
+		history.ask(t, d.nodes[0], created.ID, sequence)
+	}
+	d.neighbour(created.Owner).freeze()
+	for sequence := int64(calls + 1); sequence <= 2*calls; sequence++ {
+		history.ask(t, d.nodes[0], created.ID, sequence)
+	}
+}
