--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -168,7 +168,7 @@
 // TestDevRunsTheExample runs the second command of README.md.
 func TestDevRunsTheExample(t *testing.T) {
 	output := runCommand(t, pewtermillBinary, "dev", "--run", filepath.Join("..", "examples", "deduction.yaml"))
-	for _, part := range []string{"Answer of deduction\n", "Total cost ", "Decisions about ", "lowest estimated delay"} {
+	for _, part := range []string{"Answer of deduction\n", "Total cost ", "Decisions about ", "lowest weighted delay"} {
 		if !strings.Contains(output, part) {
 			t.Errorf("the output lacks %q:\n%s", part, output)
 		}
