ownership, gateway: not_run is said of the call, not only of the request

Cause: the history test did not bite: it ended in 0.04 s, before any takeover met a call under way. Mutations showed it (fence skipped, intents skipped, answers before the commit: all passed). Made harsh (callers lose patience and ask former runs of nodes too, takeovers every fifth start, calls take time, 30 % are refused), it found at once that a node which could not reach the owner, or the store, said not_run of a call that another node was running for an earlier request. Ruled out: saying not_run per request always: a caller, or an auditor, reads it of the call. Saying unknown always: then a fresh call refused while the store is down could never be called not run. Change: only an owner that has confirmed itself by the row says not_run. Who cannot tell vouches for this request only; at the gateway this becomes not_run if the caller says by a header that it never sent the call before (the client's Retry does so on its first attempt), else unknown.

--- a/api/codes.go
+++ b/api/codes.go
@@ -21,6 +21,11 @@
 	// Unknown means the call was, or may have been, dispatched and its
 	// outcome cannot be established.
 	Unknown Execution = "unknown"
+	// NotRunHere is used between nodes only: this request did not run the
+	// call, but whoever answers cannot tell whether an earlier request for
+	// the same call did. The gateway turns it into NotRun if the caller says
+	// that there was no earlier one, else into Unknown.
+	NotRunHere Execution = "not_run_here"
 )
 
 // Code is a numbered result code. The numbers are stable: a code is never
@@ -174,6 +179,30 @@
 	return &copied
 }
 
+// FirstAttemptHeader is the request header by which a caller says, with the
+// value "true", that it never sent this call before.
+const FirstAttemptHeader = "Pewtermill-First-Attempt"
+
+// Settled returns the error as callers get it: without NotRunHere.
+func (e *Error) Settled(firstAttempt bool) *Error {
+	if e.Execution != NotRunHere {
+		return e
+	}
+	settled := *e
+	settled.Execution = Unknown
+	if firstAttempt {
+		settled.Execution = NotRun
+	}
+	return &settled
+}
+
+// Here returns a copy that vouches for this request only: see NotRunHere.
+func (e *Error) Here() *Error {
+	copied := *e
+	copied.Execution = NotRunHere
+	return &copied
+}
+
 // Error implements error.
 func (e *Error) Error() string { return fmt.Sprintf("%s (%d): %s", e.Code, int(e.Code), e.Detail) }
 
--- a/internal/client/programs.go
+++ b/internal/client/programs.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return api.CallResult{}, errors.Wrap(err, "encode call")
 	}
-	put := call{method: http.MethodPut, path: callPath(program, sequence), body: body, idempotent: true}
+	put := call{method: http.MethodPut, path: callPath(program, sequence), body: body, idempotent: true, first: isFirstAttempt(ctx)}
 	if onPart != nil {
 		put.accept = httpapi.ContentTypeEvents
 	}
--- a/internal/client/retry.go
+++ b/internal/client/retry.go
@@ -50,7 +50,7 @@
 	policy = policy.withDefaults()
 	var certainty certainty
 	for attempt := 1; ; attempt++ {
-		err := operation(ctx)
+		err := operation(context.WithValue(ctx, attemptKey{}, attempt))
 		if err == nil {
 			return nil
 		}
@@ -65,6 +65,16 @@
 	}
 }
 
+// attemptKey is the context key of the number of an attempt within Retry.
+type attemptKey struct{}
+
+// isFirstAttempt reports whether Retry runs its operation for the first time.
+// Outside Retry nothing is known about earlier attempts.
+func isFirstAttempt(ctx context.Context) bool {
+	attempt, known := ctx.Value(attemptKey{}).(int)
+	return known && attempt == 1
+}
+
 // mayRepeat reports whether a repeat is safe and may help.
 func mayRepeat(err error, idempotent bool) bool {
 	var transport *TransportError
--- a/internal/client/transport.go
+++ b/internal/client/transport.go
@@ -47,6 +47,7 @@
 	path       string // with query
 	body       []byte
 	idempotent bool // the same request twice does what one does
+	first      bool // this call was certainly never sent before
 	accept     string
 	header     http.Header
 }
@@ -62,6 +63,9 @@
 	var err error
 	for attempt := range uint32(len(c.baseURLs)) {
 		node := (first + attempt) % uint32(len(c.baseURLs))
+		if certainty.mayHaveRun {
+			request.first = false
+		}
 		err = c.doAt(ctx, c.baseURLs[node], request, read)
 		if err == nil {
 			c.current.Store(node)
@@ -119,7 +123,7 @@
 		return !transport.Sent || idempotent
 	}
 	var problem *api.Error
-	if !errors.As(err, &problem) || problem.Execution != api.NotRun {
+	if !errors.As(err, &problem) || (problem.Execution != api.NotRun && !idempotent) {
 		return false
 	}
 	switch problem.Code {
@@ -143,6 +147,9 @@
 	if len(request.body) > 0 {
 		httpRequest.Header.Set("Content-Type", httpapi.ContentTypeJSON)
 	}
+	if request.first {
+		httpRequest.Header.Set(api.FirstAttemptHeader, "true")
+	}
 	if request.accept != "" {
 		httpRequest.Header.Set("Accept", request.accept)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -77,7 +77,7 @@
 	return func(x *exchange) (answer, error) {
 		x.snapshot = g.inForce()
 		if x.snapshot == nil {
-			return answer{}, api.Errorf(api.NotReady, "no bundle is in force").After(notReadyDelay)
+			return answer{}, api.Errorf(api.NotReady, "no bundle is in force").After(notReadyDelay).Here()
 		}
 		if problem := httpapi.CheckHeaders(x.request, g.options.MaxHeaderBytes); problem != nil {
 			return answer{}, problem
@@ -89,7 +89,7 @@
 		}
 		x.tenant = tenant.Name
 		if !g.inFlight.acquire(x.tenant) {
-			return answer{}, api.Errorf(api.TenantLimit, "too many requests at once").After(tenantLimitDelay)
+			return answer{}, api.Errorf(api.TenantLimit, "too many requests at once").After(tenantLimitDelay).Here()
 		}
 		defer g.inFlight.release(x.tenant)
 		return serve(x)
@@ -107,7 +107,12 @@
 	httpapi.WriteJSON(x.writer, result.status, result.body)
 }
 
+// refuse answers with a problem. For a call, a refusal that vouches for this
+// request only becomes not_run if the caller says that it is the first one;
+// whatever else a request asks for has nothing to have run.
 func (x *exchange) refuse(problem *api.Error) {
+	isCall := x.request.Method == http.MethodPut
+	problem = problem.Settled(!isCall || x.request.Header.Get(api.FirstAttemptHeader) == "true")
 	if x.stream != nil && x.stream.started() {
 		x.stream.fail(problem)
 		return
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -185,7 +185,7 @@
 		return
 	}
 	t.hint = reply.GetOwner()
-	if api.Execution(reply.GetExecution()) != api.NotRun {
+	if api.Execution(reply.GetExecution()) == api.Unknown {
 		t.uncertain = true
 	}
 }
@@ -206,7 +206,7 @@
 func (t *trip) toCell(ctx context.Context) *wirepb.Reply {
 	snapshot := t.node.keeper.InForce()
 	if snapshot == nil {
-		return replyError(api.Errorf(api.NotReady, "no configuration is in force yet").After(routeRetryAfter))
+		return replyError(api.Errorf(api.NotReady, "no configuration is in force yet").After(routeRetryAfter).Here())
 	}
 	cell, ok := snapshot.Cell(t.cell)
 	if !ok || len(cell.Seeds) == 0 {
@@ -244,15 +244,15 @@
 	if reply != nil {
 		return reply
 	}
-	return replyError(api.Errorf(api.OwnerMoving, "the program's owner does not answer").After(routeRetryAfter))
+	return replyError(api.Errorf(api.OwnerMoving, "the program's owner does not answer").After(routeRetryAfter).Here())
 }
 
-// truthful corrects a refusal that says not_run although an earlier attempt
-// may have started the call at another owner. A final answer stands: it is
-// recorded. So does a refusal by the owner that holds the number free after a
-// claim, as its state machine knows about earlier attempts.
+// truthful corrects a refusal that vouches for its own attempt only, although
+// an earlier attempt may have started the call at another owner. A final
+// answer stands: it is recorded. So does a refusal by a confirmed owner, whose
+// state machine knows about earlier attempts.
 func (t *trip) truthful(reply *wirepb.Reply) *wirepb.Reply {
-	if t.uncertain && reply.GetCode() != int32(api.OK) && api.Execution(reply.GetExecution()) == api.NotRun {
+	if t.uncertain && api.Execution(reply.GetExecution()) == api.NotRunHere {
 		reply.Execution = string(api.Unknown)
 	}
 	return reply
--- a/internal/ownership/call.go
+++ b/internal/ownership/call.go
@@ -47,14 +47,15 @@
 		case step.replay:
 			return p.replay(ctx, e, sequence, digest, onPart)
 		}
-		if confirmed := p.confirm(ctx, e); !confirmed {
+		state := p.confirm(ctx, e)
+		if state == lost {
 			continue
 		}
 		if step.refusal != nil {
-			return api.CallResult{}, p.refuse(step.header, sequence, request.Target, step.refusal)
+			return api.CallResult{}, p.refuse(step.header, sequence, request.Target, vouch(step.refusal, state))
 		}
 		if !waitForChange(ctx, step.changed) {
-			return api.CallResult{}, api.Errorf(api.DeadlineExceeded, "call %d waits for an earlier one", sequence).After(movingRetryAfter)
+			return api.CallResult{}, api.Errorf(api.DeadlineExceeded, "call %d waits for an earlier one", sequence).After(movingRetryAfter).Here()
 		}
 	}
 }
@@ -136,6 +137,15 @@
 	return step{header: header, refusal: refusal}
 }
 
+// vouch weakens a refusal by an owner that could not confirm that it is one:
+// another node may have run the call for an earlier request.
+func vouch(refusal *api.Error, state ownership) *api.Error {
+	if state == confirmed || refusal.Execution != api.NotRun {
+		return refusal
+	}
+	return refusal.Here()
+}
+
 // closedChannel makes a waiter look again at once.
 var closedChannel = func() chan struct{} {
 	channel := make(chan struct{})
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -28,7 +28,7 @@
 			return e, nil
 		}
 		if err := e.lock(ctx); err != nil {
-			return nil, api.Errorf(api.OwnerMoving, "waited in vain for the program").After(movingRetryAfter)
+			return nil, moving("waited in vain for the program")
 		}
 		limited, cancel := context.WithTimeout(ctx, storePatience)
 		err := p.loadLocked(limited, e)
@@ -41,7 +41,7 @@
 			return nil, err
 		}
 	}
-	return nil, api.Errorf(api.OwnerMoving, "other nodes claim the program too").After(movingRetryAfter)
+	return nil, moving("other nodes claim the program too")
 }
 
 // errGone means that the entry was dropped while its lock was awaited.
@@ -91,17 +91,17 @@
 // A live owner is asked to give the program up first; a dead one is fenced.
 func (p *Programs) claim(ctx context.Context, e *entry, header program.Header, revision uint64) error {
 	if p.leaving.Load() {
-		return api.Errorf(api.OwnerMoving, "this node is stopping and claims nothing").After(movingRetryAfter)
+		return moving("this node is stopping and claims nothing")
 	}
 	former := header.Owner
 	reason := "former owner " + former + " is gone"
 	if p.Peers.Alive(former, header.OwnerStart) {
 		if former == p.Node {
-			return api.Errorf(api.OwnerMoving, "an earlier run of this node still counts as alive").After(movingRetryAfter)
+			return moving("an earlier run of this node still counts as alive")
 		}
 		released, err := p.Peers.AskRelease(ctx, former, header.ID, header.Epoch)
 		if err != nil {
-			return api.Errorf(api.OwnerMoving, "owner %s does not answer", former).After(movingRetryAfter)
+			return moving("owner %s does not answer", former)
 		}
 		if !released {
 			return &MovedError{Owner: former}
@@ -125,27 +125,44 @@
 	return nil
 }
 
+// ownership is what a look at the row says about an entry in memory.
+type ownership int
+
+const (
+	confirmed ownership = iota // the row is as this node wrote it last
+	lost                       // another node has claimed the program
+	unproven                   // the row could not be read
+)
+
 // confirm reads the row to make sure that no other node has claimed the
 // program since, as can have happened to a node that was paused or that others
-// did not know. If one has, the program is dropped from memory and confirm
-// returns false. While the table can't be read, what is in memory counts.
-func (p *Programs) confirm(ctx context.Context, e *entry) bool {
+// did not know. If one has, the program is dropped from memory.
+func (p *Programs) confirm(ctx context.Context, e *entry) ownership {
 	limited, cancel := context.WithTimeout(ctx, storePatience)
 	defer cancel()
 	if err := e.lock(limited); err != nil {
-		return true
+		return unproven
 	}
 	defer e.unlock()
 	if _, owned := e.snapshot(); !owned {
-		return false
+		return lost
 	}
 	row, err := p.Store.Get(limited, program.HeaderKey(e.id))
-	if err != nil || row.Revision == e.revisionNow() {
-		return true
+	if err != nil {
+		return unproven
+	}
+	if row.Revision == e.revisionNow() {
+		return confirmed
 	}
 	e.disown()
 	p.forget(e)
-	return false
+	return lost
+}
+
+// moving tells a caller to come back, as the program changes its owner. It
+// vouches for this request only.
+func moving(format string, arguments ...any) *api.Error {
+	return api.Errorf(api.OwnerMoving, format, arguments...).After(movingRetryAfter).Here()
 }
 
 // Release gives a program up if it is idle. It returns false while a call is
@@ -192,7 +209,12 @@
 	if isConflict(err) {
 		return err
 	}
-	return api.Errorf(api.StoreDown, "%v", errors.UnwrapAll(err)).After(storeRetryAfter)
+	refusal := api.Errorf(api.StoreDown, "%v", errors.UnwrapAll(err)).After(storeRetryAfter)
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		refusal.Execution = api.Unknown
+		return refusal
+	}
+	return refusal.Here()
 }
 
 // storeRetryAfter is when to come back while the table service is down.
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -99,6 +99,17 @@
 	return c.current[name]
 }
 
+// recentRuns is how many of the latest runs callers may still reach.
+const recentRuns = 6
+
+// anyRun returns one of the latest runs of any node, present or former.
+func (c *testCluster) anyRun(random *rand.Rand) *Programs {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	latest := c.all[max(0, len(c.all)-recentRuns):]
+	return latest[random.IntN(len(latest))]
+}
+
 // Alive implements Peers.
 func (c *testCluster) Alive(node string, incarnation uint64) bool {
 	present := c.node(node)
@@ -117,9 +128,13 @@
 	executions map[string]int // by idempotency key
 	starts     []historycheck.Execution
 	prompts    map[string][]string // by idempotency key: the contents sent
-	refusing   bool                // model calls are refused, as when overloaded
-	hang       chan struct{}       // if set, tool calls wait for it
-	entered    chan string         // if set, gets the key of each tool call
+	refusing   bool                // calls are refused, as when overloaded
+	// refuseShare of the calls are refused, by chance.
+	refuseShare float64
+	hang        chan struct{} // if set, tool calls wait for it
+	entered     chan string   // if set, gets the key of each tool call
+	work        time.Duration // longest duration of a call
+	begun       chan struct{} // gets one for each call, if anyone listens
 }
 
 func newTestExecutor(seed uint64) *testExecutor {
@@ -127,13 +142,14 @@
 		random:     rand.New(rand.NewPCG(seed, seed)),
 		executions: make(map[string]int),
 		prompts:    make(map[string][]string),
+		begun:      make(chan struct{}, 1024),
 	}
 }
 
 // Execute implements Executor.
 func (x *testExecutor) Execute(ctx context.Context, work Work, onText func(offset int64, text string)) Outcome {
 	x.mutex.Lock()
-	if x.refusing && work.Request.Kind == api.KindModel {
+	if x.refusing || x.refuseShare > x.random.Float64() {
 		x.mutex.Unlock()
 		return Outcome{Refusal: api.Errorf(api.Overloaded, "too many calls").After(time.Second)}
 	}
@@ -145,7 +161,14 @@
 		prompt = append(prompt, message.Content)
 	}
 	x.prompts[work.Key] = prompt
+	number := len(x.starts) // tells apart the answers of two runs of a call
+	duration := time.Duration(x.random.Int64N(int64(x.work) + 1))
 	x.mutex.Unlock()
+	select {
+	case x.begun <- struct{}{}:
+	default:
+	}
+	wait(ctx, duration)
 	if work.Request.Kind == api.KindTool {
 		if entered != nil {
 			entered <- work.Key
@@ -159,7 +182,7 @@
 		}
 		return Outcome{Code: api.OK, Result: json.RawMessage(`{"ran":"` + work.Key + `"}`), Backend: "tool"}
 	}
-	text := "answer to " + work.Key
+	text := fmt.Sprintf("answer %d to %s", number, work.Key)
 	onText(0, text)
 	bytes := len(backend.RenderPrompt(work.Messages))
 	return Outcome{
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -28,7 +28,7 @@
 		return api.Program{}, err
 	}
 	if err := parent.lock(ctx); err != nil {
-		return api.Program{}, api.Errorf(api.OwnerMoving, "the parent's row stayed busy").After(movingRetryAfter)
+		return api.Program{}, moving("the parent's row stayed busy")
 	}
 	defer parent.unlock()
 	header, owned := parent.snapshot()
@@ -36,7 +36,7 @@
 		return p.Get(ctx, tenant, childID)
 	}
 	if !owned {
-		return api.Program{}, api.Errorf(api.OwnerMoving, "the parent moved meanwhile").After(movingRetryAfter)
+		return api.Program{}, moving("the parent moved meanwhile")
 	}
 	if err := authorize(header, tenant); err != nil {
 		return api.Program{}, err
@@ -133,7 +133,7 @@
 	defer e.unlock()
 	header, owned := e.snapshot()
 	if !owned {
-		return api.Errorf(api.OwnerMoving, "the program moved meanwhile").After(movingRetryAfter)
+		return moving("the program moved meanwhile")
 	}
 	if header.Status == api.ProgramClosed {
 		return nil
@@ -149,7 +149,7 @@
 		return err
 	}
 	if err := parent.lock(ctx); err != nil {
-		return api.Errorf(api.OwnerMoving, "the parent's row stayed busy").After(movingRetryAfter)
+		return moving("the parent's row stayed busy")
 	}
 	defer parent.unlock()
 	if err := p.quiesce(ctx, e); err != nil {
@@ -159,7 +159,7 @@
 	parentHeader, parentOwned := parent.snapshot()
 	header, owned := e.snapshot()
 	if !owned || !parentOwned {
-		return api.Errorf(api.OwnerMoving, "the program moved meanwhile").After(movingRetryAfter)
+		return moving("the program moved meanwhile")
 	}
 	if header.Status == api.ProgramClosed {
 		return nil
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -15,16 +15,21 @@
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 )
 
-// caller drives one program through random nodes and records what it sees.
+// caller drives one program through random runs of random nodes, thawed ones
+// included, and records what it sees. It doesn't wait for long: it asks
+// elsewhere while the call may still be under way.
 type caller struct {
 	cluster  *testCluster
 	random   *rand.Rand
-	names    []string
 	index    int
 	recorder *historycheck.Recorder
 }
 
-const callsPerProgram = 12
+const (
+	callsPerProgram = 12
+	shortPatience   = 4 * time.Millisecond
+	longPatience    = 40 * time.Millisecond
+)
 
 func (c *caller) run(ctx context.Context, t *testing.T, id string) {
 	for sequence := int64(1); sequence <= callsPerProgram; {
@@ -32,10 +37,16 @@
 			t.Errorf("%s stuck at call %d", id, sequence)
 			return
 		}
-		node := c.cluster.node(c.names[c.random.IntN(len(c.names))])
+		patience := shortPatience
+		if c.random.IntN(2) == 0 {
+			patience = longPatience
+		}
+		node := c.cluster.anyRun(c.random)
 		input := historycheck.Input{Program: id, Sequence: sequence}
 		_, output := c.recorder.Call(c.index, input, func() (api.CallResult, error) {
-			return node.Execute(ctx, "dev", id, sequence, bodyOf(id, sequence), nil)
+			limited, cancel := context.WithTimeout(ctx, patience)
+			defer cancel()
+			return node.Execute(limited, "dev", id, sequence, bodyOf(id, sequence), nil)
 		})
 		if output.IsFinal() {
 			sequence++
@@ -72,6 +83,8 @@
 	names := []string{"a", "b", "c"}
 	c := newTestCluster(t, seed, names...)
 	ids := createPrograms(t, c, programs)
+	c.executor.work = 2 * shortPatience
+	c.executor.refuseShare = 0.3
 	c.table.SetFaults(standin.Faults{LoseReplyShare: 0.05, LateApplyMillis: 2, Seed: seed})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -80,7 +93,7 @@
 	var calls sync.WaitGroup
 	finished := make(chan struct{})
 	for index, id := range ids {
-		driver := &caller{cluster: c, names: names, index: index, recorder: recorder}
+		driver := &caller{cluster: c, index: index, recorder: recorder}
 		driver.random = rand.New(rand.NewPCG(seed, uint64(index)))
 		calls.Go(func() { driver.run(ctx, t, id) })
 	}
@@ -99,16 +112,19 @@
 	}
 }
 
-// replaceUntil replaces a random owner each time some calls have run.
+// executionsPerTakeover is how many calls run between two takeovers.
+const executionsPerTakeover = 5
+
+// replaceUntil replaces a random owner each time some calls have started.
 func replaceUntil(finished chan struct{}, c *testCluster, names []string, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 99))
-	ticker := time.NewTicker(10 * time.Millisecond)
-	defer ticker.Stop()
-	for {
+	for started := 0; ; started++ {
 		select {
 		case <-finished:
 			return
-		case <-ticker.C:
+		case <-c.executor.begun:
+		}
+		if started%executionsPerTakeover == executionsPerTakeover-1 {
 			c.replace(names[random.IntN(len(names))])
 		}
 	}
--- a/internal/ownership/lifecycle.go
+++ b/internal/ownership/lifecycle.go
@@ -17,7 +17,7 @@
 // already under the same id and tenant is returned as it is.
 func (p *Programs) Create(ctx context.Context, tenant, id string, request api.CreateProgramRequest) (api.Program, error) {
 	if p.leaving.Load() {
-		return api.Program{}, api.Errorf(api.OwnerMoving, "this node is stopping").After(movingRetryAfter)
+		return api.Program{}, moving("this node is stopping")
 	}
 	class, refusal := p.classFor(request)
 	if refusal != nil {
@@ -29,7 +29,7 @@
 	header := program.New(p.params(tenant, id, request, class))
 	e := p.entry(id)
 	if err := e.lock(ctx); err != nil {
-		return api.Program{}, api.Errorf(api.OwnerMoving, "the program's row stayed busy").After(movingRetryAfter)
+		return api.Program{}, moving("the program's row stayed busy")
 	}
 	if _, owned := e.snapshot(); owned || e.isGone() {
 		e.unlock()
@@ -119,7 +119,7 @@
 	if err != nil {
 		return api.Program{}, err
 	}
-	if !p.confirm(ctx, e) {
+	if p.confirm(ctx, e) == lost {
 		if e, err = p.acquire(ctx, id); err != nil {
 			return api.Program{}, err
 		}
--- a/internal/ownership/run.go
+++ b/internal/ownership/run.go
@@ -90,11 +90,12 @@
 	outcome := p.Executor.Execute(ctx, work, f.write)
 	if outcome.Refusal != nil {
 		p.abandon(e, f.sequence)
-		if !p.confirm(ctx, e) {
+		state := p.confirm(p.closing, e)
+		if state == lost {
 			return api.CallResult{}, ranElsewhere()
 		}
 		refusal := refusedStep(header, f.sequence, outcome.Refusal).refusal
-		return api.CallResult{}, p.refuse(header, f.sequence, f.request.Target, refusal)
+		return api.CallResult{}, p.refuse(header, f.sequence, f.request.Target, vouch(refusal, state))
 	}
 	return p.recordResult(e, f, planned, outcome)
 }
@@ -104,19 +105,19 @@
 // returns, so every error of it means "not run".
 func (p *Programs) admit(ctx context.Context, e *entry, planned plan) (program.Header, error) {
 	if err := e.lock(ctx); err != nil {
-		return program.Header{}, api.Errorf(api.DeadlineExceeded, "the program's row stayed busy").After(movingRetryAfter)
+		return program.Header{}, api.Errorf(api.DeadlineExceeded, "the program's row stayed busy").After(movingRetryAfter).Here()
 	}
 	defer e.unlock()
 	header, owned := e.snapshot()
 	if !owned {
-		return header, api.Errorf(api.OwnerMoving, "another node took the program over").After(movingRetryAfter)
+		return header, moving("another node took the program over")
 	}
 	admission := program.Admit(header, planned.call, planned.limits, time.Now())
 	if admission.Verdict == program.Refuse {
-		return header, p.refuse(header, planned.call.Sequence, planned.call.Target, admission.Error)
+		return header, p.refuse(header, planned.call.Sequence, planned.call.Target, vouch(admission.Error, unproven))
 	}
 	if admission.Verdict != program.Run {
-		return header, api.Errorf(api.OwnerMoving, "the program moved on meanwhile").After(movingRetryAfter)
+		return header, moving("the program moved on meanwhile")
 	}
 	if !admission.NeedsCommit {
 		return header, nil
@@ -130,15 +131,13 @@
 }
 
 // notRun turns a failed write before dispatch into a refusal: whatever became
-// of the write, the call was not dispatched.
+// of the write, this request did not dispatch the call.
 func notRun(err error) error {
 	var refusal *api.Error
 	if errors.As(err, &refusal) {
-		narrowed := *refusal
-		narrowed.Execution = api.NotRun
-		return &narrowed
+		return refusal.Here()
 	}
-	return api.Errorf(api.OwnerMoving, "another node took the program over").After(movingRetryAfter)
+	return moving("another node took the program over")
 }
 
 // write makes a header durable with further writes beside it. The commit lock
