--- a/internal/scheduler/defaults.go
+++ b/internal/scheduler/defaults.go
@@ -75,7 +75,7 @@
 	maxRecentPrefixes = 16
 	// batchSlowdown is the share of the expected decode time that a full
 	// batch adds over an empty one.
-	batchSlowdown = 0.15
+	batchSlowdown = 0.5
 	// evictedReuseShare is the assumed chance that evicted cache would have
 	// been used again.
 	evictedReuseShare = 0.25
