--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -29,7 +29,6 @@
 	rank += c.weights.worth * math.Log2(1+max(0, c.classWorth(call.Class)))
 	rank -= c.weights.attained * math.Log2(1+max(0, call.Attained.Seconds()))
 	rank -= c.weights.slack * boundedSlack(call, now).Seconds()
-	rank -= leastPrefillWeight * c.leastPrefill(call, now) / 1000
 	return rank
 }
 
@@ -41,17 +40,3 @@
 	}
 	return min(maxSlack, max(-maxOverdue, call.ProgramDeadline.Sub(now)))
 }
-
-const leastPrefillWeight = 16
-
-func (c *Core) leastPrefill(call *Call, now time.Time) float64 {
-	least := math.Inf(1)
-	r := c.modelRequest(call.Model, now)
-	r2 := *r
-	r2.call = call
-	r2.index = c.index
-	for _, e := range c.engines {
-		least = min(least, e.prefillMillis(missingTokens(&r2, e)))
-	}
-	return least
-}
