--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -36,10 +36,14 @@
 	maxDurationMillis = 31 * 24 * 3_600_000
 	maxCount          = 1e12
 	maxBodyBytes      = 64 << 20
+	maxWeightBytes    = 1 << 50
 	maxSequenceAhead  = 10_000
 	maxProgramDepth   = 64
 )
 
+// ruleOff as a weight of scheduling turns its rule off, as 0 is the default.
+const ruleOff = -1
+
 // Check returns everything that is wrong with the meaning of a decoded
 // bundle, in the order of the schema; none for a good one.
 func Check(b *Bundle) []Fault {
@@ -55,6 +59,7 @@
 	c.checkTools()
 	c.checkEngines()
 	c.checkScheduling()
+	c.checkModelPlan()
 	c.checkLimits()
 	return c.faults
 }
@@ -93,13 +98,29 @@
 		{"aging_per_second", s.AgingPerSecond},
 	}
 	for _, weight := range weights {
-		c.numberWithin("scheduling."+weight.name, weight.value, 0, maxWeight)
+		c.numberWithin("scheduling."+weight.name, weight.value, ruleOff, maxWeight)
 	}
 	c.within("scheduling.max_queue", int64(s.MaxQueue), 0, maxCount)
-	c.numberWithin("scheduling.retry_budget", s.RetryBudget, 0, 1)
+	c.numberWithin("scheduling.retry_budget", s.RetryBudget, ruleOff, 1)
 	c.within("scheduling.engine_max_age_millis", s.EngineMaxAgeMillis, 0, maxDurationMillis)
 }
 
+func (c *checker) checkModelPlan() {
+	plan := c.bundle.ModelPlan
+	c.within("model_plan.max_concurrent_loads", int64(plan.MaxConcurrentLoads), 0, maxCount)
+	c.within("model_plan.weight_store_bytes_per_second", plan.WeightStoreBytesPerSecond, 0, maxWeightBytes)
+	c.numberWithin("model_plan.scale_up_utilisation", plan.ScaleUpUtilisation, 0, 1)
+	c.numberWithin("model_plan.scale_down_utilisation", plan.ScaleDownUtilisation, 0, 1)
+	if plan.ScaleUpUtilisation > 0 && plan.ScaleDownUtilisation > plan.ScaleUpUtilisation {
+		c.fault("model_plan.scale_down_utilisation", "is %v; must not pass scale_up_utilisation, %v",
+			plan.ScaleDownUtilisation, plan.ScaleUpUtilisation)
+	}
+	c.numberWithin("model_plan.scale_up_queue", plan.ScaleUpQueue, 0, maxWeight)
+	c.within("model_plan.warm_spares", int64(plan.WarmSpares), ruleOff, maxCount)
+	c.within("model_plan.cooldown_millis", plan.CooldownMillis, 0, maxDurationMillis)
+	c.within("model_plan.in_use_millis", plan.InUseMillis, 0, maxDurationMillis)
+}
+
 func (c *checker) checkLimits() {
 	limits := c.bundle.Limits
 	c.within("limits.max_body_bytes", limits.MaxBodyBytes, 0, maxBodyBytes)
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -14,6 +14,7 @@
 	digest       uint32    // in the last heartbeat
 	introduced   bool      // it has this node's zone, address and cell
 	leaving      bool      // as it says itself
+	listed       []string  // members that the machine list calls leaving, as it says
 	silentSince  time.Time // last heard, later if this node did not run
 	heardSince   time.Time // begin of the time heard without a gap
 	diedAt       time.Time // valid while dead
@@ -30,9 +31,7 @@
 }
 
 // lacksDetails tells whether its zone, address and cell must be asked for.
-func (r *record) lacksDetails() bool {
-	return r.member.State == Dead || r.detailed != r.member.Incarnation
-}
+func (r *record) lacksDetails() bool { return r.detailed != r.member.Incarnation }
 
 // hear takes a newer heartbeat of the same incarnation in.
 func (r *record) hear(heartbeat *wirepb.Heartbeat, suspectAfter time.Duration, now time.Time) {
@@ -47,6 +46,7 @@
 	r.digest = heartbeat.GetDigest()
 	r.introduced = !heartbeat.GetIntroduce()
 	r.leaving = heartbeat.GetLeaving()
+	r.listed = heartbeat.GetLeavingMembers()
 	r.silentSince = now
 	r.member.LastHeard = now
 	r.member.BundleVersion = heartbeat.GetBundleVersion()
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -6,22 +6,36 @@
 
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
 )
 
 // Periods of a node's background work.
 const (
-	bundleLoadPeriod  = 5 * time.Second
+	bundleDutyPeriod  = 2 * time.Second  // of the member that looks for new versions
+	bundleSparePeriod = 10 * time.Second // of the others, should that one fail
 	bundleFirstPeriod = 500 * time.Millisecond
 	machinePeriod     = time.Second
 	maintainPeriod    = 15 * time.Second
 	reconcilePeriod   = 10 * time.Second
 	peerFetchTimeout  = 3 * time.Second
+	reassignPeriod    = time.Second
+)
+
+// Names of duties that one member of a cell has. The duty to observe an
+// engine is engineDuty followed by the engine's name.
+const (
+	engineDuty   = "engine/"
+	machinesDuty = "machines"
+	bundleDuty   = "bundle"
 )
 
 // applyBundle puts a bundle in force on this node.
 func (n *Node) applyBundle(snapshot *bundle.Snapshot) {
 	n.dispatcher.Apply(snapshot)
+	if self, _ := n.members.View().Member(n.settings.Name); !self.Ready {
+		n.members.announce() // with its first bundle the node takes work
+	}
 	n.logger.Info("bundle in force", "version", snapshot.Version(), "digest", snapshot.Digest)
 	n.decisions.Record(explain.Decision{
 		At:            time.Now(),
@@ -49,43 +63,80 @@
 	})
 }
 
-// keepBundle reads the table now and then, for a node that no peer tells.
+// keepBundle asks the table for the version in force: often if that is this
+// node's duty in the cell, else now and then, as peers tell of new versions.
 func (n *Node) keepBundle(ctx context.Context) {
 	for {
-		if err := n.keeper.Load(ctx); err != nil {
-			n.logger.Debug("bundle not loaded", "error", err.Error())
-		}
-		period := bundleLoadPeriod
-		if n.keeper.InForce() == nil {
-			period = bundleFirstPeriod
+		if err := n.refreshBundle(ctx); err != nil {
+			n.logger.Debug("bundle not refreshed", "error", err.Error())
 		}
-		if !pauseFor(ctx, jittered(period)) {
+		if !pauseFor(ctx, jittered(n.bundlePeriod())) {
 			return
 		}
 	}
 }
 
-// watchMachines takes hints from the platform's lagging machine list.
+func (n *Node) bundlePeriod() time.Duration {
+	switch {
+	case n.keeper.InForce() == nil:
+		return bundleFirstPeriod
+	case n.hasDuty(bundleDuty):
+		return bundleDutyPeriod
+	}
+	return bundleSparePeriod
+}
+
+// refreshBundle fetches the bundle that the table names, if this node lacks
+// it: from the node that took it in, else from the table.
+func (n *Node) refreshBundle(ctx context.Context) error {
+	newest, err := n.keeper.Newest(ctx)
+	if err != nil || n.keeper.Has(newest) {
+		return err
+	}
+	defer n.members.announce() // the cell learns of it from this node
+	if newest.Origin != "" && newest.Origin != n.PeerAddress() {
+		fetchCtx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
+		err := n.fetchBundle(fetchCtx, newest.Origin)
+		cancel()
+		if err == nil && n.keeper.Has(newest) {
+			return nil
+		}
+	}
+	return n.keeper.Load(ctx)
+}
+
+// watchMachines takes hints from the platform's lagging machine list. One
+// member of the cell reads it, and tells the others in its heartbeats.
 func (n *Node) watchMachines(ctx context.Context) {
 	for pauseFor(ctx, jittered(machinePeriod)) {
-		machines, err := n.machines.List(ctx)
-		if err != nil {
+		if !n.hasDuty(machinesDuty) {
+			n.useMachines(nil)
 			continue
 		}
-		leavingEngines := make(map[string]bool)
-		for _, machine := range machines {
-			if machine.Role == "node" {
-				n.members.leavingHint(machine.Name, machine.Leaving)
-				continue
-			}
-			if machine.Leaving {
-				leavingEngines[machine.Name] = true
-			}
+		if machines, err := n.machines.List(ctx); err == nil {
+			n.useMachines(machines)
 		}
-		n.dispatcher.Fleet().SetListed(leavingEngines)
 	}
 }
 
+// useMachines takes over which machines the list calls leaving.
+func (n *Node) useMachines(machines []platform.Machine) {
+	var leavingNodes []string
+	leavingEngines := make(map[string]bool)
+	for _, machine := range machines {
+		switch {
+		case !machine.Leaving:
+		case machine.Role == "node":
+			leavingNodes = append(leavingNodes, machine.Name)
+		default:
+			leavingEngines[machine.Name] = true
+		}
+	}
+	n.members.setLeavingHints(leavingNodes)
+	n.dispatcher.Fleet().SetListed(leavingEngines)
+	n.planner.SetLeaving(leavingEngines)
+}
+
 // maintain drops idle programs from memory and looks after the partitions
 // that this node is to own.
 func (n *Node) maintain(ctx context.Context) {
@@ -111,8 +162,14 @@
 	}
 }
 
-// observes says whether this node is the one that looks after an engine.
-func (n *Node) observes(engine string) bool {
-	owner, ok := n.members.View().Owner(program.PartitionOf(engine))
-	return ok && owner.Name == n.settings.Name
+// hasDuty says whether one of the cell's duties is this node's.
+func (n *Node) hasDuty(name string) bool {
+	if n.members == nil {
+		return false
+	}
+	member, ok := n.members.View().Duty(name)
+	return ok && member.Name == n.settings.Name
 }
+
+// observes says whether this node is the one that observes an engine.
+func (n *Node) observes(engine string) bool { return n.hasDuty(engineDuty + engine) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/pewtermill/pewtermill/internal/membership"
 	"github.com/pewtermill/pewtermill/internal/operator"
 	"github.com/pewtermill/pewtermill/internal/ownership"
+	"github.com/pewtermill/pewtermill/internal/planner"
 	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/settings"
 	"github.com/pewtermill/pewtermill/internal/wire"
@@ -55,12 +56,15 @@
 	Heartbeats membership.Config
 	// Hollow leaves out callers' and operators' HTTP: for measuring control.
 	Hollow bool
+	// BackendClient reaches engines and tools; nil takes a pooled one.
+	BackendClient *http.Client
 }
 
 // Node is one member of a cell. Its methods are safe for concurrent use.
 type Node struct {
 	settings    settings.Settings
 	incarnation uint64
+	startedAt   time.Time
 	logger      *slog.Logger
 	registry    *prometheus.Registry
 	machines    platform.Machines
@@ -71,9 +75,11 @@
 	decisions  *explain.Log
 	dispatcher *dispatch.Dispatcher
 	programs   *ownership.Programs
+	planner    *planner.Planner
 	members    *members
 	peers      *wire.Client
 	peerServer *wire.Server
+	forwards   *forwards
 
 	faults     *wire.Faults
 	heartbeats membership.Config
@@ -100,13 +106,16 @@
 	if logger == nil {
 		logger = slog.New(slog.DiscardHandler)
 	}
+	now := time.Now()
 	n := &Node{
 		settings:    s,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(now.UnixMilli()),
+		startedAt:   now,
 		logger:      logger.With("node", s.Name),
 		registry:    prometheus.NewRegistry(),
 		decisions:   explain.NewLog(s.Name, decisionLogRecords),
 		faults:      dependencies.Faults,
+		forwards:    newForwards(),
 		heartbeats:  dependencies.Heartbeats,
 		hollow:      dependencies.Hollow,
 	}
@@ -120,6 +129,9 @@
 		InForce:  n.keeper.InForce,
 		Recorder: n.decisions,
 		Logger:   n.logger,
+		Client:   dependencies.BackendClient,
+		Observes: n.observes,
+		Alert:    func() { n.members.announce() },
 	})
 	n.programs = ownership.New(ownership.Dependencies{
 		Node:        s.Name,
@@ -131,6 +143,7 @@
 		Recorder:    n.decisions,
 		Logger:      n.logger,
 	})
+	n.planner = n.newPlanner()
 	n.registerMetrics()
 	return n, nil
 }
@@ -165,6 +178,7 @@
 		return errors.Wrap(err, "peer address")
 	}
 	n.peerServer = server
+	n.keeper.SetOrigin(server.Address())
 	n.members = newMembers(n, server.Address())
 	if !n.hollow {
 		if err := n.serveHTTP(); err != nil {
@@ -177,6 +191,7 @@
 	n.run(n.watchMachines)
 	n.run(n.maintain)
 	n.run(n.reconcileHolds)
+	n.run(n.planner.Run)
 	n.logger.Info("node started", "peer_address", server.Address(), "incarnation", n.incarnation)
 	return nil
 }
@@ -224,6 +239,19 @@
 // PeerAddress returns where other nodes reach this one.
 func (n *Node) PeerAddress() string { return n.peerServer.Address() }
 
+// PeerTraffic returns what the node has sent to and received from peers. It
+// may be called once Start has returned.
+func (n *Node) PeerTraffic() wire.Traffic {
+	return n.peers.Traffic().Add(n.peerServer.Traffic())
+}
+
+// Members returns the node's view of its cell. It may be called once Start
+// has returned.
+func (n *Node) Members() *membership.View { return n.members.View() }
+
+// Operator returns the operators' service, as their endpoint uses it.
+func (n *Node) Operator() operator.Service { return &operatorService{n} }
+
 // Decisions returns the node's decision log.
 func (n *Node) Decisions() *explain.Log { return n.decisions }
 
@@ -261,6 +289,9 @@
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "requests are still under way")
 	}
+	if err := n.peerServer.Drain(ctx); err != nil {
+		return errors.Wrap(err, "peers still wait for answers")
+	}
 	n.logger.Info("drained")
 	return nil
 }
--- a/internal/ownership/settle.go
+++ b/internal/ownership/settle.go
@@ -1,7 +1,9 @@
 package ownership
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -20,6 +22,9 @@
 // recorded yet.
 func (p *Programs) recordResult(e *entry, f *flight, planned plan, outcome Outcome) (api.CallResult, error) {
 	pause := recordPauseFirst
+	pending := notRecorded()
+	slow := time.AfterFunc(storePatience, func() { f.park(pending) })
+	defer slow.Stop()
 	for {
 		result, err := p.settle(e, f, planned, outcome)
 		if err == nil {
@@ -29,17 +34,21 @@
 		if !passing || refusal.Code != api.StoreDown {
 			return api.CallResult{}, ranElsewhere()
 		}
-		pending := *refusal
-		pending.Execution = api.Unknown
-		pending.Detail = "the call ran; its result is recorded as soon as the table service answers"
-		f.park(&pending)
+		f.park(pending)
 		if !wait(p.closing, jitter(pause)) {
-			return api.CallResult{}, &pending
+			return api.CallResult{}, pending
 		}
 		pause = min(2*pause, recordPauseLast)
 	}
 }
 
+// notRecorded answers callers while a call that ran waits for the table.
+func notRecorded() *api.Error {
+	pending := api.Errorf(api.StoreDown, "the call ran; its result is recorded as soon as the table service answers").After(storeRetryAfter)
+	pending.Execution = api.Unknown
+	return pending
+}
+
 // ranElsewhere answers a call whose program was taken over while it ran. The
 // new owner has the say on its outcome.
 func ranElsewhere() *api.Error {
@@ -86,7 +95,7 @@
 		Code:      outcome.Code,
 		Execution: outcome.Code.Info().Execution,
 		Output:    outcome.Text,
-		Result:    outcome.Result,
+		Result:    compact(outcome.Result),
 		Detail:    outcome.Detail,
 		Usage:     outcome.Usage,
 		Backend:   outcome.Backend,
@@ -105,6 +114,16 @@
 	return result
 }
 
+// compact removes the white space that encoding into an answer would remove,
+// so that the digest is that of what the caller gets.
+func compact(result json.RawMessage) json.RawMessage {
+	var buffer bytes.Buffer
+	if err := json.Compact(&buffer, result); err != nil {
+		return result
+	}
+	return buffer.Bytes()
+}
+
 // settled is the header after the call.
 func (p *Programs) settled(header program.Header, f *flight, planned plan, outcome Outcome, result api.CallResult) program.Header {
 	ended := program.Outcome{
