Scheduler: a returning program's prefix counts eight times as much

One weight had to serve two cases: a new program that brings a shared prefix to another engine helps later ones, while a history that moves helps nobody and leaves a copy behind. So the prefix weight is now 4, and 32 for a program that has had turns.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -177,6 +177,26 @@
 	}
 }
 
+// TestReturningProgramStaysWhereItsPrefixIs has an engine with the prefix that
+// is busier than another: worth leaving for a new program only.
+func TestReturningProgramStaysWhereItsPrefixIs(t *testing.T) {
+	for lastEngine, want := range map[string]string{"": "b", "a": "a"} {
+		core := New(ProgramAware, bundle.Scheduling{PrefixWeight: 1}, "node")
+		a, b := testView("a", 8, start), testView("b", 8, start)
+		a.Running = 6
+		core.SetEngines([]EngineView{a, b})
+		core.SetIndex(prefixes{"a": 1000})
+		call := testCall("1", start)
+		call.PromptTokens = 64 * 10 // 0.64 s of prefill on b, against 1.5 s of slower decoding on a
+		call.PrefixBlocks = make([]uint64, 10)
+		call.LastEngine = lastEngine
+		mustQueue(t, core, call, start)
+		if assigned, _ := core.Next(start); len(assigned) != 1 || assigned[0].Engine != want {
+			t.Errorf("last engine %q: assigned %+v, want %s", lastEngine, assigned, want)
+		}
+	}
+}
+
 func TestQueueOrder(t *testing.T) {
 	for name, favour := range map[string]func(*Call){
 		"worth":    func(call *Call) { call.Class = "worthy" },
--- a/internal/scheduler/defaults.go
+++ b/internal/scheduler/defaults.go
@@ -11,9 +11,9 @@
 const (
 	DefaultWaitWeight = 1.0 // per estimated millisecond of waiting at the engine
 	// DefaultPrefixWeight is per estimated millisecond of prefill, own and
-	// that of evicted cache. It is that of a usual batch's size, because an
-	// engine that prefills keeps its whole batch waiting.
-	DefaultPrefixWeight   = 8.0
+	// that of evicted cache. It is above 1, because an engine that prefills
+	// keeps its whole batch waiting.
+	DefaultPrefixWeight   = 4.0
 	DefaultDistanceWeight = 1.0 // per estimated millisecond on the network
 
 	DefaultWorthWeight    = 10.0 // seconds of head start per doubling of (1 + class worth)
@@ -76,6 +76,11 @@
 	// batchSlowdown is the share of the expected decode time that a full
 	// batch adds over an empty one.
 	batchSlowdown = 0.5
+	// returningFactor multiplies the prefix weight for a program that has had
+	// turns. Shared prefixes that a new program brings to another engine serve
+	// later programs there too; a program's own history serves it alone, and
+	// moving it leaves a copy behind that takes memory from others.
+	returningFactor = 8
 	// evictedReuseShare is the assumed chance that evicted cache would have
 	// been used again.
 	evictedReuseShare = 0.25
