--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -83,9 +83,9 @@
 		c.cachedTokens = event.CachedTokens
 		e.run.measure.started(c)
 	case engine.EventFirstToken:
-		e.run.measure.stored(c.prompt.blocks)
+		e.run.measure.stored(c.prompt.blocks[c.cachedTokens/engine.BlockTokens:])
 	case engine.EventFinished:
-		e.run.measure.stored(c.final.blocks)
+		e.run.measure.stored(c.final.blocks[len(c.prompt.blocks):])
 		delete(e.calls, event.Request)
 		e.run.clock.after(e.run.delay(e.zone, c.program.node.zone), func() { c.program.node.finish(e, c) })
 	}
