--- a/internal/bundle/keeper.go
+++ b/internal/bundle/keeper.go
@@ -32,7 +32,7 @@
 // offerLoadTimeout bounds the read of the table that an offer may need.
 const offerLoadTimeout = 5 * time.Second
 
-// ErrNoBundle: the table holds no bundle yet.
+// ErrNoBundle means that the table holds no bundle yet.
 var ErrNoBundle = errors.New("no bundle in force yet")
 
 // Keeper holds the bundle in force on one node. The version in force never
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/pewtermill/pewtermill/internal/membership"
 	"github.com/pewtermill/pewtermill/internal/operator"
 	"github.com/pewtermill/pewtermill/internal/ownership"
+	"github.com/pewtermill/pewtermill/internal/planner"
 	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/settings"
 	"github.com/pewtermill/pewtermill/internal/wire"
@@ -63,6 +64,7 @@
 type Node struct {
 	settings    settings.Settings
 	incarnation uint64
+	startedAt   time.Time
 	logger      *slog.Logger
 	registry    *prometheus.Registry
 	machines    platform.Machines
@@ -73,9 +75,11 @@
 	decisions  *explain.Log
 	dispatcher *dispatch.Dispatcher
 	programs   *ownership.Programs
+	planner    *planner.Planner
 	members    *members
 	peers      *wire.Client
 	peerServer *wire.Server
+	forwards   *forwards
 
 	faults     *wire.Faults
 	heartbeats membership.Config
@@ -102,13 +106,16 @@
 	if logger == nil {
 		logger = slog.New(slog.DiscardHandler)
 	}
+	now := time.Now()
 	n := &Node{
 		settings:    s,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(now.UnixMilli()),
+		startedAt:   now,
 		logger:      logger.With("node", s.Name),
 		registry:    prometheus.NewRegistry(),
 		decisions:   explain.NewLog(s.Name, decisionLogRecords),
 		faults:      dependencies.Faults,
+		forwards:    newForwards(),
 		heartbeats:  dependencies.Heartbeats,
 		hollow:      dependencies.Hollow,
 	}
@@ -136,6 +143,7 @@
 		Recorder:    n.decisions,
 		Logger:      n.logger,
 	})
+	n.planner = n.newPlanner()
 	n.registerMetrics()
 	return n, nil
 }
@@ -183,6 +191,7 @@
 	n.run(n.watchMachines)
 	n.run(n.maintain)
 	n.run(n.reconcileHolds)
+	n.run(n.planner.Run)
 	n.logger.Info("node started", "peer_address", server.Address(), "incarnation", n.incarnation)
 	return nil
 }
@@ -280,6 +289,9 @@
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "requests are still under way")
 	}
+	if err := n.peerServer.Drain(ctx); err != nil {
+		return errors.Wrap(err, "peers still wait for answers")
+	}
 	n.logger.Info("drained")
 	return nil
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/membership"
 	"github.com/pewtermill/pewtermill/internal/ownership"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -20,9 +21,17 @@
 
 // Alive implements ownership.Peers.
 func (p peerAccess) Alive(node string, incarnation uint64) bool {
-	return p.node.members.View().Alive(node, incarnation)
+	view := p.node.members.View()
+	if _, known := view.Member(node); !known && time.Since(p.node.startedAt) < acquaintance {
+		return true
+	}
+	return view.Alive(node, incarnation)
 }
 
+// acquaintance is how long after its start a node takes members that it has
+// not heard yet for alive.
+const acquaintance = membership.DefaultDeadAfter
+
 // AskRelease implements ownership.Peers.
 func (p peerAccess) AskRelease(ctx context.Context, node, program string, epoch uint64) (bool, error) {
 	member, ok := p.node.members.View().Member(node)
@@ -60,6 +69,8 @@
 		return replyWith(n.programs.List(body.ListPrograms.GetTenant()), nil)
 	case *wirepb.Request_Explain:
 		return replyWith(n.decisions.Recent(body.Explain.GetProgram(), body.Explain.GetSequence(), maxExplained), nil)
+	case *wirepb.Request_ModelDemand:
+		return replyWith(n.dispatcher.Demand(), nil)
 	}
 	n.serving.Add(1)
 	defer n.serving.Add(-1)
