Maintenance reads the table through once in four minutes

Cause: each cell read all its program rows every 15 s: at 420 nodes and 150,000 programs 448 range reads and 10,000 rows a second. Programs in memory that are past their wall time are now ended from memory every 15 s, and one sixteenth of the partitions is read each time.

--- a/internal/fleet/cluster.go
+++ b/internal/fleet/cluster.go
@@ -77,7 +77,7 @@
 	if _, err := c.submit(ctx, 0); err != nil {
 		return err
 	}
-	return waitFor(ctx, c.settled)
+	return errors.Wrapf(waitFor(ctx, c.settled), "start of %d nodes", c.size)
 }
 
 func (c *cluster) startEach(ctx context.Context, chosen func(index int) bool) error {
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/bundle"
@@ -17,6 +18,7 @@
 	bundleFirstPeriod = 500 * time.Millisecond
 	machinePeriod     = time.Second
 	maintainPeriod    = 15 * time.Second
+	scanTurns         = 16 // maintainPeriods in which the table is read through once
 	reconcilePeriod   = 10 * time.Second
 	peerFetchTimeout  = 3 * time.Second
 	reassignPeriod    = time.Second
@@ -93,6 +95,10 @@
 	if err != nil || n.keeper.Has(newest) {
 		return err
 	}
+	if !n.fetching.CompareAndSwap(false, true) {
+		return nil // a peer is being asked already
+	}
+	defer n.fetching.Store(false)
 	defer n.members.announce() // the cell learns of it from this node
 	if newest.Origin != "" && newest.Origin != n.PeerAddress() {
 		fetchCtx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
@@ -137,22 +143,37 @@
 	n.planner.SetLeaving(leavingEngines)
 }
 
-// maintain drops idle programs from memory and looks after the partitions
-// that this node is to own.
+// maintain drops idle programs from memory, ends those in memory that are past
+// their wall time, and looks after the partitions that this node is to own: a
+// part of them each time, so that the table is read through once in scanTurns
+// periods.
 func (n *Node) maintain(ctx context.Context) {
+	turn := rand.IntN(scanTurns)
 	for pauseFor(ctx, jittered(maintainPeriod)) {
-		n.programs.Sweep(time.Now())
-		for partition := range program.Partitions {
-			owner, ok := n.members.View().Owner(partition)
-			if !ok || owner.Name != n.settings.Name {
-				continue
-			}
-			if err := n.programs.LookAfter(ctx, n.settings.Cell, partition); err != nil {
-				n.logger.Debug("partition not looked after", "partition", partition, "error", err.Error())
+		now := time.Now()
+		n.programs.Sweep(now)
+		n.programs.EndExpired(ctx, now)
+		for partition := turn; partition < program.Partitions; partition += scanTurns {
+			if !n.lookAfter(ctx, partition) {
 				break
 			}
 		}
+		turn = (turn + 1) % scanTurns
+	}
+}
+
+// lookAfter scans a partition if this node is to own it. It is false if the
+// table does not answer.
+func (n *Node) lookAfter(ctx context.Context, partition int) bool {
+	owner, ok := n.members.View().Owner(partition)
+	if !ok || owner.Name != n.settings.Name {
+		return true
+	}
+	err := n.programs.LookAfter(ctx, n.settings.Cell, partition)
+	if err != nil {
+		n.logger.Debug("partition not looked after", "partition", partition, "error", err.Error())
 	}
+	return err == nil
 }
 
 // reconcileHolds frees what engines hold for programs that have ended.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,7 +91,7 @@
 
 	leaving  atomic.Bool
 	serving  atomic.Int64    // requests of peers about programs
-	fetching atomic.Bool     // a bundle is being fetched from a peer
+	fetching atomic.Bool     // a bundle is being fetched
 	ctx      context.Context // ends with Close
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
--- a/internal/ownership/maintain.go
+++ b/internal/ownership/maintain.go
@@ -98,6 +98,28 @@
 	e.lastUsed = time.Now()
 }
 
+// EndExpired ends the idle programs in memory that are past their wall time.
+func (p *Programs) EndExpired(ctx context.Context, now time.Time) {
+	p.entries.Range(func(_, value any) bool {
+		e := value.(*entry)
+		header, owned := e.snapshot()
+		if owned && e.idle() && isExpired(header, now) {
+			p.endExpired(ctx, header.ID)
+		}
+		return ctx.Err() == nil
+	})
+}
+
+func isExpired(header program.Header, now time.Time) bool {
+	return header.Status == api.ProgramOpen && !header.ExpiresAt.IsZero() && now.After(header.ExpiresAt)
+}
+
+func (p *Programs) endExpired(ctx context.Context, id string) {
+	if _, err := p.End(ctx, "", id, api.WallTimeLimit); err != nil {
+		p.Logger.Info("expired program is not ended yet", "program", id, "error", err.Error())
+	}
+}
+
 // LookAfter scans the programs of one partition and ends those past their
 // wall time, whether or not anyone calls them, and repeats releases of engine
 // memory that a former owner left undone.
@@ -124,16 +146,13 @@
 }
 
 func (p *Programs) lookAfter(ctx context.Context, header program.Header) {
-	now := time.Now()
 	switch {
 	case header.Status == api.ProgramClosed && len(header.Holds) > 0:
 		if e, err := p.acquire(ctx, header.ID); err == nil {
 			p.releaseHolds(e)
 		}
-	case header.Status == api.ProgramOpen && !header.ExpiresAt.IsZero() && now.After(header.ExpiresAt):
-		if _, err := p.End(ctx, "", header.ID, api.WallTimeLimit); err != nil {
-			p.Logger.Info("expired program is not ended yet", "program", header.ID, "error", err.Error())
-		}
+	case isExpired(header, time.Now()):
+		p.endExpired(ctx, header.ID)
 	}
 }
 
