--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -135,7 +135,6 @@
 	}
 	n.members.setLeavingHints(leavingNodes)
 	n.dispatcher.Fleet().SetListed(leavingEngines)
-	n.planner.SetLeaving(leavingEngines)
 }
 
 // maintain drops idle programs from memory and looks after the partitions
