--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -37,6 +37,7 @@
 	maxCount          = 1e12
 	maxBodyBytes      = 64 << 20
 	maxWeightBytes    = 1 << 50
+	maxLowPressure    = 0.99
 	maxSequenceAhead  = 10_000
 	maxProgramDepth   = 64
 )
@@ -60,6 +61,7 @@
 	c.checkEngines()
 	c.checkScheduling()
 	c.checkModelPlan()
+	c.checkRetention()
 	c.checkLimits()
 	return c.faults
 }
@@ -121,6 +123,12 @@
 	c.within("model_plan.in_use_millis", plan.InUseMillis, 0, maxDurationMillis)
 }
 
+func (c *checker) checkRetention() {
+	retention := c.bundle.Retention
+	c.numberWithin("retention.hold_cost", retention.HoldCost, 0, maxWeight)
+	c.numberWithin("retention.low_pressure", retention.LowPressure, 0, maxLowPressure)
+}
+
 func (c *checker) checkLimits() {
 	limits := c.bundle.Limits
 	c.within("limits.max_body_bytes", limits.MaxBodyBytes, 0, maxBodyBytes)
--- a/internal/bundle/check_test.go
+++ b/internal/bundle/check_test.go
@@ -47,6 +47,7 @@
 		{"model_plan.scale_down_utilisation", "must not pass scale_up_utilisation, 0.5", func(b *Bundle) {
 			b.ModelPlan = ModelPlan{ScaleUpUtilisation: 0.5, ScaleDownUtilisation: 0.6}
 		}},
+		{"retention.low_pressure", "from 0 to 0.99", func(b *Bundle) { b.Retention.LowPressure = 1 }},
 		{"scheduling.policy", "allowed: program_aware", func(b *Bundle) { b.Scheduling.Policy = "lottery" }},
 		{"scheduling.retry_budget", "from -1 to 1", func(b *Bundle) { b.Scheduling.RetryBudget = 2 }},
 		{"scheduling.wait_weight", "from -1", func(b *Bundle) { b.Scheduling.WaitWeight = -2 }},
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -26,6 +26,7 @@
 	Engines     []Engine   `json:"engines" yaml:"engines"`
 	Scheduling  Scheduling `json:"scheduling" yaml:"scheduling"`
 	ModelPlan   ModelPlan  `json:"model_plan,omitzero" yaml:"model_plan"`
+	Retention   Retention  `json:"retention,omitzero" yaml:"retention"`
 	Limits      Limits     `json:"limits" yaml:"limits"`
 }
 
@@ -163,6 +164,15 @@
 	InUseMillis               int64   `json:"in_use_millis,omitempty" yaml:"in_use_millis"`
 }
 
+// Retention sets what becomes of a program's cache while the program pauses
+// between two model calls. Zero means the default that internal/scheduler
+// documents.
+type Retention struct {
+	Disabled    bool    `json:"disabled,omitempty" yaml:"disabled"`         // cache is always kept
+	HoldCost    float64 `json:"hold_cost,omitempty" yaml:"hold_cost"`       // of one second of memory, per second to rebuild
+	LowPressure float64 `json:"low_pressure,omitempty" yaml:"low_pressure"` // share of memory in use up to which all is kept
+}
+
 // Limits bounds what callers may send and how long things are kept. Zero
 // means the Default constant of the same name.
 type Limits struct {
--- a/internal/scheduler/retention.go
+++ b/internal/scheduler/retention.go
@@ -40,6 +40,8 @@
 	MemoryPressure      float64 // share of the engine's cache memory in use, 0 to 1
 	Worth               float64 // of the program's class; 1 is usual
 	CanOffload          bool    // the engine exports and imports cache
+	HoldCost            float64 // 0 = DefaultHoldCost
+	LowPressure         float64 // 0 = DefaultLowPressure
 }
 
 // Retention is a decision about one pause. Costs are in seconds of delay,
@@ -65,10 +67,11 @@
 	rebuild := float64(max(0, pause.CachedTokens-pause.SharedTokens)) / rate
 	worth := max(0, pause.Worth)
 	chance := min(1, max(0, pause.ReturnChance))
-	scarcity := min(1, max(0, (pause.MemoryPressure-DefaultLowPressure)/(1-DefaultLowPressure)))
+	lowPressure := valueOr(pause.LowPressure, DefaultLowPressure)
+	scarcity := min(1, max(0, (pause.MemoryPressure-lowPressure)/(1-lowPressure)))
 
 	decision := Retention{
-		KeepCost:    DefaultHoldCost * rebuild * max(0, pause.Expected.Seconds()) * scarcity,
+		KeepCost:    valueOr(pause.HoldCost, DefaultHoldCost) * rebuild * max(0, pause.Expected.Seconds()) * scarcity,
 		OffloadCost: DefaultOffloadShare * rebuild * (1 + chance*worth),
 		DropCost:    rebuild * chance * worth,
 	}
