--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -111,7 +111,7 @@
 // request only becomes not_run if the caller says that it is the first one;
 // whatever else a request asks for has nothing to have run.
 func (x *exchange) refuse(problem *api.Error) {
-	isCall := x.request.Method == http.MethodPut
+	isCall := x.route == routeExecuteCall || x.route == routeGetCall
 	problem = problem.Settled(!isCall || x.request.Header.Get(api.FirstAttemptHeader) == "true")
 	if x.stream != nil && x.stream.started() {
 		x.stream.fail(problem)
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -125,38 +125,42 @@
 	return nil
 }
 
-// ownership is what a look at the row says about an entry in memory.
-type ownership int
+// standing is what a node knows of a program that it holds in memory.
+type standing int
 
 const (
-	confirmed ownership = iota // the row is as this node wrote it last
-	lost                       // another node has claimed the program
-	unproven                   // the row could not be read
+	// standingOwner: no other node had claimed the program.
+	standingOwner standing = iota
+	// standingLost: another node has claimed it; it is dropped from memory.
+	standingLost
+	// standingUnknown: the row can't be read, and what is in memory may be
+	// out of date.
+	standingUnknown
 )
 
 // confirm reads the row to make sure that no other node has claimed the
 // program since, as can have happened to a node that was paused or that others
-// did not know. If one has, the program is dropped from memory.
-func (p *Programs) confirm(ctx context.Context, e *entry) ownership {
-	limited, cancel := context.WithTimeout(ctx, storePatience)
+// did not know. It does so even if ctx has ended, for storePatience at most.
+func (p *Programs) confirm(ctx context.Context, e *entry) standing {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), storePatience)
 	defer cancel()
 	if err := e.lock(limited); err != nil {
-		return unproven
+		return standingUnknown
 	}
 	defer e.unlock()
 	if _, owned := e.snapshot(); !owned {
-		return lost
+		return standingLost
 	}
 	row, err := p.Store.Get(limited, program.HeaderKey(e.id))
 	if err != nil {
-		return unproven
+		return standingUnknown
 	}
 	if row.Revision == e.revisionNow() {
-		return confirmed
+		return standingOwner
 	}
 	e.disown()
 	p.forget(e)
-	return lost
+	return standingLost
 }
 
 // moving tells a caller to come back, as the program changes its owner. It
--- a/internal/ownership/run.go
+++ b/internal/ownership/run.go
@@ -90,12 +90,12 @@
 	outcome := p.Executor.Execute(ctx, work, f.write)
 	if outcome.Refusal != nil {
 		p.abandon(e, f.sequence)
-		state := p.confirm(p.closing, e)
-		if state == lost {
+		standing := p.confirm(ctx, e)
+		if standing == standingLost {
 			return api.CallResult{}, ranElsewhere()
 		}
 		refusal := refusedStep(header, f.sequence, outcome.Refusal).refusal
-		return api.CallResult{}, p.refuse(header, f.sequence, f.request.Target, vouch(refusal, state))
+		return api.CallResult{}, p.refuse(header, f.sequence, f.request.Target, vouch(refusal, standing))
 	}
 	return p.recordResult(e, f, planned, outcome)
 }
@@ -114,7 +114,7 @@
 	}
 	admission := program.Admit(header, planned.call, planned.limits, time.Now())
 	if admission.Verdict == program.Refuse {
-		return header, p.refuse(header, planned.call.Sequence, planned.call.Target, vouch(admission.Error, unproven))
+		return header, p.refuse(header, planned.call.Sequence, planned.call.Target, vouch(admission.Error, standingUnknown))
 	}
 	if admission.Verdict != program.Run {
 		return header, moving("the program moved on meanwhile")
