Benchmarks of one call's way, its parts, and what the nodes add

BenchmarkCall splits a call's time at moments seen from outside the nodes; BenchmarkPath, BenchmarkLongHistory, BenchmarkSaturation and BenchmarkStreamedToken measure the way without sockets. Node takes a client for back ends, so that a benchmark can leave the network out.

--- /dev/null
+++ b/internal/node/bench_backends_test.go
@@ -0,0 +1,148 @@
+package node_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/pewtermill/pewtermill/internal/backend"
+)
+
+// instantEngine answers every model call at once with the same text, sent in
+// pieces, and accepts any number of calls. It reads a call's body but does
+// not look into it.
+type instantEngine struct {
+	models []string
+	stream [][]byte // the events of an answer up to the last but one
+	text   string
+	trace  *trace // may be nil
+}
+
+// newInstantEngine returns an engine whose answer has so many pieces, of one
+// token each.
+func newInstantEngine(pieces int, models ...string) *instantEngine {
+	e := &instantEngine{models: models}
+	for range pieces {
+		const token = "word"
+		e.stream = append(e.stream, chatEvent(backend.WireChatChunk{
+			Offset:  int64(len(e.text)),
+			Choices: []backend.WireChoice{{Delta: backend.WireDelta{Content: token}}},
+		}))
+		e.text += token
+	}
+	return e
+}
+
+func chatEvent(chunk backend.WireChatChunk) []byte {
+	encoded, err := json.Marshal(chunk)
+	if err != nil {
+		panic(err)
+	}
+	return fmt.Appendf(nil, "data: %s\n\n", encoded)
+}
+
+// lastEvents ends an answer to a request of so many bytes.
+func (e *instantEngine) lastEvents(requestBytes int64) []byte {
+	last := chatEvent(backend.WireChatChunk{
+		Offset:  int64(len(e.text)),
+		Choices: []backend.WireChoice{{FinishReason: backend.FinishStop}},
+		Usage: &backend.WireUsage{
+			PromptTokens:     backend.EstimateTokens(int(requestBytes)),
+			CompletionTokens: int64(len(e.stream)),
+		},
+		Digest: backend.TextDigest(e.text),
+	})
+	return fmt.Appendf(last, "data: %s\n\n", backend.StreamEnd)
+}
+
+// ServeHTTP implements http.Handler.
+func (e *instantEngine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	switch request.URL.Path {
+	case "/load":
+		backend.WriteJSON(writer, http.StatusOK, e.load())
+	case "/cache/events":
+		backend.WriteJSON(writer, http.StatusOK, backend.CacheEvents{Snapshot: true})
+	case "/holds":
+		backend.WriteJSON(writer, http.StatusOK, backend.WireHolds{})
+	case "/v1/chat/completions":
+		e.trace.add(backendBegins)
+		e.chat(writer, request)
+		e.trace.add(backendEnds)
+	default:
+		writer.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (e *instantEngine) load() backend.Load {
+	return backend.Load{Models: e.models, MaxRunning: 1 << 16, Role: "both"}
+}
+
+// chat writes one piece at a time, as an engine does.
+func (e *instantEngine) chat(writer http.ResponseWriter, request *http.Request) {
+	size, _ := io.Copy(io.Discard, request.Body)
+	writer.Header().Set("Content-Type", "text/event-stream")
+	flusher, canFlush := writer.(http.Flusher)
+	for _, event := range e.stream {
+		_, _ = writer.Write(event)
+		if canFlush {
+			flusher.Flush()
+		}
+	}
+	_, _ = writer.Write(e.lastEvents(size))
+}
+
+// RoundTrip implements http.RoundTripper: the engine without a network.
+func (e *instantEngine) RoundTrip(request *http.Request) (*http.Response, error) {
+	if strings.HasPrefix(request.URL.Path, "/run") {
+		return answerWith(request, []byte(instantToolAnswer)), nil
+	}
+	if request.URL.Path != "/v1/chat/completions" {
+		return e.administer(request)
+	}
+	size, err := io.Copy(io.Discard, request.Body)
+	if err != nil {
+		return nil, err
+	}
+	return answerWith(request, append(bytes.Join(e.stream, nil), e.lastEvents(size)...)), nil
+}
+
+func (e *instantEngine) administer(request *http.Request) (*http.Response, error) {
+	var answer any = backend.CacheEvents{Snapshot: true}
+	if request.URL.Path == "/load" {
+		answer = e.load()
+	}
+	encoded, err := json.Marshal(answer)
+	if err != nil {
+		return nil, err
+	}
+	return answerWith(request, encoded), nil
+}
+
+func answerWith(request *http.Request, body []byte) *http.Response {
+	return &http.Response{
+		StatusCode:    http.StatusOK,
+		Header:        http.Header{"Content-Length": {strconv.Itoa(len(body))}},
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+		Request:       request,
+	}
+}
+
+// instantToolAnswer is what the tool answers to every call.
+const instantToolAnswer = `{"result":{"rows":[1,2,3]},"failed":false}`
+
+// instantTool answers every tool call at once.
+type instantTool struct{ trace *trace }
+
+// ServeHTTP implements http.Handler.
+func (t *instantTool) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	t.trace.add(backendBegins)
+	_, _ = io.Copy(io.Discard, request.Body)
+	writer.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(writer, instantToolAnswer)
+	t.trace.add(backendEnds)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,12 +44,14 @@
 )
 
 // Dependencies are what a node is given besides its settings. Zero values
-// take the usual: the platform at Settings.PlatformURL, a discarding logger.
+// take the usual: the platform at Settings.PlatformURL, a discarding logger,
+// a pooled HTTP client.
 type Dependencies struct {
 	Logger   *slog.Logger
 	Table    platform.Table
 	Objects  platform.Objects
 	Machines platform.Machines
+	Backends *http.Client // for engines and tools
 	Faults   *wire.Faults // test switch for links to peers
 	// Heartbeats overrides the membership's periods; for tests.
 	Heartbeats membership.Config
@@ -125,6 +127,7 @@
 		InForce:  n.keeper.InForce,
 		Recorder: n.decisions,
 		Logger:   n.logger,
+		Client:   dependencies.Backends,
 	})
 	n.programs = ownership.New(ownership.Dependencies{
 		Node:        s.Name,
