--- a/internal/node/bench_backends_test.go
+++ b/internal/node/bench_backends_test.go
@@ -8,18 +8,20 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pewtermill/pewtermill/internal/backend"
 )
 
-// instantEngine answers every model call at once with the same text, sent in
-// pieces, and accepts any number of calls. It reads a call's body but does
+// instantEngine answers every model call at once, or at a fixed pace, with the
+// same text, sent in pieces, and accepts any number of calls. It reads a call's body but does
 // not look into it.
 type instantEngine struct {
 	models []string
 	stream [][]byte // the events of an answer up to the last but one
 	text   string
-	trace  *trace // may be nil
+	pace   time.Duration // pause before each piece
+	trace  *trace        // may be nil
 }
 
 // newInstantEngine returns an engine whose answer has so many pieces, of one
@@ -87,6 +89,9 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	flusher, canFlush := writer.(http.Flusher)
 	for _, event := range e.stream {
+		if e.pace > 0 {
+			time.Sleep(e.pace)
+		}
 		_, _ = writer.Write(event)
 		if canFlush {
 			flusher.Flush()
--- a/internal/node/bench_call_test.go
+++ b/internal/node/bench_call_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/client"
-	"github.com/pewtermill/pewtermill/internal/command/devcluster"
 	"github.com/pewtermill/pewtermill/internal/explain"
 )
 
@@ -67,7 +66,7 @@
 		if !r.throughOwner {
 			owner = (owner + 1) % len(r.cluster.nodes)
 		}
-		caller := client.New(r.cluster.nodes[owner].CallerURL(), devcluster.TenantKey)
+		caller := r.cluster.callers[owner]
 		b.StartTimer()
 		for sequence := range min(callsPerProgram, count-made) {
 			r.call(b, caller, id, int64(sequence)+1)
--- a/internal/node/bench_cluster_test.go
+++ b/internal/node/bench_cluster_test.go
@@ -35,21 +35,27 @@
 	b     testing.TB
 	trace *trace
 	nodes []*node.Node
+
+	engineURL string
+	callers   []*client.Client // of each node
 }
 
 // benchOptions say what a benchCluster is made of.
 type benchOptions struct {
 	nodes  int
-	pieces int  // of each model answer
-	noIO   bool // table and back ends are called in this process, without sockets
+	pieces int           // of each model answer
+	pace   time.Duration // before each piece
+	noIO   bool          // table and back ends are called in this process, without sockets
 }
 
 func newBenchCluster(b testing.TB, options benchOptions) *benchCluster {
 	c := &benchCluster{b: b, trace: &trace{}}
 	engine := newInstantEngine(options.pieces, benchModel)
+	engine.pace = options.pace
 	dependencies := node.Dependencies{}
 	addresses := devcluster.Addresses{Engines: map[string]string{}, Tools: map[string]string{}}
-	engineURL, toolURL := "http://engine.invalid", "http://tool.invalid"
+	c.engineURL = "http://engine.invalid"
+	toolURL := "http://tool.invalid"
 	table := standin.New(standin.Options{})
 	if options.noIO {
 		dependencies.Table, dependencies.Objects, dependencies.Machines = table, table, table
@@ -59,7 +65,7 @@
 		remote := platform.NewHTTP(c.serve(table.Handler()), nil)
 		dependencies.Table = &tracedTable{Table: remote, trace: c.trace}
 		dependencies.Objects, dependencies.Machines = remote, remote
-		engineURL = c.serve(engine)
+		c.engineURL = c.serve(engine)
 		toolURL = c.serve(&instantTool{trace: c.trace})
 	}
 	for i := range options.nodes {
@@ -67,7 +73,7 @@
 	}
 	configured := benchBundle(b)
 	for _, described := range configured.Engines {
-		addresses.Engines[described.Name] = engineURL
+		addresses.Engines[described.Name] = c.engineURL
 	}
 	for _, described := range configured.Tools {
 		addresses.Tools[described.Name] = toolURL
@@ -131,6 +137,7 @@
 	}
 	addresses.Seeds = append(addresses.Seeds, started.PeerAddress())
 	c.nodes = append(c.nodes, started)
+	c.callers = append(c.callers, client.New(started.CallerURL(), devcluster.TenantKey))
 }
 
 func (c *benchCluster) submit(configured *bundle.Bundle) {
@@ -182,8 +189,7 @@
 	defer cancel()
 	for placing := make([]bool, len(c.nodes)); slices.Contains(placing, false); {
 		id, owner := c.createProgram()
-		caller := client.New(c.nodes[owner].CallerURL(), devcluster.TenantKey)
-		if _, err := caller.Call(ctx, id, 1, modelRequest(requestBytes), nil); err == nil {
+		if _, err := c.callers[owner].Call(ctx, id, 1, modelRequest(requestBytes), nil); err == nil {
 			placing[owner] = true
 			continue
 		}
@@ -198,8 +204,7 @@
 // createProgram makes a program and returns it with its owner's index.
 func (c *benchCluster) createProgram() (id string, owner int) {
 	c.b.Helper()
-	caller := client.New(c.nodes[0].CallerURL(), devcluster.TenantKey)
-	created, err := caller.CreateProgram(context.Background(), "", api.CreateProgramRequest{Class: "batch", Budget: 1e12})
+	created, err := c.callers[0].CreateProgram(context.Background(), "", api.CreateProgramRequest{Class: "batch", Budget: 1e12})
 	if err != nil {
 		c.b.Fatal(err)
 	}
