--- a/internal/node/bench_cluster_test.go
+++ b/internal/node/bench_cluster_test.go
@@ -59,7 +59,7 @@
 	table := standin.New(standin.Options{})
 	if options.noIO {
 		dependencies.Table, dependencies.Objects, dependencies.Machines = table, table, table
-		dependencies.Backends = &http.Client{Transport: engine}
+		dependencies.BackendClient = &http.Client{Transport: engine}
 	} else {
 		engine.trace = c.trace
 		remote := platform.NewHTTP(c.serve(table.Handler()), nil)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/pewtermill/pewtermill/internal/membership"
 	"github.com/pewtermill/pewtermill/internal/operator"
 	"github.com/pewtermill/pewtermill/internal/ownership"
+	"github.com/pewtermill/pewtermill/internal/planner"
 	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/settings"
 	"github.com/pewtermill/pewtermill/internal/wire"
@@ -44,19 +45,19 @@
 )
 
 // Dependencies are what a node is given besides its settings. Zero values
-// take the usual: the platform at Settings.PlatformURL, a discarding logger,
-// a pooled HTTP client.
+// take the usual: the platform at Settings.PlatformURL, a discarding logger.
 type Dependencies struct {
 	Logger   *slog.Logger
 	Table    platform.Table
 	Objects  platform.Objects
 	Machines platform.Machines
-	Backends *http.Client // for engines and tools
 	Faults   *wire.Faults // test switch for links to peers
 	// Heartbeats overrides the membership's periods; for tests.
 	Heartbeats membership.Config
 	// Hollow leaves out callers' and operators' HTTP: for measuring control.
 	Hollow bool
+	// BackendClient reaches engines and tools; nil takes a pooled one.
+	BackendClient *http.Client
 }
 
 // Node is one member of a cell. Its methods are safe for concurrent use.
@@ -74,6 +75,7 @@
 	decisions  *explain.Log
 	dispatcher *dispatch.Dispatcher
 	programs   *ownership.Programs
+	planner    *planner.Planner
 	members    *members
 	peers      *wire.Client
 	peerServer *wire.Server
@@ -127,7 +129,9 @@
 		InForce:  n.keeper.InForce,
 		Recorder: n.decisions,
 		Logger:   n.logger,
-		Client:   dependencies.Backends,
+		Client:   dependencies.BackendClient,
+		Observes: n.observes,
+		Alert:    func() { n.members.announce() },
 	})
 	n.programs = ownership.New(ownership.Dependencies{
 		Node:        s.Name,
@@ -139,6 +143,7 @@
 		Recorder:    n.decisions,
 		Logger:      n.logger,
 	})
+	n.planner = n.newPlanner()
 	n.registerMetrics()
 	return n, nil
 }
@@ -173,6 +178,7 @@
 		return errors.Wrap(err, "peer address")
 	}
 	n.peerServer = server
+	n.keeper.SetOrigin(server.Address())
 	n.members = newMembers(n, server.Address())
 	if !n.hollow {
 		if err := n.serveHTTP(); err != nil {
@@ -185,6 +191,7 @@
 	n.run(n.watchMachines)
 	n.run(n.maintain)
 	n.run(n.reconcileHolds)
+	n.run(n.planner.Run)
 	n.logger.Info("node started", "peer_address", server.Address(), "incarnation", n.incarnation)
 	return nil
 }
@@ -232,6 +239,19 @@
 // PeerAddress returns where other nodes reach this one.
 func (n *Node) PeerAddress() string { return n.peerServer.Address() }
 
+// PeerTraffic returns what the node has sent to and received from peers. It
+// may be called once Start has returned.
+func (n *Node) PeerTraffic() wire.Traffic {
+	return n.peers.Traffic().Add(n.peerServer.Traffic())
+}
+
+// Members returns the node's view of its cell. It may be called once Start
+// has returned.
+func (n *Node) Members() *membership.View { return n.members.View() }
+
+// Operator returns the operators' service, as their endpoint uses it.
+func (n *Node) Operator() operator.Service { return &operatorService{n} }
+
 // Decisions returns the node's decision log.
 func (n *Node) Decisions() *explain.Log { return n.decisions }
 
