ownership: a call behind an unrecorded one is refused during an outage

Cause: while the table service was down, a call that ran could not be recorded and was answered at once (store_down, unknown), but the program's next call waited for it without an answer, until its caller gave up or the service came back. Found by running the store-down steps of the operating guide by hand: curl hung on call 3 until its script's time limit.

Ruled out: a time limit on every wait for an earlier call, since a long model call before it is no reason to refuse.

The owner now refuses the next call with store_down, not_run and when to come back as soon as it knows that the call before it is not recorded. TestCallsDuringAnOutageAreAnswered fails without the change (the second call ends by its own deadline) and passes with it, 3 runs in a row, and 3 with the race detector.

--- a/internal/ownership/call.go
+++ b/internal/ownership/call.go
@@ -119,6 +119,9 @@
 		if sequence-e.header.NextSequence > plan.maxAhead {
 			return step{header: e.header, refusal: gapError(e.header, sequence)}, nil
 		}
+		if e.flight != nil && e.flight.isParked() {
+			return refusedStep(e.header, sequence, behindUnrecorded(sequence, e.flight.sequence)), nil
+		}
 		return step{changed: e.changed}, nil
 	}
 	if e.flight != nil {
@@ -151,6 +154,12 @@
 	return api.Errorf(api.SequenceGap, "call %d is too far ahead of %d, which is next", sequence, header.NextSequence).After(movingRetryAfter)
 }
 
+// behindUnrecorded refuses a call whose predecessor ran and cannot be recorded
+// while the table service is down: nobody can say how long that lasts.
+func behindUnrecorded(sequence, earlier int64) *api.Error {
+	return api.Errorf(api.StoreDown, "call %d waits for call %d, whose result cannot be recorded now", sequence, earlier).After(storeRetryAfter)
+}
+
 // refuse records a refusal and returns it.
 func (p *Programs) refuse(header program.Header, sequence int64, target string, refusal *api.Error) *api.Error {
 	p.record(header, explain.Decision{
--- a/internal/ownership/flight.go
+++ b/internal/ownership/flight.go
@@ -64,6 +64,13 @@
 	f.wake()
 }
 
+// isParked says that the result waits for the table service.
+func (f *flight) isParked() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.parked != nil
+}
+
 // finish ends the flight; it is called once.
 func (f *flight) finish(result api.CallResult, err error) {
 	f.result = result
--- /dev/null
+++ b/internal/ownership/outage_test.go
@@ -0,0 +1,59 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+)
+
+// TestCallsDuringAnOutageAreAnswered runs a call whose result cannot be
+// recorded, and then asks for the next one. Both must be answered while the
+// table service is still down: the first as unknown, the second as not run.
+func TestCallsDuringAnOutageAreAnswered(t *testing.T) {
+	c := newTestCluster(t, 1, "a")
+	owner := c.node("a")
+	id := createPrograms(t, c, 1)[0]
+	execute(t, owner, id, 1)
+	c.table.SetFaults(standin.Faults{Down: true})
+	for _, want := range []struct {
+		sequence  int64
+		execution api.Execution
+	}{{2, api.Unknown}, {3, api.NotRun}} {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		_, err := owner.Execute(ctx, "dev", id, want.sequence, bodyOf(id, want.sequence), nil)
+		cancel()
+		var refusal *api.Error
+		if !errors.As(err, &refusal) || refusal.Code != api.StoreDown || refusal.Execution != want.execution || refusal.RetryAfter == 0 {
+			t.Errorf("call %d: %+v, want store_down, %s and when to come back", want.sequence, err, want.execution)
+		}
+	}
+	c.table.SetFaults(standin.Faults{})
+	for sequence := int64(2); sequence <= 3; sequence++ {
+		executeAfterOutage(t, owner, id, sequence)
+	}
+	if runs := c.executor.ran(id + "/2"); runs != 1 {
+		t.Errorf("call 2 ran %d times", runs)
+	}
+}
+
+// executeAfterOutage repeats a call, as its caller is told to, until the owner
+// has found out that the table service answers again.
+func executeAfterOutage(t *testing.T, owner *Programs, id string, sequence int64) {
+	t.Helper()
+	giveUp := time.Now().Add(time.Minute)
+	for {
+		_, err := owner.Execute(context.Background(), "dev", id, sequence, bodyOf(id, sequence), nil)
+		if err == nil {
+			return
+		}
+		var refusal *api.Error
+		if !errors.As(err, &refusal) || refusal.Code != api.StoreDown || time.Now().After(giveUp) {
+			t.Fatalf("call %d: %v", sequence, err)
+		}
+		wait(context.Background(), recordPauseFirst)
+	}
+}
