dispatch: status shows own calls and ejected engines

Cause: `pewtermill status` has a column for this node's calls in flight and a state for ejected engines, but Fleet.Status filled neither: IN FLIGHT was always 0 and an ejected engine was "ready". It also read the newest reports, which the scheduler takes over only every 50 ms, so that an engine could be shown as ready while the next call was still refused for want of engines.

The status now comes from the scheduler's own states, after giving it the newest reports. TestStatusIsTheSchedulers covers own calls, ejection and "ready means that a call is placed".

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/observation"
@@ -201,30 +200,6 @@
 	return views
 }
 
-// Status returns the engines as operators see them.
-func (f *Fleet) Status() []api.EngineStatus {
-	views := f.Views()
-	statuses := make([]api.EngineStatus, 0, len(views))
-	for _, view := range views {
-		state := "ready"
-		switch {
-		case view.Leaving:
-			state = "leaving"
-		case !view.Ready:
-			state = "unreachable"
-		}
-		statuses = append(statuses, api.EngineStatus{
-			Name:    view.Name,
-			Zone:    view.Zone,
-			State:   state,
-			Models:  view.Models,
-			Running: view.Running,
-			Waiting: view.Waiting,
-		})
-	}
-	return statuses
-}
-
 // attained estimates the engine time that a program's tokens have taken.
 func (f *Fleet) attained(tokens int64) time.Duration {
 	return time.Duration(float64(tokens) / fallbackPrefillRate * float64(time.Second))
--- /dev/null
+++ b/internal/dispatch/status.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/scheduler"
+)
+
+// States of an engine, as operators see them.
+const (
+	stateReady       = "ready"
+	stateLeaving     = "leaving"
+	stateEjected     = "ejected"
+	stateUnreachable = "unreachable"
+)
+
+// Status returns the engines as the scheduler sees them from now on: an engine
+// that is shown as ready gets the next call.
+func (d *Dispatcher) Status() []api.EngineStatus {
+	views := d.fleet.Views()
+	states := d.queue.states(views)
+	statuses := make([]api.EngineStatus, 0, len(views))
+	for _, view := range views {
+		statuses = append(statuses, api.EngineStatus{
+			Name:     view.Name,
+			Zone:     view.Zone,
+			State:    stateOf(view, states[view.Name]),
+			Models:   view.Models,
+			Running:  view.Running,
+			Waiting:  view.Waiting,
+			InFlight: states[view.Name].InFlight,
+		})
+	}
+	return statuses
+}
+
+func stateOf(view scheduler.EngineView, state scheduler.EngineState) string {
+	switch {
+	case view.Leaving:
+		return stateLeaving
+	case !view.Ready:
+		return stateUnreachable
+	case state.Ejected:
+		return stateEjected
+	}
+	return stateReady
+}
+
+// states gives the scheduler the newest views and returns what it makes of
+// each engine, by name.
+func (q *queue) states(views []scheduler.EngineView) map[string]scheduler.EngineState {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.core.SetEngines(views)
+	states := make(map[string]scheduler.EngineState, len(views))
+	for _, state := range q.core.EngineStates(time.Now()) {
+		states[state.Name] = state
+	}
+	return states
+}
--- /dev/null
+++ b/internal/dispatch/status_test.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/scheduler"
+)
+
+// engineStatus returns the status of one engine.
+func engineStatus(t *testing.T, d *Dispatcher, name string) api.EngineStatus {
+	t.Helper()
+	for _, status := range d.Status() {
+		if status.Name == name {
+			return status
+		}
+	}
+	t.Fatalf("no status of %s", name)
+	return api.EngineStatus{}
+}
+
+// TestStatusIsTheSchedulers checks that an engine shown as ready takes calls
+// at once, and that own calls and ejection show.
+func TestStatusIsTheSchedulers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newTestNode(t, true)
+		defer synctest.Wait()
+		defer n.fleet.close()
+		options := n.fleet.options
+		options.Recorder = explain.NewLog("test", 16)
+		d := &Dispatcher{Options: options, fleet: n.fleet, queue: newQueue(options, n.fleet)}
+		if status := engineStatus(t, d, "engine-a"); status.State != stateUnreachable {
+			t.Errorf("before any report: %+v", status)
+		}
+		time.Sleep(time.Second)
+		if status := engineStatus(t, d, "engine-a"); status.State != stateReady || status.InFlight != 0 {
+			t.Errorf("after a report: %+v", status)
+		}
+		for attempt := range 30 {
+			call := scheduler.Call{ID: fmt.Sprint(attempt), Model: "small", Submitted: time.Now(), Excluded: []string{"engine-b", "engine-c"}}
+			assignment, refusal := d.queue.acquire(context.Background(), call)
+			if refusal != nil {
+				break
+			}
+			if status := engineStatus(t, d, assignment.Engine); status.InFlight != 1 {
+				t.Errorf("with a call under way: %+v", status)
+			}
+			d.queue.finish(call.ID, scheduler.Result{Engine: assignment.Engine})
+		}
+		if status := engineStatus(t, d, "engine-a"); status.State != stateEjected {
+			t.Errorf("after failures in a row: %+v", status)
+		}
+	})
+}
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -27,7 +27,7 @@
 	status := api.FleetStatus{
 		Node:    n.settings.Name,
 		Cell:    n.settings.Cell,
-		Engines: n.dispatcher.Fleet().Status(),
+		Engines: n.dispatcher.Status(),
 	}
 	if snapshot := n.keeper.InForce(); snapshot != nil {
 		status.BundleVersion = snapshot.Version()
