node: refusals to operators are logged

Cause: the operators' endpoint was made without a logger, so that no "operator request" line was ever written, not even for a fault of the system (code 501), which docs/result-codes.md says the log has.

TestOperatorRefusalsAreLogged fails without the change and passes with it, 5 runs in a row with the race detector.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,7 +210,7 @@
 		return errors.Wrap(err, "operator address")
 	}
 	callers := gateway.New(&router{n}, n.keeper.InForce, gateway.Options{Logger: n.logger, Registerer: n.registry})
-	operators := operator.New(&operatorService{n}, n.keeper.InForce, n.registry)
+	operators := operator.New(&operatorService{n}, n.keeper.InForce, n.registry, operator.WithLogger(n.logger))
 	n.callerServer = n.serve(n.callerListener, callers)
 	n.operatorServer = n.serve(n.operatorListener, operators)
 	return nil
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/settings"
+	"github.com/pewtermill/pewtermill/internal/standin/platform"
+)
+
+// logBuffer collects log lines; safe for concurrent use.
+type logBuffer struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (l *logBuffer) Write(line []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(line)
+}
+
+func (l *logBuffer) String() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.String()
+}
+
+// TestOperatorRefusalsAreLogged asks a node that has no bundle for its status.
+func TestOperatorRefusalsAreLogged(t *testing.T) {
+	log := &logBuffer{}
+	table := platform.New(platform.Options{})
+	started, err := New(settings.Settings{
+		Name:            "node-1",
+		Cell:            "dev",
+		Zone:            "zone-a",
+		CallerAddress:   "127.0.0.1:0",
+		OperatorAddress: "127.0.0.1:0",
+		PeerAddress:     "127.0.0.1:0",
+		PlatformURL:     "http://127.0.0.1:1",
+		ClusterKey:      "the key of this test",
+	}.WithDefaults(), Dependencies{
+		Logger:   slog.New(slog.NewJSONHandler(log, nil)),
+		Table:    table,
+		Objects:  table,
+		Machines: table,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer started.Close()
+	if err := started.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Get(started.OperatorURL() + "/v1/operator/status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	// The line is written after the answer.
+	giveUp := time.Now().Add(time.Minute)
+	for !strings.Contains(log.String(), `"msg":"operator request"`) && time.Now().Before(giveUp) {
+		time.Sleep(time.Millisecond)
+	}
+	line := log.String()
+	for _, want := range []string{`"msg":"operator request"`, `"path":"/v1/operator/status"`, `"code":307`} {
+		if !strings.Contains(line, want) {
+			t.Errorf("no %s in the log:\n%s", want, line)
+		}
+	}
+}
