explain: cards say weighted delay, and align long names

Cause: a candidate's figures are milliseconds times the rule's weight, as the reasons have said since the weights changed, but the card's heading still called them estimated milliseconds. Names of more than 14 letters, as all of the two deployments' engines have, broke the column; seen in `pewtermill explain` of the README's steps. TestCardAndTimeline covers both.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -82,7 +82,7 @@
 		Candidates: []Candidate{
 			{Name: "e1", Total: 15, Scores: []Score{{"wait", 10}, {"prefill", 5}}},
 			{Name: "e2", FilteredBy: "concurrency_full", Total: 30, Scores: []Score{{"wait", 30}}},
-			{Name: "e3", FilteredBy: "leaving"},
+			{Name: "engine-of-a-long-name", FilteredBy: "leaving"},
 		},
 		Omitted: 2,
 	}
@@ -94,10 +94,10 @@
 Asked for: m
 Waited:    20ms in the queue
 Bundle:    version 4
-Candidates (estimated delay in milliseconds, lower is better):
- -> e1             15.0 = wait 10.0 + prefill 5.0
-    e2             excluded by concurrency_full; would cost 30.0 = wait 30.0
-    e3             excluded by leaving
+Candidates (weighted delay in milliseconds, lower is better):
+ -> e1                    15.0 = wait 10.0 + prefill 5.0
+    e2                    excluded by concurrency_full; would cost 30.0 = wait 30.0
+    engine-of-a-long-name excluded by leaving
     and 2 more, none better than those above
 Chosen:    e1
 Reason:    lowest estimated delay
--- a/internal/explain/record.go
+++ b/internal/explain/record.go
@@ -46,8 +46,9 @@
 
 // Candidate is one back end that was considered. FilteredBy names the rule
 // that excluded it; otherwise Scores holds each rule's part of Total, in
-// estimated milliseconds of delay, lower is better. An engine excluded only
-// because it is full has Scores too: what waiting for it would have cost.
+// estimated milliseconds of delay times the rule's weight, lower is better.
+// An engine excluded only because it is full has Scores too: what waiting for
+// it would have cost.
 type Candidate struct {
 	Name       string  `json:"name"`
 	FilteredBy string  `json:"filtered_by,omitempty"`
--- a/internal/explain/render.go
+++ b/internal/explain/render.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // Timeline writes one line per decision: time since the first, kind, call
@@ -91,22 +92,30 @@
 	if len(d.Candidates) == 0 {
 		return
 	}
-	text.WriteString("Candidates (estimated delay in milliseconds, lower is better):\n")
+	text.WriteString("Candidates (weighted delay in milliseconds, lower is better):\n")
+	width := minNameWidth
 	for i := range d.Candidates {
-		writeCandidate(text, &d.Candidates[i], d.Chosen)
+		width = max(width, utf8.RuneCountInString(d.Candidates[i].Name))
+	}
+	for i := range d.Candidates {
+		writeCandidate(text, &d.Candidates[i], width, d.Chosen)
 	}
 	if d.Omitted > 0 {
 		fmt.Fprintf(text, "    and %d more, none better than those above\n", d.Omitted)
 	}
 }
 
-// writeCandidate writes one candidate; the chosen one is marked by an arrow.
-func writeCandidate(text *strings.Builder, candidate *Candidate, chosen string) {
+// minNameWidth is the least width of the column of candidates' names.
+const minNameWidth = 14
+
+// writeCandidate writes one candidate, its name padded to width; the chosen
+// one is marked by an arrow.
+func writeCandidate(text *strings.Builder, candidate *Candidate, width int, chosen string) {
 	mark := "  "
 	if candidate.Name == chosen {
 		mark = "->"
 	}
-	fmt.Fprintf(text, " %s %-14s ", mark, candidate.Name)
+	fmt.Fprintf(text, " %s %-*s ", mark, width, candidate.Name)
 	if candidate.FilteredBy != "" {
 		fmt.Fprintf(text, "excluded by %s", candidate.FilteredBy)
 		if len(candidate.Scores) > 0 {
