--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -9,10 +9,10 @@
 
 // States of an engine, as operators see them.
 const (
-	stateReady       = "ready"
-	stateLeaving     = "leaving"
-	stateEjected     = "ejected"
-	stateUnreachable = "unreachable"
+	StateReady       = "ready"
+	StateLeaving     = "leaving"
+	StateEjected     = "ejected"
+	StateUnreachable = "unreachable"
 )
 
 // Status returns the engines as the scheduler sees them from now on: an engine
@@ -38,13 +38,13 @@
 func stateOf(view scheduler.EngineView, state scheduler.EngineState) string {
 	switch {
 	case view.Leaving:
-		return stateLeaving
+		return StateLeaving
 	case !view.Ready:
-		return stateUnreachable
+		return StateUnreachable
 	case state.Ejected:
-		return stateEjected
+		return StateEjected
 	}
-	return stateReady
+	return StateReady
 }
 
 // states gives the scheduler the newest views and returns what it makes of
--- a/internal/dispatch/status_test.go
+++ b/internal/dispatch/status_test.go
@@ -34,11 +34,11 @@
 		options := n.fleet.options
 		options.Recorder = explain.NewLog("test", 16)
 		d := &Dispatcher{Options: options, fleet: n.fleet, queue: newQueue(options, n.fleet)}
-		if status := engineStatus(t, d, "engine-a"); status.State != stateUnreachable {
+		if status := engineStatus(t, d, "engine-a"); status.State != StateUnreachable {
 			t.Errorf("before any report: %+v", status)
 		}
 		time.Sleep(time.Second)
-		if status := engineStatus(t, d, "engine-a"); status.State != stateReady || status.InFlight != 0 {
+		if status := engineStatus(t, d, "engine-a"); status.State != StateReady || status.InFlight != 0 {
 			t.Errorf("after a report: %+v", status)
 		}
 		for attempt := range 30 {
@@ -52,7 +52,7 @@
 			}
 			d.queue.finish(call.ID, scheduler.Result{Engine: assignment.Engine})
 		}
-		if status := engineStatus(t, d, "engine-a"); status.State != stateEjected {
+		if status := engineStatus(t, d, "engine-a"); status.State != StateEjected {
 			t.Errorf("after failures in a row: %+v", status)
 		}
 	})
