--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -35,6 +35,7 @@
 	index   *backend.Index      // exact, of engines that this node observes
 	served  *observation.Served // of the others, from own calls
 	members atomic.Pointer[map[string]*engineMember]
+	urgent  atomic.Bool // an engine began to leave, or was first observed, since the views were last used
 
 	holds holdCheck
 
@@ -138,6 +139,7 @@
 	now := time.Now()
 	isNew := !f.knowsLeaving(name, now)
 	f.refused[name] = now
+	f.urgent.Store(true)
 	f.mutex.Unlock()
 	if isNew {
 		f.alert()
@@ -149,6 +151,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.listed = leaving
+	if len(leaving) > 0 {
+		f.urgent.Store(true)
+	}
 }
 
 // knowsLeaving says whether this node knows by itself, other than by polling
@@ -157,10 +162,9 @@
 	return f.listed[name] || within(f.refused, name, now)
 }
 
-// isLeaving says whether any source says that the engine leaves.
+// isLeaving says whether any source says that the engine leaves. It needs
+// f.mutex.
 func (f *Fleet) isLeaving(name string, load backend.Load, now time.Time) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	return load.Leaving || f.knowsLeaving(name, now) || within(f.told, name, now)
 }
 
@@ -178,6 +182,8 @@
 func (f *Fleet) Views() []scheduler.EngineView {
 	now := time.Now()
 	members := *f.members.Load()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	views := make([]scheduler.EngineView, 0, len(members))
 	for name, member := range members {
 		report := member.report.Load()
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -114,13 +114,22 @@
 	}
 }
 
+// store takes over a newer report.
+func (f *Fleet) store(member *engineMember, next observation.Report) {
+	before := member.report.Swap(&next)
+	if before.ObservedAt.IsZero() || next.Load.Leaving && !before.Load.Leaving {
+		f.urgent.Store(true)
+	}
+	f.served.Report(member.config.Name, next)
+}
+
 // polled takes over the outcome of a poll.
 func (f *Fleet) polled(member *engineMember, load backend.Load, observedAt time.Time, err error) {
 	before := member.report.Load()
 	if observedAt.IsZero() {
 		load, observedAt = before.Load, before.ObservedAt
 	}
-	next := &observation.Report{
+	next := observation.Report{
 		Load:        load,
 		ObservedAt:  observedAt,
 		Reachable:   err == nil,
@@ -129,8 +138,7 @@
 	if member.observed.Load() {
 		next.CacheEvents = f.index.Sequence(member.config.Name)
 	}
-	member.report.Store(next)
-	f.served.Report(member.config.Name, *next)
+	f.store(member, next)
 	if before.ObservedAt.IsZero() != observedAt.IsZero() || load.Leaving && !before.Load.Leaving {
 		f.alert()
 	}
@@ -206,6 +214,7 @@
 	name := member.config.Name
 	if digest.GetAlert() {
 		f.told[name] = now
+		f.urgent.Store(true)
 		return
 	}
 	if member.mode == observer {
@@ -220,6 +229,5 @@
 	if report.ObservedAt.Before(before.ObservedAt) && member.mode == fallback {
 		return
 	}
-	member.report.Store(&report)
-	f.served.Report(name, report)
+	f.store(member, report)
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/scheduler"
@@ -15,15 +16,20 @@
 // calls age, and deadlines pass.
 const queuePeriod = 50 * time.Millisecond
 
+// idleRefresh is how often the views of engines are refreshed while no call
+// waits, unless an engine began to leave: as often as an engine is observed.
+const idleRefresh = backend.DefaultObserveInterval
+
 // queue drives the scheduler's core in real time. The mutex serialises the
 // core, which is not safe for concurrent use; it is never held over I/O.
 type queue struct {
 	fleet    *Fleet
 	recorder explain.Recorder
 
-	mutex   sync.Mutex
-	core    *scheduler.Core
-	waiting map[string]chan answer // by call id
+	mutex       sync.Mutex
+	core        *scheduler.Core
+	waiting     map[string]chan answer // by call id
+	refreshedAt time.Time              // when the core last got views of the engines
 }
 
 // answer ends a call's wait: an assignment or a refusal.
@@ -80,13 +86,24 @@
 			return
 		case <-ticker.C:
 		}
-		q.mutex.Lock()
-		q.core.SetEngines(q.fleet.Views())
-		q.advance(time.Now())
-		q.mutex.Unlock()
+		q.look(time.Now())
 	}
 }
 
+// look refreshes the views and advances the queue, if calls wait or the views
+// may be out of date.
+func (q *queue) look(now time.Time) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	idle := len(q.waiting) == 0 && now.Sub(q.refreshedAt) < idleRefresh
+	if idle && !q.fleet.urgent.Swap(false) {
+		return
+	}
+	q.refreshedAt = now
+	q.core.SetEngines(q.fleet.Views())
+	q.advance(now)
+}
+
 // acquire waits for an engine. When ctx ends first the call is withdrawn,
 // and was not run.
 func (q *queue) acquire(ctx context.Context, call scheduler.Call) (scheduler.Assignment, *api.Error) {
