Observation: no polls by others just after a duty moved

Cause: in the sixth second after the start of a cell nodes polled engines that others observe, and told peers of it: 82 frames a second a node instead of 15. The wait for a digest was counted from the configuration, also when this node had observed the engine itself until a moment ago. Ruled out: lost heartbeats, flapping members.

--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -15,7 +15,7 @@
 const (
 	// digestPatience is how long a node waits for a digest of an engine
 	// before it polls the engine itself: longer than a digest's refresh.
-	digestPatience = observation.RefreshAfter + 2*time.Second
+	digestPatience = observation.RefreshAfter + 3*time.Second
 	// fallbackInterval is the time between a node's own polls of an engine
 	// that another node is to observe.
 	fallbackInterval = time.Second
@@ -42,9 +42,11 @@
 	observed atomic.Bool                        // by this node
 
 	// Guarded by Fleet.mutex.
-	mode     pollMode
-	stop     context.CancelFunc // of the polls under way; nil if none
-	digestAt time.Time          // of the last digest; at first, of the configuration
+	mode pollMode
+	stop context.CancelFunc // of the polls under way; nil if none
+	// digestAt is when the last digest came or, if later, when this node
+	// ceased to observe the engine.
+	digestAt time.Time
 }
 
 func newEngineMember(config bundle.Engine, client *backend.EngineClient) *engineMember {
@@ -81,6 +83,9 @@
 	if member.mode == mode {
 		return
 	}
+	if member.mode == observer {
+		member.digestAt = time.Now()
+	}
 	if member.stop != nil {
 		member.stop()
 		member.stop = nil
@@ -139,11 +144,16 @@
 		next.CacheEvents = f.index.Sequence(member.config.Name)
 	}
 	f.store(member, next)
-	if before.ObservedAt.IsZero() != observedAt.IsZero() || load.Leaving && !before.Load.Leaving {
+	if member.observed.Load() && isNews(before, next) {
 		f.alert()
 	}
 }
 
+// isNews says whether peers should hear of a report at once.
+func isNews(before *observation.Report, next observation.Report) bool {
+	return before.ObservedAt.IsZero() && !next.ObservedAt.IsZero() || next.Load.Leaving && !before.Load.Leaving
+}
+
 // alert lets peers hear at once of an engine that leaves, or that this node
 // has just begun to observe.
 func (f *Fleet) alert() {
