--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -258,14 +258,21 @@
 // InForce returns the bundle in force on this node, nil before any.
 func (n *Node) InForce() *bundle.Snapshot { return n.keeper.InForce() }
 
+// engineGrace is how long after its start a node that has observed no engine
+// yet is not ready. After it the node is ready for what needs none.
+const engineGrace = 5 * time.Second
+
 // Ready reports whether the node takes new work: it has a bundle at least as
-// new as its peers', and it is not leaving.
+// new as its peers', it has observed an engine, and it is not leaving.
 func (n *Node) Ready() bool {
 	snapshot := n.keeper.InForce()
 	if snapshot == nil || n.leaving.Load() {
 		return false
 	}
-	return snapshot.Version() >= n.members.newestBundle()
+	if snapshot.Version() < n.members.newestBundle() {
+		return false
+	}
+	return n.dispatcher.Fleet().Ready() || time.Since(n.startedAt) >= engineGrace
 }
 
 // Drain is a planned stop: peers are told, new work goes elsewhere, programs
