--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,6 +88,11 @@
 	return d.tools.lookup(ctx, tool, key)
 }
 
+// Engines implements ownership.Executor.
+func (d *Dispatcher) Engines() []string {
+	return slices.Collect(maps.Keys(*d.fleet.members.Load()))
+}
+
 // Release implements ownership.Executor. An engine that the bundle no longer
 // names holds nothing that matters.
 func (d *Dispatcher) Release(ctx context.Context, engine, program string) error {
--- a/internal/dispatch/status_test.go
+++ b/internal/dispatch/status_test.go
@@ -24,6 +24,12 @@
 	return api.EngineStatus{}
 }
 
+func newTestDispatcher(fleet *Fleet) *Dispatcher {
+	options := fleet.options
+	options.Recorder = explain.NewLog("test", 16)
+	return &Dispatcher{Options: options, fleet: fleet, queue: newQueue(options, fleet)}
+}
+
 // TestStatusIsTheSchedulers checks that an engine shown as ready takes calls
 // at once, and that own calls and ejection show.
 func TestStatusIsTheSchedulers(t *testing.T) {
@@ -31,10 +37,10 @@
 		n := newTestNode(t, true)
 		defer synctest.Wait()
 		defer n.fleet.close()
-		options := n.fleet.options
-		options.Recorder = explain.NewLog("test", 16)
-		d := &Dispatcher{Options: options, fleet: n.fleet, queue: newQueue(options, n.fleet)}
-		if status := engineStatus(t, d, "engine-a"); status.State != StateUnreachable {
+		d := newTestDispatcher(n.fleet)
+		without := newTestNode(t, false)
+		defer without.fleet.close()
+		if status := engineStatus(t, newTestDispatcher(without.fleet), "engine-a"); status.State != StateUnreachable {
 			t.Errorf("before any report: %+v", status)
 		}
 		time.Sleep(time.Second)
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -199,6 +199,9 @@
 	return Outcome{}, false
 }
 
+// Engines implements Executor.
+func (x *testExecutor) Engines() []string { return []string{"engine-1"} }
+
 // Release implements Executor.
 func (x *testExecutor) Release(context.Context, string, string) error { return nil }
 
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/platform"
@@ -199,6 +202,7 @@
 const (
 	releaseTimeout = 30 * time.Second
 	releasePause   = time.Second
+	releasesAtOnce = 8
 )
 
 // releaseHolds frees engine memory of an ended program in the background, and
@@ -213,7 +217,7 @@
 		if !owned || header.Status != api.ProgramClosed {
 			return
 		}
-		held := header.Holds
+		held := p.mayHold(header)
 		for {
 			if held = p.releaseAt(ctx, e.id, held); len(held) == 0 {
 				p.clearHolds(ctx, e)
@@ -227,16 +231,35 @@
 	}()
 }
 
-// releaseAt asks each engine once and returns those that failed.
+// mayHold returns the engines that may hold something for the program: those
+// recorded, or all where an owner died that may have dispatched a call.
+func (p *Programs) mayHold(header program.Header) []string {
+	if header.AttemptedSequence == 0 {
+		return header.Holds
+	}
+	return p.Executor.Engines()
+}
+
+// releaseAt asks each engine once, some at a time, and returns those that
+// failed.
 func (p *Programs) releaseAt(ctx context.Context, id string, engines []string) []string {
+	var mutex sync.Mutex
 	var failed []string
+	var group errgroup.Group
+	group.SetLimit(releasesAtOnce)
 	for _, engine := range engines {
-		limited, cancel := context.WithTimeout(ctx, storePatience)
-		if err := p.Executor.Release(limited, engine, id); err != nil {
-			failed = append(failed, engine)
-		}
-		cancel()
+		group.Go(func() error {
+			limited, cancel := context.WithTimeout(ctx, storePatience)
+			defer cancel()
+			if err := p.Executor.Release(limited, engine, id); err != nil {
+				mutex.Lock()
+				defer mutex.Unlock()
+				failed = append(failed, engine)
+			}
+			return nil
+		})
 	}
+	_ = group.Wait() // its functions return no error
 	return failed
 }
 
--- a/internal/ownership/executor.go
+++ b/internal/ownership/executor.go
@@ -52,6 +52,8 @@
 	// Lookup asks a tool what became of an idempotency key; false if it
 	// cannot tell.
 	Lookup(ctx context.Context, tool, key string) (Outcome, bool)
+	// Engines returns the names of the engines that a call may have gone to.
+	Engines() []string
 	// Release frees what the engine holds for the program.
 	Release(ctx context.Context, engine, program string) error
 }
--- a/tests/workload_test.go
+++ b/tests/workload_test.go
@@ -40,6 +40,7 @@
 	d        *deployment
 	recorder historycheck.Recorder
 	ended    chan struct{}
+	endOnce  sync.Once
 	callers  sync.WaitGroup
 
 	mutex    sync.Mutex
@@ -48,6 +49,7 @@
 
 func startWorkload(t *testing.T, d *deployment, seed uint64) *workload {
 	w := &workload{t: t, d: d, ended: make(chan struct{})}
+	t.Cleanup(w.end) // before the deployment ends, also after a failure
 	for index := range callersAtOnce {
 		random := rand.New(rand.NewPCG(seed, uint64(index)))
 		w.callers.Go(func() { w.drive(index, random) })
@@ -170,11 +172,16 @@
 	return append(asked, api.Message{Role: api.RoleAssistant, Content: result.Output})
 }
 
+// end lets the programs under way end, and waits for their callers.
+func (w *workload) end() {
+	w.endOnce.Do(func() { close(w.ended) })
+	w.callers.Wait()
+}
+
 // finish lets the programs under way end and checks what must hold.
 func (w *workload) finish() {
 	w.t.Helper()
-	close(w.ended)
-	w.callers.Wait()
+	w.end()
 	all, final := w.recorder.Operations()
 	w.t.Logf("%d programs, %d requests, %d final answers", len(w.programs), all, final)
 	if len(w.programs) == 0 {
