--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -32,9 +33,9 @@
 	return l.text.String()
 }
 
-// TestOperatorRefusalsAreLogged asks a node that has no bundle for its status.
-func TestOperatorRefusalsAreLogged(t *testing.T) {
-	log := &logBuffer{}
+// startAlone starts a node without peers, engines and bundle.
+func startAlone(t *testing.T, log *logBuffer) *Node {
+	t.Helper()
 	table := platform.New(platform.Options{})
 	started, err := New(settings.Settings{
 		Name:            "node-1",
@@ -54,10 +55,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer started.Close()
+	t.Cleanup(started.Close)
 	if err := started.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
+	return started
+}
+
+// TestOperatorRefusalsAreLogged asks a node that has no bundle for its status.
+func TestOperatorRefusalsAreLogged(t *testing.T) {
+	log := &logBuffer{}
+	started := startAlone(t, log)
 	response, err := http.Get(started.OperatorURL() + "/v1/operator/status")
 	if err != nil {
 		t.Fatal(err)
@@ -75,3 +83,29 @@
 		}
 	}
 }
+
+// TestMetricsAreDocumented looks for each of the node's own metrics in the
+// operators' page.
+func TestMetricsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operating.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	families, err := startAlone(t, &logBuffer{}).registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := 0
+	for _, family := range families {
+		if !strings.HasPrefix(family.GetName(), "pewtermill_") {
+			continue
+		}
+		own++
+		if !strings.Contains(string(page), "| `"+family.GetName()+"` |") {
+			t.Errorf("docs/operating.md does not list %s", family.GetName())
+		}
+	}
+	if own == 0 {
+		t.Error("the node publishes no metrics of its own")
+	}
+}
