--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,7 +68,7 @@
 		}
 		return 1
 	})
-	q.core.SetEngines(q.fleet.Views())
+	q.core.SetEngines(q.observedEngines())
 }
 
 // run refreshes the engines' views and looks at the queue until ctx ends.
@@ -81,12 +82,19 @@
 		case <-ticker.C:
 		}
 		q.mutex.Lock()
-		q.core.SetEngines(q.fleet.Views())
+		q.core.SetEngines(q.observedEngines())
 		q.advance(time.Now())
 		q.mutex.Unlock()
 	}
 }
 
+// observedEngines leaves out engines of which no report has come yet. The core
+// sets its limit of own calls at an engine by the batch size in the first view
+// that it gets; a view without a report has none.
+func (q *queue) observedEngines() []scheduler.EngineView {
+	return slices.DeleteFunc(q.fleet.Views(), func(view scheduler.EngineView) bool { return view.ObservedAt.IsZero() })
+}
+
 // acquire waits for an engine. When ctx ends first the call is withdrawn,
 // and was not run.
 func (q *queue) acquire(ctx context.Context, call scheduler.Call) (scheduler.Assignment, *api.Error) {
--- a/internal/node/bench_backends_test.go
+++ b/internal/node/bench_backends_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/backend"
@@ -20,8 +21,8 @@
 	models []string
 	stream [][]byte // the events of an answer up to the last but one
 	text   string
-	pace   time.Duration // pause before each piece
-	trace  *trace        // may be nil
+	pace   atomic.Int64 // nanoseconds of pause before each piece
+	trace  *trace       // may be nil
 }
 
 // newInstantEngine returns an engine whose answer has so many pieces, of one
@@ -89,8 +90,8 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	flusher, canFlush := writer.(http.Flusher)
 	for _, event := range e.stream {
-		if e.pace > 0 {
-			time.Sleep(e.pace)
+		if pace := e.pace.Load(); pace > 0 {
+			time.Sleep(time.Duration(pace))
 		}
 		_, _ = writer.Write(event)
 		if canFlush {
--- a/internal/node/bench_cluster_test.go
+++ b/internal/node/bench_cluster_test.go
@@ -51,7 +51,6 @@
 func newBenchCluster(b testing.TB, options benchOptions) *benchCluster {
 	c := &benchCluster{b: b, trace: &trace{}}
 	engine := newInstantEngine(options.pieces, benchModel)
-	engine.pace = options.pace
 	dependencies := node.Dependencies{}
 	addresses := devcluster.Addresses{Engines: map[string]string{}, Tools: map[string]string{}}
 	c.engineURL = "http://engine.invalid"
@@ -82,6 +81,7 @@
 	c.submit(configured)
 	c.waitReady()
 	c.waitPlaces()
+	engine.pace.Store(int64(options.pace))
 	return c
 }
 
@@ -189,13 +189,14 @@
 	defer cancel()
 	for placing := make([]bool, len(c.nodes)); slices.Contains(placing, false); {
 		id, owner := c.createProgram()
-		if _, err := c.callers[owner].Call(ctx, id, 1, modelRequest(requestBytes), nil); err == nil {
+		_, lastErr := c.callers[owner].Call(ctx, id, 1, modelRequest(requestBytes), nil)
+		if lastErr == nil {
 			placing[owner] = true
 			continue
 		}
 		select {
 		case <-ctx.Done():
-			c.b.Fatal("the nodes don't place calls")
+			c.b.Fatalf("the nodes don't place calls: %v %v", placing, lastErr)
 		case <-time.After(readyPoll):
 		}
 	}
