--- a/internal/planner/engines.go
+++ b/internal/planner/engines.go
@@ -39,9 +39,8 @@
 	for _, model := range snapshot.Bundle.Models {
 		input.Models = append(input.Models, planModel(model))
 	}
-	leaving := *p.leaving.Load()
 	for _, config := range configured {
-		input.Engines = append(input.Engines, p.engines[config.Name].view(config, leaving[config.Name], input.Now))
+		input.Engines = append(input.Engines, p.engines[config.Name].view(config, p.options.Leaving(config.Name), input.Now))
 	}
 	return input
 }
