--- a/internal/backend/observer.go
+++ b/internal/backend/observer.go
@@ -24,6 +24,9 @@
 	Interval    time.Duration // between polls, with a tenth of jitter
 	Timeout     time.Duration // of one poll
 	MaxInterval time.Duration // between polls of an engine that fails
+	// EventInterval is the time between polls of cache events; zero means
+	// that they are polled whenever the load is.
+	EventInterval time.Duration
 	// OnPoll is called after each poll, in the goroutine of Run.
 	OnPoll func(load Load, observedAt time.Time, err error)
 }
@@ -37,6 +40,8 @@
 	index   *Index
 	options ObserverOptions
 	latest  atomic.Pointer[observation]
+
+	eventsAt time.Time // of the last poll of events; used by Run alone
 }
 
 // observation is the outcome of a poll. A failed poll keeps the load and the
@@ -104,7 +109,8 @@
 		next.observedAt = time.Now()
 	}
 	o.latest.Store(&next)
-	if err == nil && o.index != nil {
+	if err == nil && o.index != nil && time.Since(o.eventsAt) >= o.options.EventInterval {
+		o.eventsAt = time.Now()
 		o.pollEvents(ctx)
 	}
 	if o.options.OnPoll != nil {
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -19,6 +19,10 @@
 	// fallbackInterval is the time between a node's own polls of an engine
 	// that another node is to observe.
 	fallbackInterval = time.Second
+	// eventInterval is the time between an observer's polls of cache events.
+	// The scheduler bridges it: what it has just sent to an engine counts as
+	// cached there for some seconds.
+	eventInterval = time.Second
 )
 
 // pollMode is why a node polls an engine.
@@ -103,11 +107,14 @@
 // poll polls an engine until ctx ends. What the exact index knows of it is
 // then forgotten, as it would go out of date.
 func (f *Fleet) poll(ctx context.Context, member *engineMember, mode pollMode) {
-	options := backend.ObserverOptions{OnPoll: func(load backend.Load, observedAt time.Time, err error) {
-		if ctx.Err() == nil {
-			f.polled(member, load, observedAt, err)
-		}
-	}}
+	options := backend.ObserverOptions{
+		EventInterval: eventInterval,
+		OnPoll: func(load backend.Load, observedAt time.Time, err error) {
+			if ctx.Err() == nil {
+				f.polled(member, load, observedAt, err)
+			}
+		},
+	}
 	index := f.index
 	if mode == fallback {
 		options.Interval = fallbackInterval
