--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -16,7 +16,7 @@
 	bundleDutyPeriod  = 2 * time.Second  // of the member that looks for new versions
 	bundleSparePeriod = 10 * time.Second // of the others, should that one fail
 	bundleFirstPeriod = 500 * time.Millisecond
-	machinePeriod     = time.Second
+	machinePeriod     = 5 * time.Second // of the member that reads the list
 	maintainPeriod    = 15 * time.Second
 	scanTurns         = 16 // maintainPeriods in which the table is read through once
 	reconcilePeriod   = 10 * time.Second
