--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -148,7 +148,6 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	request := &wirepb.Request{
-		From: m.node.settings.Name,
 		Body: &wirepb.Request_Heartbeat{Heartbeat: message.Heartbeat},
 	}
 	if err := m.node.peers.Send(ctx, message.Address, request); err != nil {
