--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -30,6 +30,7 @@
 	engineDuty   = "engine/"
 	machinesDuty = "machines"
 	bundleDuty   = "bundle"
+	planDuty     = "plan"
 )
 
 // applyBundle puts a bundle in force on this node.
@@ -140,7 +141,6 @@
 	}
 	n.members.setLeavingHints(leavingNodes)
 	n.dispatcher.Fleet().SetListed(leavingEngines)
-	n.planner.SetLeaving(leavingEngines)
 }
 
 // maintain drops idle programs from memory, ends those in memory that are past
