--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -200,9 +200,9 @@
 
 // Bounds of releasing what engines hold for an ended program.
 const (
-	releaseTimeout = 30 * time.Second
-	releasePause   = time.Second
-	releasesAtOnce = 8
+	releaseTimeout     = 30 * time.Second
+	releasePause       = time.Second
+	holdReleasesAtOnce = 8
 )
 
 // releaseHolds frees engine memory of an ended program in the background, and
@@ -246,7 +246,7 @@
 	var mutex sync.Mutex
 	var failed []string
 	var group errgroup.Group
-	group.SetLimit(releasesAtOnce)
+	group.SetLimit(holdReleasesAtOnce)
 	for _, engine := range engines {
 		group.Go(func() error {
 			limited, cancel := context.WithTimeout(ctx, storePatience)
