--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/scheduler"
@@ -15,15 +17,20 @@
 // calls age, and deadlines pass.
 const queuePeriod = 50 * time.Millisecond
 
+// idleRefresh is how often the views of engines are refreshed while no call
+// waits, unless an engine began to leave: as often as an engine is observed.
+const idleRefresh = backend.DefaultObserveInterval
+
 // queue drives the scheduler's core in real time. The mutex serialises the
 // core, which is not safe for concurrent use; it is never held over I/O.
 type queue struct {
 	fleet    *Fleet
 	recorder explain.Recorder
 
-	mutex   sync.Mutex
-	core    *scheduler.Core
-	waiting map[string]chan answer // by call id
+	mutex       sync.Mutex
+	core        *scheduler.Core
+	waiting     map[string]chan answer // by call id
+	refreshedAt time.Time              // when the core last got views of the engines
 }
 
 // answer ends a call's wait: an assignment or a refusal.
@@ -67,7 +74,7 @@
 		}
 		return 1
 	})
-	q.core.SetEngines(q.fleet.Views())
+	q.core.SetEngines(q.observedEngines())
 }
 
 // run refreshes the engines' views and looks at the queue until ctx ends.
@@ -80,11 +87,29 @@
 			return
 		case <-ticker.C:
 		}
-		q.mutex.Lock()
-		q.core.SetEngines(q.fleet.Views())
-		q.advance(time.Now())
-		q.mutex.Unlock()
+		q.look(time.Now())
+	}
+}
+
+// look refreshes the views and advances the queue, if calls wait or the views
+// may be out of date.
+func (q *queue) look(now time.Time) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	idle := len(q.waiting) == 0 && now.Sub(q.refreshedAt) < idleRefresh
+	if idle && !q.fleet.urgent.Swap(false) {
+		return
 	}
+	q.refreshedAt = now
+	q.core.SetEngines(q.observedEngines())
+	q.advance(now)
+}
+
+// observedEngines leaves out engines of which no report has come yet. The core
+// sets its limit of own calls at an engine by the batch size in the first view
+// that it gets; a view without a report has none.
+func (q *queue) observedEngines() []scheduler.EngineView {
+	return slices.DeleteFunc(q.fleet.Views(), func(view scheduler.EngineView) bool { return view.ObservedAt.IsZero() })
 }
 
 // acquire waits for an engine. When ctx ends first the call is withdrawn,
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -67,7 +67,7 @@
 
 // ExecuteCall implements gateway.Service.
 func (r *router) ExecuteCall(ctx context.Context, tenant, id string, sequence int64, body []byte, onPart func(offset int64, text []byte)) (api.CallResult, error) {
-	result, err := routed[api.CallResult](ctx, r.node, id, &wirepb.Request{
+	return routed[api.CallResult](ctx, r.node, id, &wirepb.Request{
 		Body: &wirepb.Request_ExecuteCall{ExecuteCall: &wirepb.ExecuteCall{
 			Tenant:   tenant,
 			Program:  id,
@@ -76,32 +76,13 @@
 			Stream:   onPart != nil,
 		}},
 	}, onPart)
-	return result, ofCall(err)
-}
-
-// ofCall corrects refusals of a call behind which no owner stands that has
-// read the program's row: an earlier copy of the call may have run, so they
-// can't say not_run.
-func ofCall(err error) error {
-	var refusal *api.Error
-	if !errors.As(err, &refusal) {
-		return err
-	}
-	switch refusal.Code {
-	case api.OwnerMoving, api.Draining, api.NotReady, api.StoreDown:
-		unknown := *refusal
-		unknown.Execution = api.Unknown
-		return &unknown
-	}
-	return err
 }
 
 // GetCall implements gateway.Service.
 func (r *router) GetCall(ctx context.Context, tenant, id string, sequence int64) (api.CallResult, error) {
-	result, err := routed[api.CallResult](ctx, r.node, id, &wirepb.Request{
+	return routed[api.CallResult](ctx, r.node, id, &wirepb.Request{
 		Body: &wirepb.Request_GetCall{GetCall: &wirepb.GetCall{Tenant: tenant, Program: id, Sequence: sequence}},
 	}, nil)
-	return result, ofCall(err)
 }
 
 // routed sends a request to the program's owner and decodes the answer.
@@ -204,7 +185,7 @@
 		return
 	}
 	t.hint = reply.GetOwner()
-	if api.Execution(reply.GetExecution()) != api.NotRun {
+	if api.Execution(reply.GetExecution()) == api.Unknown {
 		t.uncertain = true
 	}
 }
@@ -225,7 +206,7 @@
 func (t *trip) toCell(ctx context.Context) *wirepb.Reply {
 	snapshot := t.node.keeper.InForce()
 	if snapshot == nil {
-		return replyError(api.Errorf(api.NotReady, "no configuration is in force yet").After(routeRetryAfter))
+		return replyError(api.Errorf(api.NotReady, "no configuration is in force yet").After(routeRetryAfter).Here())
 	}
 	cell, ok := snapshot.Cell(t.cell)
 	if !ok || len(cell.Seeds) == 0 {
@@ -278,15 +259,15 @@
 	if reply != nil {
 		return reply
 	}
-	return replyError(api.Errorf(api.OwnerMoving, "the program's owner does not answer").After(routeRetryAfter))
+	return replyError(api.Errorf(api.OwnerMoving, "the program's owner does not answer").After(routeRetryAfter).Here())
 }
 
-// truthful corrects a refusal that says not_run although an earlier attempt
-// may have started the call at another owner. A final answer stands: it is
-// recorded. So does a refusal by the owner that holds the number free after a
-// claim, as its state machine knows about earlier attempts.
+// truthful corrects a refusal that vouches for its own attempt only, although
+// an earlier attempt may have started the call at another owner. A final
+// answer stands: it is recorded. So does a refusal by a confirmed owner, whose
+// state machine knows about earlier attempts.
 func (t *trip) truthful(reply *wirepb.Reply) *wirepb.Reply {
-	if t.uncertain && reply.GetCode() != int32(api.OK) && api.Execution(reply.GetExecution()) == api.NotRun {
+	if t.uncertain && api.Execution(reply.GetExecution()) == api.NotRunHere {
 		reply.Execution = string(api.Unknown)
 	}
 	return reply
--- a/internal/ownership/lifecycle.go
+++ b/internal/ownership/lifecycle.go
@@ -17,7 +17,7 @@
 // already under the same id and tenant is returned as it is.
 func (p *Programs) Create(ctx context.Context, tenant, id string, request api.CreateProgramRequest) (api.Program, error) {
 	if p.leaving.Load() {
-		return api.Program{}, api.Errorf(api.OwnerMoving, "this node is stopping").After(movingRetryAfter)
+		return api.Program{}, moving("this node is stopping")
 	}
 	class, refusal := p.classFor(request)
 	if refusal != nil {
@@ -29,7 +29,7 @@
 	header := program.New(p.params(tenant, id, request, class))
 	e := p.entry(id)
 	if err := e.lock(ctx); err != nil {
-		return api.Program{}, api.Errorf(api.OwnerMoving, "the program's row stayed busy").After(movingRetryAfter)
+		return api.Program{}, moving("the program's row stayed busy")
 	}
 	if _, owned := e.snapshot(); owned || e.isGone() {
 		e.unlock()
@@ -163,7 +163,7 @@
 	}
 	missing := api.Errorf(api.CallNotFound, "no call %d", sequence)
 	if header.MayHaveRun(sequence) {
-		return unconfirmed(missing)
+		return mayHaveRun(missing)
 	}
 	return missing
 }
