Tests run side by side, and pass over address ranges with leftovers

Stand-ins of a test process that crashed keep their addresses; the next run took the same range and failed.

--- a/tests/cells_test.go
+++ b/tests/cells_test.go
@@ -17,6 +17,7 @@
 // TestInvariantsOverTwoCells is TestInvariantsUnderFailure with programs of
 // two cells, each of which is served through nodes of the other too.
 func TestInvariantsOverTwoCells(t *testing.T) {
+	t.Parallel()
 	checkInvariants(t, size{engines: 3, nodes: 4, cells: 2}, cellFailures)
 }
 
--- a/tests/failure_test.go
+++ b/tests/failure_test.go
@@ -38,6 +38,7 @@
 // TestInvariantsUnderFailure runs programs while each failure strikes, and
 // checks what must always hold.
 func TestInvariantsUnderFailure(t *testing.T) {
+	t.Parallel()
 	checkInvariants(t, size{engines: 3, nodes: 3}, failures)
 }
 
--- a/tests/harness_test.go
+++ b/tests/harness_test.go
@@ -219,6 +219,10 @@
 			if err != nil {
 				continue
 			}
+			if claimed.isUsed() {
+				_ = mark.Close()
+				continue
+			}
 			t.Cleanup(func() { _ = mark.Close() })
 			return claimed
 		}
@@ -227,6 +231,17 @@
 	return subnet{}
 }
 
+// isUsed reports whether a platform listens in the range, as one does that
+// was left behind by a test process which ended without its cleanups.
+func (s subnet) isUsed() bool {
+	probe, err := net.Listen("tcp", s.address(platformHost, standInPort))
+	if err != nil {
+		return true
+	}
+	_ = probe.Close()
+	return false
+}
+
 // address returns IP:port of a host number from 1 to 250.
 func (s subnet) address(host, port int) string {
 	return fmt.Sprintf("%s%d:%d", s.prefix, host, port)
--- a/tests/links_test.go
+++ b/tests/links_test.go
@@ -22,6 +22,7 @@
 // TestInvariantsUnderCutLinks is TestInvariantsUnderFailure with nodes in one
 // process, whose links are cut.
 func TestInvariantsUnderCutLinks(t *testing.T) {
+	t.Parallel()
 	checkInvariants(t, size{engines: 3, nodes: 3, embedded: true}, linkFailures)
 }
 
--- a/tests/owner_test.go
+++ b/tests/owner_test.go
@@ -13,6 +13,7 @@
 // must not run twice is at the tool. The next owner must not dispatch it
 // again, whatever it answers, and the program goes on with its history.
 func TestOwnerKilledDuringToolCall(t *testing.T) {
+	t.Parallel()
 	d := startDeployment(t, size{engines: 2, nodes: 3})
 	history := newHistories()
 	program := d.createProgram("owner-killed")
@@ -40,6 +41,7 @@
 // TestFrozenOwnerIsFenced freezes a program's owner until another node has
 // taken the program over, and then lets it go on.
 func TestFrozenOwnerIsFenced(t *testing.T) {
+	t.Parallel()
 	d := startDeployment(t, size{engines: 2, nodes: 3})
 	history := newHistories()
 	program := d.createProgram("owner-frozen")
@@ -65,6 +67,7 @@
 // two calls. No reservation may be lost by it, and nothing of the stopped node
 // may be left for the next owner to wait for.
 func TestPlannedStopReleasesIdlePrograms(t *testing.T) {
+	t.Parallel()
 	d := startDeployment(t, size{engines: 2, nodes: 3})
 	history := newHistories()
 	created := d.createProgram("idle-at-stop")
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -77,6 +77,7 @@
 }
 
 func TestProgramWithSubAgentThroughAnotherNode(t *testing.T) {
+	t.Parallel()
 	d := startDeployment(t, size{engines: 2, nodes: 3})
 	for _, stream := range []bool{false, true} {
 		runID := fmt.Sprintf("stream-%t", stream)
@@ -140,6 +141,7 @@
 // forwards to it, while an answer is streamed. An operator watches the owner,
 // which must not hold up its stop.
 func TestPlannedStopCutsNoCall(t *testing.T) {
+	t.Parallel()
 	d := startDeployment(t, size{engines: 2, nodes: 3})
 	program := d.createProgram("planned-stop")
 	callWithRetry(t, d.nodes[0], program.ID, 1, question)
@@ -167,6 +169,7 @@
 
 // TestDevRunsTheExample runs the second command of README.md.
 func TestDevRunsTheExample(t *testing.T) {
+	t.Parallel()
 	output := runCommand(t, pewtermillBinary, "dev", "--run", filepath.Join("..", "examples", "deduction.yaml"))
 	for _, part := range []string{"Answer of deduction\n", "Total cost ", "Decisions about ", "lowest weighted delay"} {
 		if !strings.Contains(output, part) {
@@ -176,6 +179,7 @@
 }
 
 func TestNodeNamesEveryWrongSetting(t *testing.T) {
+	t.Parallel()
 	path := writeTemporary(t, "settings.yaml", []byte("name: node-1\ncell: C 1\nzone: zone-a\nplatform_url: nowhere\n"))
 	output, err := exec.Command(pewtermillBinary, "node", "--settings", path, "--peer-address", "127.0.0.1").CombinedOutput()
 	var exit *exec.ExitError
