tests: no child process outlives the tests

Cause: a test binary that panicked left its children behind, and their addresses were in use in the next run.

--- a/tests/harness_test.go
+++ b/tests/harness_test.go
@@ -58,6 +58,7 @@
 	p.command = exec.Command(binary, arguments...)
 	p.command.Stdout = p.log
 	p.command.Stderr = p.log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no child outlives the tests
 	if err := p.command.Start(); err != nil {
 		t.Fatalf("start %s: %v", name, err)
 	}
