--- a/internal/historycheck/historycheck.go
+++ b/internal/historycheck/historycheck.go
@@ -95,10 +95,23 @@
 	if result := porcupine.CheckOperationsTimeout(model, r.operations, checkLimit); result != porcupine.Ok {
 		return errors.Newf("histories are not those of programs: %s", result)
 	}
-	return r.checkRefusals(executions)
+	if refused := r.refusedThoughRun(executions); len(refused) > 0 {
+		first := refused[0]
+		return errors.Newf("%d calls were answered not_run although they had started, such as %d of %s", len(refused), first.Sequence, first.Program)
+	}
+	return nil
 }
 
-func (r *Recorder) checkRefusals(executions []Execution) error {
+// RefusedThoughRun returns the calls about which a caller was told not_run
+// although they had started before the answer.
+func (r *Recorder) RefusedThoughRun(executions []Execution) []Input {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.refusedThoughRun(executions)
+}
+
+// refusedThoughRun needs r.mutex.
+func (r *Recorder) refusedThoughRun(executions []Execution) []Input {
 	firstStart := make(map[Input]time.Time)
 	for _, execution := range executions {
 		input := Input{Program: execution.Program, Sequence: execution.Sequence}
@@ -106,15 +119,15 @@
 			firstStart[input] = execution.Started
 		}
 	}
+	var refused []Input
 	for _, operation := range r.operations {
-		output := operation.Output.(Output)
 		input := operation.Input.(Input)
 		started, ran := firstStart[input]
-		if output.Refused && ran && started.UnixNano() < operation.Return {
-			return errors.Newf("call %d of %s was answered not_run (%s) although it had started", input.Sequence, input.Program, output.Code)
+		if operation.Output.(Output).Refused && ran && started.UnixNano() < operation.Return {
+			refused = append(refused, input)
 		}
 	}
-	return nil
+	return refused
 }
 
 // programState is the model's state: the digests of the final answers in
--- a/tests/calls_test.go
+++ b/tests/calls_test.go
@@ -35,7 +35,7 @@
 
 // callWithRetry makes a call as callers should: the same call is repeated
 // under its number until it has a final result.
-func callWithRetry(t *testing.T, node *nodeProcess, program string, sequence int64, request api.CallRequest) api.CallResult {
+func callWithRetry(t testing.TB, node *nodeProcess, program string, sequence int64, request api.CallRequest) api.CallResult {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
 	defer cancel()
@@ -77,7 +77,7 @@
 
 // ask asks the question through a node, repeats it until it is answered, and
 // checks the answer.
-func (h *histories) ask(t *testing.T, node *nodeProcess, program string, sequence int64) api.CallResult {
+func (h *histories) ask(t testing.TB, node *nodeProcess, program string, sequence int64) api.CallResult {
 	t.Helper()
 	result := callWithRetry(t, node, program, sequence, question)
 	if result.Code != api.OK {
--- a/tests/deployment_test.go
+++ b/tests/deployment_test.go
@@ -56,7 +56,7 @@
 // deployment is a platform, engines, one tool service and nodes, each a
 // process of its own, with a bundle in force.
 type deployment struct {
-	t           *testing.T
+	t           testing.TB
 	subnet      subnet
 	size        size
 	bundle      *bundle.Bundle
@@ -74,7 +74,7 @@
 
 // startDeployment starts everything, submits the bundle by the command line
 // and waits until each node serves callers.
-func startDeployment(t *testing.T, wanted size) *deployment {
+func startDeployment(t testing.TB, wanted size) *deployment {
 	t.Helper()
 	decoded, err := bundle.Decode(examples.DevBundle)
 	if err != nil {
@@ -380,7 +380,7 @@
 }
 
 // writeTemporary writes a file that the test's end removes.
-func writeTemporary(t *testing.T, name string, content []byte) string {
+func writeTemporary(t testing.TB, name string, content []byte) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), name)
 	if err := os.WriteFile(path, content, 0o600); err != nil {
--- a/tests/embedded_test.go
+++ b/tests/embedded_test.go
@@ -17,7 +17,7 @@
 }
 
 // startEmbedded starts a node that ends with the test.
-func startEmbedded(t *testing.T, chosen settings.Settings) *embeddedNode {
+func startEmbedded(t testing.TB, chosen settings.Settings) *embeddedNode {
 	t.Helper()
 	log := &logBuffer{}
 	faults := &wire.Faults{}
--- a/tests/harness_test.go
+++ b/tests/harness_test.go
@@ -43,7 +43,7 @@
 // process is one child of the test. It is killed at the test's end if it
 // still runs, and its log is shown if the test failed.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	command *exec.Cmd
 	log     *logBuffer
@@ -52,7 +52,7 @@
 }
 
 // startProcess starts a binary under test.
-func startProcess(t *testing.T, name, binary string, arguments ...string) *process {
+func startProcess(t testing.TB, name, binary string, arguments ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, log: &logBuffer{}, exited: make(chan struct{})}
 	p.command = exec.Command(binary, arguments...)
@@ -119,7 +119,7 @@
 
 // runCommand runs a verb to its end, demands exit code 0 and returns what it
 // printed on standard output.
-func runCommand(t *testing.T, binary string, arguments ...string) string {
+func runCommand(t testing.TB, binary string, arguments ...string) string {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
 	defer cancel()
@@ -134,7 +134,7 @@
 }
 
 // waitUntil polls the condition until it holds.
-func waitUntil(t *testing.T, what string, condition func(ctx context.Context) bool) {
+func waitUntil(t testing.TB, what string, condition func(ctx context.Context) bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
 	defer cancel()
@@ -162,7 +162,7 @@
 }
 
 // fetch gets a JSON document from a stand-in.
-func fetch[T any](t *testing.T, url string) T {
+func fetch[T any](t testing.TB, url string) T {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
 	if err != nil {
@@ -181,7 +181,7 @@
 }
 
 // setFaults sets all fault switches of a stand-in.
-func setFaults(t *testing.T, baseURL string, faults any) {
+func setFaults(t testing.TB, baseURL string, faults any) {
 	t.Helper()
 	body, err := json.Marshal(faults)
 	if err != nil {
@@ -211,7 +211,7 @@
 )
 
 // claimSubnet finds a range that no other test process uses.
-func claimSubnet(t *testing.T) subnet {
+func claimSubnet(t testing.TB) subnet {
 	t.Helper()
 	for high := firstSubnet; high <= lastSubnet; high++ {
 		for low := range 250 {
--- a/tests/limits_test.go
+++ b/tests/limits_test.go
@@ -162,7 +162,7 @@
 	checkRefusedNotRun(t, "depth", err, api.DepthLimit)
 }
 
-func checkRefusedNotRun(t *testing.T, name string, err error, code api.Code) {
+func checkRefusedNotRun(t testing.TB, name string, err error, code api.Code) {
 	t.Helper()
 	var refusal *api.Error
 	if !errors.As(err, &refusal) || refusal.Code != code || refusal.Execution != api.NotRun {
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -63,7 +63,7 @@
 }
 
 // deductionScript returns the example script.
-func deductionScript(t *testing.T) *script.Script {
+func deductionScript(t testing.TB) *script.Script {
 	t.Helper()
 	source, err := os.ReadFile(filepath.Join("..", "examples", "deduction.yaml"))
 	if err != nil {
@@ -93,7 +93,7 @@
 }
 
 // checkReport checks the deduction script's programs against its calls.
-func checkReport(t *testing.T, report script.Report) {
+func checkReport(t testing.TB, report script.Report) {
 	t.Helper()
 	if len(report.Programs) != 2 || len(report.Results) != 7 {
 		t.Fatalf("%d programs with %d calls, want 2 with 7", len(report.Programs), len(report.Results))
@@ -113,7 +113,7 @@
 }
 
 // checkToolsRanOnce checks that the tool executed that many calls, each once.
-func checkToolsRanOnce(t *testing.T, d *deployment, calls int) {
+func checkToolsRanOnce(t testing.TB, d *deployment, calls int) {
 	t.Helper()
 	executions := fetch[[]tool.Execution](t, d.toolURL+"/log")
 	if len(executions) != calls {
--- a/tests/workload_test.go
+++ b/tests/workload_test.go
@@ -35,7 +35,7 @@
 // workload runs programs one after the other on many callers, through random
 // nodes, until it is told to finish, and records all that the callers see.
 type workload struct {
-	t        *testing.T
+	t        testing.TB
 	d        *deployment
 	recorder historycheck.Recorder
 	ended    chan struct{}
@@ -46,7 +46,7 @@
 	programs []api.Program // as they were when they ended
 }
 
-func startWorkload(t *testing.T, d *deployment, seed uint64) *workload {
+func startWorkload(t testing.TB, d *deployment, seed uint64) *workload {
 	w := &workload{t: t, d: d, ended: make(chan struct{})}
 	t.Cleanup(w.end) // before the deployment ends, also after a failure
 	for index := range callersAtOnce {
@@ -192,7 +192,7 @@
 		}
 	}
 	w.checkToolRuns()
-	if err := w.recorder.Check(w.executions()); err != nil {
+	if err := w.recorder.Check(w.d.executions()); err != nil {
 		w.t.Error(err)
 	}
 	w.d.waitHoldsReleased()
@@ -200,21 +200,30 @@
 
 // checkToolRuns checks that no call that is not repeatable ran twice.
 func (w *workload) checkToolRuns() {
-	for _, execution := range fetch[[]tool.Execution](w.t, w.d.toolURL+"/log") {
+	for _, key := range w.d.ranTwice() {
+		w.t.Errorf("%s ran more than once", key)
+	}
+}
+
+// ranTwice returns the keys of calls that the tool executed again.
+func (d *deployment) ranTwice() []string {
+	var keys []string
+	for _, execution := range fetch[[]tool.Execution](d.t, d.toolURL+"/log") {
 		if execution.Number > 1 {
-			w.t.Errorf("%s ran %d times", execution.IdempotencyKey, execution.Number)
+			keys = append(keys, execution.IdempotencyKey)
 		}
 	}
+	return keys
 }
 
 // executions are all runs at the tool and at the engines that still live.
-func (w *workload) executions() []historycheck.Execution {
+func (d *deployment) executions() []historycheck.Execution {
 	var executions []historycheck.Execution
-	for _, run := range fetch[[]tool.Execution](w.t, w.d.toolURL+"/log") {
+	for _, run := range fetch[[]tool.Execution](d.t, d.toolURL+"/log") {
 		executions = append(executions, executionOf(run.IdempotencyKey, run.Started))
 	}
-	for _, url := range w.d.engineURLs {
-		for _, run := range fetch[[]engine.LogEntry](w.t, url+"/log") {
+	for _, url := range d.engineURLs {
+		for _, run := range fetch[[]engine.LogEntry](d.t, url+"/log") {
 			key, _, _ := strings.Cut(run.RequestID, "@")
 			executions = append(executions, executionOf(key, run.Started))
 		}
