Membership: a refused connection and a missed heartbeat are death

Of a killed node the others only knew that it was silent, and waited 5 s. Its machine refuses connections to its address at once, which a cut link, a pause or an overload does not do. A heartbeat or a forwarded request that fails because of this tells the membership core (Refused); a member that refused since its last heartbeat is dead after 1.5 s of silence instead of 5 s. A member that said that it leaves is excepted, as its listener closes before its last answer.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -93,6 +93,16 @@
 	}
 }
 
+// Refused takes in that a connection to the address was refused. Together with
+// a missed heartbeat this ends the member there, from the next Tick on.
+func (c *Core) Refused(address string, now time.Time) {
+	for _, known := range c.records {
+		if known.member.Address == address {
+			known.refusedAt = now
+		}
+	}
+}
+
 // Announce makes the next Tick begin a heartbeat round at once.
 func (c *Core) Announce() { c.nextBeat = time.Time{} }
 
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -7,6 +7,9 @@
 	DefaultHeartbeatEvery = time.Second
 	DefaultSuspectAfter   = 3 * time.Second
 	DefaultDeadAfter      = 5 * time.Second
+	// DefaultRefusedDeadAfter allows for one heartbeat that is half a period
+	// late.
+	DefaultRefusedDeadAfter = 1500 * time.Millisecond
 )
 
 const (
@@ -89,6 +92,9 @@
 	Self Member
 	// Intervals; 0 means the default.
 	HeartbeatEvery, SuspectAfter, DeadAfter time.Duration
+	// RefusedDeadAfter is how long a member must be silent to be dead if
+	// connections to it are refused; 0 means the default.
+	RefusedDeadAfter time.Duration
 	// Seeds are addresses of members to start from, written as the members
 	// themselves announce them. This node's own address may be among them.
 	Seeds []string
@@ -105,5 +111,8 @@
 	if c.DeadAfter == 0 {
 		c.DeadAfter = DefaultDeadAfter
 	}
+	if c.RefusedDeadAfter == 0 {
+		c.RefusedDeadAfter = DefaultRefusedDeadAfter
+	}
 	return c
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -233,6 +233,42 @@
 	expectState(t, core, Alive, true, false)
 }
 
+// TestRefusedConnections follows a member whose address refuses connections:
+// alone it means nothing, with a missed heartbeat the member is dead.
+func TestRefusedConnections(t *testing.T) {
+	start := time.UnixMilli(1_790_000_000_000)
+	core, heartbeat := newPair(start)
+	core.Refused("b:1", start.Add(simulatedStep))
+	tickTo(core, start, start.Add(DefaultHeartbeatEvery))
+	expectState(t, core, Alive, true, false)
+	heard := start.Add(DefaultHeartbeatEvery)
+	core.Step(nextHeartbeat(heartbeat), heard)
+	tickTo(core, heard, heard.Add(DefaultRefusedDeadAfter))
+	expectState(t, core, Alive, true, false) // heard after it refused
+
+	core.Refused("c:1", heard.Add(DefaultRefusedDeadAfter))
+	tickTo(core, heard.Add(DefaultRefusedDeadAfter), heard.Add(DefaultRefusedDeadAfter+simulatedStep))
+	expectState(t, core, Alive, true, false) // another address
+	core.Refused("b:1", heard.Add(DefaultRefusedDeadAfter))
+	tickTo(core, heard.Add(DefaultRefusedDeadAfter+simulatedStep), heard.Add(DefaultRefusedDeadAfter+2*simulatedStep))
+	expectState(t, core, Dead, false, false)
+}
+
+// TestLeavingMemberMayRefuse lets a leaving member refuse connections, as it
+// does while its last requests end.
+func TestLeavingMemberMayRefuse(t *testing.T) {
+	start := time.UnixMilli(1_790_000_000_000)
+	core, heartbeat := newPair(start)
+	leaving := nextHeartbeat(heartbeat)
+	leaving.Leaving = true
+	core.Step(leaving, start)
+	core.Refused("b:1", start.Add(simulatedStep))
+	tickTo(core, start, start.Add(DefaultDeadAfter-simulatedStep))
+	expectState(t, core, Leaving, false, false)
+	tickTo(core, start.Add(DefaultDeadAfter), start.Add(DefaultDeadAfter))
+	expectState(t, core, Dead, false, false)
+}
+
 // TestIncarnations checks restarts, stale heartbeats and leaving.
 func TestIncarnations(t *testing.T) {
 	now := time.UnixMilli(1_790_000_000_000)
--- a/internal/membership/simulation_test.go
+++ b/internal/membership/simulation_test.go
@@ -157,7 +157,11 @@
 	slices.SortStableFunc(packets, func(a, b packet) int { return a.arrives.Compare(b.arrives) })
 	for _, sent := range packets {
 		receiver := s.at(sent.address)
-		if receiver == nil || s.cuts[link{sent.from, receiver.name}] {
+		if receiver == nil {
+			s.refuse(sent)
+			continue
+		}
+		if s.cuts[link{sent.from, receiver.name}] {
 			continue
 		}
 		if sent.arrives.After(s.now) || !receiver.active(s.now) {
@@ -168,6 +172,15 @@
 	}
 }
 
+// refuse tells the sender that nobody listens at the address.
+func (s *simulation) refuse(sent packet) {
+	for _, node := range s.nodes {
+		if node.name == sent.from && node.active(s.now) {
+			node.core.Refused(sent.address, s.now)
+		}
+	}
+}
+
 // at returns the running node with that address.
 func (s *simulation) at(address string) *simulatedNode {
 	for _, node := range s.nodes {
--- a/internal/wire/link_test.go
+++ b/internal/wire/link_test.go
@@ -106,6 +106,9 @@
 		_, err = client.Do(ctx, address, callRequest(nil, false), nil)
 	}
 	expectOutcome(t, err, ErrNotSent)
+	if !IsRefused(err) {
+		t.Errorf("nobody listens, and the error does not say so: %v", err)
+	}
 	again, err := Listen(address, testOptions("b"), handlerFunc(echo))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,12 @@
 	ErrLinkBroken = errors.New("link broken, outcome unknown")
 )
 
+// IsRefused tells whether a request failed because its address has just refused
+// the connection: the machine is there, and no process listens.
+func IsRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, errRedialDelay)
+}
+
 // Options configure a Client or a Server.
 type Options struct {
 	// Node is the name by which this side introduces itself.
