dispatch: an engine's whole batch may be used from its first report on

Cause: a bundle names engines before they are observed. Their first view had no batch size, so the scheduler's limit of own calls started at its default of 8 and rose by one a report (250 ms). Found by BenchmarkPacedTokens: 260 streams at one engine of 65,536 places moved 781 tokens/s through the owner, where the engine alone moves 5,056. Ruled out: the streams' own cost (the process was idle), waiting at the engine (none reported).

Views without a report are no longer given to the core: neither when a bundle is applied, nor by the queue's look, nor by the operators' status.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -74,7 +73,7 @@
 		}
 		return 1
 	})
-	q.core.SetEngines(q.observedEngines())
+	q.setEngines(q.fleet.Views())
 }
 
 // run refreshes the engines' views and looks at the queue until ctx ends.
@@ -101,15 +100,21 @@
 		return
 	}
 	q.refreshedAt = now
-	q.core.SetEngines(q.observedEngines())
+	q.setEngines(q.fleet.Views())
 	q.advance(now)
 }
 
-// observedEngines leaves out engines of which no report has come yet. The core
-// sets its limit of own calls at an engine by the batch size in the first view
-// that it gets; a view without a report has none.
-func (q *queue) observedEngines() []scheduler.EngineView {
-	return slices.DeleteFunc(q.fleet.Views(), func(view scheduler.EngineView) bool { return view.ObservedAt.IsZero() })
+// setEngines gives the core the newest views, without engines of which no
+// report has come yet: the core sets its limit of own calls at an engine by the
+// batch size in the first view that it gets. The mutex is held.
+func (q *queue) setEngines(views []scheduler.EngineView) {
+	observed := make([]scheduler.EngineView, 0, len(views))
+	for _, view := range views {
+		if !view.ObservedAt.IsZero() {
+			observed = append(observed, view)
+		}
+	}
+	q.core.SetEngines(observed)
 }
 
 // acquire waits for an engine. When ctx ends first the call is withdrawn,
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -22,11 +22,12 @@
 	fleet.members.Store(&map[string]*engineMember{described.Name: member})
 	now := time.Now()
 	q.look(now) // no report yet
+	q.states(fleet.Views())
 
 	fleet.polled(member, backend.Load{Models: described.Models, MaxRunning: batch}, now, nil)
 	q.look(now)
-	states := q.core.EngineStates(now)
-	if len(states) != 1 || states[0].Slots != batch {
-		t.Errorf("after the first report: %+v, want one engine with %d slots", states, batch)
+	states := q.states(fleet.Views())
+	if slots := states[described.Name].Slots; slots != batch {
+		t.Errorf("%d slots after the first report, want %d", slots, batch)
 	}
 }
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -52,7 +52,7 @@
 func (q *queue) states(views []scheduler.EngineView) map[string]scheduler.EngineState {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.core.SetEngines(views)
+	q.setEngines(views)
 	states := make(map[string]scheduler.EngineState, len(views))
 	for _, state := range q.core.EngineStates(time.Now()) {
 		states[state.Name] = state
