--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -16,7 +16,7 @@
 	bundleDutyPeriod  = 2 * time.Second  // of the member that looks for new versions
 	bundleSparePeriod = 10 * time.Second // of the others, should that one fail
 	bundleFirstPeriod = 500 * time.Millisecond
-	machinePeriod     = time.Second
+	machinePeriod     = 5 * time.Second // of the member that reads the list
 	maintainPeriod    = 15 * time.Second
 	scanTurns         = 16 // maintainPeriods in which the table is read through once
 	reconcilePeriod   = 10 * time.Second
@@ -151,7 +151,7 @@
 	turn := rand.IntN(scanTurns)
 	for pauseFor(ctx, jittered(maintainPeriod)) {
 		now := time.Now()
-		n.programs.Sweep(now)
+		n.programs.Sweep(ctx, now)
 		n.programs.EndExpired(ctx, now)
 		for partition := turn; partition < program.Partitions; partition += scanTurns {
 			if !n.lookAfter(ctx, partition) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	peers      *wire.Client
 	peerServer *wire.Server
 	forwards   *forwards
+	seeds      *seeds // of other cells
 
 	faults     *wire.Faults
 	heartbeats membership.Config
@@ -116,6 +117,7 @@
 		decisions:   explain.NewLog(s.Name, decisionLogRecords),
 		faults:      dependencies.Faults,
 		forwards:    newForwards(),
+		seeds:       newSeeds(),
 		heartbeats:  dependencies.Heartbeats,
 		hollow:      dependencies.Hollow,
 	}
@@ -276,7 +278,7 @@
 }
 
 // Drain is a planned stop: peers are told, new work goes elsewhere, programs
-// are given up as they become idle, and every call under way ends in peace.
+// are released as they become idle, and every call under way ends in peace.
 // The callers' endpoint takes requests until the last call that this node
 // owns has ended, and hands them on to other nodes.
 func (n *Node) Drain(ctx context.Context) error {
@@ -296,9 +298,14 @@
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "requests are still under way")
 	}
+	n.programs.ReleaseAll(ctx)
 	if err := n.peerServer.Drain(ctx); err != nil {
 		return errors.Wrap(err, "peers still wait for answers")
 	}
+	if err := n.programs.WaitIdle(ctx); err != nil {
+		return errors.Wrap(err, "calls are still under way")
+	}
+	n.programs.ReleaseAll(ctx)
 	n.logger.Info("drained")
 	return nil
 }
