--- a/cmd/pewtermill-lab/load.go
+++ b/cmd/pewtermill-lab/load.go
@@ -2,8 +2,12 @@
 
 import (
 	"io"
+	"os"
 	"runtime"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/command"
 	"github.com/pewtermill/pewtermill/internal/scheduler"
 	"github.com/pewtermill/pewtermill/internal/simulation"
@@ -22,6 +26,7 @@
 	Programs    int       `help:"Root programs in each run." default:"2000"`
 	Nodes       int       `help:"Nodes that share the engines; 0 means one for each zone." default:"0"`
 	CacheTokens int64     `help:"Cache memory of each engine, in tokens; 0 means the deployment's." default:"0"`
+	Bundle      string    `help:"Bundle from which to take the scheduling weights; empty means the defaults." type:"existingfile" optional:""`
 	Parallel    int       `help:"Runs at the same time; 0 means one for each processor." default:"0"`
 }
 
@@ -62,8 +67,13 @@
 	if l.CacheTokens > 0 {
 		deployment.Engine.CacheTokens = l.CacheTokens
 	}
+	weights, err := l.weights()
+	if err != nil {
+		return nil, err
+	}
 	experiment := &simulation.Experiment{
 		Deployment: deployment,
+		Weights:    weights,
 		Loads:      l.Load,
 		Seeds:      l.Seeds,
 		Programs:   l.Programs,
@@ -78,3 +88,20 @@
 	}
 	return experiment, nil
 }
+
+// weights returns the scheduling weights of the bundle, if one is given. The
+// policy that it names does not count.
+func (l *loadCommand) weights() (bundle.Scheduling, error) {
+	if l.Bundle == "" {
+		return bundle.Scheduling{}, nil
+	}
+	source, err := os.ReadFile(l.Bundle)
+	if err != nil {
+		return bundle.Scheduling{}, errors.Wrap(err, "read bundle")
+	}
+	decoded, err := bundle.Decode(source)
+	if err != nil {
+		return bundle.Scheduling{}, err
+	}
+	return decoded.Scheduling, nil
+}
--- a/internal/simulation/clock.go
+++ b/internal/simulation/clock.go
@@ -35,15 +35,11 @@
 // after schedules an action a while from now.
 func (c *clock) after(delay time.Duration, run func()) { c.at(c.now.Add(delay), run) }
 
-// step runs the next action; false if there is none.
-func (c *clock) step() bool {
-	if len(c.actions) == 0 {
-		return false
-	}
+// step runs the next action; there must be one.
+func (c *clock) step() {
 	next := heap.Pop(&c.actions).(action)
 	c.now = next.at
 	next.run()
-	return true
 }
 
 // actionHeap implements heap.Interface.
--- a/internal/simulation/experiment.go
+++ b/internal/simulation/experiment.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pewtermill/pewtermill/internal/bundle"
@@ -73,6 +74,9 @@
 // Run runs the experiment's cells in parallel. Each cell is deterministic, so
 // the report is too.
 func (x *Experiment) Run() (*Report, error) {
+	if err := x.check(); err != nil {
+		return nil, err
+	}
 	nodes := x.Nodes
 	if nodes <= 0 {
 		nodes = len(x.Deployment.Zones)
@@ -116,6 +120,19 @@
 	return report, nil
 }
 
+// check returns what makes an experiment impossible.
+func (x *Experiment) check() error {
+	if x.Seeds < 1 || x.Programs < 1 || len(x.Loads) == 0 || len(x.Policies) == 0 {
+		return errors.New("an experiment needs at least one seed, program, load and policy")
+	}
+	for _, load := range x.Loads {
+		if load <= 0 {
+			return errors.Newf("load %g is not above zero", load)
+		}
+	}
+	return nil
+}
+
 // saturation returns, for each workload, the programs per second that the
 // fleet completes at most under least_loaded: the greatest throughput with
 // any of saturationConcurrency programs kept going all the time.
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -43,11 +43,18 @@
 	failure    error
 }
 
+// longestRun bounds a run in virtual time: every program should long have
+// ended, as its caller gives up.
+const longestRun = 30 * 24 * time.Hour
+
 // Run simulates until every program has ended or was refused.
 func Run(settings Settings) (*Result, error) {
 	if settings.Nodes <= 0 || len(settings.Workload.Programs) == 0 {
 		return nil, errors.New("a run needs nodes and programs")
 	}
+	if settings.Rate <= 0 && settings.Concurrent <= 0 {
+		return nil, errors.New("a run needs a rate of arrival or a number of programs to keep going")
+	}
 	r := newRun(settings)
 	r.startObservers()
 	if settings.Rate > 0 {
@@ -56,8 +63,9 @@
 		r.startConcurrent()
 	}
 	for r.open > 0 && r.failure == nil {
-		if !r.clock.step() {
-			return nil, errors.Newf("%d programs never ended", r.open)
+		r.clock.step()
+		if r.clock.now.Sub(epoch) > longestRun {
+			return nil, errors.Newf("%d programs had not ended after %s", r.open, longestRun)
 		}
 	}
 	if r.failure != nil {
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -97,7 +97,7 @@
 		if ours.Overall.P95 > theirs.Overall.P95 {
 			t.Errorf("%s: p95 latency %.1f s, of round robin %.1f s", test.deployment.Name, ours.Overall.P95, theirs.Overall.P95)
 		}
-		if ours.WastedCacheShare > theirs.WastedCacheShare/2 {
+		if ours.WastedCacheShare > theirs.WastedCacheShare/4 {
 			t.Errorf("%s: wasted cache share %.3f, of round robin %.3f", test.deployment.Name, ours.WastedCacheShare, theirs.WastedCacheShare)
 		}
 	}
