--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -15,10 +15,14 @@
 const (
 	// digestPatience is how long a node waits for a digest of an engine
 	// before it polls the engine itself: longer than a digest's refresh.
-	digestPatience = observation.RefreshAfter + 2*time.Second
+	digestPatience = observation.RefreshAfter + 3*time.Second
 	// fallbackInterval is the time between a node's own polls of an engine
 	// that another node is to observe.
 	fallbackInterval = time.Second
+	// eventInterval is the time between an observer's polls of cache events.
+	// The scheduler bridges it: what it has just sent to an engine counts as
+	// cached there for some seconds.
+	eventInterval = time.Second
 )
 
 // pollMode is why a node polls an engine.
@@ -42,9 +46,11 @@
 	observed atomic.Bool                        // by this node
 
 	// Guarded by Fleet.mutex.
-	mode     pollMode
-	stop     context.CancelFunc // of the polls under way; nil if none
-	digestAt time.Time          // of the last digest; at first, of the configuration
+	mode pollMode
+	stop context.CancelFunc // of the polls under way; nil if none
+	// digestAt is when the last digest came or, if later, when this node
+	// ceased to observe the engine.
+	digestAt time.Time
 }
 
 func newEngineMember(config bundle.Engine, client *backend.EngineClient) *engineMember {
@@ -81,6 +87,9 @@
 	if member.mode == mode {
 		return
 	}
+	if member.mode == observer {
+		member.digestAt = time.Now()
+	}
 	if member.stop != nil {
 		member.stop()
 		member.stop = nil
@@ -98,11 +107,14 @@
 // poll polls an engine until ctx ends. What the exact index knows of it is
 // then forgotten, as it would go out of date.
 func (f *Fleet) poll(ctx context.Context, member *engineMember, mode pollMode) {
-	options := backend.ObserverOptions{OnPoll: func(load backend.Load, observedAt time.Time, err error) {
-		if ctx.Err() == nil {
-			f.polled(member, load, observedAt, err)
-		}
-	}}
+	options := backend.ObserverOptions{
+		EventInterval: eventInterval,
+		OnPoll: func(load backend.Load, observedAt time.Time, err error) {
+			if ctx.Err() == nil {
+				f.polled(member, load, observedAt, err)
+			}
+		},
+	}
 	index := f.index
 	if mode == fallback {
 		options.Interval = fallbackInterval
@@ -114,13 +126,22 @@
 	}
 }
 
+// store takes over a newer report.
+func (f *Fleet) store(member *engineMember, next observation.Report) {
+	before := member.report.Swap(&next)
+	if before.ObservedAt.IsZero() || next.Load.Leaving && !before.Load.Leaving {
+		f.urgent.Store(true)
+	}
+	f.served.Report(member.config.Name, next)
+}
+
 // polled takes over the outcome of a poll.
 func (f *Fleet) polled(member *engineMember, load backend.Load, observedAt time.Time, err error) {
 	before := member.report.Load()
 	if observedAt.IsZero() {
 		load, observedAt = before.Load, before.ObservedAt
 	}
-	next := &observation.Report{
+	next := observation.Report{
 		Load:        load,
 		ObservedAt:  observedAt,
 		Reachable:   err == nil,
@@ -129,13 +150,17 @@
 	if member.observed.Load() {
 		next.CacheEvents = f.index.Sequence(member.config.Name)
 	}
-	member.report.Store(next)
-	f.served.Report(member.config.Name, *next)
-	if before.ObservedAt.IsZero() != observedAt.IsZero() || load.Leaving && !before.Load.Leaving {
+	f.store(member, next)
+	if member.observed.Load() && isNews(before, next) {
 		f.alert()
 	}
 }
 
+// isNews says whether peers should hear of a report at once.
+func isNews(before *observation.Report, next observation.Report) bool {
+	return before.ObservedAt.IsZero() && !next.ObservedAt.IsZero() || next.Load.Leaving && !before.Load.Leaving
+}
+
 // alert lets peers hear at once of an engine that leaves, or that this node
 // has just begun to observe.
 func (f *Fleet) alert() {
@@ -206,6 +231,7 @@
 	name := member.config.Name
 	if digest.GetAlert() {
 		f.told[name] = now
+		f.urgent.Store(true)
 		return
 	}
 	if member.mode == observer {
@@ -220,6 +246,5 @@
 	if report.ObservedAt.Before(before.ObservedAt) && member.mode == fallback {
 		return
 	}
-	member.report.Store(&report)
-	f.served.Report(name, report)
+	f.store(member, report)
 }
--- /dev/null
+++ b/internal/dispatch/queue_test.go
@@ -0,0 +1,32 @@
+package dispatch
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/explain"
+)
+
+// An engine's whole batch may be used as soon as its first report is there,
+// although its bundle came into force before.
+func TestFirstReportOpensTheWholeBatch(t *testing.T) {
+	const batch = 100
+	options := Options{Node: "node", Cell: "dev", Recorder: explain.NewLog("node", 1), Client: &http.Client{Transport: &loadTransport{}}}
+	fleet := newFleet(options)
+	q := newQueue(options, fleet)
+	described := bundle.Engine{Name: "engine", URL: "http://engine.invalid", Zone: "zone", Cell: "dev", Models: []string{"small"}}
+	member := newEngineMember(described, backend.NewEngineClient(described.URL, options.Client))
+	fleet.members.Store(&map[string]*engineMember{described.Name: member})
+	now := time.Now()
+	q.look(now) // no report yet
+
+	fleet.polled(member, backend.Load{Models: described.Models, MaxRunning: batch}, now, nil)
+	q.look(now)
+	states := q.core.EngineStates(now)
+	if len(states) != 1 || states[0].Slots != batch {
+		t.Errorf("after the first report: %+v, want one engine with %d slots", states, batch)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,12 @@
 	BodyTimeout          time.Duration         // to receive a body; default 30 s
 }
 
+// Routes whose refusals speak of a call.
+const (
+	routeExecuteCall = "execute_call"
+	routeGetCall     = "get_call"
+)
+
 const (
 	defaultMaxInFlightPerTenant = 4096
 	tenantLimitDelay            = time.Second
@@ -95,8 +101,8 @@
 	mux.Handle("POST /v1/programs", g.handle("create_program", g.authenticated(g.createProgram)))
 	mux.Handle("GET /v1/programs/{program}", g.handle("get_program", g.authenticated(g.getProgram)))
 	mux.Handle("DELETE /v1/programs/{program}", g.handle("end_program", g.authenticated(g.endProgram)))
-	mux.Handle("PUT /v1/programs/{program}/calls/{sequence}", g.handle("execute_call", g.authenticated(g.executeCall)))
-	mux.Handle("GET /v1/programs/{program}/calls/{sequence}", g.handle("get_call", g.authenticated(g.getCall)))
+	mux.Handle("PUT /v1/programs/{program}/calls/{sequence}", g.handle(routeExecuteCall, g.authenticated(g.executeCall)))
+	mux.Handle("GET /v1/programs/{program}/calls/{sequence}", g.handle(routeGetCall, g.authenticated(g.getCall)))
 
 	mux.Handle("/v1/programs", g.handle("other", methodNotAllowed("POST")))
 	mux.Handle("/v1/programs/{program}", g.handle("other", methodNotAllowed("GET, DELETE")))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	peers      *wire.Client
 	peerServer *wire.Server
 	forwards   *forwards
+	seeds      *seeds // of other cells
 
 	faults     *wire.Faults
 	heartbeats membership.Config
@@ -91,7 +92,7 @@
 
 	leaving  atomic.Bool
 	serving  atomic.Int64    // requests of peers about programs
-	fetching atomic.Bool     // a bundle is being fetched from a peer
+	fetching atomic.Bool     // a bundle is being fetched
 	ctx      context.Context // ends with Close
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
@@ -116,6 +117,7 @@
 		decisions:   explain.NewLog(s.Name, decisionLogRecords),
 		faults:      dependencies.Faults,
 		forwards:    newForwards(),
+		seeds:       newSeeds(),
 		heartbeats:  dependencies.Heartbeats,
 		hollow:      dependencies.Hollow,
 	}
@@ -210,7 +212,7 @@
 		return errors.Wrap(err, "operator address")
 	}
 	callers := gateway.New(&router{n}, n.keeper.InForce, gateway.Options{Logger: n.logger, Registerer: n.registry})
-	operators := operator.New(&operatorService{n}, n.keeper.InForce, n.registry)
+	operators := operator.New(&operatorService{n}, n.keeper.InForce, n.registry, operator.WithLogger(n.logger))
 	n.callerServer = n.serve(n.callerListener, callers)
 	n.operatorServer = n.serve(n.operatorListener, operators)
 	return nil
@@ -258,18 +260,25 @@
 // InForce returns the bundle in force on this node, nil before any.
 func (n *Node) InForce() *bundle.Snapshot { return n.keeper.InForce() }
 
+// engineGrace is how long after its start a node that has observed no engine
+// yet is not ready. After it the node is ready for what needs none.
+const engineGrace = 5 * time.Second
+
 // Ready reports whether the node takes new work: it has a bundle at least as
-// new as its peers', and it is not leaving.
+// new as its peers', it has observed an engine, and it is not leaving.
 func (n *Node) Ready() bool {
 	snapshot := n.keeper.InForce()
 	if snapshot == nil || n.leaving.Load() {
 		return false
 	}
-	return snapshot.Version() >= n.members.newestBundle()
+	if snapshot.Version() < n.members.newestBundle() {
+		return false
+	}
+	return n.dispatcher.Fleet().Ready() || time.Since(n.startedAt) >= engineGrace
 }
 
 // Drain is a planned stop: peers are told, new work goes elsewhere, programs
-// are given up as they become idle, and every call under way ends in peace.
+// are released as they become idle, and every call under way ends in peace.
 // The callers' endpoint takes requests until the last call that this node
 // owns has ended, and hands them on to other nodes.
 func (n *Node) Drain(ctx context.Context) error {
@@ -289,9 +298,14 @@
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "requests are still under way")
 	}
+	n.programs.ReleaseAll(ctx)
 	if err := n.peerServer.Drain(ctx); err != nil {
 		return errors.Wrap(err, "peers still wait for answers")
 	}
+	if err := n.programs.WaitIdle(ctx); err != nil {
+		return errors.Wrap(err, "calls are still under way")
+	}
+	n.programs.ReleaseAll(ctx)
 	n.logger.Info("drained")
 	return nil
 }
--- a/internal/ownership/call.go
+++ b/internal/ownership/call.go
@@ -47,15 +47,18 @@
 		case step.replay:
 			return p.replay(ctx, e, sequence, digest, onPart)
 		}
-		if confirmed := p.confirm(ctx, e); !confirmed {
-			continue
-		}
-		if step.refusal != nil {
-			return api.CallResult{}, p.refuse(step.header, sequence, request.Target, step.refusal)
+		standing := p.confirm(ctx, e)
+		if standing != standingLost && step.refusal == nil {
+			if waitForChange(ctx, step.changed) {
+				continue
+			}
+			step.refusal = api.Errorf(api.DeadlineExceeded, "call %d waits for an earlier one", sequence).After(movingRetryAfter)
+			standing = p.confirm(ctx, e)
 		}
-		if !waitForChange(ctx, step.changed) {
-			return api.CallResult{}, api.Errorf(api.DeadlineExceeded, "call %d waits for an earlier one", sequence).After(movingRetryAfter)
+		if standing == standingLost {
+			continue
 		}
+		return api.CallResult{}, p.refuse(step.header, sequence, request.Target, vouch(step.refusal, standing))
 	}
 }
 
@@ -119,10 +122,13 @@
 		if sequence-e.header.NextSequence > plan.maxAhead {
 			return step{header: e.header, refusal: gapError(e.header, sequence)}, nil
 		}
-		return step{changed: e.changed}, nil
+		if e.flight != nil && e.flight.isParked() {
+			return refusedStep(e.header, sequence, behindUnrecorded(sequence, e.flight.sequence)), nil
+		}
+		return step{header: e.header, changed: e.changed}, nil
 	}
 	if e.flight != nil {
-		return step{changed: e.changed}, nil
+		return step{header: e.header, changed: e.changed}, nil
 	}
 	return step{flight: p.start(e, plan, request, digest, arrived)}, nil
 }
@@ -131,11 +137,27 @@
 // may have run under a former owner is not said to be not run.
 func refusedStep(header program.Header, sequence int64, refusal *api.Error) step {
 	if header.MayHaveRun(sequence) {
-		refusal.Execution = api.Unknown
+		refusal = mayHaveRun(refusal)
 	}
 	return step{header: header, refusal: refusal}
 }
 
+// mayHaveRun returns a refusal that leaves open whether the call ran.
+func mayHaveRun(refusal *api.Error) *api.Error {
+	unknown := *refusal
+	unknown.Execution = api.Unknown
+	return &unknown
+}
+
+// vouch weakens a refusal by an owner that could not confirm that it is one:
+// another node may have run the call for an earlier request.
+func vouch(refusal *api.Error, known standing) *api.Error {
+	if known == standingOwner || refusal.Execution != api.NotRun {
+		return refusal
+	}
+	return refusal.Here()
+}
+
 // closedChannel makes a waiter look again at once.
 var closedChannel = func() chan struct{} {
 	channel := make(chan struct{})
@@ -151,6 +173,12 @@
 	return api.Errorf(api.SequenceGap, "call %d is too far ahead of %d, which is next", sequence, header.NextSequence).After(movingRetryAfter)
 }
 
+// behindUnrecorded refuses a call whose predecessor ran and cannot be recorded
+// while the table service is down: nobody can say how long that lasts.
+func behindUnrecorded(sequence, earlier int64) *api.Error {
+	return api.Errorf(api.StoreDown, "call %d waits for call %d, whose result cannot be recorded now", sequence, earlier).After(storeRetryAfter)
+}
+
 // refuse records a refusal and returns it.
 func (p *Programs) refuse(header program.Header, sequence int64, target string, refusal *api.Error) *api.Error {
 	p.record(header, explain.Decision{
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/platform"
@@ -28,7 +31,7 @@
 		return api.Program{}, err
 	}
 	if err := parent.lock(ctx); err != nil {
-		return api.Program{}, api.Errorf(api.OwnerMoving, "the parent's row stayed busy").After(movingRetryAfter)
+		return api.Program{}, moving("the parent's row stayed busy")
 	}
 	defer parent.unlock()
 	header, owned := parent.snapshot()
@@ -36,7 +39,7 @@
 		return p.Get(ctx, tenant, childID)
 	}
 	if !owned {
-		return api.Program{}, api.Errorf(api.OwnerMoving, "the parent moved meanwhile").After(movingRetryAfter)
+		return api.Program{}, moving("the parent moved meanwhile")
 	}
 	if err := authorize(header, tenant); err != nil {
 		return api.Program{}, err
@@ -133,7 +136,7 @@
 	defer e.unlock()
 	header, owned := e.snapshot()
 	if !owned {
-		return api.Errorf(api.OwnerMoving, "the program moved meanwhile").After(movingRetryAfter)
+		return moving("the program moved meanwhile")
 	}
 	if header.Status == api.ProgramClosed {
 		return nil
@@ -149,7 +152,7 @@
 		return err
 	}
 	if err := parent.lock(ctx); err != nil {
-		return api.Errorf(api.OwnerMoving, "the parent's row stayed busy").After(movingRetryAfter)
+		return moving("the parent's row stayed busy")
 	}
 	defer parent.unlock()
 	if err := p.quiesce(ctx, e); err != nil {
@@ -159,7 +162,7 @@
 	parentHeader, parentOwned := parent.snapshot()
 	header, owned := e.snapshot()
 	if !owned || !parentOwned {
-		return api.Errorf(api.OwnerMoving, "the program moved meanwhile").After(movingRetryAfter)
+		return moving("the program moved meanwhile")
 	}
 	if header.Status == api.ProgramClosed {
 		return nil
@@ -197,8 +200,9 @@
 
 // Bounds of releasing what engines hold for an ended program.
 const (
-	releaseTimeout = 30 * time.Second
-	releasePause   = time.Second
+	releaseTimeout     = 30 * time.Second
+	releasePause       = time.Second
+	holdReleasesAtOnce = 8
 )
 
 // releaseHolds frees engine memory of an ended program in the background, and
@@ -213,7 +217,7 @@
 		if !owned || header.Status != api.ProgramClosed {
 			return
 		}
-		held := header.Holds
+		held := p.mayHold(header)
 		for {
 			if held = p.releaseAt(ctx, e.id, held); len(held) == 0 {
 				p.clearHolds(ctx, e)
@@ -227,16 +231,35 @@
 	}()
 }
 
-// releaseAt asks each engine once and returns those that failed.
+// mayHold returns the engines that may hold something for the program: those
+// recorded, or all where an owner died that may have dispatched a call.
+func (p *Programs) mayHold(header program.Header) []string {
+	if header.AttemptedSequence == 0 {
+		return header.Holds
+	}
+	return p.Executor.Engines()
+}
+
+// releaseAt asks each engine once, some at a time, and returns those that
+// failed.
 func (p *Programs) releaseAt(ctx context.Context, id string, engines []string) []string {
+	var mutex sync.Mutex
 	var failed []string
+	var group errgroup.Group
+	group.SetLimit(holdReleasesAtOnce)
 	for _, engine := range engines {
-		limited, cancel := context.WithTimeout(ctx, storePatience)
-		if err := p.Executor.Release(limited, engine, id); err != nil {
-			failed = append(failed, engine)
-		}
-		cancel()
+		group.Go(func() error {
+			limited, cancel := context.WithTimeout(ctx, storePatience)
+			defer cancel()
+			if err := p.Executor.Release(limited, engine, id); err != nil {
+				mutex.Lock()
+				defer mutex.Unlock()
+				failed = append(failed, engine)
+			}
+			return nil
+		})
 	}
+	_ = group.Wait() // its functions return no error
 	return failed
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,7 +11,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,18 +40,18 @@
 	InForce func() *bundle.Snapshot
 	// Demand returns the demand on the whole cell, and whether every member
 	// that may be serving has told its part.
-	Demand   func(ctx context.Context) ([]modelplan.Demand, bool)
+	Demand func(ctx context.Context) ([]modelplan.Demand, bool)
+	// Leaving says whether an engine is known to leave, beside what it reports.
+	Leaving  func(engine string) bool
 	Recorder explain.Recorder
 	Logger   *slog.Logger
 	Client   *http.Client  // for engines; nil takes a pooled one
 	Period   time.Duration // zero means DefaultPeriod
 }
 
-// Planner plans while this node is named. Run and Tick must not be called
-// concurrently; SetLeaving is safe for concurrent use.
+// Planner plans while this node is named. It is not safe for concurrent use.
 type Planner struct {
 	options Options
-	leaving atomic.Pointer[map[string]bool]
 	engines map[string]*engine // by name
 
 	plan     *modelplan.Planner // nil while this node has no epoch
@@ -68,14 +67,9 @@
 	if options.Period <= 0 {
 		options.Period = DefaultPeriod
 	}
-	p := &Planner{options: options, engines: map[string]*engine{}}
-	p.SetLeaving(nil)
-	return p
+	return &Planner{options: options, engines: map[string]*engine{}}
 }
 
-// SetLeaving takes over which engines the machine list says are leaving.
-func (p *Planner) SetLeaving(engines map[string]bool) { p.leaving.Store(&engines) }
-
 // Run plans until ctx ends.
 func (p *Planner) Run(ctx context.Context) {
 	for {
