--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -12,12 +12,11 @@
 
 // node is one simulated node with the real scheduler core.
 type node struct {
-	run      *run
-	name     string
-	zone     string
-	core     *scheduler.Core
-	calls    map[string]*call // queued here, by id
-	retainer *scheduler.Retainer
+	run   *run
+	name  string
+	zone  string
+	core  *scheduler.Core
+	calls map[string]*call // queued here, by id
 }
 
 // call is one model call of a program.
@@ -34,7 +33,6 @@
 // submit queues a call.
 func (n *node) submit(c *call) {
 	now := n.run.clock.now
-	n.retainer.Return(c.program.id, now)
 	if refusal := n.core.Submit(n.schedulerCall(c), now); refusal != nil {
 		c.program.refused(refusal.Error)
 		return
@@ -84,28 +82,6 @@
 	}
 }
 
-// pause lets the retainer decide about a program that has got an answer.
-func (n *node) pause(p *program, e *simulatedEngine, c *call) {
-	n.retain(n.retainer.Pause(scheduler.PauseStart{
-		Program: p.id,
-		Tenant:  p.shape.Tenant,
-		Class:   p.shape.Class,
-		Engine:  e.name,
-		Blocks:  c.prompt.blocks,
-		Tokens:  c.final.tokens,
-		Worth:   p.class.Worth,
-	}, e.report, n.run.clock.now))
-}
-
-// retain carries a decision about a paused program's cache out.
-func (n *node) retain(decision scheduler.RetentionDecision) {
-	if decision.Action != scheduler.Drop {
-		return
-	}
-	e := n.run.engines[decision.Engine]
-	n.run.clock.after(n.run.delay(n.zone, e.zone), func() { e.release(decision.Program) })
-}
-
 // finish takes a call's answer from an engine.
 func (n *node) finish(e *simulatedEngine, c *call) {
 	now := n.run.clock.now
@@ -123,8 +99,5 @@
 // tick takes the newest reports and moves the queue.
 func (n *node) tick() {
 	n.core.SetEngines(n.run.views())
-	for _, decision := range n.retainer.Review(n.run.views(), n.run.clock.now) {
-		n.retain(decision)
-	}
 	n.advance()
 }
--- a/internal/simulation/program.go
+++ b/internal/simulation/program.go
@@ -121,7 +121,6 @@
 		p.end()
 		return
 	}
-	p.node.pause(p, e, c)
 	p.awaited = 1 + len(turn.Children)
 	p.run.clock.after(turn.Pause, p.proceed)
 	for _, child := range turn.Children {
@@ -153,7 +152,6 @@
 // end frees the program's cache and tells whoever waits for it. A parent
 // goes on without a sub-agent that was refused, but counts as refused itself.
 func (p *program) end() {
-	p.node.retainer.End(p.id)
 	for _, e := range p.holds {
 		p.run.clock.after(p.run.delay(p.node.zone, e.zone), func() { e.release(p.id) })
 	}
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -122,7 +122,7 @@
 		}
 		return 1
 	})
-	return &node{run: r, name: name, zone: zone, core: core, calls: make(map[string]*call), retainer: scheduler.NewRetainer()}
+	return &node{run: r, name: name, zone: zone, core: core, calls: make(map[string]*call)}
 }
 
 // startObservers begins the reports of engines and the ticks of nodes, each
