--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,10 +39,11 @@
 // Dispatcher implements ownership.Executor. Safe for concurrent use.
 type Dispatcher struct {
 	Options
-	fleet  *Fleet
-	queue  *queue
-	tools  *tools
-	demand *demandMeter
+	fleet     *Fleet
+	queue     *queue
+	tools     *tools
+	demand    *demandMeter
+	retention *retention
 }
 
 // New returns a Dispatcher without engines; Apply gives it the bundle's.
@@ -54,6 +55,7 @@
 	d.fleet = newFleet(options)
 	d.queue = newQueue(options, d.fleet)
 	d.tools = newTools(options)
+	d.retention = newRetention(options, d.fleet)
 	return d
 }
 
@@ -65,10 +67,12 @@
 	d.fleet.apply(snapshot)
 	d.tools.apply(snapshot)
 	d.queue.apply(snapshot)
+	d.retention.apply(snapshot)
 }
 
 // Run observes engines and moves the queue until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) {
+	go d.retention.run(ctx)
 	d.queue.run(ctx)
 	d.fleet.close()
 }
@@ -76,6 +80,7 @@
 // Execute implements ownership.Executor.
 func (d *Dispatcher) Execute(ctx context.Context, work ownership.Work, onText func(offset int64, text string)) ownership.Outcome {
 	if work.Request.Kind == api.KindTool {
+		d.retention.callsTool(ctx, work)
 		return d.tools.execute(ctx, work, d.record)
 	}
 	return d.executeModel(ctx, work, onText)
@@ -86,9 +91,10 @@
 	return d.tools.lookup(ctx, tool, key)
 }
 
-// Release implements ownership.Executor. An engine that the bundle no longer
+// Release implements ownership.Executor: the program has ended. An engine that the bundle no longer
 // names holds nothing that matters.
 func (d *Dispatcher) Release(ctx context.Context, engine, program string) error {
+	d.retention.ended(program)
 	member, ok := d.fleet.engine(engine)
 	if !ok {
 		return nil
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -24,6 +24,7 @@
 // executeModel places a model call and streams it, at another engine if the
 // first did not run it, or if it may run twice.
 func (d *Dispatcher) executeModel(ctx context.Context, work ownership.Work, onText func(offset int64, text string)) ownership.Outcome {
+	d.retention.returned(work.Header.ID)
 	call := d.schedulerCall(work)
 	lost := false // an earlier attempt may have run
 	for attempt := 1; ; attempt++ {
@@ -36,6 +37,7 @@
 		result, err := d.chat(ctx, work, assignment, onText)
 		d.demand.note((*modelplan.Meter).Ended, call.Model)
 		if err == nil {
+			d.retention.paused(ctx, work, call, assignment.Engine, result)
 			return ownership.Outcome{
 				Code:    api.OK,
 				Text:    result.Text,
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -55,12 +55,7 @@
 	}
 	q.core.SetWeights(policy, weights, snapshot.Version())
 	q.core.SetDistances(snapshot.DistanceMillis)
-	q.core.SetClass(func(name string) float64 {
-		if class, ok := snapshot.Class(name); ok {
-			return class.Worth
-		}
-		return 1
-	})
+	q.core.SetClass(func(name string) float64 { return classWorth(snapshot, name) })
 	q.core.SetTenantWeight(func(name string) float64 {
 		if tenant, ok := snapshot.Tenant(name); ok && tenant.Weight > 0 {
 			return tenant.Weight
--- a/internal/scheduler/retainer.go
+++ b/internal/scheduler/retainer.go
@@ -18,14 +18,15 @@
 
 // PauseStart is a program that has got an answer, and may come back.
 type PauseStart struct {
-	Program string
-	Tenant  string
-	Class   string
-	Epoch   uint64
-	Engine  string   // that has its cache
-	Blocks  []uint64 // of the prompt
-	Tokens  int64    // of prompt and answer
-	Worth   float64  // of the class
+	Program  string
+	Sequence int64 // of the call that was answered
+	Tenant   string
+	Class    string
+	Epoch    uint64
+	Engine   string   // that has its cache
+	Blocks   []uint64 // of the prompt
+	Tokens   int64    // of prompt and answer
+	Worth    float64  // of the class
 }
 
 // RetentionDecision is what to do with one paused program's cache.
--- a/internal/simulation/experiment.go
+++ b/internal/simulation/experiment.go
@@ -18,7 +18,8 @@
 	Programs   int       // root programs of one run
 	Nodes      int       // 0 means one per zone
 	Weights    bundle.Scheduling
-	Parallel   int // runs at the same time
+	Retention  bundle.Retention // under program_aware; others keep all caches
+	Parallel   int              // runs at the same time
 }
 
 // Report is the outcome of an Experiment.
@@ -152,7 +153,15 @@
 		Deployment: x.Deployment,
 		Policy:     policy,
 		Weights:    x.Weights,
+		Retention:  x.retention(policy),
 		Nodes:      nodes,
 		Workload:   workload,
 	}
 }
+
+func (x *Experiment) retention(policy scheduler.PolicyName) bundle.Retention {
+	if policy != scheduler.ProgramAware {
+		return bundle.Retention{Disabled: true}
+	}
+	return x.Retention
+}
--- a/internal/simulation/measure.go
+++ b/internal/simulation/measure.go
@@ -32,6 +32,7 @@
 	wastedTokens int64
 	calls        int64 // attempts submitted to schedulers
 	answered     int64
+	drops        int64 // caches that were dropped over a pause
 	callRefusals int64
 	lastArrival  time.Time
 	ends         []time.Time // of root programs, in order
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -17,6 +17,8 @@
 	zone  string
 	core  *scheduler.Core
 	calls map[string]*call // queued here, by id
+
+	retainer *scheduler.Retainer
 }
 
 // call is one model call of a program.
@@ -92,6 +94,7 @@
 		CachedTokens: c.cachedTokens,
 		PromptTokens: c.prompt.tokens,
 	}, now)
+	n.pause(e, c)
 	c.program.answered(e, c)
 	n.advance()
 }
--- a/internal/simulation/result.go
+++ b/internal/simulation/result.go
@@ -30,6 +30,8 @@
 	WastedCacheShare float64 `json:"wasted_cache_share"`
 	// CachedShare is the prompt tokens found cached over all prompt tokens.
 	CachedShare float64 `json:"cached_share"`
+	// CachesDropped is how many caches were dropped over a pause.
+	CachesDropped int64 `json:"caches_dropped,omitempty"`
 	// WorthCompletedShare and WorthInTimeShare are the worth of the programs
 	// that completed, and that completed before their deadline, over the
 	// worth of all.
@@ -81,6 +83,7 @@
 		Added:             latencyOf(m.added),
 		WastedCacheShare:  ratio(float64(m.wastedTokens), float64(m.promptTokens)),
 		CachedShare:       ratio(float64(m.cachedTokens), float64(m.promptTokens)),
+		CachesDropped:     m.drops,
 		Fairness:          m.fairness(),
 		ProgramsPerSecond: m.programsPerSecond(),
 		VirtualSeconds:    r.clock.now.Sub(epoch).Seconds(),
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -19,6 +19,7 @@
 	Weights    bundle.Scheduling
 	Nodes      int
 	Workload   *Workload // shared between runs; a Run does not change it
+	Retention  bundle.Retention
 
 	// Rate is the mean arrivals of root programs per second of virtual time.
 	// If it is zero, Concurrent programs are kept going instead: each end
@@ -114,7 +115,9 @@
 		}
 		return 1
 	})
-	return &node{run: r, name: name, zone: zone, core: core, calls: make(map[string]*call)}
+	retainer := scheduler.NewRetainer()
+	retainer.SetRetention(r.settings.Retention)
+	return &node{run: r, name: name, zone: zone, core: core, calls: make(map[string]*call), retainer: retainer}
 }
 
 // startObservers begins the reports of engines and the ticks of nodes, each
@@ -127,6 +130,7 @@
 	for i, n := range r.nodes {
 		r.clock.after(reportLag, n.tick)
 		r.every(tickInterval, reportLag+offset(i, len(r.nodes)), n.tick)
+		r.every(reviewInterval, reviewInterval+offset(i, len(r.nodes)), n.review)
 	}
 }
 
