--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/observation"
@@ -35,6 +34,7 @@
 	index   *backend.Index      // exact, of engines that this node observes
 	served  *observation.Served // of the others, from own calls
 	members atomic.Pointer[map[string]*engineMember]
+	urgent  atomic.Bool // an engine began to leave, or was first observed, since the views were last used
 
 	holds holdCheck
 
@@ -138,6 +138,7 @@
 	now := time.Now()
 	isNew := !f.knowsLeaving(name, now)
 	f.refused[name] = now
+	f.urgent.Store(true)
 	f.mutex.Unlock()
 	if isNew {
 		f.alert()
@@ -149,6 +150,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.listed = leaving
+	if len(leaving) > 0 {
+		f.urgent.Store(true)
+	}
 }
 
 // knowsLeaving says whether this node knows by itself, other than by polling
@@ -157,10 +161,9 @@
 	return f.listed[name] || within(f.refused, name, now)
 }
 
-// isLeaving says whether any source says that the engine leaves.
+// isLeaving says whether any source says that the engine leaves. It needs
+// f.mutex.
 func (f *Fleet) isLeaving(name string, load backend.Load, now time.Time) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
 	return load.Leaving || f.knowsLeaving(name, now) || within(f.told, name, now)
 }
 
@@ -178,6 +181,8 @@
 func (f *Fleet) Views() []scheduler.EngineView {
 	now := time.Now()
 	members := *f.members.Load()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	views := make([]scheduler.EngineView, 0, len(members))
 	for name, member := range members {
 		report := member.report.Load()
@@ -201,30 +206,6 @@
 	return views
 }
 
-// Status returns the engines as operators see them.
-func (f *Fleet) Status() []api.EngineStatus {
-	views := f.Views()
-	statuses := make([]api.EngineStatus, 0, len(views))
-	for _, view := range views {
-		state := "ready"
-		switch {
-		case view.Leaving:
-			state = "leaving"
-		case !view.Ready:
-			state = "unreachable"
-		}
-		statuses = append(statuses, api.EngineStatus{
-			Name:    view.Name,
-			Zone:    view.Zone,
-			State:   state,
-			Models:  view.Models,
-			Running: view.Running,
-			Waiting: view.Waiting,
-		})
-	}
-	return statuses
-}
-
 // attained estimates the engine time that a program's tokens have taken.
 func (f *Fleet) attained(tokens int64) time.Duration {
 	return time.Duration(float64(tokens) / fallbackPrefillRate * float64(time.Second))
