dispatch: caches over pauses, kept unless the bundle sets a cost of memory

After each model call the owner's node weighs keeping the program's engine cache against dropping it, by the pause that it has learnt to expect for the class and, once a tool is called, for that tool; by the rebuild, the engine's memory, the worth of the class and what other programs share. Every 5 s it decides again about pauses that last. Decisions are recorded (kind "retained"); a drop is a release at the engine. Offload stays out: the wire format carries no cache, and a node has no memory for it.

The simulator runs the same Retainer.

--- a/cmd/pewtermill-lab/load.go
+++ b/cmd/pewtermill-lab/load.go
@@ -23,8 +23,7 @@
 	Programs    int       `help:"Root programs in each run." default:"2000"`
 	Nodes       int       `help:"Nodes that share the engines; 0 means one for each zone." default:"0"`
 	CacheTokens int64     `help:"Cache memory of each engine, in tokens; 0 means the deployment's." default:"0"`
-	KeepCaches  bool      `help:"Under program_aware, keep the cache of every program that pauses."`
-	HoldCost    float64   `help:"Weight of the memory that a paused program's cache takes; 0 means the default." default:"0"`
+	HoldCost    float64   `help:"Under program_aware, cost of the memory that a paused program's cache takes; 0 keeps every cache." default:"0"`
 	Parallel    int       `help:"Runs at the same time; 0 means one for each processor." default:"0"`
 }
 
@@ -71,7 +70,7 @@
 		Seeds:      l.Seeds,
 		Programs:   l.Programs,
 		Nodes:      l.Nodes,
-		Retention:  bundle.Retention{Disabled: l.KeepCaches, HoldCost: l.HoldCost},
+		Retention:  bundle.Retention{HoldCost: l.HoldCost},
 		Parallel:   l.Parallel,
 	}
 	if experiment.Parallel <= 0 {
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -165,12 +165,10 @@
 }
 
 // Retention sets what becomes of a program's cache while the program pauses
-// between two model calls. Zero means the default that internal/scheduler
-// documents.
+// between two model calls.
 type Retention struct {
-	Disabled    bool    `json:"disabled,omitempty" yaml:"disabled"`         // cache is always kept
-	HoldCost    float64 `json:"hold_cost,omitempty" yaml:"hold_cost"`       // of one second of memory, per second to rebuild
-	LowPressure float64 `json:"low_pressure,omitempty" yaml:"low_pressure"` // share of memory in use up to which all is kept
+	HoldCost    float64 `json:"hold_cost,omitempty" yaml:"hold_cost"`       // of one second of memory, per second to rebuild; 0 = caches are always kept
+	LowPressure float64 `json:"low_pressure,omitempty" yaml:"low_pressure"` // share of memory in use up to which all is kept; 0 = scheduler.DefaultLowPressure
 }
 
 // Limits bounds what callers may send and how long things are kept. Zero
--- a/internal/dispatch/retention.go
+++ b/internal/dispatch/retention.go
@@ -78,8 +78,11 @@
 	view := r.fleet.cacheView(engine)
 	r.mutex.Lock()
 	decision := r.retainer.Pause(start, view, time.Now())
+	weighed := r.retainer.Weighs()
 	r.mutex.Unlock()
-	r.carryOut(ctx, decision)
+	if weighed {
+		r.carryOut(ctx, decision)
+	}
 }
 
 // callsTool notes the tool that a paused program calls.
--- a/internal/scheduler/retainer.go
+++ b/internal/scheduler/retainer.go
@@ -71,6 +71,10 @@
 // SetRetention takes the settings of a bundle.
 func (r *Retainer) SetRetention(settings bundle.Retention) { r.settings = settings }
 
+// Weighs says whether there is anything to weigh: without a cost of memory all
+// caches are kept. Pauses are learnt all the same.
+func (r *Retainer) Weighs() bool { return r.settings.HoldCost > 0 }
+
 // Pause begins a pause and decides what to do. View is of the program's
 // engine.
 func (r *Retainer) Pause(start PauseStart, view EngineView, now time.Time) RetentionDecision {
@@ -155,9 +159,9 @@
 func (r *Retainer) decide(paused *pausedProgram, view *EngineView, now time.Time) RetentionDecision {
 	kind := pauseKind{class: paused.Class, next: paused.next}
 	decided := RetentionDecision{PauseStart: paused.PauseStart}
-	if r.settings.Disabled {
+	if !r.Weighs() {
 		decided.Action = Keep
-		decided.Reason = "keep: the bundle turns retention off"
+		decided.Reason = "keep: the bundle sets no cost of memory"
 		return decided
 	}
 	decided.Retention = DecideRetention(Pause{
--- a/internal/scheduler/retention.go
+++ b/internal/scheduler/retention.go
@@ -17,9 +17,6 @@
 
 // Defaults of Retention.
 const (
-	// DefaultHoldCost is the worth of one second of engine memory, at full
-	// pressure, for the cache that takes one second to rebuild.
-	DefaultHoldCost = 0.05
 	// DefaultOffloadShare is the time to export and import cache, as a share
 	// of the time to rebuild it.
 	DefaultOffloadShare = 0.2
@@ -40,7 +37,7 @@
 	MemoryPressure      float64 // share of the engine's cache memory in use, 0 to 1
 	Worth               float64 // of the program's class; 1 is usual
 	CanOffload          bool    // the engine exports and imports cache
-	HoldCost            float64 // 0 = DefaultHoldCost
+	HoldCost            float64 // of one second of memory at full pressure, for what takes one second to rebuild
 	LowPressure         float64 // 0 = DefaultLowPressure
 }
 
@@ -71,7 +68,7 @@
 	scarcity := min(1, max(0, (pause.MemoryPressure-lowPressure)/(1-lowPressure)))
 
 	decision := Retention{
-		KeepCost:    valueOr(pause.HoldCost, DefaultHoldCost) * rebuild * max(0, pause.Expected.Seconds()) * scarcity,
+		KeepCost:    pause.HoldCost * rebuild * max(0, pause.Expected.Seconds()) * scarcity,
 		OffloadCost: DefaultOffloadShare * rebuild * (1 + chance*worth),
 		DropCost:    rebuild * chance * worth,
 	}
--- a/internal/scheduler/retention_test.go
+++ b/internal/scheduler/retention_test.go
@@ -12,7 +12,7 @@
 func TestRetentionTakesTheCheapest(t *testing.T) {
 	usual := Pause{
 		Expected: 10 * time.Second, ReturnChance: 0.9, CachedTokens: 10000, PrefillTokensPerSec: 1000,
-		MemoryPressure: 1, Worth: 1, CanOffload: true,
+		MemoryPressure: 1, Worth: 1, CanOffload: true, HoldCost: 0.05,
 	}
 	for _, test := range []struct {
 		name   string
--- a/internal/simulation/experiment.go
+++ b/internal/simulation/experiment.go
@@ -161,7 +161,7 @@
 
 func (x *Experiment) retention(policy scheduler.PolicyName) bundle.Retention {
 	if policy != scheduler.ProgramAware {
-		return bundle.Retention{Disabled: true}
+		return bundle.Retention{}
 	}
 	return x.Retention
 }
