--- a/cmd/pewtermill-lab/load.go
+++ b/cmd/pewtermill-lab/load.go
@@ -27,6 +27,7 @@
 	Nodes       int       `help:"Nodes that share the engines; 0 means one for each zone." default:"0"`
 	CacheTokens int64     `help:"Cache memory of each engine, in tokens; 0 means the deployment's." default:"0"`
 	Bundle      string    `help:"Bundle from which to take the scheduling weights; empty means the defaults." type:"existingfile" optional:""`
+	HoldCost    float64   `help:"Under program_aware, cost of the memory that a paused program's cache takes; 0 keeps every cache." default:"0"`
 	Parallel    int       `help:"Runs at the same time; 0 means one for each processor." default:"0"`
 }
 
@@ -78,6 +79,7 @@
 		Seeds:      l.Seeds,
 		Programs:   l.Programs,
 		Nodes:      l.Nodes,
+		Retention:  bundle.Retention{HoldCost: l.HoldCost},
 		Parallel:   l.Parallel,
 	}
 	if experiment.Parallel <= 0 {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,10 +41,11 @@
 // Dispatcher implements ownership.Executor. Safe for concurrent use.
 type Dispatcher struct {
 	Options
-	fleet  *Fleet
-	queue  *queue
-	tools  *tools
-	demand *demandMeter
+	fleet     *Fleet
+	queue     *queue
+	tools     *tools
+	demand    *demandMeter
+	retention *retention
 }
 
 // New returns a Dispatcher without engines; Apply gives it the bundle's.
@@ -56,6 +57,7 @@
 	d.fleet = newFleet(options)
 	d.queue = newQueue(options, d.fleet)
 	d.tools = newTools(options)
+	d.retention = newRetention(options, d.fleet)
 	return d
 }
 
@@ -67,10 +69,12 @@
 	d.fleet.apply(snapshot)
 	d.tools.apply(snapshot)
 	d.queue.apply(snapshot)
+	d.retention.apply(snapshot)
 }
 
 // Run observes engines and moves the queue until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) {
+	go d.retention.run(ctx)
 	d.queue.run(ctx)
 	d.fleet.close()
 }
@@ -78,6 +82,7 @@
 // Execute implements ownership.Executor.
 func (d *Dispatcher) Execute(ctx context.Context, work ownership.Work, onText func(offset int64, text string)) ownership.Outcome {
 	if work.Request.Kind == api.KindTool {
+		d.retention.callsTool(ctx, work)
 		return d.tools.execute(ctx, work, d.record)
 	}
 	return d.executeModel(ctx, work, onText)
@@ -93,9 +98,10 @@
 	return slices.Collect(maps.Keys(*d.fleet.members.Load()))
 }
 
-// Release implements ownership.Executor. An engine that the bundle no longer
-// names holds nothing that matters.
+// Release implements ownership.Executor: the program has ended. An engine that
+// the bundle no longer names holds nothing that matters.
 func (d *Dispatcher) Release(ctx context.Context, engine, program string) error {
+	d.retention.ended(program)
 	member, ok := d.fleet.engine(engine)
 	if !ok {
 		return nil
