Settings without effect take effect: retry budget, keeping of ended programs

Cause: reading the code for the operators' page showed settings that nothing used, rows that were never deleted, refusals of the scheduler recorded twice, and a result code and a decision kind that nothing gave. Change: further attempts after a call's first retry come out of a node's retry budget (the first is free: when an engine dies, each of its calls may go to one other; a budget of a tenth would have refused most of them). Rows of ended programs are deleted after limits.ended_keep_millis, 30 days by default, up to ten years. limits.hold_millis is gone, since the engines' interface has no such word; its rows in a test of the checks are about ended_keep_millis now, as strict. Who decides a refusal records it, once. A node that stops says 'draining' to creations; ending a program records the call that it cuts off.

--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -34,6 +34,7 @@
 	maxWeight         = 1e6
 	maxDistanceMillis = 10_000
 	maxDurationMillis = 31 * 24 * 3_600_000
+	maxKeepMillis     = 10 * 366 * 24 * 3_600_000
 	maxCount          = 1e12
 	maxBodyBytes      = 64 << 20
 	maxWeightBytes    = 1 << 50
@@ -133,8 +134,7 @@
 	limits := c.bundle.Limits
 	c.within("limits.max_body_bytes", limits.MaxBodyBytes, 0, maxBodyBytes)
 	c.within("limits.max_sequence_ahead", limits.MaxSequenceAhead, 0, maxSequenceAhead)
-	c.within("limits.hold_millis", limits.HoldMillis, 0, maxDurationMillis)
-	c.within("limits.ended_keep_millis", limits.EndedKeepMillis, 0, maxDurationMillis)
+	c.within("limits.ended_keep_millis", limits.EndedKeepMillis, 0, maxKeepMillis)
 }
 
 type namedNumber struct {
--- a/internal/bundle/check_test.go
+++ b/internal/bundle/check_test.go
@@ -51,7 +51,7 @@
 		{"scheduling.policy", "allowed: program_aware", func(b *Bundle) { b.Scheduling.Policy = "lottery" }},
 		{"scheduling.retry_budget", "from -1 to 1", func(b *Bundle) { b.Scheduling.RetryBudget = 2 }},
 		{"scheduling.wait_weight", "from -1", func(b *Bundle) { b.Scheduling.WaitWeight = -2 }},
-		{"limits.hold_millis", "from 0", func(b *Bundle) { b.Limits.HoldMillis = -1 }},
+		{"limits.ended_keep_millis", "from 0", func(b *Bundle) { b.Limits.EndedKeepMillis = -1 }},
 	}
 	for _, c := range cases {
 		t.Run(c.path, func(t *testing.T) {
@@ -64,7 +64,7 @@
 	}
 	everything := devBundle(t)
 	everything.Engines[2].Zone = "zone-d"
-	everything.Limits.HoldMillis = -1
+	everything.Limits.EndedKeepMillis = -1
 	everything.Tenants[0].Models = []string{"huge"}
 	if faults := Check(everything); len(faults) != 3 {
 		t.Errorf("three faults at once reported as %v", faults)
--- a/internal/bundle/defaults.go
+++ b/internal/bundle/defaults.go
@@ -9,8 +9,7 @@
 	DefaultWeightBytes       = 16 << 30
 	DefaultMaxBodyBytes      = 1 << 20
 	DefaultMaxSequenceAhead  = 16
-	DefaultHoldMillis        = 10 * 60_000
-	DefaultEndedKeepMillis   = 60 * 60_000
+	DefaultEndedKeepMillis   = 30 * 24 * 60 * 60_000
 )
 
 // withDefaults returns a copy with the defaults filled in. Digests and
@@ -31,7 +30,6 @@
 	}
 	setDefault(&filled.Limits.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&filled.Limits.MaxSequenceAhead, DefaultMaxSequenceAhead)
-	setDefault(&filled.Limits.HoldMillis, DefaultHoldMillis)
 	setDefault(&filled.Limits.EndedKeepMillis, DefaultEndedKeepMillis)
 	return &filled
 }
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -146,7 +146,7 @@
 	AttainedWeight     float64 `json:"attained_weight,omitempty" yaml:"attained_weight"`
 	AgingPerSecond     float64 `json:"aging_per_second,omitempty" yaml:"aging_per_second"`
 	MaxQueue           int     `json:"max_queue,omitempty" yaml:"max_queue"`
-	RetryBudget        float64 `json:"retry_budget,omitempty" yaml:"retry_budget"`
+	RetryBudget        float64 `json:"retry_budget,omitempty" yaml:"retry_budget"` // further attempts per fresh call, after a call's first retry
 	EngineMaxAgeMillis int64   `json:"engine_max_age_millis,omitempty" yaml:"engine_max_age_millis"`
 }
 
@@ -176,8 +176,7 @@
 type Limits struct {
 	MaxBodyBytes     int64 `json:"max_body_bytes,omitempty" yaml:"max_body_bytes"`
 	MaxSequenceAhead int64 `json:"max_sequence_ahead,omitempty" yaml:"max_sequence_ahead"`
-	HoldMillis       int64 `json:"hold_millis,omitempty" yaml:"hold_millis"` // engine holds time out after this
-	EndedKeepMillis  int64 `json:"ended_keep_millis,omitempty" yaml:"ended_keep_millis"`
+	EndedKeepMillis  int64 `json:"ended_keep_millis,omitempty" yaml:"ended_keep_millis"` // rows of ended programs are kept so long
 }
 
 // Signed is a bundle in force or on its way: the exact YAML that was signed.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -46,6 +46,7 @@
 	tools     *tools
 	demand    *demandMeter
 	retention *retention
+	retries   *retries
 }
 
 // New returns a Dispatcher without engines; Apply gives it the bundle's.
@@ -53,7 +54,7 @@
 	if options.Client == nil {
 		options.Client = backend.NewHTTPClient()
 	}
-	d := &Dispatcher{Options: options, demand: newDemandMeter()}
+	d := &Dispatcher{Options: options, demand: newDemandMeter(), retries: newRetries()}
 	d.fleet = newFleet(options)
 	d.queue = newQueue(options, d.fleet)
 	d.tools = newTools(options)
@@ -70,6 +71,7 @@
 	d.tools.apply(snapshot)
 	d.queue.apply(snapshot)
 	d.retention.apply(snapshot)
+	d.retries.apply(snapshot)
 }
 
 // Run observes engines and moves the queue until the context ends.
@@ -83,11 +85,33 @@
 func (d *Dispatcher) Execute(ctx context.Context, work ownership.Work, onText func(offset int64, text string)) ownership.Outcome {
 	if work.Request.Kind == api.KindTool {
 		d.retention.callsTool(ctx, work)
-		return d.tools.execute(ctx, work, d.record)
+		return d.executeTool(ctx, work)
 	}
 	return d.executeModel(ctx, work, onText)
 }
 
+// executeTool runs a tool call and records a refusal; those of model calls are
+// recorded where they are made, with the engines that were considered.
+func (d *Dispatcher) executeTool(ctx context.Context, work ownership.Work) ownership.Outcome {
+	d.retries.fresh()
+	outcome := d.tools.execute(ctx, work, d.retries, d.record)
+	if outcome.Refusal != nil {
+		d.recordRefusal(work, outcome.Refusal)
+	}
+	return outcome
+}
+
+// refuse records a refusal that the scheduler did not make, and ends the call
+// by it.
+func (d *Dispatcher) refuse(work ownership.Work, refusal *api.Error, lost bool) ownership.Outcome {
+	d.recordRefusal(work, refusal)
+	return refused(refusal, lost)
+}
+
+func (d *Dispatcher) recordRefusal(work ownership.Work, refusal *api.Error) {
+	d.record(work, explain.Decision{Kind: explain.Refused, Code: int(refusal.Code), Reason: refusal.Detail})
+}
+
 // Lookup implements ownership.Executor.
 func (d *Dispatcher) Lookup(ctx context.Context, tool, key string) (ownership.Outcome, bool) {
 	return d.tools.lookup(ctx, tool, key)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -18,6 +18,10 @@
 // maxModelAttempts bounds how many engines one call is tried at.
 const maxModelAttempts = 4
 
+// freeAttempts of a call are not counted against the node's retry budget: a
+// call whose engine dies may always be tried at one other.
+const freeAttempts = 1
+
 // retryLater is when to come back after back ends refused a call.
 const retryLater = time.Second
 
@@ -27,6 +31,7 @@
 	d.retention.returned(work.Header.ID)
 	call := d.schedulerCall(work)
 	lost := false // an earlier attempt may have run
+	d.retries.fresh()
 	for attempt := 1; ; attempt++ {
 		call.ID = fmt.Sprintf("%s@%d.%d", work.Key, work.Header.Epoch, attempt)
 		call.Submitted = time.Now()
@@ -57,8 +62,9 @@
 			}
 			work.Header.Epoch = epoch
 		}
-		if attempt == maxModelAttempts {
-			return refused(api.Errorf(api.NoReadyBackend, "%d engines failed or refused, the last %s", attempt, assignment.Engine).After(retryLater), lost)
+		if attempt == maxModelAttempts || attempt > freeAttempts && !d.retries.allowed() {
+			refusal := api.Errorf(api.NoReadyBackend, "%d engines failed or refused, the last %s", attempt, assignment.Engine).After(retryLater)
+			return d.refuse(work, refusal, lost)
 		}
 		call.Excluded = append(call.Excluded, assignment.Engine)
 		d.record(work, explain.Decision{Kind: explain.Retried, Chosen: assignment.Engine, Reason: "engine " + assignment.Engine + ": " + err.Error()})
@@ -81,7 +87,7 @@
 func (d *Dispatcher) afterFailure(ctx context.Context, work ownership.Work, engine string, err error, lost bool) (ownership.Outcome, bool) {
 	switch {
 	case errors.Is(err, backend.ErrFenced):
-		return refused(api.Errorf(api.OwnerMoving, "a newer owner has called %s for this program", engine).After(retryLater), lost), true
+		return d.refuse(work, api.Errorf(api.OwnerMoving, "a newer owner has called %s for this program", engine).After(retryLater), lost), true
 	case isRefusal(err):
 		return ownership.Outcome{}, false
 	case ctx.Err() != nil:
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -146,7 +146,18 @@
 		q.core.Finish(call.ID, scheduler.Result{Engine: given.assignment.Engine, Succeeded: true}, now)
 		q.advance(now)
 	}
-	return scheduler.Assignment{}, api.Errorf(api.DeadlineExceeded, "%s while it was queued", cancelDetail(ctx)).After(retryLater)
+	refusal := api.Errorf(api.DeadlineExceeded, "%s while it was queued", cancelDetail(ctx)).After(retryLater)
+	q.recorder.Record(explain.Decision{
+		At:       now,
+		Kind:     explain.Refused,
+		Program:  call.Program,
+		Tenant:   call.Tenant,
+		Sequence: call.Sequence,
+		Target:   call.Model,
+		Code:     int(refusal.Code),
+		Reason:   refusal.Detail,
+	})
+	return scheduler.Assignment{}, refusal
 }
 
 // finish gives an engine's place back.
--- a/internal/dispatch/tools.go
+++ b/internal/dispatch/tools.go
@@ -69,7 +69,7 @@
 
 // execute runs a tool call. One that is not repeatable is sent at most once:
 // it is tried again only if it was certainly not sent.
-func (t *tools) execute(ctx context.Context, work ownership.Work, record recordFunc) ownership.Outcome {
+func (t *tools) execute(ctx context.Context, work ownership.Work, retries *retries, record recordFunc) ownership.Outcome {
 	service, ok := (*t.known.Load())[work.Request.Target]
 	if !ok {
 		return ownership.Outcome{Refusal: api.Errorf(api.UnknownTarget, "no tool %q", work.Request.Target)}
@@ -81,10 +81,10 @@
 		return ownership.Outcome{Refusal: api.Errorf(api.DeadlineExceeded, "%s while it waited for the tool", cancelDetail(ctx)).After(retryLater)}
 	}
 	record(work, explain.Decision{Kind: explain.Placed, Chosen: service.config.Name, Reason: "the only service of this tool"})
-	return t.attempt(ctx, service, work, record)
+	return t.attempt(ctx, service, work, retries, record)
 }
 
-func (t *tools) attempt(ctx context.Context, service *toolService, work ownership.Work, record recordFunc) ownership.Outcome {
+func (t *tools) attempt(ctx context.Context, service *toolService, work ownership.Work, retries *retries, record recordFunc) ownership.Outcome {
 	request := backend.ToolRequest{
 		Tool:           service.config.Name,
 		IdempotencyKey: work.Key,
@@ -98,7 +98,8 @@
 			return toolOutcome(service.config.Name, result)
 		}
 		maybeRan = maybeRan || !isRefusal(err)
-		if maybeRan && !work.Repeatable || ctx.Err() != nil || attempt == maxToolAttempts {
+		final := maybeRan && !work.Repeatable || ctx.Err() != nil || attempt == maxToolAttempts
+		if final || attempt > freeAttempts && !retries.allowed() {
 			return t.giveUp(ctx, service, work, err, maybeRan)
 		}
 		record(work, explain.Decision{Kind: explain.Retried, Chosen: service.config.Name, Reason: err.Error()})
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -114,13 +114,14 @@
 			return api.Errorf(api.CallPending, "a call is still under way").After(movingRetryAfter)
 		}
 		e.mutex.Lock()
-		running := e.flight
+		running, header := e.flight, e.header
 		e.mutex.Unlock()
 		if running == nil {
 			return nil
 		}
 		e.unlock()
 		running.cancel()
+		p.record(header, explain.Decision{Kind: explain.Cancelled, Sequence: running.sequence, Target: running.request.Target, Reason: "the program ends"})
 		select {
 		case <-running.done:
 		case <-ctx.Done():
--- a/internal/ownership/executor.go
+++ b/internal/ownership/executor.go
@@ -45,7 +45,7 @@
 
 // Executor runs work at back ends. Safe for concurrent use.
 type Executor interface {
-	// Execute returns when the call has ended. It never dispatches work that
+	// Execute returns when the call has ended, and records its own decisions. It never dispatches work that
 	// is not repeatable a second time. onText gets pieces of a model's answer;
 	// an offset below what came before replaces the text from there on.
 	Execute(ctx context.Context, work Work, onText func(offset int64, text string)) Outcome
--- a/internal/ownership/lifecycle.go
+++ b/internal/ownership/lifecycle.go
@@ -17,7 +17,7 @@
 // already under the same id and tenant is returned as it is.
 func (p *Programs) Create(ctx context.Context, tenant, id string, request api.CreateProgramRequest) (api.Program, error) {
 	if p.leaving.Load() {
-		return api.Program{}, moving("this node is stopping")
+		return api.Program{}, api.Errorf(api.Draining, "this node is stopping").After(movingRetryAfter).Here()
 	}
 	class, refusal := p.classFor(request)
 	if refusal != nil {
--- a/internal/ownership/maintain.go
+++ b/internal/ownership/maintain.go
@@ -115,9 +115,10 @@
 	}
 }
 
-// LookAfter scans the programs of one partition and ends those past their
-// wall time, whether or not anyone calls them, and repeats releases of engine
-// memory that a former owner left undone.
+// LookAfter scans the programs of one partition: it ends those past their wall
+// time, whether or not anyone calls them, repeats releases of engine memory
+// that a former owner left undone, and deletes the rows of programs that ended
+// long enough ago.
 func (p *Programs) LookAfter(ctx context.Context, cell string, partition int) error {
 	start, end := program.HeaderRange(cell, partition)
 	for {
@@ -131,7 +132,7 @@
 				p.Logger.Error("program row cannot be read", "key", row.Key, "error", err.Error())
 				continue
 			}
-			p.lookAfter(ctx, header)
+			p.lookAfter(ctx, header, row.Revision)
 		}
 		if len(rows) < scanPageRows {
 			return nil
@@ -140,13 +141,16 @@
 	}
 }
 
-func (p *Programs) lookAfter(ctx context.Context, header program.Header) {
+func (p *Programs) lookAfter(ctx context.Context, header program.Header, revision uint64) {
+	now := time.Now()
 	switch {
+	case p.isCollectable(header, now):
+		p.collect(ctx, header, revision)
 	case header.Status == api.ProgramClosed && len(header.Holds) > 0:
 		if e, err := p.acquire(ctx, header.ID); err == nil {
 			p.releaseHolds(e)
 		}
-	case isExpired(header, time.Now()):
+	case isExpired(header, now):
 		p.endExpired(ctx, header.ID)
 	}
 }
--- a/internal/ownership/run.go
+++ b/internal/ownership/run.go
@@ -95,7 +95,7 @@
 			return api.CallResult{}, ranElsewhere()
 		}
 		refusal := refusedStep(header, f.sequence, outcome.Refusal).refusal
-		return api.CallResult{}, p.refuse(header, f.sequence, f.request.Target, vouch(refusal, standing))
+		return api.CallResult{}, vouch(refusal, standing) // the executor has recorded it
 	}
 	return p.recordResult(e, f, planned, outcome)
 }
