node: metrics of what operators measure: program latency and wasted cache

Cause: the users measure whole-program latency and wasted cache; neither was published. By class: a histogram of program seconds, and prompt tokens billed, found in cache, and computed again though the program's history had been computed before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,6 +143,7 @@
 		Peers:       peerAccess{n},
 		InForce:     n.keeper.InForce,
 		Recorder:    n.decisions,
+		Meter:       newMeter(n.registry),
 		Logger:      n.logger,
 	})
 	n.planner = n.newPlanner()
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -72,6 +72,7 @@
 		Peers:       c,
 		InForce:     func() *bundle.Snapshot { return c.snapshot },
 		Recorder:    explain.NewLog(name, 64),
+		Meter:       noMeter{},
 		Logger:      slog.New(slog.DiscardHandler),
 	})
 	c.current[name] = fresh
@@ -199,6 +200,12 @@
 	return Outcome{}, false
 }
 
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) ProgramEnded(string, time.Duration)       {}
+func (noMeter) PromptBilled(string, int64, int64, int64) {}
+
 // Engines implements Executor.
 func (x *testExecutor) Engines() []string { return []string{"engine-1"} }
 
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -95,6 +95,7 @@
 	}
 	ended, _ := e.snapshot()
 	p.record(ended, explain.Decision{Kind: explain.Ended, Code: int(reason), Reason: endReason(reason)})
+	p.meterEnd(ended)
 	p.releaseHolds(e)
 	return View(ended), nil
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -39,6 +39,7 @@
 	Peers       Peers
 	InForce     func() *bundle.Snapshot
 	Recorder    explain.Recorder
+	Meter       Meter
 	Logger      *slog.Logger
 }
 
--- a/internal/ownership/settle.go
+++ b/internal/ownership/settle.go
@@ -82,6 +82,9 @@
 		return api.CallResult{}, err
 	}
 	e.extend(segment.Messages)
+	if planned.model != nil {
+		p.meterCall(header, outcome.Usage)
+	}
 	p.finished(settled, f, result)
 	return result, nil
 }
