--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -95,6 +95,7 @@
 	}
 	ended, _ := e.snapshot()
 	p.record(ended, explain.Decision{Kind: explain.Ended, Code: int(reason), Reason: endReason(reason)})
+	p.meterEnd(ended)
 	p.releaseHolds(e)
 	return View(ended), nil
 }
@@ -114,13 +115,14 @@
 			return api.Errorf(api.CallPending, "a call is still under way").After(movingRetryAfter)
 		}
 		e.mutex.Lock()
-		running := e.flight
+		running, header := e.flight, e.header
 		e.mutex.Unlock()
 		if running == nil {
 			return nil
 		}
 		e.unlock()
 		running.cancel()
+		p.record(header, explain.Decision{Kind: explain.Cancelled, Sequence: running.sequence, Target: running.request.Target, Reason: "the program ends"})
 		select {
 		case <-running.done:
 		case <-ctx.Done():
--- a/internal/simulation/experiment.go
+++ b/internal/simulation/experiment.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pewtermill/pewtermill/internal/bundle"
@@ -18,7 +19,8 @@
 	Programs   int       // root programs of one run
 	Nodes      int       // 0 means one per zone
 	Weights    bundle.Scheduling
-	Parallel   int // runs at the same time
+	Retention  bundle.Retention // under program_aware; others keep all caches
+	Parallel   int              // runs at the same time
 }
 
 // Report is the outcome of an Experiment.
@@ -73,6 +75,9 @@
 // Run runs the experiment's cells in parallel. Each cell is deterministic, so
 // the report is too.
 func (x *Experiment) Run() (*Report, error) {
+	if err := x.check(); err != nil {
+		return nil, err
+	}
 	nodes := x.Nodes
 	if nodes <= 0 {
 		nodes = len(x.Deployment.Zones)
@@ -116,6 +121,19 @@
 	return report, nil
 }
 
+// check returns what makes an experiment impossible.
+func (x *Experiment) check() error {
+	if x.Seeds < 1 || x.Programs < 1 || len(x.Loads) == 0 || len(x.Policies) == 0 {
+		return errors.New("an experiment needs at least one seed, program, load and policy")
+	}
+	for _, load := range x.Loads {
+		if load <= 0 {
+			return errors.Newf("load %g is not above zero", load)
+		}
+	}
+	return nil
+}
+
 // saturation returns, for each workload, the programs per second that the
 // fleet completes at most under least_loaded: the greatest throughput with
 // any of saturationConcurrency programs kept going all the time.
@@ -152,7 +170,15 @@
 		Deployment: x.Deployment,
 		Policy:     policy,
 		Weights:    x.Weights,
+		Retention:  x.retention(policy),
 		Nodes:      nodes,
 		Workload:   workload,
 	}
 }
+
+func (x *Experiment) retention(policy scheduler.PolicyName) bundle.Retention {
+	if policy != scheduler.ProgramAware {
+		return bundle.Retention{}
+	}
+	return x.Retention
+}
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -19,6 +19,7 @@
 	Weights    bundle.Scheduling
 	Nodes      int
 	Workload   *Workload // shared between runs; a Run does not change it
+	Retention  bundle.Retention
 
 	// Rate is the mean arrivals of root programs per second of virtual time.
 	// If it is zero, Concurrent programs are kept going instead: each end
@@ -43,11 +44,18 @@
 	failure    error
 }
 
+// longestRun bounds a run in virtual time: every program should long have
+// ended, as its caller gives up.
+const longestRun = 30 * 24 * time.Hour
+
 // Run simulates until every program has ended or was refused.
 func Run(settings Settings) (*Result, error) {
 	if settings.Nodes <= 0 || len(settings.Workload.Programs) == 0 {
 		return nil, errors.New("a run needs nodes and programs")
 	}
+	if settings.Rate <= 0 && settings.Concurrent <= 0 {
+		return nil, errors.New("a run needs a rate of arrival or a number of programs to keep going")
+	}
 	r := newRun(settings)
 	r.startObservers()
 	if settings.Rate > 0 {
@@ -56,8 +64,9 @@
 		r.startConcurrent()
 	}
 	for r.open > 0 && r.failure == nil {
-		if !r.clock.step() {
-			return nil, errors.Newf("%d programs never ended", r.open)
+		r.clock.step()
+		if r.clock.now.Sub(epoch) > longestRun {
+			return nil, errors.Newf("%d programs had not ended after %s", r.open, longestRun)
 		}
 	}
 	if r.failure != nil {
@@ -114,7 +123,9 @@
 		}
 		return 1
 	})
-	return &node{run: r, name: name, zone: zone, core: core, calls: make(map[string]*call)}
+	retainer := scheduler.NewRetainer()
+	retainer.SetRetention(r.settings.Retention)
+	return &node{run: r, name: name, zone: zone, core: core, calls: make(map[string]*call), retainer: retainer}
 }
 
 // startObservers begins the reports of engines and the ticks of nodes, each
@@ -127,6 +138,7 @@
 	for i, n := range r.nodes {
 		r.clock.after(reportLag, n.tick)
 		r.every(tickInterval, reportLag+offset(i, len(r.nodes)), n.tick)
+		r.every(reviewInterval, reviewInterval+offset(i, len(r.nodes)), n.review)
 	}
 }
 
