Membership: a peer that closes its connection and refuses the next one is dead

With 1.5 s of silence as the second sign, a kill was noticed 0.5 to 1.5 s late. The kernel of the dead process's machine closes its connections at once, so the wire client now dials again when the peer has closed a connection (not when this side did), and reports a refusal, with whether it came after such a break. Both together leave no silence to wait for. The report replaces the inspection of errors by the callers of the client.

Not counted: a break alone (a live peer may close a connection after a fault), a refusal by a member that said that it leaves.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -94,11 +94,13 @@
 }
 
 // Refused takes in that a connection to the address was refused. Together with
-// a missed heartbeat this ends the member there, from the next Tick on.
-func (c *Core) Refused(address string, now time.Time) {
+// a missed heartbeat this ends the member there, from the next Tick on. No
+// heartbeat need be missed if the member had closed a connection before it.
+func (c *Core) Refused(address string, afterBreak bool, now time.Time) {
 	for _, known := range c.records {
 		if known.member.Address == address {
 			known.refusedAt = now
+			known.linkBroke = afterBreak
 		}
 	}
 }
--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -11,9 +11,9 @@
 // HeartbeatEvery. A member silent for SuspectAfter is Suspect, which changes no
 // routing; one silent for DeadAfter is Dead and loses its partitions. If its
 // address refuses connections and no heartbeat has come since, its process has
-// ended while its machine lives, and RefusedDeadAfter of silence is enough
-// (unless it said that it leaves: its listener may be closed before it ends). A
-// heartbeat under a higher incarnation ends the older one at once; heartbeats
+// ended while its machine lives, and RefusedDeadAfter of silence is enough, or
+// none if its connections broke before (unless it said that it leaves: its
+// listener may be closed before it ends). A heartbeat under a higher incarnation ends the older one at once; heartbeats
 // of an older incarnation, or older than one already seen, are ignored. Dead
 // members are probed at a lower rate and forgotten after a while.
 //
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -18,6 +18,7 @@
 	silentSince  time.Time // last heard, later if this node did not run
 	heardSince   time.Time // begin of the time heard without a gap
 	refusedAt    time.Time // when a connection to it was last refused
+	linkBroke    bool      // it had closed a connection before that
 	diedAt       time.Time // valid while dead
 	listedDigest uint32    // own digest when addresses were last sent to it
 	listedBeat   uint64    // round in which they were
@@ -64,14 +65,19 @@
 // hasEnded tells whether a connection was refused after the last sign of life:
 // the machine lives, and no process listens there. One that said that it leaves
 // may have closed its listener while it still answers requests.
-func (r *record) hasEnded() bool { return r.refusedAt.After(r.silentSince) && !r.leaving }
+func (r *record) hasEnded(silent time.Duration, config Config) bool {
+	if r.leaving || !r.refusedAt.After(r.silentSince) {
+		return false
+	}
+	return r.linkBroke || silent >= config.RefusedDeadAfter
+}
 
 // refresh works out the member's state.
 func (r *record) refresh(config Config, announcedLeaving bool, now time.Time) {
 	silent := now.Sub(r.silentSince)
 	before := r.member.State
 	switch {
-	case silent >= config.DeadAfter, r.hasEnded() && silent >= config.RefusedDeadAfter:
+	case silent >= config.DeadAfter, r.hasEnded(silent, config):
 		r.member.State = Dead
 	case r.leaving || announcedLeaving:
 		r.member.State = Leaving
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/membership"
-	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -152,21 +151,16 @@
 		Body: &wirepb.Request_Heartbeat{Heartbeat: message.Heartbeat},
 	}
 	if err := m.node.peers.Send(ctx, message.Address, request); err != nil {
-		m.noteFailure(message.Address, err)
 		m.node.dispatcher.Fleet().HeartbeatFailed(message.Node)
 		m.node.logger.Debug("heartbeat not sent", "address", message.Address, "error", err.Error())
 	}
 }
 
-// noteFailure takes over what a failed request tells of the member at the
-// address.
-func (m *members) noteFailure(address string, err error) {
-	if !wire.IsRefused(err) {
-		return
-	}
+// refused takes over that a member's address refused a connection.
+func (m *members) refused(address string, afterBreak bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.core.Refused(address, time.Now())
+	m.core.Refused(address, afterBreak, time.Now())
 }
 
 // setLeavingHints takes over which nodes the machine list calls leaving, and
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,6 +175,7 @@
 		Logger:     n.logger,
 		Fault:      n.faults,
 	}
+	options.OnRefused = func(address string, afterBreak bool) { n.members.refused(address, afterBreak) }
 	n.peers = wire.NewClient(options)
 	server, err := wire.Listen(n.settings.PeerAddress, options, n)
 	if err != nil {
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -248,7 +248,6 @@
 	if err == nil {
 		return reply
 	}
-	t.node.members.noteFailure(address, err)
 	if !errors.Is(err, wire.ErrNotSent) {
 		t.uncertain = true
 	}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,7 @@
 )
 
 // Client sends requests to peers over one connection per address, which it
-// opens when needed. After a failed dial, requests to that address fail at
+// opens when needed, and again at once when the peer closes it. After a failed dial, requests to that address fail at
 // once with ErrNotSent until a delay of up to one second has passed. Safe for
 // concurrent use.
 type Client struct {
@@ -37,7 +38,8 @@
 type peer struct {
 	session  *session
 	dial     *dialAttempt
-	failures int // dials failed in a row
+	failures int  // dials failed in a row
+	broken   bool // the peer closed the last connection
 	lastErr  error
 	retryAt  time.Time
 }
@@ -147,8 +149,10 @@
 	c.mu.Lock()
 	known.dial = nil
 	known.session = attempt.session
+	afterBreak := known.broken
 	if attempt.err == nil {
 		known.failures = 0
+		known.broken = false
 	} else {
 		known.failures++
 		known.lastErr = attempt.err
@@ -158,11 +162,41 @@
 	close(attempt.done)
 	if attempt.err != nil {
 		c.options.Logger.Warn("connection failed", "address", address, "error", attempt.err.Error())
+		c.reportRefused(address, attempt.err, afterBreak)
 		return
 	}
 	unhook := context.AfterFunc(c.ctx, func() { attempt.session.link.fail(errClientClosed) })
 	defer unhook()
 	attempt.session.run()
+	if attempt.session.link.closedByPeer() {
+		c.reconnect(address, known)
+	}
+}
+
+func (c *Client) reportRefused(address string, err error, afterBreak bool) {
+	if c.options.OnRefused != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		c.options.OnRefused(address, afterBreak)
+	}
+}
+
+// reconnect dials a peer that has closed its connection, to learn at once
+// whether it has ended.
+func (c *Client) reconnect(address string, known *peer) {
+	c.mu.Lock()
+	known.broken = true
+	c.mu.Unlock()
+	for attempt := 1; attempt <= reconnectAttempts; attempt++ {
+		_, err := c.session(c.ctx, address)
+		if err == nil || c.ctx.Err() != nil || errors.Is(err, syscall.ECONNREFUSED) {
+			return
+		}
+		timer := time.NewTimer(redialDelay(attempt))
+		select {
+		case <-timer.C:
+		case <-c.ctx.Done():
+			timer.Stop()
+		}
+	}
 }
 
 // dial opens a connection and does the handshake.
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,6 +81,11 @@
 	}
 }
 
+// closedByPeer tells whether the other side closed the link, which has ended.
+func (l *link) closedByPeer() bool {
+	return errors.IsAny(l.cause, io.EOF, syscall.ECONNRESET, syscall.EPIPE)
+}
+
 func (l *link) touch() { l.lastUsed.Store(time.Now().UnixNano()) }
 
 func (l *link) idleSince() time.Time { return time.Unix(0, l.lastUsed.Load()) }
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +28,7 @@
 	writeTimeout           = 10 * time.Second
 	idleTimeout            = 10 * time.Minute
 	idleCheckEvery         = time.Minute
+	reconnectAttempts      = 5
 	minRedialDelay         = 50 * time.Millisecond
 	maxRedialDelay         = time.Second
 	readBufferBytes        = 32 << 10
@@ -46,12 +46,6 @@
 	ErrLinkBroken = errors.New("link broken, outcome unknown")
 )
 
-// IsRefused tells whether a request failed because its address has just refused
-// the connection: the machine is there, and no process listens.
-func IsRefused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, errRedialDelay)
-}
-
 // Options configure a Client or a Server.
 type Options struct {
 	// Node is the name by which this side introduces itself.
@@ -60,6 +54,11 @@
 	ClusterKey []byte
 	// Logger gets handshake failures and broken frames; nil: discarded.
 	Logger *slog.Logger
+	// OnRefused is called when an address has refused a connection: its
+	// machine is there, and no process listens. afterBreak says that the
+	// peer had closed the connection before it. A Client calls it without
+	// holding locks, and not a Server; nil: not called.
+	OnRefused func(address string, afterBreak bool)
 	// Fault drops traffic in tests; nil in production.
 	Fault *Faults
 	// MaxFrameBytes bounds one frame both ways; 0: DefaultMaxFrameBytes.
