Membership: dead after 3 s of silence; own pauses from a quarter beat on count

A frozen node kept its programs for 5 s. So 3 s (suspect after 2 s); with heartbeats each second two may be late.

TestOwnPauseIsNotSilence failed then: of a pause of this node itself one heartbeat period was still counted as the others' silence, a third of the new limit. The node ticks ten times a period, so gaps over a quarter of one are excused now. What a node takes unheard owners for, after its start, stays at 5 s.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -109,7 +109,7 @@
 func (c *Core) Announce() { c.nextBeat = time.Time{} }
 
 // Tick moves time on and returns heartbeats when a round is due. Call it
-// several times per HeartbeatEvery.
+// at least ticksPerBeat times per HeartbeatEvery.
 func (c *Core) Tick(now time.Time) Output {
 	c.excusePause(now)
 	var output Output
@@ -129,7 +129,7 @@
 // excusePause keeps time in which this node did not run from counting as
 // silence of the others.
 func (c *Core) excusePause(now time.Time) {
-	pause := now.Sub(c.lastTick) - c.config.HeartbeatEvery
+	pause := now.Sub(c.lastTick) - c.config.HeartbeatEvery/ticksPerBeat
 	c.lastTick = now
 	if pause <= 0 {
 		return
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -5,8 +5,8 @@
 // Defaults for unset fields of Config.
 const (
 	DefaultHeartbeatEvery = time.Second
-	DefaultSuspectAfter   = 3 * time.Second
-	DefaultDeadAfter      = 5 * time.Second
+	DefaultSuspectAfter   = 2 * time.Second
+	DefaultDeadAfter      = 3 * time.Second
 	// DefaultRefusedDeadAfter allows for one heartbeat that is half a period
 	// late.
 	DefaultRefusedDeadAfter = 1500 * time.Millisecond
@@ -21,6 +21,9 @@
 	// addressesEveryBeats is the number of heartbeat rounds after which
 	// addresses are sent again to a member whose digest still differs.
 	addressesEveryBeats = 5
+	// ticksPerBeat is how often Tick is called at least in one heartbeat
+	// period. Longer gaps are pauses of this node.
+	ticksPerBeat = 4
 	// candidateBeats is the number of heartbeat rounds for which an address
 	// learned from others is tried.
 	candidateBeats = 10
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
-	"github.com/pewtermill/pewtermill/internal/membership"
 	"github.com/pewtermill/pewtermill/internal/ownership"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -30,7 +29,7 @@
 
 // acquaintance is how long after its start a node takes members that it has
 // not heard yet for alive.
-const acquaintance = membership.DefaultDeadAfter
+const acquaintance = 5 * time.Second
 
 // AskRelease implements ownership.Peers.
 func (p peerAccess) AskRelease(ctx context.Context, node, program string, epoch uint64) (bool, error) {
