ownership: a creation is not answered 'not found' after a failed one

The creation had waited for an entry in memory that an earlier request for the same program held; that one failed and dropped the entry; the waiting one took the dropped entry for a program that exists, read the table, and found nothing. Ruled out: the routing (the node was right), the store (the row had never been written). Change: a dropped entry is left for a fresh one, as claims do.

--- a/internal/ownership/lifecycle.go
+++ b/internal/ownership/lifecycle.go
@@ -27,25 +27,48 @@
 		return api.Program{}, refusal
 	}
 	header := program.New(p.params(tenant, id, request, class))
-	e := p.entry(id)
-	if err := e.lock(ctx); err != nil {
-		return api.Program{}, moving("the program's row stayed busy")
-	}
-	if _, owned := e.snapshot(); owned || e.isGone() {
+	for range maxClaimAttempts {
+		e := p.entry(id)
+		if err := e.lock(ctx); err != nil {
+			return api.Program{}, moving("the program's row stayed busy")
+		}
+		err := p.createLocked(ctx, e, header)
 		e.unlock()
-		return p.Get(ctx, tenant, id)
+		switch {
+		case errors.Is(err, errGone):
+			continue
+		case errors.Is(err, errExists):
+			return p.Get(ctx, tenant, id)
+		case err != nil:
+			return api.Program{}, err
+		}
+		p.created(header)
+		return View(header), nil
+	}
+	return api.Program{}, moving("another request for the program fails again and again")
+}
+
+// errExists means that the program is there already.
+var errExists = errors.New("program exists")
+
+// createLocked writes a new program's row. The entry's commit lock is held. An
+// entry that another request has dropped meanwhile can't be used.
+func (p *Programs) createLocked(ctx context.Context, e *entry, header program.Header) error {
+	if e.isGone() {
+		return errGone
+	}
+	if _, owned := e.snapshot(); owned {
+		return errExists
 	}
 	err := p.write(ctx, e, header)
-	e.unlock()
-	if isConflict(err) {
-		return p.Get(ctx, tenant, id)
+	if err == nil {
+		return nil
 	}
-	if err != nil {
-		p.forget(e)
-		return api.Program{}, err
+	p.forget(e)
+	if isConflict(err) {
+		return errExists
 	}
-	p.created(header)
-	return View(header), nil
+	return err
 }
 
 func (p *Programs) created(header program.Header) {
--- a/internal/ownership/stale_test.go
+++ b/internal/ownership/stale_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/program"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 )
 
@@ -94,3 +95,20 @@
 		t.Fatalf("next call is %d, want 3", program.NextSequence)
 	}
 }
+
+// TestCreationAfterAFailedOne lets a creation come to an entry that an earlier
+// request for the same program has dropped, as its write failed: the program
+// must not be taken for one that exists.
+func TestCreationAfterAFailedOne(t *testing.T) {
+	c := newTestCluster(t, 1, "a")
+	owner := c.node("a")
+	id := program.RootID("dev", 1)
+	e := owner.entry(id)
+	owner.forget(e)
+	if err := owner.createLocked(t.Context(), e, program.New(program.Params{ID: id})); !errors.Is(err, errGone) {
+		t.Fatalf("a dropped entry answers %v, want %v", err, errGone)
+	}
+	if _, err := owner.Create(t.Context(), "dev", id, api.CreateProgramRequest{Class: "batch", Budget: 1}); err != nil {
+		t.Fatalf("not created: %v", err)
+	}
+}
