Simulation: nodes learn about engines as they really do

Since main has one observer per engine, the simulated nodes do as well: the observer polls load and cache events, its heartbeats carry the real digests, and of engines that a node does not observe it knows the prefixes of its own calls (observation.Served).

--- a/cmd/pewtermill-lab/load.go
+++ b/cmd/pewtermill-lab/load.go
@@ -25,6 +25,7 @@
 	Policies    []string  `help:"Policies to compare." enum:"program_aware,round_robin,least_loaded,session_affinity" default:"program_aware,round_robin,least_loaded,session_affinity"`
 	Programs    int       `help:"Root programs in each run." default:"2000"`
 	Nodes       int       `help:"Nodes that share the engines; 0 means one for each zone." default:"0"`
+	Observation string    `help:"How nodes learn about engines: by digests in heartbeats, as they do, or all polling all." enum:"digests,polling" default:"digests"`
 	CacheTokens int64     `help:"Cache memory of each engine, in tokens; 0 means the deployment's." default:"0"`
 	Bundle      string    `help:"Bundle from which to take the scheduling weights; empty means the defaults." type:"existingfile" optional:""`
 	Parallel    int       `help:"Runs at the same time; 0 means one for each processor." default:"0"`
@@ -72,13 +73,14 @@
 		return nil, err
 	}
 	experiment := &simulation.Experiment{
-		Deployment: deployment,
-		Weights:    weights,
-		Loads:      l.Load,
-		Seeds:      l.Seeds,
-		Programs:   l.Programs,
-		Nodes:      l.Nodes,
-		Parallel:   l.Parallel,
+		Deployment:  deployment,
+		Weights:     weights,
+		Observation: simulation.Observation(l.Observation),
+		Loads:       l.Load,
+		Seeds:       l.Seeds,
+		Programs:    l.Programs,
+		Nodes:       l.Nodes,
+		Parallel:    l.Parallel,
 	}
 	if experiment.Parallel <= 0 {
 		experiment.Parallel = runtime.GOMAXPROCS(0)
--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/backend"
-	"github.com/pewtermill/pewtermill/internal/scheduler"
+	"github.com/pewtermill/pewtermill/internal/observation"
 	"github.com/pewtermill/pewtermill/internal/standin/engine"
 )
 
@@ -13,19 +13,20 @@
 const (
 	reportInterval = backend.DefaultObserveInterval
 	reportLag      = 200 * time.Millisecond
+	eventInterval  = time.Second
 	eventDelay     = 100 * time.Millisecond
 )
 
 // simulatedEngine runs one engine's timing model in virtual time.
 type simulatedEngine struct {
 	run      *run
+	number   int
 	name     string
 	zone     string
 	model    *engine.Model
 	calls    map[string]*call // waiting or running here, by id
 	wakeAt   time.Time        // of the pending wake; zero if none
 	wakeTurn uint64           // outdates pending wakes
-	report   scheduler.EngineView
 }
 
 // submit hands a call to the model.
@@ -91,24 +92,29 @@
 	}
 }
 
-// observe publishes the engine's load and its cache events after their lags.
-func (e *simulatedEngine) observe() {
-	now := e.run.clock.now
-	load := e.model.Load(now)
-	view := scheduler.EngineView{
-		Name:                e.name,
-		Zone:                e.zone,
-		Models:              e.run.models,
-		Ready:               true,
-		Running:             load.Running,
-		Waiting:             load.Waiting,
-		MaxRunning:          load.MaxRunning,
-		CacheUsedTokens:     load.CacheUsedTokens,
-		CacheCapacityTokens: load.CacheCapacityTokens,
-		PrefillTokensPerSec: load.PrefillTokensPerSec,
-		DecodeTokensPerSec:  load.DecodeTokensPerSec,
-		ObservedAt:          now.Add(reportLag),
-	}
-	e.run.clock.after(reportLag, func() { e.report = view })
-	e.run.index.Apply(e.name, e.model.CacheEvents(e.run.index.Sequence(e.name), now.Add(-eventDelay)))
+// reportLoad tells the nodes that observe the engine its load, after the lag
+// of reports.
+func (e *simulatedEngine) reportLoad() {
+	load := e.model.Load(e.run.clock.now)
+	load.Models = e.run.models
+	e.run.clock.after(reportLag, func() {
+		report := observation.Report{
+			Load:        load,
+			ObservedAt:  e.run.clock.now,
+			Reachable:   true,
+			CacheEvents: e.run.index.Sequence(e.name),
+		}
+		for _, n := range e.run.nodes {
+			if n.view.observes[e.number] {
+				n.view.store(e.number, report)
+			}
+		}
+	})
+}
+
+// publishEvents applies the engine's cache events, after their delay, to the
+// index that the nodes which observe the engine share.
+func (e *simulatedEngine) publishEvents() {
+	until := e.run.clock.now.Add(-eventDelay)
+	e.run.index.Apply(e.name, e.model.CacheEvents(e.run.index.Sequence(e.name), until))
 }
--- a/internal/simulation/experiment.go
+++ b/internal/simulation/experiment.go
@@ -19,7 +19,9 @@
 	Programs   int       // root programs of one run
 	Nodes      int       // 0 means one per zone
 	Weights    bundle.Scheduling
-	Parallel   int // runs at the same time
+	// Observation is Digests if empty.
+	Observation Observation
+	Parallel    int // runs at the same time
 }
 
 // Report is the outcome of an Experiment.
@@ -166,10 +168,11 @@
 
 func (x *Experiment) settings(policy scheduler.PolicyName, workload *Workload, nodes int) Settings {
 	return Settings{
-		Deployment: x.Deployment,
-		Policy:     policy,
-		Weights:    x.Weights,
-		Nodes:      nodes,
-		Workload:   workload,
+		Deployment:  x.Deployment,
+		Policy:      policy,
+		Weights:     x.Weights,
+		Observation: x.Observation,
+		Nodes:       nodes,
+		Workload:    workload,
 	}
 }
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -16,6 +16,7 @@
 	name  string
 	zone  string
 	core  *scheduler.Core
+	view  *fleetView
 	calls map[string]*call // queued here, by id
 }
 
@@ -85,6 +86,7 @@
 // finish takes a call's answer from an engine.
 func (n *node) finish(e *simulatedEngine, c *call) {
 	now := n.run.clock.now
+	n.view.served.Mark(e.name, c.prompt.blocks)
 	n.core.Finish(c.id, scheduler.Result{
 		Engine:       e.name,
 		Succeeded:    true,
@@ -98,6 +100,6 @@
 
 // tick takes the newest reports and moves the queue.
 func (n *node) tick() {
-	n.core.SetEngines(n.run.views())
+	n.core.SetEngines(n.view.views())
 	n.advance()
 }
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -18,7 +18,9 @@
 	Policy     scheduler.PolicyName
 	Weights    bundle.Scheduling
 	Nodes      int
-	Workload   *Workload // shared between runs; a Run does not change it
+	// Observation is Digests if empty.
+	Observation Observation
+	Workload    *Workload // shared between runs; a Run does not change it
 
 	// Rate is the mean arrivals of root programs per second of virtual time.
 	// If it is zero, Concurrent programs are kept going instead: each end
@@ -56,7 +58,8 @@
 		return nil, errors.New("a run needs a rate of arrival or a number of programs to keep going")
 	}
 	r := newRun(settings)
-	r.startObservers()
+	r.startEngines()
+	r.startNodes()
 	if settings.Rate > 0 {
 		r.scheduleArrivals()
 	} else {
@@ -88,25 +91,23 @@
 	zones := r.deployment.Zones
 	for i := range r.deployment.Engines {
 		e := &simulatedEngine{
-			run:   r,
-			name:  fmt.Sprintf("engine-%02d", i+1),
-			zone:  zones[i%len(zones)],
-			model: engine.NewModel(r.deployment.Engine, epoch),
-			calls: make(map[string]*call),
+			run:    r,
+			number: i,
+			name:   fmt.Sprintf("engine-%02d", i+1),
+			zone:   zones[i%len(zones)],
+			model:  engine.NewModel(r.deployment.Engine, epoch),
+			calls:  make(map[string]*call),
 		}
 		r.engines[e.name] = e
 		r.engineList = append(r.engineList, e)
 	}
-	for i := range settings.Nodes {
-		r.nodes = append(r.nodes, r.newNode(fmt.Sprintf("node-%02d", i+1), zones[i%len(zones)]))
-	}
 	return r
 }
 
 // newNode makes a node whose core is set up as the dispatcher's.
-func (r *run) newNode(name, zone string) *node {
+func (r *run) newNode(name, zone string, view *fleetView) *node {
 	core := scheduler.New(r.settings.Policy, r.settings.Weights, name)
-	core.SetIndex(r.index)
+	core.SetIndex(view)
 	core.SetDistances(func(a, b string) float64 {
 		if a == b {
 			return 0
@@ -122,25 +123,7 @@
 		}
 		return 1
 	})
-	return &node{run: r, name: name, zone: zone, core: core, calls: make(map[string]*call)}
-}
-
-// startObservers begins the reports of engines and the ticks of nodes, each
-// with an offset of its own.
-func (r *run) startObservers() {
-	for i, e := range r.engineList {
-		e.observe()
-		r.every(reportInterval, offset(i, len(r.engineList)), e.observe)
-	}
-	for i, n := range r.nodes {
-		r.clock.after(reportLag, n.tick)
-		r.every(tickInterval, reportLag+offset(i, len(r.nodes)), n.tick)
-	}
-}
-
-// offset spreads count things evenly over an interval.
-func offset(position, count int) time.Duration {
-	return reportInterval * time.Duration(position+1) / time.Duration(count)
+	return &node{run: r, name: name, zone: zone, core: core, view: view, calls: make(map[string]*call)}
 }
 
 // every runs an action at an interval for as long as the run goes on.
@@ -151,8 +134,9 @@
 	})
 }
 
-// warmUp is when the first programs arrive, after the first reports.
-const warmUp = time.Second
+// warmUp is when the first programs arrive: after the first reports, and the
+// heartbeats that pass them on.
+const warmUp = 3 * time.Second
 
 // scheduleArrivals has the programs arrive at their times.
 func (r *run) scheduleArrivals() {
@@ -187,15 +171,6 @@
 	}
 }
 
-// views returns the newest reports that have arrived.
-func (r *run) views() []scheduler.EngineView {
-	views := make([]scheduler.EngineView, 0, len(r.engineList))
-	for _, e := range r.engineList {
-		views = append(views, e.report)
-	}
-	return views
-}
-
 // delay is the network delay one way between two zones.
 func (r *run) delay(a, b string) time.Duration {
 	if a == b {
