--- a/internal/simulation/experiment.go
+++ b/internal/simulation/experiment.go
@@ -19,8 +19,10 @@
 	Programs   int       // root programs of one run
 	Nodes      int       // 0 means one per zone
 	Weights    bundle.Scheduling
-	Retention  bundle.Retention // under program_aware; others keep all caches
-	Parallel   int              // runs at the same time
+	// Observation is Digests if empty.
+	Observation Observation
+	Parallel    int              // runs at the same time
+	Retention   bundle.Retention // under program_aware; others keep all caches
 }
 
 // Report is the outcome of an Experiment.
@@ -167,12 +169,13 @@
 
 func (x *Experiment) settings(policy scheduler.PolicyName, workload *Workload, nodes int) Settings {
 	return Settings{
-		Deployment: x.Deployment,
-		Policy:     policy,
-		Weights:    x.Weights,
-		Retention:  x.retention(policy),
-		Nodes:      nodes,
-		Workload:   workload,
+		Deployment:  x.Deployment,
+		Policy:      policy,
+		Weights:     x.Weights,
+		Observation: x.Observation,
+		Nodes:       nodes,
+		Workload:    workload,
+		Retention:   x.retention(policy),
 	}
 }
 
--- a/internal/simulation/retention.go
+++ b/internal/simulation/retention.go
@@ -19,13 +19,13 @@
 		Blocks:  c.prompt.blocks,
 		Tokens:  c.final.tokens,
 		Worth:   c.program.class.Worth,
-	}, e.report, n.run.clock.now)
+	}, n.view.viewOf(e.number), n.run.clock.now)
 	n.carryOut(decision)
 }
 
 // review decides again about all paused programs.
 func (n *node) review() {
-	for _, decision := range n.retainer.Review(n.run.views(), n.run.clock.now) {
+	for _, decision := range n.retainer.Review(n.view.views(), n.run.clock.now) {
 		n.carryOut(decision)
 	}
 }
