--- /dev/null
+++ b/internal/modelplan/orders_test.go
@@ -0,0 +1,117 @@
+package modelplan
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/backend"
+)
+
+// ordersOf returns what a settled planner orders, by engine.
+func ordersOf(t *testing.T, model Model, active int, engines ...Engine) map[string]backend.Order {
+	t.Helper()
+	planner := New(1, worldStart)
+	input := Input{
+		Now: worldStart.Add(time.Hour), Models: []Model{model}, Engines: engines, DemandKnown: true,
+		Demand: []Demand{{Model: model.Name, Active: active, Idle: time.Hour}},
+	}
+	given := map[string]backend.Order{}
+	for range 2 {
+		orders, err := planner.Plan(input, Settings{MaxConcurrentLoads: 1, BytesPerSecond: 1, ScaleUpUtilisation: 1, ScaleDownUtilisation: 1, ScaleUpQueue: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		clear(given)
+		for _, order := range orders {
+			given[order.Engine] = order.Order
+			for index := range input.Engines {
+				if input.Engines[index].Name == order.Engine {
+					input.Engines[index].Report.Fence = order.Order.Fence
+				}
+			}
+		}
+	}
+	for name, order := range given {
+		order.Fence = 0
+		given[name] = order
+	}
+	return given
+}
+
+func TestAdaptersRolesAndStrays(t *testing.T) {
+	model := Model{Name: "m", Adapters: []Adapter{{Name: "x", Version: "2"}}}
+	engine := func(name string, allowed []string, adapters ...backend.ItemState) Engine {
+		return Engine{Name: name, Allowed: allowed, MaxModels: 1, Usable: true, Report: backend.Load{
+			Role: "both", ModelStates: []backend.ItemState{{Name: "m", Ready: true}}, AdapterStates: adapters,
+		}}
+	}
+	allowed := []string{"m"}
+	current := backend.ItemState{Name: "x", Version: "2", Ready: true}
+	old := backend.ItemState{Name: "x", Version: "1", Ready: true}
+	toPrefill := func(e Engine) Engine {
+		e.WantedRole = "prefill"
+		return e
+	}
+	loadX := backend.Order{Action: backend.ActionLoadAdapter, Adapter: "x", Version: "2"}
+	unloadM := backend.Order{Action: backend.ActionUnloadModel, Model: "m"}
+	prefill := backend.Order{Action: backend.ActionSetRole, Role: "prefill"}
+	for _, test := range []struct {
+		name    string
+		active  int
+		engines []Engine
+		want    map[string]backend.Order
+	}{
+		{"an adapter is wanted", 0, []Engine{engine("a", allowed)}, map[string]backend.Order{"a": loadX}},
+		{"one engine at a time", 0, []Engine{engine("a", allowed, old), engine("b", allowed, old)}, map[string]backend.Order{"a": loadX}},
+		{"an adapter is not wanted", 0, []Engine{engine("a", allowed, current, backend.ItemState{Name: "y", Ready: true})},
+			map[string]backend.Order{"a": {Action: backend.ActionUnloadAdapter, Adapter: "y"}}},
+		{"nothing to do", 1, []Engine{engine("a", allowed, current)}, nil},
+		{"the only copy in use keeps its role", 1, []Engine{toPrefill(engine("a", allowed, current))}, nil},
+		{"one role at a time", 1, []Engine{toPrefill(engine("a", allowed, current)), toPrefill(engine("b", allowed, current))},
+			map[string]backend.Order{"a": prefill}},
+		{"a stray that is the only copy in use", 1, []Engine{engine("a", nil, current)}, nil},
+		{"a stray not in use", 0, []Engine{engine("a", nil, current)}, map[string]backend.Order{"a": unloadM}},
+		{"a stray with a copy elsewhere", 1, []Engine{engine("a", nil, current), engine("b", allowed, current)},
+			map[string]backend.Order{"a": unloadM}},
+	} {
+		got := ordersOf(t, model, test.active, test.engines...)
+		if len(got) != len(test.want) {
+			t.Errorf("%s: orders %+v", test.name, got)
+		}
+		for name, order := range test.want {
+			if got[name] != order {
+				t.Errorf("%s: %s gets %+v, want %+v", test.name, name, got[name], order)
+			}
+		}
+	}
+}
+
+// TestMeter has one call wait and two run for a long time, then none.
+func TestMeter(t *testing.T) {
+	meter, now := NewMeter(), worldStart
+	for range 3 {
+		meter.Queued("m", now)
+	}
+	meter.Placed("m", now)
+	meter.Placed("m", now)
+	now = now.Add(10 * time.Minute)
+	busy := meter.Read(now, time.Hour)[0]
+	if math.Abs(busy.Load-3) > 0.01 || math.Abs(busy.SlowLoad-3) > 0.01 || math.Abs(busy.Queued-1) > 0.01 || busy.Active != 3 || busy.Idle != 0 {
+		t.Errorf("busy: %+v", busy)
+	}
+	meter.Withdrawn("m", now)
+	meter.Ended("m", now)
+	meter.Ended("m", now)
+	now = now.Add(fastAverage)
+	quiet := meter.Read(now, time.Hour)[0]
+	if math.Abs(quiet.Load-3/math.E) > 0.01 || quiet.SlowLoad < 2.5 || quiet.Active != 0 || quiet.Idle != fastAverage {
+		t.Errorf("quiet: %+v", quiet)
+	}
+	if sum := Sum(meter.Read(now, time.Hour), []Demand{busy}); len(sum) != 1 || sum[0].Active != 3 || sum[0].Idle != 0 {
+		t.Errorf("sum %+v", sum)
+	}
+	if forgotten := meter.Read(now.Add(2*time.Hour), time.Hour); len(forgotten) != 0 {
+		t.Errorf("not forgotten: %+v", forgotten)
+	}
+}
