--- a/internal/backend/observer.go
+++ b/internal/backend/observer.go
@@ -27,6 +27,9 @@
 	// EventInterval is the time between polls of cache events; zero means
 	// that they are polled whenever the load is.
 	EventInterval time.Duration
+	// EventDelay is the time from the begin of Run to the first poll of
+	// cache events, which brings a snapshot of the whole cache.
+	EventDelay time.Duration
 	// OnPoll is called after each poll, in the goroutine of Run.
 	OnPoll func(load Load, observedAt time.Time, err error)
 }
@@ -41,7 +44,7 @@
 	options ObserverOptions
 	latest  atomic.Pointer[observation]
 
-	eventsAt time.Time // of the last poll of events; used by Run alone
+	nextEvents time.Time // when events are polled again; used by Run alone
 }
 
 // observation is the outcome of a poll. A failed poll keeps the load and the
@@ -72,6 +75,7 @@
 // Run polls until ctx ends. What the index knows of the engine stays; the
 // caller removes it when the engine is gone.
 func (o *Observer) Run(ctx context.Context) {
+	o.nextEvents = time.Now().Add(o.options.EventDelay)
 	failures := 0
 	for {
 		err := o.poll(ctx)
@@ -109,8 +113,8 @@
 		next.observedAt = time.Now()
 	}
 	o.latest.Store(&next)
-	if err == nil && o.index != nil && time.Since(o.eventsAt) >= o.options.EventInterval {
-		o.eventsAt = time.Now()
+	if err == nil && o.index != nil && !time.Now().Before(o.nextEvents) {
+		o.nextEvents = time.Now().Add(o.options.EventInterval)
 		o.pollEvents(ctx)
 	}
 	if o.options.OnPoll != nil {
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,11 @@
 	// The scheduler bridges it: what it has just sent to an engine counts as
 	// cached there for some seconds.
 	eventInterval = time.Second
+	// eventDelay is how long a node has had the duty to observe an engine
+	// before it takes the snapshot of the engine's cache, up to twice as long
+	// by chance: while members come and go, duties move several times, and a
+	// snapshot is megabytes.
+	eventDelay = 3 * time.Second
 )
 
 // pollMode is why a node polls an engine.
@@ -109,6 +115,7 @@
 func (f *Fleet) poll(ctx context.Context, member *engineMember, mode pollMode) {
 	options := backend.ObserverOptions{
 		EventInterval: eventInterval,
+		EventDelay:    eventDelay + rand.N(eventDelay),
 		OnPoll: func(load backend.Load, observedAt time.Time, err error) {
 			if ctx.Err() == nil {
 				f.polled(member, load, observedAt, err)
--- a/internal/fleet/churn.go
+++ b/internal/fleet/churn.go
@@ -14,7 +14,9 @@
 
 // Rhythm of churn.
 const (
-	churnBase       = 5 * time.Second // of the quiet measurement before
+	churnBase       = 5 * time.Second         // of the quiet measurement before
+	slopePeriod     = 1500 * time.Millisecond // of changes with nothing else going on
+	slopeChanges    = 4
 	changePeriod    = 3 * time.Second
 	changes         = 5
 	restartPeriod   = 4 * time.Second
@@ -38,8 +40,9 @@
 type Churn struct {
 	Nodes    int     `json:"nodes"`
 	CellSize int     `json:"cell_size"`
-	Quiet    Steady  `json:"quiet"` // of the same nodes just before
-	Busy     Steady  `json:"busy"`  // during churn
+	Quiet    Steady  `json:"quiet"`  // of the same nodes just before
+	Change   Change  `json:"change"` // of the bundle, with nothing else going on
+	Busy     Steady  `json:"busy"`   // during churn
 	InForce  Spread  `json:"in_force"`
 	Changes  float64 `json:"changes_per_second"`
 	// Rejoin is from the second start of a restarted node until its whole
@@ -49,6 +52,14 @@
 	Detect Spread `json:"detect"`
 }
 
+// Change is what one change of the bundle costs one node, over what it costs
+// it while quiet.
+type Change struct {
+	ProcessorMillis float64 `json:"processor_millis"`
+	PeerBytes       float64 `json:"peer_bytes"` // both ways, with headers and acknowledgements
+	TableOperations float64 `json:"table_operations"`
+}
+
 // churn collects what is measured while it runs.
 type churn struct {
 	*cluster
@@ -71,12 +82,19 @@
 		return Churn{}, err
 	}
 	run := &churn{cluster: c}
-	quiet, err := c.measure(ctx, before, func() error { return pause(ctx, churnBase) })
+	if err := pause(ctx, settleTime); err != nil {
+		return Churn{}, err
+	}
+	quiet, err := c.measure(before, func() error { return pause(ctx, churnBase) })
+	if err != nil {
+		return Churn{}, err
+	}
+	changing, err := c.measure(before, func() error { return c.changeOften(ctx) })
 	if err != nil {
 		return Churn{}, err
 	}
 	started := time.Now()
-	busy, err := c.measure(ctx, before, func() error { return run.disturb(ctx) })
+	busy, err := c.measure(before, func() error { return run.disturb(ctx) })
 	if err != nil {
 		return Churn{}, err
 	}
@@ -84,6 +102,7 @@
 		Nodes:    size,
 		CellSize: quiet.CellSize,
 		Quiet:    quiet,
+		Change:   costOfChange(quiet, changing),
 		Busy:     busy,
 		InForce:  spreadOf(run.inForce),
 		Changes:  changes / time.Since(started).Seconds(),
@@ -92,6 +111,29 @@
 	}, nil
 }
 
+// changeOften submits a bundle every slopePeriod.
+func (c *cluster) changeOften(ctx context.Context) error {
+	for range slopeChanges {
+		c.configuration.next()
+		if _, err := c.submit(ctx, 0); err != nil {
+			return err
+		}
+		if err := pause(ctx, slopePeriod); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func costOfChange(quiet, changing Steady) Change {
+	each := changing.Seconds / slopeChanges
+	return Change{
+		ProcessorMillis: 10 * (changing.CorePercent - quiet.CorePercent) * each,
+		PeerBytes:       (changing.PeerBytes - quiet.PeerBytes) * each,
+		TableOperations: (changing.TableOperations - quiet.TableOperations) * each,
+	}
+}
+
 // disturb runs all kinds of churn at once. Node 0 is left alone and takes the
 // bundles in; the last node is killed.
 func (c *churn) disturb(ctx context.Context) error {
--- a/internal/fleet/cluster.go
+++ b/internal/fleet/cluster.go
@@ -77,7 +77,8 @@
 	if _, err := c.submit(ctx, 0); err != nil {
 		return err
 	}
-	return errors.Wrapf(waitFor(ctx, c.settled), "start of %d nodes", c.size)
+	err := waitFor(ctx, func() bool { return c.unsettled() == "" })
+	return errors.Wrapf(err, "start of %d nodes: %s", c.size, c.unsettled())
 }
 
 func (c *cluster) startEach(ctx context.Context, chosen func(index int) bool) error {
@@ -148,23 +149,23 @@
 	return append([]*node.Node(nil), c.nodes...)
 }
 
-// settled tells whether every running node has the newest bundle and sees all
-// running nodes of its cell alive.
-func (c *cluster) settled() bool {
+// unsettled names a running node that lacks the newest bundle, or does not see
+// all running nodes of its cell alive and ready; it is empty if there is none.
+func (c *cluster) unsettled() string {
 	nodes := c.running()
 	for index, running := range nodes {
 		if running == nil {
 			continue
 		}
-		snapshot := running.InForce()
-		if snapshot == nil || snapshot.Version() != c.configuration.current.Version {
-			return false
+		if version := running.InForce().Version(); version != c.configuration.current.Version {
+			return fmt.Sprintf("%s has version %d", nodeName(index), version)
 		}
-		if aliveMembers(running) != c.runningInCell(nodes, c.cellOf(index)) {
-			return false
+		alive, all := aliveMembers(running), c.runningInCell(nodes, c.cellOf(index))
+		if alive != all {
+			return fmt.Sprintf("%s sees %d of %d members of its cell", nodeName(index), alive, all)
 		}
 	}
-	return true
+	return ""
 }
 
 func (c *cluster) runningInCell(nodes []*node.Node, cell int) int {
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -11,7 +11,7 @@
 const (
 	DefaultCellSize       = 16
 	DefaultEnginesPerNode = 2700.0 / 420.0
-	DefaultMeasure        = 10 * time.Second
+	DefaultMeasure        = 8 * time.Second
 	DefaultTenants        = 470
 	DefaultModels         = 20
 	DefaultEngines        = 2700
--- a/internal/fleet/steady.go
+++ b/internal/fleet/steady.go
@@ -5,7 +5,6 @@
 	"runtime"
 	"time"
 
-	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/wire"
 )
 
@@ -15,8 +14,12 @@
 // heartbeats of a pair of nodes travel on two connections, one each way.
 const segmentOverheadBytes = 52
 
-// settleTime passes between the start of a cluster and a measurement.
-const settleTime = 3 * time.Second
+// eventPollPeriod is the time between an observer's polls of cache events.
+const eventPollPeriod = time.Second
+
+// settleTime passes between the start of a cluster and a measurement: longer
+// than what introduces the members to each other takes.
+const settleTime = 8 * time.Second
 
 // Steady is what one node costs on average while nothing changes.
 type Steady struct {
@@ -81,15 +84,14 @@
 	if err := c.start(ctx); err != nil {
 		return Steady{}, err
 	}
-	return c.measure(ctx, before, func() error { return pause(ctx, options.Measure) })
-}
-
-// measure lets the nodes settle and averages over what happens during the
-// given work.
-func (c *cluster) measure(ctx context.Context, before Memory, during func() error) (Steady, error) {
 	if err := pause(ctx, settleTime); err != nil {
 		return Steady{}, err
 	}
+	return c.measure(before, func() error { return pause(ctx, options.Measure) })
+}
+
+// measure averages over what happens during the given work.
+func (c *cluster) measure(before Memory, during func() error) (Steady, error) {
 	first, err := c.read()
 	if err != nil {
 		return Steady{}, err
@@ -142,7 +144,7 @@
 // standInTime is the processor time that the engine stand-ins took for so
 // many requests, from the cost of one request measured by itself.
 func (c *cluster) standInTime(requests engineRequests) time.Duration {
-	load, events := c.transport.cost(backend.DefaultObserveInterval)
+	load, events := c.transport.cost(eventPollPeriod)
 	return time.Duration(requests.Loads)*load + time.Duration(requests.Events)*events
 }
 
