--- a/internal/fleet/churn.go
+++ b/internal/fleet/churn.go
@@ -14,13 +14,13 @@
 
 // Rhythm of churn.
 const (
-	churnBase       = 5 * time.Second         // of the quiet measurement before
+	churnBase       = 4 * time.Second         // of the quiet measurement before
 	slopePeriod     = 1500 * time.Millisecond // of changes with nothing else going on
 	slopeChanges    = 4
 	changePeriod    = 3 * time.Second
-	changes         = 5
+	changes         = 4
 	restartPeriod   = 4 * time.Second
-	restarts        = 3
+	restarts        = 2
 	restartPause    = 200 * time.Millisecond // between the end and the next start
 	killAfter       = 2 * time.Second
 	watchTimeout    = 30 * time.Second
@@ -82,7 +82,7 @@
 		return Churn{}, err
 	}
 	run := &churn{cluster: c}
-	if err := pause(ctx, settleTime); err != nil {
+	if err := pause(ctx, options.Settle); err != nil {
 		return Churn{}, err
 	}
 	quiet, err := c.measure(before, func() error { return pause(ctx, churnBase) })
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -11,7 +11,8 @@
 const (
 	DefaultCellSize       = 16
 	DefaultEnginesPerNode = 2700.0 / 420.0
-	DefaultMeasure        = 8 * time.Second
+	DefaultMeasure        = 7 * time.Second
+	DefaultSettle         = 9 * time.Second
 	DefaultTenants        = 470
 	DefaultModels         = 20
 	DefaultEngines        = 2700
@@ -26,11 +27,14 @@
 	CellSize       int           // nodes in a cell
 	EnginesPerNode float64       // engines of a cell over its nodes
 	Measure        time.Duration // length of one steady measurement
-	Tenants        int           // in the bundle
-	Models         int           // in the bundle
-	Engines        int           // in the bundle, at least those of the cells that run
-	Machines       int           // in the machine list
-	CacheEvents    float64       // cache events of one engine in a second
+	// Settle passes between the start and a measurement. The default is longer
+	// than it takes the members to learn of each other and their engines.
+	Settle      time.Duration
+	Tenants     int     // in the bundle
+	Models      int     // in the bundle
+	Engines     int     // in the bundle, at least those of the cells that run
+	Machines    int     // in the machine list
+	CacheEvents float64 // cache events of one engine in a second
 	// ProgramsPerNode is how many program rows stand in the table for each
 	// node, for the maintenance scan.
 	ProgramsPerNode int
@@ -40,6 +44,7 @@
 	setDefault(&o.CellSize, DefaultCellSize)
 	setDefault(&o.EnginesPerNode, DefaultEnginesPerNode)
 	setDefault(&o.Measure, DefaultMeasure)
+	setDefault(&o.Settle, DefaultSettle)
 	setDefault(&o.Tenants, DefaultTenants)
 	setDefault(&o.Models, DefaultModels)
 	setDefault(&o.Engines, DefaultEngines)
--- a/internal/fleet/steady.go
+++ b/internal/fleet/steady.go
@@ -17,10 +17,6 @@
 // eventPollPeriod is the time between an observer's polls of cache events.
 const eventPollPeriod = time.Second
 
-// settleTime passes between the start of a cluster and a measurement: longer
-// than what introduces the members to each other takes.
-const settleTime = 8 * time.Second
-
 // Steady is what one node costs on average while nothing changes.
 type Steady struct {
 	Nodes             int         `json:"nodes"`
@@ -84,7 +80,7 @@
 	if err := c.start(ctx); err != nil {
 		return Steady{}, err
 	}
-	if err := pause(ctx, settleTime); err != nil {
+	if err := pause(ctx, options.Settle); err != nil {
 		return Steady{}, err
 	}
 	return c.measure(before, func() error { return pause(ctx, options.Measure) })
