--- a/internal/backend/observer.go
+++ b/internal/backend/observer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/backoff"
 )
 
 // Defaults of ObserverOptions.
@@ -87,7 +89,7 @@
 		} else {
 			failures++
 		}
-		if !sleep(ctx, o.delay(failures)) {
+		if !backoff.Wait(ctx, o.delay(failures)) {
 			return
 		}
 	}
@@ -150,15 +152,3 @@
 	delay = min(delay, max(o.options.MaxInterval, o.options.Interval))
 	return delay + rand.N(delay/10+1)
 }
-
-// sleep waits; it returns false if ctx ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- /dev/null
+++ b/internal/backoff/backoff.go
@@ -0,0 +1,40 @@
+// Package backoff has the pauses of loops and retries: a wait that ends with
+// its context, and delays that spread what many nodes do.
+package backoff
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// maxShift bounds the doubling, so that no delay overflows.
+const maxShift = 30
+
+// Wait pauses for the delay. It returns false if the context ended first.
+func Wait(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// FullJitter returns a random delay between 0 and the exponential backoff of
+// the given retry (0 is the first), which doubles from base up to limit.
+func FullJitter(base, limit time.Duration, retry int) time.Duration {
+	ceiling := limit
+	if retry < maxShift && base<<retry < limit {
+		ceiling = base << retry
+	}
+	return rand.N(ceiling) + 1
+}
+
+// Spread returns a random delay between three and five quarters of the
+// period, so that nodes with the same period don't act in step.
+func Spread(period time.Duration) time.Duration {
+	return period*3/4 + rand.N(period/2+1)
+}
--- a/internal/client/retry.go
+++ b/internal/client/retry.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 )
 
 // RetryPolicy says how often and when to repeat; zero values mean the
@@ -90,11 +91,11 @@
 
 // delay is what the node asks for, plus a random share of the backoff.
 func (p RetryPolicy) delay(attempt int, err error) time.Duration {
-	backoff := p.BaseDelay
+	ceiling := p.BaseDelay
 	for range attempt - 1 {
-		backoff = min(2*backoff, p.MaxDelay)
+		ceiling = min(2*ceiling, p.MaxDelay)
 	}
-	jitter := time.Duration(rand.Int64N(int64(min(backoff, p.MaxDelay)) + 1))
+	jitter := time.Duration(rand.Int64N(int64(min(ceiling, p.MaxDelay)) + 1))
 	var problem *api.Error
 	if errors.As(err, &problem) {
 		return problem.RetryAfter + jitter
@@ -108,12 +109,5 @@
 	if bounded && time.Until(deadline) <= delay {
 		return false
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return backoff.Wait(ctx, delay)
 }
--- a/internal/dispatch/tools.go
+++ b/internal/dispatch/tools.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/ownership"
@@ -19,6 +19,7 @@
 const (
 	maxToolAttempts  = 3
 	toolRetryPause   = 100 * time.Millisecond
+	toolRetryLimit   = time.Second
 	lookupTimeout    = 3 * time.Second
 	maxLookups       = 3
 	unlimitedWorkers = 1 << 20
@@ -103,7 +104,7 @@
 			return t.giveUp(ctx, service, work, err, maybeRan)
 		}
 		record(work, explain.Decision{Kind: explain.Retried, Chosen: service.config.Name, Reason: err.Error()})
-		pause(ctx, time.Duration(rand.Int64N(int64(toolRetryPause)<<attempt)))
+		backoff.Wait(ctx, backoff.FullJitter(toolRetryPause, toolRetryLimit, attempt))
 	}
 }
 
@@ -149,17 +150,7 @@
 		if errors.Is(err, backend.ErrNoRecord) {
 			return ownership.Outcome{}, false
 		}
-		pause(ctx, toolRetryPause)
+		backoff.Wait(ctx, toolRetryPause)
 	}
 	return ownership.Outcome{}, false
 }
-
-// pause waits, or returns early when ctx ends.
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/steady.go
+++ b/internal/fleet/steady.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"time"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/wire"
 )
 
@@ -145,12 +146,8 @@
 }
 
 func pause(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !backoff.Wait(ctx, length) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/platform"
@@ -73,7 +74,7 @@
 		if err := n.refreshBundle(ctx); err != nil {
 			n.logger.Debug("bundle not refreshed", "error", err.Error())
 		}
-		if !pauseFor(ctx, jittered(n.bundlePeriod())) {
+		if !backoff.Wait(ctx, backoff.Spread(n.bundlePeriod())) {
 			return
 		}
 	}
@@ -115,7 +116,7 @@
 // watchMachines takes hints from the platform's lagging machine list. One
 // member of the cell reads it, and tells the others in its heartbeats.
 func (n *Node) watchMachines(ctx context.Context) {
-	for pauseFor(ctx, jittered(machinePeriod)) {
+	for backoff.Wait(ctx, backoff.Spread(machinePeriod)) {
 		if !n.hasDuty(machinesDuty) {
 			n.useMachines(nil)
 			continue
@@ -149,7 +150,7 @@
 // periods.
 func (n *Node) maintain(ctx context.Context) {
 	turn := rand.IntN(scanTurns)
-	for pauseFor(ctx, jittered(maintainPeriod)) {
+	for backoff.Wait(ctx, backoff.Spread(maintainPeriod)) {
 		now := time.Now()
 		n.programs.Sweep(ctx, now)
 		n.programs.EndExpired(ctx, now)
@@ -178,7 +179,7 @@
 
 // reconcileHolds frees what engines hold for programs that have ended.
 func (n *Node) reconcileHolds(ctx context.Context) {
-	for pauseFor(ctx, jittered(reconcilePeriod)) {
+	for backoff.Wait(ctx, backoff.Spread(reconcilePeriod)) {
 		n.dispatcher.Fleet().ReleaseOrphans(ctx, n.observes, n.programs.Live)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/dispatch"
 	"github.com/pewtermill/pewtermill/internal/explain"
@@ -288,9 +288,9 @@
 	n.leaving.Store(true)
 	n.programs.Leave()
 	n.members.announce()
-	pauseFor(ctx, drainNotice)
+	backoff.Wait(ctx, drainNotice)
 	for n.busy() {
-		if !pauseFor(ctx, drainPoll) {
+		if !backoff.Wait(ctx, drainPoll) {
 			return errors.Wrap(ctx.Err(), "calls are still under way")
 		}
 	}
@@ -336,22 +336,4 @@
 	n.store.Close()
 }
 
-// pauseFor waits, or returns false when ctx ends first.
-func pauseFor(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// jittered spreads a period over 0.75 to 1.25 of its length, so that nodes
-// don't act in step.
-func jittered(period time.Duration) time.Duration {
-	return period*3/4 + time.Duration(rand.Int64N(int64(period/2)))
-}
-
 var _ wire.ServerHandler = (*Node)(nil)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/membership"
 	"github.com/pewtermill/pewtermill/internal/program"
 	"github.com/pewtermill/pewtermill/internal/wire"
@@ -133,7 +134,7 @@
 		if reply != nil && !isMoving(reply) {
 			return trip.truthful(reply)
 		}
-		if time.Now().After(giveUp) || !pauseFor(ctx, jittered(pause)) {
+		if time.Now().After(giveUp) || !backoff.Wait(ctx, backoff.Spread(pause)) {
 			return trip.truthful(trip.lastReply(reply))
 		}
 		pause = min(2*pause, routeLastPause)
--- a/internal/node/seeds.go
+++ b/internal/node/seeds.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -99,7 +100,7 @@
 // does not answer may be paused with its connections open: all waits for it
 // end.
 func (n *Node) watchSeed(ctx context.Context, address string) {
-	for pauseFor(ctx, seedPingPeriod) && !n.seeds.stopWatch(address) {
+	for backoff.Wait(ctx, seedPingPeriod) && !n.seeds.stopWatch(address) {
 		if !n.pingSeed(ctx, address) && ctx.Err() == nil {
 			n.seeds.noteFailure(address, time.Now())
 			n.forwards.memberDied(address)
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/historycheck"
@@ -169,7 +170,7 @@
 	case x.begun <- struct{}{}:
 	default:
 	}
-	wait(ctx, duration)
+	backoff.Wait(ctx, duration)
 	if work.Request.Kind == api.KindTool {
 		if entered != nil {
 			entered <- work.Key
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
@@ -225,7 +226,7 @@
 				p.clearHolds(ctx, e)
 				return
 			}
-			if !wait(ctx, jitter(releasePause)) {
+			if !backoff.Wait(ctx, backoff.Spread(releasePause)) {
 				p.Logger.Warn("engine memory is not released yet", "program", e.id, "engines", held)
 				return
 			}
--- a/internal/ownership/outage_test.go
+++ b/internal/ownership/outage_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 )
 
@@ -55,6 +56,6 @@
 		if !errors.As(err, &refusal) || refusal.Code != api.StoreDown || time.Now().After(giveUp) {
 			t.Fatalf("call %d: %v", sequence, err)
 		}
-		wait(context.Background(), recordPauseFirst)
+		backoff.Wait(context.Background(), recordPauseFirst)
 	}
 }
--- a/internal/ownership/settle.go
+++ b/internal/ownership/settle.go
@@ -2,12 +2,11 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
 )
@@ -35,7 +34,7 @@
 			return api.CallResult{}, ranElsewhere()
 		}
 		f.park(pending)
-		if !wait(p.closing, jitter(pause)) {
+		if !backoff.Wait(p.closing, backoff.Spread(pause)) {
 			return api.CallResult{}, pending
 		}
 		pause = min(2*pause, recordPauseLast)
@@ -167,20 +166,3 @@
 	row.SegmentObject = digest
 	return row, nil
 }
-
-// wait pauses, or returns false if the context ends first.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// jitter spreads a pause over half to one and a half times its length.
-func jitter(pause time.Duration) time.Duration {
-	return pause/2 + time.Duration(rand.Int64N(int64(pause)))
-}
--- a/internal/platform/reads.go
+++ b/internal/platform/reads.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/backoff"
 )
 
 // Retries of reads and object requests.
@@ -80,7 +82,7 @@
 			s.healthy()
 			return result, err
 		}
-		if refusals > readRetries || !pause(ctx, fullJitter(readRetryBase, readRetryMax, retry)) {
+		if refusals > readRetries || !backoff.Wait(ctx, backoff.FullJitter(readRetryBase, readRetryMax, retry)) {
 			return result, err
 		}
 	}
--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/pewtermill/pewtermill/internal/backoff"
 )
 
 // Settings of one group's commit.
@@ -210,7 +212,7 @@
 	}
 	g.unavailable++
 	if g.unavailable <= quickRetries && g.store.breaker.allow() {
-		if pause(g.store.base, fullJitter(quickRetryBase, quickRetryBase*4, g.unavailable-1)) {
+		if backoff.Wait(g.store.base, backoff.FullJitter(quickRetryBase, quickRetryBase*4, g.unavailable-1)) {
 			return false
 		}
 	}
@@ -244,17 +246,17 @@
 // settle reads the lane's row, until it gets an answer, and judges by it.
 func (g *group) settle() bool {
 	g.retries++
-	return g.settleAfter(fullJitter(settleBase, settleLimit, g.retries-1))
+	return g.settleAfter(backoff.FullJitter(settleBase, settleLimit, g.retries-1))
 }
 
 func (g *group) settleAfter(wait time.Duration) bool {
-	for pause(g.store.base, wait) {
+	for backoff.Wait(g.store.base, wait) {
 		row, err := g.readRow(g.lane.key)
 		if err == nil {
 			return g.judge(row)
 		}
 		g.retries++
-		wait = fullJitter(settleBase, settleLimit, g.retries-1)
+		wait = backoff.FullJitter(settleBase, settleLimit, g.retries-1)
 	}
 	return g.giveUp()
 }
@@ -343,7 +345,7 @@
 		if err == nil {
 			return row, nil
 		}
-		if !pause(g.store.base, fullJitter(settleBase, settleLimit, retry)) {
+		if !backoff.Wait(g.store.base, backoff.FullJitter(settleBase, settleLimit, retry)) {
 			return Row{}, err
 		}
 	}
--- a/internal/platform/state.go
+++ b/internal/platform/state.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/backoff"
 )
 
 // Healthy reports whether the table service answers. While it does not,
@@ -36,7 +38,7 @@
 // probe reads until the service answers again or the store closes.
 func (s *GroupStore) probe() {
 	for !s.probeEnds() {
-		if !pause(s.base, s.breaker.retryAfter(time.Now())) {
+		if !backoff.Wait(s.base, s.breaker.retryAfter(time.Now())) {
 			return
 		}
 		ctx, cancel := context.WithTimeout(s.base, settleTimeout)
@@ -78,7 +80,7 @@
 	defer s.mu.Unlock()
 	s.stats.Throttled++
 	s.pace = min(s.window, max(minPace, 2*s.pace))
-	wait := fullJitter(throttleBase, throttleLimit, s.throttleRetries)
+	wait := backoff.FullJitter(throttleBase, throttleLimit, s.throttleRetries)
 	s.throttleRetries++
 	s.notBefore = time.Now().Add(wait)
 	return wait
