--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -24,7 +24,7 @@
 const fallbackPrefillRate = 5000
 
 // maxServedMarks bounds what is remembered of own calls at one engine.
-const maxServedMarks = 1 << 14
+const maxServedMarks = 1 << 11
 
 // Fleet is the node's view of its cell's engines. The set is replaced as a
 // whole when a bundle comes into force; readers of it never block. Safe for
