--- a/cmd/pewtermill-lab/load.go
+++ b/cmd/pewtermill-lab/load.go
@@ -2,8 +2,12 @@
 
 import (
 	"io"
+	"os"
 	"runtime"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/command"
 	"github.com/pewtermill/pewtermill/internal/scheduler"
 	"github.com/pewtermill/pewtermill/internal/simulation"
@@ -21,7 +25,10 @@
 	Policies    []string  `help:"Policies to compare." enum:"program_aware,round_robin,least_loaded,session_affinity" default:"program_aware,round_robin,least_loaded,session_affinity"`
 	Programs    int       `help:"Root programs in each run." default:"2000"`
 	Nodes       int       `help:"Nodes that share the engines; 0 means one for each zone." default:"0"`
+	Observation string    `help:"How nodes learn about engines: by digests in heartbeats, as they do, or all polling all." enum:"digests,polling" default:"digests"`
 	CacheTokens int64     `help:"Cache memory of each engine, in tokens; 0 means the deployment's." default:"0"`
+	Bundle      string    `help:"Bundle from which to take the scheduling weights; empty means the defaults." type:"existingfile" optional:""`
+	HoldCost    float64   `help:"Under program_aware, cost of the memory that a paused program's cache takes; 0 keeps every cache." default:"0"`
 	Parallel    int       `help:"Runs at the same time; 0 means one for each processor." default:"0"`
 }
 
@@ -62,13 +69,20 @@
 	if l.CacheTokens > 0 {
 		deployment.Engine.CacheTokens = l.CacheTokens
 	}
+	weights, err := l.weights()
+	if err != nil {
+		return nil, err
+	}
 	experiment := &simulation.Experiment{
-		Deployment: deployment,
-		Loads:      l.Load,
-		Seeds:      l.Seeds,
-		Programs:   l.Programs,
-		Nodes:      l.Nodes,
-		Parallel:   l.Parallel,
+		Deployment:  deployment,
+		Weights:     weights,
+		Observation: simulation.Observation(l.Observation),
+		Loads:       l.Load,
+		Seeds:       l.Seeds,
+		Programs:    l.Programs,
+		Nodes:       l.Nodes,
+		Parallel:    l.Parallel,
+		Retention:   bundle.Retention{HoldCost: l.HoldCost},
 	}
 	if experiment.Parallel <= 0 {
 		experiment.Parallel = runtime.GOMAXPROCS(0)
@@ -78,3 +92,20 @@
 	}
 	return experiment, nil
 }
+
+// weights returns the scheduling weights of the bundle, if one is given. The
+// policy that it names does not count.
+func (l *loadCommand) weights() (bundle.Scheduling, error) {
+	if l.Bundle == "" {
+		return bundle.Scheduling{}, nil
+	}
+	source, err := os.ReadFile(l.Bundle)
+	if err != nil {
+		return bundle.Scheduling{}, errors.Wrap(err, "read bundle")
+	}
+	decoded, err := bundle.Decode(source)
+	if err != nil {
+		return bundle.Scheduling{}, err
+	}
+	return decoded.Scheduling, nil
+}
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -146,7 +146,7 @@
 	AttainedWeight     float64 `json:"attained_weight,omitempty" yaml:"attained_weight"`
 	AgingPerSecond     float64 `json:"aging_per_second,omitempty" yaml:"aging_per_second"`
 	MaxQueue           int     `json:"max_queue,omitempty" yaml:"max_queue"`
-	RetryBudget        float64 `json:"retry_budget,omitempty" yaml:"retry_budget"`
+	RetryBudget        float64 `json:"retry_budget,omitempty" yaml:"retry_budget"` // further attempts per fresh call, after a call's first retry
 	EngineMaxAgeMillis int64   `json:"engine_max_age_millis,omitempty" yaml:"engine_max_age_millis"`
 }
 
@@ -165,12 +165,10 @@
 }
 
 // Retention sets what becomes of a program's cache while the program pauses
-// between two model calls. Zero means the default that internal/scheduler
-// documents.
+// between two model calls.
 type Retention struct {
-	Disabled    bool    `json:"disabled,omitempty" yaml:"disabled"`         // cache is always kept
-	HoldCost    float64 `json:"hold_cost,omitempty" yaml:"hold_cost"`       // of one second of memory, per second to rebuild
-	LowPressure float64 `json:"low_pressure,omitempty" yaml:"low_pressure"` // share of memory in use up to which all is kept
+	HoldCost    float64 `json:"hold_cost,omitempty" yaml:"hold_cost"`       // of one second of memory, per second to rebuild; 0 = caches are always kept
+	LowPressure float64 `json:"low_pressure,omitempty" yaml:"low_pressure"` // share of memory in use up to which all is kept; 0 = scheduler.DefaultLowPressure
 }
 
 // Limits bounds what callers may send and how long things are kept. Zero
@@ -178,8 +176,7 @@
 type Limits struct {
 	MaxBodyBytes     int64 `json:"max_body_bytes,omitempty" yaml:"max_body_bytes"`
 	MaxSequenceAhead int64 `json:"max_sequence_ahead,omitempty" yaml:"max_sequence_ahead"`
-	HoldMillis       int64 `json:"hold_millis,omitempty" yaml:"hold_millis"` // engine holds time out after this
-	EndedKeepMillis  int64 `json:"ended_keep_millis,omitempty" yaml:"ended_keep_millis"`
+	EndedKeepMillis  int64 `json:"ended_keep_millis,omitempty" yaml:"ended_keep_millis"` // rows of ended programs are kept so long
 }
 
 // Signed is a bundle in force or on its way: the exact YAML that was signed.
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -61,19 +61,14 @@
 	}
 	q.core.SetWeights(policy, weights, snapshot.Version())
 	q.core.SetDistances(snapshot.DistanceMillis)
-	q.core.SetClass(func(name string) float64 {
-		if class, ok := snapshot.Class(name); ok {
-			return class.Worth
-		}
-		return 1
-	})
+	q.core.SetClass(func(name string) float64 { return classWorth(snapshot, name) })
 	q.core.SetTenantWeight(func(name string) float64 {
 		if tenant, ok := snapshot.Tenant(name); ok && tenant.Weight > 0 {
 			return tenant.Weight
 		}
 		return 1
 	})
-	q.core.SetEngines(q.fleet.Views())
+	q.setEngines(q.fleet.Views())
 }
 
 // run refreshes the engines' views and looks at the queue until ctx ends.
@@ -100,10 +95,23 @@
 		return
 	}
 	q.refreshedAt = now
-	q.core.SetEngines(q.fleet.Views())
+	q.setEngines(q.fleet.Views())
 	q.advance(now)
 }
 
+// setEngines gives the core the newest views, without engines of which no
+// report has come yet: the core sets its limit of own calls at an engine by the
+// batch size in the first view that it gets. The mutex is held.
+func (q *queue) setEngines(views []scheduler.EngineView) {
+	observed := make([]scheduler.EngineView, 0, len(views))
+	for _, view := range views {
+		if !view.ObservedAt.IsZero() {
+			observed = append(observed, view)
+		}
+	}
+	q.core.SetEngines(observed)
+}
+
 // acquire waits for an engine. When ctx ends first the call is withdrawn,
 // and was not run.
 func (q *queue) acquire(ctx context.Context, call scheduler.Call) (scheduler.Assignment, *api.Error) {
@@ -138,7 +146,18 @@
 		q.core.Finish(call.ID, scheduler.Result{Engine: given.assignment.Engine, Succeeded: true}, now)
 		q.advance(now)
 	}
-	return scheduler.Assignment{}, api.Errorf(api.DeadlineExceeded, "%s while it was queued", cancelDetail(ctx)).After(retryLater)
+	refusal := api.Errorf(api.DeadlineExceeded, "%s while it was queued", cancelDetail(ctx)).After(retryLater)
+	q.recorder.Record(explain.Decision{
+		At:       now,
+		Kind:     explain.Refused,
+		Program:  call.Program,
+		Tenant:   call.Tenant,
+		Sequence: call.Sequence,
+		Target:   call.Model,
+		Code:     int(refusal.Code),
+		Reason:   refusal.Detail,
+	})
+	return scheduler.Assignment{}, refusal
 }
 
 // finish gives an engine's place back.
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -151,7 +151,7 @@
 	turn := rand.IntN(scanTurns)
 	for pauseFor(ctx, jittered(maintainPeriod)) {
 		now := time.Now()
-		n.programs.Sweep(now)
+		n.programs.Sweep(ctx, now)
 		n.programs.EndExpired(ctx, now)
 		for partition := turn; partition < program.Partitions; partition += scanTurns {
 			if !n.lookAfter(ctx, partition) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	peers      *wire.Client
 	peerServer *wire.Server
 	forwards   *forwards
+	seeds      *seeds // of other cells
 
 	faults     *wire.Faults
 	heartbeats membership.Config
@@ -116,6 +117,7 @@
 		decisions:   explain.NewLog(s.Name, decisionLogRecords),
 		faults:      dependencies.Faults,
 		forwards:    newForwards(),
+		seeds:       newSeeds(),
 		heartbeats:  dependencies.Heartbeats,
 		hollow:      dependencies.Hollow,
 	}
@@ -141,6 +143,7 @@
 		Peers:       peerAccess{n},
 		InForce:     n.keeper.InForce,
 		Recorder:    n.decisions,
+		Meter:       newMeter(n.registry),
 		Logger:      n.logger,
 	})
 	n.planner = n.newPlanner()
@@ -172,6 +175,7 @@
 		Logger:     n.logger,
 		Fault:      n.faults,
 	}
+	options.OnRefused = func(address string, afterBreak bool) { n.members.refused(address, afterBreak) }
 	n.peers = wire.NewClient(options)
 	server, err := wire.Listen(n.settings.PeerAddress, options, n)
 	if err != nil {
@@ -258,18 +262,25 @@
 // InForce returns the bundle in force on this node, nil before any.
 func (n *Node) InForce() *bundle.Snapshot { return n.keeper.InForce() }
 
+// engineGrace is how long after its start a node that has observed no engine
+// yet is not ready. After it the node is ready for what needs none.
+const engineGrace = 5 * time.Second
+
 // Ready reports whether the node takes new work: it has a bundle at least as
-// new as its peers', and it is not leaving.
+// new as its peers', it has observed an engine, and it is not leaving.
 func (n *Node) Ready() bool {
 	snapshot := n.keeper.InForce()
 	if snapshot == nil || n.leaving.Load() {
 		return false
 	}
-	return snapshot.Version() >= n.members.newestBundle()
+	if snapshot.Version() < n.members.newestBundle() {
+		return false
+	}
+	return n.dispatcher.Fleet().Ready() || time.Since(n.startedAt) >= engineGrace
 }
 
 // Drain is a planned stop: peers are told, new work goes elsewhere, programs
-// are given up as they become idle, and every call under way ends in peace.
+// are released as they become idle, and every call under way ends in peace.
 // The callers' endpoint takes requests until the last call that this node
 // owns has ended, and hands them on to other nodes.
 func (n *Node) Drain(ctx context.Context) error {
@@ -289,9 +300,14 @@
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "requests are still under way")
 	}
+	n.programs.ReleaseAll(ctx)
 	if err := n.peerServer.Drain(ctx); err != nil {
 		return errors.Wrap(err, "peers still wait for answers")
 	}
+	if err := n.programs.WaitIdle(ctx); err != nil {
+		return errors.Wrap(err, "calls are still under way")
+	}
+	n.programs.ReleaseAll(ctx)
 	n.logger.Info("drained")
 	return nil
 }
--- a/internal/ownership/maintain.go
+++ b/internal/ownership/maintain.go
@@ -20,28 +20,23 @@
 // object store have them all; a dropped one is read again at its next call.
 const maxHistoryBytes = 256 << 20
 
-// Sweep drops programs from memory that nobody used for a while, and the
+// Sweep releases programs that nobody used for a while, and drops the
 // conversations used longest ago while there are too many bytes of them.
-func (p *Programs) Sweep(now time.Time) {
-	var kept []*entry
+func (p *Programs) Sweep(ctx context.Context, now time.Time) {
+	var unused, kept []*entry
 	var bytes int64
 	p.entries.Range(func(_, value any) bool {
 		e := value.(*entry)
-		select {
-		case e.commit <- struct{}{}:
-		default:
-			return true
-		}
 		if e.unusedSince(now.Add(-idleKeep)) {
-			p.forget(e)
+			unused = append(unused, e)
 		} else if held := e.historyBytes(); held > 0 {
 			kept = append(kept, e)
 			bytes += held
 		}
-		e.unlock()
 		return true
 	})
 	dropHistories(kept, bytes)
+	p.release(ctx, unused, "nobody used it for a while")
 }
 
 // dropHistories drops idle conversations, those used longest ago first, until
@@ -120,9 +115,10 @@
 	}
 }
 
-// LookAfter scans the programs of one partition and ends those past their
-// wall time, whether or not anyone calls them, and repeats releases of engine
-// memory that a former owner left undone.
+// LookAfter scans the programs of one partition: it ends those past their wall
+// time, whether or not anyone calls them, repeats releases of engine memory
+// that a former owner left undone, and deletes the rows of programs that ended
+// long enough ago.
 func (p *Programs) LookAfter(ctx context.Context, cell string, partition int) error {
 	start, end := program.HeaderRange(cell, partition)
 	for {
@@ -136,7 +132,7 @@
 				p.Logger.Error("program row cannot be read", "key", row.Key, "error", err.Error())
 				continue
 			}
-			p.lookAfter(ctx, header)
+			p.lookAfter(ctx, header, row.Revision)
 		}
 		if len(rows) < scanPageRows {
 			return nil
@@ -145,13 +141,16 @@
 	}
 }
 
-func (p *Programs) lookAfter(ctx context.Context, header program.Header) {
+func (p *Programs) lookAfter(ctx context.Context, header program.Header, revision uint64) {
+	now := time.Now()
 	switch {
+	case p.isCollectable(header, now):
+		p.collect(ctx, header, revision)
 	case header.Status == api.ProgramClosed && len(header.Holds) > 0:
 		if e, err := p.acquire(ctx, header.ID); err == nil {
 			p.releaseHolds(e)
 		}
-	case isExpired(header, time.Now()):
+	case isExpired(header, now):
 		p.endExpired(ctx, header.ID)
 	}
 }
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -16,7 +16,10 @@
 	name  string
 	zone  string
 	core  *scheduler.Core
+	view  *fleetView
 	calls map[string]*call // queued here, by id
+
+	retainer *scheduler.Retainer
 }
 
 // call is one model call of a program.
@@ -85,6 +88,7 @@
 // finish takes a call's answer from an engine.
 func (n *node) finish(e *simulatedEngine, c *call) {
 	now := n.run.clock.now
+	n.view.served.Mark(e.name, c.prompt.blocks)
 	n.core.Finish(c.id, scheduler.Result{
 		Engine:       e.name,
 		Succeeded:    true,
@@ -92,12 +96,13 @@
 		CachedTokens: c.cachedTokens,
 		PromptTokens: c.prompt.tokens,
 	}, now)
+	n.pause(e, c)
 	c.program.answered(e, c)
 	n.advance()
 }
 
 // tick takes the newest reports and moves the queue.
 func (n *node) tick() {
-	n.core.SetEngines(n.run.views())
+	n.core.SetEngines(n.view.views())
 	n.advance()
 }
--- a/tests/owner_test.go
+++ b/tests/owner_test.go
@@ -13,6 +13,7 @@
 // must not run twice is at the tool. The next owner must not dispatch it
 // again, whatever it answers, and the program goes on with its history.
 func TestOwnerKilledDuringToolCall(t *testing.T) {
+	t.Parallel()
 	d := startDeployment(t, size{engines: 2, nodes: 3})
 	history := newHistories()
 	program := d.createProgram("owner-killed")
@@ -40,6 +41,7 @@
 // TestFrozenOwnerIsFenced freezes a program's owner until another node has
 // taken the program over, and then lets it go on.
 func TestFrozenOwnerIsFenced(t *testing.T) {
+	t.Parallel()
 	d := startDeployment(t, size{engines: 2, nodes: 3})
 	history := newHistories()
 	program := d.createProgram("owner-frozen")
@@ -60,3 +62,23 @@
 	history.ask(t, owner, program.ID, 3)
 	history.ask(t, other, program.ID, 4)
 }
+
+// TestPlannedStopReleasesIdlePrograms stops the owner of a program between
+// two calls. No reservation may be lost by it, and nothing of the stopped node
+// may be left for the next owner to wait for.
+func TestPlannedStopReleasesIdlePrograms(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t, size{engines: 2, nodes: 3})
+	history := newHistories()
+	created := d.createProgram("idle-at-stop")
+	first := history.ask(t, d.nodes[0], created.ID, 1)
+	owner, other := d.ownerAndOther(created.ID)
+	owner.stop()
+	if header := d.header(created.ID); header.Owner == owner.name || header.Reserved != 0 {
+		t.Errorf("not released: owner %q, reserved %d", header.Owner, header.Reserved)
+	}
+	second := history.ask(t, other, created.ID, 2)
+	if header := d.header(created.ID); header.Spent != first.Cost+second.Cost {
+		t.Errorf("spent %d, the calls cost %d and %d", header.Spent, first.Cost, second.Cost)
+	}
+}
--- a/tests/workload_test.go
+++ b/tests/workload_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/client"
-	"github.com/pewtermill/pewtermill/internal/command/devcluster"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/historycheck"
 	"github.com/pewtermill/pewtermill/internal/standin/engine"
@@ -36,18 +35,20 @@
 // workload runs programs one after the other on many callers, through random
 // nodes, until it is told to finish, and records all that the callers see.
 type workload struct {
-	t        *testing.T
+	t        testing.TB
 	d        *deployment
 	recorder historycheck.Recorder
 	ended    chan struct{}
+	endOnce  sync.Once
 	callers  sync.WaitGroup
 
 	mutex    sync.Mutex
 	programs []api.Program // as they were when they ended
 }
 
-func startWorkload(t *testing.T, d *deployment, seed uint64) *workload {
+func startWorkload(t testing.TB, d *deployment, seed uint64) *workload {
 	w := &workload{t: t, d: d, ended: make(chan struct{})}
+	t.Cleanup(w.end) // before the deployment ends, also after a failure
 	for index := range callersAtOnce {
 		random := rand.New(rand.NewPCG(seed, uint64(index)))
 		w.callers.Go(func() { w.drive(index, random) })
@@ -73,7 +74,7 @@
 func (w *workload) runProgram(index int, key string, random *rand.Rand) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
-	created, err := untilAnswered(ctx, w.d, random, func(ctx context.Context, c *client.Client) (api.Program, error) {
+	created, err := untilAnswered(ctx, w.d.home(index, random), func(ctx context.Context, c *client.Client) (api.Program, error) {
 		return c.CreateProgram(ctx, key, api.CreateProgramRequest{Class: "batch", Budget: programBudget})
 	})
 	if err != nil {
@@ -89,7 +90,7 @@
 		}
 		history = w.checkAnswer(created.ID, sequence, request, result, history)
 	}
-	ended, err := untilAnswered(ctx, w.d, random, func(ctx context.Context, c *client.Client) (api.Program, error) {
+	ended, err := untilAnswered(ctx, w.d.anyNode(random), func(ctx context.Context, c *client.Client) (api.Program, error) {
 		return c.EndProgram(ctx, created.ID)
 	})
 	if err != nil {
@@ -114,7 +115,7 @@
 func (w *workload) call(ctx context.Context, index int, id string, sequence int64, request api.CallRequest, random *rand.Rand) (api.CallResult, bool) {
 	input := historycheck.Input{Program: id, Sequence: sequence}
 	for ctx.Err() == nil {
-		caller := w.d.randomCaller(random)
+		caller := w.d.anyNode(random)()
 		var last error
 		result, output := w.recorder.Call(index, input, func() (api.CallResult, error) {
 			limited, cancel := context.WithTimeout(ctx, attemptLimit)
@@ -170,11 +171,16 @@
 	return append(asked, api.Message{Role: api.RoleAssistant, Content: result.Output})
 }
 
+// end lets the programs under way end, and waits for their callers.
+func (w *workload) end() {
+	w.endOnce.Do(func() { close(w.ended) })
+	w.callers.Wait()
+}
+
 // finish lets the programs under way end and checks what must hold.
 func (w *workload) finish() {
 	w.t.Helper()
-	close(w.ended)
-	w.callers.Wait()
+	w.end()
 	all, final := w.recorder.Operations()
 	w.t.Logf("%d programs, %d requests, %d final answers", len(w.programs), all, final)
 	if len(w.programs) == 0 {
@@ -186,7 +192,7 @@
 		}
 	}
 	w.checkToolRuns()
-	if err := w.recorder.Check(w.executions()); err != nil {
+	if err := w.recorder.Check(w.d.executions()); err != nil {
 		w.t.Error(err)
 	}
 	w.d.waitHoldsReleased()
@@ -194,21 +200,30 @@
 
 // checkToolRuns checks that no call that is not repeatable ran twice.
 func (w *workload) checkToolRuns() {
-	for _, execution := range fetch[[]tool.Execution](w.t, w.d.toolURL+"/log") {
+	for _, key := range w.d.ranTwice() {
+		w.t.Errorf("%s ran more than once", key)
+	}
+}
+
+// ranTwice returns the keys of calls that the tool executed again.
+func (d *deployment) ranTwice() []string {
+	var keys []string
+	for _, execution := range fetch[[]tool.Execution](d.t, d.toolURL+"/log") {
 		if execution.Number > 1 {
-			w.t.Errorf("%s ran %d times", execution.IdempotencyKey, execution.Number)
+			keys = append(keys, execution.IdempotencyKey)
 		}
 	}
+	return keys
 }
 
 // executions are all runs at the tool and at the engines that still live.
-func (w *workload) executions() []historycheck.Execution {
+func (d *deployment) executions() []historycheck.Execution {
 	var executions []historycheck.Execution
-	for _, run := range fetch[[]tool.Execution](w.t, w.d.toolURL+"/log") {
+	for _, run := range fetch[[]tool.Execution](d.t, d.toolURL+"/log") {
 		executions = append(executions, executionOf(run.IdempotencyKey, run.Started))
 	}
-	for _, url := range w.d.engineURLs {
-		for _, run := range fetch[[]engine.LogEntry](w.t, url+"/log") {
+	for _, url := range d.engineURLs {
+		for _, run := range fetch[[]engine.LogEntry](d.t, url+"/log") {
 			key, _, _ := strings.Cut(run.RequestID, "@")
 			executions = append(executions, executionOf(key, run.Started))
 		}
@@ -223,11 +238,11 @@
 	return historycheck.Execution{Program: id, Sequence: sequence, Started: started}
 }
 
-// untilAnswered repeats a request at random nodes until it succeeds, or is
-// refused for good.
-func untilAnswered[T any](ctx context.Context, d *deployment, random *rand.Rand, ask func(ctx context.Context, c *client.Client) (T, error)) (T, error) {
+// untilAnswered repeats a request, each time at a node that next chooses,
+// until it succeeds or is refused for good.
+func untilAnswered[T any](ctx context.Context, next func() *client.Client, ask func(ctx context.Context, c *client.Client) (T, error)) (T, error) {
 	for {
-		caller := d.randomCaller(random)
+		caller := next()
 		limited, cancel := context.WithTimeout(ctx, attemptLimit)
 		answer, err := ask(limited, caller)
 		cancel()
@@ -259,9 +274,20 @@
 	}
 }
 
-// randomCaller returns a client of a random node.
-func (d *deployment) randomCaller(random *rand.Rand) *client.Client {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return client.New(d.nodes[random.IntN(len(d.nodes))].callerURL, devcluster.TenantKey)
+// anyNode returns a function that chooses a random node each time.
+func (d *deployment) anyNode(random *rand.Rand) func() *client.Client {
+	return func() *client.Client {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		return d.nodes[random.IntN(len(d.nodes))].caller()
+	}
+}
+
+// home is like anyNode for the nodes of one caller's cell. An idempotency key
+// finds the program that was created with it in its own cell only.
+func (d *deployment) home(index int, random *rand.Rand) func() *client.Client {
+	return func() *client.Client {
+		nodes := d.nodesIn(d.cellOf(index))
+		return nodes[random.IntN(len(nodes))].caller()
+	}
 }
