backend: a prompt grows turn by turn instead of being made anew

Cause: each turn copied the list of messages, rendered and hashed the whole history, and encoded it as JSON. After 130 turns of 700 KB that was nearly all of a call's cost. Ruled out: hashing alone (a tenth of it); the commit, which holds one segment.

backend.Prompt keeps the messages' JSON and the chained block hashes; With hashes and encodes what is new and shares the rest, and the engine's request body is read from these pieces without joining them. The history takes the JSON's memory instead of the strings'.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -21,7 +21,7 @@
 	Request   string // unique per attempt; names the stream for resume and cancel
 	Epoch     uint64
 	Priority  int // higher runs first
-	Messages  []api.Message
+	Prompt    *Prompt
 	MaxTokens int64
 }
 
--- a/internal/backend/engine_client.go
+++ b/internal/backend/engine_client.go
@@ -59,16 +59,9 @@
 // startStream posts the call and reads its stream. An error after sending is
 // errLinkCut if the stream may be resumed.
 func (c *EngineClient) startStream(ctx context.Context, request ChatRequest, stream *chatStream) error {
-	body := WireChatRequest{
-		Model:     request.Model,
-		Adapter:   request.Adapter,
-		Messages:  request.Messages,
-		MaxTokens: request.MaxTokens,
-		Stream:    true,
-		Program:   request.Program,
-		RequestID: request.Request,
-		Epoch:     request.Epoch,
-		Priority:  request.Priority,
+	body, err := newChatBody(request)
+	if err != nil {
+		return ofKind(ctx, ErrUnreachable, err)
 	}
 	return c.readStream(ctx, http.MethodPost, "/v1/chat/completions", body, stream)
 }
--- a/internal/backend/engine_client_test.go
+++ b/internal/backend/engine_client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -80,11 +81,21 @@
 		Program:   "p",
 		Request:   id,
 		Epoch:     1,
-		Messages:  []api.Message{{Role: "user", Content: content}},
+		Prompt:    backend.NewPrompt(api.Message{Role: "user", Content: content}),
 		MaxTokens: 1000,
 	}
 }
 
+// messagesOf decodes a request's messages as an engine does.
+func messagesOf(request backend.ChatRequest) []api.Message {
+	content, _ := request.Prompt.JSON()
+	var messages []api.Message
+	if err := json.NewDecoder(content).Decode(&messages); err != nil {
+		panic(err)
+	}
+	return messages
+}
+
 // pieces collects a stream's text and fails on a gap or repeat.
 type pieces struct {
 	text  strings.Builder
@@ -113,12 +124,13 @@
 			if err != nil || seen.fault != nil {
 				return false, errors.CombineErrors(err, seen.fault)
 			}
-			want := engine.Answer(request.Messages, request.MaxTokens, 200)
+			messages := messagesOf(request)
+			want := engine.Answer(messages, request.MaxTokens, 200)
 			executions := len(standIn.Log())
 			usage := result.Usage
 			return result.Text == want && seen.text.String() == want &&
 				usage.CompletionTokens == backend.EstimateTokens(len(want)) &&
-				usage.PromptTokens == backend.EstimateTokens(len(backend.RenderPrompt(request.Messages))) &&
+				usage.PromptTokens == backend.EstimateTokens(len(backend.RenderPrompt(messages))) &&
 				executions == number, nil
 		}, gen.IntRange(15, 900), gen.IntRange(0, 40), gen.IntRange(0, 1)))
 }
@@ -138,7 +150,9 @@
 		{"leaving", faults(engine.Faults{Leaving: true}), nil, backend.ErrLeaving, 0},
 		{"model not loaded", nil, func(r *backend.ChatRequest) { r.Model = "x" }, backend.ErrRefused, 0},
 		{"older epoch", nil, func(r *backend.ChatRequest) { r.Epoch = 0 }, backend.ErrFenced, 0},
-		{"too large", nil, func(r *backend.ChatRequest) { r.Messages[0].Content = strings.Repeat("x", 1<<21) }, backend.ErrRefused, 0},
+		{"too large", nil, func(r *backend.ChatRequest) {
+			r.Prompt = r.Prompt.With(api.Message{Role: "user", Content: strings.Repeat("x", 1<<21)})
+		}, backend.ErrRefused, 0},
 		{"cut for good", faults(engine.Faults{CutStreamAfterBytes: 10, CutForgetsStream: true}), nil, backend.ErrBroken, 1},
 		{"engine gone", (*engine.Engine).Close, nil, backend.ErrBroken, 0},
 	}
@@ -262,7 +276,7 @@
 		client.SetIdleTimeout(300 * time.Millisecond)
 		request := chatRequest("r", "x")
 		result, err := client.Chat(t.Context(), request, nil)
-		if want := engine.Answer(request.Messages, 1000, engine.DefaultAnswerTokens); err != nil || result.Text != want {
+		if want := engine.Answer(messagesOf(request), 1000, engine.DefaultAnswerTokens); err != nil || result.Text != want {
 			t.Errorf("headers %v: text %q, error %v", withHeaders, result.Text, err)
 		}
 	}
--- a/internal/backend/index_test.go
+++ b/internal/backend/index_test.go
@@ -155,7 +155,7 @@
 		if err := observer.PollOnce(t.Context()); err != nil {
 			t.Fatal(err)
 		}
-		blocks := backend.PrefixBlocks(request.Messages)
+		blocks := request.Prompt.Blocks()
 		if cached := index.CachedBlocks("e1", blocks); cached != len(blocks) {
 			t.Errorf("round %d: %d of %d blocks", number, cached, len(blocks))
 		}
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -55,7 +55,8 @@
 	return endpoint{url: strings.TrimRight(url, "/"), client: &copied}
 }
 
-// do sends one request with a JSON body (nil: none). A failure is
+// do sends one request with a JSON body (nil: none; a *chatBody, or what
+// encodes as JSON). A failure is
 // ErrUnreachable when no connection was had, so that not one byte can have
 // been sent, and ErrBroken otherwise. The caller closes the answer's body.
 func (e endpoint) do(ctx context.Context, method, path string, body any) (*http.Response, error) {
@@ -93,8 +94,11 @@
 }
 
 func newRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
-	if body == nil {
+	switch body := body.(type) {
+	case nil:
 		return http.NewRequestWithContext(ctx, method, url, http.NoBody)
+	case *chatBody:
+		return newChatRequest(ctx, method, url, body)
 	}
 	encoded, err := json.Marshal(body)
 	if err != nil {
@@ -108,6 +112,23 @@
 	return request, nil
 }
 
+// newChatRequest makes a request whose body the transport can read again when
+// it finds that a kept connection was closed.
+func newChatRequest(ctx context.Context, method, url string, body *chatBody) (*http.Request, error) {
+	content, size := body.open()
+	request, err := http.NewRequestWithContext(ctx, method, url, content)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = size
+	request.GetBody = func() (io.ReadCloser, error) {
+		again, _ := body.open()
+		return io.NopCloser(again), nil
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
 // doJSON sends one request and decodes a 2xx answer into answer (nil: none
 // expected). Other statuses become errors by statusError.
 func (e endpoint) doJSON(ctx context.Context, method, path string, body, answer any) error {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -127,7 +127,7 @@
 		Program:   work.Header.ID,
 		Request:   assignment.Call.ID,
 		Epoch:     work.Header.Epoch,
-		Messages:  work.Messages,
+		Prompt:    work.Prompt,
 		MaxTokens: work.MaxTokens,
 	}, onText)
 	if errors.Is(err, backend.ErrLeaving) {
@@ -149,10 +149,6 @@
 // schedulerCall is the work as the scheduler sees it.
 func (d *Dispatcher) schedulerCall(work ownership.Work) scheduler.Call {
 	header := work.Header
-	bytes := 0
-	for _, message := range work.Messages {
-		bytes += len(message.Role) + len(message.Content) + len("\n\n")
-	}
 	call := scheduler.Call{
 		Program:         header.ID,
 		Sequence:        work.Sequence,
@@ -160,8 +156,8 @@
 		Class:           header.Class,
 		Model:           work.Request.Target,
 		Zone:            d.Zone,
-		PrefixBlocks:    backend.PrefixBlocks(work.Messages),
-		PromptTokens:    backend.EstimateTokens(bytes),
+		PrefixBlocks:    work.Prompt.Blocks(),
+		PromptTokens:    backend.EstimateTokens(work.Prompt.RenderedBytes()),
 		ExpectedTokens:  work.MaxTokens / 2,
 		Deadline:        work.Deadline,
 		ProgramStarted:  header.CreatedAt,
--- a/internal/node/bench_path_test.go
+++ b/internal/node/bench_path_test.go
@@ -101,26 +101,33 @@
 }
 
 // BenchmarkLongHistory measures one more turn of a program that has 130 turns
-// of together 700 KB behind it, like BenchmarkPath without sockets.
+// of together 700 KB behind it: like BenchmarkPath without sockets, and over
+// loopback through the owner. The processor time is that of the whole process.
 func BenchmarkLongHistory(b *testing.B) {
-	cluster := newBenchCluster(b, benchOptions{nodes: 1, pieces: answerPieces, noIO: true})
-	caller := newPathCaller(cluster.nodes[0], false)
-	const measuredPerProgram = 10
-	turn := modelRequest(longTurnBytes)
-	short := modelRequest(requestBytes)
-	b.ReportAllocs()
-	b.ResetTimer()
-	for made := 0; made < b.N; made += measuredPerProgram {
-		b.StopTimer()
-		id := caller.create(b)
-		for sequence := range int64(longTurns) {
-			caller.call(b, id, sequence+1, turn)
-		}
-		runtime.GC()
-		b.StartTimer()
-		for extra := range min(measuredPerProgram, b.N-made) {
-			caller.call(b, id, int64(longTurns+extra)+1, short)
-		}
+	for _, way := range []string{"path", "loopback"} {
+		b.Run(way, func(b *testing.B) {
+			cluster := newBenchCluster(b, benchOptions{nodes: 1, pieces: answerPieces, noIO: way == "path"})
+			caller := newPathCaller(cluster.nodes[0], false)
+			const measuredPerProgram = 10
+			var spent time.Duration
+			b.ReportAllocs()
+			b.ResetTimer()
+			for made := 0; made < b.N; made += measuredPerProgram {
+				b.StopTimer()
+				id := caller.create(b)
+				for sequence := range int64(longTurns) {
+					caller.call(b, id, sequence+1, modelRequest(longTurnBytes))
+				}
+				runtime.GC()
+				before := processorTime()
+				b.StartTimer()
+				for extra := range min(measuredPerProgram, b.N-made) {
+					caller.call(b, id, int64(longTurns+extra)+1, modelRequest(requestBytes))
+				}
+				spent += processorTime() - before
+			}
+			b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "cpu-µs/call")
+		})
 	}
 }
 
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// messagesOf decodes a prompt as an engine does.
+func messagesOf(prompt *backend.Prompt) []api.Message {
+	var messages []api.Message
+	content, _ := prompt.JSON()
+	if err := json.NewDecoder(content).Decode(&messages); err != nil {
+		panic(err)
+	}
+	return messages
+}
+
 // Execute implements Executor.
 func (x *testExecutor) Execute(ctx context.Context, work Work, onText func(offset int64, text string)) Outcome {
 	x.mutex.Lock()
@@ -157,7 +167,7 @@
 	x.starts = append(x.starts, historycheck.Execution{Program: work.Header.ID, Sequence: work.Sequence, Started: time.Now()})
 	hang, entered := x.hang, x.entered
 	var prompt []string
-	for _, message := range work.Messages {
+	for _, message := range messagesOf(work.Prompt) {
 		prompt = append(prompt, message.Content)
 	}
 	x.prompts[work.Key] = prompt
@@ -184,7 +194,7 @@
 	}
 	text := fmt.Sprintf("answer %d to %s", number, work.Key)
 	onText(0, text)
-	bytes := len(backend.RenderPrompt(work.Messages))
+	bytes := work.Prompt.RenderedBytes()
 	return Outcome{
 		Code:    api.OK,
 		Text:    text,
--- a/internal/ownership/entry.go
+++ b/internal/ownership/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/program"
 )
 
@@ -27,8 +28,8 @@
 	revision uint64
 	flight   *flight
 	lastUsed time.Time
-	history  *history
-	changed  chan struct{} // closed and replaced at every change
+	history  *backend.Prompt // the conversation; nil until it is read from the table
+	changed  chan struct{}   // closed and replaced at every change
 }
 
 // lock takes the commit semaphore.
--- a/internal/ownership/executor.go
+++ b/internal/ownership/executor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/program"
 )
 
@@ -15,8 +16,8 @@
 	Sequence   int64
 	Request    api.CallRequest
 	Repeatable bool
-	Key        string        // idempotency key, the same for every attempt
-	Messages   []api.Message // model: the whole history with the caller's delta
+	Key        string          // idempotency key, the same for every attempt
+	Prompt     *backend.Prompt // model: the whole history with the caller's delta
 	MaxTokens  int64
 	Arrived    time.Time
 	Deadline   time.Time
--- a/internal/ownership/history.go
+++ b/internal/ownership/history.go
@@ -6,26 +6,13 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/program"
 )
 
 // callPageRows is how many call rows one range read returns.
 const callPageRows = 200
 
-// history is a program's model conversation. It is read from the table once
-// and extended by every recorded model call.
-type history struct {
-	messages []api.Message
-	bytes    int64 // of all contents
-}
-
-func (h *history) add(messages []api.Message) {
-	h.messages = append(h.messages, messages...)
-	for _, message := range messages {
-		h.bytes += int64(len(message.Content))
-	}
-}
-
 // extend adds what a recorded call said.
 func (e *entry) extend(messages []api.Message) {
 	e.mutex.Lock()
@@ -33,11 +20,11 @@
 	if e.history == nil || len(messages) == 0 {
 		return
 	}
-	e.history.add(messages)
+	e.history = e.history.With(messages...)
 }
 
 // prompt returns the whole history followed by the caller's new messages.
-func (p *Programs) prompt(ctx context.Context, e *entry, delta []api.Message) ([]api.Message, error) {
+func (p *Programs) prompt(ctx context.Context, e *entry, delta []api.Message) (*backend.Prompt, error) {
 	e.mutex.Lock()
 	known := e.history
 	id, next, tenant := e.id, e.header.NextSequence, e.header.Tenant
@@ -52,15 +39,13 @@
 		e.mutex.Unlock()
 		known = read
 	}
-	messages := make([]api.Message, 0, len(known.messages)+len(delta))
-	messages = append(messages, known.messages...)
-	return append(messages, delta...), nil
+	return known.With(delta...), nil
 }
 
 // readHistory reads every final call of the program and checks that none is
 // missing and each belongs to it.
-func (p *Programs) readHistory(ctx context.Context, id, tenant string, next int64) (*history, error) {
-	read := &history{}
+func (p *Programs) readHistory(ctx context.Context, id, tenant string, next int64) (*backend.Prompt, error) {
+	var messages []api.Message
 	for sequence := int64(1); sequence < next; {
 		last := min(next, sequence+callPageRows)
 		rows, err := p.Store.Range(ctx, program.CallKey(id, sequence), program.CallKey(id, last), callPageRows)
@@ -75,11 +60,11 @@
 			if err != nil {
 				return nil, err
 			}
-			read.add(segment.Messages)
+			messages = append(messages, segment.Messages...)
 			sequence++
 		}
 	}
-	return read, nil
+	return backend.NewPrompt(messages...), nil
 }
 
 // segment decodes one call row, following it to the object store, and checks
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		t.Fatalf("%s: %v", id, err)
 	}
-	checkPrompts(t, c, id, history.messages)
+	checkPrompts(t, c, id, messagesOf(history))
 	for sequence := int64(3); sequence <= callsPerProgram; sequence += 3 {
 		if ran := c.executor.ran(program.IdempotencyKey(id, sequence)); ran > 1 {
 			t.Errorf("%s call %d is not repeatable and ran %d times", id, sequence, ran)
--- a/internal/ownership/maintain.go
+++ b/internal/ownership/maintain.go
@@ -57,10 +57,7 @@
 func (e *entry) historyBytes() int64 {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.history == nil {
-		return 0
-	}
-	return e.history.bytes
+	return e.history.MemoryBytes()
 }
 
 func (e *entry) usedAt() time.Time {
@@ -76,7 +73,7 @@
 	if e.flight != nil || e.history == nil {
 		return 0
 	}
-	freed := e.history.bytes
+	freed := e.history.MemoryBytes()
 	e.history = nil
 	return freed
 }
--- a/internal/ownership/run.go
+++ b/internal/ownership/run.go
@@ -81,7 +81,7 @@
 	work.Deadline, _ = ctx.Deadline()
 	work.ReserveAgain = func(ctx context.Context) (uint64, *api.Error) { return p.reserveAgain(ctx, e, planned) }
 	if planned.model != nil {
-		work.Messages, err = p.prompt(ctx, e, f.request.Messages)
+		work.Prompt, err = p.prompt(ctx, e, f.request.Messages)
 		if err != nil {
 			p.abandon(e, f.sequence)
 			return api.CallResult{}, err
