fleet: the test of the measurement waits on what it measures

It now measures until nodes have sent each other something and asked engines; what must be above 0 is the same.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -57,13 +58,33 @@
 	}
 }
 
-// The steps of an experiment, with few nodes and no time to settle.
+// measurements bounds how often a measurement is repeated in which the
+// stand-ins' estimated share of a short time was more than all of it.
+const measurements = 20
+
+// The steps of an experiment, with few nodes, measured until each of them has
+// had something to do.
 func TestMeasuresRealNodes(t *testing.T) {
-	options := Options{CellSize: 2, Settle: time.Millisecond, Measure: 500 * time.Millisecond, ProgramsPerNode: 3}
-	steady, err := MeasureSteady(t.Context(), options, 3)
+	options := Options{CellSize: 2, ProgramsPerNode: 3}.withDefaults()
+	c, err := newCluster(t.Context(), options, 3)
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer c.close()
+	before := readMemory()
+	if err := c.start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	var steady Steady
+	for range measurements {
+		steady, err = c.measure(before, func() error { return c.untilBusy(t.Context()) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if steady.CorePercent > 0 {
+			break
+		}
+	}
 	if steady.Nodes != 3 || steady.CellSize != 2 || steady.EnginesPerCell != 13 {
 		t.Errorf("ran %d nodes in cells of %d with %d engines", steady.Nodes, steady.CellSize, steady.EnginesPerCell)
 	}
@@ -77,6 +98,27 @@
 	}
 }
 
+// untilBusy waits until nodes have sent each other bytes and asked engines.
+func (c *cluster) untilBusy(ctx context.Context) error {
+	first, err := c.read()
+	if err != nil {
+		return err
+	}
+	for {
+		if err := pause(ctx, 10*time.Millisecond); err != nil {
+			return err
+		}
+		now, err := c.read()
+		if err != nil {
+			return err
+		}
+		traffic, requests := now.traffic.Since(first.traffic), now.engines.since(first.engines)
+		if traffic.BytesSent > 0 && traffic.Writes > 0 && requests.Loads > 0 && now.processor > first.processor {
+			return nil
+		}
+	}
+}
+
 func TestSpread(t *testing.T) {
 	var durations []time.Duration
 	for index := range 9 {
