--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -11,8 +11,8 @@
 const (
 	DefaultCellSize       = 16
 	DefaultEnginesPerNode = 2700.0 / 420.0
-	DefaultMeasure        = 7 * time.Second
-	DefaultSettle         = 9 * time.Second
+	DefaultMeasure        = 6 * time.Second
+	DefaultSettle         = 8 * time.Second
 	DefaultTenants        = 470
 	DefaultModels         = 20
 	DefaultEngines        = 2700
