ownership, backend: a streamed token no longer copies the answer so far

Cause: flight.write cut the text's capacity before it appended, so every token copied the whole answer: 3.7 MB for 1,024 tokens of 4 bytes, growing with the square. Each token also made a channel that nobody waited on, and a chunk with three values of its own. Ruled out: the readers, who hold parts of the text; bytes that they may hold are replaced in a copy, as before, only when another attempt restates the text.

--- a/internal/backend/chat_chunk.go
+++ b/internal/backend/chat_chunk.go
@@ -2,44 +2,31 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"unicode/utf8"
 )
 
-// decodeChunk decodes one event of a chat stream as encoding/json does. Almost
-// every event holds one more piece of text and nothing else; this form is read
-// by a scanner of its own, at a fraction of the cost.
-func decodeChunk(data []byte) (WireChatChunk, error) {
-	if chunk, ok := scanTextChunk(data); ok {
-		return chunk, nil
-	}
-	var chunk WireChatChunk
-	err := json.Unmarshal(data, &chunk)
-	return chunk, err
-}
-
-// scanTextChunk decodes an event of the fields id, object, offset and one
-// choice of index and delta. It is false for any other event, whatever it is;
-// so it is, too, for numbers and strings in unusual forms.
-func scanTextChunk(data []byte) (WireChatChunk, bool) {
+// scanTextChunk reads an event of a chat stream that holds one more piece of
+// text and nothing else, as almost every event does, at a fraction of what
+// encoding/json takes for it. Such an event has the fields id, object, offset
+// and one choice of index and delta. It is false for any other event, whatever
+// it is, and for numbers and strings in unusual forms.
+func scanTextChunk(data []byte) (offset int64, text string, ok bool) {
 	scanner := chunkScanner{rest: data}
-	var chunk WireChatChunk
+	choices := 0
 	for first := true; scanner.nextField(first); first = false {
 		switch string(scanner.key) {
-		case "id":
-			chunk.ID = scanner.text()
-		case "object":
-			chunk.Object = scanner.text()
+		case "id", "object":
+			scanner.plainString()
 		case "offset":
-			chunk.Offset = scanner.number()
+			offset = scanner.number()
 		case "choices":
-			scanner.failed = scanner.failed || chunk.Choices != nil // a second one
-			chunk.Choices = []WireChoice{scanner.choices()}
+			text = scanner.choices()
+			choices++
 		default:
 			scanner.failed = true
 		}
 	}
-	return chunk, !scanner.failed && len(scanner.rest) == 0
+	return offset, text, !scanner.failed && choices == 1 && len(scanner.rest) == 0
 }
 
 // chunkScanner reads JSON without white space from its front. After a failure
@@ -77,30 +64,30 @@
 	return !s.failed
 }
 
-// choices reads an array of one choice.
-func (s *chunkScanner) choices() WireChoice {
-	var choice WireChoice
+// choices reads an array of one choice and returns its text.
+func (s *chunkScanner) choices() string {
+	text := ""
 	s.accept("[")
 	for first := true; s.nextField(first); first = false {
 		switch string(s.key) {
 		case "index":
-			choice.Index = int(s.number())
+			s.number()
 		case "delta":
-			choice.Delta = s.delta()
+			text = s.delta()
 		default:
 			s.failed = true
 		}
 	}
 	s.accept("]")
-	return choice
+	return text
 }
 
 // delta reads an object whose only field is the content.
-func (s *chunkScanner) delta() WireDelta {
+func (s *chunkScanner) delta() string {
 	s.accept(`{"content":`)
 	content := s.text()
 	s.accept("}")
-	return WireDelta{Content: content}
+	return content
 }
 
 // maxPlainDigits keeps numbers far from overflow.
--- a/internal/backend/chat_chunk_test.go
+++ b/internal/backend/chat_chunk_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"reflect"
 	"testing"
 
 	"github.com/leanovate/gopter"
@@ -78,7 +77,7 @@
 }
 
 func scanFault(data []byte) string {
-	scanned, ok := scanTextChunk(data)
+	offset, text, ok := scanTextChunk(data)
 	if !ok {
 		return ""
 	}
@@ -86,29 +85,38 @@
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		return fmt.Sprintf("%q scanned, but: %v", data, err)
 	}
-	if !reflect.DeepEqual(scanned, decoded) {
-		return fmt.Sprintf("%q scanned as %+v, decoded as %+v", data, scanned, decoded)
+	if !isText(decoded, offset, text) {
+		return fmt.Sprintf("%q scanned as %q at %d, decoded as %+v", data, text, offset, decoded)
 	}
 	return ""
 }
 
+// isText says that a chunk is this piece of text and nothing else.
+func isText(chunk WireChatChunk, offset int64, text string) bool {
+	if len(chunk.Choices) != 1 || chunk.Usage != nil || chunk.Digest != "" || chunk.Error != nil {
+		return false
+	}
+	choice := chunk.Choices[0]
+	return chunk.Offset == offset && choice.Delta.Content == text && choice.FinishReason == ""
+}
+
 // The usual event is read by the scanner.
 func TestUsualChunkIsScanned(t *testing.T) {
 	for _, content := range []string{"word", "", "a \"line\"\n", "é漢"} {
 		chunk := WireChatChunk{ID: "1", Object: "chat.completion.chunk", Offset: 12, Choices: []WireChoice{{Delta: WireDelta{Content: content}}}}
-		scanned, ok := scanTextChunk(encodeChunk(chunk, false))
-		if !ok || !reflect.DeepEqual(scanned, chunk) {
-			t.Errorf("scanned as %+v (%v), want %+v", scanned, ok, chunk)
+		offset, text, ok := scanTextChunk(encodeChunk(chunk, false))
+		if !ok || offset != chunk.Offset || text != content {
+			t.Errorf("scanned as %q at %d (%v), want %q at %d", text, offset, ok, content, chunk.Offset)
 		}
 	}
 }
 
-func BenchmarkDecodeChunk(b *testing.B) {
+func BenchmarkScanTextChunk(b *testing.B) {
 	data := encodeChunk(WireChatChunk{ID: "1", Object: "chat.completion.chunk", Offset: 1200, Choices: []WireChoice{{Delta: WireDelta{Content: " word"}}}}, true)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := decodeChunk(data); err != nil {
-			b.Fatal(err)
+		if _, _, ok := scanTextChunk(data); !ok {
+			b.Fatal("not scanned")
 		}
 	}
 }
--- a/internal/backend/chat_stream.go
+++ b/internal/backend/chat_stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -105,8 +106,11 @@
 	if s.complete || string(data) == StreamEnd {
 		return nil
 	}
-	chunk, err := decodeChunk(data)
-	if err != nil {
+	if offset, text, ok := scanTextChunk(data); ok {
+		return s.takeText(offset, text)
+	}
+	var chunk WireChatChunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
 		return errors.Wrapf(errLinkCut, "event not read: %v", err)
 	}
 	if chunk.Error != nil {
--- a/internal/ownership/flight.go
+++ b/internal/ownership/flight.go
@@ -20,7 +20,7 @@
 	text  []byte // streamed so far
 	// generation rises when streamed text is replaced: another attempt runs.
 	generation int
-	grown      chan struct{} // closed and replaced whenever text changes
+	grown      chan struct{} // closed at the next change; nil while nobody waits
 	parked     *api.Error    // set while the result waits for the table service
 	done       chan struct{}
 	result     api.CallResult // once done, if failure is nil
@@ -32,7 +32,6 @@
 		sequence: sequence,
 		digest:   digest,
 		cancel:   cancel,
-		grown:    make(chan struct{}),
 		done:     make(chan struct{}),
 	}
 }
@@ -46,14 +45,18 @@
 	}
 	if offset < int64(len(f.text)) {
 		f.generation++
+		f.text = f.text[:offset:offset] // readers may hold what came after
 	}
-	f.text = append(f.text[:offset:offset], text...)
+	f.text = append(f.text, text...)
 	f.wake()
 }
 
+// wake tells those who wait of a change. The mutex is held.
 func (f *flight) wake() {
-	close(f.grown)
-	f.grown = make(chan struct{})
+	if f.grown != nil {
+		close(f.grown)
+		f.grown = nil
+	}
 }
 
 // park tells the callers who wait that the result cannot be recorded now.
@@ -94,6 +97,9 @@
 	if generation != f.generation {
 		sent = 0
 	}
+	if f.grown == nil {
+		f.grown = make(chan struct{})
+	}
 	return progress{
 		text:       f.text[sent:len(f.text):len(f.text)],
 		generation: f.generation,
