--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,10 +41,12 @@
 // Dispatcher implements ownership.Executor. Safe for concurrent use.
 type Dispatcher struct {
 	Options
-	fleet  *Fleet
-	queue  *queue
-	tools  *tools
-	demand *demandMeter
+	fleet     *Fleet
+	queue     *queue
+	tools     *tools
+	demand    *demandMeter
+	retention *retention
+	retries   *retries
 }
 
 // New returns a Dispatcher without engines; Apply gives it the bundle's.
@@ -52,10 +54,11 @@
 	if options.Client == nil {
 		options.Client = backend.NewHTTPClient()
 	}
-	d := &Dispatcher{Options: options, demand: newDemandMeter()}
+	d := &Dispatcher{Options: options, demand: newDemandMeter(), retries: newRetries()}
 	d.fleet = newFleet(options)
 	d.queue = newQueue(options, d.fleet)
 	d.tools = newTools(options)
+	d.retention = newRetention(options, d.fleet)
 	return d
 }
 
@@ -67,10 +70,13 @@
 	d.fleet.apply(snapshot)
 	d.tools.apply(snapshot)
 	d.queue.apply(snapshot)
+	d.retention.apply(snapshot)
+	d.retries.apply(snapshot)
 }
 
 // Run observes engines and moves the queue until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) {
+	go d.retention.run(ctx)
 	d.queue.run(ctx)
 	d.fleet.close()
 }
@@ -78,11 +84,34 @@
 // Execute implements ownership.Executor.
 func (d *Dispatcher) Execute(ctx context.Context, work ownership.Work, onText func(offset int64, text string)) ownership.Outcome {
 	if work.Request.Kind == api.KindTool {
-		return d.tools.execute(ctx, work, d.record)
+		d.retention.callsTool(ctx, work)
+		return d.executeTool(ctx, work)
 	}
 	return d.executeModel(ctx, work, onText)
 }
 
+// executeTool runs a tool call and records a refusal; those of model calls are
+// recorded where they are made, with the engines that were considered.
+func (d *Dispatcher) executeTool(ctx context.Context, work ownership.Work) ownership.Outcome {
+	d.retries.fresh()
+	outcome := d.tools.execute(ctx, work, d.retries, d.record)
+	if outcome.Refusal != nil {
+		d.recordRefusal(work, outcome.Refusal)
+	}
+	return outcome
+}
+
+// refuse records a refusal that the scheduler did not make, and ends the call
+// by it.
+func (d *Dispatcher) refuse(work ownership.Work, refusal *api.Error, lost bool) ownership.Outcome {
+	d.recordRefusal(work, refusal)
+	return refused(refusal, lost)
+}
+
+func (d *Dispatcher) recordRefusal(work ownership.Work, refusal *api.Error) {
+	d.record(work, explain.Decision{Kind: explain.Refused, Code: int(refusal.Code), Reason: refusal.Detail})
+}
+
 // Lookup implements ownership.Executor.
 func (d *Dispatcher) Lookup(ctx context.Context, tool, key string) (ownership.Outcome, bool) {
 	return d.tools.lookup(ctx, tool, key)
@@ -93,9 +122,10 @@
 	return slices.Collect(maps.Keys(*d.fleet.members.Load()))
 }
 
-// Release implements ownership.Executor. An engine that the bundle no longer
-// names holds nothing that matters.
+// Release implements ownership.Executor: the program has ended. An engine that
+// the bundle no longer names holds nothing that matters.
 func (d *Dispatcher) Release(ctx context.Context, engine, program string) error {
+	d.retention.ended(program)
 	member, ok := d.fleet.engine(engine)
 	if !ok {
 		return nil
--- a/internal/dispatch/tools.go
+++ b/internal/dispatch/tools.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/ownership"
@@ -19,6 +19,7 @@
 const (
 	maxToolAttempts  = 3
 	toolRetryPause   = 100 * time.Millisecond
+	toolRetryLimit   = time.Second
 	lookupTimeout    = 3 * time.Second
 	maxLookups       = 3
 	unlimitedWorkers = 1 << 20
@@ -69,7 +70,7 @@
 
 // execute runs a tool call. One that is not repeatable is sent at most once:
 // it is tried again only if it was certainly not sent.
-func (t *tools) execute(ctx context.Context, work ownership.Work, record recordFunc) ownership.Outcome {
+func (t *tools) execute(ctx context.Context, work ownership.Work, retries *retries, record recordFunc) ownership.Outcome {
 	service, ok := (*t.known.Load())[work.Request.Target]
 	if !ok {
 		return ownership.Outcome{Refusal: api.Errorf(api.UnknownTarget, "no tool %q", work.Request.Target)}
@@ -81,10 +82,10 @@
 		return ownership.Outcome{Refusal: api.Errorf(api.DeadlineExceeded, "%s while it waited for the tool", cancelDetail(ctx)).After(retryLater)}
 	}
 	record(work, explain.Decision{Kind: explain.Placed, Chosen: service.config.Name, Reason: "the only service of this tool"})
-	return t.attempt(ctx, service, work, record)
+	return t.attempt(ctx, service, work, retries, record)
 }
 
-func (t *tools) attempt(ctx context.Context, service *toolService, work ownership.Work, record recordFunc) ownership.Outcome {
+func (t *tools) attempt(ctx context.Context, service *toolService, work ownership.Work, retries *retries, record recordFunc) ownership.Outcome {
 	request := backend.ToolRequest{
 		Tool:           service.config.Name,
 		IdempotencyKey: work.Key,
@@ -98,11 +99,12 @@
 			return toolOutcome(service.config.Name, result)
 		}
 		maybeRan = maybeRan || !isRefusal(err)
-		if maybeRan && !work.Repeatable || ctx.Err() != nil || attempt == maxToolAttempts {
+		final := maybeRan && !work.Repeatable || ctx.Err() != nil || attempt == maxToolAttempts
+		if final || attempt > freeAttempts && !retries.allowed() {
 			return t.giveUp(ctx, service, work, err, maybeRan)
 		}
 		record(work, explain.Decision{Kind: explain.Retried, Chosen: service.config.Name, Reason: err.Error()})
-		pause(ctx, time.Duration(rand.Int64N(int64(toolRetryPause)<<attempt)))
+		backoff.Wait(ctx, backoff.FullJitter(toolRetryPause, toolRetryLimit, attempt))
 	}
 }
 
@@ -148,17 +150,7 @@
 		if errors.Is(err, backend.ErrNoRecord) {
 			return ownership.Outcome{}, false
 		}
-		pause(ctx, toolRetryPause)
+		backoff.Wait(ctx, toolRetryPause)
 	}
 	return ownership.Outcome{}, false
 }
-
-// pause waits, or returns early when ctx ends.
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/historycheck"
@@ -35,7 +36,7 @@
 	starts  uint64
 }
 
-func newTestCluster(t *testing.T, seed uint64, nodes ...string) *testCluster {
+func newTestCluster(t testing.TB, seed uint64, nodes ...string) *testCluster {
 	t.Helper()
 	source, err := os.ReadFile("../../examples/dev-bundle.yaml")
 	if err != nil {
@@ -72,6 +73,7 @@
 		Peers:       c,
 		InForce:     func() *bundle.Snapshot { return c.snapshot },
 		Recorder:    explain.NewLog(name, 64),
+		Meter:       noMeter{},
 		Logger:      slog.New(slog.DiscardHandler),
 	})
 	c.current[name] = fresh
@@ -178,7 +180,7 @@
 	case x.begun <- struct{}{}:
 	default:
 	}
-	wait(ctx, duration)
+	backoff.Wait(ctx, duration)
 	if work.Request.Kind == api.KindTool {
 		if entered != nil {
 			entered <- work.Key
@@ -209,6 +211,12 @@
 	return Outcome{}, false
 }
 
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) ProgramEnded(string, time.Duration)       {}
+func (noMeter) PromptBilled(string, int64, int64, int64) {}
+
 // Engines implements Executor.
 func (x *testExecutor) Engines() []string { return []string{"engine-1"} }
 
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
@@ -95,6 +96,7 @@
 	}
 	ended, _ := e.snapshot()
 	p.record(ended, explain.Decision{Kind: explain.Ended, Code: int(reason), Reason: endReason(reason)})
+	p.meterEnd(ended)
 	p.releaseHolds(e)
 	return View(ended), nil
 }
@@ -114,13 +116,14 @@
 			return api.Errorf(api.CallPending, "a call is still under way").After(movingRetryAfter)
 		}
 		e.mutex.Lock()
-		running := e.flight
+		running, header := e.flight, e.header
 		e.mutex.Unlock()
 		if running == nil {
 			return nil
 		}
 		e.unlock()
 		running.cancel()
+		p.record(header, explain.Decision{Kind: explain.Cancelled, Sequence: running.sequence, Target: running.request.Target, Reason: "the program ends"})
 		select {
 		case <-running.done:
 		case <-ctx.Done():
@@ -223,7 +226,7 @@
 				p.clearHolds(ctx, e)
 				return
 			}
-			if !wait(ctx, jitter(releasePause)) {
+			if !backoff.Wait(ctx, backoff.Spread(releasePause)) {
 				p.Logger.Warn("engine memory is not released yet", "program", e.id, "engines", held)
 				return
 			}
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -28,6 +28,7 @@
 	writeTimeout           = 10 * time.Second
 	idleTimeout            = 10 * time.Minute
 	idleCheckEvery         = time.Minute
+	reconnectAttempts      = 5
 	minRedialDelay         = 50 * time.Millisecond
 	maxRedialDelay         = time.Second
 	readBufferBytes        = 32 << 10
@@ -53,6 +54,11 @@
 	ClusterKey []byte
 	// Logger gets handshake failures and broken frames; nil: discarded.
 	Logger *slog.Logger
+	// OnRefused is called when an address has refused a connection: its
+	// machine is there, and no process listens. afterBreak says that the
+	// peer had closed the connection before it. A Client calls it without
+	// holding locks, and not a Server; nil: not called.
+	OnRefused func(address string, afterBreak bool)
 	// Fault drops traffic in tests; nil in production.
 	Fault *Faults
 	// MaxFrameBytes bounds one frame both ways; 0: DefaultMaxFrameBytes.
