--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/historycheck"
@@ -35,7 +36,7 @@
 	starts  uint64
 }
 
-func newTestCluster(t *testing.T, seed uint64, nodes ...string) *testCluster {
+func newTestCluster(t testing.TB, seed uint64, nodes ...string) *testCluster {
 	t.Helper()
 	source, err := os.ReadFile("../../examples/dev-bundle.yaml")
 	if err != nil {
@@ -147,6 +148,16 @@
 	}
 }
 
+// messagesOf decodes a prompt as an engine does.
+func messagesOf(prompt *backend.Prompt) []api.Message {
+	var messages []api.Message
+	content, _ := prompt.JSON()
+	if err := json.NewDecoder(content).Decode(&messages); err != nil {
+		panic(err)
+	}
+	return messages
+}
+
 // Execute implements Executor.
 func (x *testExecutor) Execute(ctx context.Context, work Work, onText func(offset int64, text string)) Outcome {
 	x.mutex.Lock()
@@ -158,7 +169,7 @@
 	x.starts = append(x.starts, historycheck.Execution{Program: work.Header.ID, Sequence: work.Sequence, Started: time.Now()})
 	hang, entered := x.hang, x.entered
 	var prompt []string
-	for _, message := range work.Messages {
+	for _, message := range messagesOf(work.Prompt) {
 		prompt = append(prompt, message.Content)
 	}
 	x.prompts[work.Key] = prompt
@@ -169,7 +180,7 @@
 	case x.begun <- struct{}{}:
 	default:
 	}
-	wait(ctx, duration)
+	backoff.Wait(ctx, duration)
 	if work.Request.Kind == api.KindTool {
 		if entered != nil {
 			entered <- work.Key
@@ -185,7 +196,7 @@
 	}
 	text := fmt.Sprintf("answer %d to %s", number, work.Key)
 	onText(0, text)
-	bytes := len(backend.RenderPrompt(work.Messages))
+	bytes := work.Prompt.RenderedBytes()
 	return Outcome{
 		Code:    api.OK,
 		Text:    text,
