A starting node lets its peers' requests wait

Cause: the peer listener is open before the node's members exist, so that their address is known. A heartbeat that came in between ended the process with a nil dereference. The new test does it each time before the change.

ServePeer now waits until Start has set everything.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,7 @@
 	callerServer     *http.Server
 	operatorServer   *http.Server
 
+	started  chan struct{} // closed once Start has set all of the above
 	leaving  atomic.Bool
 	serving  atomic.Int64    // requests of peers about programs
 	fetching atomic.Bool     // a bundle is being fetched
@@ -120,6 +121,7 @@
 		seeds:       newSeeds(),
 		heartbeats:  dependencies.Heartbeats,
 		hollow:      dependencies.Hollow,
+		started:     make(chan struct{}),
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.usePlatform(dependencies)
@@ -189,6 +191,7 @@
 			return err
 		}
 	}
+	close(n.started)
 	n.run(n.dispatcher.Run)
 	n.run(n.members.run)
 	n.run(n.keepBundle)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pewtermill/pewtermill/internal/settings"
 	"github.com/pewtermill/pewtermill/internal/standin/platform"
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
 // logBuffer collects log lines; safe for concurrent use.
@@ -35,9 +36,19 @@
 
 // startAlone starts a node without peers, engines and bundle.
 func startAlone(t *testing.T, log *logBuffer) *Node {
+	t.Helper()
+	started := newAlone(t, log)
+	if err := started.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return started
+}
+
+// newAlone is startAlone without the start.
+func newAlone(t *testing.T, log *logBuffer) *Node {
 	t.Helper()
 	table := platform.New(platform.Options{})
-	started, err := New(settings.Settings{
+	created, err := New(settings.Settings{
 		Name:            "node-1",
 		Cell:            "dev",
 		Zone:            "zone-a",
@@ -55,11 +66,26 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(started.Close)
-	if err := started.Start(context.Background()); err != nil {
+	t.Cleanup(created.Close)
+	return created
+}
+
+// TestPeersWaitForTheStart lets a peer's heartbeat arrive while the node is
+// still starting.
+func TestPeersWaitForTheStart(t *testing.T) {
+	created := newAlone(t, &logBuffer{})
+	heartbeat := &wirepb.Heartbeat{Node: "node-2", Cell: "dev", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1}
+	var served sync.WaitGroup
+	served.Go(func() {
+		created.ServePeer(context.Background(), &wirepb.Request{Body: &wirepb.Request_Heartbeat{Heartbeat: heartbeat}}, nil)
+	})
+	if err := created.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
-	return started
+	served.Wait()
+	if _, known := created.Members().Member("node-2"); !known {
+		t.Error("the heartbeat is lost")
+	}
 }
 
 // TestOperatorRefusalsAreLogged asks a node that has no bundle for its status.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -49,8 +49,14 @@
 	return api.Code(reply.GetCode()) == api.OK, nil
 }
 
-// ServePeer implements wire.ServerHandler.
+// ServePeer implements wire.ServerHandler. Peers may connect as soon as the
+// listener is open; their requests wait until the node has started.
 func (n *Node) ServePeer(ctx context.Context, request *wirepb.Request, onPart func(offset int64, text []byte)) *wirepb.Reply {
+	select {
+	case <-n.started:
+	case <-ctx.Done():
+		return nil
+	}
 	if timeout := request.GetTimeoutMillis(); timeout > 0 {
 		limited, cancel := context.WithTimeout(ctx, time.Duration(timeout)*time.Millisecond)
 		defer cancel()
