--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -23,10 +23,7 @@
 	mutex  sync.Mutex // serialises core
 	core   *membership.Core
 	hinted map[string]bool // nodes that the machine list calls leaving; guarded by mutex
-	kick   chan struct{}   // asks for a round of heartbeats
-	look   chan struct{}   // asks for a tick
-	// changed is closed and replaced when a member changes; guarded by mutex.
-	changed chan struct{}
+	kick   chan struct{}
 
 	// Used by the goroutine of run alone.
 	assigned   *membership.View // under which engines were last assigned
@@ -44,12 +41,10 @@
 	}
 	config.Seeds = n.settings.Seeds
 	return &members{
-		node:    n,
-		core:    membership.New(config, time.Now()),
-		hinted:  make(map[string]bool),
-		kick:    make(chan struct{}, 1),
-		look:    make(chan struct{}, 1),
-		changed: make(chan struct{}),
+		node:   n,
+		core:   membership.New(config, time.Now()),
+		hinted: make(map[string]bool),
+		kick:   make(chan struct{}, 1),
 	}
 }
 
@@ -66,7 +61,6 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-m.look:
 		case <-m.kick:
 			m.mutex.Lock()
 			m.core.Announce()
@@ -139,9 +133,6 @@
 }
 
 func (m *members) apply(ctx context.Context, output membership.Output) {
-	if len(output.Changes) > 0 {
-		m.broadcast()
-	}
 	for _, member := range output.Changes {
 		m.node.logger.Info("member changed", "member", member.Name, "state", member.State.String(), "incarnation", member.Incarnation)
 		if member.State == membership.Dead {
@@ -165,30 +156,11 @@
 	}
 }
 
-// broadcast wakes those who wait for a change.
-func (m *members) broadcast() {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	close(m.changed)
-	m.changed = make(chan struct{})
-}
-
-// nextChange returns a channel that is closed at the next change of a member.
-func (m *members) nextChange() <-chan struct{} {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.changed
-}
-
 // refused takes over that a member's address refused a connection.
 func (m *members) refused(address string, afterBreak bool) {
 	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	m.core.Refused(address, afterBreak, time.Now())
-	m.mutex.Unlock()
-	select {
-	case m.look <- struct{}{}:
-	default:
-	}
 }
 
 // setLeavingHints takes over which nodes the machine list calls leaving, and
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -130,32 +130,17 @@
 	giveUp := time.Now().Add(routePatience)
 	pause := routeFirstPause
 	for {
-		changed := n.members.nextChange()
 		reply := trip.attempt(ctx)
 		if reply != nil && !isMoving(reply) {
 			return trip.truthful(reply)
 		}
-		if time.Now().After(giveUp) || !pauseUntil(ctx, changed, backoff.Spread(pause)) {
+		if time.Now().After(giveUp) || !backoff.Wait(ctx, backoff.Spread(pause)) {
 			return trip.truthful(trip.lastReply(reply))
 		}
 		pause = min(2*pause, routeLastPause)
 	}
 }
 
-// pauseUntil waits, or returns early when changed is closed. It returns false
-// when ctx ends first.
-func pauseUntil(ctx context.Context, changed <-chan struct{}, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-changed:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
 // isMoving says that another attempt may find the owner.
 func isMoving(reply *wirepb.Reply) bool {
 	code := api.Code(reply.GetCode())
