--- a/internal/dispatch/retention_test.go
+++ b/internal/dispatch/retention_test.go
@@ -39,7 +39,7 @@
 		t.Cleanup(server.Close)
 		t.Cleanup(standIn.Close)
 		d, log := dispatcherOf(t, server.URL, test.retention)
-		request := backend.ChatRequest{Model: "small", Program: "other", Request: "r", Messages: []api.Message{{Role: "user", Content: strings.Repeat("x", 4096)}}}
+		request := backend.ChatRequest{Model: "small", Program: "other", Request: "r", Prompt: backend.NewPrompt(api.Message{Role: "user", Content: strings.Repeat("x", 4096)})}
 		if _, err := backend.NewEngineClient(server.URL, nil).Chat(t.Context(), request, nil); err != nil {
 			t.Fatal(err)
 		}
@@ -49,7 +49,7 @@
 				Header:    program.Header{ID: id, Class: "interactive", Epoch: 1},
 				Sequence:  1,
 				Request:   api.CallRequest{Kind: api.KindModel, Target: "small"},
-				Messages:  []api.Message{{Role: "user", Content: strings.Repeat(id, 100)}},
+				Prompt:    backend.NewPrompt(api.Message{Role: "user", Content: strings.Repeat(id, 100)}),
 				MaxTokens: 16,
 				Deadline:  time.Now().Add(time.Minute),
 				Key:       id,
