Revert "Try: calls hand what they want of the scheduler to whoever is at work"

The way through the queue is the core's own work: some 50 µs to judge 100 engines, however the calls come to it.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -22,19 +22,14 @@
 
 // queue drives the scheduler's core in real time. The mutex serialises the
 // core, which is not safe for concurrent use; it is never held over I/O.
-//
-// Calls don't wait for the mutex. Each puts what it wants of the core into the
-// inbox; the first to find nobody at work takes all that is there, passes it
-// to the core in one go and delivers the answers.
 type queue struct {
 	fleet    *Fleet
 	recorder explain.Recorder
-	inbox    inbox
 
 	mutex       sync.Mutex
 	core        *scheduler.Core
-	waiting     map[string]chan<- answer // by call id
-	refreshedAt time.Time                // when the core last got views of the engines
+	waiting     map[string]chan answer // by call id
+	refreshedAt time.Time              // when the core last got views of the engines
 }
 
 // answer ends a call's wait: an assignment or a refusal.
@@ -51,7 +46,7 @@
 		fleet:    fleet,
 		recorder: options.Recorder,
 		core:     core,
-		waiting:  make(map[string]chan<- answer),
+		waiting:  make(map[string]chan answer),
 	}
 }
 
@@ -93,20 +88,15 @@
 // look refreshes the views and advances the queue, if calls wait or the views
 // may be out of date.
 func (q *queue) look(now time.Time) {
-	q.deliver(q.refresh(now))
-}
-
-// refresh is the part of look under the mutex.
-func (q *queue) refresh(now time.Time) []delivery {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	idle := len(q.waiting) == 0 && now.Sub(q.refreshedAt) < idleRefresh
 	if idle && !q.fleet.urgent.Swap(false) {
-		return nil
+		return
 	}
 	q.refreshedAt = now
 	q.setEngines(q.fleet.Views())
-	return q.advance(nil, now)
+	q.advance(now)
 }
 
 // setEngines gives the core the newest views, without engines of which no
@@ -126,95 +116,75 @@
 // and was not run.
 func (q *queue) acquire(ctx context.Context, call scheduler.Call) (scheduler.Assignment, *api.Error) {
 	waiter := make(chan answer, 1)
-	q.perform(submit{call: call, waiter: waiter})
+	q.mutex.Lock()
+	if refusal := q.core.Submit(call, call.Submitted); refusal != nil {
+		q.mutex.Unlock()
+		q.recorder.Record(refusal.Decision)
+		return scheduler.Assignment{}, refusal.Error
+	}
+	q.waiting[call.ID] = waiter
+	q.advance(call.Submitted)
+	q.mutex.Unlock()
 	select {
 	case given := <-waiter:
 		return given.assignment, given.refusal
 	case <-ctx.Done():
-		return scheduler.Assignment{}, q.withdraw(ctx, call.ID, waiter)
+		return q.withdraw(ctx, call, waiter)
 	}
 }
 
 // withdraw takes a call out of the queue, or gives its engine back if it was
 // assigned at the same moment.
-func (q *queue) withdraw(ctx context.Context, callID string, waiter <-chan answer) *api.Error {
-	refusal := api.Errorf(api.DeadlineExceeded, "%s while it was queued", cancelDetail(ctx)).After(retryLater)
-	q.perform(withdraw{callID: callID, refusal: refusal})
-	if given := <-waiter; given.refusal == nil {
-		q.finish(callID, scheduler.Result{Engine: given.assignment.Engine, Succeeded: true})
+func (q *queue) withdraw(ctx context.Context, call scheduler.Call, waiter chan answer) (scheduler.Assignment, *api.Error) {
+	now := time.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if _, queued := q.waiting[call.ID]; queued {
+		q.core.Withdraw(call.ID, now)
+		delete(q.waiting, call.ID)
+	} else if given := <-waiter; given.refusal == nil {
+		q.core.Finish(call.ID, scheduler.Result{Engine: given.assignment.Engine, Succeeded: true}, now)
+		q.advance(now)
 	}
-	return refusal
+	refusal := api.Errorf(api.DeadlineExceeded, "%s while it was queued", cancelDetail(ctx)).After(retryLater)
+	q.recorder.Record(explain.Decision{
+		At:       now,
+		Kind:     explain.Refused,
+		Program:  call.Program,
+		Tenant:   call.Tenant,
+		Sequence: call.Sequence,
+		Target:   call.Model,
+		Code:     int(refusal.Code),
+		Reason:   refusal.Detail,
+	})
+	return scheduler.Assignment{}, refusal
 }
 
-// finish gives an engine's place back, now or soon.
+// finish gives an engine's place back.
 func (q *queue) finish(callID string, result scheduler.Result) {
-	q.perform(finish{callID: callID, result: result})
-}
-
-// perform hands an operation to the core, in the order of the calls. It
-// returns when the operation is done or another goroutine has taken it over.
-func (q *queue) perform(wanted operation) {
-	if q.inbox.add(wanted) {
-		q.work()
-	}
-}
-
-// work performs all operations in the inbox. What has come meanwhile is left
-// to a goroutine of its own, so that no call is held up by many others.
-func (q *queue) work() {
-	q.deliver(q.performAll(q.inbox.take()))
-	if q.inbox.leave() {
-		go q.work()
-	}
-}
-
-func (q *queue) performAll(operations []operation) []delivery {
+	now := time.Now()
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	now := time.Now()
-	var deliveries []delivery
-	for _, wanted := range operations {
-		deliveries = wanted.perform(q, deliveries, now)
-	}
-	return q.advance(deliveries, now)
+	q.core.Finish(callID, result, now)
+	q.advance(now)
 }
 
 // advance hands out whatever fits now. The mutex is held.
-func (q *queue) advance(deliveries []delivery, now time.Time) []delivery {
+func (q *queue) advance(now time.Time) {
 	assignments, refusals := q.core.Next(now)
 	for _, assignment := range assignments {
-		deliveries = q.answered(deliveries, assignment.Call.ID, answer{assignment: assignment}, &assignment.Decision)
+		q.recorder.Record(assignment.Decision)
+		q.deliver(assignment.Call.ID, answer{assignment: assignment})
 	}
 	for _, refusal := range refusals {
-		deliveries = q.answered(deliveries, refusal.Call.ID, answer{refusal: refusal.Error}, &refusal.Decision)
+		q.recorder.Record(refusal.Decision)
+		q.deliver(refusal.Call.ID, answer{refusal: refusal.Error})
 	}
-	return deliveries
 }
 
-// answered takes a call that has its answer off the list of those that wait.
-// The mutex is held.
-func (q *queue) answered(deliveries []delivery, callID string, given answer, decision *explain.Decision) []delivery {
-	waiter := q.waiting[callID]
-	delete(q.waiting, callID)
-	return append(deliveries, delivery{waiter: waiter, answer: given, decision: decision})
-}
-
-// delivery is an answer on its way to the call that waits for it.
-type delivery struct {
-	waiter   chan<- answer // nil if nobody waits
-	answer   answer
-	decision *explain.Decision // to be recorded first; may be nil
-}
-
-// deliver records decisions and wakes the calls that they are about. The mutex
-// is not held.
-func (q *queue) deliver(deliveries []delivery) {
-	for _, ready := range deliveries {
-		if ready.decision != nil {
-			q.recorder.Record(*ready.decision)
-		}
-		if ready.waiter != nil {
-			ready.waiter <- ready.answer
-		}
+func (q *queue) deliver(callID string, given answer) {
+	if waiter, ok := q.waiting[callID]; ok {
+		delete(q.waiting, callID)
+		waiter <- given
 	}
 }
