--- a/internal/membership/duty_test.go
+++ b/internal/membership/duty_test.go
@@ -5,10 +5,13 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
 // viewOf is a view of that many ready members.
@@ -61,3 +64,50 @@
 		t.Errorf("%s has the duty", member.Name)
 	}
 }
+
+// One member reads the machine list; the others take its word for who leaves,
+// until it takes it back or dies.
+func TestLeavingHintsTravel(t *testing.T) {
+	now := time.UnixMilli(1_790_000_000_000)
+	core := func(name string) *Core {
+		return New(Config{Self: Member{Name: name, Address: name, Cell: testCell, Incarnation: 1, Ready: true}}, now)
+	}
+	reader, other, third := core("reader"), core("other"), core("third")
+	state := func() State {
+		member, _ := other.View().Member("third")
+		return member.State
+	}
+	round := func(from *Core) {
+		from.Announce()
+		for _, message := range from.Tick(now).Messages {
+			if message.Address == "other" {
+				other.Step(message.Heartbeat, now)
+			}
+		}
+		other.Tick(now)
+	}
+	for _, from := range []*Core{reader, third} {
+		from.Step(other.introduction(), now)
+		other.Step(from.introduction(), now)
+	}
+	reader.Step(third.introduction(), now)
+	reader.MachineLeaving("third", true)
+	reader.MachineLeaving("no-member", true)
+	round(reader)
+	if state() != Leaving {
+		t.Errorf("third is %v after the hint", state())
+	}
+	reader.MachineLeaving("third", false)
+	round(reader)
+	if state() != Alive {
+		t.Errorf("third is %v after the hint was taken back", state())
+	}
+}
+
+// introduction is a heartbeat for one who does not know the sender.
+func (c *Core) introduction() *wirepb.Heartbeat {
+	c.sequence++
+	heartbeat := c.heartbeat()
+	c.introduce(heartbeat)
+	return heartbeat
+}
