Scheduler: nodes agree where a new long prefix goes

Now a new program's long prefix is guessed to be at the engines that come first in a hash order of prefix and engine, the same at all nodes, so that they share copies without a word between them.

What is left needs nodes to tell each other which engines have the few prefixes that many programs share.

Two tests of waiting use a returning program now, for which nothing is guessed, with the weight that gives the same plain milliseconds; the test that calls with a common prefix go together uses prefixes too short for the guess, so that it still proves the rule of recent prefixes. What they demand is unchanged.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -109,7 +109,7 @@
 // TestGivesUpWaitingWhenItSavesNothingMore fills the engine that holds the
 // prefix and never frees it.
 func TestGivesUpWaitingWhenItSavesNothingMore(t *testing.T) {
-	core := New(ProgramAware, bundle.Scheduling{PrefixWeight: 1}, "node")
+	core := New(ProgramAware, bundle.Scheduling{PrefixWeight: 1.0 / returningFactor}, "node")
 	core.SetEngines([]EngineView{testView("a", 1, start), testView("b", 1, start)})
 	core.SetIndex(prefixes{"a": 1000})
 	first := testCall("first", start)
@@ -118,6 +118,7 @@
 	core.Next(start)
 	call := testCall("second", start)
 	call.PromptTokens = 64 * 100 // 6.4 s of prefill on b
+	call.LastEngine = "a"
 	call.PrefixBlocks = make([]uint64, 100)
 	mustQueue(t, core, call, start)
 	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
@@ -137,7 +138,7 @@
 // TestWaitCountsThoseThatWaitAlready has calls arrive for a full engine until
 // one rather goes elsewhere.
 func TestWaitCountsThoseThatWaitAlready(t *testing.T) {
-	core := New(ProgramAware, bundle.Scheduling{PrefixWeight: 1}, "node")
+	core := New(ProgramAware, bundle.Scheduling{PrefixWeight: 1.0 / returningFactor}, "node")
 	a, b := testView("a", 4, start), testView("b", 8, start)
 	a.Running = 3 // of other nodes
 	core.SetEngines([]EngineView{a, b})
@@ -145,6 +146,7 @@
 	for i, wantWait := range []bool{false, true, true, false} {
 		call := testCall(fmt.Sprint(i), start)
 		call.PromptTokens = 64 * 160 // 10.2 s of prefill on b, against 4 s for each wait
+		call.LastEngine = "a"
 		call.PrefixBlocks = make([]uint64, 160)
 		call.PrefixBlocks[0] = uint64(i)
 		mustQueue(t, core, call, start)
@@ -272,9 +274,9 @@
 	engines := map[string]int{}
 	for i := range 4 {
 		call := testCall(fmt.Sprint(i), start)
-		call.PromptTokens = 64 * 51
-		call.PrefixBlocks = make([]uint64, 51)
-		call.PrefixBlocks[50] = uint64(i)
+		call.PromptTokens = 64 * (sharedBlocks - 1)
+		call.PrefixBlocks = make([]uint64, sharedBlocks-1)
+		call.PrefixBlocks[sharedBlocks-2] = uint64(i)
 		mustQueue(t, core, call, start)
 		assigned, _ := core.Next(start)
 		engines[assigned[0].Engine]++
@@ -284,6 +286,44 @@
 	}
 }
 
+// TestNodesAgreeWhereANewPrefixGoes has two nodes that know of no cache place
+// programs of many long prefixes.
+func TestNodesAgreeWhereANewPrefixGoes(t *testing.T) {
+	const prefixes, engines = 60, 6
+	place := func(node string, prefix int) string {
+		core := New(ProgramAware, bundle.Scheduling{}, node)
+		var views []EngineView
+		for i := range engines {
+			views = append(views, testView(fmt.Sprintf("engine-%d", i), 8, start))
+		}
+		core.SetEngines(views)
+		call := testCall(node, start)
+		call.PromptTokens = 64 * 2 * sharedBlocks
+		call.PrefixBlocks = make([]uint64, 2*sharedBlocks)
+		call.PrefixBlocks[sharedBlocks-1] = uint64(prefix + 1)
+		call.PrefixBlocks[2*sharedBlocks-1] = uint64(len(node)) // programs differ further on
+		mustQueue(t, core, call, start)
+		assigned, _ := core.Next(start)
+		return assigned[0].Engine
+	}
+	taken := map[string]int{}
+	for prefix := range prefixes {
+		one, two := place("node", prefix), place("other node", prefix)
+		if one != two {
+			t.Errorf("prefix %d goes to %s and %s", prefix, one, two)
+		}
+		taken[one]++
+	}
+	for name, count := range taken {
+		if count > 3*prefixes/engines {
+			t.Errorf("%d of %d prefixes go to %s", count, prefixes, name)
+		}
+	}
+	if len(taken) != engines {
+		t.Errorf("prefixes go to %v, want all %d engines in use", taken, engines)
+	}
+}
+
 func TestRefusalsCarryCodeAndDecision(t *testing.T) {
 	expectRefusal := func(t *testing.T, refusal *Refusal, code api.Code) {
 		t.Helper()
--- a/internal/scheduler/defaults.go
+++ b/internal/scheduler/defaults.go
@@ -73,6 +73,12 @@
 	recentPrefixAge = 3 * time.Second
 	// maxRecentPrefixes bounds such prompts per engine.
 	maxRecentPrefixes = 16
+	// sharedBlocks is how long, in blocks, a prompt must be at least for the
+	// guess that other nodes have left its prefix at an engine: 2,048 tokens.
+	// Shorter prefixes are cheap to prefill, and soon cached everywhere.
+	sharedBlocks = 32
+	// firstChance is that guess at the first engine in a prefix's order.
+	firstChance = 0.9
 	// batchSlowdown is the share of the expected decode time that a full
 	// batch adds over an empty one.
 	batchSlowdown = 0.5
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pewtermill/pewtermill/internal/backend"
 )
 
@@ -18,6 +20,7 @@
 // calls there, the concurrency limit and the record of failures.
 type engine struct {
 	view          EngineView
+	nameHash      uint64  // of the name in view
 	listed        bool    // in the last SetEngines
 	inFlight      int     // this node's own calls
 	others        int     // calls of other nodes, by the last report
@@ -42,7 +45,7 @@
 
 // newEngine returns an engine whose limit is its whole batch.
 func newEngine(view EngineView) *engine {
-	e := &engine{serviceMillis: defaultServiceMillis}
+	e := &engine{serviceMillis: defaultServiceMillis, nameHash: xxhash.Sum64String(view.Name)}
 	e.view.MaxRunning = view.MaxRunning
 	e.limit = float64(e.batchSize())
 	return e
--- a/internal/scheduler/plugin.go
+++ b/internal/scheduler/plugin.go
@@ -10,6 +10,7 @@
 	index          PrefixIndex // may be nil
 	distance       func(a, b string) float64
 	ignoreEjection bool  // every engine of the model is ejected
+	engineCount    int   // in the list
 	missing        int64 // prompt tokens that the engine being scored has not cached
 }
 
--- a/internal/scheduler/prefix.go
+++ b/internal/scheduler/prefix.go
@@ -1,9 +1,13 @@
 package scheduler
 
 import (
+	"encoding/binary"
+	"math"
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // recentPrefix is the prompt of a call that was just assigned to an engine.
@@ -44,7 +48,28 @@
 			cached = common
 		}
 	}
-	return max(0, r.call.PromptTokens-int64(cached)*tokensPerBlock)
+	missing := max(0, r.call.PromptTokens-int64(cached)*tokensPerBlock)
+	if cached < sharedBlocks {
+		missing -= int64(float64(missing) * sharedChance(r, e))
+	}
+	return missing
+}
+
+// sharedChance estimates the chance that calls of other nodes have left the
+// shared prefix of a new program in an engine's cache. A node knows of such
+// prefixes only at the engines that it observes itself. Without a word between
+// them, all nodes prefer the same engines for a prefix, in the same order: that
+// of a hash of the prefix and the engine (rendezvous hashing). The chance halves
+// with each place in that order, which is estimated from the hash alone.
+func sharedChance(r *request, e *engine) float64 {
+	if r.call.LastEngine != "" || len(r.call.PrefixBlocks) < sharedBlocks {
+		return 0
+	}
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], r.call.PrefixBlocks[sharedBlocks-1])
+	binary.LittleEndian.PutUint64(pair[8:], e.nameHash)
+	place := float64(xxhash.Sum64(pair[:])) / math.MaxUint64 * float64(r.engineCount)
+	return firstChance * math.Exp2(-place)
 }
 
 // commonBlocks returns the length of the common prefix of two chains of
