--- a/cmd/pewtermill-lab/load.go
+++ b/cmd/pewtermill-lab/load.go
@@ -28,6 +28,7 @@
 	Observation string    `help:"How nodes learn about engines: by digests in heartbeats, as they do, or all polling all." enum:"digests,polling" default:"digests"`
 	CacheTokens int64     `help:"Cache memory of each engine, in tokens; 0 means the deployment's." default:"0"`
 	Bundle      string    `help:"Bundle from which to take the scheduling weights; empty means the defaults." type:"existingfile" optional:""`
+	HoldCost    float64   `help:"Under program_aware, cost of the memory that a paused program's cache takes; 0 keeps every cache." default:"0"`
 	Parallel    int       `help:"Runs at the same time; 0 means one for each processor." default:"0"`
 }
 
@@ -81,6 +82,7 @@
 		Programs:    l.Programs,
 		Nodes:       l.Nodes,
 		Parallel:    l.Parallel,
+		Retention:   bundle.Retention{HoldCost: l.HoldCost},
 	}
 	if experiment.Parallel <= 0 {
 		experiment.Parallel = runtime.GOMAXPROCS(0)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -61,12 +61,7 @@
 	}
 	q.core.SetWeights(policy, weights, snapshot.Version())
 	q.core.SetDistances(snapshot.DistanceMillis)
-	q.core.SetClass(func(name string) float64 {
-		if class, ok := snapshot.Class(name); ok {
-			return class.Worth
-		}
-		return 1
-	})
+	q.core.SetClass(func(name string) float64 { return classWorth(snapshot, name) })
 	q.core.SetTenantWeight(func(name string) float64 {
 		if tenant, ok := snapshot.Tenant(name); ok && tenant.Weight > 0 {
 			return tenant.Weight
@@ -151,7 +146,18 @@
 		q.core.Finish(call.ID, scheduler.Result{Engine: given.assignment.Engine, Succeeded: true}, now)
 		q.advance(now)
 	}
-	return scheduler.Assignment{}, api.Errorf(api.DeadlineExceeded, "%s while it was queued", cancelDetail(ctx)).After(retryLater)
+	refusal := api.Errorf(api.DeadlineExceeded, "%s while it was queued", cancelDetail(ctx)).After(retryLater)
+	q.recorder.Record(explain.Decision{
+		At:       now,
+		Kind:     explain.Refused,
+		Program:  call.Program,
+		Tenant:   call.Tenant,
+		Sequence: call.Sequence,
+		Target:   call.Model,
+		Code:     int(refusal.Code),
+		Reason:   refusal.Detail,
+	})
+	return scheduler.Assignment{}, refusal
 }
 
 // finish gives an engine's place back.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -156,6 +156,13 @@
 	}
 }
 
+// refused takes over that a member's address refused a connection.
+func (m *members) refused(address string, afterBreak bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.core.Refused(address, afterBreak, time.Now())
+}
+
 // setLeavingHints takes over which nodes the machine list calls leaving, and
 // tells the members at once of new ones.
 func (m *members) setLeavingHints(names []string) {
--- a/internal/ownership/executor.go
+++ b/internal/ownership/executor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/program"
 )
 
@@ -15,8 +16,8 @@
 	Sequence   int64
 	Request    api.CallRequest
 	Repeatable bool
-	Key        string        // idempotency key, the same for every attempt
-	Messages   []api.Message // model: the whole history with the caller's delta
+	Key        string          // idempotency key, the same for every attempt
+	Prompt     *backend.Prompt // model: the whole history with the caller's delta
 	MaxTokens  int64
 	Arrived    time.Time
 	Deadline   time.Time
@@ -45,7 +46,7 @@
 
 // Executor runs work at back ends. Safe for concurrent use.
 type Executor interface {
-	// Execute returns when the call has ended. It never dispatches work that
+	// Execute returns when the call has ended, and records its own decisions. It never dispatches work that
 	// is not repeatable a second time. onText gets pieces of a model's answer;
 	// an offset below what came before replaces the text from there on.
 	Execute(ctx context.Context, work Work, onText func(offset int64, text string)) Outcome
--- a/internal/simulation/experiment.go
+++ b/internal/simulation/experiment.go
@@ -21,7 +21,8 @@
 	Weights    bundle.Scheduling
 	// Observation is Digests if empty.
 	Observation Observation
-	Parallel    int // runs at the same time
+	Parallel    int              // runs at the same time
+	Retention   bundle.Retention // under program_aware; others keep all caches
 }
 
 // Report is the outcome of an Experiment.
@@ -174,5 +175,13 @@
 		Observation: x.Observation,
 		Nodes:       nodes,
 		Workload:    workload,
+		Retention:   x.retention(policy),
 	}
 }
+
+func (x *Experiment) retention(policy scheduler.PolicyName) bundle.Retention {
+	if policy != scheduler.ProgramAware {
+		return bundle.Retention{}
+	}
+	return x.Retention
+}
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -18,6 +18,8 @@
 	core  *scheduler.Core
 	view  *fleetView
 	calls map[string]*call // queued here, by id
+
+	retainer *scheduler.Retainer
 }
 
 // call is one model call of a program.
@@ -94,6 +96,7 @@
 		CachedTokens: c.cachedTokens,
 		PromptTokens: c.prompt.tokens,
 	}, now)
+	n.pause(e, c)
 	c.program.answered(e, c)
 	n.advance()
 }
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -21,6 +21,7 @@
 	// Observation is Digests if empty.
 	Observation Observation
 	Workload    *Workload // shared between runs; a Run does not change it
+	Retention   bundle.Retention
 
 	// Rate is the mean arrivals of root programs per second of virtual time.
 	// If it is zero, Concurrent programs are kept going instead: each end
@@ -123,7 +124,9 @@
 		}
 		return 1
 	})
-	return &node{run: r, name: name, zone: zone, core: core, view: view, calls: make(map[string]*call)}
+	retainer := scheduler.NewRetainer()
+	retainer.SetRetention(r.settings.Retention)
+	return &node{run: r, name: name, zone: zone, core: core, view: view, calls: make(map[string]*call), retainer: retainer}
 }
 
 // every runs an action at an interval for as long as the run goes on.
--- a/internal/simulation/view.go
+++ b/internal/simulation/view.go
@@ -74,28 +74,32 @@
 func (v *fleetView) views() []scheduler.EngineView {
 	views := make([]scheduler.EngineView, 0, len(v.reports))
 	for number, report := range v.reports {
-		if report.ObservedAt.IsZero() {
-			continue
+		if !report.ObservedAt.IsZero() {
+			views = append(views, v.viewOf(number))
 		}
-		e := v.run.engineList[number]
-		views = append(views, scheduler.EngineView{
-			Name:                e.name,
-			Zone:                e.zone,
-			Models:              report.Load.Models,
-			Ready:               report.Reachable,
-			Running:             report.Load.Running,
-			Waiting:             report.Load.Waiting,
-			MaxRunning:          report.Load.MaxRunning,
-			CacheUsedTokens:     report.Load.CacheUsedTokens,
-			CacheCapacityTokens: report.Load.CacheCapacityTokens,
-			PrefillTokensPerSec: report.Load.PrefillTokensPerSec,
-			DecodeTokensPerSec:  report.Load.DecodeTokensPerSec,
-			ObservedAt:          report.ObservedAt,
-		})
 	}
 	return views
 }
 
+// viewOf returns what the node knows of one engine.
+func (v *fleetView) viewOf(number int) scheduler.EngineView {
+	e, report := v.run.engineList[number], v.reports[number]
+	return scheduler.EngineView{
+		Name:                e.name,
+		Zone:                e.zone,
+		Models:              report.Load.Models,
+		Ready:               report.Reachable,
+		Running:             report.Load.Running,
+		Waiting:             report.Load.Waiting,
+		MaxRunning:          report.Load.MaxRunning,
+		CacheUsedTokens:     report.Load.CacheUsedTokens,
+		CacheCapacityTokens: report.Load.CacheCapacityTokens,
+		PrefillTokensPerSec: report.Load.PrefillTokensPerSec,
+		DecodeTokensPerSec:  report.Load.DecodeTokensPerSec,
+		ObservedAt:          report.ObservedAt,
+	}
+}
+
 // heartbeat sends the digests of the observed engines to the other nodes.
 func (n *node) heartbeat() {
 	now := n.run.clock.now
@@ -137,6 +141,7 @@
 		n := r.newNode(fmt.Sprintf("node-%02d", i+1), zones[i%len(zones)], view)
 		r.nodes = append(r.nodes, n)
 		r.every(tickInterval, offset(tickInterval, i, count), n.tick)
+		r.every(reviewInterval, reviewInterval+offset(tickInterval, i, count), n.review)
 		if !polling {
 			r.every(membership.DefaultHeartbeatEvery, offset(membership.DefaultHeartbeatEvery, i, count), n.heartbeat)
 		}
