wire: a request whose context has ended is not sent

Cause: TestCancelReachesTheHandler failed now and then under load (found by a run of 30): with the context ended, the request was queued all the same, and the writer could hand it to the socket before it was withdrawn, which made the error 'link broken' where 'not sent' is true. Change: it is not queued.

--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -124,8 +124,12 @@
 	return err
 }
 
-// enqueue puts the request into the link's queue. Errors: ErrNotSent.
+// enqueue puts the request into the link's queue, unless ctx has ended
+// already. Errors: ErrNotSent.
 func (s *session) enqueue(ctx context.Context, correlation uint64, request *wirepb.Request) (*outgoing, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "queue request"), ErrNotSent)
+	}
 	message := &wirepb.Frame{Correlation: correlation, Body: &wirepb.Frame_Request{Request: request}}
 	encoded, err := encodeFrame(message, s.link.options.MaxFrameBytes)
 	if err != nil {
