--- a/internal/scheduler/decision.go
+++ b/internal/scheduler/decision.go
@@ -78,18 +78,12 @@
 // explainCandidates lists the chosen engine, then the usable ones by total,
 // then the excluded ones, up to maxCandidates.
 func (c *Core) explainCandidates(decision *explain.Decision, chosen string) {
-	c.order = c.order[:0]
-	for i := range c.candidates {
-		c.order = append(c.order, i)
-	}
-	slices.SortFunc(c.order, func(a, b int) int {
-		return compareCandidates(&c.candidates[a], &c.candidates[b], chosen)
-	})
-	listed := min(maxCandidates, len(c.order))
-	decision.Omitted = len(c.order) - listed
+	c.rankCandidates(chosen)
+	listed := len(c.order)
+	decision.Omitted = len(c.candidates) - listed
 	decision.Candidates = make([]explain.Candidate, listed)
 	scores := make([]explain.Score, 0, listed*len(scorers))
-	for i, position := range c.order[:listed] {
+	for i, position := range c.order {
 		judged := &c.candidates[position]
 		entry := &decision.Candidates[i]
 		entry.Name = judged.engine.view.Name
@@ -109,6 +103,25 @@
 	}
 }
 
+// rankCandidates leaves the positions of the first maxCandidates candidates in
+// c.order, best first.
+func (c *Core) rankCandidates(chosen string) {
+	c.order = c.order[:0]
+	for i := range c.candidates {
+		at := len(c.order)
+		for at > 0 && compareCandidates(&c.candidates[i], &c.candidates[c.order[at-1]], chosen) < 0 {
+			at--
+		}
+		if at == maxCandidates {
+			continue
+		}
+		if len(c.order) == maxCandidates {
+			c.order = c.order[:maxCandidates-1]
+		}
+		c.order = slices.Insert(c.order, at, i)
+	}
+}
+
 // compareCandidates orders for explainCandidates.
 func compareCandidates(a, b *candidate, chosen string) int {
 	if chosen != "" {
