tests: the race of operators does not share the test's own bundle

Cause: the full checks failed under the race detector, by one race in the test itself: it replaced the deployment's bundle while the workload's callers read its cells. The racing versions are kept apart now; nothing asserted changes.

--- a/tests/configuration_test.go
+++ b/tests/configuration_test.go
@@ -25,25 +25,26 @@
 	d := startDeployment(t, size{engines: 3, nodes: 3})
 	w := startWorkload(t, d, 31)
 	watched := watchVersions(d)
+	inForce := d.bundle
 	setFaults(t, d.platformURL, platform.Faults{LoseReplyShare: 0.3, LateApplyMillis: 20, Seed: 11})
 	for round := range d.nodes {
 		w.waitProgress(callersAtOnce)
 		var winner sync.WaitGroup
-		winner.Go(func() { d.bundle = d.race(uint64(round)) })
+		winner.Go(func() { inForce = d.race(inForce, uint64(round)) })
 		d.nodes[round].kill()
 		winner.Wait()
 		d.replaceNode(round, d.nodes[round].name)
 	}
 	setFaults(t, d.platformURL, platform.Faults{})
-	d.waitInForce(d.bundle)
+	d.waitInForce(inForce)
 	watched.finish()
 	w.waitProgress(callersAtOnce)
 	w.finish()
 }
 
-// race submits two rivals to the bundle in force and returns the one that won.
-func (d *deployment) race(seed uint64) *bundle.Bundle {
-	rivals := [2]*bundle.Bundle{d.successor(20), d.successor(30)}
+// race submits two rivals to the base, which is in force, and returns the one that won.
+func (d *deployment) race(base *bundle.Bundle, seed uint64) *bundle.Bundle {
+	rivals := [2]*bundle.Bundle{successor(base, 20), successor(base, 30)}
 	var won [2]bool
 	var submissions sync.WaitGroup
 	for index, rival := range rivals {
@@ -60,12 +61,12 @@
 	return rivals[0]
 }
 
-// successor returns the next version of the bundle in force, which differs
+// successor returns the next version of a bundle, which differs
 // from it by one limit.
-func (d *deployment) successor(ahead int64) *bundle.Bundle {
-	next := *d.bundle
-	next.BaseVersion = d.bundle.Version
-	next.Version = d.bundle.Version + 1
+func successor(base *bundle.Bundle, ahead int64) *bundle.Bundle {
+	next := *base
+	next.BaseVersion = base.Version
+	next.Version = base.Version + 1
 	next.Limits.MaxSequenceAhead = ahead
 	return &next
 }
