--- a/tests/recovery_bench_test.go
+++ b/tests/recovery_bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/client"
 	"github.com/pewtermill/pewtermill/internal/command/devcluster"
+	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/historycheck"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 )
@@ -33,7 +34,7 @@
 }
 
 func benchmarkRecovery(b *testing.B, strike func(owner *nodeProcess)) {
-	var waits, usual []time.Duration
+	var waits, usual, claims []time.Duration
 	var faults recoveryFaults
 	for b.Loop() {
 		r := startRecovery(b)
@@ -43,11 +44,14 @@
 		struckAt := time.Now()
 		strike(r.struck)
 		waits = append(waits, r.nextAnswers(owned, struckAt)...)
+		claims = append(claims, r.claimTimes(owned, struckAt)...)
 		r.waitCalls(stableCalls)
 		faults.add(r.finish())
 	}
 	b.ReportMetric(float64(len(waits)), "programs")
 	b.ReportMetric(median(usual).Seconds(), "usual-p50-s")
+	b.ReportMetric(median(claims).Seconds(), "claim-p50-s")
+	b.ReportMetric(slices.Max(claims).Seconds(), "claim-max-s")
 	b.ReportMetric(median(waits).Seconds(), "p50-s")
 	b.ReportMetric(slices.Max(waits).Seconds(), "max-s")
 	faults.report(b)
@@ -215,6 +219,26 @@
 	return waits
 }
 
+// claimTimes returns how long after the strike each program was claimed.
+func (r *recovery) claimTimes(owned []string, struckAt time.Time) []time.Duration {
+	r.b.Helper()
+	var times []time.Duration
+	for _, id := range owned {
+		decisions, err := r.d.nodes[1].operator().Explain(r.b.Context(), id, 0)
+		if err != nil {
+			r.b.Fatal(err)
+		}
+		claimed := slices.IndexFunc(decisions, func(decision explain.Decision) bool {
+			return decision.Kind == explain.Claimed && decision.At.After(struckAt)
+		})
+		if claimed < 0 {
+			r.b.Fatalf("%s was answered and not claimed", id)
+		}
+		times = append(times, decisions[claimed].At.Sub(struckAt))
+	}
+	return times
+}
+
 // finish ends the callers, checks the histories and counts the faults.
 func (r *recovery) finish() recoveryFaults {
 	r.b.Helper()
