--- a/cmd/pewtermill-lab/serve.go
+++ b/cmd/pewtermill-lab/serve.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/command"
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // Time limits of a stand-in.
@@ -75,8 +75,8 @@
 }
 
 // entry returns the machine as the list shows it.
-func (s standIn) entry(address string, leaving bool) platform.Machine {
-	return platform.Machine{
+func (s standIn) entry(address string, leaving bool) tablestore.Machine {
+	return tablestore.Machine{
 		Name:    s.machine.Name,
 		Role:    s.role,
 		Zone:    s.machine.Zone,
--- a/internal/bundle/keeper.go
+++ b/internal/bundle/keeper.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // TableKey is the row that holds the bundle in force, as JSON of Signed.
@@ -38,7 +38,7 @@
 // Keeper holds the bundle in force on one node. The version in force never
 // falls. A Keeper is safe for concurrent use; InForce takes no lock.
 type Keeper struct {
-	table   platform.Table
+	table   tablestore.Table
 	onApply func(*Snapshot)
 	origin  string
 
@@ -50,7 +50,7 @@
 // NewKeeper returns a keeper with no bundle in force. onApply, if not nil, is
 // called after each bundle comes into force, in the order of versions and one
 // call at a time; it must not call Load, Submit or Offer.
-func NewKeeper(table platform.Table, onApply func(*Snapshot)) *Keeper {
+func NewKeeper(table tablestore.Table, onApply func(*Snapshot)) *Keeper {
 	return &Keeper{table: table, onApply: onApply}
 }
 
--- a/internal/bundle/keeper_test.go
+++ b/internal/bundle/keeper_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 func mustSubmit(t *testing.T, keeper *Keeper, signed Signed) {
@@ -29,7 +29,7 @@
 		mustSubmit(t, NewKeeper(table, nil), signedBy(base, devReviewer))
 		for round := range 3 {
 			for range random.IntN(3) {
-				failure := commitFailure{err: platform.ErrUnknownOutcome, applied: random.IntN(2) == 0}
+				failure := commitFailure{err: tablestore.ErrUnknownOutcome, applied: random.IntN(2) == 0}
 				table.commitErrors = append(table.commitErrors, failure)
 			}
 			winner, err := race(t, table, base, 2+random.IntN(5))
@@ -85,9 +85,9 @@
 }
 
 func TestSubmitSettlesUnknownOutcomes(t *testing.T) {
-	lost := commitFailure{err: platform.ErrUnknownOutcome}
-	lostButApplied := commitFailure{err: platform.ErrUnknownOutcome, applied: true}
-	down := commitFailure{err: platform.ErrUnavailable}
+	lost := commitFailure{err: tablestore.ErrUnknownOutcome}
+	lostButApplied := commitFailure{err: tablestore.ErrUnknownOutcome, applied: true}
+	down := commitFailure{err: tablestore.ErrUnavailable}
 	cases := []struct {
 		name      string
 		failures  []commitFailure
--- a/internal/bundle/offer_test.go
+++ b/internal/bundle/offer_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // downTable is a table service that is down.
 type downTable struct{ memoryTable }
 
-func (*downTable) Get(context.Context, string) (platform.Row, error) {
-	return platform.Row{}, platform.ErrUnavailable
+func (*downTable) Get(context.Context, string) (tablestore.Row, error) {
+	return tablestore.Row{}, tablestore.ErrUnavailable
 }
 
 // offer is a bundle from a peer; genuine if the table once accepted it.
--- a/internal/bundle/submission.go
+++ b/internal/bundle/submission.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 const (
@@ -53,7 +53,7 @@
 			return s.storeFailed(err)
 		}
 	}
-	return s.storeFailed(platform.ErrUnknownOutcome)
+	return s.storeFailed(tablestore.ErrUnknownOutcome)
 }
 
 // verify refuses a bundle that may not follow the one in the table.
@@ -67,7 +67,7 @@
 }
 
 // writes returns the rows of the bundle and of its version.
-func (s *submission) writes() ([]platform.Write, error) {
+func (s *submission) writes() ([]tablestore.Write, error) {
 	signed, err := json.Marshal(s.next.Signed)
 	if err != nil {
 		return nil, err
@@ -76,15 +76,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return []platform.Write{{Key: TableKey, Value: signed}, {Key: VersionKey, Value: newest}}, nil
+	return []tablestore.Write{{Key: TableKey, Value: signed}, {Key: VersionKey, Value: newest}}, nil
 }
 
 // write replaces the rows if that of the bundle still has the revision that
 // was verified.
-func (s *submission) write(ctx context.Context, writes []platform.Write, revision uint64) error {
-	_, err := s.keeper.table.Commit(ctx, platform.Transaction{
+func (s *submission) write(ctx context.Context, writes []tablestore.Write, revision uint64) error {
+	_, err := s.keeper.table.Commit(ctx, tablestore.Transaction{
 		WriteID:    "bundle-" + rand.Text(),
-		Conditions: []platform.Condition{{Key: TableKey, Revision: revision}},
+		Conditions: []tablestore.Condition{{Key: TableKey, Revision: revision}},
 		Writes:     writes,
 	})
 	return err
@@ -93,10 +93,10 @@
 // mayReadBack tells whether reading the row again can settle a failed write.
 // Any error that does not promise that nothing was written may hide a write.
 func (s *submission) mayReadBack(err error) bool {
-	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrThrottled) {
+	if errors.Is(err, tablestore.ErrUnavailable) || errors.Is(err, tablestore.ErrThrottled) {
 		return false
 	}
-	var conflict *platform.ConflictError
+	var conflict *tablestore.ConflictError
 	if !errors.As(err, &conflict) {
 		s.uncertain = true
 	}
--- a/internal/bundle/testing_test.go
+++ b/internal/bundle/testing_test.go
@@ -12,15 +12,15 @@
 	"sync"
 	"testing"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // memoryTable is a compare-and-set map that stands in for the table service.
 // versions lists the bundle versions written, in order.
 type memoryTable struct {
 	mu       sync.Mutex
-	row      platform.Row
-	version  platform.Row // of VersionKey
+	row      tablestore.Row
+	version  tablestore.Row // of VersionKey
 	versions []uint64
 	// commitErrors are returned by the next commits, in order.
 	commitErrors []commitFailure
@@ -32,7 +32,7 @@
 	applied bool
 }
 
-func (t *memoryTable) Commit(_ context.Context, transaction platform.Transaction) (platform.Receipt, error) {
+func (t *memoryTable) Commit(_ context.Context, transaction tablestore.Transaction) (tablestore.Receipt, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var failure commitFailure
@@ -41,21 +41,21 @@
 		t.commitErrors = t.commitErrors[1:]
 	}
 	if failure.err != nil && !failure.applied {
-		return platform.Receipt{}, failure.err
+		return tablestore.Receipt{}, failure.err
 	}
 	if transaction.Conditions[0].Revision != t.row.Revision {
-		return platform.Receipt{}, &platform.ConflictError{Current: t.row}
+		return tablestore.Receipt{}, &tablestore.ConflictError{Current: t.row}
 	}
-	t.row = platform.Row{
+	t.row = tablestore.Row{
 		Key: TableKey, Value: transaction.Writes[0].Value,
 		Revision: t.row.Revision + 1, WriteID: transaction.WriteID,
 	}
-	t.version = platform.Row{Key: VersionKey, Value: transaction.Writes[1].Value, Revision: t.row.Revision}
+	t.version = tablestore.Row{Key: VersionKey, Value: transaction.Writes[1].Value, Revision: t.row.Revision}
 	t.versions = append(t.versions, mustSnapshot(t.row.Value).Version())
-	return platform.Receipt{}, failure.err
+	return tablestore.Receipt{}, failure.err
 }
 
-func (t *memoryTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *memoryTable) Get(_ context.Context, key string) (tablestore.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if key == VersionKey {
@@ -64,8 +64,8 @@
 	return t.row, nil
 }
 
-func (t *memoryTable) Range(context.Context, string, string, int) ([]platform.Row, error) {
-	return nil, platform.ErrUnavailable
+func (t *memoryTable) Range(context.Context, string, string, int) ([]tablestore.Row, error) {
+	return nil, tablestore.ErrUnavailable
 }
 
 func reviewerKey(name string) ed25519.PrivateKey {
--- a/internal/command/announce.go
+++ b/internal/command/announce.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // announceRetryInterval is the pause between attempts to reach the platform.
@@ -18,7 +18,7 @@
 
 // Announce puts a machine on the stand-in platform's machine list, or
 // replaces the one of that name. It tries once.
-func Announce(ctx context.Context, platformURL string, machine platform.Machine) error {
+func Announce(ctx context.Context, platformURL string, machine tablestore.Machine) error {
 	body, err := json.Marshal(machine)
 	if err != nil {
 		return errors.Wrap(err, "encode machine")
@@ -28,7 +28,7 @@
 }
 
 // AnnounceUntilDone is like Announce, but tries again until ctx ends.
-func AnnounceUntilDone(ctx context.Context, platformURL string, machine platform.Machine) error {
+func AnnounceUntilDone(ctx context.Context, platformURL string, machine tablestore.Machine) error {
 	for {
 		err := Announce(ctx, platformURL, machine)
 		if err == nil {
--- a/internal/fleet/platform.go
+++ b/internal/fleet/platform.go
@@ -10,9 +10,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // TableCounts are operations that reached the platform, and the bytes of the
@@ -37,9 +37,9 @@
 }
 
 func newCountingPlatform(machines int) (*countingPlatform, error) {
-	list := make([]platform.Machine, machines)
+	list := make([]tablestore.Machine, machines)
 	for index := range list {
-		list[index] = platform.Machine{
+		list[index] = tablestore.Machine{
 			Name:    fmt.Sprintf("machine-%d", index),
 			Role:    "engine",
 			Zone:    zoneName(index%regions, index%zonesPerRegion),
@@ -53,22 +53,22 @@
 	return &countingPlatform{Platform: standin.New(standin.Options{}), machines: encoded}, nil
 }
 
-// Commit implements platform.Table.
-func (p *countingPlatform) Commit(ctx context.Context, transaction platform.Transaction) (platform.Receipt, error) {
+// Commit implements tablestore.Table.
+func (p *countingPlatform) Commit(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, error) {
 	p.commits.Add(1)
 	return p.Platform.Commit(ctx, transaction)
 }
 
-// Get implements platform.Table.
-func (p *countingPlatform) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements tablestore.Table.
+func (p *countingPlatform) Get(ctx context.Context, key string) (tablestore.Row, error) {
 	row, err := p.Platform.Get(ctx, key)
 	p.gets.Add(1)
 	p.bytes.Add(uint64(len(row.Value)))
 	return row, err
 }
 
-// Range implements platform.Table.
-func (p *countingPlatform) Range(ctx context.Context, start, end string, limit int) ([]platform.Row, error) {
+// Range implements tablestore.Table.
+func (p *countingPlatform) Range(ctx context.Context, start, end string, limit int) ([]tablestore.Row, error) {
 	rows, err := p.Platform.Range(ctx, start, end, limit)
 	p.ranges.Add(1)
 	p.rowsRead.Add(uint64(len(rows)))
@@ -78,11 +78,11 @@
 	return rows, err
 }
 
-// List implements platform.Machines.
-func (p *countingPlatform) List(context.Context) ([]platform.Machine, error) {
+// List implements tablestore.Machines.
+func (p *countingPlatform) List(context.Context) ([]tablestore.Machine, error) {
 	p.lists.Add(1)
 	p.bytes.Add(uint64(len(p.machines)))
-	var list []platform.Machine
+	var list []tablestore.Machine
 	err := json.Unmarshal(p.machines, &list)
 	return list, err
 }
@@ -124,7 +124,7 @@
 // addPrograms puts rows of open programs into the table, spread over the
 // cells, for the maintenance scan to read.
 func (p *countingPlatform) addPrograms(ctx context.Context, cells, count int) error {
-	var transaction platform.Transaction
+	var transaction tablestore.Transaction
 	for index := range count {
 		header := program.New(program.Params{
 			ID:      program.RootID(cellName(index%cells), uint64(index)),
@@ -136,8 +136,8 @@
 			MaxWall: programWallTime,
 		})
 		key := program.HeaderKey(header.ID)
-		transaction.Conditions = append(transaction.Conditions, platform.Condition{Key: key})
-		transaction.Writes = append(transaction.Writes, platform.Write{Key: key, Value: program.EncodeHeader(header)})
+		transaction.Conditions = append(transaction.Conditions, tablestore.Condition{Key: key})
+		transaction.Writes = append(transaction.Writes, tablestore.Write{Key: key, Value: program.EncodeHeader(header)})
 		if len(transaction.Writes) < programWrites && index < count-1 {
 			continue
 		}
@@ -145,7 +145,7 @@
 		if _, err := p.Platform.Commit(ctx, transaction); err != nil {
 			return errors.Wrap(err, "add programs")
 		}
-		transaction = platform.Transaction{}
+		transaction = tablestore.Transaction{}
 	}
 	return nil
 }
--- a/internal/node/bench_cluster_test.go
+++ b/internal/node/bench_cluster_test.go
@@ -17,9 +17,9 @@
 	"github.com/pewtermill/pewtermill/internal/command/devcluster"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/node"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/settings"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 const (
@@ -61,7 +61,7 @@
 		dependencies.BackendClient = &http.Client{Transport: engine}
 	} else {
 		engine.trace = c.trace
-		remote := platform.NewHTTP(c.serve(table.Handler()), nil)
+		remote := tablestore.NewHTTP(c.serve(table.Handler()), nil)
 		dependencies.Table = &tracedTable{Table: remote, trace: c.trace}
 		dependencies.Objects, dependencies.Machines = remote, remote
 		c.engineURL = c.serve(engine)
--- a/internal/node/bench_trace_test.go
+++ b/internal/node/bench_trace_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // moment is a point on a call's way that the benchmark can see from outside
@@ -63,11 +63,11 @@
 
 // tracedTable notes when a commit begins and ends.
 type tracedTable struct {
-	platform.Table
+	tablestore.Table
 	trace *trace
 }
 
-func (t *tracedTable) Commit(ctx context.Context, transaction platform.Transaction) (platform.Receipt, error) {
+func (t *tracedTable) Commit(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, error) {
 	t.trace.add(commitBegins)
 	defer t.trace.add(commitEnds)
 	return t.Table.Commit(ctx, transaction)
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -8,8 +8,8 @@
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // Periods of a node's background work.
@@ -128,7 +128,7 @@
 }
 
 // useMachines takes over which machines the list calls leaving.
-func (n *Node) useMachines(machines []platform.Machine) {
+func (n *Node) useMachines(machines []tablestore.Machine) {
 	var leavingNodes []string
 	leavingEngines := make(map[string]bool)
 	for _, machine := range machines {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -6,7 +6,7 @@
 
 	"github.com/pewtermill/pewtermill/internal/dispatch"
 	"github.com/pewtermill/pewtermill/internal/membership"
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // metric is one number that the node publishes, read at each scrape.
@@ -47,21 +47,21 @@
 func (n *Node) counters() []metric {
 	return []metric{
 		n.storeCounter("pewtermill_store_transactions_total", "Commit requests sent to the table service.",
-			func(stats platform.StoreStats) uint64 { return stats.Transactions }),
+			func(stats tablestore.StoreStats) uint64 { return stats.Transactions }),
 		n.storeCounter("pewtermill_store_rows_total", "Rows written to the table service.",
-			func(stats platform.StoreStats) uint64 { return stats.Rows }),
+			func(stats tablestore.StoreStats) uint64 { return stats.Rows }),
 		n.storeCounter("pewtermill_store_throttled_total", "Commit requests refused by the table service's rate limit.",
-			func(stats platform.StoreStats) uint64 { return stats.Throttled }),
+			func(stats tablestore.StoreStats) uint64 { return stats.Throttled }),
 		n.storeCounter("pewtermill_store_lost_replies_total", "Commit requests whose reply was lost.",
-			func(stats platform.StoreStats) uint64 { return stats.Unknown }),
+			func(stats tablestore.StoreStats) uint64 { return stats.Unknown }),
 		n.storeCounter("pewtermill_store_refused_total", "Transactions refused here because the table service does not answer.",
-			func(stats platform.StoreStats) uint64 { return stats.Refused }),
+			func(stats tablestore.StoreStats) uint64 { return stats.Refused }),
 		{"pewtermill_decisions_lost_total", "Decision records that slow watchers missed.",
 			func() float64 { return float64(n.decisions.Lost()) }},
 	}
 }
 
-func (n *Node) storeCounter(name, help string, value func(platform.StoreStats) uint64) metric {
+func (n *Node) storeCounter(name, help string, value func(tablestore.StoreStats) uint64) metric {
 	return metric{name, help, func() float64 { return float64(value(n.store.Stats())) }}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,8 +27,8 @@
 	"github.com/pewtermill/pewtermill/internal/operator"
 	"github.com/pewtermill/pewtermill/internal/ownership"
 	"github.com/pewtermill/pewtermill/internal/planner"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/settings"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire"
 )
 
@@ -48,9 +48,9 @@
 // take the usual: the platform at Settings.PlatformURL, a discarding logger.
 type Dependencies struct {
 	Logger   *slog.Logger
-	Table    platform.Table
-	Objects  platform.Objects
-	Machines platform.Machines
+	Table    tablestore.Table
+	Objects  tablestore.Objects
+	Machines tablestore.Machines
 	Faults   *wire.Faults // test switch for links to peers
 	// Heartbeats overrides the membership's periods; for tests.
 	Heartbeats membership.Config
@@ -67,10 +67,10 @@
 	startedAt   time.Time
 	logger      *slog.Logger
 	registry    *prometheus.Registry
-	machines    platform.Machines
+	machines    tablestore.Machines
 	hollow      bool
 
-	store      *platform.GroupStore
+	store      *tablestore.GroupStore
 	keeper     *bundle.Keeper
 	decisions  *explain.Log
 	dispatcher *dispatch.Dispatcher
@@ -157,10 +157,10 @@
 	table, objects := dependencies.Table, dependencies.Objects
 	n.machines = dependencies.Machines
 	if table == nil {
-		remote := platform.NewHTTP(n.settings.PlatformURL, nil)
+		remote := tablestore.NewHTTP(n.settings.PlatformURL, nil)
 		table, objects, n.machines = remote, remote, remote
 	}
-	n.store = platform.NewStore(table, objects, platform.StoreOptions{
+	n.store = tablestore.NewStore(table, objects, tablestore.StoreOptions{
 		Window:   storeWindow,
 		MaxGroup: storeMaxGroup,
 		Logger:   n.logger,
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -8,8 +8,8 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/explain"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // movingRetryAfter is when to come back while a program changes its owner.
@@ -113,9 +113,9 @@
 		reason = "handed over by " + former
 	}
 	claimed := program.Claim(header, p.Node, p.Incarnation)
-	receipt, err := p.Store.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: program.HeaderKey(e.id), Revision: revision}},
-		Writes:     []platform.Write{{Key: program.HeaderKey(e.id), Value: program.EncodeHeader(claimed)}},
+	receipt, err := p.Store.Commit(ctx, tablestore.Transaction{
+		Conditions: []tablestore.Condition{{Key: program.HeaderKey(e.id), Revision: revision}},
+		Writes:     []tablestore.Write{{Key: program.HeaderKey(e.id), Value: program.EncodeHeader(claimed)}},
 	})
 	if err != nil {
 		return p.storeError(err)
@@ -201,13 +201,13 @@
 
 // isConflict says that a row had changed under a transaction.
 func isConflict(err error) bool {
-	var conflict *platform.ConflictError
+	var conflict *tablestore.ConflictError
 	return errors.As(err, &conflict)
 }
 
 // isConflictOn says that the row under this key had changed.
 func isConflictOn(err error, key string) bool {
-	var conflict *platform.ConflictError
+	var conflict *tablestore.ConflictError
 	return errors.As(err, &conflict) && conflict.Current.Key == key
 }
 
@@ -217,7 +217,7 @@
 		return err
 	}
 	refusal := api.Errorf(api.StoreDown, "%v", errors.UnwrapAll(err)).After(storeRetryAfter)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, tablestore.ErrUnknownOutcome) {
 		refusal.Execution = api.Unknown
 		return refusal
 	}
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -17,8 +17,8 @@
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/historycheck"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // testCluster is a cell of owners over one table stand-in. An owner that is
@@ -32,7 +32,7 @@
 	mutex   sync.Mutex
 	current map[string]*Programs
 	all     []*Programs
-	stores  []*platform.GroupStore
+	stores  []*tablestore.GroupStore
 	starts  uint64
 }
 
@@ -64,7 +64,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.starts++
-	store := platform.NewStore(c.table, c.table, platform.StoreOptions{Node: fmt.Sprintf("%s-%d", name, c.starts)})
+	store := tablestore.NewStore(c.table, c.table, tablestore.StoreOptions{Node: fmt.Sprintf("%s-%d", name, c.starts)})
 	fresh := New(Dependencies{
 		Node:        name,
 		Incarnation: c.starts,
--- a/internal/ownership/collect.go
+++ b/internal/ownership/collect.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // collectPageRows is how many call rows one transaction deletes.
@@ -44,12 +44,12 @@
 			return
 		}
 		last := len(calls) < collectPageRows
-		writes := []platform.Write{{Key: key, Value: program.EncodeHeader(header), Delete: last}}
+		writes := []tablestore.Write{{Key: key, Value: program.EncodeHeader(header), Delete: last}}
 		for _, call := range calls {
-			writes = append(writes, platform.Write{Key: call.Key, Delete: true})
+			writes = append(writes, tablestore.Write{Key: call.Key, Delete: true})
 		}
-		receipt, err := p.Store.Commit(ctx, platform.Transaction{
-			Conditions: []platform.Condition{{Key: key, Revision: revision}},
+		receipt, err := p.Store.Commit(ctx, tablestore.Transaction{
+			Conditions: []tablestore.Condition{{Key: key, Revision: revision}},
 			Writes:     writes,
 		})
 		if err != nil || last {
--- a/internal/ownership/end.go
+++ b/internal/ownership/end.go
@@ -11,8 +11,8 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/explain"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // CreateChild makes a sub-agent: its budget is moved out of the parent's in
@@ -53,8 +53,8 @@
 		return api.Program{}, p.refuse(header, 0, "sub-agent", refusal)
 	}
 	childKey := program.HeaderKey(child.ID)
-	absent := []platform.Condition{{Key: childKey}}
-	create := []platform.Write{{Key: childKey, Value: program.EncodeHeader(child)}}
+	absent := []tablestore.Condition{{Key: childKey}}
+	create := []tablestore.Write{{Key: childKey, Value: program.EncodeHeader(child)}}
 	err = p.writeIf(ctx, parent, nextParent, absent, create)
 	if isConflictOn(err, childKey) {
 		return p.Get(ctx, tenant, childID)
@@ -178,9 +178,9 @@
 // are held.
 func (p *Programs) writePair(ctx context.Context, first *entry, firstHeader program.Header, second *entry, secondHeader program.Header) error {
 	keys := [2]string{program.HeaderKey(first.id), program.HeaderKey(second.id)}
-	receipt, err := p.Store.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: keys[0], Revision: first.revisionNow()}, {Key: keys[1], Revision: second.revisionNow()}},
-		Writes: []platform.Write{
+	receipt, err := p.Store.Commit(ctx, tablestore.Transaction{
+		Conditions: []tablestore.Condition{{Key: keys[0], Revision: first.revisionNow()}, {Key: keys[1], Revision: second.revisionNow()}},
+		Writes: []tablestore.Write{
 			{Key: keys[0], Value: program.EncodeHeader(firstHeader)},
 			{Key: keys[1], Value: program.EncodeHeader(secondHeader)},
 		},
--- a/internal/ownership/lifecycle.go
+++ b/internal/ownership/lifecycle.go
@@ -9,8 +9,8 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // Create makes a program without parent durable. A program that exists
@@ -220,7 +220,7 @@
 		RequestDigest: intent.RequestDigest,
 		Segment:       &program.Segment{Result: result},
 	}
-	write := platform.Write{Key: program.CallKey(header.ID, intent.Sequence), Value: program.EncodeCall(row)}
+	write := tablestore.Write{Key: program.CallKey(header.ID, intent.Sequence), Value: program.EncodeCall(row)}
 	if err := p.write(ctx, e, settled, write); err != nil {
 		return err
 	}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -17,8 +17,8 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // Peers is what this package needs to know and ask of other nodes.
@@ -34,7 +34,7 @@
 type Dependencies struct {
 	Node        string
 	Incarnation uint64 // of this run of the node; higher than any earlier one
-	Store       platform.Store
+	Store       tablestore.Store
 	Executor    Executor
 	Peers       Peers
 	InForce     func() *bundle.Snapshot
--- a/internal/ownership/run.go
+++ b/internal/ownership/run.go
@@ -10,8 +10,8 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/explain"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // Pauses between attempts to record a result while the table service is down.
@@ -142,26 +142,26 @@
 
 // write makes a header durable with further writes beside it. The commit lock
 // is held. After a conflict or an unknown outcome the entry is loaded afresh.
-func (p *Programs) write(ctx context.Context, e *entry, header program.Header, more ...platform.Write) error {
+func (p *Programs) write(ctx context.Context, e *entry, header program.Header, more ...tablestore.Write) error {
 	return p.writeIf(ctx, e, header, nil, more)
 }
 
 // writeIf is write with further conditions.
-func (p *Programs) writeIf(ctx context.Context, e *entry, header program.Header, conditions []platform.Condition, more []platform.Write) error {
+func (p *Programs) writeIf(ctx context.Context, e *entry, header program.Header, conditions []tablestore.Condition, more []tablestore.Write) error {
 	key := program.HeaderKey(e.id)
 	e.mutex.Lock()
 	revision := e.revision
 	e.mutex.Unlock()
-	transaction := platform.Transaction{
-		Conditions: append([]platform.Condition{{Key: key, Revision: revision}}, conditions...),
-		Writes:     append([]platform.Write{{Key: key, Value: program.EncodeHeader(header)}}, more...),
+	transaction := tablestore.Transaction{
+		Conditions: append([]tablestore.Condition{{Key: key, Revision: revision}}, conditions...),
+		Writes:     append([]tablestore.Write{{Key: key, Value: program.EncodeHeader(header)}}, more...),
 	}
 	receipt, err := p.Store.Commit(ctx, transaction)
 	if err == nil {
 		e.store(header, receipt.Revisions[key])
 		return nil
 	}
-	if isConflict(err) || errors.Is(err, platform.ErrUnknownOutcome) {
+	if isConflict(err) || errors.Is(err, tablestore.ErrUnknownOutcome) {
 		e.disown()
 	}
 	return p.storeError(err)
--- a/internal/ownership/settle.go
+++ b/internal/ownership/settle.go
@@ -7,8 +7,8 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backoff"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // maxInlineBytes is the largest segment kept in a table row; larger ones go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return api.CallResult{}, p.storeError(err)
 	}
-	write := platform.Write{Key: program.CallKey(header.ID, f.sequence), Value: program.EncodeCall(row)}
+	write := tablestore.Write{Key: program.CallKey(header.ID, f.sequence), Value: program.EncodeCall(row)}
 	if err := p.write(p.closing, e, settled, write); err != nil {
 		return api.CallResult{}, err
 	}
--- a/internal/planner/epoch.go
+++ b/internal/planner/epoch.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // row is the value of the table row that names a cell's planner.
@@ -39,9 +39,9 @@
 	if err != nil {
 		return 0, err
 	}
-	_, err = p.options.Table.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: key, Revision: stored.Revision}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
+	_, err = p.options.Table.Commit(ctx, tablestore.Transaction{
+		Conditions: []tablestore.Condition{{Key: key, Revision: stored.Revision}},
+		Writes:     []tablestore.Write{{Key: key, Value: value}},
 	})
 	return next.Epoch, err
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -19,7 +19,7 @@
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/modelplan"
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // DefaultPeriod is the time between two plans.
@@ -34,7 +34,7 @@
 	Node        string
 	Incarnation uint64 // of this run of the node
 	Cell        string
-	Table       platform.Table
+	Table       tablestore.Table
 	// Elected says whether membership names this node as the planner.
 	Elected func() bool
 	InForce func() *bundle.Snapshot
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // Faults are the fault switches; the zero value is a healthy platform.
@@ -57,11 +57,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.faults.Down {
-		return replyFate{}, 0, platform.ErrUnavailable
+		return replyFate{}, 0, tablestore.ErrUnavailable
 	}
 	if p.limiter != nil && !p.limiter.Allow() {
 		p.stats.Throttled++
-		return replyFate{}, 0, platform.ErrThrottled
+		return replyFate{}, 0, tablestore.ErrThrottled
 	}
 	return p.drawFate(), p.slowness(), nil
 }
@@ -96,7 +96,7 @@
 	down, slow := p.faults.Down, p.slowness()
 	p.mu.Unlock()
 	if down {
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	}
 	if slow == 0 {
 		return nil
@@ -107,6 +107,6 @@
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
-		return platform.ErrUnavailable
+		return tablestore.ErrUnavailable
 	}
 }
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // maxBodyBytes bounds what one request may carry.
@@ -39,7 +39,7 @@
 }
 
 func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request) {
-	var transaction platform.Transaction
+	var transaction tablestore.Transaction
 	if !decode(w, r, &transaction) {
 		return
 	}
@@ -110,7 +110,7 @@
 }
 
 func (p *Platform) serveAnnounce(w http.ResponseWriter, r *http.Request) {
-	var machine platform.Machine
+	var machine tablestore.Machine
 	if !decode(w, r, &machine) {
 		return
 	}
@@ -161,15 +161,15 @@
 
 // refuse maps an error of the platform to a status, or cuts the connection.
 func refuse(w http.ResponseWriter, err error) {
-	var conflict *platform.ConflictError
+	var conflict *tablestore.ConflictError
 	switch {
 	case errors.As(err, &conflict):
 		answerStatus(w, http.StatusConflict, conflict)
-	case errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, tablestore.ErrThrottled):
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, tablestore.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, tablestore.ErrUnavailable):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
 		panic(http.ErrAbortHandler)
--- a/internal/standin/platform/machines.go
+++ b/internal/standin/platform/machines.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // machineList shows every change only after a lag.
@@ -15,14 +15,14 @@
 	lag time.Duration
 
 	mu      sync.Mutex // guards all below
-	visible map[string]platform.Machine
+	visible map[string]tablestore.Machine
 	pending []machineChange // not visible yet, oldest first
 }
 
 // machineChange announces a machine, or withdraws the one of that name.
 type machineChange struct {
 	at        time.Time
-	machine   platform.Machine
+	machine   tablestore.Machine
 	withdrawn bool
 }
 
@@ -33,7 +33,7 @@
 }
 
 // list returns the machines as they were one lag before now, sorted by name.
-func (m *machineList) list(now time.Time) []platform.Machine {
+func (m *machineList) list(now time.Time) []tablestore.Machine {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for len(m.pending) > 0 && !now.Before(m.pending[0].at.Add(m.lag)) {
@@ -45,7 +45,7 @@
 			m.visible[change.machine.Name] = change.machine
 		}
 	}
-	machines := make([]platform.Machine, 0, len(m.visible))
+	machines := make([]tablestore.Machine, 0, len(m.visible))
 	for _, name := range slices.Sorted(maps.Keys(m.visible)) {
 		machines = append(machines, m.visible[name])
 	}
@@ -53,18 +53,18 @@
 }
 
 // Announce adds a machine to the list or replaces the one of that name.
-func (p *Platform) Announce(machine platform.Machine) {
+func (p *Platform) Announce(machine tablestore.Machine) {
 	p.machines.change(machineChange{at: time.Now(), machine: machine})
 }
 
 // Withdraw takes a machine off the list.
 func (p *Platform) Withdraw(name string) {
-	machine := platform.Machine{Name: name}
+	machine := tablestore.Machine{Name: name}
 	p.machines.change(machineChange{at: time.Now(), machine: machine, withdrawn: true})
 }
 
-// List implements platform.Machines.
-func (p *Platform) List(ctx context.Context) ([]platform.Machine, error) {
+// List implements tablestore.Machines.
+func (p *Platform) List(ctx context.Context) ([]tablestore.Machine, error) {
 	if err := p.admitRead(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/standin/platform/objects.go
+++ b/internal/standin/platform/objects.go
@@ -7,7 +7,7 @@
 	"encoding/hex"
 	"sync"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // objectStore holds immutable contents by digest.
@@ -22,7 +22,7 @@
 	return len(o.contents)
 }
 
-// PutObject implements platform.Objects.
+// PutObject implements tablestore.Objects.
 func (p *Platform) PutObject(ctx context.Context, content []byte) (string, error) {
 	if err := p.admitRead(ctx); err != nil {
 		return "", err
@@ -37,7 +37,7 @@
 	return digest, nil
 }
 
-// GetObject implements platform.Objects. The caller must not change the content.
+// GetObject implements tablestore.Objects. The caller must not change the content.
 func (p *Platform) GetObject(ctx context.Context, digest string) ([]byte, error) {
 	if err := p.admitRead(ctx); err != nil {
 		return nil, err
@@ -46,7 +46,7 @@
 	defer p.objects.mu.Unlock()
 	content, exists := p.objects.contents[digest]
 	if !exists {
-		return nil, platform.ErrNotFound
+		return nil, tablestore.ErrNotFound
 	}
 	return content, nil
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // Options set up a Platform. The zero value is useful.
@@ -30,7 +30,7 @@
 	historyLimit int
 
 	mu       sync.Mutex // guards all below
-	rows     map[string]platform.Row
+	rows     map[string]tablestore.Row
 	keys     keyIndex
 	revision uint64 // of the latest committed transaction
 	history  []Committed
@@ -44,20 +44,20 @@
 }
 
 var (
-	_ platform.Table    = (*Platform)(nil)
-	_ platform.Objects  = (*Platform)(nil)
-	_ platform.Machines = (*Platform)(nil)
+	_ tablestore.Table    = (*Platform)(nil)
+	_ tablestore.Objects  = (*Platform)(nil)
+	_ tablestore.Machines = (*Platform)(nil)
 )
 
 // New returns an empty platform without faults.
 func New(options Options) *Platform {
 	p := &Platform{
 		historyLimit: options.HistoryLimit,
-		rows:         make(map[string]platform.Row),
+		rows:         make(map[string]tablestore.Row),
 		objects:      objectStore{contents: make(map[string][]byte)},
 		machines: machineList{
 			lag:     options.MachineLag,
-			visible: make(map[string]platform.Machine),
+			visible: make(map[string]tablestore.Machine),
 		},
 	}
 	p.SetFaults(Faults{})
@@ -90,8 +90,8 @@
 // Committed is one transaction of the history. Sequence is the revision that
 // it gave to each row it wrote; it rises from one transaction to the next.
 type Committed struct {
-	Sequence    uint64               `json:"sequence"`
-	Transaction platform.Transaction `json:"transaction"`
+	Sequence    uint64                 `json:"sequence"`
+	Transaction tablestore.Transaction `json:"transaction"`
 }
 
 // History returns the latest committed transactions in the order in which
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -16,7 +16,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 const propertySeed = 20260102
@@ -60,21 +60,21 @@
 // leaves everything as it was; revisions are not used again after a delete.
 func TestTransactionIsAllOrNothing(t *testing.T) {
 	p := New(Options{HistoryLimit: 2})
-	writeBoth := platform.Transaction{
+	writeBoth := tablestore.Transaction{
 		WriteID:    "1",
-		Conditions: []platform.Condition{{Key: "a"}, {Key: "b"}},
-		Writes:     []platform.Write{{Key: "a"}, {Key: "b", Value: []byte("old")}},
+		Conditions: []tablestore.Condition{{Key: "a"}, {Key: "b"}},
+		Writes:     []tablestore.Write{{Key: "a"}, {Key: "b", Value: []byte("old")}},
 	}
 	first, err := p.Commit(t.Context(), writeBoth)
 	if err != nil {
 		t.Fatal(err)
 	}
-	stale := platform.Transaction{
+	stale := tablestore.Transaction{
 		WriteID:    "2",
-		Conditions: []platform.Condition{{Key: "a", Revision: first.Revisions["a"]}, {Key: "b"}},
-		Writes:     []platform.Write{{Key: "a", Delete: true}, {Key: "b", Value: []byte("new")}},
+		Conditions: []tablestore.Condition{{Key: "a", Revision: first.Revisions["a"]}, {Key: "b"}},
+		Writes:     []tablestore.Write{{Key: "a", Delete: true}, {Key: "b", Value: []byte("new")}},
 	}
-	var conflict *platform.ConflictError
+	var conflict *tablestore.ConflictError
 	_, err = p.Commit(t.Context(), stale)
 	if !errors.As(err, &conflict) || conflict.Index != 1 || string(conflict.Current.Value) != "old" {
 		t.Fatalf("answered %v", err)
@@ -84,7 +84,7 @@
 		t.Fatalf("rows %+v, %v", rows, err)
 	}
 	for _, remove := range []bool{true, false} {
-		again := platform.Transaction{Writes: []platform.Write{{Key: "a", Delete: remove}}}
+		again := tablestore.Transaction{Writes: []tablestore.Write{{Key: "a", Delete: remove}}}
 		if _, err := p.Commit(t.Context(), again); err != nil {
 			t.Fatal(err)
 		}
@@ -104,9 +104,9 @@
 		p := New(Options{})
 		p.SetFaults(Faults{LoseRepliesNext: 100, LateApplyMillis: 1000, Seed: 1})
 		for i := range 100 {
-			write := platform.Write{Key: fmt.Sprint(i)}
-			_, err := p.Commit(t.Context(), platform.Transaction{Writes: []platform.Write{write}})
-			if !errors.Is(err, platform.ErrUnknownOutcome) {
+			write := tablestore.Write{Key: fmt.Sprint(i)}
+			_, err := p.Commit(t.Context(), tablestore.Transaction{Writes: []tablestore.Write{write}})
+			if !errors.Is(err, tablestore.ErrUnknownOutcome) {
 				t.Fatalf("answered %v", err)
 			}
 		}
@@ -126,7 +126,7 @@
 func TestMachineListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := New(Options{MachineLag: 10 * time.Second})
-		p.Announce(platform.Machine{Name: "engine-1"})
+		p.Announce(tablestore.Machine{Name: "engine-1"})
 		time.Sleep(9 * time.Second) // virtual
 		if machines, _ := p.List(t.Context()); len(machines) != 0 {
 			t.Errorf("seen too early: %+v", machines)
--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -5,35 +5,35 @@
 	"context"
 	"time"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // commitResult is the outcome of applying a transaction.
 type commitResult struct {
-	receipt platform.Receipt
+	receipt tablestore.Receipt
 	err     error
 }
 
-// Commit implements platform.Table, subject to the fault switches.
-func (p *Platform) Commit(ctx context.Context, transaction platform.Transaction) (platform.Receipt, error) {
+// Commit implements tablestore.Table, subject to the fault switches.
+func (p *Platform) Commit(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, error) {
 	fate, slow, err := p.admit()
 	if err != nil {
-		return platform.Receipt{}, err
+		return tablestore.Receipt{}, err
 	}
 	if fate.delay > 0 {
 		time.AfterFunc(slow+fate.delay, func() { p.apply(transaction) })
-		return platform.Receipt{}, platform.ErrUnknownOutcome
+		return tablestore.Receipt{}, tablestore.ErrUnknownOutcome
 	}
 	result, answered := p.applyAfter(ctx, slow, transaction)
 	if !answered || fate.lost {
-		return platform.Receipt{}, platform.ErrUnknownOutcome
+		return tablestore.Receipt{}, tablestore.ErrUnknownOutcome
 	}
 	return result.receipt, result.err
 }
 
 // applyAfter applies the transaction after the delay. If the context ends
 // first, answered is false and the transaction is still applied.
-func (p *Platform) applyAfter(ctx context.Context, delay time.Duration, transaction platform.Transaction) (result commitResult, answered bool) {
+func (p *Platform) applyAfter(ctx context.Context, delay time.Duration, transaction tablestore.Transaction) (result commitResult, answered bool) {
 	if delay == 0 {
 		return p.apply(transaction), true
 	}
@@ -48,18 +48,18 @@
 }
 
 // apply checks the conditions and, if all hold, makes the writes.
-func (p *Platform) apply(transaction platform.Transaction) commitResult {
+func (p *Platform) apply(transaction tablestore.Transaction) commitResult {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, condition := range transaction.Conditions {
 		row := p.row(condition.Key)
 		if row.Revision != condition.Revision {
 			p.stats.Conflicts++
-			return commitResult{err: &platform.ConflictError{Index: i, Current: row}}
+			return commitResult{err: &tablestore.ConflictError{Index: i, Current: row}}
 		}
 	}
 	p.revision++
-	receipt := platform.Receipt{Revisions: make(map[string]uint64, len(transaction.Writes))}
+	receipt := tablestore.Receipt{Revisions: make(map[string]uint64, len(transaction.Writes))}
 	for _, write := range transaction.Writes {
 		receipt.Revisions[write.Key] = p.write(write, transaction.WriteID)
 	}
@@ -71,7 +71,7 @@
 
 // write makes one write and returns the row's revision, 0 after a delete. It
 // needs p.mu.
-func (p *Platform) write(write platform.Write, writeID string) uint64 {
+func (p *Platform) write(write tablestore.Write, writeID string) uint64 {
 	_, exists := p.rows[write.Key]
 	if write.Delete {
 		if exists {
@@ -83,7 +83,7 @@
 	if !exists {
 		p.keys.insert(write.Key)
 	}
-	p.rows[write.Key] = platform.Row{
+	p.rows[write.Key] = tablestore.Row{
 		Key:      write.Key,
 		Value:    bytes.Clone(write.Value),
 		Revision: p.revision,
@@ -93,7 +93,7 @@
 }
 
 // remember needs p.mu.
-func (p *Platform) remember(transaction platform.Transaction) {
+func (p *Platform) remember(transaction tablestore.Transaction) {
 	if p.historyLimit == 0 {
 		return
 	}
@@ -104,18 +104,18 @@
 }
 
 // row needs p.mu.
-func (p *Platform) row(key string) platform.Row {
+func (p *Platform) row(key string) tablestore.Row {
 	row, exists := p.rows[key]
 	if !exists {
-		return platform.Row{Key: key}
+		return tablestore.Row{Key: key}
 	}
 	return row
 }
 
-// Get implements platform.Table. The caller must not change the row's value.
-func (p *Platform) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements tablestore.Table. The caller must not change the row's value.
+func (p *Platform) Get(ctx context.Context, key string) (tablestore.Row, error) {
 	if err := p.admitRead(ctx); err != nil {
-		return platform.Row{}, err
+		return tablestore.Row{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -123,15 +123,15 @@
 	return p.row(key), nil
 }
 
-// Range implements platform.Table. A limit of 0 or less returns no rows.
-func (p *Platform) Range(ctx context.Context, start, end string, limit int) ([]platform.Row, error) {
+// Range implements tablestore.Table. A limit of 0 or less returns no rows.
+func (p *Platform) Range(ctx context.Context, start, end string, limit int) ([]tablestore.Row, error) {
 	if err := p.admitRead(ctx); err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stats.Reads++
-	rows := []platform.Row{}
+	rows := []tablestore.Row{}
 	for key := range p.keys.from(start) {
 		if key >= end || len(rows) >= limit {
 			break
--- a/internal/platform/group_benchmark_test.go
+++ b/internal/tablestore/group_benchmark_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // BenchmarkCommit measures commits through a store against the stand-in over
@@ -38,7 +38,7 @@
 func benchmarkCommit(b *testing.B, submitters int, faults standin.Faults) {
 	table := standin.New(standin.Options{})
 	client := serve(b, table)
-	store := platform.NewStore(client, client, platform.StoreOptions{})
+	store := tablestore.NewStore(client, client, tablestore.StoreOptions{})
 	defer store.Close()
 	table.SetFaults(faults)
 	latencies := make([]*hdrhistogram.Histogram, submitters)
@@ -66,15 +66,15 @@
 }
 
 // rewrite commits a row again and again, each time on its latest revision.
-func rewrite(b *testing.B, store platform.Store, key string, commits int) *hdrhistogram.Histogram {
+func rewrite(b *testing.B, store tablestore.Store, key string, commits int) *hdrhistogram.Histogram {
 	histogram := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
 	value := make([]byte, 500)
 	var revision uint64
 	for range commits {
 		started := time.Now()
-		receipt, err := store.Commit(context.Background(), platform.Transaction{
-			Conditions: []platform.Condition{{Key: key, Revision: revision}},
-			Writes:     []platform.Write{{Key: key, Value: value}},
+		receipt, err := store.Commit(context.Background(), tablestore.Transaction{
+			Conditions: []tablestore.Condition{{Key: key, Revision: revision}},
+			Writes:     []tablestore.Write{{Key: key, Value: value}},
 		})
 		if err != nil {
 			b.Error(err)
--- a/internal/platform/group_property_test.go
+++ b/internal/tablestore/group_property_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 const (
@@ -29,8 +29,8 @@
 // is the value of all its writes, so that the history tells what took effect.
 type submitted struct {
 	token       string
-	transaction platform.Transaction
-	receipt     platform.Receipt
+	transaction tablestore.Transaction
+	receipt     tablestore.Receipt
 	err         error
 	contextDone bool
 }
@@ -39,7 +39,7 @@
 // faults. Everything random but the stores' own jitter comes from the seed.
 type run struct {
 	table   *standin.Platform
-	stores  []*platform.GroupStore
+	stores  []*tablestore.GroupStore
 	keys    int
 	clients int
 	ops     int
@@ -52,8 +52,8 @@
 	table := standin.New(standin.Options{HistoryLimit: 1 << 20})
 	r := &run{table: table, keys: keys, clients: clients, ops: ops}
 	for _, node := range []string{"a", "b"} {
-		options := platform.StoreOptions{Node: node, MaxGroup: 6}
-		r.stores = append(r.stores, platform.NewStore(table, table, options))
+		options := tablestore.StoreOptions{Node: node, MaxGroup: 6}
+		r.stores = append(r.stores, tablestore.NewStore(table, table, options))
 	}
 	return r
 }
@@ -130,8 +130,8 @@
 
 // transaction writes or deletes one or two rows, as the client last saw them;
 // now and then a revision is stale.
-func (r *run) transaction(random *rand.Rand, token string) platform.Transaction {
-	var transaction platform.Transaction
+func (r *run) transaction(random *rand.Rand, token string) tablestore.Transaction {
+	var transaction tablestore.Transaction
 	first := random.IntN(r.keys)
 	for _, number := range []int{first, first + 1}[:1+random.IntN(2)] {
 		key := fmt.Sprintf("row/%d", number%(r.keys+1))
@@ -139,8 +139,8 @@
 		if random.IntN(10) == 0 {
 			revision += 1000000
 		}
-		transaction.Conditions = append(transaction.Conditions, platform.Condition{Key: key, Revision: revision})
-		write := platform.Write{Key: key, Value: []byte(token), Delete: random.IntN(3) == 0}
+		transaction.Conditions = append(transaction.Conditions, tablestore.Condition{Key: key, Revision: revision})
+		write := tablestore.Write{Key: key, Value: []byte(token), Delete: random.IntN(3) == 0}
 		transaction.Writes = append(transaction.Writes, write)
 	}
 	return transaction
@@ -178,11 +178,11 @@
 }
 
 func (s submitted) check(applied []standin.Committed) error {
-	var conflict *platform.ConflictError
+	var conflict *tablestore.ConflictError
 	switch {
 	case s.err == nil:
 		return s.checkReceipt(applied)
-	case errors.Is(s.err, platform.ErrUnknownOutcome):
+	case errors.Is(s.err, tablestore.ErrUnknownOutcome):
 		if !s.contextDone || len(applied) > 1 {
 			return errors.Newf("context done %t, applied %d times", s.contextDone, len(applied))
 		}
@@ -192,7 +192,7 @@
 		if condition.Key != conflict.Current.Key || condition.Revision == conflict.Current.Revision {
 			return errors.Newf("conflict %+v is not about condition %+v", conflict, condition)
 		}
-	case errors.Is(s.err, platform.ErrUnavailable), errors.Is(s.err, platform.ErrThrottled):
+	case errors.Is(s.err, tablestore.ErrUnavailable), errors.Is(s.err, tablestore.ErrThrottled):
 	default:
 		return errors.New("unexpected kind of error")
 	}
@@ -212,7 +212,7 @@
 		if write.Delete {
 			want = 0
 		}
-		if !present || revision != want && revision != platform.RevisionOverwritten {
+		if !present || revision != want && revision != tablestore.RevisionOverwritten {
 			return errors.Newf("receipt %v, want revision %d", s.receipt.Revisions, want)
 		}
 	}
--- a/internal/platform/group_test.go
+++ b/internal/tablestore/group_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // scriptedTable passes on to a stand-in, but hands each commit to the next
@@ -19,20 +19,20 @@
 // there is one. It is for one goroutine at a time.
 type scriptedTable struct {
 	*standin.Platform
-	steps []func(platform.Transaction) (platform.Receipt, error)
+	steps []func(tablestore.Transaction) (tablestore.Receipt, error)
 	reads []error
 }
 
-func (s *scriptedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (s *scriptedTable) Get(ctx context.Context, key string) (tablestore.Row, error) {
 	if len(s.reads) == 0 {
 		return s.Platform.Get(ctx, key)
 	}
 	err := s.reads[0]
 	s.reads = s.reads[1:]
-	return platform.Row{}, err
+	return tablestore.Row{}, err
 }
 
-func (s *scriptedTable) Commit(ctx context.Context, transaction platform.Transaction) (platform.Receipt, error) {
+func (s *scriptedTable) Commit(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, error) {
 	if len(s.steps) == 0 {
 		return s.Platform.Commit(ctx, transaction)
 	}
@@ -42,42 +42,42 @@
 }
 
 // pass sends the transaction on after a preparation.
-func (s *scriptedTable) pass(prepare func()) func(platform.Transaction) (platform.Receipt, error) {
-	return func(transaction platform.Transaction) (platform.Receipt, error) {
+func (s *scriptedTable) pass(prepare func()) func(tablestore.Transaction) (tablestore.Receipt, error) {
+	return func(transaction tablestore.Transaction) (tablestore.Receipt, error) {
 		prepare()
 		return s.Platform.Commit(context.Background(), transaction)
 	}
 }
 
 // loseReply keeps the transaction, to be applied later or never.
-func loseReply(lost *platform.Transaction) func(platform.Transaction) (platform.Receipt, error) {
-	return func(transaction platform.Transaction) (platform.Receipt, error) {
+func loseReply(lost *tablestore.Transaction) func(tablestore.Transaction) (tablestore.Receipt, error) {
+	return func(transaction tablestore.Transaction) (tablestore.Receipt, error) {
 		*lost = transaction
-		return platform.Receipt{}, platform.ErrUnknownOutcome
+		return tablestore.Receipt{}, tablestore.ErrUnknownOutcome
 	}
 }
 
 // newStore returns a store that is closed at the test's end.
-func newStore(t *testing.T, client platform.Store, options platform.StoreOptions) *platform.GroupStore {
-	store := platform.NewStore(client, client, options)
+func newStore(t *testing.T, client tablestore.Store, options tablestore.StoreOptions) *tablestore.GroupStore {
+	store := tablestore.NewStore(client, client, options)
 	t.Cleanup(store.Close)
 	return store
 }
 
 // put writes a row on behalf of another writer, whatever its revision.
-func put(t *testing.T, table platform.Table, write platform.Write) {
+func put(t *testing.T, table tablestore.Table, write tablestore.Write) {
 	t.Helper()
-	transaction := platform.Transaction{WriteID: "other", Writes: []platform.Write{write}}
+	transaction := tablestore.Transaction{WriteID: "other", Writes: []tablestore.Write{write}}
 	if _, err := table.Commit(context.Background(), transaction); err != nil {
 		t.Fatal(err)
 	}
 }
 
 // create makes a row that must be absent.
-func create(key string) platform.Transaction {
-	return platform.Transaction{
-		Conditions: []platform.Condition{{Key: key}},
-		Writes:     []platform.Write{{Key: key, Value: []byte("mine")}},
+func create(key string) tablestore.Transaction {
+	return tablestore.Transaction{
+		Conditions: []tablestore.Condition{{Key: key}},
+		Writes:     []tablestore.Write{{Key: key, Value: []byte("mine")}},
 	}
 }
 
@@ -89,16 +89,16 @@
 		t.Run(fmt.Sprintf("late apply %t", applies), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				table := &scriptedTable{Platform: standin.New(standin.Options{})}
-				var lost platform.Transaction
-				otherCreates := func() { put(t, table.Platform, platform.Write{Key: "row"}) }
+				var lost tablestore.Transaction
+				otherCreates := func() { put(t, table.Platform, tablestore.Write{Key: "row"}) }
 				otherDeletes := func() {
-					put(t, table.Platform, platform.Write{Key: "row", Delete: true})
+					put(t, table.Platform, tablestore.Write{Key: "row", Delete: true})
 					if applies {
 						_, _ = table.Platform.Commit(context.Background(), lost)
 					}
 				}
 				table.steps = append(table.steps, loseReply(&lost), table.pass(otherCreates), table.pass(otherDeletes))
-				store := newStore(t, table, platform.StoreOptions{})
+				store := newStore(t, table, tablestore.StoreOptions{})
 				_, err := store.Commit(t.Context(), create("row"))
 				if !applies {
 					_, _ = table.Platform.Commit(context.Background(), lost) // too late
@@ -117,13 +117,13 @@
 func TestRejectedAfterLostReply(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := &scriptedTable{Platform: standin.New(standin.Options{})}
-		var lost platform.Transaction
-		reject := func(platform.Transaction) (platform.Receipt, error) {
-			return platform.Receipt{}, platform.ErrRejected
+		var lost tablestore.Transaction
+		reject := func(tablestore.Transaction) (tablestore.Receipt, error) {
+			return tablestore.Receipt{}, tablestore.ErrRejected
 		}
 		table.steps = append(table.steps, loseReply(&lost), reject)
-		store := newStore(t, table, platform.StoreOptions{})
-		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrRejected) {
+		store := newStore(t, table, tablestore.StoreOptions{})
+		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, tablestore.ErrRejected) {
 			t.Errorf("answered %v", err)
 		}
 		if _, err := table.Platform.Commit(t.Context(), lost); err == nil {
@@ -135,20 +135,20 @@
 // TestInvalidTransactions are refused before they are sent.
 func TestInvalidTransactions(t *testing.T) {
 	table := standin.New(standin.Options{})
-	store := newStore(t, table, platform.StoreOptions{})
+	store := newStore(t, table, tablestore.StoreOptions{})
 	twice := create("row")
 	twice.Writes = append(twice.Writes, twice.Writes[0])
 	otherKey := create("row")
 	otherKey.Conditions[0].Key = "other"
-	for _, transaction := range []platform.Transaction{{}, twice, otherKey} {
-		if _, err := store.Commit(t.Context(), transaction); !errors.Is(err, platform.ErrInvalidTransaction) {
+	for _, transaction := range []tablestore.Transaction{{}, twice, otherKey} {
+		if _, err := store.Commit(t.Context(), transaction); !errors.Is(err, tablestore.ErrInvalidTransaction) {
 			t.Errorf("%+v answered %v", transaction, err)
 		}
 	}
 }
 
 // commitAll submits creates of different rows at once and returns the errors.
-func commitAll(ctx context.Context, store platform.Store, count int) []error {
+func commitAll(ctx context.Context, store tablestore.Store, count int) []error {
 	failures := make([]error, count)
 	var submitters sync.WaitGroup
 	for i := range count {
@@ -164,7 +164,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := standin.New(standin.Options{HistoryLimit: 1000})
 		table.SetFaults(standin.Faults{SlowMillis: 20})
-		store := platform.NewStore(table, table, platform.StoreOptions{MaxGroup: 40})
+		store := tablestore.NewStore(table, table, tablestore.StoreOptions{MaxGroup: 40})
 		for i, err := range commitAll(t.Context(), store, 200) {
 			if err != nil {
 				t.Errorf("row %d: %v", i, err)
@@ -191,10 +191,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := standin.New(standin.Options{})
 		table.SetFaults(standin.Faults{Down: true})
-		store := newStore(t, table, platform.StoreOptions{})
+		store := newStore(t, table, tablestore.StoreOptions{})
 		for range 20 {
 			for _, err := range commitAll(t.Context(), store, 50) {
-				if !errors.Is(err, platform.ErrUnavailable) {
+				if !errors.Is(err, tablestore.ErrUnavailable) {
 					t.Errorf("answered %v", err)
 				}
 			}
@@ -214,14 +214,14 @@
 // refusals, and is then refused without being sent.
 func TestReadRetries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		down, throttled := platform.ErrUnavailable, platform.ErrThrottled
+		down, throttled := tablestore.ErrUnavailable, tablestore.ErrThrottled
 		table := &scriptedTable{Platform: standin.New(standin.Options{})}
-		store := newStore(t, table, platform.StoreOptions{})
+		store := newStore(t, table, tablestore.StoreOptions{})
 		table.reads = []error{throttled, throttled, throttled, down, throttled, down}
 		if _, err := store.Get(t.Context(), "row"); err != nil {
 			t.Errorf("answered %v", err)
 		}
-		table.reads = []error{down, down, down, platform.ErrRejected}
+		table.reads = []error{down, down, down, tablestore.ErrRejected}
 		for range 2 {
 			if _, err := store.Get(t.Context(), "row"); !errors.Is(err, down) {
 				t.Errorf("answered %v", err)
@@ -236,7 +236,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := standin.New(standin.Options{})
 		table.SetFaults(standin.Faults{TransactionsPerSecond: 1e-6})
-		store := newStore(t, table, platform.StoreOptions{MaxGroup: 10})
+		store := newStore(t, table, tablestore.StoreOptions{MaxGroup: 10})
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		committed, throttled := 0, 0
@@ -244,7 +244,7 @@
 			switch {
 			case err == nil:
 				committed++
-			case errors.Is(err, platform.ErrThrottled):
+			case errors.Is(err, tablestore.ErrThrottled):
 				throttled++
 			default:
 				t.Errorf("answered %v", err)
@@ -261,12 +261,12 @@
 func TestForeignLaneWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := &scriptedTable{Platform: standin.New(standin.Options{})}
-		table.steps = append(table.steps, func(transaction platform.Transaction) (platform.Receipt, error) {
-			put(t, table.Platform, platform.Write{Key: transaction.Conditions[0].Key})
-			return platform.Receipt{}, platform.ErrUnknownOutcome
+		table.steps = append(table.steps, func(transaction tablestore.Transaction) (tablestore.Receipt, error) {
+			put(t, table.Platform, tablestore.Write{Key: transaction.Conditions[0].Key})
+			return tablestore.Receipt{}, tablestore.ErrUnknownOutcome
 		})
-		store := newStore(t, table, platform.StoreOptions{})
-		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrUnknownOutcome) {
+		store := newStore(t, table, tablestore.StoreOptions{})
+		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, tablestore.ErrUnknownOutcome) {
 			t.Errorf("answered %v", err)
 		}
 		if _, err := store.Commit(t.Context(), create("row")); err != nil {
@@ -279,16 +279,16 @@
 func TestCloseDuringSettlement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := &scriptedTable{Platform: standin.New(standin.Options{})}
-		table.steps = append(table.steps, func(platform.Transaction) (platform.Receipt, error) {
+		table.steps = append(table.steps, func(tablestore.Transaction) (tablestore.Receipt, error) {
 			table.SetFaults(standin.Faults{Down: true})
-			return platform.Receipt{}, platform.ErrUnknownOutcome
+			return tablestore.Receipt{}, tablestore.ErrUnknownOutcome
 		})
-		store := platform.NewStore(table, table, platform.StoreOptions{})
+		store := tablestore.NewStore(table, table, tablestore.StoreOptions{})
 		time.AfterFunc(time.Second, store.Close)
-		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrUnknownOutcome) {
+		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, tablestore.ErrUnknownOutcome) {
 			t.Errorf("answered %v", err)
 		}
-		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := store.Commit(t.Context(), create("row")); !errors.Is(err, tablestore.ErrUnavailable) {
 			t.Errorf("answered %v after Close", err)
 		}
 		store.Close()
@@ -298,7 +298,7 @@
 // TestObjects: contents come back by digest over HTTP; a changed one is noticed.
 func TestObjects(t *testing.T) {
 	table := standin.New(standin.Options{})
-	store := newStore(t, serve(t, table), platform.StoreOptions{})
+	store := newStore(t, serve(t, table), tablestore.StoreOptions{})
 	digest, err := store.PutObject(t.Context(), []byte("content"))
 	if err != nil {
 		t.Fatal(err)
@@ -307,10 +307,10 @@
 		t.Errorf("got %q, %v", content, err)
 	}
 	table.CorruptObject(digest, []byte("changed"))
-	if _, err := store.GetObject(t.Context(), digest); !errors.Is(err, platform.ErrCorrupt) {
+	if _, err := store.GetObject(t.Context(), digest); !errors.Is(err, tablestore.ErrCorrupt) {
 		t.Errorf("a changed object answered %v", err)
 	}
-	if _, err := store.GetObject(t.Context(), "none"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := store.GetObject(t.Context(), "none"); !errors.Is(err, tablestore.ErrNotFound) {
 		t.Errorf("a missing object answered %v", err)
 	}
 }
--- a/internal/platform/history_test.go
+++ b/internal/tablestore/history_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/cockroachdb/errors"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // registerInput is a read, or a compare-and-set. Values are unique and never
@@ -89,7 +89,7 @@
 }
 
 // registerClient reads registers and swaps them on what it read.
-func registerClient(store platform.Store, number int, random *rand.Rand, history *historyRecorder) {
+func registerClient(store tablestore.Store, number int, random *rand.Rand, history *historyRecorder) {
 	for op := range 25 {
 		key := fmt.Sprintf("register/%d", random.IntN(3))
 		called := history.clock.Add(1)
@@ -111,16 +111,16 @@
 
 // swap commits the write. recorded is false if it was refused, so certainly
 // did not happen.
-func swap(store platform.Store, input *registerInput, revision uint64, random *rand.Rand) (output registerOutput, recorded bool) {
+func swap(store tablestore.Store, input *registerInput, revision uint64, random *rand.Rand) (output registerOutput, recorded bool) {
 	patience := time.Duration(20+random.IntN(1000)) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	_, err := store.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: input.key, Revision: revision}},
-		Writes:     []platform.Write{{Key: input.key, Value: []byte(input.to)}},
+	_, err := store.Commit(ctx, tablestore.Transaction{
+		Conditions: []tablestore.Condition{{Key: input.key, Revision: revision}},
+		Writes:     []tablestore.Write{{Key: input.key, Value: []byte(input.to)}},
 	})
-	var conflict *platform.ConflictError
-	input.unanswered = errors.Is(err, platform.ErrUnknownOutcome)
+	var conflict *tablestore.ConflictError
+	input.unanswered = errors.Is(err, tablestore.ErrUnknownOutcome)
 	return registerOutput{swapped: err == nil}, err == nil || input.unanswered || errors.As(err, &conflict)
 }
 
@@ -133,9 +133,9 @@
 			table := standin.New(standin.Options{})
 			table.SetFaults(standin.Faults{LoseReplyShare: 0.4, LateApplyMillis: 200, SlowMillis: 2, Seed: seed})
 			var clients sync.WaitGroup
-			stores := make([]*platform.GroupStore, 2)
+			stores := make([]*tablestore.GroupStore, 2)
 			for i := range stores {
-				stores[i] = platform.NewStore(table, table, platform.StoreOptions{})
+				stores[i] = tablestore.NewStore(table, table, tablestore.StoreOptions{})
 			}
 			for number := range 8 {
 				random := rand.New(rand.NewPCG(seed, uint64(number)))
--- a/internal/platform/http.go
+++ b/internal/tablestore/http.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"bytes"
--- a/internal/platform/http_test.go
+++ b/internal/tablestore/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package tablestore_test
 
 import (
 	"context"
@@ -9,16 +9,16 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/pewtermill/pewtermill/internal/platform"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // serve starts the stand-in on loopback and returns a client of it.
-func serve(t testing.TB, table *standin.Platform) *platform.HTTP {
+func serve(t testing.TB, table *standin.Platform) *tablestore.HTTP {
 	t.Helper()
 	server := httptest.NewServer(table.Handler())
 	t.Cleanup(server.Close)
-	return platform.NewHTTP(server.URL, nil)
+	return tablestore.NewHTTP(server.URL, nil)
 }
 
 // TestHTTPCommitAnswers: each answer of the service, and each way of not
@@ -40,21 +40,21 @@
 		handler http.HandlerFunc
 		want    error
 	}{
-		{"cut without answer", cut, platform.ErrUnknownOutcome},
-		{"truncated answer", truncated, platform.ErrUnknownOutcome},
-		{"not JSON", status(http.StatusOK, "fine"), platform.ErrUnknownOutcome},
-		{"conflict not understood", status(http.StatusConflict, "busy"), platform.ErrUnknownOutcome},
-		{"internal error", status(http.StatusInternalServerError, ""), platform.ErrUnknownOutcome},
-		{"gateway error", status(http.StatusBadGateway, ""), platform.ErrUnknownOutcome},
-		{"unavailable", status(http.StatusServiceUnavailable, ""), platform.ErrUnavailable},
-		{"throttled", status(http.StatusTooManyRequests, ""), platform.ErrThrottled},
-		{"rejected", status(http.StatusBadRequest, "no"), platform.ErrRejected},
+		{"cut without answer", cut, tablestore.ErrUnknownOutcome},
+		{"truncated answer", truncated, tablestore.ErrUnknownOutcome},
+		{"not JSON", status(http.StatusOK, "fine"), tablestore.ErrUnknownOutcome},
+		{"conflict not understood", status(http.StatusConflict, "busy"), tablestore.ErrUnknownOutcome},
+		{"internal error", status(http.StatusInternalServerError, ""), tablestore.ErrUnknownOutcome},
+		{"gateway error", status(http.StatusBadGateway, ""), tablestore.ErrUnknownOutcome},
+		{"unavailable", status(http.StatusServiceUnavailable, ""), tablestore.ErrUnavailable},
+		{"throttled", status(http.StatusTooManyRequests, ""), tablestore.ErrThrottled},
+		{"rejected", status(http.StatusBadRequest, "no"), tablestore.ErrRejected},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			server := httptest.NewServer(c.handler)
 			defer server.Close()
-			_, err := platform.NewHTTP(server.URL, nil).Commit(t.Context(), create("row"))
+			_, err := tablestore.NewHTTP(server.URL, nil).Commit(t.Context(), create("row"))
 			if !errors.Is(err, c.want) {
 				t.Errorf("got %v, want %v", err, c.want)
 			}
@@ -70,13 +70,13 @@
 	}
 	address := listener.Addr().String()
 	listener.Close()
-	client := platform.NewHTTP("http://"+address, nil)
-	if _, err := client.Commit(t.Context(), create("row")); !errors.Is(err, platform.ErrUnavailable) {
+	client := tablestore.NewHTTP("http://"+address, nil)
+	if _, err := client.Commit(t.Context(), create("row")); !errors.Is(err, tablestore.ErrUnavailable) {
 		t.Errorf("refused connection answered %v", err)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if _, err := serve(t, standin.New(standin.Options{})).Commit(ctx, create("row")); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := serve(t, standin.New(standin.Options{})).Commit(ctx, create("row")); !errors.Is(err, tablestore.ErrUnavailable) {
 		t.Errorf("ended context answered %v", err)
 	}
 }
@@ -97,7 +97,7 @@
 		<-arrived
 		cancel()
 	}()
-	if _, err := platform.NewHTTP(server.URL, nil).Commit(ctx, create("row")); !errors.Is(err, platform.ErrUnknownOutcome) {
+	if _, err := tablestore.NewHTTP(server.URL, nil).Commit(ctx, create("row")); !errors.Is(err, tablestore.ErrUnknownOutcome) {
 		t.Errorf("answered %v", err)
 	}
 }
@@ -107,7 +107,7 @@
 func TestHTTPAgainstStandin(t *testing.T) {
 	table := standin.New(standin.Options{})
 	client := serve(t, table)
-	store := newStore(t, client, platform.StoreOptions{Node: "a"})
+	store := newStore(t, client, tablestore.StoreOptions{Node: "a"})
 	table.SetFaults(standin.Faults{LoseRepliesNext: 1})
 	receipt, err := store.Commit(t.Context(), create("row/1 ä"))
 	if err != nil {
@@ -117,7 +117,7 @@
 	if err != nil || string(row.Value) != "mine" || row.Revision != receipt.Revisions["row/1 ä"] {
 		t.Errorf("row %+v, receipt %+v, %v", row, receipt, err)
 	}
-	var conflict *platform.ConflictError
+	var conflict *tablestore.ConflictError
 	_, err = store.Commit(t.Context(), create("row/1 ä"))
 	if !errors.As(err, &conflict) || conflict.Current.Revision != row.Revision {
 		t.Errorf("second create answered %v", err)
@@ -125,7 +125,7 @@
 	if rows, err := store.Range(t.Context(), "row/", "row0", 10); err != nil || len(rows) != 1 {
 		t.Errorf("range %+v, %v", rows, err)
 	}
-	table.Announce(platform.Machine{Name: "engine-1", Zone: "z1"})
+	table.Announce(tablestore.Machine{Name: "engine-1", Zone: "z1"})
 	if machines, err := client.List(t.Context()); err != nil || len(machines) != 1 || machines[0].Zone != "z1" {
 		t.Errorf("machines %+v, %v", machines, err)
 	}
--- a/internal/platform/platform.go
+++ b/internal/tablestore/tablestore.go
@@ -1,8 +1,8 @@
-// Package platform is the system's view of what the operator's platform
+// Package tablestore is the system's view of what the operator's platform
 // gives: a transactional table service, an object store, and a lagging list
 // of machines. The interfaces are narrow so that another wire format is one
 // adapter. Every implementation is safe for concurrent use.
-package platform
+package tablestore
 
 import (
 	"context"
--- a/tests/leaving_test.go
+++ b/tests/leaving_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/pewtermill/pewtermill/internal/command"
 	"github.com/pewtermill/pewtermill/internal/explain"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/standin/engine"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // engineLeaves lets an engine itself say that it leaves.
@@ -21,14 +21,14 @@
 // the engine would take any work.
 func engineListedLeaving(d *deployment, w *workload) {
 	described := d.bundle.Engines[1]
-	machine := platform.Machine{Name: described.Name, Role: "engine", Zone: described.Zone, Address: described.URL, Leaving: true}
+	machine := tablestore.Machine{Name: described.Name, Role: "engine", Zone: described.Zone, Address: described.URL, Leaving: true}
 	d.announce(machine)
 	w.checkGetsNoWork(1)
 	machine.Leaving = false
 	d.announce(machine)
 }
 
-func (d *deployment) announce(machine platform.Machine) {
+func (d *deployment) announce(machine tablestore.Machine) {
 	d.t.Helper()
 	if err := command.Announce(d.t.Context(), d.platformURL, machine); err != nil {
 		d.t.Fatal(err)
--- a/tests/limits_test.go
+++ b/tests/limits_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/bundle"
-	"github.com/pewtermill/pewtermill/internal/platform"
 	"github.com/pewtermill/pewtermill/internal/program"
 	"github.com/pewtermill/pewtermill/internal/standin/engine"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // Limits of the class "bounded" of the tests.
@@ -118,7 +118,7 @@
 // header reads a program's row from the platform.
 func (d *deployment) header(id string) program.Header {
 	d.t.Helper()
-	row := fetch[platform.Row](d.t, d.platformURL+"/table/row?key="+url.QueryEscape(program.HeaderKey(id)))
+	row := fetch[tablestore.Row](d.t, d.platformURL+"/table/row?key="+url.QueryEscape(program.HeaderKey(id)))
 	header, err := program.DecodeHeader(row.Value)
 	if err != nil {
 		d.t.Fatal(err)
