--- a/cmd/pewtermill/main.go
+++ b/cmd/pewtermill/main.go
@@ -15,6 +15,7 @@
 // commandLine is the verbs of the program; each has a file of its own.
 type commandLine struct {
 	Node    nodeCommand       `cmd:"" help:"Run one node until SIGTERM or SIGINT; a second signal ends it at once."`
+	Serve   serveCommand      `cmd:"" help:"Serve callers on the operators' platform until SIGTERM or SIGINT."`
 	Dev     devCommand        `cmd:"" help:"Run a whole deployment in this process on loopback: nodes, platform, engines and tools."`
 	Bundle  bundlecmd.Command `cmd:"" help:"Check, compare, sign and submit bundles of configuration."`
 	Program programCommand    `cmd:"" help:"Show programs."`
--- /dev/null
+++ b/cmd/pewtermill/serve.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/command"
+	"github.com/pewtermill/pewtermill/internal/eventlog"
+	"github.com/pewtermill/pewtermill/internal/serving"
+	"github.com/pewtermill/pewtermill/platform"
+)
+
+// serveCommand serves callers on the operators' platform.
+type serveCommand struct {
+	Settings string `help:"Settings file of the platform." env:"PEWTERMILL_CONFIG" type:"existingfile" placeholder:"FILE" required:""`
+	LogLevel string `help:"Least level that is logged: routine, info, warn or error." enum:"routine,info,warn,error" default:"routine"`
+}
+
+// Run implements the verb.
+func (s *serveCommand) Run(streams command.Streams) error {
+	settings, err := platform.ReadSettings(s.Settings)
+	if err != nil {
+		return errors.Mark(err, command.ErrUsage)
+	}
+	writer := eventlog.NewWriter(streams.Out)
+	defer writer.Flush()
+	logger := eventlog.NewLogger(writer, s.level(), slog.String("node", settings.Serving.Node))
+	store := platform.NewStore(settings.StoreAddress, nil)
+	process := serving.New(settings.Serving, serving.Dependencies{
+		Source:    store,
+		Table:     store,
+		Protocol:  platform.Protocol{},
+		ReadyPath: platform.ReadyPath(),
+		Run:       strconv.FormatUint(rand.Uint64(), 36),
+		Logger:    logger,
+	})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads costs lines, not the process
+	if err := process.Start(context.Background()); err != nil {
+		return err
+	}
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			break
+		}
+		s.reload(store, logger)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go cancelOnSecond(signals, cancel)
+	process.Stop(ctx)
+	return nil
+}
+
+// cancelOnSecond ends a planned stop at once when another signal to stop comes.
+func cancelOnSecond(signals <-chan os.Signal, cancel context.CancelFunc) {
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			cancel()
+			return
+		}
+	}
+}
+
+// reload reads the settings file again and takes what can change while the
+// process runs.
+func (s *serveCommand) reload(store *platform.Store, logger *slog.Logger) {
+	settings, err := platform.ReadSettings(s.Settings)
+	if err != nil {
+		logger.Warn("settings not reloaded", "error", err.Error())
+		return
+	}
+	store.SetAddress(settings.StoreAddress)
+	logger.Info("settings reloaded", "store", settings.StoreAddress)
+}
+
+// level returns the level of the flag.
+func (s *serveCommand) level() slog.Level {
+	switch s.LogLevel {
+	case "routine":
+		return eventlog.Routine
+	case "warn":
+		return slog.LevelWarn
+	case "error":
+		return slog.LevelError
+	}
+	return slog.LevelInfo
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,283 @@
+// Package discovery follows what the operator and the engines write: the
+// configuration in force and the engines that live. It keeps both as one
+// immutable View, which never goes back to an older version.
+package discovery
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/routing"
+)
+
+// Collection is a set of records that is watched as one.
+type Collection int
+
+// Collections.
+const (
+	Configurations Collection = iota
+	Engines
+	collectionCount
+)
+
+// String returns the collection's name in logs.
+func (c Collection) String() string {
+	return [...]string{"configurations", "engines"}[c]
+}
+
+// ErrHistoryGone says that changes since a version cannot be told any more.
+var ErrHistoryGone = errors.New("the history of changes is gone")
+
+// Record is one record of a collection as of some version. Exactly one of
+// Gone, Fault, Configuration and Engine is set.
+type Record struct {
+	Key           string
+	Version       uint64
+	Gone          bool
+	Fault         error // the record cannot be read
+	Configuration *routing.Configuration
+	Engine        *routing.Engine
+}
+
+// Source is the store of the collections. Safe for concurrent use.
+type Source interface {
+	// List reads a collection as of one version. Reads may be stale.
+	List(ctx context.Context, collection Collection) ([]Record, uint64, error)
+	// Changes waits for records that changed after a version, and returns
+	// them with the version to go on from. With none in time it returns none.
+	// The error is marked ErrHistoryGone if the changes cannot be told.
+	Changes(ctx context.Context, collection Collection, after uint64, wait time.Duration) ([]Record, uint64, error)
+}
+
+// View is what is known at one moment. It never changes.
+type View struct {
+	Table    *routing.Table            // nil before the first configuration
+	Engines  map[string]routing.Engine // by id
+	Versions [collectionCount]uint64   // of the newest record seen
+}
+
+// Options are what a Follower needs.
+type Options struct {
+	Source   Source
+	Observer Observer
+}
+
+// Observer is told of what changes. Its methods are called one at a time for
+// each collection and must not block.
+type Observer interface {
+	// Changed is called after a new view is in force.
+	Changed(collection Collection, view *View)
+	// Unreadable is called for a record that cannot be read and is ignored.
+	Unreadable(collection Collection, key string, version uint64, fault error)
+	// Lost is called when the source stops answering, Regained when it answers again.
+	Lost(collection Collection, cause error)
+	Regained(collection Collection, silence time.Duration)
+}
+
+// Times of a Follower.
+const (
+	watchWait    = 10 * time.Second       // of one call that waits for changes
+	watchGrace   = 500 * time.Millisecond // beyond it before the call counts as lost
+	listTimeout  = time.Second
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 400 * time.Millisecond
+	freshAfter   = 3500 * time.Millisecond // a list that follows lost history is read again after this, since reads may be stale
+)
+
+// Follower keeps a View up to date. Safe for concurrent use.
+type Follower struct {
+	options Options
+	view    atomic.Pointer[View]
+	mutex   sync.Mutex // serialises changes of view
+	healthy [collectionCount]atomic.Bool
+}
+
+// New returns a follower with an empty view.
+func New(options Options) *Follower {
+	f := &Follower{options: options}
+	f.view.Store(&View{Engines: map[string]routing.Engine{}})
+	return f
+}
+
+// View returns the newest view.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Complete reports whether a configuration and the engines have been read.
+func (f *Follower) Complete() bool {
+	view := f.View()
+	return view.Table != nil && view.Versions[Engines] > 0
+}
+
+// Connected reports whether the source answered the last call about every
+// collection.
+func (f *Follower) Connected() bool {
+	for i := range f.healthy {
+		if !f.healthy[i].Load() {
+			return false
+		}
+	}
+	return true
+}
+
+// Run follows a collection until ctx ends.
+func (f *Follower) Run(ctx context.Context, collection Collection) {
+	follow := &follow{follower: f, collection: collection, lastSuccess: time.Now()}
+	for ctx.Err() == nil {
+		follow.step(ctx)
+	}
+}
+
+// follow is the state of one collection's loop.
+type follow struct {
+	follower    *Follower
+	collection  Collection
+	listed      bool
+	after       uint64
+	relistAt    time.Time // zero: no further list is due
+	backoff     time.Duration
+	lastSuccess time.Time
+	lost        bool
+}
+
+// step makes one call to the source.
+func (s *follow) step(ctx context.Context) {
+	var err error
+	switch {
+	case !s.listed || (!s.relistAt.IsZero() && !time.Now().Before(s.relistAt)):
+		err = s.list(ctx)
+	default:
+		err = s.wait(ctx)
+	}
+	if err == nil {
+		s.succeeded()
+		return
+	}
+	if ctx.Err() == nil {
+		s.failed(ctx, err)
+	}
+}
+
+// list reads the whole collection. A list older than what has been seen is
+// stale and is not taken.
+func (s *follow) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	records, version, err := s.follower.options.Source.List(ctx, s.collection)
+	if err != nil {
+		return err
+	}
+	if version < s.after {
+		return errors.Newf("list of %s is stale: version %d, %d was seen", s.collection, version, s.after)
+	}
+	s.follower.replace(s.collection, records, version)
+	if s.listed {
+		s.relistAt = time.Time{}
+	}
+	s.listed, s.after = true, version
+	return nil
+}
+
+// wait waits for changes.
+func (s *follow) wait(ctx context.Context) error {
+	wait := watchWait
+	if !s.relistAt.IsZero() {
+		wait = max(time.Millisecond, min(wait, time.Until(s.relistAt)))
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	defer cancel()
+	records, version, err := s.follower.options.Source.Changes(ctx, s.collection, s.after, wait)
+	if errors.Is(err, ErrHistoryGone) {
+		s.listed = false
+		s.relistAt = time.Now().Add(freshAfter)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.after = max(s.after, version)
+	if len(records) > 0 {
+		s.follower.change(s.collection, records, version)
+	}
+	return nil
+}
+
+func (s *follow) succeeded() {
+	now := time.Now()
+	if s.lost {
+		s.lost = false
+		s.follower.options.Observer.Regained(s.collection, now.Sub(s.lastSuccess))
+	}
+	s.lastSuccess, s.backoff = now, 0
+	s.follower.healthy[s.collection].Store(true)
+}
+
+// failed waits before the next call, longer after each failure in a row.
+func (s *follow) failed(ctx context.Context, cause error) {
+	if !s.lost {
+		s.lost = true
+		s.follower.options.Observer.Lost(s.collection, cause)
+	}
+	s.follower.healthy[s.collection].Store(false)
+	s.backoff = min(maxBackoff, max(firstBackoff, 2*s.backoff))
+	timer := time.NewTimer(s.backoff)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// replace puts a whole list in force.
+func (f *Follower) replace(collection Collection, records []Record, version uint64) {
+	f.mutex.Lock()
+	next := f.copyView()
+	if collection == Engines {
+		next.Engines = make(map[string]routing.Engine, len(records))
+	}
+	f.apply(next, collection, records, version)
+	f.mutex.Unlock()
+	f.options.Observer.Changed(collection, next)
+}
+
+// change puts changes in force.
+func (f *Follower) change(collection Collection, records []Record, version uint64) {
+	f.mutex.Lock()
+	next := f.copyView()
+	f.apply(next, collection, records, version)
+	f.mutex.Unlock()
+	f.options.Observer.Changed(collection, next)
+}
+
+// copyView returns a copy of the view that may be changed. The mutex is held.
+func (f *Follower) copyView() *View {
+	next := *f.View()
+	next.Engines = maps.Clone(next.Engines)
+	return &next
+}
+
+// apply takes records into a view and puts it in force. The mutex is held.
+func (f *Follower) apply(next *View, collection Collection, records []Record, version uint64) {
+	for _, record := range records {
+		switch {
+		case record.Fault != nil:
+			f.options.Observer.Unreadable(collection, record.Key, record.Version, record.Fault)
+		case record.Gone:
+			if collection == Engines {
+				delete(next.Engines, record.Key)
+			}
+		case record.Engine != nil:
+			next.Engines[record.Key] = *record.Engine
+		case record.Configuration != nil:
+			if next.Table == nil || record.Configuration.Version > next.Table.Configuration.Version {
+				next.Table = routing.NewTable(record.Configuration)
+			}
+		}
+	}
+	next.Versions[collection] = max(next.Versions[collection], version)
+	f.view.Store(next)
+}
--- /dev/null
+++ b/internal/ingress/attempt.go
@@ -0,0 +1,223 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/upstream"
+)
+
+// maxOffers is to how many engines a request is offered that turn it away or
+// cannot be reached, before it is refused.
+const maxOffers = 5
+
+// attempts is what has become of a request at engines so far.
+type attempts struct {
+	tried  []string // engines that had it, or could not be reached
+	offers int
+	runs   int // engines on which it ran or may have run
+}
+
+// try is a request at one engine, with the head of the engine's answer.
+type try struct {
+	placed  placement.Placement
+	answer  *upstream.Answer
+	request *request
+	index   int // in request.report.Tries
+}
+
+// send offers the request to engines until one begins to answer. The problem
+// says whether it may have run. hop.LastEvent is passed on.
+func (r *request) send(ctx context.Context, made *attempts, lastEvent string) (*try, *api.Error) {
+	for {
+		if problem := r.mayOffer(ctx, made); problem != nil {
+			return nil, problem
+		}
+		placed, problem := r.handler.options.Placer.Place(ctx, r.placementRequest(made))
+		if problem != nil {
+			return nil, r.notPlaced(ctx, made, problem)
+		}
+		made.offers++
+		made.tried = append(made.tried, placed.Engine.ID)
+		current := r.beginTry(placed)
+		outcome, err := current.exchange(ctx, lastEvent)
+		if outcome == placement.Served {
+			return current, nil
+		}
+		current.finish(outcome, errorText(err))
+		if errors.Is(err, upstream.ErrNoConnection) || (outcome != placement.Failed && outcome != placement.Cancelled) {
+			continue // it did not run there
+		}
+		made.runs++
+		if outcome == placement.Cancelled || !r.route.Repeatable() {
+			return nil, r.mayHaveRun(ctx, err)
+		}
+	}
+}
+
+// mayOffer says whether the request may be offered to one more engine.
+func (r *request) mayOffer(ctx context.Context, made *attempts) *api.Error {
+	switch {
+	case ctx.Err() != nil && made.runs == 0:
+		return r.outOfTime()
+	case ctx.Err() != nil, made.runs >= r.route.MaxAttempts:
+		return r.mayHaveRun(ctx, errors.New("no attempt is left"))
+	case made.offers-made.runs >= maxOffers:
+		return r.full(made, api.Errorf(api.Overloaded, "%d engines of service %s turned the request away", maxOffers, r.service))
+	}
+	return nil
+}
+
+// notPlaced is the answer when no engine can be had.
+func (r *request) notPlaced(ctx context.Context, made *attempts, problem *api.Error) *api.Error {
+	if ctx.Err() != nil && made.runs == 0 {
+		return r.outOfTime()
+	}
+	return r.full(made, problem)
+}
+
+// full is the answer when engines are full or gone.
+func (r *request) full(made *attempts, problem *api.Error) *api.Error {
+	if made.runs > 0 {
+		problem.Execution = api.Unknown
+		return problem
+	}
+	problem.Execution = api.NotRun
+	return problem.After(jittered(fullRetryAfter))
+}
+
+// outOfTime is the answer when the time ended before any engine had the request.
+func (r *request) outOfTime() *api.Error {
+	problem := api.Errorf(api.DeadlineExceeded, "no engine of service %s took the request in time", r.service)
+	problem.Execution = api.NotRun
+	return problem
+}
+
+// mayHaveRun is the answer when an engine had the request and did not answer it.
+func (r *request) mayHaveRun(ctx context.Context, cause error) *api.Error {
+	code := api.OutcomeUnknown
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = api.DeadlineExceeded
+	}
+	problem := api.Errorf(code, "the engine did not answer: %v", cause)
+	problem.Execution = api.Unknown
+	return problem
+}
+
+// placementRequest describes the request to the placer.
+func (r *request) placementRequest(made *attempts) placement.Request {
+	request := placement.Request{
+		Program:        r.call.Program,
+		Service:        r.service,
+		Class:          r.route.Name,
+		Parts:          r.call.PromptParts,
+		PromptTokens:   r.call.PromptTokens,
+		ExpectedTokens: max(1, r.call.MostTokens/4),
+		Deadline:       r.until,
+		LastEngine:     r.handler.lines.get(r.lineKey()),
+		Excluded:       slices.Clone(made.tried),
+	}
+	if r.call.FinishIn > 0 {
+		request.ProgramDeadline = r.arrived.Add(r.call.FinishIn)
+	}
+	return request
+}
+
+// lineKey names the line of turns that the request belongs to.
+func (r *request) lineKey() string {
+	if r.call.Session == "" {
+		return ""
+	}
+	return r.call.Program + "/" + r.call.Session
+}
+
+// beginTry notes a send.
+func (r *request) beginTry(placed placement.Placement) *try {
+	r.report.Tries = append(r.report.Tries, Try{
+		Engine: placed.Engine.ID,
+		Reason: placed.Decision.Reason,
+		At:     time.Since(r.arrived),
+	})
+	return &try{placed: placed, request: r, index: len(r.report.Tries) - 1}
+}
+
+// finish ends a try: its connection, its placement and its part of the report.
+func (t *try) finish(outcome placement.Outcome, detail string) {
+	if t.answer != nil {
+		t.answer.Close()
+	}
+	t.request.handler.options.Placer.Done(t.placed, outcome)
+	noted := &t.request.report.Tries[t.index]
+	noted.Took = time.Since(t.request.arrived) - noted.At
+	noted.Outcome = outcome.String()
+	if detail != "" {
+		noted.Outcome += ": " + detail
+	}
+}
+
+// exchange sends the request and reads the head of the answer. Served means
+// that the answer is the engine's own.
+func (t *try) exchange(ctx context.Context, lastEvent string) (placement.Outcome, error) {
+	r := t.request
+	options := r.handler.options
+	conn, err := options.Pool.Open(ctx, t.placed.Engine.Address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return placement.Cancelled, err
+		}
+		return placement.Unreachable, err
+	}
+	answer, err := options.Pool.Send(ctx, conn, r.outgoing(t.placed.Engine.ID, lastEvent))
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		return placement.Unreachable, err
+	case err != nil && ctx.Err() != nil:
+		return placement.Cancelled, ctx.Err()
+	case err != nil:
+		return placement.Failed, err
+	}
+	t.answer = answer
+	switch {
+	case options.Protocol.Misdirected(answer.StatusCode):
+		return placement.Replaced, errors.New("another engine has the address")
+	case options.Protocol.NotExecuted(answer.StatusCode, answer.Header):
+		return placement.Shed, errors.Newf("turned away with status %d", answer.StatusCode)
+	case !options.Protocol.Genuine(answer.StatusCode, answer.Header):
+		return placement.Failed, errors.New("the answer is not an engine's")
+	}
+	return placement.Served, nil
+}
+
+// outgoing returns the request as an engine gets it.
+func (r *request) outgoing(engine, lastEvent string) upstream.Request {
+	header := passedOn(r.http.Header)
+	r.handler.options.Protocol.Forward(header, Hop{
+		Engine:    engine,
+		Remaining: time.Until(r.until),
+		Urgency:   r.route.Priority,
+		LastEvent: lastEvent,
+	})
+	return upstream.Request{
+		Method: r.http.Method,
+		Target: r.target(),
+		Host:   r.http.Host,
+		Header: header,
+		Body:   r.body,
+		Accept: func(answered http.Header) bool {
+			return r.handler.options.Protocol.Belongs(answered, r.call)
+		},
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,188 @@
+// Package ingress serves callers whose requests are forwarded as they are: it
+// finds the route, lets the ledger admit turns of programs, has the request
+// placed at an engine, and passes the answer on. It knows no header by name;
+// Protocol translates.
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/routing"
+	"github.com/pewtermill/pewtermill/internal/upstream"
+)
+
+// Call is what a request says of itself.
+type Call struct {
+	ID           string        // unique to this attempt of the caller
+	Deadline     time.Duration // for how long the caller waits; 0 if it does not say
+	Program      string        // empty if the request is no program's
+	Session      string        // the program's line of turns
+	FinishIn     time.Duration // until the program should be over; 0 if unknown
+	Budget       int64         // of the program, in tokens; 0 if it has none
+	PromptTokens int64
+	MostTokens   int64 // that the answer may have
+	PreviousTurn string
+	LastEvent    string // event behind which a stream is to go on
+	PromptParts  []placement.Part
+}
+
+// Hop is what a request tells an engine besides what its caller said.
+type Hop struct {
+	Engine    string        // id of the incarnation that the request is meant for
+	Remaining time.Duration // for how long the answer is of use
+	Urgency   int           // 0 is the most urgent
+	LastEvent string        // event behind which to go on; empty for the caller's own
+}
+
+// Protocol translates between the callers' and engines' headers and this
+// package's types. Safe for concurrent use.
+type Protocol interface {
+	// ReadCall reads a request's headers. With an error the call holds what
+	// could be read.
+	ReadCall(header http.Header) (Call, *api.Error)
+	// Forward sets the headers that the system adds or replaces.
+	Forward(header http.Header, hop Hop)
+	// Belongs reports whether an engine's answer is to this call.
+	Belongs(header http.Header, call Call) bool
+	// Genuine reports whether an answer can be an engine's whole one.
+	Genuine(status int, header http.Header) bool
+	// NotExecuted reports whether the engine says that it did not run the call.
+	NotExecuted(status int, header http.Header) bool
+	// Misdirected reports whether another engine has the address.
+	Misdirected(status int) bool
+	// Mark sets the headers that an answer of the system's own carries.
+	Mark(header http.Header, call Call)
+}
+
+// Placer places requests. *placement.Placer implements it.
+type Placer interface {
+	Place(ctx context.Context, request placement.Request) (placement.Placement, *api.Error)
+	Done(placed placement.Placement, outcome placement.Outcome)
+}
+
+// Observer is told of each request's end. It must not block.
+type Observer interface {
+	Ended(report Report)
+}
+
+// Options are what a Handler needs.
+type Options struct {
+	Protocol Protocol
+	View     func() *discovery.View
+	Placer   Placer
+	Pool     *upstream.Pool
+	Ledger   *ledger.Ledger
+	Observer Observer
+}
+
+// Handler serves callers. Safe for concurrent use.
+type Handler struct {
+	options  Options
+	splitter *routing.Splitter
+	lines    *lastEngines
+	draining atomic.Bool
+}
+
+// New returns a handler.
+func New(options Options) *Handler {
+	return &Handler{options: options, splitter: routing.NewSplitter(), lines: newLastEngines()}
+}
+
+// Drain asks callers to end their connections after their next answer.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// Bounds of requests.
+const (
+	defaultBodyBytes = 4 << 20
+	defaultHold      = 10 * time.Second // of a request without deadline on a route without time-out
+)
+
+// request is one request under way.
+type request struct {
+	handler *Handler
+	writer  http.ResponseWriter
+	http    *http.Request
+	call    Call
+	view    *discovery.View
+	route   *routing.Route
+	service string // part of the route that serves it
+	body    []byte // as it goes to the engine
+	arrived time.Time
+	until   time.Time // when the caller or the route gives up
+	started bool      // the answer's head has been written
+	report  Report
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
+	r := &request{handler: h, writer: writer, http: incoming, view: h.options.View(), arrived: time.Now()}
+	if h.draining.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	defer r.end()
+	if problem := r.serve(); problem != nil {
+		r.refuse(problem)
+	}
+}
+
+// serve handles the request. It returns a problem only before an answer began.
+func (r *request) serve() *api.Error {
+	call, problem := r.handler.options.Protocol.ReadCall(r.http.Header)
+	r.call = call
+	if r.view.Table == nil {
+		return api.Errorf(api.NotReady, "no configuration has been read yet").After(notReadyRetryAfter)
+	}
+	r.report.ConfigurationVersion = r.view.Table.Configuration.Version
+	r.route = r.view.Table.Match(r.http.Host, pathOf(r.target()))
+	if r.route == nil {
+		return api.Errorf(api.PathNotFound, "configuration %d has no route for this host and path", r.report.ConfigurationVersion)
+	}
+	if problem != nil {
+		return problem
+	}
+	if problem := r.readBody(); problem != nil {
+		return problem
+	}
+	r.until = r.arrived.Add(r.hold())
+	ctx, cancel := context.WithDeadline(r.http.Context(), r.until)
+	defer cancel()
+	r.service = r.handler.splitter.Next(r.route)
+	if r.route.Kind == routing.Stream {
+		return r.serveTurn(ctx)
+	}
+	return r.serveWhole(ctx)
+}
+
+// hold returns how long the request may be held.
+func (r *request) hold() time.Duration {
+	hold := r.call.Deadline
+	if r.route.Timeout > 0 && (hold == 0 || r.route.Timeout < hold) {
+		hold = r.route.Timeout
+	}
+	if hold == 0 {
+		hold = defaultHold
+	}
+	return hold
+}
+
+// target returns path and query as they came.
+func (r *request) target() string {
+	if strings.HasPrefix(r.http.RequestURI, "/") {
+		return r.http.RequestURI
+	}
+	return r.http.URL.RequestURI() // the caller sent an absolute URI
+}
+
+// pathOf returns a target's path.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
--- /dev/null
+++ b/internal/ingress/refuse.go
@@ -0,0 +1,68 @@
+package ingress
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+)
+
+// When refused callers may come back, before jitter.
+const (
+	notReadyRetryAfter = 500 * time.Millisecond
+	fullRetryAfter     = 150 * time.Millisecond
+)
+
+// jittered returns between 75 % and 125 % of a delay, so that callers refused
+// together do not return together.
+func jittered(delay time.Duration) time.Duration {
+	return time.Duration(float64(delay) * (0.75 + 0.5*rand.Float64()))
+}
+
+// statusOf returns the status of a problem's answer. 503 promises that the
+// request has not run and will not; without that promise it is 502.
+func statusOf(problem *api.Error) int {
+	status := problem.Code.Info().HTTPStatus
+	promises := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	switch {
+	case problem.Execution != api.NotRun && promises:
+		return http.StatusBadGateway
+	case problem.Execution == api.NotRun && status >= http.StatusInternalServerError:
+		return http.StatusServiceUnavailable
+	}
+	return status
+}
+
+// refuse answers with a problem.
+func (r *request) refuse(problem *api.Error) {
+	r.report.Code = problem.Code
+	r.report.Detail = problem.Detail
+	header := r.writer.Header()
+	r.handler.options.Protocol.Mark(header, r.call)
+	status := statusOf(problem)
+	if problem.RetryAfter > 0 {
+		seconds := math.Ceil(problem.RetryAfter.Seconds()*1000) / 1000
+		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+		r.report.RetryAfter = problem.RetryAfter
+	}
+	content, err := json.Marshal(problem.Problem())
+	if err != nil {
+		content = []byte("{}")
+	}
+	header.Set("Content-Type", "application/problem+json")
+	header.Set("Content-Length", strconv.Itoa(len(content)))
+	r.report.Status = status
+	r.writer.WriteHeader(status)
+	_, _ = r.writer.Write(content) // a caller that left is no fault
+}
+
+// breakOff ends an answer that has begun so that it cannot look complete.
+func (r *request) breakOff(reason string) {
+	r.report.Code = api.BackendFailed
+	r.report.Detail = reason
+	r.report.BrokenOff = true
+}
--- /dev/null
+++ b/internal/ingress/report.go
@@ -0,0 +1,68 @@
+package ingress
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+)
+
+// Report is the story of one request, for logs and metrics.
+type Report struct {
+	Call                 Call
+	Route                string
+	Kind                 string
+	Service              string
+	ConfigurationVersion int64
+	EnginesVersion       uint64
+	Status               int
+	Code                 api.Code // OK unless the answer is the system's own or was broken off
+	Detail               string
+	BrokenOff            bool
+	CallerLeft           bool
+	RetryAfter           time.Duration
+	Tries                []Try
+	Events               int
+	Took                 time.Duration
+	Waits                Waits
+}
+
+// Waits are the times that parts of the way took.
+type Waits struct {
+	Ledger     time.Duration // for leave to run
+	FirstByte  time.Duration // from arrival to the first byte of the answer; 0 if none
+	Settlement time.Duration // for the turn's record, before its last byte
+}
+
+// Try is one send to an engine.
+type Try struct {
+	Engine  string
+	Outcome string
+	Reason  string        // why this engine
+	At      time.Duration // since the request's arrival
+	Took    time.Duration
+}
+
+// end reports the request, and cuts the connection if the answer was broken off.
+func (r *request) end() {
+	r.report.Call = r.call
+	r.report.Service = r.service
+	r.report.EnginesVersion = r.view.Versions[1]
+	r.report.Took = time.Since(r.arrived)
+	r.report.CallerLeft = r.http.Context().Err() != nil
+	if r.route != nil {
+		r.report.Route = r.route.Name
+		r.report.Kind = string(r.route.Kind)
+	}
+	r.handler.options.Observer.Ended(r.report)
+	if r.report.BrokenOff {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// firstByte notes when the answer began.
+func (r *request) firstByte() {
+	if r.report.Waits.FirstByte == 0 {
+		r.report.Waits.FirstByte = time.Since(r.arrived)
+	}
+}
--- /dev/null
+++ b/internal/ingress/turn.go
@@ -0,0 +1,207 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/placement"
+)
+
+// Times that a turn may spend on its program's rows.
+const (
+	maxBeginWait  = 1200 * time.Millisecond // before it is refused
+	maxSettleWait = 1800 * time.Millisecond // before its answer is broken off
+)
+
+// stream is the answer of one turn under way.
+type stream struct {
+	request   *request
+	run       *ledger.Run // nil if the request is no program's turn
+	input     []byte      // what the caller sent
+	output    []byte      // data of the events passed on, if the turn is kept
+	events    int64       // passed on
+	lastEvent string
+}
+
+// serveTurn serves a request that is answered by events: a turn of a program,
+// or a stream outside any.
+func (r *request) serveTurn(ctx context.Context) *api.Error {
+	s := &stream{request: r, input: r.body, lastEvent: r.call.LastEvent}
+	if problem := s.begin(ctx); problem != nil {
+		return problem
+	}
+	var made attempts
+	for {
+		current, problem := r.send(ctx, &made, s.resumeAt())
+		if problem != nil {
+			return s.failed(ctx, problem, made.runs)
+		}
+		if current.answer.StatusCode != http.StatusOK {
+			s.settle(ctx, nil)
+			return r.passFailure(current)
+		}
+		err := s.pass(current)
+		if err == nil {
+			return s.complete(ctx, current)
+		}
+		made.runs++
+		if ctx.Err() != nil {
+			current.finish(placement.Cancelled, errorText(ctx.Err()))
+			return s.failed(ctx, r.mayHaveRun(ctx, err), made.runs)
+		}
+		current.finish(placement.Failed, errorText(err))
+		if !r.route.Repeatable() {
+			return s.failed(ctx, r.mayHaveRun(ctx, err), made.runs)
+		}
+	}
+}
+
+// begin gets leave to run, and what the line's earlier turns said.
+func (s *stream) begin(ctx context.Context) *api.Error {
+	r := s.request
+	if r.call.Program == "" || (r.call.Budget == 0 && !r.route.Retain) {
+		return nil
+	}
+	ask := ledger.Ask{Program: r.call.Program, Budget: r.call.Budget, Most: r.call.MostTokens}
+	if r.route.Retain {
+		ask.Previous = r.call.PreviousTurn
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxBeginWait)
+	defer cancel()
+	run, problem := r.handler.options.Ledger.Begin(ctx, ask)
+	r.report.Waits.Ledger = time.Since(r.arrived)
+	if problem != nil {
+		return problem
+	}
+	s.run = run
+	if len(run.History) > 0 {
+		r.body = append(run.History, s.input...)
+	}
+	return nil
+}
+
+// resumeAt returns the event behind which another engine goes on; empty if
+// the caller's own header says so, or the stream starts at its beginning.
+func (s *stream) resumeAt() string {
+	if s.events == 0 {
+		return ""
+	}
+	return s.lastEvent
+}
+
+// pass passes events on as they come. With nil the engine's answer was whole.
+func (s *stream) pass(current *try) error {
+	reader := newEventReader(current.answer.Body)
+	for {
+		next, err := reader.next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if !next.follows(s.lastEvent) {
+			continue
+		}
+		if err := s.passEvent(current, next); err != nil {
+			return err
+		}
+	}
+}
+
+// passEvent passes one event on at once.
+func (s *stream) passEvent(current *try, next event) error {
+	r := s.request
+	if !r.started {
+		r.firstByte()
+		r.writeHead(current.answer.StatusCode, current.answer.Header)
+	}
+	if next.id != "" {
+		s.lastEvent = next.id
+	}
+	if next.has {
+		s.events++
+		if r.route.Retain {
+			s.output = append(append(s.output, next.data...), '\n')
+		}
+	}
+	if _, err := r.writer.Write(next.raw); err != nil {
+		return err
+	}
+	return http.NewResponseController(r.writer).Flush()
+}
+
+// complete records the turn before its answer ends.
+func (s *stream) complete(ctx context.Context, current *try) *api.Error {
+	r := s.request
+	r.handler.lines.set(r.lineKey(), current.placed.Engine.ID)
+	current.finish(placement.Served, "")
+	if !r.started {
+		r.firstByte()
+		r.writeHead(current.answer.StatusCode, current.answer.Header)
+	}
+	var kept *ledger.Turn
+	if r.route.Retain && s.run != nil {
+		kept = &ledger.Turn{ID: r.call.ID, Parent: r.call.PreviousTurn, Input: s.input, Output: s.output}
+	}
+	start := time.Now()
+	err := s.settle(ctx, kept)
+	r.report.Waits.Settlement = time.Since(start)
+	if err != nil && kept != nil {
+		r.breakOff("the turn could not be recorded: " + err.Error())
+	}
+	return nil
+}
+
+// settle accounts for what was passed on.
+func (s *stream) settle(ctx context.Context, kept *ledger.Turn) error {
+	s.request.report.Events = int(s.events)
+	if s.run == nil {
+		return nil
+	}
+	run := s.run
+	s.run = nil
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxSettleWait)
+	defer cancel()
+	return run.Settle(ctx, s.events*s.tokensPerEvent(), kept)
+}
+
+// tokensPerEvent returns how many tokens one event counts.
+func (s *stream) tokensPerEvent() int64 {
+	r := s.request
+	return max(1, r.view.Table.Configuration.Services[r.service].TokensPerEvent)
+}
+
+// failed ends a stream that no engine completed.
+func (s *stream) failed(ctx context.Context, problem *api.Error, runs int) *api.Error {
+	if runs == 0 && s.run != nil {
+		s.run.Abandon()
+		s.run = nil
+	}
+	_ = s.settle(ctx, nil) // what could not be settled stays charged
+	if s.request.started {
+		s.request.breakOff(problem.Detail)
+		return nil
+	}
+	return problem
+}
+
+// passFailure passes on an engine's answer that is no stream.
+func (r *request) passFailure(current *try) *api.Error {
+	content, err := io.ReadAll(io.LimitReader(current.answer.Body, maxWholeAnswer))
+	if r.started {
+		current.finish(placement.Failed, "answered a failure")
+		r.breakOff("the engine that was to go on answered a failure")
+		return nil
+	}
+	if err != nil {
+		current.finish(placement.Failed, errorText(err))
+		return r.mayHaveRun(r.http.Context(), err)
+	}
+	r.passWhole(current, content)
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/account.go
@@ -0,0 +1,108 @@
+// Package ledger keeps what must last of a program that announces itself by
+// its turns: the account of its token budget, and the turns that later turns
+// go on from. Account is pure; Ledger makes it durable by conditional writes.
+//
+// A program has no owner. Each node holds an allowance: tokens of the budget
+// that only this node may hand out, counted as spent until the node settles.
+// So the budget holds whatever nodes die, freeze or lose the store, and a turn
+// that fits the allowance needs no write before it runs.
+package ledger
+
+import (
+	"maps"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrBudgetSpent says that a turn does not fit the budget any more.
+var ErrBudgetSpent = errors.New("the program's token budget is spent")
+
+// aheadTurns is how many turns an allowance covers beyond those under way.
+const aheadTurns = 3
+
+// aheadShare is the part of the unspent budget, one over this number, that
+// an allowance takes ahead at most. Allowances of a node that dies are lost to
+// the program, so they shrink as the budget does.
+const aheadShare = 4
+
+// Account is the durable state of one program's budget, in tokens.
+//
+// Invariant: Spent + the sum of all allowances <= Budget + Least. The rules
+// of the budget allow the most of one turn beyond it.
+type Account struct {
+	Budget     int64                `json:"b"`
+	Spent      int64                `json:"s"`
+	Least      int64                `json:"l"` // smallest maximum of any turn so far
+	Allowances map[string]Allowance `json:"a,omitempty"`
+}
+
+// Allowance is what one run of a node may hand out beyond what it settled.
+type Allowance struct {
+	Tokens int64  `json:"t"`
+	Write  uint64 `json:"w"` // number of the node's last write of this account
+}
+
+// Outstanding returns the sum of all allowances.
+func (a Account) Outstanding() int64 {
+	var sum int64
+	for _, allowance := range a.Allowances {
+		sum += allowance.Tokens
+	}
+	return sum
+}
+
+// Change is what one node asks of an account.
+type Change struct {
+	Node     string // run of a node
+	Write    uint64 // rises with each write of the node
+	Settled  int64  // tokens handed out since the last write, to be charged
+	UnderWay int64  // most tokens of the turns that are running on the old allowance
+	Most     int64  // most tokens of the turn that asks to run; 0 if none does
+	Ahead    bool   // whether to hold tokens for later turns
+}
+
+// Apply returns the account after a change. The node's old allowance is given
+// back, and a new one taken that covers the turns under way, the turn that
+// asks, and some turns ahead while the budget is ample. The error is
+// ErrBudgetSpent, with the account unchanged, if the asking turn does not fit.
+func (a Account) Apply(change Change) (Account, error) {
+	next := a
+	next.Allowances = maps.Clone(a.Allowances)
+	if next.Allowances == nil {
+		next.Allowances = make(map[string]Allowance, 1)
+	}
+	delete(next.Allowances, change.Node)
+	next.Spent += change.Settled
+	if change.Most > 0 && (next.Least == 0 || change.Most < next.Least) {
+		next.Least = change.Most
+	}
+	committed := next.Spent + next.Outstanding() + change.UnderWay
+	if change.Most > 0 && committed+change.Most > next.Budget+next.Least {
+		return a, ErrBudgetSpent
+	}
+	tokens := change.UnderWay + change.Most
+	if change.Ahead {
+		tokens += ahead(next, committed+change.Most)
+	}
+	next.Allowances[change.Node] = Allowance{Tokens: tokens, Write: change.Write}
+	return next, nil
+}
+
+// ahead returns how many tokens to hold for turns to come.
+func ahead(a Account, committed int64) int64 {
+	if a.Least <= 0 {
+		return 0
+	}
+	unspent := a.Budget - committed
+	turns := min(aheadTurns, unspent/aheadShare/a.Least)
+	if turns == 0 && unspent >= a.Least {
+		turns = 1
+	}
+	return max(0, turns) * a.Least
+}
+
+// tight reports whether little of the budget is left, so that allowances and
+// tokens not settled yet may keep another node from running a turn.
+func (a Account) tight() bool {
+	return a.Budget-a.Spent-a.Outstanding() < 2*a.Least
+}
--- /dev/null
+++ b/internal/ledger/history.go
@@ -0,0 +1,166 @@
+package ledger
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pewtermill/pewtermill/internal/tablestore"
+)
+
+// Bounds of reading a line of turns.
+const (
+	rangeLimit  = 500   // rows of one read
+	maxLineLong = 1_000 // turns of one line
+)
+
+// history returns what the turns up to and including one said, oldest first.
+// The error is marked ErrNotFound only if it is certain that a turn of the
+// line does not exist.
+func (l *Ledger) history(ctx context.Context, e *entry, last string) ([]byte, error) {
+	var line []*Turn
+	size := 0
+	for id := last; id != ""; {
+		turn, err := l.turn(ctx, e, id)
+		if err != nil {
+			return nil, err
+		}
+		if len(line) == maxLineLong {
+			return nil, errors.Newf("the line of turn %s is longer than %d turns", last, maxLineLong)
+		}
+		line = append(line, turn)
+		size += len(turn.Input) + len(turn.Output)
+		id = turn.Parent
+	}
+	content := make([]byte, 0, size)
+	for _, turn := range slices.Backward(line) {
+		content = append(content, turn.Input...)
+		content = append(content, turn.Output...)
+	}
+	return content, nil
+}
+
+// turn returns a turn from memory, from its program's rows, or, if another
+// program said it or its part had failed then, from wherever it is.
+func (l *Ledger) turn(ctx context.Context, e *entry, id string) (*Turn, error) {
+	if turn := e.knownTurn(id); turn != nil {
+		return turn, nil
+	}
+	part := partOf(e.program)
+	if err := l.load(ctx, e, part, e.program); err != nil {
+		return nil, err
+	}
+	if turn := e.knownTurn(id); turn != nil {
+		return turn, nil
+	}
+	foundIn, program, err := l.find(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if err := l.load(ctx, e, foundIn, program); err != nil {
+		return nil, err
+	}
+	if turn := e.knownTurn(id); turn != nil {
+		return turn, nil
+	}
+	return nil, errors.Wrapf(tablestore.ErrNotFound, "turn %s", id)
+}
+
+func (e *entry) knownTurn(id string) *Turn {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.turns[id]
+}
+
+// load reads the rows of a program from one part into the entry: its turns,
+// and its account if they are the entry's own.
+func (l *Ledger) load(ctx context.Context, e *entry, part int, program string) error {
+	var rows []tablestore.Row
+	start, end := accountKey(part, program), programEnd(part, program)
+	for {
+		some, err := l.readRange(ctx, part, start, end)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, some...)
+		if len(some) < rangeLimit {
+			break
+		}
+		start = some[len(some)-1].Key + "\x00"
+	}
+	return e.take(l.options.Run, accountKey(partOf(e.program), e.program), rows)
+}
+
+// readRange reads rows, again if the table fails, until its part is closed.
+func (l *Ledger) readRange(ctx context.Context, part int, start, end string) ([]tablestore.Row, error) {
+	for {
+		if !l.health.allow(part, l.options.Now()) {
+			return nil, errPartClosed
+		}
+		callContext, cancel := context.WithTimeout(ctx, callTimeout)
+		rows, err := l.options.Table.Range(callContext, start, end, rangeLimit)
+		cancel()
+		l.health.report(part, err == nil)
+		if err == nil {
+			return rows, nil
+		}
+		if !sleep(ctx, retryPause) {
+			return nil, err
+		}
+	}
+}
+
+// take keeps the turns among the rows, and the account.
+func (e *entry) take(run, account string, rows []tablestore.Row) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	pieces := make(map[string][][]byte)
+	for _, row := range rows {
+		if row.Key == account {
+			if err := e.observe(run, row); err != nil {
+				return err
+			}
+			continue
+		}
+		if id, _, ok := turnOfPiece(row.Key); ok {
+			pieces[id] = append(pieces[id], row.Value)
+		}
+	}
+	for id, found := range pieces {
+		turn, err := decodeTurn(id, found)
+		if err != nil {
+			return errors.Wrapf(err, "turn %s", id)
+		}
+		e.turns[id] = turn
+	}
+	return nil
+}
+
+// find looks in every part for the program that said a turn. The error is
+// marked ErrNotFound if every part answered and none has it.
+func (l *Ledger) find(ctx context.Context, id string) (part int, program string, err error) {
+	found := make([]string, Parts)
+	group, groupContext := errgroup.WithContext(ctx)
+	for part := range Parts {
+		group.Go(func() error {
+			key := indexKey(part, id)
+			rows, err := l.readRange(groupContext, part, key, key+"\x00")
+			if err == nil && len(rows) == 1 {
+				found[part] = string(rows[0].Value)
+			}
+			return err
+		})
+	}
+	err = group.Wait()
+	for part, program := range found {
+		if program != "" {
+			return part, program, nil
+		}
+	}
+	if err != nil {
+		return 0, "", err
+	}
+	return 0, "", errors.Wrapf(tablestore.ErrNotFound, "turn %s", id)
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,247 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
+)
+
+// Limits of what a ledger keeps in memory.
+const (
+	entryIdle   = 60 * time.Second // a program not used for so long is forgotten
+	sweepPeriod = 10 * time.Second
+)
+
+// Options are what a ledger needs.
+type Options struct {
+	Table tablestore.Table
+	Run   string // names this run of this node; no other run ever has the same
+	Now   func() time.Time
+}
+
+// Ledger keeps accounts and turns. Safe for concurrent use.
+type Ledger struct {
+	options Options
+	health  *health
+
+	mutex   sync.Mutex
+	entries map[string]*entry
+	sweptAt time.Time
+}
+
+// entry is what this node knows of one program. commit is held over I/O and
+// serialises the writes; mutex guards the fields and never is.
+type entry struct {
+	program string
+	commit  chan struct{} // semaphore of one
+
+	mutex     sync.Mutex
+	usedAt    time.Time
+	account   Account
+	revision  uint64 // of account; 0 if the row is absent
+	known     bool   // account and revision are those of some moment of this run
+	uncertain bool   // a write's outcome is unknown, so held may be too high
+	held      int64  // allowance of this run
+	underWay  int64  // most tokens of the turns that are running
+	unsettled int64  // tokens handed out and not charged yet
+	write     uint64 // number of the newest write tried
+	attempts  map[uint64]attempt
+	pending   []*record // turns that wait to be recorded
+	turns     map[string]*Turn
+}
+
+// attempt is a write whose outcome may not be known yet.
+type attempt struct {
+	settled int64
+	records []*record
+}
+
+// record is a turn that waits to be durable.
+type record struct {
+	turn    *Turn
+	durable bool // guarded by entry.mutex
+}
+
+// New returns an empty ledger.
+func New(options Options) *Ledger {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Ledger{
+		options: options,
+		health:  newHealth(),
+		entries: make(map[string]*entry),
+	}
+}
+
+// Ask is a turn that wants to run.
+type Ask struct {
+	Program  string
+	Budget   int64  // of the program, in tokens; 0 for none
+	Most     int64  // tokens that the turn may hand out at most
+	Previous string // turn that it goes on from; empty for none
+
+	// KeepNothing gives the allowance back, but for the turns under way.
+	KeepNothing bool
+}
+
+// Run is a turn that may run. Exactly one of Settle and Abandon ends it.
+type Run struct {
+	History []byte // what the line's earlier turns said, oldest first
+
+	ledger *Ledger
+	entry  *entry
+	ask    Ask
+}
+
+// Begin lets a turn run, with its history and its part of the budget. Errors:
+// CallNotFound if the previous turn does not exist, BudgetExhausted if the
+// budget does not hold the turn, StoreDown if neither can be known in time;
+// with each of them the turn has not run.
+func (l *Ledger) Begin(ctx context.Context, ask Ask) (*Run, *api.Error) {
+	e := l.entryOf(ask.Program)
+	run := &Run{ledger: l, entry: e, ask: ask}
+	if ask.Previous != "" {
+		history, err := l.history(ctx, e, ask.Previous)
+		if err != nil {
+			return nil, l.refusal(e, err)
+		}
+		run.History = history
+	}
+	if ask.Budget <= 0 {
+		return run, nil
+	}
+	if err := l.reserve(ctx, e, ask); err != nil {
+		return nil, l.refusal(e, err)
+	}
+	return run, nil
+}
+
+// refusal translates an error into the answer of a turn that has not run.
+func (l *Ledger) refusal(e *entry, err error) *api.Error {
+	switch {
+	case errors.Is(err, ErrBudgetSpent):
+		return api.Errorf(api.BudgetExhausted, "the budget of program %s does not hold one more turn", e.program)
+	case errors.Is(err, tablestore.ErrNotFound):
+		return api.Errorf(api.CallNotFound, "the turn that program %s goes on from does not exist", e.program)
+	}
+	return api.Errorf(api.StoreDown, "program %s: %v", e.program, err).After(l.health.comeBack())
+}
+
+// entryOf returns a program's entry, and now and then forgets idle ones.
+func (l *Ledger) entryOf(program string) *entry {
+	now := l.options.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if now.Sub(l.sweptAt) > sweepPeriod {
+		l.sweptAt = now
+		l.sweep(now)
+	}
+	e := l.entries[program]
+	if e == nil {
+		e = &entry{
+			program:  program,
+			commit:   make(chan struct{}, 1),
+			attempts: make(map[uint64]attempt),
+			turns:    make(map[string]*Turn),
+		}
+		l.entries[program] = e
+	}
+	e.mutex.Lock()
+	e.usedAt = now
+	e.mutex.Unlock()
+	return e
+}
+
+// sweep forgets programs without use. What they hold stays charged.
+func (l *Ledger) sweep(now time.Time) {
+	for program, e := range l.entries {
+		e.mutex.Lock()
+		idle := now.Sub(e.usedAt) > entryIdle && e.underWay == 0 && len(e.pending) == 0
+		e.mutex.Unlock()
+		if idle {
+			delete(l.entries, program)
+		}
+	}
+}
+
+// reserve makes the node's allowance cover the turn.
+func (l *Ledger) reserve(ctx context.Context, e *entry, ask Ask) error {
+	if e.tryReserve(ask.Most) {
+		return nil
+	}
+	if err := e.lock(ctx); err != nil {
+		return err
+	}
+	defer e.unlock()
+	if e.tryReserve(ask.Most) {
+		return nil
+	}
+	return l.write(ctx, e, ask)
+}
+
+// tryReserve takes the turn's tokens from the allowance, if they fit.
+func (e *entry) tryReserve(most int64) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.known || e.uncertain || e.held-e.underWay-e.unsettled < most {
+		return false
+	}
+	e.underWay += most
+	return true
+}
+
+// lock waits for the right to write the program's rows.
+func (e *entry) lock(ctx context.Context) error {
+	select {
+	case e.commit <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Mark(ctx.Err(), tablestore.ErrUnavailable)
+	}
+}
+
+func (e *entry) unlock() { <-e.commit }
+
+// observe takes the account's row as read at some moment. The mutex is held.
+func (e *entry) observe(run string, row tablestore.Row) error {
+	var account Account
+	if row.Revision != 0 {
+		if err := json.Unmarshal(row.Value, &account); err != nil {
+			return errors.Wrap(err, "decode account")
+		}
+	}
+	if e.known && row.Revision < e.revision {
+		return nil
+	}
+	if row.Revision > e.revision {
+		e.uncertain = false // a lost write was conditional on the old revision
+	}
+	e.account, e.revision, e.known = account, row.Revision, true
+	own := account.Allowances[run]
+	e.held = own.Tokens
+	e.confirm(own.Write)
+	return nil
+}
+
+// confirm notes that one of the node's writes took effect. Earlier ones that
+// did not cannot any more, for the row has changed. The mutex is held.
+func (e *entry) confirm(write uint64) {
+	if done, found := e.attempts[write]; found {
+		e.unsettled -= done.settled
+		for _, recorded := range done.records {
+			recorded.durable = true
+		}
+	}
+	for number := range e.attempts {
+		if number <= write {
+			delete(e.attempts, number)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/settle.go
@@ -0,0 +1,196 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/tablestore"
+)
+
+// Settle ends a turn that ran: it hands back what the turn did not use of its
+// reservation. If kept is not nil the turn is durable when Settle returns nil,
+// and other turns may go on from it; until then its answer must not end.
+// Without kept nothing is written unless little of the budget is left.
+func (r *Run) Settle(ctx context.Context, tokens int64, kept *Turn) error {
+	e := r.entry
+	waiting := r.settled(tokens, kept)
+	if waiting == nil {
+		if !e.mustCharge() {
+			return nil
+		}
+		return r.ledger.charge(ctx, e)
+	}
+	for {
+		err := r.ledger.record(ctx, e, waiting)
+		if err == nil {
+			return nil
+		}
+		if !sleep(ctx, retryPause) {
+			e.forget(waiting)
+			return err
+		}
+	}
+}
+
+// Abandon ends a turn that reached no engine: it counts nothing.
+func (r *Run) Abandon() { r.settled(0, nil) }
+
+// settled moves a turn from under way to unsettled and queues its record.
+func (r *Run) settled(tokens int64, kept *Turn) *record {
+	e := r.entry
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if r.ask.Budget > 0 {
+		e.underWay -= r.ask.Most
+		e.unsettled += tokens
+	}
+	if kept == nil {
+		return nil
+	}
+	waiting := &record{turn: kept}
+	e.pending = append(e.pending, waiting)
+	return waiting
+}
+
+// mustCharge reports whether unsettled tokens may stand in another node's way.
+func (e *entry) mustCharge() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.account.Budget > 0 && e.account.tight()
+}
+
+// charge writes what is unsettled.
+func (l *Ledger) charge(ctx context.Context, e *entry) error {
+	if err := e.lock(ctx); err != nil {
+		return err
+	}
+	defer e.unlock()
+	return l.write(ctx, e, Ask{})
+}
+
+// record makes a turn durable: with its program's account, or, if that part of
+// the table fails, in another part, where readers look next.
+func (l *Ledger) record(ctx context.Context, e *entry, waiting *record) error {
+	if err := e.lock(ctx); err != nil {
+		return err
+	}
+	defer e.unlock()
+	if e.isDurable(waiting) {
+		return nil
+	}
+	err := l.write(ctx, e, Ask{})
+	if err != nil {
+		err = l.recordElsewhere(ctx, e, waiting.turn, err)
+	}
+	if err != nil {
+		return err
+	}
+	e.remember(waiting)
+	return nil
+}
+
+// isDurable reports whether another turn's write took this one along.
+func (e *entry) isDurable(waiting *record) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if waiting.durable {
+		e.turns[waiting.turn.ID] = waiting.turn
+	}
+	return waiting.durable
+}
+
+// remember marks a turn as durable and keeps it for the turns that follow.
+func (e *entry) remember(waiting *record) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	waiting.durable = true
+	e.turns[waiting.turn.ID] = waiting.turn
+}
+
+// forget takes back a turn whose answer will not end. It may have become
+// durable all the same, which does no harm: nobody goes on from it.
+func (e *entry) forget(waiting *record) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	waiting.durable = true
+}
+
+// recordElsewhere writes a turn, without the account, into another part.
+func (l *Ledger) recordElsewhere(ctx context.Context, e *entry, turn *Turn, cause error) error {
+	own := partOf(e.program)
+	for step := 1; step < Parts && ctx.Err() == nil; step += 2 {
+		part := (own + step) % Parts
+		if !l.health.allow(part, l.options.Now()) {
+			continue
+		}
+		err := l.putTurn(ctx, part, e.program, turn)
+		l.health.report(part, err == nil)
+		if err == nil {
+			return nil
+		}
+	}
+	return cause
+}
+
+// putTurn writes a turn into a part, unless it is there.
+func (l *Ledger) putTurn(ctx context.Context, part int, program string, turn *Turn) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := l.options.Table.Commit(ctx, tablestore.Transaction{
+		WriteID:    l.options.Run + "/" + turn.ID,
+		Conditions: []tablestore.Condition{{Key: pieceKey(part, program, turn.ID, 0)}},
+		Writes:     turnWrites(part, program, turn),
+	})
+	var conflict *tablestore.ConflictError
+	if errors.As(err, &conflict) {
+		return nil // an earlier write of the same turn took effect
+	}
+	return err
+}
+
+// flushWorkers is how many programs Flush settles at once.
+const flushWorkers = 8
+
+// Flush gives allowances back, as far as ctx allows, before a planned stop.
+func (l *Ledger) Flush(ctx context.Context) {
+	var group sync.WaitGroup
+	entries := make(chan *entry)
+	for range flushWorkers {
+		group.Go(func() {
+			for e := range entries {
+				l.giveBack(ctx, e)
+			}
+		})
+	}
+	for _, e := range l.holding() {
+		entries <- e
+	}
+	close(entries)
+	group.Wait()
+}
+
+// holding returns the programs of which this run holds an allowance.
+func (l *Ledger) holding() []*entry {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var found []*entry
+	for _, e := range l.entries {
+		e.mutex.Lock()
+		if e.known && e.held > e.underWay+e.unsettled {
+			found = append(found, e)
+		}
+		e.mutex.Unlock()
+	}
+	return found
+}
+
+// giveBack settles one program without holding tokens for later turns.
+func (l *Ledger) giveBack(ctx context.Context, e *entry) {
+	if ctx.Err() != nil || e.lock(ctx) != nil {
+		return
+	}
+	defer e.unlock()
+	_ = l.write(ctx, e, Ask{KeepNothing: true}) // what could not be given back stays charged
+}
--- /dev/null
+++ b/internal/ledger/turn.go
@@ -0,0 +1,70 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+)
+
+// pieceBytes is the most that one row of a turn holds.
+const pieceBytes = 48 << 10
+
+// maxTurnBytes is the most that one turn may hold, so that it fits one
+// transaction.
+const maxTurnBytes = 900 << 10
+
+// errTurnCorrupt says that the rows of a turn do not make up a record.
+var errTurnCorrupt = errors.New("rows of a turn do not make up a record")
+
+// Turn is one answered turn of a program: what it added to the line that it
+// belongs to.
+type Turn struct {
+	ID     string
+	Parent string // turn that it goes on from; empty at the start of a line
+	Input  []byte // body of the caller's request
+	Output []byte // data of each event of the answer, each with a line feed
+}
+
+// encode returns the turn in pieces, one for each row. The first begins with
+// the number of pieces.
+func (t *Turn) encode() [][]byte {
+	content := make([]byte, 0, len(t.Parent)+len(t.Input)+len(t.Output)+16)
+	for _, field := range [][]byte{[]byte(t.Parent), t.Input, t.Output} {
+		content = binary.AppendUvarint(content, uint64(len(field)))
+		content = append(content, field...)
+	}
+	count := max(1, (len(content)+pieceBytes-1)/pieceBytes)
+	pieces := make([][]byte, count)
+	for i := range pieces {
+		pieces[i] = content[i*pieceBytes : min(len(content), (i+1)*pieceBytes)]
+	}
+	pieces[0] = append(binary.AppendUvarint(nil, uint64(count)), pieces[0]...)
+	return pieces
+}
+
+// pieceCount returns how many pieces a turn has, by its first one.
+func pieceCount(first []byte) (int, error) {
+	count, used := binary.Uvarint(first)
+	if used <= 0 || count == 0 || count > maxTurnBytes/pieceBytes+2 {
+		return 0, errTurnCorrupt
+	}
+	return int(count), nil
+}
+
+// decodeTurn puts the pieces of a turn together.
+func decodeTurn(id string, pieces [][]byte) (*Turn, error) {
+	content := bytes.Join(pieces, nil)
+	_, used := binary.Uvarint(content)
+	content = content[max(0, used):]
+	fields := make([][]byte, 3)
+	for i := range fields {
+		length, used := binary.Uvarint(content)
+		if used <= 0 || length > uint64(len(content)-used) {
+			return nil, errTurnCorrupt
+		}
+		fields[i] = content[used : used+int(length)]
+		content = content[used+int(length):]
+	}
+	return &Turn{ID: id, Parent: string(fields[0]), Input: fields[1], Output: fields[2]}, nil
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,336 @@
+// Package placement decides which engine serves a request. The decision
+// itself is made by internal/scheduler; this package gives it what this node
+// knows: the engines by incarnation, its own requests there, and which of them
+// could not be reached just now.
+package placement
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/routing"
+	"github.com/pewtermill/pewtermill/internal/scheduler"
+)
+
+// Costs that the scheduler weighs against milliseconds of delay.
+const (
+	crossZoneMillis = 3.0  // one way to another zone: delay, and bytes that are paid for
+	connectMillis   = 40.0 // a new connection where none is at rest
+)
+
+// Assumed speeds of an engine that reports none, in tokens a second.
+const (
+	prefillTokensPerSecond = 60_000
+	decodeTokensPerSecond  = 300
+)
+
+// Times of suspicion and of waiting.
+const (
+	refreshPeriod  = 250 * time.Millisecond // between two views of the engines
+	recheckPeriod  = 20 * time.Millisecond  // while a request waits
+	firstSuspicion = time.Second            // after an engine could not be reached
+	maxSuspicion   = 8 * time.Second
+)
+
+// Options are what a Placer needs.
+type Options struct {
+	Node     string
+	Zone     string
+	Recorder explain.Recorder
+	// Idle returns how many connections to an address are at rest.
+	Idle func(address string) int
+}
+
+// Placer places requests on engines. Safe for concurrent use.
+type Placer struct {
+	options Options
+
+	mutex     sync.Mutex
+	core      *scheduler.Core
+	index     *prefixIndex
+	engines   map[string]routing.Engine // by id
+	services  map[string]routing.Service
+	suspects  map[string]suspicion // by engine id
+	refreshed time.Time
+	attempts  uint64
+	waiting   map[string]chan answer // by call id
+}
+
+// suspicion keeps requests from an engine that could not be reached.
+type suspicion struct {
+	until  time.Time
+	length time.Duration
+}
+
+type answer struct {
+	assignment scheduler.Assignment
+	refusal    *api.Error
+}
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	Program         string
+	Service         string
+	Class           string // name of the route
+	Parts           []Part // of the prompt
+	PromptTokens    int64
+	ExpectedTokens  int64
+	Deadline        time.Time
+	ProgramDeadline time.Time
+	LastEngine      string   // served the line's previous turn
+	Excluded        []string // engines already tried
+}
+
+// Placement is a request's place at an engine, until Done is called with it.
+type Placement struct {
+	Engine   routing.Engine
+	Decision explain.Decision
+
+	callID string
+	blocks []uint64
+	start  time.Time
+}
+
+// Outcome says how a request ended at its engine.
+type Outcome int
+
+// Outcomes.
+const (
+	Served      Outcome = iota // whatever the engine answered, it worked
+	Failed                     // it broke the answer off, or answered what is no answer
+	Unreachable                // no connection could be made
+	Replaced                   // another engine has the address
+	Shed                       // it turned the request away for load
+	Cancelled                  // the caller left; says nothing about the engine
+)
+
+// String returns the outcome's name in logs.
+func (o Outcome) String() string {
+	return [...]string{"served", "failed", "unreachable", "replaced", "shed", "cancelled"}[o]
+}
+
+// New returns a placer without engines.
+func New(options Options) *Placer {
+	core := scheduler.New(scheduler.ProgramAware, bundle.Scheduling{}, options.Node)
+	p := &Placer{
+		options:  options,
+		core:     core,
+		index:    newPrefixIndex(),
+		suspects: make(map[string]suspicion),
+		waiting:  make(map[string]chan answer),
+	}
+	core.SetIndex(p.index)
+	core.SetRecorder(options.Recorder)
+	core.SetDistances(distance)
+	core.SetConnectCost(p.connectCost)
+	return p
+}
+
+func distance(a, b string) float64 {
+	if a == b {
+		return 0
+	}
+	return crossZoneMillis
+}
+
+// connectCost is asked by the core, under the mutex.
+func (p *Placer) connectCost(id string) float64 {
+	if p.options.Idle(p.engines[id].Address) > 0 {
+		return 0
+	}
+	return connectMillis
+}
+
+// SetEngines replaces what is known of engines and services. The maps must
+// not change any more.
+func (p *Placer) SetEngines(engines map[string]routing.Engine, services map[string]routing.Service) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.engines, p.services = engines, services
+	present := func(id string) bool { _, found := engines[id]; return found }
+	p.index.keepOnly(present)
+	for id := range p.suspects {
+		if !present(id) {
+			delete(p.suspects, id)
+		}
+	}
+	p.refresh(time.Now())
+	p.advance(time.Now())
+}
+
+// refresh gives the core views of all engines. The mutex is held.
+func (p *Placer) refresh(now time.Time) {
+	p.refreshed = now
+	reachable := make(map[string]bool) // by service: whether one is not suspected
+	for id, engine := range p.engines {
+		if !engine.Draining && !now.Before(p.suspects[id].until) {
+			reachable[engine.Service] = true
+		}
+	}
+	views := make([]scheduler.EngineView, 0, len(p.engines))
+	for id, engine := range p.engines {
+		suspected := now.Before(p.suspects[id].until) && reachable[engine.Service]
+		views = append(views, scheduler.EngineView{
+			Name:                id,
+			Zone:                engine.Zone,
+			Models:              []string{engine.Service},
+			Ready:               !suspected,
+			Leaving:             engine.Draining,
+			MaxRunning:          engine.Slots,
+			PrefillTokensPerSec: prefillTokensPerSecond,
+			DecodeTokensPerSec:  decodeTokensPerSecond,
+			ObservedAt:          now,
+		})
+	}
+	p.core.SetEngines(views)
+}
+
+// Place waits for an engine. The error says that none could take the request
+// before ctx ended, or at all; it has not run.
+func (p *Placer) Place(ctx context.Context, request Request) (Placement, *api.Error) {
+	now := time.Now()
+	blocks := blocksOf(request.Parts)
+	waiter := make(chan answer, 1)
+	p.mutex.Lock()
+	if now.Sub(p.refreshed) > refreshPeriod {
+		p.refresh(now)
+	}
+	p.attempts++
+	call := p.call(request, blocks, strconv.FormatUint(p.attempts, 10), now)
+	if refusal := p.core.Submit(call, now); refusal != nil {
+		p.mutex.Unlock()
+		return Placement{Decision: refusal.Decision}, refusal.Error
+	}
+	p.waiting[call.ID] = waiter
+	p.advance(now)
+	p.mutex.Unlock()
+	given, problem := p.await(ctx, call, waiter)
+	if problem != nil {
+		return Placement{}, problem
+	}
+	return p.placed(given, blocks), nil
+}
+
+// call translates a request for the core.
+func (p *Placer) call(request Request, blocks []uint64, id string, now time.Time) scheduler.Call {
+	return scheduler.Call{
+		ID:              id,
+		Program:         request.Program,
+		Class:           request.Class,
+		Model:           request.Service,
+		Zone:            p.options.Zone,
+		PrefixBlocks:    blocks,
+		PromptTokens:    request.PromptTokens,
+		ExpectedTokens:  request.ExpectedTokens,
+		Submitted:       now,
+		Deadline:        request.Deadline,
+		ProgramDeadline: request.ProgramDeadline,
+		LastEngine:      request.LastEngine,
+		Excluded:        request.Excluded,
+	}
+}
+
+// await returns the core's answer to a call.
+func (p *Placer) await(ctx context.Context, call scheduler.Call, waiter chan answer) (scheduler.Assignment, *api.Error) {
+	select {
+	case given := <-waiter:
+		return given.assignment, given.refusal
+	default:
+	}
+	ticker := time.NewTicker(recheckPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case given := <-waiter:
+			return given.assignment, given.refusal
+		case <-ctx.Done():
+			return p.withdraw(call, waiter)
+		case <-ticker.C:
+			p.mutex.Lock()
+			p.advance(time.Now())
+			p.mutex.Unlock()
+		}
+	}
+}
+
+// withdraw takes a call back, unless the core has answered in the meantime.
+func (p *Placer) withdraw(call scheduler.Call, waiter chan answer) (scheduler.Assignment, *api.Error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if _, queued := p.waiting[call.ID]; !queued {
+		given := <-waiter
+		return given.assignment, given.refusal
+	}
+	delete(p.waiting, call.ID)
+	p.core.Withdraw(call.ID, time.Now())
+	return scheduler.Assignment{}, api.Errorf(api.Overloaded,
+		"every engine of service %s was full", call.Model).After(recheckPeriod * 10)
+}
+
+// advance hands out what the core has decided. The mutex is held.
+func (p *Placer) advance(now time.Time) {
+	assignments, refusals := p.core.Next(now)
+	for _, given := range assignments {
+		p.give(given.Call.ID, answer{assignment: given})
+	}
+	for _, given := range refusals {
+		p.give(given.Call.ID, answer{refusal: given.Error})
+	}
+}
+
+func (p *Placer) give(callID string, given answer) {
+	waiter := p.waiting[callID]
+	delete(p.waiting, callID)
+	if waiter != nil {
+		waiter <- given
+	}
+}
+
+// placed records an assignment.
+func (p *Placer) placed(given scheduler.Assignment, blocks []uint64) Placement {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.index.add(given.Engine, blocks)
+	return Placement{
+		Engine:   p.engines[given.Engine],
+		Decision: given.Decision,
+		callID:   given.Call.ID,
+		blocks:   blocks,
+		start:    time.Now(),
+	}
+}
+
+// Done ends a placement.
+func (p *Placer) Done(placement Placement, outcome Outcome) {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.core.Finish(placement.callID, scheduler.Result{
+		Engine:    placement.Engine.ID,
+		Succeeded: outcome == Served || outcome == Cancelled,
+		Shed:      outcome == Shed,
+		Duration:  now.Sub(placement.start),
+	}, now)
+	switch outcome {
+	case Unreachable, Replaced:
+		p.suspect(placement.Engine.ID, now)
+	case Served:
+		delete(p.suspects, placement.Engine.ID)
+	}
+	p.advance(now)
+}
+
+// suspect keeps requests from an engine for a while, longer each time in a
+// row. The mutex is held.
+func (p *Placer) suspect(id string, now time.Time) {
+	known := p.suspects[id]
+	known.length = min(maxSuspicion, max(firstSuspicion, 2*known.length))
+	known.until = now.Add(known.length)
+	p.suspects[id] = known
+	p.refresh(now)
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -26,6 +26,7 @@
 	random        *rand.Rand
 	index         PrefixIndex
 	distance      func(a, b string) float64
+	connectCost   func(engine string) float64
 	classWorthOf  func(class string) float64
 	tenantWeight  func(tenant string) float64
 	recorder      explain.Recorder
@@ -150,6 +151,10 @@
 // SetDistances sets the one-way delay between zones, in milliseconds.
 func (c *Core) SetDistances(distance func(a, b string) float64) { c.distance = distance }
 
+// SetConnectCost sets what a call costs at an engine for want of a connection
+// at rest, in milliseconds of delay that it is worth; nil means nothing.
+func (c *Core) SetConnectCost(cost func(engine string) float64) { c.connectCost = cost }
+
 // SetClass sets the worth of one completed program of a class.
 func (c *Core) SetClass(worth func(class string) float64) { c.classWorthOf = worth }
 
@@ -198,10 +203,15 @@
 	e.setInFlight(e.inFlight-1, now)
 	ended.tenant.inFlight--
 	ended.tenant.charge(result.Duration - ended.charged)
-	if result.Succeeded {
+	switch {
+	case result.Shed:
+		e.decreaseLimit(now)
+	case result.Succeeded:
 		e.served(result.Duration)
+		c.recordOutcome(e, ended.assigned, true, now)
+	default:
+		c.recordOutcome(e, ended.assigned, false, now)
 	}
-	c.recordOutcome(e, ended.assigned, result.Succeeded, now)
 	if !e.listed && e.inFlight == 0 && e.waitingFor == 0 {
 		delete(c.enginesKnown, e.view.Name)
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -72,6 +72,7 @@
 type Result struct {
 	Engine       string
 	Succeeded    bool // false counts towards ejection; a call that its caller gave up is no failure of the engine
+	Shed         bool // the engine turned the call away for load; neither a success nor a failure
 	Duration     time.Duration
 	CachedTokens int64
 	PromptTokens int64
--- /dev/null
+++ b/internal/serving/events.go
@@ -0,0 +1,119 @@
+package serving
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/eventlog"
+	"github.com/pewtermill/pewtermill/internal/ingress"
+	"github.com/pewtermill/pewtermill/internal/routing"
+)
+
+// Changed implements discovery.Observer.
+func (p *Process) Changed(collection discovery.Collection, view *discovery.View) {
+	var services map[string]routing.Service
+	version := int64(0)
+	if view.Table != nil {
+		services = view.Table.Configuration.Services
+		version = view.Table.Configuration.Version
+	}
+	p.placer.SetEngines(view.Engines, services)
+	addresses := make(map[string]bool, len(view.Engines))
+	ready := 0
+	for _, engine := range view.Engines {
+		addresses[engine.Address] = true
+		if !engine.Draining {
+			ready++
+		}
+	}
+	p.pool.Forget(func(address string) bool { return addresses[address] })
+	p.logger.Info("view changed", "collection", collection.String(), "row_version", view.Versions[collection],
+		"configuration", version, "engines", len(view.Engines), "engines_ready", ready)
+}
+
+// Unreadable implements discovery.Observer.
+func (p *Process) Unreadable(collection discovery.Collection, key string, version uint64, fault error) {
+	p.logger.Warn("record unreadable", "collection", collection.String(), "key", key,
+		"row_version", version, "error", fault.Error())
+}
+
+// Lost implements discovery.Observer.
+func (p *Process) Lost(collection discovery.Collection, cause error) {
+	p.logger.Warn("store lost", "collection", collection.String(), "error", cause.Error())
+}
+
+// Regained implements discovery.Observer.
+func (p *Process) Regained(collection discovery.Collection, silence time.Duration) {
+	p.logger.Info("store regained", "collection", collection.String(), "silence", silence.String())
+}
+
+// Ended implements ingress.Observer: one line for each request.
+func (p *Process) Ended(report ingress.Report) {
+	level := eventlog.Routine
+	if report.Code != api.OK || report.Status >= http.StatusInternalServerError {
+		level = slog.LevelWarn
+	}
+	if !p.logger.Enabled(context.Background(), level) {
+		return
+	}
+	p.logger.LogAttrs(context.Background(), level, "request ended", reportAttributes(report)...)
+}
+
+// reportAttributes returns what a line says of a request.
+func reportAttributes(report ingress.Report) []slog.Attr {
+	attributes := []slog.Attr{
+		slog.String("request", report.Call.ID),
+		slog.String("program", report.Call.Program),
+		slog.String("route", report.Route),
+		slog.String("service", report.Service),
+		slog.Int("status", report.Status),
+		slog.Int("code", int(report.Code)),
+		slog.Int64("configuration", report.ConfigurationVersion),
+		slog.Uint64("engines_version", report.EnginesVersion),
+		slog.Float64("took_ms", millis(report.Took)),
+	}
+	if report.Detail != "" {
+		attributes = append(attributes, slog.String("reason", report.Detail))
+	}
+	if report.RetryAfter > 0 {
+		attributes = append(attributes, slog.Float64("retry_after_ms", millis(report.RetryAfter)))
+	}
+	if report.Waits.Ledger > 0 {
+		attributes = append(attributes, slog.Float64("ledger_ms", millis(report.Waits.Ledger)))
+	}
+	if report.Waits.Settlement > 0 {
+		attributes = append(attributes, slog.Float64("settle_ms", millis(report.Waits.Settlement)))
+	}
+	if report.Events > 0 {
+		attributes = append(attributes, slog.Int("events", report.Events))
+	}
+	if report.CallerLeft {
+		attributes = append(attributes, slog.Bool("caller_left", true))
+	}
+	return append(attributes, tryAttributes(report.Tries)...)
+}
+
+// tryAttributes returns the engines that had the request.
+func tryAttributes(tries []ingress.Try) []slog.Attr {
+	attributes := make([]any, 0, len(tries))
+	for _, try := range tries {
+		attributes = append(attributes, slog.Group(try.Engine,
+			slog.String("outcome", try.Outcome),
+			slog.Float64("at_ms", millis(try.At)),
+			slog.Float64("took_ms", millis(try.Took)),
+			slog.String("why", try.Reason)))
+	}
+	if len(attributes) == 0 {
+		return nil
+	}
+	return []slog.Attr{slog.Group("engines", attributes...)}
+}
+
+// millis returns a duration in milliseconds, to a tenth.
+func millis(duration time.Duration) float64 {
+	return float64(duration.Round(100*time.Microsecond)) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/internal/serving/serving.go
@@ -0,0 +1,201 @@
+// Package serving puts the parts together that serve callers on the
+// operators' platform: it follows configuration and engines, listens, says
+// whether it is ready, and stops without cutting a request off.
+package serving
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/explain"
+	"github.com/pewtermill/pewtermill/internal/ingress"
+	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/upstream"
+)
+
+// Settings are what one process needs to know of its place.
+type Settings struct {
+	Node           string
+	Zone           string
+	IP             string
+	IngressAddress string        // for callers
+	ReadyAddress   string        // for the question whether it is ready
+	Ports          []int         // first and last of the ports that are free for its use
+	GracePeriod    time.Duration // from the order to stop to the kill
+}
+
+// Dependencies are what one process gets from outside.
+type Dependencies struct {
+	Source    discovery.Source
+	Table     tablestore.Table
+	Protocol  ingress.Protocol
+	ReadyPath string
+	Run       string // names this run of the process; no other run has the same
+	Logger    *slog.Logger
+}
+
+// Times of connections to engines and callers.
+const (
+	engineDialTimeout = 250 * time.Millisecond
+	engineDeadAfter   = 1500 * time.Millisecond
+	headerTimeout     = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 64 << 10
+)
+
+// keptDecisions is how many decisions are kept in memory.
+const keptDecisions = 256
+
+// Process serves callers. Start it once, and stop it with Stop.
+type Process struct {
+	settings     Settings
+	dependencies Dependencies
+	logger       *slog.Logger
+	follower     *discovery.Follower
+	placer       *placement.Placer
+	pool         *upstream.Pool
+	ledger       *ledger.Ledger
+	handler      *ingress.Handler
+	ingress      *http.Server
+	ready        *http.Server
+	stopping     atomic.Bool
+	cancel       context.CancelFunc
+	loops        sync.WaitGroup
+}
+
+// New returns a process that has not started.
+func New(settings Settings, dependencies Dependencies) *Process {
+	p := &Process{settings: settings, dependencies: dependencies, logger: dependencies.Logger}
+	p.pool = upstream.NewPool(upstream.Options{DialTimeout: engineDialTimeout, DeadAfter: engineDeadAfter})
+	p.follower = discovery.New(discovery.Options{Source: dependencies.Source, Observer: p})
+	p.placer = placement.New(placement.Options{
+		Node:     settings.Node,
+		Zone:     settings.Zone,
+		Recorder: explain.NewLog(settings.Node, keptDecisions),
+		Idle:     p.pool.Idle,
+	})
+	p.ledger = ledger.New(ledger.Options{Table: dependencies.Table, Run: dependencies.Run})
+	p.handler = ingress.New(ingress.Options{
+		Protocol: dependencies.Protocol,
+		View:     p.follower.View,
+		Placer:   p.placer,
+		Pool:     p.pool,
+		Ledger:   p.ledger,
+		Observer: p,
+	})
+	return p
+}
+
+// Start listens and begins to follow configuration and engines.
+func (p *Process) Start(ctx context.Context) error {
+	ingressListener, err := net.Listen("tcp4", p.settings.IngressAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	readyListener, err := net.Listen("tcp4", p.settings.ReadyAddress)
+	if err != nil {
+		ingressListener.Close()
+		return errors.Wrap(err, "listen for the question whether it is ready")
+	}
+	ctx, p.cancel = context.WithCancel(ctx)
+	p.ingress = newServer(p.handler)
+	p.ready = newServer(p.readyHandler())
+	p.loops.Go(func() { p.follower.Run(ctx, discovery.Configurations) })
+	p.loops.Go(func() { p.follower.Run(ctx, discovery.Engines) })
+	p.loops.Go(func() { _ = p.ingress.Serve(ingressListener) })
+	p.loops.Go(func() { _ = p.ready.Serve(readyListener) })
+	p.logger.Info("started", "zone", p.settings.Zone, "run", p.dependencies.Run,
+		"callers", p.settings.IngressAddress)
+	return nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+}
+
+// readyHandler answers whether the process should get new connections.
+func (p *Process) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+p.dependencies.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
+		status := http.StatusServiceUnavailable
+		if p.Ready() {
+			status = http.StatusOK
+		}
+		writer.WriteHeader(status)
+	})
+	return mux
+}
+
+// Ready reports whether the process can serve new connections well: it knows
+// configuration and engines, still hears of changes, and is not stopping.
+func (p *Process) Ready() bool {
+	return !p.stopping.Load() && p.follower.Complete() && p.follower.Connected()
+}
+
+// Times of a planned stop.
+const (
+	// noticeTime is how long new connections still come after the process
+	// says that it is not ready: two questions, a second apart, and some delay.
+	noticeTime = 2500 * time.Millisecond
+	// stopMargin is left of the grace period for what comes after the last answer.
+	stopMargin = 700 * time.Millisecond
+	// flushTime is the most that giving budgets back may take.
+	flushTime = 500 * time.Millisecond
+)
+
+// Stop ends the process as planned: it says that it is not ready, serves on
+// until no more connections come, then waits for the requests under way.
+func (p *Process) Stop(ctx context.Context) {
+	start := time.Now()
+	p.stopping.Store(true)
+	p.handler.Drain()
+	p.logger.Info("stopping", "grace", p.settings.GracePeriod.String())
+	wait(ctx, noticeTime)
+	limit := max(time.Second, p.settings.GracePeriod-stopMargin-time.Since(start))
+	drainContext, cancel := context.WithTimeout(ctx, limit)
+	err := p.ingress.Shutdown(drainContext)
+	cancel()
+	flushContext, cancel := context.WithTimeout(ctx, flushTime)
+	p.ledger.Flush(flushContext)
+	cancel()
+	p.Close()
+	p.logger.Info("stopped", "took", time.Since(start).String(), "cut", err != nil)
+}
+
+// Close ends the process at once.
+func (p *Process) Close() {
+	if p.cancel == nil {
+		return
+	}
+	p.cancel()
+	p.ingress.Close()
+	p.ready.Close()
+	p.loops.Wait()
+	p.pool.Close()
+}
+
+// wait waits for a time, or until ctx ends.
+func wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,198 @@
+// Package upstream sends HTTP/1.1 requests to back ends, each exactly once.
+//
+// It takes the place of http.Transport where that repeats requests on its own,
+// gives a connection two goroutines, and takes a surplus answer for the one
+// that is due. A request goes out once, on a connection that its caller opened
+// before, so that its caller alone decides what is tried again, where, and
+// with how much time left. Reading and writing of messages is net/http's.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Defaults of a pool's options.
+const (
+	defaultIdleTime   = 30 * time.Second
+	keepAliveMargin   = 0.8 // of the time for which the peer keeps a connection
+	maxIdlePerAddress = 32
+	bufferBytes       = 4 << 10
+)
+
+// ErrNoConnection says that no connection could be made. Nothing was sent.
+var ErrNoConnection = errors.New("no connection")
+
+// Options are what a pool needs.
+type Options struct {
+	DialTimeout time.Duration
+	// DeadAfter is how long a peer that acknowledges nothing is waited for.
+	DeadAfter time.Duration
+}
+
+// Pool keeps connections to any number of addresses. Safe for concurrent use.
+type Pool struct {
+	options Options
+	dialer  net.Dialer
+
+	mutex  sync.Mutex
+	idle   map[string][]*Conn // newest last
+	closed bool
+}
+
+// NewPool returns a pool without connections.
+func NewPool(options Options) *Pool {
+	p := &Pool{options: options, idle: make(map[string][]*Conn)}
+	p.dialer.KeepAliveConfig = net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     options.DeadAfter / 2,
+		Interval: options.DeadAfter / 2,
+		Count:    2,
+	}
+	p.dialer.Control = func(_, _ string, raw syscall.RawConn) error {
+		var optionError error
+		err := raw.Control(func(descriptor uintptr) {
+			optionError = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
+				int(options.DeadAfter/time.Millisecond))
+		})
+		return errors.CombineErrors(err, optionError)
+	}
+	return p
+}
+
+// Conn is one connection. Not safe for concurrent use.
+type Conn struct {
+	net.Conn
+	Address string
+	Reused  bool // it has served a request before
+
+	reader    *bufio.Reader
+	idleSince time.Time
+	idleLimit time.Duration
+}
+
+// Idle returns how many connections to an address are at rest.
+func (p *Pool) Idle(address string) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.idle[address])
+}
+
+// Open returns a connection at rest, the newest that still lives, or makes
+// one. The error is marked ErrNoConnection.
+func (p *Pool) Open(ctx context.Context, address string) (*Conn, error) {
+	for conn := p.takeIdle(address); conn != nil; conn = p.takeIdle(address) {
+		if conn.usable(time.Now()) {
+			conn.Reused = true
+			return conn, nil
+		}
+		conn.Close()
+	}
+	return p.dial(ctx, address)
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	connection, err := p.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNoConnection)
+	}
+	return &Conn{
+		Conn:      connection,
+		Address:   address,
+		reader:    bufio.NewReaderSize(connection, bufferBytes),
+		idleLimit: defaultIdleTime,
+	}, nil
+}
+
+// takeIdle takes the newest connection at rest; nil if there is none.
+func (p *Pool) takeIdle(address string) *Conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	resting := p.idle[address]
+	if len(resting) == 0 {
+		return nil
+	}
+	conn := resting[len(resting)-1]
+	p.idle[address] = resting[:len(resting)-1]
+	return conn
+}
+
+// release puts a connection to rest.
+func (p *Pool) release(conn *Conn) {
+	now := time.Now()
+	conn.idleSince = now
+	p.mutex.Lock()
+	resting := p.idle[conn.Address]
+	var dropped *Conn
+	switch {
+	case p.closed || len(resting) >= maxIdlePerAddress:
+		dropped = conn
+	default:
+		if len(resting) > 0 && resting[0].expired(now) {
+			dropped, resting = resting[0], resting[1:]
+		}
+		p.idle[conn.Address] = append(resting, conn)
+	}
+	p.mutex.Unlock()
+	if dropped != nil {
+		dropped.Close()
+	}
+}
+
+// Forget closes the connections at rest to every address that is not kept.
+func (p *Pool) Forget(keep func(address string) bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address, resting := range p.idle {
+		if keep(address) {
+			continue
+		}
+		for _, conn := range resting {
+			conn.Close()
+		}
+		delete(p.idle, address)
+	}
+}
+
+// Close closes the connections at rest, and others as they are released.
+func (p *Pool) Close() {
+	p.Forget(func(string) bool { return false })
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closed = true
+}
+
+func (c *Conn) expired(now time.Time) bool { return now.Sub(c.idleSince) > c.idleLimit }
+
+// usable reports whether the peer has neither closed the connection nor sent
+// anything on it while it was at rest.
+func (c *Conn) usable(now time.Time) bool {
+	if c.expired(now) || c.reader.Buffered() > 0 {
+		return false
+	}
+	holder, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, peekError := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = peekError == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/upstream/send.go
@@ -0,0 +1,225 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of Send.
+var (
+	// ErrNotSent says that not one byte of the request left.
+	ErrNotSent = errors.New("request not sent")
+	// ErrNoAnswer says that the request was sent, at least in part, and no
+	// answer came: it may have run.
+	ErrNoAnswer = errors.New("no answer")
+)
+
+// maxSurplusAnswers is how many answers to other requests are passed over.
+const maxSurplusAnswers = 4
+
+// largeBody is the size from which a body is written beside the reading of the
+// answer, since the peer may answer before it has read the body.
+const largeBody = 32 << 10
+
+// past is a deadline that ends pending I/O at once.
+var past = time.Unix(1, 0)
+
+// Request is one request as it goes out.
+type Request struct {
+	Method string
+	Target string // path and query, as they stand in the request line
+	Host   string
+	Header http.Header // without framing; not changed
+	Body   []byte
+	// Accept tells an answer to this request from a surplus one; nil accepts
+	// every answer.
+	Accept func(header http.Header) bool
+}
+
+// Answer is the head of an answer, with its body still to be read. Close must
+// be called.
+type Answer struct {
+	*http.Response
+
+	pool     *Pool
+	conn     *Conn
+	stop     func() bool // ends the watch of the context
+	writing  chan error  // of a large body; nil if it has been written
+	complete bool
+}
+
+// Send sends a request on a connection, which belongs to the answer or, with
+// an error, is closed. When ctx ends, pending I/O fails. Errors are marked
+// ErrNotSent or ErrNoAnswer.
+func (p *Pool) Send(ctx context.Context, conn *Conn, request Request) (*Answer, error) {
+	answer := &Answer{pool: p, conn: conn}
+	answer.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(past) })
+	if err := answer.write(request); err != nil {
+		answer.abort()
+		return nil, err
+	}
+	response, err := answer.head(request)
+	if err != nil {
+		answer.abort()
+		return nil, errors.Mark(errors.Wrapf(err, "answer of %s", conn.Address), ErrNoAnswer)
+	}
+	answer.Response = response
+	answer.Body = &body{answer: answer, content: response.Body}
+	return answer, nil
+}
+
+// write sends head and body, the body of a large request in the background.
+func (a *Answer) write(request Request) error {
+	head := encodeHead(request)
+	if len(request.Body) < largeBody {
+		return a.writeAll(append(head, request.Body...))
+	}
+	if err := a.writeAll(head); err != nil {
+		return err
+	}
+	a.writing = make(chan error, 1)
+	go func() {
+		_, err := a.conn.Write(request.Body)
+		a.writing <- err
+	}()
+	return nil
+}
+
+// writeAll writes bytes and tells whether none of them left.
+func (a *Answer) writeAll(content []byte) error {
+	written, err := a.conn.Write(content)
+	switch {
+	case err == nil:
+		return nil
+	case written == 0:
+		return errors.Mark(errors.Wrapf(err, "write to %s", a.conn.Address), ErrNotSent)
+	}
+	return errors.Mark(errors.Wrapf(err, "write to %s", a.conn.Address), ErrNoAnswer)
+}
+
+// encodeHead returns the request line and headers.
+func encodeHead(request Request) []byte {
+	var head bytes.Buffer
+	head.Grow(512)
+	head.WriteString(request.Method)
+	head.WriteByte(' ')
+	head.WriteString(request.Target)
+	head.WriteString(" HTTP/1.1\r\nHost: ")
+	head.WriteString(request.Host)
+	head.WriteString("\r\n")
+	_ = request.Header.Write(&head) // a buffer takes everything
+	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
+		head.WriteString("Content-Length: ")
+		head.WriteString(strconv.Itoa(len(request.Body)))
+		head.WriteString("\r\n")
+	}
+	head.WriteString("\r\n")
+	return head.Bytes()
+}
+
+// head reads the head of the answer, passing over interim and surplus ones.
+func (a *Answer) head(request Request) (*http.Response, error) {
+	asked := &http.Request{Method: request.Method}
+	for range maxSurplusAnswers {
+		response, err := http.ReadResponse(a.conn.reader, asked)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if request.Accept == nil || request.Accept(response.Header) {
+			return response, nil
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, errors.Wrap(err, "surplus answer")
+		}
+		if response.Close {
+			return nil, errors.New("surplus answer ended the connection")
+		}
+	}
+	return nil, errors.New("too many surplus answers")
+}
+
+// body notes whether the answer's body was read to its end.
+type body struct {
+	answer  *Answer
+	content io.ReadCloser
+}
+
+// Read implements io.Reader. io.EOF means that the body is complete.
+func (b *body) Read(buffer []byte) (int, error) {
+	count, err := b.content.Read(buffer)
+	if err == io.EOF {
+		b.answer.complete = true
+	}
+	return count, err
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.answer.Close()
+	return nil
+}
+
+// Close puts the connection to rest if the answer was read to its end and the
+// peer keeps it; else it closes the connection, on which most engines drop
+// the request.
+func (a *Answer) Close() {
+	if a.conn == nil {
+		return
+	}
+	if !a.reusable() {
+		a.abort()
+		return
+	}
+	conn := a.conn
+	a.conn = nil
+	conn.idleLimit = idleLimit(a.Header, conn.idleLimit)
+	a.pool.release(conn)
+}
+
+// reusable reports whether the connection can serve another request.
+func (a *Answer) reusable() bool {
+	if !a.complete || a.Response.Close || a.conn.reader.Buffered() > 0 || !a.stop() {
+		return false
+	}
+	if a.writing == nil {
+		return true
+	}
+	select {
+	case err := <-a.writing:
+		return err == nil
+	default:
+		return false // the peer answered early; the rest of the body is due
+	}
+}
+
+// abort closes the connection.
+func (a *Answer) abort() {
+	if a.conn == nil {
+		return
+	}
+	a.stop()
+	a.conn.Close()
+	a.conn = nil
+}
+
+// idleLimit returns how long a connection may rest, by the peer's Keep-Alive.
+func idleLimit(header http.Header, current time.Duration) time.Duration {
+	for _, parameter := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		seconds, err := strconv.ParseFloat(value, 64)
+		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+			return time.Duration(seconds * keepAliveMargin * float64(time.Second))
+		}
+	}
+	return current
+}
