--- /dev/null
+++ b/internal/standin/operators/engine.go
@@ -0,0 +1,130 @@
+package operators
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Request is one request as an engine saw it.
+type Request struct {
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   string
+}
+
+// Engine is the stand-in for one engine. It streams Events events where the
+// request names a number of tokens, and else answers with one body.
+type Engine struct {
+	ID     string
+	Server *httptest.Server
+	Events int // of a stream
+
+	mutex    sync.Mutex
+	requests []Request
+	handle   func(http.ResponseWriter, *http.Request) bool // true: it has answered
+}
+
+// NewEngine returns a running engine. Close its Server in the end.
+func NewEngine(id string, events int) *Engine {
+	e := &Engine{ID: id, Events: events}
+	e.Server = httptest.NewServer(http.HandlerFunc(e.serve))
+	return e
+}
+
+// Address returns the engine's IP:port.
+func (e *Engine) Address() string { return strings.TrimPrefix(e.Server.URL, "http://") }
+
+// Record returns the engine's own entry in the store.
+func (e *Engine) Record(service, state string) map[string]any {
+	return map[string]any{
+		"service": service, "address": e.Address(), "zone": "zone-a", "version": "v1",
+		"slots": 12, "state": state, "cold_left_ms": 0, "sequence": 1,
+	}
+}
+
+// Handle lets a function answer requests in the engine's place, where it
+// returns true; nil ends that.
+func (e *Engine) Handle(handle func(http.ResponseWriter, *http.Request) bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.handle = handle
+}
+
+// Requests returns the requests that the engine ran, oldest first.
+func (e *Engine) Requests() []Request {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return append([]Request(nil), e.requests...)
+}
+
+func (e *Engine) serve(writer http.ResponseWriter, request *http.Request) {
+	body, _ := io.ReadAll(request.Body)
+	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != e.ID {
+		writer.Header().Set("X-Instance-Id", e.ID)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.mutex.Lock()
+	handle := e.handle
+	e.mutex.Unlock()
+	if handle != nil && handle(writer, request) {
+		return
+	}
+	e.mutex.Lock()
+	e.requests = append(e.requests, Request{
+		Method: request.Method, Target: request.RequestURI, Host: request.Host,
+		Header: request.Header.Clone(), Body: string(body),
+	})
+	e.mutex.Unlock()
+	e.Answer(writer, request, e.Events)
+}
+
+// Answer answers as an engine should, but breaks a stream off behind some
+// events if they are fewer than the engine's.
+func (e *Engine) Answer(writer http.ResponseWriter, request *http.Request, events int) {
+	header := writer.Header()
+	header.Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+	header.Set("X-Response-Seal", "seal-of-"+e.ID)
+	if request.Header.Get("X-Token-Usage") == "" {
+		_, _ = io.WriteString(writer, "answer of "+e.ID)
+		return
+	}
+	header.Set("Content-Type", "text/event-stream")
+	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	for number := first + 1; number <= events; number++ {
+		fmt.Fprintf(writer, "id: %d\ndata: event %d\n\n", number, number)
+		_ = http.NewResponseController(writer).Flush()
+	}
+	if events < e.Events {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Shed turns a request away for load.
+func Shed(writer http.ResponseWriter, _ *http.Request) bool {
+	writer.Header().Set("X-Not-Executed", "1")
+	writer.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// HangUp ends the connection without an answer.
+func HangUp(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) }
+
+// Pause returns a handler that waits before the engine answers as it should.
+func Pause(pause time.Duration) func(http.ResponseWriter, *http.Request) bool {
+	return func(_ http.ResponseWriter, request *http.Request) bool {
+		select {
+		case <-time.After(pause):
+		case <-request.Context().Done():
+		}
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/operators/store.go
@@ -0,0 +1,300 @@
+// Package operators holds small stand-ins for the operators' platform as it
+// speaks to the system: its store of rows and its engines. Faults are switched
+// on by tests. Everything is safe for concurrent use.
+package operators
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Row is a row of the store.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"tls_key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"ver"`
+	Gone    bool   `json:"gone,omitempty"`
+}
+
+// Fault is what the store does with a call instead of answering it as it should.
+type Fault int
+
+// Faults of a call.
+const (
+	Healthy     Fault = iota
+	Refuse            // 503, nothing done
+	Throttle          // 429, nothing done
+	LoseReply         // done, and the connection ends without an answer
+	LoseRequest       // not done, and the connection ends without an answer
+	Hang              // not done, and no answer before the caller leaves
+)
+
+// Store is the stand-in for the platform's store.
+type Store struct {
+	Server *httptest.Server
+
+	mutex   sync.Mutex
+	rows    map[string]Row // by table, part and key
+	history []Row          // what changed, oldest first
+	floor   uint64         // changes up to this version are forgotten
+	version uint64
+	changed chan struct{} // closed at the next change
+	fault   func(path, part string) Fault
+	calls   map[string]int // by path
+}
+
+// NewStore returns a running store. Close its Server in the end.
+func NewStore() *Store {
+	s := &Store{
+		rows:    make(map[string]Row),
+		changed: make(chan struct{}),
+		calls:   make(map[string]int),
+		version: 100,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /-/rows-tx", s.transact)
+	mux.HandleFunc("GET /-/rows-get", s.get)
+	mux.HandleFunc("GET /-/rows-feed", s.feed)
+	s.Server = httptest.NewServer(mux)
+	return s
+}
+
+// Address returns the store's IP:port.
+func (s *Store) Address() string { return strings.TrimPrefix(s.Server.URL, "http://") }
+
+// SetFault decides what becomes of each call from now on; nil ends all faults.
+func (s *Store) SetFault(fault func(path, part string) Fault) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.fault = fault
+}
+
+// Calls returns how often a path was called.
+func (s *Store) Calls(path string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls[path]
+}
+
+// Forget drops the history of changes, as a compaction does.
+func (s *Store) Forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history = nil
+	s.floor = s.version
+}
+
+// Put writes a row of another writer, such as the operator or an engine.
+func (s *Store) Put(table, part, key string, value any) {
+	content, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // a test's own value
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	s.set(Row{Table: table, Part: part, Key: key, Value: content, Version: s.version})
+}
+
+// Remove drops a row of another writer.
+func (s *Store) Remove(table, part, key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	s.set(Row{Table: table, Part: part, Key: key, Version: s.version, Gone: true})
+}
+
+// Rows returns the rows of a table, in no order.
+func (s *Store) Rows(table string) []Row {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var found []Row
+	for _, row := range s.rows {
+		if row.Table == table {
+			found = append(found, row)
+		}
+	}
+	return found
+}
+
+// set takes a change and wakes the feeds. The mutex is held.
+func (s *Store) set(row Row) {
+	name := row.name()
+	if row.Gone {
+		delete(s.rows, name)
+	} else {
+		s.rows[name] = row
+	}
+	s.history = append(s.history, row)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (r Row) name() string { return r.Table + "\x00" + r.Part + "\x00" + r.Key }
+
+// begin counts a call and says what is to become of it.
+func (s *Store) begin(path, part string) Fault {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls[path]++
+	if s.fault == nil {
+		return Healthy
+	}
+	return s.fault(path, part)
+}
+
+// spoil carries out a fault other than LoseReply; it reports whether the call is over.
+func spoil(fault Fault, writer http.ResponseWriter, request *http.Request) bool {
+	switch fault {
+	case Refuse:
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	case Throttle:
+		writer.WriteHeader(http.StatusTooManyRequests)
+	case LoseRequest:
+		panic(http.ErrAbortHandler)
+	case Hang:
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Store) transact(writer http.ResponseWriter, request *http.Request) {
+	var change struct {
+		Conditions []Row `json:"if_revision"`
+		Puts       []Row `json:"put"`
+		Removals   []Row `json:"remove"`
+	}
+	if err := json.NewDecoder(request.Body).Decode(&change); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	part := ""
+	if len(change.Puts) > 0 {
+		part = change.Puts[0].Part
+	}
+	fault := s.begin("/-/rows-tx", part)
+	if spoil(fault, writer, request) {
+		return
+	}
+	status, answer := s.apply(change.Conditions, change.Puts, change.Removals)
+	if fault == LoseReply {
+		panic(http.ErrAbortHandler)
+	}
+	reply(writer, status, answer)
+}
+
+// apply applies all of a change or nothing.
+func (s *Store) apply(conditions, puts, removals []Row) (int, map[string]any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	current := []Row{}
+	holds := true
+	for _, condition := range conditions {
+		row, found := s.rows[condition.name()]
+		if found {
+			current = append(current, row)
+		}
+		holds = holds && row.Version == condition.Version
+	}
+	if !holds {
+		return http.StatusPreconditionFailed, map[string]any{"rows": current, "ver": s.version, "now_ms": nowMillis()}
+	}
+	s.version++
+	for _, row := range puts {
+		row.Version = s.version
+		s.set(row)
+	}
+	for _, row := range removals {
+		row.Version, row.Gone = s.version, true
+		s.set(row)
+	}
+	return http.StatusOK, map[string]any{"ver": s.version, "now_ms": nowMillis()}
+}
+
+func (s *Store) get(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	if spoil(s.begin("/-/rows-get", query.Get("part")), writer, request) {
+		return
+	}
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit > 500 {
+		limit = 500
+	}
+	s.mutex.Lock()
+	found := []Row{}
+	for _, row := range s.rows {
+		inRange := row.Key >= query.Get("from") && (!query.Has("target_version") || row.Key < query.Get("target_version"))
+		if row.Table == query.Get("table") && row.Part == query.Get("part") && inRange {
+			found = append(found, row)
+		}
+	}
+	version := s.version
+	s.mutex.Unlock()
+	slices.SortFunc(found, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+	more := len(found) > limit
+	if more {
+		found = found[:limit]
+	}
+	reply(writer, http.StatusOK, map[string]any{"rows": found, "more": more, "ver": version, "now_ms": nowMillis()})
+}
+
+func (s *Store) feed(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	if spoil(s.begin("/-/rows-feed", ""), writer, request) {
+		return
+	}
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		rows, version, gone, changed := s.since(query.Get("table"), after)
+		if gone {
+			writer.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(rows) > 0 {
+			reply(writer, http.StatusOK, map[string]any{"rows": rows, "ver": version, "now_ms": nowMillis()})
+			return
+		}
+		select {
+		case <-changed:
+		case <-request.Context().Done():
+			return
+		case <-timer.C:
+			reply(writer, http.StatusOK, map[string]any{"rows": []Row{}, "ver": version, "now_ms": nowMillis()})
+			return
+		}
+	}
+}
+
+// since returns the changes of a table after a version.
+func (s *Store) since(table string, after uint64) (rows []Row, version uint64, gone bool, changed chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, row := range s.history {
+		if row.Table == table && row.Version > after {
+			rows = append(rows, row)
+		}
+	}
+	return rows, s.version, after < s.floor, s.changed
+}
+
+func reply(writer http.ResponseWriter, status int, answer any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(answer)
+}
+
+func nowMillis() int64 { return time.Now().UnixMilli() }
