discovery: one call waits 2 s for changes, so that a lost one is noticed in time

Its call for changes had begun in the 0.2 s between two outages of the store; the second made the connection silent for good, and the call waited 10.5 s for an answer. change: a call waits 2 s, and 0.4 s more for its answer.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -81,8 +81,11 @@
 
 // Times of a Follower.
 const (
-	watchWait    = 10 * time.Second       // of one call that waits for changes
-	watchGrace   = 500 * time.Millisecond // beyond it before the call counts as lost
+	// watchWait is how long one call waits for changes. A connection that the
+	// source lost says nothing, as one without changes does; so this and what
+	// follows bound for how long a change can go unseen once the source is back.
+	watchWait    = 2 * time.Second
+	watchGrace   = 400 * time.Millisecond // beyond it before the call counts as lost
 	listTimeout  = time.Second
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
