--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -55,7 +55,7 @@
 			continue // it did not run there
 		}
 		made.runs++
-		if outcome == placement.Cancelled || !r.route.Repeatable() {
+		if ctx.Err() != nil || !r.route.Repeatable() {
 			return nil, r.mayHaveRun(ctx, err)
 		}
 	}
@@ -139,6 +139,8 @@
 
 // beginTry notes a send.
 func (r *request) beginTry(placed placement.Placement) *try {
+	r.reportMutex.Lock()
+	defer r.reportMutex.Unlock()
 	r.report.Tries = append(r.report.Tries, Try{
 		Engine: placed.Engine.ID,
 		Reason: placed.Decision.Reason,
@@ -153,6 +155,8 @@
 		t.answer.Close()
 	}
 	t.request.handler.options.Placer.Done(t.placed, outcome)
+	t.request.reportMutex.Lock()
+	defer t.request.reportMutex.Unlock()
 	noted := &t.request.report.Tries[t.index]
 	noted.Took = time.Since(t.request.arrived) - noted.At
 	noted.Outcome = outcome.String()
@@ -178,7 +182,7 @@
 	case errors.Is(err, upstream.ErrNotSent):
 		return placement.Unreachable, err
 	case err != nil && ctx.Err() != nil:
-		return placement.Cancelled, ctx.Err()
+		return cancelledOutcome(ctx), context.Cause(ctx)
 	case err != nil:
 		return placement.Failed, err
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -88,12 +89,13 @@
 	options  Options
 	splitter *routing.Splitter
 	lines    *lastEngines
+	hedges   *hedges
 	draining atomic.Bool
 }
 
 // New returns a handler.
 func New(options Options) *Handler {
-	return &Handler{options: options, splitter: routing.NewSplitter(), lines: newLastEngines()}
+	return &Handler{options: options, splitter: routing.NewSplitter(), lines: newLastEngines(), hedges: newHedges()}
 }
 
 // Drain asks callers to end their connections after their next answer.
@@ -119,6 +121,8 @@
 	until   time.Time // when the caller or the route gives up
 	started bool      // the answer's head has been written
 	report  Report
+
+	reportMutex sync.Mutex // guards report.Tries while two sends are under way
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/ingress/whole.go
+++ b/internal/ingress/whole.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/placement"
 )
@@ -14,31 +16,65 @@
 // byte is passed on, so that a broken one can be had from another engine.
 const maxWholeAnswer = 256 << 10
 
+// errOvertaken is why a send is cancelled when another one has answered.
+var errOvertaken = errors.New("another engine answered first")
+
+// whole is an answer that has been read, to its end or to maxWholeAnswer.
+type whole struct {
+	current *try
+	content []byte
+	problem *api.Error
+}
+
 // serveWhole serves a request whose answer is one body.
 func (r *request) serveWhole(ctx context.Context) *api.Error {
-	var made attempts
+	var got whole
+	if r.mayHedge() {
+		got = r.fetchHedged(ctx)
+	} else {
+		got = r.fetch(ctx, &attempts{})
+	}
+	if got.problem == nil {
+		r.passWhole(got.current, got.content)
+	}
+	return got.problem
+}
+
+// fetch sends the request until an answer has been read.
+func (r *request) fetch(ctx context.Context, made *attempts) whole {
 	for {
-		current, problem := r.send(ctx, &made, "")
+		current, problem := r.send(ctx, made, "")
 		if problem != nil {
-			return problem
+			return whole{problem: problem}
 		}
 		content, err := io.ReadAll(io.LimitReader(current.answer.Body, maxWholeAnswer))
 		if err == nil {
-			r.passWhole(current, content)
-			return nil
+			if len(content) < maxWholeAnswer {
+				current.answer.Close() // while its context lasts, so that the connection is kept
+			}
+			return whole{current: current, content: content}
 		}
 		made.runs++
 		if ctx.Err() != nil {
-			current.finish(placement.Cancelled, errorText(ctx.Err()))
-			return r.mayHaveRun(ctx, err)
+			current.finish(cancelledOutcome(ctx), errorText(context.Cause(ctx)))
+			return whole{problem: r.mayHaveRun(ctx, err)}
 		}
 		current.finish(placement.Failed, errorText(err))
 		if !r.route.Repeatable() {
-			return r.mayHaveRun(ctx, err)
+			return whole{problem: r.mayHaveRun(ctx, err)}
 		}
 	}
 }
 
+// cancelledOutcome is the outcome of a send whose context has ended. An engine
+// that another one overtook is held to have failed.
+func cancelledOutcome(ctx context.Context) placement.Outcome {
+	if errors.Is(context.Cause(ctx), errOvertaken) {
+		return placement.Failed
+	}
+	return placement.Cancelled
+}
+
 // passWhole passes an answer on: what was read, and the rest if there is more.
 func (r *request) passWhole(current *try, content []byte) {
 	r.firstByte()
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -586,3 +586,41 @@
 		t.Fatalf("got %+v, want 504", got)
 	}
 }
+
+// TestSilentEngineIsOvertaken lets one engine lose its answers without a word.
+// A safe request is answered by another engine long before its deadline.
+func TestSilentEngineIsOvertaken(t *testing.T) {
+	d := serve(t)
+	for number := range 40 { // second sends are a share of all
+		d.ask(http.MethodGet, "/safe/", "", "X-Request-Id", fmt.Sprintf("before-%d", number))
+	}
+	d.engines["p1"].Handle(operators.Pause(20 * time.Second))
+	for number := range 4 {
+		start := time.Now()
+		got := d.ask(http.MethodGet, "/safe/", "", "X-Request-Id", fmt.Sprintf("r%d", number), "X-Deadline-Ms", "5000")
+		if got.status != http.StatusOK || got.body != "answer of p2" {
+			t.Fatalf("got %+v", got)
+		}
+		if took := time.Since(start); took > 3*time.Second {
+			t.Fatalf("the answer took %s", took)
+		}
+	}
+}
+
+// TestConnectionsAreKept counts the connections that a number of requests, one
+// after the other, take.
+func TestConnectionsAreKept(t *testing.T) {
+	d := serve(t)
+	for number := range 20 {
+		d.ask(http.MethodGet, "/safe/", "", "X-Request-Id", fmt.Sprintf("s%d", number))
+		d.ask(http.MethodPost, "/unsafe/", "x", "X-Request-Id", fmt.Sprintf("u%d", number))
+		d.turn("/resumed/", fmt.Sprintf("p%d", number), fmt.Sprintf("t%d", number), "", "x")
+	}
+	made := int64(0)
+	for _, engine := range d.engines {
+		made += engine.Connections()
+	}
+	if made > 2 {
+		t.Fatalf("%d connections for 60 requests to two services, one at a time; want 2", made)
+	}
+}
--- a/internal/standin/operators/engine.go
+++ b/internal/standin/operators/engine.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +29,8 @@
 	Server *httptest.Server
 	Events int // of a stream
 
+	connections atomic.Int64
+
 	mutex    sync.Mutex
 	requests []Request
 	handle   func(http.ResponseWriter, *http.Request) bool // true: it has answered
@@ -35,7 +39,13 @@
 // NewEngine returns a running engine. Close its Server in the end.
 func NewEngine(id string, events int) *Engine {
 	e := &Engine{ID: id, Events: events}
-	e.Server = httptest.NewServer(http.HandlerFunc(e.serve))
+	e.Server = httptest.NewUnstartedServer(http.HandlerFunc(e.serve))
+	e.Server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			e.connections.Add(1)
+		}
+	}
+	e.Server.Start()
 	return e
 }
 
@@ -58,6 +68,9 @@
 	e.handle = handle
 }
 
+// Connections returns how many connections were made to the engine.
+func (e *Engine) Connections() int64 { return e.connections.Load() }
+
 // Requests returns the requests that the engine ran, oldest first.
 func (e *Engine) Requests() []Request {
 	e.mutex.Lock()
