--- a/internal/ingress/refuse.go
+++ b/internal/ingress/refuse.go
@@ -49,6 +49,9 @@
 		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
 		r.report.RetryAfter = problem.RetryAfter
 	}
+	if problem.Code == api.StoreDown {
+		header.Set("Connection", "close") // another node may reach the store
+	}
 	content, err := json.Marshal(problem.Problem())
 	if err != nil {
 		content = []byte("{}")
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -4,27 +4,43 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
-// Settings of the circuit breaker before the table.
+// Settings of the circuit breakers before the table.
 const (
 	failuresToOpen = 2
 	probePeriod    = 200 * time.Millisecond
-	comeBackLeast  = 900 * time.Millisecond
-	comeBackSpread = 500 * time.Millisecond
+	// A table that fails for everyone is worth waiting for; one that fails for
+	// this node alone is not, since another node will do.
+	comeBackLater = 1100 * time.Millisecond
+	comeBackSoon  = 250 * time.Millisecond
+	// soonPeriod is for how long after the table was lost another node may
+	// still reach it, as far as this one can tell.
+	soonPeriod = time.Second
+	// memoryPeriod is how long a failed call counts against the way to the
+	// table; whoever watches the table learns within it whether it is lost.
+	memoryPeriod = 2500 * time.Millisecond
 )
 
-// health is a circuit breaker for each part of the table: after some failures
-// in a row, calls are refused at once but for one probe in a while. Safe for
-// concurrent use.
+// health holds a circuit breaker for each part of the table, and one for the
+// way to it: after some failures in a row calls are refused at once, but for
+// one probe in a while. Safe for concurrent use.
 type health struct {
 	mutex sync.Mutex
-	parts [Parts]partHealth
+	parts [Parts]breaker
+	way   breaker
 }
 
-type partHealth struct {
+// breaker counts failures in a row.
+type breaker struct {
 	failures int
+	since    time.Time // of the first of them
 	probedAt time.Time
+	failedAt time.Time // of the last of them
 }
 
 func newHealth() *health { return &health{} }
@@ -33,30 +49,59 @@
 func (h *health) allow(part int, now time.Time) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	p := &h.parts[part]
-	if p.failures < failuresToOpen {
+	return h.way.allow(now, 1) && h.parts[part].allow(now, failuresToOpen)
+}
+
+func (b *breaker) allow(now time.Time, limit int) bool {
+	if b.failures < limit {
 		return true
 	}
-	if now.Sub(p.probedAt) < probePeriod {
+	if now.Sub(b.probedAt) < probePeriod {
 		return false
 	}
-	p.probedAt = now
+	b.probedAt = now
 	return true
 }
 
 // report notes how a call to a part ended.
-func (h *health) report(part int, succeeded bool) {
+func (h *health) report(part int, err error, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	unreachable := errors.Is(err, tablestore.ErrUnreachable)
+	h.way.report(!unreachable, now)
+	if !unreachable {
+		h.parts[part].report(err == nil, now)
+	}
+}
+
+func (b *breaker) report(succeeded bool, now time.Time) {
 	if succeeded {
-		h.parts[part].failures = 0
+		*b = breaker{}
 		return
 	}
-	h.parts[part].failures++
+	if b.failures == 0 {
+		b.since, b.probedAt = now, now
+	}
+	b.failures++
+	b.failedAt = now
+}
+
+// reachable reports whether the last call found a way to the table, or none
+// has failed for memoryPeriod: a node that gets no work makes no calls.
+func (h *health) reachable(now time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.way.failures == 0 || now.Sub(h.way.failedAt) > memoryPeriod
 }
 
 // comeBack returns when a refused caller may come back, jittered so that
 // those refused together do not return together.
-func (h *health) comeBack() time.Duration {
-	return comeBackLeast + rand.N(comeBackSpread)
+func (h *health) comeBack(now time.Time) time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	delay := comeBackLater
+	if h.way.failures > 0 && now.Sub(h.way.since) < soonPeriod {
+		delay = comeBackSoon
+	}
+	return time.Duration(float64(delay) * (0.85 + 0.3*rand.Float64()))
 }
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -102,11 +102,11 @@
 		callContext, cancel := context.WithTimeout(ctx, callTimeout)
 		rows, err := l.options.Table.Range(callContext, start, end, rangeLimit)
 		cancel()
-		l.health.report(part, err == nil)
+		l.health.report(part, err, l.options.Now())
 		if err == nil {
 			return rows, nil
 		}
-		if !sleep(ctx, retryPause) {
+		if errors.Is(err, tablestore.ErrUnreachable) || !sleep(ctx, retryPause) {
 			return nil, err
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -123,6 +123,9 @@
 	return run, nil
 }
 
+// Reachable reports whether calls find a way to the table, as far as is known.
+func (l *Ledger) Reachable() bool { return l.health.reachable(l.options.Now()) }
+
 // refusal translates an error into the answer of a turn that has not run.
 func (l *Ledger) refusal(e *entry, err error) *api.Error {
 	switch {
@@ -131,7 +134,7 @@
 	case errors.Is(err, tablestore.ErrNotFound):
 		return api.Errorf(api.CallNotFound, "the turn that program %s goes on from does not exist", e.program)
 	}
-	return api.Errorf(api.StoreDown, "program %s: %v", e.program, err).After(l.health.comeBack())
+	return api.Errorf(api.StoreDown, "program %s: %v", e.program, err).After(l.health.comeBack(l.options.Now()))
 }
 
 // entryOf returns a program's entry, and now and then forgets idle ones.
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -126,7 +126,7 @@
 			continue
 		}
 		err := l.putTurn(ctx, part, e.program, turn)
-		l.health.report(part, err == nil)
+		l.health.report(part, err, l.options.Now())
 		if err == nil {
 			return nil
 		}
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -111,17 +111,17 @@
 	var conflict *tablestore.ConflictError
 	switch {
 	case err == nil:
-		l.health.report(part, true)
+		l.health.report(part, nil, l.options.Now())
 		return true, e.applied(l.options.Run, write, receipt, transaction, ask)
 	case errors.As(err, &conflict):
-		l.health.report(part, true)
+		l.health.report(part, nil, l.options.Now())
 		return e.overtaken(l.options.Run, write, conflict.Current, ask)
 	}
-	l.health.report(part, false)
+	l.health.report(part, err, l.options.Now())
 	if errors.Is(err, tablestore.ErrUnknownOutcome) {
 		e.doubt()
 	}
-	if sleep(ctx, retryPause) {
+	if !errors.Is(err, tablestore.ErrUnreachable) && sleep(ctx, retryPause) {
 		return false, nil
 	}
 	return false, err
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -145,7 +145,7 @@
 // Ready reports whether the process can serve new connections well: it knows
 // configuration and engines, still hears of changes, and is not stopping.
 func (p *Process) Ready() bool {
-	return !p.stopping.Load() && p.follower.Complete() && p.follower.Connected()
+	return !p.stopping.Load() && p.follower.Complete() && p.follower.Connected() && p.ledger.Reachable()
 }
 
 // Times of a planned stop.
--- a/internal/tablestore/tablestore.go
+++ b/internal/tablestore/tablestore.go
@@ -52,6 +52,9 @@
 var (
 	// ErrUnavailable: the service certainly did not apply the transaction.
 	ErrUnavailable = errors.New("table service unavailable")
+	// ErrUnreachable: no connection to the service could be made or kept, from
+	// here. It comes together with ErrUnavailable or ErrUnknownOutcome.
+	ErrUnreachable = errors.New("table service unreachable")
 	// ErrThrottled: refused by the service's rate limit, not applied.
 	ErrThrottled = errors.New("table service over its rate limit")
 	// ErrUnknownOutcome: the reply was lost; the write may have happened.
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Errors of Send.
@@ -21,6 +22,10 @@
 	ErrNoAnswer = errors.New("no answer")
 )
 
+// IsDead reports whether an error of Send means that the peer acknowledged
+// nothing for so long that the connection was given up.
+func IsDead(err error) bool { return errors.Is(err, unix.ETIMEDOUT) }
+
 // maxSurplusAnswers is how many answers to other requests are passed over.
 const maxSurplusAnswers = 4
 
