serving: counters and latency histograms on a port of the deploy file

cause: the operators ask for a process's own figures; there were none. change: requests by route, kind and status, failures by code, sends by outcome, store calls by outcome, first byte, duration, waits for the ledger and for settlement, configuration's version and age, engines, readiness, dropped log lines.

--- a/cmd/pewtermill/serve.go
+++ b/cmd/pewtermill/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/signal"
 	"strconv"
@@ -19,8 +20,9 @@
 
 // serveCommand serves callers on the operators' platform.
 type serveCommand struct {
-	Settings string `help:"Settings file of the platform." env:"PEWTERMILL_CONFIG" type:"existingfile" placeholder:"FILE" required:""`
-	LogLevel string `help:"Least level that is logged: routine, info, warn or error." enum:"routine,info,warn,error" default:"routine"`
+	Settings    string `help:"Settings file of the platform." env:"PEWTERMILL_CONFIG" type:"existingfile" placeholder:"FILE" required:""`
+	MetricsPort int    `help:"Port for the process's own figures, at /metrics; 0 for none." default:"0"`
+	LogLevel    string `help:"Least level that is logged: routine, info, warn or error." enum:"routine,info,warn,error" default:"routine"`
 }
 
 // Run implements the verb.
@@ -32,7 +34,12 @@
 	writer := eventlog.NewWriter(streams.Out)
 	defer writer.Flush()
 	logger := eventlog.NewLogger(writer, s.level(), slog.String("node", settings.Serving.Node))
-	store := platform.NewStore(settings.StoreAddress, nil)
+	metrics := serving.NewMetrics()
+	metrics.Gauge("pewtermill_serve_log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(writer.Dropped()) })
+	store := platform.NewStore(settings.StoreAddress, metrics.StoreCall)
+	if s.MetricsPort != 0 {
+		settings.Serving.MetricsAddress = net.JoinHostPort(settings.Serving.IP, strconv.Itoa(s.MetricsPort))
+	}
 	process := serving.New(settings.Serving, serving.Dependencies{
 		Source:    store,
 		Table:     store,
@@ -40,6 +47,7 @@
 		ReadyPath: platform.ReadyPath(),
 		Run:       strconv.FormatUint(rand.Uint64(), 36),
 		Logger:    logger,
+		Metrics:   metrics,
 	})
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -159,10 +159,8 @@
 	defer t.request.reportMutex.Unlock()
 	noted := &t.request.report.Tries[t.index]
 	noted.Took = time.Since(t.request.arrived) - noted.At
-	noted.Outcome = outcome.String()
-	if detail != "" {
-		noted.Outcome += ": " + detail
-	}
+	noted.Outcome = outcome
+	noted.Detail = detail
 }
 
 // exchange sends the request and reads the head of the answer. Served means
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/placement"
 )
 
 // Report is the story of one request, for logs and metrics.
@@ -37,7 +39,8 @@
 // Try is one send to an engine.
 type Try struct {
 	Engine  string
-	Outcome string
+	Outcome placement.Outcome
+	Detail  string        // of an outcome other than served
 	Reason  string        // why this engine
 	At      time.Duration // since the request's arrival
 	Took    time.Duration
@@ -47,7 +50,7 @@
 func (r *request) end() {
 	r.report.Call = r.call
 	r.report.Service = r.service
-	r.report.EnginesVersion = r.view.Versions[1]
+	r.report.EnginesVersion = r.view.Versions[discovery.Engines]
 	r.report.Took = time.Since(r.arrived)
 	r.report.CallerLeft = r.http.Context().Err() != nil
 	if r.route != nil {
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -22,17 +22,25 @@
 		version = view.Table.Configuration.Version
 	}
 	p.placer.SetEngines(view.Engines, services)
+	p.changedAt[collection].Store(time.Now().UnixNano())
 	addresses := make(map[string]bool, len(view.Engines))
-	ready := 0
 	for _, engine := range view.Engines {
 		addresses[engine.Address] = true
+	}
+	p.pool.Forget(func(address string) bool { return addresses[address] })
+	p.logger.Info("view changed", "collection", collection.String(), "row_version", view.Versions[collection],
+		"configuration", version, "engines", len(view.Engines), "engines_ready", readyEngines(view))
+}
+
+// readyEngines returns how many engines take new work.
+func readyEngines(view *discovery.View) int {
+	ready := 0
+	for _, engine := range view.Engines {
 		if !engine.Draining {
 			ready++
 		}
 	}
-	p.pool.Forget(func(address string) bool { return addresses[address] })
-	p.logger.Info("view changed", "collection", collection.String(), "row_version", view.Versions[collection],
-		"configuration", version, "engines", len(view.Engines), "engines_ready", ready)
+	return ready
 }
 
 // Unreadable implements discovery.Observer.
@@ -43,6 +51,7 @@
 
 // Lost implements discovery.Observer.
 func (p *Process) Lost(collection discovery.Collection, cause error) {
+	p.metrics.lost.WithLabelValues(collection.String()).Inc()
 	p.logger.Warn("store lost", "collection", collection.String(), "error", cause.Error())
 }
 
@@ -53,6 +62,7 @@
 
 // Ended implements ingress.Observer: one line for each request.
 func (p *Process) Ended(report ingress.Report) {
+	p.metrics.ended(report)
 	level := eventlog.Routine
 	if report.Code != api.OK || report.Status >= http.StatusInternalServerError {
 		level = slog.LevelWarn
@@ -101,11 +111,16 @@
 func tryAttributes(tries []ingress.Try) []slog.Attr {
 	attributes := make([]any, 0, len(tries))
 	for _, try := range tries {
-		attributes = append(attributes, slog.Group(try.Engine,
-			slog.String("outcome", try.Outcome),
+		attempt := []any{
+			slog.String("outcome", try.Outcome.String()),
 			slog.Float64("at_ms", millis(try.At)),
 			slog.Float64("took_ms", millis(try.Took)),
-			slog.String("why", try.Reason)))
+			slog.String("why", try.Reason),
+		}
+		if try.Detail != "" {
+			attempt = append(attempt, slog.String("detail", try.Detail))
+		}
+		attributes = append(attributes, slog.Group(try.Engine, attempt...))
 	}
 	if len(attributes) == 0 {
 		return nil
--- /dev/null
+++ b/internal/serving/metrics.go
@@ -0,0 +1,154 @@
+package serving
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/ingress"
+)
+
+// maxRouteLabels bounds how many routes have figures of their own. Further
+// ones are counted together as otherRoutes.
+const (
+	maxRouteLabels = 100
+	otherRoutes    = "other"
+)
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1, 2, 4, 8}
+
+// Metrics are the counters and histograms of one process. Safe for concurrent
+// use. docs/OPERATIONS.md lists them; a test compares the two.
+type Metrics struct {
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	tries     *prometheus.CounterVec
+	firstByte *prometheus.HistogramVec
+	duration  *prometheus.HistogramVec
+	ledger    prometheus.Histogram
+	settle    prometheus.Histogram
+	store     *prometheus.HistogramVec
+	lost      *prometheus.CounterVec
+
+	mutex  sync.Mutex
+	routes map[string]bool
+}
+
+// NewMetrics returns metrics that have counted nothing.
+func NewMetrics() *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry(), routes: make(map[string]bool)}
+	m.requests = counters("pewtermill_serve_requests_total", "Requests that ended.", "route", "kind", "status")
+	m.refusals = counters("pewtermill_serve_failures_total", "Requests that the process itself refused or broke off, by result code.", "code")
+	m.tries = counters("pewtermill_serve_tries_total", "Sends to engines, by outcome.", "outcome")
+	m.firstByte = histograms("pewtermill_serve_first_byte_seconds", "From arrival to the first byte of the answer.", "kind")
+	m.duration = histograms("pewtermill_serve_request_seconds", "From arrival to the end of the answer.", "kind")
+	m.store = histograms("pewtermill_serve_store_call_seconds", "Calls to the platform's store.", "call", "result")
+	m.lost = counters("pewtermill_serve_store_lost_total", "Times that the store stopped answering a watch.", "collection")
+	m.ledger = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "pewtermill_serve_ledger_wait_seconds", Help: "Until a turn got leave to run.", Buckets: latencyBuckets})
+	m.settle = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "pewtermill_serve_settlement_seconds", Help: "Until a turn was recorded.", Buckets: latencyBuckets})
+	m.registry.MustRegister(m.requests, m.refusals, m.tries, m.firstByte, m.duration, m.store, m.lost, m.ledger, m.settle)
+	return m
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+}
+
+func histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, labels)
+}
+
+// Gauge publishes a number that is read at each scrape.
+func (m *Metrics) Gauge(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
+// Handler serves the figures as text.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// StoreCall counts one call to the store.
+func (m *Metrics) StoreCall(call string, took time.Duration, err error) {
+	result := "answered"
+	if err != nil {
+		result = "failed"
+	}
+	m.store.WithLabelValues(call, result).Observe(took.Seconds())
+}
+
+// ended counts one request.
+func (m *Metrics) ended(report ingress.Report) {
+	m.requests.WithLabelValues(m.routeLabel(report.Route), report.Kind, strconv.Itoa(report.Status)).Inc()
+	m.duration.WithLabelValues(report.Kind).Observe(report.Took.Seconds())
+	if report.Code != api.OK {
+		m.refusals.WithLabelValues(report.Code.String()).Inc()
+	}
+	for _, try := range report.Tries {
+		m.tries.WithLabelValues(try.Outcome.String()).Inc()
+	}
+	observeIf(m.firstByte.WithLabelValues(report.Kind), report.Waits.FirstByte)
+	observeIf(m.ledger, report.Waits.Ledger)
+	observeIf(m.settle, report.Waits.Settlement)
+}
+
+func observeIf(histogram prometheus.Observer, took time.Duration) {
+	if took > 0 {
+		histogram.Observe(took.Seconds())
+	}
+}
+
+// routeLabel returns the label of a route.
+func (m *Metrics) routeLabel(route string) string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.routes[route] {
+		return route
+	}
+	if len(m.routes) >= maxRouteLabels {
+		return otherRoutes
+	}
+	m.routes[route] = true
+	return route
+}
+
+// registerGauges publishes what the process knows and is.
+func (p *Process) registerGauges() {
+	p.metrics.Gauge("pewtermill_serve_ready", "1 while the process wants new connections.", func() float64 {
+		if p.Ready() {
+			return 1
+		}
+		return 0
+	})
+	p.metrics.Gauge("pewtermill_serve_configuration_version", "Version of the configuration in force; 0 before the first.", func() float64 {
+		if table := p.follower.View().Table; table != nil {
+			return float64(table.Configuration.Version)
+		}
+		return 0
+	})
+	p.metrics.Gauge("pewtermill_serve_configuration_age_seconds", "Since the configuration in force was taken.", func() float64 {
+		return time.Since(time.Unix(0, p.changedAt[discovery.Configurations].Load())).Seconds()
+	})
+	p.metrics.Gauge("pewtermill_serve_engines", "Engines that are known.", func() float64 {
+		return float64(len(p.follower.View().Engines))
+	})
+	p.metrics.Gauge("pewtermill_serve_engines_ready", "Engines that take new work.", func() float64 {
+		return float64(readyEngines(p.follower.View()))
+	})
+	p.metrics.Gauge("pewtermill_serve_store_reachable", "1 while calls find a way to the store.", func() float64 {
+		if p.ledger.Reachable() && p.follower.Connected() {
+			return 1
+		}
+		return 0
+	})
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -30,6 +30,7 @@
 	IP             string
 	IngressAddress string        // for callers
 	ReadyAddress   string        // for the question whether it is ready
+	MetricsAddress string        // for its own figures; empty for none
 	Ports          []int         // first and last of the ports that are free for its use
 	GracePeriod    time.Duration // from the order to stop to the kill
 }
@@ -42,6 +43,7 @@
 	ReadyPath string
 	Run       string // names this run of the process; no other run has the same
 	Logger    *slog.Logger
+	Metrics   *Metrics // nil for new ones
 }
 
 // Times of connections to engines and callers.
@@ -61,6 +63,8 @@
 	settings     Settings
 	dependencies Dependencies
 	logger       *slog.Logger
+	metrics      *Metrics
+	changedAt    [2]atomic.Int64 // by discovery.Collection; in ns since 1970
 	follower     *discovery.Follower
 	placer       *placement.Placer
 	pool         *upstream.Pool
@@ -68,6 +72,7 @@
 	handler      *ingress.Handler
 	ingress      *http.Server
 	ready        *http.Server
+	figures      *http.Server // nil if none are served
 	stopping     atomic.Bool
 	cancel       context.CancelFunc
 	loops        sync.WaitGroup
@@ -76,6 +81,10 @@
 // New returns a process that has not started.
 func New(settings Settings, dependencies Dependencies) *Process {
 	p := &Process{settings: settings, dependencies: dependencies, logger: dependencies.Logger}
+	p.metrics = dependencies.Metrics
+	if p.metrics == nil {
+		p.metrics = NewMetrics()
+	}
 	p.pool = upstream.NewPool(upstream.Options{DialTimeout: engineDialTimeout, DeadAfter: engineDeadAfter})
 	p.follower = discovery.New(discovery.Options{Source: dependencies.Source, Observer: p})
 	p.placer = placement.New(placement.Options{
@@ -93,6 +102,7 @@
 		Ledger:   p.ledger,
 		Observer: p,
 	})
+	p.registerGauges()
 	return p
 }
 
@@ -114,11 +124,29 @@
 	p.loops.Go(func() { p.follower.Run(ctx, discovery.Engines) })
 	p.loops.Go(func() { _ = p.ingress.Serve(ingressListener) })
 	p.loops.Go(func() { _ = p.ready.Serve(readyListener) })
+	p.startMetrics()
 	p.logger.Info("started", "zone", p.settings.Zone, "run", p.dependencies.Run,
 		"callers", p.settings.IngressAddress)
 	return nil
 }
 
+// startMetrics serves the figures. A port that another process has costs the
+// figures, not the service.
+func (p *Process) startMetrics() {
+	if p.settings.MetricsAddress == "" {
+		return
+	}
+	listener, err := net.Listen("tcp4", p.settings.MetricsAddress)
+	if err != nil {
+		p.logger.Warn("metrics not served", "address", p.settings.MetricsAddress, "error", err.Error())
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", p.metrics.Handler())
+	p.figures = newServer(mux)
+	p.loops.Go(func() { _ = p.figures.Serve(listener) })
+}
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
@@ -186,6 +214,9 @@
 	p.cancel()
 	p.ingress.Close()
 	p.ready.Close()
+	if p.figures != nil {
+		p.figures.Close()
+	}
 	p.loops.Wait()
 	p.pool.Close()
 }
