Explain a failure afterwards: logs explain, messages and metrics on the operators' page

cause: a failed request could be found in the log, but the reader had to know the source to see why; 402, 404 and refusals for the store did not say what decided. change: pewtermill logs explain ID [FILES] tells a request or program from the logs of many nodes, with what they had come to believe, and the cause last. 402 names budget, spending, allowances and the row's version; 404 that every part was asked; a refusal for the store how old the failure is, and which. docs/OPERATIONS.md (operating.md before: one page for operators) leads from an id to its cause for three kinds; tests compare its messages and metrics with the program's, and flood the log with a reader that is stuck.

--- a/cmd/pewtermill/main.go
+++ b/cmd/pewtermill/main.go
@@ -16,6 +16,7 @@
 type commandLine struct {
 	Node    nodeCommand       `cmd:"" help:"Run one node until SIGTERM or SIGINT; a second signal ends it at once."`
 	Serve   serveCommand      `cmd:"" help:"Serve callers on the operators' platform until SIGTERM or SIGINT."`
+	Logs    logsCommand       `cmd:"" help:"Explain requests from the logs of nodes."`
 	Dev     devCommand        `cmd:"" help:"Run a whole deployment in this process on loopback: nodes, platform, engines and tools."`
 	Bundle  bundlecmd.Command `cmd:"" help:"Check, compare, sign and submit bundles of configuration."`
 	Program programCommand    `cmd:"" help:"Show programs."`
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -78,7 +78,8 @@
 	}
 	committed := next.Spent + next.Outstanding() + change.UnderWay
 	if change.Most > 0 && committed+change.Most > next.Budget+next.Least {
-		return a, ErrBudgetSpent
+		return a, errors.Wrapf(ErrBudgetSpent, "budget %d, spent %d, allowances of %d other runs %d, under way here %d, the turn %d",
+			next.Budget, next.Spent, len(next.Allowances), next.Outstanding(), change.UnderWay, change.Most)
 	}
 	tokens := change.UnderWay + change.Most
 	if change.Ahead {
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -33,6 +33,8 @@
 	mutex sync.Mutex
 	parts [Parts]breaker
 	way   breaker
+	last  error // of the last call that failed
+	at    time.Time
 }
 
 // breaker counts failures in a row.
@@ -67,6 +69,9 @@
 func (h *health) report(part int, err error, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	if err != nil {
+		h.last, h.at = err, now
+	}
 	unreachable := errors.Is(err, tablestore.ErrUnreachable)
 	h.way.report(!unreachable, now)
 	if !unreachable {
@@ -86,6 +91,14 @@
 	b.failedAt = now
 }
 
+// closed is the error of a call that is not made because earlier ones failed.
+func (h *health) closed(now time.Time) error {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return errors.Mark(errors.Newf("not asked, since a call failed %d ms ago: %v",
+		now.Sub(h.at).Milliseconds(), h.last), tablestore.ErrUnavailable)
+}
+
 // reachable reports whether the last call found a way to the table, or none
 // has failed for memoryPeriod: a node that gets no work makes no calls.
 func (h *health) reachable(now time.Time) bool {
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -97,7 +97,7 @@
 func (l *Ledger) readRange(ctx context.Context, part int, start, end string) ([]tablestore.Row, error) {
 	for {
 		if !l.health.allow(part, l.options.Now()) {
-			return nil, errPartClosed
+			return nil, l.health.closed(l.options.Now())
 		}
 		callContext, cancel := context.WithTimeout(ctx, callTimeout)
 		rows, err := l.options.Table.Range(callContext, start, end, rangeLimit)
@@ -162,5 +162,5 @@
 	if err != nil {
 		return 0, "", err
 	}
-	return 0, "", errors.Wrapf(tablestore.ErrNotFound, "turn %s", id)
+	return 0, "", errors.Wrapf(tablestore.ErrNotFound, "turn %s in none of %d parts", id, Parts)
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -130,9 +130,9 @@
 func (l *Ledger) refusal(e *entry, err error) *api.Error {
 	switch {
 	case errors.Is(err, ErrBudgetSpent):
-		return api.Errorf(api.BudgetExhausted, "the budget of program %s does not hold one more turn", e.program)
+		return api.Errorf(api.BudgetExhausted, "the budget of program %s does not hold one more turn: %v", e.program, err)
 	case errors.Is(err, tablestore.ErrNotFound):
-		return api.Errorf(api.CallNotFound, "the turn that program %s goes on from does not exist", e.program)
+		return api.Errorf(api.CallNotFound, "what program %s goes on from does not exist: %v", e.program, err)
 	}
 	return api.Errorf(api.StoreDown, "program %s: %v", e.program, err).After(l.health.comeBack(l.options.Now()))
 }
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -17,9 +17,6 @@
 	retryPause  = 40 * time.Millisecond  // before a refused or lost call is sent again
 )
 
-// errPartClosed says that the part has failed just now and was not asked.
-var errPartClosed = errors.Mark(errors.New("the table failed just now"), tablestore.ErrUnavailable)
-
 // write changes the account until the change has taken effect: it charges
 // what is unsettled, records the turns that wait, and covers the asking turn,
 // if any. The right to write must be held. With an error the asking turn is
@@ -32,7 +29,7 @@
 			return err
 		}
 		if !l.health.allow(part, l.options.Now()) {
-			return errPartClosed
+			return l.health.closed(l.options.Now())
 		}
 		done, err := l.commit(ctx, e, part, transaction, write, ask)
 		if done || err != nil {
@@ -60,7 +57,7 @@
 		Ahead:    !ask.KeepNothing,
 	})
 	if err != nil {
-		return tablestore.Transaction{}, 0, err
+		return tablestore.Transaction{}, 0, errors.Wrapf(err, "row version %d", e.revision)
 	}
 	value, err := json.Marshal(next)
 	if err != nil {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -16,7 +16,7 @@
 }
 
 // registerMetrics publishes what the node counts. The names are listed in
-// docs/operating.md.
+// docs/OPERATIONS.md.
 func (n *Node) registerMetrics() {
 	for _, gauge := range n.gauges() {
 		options := prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -113,7 +113,7 @@
 // TestMetricsAreDocumented looks for each of the node's own metrics in the
 // operators' page.
 func TestMetricsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operating.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,7 +128,7 @@
 		}
 		own++
 		if !strings.Contains(string(page), "| `"+family.GetName()+"` |") {
-			t.Errorf("docs/operating.md does not list %s", family.GetName())
+			t.Errorf("docs/OPERATIONS.md does not list %s", family.GetName())
 		}
 	}
 	if own == 0 {
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -26,6 +26,7 @@
 	store   *operators.Store
 	engines map[string]*operators.Engine
 	process *serving.Process
+	metrics *serving.Metrics
 	address string
 	ready   string
 	log     *syncBuffer
@@ -98,12 +99,14 @@
 	d.address, d.ready = freeAddress(t), freeAddress(t)
 	writer := eventlog.NewWriter(d.log)
 	t.Cleanup(writer.Flush)
-	store := platform.NewStore(d.store.Address(), nil)
+	d.metrics = serving.NewMetrics()
+	d.metrics.Gauge("pewtermill_serve_log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(writer.Dropped()) })
+	store := platform.NewStore(d.store.Address(), d.metrics.StoreCall)
 	d.process = serving.New(serving.Settings{
 		Node: "node-1", Zone: "zone-a", IngressAddress: d.address, ReadyAddress: d.ready, GracePeriod: 8 * time.Second,
 	}, serving.Dependencies{
 		Source: store, Table: store, Protocol: platform.Protocol{}, ReadyPath: platform.ReadyPath(),
-		Run: "run-1", Logger: eventlog.NewLogger(writer, slog.LevelDebug),
+		Run: "run-1", Logger: eventlog.NewLogger(writer, slog.LevelDebug), Metrics: d.metrics,
 	})
 	if err := d.process.Start(context.Background()); err != nil {
 		t.Fatal(err)
