--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -68,7 +68,7 @@
 	}
 	ask := ledger.Ask{Program: r.call.Program, Budget: r.call.Budget, Most: r.call.MostTokens}
 	if r.route.Retain {
-		ask.Previous = r.call.PreviousTurn
+		ask.Previous, ask.Input = r.call.PreviousTurn, len(s.input)
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxBeginWait)
 	defer cancel()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -86,6 +86,7 @@
 	Budget   int64  // of the program, in tokens; 0 for none
 	Most     int64  // tokens that the turn may hand out at most
 	Previous string // turn that it goes on from; empty for none
+	Input    int    // bytes of input that are to be kept; 0 if the turn is not
 
 	// KeepNothing gives the allowance back, but for the turns under way.
 	KeepNothing bool
@@ -101,11 +102,15 @@
 }
 
 // Begin lets a turn run, with its history and its part of the budget. Errors:
-// CallNotFound if the previous turn does not exist, BudgetExhausted if the
+// RequestTooLarge if the input is too large to be kept, CallNotFound if the
+// previous turn does not exist, BudgetExhausted if the
 // budget does not hold the turn, StoreDown if neither can be known in time;
 // with each of them the turn has not run.
 func (l *Ledger) Begin(ctx context.Context, ask Ask) (*Run, *api.Error) {
 	e := l.entryOf(ask.Program)
+	if ask.Input > maxInputBytes {
+		return nil, api.Errorf(api.RequestTooLarge, "a kept turn may bring %d bytes, not %d", maxInputBytes, ask.Input)
+	}
 	run := &Run{ledger: l, entry: e, ask: ask}
 	if ask.Previous != "" {
 		history, err := l.history(ctx, e, ask.Previous)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -255,3 +255,12 @@
 		t.Fatalf("%d writes for 20 refused turns", calls)
 	}
 }
+
+// TestInputTooLargeToKeep shows a refusal before anything runs.
+func TestInputTooLargeToKeep(t *testing.T) {
+	_, problem := newLedger(newStore(t), "a").Begin(within(t, 5*time.Second),
+		ledger.Ask{Program: "p", Budget: 1000, Most: most, Input: 1 << 20})
+	if problem == nil || problem.Code != api.RequestTooLarge {
+		t.Fatalf("got %v, want request_too_large", problem)
+	}
+}
--- a/internal/ledger/turn.go
+++ b/internal/ledger/turn.go
@@ -10,9 +10,9 @@
 // pieceBytes is the most that one row of a turn holds.
 const pieceBytes = 48 << 10
 
-// maxTurnBytes is the most that one turn may hold, so that it fits one
-// transaction.
-const maxTurnBytes = 900 << 10
+// maxInputBytes is the most that the input of a kept turn may have, so that the
+// turn fits one transaction of 1 MB in the table's encoding.
+const maxInputBytes = 500 << 10
 
 // errTurnCorrupt says that the rows of a turn do not make up a record.
 var errTurnCorrupt = errors.New("rows of a turn do not make up a record")
@@ -43,15 +43,6 @@
 	return pieces
 }
 
-// pieceCount returns how many pieces a turn has, by its first one.
-func pieceCount(first []byte) (int, error) {
-	count, used := binary.Uvarint(first)
-	if used <= 0 || count == 0 || count > maxTurnBytes/pieceBytes+2 {
-		return 0, errTurnCorrupt
-	}
-	return int(count), nil
-}
-
 // decodeTurn puts the pieces of a turn together.
 func decodeTurn(id string, pieces [][]byte) (*Turn, error) {
 	content := bytes.Join(pieces, nil)
