ledger: a lost answer to a write is looked for in its row; 32 parts

Where the answer was lost the row comes at once and tells whether the write took effect; where the table is slow the answer comes first. 32 parts. TestLostAnswerCostsLittle failed before.

--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -12,7 +12,7 @@
 
 // Settings of the circuit breakers before the table.
 const (
-	failuresToOpen = 2
+	failuresToOpen = 4
 	probePeriod    = 200 * time.Millisecond
 	// A table that fails for everyone is worth waiting for; one that fails for
 	// this node alone is not, since another node will do.
@@ -35,6 +35,7 @@
 	way   breaker
 	last  error // of the last call that failed
 	at    time.Time
+	usual time.Duration // smoothed time of calls that were answered
 }
 
 // breaker counts failures in a row.
@@ -45,7 +46,33 @@
 	failedAt time.Time // of the last of them
 }
 
-func newHealth() *health { return &health{} }
+func newHealth() *health { return &health{usual: firstUsual} }
+
+// callTimeout is how long one call is waited for.
+const callTimeout = 800 * time.Millisecond
+
+// How long an answer is usual to take, and how many times that a write is
+// waited for before its row is read to see whether the answer was lost.
+const (
+	firstUsual  = 20 * time.Millisecond
+	smoothing   = 0.2 // weight of the newest answer
+	patience    = 8
+	minPatience = 60 * time.Millisecond
+)
+
+// patience returns after what time a write's answer may be lost.
+func (h *health) patience() time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return max(minPatience, patience*h.usual)
+}
+
+// answered notes how long an answer took.
+func (h *health) answered(took time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.usual += time.Duration(smoothing * float64(took-h.usual))
+}
 
 // allow reports whether a call to a part may be tried now.
 func (h *health) allow(part int, now time.Time) bool {
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -14,6 +14,7 @@
 const (
 	rangeLimit  = 500   // rows of one read
 	maxLineLong = 1_000 // turns of one line
+	findAtOnce  = 8     // parts that are asked at once for a turn
 )
 
 // history returns what the turns up to and including one said, oldest first.
@@ -106,7 +107,7 @@
 		if err == nil {
 			return rows, nil
 		}
-		if errors.Is(err, tablestore.ErrUnreachable) || !sleep(ctx, retryPause) {
+		if !mayRetry(ctx, err) {
 			return nil, err
 		}
 	}
@@ -143,6 +144,7 @@
 func (l *Ledger) find(ctx context.Context, id string) (part int, program string, err error) {
 	found := make([]string, Parts)
 	group, groupContext := errgroup.WithContext(ctx)
+	group.SetLimit(findAtOnce)
 	for part := range Parts {
 		group.Go(func() error {
 			key := indexKey(part, id)
--- a/internal/ledger/keys.go
+++ b/internal/ledger/keys.go
@@ -8,8 +8,10 @@
 )
 
 // Parts is how many independent parts of the table the programs are spread
-// over. A part takes a few hundred writes a second, and may be down alone.
-const Parts = 8
+// over. A part takes its writes one after another, a few hundred a second, and
+// a few when the table is slow; and it may be down alone. More parts than this
+// make it dear to look for a turn of an unknown program.
+const Parts = 32
 
 // MaxIDBytes is the longest id of a program or turn.
 const MaxIDBytes = 64
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -46,6 +46,7 @@
 	account   Account
 	revision  uint64 // of account; 0 if the row is absent
 	known     bool   // account and revision are those of some moment of this run
+	resolved  bool   // an earlier write was just found to have taken effect
 	uncertain bool   // a write's outcome is unknown, so held may be too high
 	held      int64  // allowance of this run
 	underWay  int64  // most tokens of the turns that are running
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -264,3 +264,37 @@
 		t.Fatalf("got %v, want request_too_large", problem)
 	}
 }
+
+// TestLostAnswerCostsLittle loses every second answer to a write. Turns are
+// kept all the same, and soon.
+func TestLostAnswerCostsLittle(t *testing.T) {
+	store := newStore(t)
+	var mutex sync.Mutex
+	writes := 0
+	store.SetFault(func(path, _ string) operators.Fault {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if path != "/-/rows-tx" {
+			return operators.Healthy
+		}
+		writes++
+		if writes%2 == 1 {
+			return operators.HangAfter
+		}
+		return operators.Healthy
+	})
+	l := newLedger(store, "a")
+	start := time.Now()
+	previous := ""
+	for turn := range 6 {
+		id := fmt.Sprintf("t%d", turn)
+		say(t, l, "p", id, previous)
+		previous = id
+	}
+	if took := time.Since(start); took > 3*time.Second {
+		t.Errorf("six turns took %s", took)
+	}
+	if rows := len(store.Rows("turn-programs")); rows != 6 {
+		t.Errorf("%d turns are recorded, want 6", rows)
+	}
+}
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -13,8 +13,7 @@
 
 // Times of calls to the table.
 const (
-	callTimeout = 800 * time.Millisecond // of one call
-	retryPause  = 40 * time.Millisecond  // before a refused or lost call is sent again
+	retryPause = 40 * time.Millisecond // before a refused or lost call is sent again
 )
 
 // write changes the account until the change has taken effect: it charges
@@ -24,6 +23,9 @@
 func (l *Ledger) write(ctx context.Context, e *entry, ask Ask) error {
 	part := partOf(e.program)
 	for {
+		if e.satisfied(ask) {
+			return nil
+		}
 		transaction, write, err := e.prepare(l.options.Run, part, ask)
 		if err != nil {
 			return err
@@ -102,28 +104,94 @@
 // commit sends one write. It reports whether the change took effect; with
 // neither that nor an error the caller prepares it anew.
 func (l *Ledger) commit(ctx context.Context, e *entry, part int, transaction tablestore.Transaction, write uint64, ask Ask) (bool, error) {
-	callContext, cancel := context.WithTimeout(ctx, callTimeout)
-	receipt, err := l.options.Table.Commit(callContext, transaction)
-	cancel()
+	receipt, seen, err := l.commitOrRead(ctx, transaction)
 	var conflict *tablestore.ConflictError
 	switch {
-	case err == nil:
+	case err == nil && seen == nil:
 		l.health.report(part, nil, l.options.Now())
 		return true, e.applied(l.options.Run, write, receipt, transaction, ask)
 	case errors.As(err, &conflict):
+		seen = &conflict.Current
+	}
+	if seen != nil {
 		l.health.report(part, nil, l.options.Now())
-		return e.overtaken(l.options.Run, write, conflict.Current, ask)
+		e.doubt()
+		return e.overtaken(l.options.Run, write, *seen, ask)
 	}
 	l.health.report(part, err, l.options.Now())
 	if errors.Is(err, tablestore.ErrUnknownOutcome) {
 		e.doubt()
 	}
-	if !errors.Is(err, tablestore.ErrUnreachable) && sleep(ctx, retryPause) {
+	if mayRetry(ctx, err) {
 		return false, nil
 	}
 	return false, err
 }
 
+// commitOrRead sends a write. If no answer has come in the usual time, the
+// account's row is read beside it: where the answer was lost, the row comes
+// soon and is returned; where the table is slow, the answer comes first. So a
+// slow table gets no write twice, and a lost answer costs little.
+func (l *Ledger) commitOrRead(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, *tablestore.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	read := make(chan *tablestore.Row, 1)
+	timer := time.AfterFunc(l.health.patience(), func() {
+		row, err := l.options.Table.Get(ctx, transaction.Conditions[0].Key)
+		if err != nil {
+			read <- nil
+			return
+		}
+		read <- &row
+		cancel()
+	})
+	start := time.Now()
+	receipt, err := l.options.Table.Commit(ctx, transaction)
+	var conflict *tablestore.ConflictError
+	if err == nil || errors.As(err, &conflict) {
+		l.health.answered(time.Since(start))
+	}
+	if timer.Stop() {
+		return receipt, nil, err
+	}
+	if err == nil || conflict != nil {
+		cancel()
+	}
+	row := <-read
+	if err == nil || conflict != nil {
+		return receipt, nil, err
+	}
+	return receipt, row, err
+}
+
+// mayRetry reports whether a call that failed is to be made again now. One that
+// was given up has been waited for; one that was refused is paused for.
+func mayRetry(ctx context.Context, err error) bool {
+	switch {
+	case errors.Is(err, tablestore.ErrUnreachable):
+		return false
+	case errors.Is(err, tablestore.ErrUnknownOutcome):
+		return ctx.Err() == nil
+	}
+	return sleep(ctx, retryPause)
+}
+
+// satisfied reports whether an earlier write, whose answer was lost, turns out
+// to have done what the next one would, and takes the asking turn's tokens if so.
+func (e *entry) satisfied(ask Ask) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.resolved || ask.KeepNothing {
+		return false
+	}
+	e.resolved = false
+	if len(e.waiting()) > 0 || e.held-e.underWay-e.unsettled < ask.Most {
+		return false
+	}
+	e.underWay += ask.Most
+	return true
+}
+
 // applied takes over a write that took effect.
 func (e *entry) applied(run string, write uint64, receipt tablestore.Receipt, transaction tablestore.Transaction, ask Ask) error {
 	e.mutex.Lock()
@@ -143,9 +211,11 @@
 func (e *entry) overtaken(run string, write uint64, current tablestore.Row, ask Ask) (bool, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	before := len(e.attempts)
 	if err := e.observe(run, current); err != nil {
 		return false, err
 	}
+	e.resolved = len(e.attempts) < before
 	if e.account.Allowances[run].Write != write {
 		return false, nil
 	}
--- a/internal/standin/operators/store.go
+++ b/internal/standin/operators/store.go
@@ -34,6 +34,7 @@
 	Throttle          // 429, nothing done
 	LoseReply         // done, and the connection ends without an answer
 	LoseRequest       // not done, and the connection ends without an answer
+	HangAfter         // done, and no answer before the caller leaves
 	Hang              // not done, and no answer before the caller leaves
 )
 
@@ -188,7 +189,11 @@
 		return
 	}
 	status, answer := s.apply(change.Conditions, change.Puts, change.Removals)
-	if fault == LoseReply {
+	switch fault {
+	case HangAfter:
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	case LoseReply:
 		panic(http.ErrAbortHandler)
 	}
 	reply(writer, status, answer)
