--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -90,13 +90,12 @@
 	splitter *routing.Splitter
 	lines    *lastEngines
 	hedges   *hedges
-	firsts   *firstTurns
 	draining atomic.Bool
 }
 
 // New returns a handler.
 func New(options Options) *Handler {
-	return &Handler{options: options, splitter: routing.NewSplitter(), lines: newLastEngines(), hedges: newHedges(), firsts: newFirstTurns()}
+	return &Handler{options: options, splitter: routing.NewSplitter(), lines: newLastEngines(), hedges: newHedges()}
 }
 
 // Drain asks callers to end their connections after their next answer.
--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -67,7 +67,6 @@
 		return nil
 	}
 	ask := ledger.Ask{Program: r.call.Program, Budget: r.call.Budget, Most: r.call.MostTokens}
-	ask.First = r.call.PreviousTurn == "" && r.handler.firsts.looksFirst(r.route.Name, len(r.call.PromptParts))
 	if r.route.Retain {
 		ask.Previous, ask.Input = r.call.PreviousTurn, len(s.input)
 	}
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -25,10 +25,6 @@
 // the program, so they shrink as the budget does.
 const aheadShare = 4
 
-// openShare is the part of a budget, one over this number, that a node may hand
-// out of a program that began while the table failed, before the account exists.
-const openShare = 2
-
 // Account is the durable state of one program's budget, in tokens.
 //
 // Invariant: Spent + the sum of all allowances <= Budget + Least. The rules
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -43,12 +43,10 @@
 
 	mutex     sync.Mutex
 	usedAt    time.Time
-	budget    int64 // as the newest turn said
 	account   Account
 	revision  uint64 // of account; 0 if the row is absent
 	known     bool   // account and revision are those of some moment of this run
 	resolved  bool   // an earlier write was just found to have taken effect
-	opened    bool   // this run saw the program's first turn while the table failed
 	uncertain bool   // a write's outcome is unknown, so held may be too high
 	held      int64  // allowance of this run
 	underWay  int64  // most tokens of the turns that are running
@@ -91,9 +89,6 @@
 	Previous string // turn that it goes on from; empty for none
 	Input    int    // bytes of input that are to be kept; 0 if the turn is not
 
-	// First says that the turn is, by its looks, the first of its program.
-	First bool
-
 	// KeepNothing gives the allowance back, but for the turns under way.
 	KeepNothing bool
 }
@@ -128,7 +123,6 @@
 	if ask.Budget <= 0 {
 		return run, nil
 	}
-	e.hear(ask.Budget)
 	if err := l.reserve(ctx, e, ask); err != nil {
 		return nil, l.refusal(e, err)
 	}
@@ -138,13 +132,6 @@
 // Reachable reports whether calls find a way to the table, as far as is known.
 func (l *Ledger) Reachable() bool { return l.health.reachable(l.options.Now()) }
 
-// hear notes the budget that a turn names.
-func (e *entry) hear(budget int64) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.budget = budget
-}
-
 // refusal translates an error into the answer of a turn that has not run.
 func (l *Ledger) refusal(e *entry, err error) *api.Error {
 	switch {
@@ -205,11 +192,7 @@
 	if e.tryReserve(ask.Most) {
 		return nil
 	}
-	err := l.write(ctx, e, ask)
-	if err != nil && !errors.Is(err, ErrBudgetSpent) && e.open(ask) {
-		return nil
-	}
-	return err
+	return l.write(ctx, e, ask)
 }
 
 // tryReserve takes the turn's tokens from the allowance, if they fit.
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -46,11 +46,8 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	account := e.account
-	if e.revision == 0 {
-		account = e.newAccount(ask)
-	}
 	if account.Budget == 0 {
-		account.Budget = e.budget
+		account.Budget = ask.Budget
 	}
 	e.write++
 	next, err := account.Apply(Change{
