--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -101,6 +101,9 @@
 	if report.Events > 0 {
 		attributes = append(attributes, slog.Int("events", report.Events))
 	}
+	if report.Call.Budget > 0 {
+		attributes = append(attributes, slog.Int64("budget", report.Call.Budget))
+	}
 	if report.CallerLeft {
 		attributes = append(attributes, slog.Bool("caller_left", true))
 	}
