--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -145,6 +145,9 @@
 	p.metrics.Gauge("pewtermill_serve_engines_ready", "Engines that take new work.", func() float64 {
 		return float64(readyEngines(p.follower.View()))
 	})
+	p.metrics.Gauge("pewtermill_serve_calls_relayed", "Calls to the store that peers made for this process.", func() float64 {
+		return float64(p.relay.Relayed())
+	})
 	p.metrics.Gauge("pewtermill_serve_store_reachable", "1 while calls find a way to the store.", func() float64 {
 		if p.ledger.Reachable() && p.follower.Connected() {
 			return 1
--- /dev/null
+++ b/internal/serving/peers.go
@@ -0,0 +1,101 @@
+package serving
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/relay"
+	"github.com/pewtermill/pewtermill/internal/wire"
+)
+
+// Times of finding peers.
+const (
+	joinRetry  = time.Second      // after a failure to join
+	firstLook  = 3 * time.Second  // after which those that start together have joined
+	laterLooks = 60 * time.Second // between further looks
+)
+
+// peers is this process's part among those that help each other to reach the
+// store.
+type peers struct {
+	server *wire.Server
+	client *wire.Client
+}
+
+// findPeers joins the other processes of the zone and keeps their addresses up
+// to date until ctx ends.
+func (p *Process) findPeers(ctx context.Context) {
+	directory := relay.Directory{
+		Table:   p.dependencies.Table,
+		Node:    p.settings.Node,
+		Zone:    p.settings.Zone,
+		Address: p.settings.PeerAddress,
+	}
+	var joined *peers
+	for joined == nil {
+		var err error
+		joined, err = p.join(ctx, directory)
+		if err != nil && ctx.Err() == nil {
+			p.logger.Warn("peers not joined", "error", err.Error())
+		}
+		if joined == nil && !wait(ctx, joinRetry) {
+			return
+		}
+	}
+	defer joined.close()
+	for pause := firstLook; ; pause = laterLooks {
+		if found, err := directory.Peers(ctx); err == nil {
+			p.usePeers(joined, found)
+		}
+		if !wait(ctx, pause) {
+			return
+		}
+	}
+}
+
+// join makes this process known and answers its peers.
+func (p *Process) join(ctx context.Context, directory relay.Directory) (*peers, error) {
+	secret, err := directory.Secret(ctx)
+	if err != nil {
+		return nil, err
+	}
+	options := wire.Options{Node: p.settings.Node, ClusterKey: secret}
+	server, err := wire.Listen(p.settings.PeerAddress, options, relay.NewServer(p.dependencies.Table))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	if err := directory.Join(ctx); err != nil {
+		server.Close()
+		return nil, err
+	}
+	return &peers{server: server, client: wire.NewClient(options)}, nil
+}
+
+// usePeers lets calls go through the zone's processes, then through those that
+// the settings name, which may be of other zones.
+func (p *Process) usePeers(joined *peers, found []string) {
+	for _, seed := range p.settings.Seeds {
+		if seed != p.settings.PeerAddress && !slices.Contains(found, seed) {
+			found = append(found, seed)
+		}
+	}
+	p.relay.Enable(joined.client, found)
+	p.logger.Info("peers found", "count", len(found))
+}
+
+func (j *peers) close() {
+	j.client.Close()
+	j.server.Close()
+}
+
+// wayChanged is told when the direct way to the store is lost and found.
+func (p *Process) wayChanged(lost bool, relayed uint64) {
+	if lost {
+		p.logger.Warn("store reached through peers")
+		return
+	}
+	p.logger.Info("store reached directly", "calls_relayed", relayed)
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -19,6 +19,7 @@
 	"github.com/pewtermill/pewtermill/internal/ingress"
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/relay"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/upstream"
 )
@@ -31,7 +32,8 @@
 	IngressAddress string        // for callers
 	ReadyAddress   string        // for the question whether it is ready
 	MetricsAddress string        // for its own figures; empty for none
-	Ports          []int         // first and last of the ports that are free for its use
+	PeerAddress    string        // for its peers; empty for none
+	Seeds          []string      // addresses of some peers; may be stale
 	GracePeriod    time.Duration // from the order to stop to the kill
 }
 
@@ -68,6 +70,7 @@
 	follower     *discovery.Follower
 	placer       *placement.Placer
 	pool         *upstream.Pool
+	relay        *relay.Table
 	ledger       *ledger.Ledger
 	handler      *ingress.Handler
 	ingress      *http.Server
@@ -93,7 +96,8 @@
 		Recorder: explain.NewLog(settings.Node, keptDecisions),
 		Idle:     p.pool.Idle,
 	})
-	p.ledger = ledger.New(ledger.Options{Table: dependencies.Table, Run: dependencies.Run})
+	p.relay = relay.NewTable(dependencies.Table, settings.Node, p.wayChanged)
+	p.ledger = ledger.New(ledger.Options{Table: p.relay, Run: dependencies.Run})
 	p.handler = ingress.New(ingress.Options{
 		Protocol: dependencies.Protocol,
 		View:     p.follower.View,
@@ -124,6 +128,9 @@
 	p.loops.Go(func() { p.follower.Run(ctx, discovery.Engines) })
 	p.loops.Go(func() { _ = p.ingress.Serve(ingressListener) })
 	p.loops.Go(func() { _ = p.ready.Serve(readyListener) })
+	if p.settings.PeerAddress != "" {
+		p.loops.Go(func() { p.findPeers(ctx) })
+	}
 	p.startMetrics()
 	p.logger.Info("started", "zone", p.settings.Zone, "run", p.dependencies.Run,
 		"callers", p.settings.IngressAddress)
@@ -221,12 +228,14 @@
 	p.pool.Close()
 }
 
-// wait waits for a time, or until ctx ends.
-func wait(ctx context.Context, pause time.Duration) {
+// wait waits for a time, and reports whether ctx still lasts.
+func wait(ctx context.Context, pause time.Duration) bool {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-timer.C:
+		return true
 	}
 }
