--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/routing"
 )
 
@@ -227,12 +228,7 @@
 	}
 	s.follower.healthy[s.collection].Store(false)
 	s.backoff = min(maxBackoff, max(firstBackoff, 2*s.backoff))
-	timer := time.NewTimer(s.backoff)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	backoff.Wait(ctx, s.backoff)
 }
 
 // replace puts a whole list in force.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/placement"
 	"github.com/pewtermill/pewtermill/internal/upstream"
 )
@@ -89,7 +90,7 @@
 		return problem
 	}
 	problem.Execution = api.NotRun
-	return problem.After(jittered(fullRetryAfter))
+	return problem.After(backoff.Spread(fullRetryAfter))
 }
 
 // outOfTime is the answer when the time ended before any engine had the request.
--- a/internal/ingress/refuse.go
+++ b/internal/ingress/refuse.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"math"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,12 +16,6 @@
 	fullRetryAfter     = 150 * time.Millisecond
 )
 
-// jittered returns between 75 % and 125 % of a delay, so that callers refused
-// together do not return together.
-func jittered(delay time.Duration) time.Duration {
-	return time.Duration(float64(delay) * (0.75 + 0.5*rand.Float64()))
-}
-
 // statusOf returns the status of a problem's answer. 503 promises that the
 // request has not run and will not; without that promise it is 502.
 func statusOf(problem *api.Error) int {
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -1,12 +1,12 @@
 package ledger
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
@@ -143,5 +143,5 @@
 	if h.way.failures > 0 && now.Sub(h.way.since) < soonPeriod {
 		delay = comeBackSoon
 	}
-	return time.Duration(float64(delay) * (0.85 + 0.3*rand.Float64()))
+	return backoff.Spread(delay)
 }
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
@@ -27,7 +28,7 @@
 		if err == nil {
 			return nil
 		}
-		if !sleep(ctx, retryPause) {
+		if !backoff.Wait(ctx, retryPause) {
 			e.forget(waiting)
 			return err
 		}
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
@@ -173,7 +174,7 @@
 	case errors.Is(err, tablestore.ErrUnknownOutcome):
 		return ctx.Err() == nil
 	}
-	return sleep(ctx, retryPause)
+	return backoff.Wait(ctx, retryPause)
 }
 
 // satisfied reports whether an earlier write, whose answer was lost, turns out
@@ -229,15 +230,3 @@
 	defer e.mutex.Unlock()
 	e.uncertain = true
 }
-
-// sleep waits, and reports whether ctx still lasts.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- /dev/null
+++ b/internal/serving/deployment_test.go
@@ -0,0 +1,215 @@
+package serving_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/eventlog"
+	"github.com/pewtermill/pewtermill/internal/serving"
+	"github.com/pewtermill/pewtermill/internal/standin/operators"
+	"github.com/pewtermill/pewtermill/platform"
+)
+
+// deployment is one process with a store and engines, in this process.
+type deployment struct {
+	t       *testing.T
+	store   *operators.Store
+	engines map[string]*operators.Engine
+	process *serving.Process
+	metrics *serving.Metrics
+	address string
+	ready   string
+	log     *syncBuffer
+}
+
+// syncBuffer is a buffer for logs.
+type syncBuffer struct {
+	mutex   sync.Mutex
+	content bytes.Buffer
+}
+
+func (b *syncBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.content.Write(line)
+}
+
+func (b *syncBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.content.String()
+}
+
+// route returns a route of the operator's configuration, with fields replaced.
+func route(name, kind, service string, fields map[string]any) map[string]any {
+	made := map[string]any{
+		"name": name, "host": "site.example", "path_prefix": "/" + name + "/", "kind": kind,
+		"timeout_ms": 4000, "goal_ms": 200, "priority": 1, "service": service, "max_attempts": 1,
+		"retain": false, "retain_s": 60.0, "sticky": true, "resumable": false, "gap_target_ms": 200,
+	}
+	for field, value := range fields {
+		made[field] = value
+	}
+	return made
+}
+
+// configuration returns what the operator writes.
+func configuration(version int, routes ...map[string]any) map[string]any {
+	return map[string]any{
+		"version": version, "routes": routes,
+		"services": []any{
+			map[string]any{"name": "models", "max_conns": 160, "engine": map[string]any{"tokens_per_event": 9, "kv_tokens": 100_000}},
+			map[string]any{"name": "portal", "max_conns": 110},
+		},
+		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 100_000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+}
+
+// standard is the configuration that most tests use.
+func standard() map[string]any {
+	return configuration(7,
+		route("kept", "stream", "models", map[string]any{"retain": true}),
+		route("resumed", "stream", "models", map[string]any{"resumable": true, "max_attempts": 3}),
+		route("safe", "safe", "portal", map[string]any{"max_attempts": 3}),
+		route("unsafe", "unsafe", "portal", nil),
+	)
+}
+
+// start runs a process before two engines of each service.
+func start(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: operators.NewStore(), engines: make(map[string]*operators.Engine), log: &syncBuffer{}}
+	t.Cleanup(d.store.Server.Close)
+	for _, id := range []string{"m1", "m2"} {
+		d.addEngine(id, "models")
+	}
+	for _, id := range []string{"p1", "p2"} {
+		d.addEngine(id, "portal")
+	}
+	d.address, d.ready = freeAddress(t), freeAddress(t)
+	writer := eventlog.NewWriter(d.log)
+	t.Cleanup(writer.Flush)
+	d.metrics = serving.NewMetrics()
+	d.metrics.Gauge("pewtermill_serve_log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(writer.Dropped()) })
+	store := platform.NewStore(d.store.Address(), d.metrics.StoreCall)
+	d.process = serving.New(serving.Settings{
+		Node: "node-1", Zone: "zone-a", IngressAddress: d.address, ReadyAddress: d.ready, GracePeriod: 8 * time.Second,
+	}, serving.Dependencies{
+		Source: store, Table: store, Protocol: platform.Protocol{}, ReadyPath: platform.ReadyPath(),
+		Run: "run-1", Logger: eventlog.NewLogger(writer, slog.LevelDebug), Metrics: d.metrics,
+	})
+	if err := d.process.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.process.Close)
+	return d
+}
+
+// serve starts a process and waits until the standard configuration is in force.
+func serve(t *testing.T) *deployment {
+	t.Helper()
+	d := start(t)
+	d.store.Put("op", "", "config", standard())
+	d.eventually("ready", d.process.Ready)
+	return d
+}
+
+func (d *deployment) addEngine(id, service string) *operators.Engine {
+	engine := operators.NewEngine(id, 4)
+	d.t.Cleanup(engine.Server.CloseClientConnections)
+	d.engines[id] = engine
+	d.store.Put("servers", "", id, engine.Record(service, "ready"))
+	return engine
+}
+
+// freeAddress returns an address of loopback that nobody listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// eventually waits for a condition.
+func (d *deployment) eventually(what string, holds func() bool) {
+	d.t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			d.t.Fatalf("not %s after 10 s; log:\n%s", what, d.log)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	cut     bool // the answer ended before its end
+	failure error
+}
+
+// ask sends one request on a connection of its own. Headers are name, value.
+func (d *deployment) ask(method, path, body string, headers ...string) answer {
+	d.t.Helper()
+	request, err := http.NewRequest(method, "http://"+d.address+path, strings.NewReader(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	request.Host = "site.example"
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: 15 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{failure: err}
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(content), cut: err != nil}
+}
+
+// turn sends one turn of a program.
+func (d *deployment) turn(path, program, id, previous, body string) answer {
+	d.t.Helper()
+	headers := []string{"X-Request-Id", id, "X-Program-Id", program, "X-Session-Id", "s", "X-Token-Budget", "2304",
+		"X-Token-Usage", "100,288", "X-Prompt-Prefix", "ab:64,cd:36", "X-Deadline-Ms", "4000"}
+	if previous != "" {
+		headers = append(headers, "X-Previous-Turn", previous)
+	}
+	return d.ask(http.MethodPost, path, body, headers...)
+}
+
+// all returns the requests that ran on engines whose id begins so.
+func (d *deployment) all(prefix string) []operators.Request {
+	var found []operators.Request
+	for id, engine := range d.engines {
+		if strings.HasPrefix(id, prefix) {
+			found = append(found, engine.Requests()...)
+		}
+	}
+	return found
+}
+
+// handleAll lets a function answer at every engine whose id begins so.
+func (d *deployment) handleAll(prefix string, handle func(http.ResponseWriter, *http.Request) bool) {
+	for id, engine := range d.engines {
+		if strings.HasPrefix(id, prefix) {
+			engine.Handle(handle)
+		}
+	}
+}
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/relay"
 	"github.com/pewtermill/pewtermill/internal/wire"
 )
@@ -41,7 +42,7 @@
 		if err != nil && ctx.Err() == nil {
 			p.logger.Warn("peers not joined", "error", err.Error())
 		}
-		if joined == nil && !wait(ctx, joinRetry) {
+		if joined == nil && !backoff.Wait(ctx, joinRetry) {
 			return
 		}
 	}
@@ -50,7 +51,7 @@
 		if found, err := directory.Peers(ctx); err == nil {
 			p.usePeers(joined, found)
 		}
-		if !wait(ctx, pause) {
+		if !backoff.Wait(ctx, pause) {
 			return
 		}
 	}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/ingress"
@@ -201,7 +202,7 @@
 	p.stopping.Store(true)
 	p.handler.Drain()
 	p.logger.Info("stopping", "grace", p.settings.GracePeriod.String())
-	wait(ctx, noticeTime)
+	backoff.Wait(ctx, noticeTime)
 	limit := max(time.Second, p.settings.GracePeriod-stopMargin-time.Since(start))
 	drainContext, cancel := context.WithTimeout(ctx, limit)
 	err := p.ingress.Shutdown(drainContext)
@@ -227,15 +228,3 @@
 	p.loops.Wait()
 	p.pool.Close()
 }
-
-// wait waits for a time, and reports whether ctx still lasts.
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
