ingress: a send to an engine that has gone dark is given up

cause: an engine that crashes without a word, or is cut off, leaves its streams and calls waiting: streams until the caller leaves after 2 s, calls to their deadline; further requests went to it on kept connections. change: an engine that has said nothing for 0.5 s is asked for a connection, once a second for all requests; if it takes none in 0.2 s the send ends, the engine is avoided, and a repeatable request goes on elsewhere. One that is gone does not count against the route's attempts. A slow engine takes the connection and is waited for.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -22,7 +22,25 @@
 type attempts struct {
 	tried  []string // engines that had it, or could not be reached
 	offers int
-	runs   int // engines on which it ran or may have run
+	runs   int  // engines on which it ran or may have run, and that live
+	ran    bool // whether it may have run anywhere
+}
+
+// count notes that the request may have run on an engine. One that has gone dark
+// does not count against the attempts that a route allows.
+func (a *attempts) count(outcome placement.Outcome) {
+	if outcome != placement.Dark {
+		a.runs++
+	}
+	a.ran = true
+}
+
+// mayHaveRunThere reports whether a send that ended so may have run.
+func mayHaveRunThere(outcome placement.Outcome, err error) bool {
+	if errors.Is(err, upstream.ErrNoConnection) {
+		return false
+	}
+	return outcome == placement.Failed || outcome == placement.Cancelled || outcome == placement.Dark
 }
 
 // try is a request at one engine, with the head of the engine's answer.
@@ -31,6 +49,10 @@
 	answer  *upstream.Answer
 	request *request
 	index   int // in request.report.Tries
+
+	ctx      context.Context // ends with the request's, or when the engine has gone dark
+	cancel   context.CancelCauseFunc
+	watchdog *time.Timer
 }
 
 // send offers the request to engines until one begins to answer. The problem
@@ -46,16 +68,16 @@
 		}
 		made.offers++
 		made.tried = append(made.tried, placed.Engine.ID)
-		current := r.beginTry(placed)
+		current := r.beginTry(ctx, placed)
 		outcome, err := current.exchange(ctx, lastEvent)
 		if outcome == placement.Served {
 			return current, nil
 		}
 		current.finish(outcome, errorText(err))
-		if errors.Is(err, upstream.ErrNoConnection) || (outcome != placement.Failed && outcome != placement.Cancelled) {
-			continue // it did not run there
+		if !mayHaveRunThere(outcome, err) {
+			continue
 		}
-		made.runs++
+		made.count(outcome)
 		if ctx.Err() != nil || !r.route.Repeatable() {
 			return nil, r.mayHaveRun(ctx, err)
 		}
@@ -65,7 +87,7 @@
 // mayOffer says whether the request may be offered to one more engine.
 func (r *request) mayOffer(ctx context.Context, made *attempts) *api.Error {
 	switch {
-	case ctx.Err() != nil && made.runs == 0:
+	case ctx.Err() != nil && !made.ran:
 		return r.outOfTime()
 	case ctx.Err() != nil, made.runs >= r.route.MaxAttempts:
 		return r.mayHaveRun(ctx, errors.New("no attempt is left"))
@@ -77,7 +99,7 @@
 
 // notPlaced is the answer when no engine can be had.
 func (r *request) notPlaced(ctx context.Context, made *attempts, problem *api.Error) *api.Error {
-	if ctx.Err() != nil && made.runs == 0 {
+	if ctx.Err() != nil && !made.ran {
 		return r.outOfTime()
 	}
 	return r.full(made, problem)
@@ -85,7 +107,7 @@
 
 // full is the answer when engines are full or gone.
 func (r *request) full(made *attempts, problem *api.Error) *api.Error {
-	if made.runs > 0 {
+	if made.ran {
 		problem.Execution = api.Unknown
 		return problem
 	}
@@ -138,8 +160,8 @@
 	return r.call.Program + "/" + r.call.Session
 }
 
-// beginTry notes a send.
-func (r *request) beginTry(placed placement.Placement) *try {
+// beginTry notes a send and starts to watch its engine.
+func (r *request) beginTry(ctx context.Context, placed placement.Placement) *try {
 	r.reportMutex.Lock()
 	defer r.reportMutex.Unlock()
 	r.report.Tries = append(r.report.Tries, Try{
@@ -147,14 +169,18 @@
 		Reason: placed.Decision.Reason,
 		At:     time.Since(r.arrived),
 	})
-	return &try{placed: placed, request: r, index: len(r.report.Tries) - 1}
+	begun := &try{placed: placed, request: r, index: len(r.report.Tries) - 1}
+	begun.watch(ctx)
+	return begun
 }
 
 // finish ends a try: its connection, its placement and its part of the report.
 func (t *try) finish(outcome placement.Outcome, detail string) {
+	t.watchdog.Stop()
 	if t.answer != nil {
 		t.answer.Close()
 	}
+	t.cancel(nil)
 	t.request.handler.options.Placer.Done(t.placed, outcome)
 	t.request.reportMutex.Lock()
 	defer t.request.reportMutex.Unlock()
@@ -169,21 +195,19 @@
 func (t *try) exchange(ctx context.Context, lastEvent string) (placement.Outcome, error) {
 	r := t.request
 	options := r.handler.options
-	conn, err := options.Pool.Open(ctx, t.placed.Engine.Address)
+	conn, err := options.Pool.Open(t.ctx, t.placed.Engine.Address)
 	if err != nil {
 		if ctx.Err() != nil {
 			return placement.Cancelled, err
 		}
 		return placement.Unreachable, err
 	}
-	answer, err := options.Pool.Send(ctx, conn, r.outgoing(t.placed.Engine.ID, lastEvent))
+	answer, err := options.Pool.Send(t.ctx, conn, r.outgoing(t.placed.Engine.ID, lastEvent))
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		return placement.Unreachable, err
-	case err != nil && ctx.Err() != nil:
-		return cancelledOutcome(ctx), context.Cause(ctx)
 	case err != nil:
-		return placement.Failed, err
+		return t.brokenOff(ctx, err), err
 	}
 	t.answer = answer
 	switch {
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -85,7 +85,7 @@
 func (r *request) attemptsSoFar() *attempts {
 	r.reportMutex.Lock()
 	defer r.reportMutex.Unlock()
-	made := &attempts{runs: 1, offers: 1}
+	made := &attempts{runs: 1, offers: 1, ran: true}
 	for _, try := range r.report.Tries {
 		made.tried = append(made.tried, try.Engine)
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -90,12 +90,13 @@
 	splitter *routing.Splitter
 	lines    *lastEngines
 	hedges   *hedges
+	looker   *looker
 	draining atomic.Bool
 }
 
 // New returns a handler.
 func New(options Options) *Handler {
-	return &Handler{options: options, splitter: routing.NewSplitter(), lines: newLastEngines(), hedges: newHedges()}
+	return &Handler{options: options, splitter: routing.NewSplitter(), lines: newLastEngines(), hedges: newHedges(), looker: newLooker(options.Pool)}
 }
 
 // Drain asks callers to end their connections after their next answer.
--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -38,7 +38,7 @@
 	for {
 		current, problem := r.send(ctx, &made, s.resumeAt())
 		if problem != nil {
-			return s.failed(ctx, problem, made.runs)
+			return s.failed(ctx, problem, made.ran)
 		}
 		if current.answer.StatusCode != http.StatusOK {
 			s.settle(ctx, nil)
@@ -48,14 +48,11 @@
 		if err == nil {
 			return s.complete(ctx, current)
 		}
-		made.runs++
-		if ctx.Err() != nil {
-			current.finish(placement.Cancelled, errorText(ctx.Err()))
-			return s.failed(ctx, r.mayHaveRun(ctx, err), made.runs)
-		}
-		current.finish(placement.Failed, errorText(err))
-		if !r.route.Repeatable() {
-			return s.failed(ctx, r.mayHaveRun(ctx, err), made.runs)
+		outcome := current.brokenOff(ctx, err)
+		made.count(outcome)
+		current.finish(outcome, errorText(err))
+		if ctx.Err() != nil || !r.route.Repeatable() {
+			return s.failed(ctx, r.mayHaveRun(ctx, err), made.ran)
 		}
 	}
 }
@@ -116,6 +113,7 @@
 // passEvent passes one event on at once.
 func (s *stream) passEvent(current *try, next event) error {
 	r := s.request
+	current.alive()
 	if !r.started {
 		r.firstByte()
 		r.writeHead(current.answer.StatusCode, current.answer.Header)
@@ -177,8 +175,8 @@
 }
 
 // failed ends a stream that no engine completed.
-func (s *stream) failed(ctx context.Context, problem *api.Error, runs int) *api.Error {
-	if runs == 0 && s.run != nil {
+func (s *stream) failed(ctx context.Context, problem *api.Error, ran bool) *api.Error {
+	if !ran && s.run != nil {
 		s.run.Abandon()
 		s.run = nil
 	}
--- /dev/null
+++ b/internal/ingress/watchdog.go
@@ -0,0 +1,105 @@
+package ingress
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/upstream"
+)
+
+// Times of the watch over engines that fall silent.
+const (
+	// stallAfter is how long an engine may say nothing before it is looked at.
+	// An engine that is only slow takes a connection, and is waited for.
+	stallAfter = 500 * time.Millisecond
+	// lookTimeout is how long it may take to accept one.
+	lookTimeout = 200 * time.Millisecond
+	// lookAgain is how long the outcome of a look holds for every request.
+	lookAgain = time.Second
+)
+
+// errDark is why a send to an engine that has gone dark is given up.
+var errDark = errors.New("the engine fell silent and takes no connections")
+
+// watch gives the try a context of its own and starts to watch the engine.
+func (t *try) watch(ctx context.Context) {
+	t.ctx, t.cancel = context.WithCancelCause(ctx)
+	t.watchdog = time.AfterFunc(stallAfter, t.look)
+}
+
+// alive notes that the engine has said something.
+func (t *try) alive() { t.watchdog.Reset(stallAfter) }
+
+// look asks whether a silent engine still takes connections.
+func (t *try) look() {
+	if t.request.handler.looker.dark(t.ctx, t.placed.Engine.Address) {
+		t.cancel(errDark)
+		return
+	}
+	if t.ctx.Err() == nil {
+		t.watchdog.Reset(stallAfter)
+	}
+}
+
+// brokenOff says what the end of a send means that had no whole answer.
+func (t *try) brokenOff(ctx context.Context, err error) placement.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return cancelledOutcome(ctx)
+	case errors.Is(context.Cause(t.ctx), errDark), upstream.IsDead(err):
+		return placement.Dark
+	}
+	return placement.Failed
+}
+
+// looker looks whether engines take connections, each at most once in a while.
+// Safe for concurrent use.
+type looker struct {
+	pool  *upstream.Pool
+	mutex sync.Mutex
+	seen  map[string]*sight // by address
+}
+
+// sight is one look at an engine. Who comes meanwhile waits for it.
+type sight struct {
+	done chan struct{}
+	at   time.Time
+	dark bool
+}
+
+func newLooker(pool *upstream.Pool) *looker {
+	return &looker{pool: pool, seen: make(map[string]*sight)}
+}
+
+// dark reports whether no connection to the address can be made.
+func (l *looker) dark(ctx context.Context, address string) bool {
+	now := time.Now()
+	l.mutex.Lock()
+	known := l.seen[address]
+	fresh := known == nil || now.Sub(known.at) > lookAgain
+	if fresh {
+		known = &sight{done: make(chan struct{}), at: now}
+		l.forget(now)
+		l.seen[address] = known
+	}
+	l.mutex.Unlock()
+	if fresh {
+		known.dark = l.pool.Probe(ctx, address, lookTimeout) != nil && ctx.Err() == nil
+		close(known.done)
+	}
+	<-known.done
+	return known.dark
+}
+
+// forget drops old sights. The mutex is held.
+func (l *looker) forget(now time.Time) {
+	for address, known := range l.seen {
+		if now.Sub(known.at) > lookAgain {
+			delete(l.seen, address)
+		}
+	}
+}
--- a/internal/ingress/whole.go
+++ b/internal/ingress/whole.go
@@ -54,13 +54,10 @@
 			}
 			return whole{current: current, content: content}
 		}
-		made.runs++
-		if ctx.Err() != nil {
-			current.finish(cancelledOutcome(ctx), errorText(context.Cause(ctx)))
-			return whole{problem: r.mayHaveRun(ctx, err)}
-		}
-		current.finish(placement.Failed, errorText(err))
-		if !r.route.Repeatable() {
+		outcome := current.brokenOff(ctx, err)
+		made.count(outcome)
+		current.finish(outcome, errorText(err))
+		if ctx.Err() != nil || !r.route.Repeatable() {
 			return whole{problem: r.mayHaveRun(ctx, err)}
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -107,11 +107,12 @@
 	Replaced                   // another engine has the address
 	Shed                       // it turned the request away for load
 	Cancelled                  // the caller left; says nothing about the engine
+	Dark                       // it had the request and fell silent, and takes no connections
 )
 
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "unreachable", "replaced", "shed", "cancelled"}[o]
+	return [...]string{"served", "failed", "unreachable", "replaced", "shed", "cancelled", "dark"}[o]
 }
 
 // New returns a placer without engines.
@@ -317,7 +318,7 @@
 		Duration:  now.Sub(placement.start),
 	}, now)
 	switch outcome {
-	case Unreachable, Replaced:
+	case Unreachable, Replaced, Dark:
 		p.suspect(placement.Engine.ID, now)
 	case Served:
 		delete(p.suspects, placement.Engine.ID)
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -52,7 +52,7 @@
 // Times of connections to engines and callers.
 const (
 	engineDialTimeout = 250 * time.Millisecond
-	engineDeadAfter   = 1500 * time.Millisecond
+	engineDeadAfter   = time.Second
 	headerTimeout     = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 64 << 10
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -113,6 +113,19 @@
 	}, nil
 }
 
+// Probe makes a connection to an address and puts it to rest. The error is
+// marked ErrNoConnection.
+func (p *Pool) Probe(ctx context.Context, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.release(conn)
+	return nil
+}
+
 // takeIdle takes the newest connection at rest; nil if there is none.
 func (p *Pool) takeIdle(address string) *Conn {
 	p.mutex.Lock()
