--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -4,7 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,8 +18,8 @@
 type Directory struct {
 	Table   tablestore.Table
 	Node    string
-	Zone    string
-	Address string // where this node answers peers
+	Zones   []string // all zones, the node's own first, then the nearest
+	Address string   // where this node answers peers
 }
 
 // Bounds of the directory.
@@ -66,7 +66,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode member")
 	}
-	key := memberKey(d.Zone, d.Node)
+	key := memberKey(d.Zones[0], d.Node)
 	_, err = d.commit(ctx, key, 0, value)
 	var conflict *tablestore.ConflictError
 	if errors.As(err, &conflict) {
@@ -78,23 +78,43 @@
 	return errors.Wrap(err, "join the directory")
 }
 
-// Peers returns the addresses of the other nodes of the zone, in an order that
-// differs from node to node.
+// Peers returns the addresses of the other nodes, by zone, and within a zone in
+// an order that differs from node to node. Zones that cannot be read are left out
+// if another one can.
 func (d Directory) Peers(ctx context.Context) ([]string, error) {
+	var peers []string
+	var last error
+	for _, zone := range d.Zones {
+		found, err := d.zonePeers(ctx, zone)
+		if err != nil {
+			last = err
+		}
+		peers = append(peers, found...)
+	}
+	if len(peers) == 0 && last != nil {
+		return nil, errors.Wrap(last, "list the directory")
+	}
+	return peers, nil
+}
+
+// zonePeers returns the addresses of the other nodes of one zone.
+func (d Directory) zonePeers(ctx context.Context, zone string) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, listCallLimit)
 	defer cancel()
-	rows, err := d.Table.Range(ctx, memberKey(d.Zone, ""), memberKey(d.Zone, "\x7f"), maxListed)
+	rows, err := d.Table.Range(ctx, memberKey(zone, ""), memberKey(zone, "\x7f"), maxListed)
 	if err != nil {
-		return nil, errors.Wrap(err, "list the directory")
+		return nil, err
 	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	own := memberKey(d.Zone, d.Node)
-	start := sort.Search(len(rows), func(i int) bool { return strings.Compare(rows[i].Key, own) > 0 })
+	slices.SortFunc(rows, func(a, b tablestore.Row) int { return strings.Compare(a.Key, b.Key) })
+	own := memberKey(zone, d.Node)
+	start, _ := slices.BinarySearchFunc(rows, own, func(row tablestore.Row, key string) int {
+		return strings.Compare(row.Key, key)
+	})
 	var peers []string
 	for i := range rows {
-		row := rows[(start+i)%len(rows)]
 		var found member
-		if row.Key != own && json.Unmarshal(row.Value, &found) == nil && found.Address != d.Address {
+		row := rows[(start+i)%len(rows)]
+		if json.Unmarshal(row.Value, &found) == nil && found.Address != d.Address {
 			peers = append(peers, found.Address)
 		}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -61,7 +61,7 @@
 func start(t *testing.T, store *operators.Store, name string) *node {
 	t.Helper()
 	direct := &cuttable{Table: platform.NewStore(store.Address(), nil)}
-	directory := relay.Directory{Table: direct, Node: name, Zone: "zone-a"}
+	directory := relay.Directory{Table: direct, Node: name, Zones: []string{"zone-a", "zone-b"}}
 	secret, err := directory.Secret(t.Context())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,13 +25,13 @@
 	client *wire.Client
 }
 
-// findPeers joins the other processes of the zone and keeps their addresses up
+// findPeers joins the other processes and keeps their addresses up
 // to date until ctx ends.
 func (p *Process) findPeers(ctx context.Context) {
 	directory := relay.Directory{
 		Table:   p.dependencies.Table,
 		Node:    p.settings.Node,
-		Zone:    p.settings.Zone,
+		Zones:   p.settings.Zones,
 		Address: p.settings.PeerAddress,
 	}
 	var joined *peers
@@ -75,14 +74,8 @@
 	return &peers{server: server, client: wire.NewClient(options)}, nil
 }
 
-// usePeers lets calls go through the zone's processes, then through those that
-// the settings name, which may be of other zones.
+// usePeers lets calls go through other processes, the nearest first.
 func (p *Process) usePeers(joined *peers, found []string) {
-	for _, seed := range p.settings.Seeds {
-		if seed != p.settings.PeerAddress && !slices.Contains(found, seed) {
-			found = append(found, seed)
-		}
-	}
 	p.relay.Enable(joined.client, found)
 	p.logger.Info("peers found", "count", len(found))
 }
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -34,7 +34,7 @@
 	ReadyAddress   string        // for the question whether it is ready
 	MetricsAddress string        // for its own figures; empty for none
 	PeerAddress    string        // for its peers; empty for none
-	Seeds          []string      // addresses of some peers; may be stale
+	Zones          []string      // all zones, the own one first, then the nearest
 	GracePeriod    time.Duration // from the order to stop to the kill
 }
 
