--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -65,7 +65,7 @@
 	}
 	ask := ledger.Ask{Program: r.call.Program, Budget: r.call.Budget, Most: r.call.MostTokens}
 	if r.route.Retain {
-		ask.Previous, ask.Input = r.call.PreviousTurn, len(s.input)
+		ask.Previous, ask.Input, ask.Keep = r.call.PreviousTurn, len(s.input), r.route.RetainFor
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxBeginWait)
 	defer cancel()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -14,8 +14,11 @@
 
 // Limits of what a ledger keeps in memory.
 const (
-	entryIdle   = 60 * time.Second // a program not used for so long is forgotten
-	sweepPeriod = 10 * time.Second
+	// leastKeep is how long a program's rows are kept after its last turn, at
+	// least; its routes may ask for more.
+	leastKeep = 60 * time.Second
+	// keepMargin is kept beyond it, since nodes hear of turns at different times.
+	keepMargin = 60 * time.Second
 )
 
 // Options are what a ledger needs.
@@ -32,7 +35,6 @@
 
 	mutex   sync.Mutex
 	entries map[string]*entry
-	sweptAt time.Time
 }
 
 // entry is what this node knows of one program. commit is held over I/O and
@@ -43,6 +45,7 @@
 
 	mutex     sync.Mutex
 	usedAt    time.Time
+	keep      time.Duration // after usedAt
 	account   Account
 	revision  uint64 // of account; 0 if the row is absent
 	known     bool   // account and revision are those of some moment of this run
@@ -84,10 +87,11 @@
 // Ask is a turn that wants to run.
 type Ask struct {
 	Program  string
-	Budget   int64  // of the program, in tokens; 0 for none
-	Most     int64  // tokens that the turn may hand out at most
-	Previous string // turn that it goes on from; empty for none
-	Input    int    // bytes of input that are to be kept; 0 if the turn is not
+	Budget   int64         // of the program, in tokens; 0 for none
+	Most     int64         // tokens that the turn may hand out at most
+	Previous string        // turn that it goes on from; empty for none
+	Input    int           // bytes of input that are to be kept; 0 if the turn is not
+	Keep     time.Duration // for how long others may go on from the turn
 
 	// KeepNothing gives the allowance back, but for the turns under way.
 	KeepNothing bool
@@ -109,6 +113,7 @@
 // with each of them the turn has not run.
 func (l *Ledger) Begin(ctx context.Context, ask Ask) (*Run, *api.Error) {
 	e := l.entryOf(ask.Program)
+	e.use(l.options.Now(), ask.Keep)
 	if ask.Input > maxInputBytes {
 		return nil, api.Errorf(api.RequestTooLarge, "a kept turn may bring %d bytes, not %d", maxInputBytes, ask.Input)
 	}
@@ -143,15 +148,10 @@
 	return api.Errorf(api.StoreDown, "program %s: %v", e.program, err).After(l.health.comeBack(l.options.Now()))
 }
 
-// entryOf returns a program's entry, and now and then forgets idle ones.
+// entryOf returns a program's entry.
 func (l *Ledger) entryOf(program string) *entry {
-	now := l.options.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if now.Sub(l.sweptAt) > sweepPeriod {
-		l.sweptAt = now
-		l.sweep(now)
-	}
 	e := l.entries[program]
 	if e == nil {
 		e = &entry{
@@ -162,22 +162,16 @@
 		}
 		l.entries[program] = e
 	}
-	e.mutex.Lock()
-	e.usedAt = now
-	e.mutex.Unlock()
+	e.use(l.options.Now(), leastKeep)
 	return e
 }
 
-// sweep forgets programs without use. What they hold stays charged.
-func (l *Ledger) sweep(now time.Time) {
-	for program, e := range l.entries {
-		e.mutex.Lock()
-		idle := now.Sub(e.usedAt) > entryIdle && e.underWay == 0 && len(e.pending) == 0
-		e.mutex.Unlock()
-		if idle {
-			delete(l.entries, program)
-		}
-	}
+// use notes that the program lives, and for how long it is to be kept.
+func (e *entry) use(now time.Time, keep time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.usedAt = now
+	e.keep = max(e.keep, keep)
 }
 
 // reserve makes the node's allowance cover the turn.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -298,3 +298,42 @@
 		t.Errorf("%d turns are recorded, want 6", rows)
 	}
 }
+
+// TestRowsOfEndedProgramsAreRemoved lets time pass, and shows that rows go, but
+// not those that another node has written since.
+func TestRowsOfEndedProgramsAreRemoved(t *testing.T) {
+	store := newStore(t)
+	var mutex sync.Mutex
+	now := time.Now()
+	clock := func() time.Time {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return now
+	}
+	pass := func(span time.Duration) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		now = now.Add(span)
+	}
+	l := ledger.New(ledger.Options{Table: platform.NewStore(store.Address(), nil), Run: "a", Now: clock})
+	say(t, l, "over", "t1", "")
+	say(t, l, "over", "t2", "t1")
+	say(t, l, "shared", "t3", "")
+	l.Sweep(t.Context())
+	if rows := len(store.Rows("program-turns")); rows != 5 {
+		t.Fatalf("%d rows right after the last turn, want 5", rows)
+	}
+	say(t, newLedger(store, "b"), "shared", "t4", "t3")
+	pass(10 * time.Minute)
+	l.Sweep(t.Context())
+	for _, table := range []string{"program-turns", "turn-programs"} {
+		for _, row := range store.Rows(table) {
+			if strings.Contains(row.Key, "over") || row.Key == "t1" || row.Key == "t2" {
+				t.Errorf("row %s of %s is still there", row.Key, table)
+			}
+		}
+	}
+	if rows := len(store.Rows("program-turns")); rows != 3 {
+		t.Errorf("%d rows, want the 3 of the program that another node went on with", rows)
+	}
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -129,6 +129,7 @@
 	p.loops.Go(func() { p.follower.Run(ctx, discovery.Engines) })
 	p.loops.Go(func() { _ = p.ingress.Serve(ingressListener) })
 	p.loops.Go(func() { _ = p.ready.Serve(readyListener) })
+	p.loops.Go(func() { p.sweep(ctx) })
 	if p.settings.PeerAddress != "" {
 		p.loops.Go(func() { p.findPeers(ctx) })
 	}
@@ -138,6 +139,16 @@
 	return nil
 }
 
+// sweepPeriod is how often rows of programs that are over are looked for.
+const sweepPeriod = 30 * time.Second
+
+// sweep removes rows of programs that are over, until ctx ends.
+func (p *Process) sweep(ctx context.Context) {
+	for backoff.Wait(ctx, backoff.Spread(sweepPeriod)) {
+		p.ledger.Sweep(ctx)
+	}
+}
+
 // startMetrics serves the figures. A port that another process has costs the
 // figures, not the service.
 func (p *Process) startMetrics() {
