ledger: a turn that begins during a write fits the allowance before and after it

A write that settles gives the old allowance back; a turn that began while it was under way took tokens of the old one, which the account then did not hold.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -56,6 +56,7 @@
 	unsettled int64  // tokens handed out and not charged yet
 	write     uint64 // number of the newest write tried
 	attempts  map[uint64]attempt
+	flight    *flight   // the write under way; nil if none is
 	pending   []*record // turns that wait to be recorded
 	turns     map[string]*Turn
 }
@@ -66,6 +67,19 @@
 	records []*record
 }
 
+// flight is what a write under way will make of the allowance.
+type flight struct {
+	held    int64 // allowance after it
+	asked   int64 // of which the turn that asked takes this
+	settled int64 // unsettled tokens that it charges
+}
+
+// leaves reports whether a turn would fit the allowance after the write, too. The
+// entry's mutex is held.
+func (f *flight) leaves(e *entry, most int64) bool {
+	return f == nil || f.held-f.asked-e.underWay-(e.unsettled-f.settled) >= most
+}
+
 // record is a turn that waits to be durable.
 type record struct {
 	turn    *Turn
@@ -193,7 +207,7 @@
 func (e *entry) tryReserve(most int64) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if !e.known || e.uncertain || e.held-e.underWay-e.unsettled < most {
+	if !e.known || e.uncertain || e.held-e.underWay-e.unsettled < most || !e.flight.leaves(e, most) {
 		return false
 	}
 	e.underWay += most
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -23,11 +23,20 @@
 // not covered.
 func (l *Ledger) write(ctx context.Context, e *entry, ask Ask) error {
 	part := partOf(e.program)
+	fresh := false // whether the account was read since this began
 	for {
 		if e.satisfied(ask) {
 			return nil
 		}
 		transaction, write, err := e.prepare(l.options.Run, part, ask)
+		if errors.Is(err, ErrBudgetSpent) && !fresh {
+			// Other nodes may have given back what this one does not know of.
+			fresh = true
+			if err := l.load(ctx, e, part, e.program); err != nil {
+				return err
+			}
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -77,6 +86,7 @@
 		transaction.Writes = append(transaction.Writes, turnWrites(part, e.program, waiting.turn)...)
 	}
 	e.attempts[e.write] = attempt{settled: e.unsettled, records: records}
+	e.flight = &flight{held: next.Allowances[run].Tokens, asked: ask.Most, settled: e.unsettled}
 	return transaction, e.write, nil
 }
 
@@ -106,6 +116,7 @@
 // neither that nor an error the caller prepares it anew.
 func (l *Ledger) commit(ctx context.Context, e *entry, part int, transaction tablestore.Transaction, write uint64, ask Ask) (bool, error) {
 	receipt, seen, err := l.commitOrRead(ctx, transaction)
+	defer e.land()
 	var conflict *tablestore.ConflictError
 	switch {
 	case err == nil && seen == nil:
@@ -224,6 +235,13 @@
 	return true, nil
 }
 
+// land notes that the write under way has ended, whatever came of it.
+func (e *entry) land() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.flight = nil
+}
+
 // doubt notes that a write may or may not have taken effect, or may yet.
 func (e *entry) doubt() {
 	e.mutex.Lock()
