--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -91,6 +91,9 @@
 		}
 		start = some[len(some)-1].Key + "\x00"
 	}
+	if program == e.program && part == partOf(e.program) {
+		e.seen(l.options.Now())
+	}
 	return e.take(l.options.Run, accountKey(partOf(e.program), e.program), rows)
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -46,6 +46,7 @@
 	mutex     sync.Mutex
 	usedAt    time.Time
 	keep      time.Duration // after usedAt
+	readAt    time.Time     // when the account was last read or written
 	account   Account
 	revision  uint64 // of account; 0 if the row is absent
 	known     bool   // account and revision are those of some moment of this run
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -23,7 +23,7 @@
 // not covered.
 func (l *Ledger) write(ctx context.Context, e *entry, ask Ask) error {
 	part := partOf(e.program)
-	fresh := false // whether the account was read since this began
+	fresh := e.isFresh(l.options.Now()) // whether the account was read just now
 	for {
 		if e.satisfied(ask) {
 			return nil
@@ -121,6 +121,7 @@
 	switch {
 	case err == nil && seen == nil:
 		l.health.report(part, nil, l.options.Now())
+		e.seen(l.options.Now())
 		return true, e.applied(l.options.Run, write, receipt, transaction, ask)
 	case errors.As(err, &conflict):
 		seen = &conflict.Current
@@ -128,6 +129,7 @@
 	if seen != nil {
 		l.health.report(part, nil, l.options.Now())
 		e.doubt()
+		e.seen(l.options.Now())
 		return e.overtaken(l.options.Run, write, *seen, ask)
 	}
 	l.health.report(part, err, l.options.Now())
@@ -242,6 +244,25 @@
 	e.flight = nil
 }
 
+// freshness is how long an account that was read is held to be what it is.
+// Meanwhile a program that is told again and again that its budget is spent costs
+// no calls.
+const freshness = 250 * time.Millisecond
+
+// isFresh reports whether the account was read or written just now.
+func (e *entry) isFresh(now time.Time) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return now.Sub(e.readAt) < freshness
+}
+
+// seen notes that the account was read or written.
+func (e *entry) seen(now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.readAt = now
+}
+
 // doubt notes that a write may or may not have taken effect, or may yet.
 func (e *entry) doubt() {
 	e.mutex.Lock()
