placement: ties by node, and engines that lag are avoided

All nodes broke ties by the engines' names, so 120 nodes took the same few, and stayed there for their connections; the busiest had 4.2 (models) and 8.0 times (portal) the mean, and queued to the deadline.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -218,6 +218,7 @@
 	case !options.Protocol.Genuine(answer.StatusCode, answer.Header):
 		return placement.Failed, errors.New("the answer is not an engine's")
 	}
+	options.Placer.Answered(t.placed)
 	return placement.Served, nil
 }
 
--- a/internal/ingress/hedge.go
+++ b/internal/ingress/hedge.go
@@ -11,7 +11,7 @@
 
 // hedgeShare is the part of a route's goal after which a safe request that has
 // no answer yet is sent to a second engine as well.
-const hedgeShare = 0.6
+const hedgeShare = 0.9
 
 // hedgeBudget is the most second sends for each safe request. It is enough for
 // engines that lose some answers, and too little to double the load of engines
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -66,6 +66,7 @@
 // Placer places requests. *placement.Placer implements it.
 type Placer interface {
 	Place(ctx context.Context, request placement.Request) (placement.Placement, *api.Error)
+	Answered(placed placement.Placement)
 	Done(placed placement.Placement, outcome placement.Outcome)
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -56,6 +56,8 @@
 	engines   map[string]routing.Engine // by id
 	services  map[string]routing.Service
 	suspects  map[string]suspicion // by engine id
+	lags      *lags
+	asked     time.Time // when the core was last asked
 	refreshed time.Time
 	attempts  uint64
 	waiting   map[string]chan answer // by call id
@@ -123,12 +125,13 @@
 		core:     core,
 		index:    newPrefixIndex(),
 		suspects: make(map[string]suspicion),
+		lags:     newLags(),
 		waiting:  make(map[string]chan answer),
 	}
 	core.SetIndex(p.index)
 	core.SetRecorder(options.Recorder)
 	core.SetDistances(distance)
-	core.SetConnectCost(p.connectCost)
+	core.SetLocalCosts((*localCosts)(p))
 	return p
 }
 
@@ -139,14 +142,25 @@
 	return crossZoneMillis
 }
 
-// connectCost is asked by the core, under the mutex.
-func (p *Placer) connectCost(id string) float64 {
+// localCosts is the placer as the core asks it, under the mutex.
+type localCosts Placer
+
+// ConnectCost implements scheduler.LocalCosts.
+func (p *localCosts) ConnectCost(id string) float64 {
 	if p.options.Idle(p.engines[id].Address) > 0 {
 		return 0
 	}
 	return connectMillis
 }
 
+// LagCost implements scheduler.LocalCosts.
+func (p *localCosts) LagCost(id string) float64 {
+	return p.lags.cost(id, p.engines[id].Service, p.asked)
+}
+
+// PreferenceCost implements scheduler.LocalCosts.
+func (p *localCosts) PreferenceCost(id string) float64 { return preference(p.options.Node, id) }
+
 // SetEngines replaces what is known of engines and services. The maps must
 // not change any more.
 func (p *Placer) SetEngines(engines map[string]routing.Engine, services map[string]routing.Service) {
@@ -167,6 +181,10 @@
 // refresh gives the core views of all engines. The mutex is held.
 func (p *Placer) refresh(now time.Time) {
 	p.refreshed = now
+	p.lags.settle(func(id string) (string, bool) {
+		engine, found := p.engines[id]
+		return engine.Service, found
+	})
 	reachable := make(map[string]bool) // by service: whether one is not suspected
 	for id, engine := range p.engines {
 		if !engine.Draining && !now.Before(p.suspects[id].until) {
@@ -275,6 +293,7 @@
 
 // advance hands out what the core has decided. The mutex is held.
 func (p *Placer) advance(now time.Time) {
+	p.asked = now
 	assignments, refusals := p.core.Next(now)
 	for _, given := range assignments {
 		p.give(given.Call.ID, answer{assignment: given})
@@ -306,6 +325,14 @@
 	}
 }
 
+// Answered notes that an engine has begun to answer.
+func (p *Placer) Answered(placement Placement) {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.lags.note(placement.Engine.ID, millis(now.Sub(placement.start)), now)
+}
+
 // Done ends a placement.
 func (p *Placer) Done(placement Placement, outcome Outcome) {
 	now := time.Now()
@@ -318,6 +345,8 @@
 		Duration:  now.Sub(placement.start),
 	}, now)
 	switch outcome {
+	case Shed:
+		p.lags.note(placement.Engine.ID, shedMillis+millis(now.Sub(placement.start)), now)
 	case Unreachable, Replaced, Dark:
 		p.suspect(placement.Engine.ID, now)
 	case Served:
@@ -335,3 +364,5 @@
 	p.suspects[id] = known
 	p.refresh(now)
 }
+
+func millis(duration time.Duration) float64 { return float64(duration) / float64(time.Millisecond) }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -26,7 +26,7 @@
 	random        *rand.Rand
 	index         PrefixIndex
 	distance      func(a, b string) float64
-	connectCost   func(engine string) float64
+	local         LocalCosts
 	classWorthOf  func(class string) float64
 	tenantWeight  func(tenant string) float64
 	recorder      explain.Recorder
@@ -151,9 +151,8 @@
 // SetDistances sets the one-way delay between zones, in milliseconds.
 func (c *Core) SetDistances(distance func(a, b string) float64) { c.distance = distance }
 
-// SetConnectCost sets what a call costs at an engine for want of a connection
-// at rest, in milliseconds of delay that it is worth; nil means nothing.
-func (c *Core) SetConnectCost(cost func(engine string) float64) { c.connectCost = cost }
+// SetLocalCosts sets what the node knows by its own doing; nil means nothing.
+func (c *Core) SetLocalCosts(local LocalCosts) { c.local = local }
 
 // SetClass sets the worth of one completed program of a class.
 func (c *Core) SetClass(worth func(class string) float64) { c.classWorthOf = worth }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -90,7 +90,7 @@
 		weights:        &c.weights,
 		index:          c.index,
 		distance:       c.distance,
-		connectCost:    c.connectCost,
+		local:          c.local,
 		engineCount:    len(c.engines),
 		ignoreEjection: queue.capacity.ignoreEjection,
 	}
--- a/internal/scheduler/plugin.go
+++ b/internal/scheduler/plugin.go
@@ -9,10 +9,10 @@
 	weights        *weights
 	index          PrefixIndex // may be nil
 	distance       func(a, b string) float64
-	connectCost    func(engine string) float64 // may be nil
-	ignoreEjection bool                        // every engine of the model is ejected
-	engineCount    int                         // in the list
-	missing        int64                       // prompt tokens that the engine being scored has not cached
+	local          LocalCosts // may be nil
+	ignoreEjection bool       // every engine of the model is ejected
+	engineCount    int        // in the list
+	missing        int64      // prompt tokens that the engine being scored has not cached
 }
 
 // filter excludes engines that must not get the call.
@@ -41,7 +41,7 @@
 var callFilters = []filter{filterExcluded{}, filterEjected{}}
 
 // scorers add up to an engine's total.
-var scorers = [...]scorer{scoreWait{}, scorePrefill{}, scoreDistance{}, scoreEviction{}, scoreConnection{}}
+var scorers = [...]scorer{scoreWait{}, scorePrefill{}, scoreDistance{}, scoreEviction{}, scoreConnection{}, scoreLag{}, scorePreference{}}
 
 // waitScorer is the position of scoreWait in scorers.
 const waitScorer = 0
