ingress: only an engine that does not answer an attempt to connect is dark

cause: reading the watch over engines again: any failed look counted as dark, also a refusal. An engine with a long queue resets new connections; its streams would have been given up and run again elsewhere while it worked on them.

--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -75,7 +75,8 @@
 	return &looker{pool: pool, seen: make(map[string]*sight)}
 }
 
-// dark reports whether no connection to the address can be made.
+// dark reports whether the address does not even answer an attempt to connect. One
+// that refuses is alive, or its connections have ended already.
 func (l *looker) dark(ctx context.Context, address string) bool {
 	now := time.Now()
 	l.mutex.Lock()
@@ -88,7 +89,8 @@
 	}
 	l.mutex.Unlock()
 	if fresh {
-		known.dark = l.pool.Probe(ctx, address, lookTimeout) != nil && ctx.Err() == nil
+		err := l.pool.Probe(ctx, address, lookTimeout)
+		known.dark = ctx.Err() == nil && upstream.IsSilent(err)
 		close(known.done)
 	}
 	<-known.done
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -20,7 +20,8 @@
 // Times of relayed calls.
 const (
 	directAgain = 500 * time.Millisecond // between two tries of the lost way
-	peerTimeout = 400 * time.Millisecond // of one peer
+	peerTimeout = 250 * time.Millisecond // of one peer
+	peersAgain  = 500 * time.Millisecond // after none of them had a way
 	maxPeers    = 3                      // that one call is tried at
 )
 
@@ -98,6 +99,7 @@
 	asker    asker    // nil before Enable
 	lostAt   time.Time
 	triedAt  time.Time // last direct call while the way is lost
+	failedAt time.Time // when no peer had a way
 	relayed  uint64
 	observer func(lost bool, relayed uint64)
 }
@@ -220,7 +222,7 @@
 func (t *Table) candidates() (asker, []string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.asker == nil {
+	if t.asker == nil || time.Since(t.failedAt) < peersAgain {
 		return nil, nil
 	}
 	return t.asker, append([]string(nil), t.peers[:min(maxPeers, len(t.peers))]...)
@@ -231,7 +233,7 @@
 func (t *Table) ask(ctx context.Context, request *wirepb.Request) (Outcome, error) {
 	client, peers := t.candidates()
 	request.From = t.node
-	var last error = errors.New("no peer is known")
+	last := errors.Newf("%d peers to ask now", len(peers))
 	for _, peer := range peers {
 		outcome, err := askOne(ctx, client, peer, request)
 		switch {
@@ -248,10 +250,22 @@
 		}
 		t.demote(peer)
 	}
+	t.noPeers(len(peers))
 	return Outcome{}, errors.Mark(errors.Mark(errors.Wrap(last, "no way to the table, nor through peers"),
 		tablestore.ErrUnavailable), tablestore.ErrUnreachable)
 }
 
+// noPeers notes that none of the peers that were asked had a way, so that the next
+// calls fail at once for a while.
+func (t *Table) noPeers(asked int) {
+	if asked == 0 {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.failedAt = time.Now()
+}
+
 // askOne has one peer make a call.
 func askOne(ctx context.Context, client asker, peer string, request *wirepb.Request) (Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,6 +27,13 @@
 // nothing for so long that the connection was given up.
 func IsDead(err error) bool { return errors.Is(err, unix.ETIMEDOUT) }
 
+// IsSilent reports whether an error of Open or Probe means that nothing at all came
+// back in time.
+func IsSilent(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
+
 // maxSurplusAnswers is how many answers to other requests are passed over.
 const maxSurplusAnswers = 4
 
