--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -56,7 +56,8 @@
 }
 
 // send offers the request to engines until one begins to answer. The problem
-// says whether it may have run. hop.LastEvent is passed on.
+// says whether it may have run. lastEvent is the event behind which a stream is to
+// go on at an engine; empty for the one that the caller named.
 func (r *request) send(ctx context.Context, made *attempts, lastEvent string) (*try, *api.Error) {
 	for {
 		if problem := r.mayOffer(ctx, made); problem != nil {
