discovery: changes that come one after another cost one call

Cause: after every change the next call for changes was made at once. Change: 200 ms are let pass after changes before the next call. Ruled out: waiting longer without changes (a lost answer is as silent as none, and a configuration is due in 2 s).

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -85,8 +85,11 @@
 	// watchWait is how long one call waits for changes. A connection that the
 	// source lost says nothing, as one without changes does; so this and what
 	// follows bound for how long a change can go unseen once the source is back.
-	watchWait    = 2 * time.Second
-	watchGrace   = 400 * time.Millisecond // beyond it before the call counts as lost
+	watchWait  = 2 * time.Second
+	watchGrace = 400 * time.Millisecond // beyond it before the call counts as lost
+	// settlePause follows changes, so that those that come one after another,
+	// as when many engines start, cost one call.
+	settlePause  = 200 * time.Millisecond
 	listTimeout  = time.Second
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
@@ -206,6 +209,7 @@
 	s.after = max(s.after, version)
 	if len(records) > 0 {
 		s.follower.change(s.collection, records, version)
+		backoff.Wait(ctx, settlePause)
 	}
 	return nil
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,6 +21,13 @@
 	silent  bool   // calls get no answer, not even those that began before
 	gone    bool   // history is gone
 	stale   uint64 // lists are as of this version, if not 0
+	calls   int
+}
+
+func (s *source) callCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
 }
 
 func (s *source) set(change func(*source)) {
@@ -50,6 +57,7 @@
 func (s *source) Changes(ctx context.Context, _ discovery.Collection, after uint64, wait time.Duration) ([]discovery.Record, uint64, error) {
 	end := time.Now().Add(wait)
 	hung := false
+	s.set(func(s *source) { s.calls++ })
 	for {
 		s.mutex.Lock()
 		hung = hung || s.silent // an answer that is lost makes the connection silent for good
@@ -120,6 +128,28 @@
 	})
 }
 
+// TestManyChangesCostFewCalls changes the configuration again and again, as when
+// many engines start one after another. Each is in force soon, and does not cost a
+// call of its own.
+func TestManyChangesCostFewCalls(t *testing.T) {
+	s := &source{version: 1, seen: 10}
+	follow(t, s, func(f *discovery.Follower) {
+		before := s.callCount()
+		const changes = 50
+		for range changes {
+			s.set(func(s *source) { s.version, s.seen = s.version+1, s.seen+1 })
+			time.Sleep(20 * time.Millisecond)
+		}
+		if calls := s.callCount() - before; calls > changes/5 {
+			t.Errorf("%d calls for %d changes in a second", calls, changes)
+		}
+		time.Sleep(300 * time.Millisecond)
+		if got := versionOf(f); got != changes+1 {
+			t.Errorf("version %d is in force 0.3 s after the last change, want %d", got, changes+1)
+		}
+	})
+}
+
 // TestStaleListIsNotTaken drops the history and lets lists be older than what
 // was seen.
 func TestStaleListIsNotTaken(t *testing.T) {
