--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -102,6 +102,17 @@
 	return max(0, turns) * a.Least
 }
 
+// exhausted reports whether what was handed out, with what is not charged yet,
+// leaves no room for a turn, even if no other turn runs and every allowance is given
+// back. It never ends: what was handed out only grows.
+func (a Account) exhausted(unsettled, most int64) bool {
+	least := a.Least
+	if least == 0 || most < least {
+		least = most
+	}
+	return a.Budget > 0 && a.Spent+unsettled+most > a.Budget+least
+}
+
 // tight reports whether little of the budget is left, so that allowances and
 // tokens not settled yet may keep another node from running a turn.
 func (a Account) tight() bool {
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -36,6 +36,7 @@
 	last  error // of the last call that failed
 	at    time.Time
 	usual time.Duration // smoothed time of calls that were answered
+	quick time.Duration // time of the quickest of them; 0 before the first
 }
 
 // breaker counts failures in a row.
@@ -48,18 +49,42 @@
 
 func newHealth() *health { return &health{usual: firstUsual} }
 
-// callTimeout is how long one call is waited for.
+// callTimeout is how long one call is waited for while the table is as quick as
+// ever.
 const callTimeout = 800 * time.Millisecond
 
 // How long an answer is usual to take, and how many times that a write is
 // waited for before its row is read to see whether the answer was lost.
 const (
-	firstUsual  = 20 * time.Millisecond
-	smoothing   = 0.2 // weight of the newest answer
-	patience    = 8
-	minPatience = 60 * time.Millisecond
+	firstUsual   = 20 * time.Millisecond
+	smoothing    = 0.2 // weight of the newest answer
+	patience     = 8
+	minPatience  = 60 * time.Millisecond
+	slowFactor   = 4                    // from so many times the quickest answer on, the table is slow
+	leastQuick   = 5 * time.Millisecond // differences below it say nothing
+	timeoutTimes = 10                   // of the usual time, that a call to a slow table is waited for
 )
 
+// slow reports whether answers take much longer of late than they can.
+func (h *health) slow() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.isSlow()
+}
+
+func (h *health) isSlow() bool { return h.quick > 0 && h.usual > slowFactor*max(leastQuick, h.quick) }
+
+// callTimeout returns how long one call is waited for. A call to a slow table that
+// is given up and made again makes the table slower.
+func (h *health) callTimeout() time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !h.isSlow() {
+		return callTimeout
+	}
+	return max(callTimeout, timeoutTimes*h.usual)
+}
+
 // patience returns after what time a write's answer may be lost.
 func (h *health) patience() time.Duration {
 	h.mutex.Lock()
@@ -72,6 +97,12 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.usual += time.Duration(smoothing * float64(took-h.usual))
+	if h.quick == 0 {
+		h.usual = took
+	}
+	if h.quick == 0 || took < h.quick {
+		h.quick = took
+	}
 }
 
 // allow reports whether a call to a part may be tried now.
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -103,9 +104,13 @@
 		if !l.health.allow(part, l.options.Now()) {
 			return nil, l.health.closed(l.options.Now())
 		}
-		callContext, cancel := context.WithTimeout(ctx, callTimeout)
+		callContext, cancel := context.WithTimeout(ctx, l.health.callTimeout())
+		begun := time.Now()
 		rows, err := l.options.Table.Range(callContext, start, end, rangeLimit)
 		cancel()
+		if err == nil {
+			l.health.answered(time.Since(begun))
+		}
 		l.health.report(part, err, l.options.Now())
 		if err == nil {
 			return rows, nil
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -117,6 +117,47 @@
 	}
 }
 
+// TestSpentBudgetCostsNoCalls refuses a program whose budget was handed out, over a
+// time in which others might have given something back.
+func TestSpentBudgetCostsNoCalls(t *testing.T) {
+	store := newStore(t)
+	now := time.Now()
+	l := ledger.New(ledger.Options{Table: platform.NewStore(store.Address(), nil), Run: "a", Now: func() time.Time { return now }})
+	ask := ledger.Ask{Program: "p", Budget: 2 * most, Most: most}
+	for {
+		run, problem := l.Begin(within(t, 5*time.Second), ask)
+		if problem != nil {
+			break
+		}
+		if err := run.Settle(within(t, 5*time.Second), most, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := store.AllCalls()
+	for range 5 {
+		now = now.Add(time.Minute)
+		if _, problem := l.Begin(within(t, 5*time.Second), ask); problem == nil || problem.Code != api.BudgetExhausted {
+			t.Fatalf("got %v, want budget_exhausted", problem)
+		}
+	}
+	if calls := store.AllCalls() - before; calls > 0 {
+		t.Errorf("%d calls to refuse a program whose budget was handed out", calls)
+	}
+}
+
+// TestRejectedWriteIsNotRepeated lets the store reject a write for good.
+func TestRejectedWriteIsNotRepeated(t *testing.T) {
+	store := newStore(t)
+	store.SetFault(func(string, string) operators.Fault { return operators.Reject })
+	_, problem := newLedger(store, "a").Begin(within(t, 5*time.Second), ledger.Ask{Program: "p", Budget: 1000, Most: most})
+	if problem == nil || problem.Execution != api.NotRun {
+		t.Fatalf("got %v, want a refusal that says that the turn has not run", problem)
+	}
+	if calls := store.Calls("/-/rows-tx"); calls != 1 {
+		t.Errorf("a write that was rejected was made %d times", calls)
+	}
+}
+
 // TestTurnIsRecordedElsewhere shows that a turn is kept, and found, while the
 // part of its program's account fails.
 func TestTurnIsRecordedElsewhere(t *testing.T) {
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -28,7 +28,7 @@
 		if err == nil {
 			return nil
 		}
-		if !backoff.Wait(ctx, retryPause) {
+		if errors.Is(err, tablestore.ErrRejected) || !backoff.Wait(ctx, retryPause) {
 			e.forget(waiting)
 			return err
 		}
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -15,6 +15,9 @@
 // Times of calls to the table.
 const (
 	retryPause = 40 * time.Millisecond // before a refused or lost call is sent again
+	// throttlePause is that before a call that was refused for its rate: the rate
+	// is that of all nodes, or of a queue as long as a second.
+	throttlePause = 200 * time.Millisecond
 )
 
 // write changes the account until the change has taken effect: it charges
@@ -23,15 +26,20 @@
 // not covered.
 func (l *Ledger) write(ctx context.Context, e *entry, ask Ask) error {
 	part := partOf(e.program)
-	fresh := e.isFresh(l.options.Now()) // whether the account was read just now
 	for {
 		if e.satisfied(ask) {
 			return nil
 		}
+		if l.health.slow() && !e.isFresh(l.options.Now()) {
+			// A write that fails its condition would take a place in the part's
+			// queue for nothing; a read takes none.
+			if err := l.readAccount(ctx, e, part); err != nil {
+				return err
+			}
+		}
 		transaction, write, err := e.prepare(l.options.Run, part, ask)
-		if errors.Is(err, ErrBudgetSpent) && !fresh {
+		if errors.Is(err, ErrBudgetSpent) && !e.isFresh(l.options.Now()) && !e.isExhausted(ask) {
 			// Other nodes may have given back what this one does not know of.
-			fresh = true
 			if err := l.load(ctx, e, part, e.program); err != nil {
 				return err
 			}
@@ -50,6 +58,20 @@
 	}
 }
 
+// readAccount reads the program's account.
+func (l *Ledger) readAccount(ctx context.Context, e *entry, part int) error {
+	key := accountKey(part, e.program)
+	rows, err := l.readRange(ctx, part, key, key+"\x00")
+	if err != nil {
+		return err
+	}
+	if len(rows) == 0 {
+		rows = []tablestore.Row{{Key: key}}
+	}
+	e.seen(l.options.Now())
+	return e.take(l.options.Run, key, rows)
+}
+
 // prepare builds the next write. Its number and content are kept until its
 // outcome is known.
 func (e *entry) prepare(run string, part int, ask Ask) (tablestore.Transaction, uint64, error) {
@@ -143,19 +165,27 @@
 }
 
 // commitOrRead sends a write. If no answer has come in the usual time, the
-// account's row is read beside it: where the answer was lost, the row comes
-// soon and is returned; where the table is slow, the answer comes first. So a
-// slow table gets no write twice, and a lost answer costs little.
+// account's row is read beside it. Where the answer was lost, the row comes as soon
+// as ever, is returned, and the write is given up. Where the table is slow, so is the
+// read; then an unchanged row says that the write still waits its turn, and it is
+// waited for: sent again it would only lengthen the queue that it waits in.
 func (l *Ledger) commitOrRead(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, *tablestore.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.health.callTimeout())
 	defer cancel()
+	condition := transaction.Conditions[0]
 	read := make(chan *tablestore.Row, 1)
 	timer := time.AfterFunc(l.health.patience(), func() {
-		row, err := l.options.Table.Get(ctx, transaction.Conditions[0].Key)
+		start := time.Now()
+		row, err := l.options.Table.Get(ctx, condition.Key)
 		if err != nil {
 			read <- nil
 			return
 		}
+		l.health.answered(time.Since(start))
+		if row.Revision == condition.Revision && l.health.slow() {
+			read <- nil
+			return
+		}
 		read <- &row
 		cancel()
 	})
@@ -179,13 +209,16 @@
 }
 
 // mayRetry reports whether a call that failed is to be made again now. One that
-// was given up has been waited for; one that was refused is paused for.
+// was given up has been waited for; one that was refused for now is paused for; one
+// that was rejected would be again.
 func mayRetry(ctx context.Context, err error) bool {
 	switch {
-	case errors.Is(err, tablestore.ErrUnreachable):
+	case errors.Is(err, tablestore.ErrUnreachable), errors.Is(err, tablestore.ErrRejected):
 		return false
 	case errors.Is(err, tablestore.ErrUnknownOutcome):
 		return ctx.Err() == nil
+	case errors.Is(err, tablestore.ErrThrottled):
+		return backoff.Wait(ctx, backoff.Spread(throttlePause))
 	}
 	return backoff.Wait(ctx, retryPause)
 }
@@ -256,6 +289,14 @@
 	return now.Sub(e.readAt) < freshness
 }
 
+// isExhausted reports whether the budget is spent for good, whatever others may
+// have given back since the account was read.
+func (e *entry) isExhausted(ask Ask) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.known && e.account.exhausted(e.unsettled, ask.Most)
+}
+
 // seen notes that the account was read or written.
 func (e *entry) seen(now time.Time) {
 	e.mutex.Lock()
--- a/internal/standin/operators/store.go
+++ b/internal/standin/operators/store.go
@@ -34,6 +34,7 @@
 	Throttle          // 429, nothing done
 	LoseReply         // done, and the connection ends without an answer
 	LoseRequest       // not done, and the connection ends without an answer
+	Reject            // 400, nothing done
 	HangAfter         // done, and no answer before the caller leaves
 	Hang              // not done, and no answer before the caller leaves
 )
@@ -85,6 +86,17 @@
 	return s.calls[path]
 }
 
+// AllCalls returns how many calls came in all.
+func (s *Store) AllCalls() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	sum := 0
+	for _, count := range s.calls {
+		sum += count
+	}
+	return sum
+}
+
 // Forget drops the history of changes, as a compaction does.
 func (s *Store) Forget() {
 	s.mutex.Lock()
@@ -159,6 +171,8 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	case Throttle:
 		writer.WriteHeader(http.StatusTooManyRequests)
+	case Reject:
+		http.Error(writer, `{"error":"rejected"}`, http.StatusBadRequest)
 	case LoseRequest:
 		panic(http.ErrAbortHandler)
 	case Hang:
