ledger, placement: a dead node's allowance costs no turn; allowances of 8 turns; connections weigh 80 ms

An allowance covers up to 8 turns ahead, a quarter of what is left at most as before: one node holds it, so that less is left at others. A new connection weighs 80 ms of delay in place of 40.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -18,7 +18,7 @@
 var ErrBudgetSpent = errors.New("the program's token budget is spent")
 
 // aheadTurns is how many turns an allowance covers beyond those under way.
-const aheadTurns = 3
+const aheadTurns = 8
 
 // aheadShare is the part of the unspent budget, one over this number, that
 // an allowance takes ahead at most. Allowances of a node that dies are lost to
@@ -28,7 +28,9 @@
 // Account is the durable state of one program's budget, in tokens.
 //
 // Invariant: Spent + the sum of all allowances <= Budget, but for a program's first
-// turn, which may be larger than its budget.
+// turn, which may be larger than its budget. Where other runs hold allowances, which may
+// be those of nodes that died, it is <= Budget + Least: the rules of the budget allow
+// the most of one turn beyond it.
 type Account struct {
 	Budget     int64                `json:"b"`
 	Spent      int64                `json:"s"`
@@ -77,7 +79,7 @@
 		next.Least = change.Most
 	}
 	committed := next.Spent + next.Outstanding() + change.UnderWay
-	if change.Most > 0 && !next.holds(committed, change.Most) {
+	if change.Most > 0 && !next.holds(committed, next.Outstanding(), change.Most) {
 		return a, errors.Wrapf(ErrBudgetSpent, "budget %d, spent %d, allowances of %d other runs %d, under way here %d, the turn %d",
 			next.Budget, next.Spent, len(next.Allowances), next.Outstanding(), change.UnderWay, change.Most)
 	}
@@ -89,9 +91,14 @@
 	return next, nil
 }
 
-// holds reports whether a turn fits beside what is committed.
-func (a Account) holds(committed, most int64) bool {
-	return committed == 0 || committed+most <= a.Budget
+// holds reports whether a turn fits beside what is committed, of which others may be the
+// allowances of nodes that died.
+func (a Account) holds(committed, others, most int64) bool {
+	limit := a.Budget
+	if others > 0 {
+		limit += a.Least
+	}
+	return committed == 0 || committed+most <= limit
 }
 
 // ahead returns how many tokens to hold for turns to come.
@@ -108,10 +115,11 @@
 }
 
 // exhausted reports whether what was handed out, with what is not charged yet,
-// leaves no room for a turn, even if no other turn runs and every allowance is given
-// back. It never ends: what was handed out only grows.
-func (a Account) exhausted(unsettled, most int64) bool {
-	return a.Budget > 0 && !a.holds(a.Spent+unsettled, most)
+// leaves no room for a turn of a run, even if no other turn runs and its allowance is
+// given back. What was handed out only grows.
+func (a Account) exhausted(run string, unsettled, most int64) bool {
+	others := a.Outstanding() - a.Allowances[run].Tokens
+	return a.Budget > 0 && !a.holds(a.Spent+unsettled, others, most)
 }
 
 // tight reports whether little of the budget is left, so that allowances and
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -38,7 +38,7 @@
 			}
 		}
 		transaction, write, err := e.prepare(l.options.Run, part, ask)
-		if errors.Is(err, ErrBudgetSpent) && !e.isFresh(l.options.Now()) && !e.isExhausted(ask) {
+		if errors.Is(err, ErrBudgetSpent) && !e.isFresh(l.options.Now()) && !e.isExhausted(l.options.Run, ask) {
 			// Other nodes may have given back what this one does not know of.
 			if err := l.load(ctx, e, part, e.program); err != nil {
 				return err
@@ -292,10 +292,10 @@
 
 // isExhausted reports whether the budget is spent for good, whatever others may
 // have given back since the account was read.
-func (e *entry) isExhausted(ask Ask) bool {
+func (e *entry) isExhausted(run string, ask Ask) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.known && e.account.exhausted(e.unsettled, ask.Most)
+	return e.known && e.account.exhausted(run, e.unsettled, ask.Most)
 }
 
 // seen notes that the account was read or written.
--- /dev/null
+++ b/internal/owners/crash_test.go
@@ -0,0 +1,130 @@
+package owners_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/owners"
+	"github.com/pewtermill/pewtermill/internal/standin/operators"
+	"github.com/pewtermill/pewtermill/platform"
+)
+
+// trial is a run of several programs over nodes that crash and stop, links that lose
+// messages, and a store that loses, delays and refuses calls.
+type trial struct {
+	mesh    *mesh
+	store   *operators.Store
+	nodes   []atomic.Pointer[node]
+	mutex   sync.Mutex
+	random  *rand.Rand
+	handed  []int64 // tokens, by program
+	starts  int
+	address []string
+}
+
+func newTrial(t *testing.T, seed uint64, nodes, programs int) *trial {
+	t.Helper()
+	tr := &trial{
+		store:  newStore(t),
+		nodes:  make([]atomic.Pointer[node], nodes),
+		random: rand.New(rand.NewPCG(seed, 1)),
+		handed: make([]int64, programs),
+	}
+	var started []*node
+	tr.mesh, started = start(t, tr.store, nodes)
+	for i, n := range started {
+		tr.nodes[i].Store(n)
+		tr.address = append(tr.address, n.address)
+	}
+	tr.mesh.setFault(func(string) (bool, bool) { return tr.draw(12) > 0, tr.draw(12) > 0 })
+	faults := []operators.Fault{operators.LoseReply, operators.Refuse, operators.HangAfter, operators.Late, operators.Late}
+	tr.store.SetFault(func(string, string) operators.Fault {
+		if drawn := tr.draw(12); drawn < len(faults) {
+			return faults[drawn]
+		}
+		return operators.Healthy
+	})
+	return tr
+}
+
+// draw returns a number below a bound.
+func (tr *trial) draw(bound int) int {
+	tr.mutex.Lock()
+	defer tr.mutex.Unlock()
+	return tr.random.IntN(bound)
+}
+
+// replace ends a node, as planned or not, and starts another run of it. Turns of the old
+// run go on, as those of a machine that only seems dead.
+func (tr *trial) replace(number int, planned bool) {
+	if old := tr.nodes[number].Load(); planned {
+		old.server.Leave()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		old.ledger.Flush(ctx)
+	}
+	tr.mutex.Lock()
+	tr.starts++
+	run := fmt.Sprintf("run-%d", tr.starts)
+	tr.mutex.Unlock()
+	address := tr.address[number]
+	l := ledger.New(ledger.Options{Table: platform.NewStore(tr.store.Address(), nil), Run: run})
+	n := &node{address: address, ledger: l, server: owners.NewServer(l), client: owners.NewClient(tr.mesh, address, run, address, nil)}
+	n.client.SetPeers(tr.address)
+	l.SetOwners(n.client)
+	tr.mesh.mutex.Lock()
+	tr.mesh.nodes[address] = n.server
+	tr.mesh.mutex.Unlock()
+	tr.nodes[number].Store(n)
+}
+
+// turn runs one turn of a program at a node.
+func (tr *trial) turn(number, program int, budget int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	run, problem := tr.nodes[number].Load().ledger.Begin(ctx, ledger.Ask{Program: fmt.Sprintf("p%d", program), Budget: budget, Most: most})
+	if problem != nil {
+		return
+	}
+	tokens := int64(tr.draw(most + 1))
+	tr.mutex.Lock()
+	tr.handed[program] += tokens
+	tr.mutex.Unlock()
+	_ = run.Settle(ctx, tokens, nil) // what is not settled stays charged
+}
+
+// TestBudgetHoldsThroughCrashes plays random trials.
+func TestBudgetHoldsThroughCrashes(t *testing.T) {
+	const nodes, programs, workers, turns, budget = 4, 4, 4, 40, 600
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			tr := newTrial(t, seed, nodes, programs)
+			var group sync.WaitGroup
+			for number := range nodes {
+				for worker := range workers {
+					group.Go(func() {
+						for turn := range turns {
+							if tr.draw(40) == 0 {
+								tr.replace(tr.draw(nodes), tr.draw(2) == 0)
+							}
+							tr.turn(number, (number+worker+turn)%programs, budget)
+						}
+					})
+				}
+			}
+			group.Wait()
+			for program, tokens := range tr.handed {
+				if tokens > budget+most {
+					t.Errorf("program %d got %d tokens of %d and %d", program, tokens, budget, most)
+				}
+			}
+		})
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,7 +20,7 @@
 // Costs that the scheduler weighs against milliseconds of delay.
 const (
 	crossZoneMillis = 3.0  // one way to another zone: delay, and bytes that are paid for
-	connectMillis   = 40.0 // a new connection where none is at rest
+	connectMillis   = 80.0 // a new connection where none is at rest
 )
 
 // Assumed speeds of an engine that reports none, in tokens a second.
--- a/internal/standin/operators/store.go
+++ b/internal/standin/operators/store.go
@@ -35,10 +35,14 @@
 	LoseReply         // done, and the connection ends without an answer
 	LoseRequest       // not done, and the connection ends without an answer
 	Reject            // 400, nothing done
+	Late              // no answer; done a little later if its conditions hold then
 	HangAfter         // done, and no answer before the caller leaves
 	Hang              // not done, and no answer before the caller leaves
 )
 
+// lateBy is after what time a late write is done.
+const lateBy = 150 * time.Millisecond
+
 // Store is the stand-in for the platform's store.
 type Store struct {
 	Server *httptest.Server
@@ -202,6 +206,11 @@
 	if spoil(fault, writer, request) {
 		return
 	}
+	if fault == Late {
+		time.AfterFunc(lateBy, func() { s.apply(change.Conditions, change.Puts, change.Removals) })
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	status, answer := s.apply(change.Conditions, change.Puts, change.Removals)
 	switch fault {
 	case HangAfter:
