ledger: a table that is silent as a whole is noticed across its parts

Each of 32 parts was learnt by itself, four calls of 0.8 s each, so that turns were held for 1.2 s (half of them 0.9 s and more) before they were refused. Change: a breaker for the table as a whole opens after five failed calls in a row, whatever their parts, and lets a probe through each 0.2 s; an answer of any part closes it. TestSilentTableIsNoticedAcrossParts fails on the code before (no breaker of the whole).

--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -13,6 +13,9 @@
 // Settings of the circuit breakers before the table.
 const (
 	failuresToOpen = 4
+	// failuresOfAll is how many calls in a row, whatever their parts, fail before
+	// the whole table is held to be down.
+	failuresOfAll = 5
 	probePeriod    = 200 * time.Millisecond
 	// A table that fails for everyone is worth waiting for; one that fails for
 	// this node alone is not, since another node will do.
@@ -26,12 +29,13 @@
 	memoryPeriod = 2500 * time.Millisecond
 )
 
-// health holds a circuit breaker for each part of the table, and one for the
-// way to it: after some failures in a row calls are refused at once, but for
+// health holds a circuit breaker for each part of the table, one for the table as a
+// whole, and one for the way to it: after some failures in a row calls are refused at once, but for
 // one probe in a while. Safe for concurrent use.
 type health struct {
 	mutex sync.Mutex
 	parts [Parts]breaker
+	all   breaker // of calls that reach the table and fail, whatever their parts
 	way   breaker
 	last  error // of the last call that failed
 	at    time.Time
@@ -109,7 +113,7 @@
 func (h *health) allow(part int, now time.Time) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.way.allow(now, 1) && h.parts[part].allow(now, failuresToOpen)
+	return h.way.allow(now, 1) && h.all.allow(now, failuresOfAll) && h.parts[part].allow(now, failuresToOpen)
 }
 
 func (b *breaker) allow(now time.Time, limit int) bool {
@@ -133,6 +137,7 @@
 	unreachable := errors.Is(err, tablestore.ErrUnreachable)
 	h.way.report(!unreachable, now)
 	if !unreachable {
+		h.all.report(err == nil, now)
 		h.parts[part].report(err == nil, now)
 	}
 }
--- a/internal/ledger/health_test.go
+++ b/internal/ledger/health_test.go
@@ -51,3 +51,34 @@
 		t.Error("another part is not asked")
 	}
 }
+
+// TestSilentTableIsNoticedAcrossParts lets a call to each of several parts fail, as when
+// the whole table is silent. The incident that found it: inc-da89 of the grown Wales,
+// where each node waited 1.2 s for every turn, since each part was learnt by itself.
+func TestSilentTableIsNoticedAcrossParts(t *testing.T) {
+	h := newHealth()
+	now := time.Unix(100, 0)
+	for part := range failuresOfAll {
+		if !h.allow(part, now) {
+			t.Fatalf("part %d is not asked after %d failures elsewhere", part, part)
+		}
+		h.report(part, tablestore.ErrUnknownOutcome, now)
+	}
+	if h.allow(failuresOfAll, now.Add(time.Millisecond)) {
+		t.Error("a part is asked though every other one failed")
+	}
+	if !h.allow(failuresOfAll, now.Add(probePeriod)) {
+		t.Error("no probe is allowed")
+	}
+	h.report(failuresOfAll, nil, now.Add(probePeriod))
+	if !h.allow(failuresOfAll+1, now.Add(probePeriod)) {
+		t.Error("an answer did not open the way for the other parts")
+	}
+	for range failuresOfAll {
+		h.report(1, tablestore.ErrUnavailable, now)
+		h.report(2, nil, now)
+	}
+	if !h.allow(3, now.Add(time.Millisecond)) {
+		t.Error("one failing part stops calls to others that answer")
+	}
+}
