--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -16,7 +16,7 @@
 	// failuresOfAll is how many calls in a row, whatever their parts, fail before
 	// the whole table is held to be down.
 	failuresOfAll = 5
-	probePeriod    = 200 * time.Millisecond
+	probePeriod   = 200 * time.Millisecond
 	// A table that fails for everyone is worth waiting for; one that fails for
 	// this node alone is not, since another node will do.
 	comeBackLater = 1100 * time.Millisecond
