owners, serving: metrics of allowances held for others

Cause: lost owners were counted as lost watches, and nothing told how many turns peers cover. Change: counters of turns by whose allowance covers them and of owners lost, a gauge of grants. Also: expired grants end in plain goroutines, as nobody waits for them.

--- a/internal/owners/server.go
+++ b/internal/owners/server.go
@@ -35,11 +35,10 @@
 	ledger  coverer
 	leaving atomic.Bool
 
-	mutex     sync.Mutex
-	grants    map[string]*held
-	lookedAt  time.Time
-	now       func() time.Time
-	expirings sync.WaitGroup
+	mutex    sync.Mutex
+	grants   map[string]*held
+	lookedAt time.Time
+	now      func() time.Time
 }
 
 // held is a grant. Until the run is there, the turn waits for the table.
@@ -164,7 +163,7 @@
 	for id, known := range s.grants {
 		if known.run != nil && now.Sub(known.since) > grantLife {
 			delete(s.grants, id)
-			s.expirings.Go(func() { known.end(known.most) })
+			go known.end(known.most)
 		}
 	}
 }
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -27,16 +27,18 @@
 // Metrics are the counters and histograms of one process. Safe for concurrent
 // use. docs/OPERATIONS.md lists them; a test compares the two.
 type Metrics struct {
-	registry  *prometheus.Registry
-	requests  *prometheus.CounterVec
-	refusals  *prometheus.CounterVec
-	tries     *prometheus.CounterVec
-	firstByte *prometheus.HistogramVec
-	duration  *prometheus.HistogramVec
-	ledger    prometheus.Histogram
-	settle    prometheus.Histogram
-	store     *prometheus.HistogramVec
-	lost      *prometheus.CounterVec
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	refusals   *prometheus.CounterVec
+	tries      *prometheus.CounterVec
+	firstByte  *prometheus.HistogramVec
+	duration   *prometheus.HistogramVec
+	ledger     prometheus.Histogram
+	settle     prometheus.Histogram
+	store      *prometheus.HistogramVec
+	lost       *prometheus.CounterVec
+	ownersLost *prometheus.CounterVec
+	covered    *prometheus.CounterVec
 
 	mutex  sync.Mutex
 	routes map[string]bool
@@ -51,12 +53,14 @@
 	m.firstByte = histograms("pewtermill_serve_first_byte_seconds", "From arrival to the first byte of the answer.", "kind")
 	m.duration = histograms("pewtermill_serve_request_seconds", "From arrival to the end of the answer.", "kind")
 	m.store = histograms("pewtermill_serve_store_call_seconds", "Calls to the platform's store.", "call", "result")
+	m.ownersLost = counters("pewtermill_serve_owners_lost_total", "Times that a process that holds allowances for others stopped answering.")
+	m.covered = counters("pewtermill_serve_turns_covered_total", "Turns by whose allowance covers them.", "allowance")
 	m.lost = counters("pewtermill_serve_store_lost_total", "Times that the store stopped answering a watch.", "collection")
 	m.ledger = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pewtermill_serve_ledger_wait_seconds", Help: "Until a turn got leave to run.", Buckets: latencyBuckets})
 	m.settle = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pewtermill_serve_settlement_seconds", Help: "Until a turn was recorded.", Buckets: latencyBuckets})
-	m.registry.MustRegister(m.requests, m.refusals, m.tries, m.firstByte, m.duration, m.store, m.lost, m.ledger, m.settle)
+	m.registry.MustRegister(m.requests, m.refusals, m.tries, m.firstByte, m.duration, m.store, m.lost, m.ownersLost, m.covered, m.ledger, m.settle)
 	return m
 }
 
@@ -97,6 +101,12 @@
 	for _, try := range report.Tries {
 		m.tries.WithLabelValues(try.Outcome.String()).Inc()
 	}
+	switch {
+	case report.Owner != "":
+		m.covered.WithLabelValues("peer").Inc()
+	case report.Call.Budget > 0 && report.Waits.Ledger > 0:
+		m.covered.WithLabelValues("own").Inc()
+	}
 	observeIf(m.firstByte.WithLabelValues(report.Kind), report.Waits.FirstByte)
 	observeIf(m.ledger, report.Waits.Ledger)
 	observeIf(m.settle, report.Waits.Settlement)
@@ -145,6 +155,9 @@
 	p.metrics.Gauge("pewtermill_serve_engines_ready", "Engines that take new work.", func() float64 {
 		return float64(readyEngines(p.follower.View()))
 	})
+	p.metrics.Gauge("pewtermill_serve_grants", "Turns of other processes that this one covers.", func() float64 {
+		return float64(p.covering.Grants())
+	})
 	p.metrics.Gauge("pewtermill_serve_calls_relayed", "Calls to the store that peers made for this process.", func() float64 {
 		return float64(p.relay.Relayed())
 	})
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -122,7 +122,7 @@
 
 // OwnerLost implements owners.Observer.
 func (p *Process) OwnerLost(address string, cause error) {
-	p.metrics.lost.WithLabelValues("owner").Inc()
+	p.metrics.ownersLost.WithLabelValues().Inc()
 	p.logger.Warn("owner lost", "peer", address, "error", cause.Error())
 }
 
