ledger: the whole table is down when many parts fail, not when one fails often

Cause: the breaker of the whole table counted calls. Change: it counts parts that failed since any part answered. The test is stricter than before: two parts that fail again and again leave others open; it fails on the code before.

--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -13,8 +13,8 @@
 // Settings of the circuit breakers before the table.
 const (
 	failuresToOpen = 4
-	// failuresOfAll is how many calls in a row, whatever their parts, fail before
-	// the whole table is held to be down.
+	// failuresOfAll is how many parts fail, with no answer of any other in between,
+	// before the whole table is held to be down.
 	failuresOfAll = 5
 	probePeriod   = 200 * time.Millisecond
 	// A table that fails for everyone is worth waiting for; one that fails for
@@ -33,14 +33,15 @@
 // whole, and one for the way to it: after some failures in a row calls are refused at once, but for
 // one probe in a while. Safe for concurrent use.
 type health struct {
-	mutex sync.Mutex
-	parts [Parts]breaker
-	all   breaker // of calls that reach the table and fail, whatever their parts
-	way   breaker
-	last  error // of the last call that failed
-	at    time.Time
-	usual time.Duration // smoothed time of calls that were answered
-	quick time.Duration // time of the quickest of them; 0 before the first
+	mutex  sync.Mutex
+	parts  [Parts]breaker
+	all    breaker      // counts the parts that failed since any part answered
+	failed map[int]bool // those parts
+	way    breaker
+	last   error // of the last call that failed
+	at     time.Time
+	usual  time.Duration // smoothed time of calls that were answered
+	quick  time.Duration // time of the quickest of them; 0 before the first
 }
 
 // breaker counts failures in a row.
@@ -51,7 +52,7 @@
 	failedAt time.Time // of the last of them
 }
 
-func newHealth() *health { return &health{usual: firstUsual} }
+func newHealth() *health { return &health{usual: firstUsual, failed: make(map[int]bool)} }
 
 // callTimeout is how long one call is waited for while the table is as quick as
 // ever.
@@ -137,11 +138,24 @@
 	unreachable := errors.Is(err, tablestore.ErrUnreachable)
 	h.way.report(!unreachable, now)
 	if !unreachable {
-		h.all.report(err == nil, now)
+		h.reportAll(part, err == nil, now)
 		h.parts[part].report(err == nil, now)
 	}
 }
 
+// reportAll counts a part that fails, once until any part answers. The mutex is held.
+func (h *health) reportAll(part int, succeeded bool, now time.Time) {
+	switch {
+	case succeeded:
+		clear(h.failed)
+	case h.failed[part]:
+		return
+	default:
+		h.failed[part] = true
+	}
+	h.all.report(succeeded, now)
+}
+
 func (b *breaker) report(succeeded bool, now time.Time) {
 	if succeeded {
 		*b = breaker{}
--- a/internal/ledger/health_test.go
+++ b/internal/ledger/health_test.go
@@ -74,9 +74,9 @@
 	if !h.allow(failuresOfAll+1, now.Add(probePeriod)) {
 		t.Error("an answer did not open the way for the other parts")
 	}
-	for range failuresOfAll {
+	for range 2 * failuresOfAll {
 		h.report(1, tablestore.ErrUnavailable, now)
-		h.report(2, nil, now)
+		h.report(2, tablestore.ErrUnavailable, now)
 	}
 	if !h.allow(3, now.Add(time.Millisecond)) {
 		t.Error("one failing part stops calls to others that answer")
--- a/internal/serving/deployment_test.go
+++ b/internal/serving/deployment_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -27,6 +28,7 @@
 	metrics *serving.Metrics
 	address string
 	ready   string
+	peers   string // where peers ask; empty for none
 	log     *syncBuffer
 }
 
@@ -86,7 +88,15 @@
 // start runs a process before two engines of each service.
 func start(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: operators.NewStore(), engines: make(map[string]*operators.Engine), log: &syncBuffer{}}
+	d := prepare(t)
+	d.run("node-1", "")
+	return d
+}
+
+// prepare returns a store and two engines of each service, without a process.
+func prepare(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: operators.NewStore(), engines: make(map[string]*operators.Engine)}
 	t.Cleanup(d.store.Server.Close)
 	for _, id := range []string{"m1", "m2"} {
 		d.addEngine(id, "models")
@@ -94,23 +104,45 @@
 	for _, id := range []string{"p1", "p2"} {
 		d.addEngine(id, "portal")
 	}
-	d.address, d.ready = freeAddress(t), freeAddress(t)
+	return d
+}
+
+// beside runs another process before the same store and engines.
+func (d *deployment) beside(node, peers string) *deployment {
+	d.t.Helper()
+	other := &deployment{t: d.t, store: d.store, engines: d.engines}
+	other.run(node, peers)
+	return other
+}
+
+// run starts the deployment's process.
+func (d *deployment) run(node, peers string) {
+	d.t.Helper()
+	d.log = &syncBuffer{}
+	d.address, d.ready, d.peers = freeAddress(d.t), freeAddress(d.t), peers
 	writer := eventlog.NewWriter(d.log)
-	t.Cleanup(writer.Flush)
+	d.t.Cleanup(writer.Flush)
 	d.metrics = serving.NewMetrics()
 	d.metrics.Gauge("pewtermill_serve_log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(writer.Dropped()) })
 	store := platform.NewStore(d.store.Address(), d.metrics.StoreCall)
 	d.process = serving.New(serving.Settings{
-		Node: "node-1", Zone: "zone-a", IngressAddress: d.address, ReadyAddress: d.ready, GracePeriod: 8 * time.Second,
+		Node: node, Zone: "zone-a", IngressAddress: d.address, ReadyAddress: d.ready, GracePeriod: 8 * time.Second,
+		PeerAddress: peers, Zones: []string{"zone-a"},
 	}, serving.Dependencies{
 		Source: store, Table: store, Protocol: platform.Protocol{}, ReadyPath: platform.ReadyPath(),
-		Run: "run-1", Logger: eventlog.NewLogger(writer, slog.LevelDebug), Metrics: d.metrics,
+		Run: "run-of-" + node, Logger: eventlog.NewLogger(writer, slog.LevelDebug), Metrics: d.metrics,
 	})
 	if err := d.process.Start(context.Background()); err != nil {
-		t.Fatal(err)
+		d.t.Fatal(err)
 	}
-	t.Cleanup(d.process.Close)
-	return d
+	d.t.Cleanup(d.process.Close)
+}
+
+// metricsText returns the process's figures.
+func (d *deployment) metricsText() string {
+	recorder := httptest.NewRecorder()
+	d.metrics.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return recorder.Body.String()
 }
 
 // serve starts a process and waits until the standard configuration is in force.
