loads, placement: nodes tell each other of their calls at engines; speeds are learnt

A node counted its own calls only, and took engines to read 60,000 tokens a second (163,000) and to make 300 (800).

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -48,7 +48,8 @@
 	placed  placement.Placement
 	answer  *upstream.Answer
 	request *request
-	index   int // in request.report.Tries
+	index   int   // in request.report.Tries
+	tokens  int64 // that the engine has made
 
 	ctx      context.Context // ends with the request's, or when the engine has gone dark
 	cancel   context.CancelCauseFunc
@@ -137,15 +138,15 @@
 // placementRequest describes the request to the placer.
 func (r *request) placementRequest(made *attempts) placement.Request {
 	request := placement.Request{
-		Program:        r.call.Program,
-		Service:        r.service,
-		Class:          r.route.Name,
-		Parts:          r.call.PromptParts,
-		PromptTokens:   r.call.PromptTokens,
-		ExpectedTokens: max(1, r.call.MostTokens/4),
-		Deadline:       r.until,
-		LastEngine:     r.handler.lines.get(r.lineKey()),
-		Excluded:       slices.Clone(made.tried),
+		Program:      r.call.Program,
+		Service:      r.service,
+		Class:        r.route.Name,
+		Parts:        r.call.PromptParts,
+		PromptTokens: r.call.PromptTokens,
+		MostTokens:   r.call.MostTokens,
+		Deadline:     r.until,
+		LastEngine:   r.handler.lines.get(r.lineKey()),
+		Excluded:     slices.Clone(made.tried),
 	}
 	if r.call.FinishIn > 0 {
 		request.ProgramDeadline = r.arrived.Add(r.call.FinishIn)
@@ -182,7 +183,7 @@
 		t.answer.Close()
 	}
 	t.cancel(nil)
-	t.request.handler.options.Placer.Done(t.placed, outcome)
+	t.request.handler.options.Placer.Done(t.placed, placement.End{Outcome: outcome, Tokens: t.tokens})
 	t.request.reportMutex.Lock()
 	defer t.request.reportMutex.Unlock()
 	noted := &t.request.report.Tries[t.index]
@@ -219,7 +220,7 @@
 	case !options.Protocol.Genuine(answer.StatusCode, answer.Header):
 		return placement.Failed, errors.New("the answer is not an engine's")
 	}
-	options.Placer.Answered(t.placed)
+	options.Placer.Answered(&t.placed)
 	return placement.Served, nil
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -67,8 +67,8 @@
 // Placer places requests. *placement.Placer implements it.
 type Placer interface {
 	Place(ctx context.Context, request placement.Request) (placement.Placement, *api.Error)
-	Answered(placed placement.Placement)
-	Done(placed placement.Placement, outcome placement.Outcome)
+	Answered(placed *placement.Placement)
+	Done(placed placement.Placement, end placement.End)
 }
 
 // Observer is told of each request's end. It must not block.
--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -124,6 +124,7 @@
 	}
 	if next.has {
 		s.events++
+		current.tokens += s.tokensPerEvent()
 		if r.route.Retain {
 			s.output = append(append(s.output, next.data...), '\n')
 		}
--- /dev/null
+++ b/internal/loads/loads.go
@@ -0,0 +1,107 @@
+// Package loads lets nodes tell each other how many calls they have in flight at
+// each engine, and which engines have read the shared beginnings of prompts.
+//
+// A node alone sees its own calls only: of 66 nodes each sees a sixty-sixth of an
+// engine's load. One node of each zone, found by rendezvous hashing, gathers for the
+// zone (Collector); the nodes report to it and get what all others have in flight
+// (Reporter); those that gather exchange their zones' sums. So a node sends one
+// message each pause, however many nodes there are, and the pause grows with the
+// number of nodes of the zone.
+//
+// News is a hint. What a node reported counts for reportLife, a silent collector is
+// passed over, and a node without news goes by its own calls. No request is refused
+// for want of news.
+package loads
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// Bounds of what is taken from peers.
+const (
+	maxEngines   = 4096 // in one report
+	maxCalls     = 1 << 16
+	maxReporters = 1024
+	maxPrefixes  = 8192
+)
+
+// Times of reports.
+const (
+	// reportLife is for how long a report counts: a node that dies, freezes or is cut
+	// off says nothing of the end of its calls.
+	reportLife = time.Second
+	// leastPause is between two reports of one node.
+	leastPause = 40 * time.Millisecond
+	// reporterShare is what each node of a zone adds to the pause, so that one which
+	// gathers gets 200 reports a second at most.
+	reporterShare = 5 * time.Millisecond
+	// idlePause is between two reports of a node that has nothing in flight.
+	idlePause = 400 * time.Millisecond
+)
+
+// EngineKey names an engine in reports.
+type EngineKey uint32
+
+// KeyOf returns the key of an engine's id. Two engines with one key are each thought
+// to be as busy as both.
+func KeyOf(engine string) EngineKey { return EngineKey(xxhash.Sum64String(engine)) }
+
+// Counts are calls in flight by engine.
+type Counts map[EngineKey]int
+
+// Prefix says that an engine has read the shared beginning of a prompt.
+type Prefix struct {
+	Engine EngineKey
+	Hash   uint64
+}
+
+// News is what a node hears of the others.
+type News struct {
+	Others   Counts // calls in flight of all other nodes
+	Nodes    int    // other nodes whose reports are in it
+	Prefixes []Prefix
+	Pause    time.Duration // until the next news is due
+}
+
+// add adds other counts.
+func (c Counts) add(other Counts) {
+	for engine, calls := range other {
+		c[engine] += calls
+	}
+}
+
+// encode returns counts as they are sent.
+func encode(counts Counts, nodes int) *wirepb.EngineLoads {
+	sent := &wirepb.EngineLoads{
+		Engines: make([]uint32, 0, len(counts)),
+		Calls:   make([]uint32, 0, len(counts)),
+		Nodes:   uint32(nodes),
+	}
+	for engine, calls := range counts {
+		if calls > 0 {
+			sent.Engines = append(sent.Engines, uint32(engine))
+			sent.Calls = append(sent.Calls, uint32(calls))
+		}
+	}
+	return sent
+}
+
+// decode returns what a peer sent. It reports false if that makes no sense.
+func decode(sent *wirepb.EngineLoads) (Counts, int, bool) {
+	engines, calls := sent.GetEngines(), sent.GetCalls()
+	if len(engines) != len(calls) || len(engines) > maxEngines || sent.GetNodes() > maxReporters*maxReporters {
+		return nil, 0, false
+	}
+	counts := make(Counts, len(engines))
+	for i, engine := range engines {
+		if calls[i] > maxCalls {
+			return nil, 0, false
+		}
+		counts[EngineKey(engine)] += int(calls[i])
+	}
+	return counts, int(sent.GetNodes()), true
+}
--- a/internal/owners/client.go
+++ b/internal/owners/client.go
@@ -1,3 +1,8 @@
+// Package owners has one node, a program's owner, hold the program's allowance for
+// all nodes. The owner is found by rendezvous hashing over the nodes that the
+// directory lists. Where nodes do not agree on it, or the owner does not answer, two
+// nodes hold allowances at once: that costs writes, never the budget, which
+// conditional writes of the account keep.
 package owners
 
 import (
@@ -10,9 +15,13 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/rendezvous"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
+// maxOwners is how many nodes own programs.
+const maxOwners = 32
+
 // Times of questions to owners.
 const (
 	// signTimeout is how long a node may give no sign of life. One that waits for
@@ -46,7 +55,7 @@
 	node     string
 	run      string
 	self     string // this node's own address
-	ring     *ring
+	ring     *rendezvous.Ring
 	observer Observer
 	grants   atomic.Uint64
 }
@@ -54,17 +63,17 @@
 // NewClient returns a client that knows no owner. run names this run of the node; no
 // other run of any node has the same.
 func NewClient(asker asker, node, run, self string, observer Observer) *Client {
-	return &Client{asker: asker, node: node, run: run, self: self, ring: newRing(), observer: observer}
+	return &Client{asker: asker, node: node, run: run, self: self, ring: rendezvous.New(maxOwners), observer: observer}
 }
 
 // SetPeers replaces the addresses of the other nodes.
 func (c *Client) SetPeers(addresses []string) {
-	c.ring.set(append([]string{c.self}, addresses...))
+	c.ring.Set(append([]string{c.self}, addresses...))
 }
 
 // Reserve implements ledger.Owners.
 func (c *Client) Reserve(ctx context.Context, ask ledger.Ask) (ledger.Grant, error) {
-	for _, address := range c.ring.candidates(ask.Program, time.Now()) {
+	for _, address := range c.ring.Candidates(ask.Program, time.Now()) {
 		if address == c.self {
 			break
 		}
@@ -127,13 +136,13 @@
 }
 
 func (c *Client) suspect(address string, cause error) {
-	if c.ring.suspect(address, time.Now()) && c.observer != nil {
+	if c.ring.Suspect(address, time.Now()) && c.observer != nil {
 		c.observer.OwnerLost(address, cause)
 	}
 }
 
 func (c *Client) trust(address string) {
-	if c.ring.trust(address) && c.observer != nil {
+	if c.ring.Trust(address) && c.observer != nil {
 		c.observer.OwnerRegained(address)
 	}
 }
--- /dev/null
+++ b/internal/placement/news.go
@@ -0,0 +1,168 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/loads"
+	"github.com/pewtermill/pewtermill/internal/routing"
+)
+
+// Parameters of drawing engines.
+const (
+	// leastDrawn is from how many engines a call is placed at least.
+	leastDrawn = 2
+	// notDrawnMillis keeps a call from engines that were not drawn for it, as long as
+	// one that was drawn can take it.
+	notDrawnMillis = 100_000.0
+	// arrivalSmoothing is how fast the rate of arrivals is forgotten.
+	arrivalSmoothing = 2 * time.Second
+	// maxUntold bounds the prefixes that wait to be reported.
+	maxUntold = 4096
+)
+
+// fleet is what a placer knows of the other nodes. The placer's mutex guards it.
+type fleet struct {
+	others loads.Counts // calls of other nodes; nil while there is no news
+	nodes  int          // other nodes, by the last news
+	pause  time.Duration
+	untold []loads.Prefix
+	engine map[loads.EngineKey]string // ids of engines
+
+	service string          // of the call that is placed
+	drawn   map[string]bool // engines drawn for it; nil if all are
+	random  *rand.Rand
+	arrival map[string]*rate // by service
+}
+
+// rate is a smoothed number of events a second.
+type rate struct {
+	perSecond float64
+	at        time.Time
+}
+
+// count notes one event.
+func (r *rate) count(now time.Time) {
+	passed := now.Sub(r.at)
+	r.at = now
+	r.perSecond = r.perSecond*math.Exp(-float64(passed)/float64(arrivalSmoothing)) + float64(time.Second)/float64(arrivalSmoothing)
+}
+
+// InFlight implements loads.Placer.
+func (p *Placer) InFlight() loads.Counts {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	counts := make(loads.Counts)
+	for id, calls := range p.own {
+		if calls > 0 {
+			counts[loads.KeyOf(id)] += calls
+		}
+	}
+	return counts
+}
+
+// NewPrefixes implements loads.Placer.
+func (p *Placer) NewPrefixes() []loads.Prefix {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	untold := p.fleet.untold
+	p.fleet.untold = nil
+	return untold
+}
+
+// Hear implements loads.Placer.
+func (p *Placer) Hear(news loads.News) {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.fleet.others, p.fleet.nodes, p.fleet.pause = news.Others, news.Nodes, news.Pause
+	for _, prefix := range news.Prefixes {
+		if id, known := p.fleet.engine[prefix.Engine]; known {
+			p.index.addEnd(id, prefix.Hash)
+		}
+	}
+	p.refresh(now)
+}
+
+// Deaf implements loads.Placer.
+func (p *Placer) Deaf() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.fleet.others = nil
+	p.refresh(time.Now())
+}
+
+// othersAt returns the calls of other nodes at an engine. The mutex is held.
+func (p *Placer) othersAt(engine string) int { return p.fleet.others[loads.KeyOf(engine)] }
+
+// setEngines takes the engines that are known.
+func (f *fleet) setEngines(engines map[string]routing.Engine) {
+	f.engine = make(map[loads.EngineKey]string, len(engines))
+	for id := range engines {
+		f.engine[loads.KeyOf(id)] = id
+	}
+}
+
+// tell notes that an engine has a prefix that others should hear of.
+func (f *fleet) tell(engine string, prefix uint64) {
+	if len(f.untold) < maxUntold {
+		f.untold = append(f.untold, loads.Prefix{Engine: loads.KeyOf(engine), Hash: prefix})
+	}
+}
+
+// arrived notes a call of a service.
+func (f *fleet) arrived(service string, now time.Time) {
+	known := f.arrival[service]
+	if known == nil {
+		known = &rate{at: now}
+		f.arrival[service] = known
+	}
+	known.count(now)
+}
+
+// draw chooses the engines that a call may go to. Nodes that know of the same idle
+// engine would all take it before they hear of each other, so each call looks at a few
+// only: as many as keep all nodes together from sending an engine more than about two
+// calls between two news, and at least two.
+func (f *fleet) draw(call Request, engines map[string]routing.Engine) {
+	f.service, f.drawn = call.Service, nil
+	if f.nodes == 0 {
+		return
+	}
+	var usable []string
+	for id, engine := range engines {
+		if engine.Service == call.Service && !engine.Draining {
+			usable = append(usable, id)
+		}
+	}
+	count := f.share(call.Service, len(usable))
+	if count >= len(usable) {
+		return
+	}
+	f.drawn = make(map[string]bool, count+1)
+	for i := range count {
+		j := i + f.random.IntN(len(usable)-i)
+		usable[i], usable[j] = usable[j], usable[i]
+		f.drawn[usable[i]] = true
+	}
+	f.drawn[call.LastEngine] = true
+}
+
+// share returns how many of a service's engines a call looks at.
+func (f *fleet) share(service string, engines int) int {
+	known := f.arrival[service]
+	if known == nil {
+		return engines
+	}
+	unheard := known.perSecond * float64(f.nodes+1) * f.pause.Seconds()
+	return max(leastDrawn, int(math.Round(float64(leastDrawn*engines)/max(1, unheard))))
+}
+
+// notDrawn returns what keeps the call that is placed from an engine.
+func (f *fleet) notDrawn(engine routing.Engine) float64 {
+	if f.drawn == nil || engine.Service != f.service || f.drawn[engine.ID] {
+		return 0
+	}
+	return notDrawnMillis
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,10 +6,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/explain"
@@ -23,10 +26,13 @@
 	connectMillis   = 80.0 // a new connection where none is at rest
 )
 
-// Assumed speeds of an engine that reports none, in tokens a second.
+// Weights of what the scheduler estimates.
 const (
-	prefillTokensPerSecond = 60_000
-	decodeTokensPerSecond  = 300
+	// prefixWeight is per millisecond of reading a prompt.
+	prefixWeight = 1.0
+	// othersWeight is how much a call that is slowed by another counts beside the
+	// delay of that other one: as much.
+	othersWeight = 2.0
 )
 
 // Times of suspicion and of waiting.
@@ -57,6 +63,9 @@
 	services  map[string]routing.Service
 	suspects  map[string]suspicion // by engine id
 	lags      *lags
+	own       map[string]int // calls in flight, by engine id
+	fleet     fleet
+	speeds    speeds
 	asked     time.Time // when the core was last asked
 	refreshed time.Time
 	attempts  uint64
@@ -81,7 +90,7 @@
 	Class           string // name of the route
 	Parts           []Part // of the prompt
 	PromptTokens    int64
-	ExpectedTokens  int64
+	MostTokens      int64 // that the answer may have; 0 if it is not counted in tokens
 	Deadline        time.Time
 	ProgramDeadline time.Time
 	LastEngine      string   // served the line's previous turn
@@ -93,9 +102,20 @@
 	Engine   routing.Engine
 	Decision explain.Decision
 
-	callID string
-	blocks []uint64
-	start  time.Time
+	callID   string
+	blocks   []uint64
+	begins   uint64 // hash of the prompt's shared beginning, if the engine had not read it; else 0
+	missing  int64  // prompt tokens that the engine was not known to have cached
+	beside   int    // calls that ran there at the start
+	most     int64  // tokens that the answer may have
+	start    time.Time
+	answered time.Time // when the answer began
+}
+
+// End is how a request ended at its engine.
+type End struct {
+	Outcome Outcome
+	Tokens  int64 // that the engine made; 0 if they are not counted
 }
 
 // Outcome says how a request ended at its engine.
@@ -119,13 +139,17 @@
 
 // New returns a placer without engines.
 func New(options Options) *Placer {
-	core := scheduler.New(scheduler.ProgramAware, bundle.Scheduling{}, options.Node)
+	core := scheduler.New(scheduler.ProgramAware, bundle.Scheduling{PrefixWeight: prefixWeight}, options.Node)
+	seed := xxhash.Sum64String(options.Node)
 	p := &Placer{
 		options:  options,
 		core:     core,
 		index:    newPrefixIndex(),
 		suspects: make(map[string]suspicion),
 		lags:     newLags(),
+		own:      make(map[string]int),
+		speeds:   make(speeds),
+		fleet:    fleet{random: rand.New(rand.NewPCG(seed, ^seed)), arrival: make(map[string]*rate)},
 		waiting:  make(map[string]chan answer),
 	}
 	core.SetIndex(p.index)
@@ -159,7 +183,9 @@
 }
 
 // PreferenceCost implements scheduler.LocalCosts.
-func (p *localCosts) PreferenceCost(id string) float64 { return preference(p.options.Node, id) }
+func (p *localCosts) PreferenceCost(id string) float64 {
+	return preference(p.options.Node, id) + p.fleet.notDrawn(p.engines[id])
+}
 
 // SetEngines replaces what is known of engines and services. The maps must
 // not change any more.
@@ -167,6 +193,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.engines, p.services = engines, services
+	p.fleet.setEngines(engines)
 	present := func(id string) bool { _, found := engines[id]; return found }
 	p.index.keepOnly(present)
 	for id := range p.suspects {
@@ -194,15 +221,19 @@
 	views := make([]scheduler.EngineView, 0, len(p.engines))
 	for id, engine := range p.engines {
 		suspected := now.Before(p.suspects[id].until) && reachable[engine.Service]
+		learnt := p.speeds.of(engine.Service)
+		decode, slowdown := learnt.decodePerSecond()
 		views = append(views, scheduler.EngineView{
 			Name:                id,
 			Zone:                engine.Zone,
 			Models:              []string{engine.Service},
 			Ready:               !suspected,
 			Leaving:             engine.Draining,
+			Running:             p.own[id] + p.othersAt(id),
 			MaxRunning:          engine.Slots,
-			PrefillTokensPerSec: prefillTokensPerSecond,
-			DecodeTokensPerSec:  decodeTokensPerSecond,
+			PrefillTokensPerSec: learnt.prefillPerSecond(),
+			DecodeTokensPerSec:  decode,
+			SlowdownPerCall:     othersWeight * slowdown,
 			ObservedAt:          now,
 		})
 	}
@@ -220,6 +251,8 @@
 		p.refresh(now)
 	}
 	p.attempts++
+	p.fleet.arrived(request.Service, now)
+	p.fleet.draw(request, p.engines)
 	call := p.call(request, blocks, strconv.FormatUint(p.attempts, 10), now)
 	if refusal := p.core.Submit(call, now); refusal != nil {
 		p.mutex.Unlock()
@@ -232,7 +265,7 @@
 	if problem != nil {
 		return Placement{}, problem
 	}
-	return p.placed(given, blocks), nil
+	return p.placed(given, request, blocks), nil
 }
 
 // call translates a request for the core.
@@ -245,7 +278,7 @@
 		Zone:            p.options.Zone,
 		PrefixBlocks:    blocks,
 		PromptTokens:    request.PromptTokens,
-		ExpectedTokens:  request.ExpectedTokens,
+		ExpectedTokens:  p.speeds.of(request.Service).expected(request.MostTokens),
 		Submitted:       now,
 		Deadline:        request.Deadline,
 		ProgramDeadline: request.ProgramDeadline,
@@ -312,49 +345,83 @@
 }
 
 // placed records an assignment.
-func (p *Placer) placed(given scheduler.Assignment, blocks []uint64) Placement {
+func (p *Placer) placed(given scheduler.Assignment, request Request, blocks []uint64) Placement {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.index.add(given.Engine, blocks)
-	return Placement{
-		Engine:   p.engines[given.Engine],
+	id := given.Engine
+	made := Placement{
+		Engine:   p.engines[id],
 		Decision: given.Decision,
 		callID:   given.Call.ID,
 		blocks:   blocks,
+		missing:  max(0, request.PromptTokens-int64(p.index.CachedBlocks(id, blocks))*blockTokens),
+		beside:   p.own[id] + p.othersAt(id),
+		most:     request.MostTokens,
 		start:    time.Now(),
 	}
+	if beginning, shared := sharedBeginning(request.Parts, blocks); shared && p.index.addEnd(id, beginning) {
+		made.begins = beginning
+	}
+	p.index.add(id, blocks)
+	p.own[id]++
+	return made
 }
 
 // Answered notes that an engine has begun to answer.
-func (p *Placer) Answered(placement Placement) {
+func (p *Placer) Answered(placement *Placement) {
 	now := time.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.lags.note(placement.Engine.ID, millis(now.Sub(placement.start)), now)
+	placement.answered = now
+	took := millis(now.Sub(placement.start))
+	p.lags.note(placement.Engine.ID, took, now)
+	if placement.most > 0 && placement.beside < placement.Engine.Slots {
+		p.speeds.of(placement.Engine.Service).prefill.note(float64(placement.missing), took)
+	}
+	if placement.begins != 0 {
+		p.fleet.tell(placement.Engine.ID, placement.begins)
+	}
 }
 
 // Done ends a placement.
-func (p *Placer) Done(placement Placement, outcome Outcome) {
+func (p *Placer) Done(placement Placement, end End) {
 	now := time.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	id := placement.Engine.ID
+	if p.own[id]--; p.own[id] <= 0 {
+		delete(p.own, id)
+	}
 	p.core.Finish(placement.callID, scheduler.Result{
-		Engine:    placement.Engine.ID,
-		Succeeded: outcome == Served || outcome == Cancelled,
-		Shed:      outcome == Shed,
+		Engine:    id,
+		Succeeded: end.Outcome == Served || end.Outcome == Cancelled,
+		Shed:      end.Outcome == Shed,
 		Duration:  now.Sub(placement.start),
 	}, now)
-	switch outcome {
+	switch end.Outcome {
 	case Shed:
-		p.lags.note(placement.Engine.ID, shedMillis+millis(now.Sub(placement.start)), now)
+		p.lags.note(id, shedMillis+millis(now.Sub(placement.start)), now)
 	case Unreachable, Replaced, Dark:
-		p.suspect(placement.Engine.ID, now)
+		p.suspect(id, now)
 	case Served:
-		delete(p.suspects, placement.Engine.ID)
+		delete(p.suspects, id)
+		p.learn(placement, end.Tokens, now)
 	}
 	p.advance(now)
 }
 
+// learn takes what a whole answer tells of its service's speed. The mutex is held.
+func (p *Placer) learn(placement Placement, tokens int64, now time.Time) {
+	if tokens <= 0 || placement.answered.IsZero() {
+		return
+	}
+	learnt := p.speeds.of(placement.Engine.Service)
+	learnt.length.note(float64(placement.most), float64(tokens))
+	if tokens >= leastDecodeTokens {
+		learnt.decode.note(float64(placement.beside), millis(now.Sub(placement.answered))/float64(tokens))
+	}
+}
+
 // suspect keeps requests from an engine for a while, longer each time in a
 // row. The mutex is held.
 func (p *Placer) suspect(id string, now time.Time) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -26,7 +26,7 @@
 // place places one request and fails the test if it cannot be.
 func place(t *testing.T, p *Placer) Placement {
 	t.Helper()
-	placed, problem := p.Place(context.Background(), Request{Service: "s", ExpectedTokens: 10, Deadline: time.Now().Add(time.Minute)})
+	placed, problem := p.Place(context.Background(), Request{Service: "s", MostTokens: 40, Deadline: time.Now().Add(time.Minute)})
 	if problem != nil {
 		t.Fatal(problem)
 	}
@@ -57,17 +57,17 @@
 func TestLaggingEngineIsAvoided(t *testing.T) {
 	p := newPlacer("node", 3)
 	preferred := place(t, p)
-	p.Done(preferred, Served)
+	p.Done(preferred, End{Outcome: Served})
 	slow := preferred
 	slow.start = time.Now().Add(-2 * time.Second)
-	p.Answered(slow)
+	p.Answered(&slow)
 	for range 2 {
 		other := place(t, p)
 		if other.Engine.ID == preferred.Engine.ID {
 			t.Fatalf("a request went to %s, which had just answered after 2 s", other.Engine.ID)
 		}
-		p.Answered(other)
-		p.Done(other, Served)
+		p.Answered(&other)
+		p.Done(other, End{Outcome: Served})
 	}
 	later := time.Now().Add(time.Minute)
 	if cost := p.lags.cost(preferred.Engine.ID, "s", later); cost > 1 {
@@ -80,12 +80,12 @@
 func TestUnreachableEngineIsSuspected(t *testing.T) {
 	p := newPlacer("node", 2)
 	first := place(t, p)
-	p.Done(first, Unreachable)
+	p.Done(first, End{Outcome: Unreachable})
 	second := place(t, p)
 	if second.Engine.ID == first.Engine.ID {
 		t.Fatal("the engine that could not be reached was taken again")
 	}
-	p.Done(second, Unreachable)
+	p.Done(second, End{Outcome: Unreachable})
 	place(t, p)
 }
 
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -36,6 +36,12 @@
 	Address string `json:"address"`
 }
 
+// Peer is another node, as it is listed.
+type Peer struct {
+	Zone    string
+	Address string
+}
+
 // memberKey is the key of a node's entry.
 func memberKey(zone, node string) string { return "relay-members/" + zone + "/" + node }
 
@@ -78,11 +84,11 @@
 	return errors.Wrap(err, "join the directory")
 }
 
-// Peers returns the addresses of the other nodes, by zone, and within a zone in
+// Peers returns the other nodes, by zone, and within a zone in
 // an order that differs from node to node. Zones that cannot be read are left out
 // if another one can.
-func (d Directory) Peers(ctx context.Context) ([]string, error) {
-	var peers []string
+func (d Directory) Peers(ctx context.Context) ([]Peer, error) {
+	var peers []Peer
 	var last error
 	for _, zone := range d.Zones {
 		found, err := d.zonePeers(ctx, zone)
@@ -97,8 +103,8 @@
 	return peers, nil
 }
 
-// zonePeers returns the addresses of the other nodes of one zone.
-func (d Directory) zonePeers(ctx context.Context, zone string) ([]string, error) {
+// zonePeers returns the other nodes of one zone.
+func (d Directory) zonePeers(ctx context.Context, zone string) ([]Peer, error) {
 	ctx, cancel := context.WithTimeout(ctx, listCallLimit)
 	defer cancel()
 	rows, err := d.Table.Range(ctx, memberKey(zone, ""), memberKey(zone, "\x7f"), maxListed)
@@ -110,12 +116,12 @@
 	start, _ := slices.BinarySearchFunc(rows, own, func(row tablestore.Row, key string) int {
 		return strings.Compare(row.Key, key)
 	})
-	var peers []string
+	var peers []Peer
 	for i := range rows {
 		var found member
 		row := rows[(start+i)%len(rows)]
 		if json.Unmarshal(row.Value, &found) == nil && found.Address != d.Address {
-			peers = append(peers, found.Address)
+			peers = append(peers, Peer{Zone: zone, Address: found.Address})
 		}
 	}
 	return peers, nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -90,7 +90,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.table.Enable(n.client, append(slices.Clone(dead), peers...))
+	addresses := slices.Clone(dead)
+	for _, peer := range peers {
+		addresses = append(addresses, peer.Address)
+	}
+	n.table.Enable(n.client, addresses)
 }
 
 func put(key, value string, revision uint64) tablestore.Transaction {
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,119 @@
+// Package rendezvous chooses nodes by rendezvous hashing over those that a
+// directory lists, so that nodes agree on a choice without a word as long as
+// they list the same ones. Nodes that did not answer of late are passed over by
+// the node that asked them, so a choice is a hint and nothing may rest on it.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MaxCandidates is how many nodes are named for one key.
+const MaxCandidates = 2
+
+// Times for which a node that did not answer is passed over.
+const (
+	firstSuspicion = time.Second // after a node did not answer
+	maxSuspicion   = 8 * time.Second
+)
+
+// Ring orders nodes for each key. Safe for concurrent use.
+type Ring struct {
+	limit int
+
+	mutex    sync.Mutex
+	members  []string // addresses
+	suspects map[string]suspicion
+}
+
+// suspicion keeps questions from a node that did not answer.
+type suspicion struct {
+	until  time.Time
+	length time.Duration
+}
+
+// New returns a ring without nodes. It uses at most limit of those that it is
+// given: the ones that come first by a hash of their addresses. That bounds the
+// connections that a node keeps in a large fleet.
+func New(limit int) *Ring { return &Ring{limit: limit, suspects: make(map[string]suspicion)} }
+
+// Set replaces the nodes.
+func (r *Ring) Set(addresses []string) {
+	members := slices.Clone(addresses)
+	slices.SortFunc(members, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.members = slices.Compact(members)
+	r.members = r.members[:min(r.limit, len(r.members))]
+}
+
+// Candidates returns the nodes to ask about a key, at most MaxCandidates, the best
+// first. Nodes that did not answer of late are passed over.
+func (r *Ring) Candidates(key string, now time.Time) []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var best [MaxCandidates]struct {
+		address string
+		weight  uint64
+	}
+	for _, address := range r.members {
+		if now.Before(r.suspects[address].until) {
+			continue
+		}
+		weight := weightOf(address, key)
+		for i := range best {
+			if best[i].address == "" || weight > best[i].weight {
+				copy(best[i+1:], best[i:])
+				best[i].address, best[i].weight = address, weight
+				break
+			}
+		}
+	}
+	found := make([]string, 0, MaxCandidates)
+	for _, one := range best {
+		if one.address != "" {
+			found = append(found, one.address)
+		}
+	}
+	return found
+}
+
+func weightOf(address, key string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(address) // never fails
+	_, _ = digest.WriteString("\n")
+	_, _ = digest.WriteString(key)
+	return digest.Sum64()
+}
+
+// Suspect passes a node over for a while, longer each time in a row. It reports
+// whether the node was not suspected before.
+func (r *Ring) Suspect(address string, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known, found := r.suspects[address]
+	if now.Before(known.until) {
+		return false
+	}
+	known.length = min(maxSuspicion, max(firstSuspicion, 2*known.length))
+	known.until = now.Add(known.length)
+	r.suspects[address] = known
+	return !found
+}
+
+// Trust forgets that a node did not answer. It reports whether it was suspected.
+func (r *Ring) Trust(address string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, found := r.suspects[address]
+	delete(r.suspects, address)
+	return found
+}
--- a/internal/owners/ring_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -1,4 +1,4 @@
-package owners
+package rendezvous
 
 import (
 	"fmt"
@@ -15,25 +15,25 @@
 		addresses = append(addresses, fmt.Sprintf("10.0.0.%d:7380", i))
 		backwards = append([]string{addresses[i]}, backwards...)
 	}
-	one, two, less := newRing(), newRing(), newRing()
-	one.set(addresses)
-	two.set(backwards)
-	less.set(addresses)
-	less.suspect(addresses[3], time.Unix(100, 0))
+	one, two, less := New(32), New(32), New(32)
+	one.Set(addresses)
+	two.Set(backwards)
+	less.Set(addresses)
+	less.Suspect(addresses[3], time.Unix(100, 0))
 	owned := make(map[string]int)
 	for i := range programs {
 		program := fmt.Sprintf("program-%d", i)
 		now := time.Unix(100, 0)
-		owner := one.candidates(program, now)[0]
+		owner := one.Candidates(program, now)[0]
 		owned[owner]++
-		if other := two.candidates(program, now)[0]; other != owner {
+		if other := two.Candidates(program, now)[0]; other != owner {
 			t.Fatalf("program %s is owned by %s and %s", program, owner, other)
 		}
-		after := less.candidates(program, now)
+		after := less.Candidates(program, now)
 		if owner != addresses[3] && after[0] != owner {
 			t.Fatalf("program %s went from %s to %s though its owner lives", program, owner, after[0])
 		}
-		if owner == addresses[3] && after[0] != one.candidates(program, now)[1] {
+		if owner == addresses[3] && after[0] != one.Candidates(program, now)[1] {
 			t.Fatalf("program %s did not go to the next node", program)
 		}
 	}
@@ -47,39 +47,39 @@
 // TestSuspicionEnds shows that a node that did not answer is asked again, later each
 // time, and that one that answers is asked at once.
 func TestSuspicionEnds(t *testing.T) {
-	r := newRing()
-	r.set([]string{"a"})
+	r := New(32)
+	r.Set([]string{"a"})
 	now := time.Unix(100, 0)
-	asked := func(after time.Duration) bool { return len(r.candidates("p", now.Add(after))) > 0 }
-	r.suspect("a", now)
+	asked := func(after time.Duration) bool { return len(r.Candidates("p", now.Add(after))) > 0 }
+	r.Suspect("a", now)
 	if asked(firstSuspicion/2) || !asked(firstSuspicion) {
 		t.Error("a node that did not answer is passed over for another time than it should be")
 	}
 	now = now.Add(firstSuspicion)
-	r.suspect("a", now)
+	r.Suspect("a", now)
 	if asked(firstSuspicion) || !asked(2*firstSuspicion) {
 		t.Error("the second time in a row is not longer")
 	}
-	r.trust("a")
+	r.Trust("a")
 	if !asked(0) {
 		t.Error("a node that answered is passed over")
 	}
 }
 
-// TestOwnersAreBounded shows that a large fleet has no more owners than a node can keep
+// TestMembersAreBounded shows that a large fleet has no more owners than a node can keep
 // connections to, and that all nodes choose the same.
-func TestOwnersAreBounded(t *testing.T) {
+func TestMembersAreBounded(t *testing.T) {
 	var addresses []string
 	for i := range 420 {
 		addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:7380", i/200, i%200))
 	}
-	r := newRing()
-	r.set(addresses)
+	r := New(32)
+	r.Set(addresses)
 	owners := make(map[string]bool)
 	for i := range 5000 {
-		owners[r.candidates(fmt.Sprintf("p%d", i), time.Unix(100, 0))[0]] = true
+		owners[r.Candidates(fmt.Sprintf("p%d", i), time.Unix(100, 0))[0]] = true
 	}
-	if len(owners) != maxOwners {
-		t.Errorf("%d nodes own programs, want %d", len(owners), maxOwners)
+	if len(owners) != 32 {
+		t.Errorf("%d nodes own programs, want %d", len(owners), 32)
 	}
 }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -166,6 +166,14 @@
 	return float64(expectedTokens(call)) * 1000 / rate
 }
 
+// slowdownMillis estimates how much the calls at the engine slow the call's decoding.
+func (e *engine) slowdownMillis(call *Call) float64 {
+	if e.view.SlowdownPerCall > 0 {
+		return float64(e.others+e.inFlight) * e.view.SlowdownPerCall * e.decodeMillis(call)
+	}
+	return min(1, e.utilisation()) * batchSlowdown * e.decodeMillis(call)
+}
+
 // expectedTokens returns the call's guess of its answer, or the default.
 func expectedTokens(call *Call) int64 {
 	if call.ExpectedTokens <= 0 {
--- a/internal/scheduler/score_wait.go
+++ b/internal/scheduler/score_wait.go
@@ -9,6 +9,5 @@
 func (scoreWait) name() string { return "wait" }
 
 func (scoreWait) score(r *request, e *engine) float64 {
-	slowdown := min(1, e.utilisation()) * batchSlowdown * e.decodeMillis(r.call)
-	return r.weights.wait * (e.queueMillis(r.now) + slowdown)
+	return r.weights.wait * (e.queueMillis(r.now) + e.slowdownMillis(r.call))
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -45,7 +45,10 @@
 	CacheCapacityTokens int64
 	PrefillTokensPerSec float64
 	DecodeTokensPerSec  float64
-	ObservedAt          time.Time
+	// SlowdownPerCall is the part of a call's decode time that each call beside it
+	// costs; 0 if it is not known.
+	SlowdownPerCall float64
+	ObservedAt      time.Time
 }
 
 // PrefixIndex tells how much of a prompt an engine has cached. A hint.
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -92,6 +92,9 @@
 	if report.RetryAfter > 0 {
 		attributes = append(attributes, slog.Float64("retry_after_ms", millis(report.RetryAfter)))
 	}
+	if report.Waits.FirstByte > 0 {
+		attributes = append(attributes, slog.Float64("first_ms", millis(report.Waits.FirstByte)))
+	}
 	if report.Waits.Ledger > 0 {
 		attributes = append(attributes, slog.Float64("ledger_ms", millis(report.Waits.Ledger)))
 	}
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -27,18 +27,20 @@
 // Metrics are the counters and histograms of one process. Safe for concurrent
 // use. docs/OPERATIONS.md lists them; a test compares the two.
 type Metrics struct {
-	registry   *prometheus.Registry
-	requests   *prometheus.CounterVec
-	refusals   *prometheus.CounterVec
-	tries      *prometheus.CounterVec
-	firstByte  *prometheus.HistogramVec
-	duration   *prometheus.HistogramVec
-	ledger     prometheus.Histogram
-	settle     prometheus.Histogram
-	store      *prometheus.HistogramVec
-	lost       *prometheus.CounterVec
-	ownersLost *prometheus.CounterVec
-	covered    *prometheus.CounterVec
+	registry     *prometheus.Registry
+	requests     *prometheus.CounterVec
+	refusals     *prometheus.CounterVec
+	tries        *prometheus.CounterVec
+	firstByte    *prometheus.HistogramVec
+	duration     *prometheus.HistogramVec
+	ledger       prometheus.Histogram
+	settle       prometheus.Histogram
+	store        *prometheus.HistogramVec
+	lost         *prometheus.CounterVec
+	ownersLost   *prometheus.CounterVec
+	covered      *prometheus.CounterVec
+	loadsLost    *prometheus.CounterVec
+	loadsDropped *prometheus.CounterVec
 
 	mutex  sync.Mutex
 	routes map[string]bool
@@ -55,12 +57,14 @@
 	m.store = histograms("pewtermill_serve_store_call_seconds", "Calls to the platform's store.", "call", "result")
 	m.ownersLost = counters("pewtermill_serve_owners_lost_total", "Times that a process that holds allowances for others stopped answering.")
 	m.covered = counters("pewtermill_serve_turns_covered_total", "Turns by whose allowance covers them.", "allowance")
+	m.loadsLost = counters("pewtermill_serve_loads_lost_total", "Times that news of how busy engines are stopped.")
+	m.loadsDropped = counters("pewtermill_serve_loads_dropped_total", "News of peers that made no sense.")
 	m.lost = counters("pewtermill_serve_store_lost_total", "Times that the store stopped answering a watch.", "collection")
 	m.ledger = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pewtermill_serve_ledger_wait_seconds", Help: "Until a turn got leave to run.", Buckets: latencyBuckets})
 	m.settle = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pewtermill_serve_settlement_seconds", Help: "Until a turn was recorded.", Buckets: latencyBuckets})
-	m.registry.MustRegister(m.requests, m.refusals, m.tries, m.firstByte, m.duration, m.store, m.lost, m.ownersLost, m.covered, m.ledger, m.settle)
+	m.registry.MustRegister(m.requests, m.refusals, m.tries, m.firstByte, m.duration, m.store, m.lost, m.ownersLost, m.covered, m.loadsLost, m.loadsDropped, m.ledger, m.settle)
 	return m
 }
 
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/loads"
 	"github.com/pewtermill/pewtermill/internal/owners"
 	"github.com/pewtermill/pewtermill/internal/relay"
 	"github.com/pewtermill/pewtermill/internal/wire"
@@ -21,17 +23,19 @@
 )
 
 // peers is this process's part among those that help each other: to reach the store,
-// and to hold one allowance for each program.
+// to hold one allowance for each program, and to know how busy engines are.
 type peers struct {
-	server *wire.Server
-	client *wire.Client
-	owners *owners.Client
+	server   *wire.Server
+	client   *wire.Client
+	owners   *owners.Client
+	reporter *loads.Reporter
 }
 
 // peerHandler answers requests of peers. It implements wire.ServerHandler.
 type peerHandler struct {
-	relay  *relay.Server
-	owners *owners.Server
+	relay     *relay.Server
+	owners    *owners.Server
+	collector *loads.Collector
 }
 
 // ServePeer implements wire.ServerHandler.
@@ -42,6 +46,8 @@
 	case *wirepb.Request_SettleTokens:
 		h.owners.Settle(body.SettleTokens)
 		return nil
+	case *wirepb.Request_ReportLoads:
+		return h.collector.Answer(body.ReportLoads)
 	}
 	return h.relay.ServePeer(ctx, request, onPart)
 }
@@ -67,6 +73,7 @@
 		}
 	}
 	defer joined.close()
+	p.loops.Go(func() { joined.reporter.Run(ctx) })
 	for pause := firstLook; ; pause = laterLooks {
 		if found, err := directory.Peers(ctx); err == nil {
 			p.usePeers(joined, found)
@@ -84,7 +91,7 @@
 		return nil, err
 	}
 	options := wire.Options{Node: p.settings.Node, ClusterKey: secret}
-	handler := peerHandler{relay: relay.NewServer(p.dependencies.Table), owners: p.covering}
+	handler := peerHandler{relay: relay.NewServer(p.dependencies.Table), owners: p.covering, collector: p.collector}
 	server, err := wire.Listen(p.settings.PeerAddress, options, handler)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
@@ -95,13 +102,31 @@
 	}
 	client := wire.NewClient(options)
 	asking := owners.NewClient(client, p.settings.Node, p.dependencies.Run, p.settings.PeerAddress, p)
-	return &peers{server: server, client: client, owners: asking}, nil
+	reporter := loads.NewReporter(loads.Options{
+		Node:      p.settings.Node,
+		Run:       xxhash.Sum64String(p.dependencies.Run),
+		Zone:      p.settings.Zone,
+		Address:   p.settings.PeerAddress,
+		Asker:     client,
+		Placer:    p.placer,
+		Collector: p.collector,
+		Observer:  p,
+	})
+	return &peers{server: server, client: client, owners: asking, reporter: reporter}, nil
 }
 
-// usePeers lets calls go through other processes, the nearest first.
-func (p *Process) usePeers(joined *peers, found []string) {
-	p.relay.Enable(joined.client, found)
-	joined.owners.SetPeers(found)
+// usePeers lets calls go through other processes, the nearest first, and has them
+// hold allowances and tell how busy engines are.
+func (p *Process) usePeers(joined *peers, found []relay.Peer) {
+	addresses := make([]string, 0, len(found))
+	known := make([]loads.Peer, 0, len(found))
+	for _, peer := range found {
+		addresses = append(addresses, peer.Address)
+		known = append(known, loads.Peer(peer))
+	}
+	p.relay.Enable(joined.client, addresses)
+	joined.owners.SetPeers(addresses)
+	joined.reporter.SetPeers(known)
 	p.ledger.SetOwners(joined.owners)
 	p.logger.Info("peers found", "count", len(found))
 }
@@ -130,3 +155,22 @@
 func (p *Process) OwnerRegained(address string) {
 	p.logger.Info("owner regained", "peer", address)
 }
+
+// LoadsLost implements loads.Observer.
+func (p *Process) LoadsLost(cause error) {
+	p.metrics.loadsLost.WithLabelValues().Inc()
+	p.logger.Warn("loads lost", "error", cause.Error())
+}
+
+// LoadsRegained implements loads.Observer.
+func (p *Process) LoadsRegained(collector string) {
+	p.logger.Info("loads regained", "peer", collector)
+}
+
+// LoadsDropped implements loads.Observer. Each peer's first line is logged.
+func (p *Process) LoadsDropped(collector string) {
+	p.metrics.loadsDropped.WithLabelValues().Inc()
+	if _, known := p.badNews.LoadOrStore(collector, true); !known {
+		p.logger.Warn("loads dropped", "peer", collector)
+	}
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
@@ -19,6 +20,7 @@
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/ingress"
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/loads"
 	"github.com/pewtermill/pewtermill/internal/owners"
 	"github.com/pewtermill/pewtermill/internal/placement"
 	"github.com/pewtermill/pewtermill/internal/relay"
@@ -74,7 +76,9 @@
 	pool         *upstream.Pool
 	relay        *relay.Table
 	ledger       *ledger.Ledger
-	covering     *owners.Server // covers turns of peers
+	covering     *owners.Server   // covers turns of peers
+	collector    *loads.Collector // gathers how busy engines are
+	badNews      sync.Map         // peers whose news made no sense, by address
 	handler      *ingress.Handler
 	ingress      *http.Server
 	ready        *http.Server
@@ -102,6 +106,7 @@
 	p.relay = relay.NewTable(dependencies.Table, settings.Node, p.wayChanged)
 	p.ledger = ledger.New(ledger.Options{Table: p.relay, Run: dependencies.Run})
 	p.covering = owners.NewServer(p.ledger)
+	p.collector = loads.NewCollector(xxhash.Sum64String(dependencies.Run), time.Now)
 	p.handler = ingress.New(ingress.Options{
 		Protocol: dependencies.Protocol,
 		View:     p.follower.View,
