--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -18,6 +18,9 @@
 	notDrawnMillis = 100_000.0
 	// arrivalSmoothing is how fast the rate of arrivals is forgotten.
 	arrivalSmoothing = 2 * time.Second
+	// maxUnheard bounds how many times its batch an engine may be thought to end
+	// between two news.
+	maxUnheard = 2.0
 	// maxUntold bounds the prefixes that wait to be reported.
 	maxUntold = 4096
 )
@@ -96,6 +99,16 @@
 // othersAt returns the calls of other nodes at an engine. The mutex is held.
 func (p *Placer) othersAt(engine string) int { return p.fleet.others[loads.KeyOf(engine)] }
 
+// batch returns how many calls of all nodes an engine may have: those that it works on
+// at once, and as many as it may end before the nodes hear of that. The mutex is held.
+func (p *Placer) batch(engine routing.Engine) int {
+	if p.fleet.others == nil {
+		return engine.Slots
+	}
+	unheard := float64(p.fleet.pause) / float64(max(time.Millisecond, p.speeds.of(engine.Service).duration))
+	return int(math.Ceil(float64(engine.Slots) * (1 + min(maxUnheard, unheard))))
+}
+
 // setEngines takes the engines that are known.
 func (f *fleet) setEngines(engines map[string]routing.Engine) {
 	f.engine = make(map[loads.EngineKey]string, len(engines))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -230,7 +230,8 @@
 			Ready:               !suspected,
 			Leaving:             engine.Draining,
 			Running:             p.own[id] + p.othersAt(id),
-			MaxRunning:          engine.Slots,
+			MaxRunning:          p.batch(engine),
+			LoadKnown:           p.fleet.others != nil,
 			PrefillTokensPerSec: learnt.prefillPerSecond(),
 			DecodeTokensPerSec:  decode,
 			SlowdownPerCall:     othersWeight * slowdown,
@@ -412,10 +413,11 @@
 
 // learn takes what a whole answer tells of its service's speed. The mutex is held.
 func (p *Placer) learn(placement Placement, tokens int64, now time.Time) {
+	learnt := p.speeds.of(placement.Engine.Service)
+	learnt.took(now.Sub(placement.start))
 	if tokens <= 0 || placement.answered.IsZero() {
 		return
 	}
-	learnt := p.speeds.of(placement.Engine.Service)
 	learnt.length.note(float64(placement.most), float64(tokens))
 	if tokens >= leastDecodeTokens {
 		learnt.decode.note(float64(placement.beside), millis(now.Sub(placement.answered))/float64(tokens))
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -1,6 +1,9 @@
 package placement
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Speeds that engines are thought to have until they are known, in tokens a second.
 const (
@@ -12,6 +15,8 @@
 const (
 	// fitMemory is how many of the last answers count.
 	fitMemory = 200
+	// durationMemory is of how many calls the smoothed duration is.
+	durationMemory = 20
 	// leastSamples is after how many answers a fit is believed.
 	leastSamples = 20
 	// outlier is from how many times the mean on an answer counts as that much.
@@ -59,6 +64,16 @@
 	prefill fit // ms until the answer began, by prompt tokens that were not cached
 	decode  fit // ms a token, by calls that ran beside
 	length  fit // tokens of an answer, by the most that it might have had
+
+	duration time.Duration // of a call, smoothed
+}
+
+// took notes how long a call took.
+func (s *speed) took(duration time.Duration) {
+	if s.duration == 0 {
+		s.duration = duration
+	}
+	s.duration += (duration - s.duration) / durationMemory
 }
 
 // prefillPerSecond returns the speed of reading prompts, in tokens a second.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -127,7 +127,12 @@
 }
 
 // freeSlots returns how many more own calls the engine may take now.
-func (e *engine) freeSlots(now time.Time) int { return e.slots(now) - e.inFlight }
+func (e *engine) freeSlots(now time.Time) int {
+	if e.view.LoadKnown && e.others+e.inFlight >= e.batchSize() {
+		return 0
+	}
+	return e.slots(now) - e.inFlight
+}
 
 // utilisation returns the estimated calls at the engine over its batch size.
 func (e *engine) utilisation() float64 {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -45,6 +45,10 @@
 	CacheCapacityTokens int64
 	PrefillTokensPerSec float64
 	DecodeTokensPerSec  float64
+	// LoadKnown says that Running and Waiting are recent and count the calls of all
+	// nodes, so that what a call costs others can be counted call by call, and an engine
+	// that others fill gets none.
+	LoadKnown bool
 	// SlowdownPerCall is the part of a call's decode time that each call beside it
 	// costs; 0 if it is not known.
 	SlowdownPerCall float64
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -107,6 +107,9 @@
 	if report.Call.Budget > 0 {
 		attributes = append(attributes, slog.Int64("budget", report.Call.Budget))
 	}
+	if report.Call.FinishIn > 0 {
+		attributes = append(attributes, slog.Int64("finish_in_ms", report.Call.FinishIn.Milliseconds()))
+	}
 	if report.Owner != "" {
 		attributes = append(attributes, slog.String("allowance_at", report.Owner))
 	}
