scheduler, placement: late programs yield; batches are bounded by pace

Hypothesis: in a burst all are late alike, so those that can't be in time should wait. Change: late calls rank behind; an engine gets no more than slows each call 1.6 times.

--- a/internal/loads/reporter.go
+++ b/internal/loads/reporter.go
@@ -79,7 +79,7 @@
 	zones  map[string]*rendezvous.Ring // nodes that may gather, by zone
 	heard  map[hearer]hearing
 	told   map[string]hearing // of this node's collector's prefixes by another one, by address
-	unsent []Prefix                    // until a collector has them
+	unsent []Prefix           // until a collector has them
 
 	heardAt time.Time // last news; the rest is used by Run alone
 	lost    bool
--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -105,8 +105,9 @@
 	if p.fleet.others == nil {
 		return engine.Slots
 	}
+	slots := min(float64(engine.Slots), p.speeds.of(engine.Service).batch())
 	unheard := float64(p.fleet.pause) / float64(max(time.Millisecond, p.speeds.of(engine.Service).duration))
-	return int(math.Ceil(float64(engine.Slots) * (1 + min(maxUnheard, unheard))))
+	return int(math.Ceil(slots * (1 + min(maxUnheard, unheard))))
 }
 
 // setEngines takes the engines that are known.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -30,6 +30,8 @@
 const (
 	// prefixWeight is per millisecond of reading a prompt.
 	prefixWeight = 1.0
+	// slackWeight makes the order that of the programs' deadlines.
+	slackWeight = 1.0
 	// othersWeight is how much a call that is slowed by another counts beside the
 	// delay of that other one: as much.
 	othersWeight = 2.0
@@ -139,7 +141,7 @@
 
 // New returns a placer without engines.
 func New(options Options) *Placer {
-	core := scheduler.New(scheduler.ProgramAware, bundle.Scheduling{PrefixWeight: prefixWeight}, options.Node)
+	core := scheduler.New(scheduler.ProgramAware, bundle.Scheduling{PrefixWeight: prefixWeight, SlackWeight: slackWeight}, options.Node)
 	seed := xxhash.Sum64String(options.Node)
 	p := &Placer{
 		options:  options,
@@ -283,11 +285,24 @@
 		Submitted:       now,
 		Deadline:        request.Deadline,
 		ProgramDeadline: request.ProgramDeadline,
+		Late:            p.late(request, now),
 		LastEngine:      request.LastEngine,
 		Excluded:        request.Excluded,
 	}
 }
 
+// late reports whether a request's program would miss its deadline even if nothing came
+// after this request. The mutex is held.
+func (p *Placer) late(request Request, now time.Time) bool {
+	if request.ProgramDeadline.IsZero() {
+		return false
+	}
+	learnt := p.speeds.of(request.Service)
+	decode, _ := learnt.decodePerSecond()
+	shortest := float64(learnt.expected(request.MostTokens)) / decode * float64(time.Second)
+	return now.Add(time.Duration(shortest)).After(request.ProgramDeadline)
+}
+
 // await returns the core's answer to a call.
 func (p *Placer) await(ctx context.Context, call scheduler.Call, waiter chan answer) (scheduler.Assignment, *api.Error) {
 	select {
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -23,6 +23,11 @@
 	outlier = 4.0
 	// leastDecodeTokens is the shortest answer that tells how fast tokens are made.
 	leastDecodeTokens = 40
+	// mostSlowdown is how much longer an answer may take for the calls beside it than
+	// it takes alone, before further calls wait.
+	mostSlowdown = 1.6
+	// leastBatch is how many calls an engine may always have.
+	leastBatch = 4
 	// fastestPrefill bounds what is believed, in ms a token: 1,000,000 a second.
 	fastestPrefill = 0.001
 )
@@ -96,6 +101,16 @@
 	return 1000 / base, max(0, slope) / base
 }
 
+// batch returns how many calls an engine may work on so that each is slowed by
+// mostSlowdown at most.
+func (s *speed) batch() float64 {
+	_, slowdown := s.decodePerSecond()
+	if slowdown <= 0 {
+		return math.Inf(1)
+	}
+	return max(leastBatch, (mostSlowdown-1)/slowdown)
+}
+
 // expected returns how long an answer will be, in tokens.
 func (s *speed) expected(most int64) int64 {
 	if s.length.samples < leastSamples || s.length.x <= 0 {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -14,6 +14,8 @@
 //     The difference of the two is the logarithm of worth per service;
 //   - slack: minus the seconds left to the program's deadline at Submit,
 //     bounded on both sides;
+//   - late: a program that cannot be in time any more yields to those that can, by
+//     latePenalty;
 //   - aging: minus the time of Submit, so that a call gains on every later
 //     one. Slack and aging with equal weights are earliest deadline first.
 //
@@ -29,6 +31,9 @@
 	rank += c.weights.worth * math.Log2(1+max(0, c.classWorth(call.Class)))
 	rank -= c.weights.attained * math.Log2(1+max(0, call.Attained.Seconds()))
 	rank -= c.weights.slack * boundedSlack(call, now).Seconds()
+	if call.Late {
+		rank -= latePenalty.Seconds()
+	}
 	return rank
 }
 
