scheduler, ingress: programs under way and urgent ones first

Hypothesis: while engines are short, programs that were let in should end in time. Change: a head start for programs that have had calls and for each step of priority.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -30,8 +31,10 @@
 const (
 	// prefixWeight is per millisecond of reading a prompt.
 	prefixWeight = 1.0
-	// slackWeight makes the order that of the programs' deadlines.
-	slackWeight = 1.0
+	// slackWeight is in seconds for each second of slack to the program's deadline.
+	slackWeight = 0.5
+	// urgencyWeight is the head start, in seconds, of each step of urgency.
+	urgencyWeight = 4.0
 	// othersWeight is how much a call that is slowed by another counts beside the
 	// delay of that other one: as much.
 	othersWeight = 2.0
@@ -66,6 +69,7 @@
 	suspects  map[string]suspicion // by engine id
 	lags      *lags
 	own       map[string]int // calls in flight, by engine id
+	urgency   map[string]int // by class
 	fleet     fleet
 	speeds    speeds
 	asked     time.Time // when the core was last asked
@@ -95,6 +99,8 @@
 	MostTokens      int64 // that the answer may have; 0 if it is not counted in tokens
 	Deadline        time.Time
 	ProgramDeadline time.Time
+	Begun           bool     // the program has had requests
+	Urgency         int      // steps above the least urgent kind of request
 	LastEngine      string   // served the line's previous turn
 	Excluded        []string // engines already tried
 }
@@ -141,7 +147,7 @@
 
 // New returns a placer without engines.
 func New(options Options) *Placer {
-	core := scheduler.New(scheduler.ProgramAware, bundle.Scheduling{PrefixWeight: prefixWeight, SlackWeight: slackWeight}, options.Node)
+	core := scheduler.New(scheduler.ProgramAware, bundle.Scheduling{PrefixWeight: prefixWeight, SlackWeight: slackWeight, WorthWeight: urgencyWeight}, options.Node)
 	seed := xxhash.Sum64String(options.Node)
 	p := &Placer{
 		options:  options,
@@ -150,6 +156,7 @@
 		suspects: make(map[string]suspicion),
 		lags:     newLags(),
 		own:      make(map[string]int),
+		urgency:  make(map[string]int),
 		speeds:   make(speeds),
 		fleet:    fleet{random: rand.New(rand.NewPCG(seed, ^seed)), arrival: make(map[string]*rate)},
 		waiting:  make(map[string]chan answer),
@@ -158,6 +165,7 @@
 	core.SetRecorder(options.Recorder)
 	core.SetDistances(distance)
 	core.SetLocalCosts((*localCosts)(p))
+	core.SetClass(p.worth)
 	return p
 }
 
@@ -256,6 +264,7 @@
 	p.attempts++
 	p.fleet.arrived(request.Service, now)
 	p.fleet.draw(request, p.engines)
+	p.urgency[request.Class] = request.Urgency
 	call := p.call(request, blocks, strconv.FormatUint(p.attempts, 10), now)
 	if refusal := p.core.Submit(call, now); refusal != nil {
 		p.mutex.Unlock()
@@ -285,12 +294,17 @@
 		Submitted:       now,
 		Deadline:        request.Deadline,
 		ProgramDeadline: request.ProgramDeadline,
+		Begun:           request.Begun,
 		Late:            p.late(request, now),
 		LastEngine:      request.LastEngine,
 		Excluded:        request.Excluded,
 	}
 }
 
+// worth returns what makes the scheduler give each step of urgency the same head start.
+// The mutex is held.
+func (p *Placer) worth(class string) float64 { return math.Exp2(float64(p.urgency[class])) - 1 }
+
 // late reports whether a request's program would miss its deadline even if nothing came
 // after this request. The mutex is held.
 func (p *Placer) late(request Request, now time.Time) bool {
--- a/internal/scheduler/defaults.go
+++ b/internal/scheduler/defaults.go
@@ -33,9 +33,11 @@
 	maxSlack = 10 * time.Minute
 	// maxOverdue bounds the credit of a program that is past its deadline.
 	maxOverdue = time.Minute
+	// begunAdvantage is the head start of calls of programs that have had calls.
+	begunAdvantage = 4 * time.Second
 	// latePenalty is how long a call that came later goes first, if its program can
 	// still be in time and that of the other call cannot.
-	latePenalty = 3 * time.Second
+	latePenalty = 6 * time.Second
 	// fairnessWindow is how far apart, in seconds of engine service divided
 	// by weight, tenants may drift before the one ahead has to wait.
 	fairnessWindow = 5.0
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -26,6 +26,7 @@
 	Deadline        time.Time // of the call; zero = none
 	ProgramStarted  time.Time
 	ProgramDeadline time.Time
+	Begun           bool          // the program has had calls
 	Late            bool          // the program cannot be over by its deadline any more
 	Attained        time.Duration // engine service that the program has had
 	LastEngine      string        // served the program's previous turn
