scheduler, placement: places reserved for programs under way

Hypothesis: the bound should hold for programs that begin only, for a line that moves reads its history anew.

--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -100,14 +100,18 @@
 func (p *Placer) othersAt(engine string) int { return p.fleet.others[loads.KeyOf(engine)] }
 
 // batch returns how many calls of all nodes an engine may have: those that it works on
-// at once, and as many as it may end before the nodes hear of that. The mutex is held.
-func (p *Placer) batch(engine routing.Engine) int {
+// at once, and as many as it may end before the nodes hear of that. Of these, reserved
+// are for programs under way: what begins one waits while the calls there are slowed so
+// much that they would be late. The mutex is held.
+func (p *Placer) batch(engine routing.Engine) (size, reserved int) {
 	if p.fleet.others == nil {
-		return engine.Slots
+		return engine.Slots, 0
 	}
-	slots := min(float64(engine.Slots), p.speeds.of(engine.Service).batch())
-	unheard := float64(p.fleet.pause) / float64(max(time.Millisecond, p.speeds.of(engine.Service).duration))
-	return int(math.Ceil(slots * (1 + min(maxUnheard, unheard))))
+	learnt := p.speeds.of(engine.Service)
+	unheard := float64(p.fleet.pause) / float64(max(time.Millisecond, learnt.duration))
+	slots := float64(engine.Slots)
+	size = int(math.Ceil(slots * (1 + min(maxUnheard, unheard))))
+	return size, int(max(0, slots-learnt.batch()))
 }
 
 // setEngines takes the engines that are known.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -233,6 +233,7 @@
 		suspected := now.Before(p.suspects[id].until) && reachable[engine.Service]
 		learnt := p.speeds.of(engine.Service)
 		decode, slowdown := learnt.decodePerSecond()
+		batch, reserved := p.batch(engine)
 		views = append(views, scheduler.EngineView{
 			Name:                id,
 			Zone:                engine.Zone,
@@ -240,7 +241,8 @@
 			Ready:               !suspected,
 			Leaving:             engine.Draining,
 			Running:             p.own[id] + p.othersAt(id),
-			MaxRunning:          p.batch(engine),
+			MaxRunning:          batch,
+			Reserved:            reserved,
 			LoadKnown:           p.fleet.others != nil,
 			PrefillTokensPerSec: learnt.prefillPerSecond(),
 			DecodeTokensPerSec:  decode,
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -134,6 +134,15 @@
 	return e.slots(now) - e.inFlight
 }
 
+// takes reports whether the engine may take one more call now.
+func (e *engine) takes(call *Call, now time.Time) bool {
+	if e.freeSlots(now) <= 0 {
+		return false
+	}
+	favoured := call.Begun && !call.Late
+	return favoured || !e.view.LoadKnown || e.others+e.inFlight < max(1, e.batchSize()-e.view.Reserved)
+}
+
 // utilisation returns the estimated calls at the engine over its batch size.
 func (e *engine) utilisation() float64 {
 	return float64(e.others+e.inFlight) / float64(e.batchSize())
