--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -40,6 +40,10 @@
 	othersWeight = 2.0
 )
 
+// startShare is the part of the time that a program has which may pass before its first
+// request runs. The rest is what programs take on engines that are busy.
+const startShare = 0.25
+
 // Times of suspicion and of waiting.
 const (
 	refreshPeriod  = 250 * time.Millisecond // between two views of the engines
@@ -297,7 +301,7 @@
 		Deadline:        request.Deadline,
 		ProgramDeadline: request.ProgramDeadline,
 		Begun:           request.Begun,
-		Late:            p.late(request, now),
+		LateFrom:        p.lateFrom(request, now),
 		LastEngine:      request.LastEngine,
 		Excluded:        request.Excluded,
 	}
@@ -307,16 +311,19 @@
 // The mutex is held.
 func (p *Placer) worth(class string) float64 { return math.Exp2(float64(p.urgency[class])) - 1 }
 
-// late reports whether a request's program would miss its deadline even if nothing came
-// after this request. The mutex is held.
-func (p *Placer) late(request Request, now time.Time) bool {
+// lateFrom returns when a request's program will miss its deadline if the request has
+// not begun; zero if it has no deadline. The mutex is held.
+func (p *Placer) lateFrom(request Request, now time.Time) time.Time {
 	if request.ProgramDeadline.IsZero() {
-		return false
+		return time.Time{}
+	}
+	if !request.Begun {
+		return now.Add(time.Duration(float64(request.ProgramDeadline.Sub(now)) * startShare))
 	}
 	learnt := p.speeds.of(request.Service)
 	decode, _ := learnt.decodePerSecond()
 	shortest := float64(learnt.expected(request.MostTokens)) / decode * float64(time.Second)
-	return now.Add(time.Duration(shortest)).After(request.ProgramDeadline)
+	return request.ProgramDeadline.Add(-time.Duration(shortest))
 }
 
 // await returns the core's answer to a call.
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -64,6 +64,7 @@
 	entry := &queuedCall{call: call, queued: now, position: -1, arrival: c.arrivals}
 	c.arrivals++
 	entry.rank = c.rank(&entry.call, now)
+	entry.late = call.late(now)
 	entry.owner = queue.forTenant(c.tenantFor(call.Tenant))
 	if refusal := c.refuseLate(entry, now); refusal != nil {
 		return refusal
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -101,6 +101,7 @@
 	}
 	for _, call := range calls {
 		call.rank = c.rank(&call.call, call.queued)
+		call.late = call.call.late(call.queued)
 		call.owner = c.queueFor(call.call.Model).forTenant(c.tenantFor(call.call.Tenant))
 		c.enqueue(call)
 	}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -139,7 +139,7 @@
 	if e.freeSlots(now) <= 0 {
 		return false
 	}
-	favoured := call.Begun && !call.Late
+	favoured := call.Begun && !call.late(now)
 	return favoured || !e.view.LoadKnown || e.others+e.inFlight < max(1, e.batchSize()-e.view.Reserved)
 }
 
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -37,7 +37,7 @@
 	if call.Begun {
 		rank += begunAdvantage.Seconds()
 	}
-	if call.Late {
+	if call.late(now) {
 		rank -= latePenalty.Seconds()
 	}
 	return rank
@@ -51,3 +51,25 @@
 	}
 	return min(maxSlack, max(-maxOverdue, call.ProgramDeadline.Sub(now)))
 }
+
+// late reports whether the call's program cannot be in time any more.
+func (call *Call) late(now time.Time) bool {
+	return !call.LateFrom.IsZero() && !now.Before(call.LateFrom)
+}
+
+// rankLate ranks the calls of a queue anew that have become late.
+func (c *Core) rankLate(owned *tenantQueue, now time.Time) {
+	var became []*queuedCall
+	for _, call := range owned.calls {
+		if !call.late && call.call.late(now) {
+			became = append(became, call)
+		}
+	}
+	for _, call := range became {
+		owned.remove(call)
+		call.late = true
+		call.rank = c.rank(&call.call, call.queued)
+		call.rank -= latePenalty.Seconds()
+		owned.insert(call)
+	}
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -54,6 +54,7 @@
 	queue.free = queue.capacity.free
 	for _, owned := range queue.tenants {
 		owned.cursor = 0
+		c.rankLate(owned, now)
 	}
 	if queue.capacity.usable > 0 {
 		queue.strandedSince = time.Time{}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -11,8 +11,9 @@
 type queuedCall struct {
 	call     Call
 	queued   time.Time // of Submit
-	rank     float64   // higher runs first; constant while queued
+	rank     float64   // higher runs first
 	arrival  uint64    // breaks ties
+	late     bool      // it is ranked as late
 	owner    *tenantQueue
 	position int // in the heap of deadlines, -1 if not there
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -27,7 +27,7 @@
 	ProgramStarted  time.Time
 	ProgramDeadline time.Time
 	Begun           bool          // the program has had calls
-	Late            bool          // the program cannot be over by its deadline any more
+	LateFrom        time.Time     // when the program cannot be over by its deadline any more unless this call has begun; zero = never
 	Attained        time.Duration // engine service that the program has had
 	LastEngine      string        // served the program's previous turn
 	Excluded        []string      // engines already tried
