--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -21,6 +21,9 @@
 	// maxUnheard bounds how many times its batch an engine may be thought to end
 	// between two news.
 	maxUnheard = 2.0
+	// unheardWeight is the part of the calls that an engine ends between two news which
+	// it is given ahead.
+	unheardWeight = 0.5
 	// maxUntold bounds the prefixes that wait to be reported.
 	maxUntold = 4096
 )
@@ -33,6 +36,8 @@
 	untold []loads.Prefix
 	engine map[loads.EngineKey]string // ids of engines
 
+	closed map[string]bool // engines whose free places others are thought to take
+
 	service string          // of the call that is placed
 	drawn   map[string]bool // engines drawn for it; nil if all are
 	random  *rand.Rand
@@ -85,6 +90,7 @@
 			p.index.addEnd(id, prefix.Hash)
 		}
 	}
+	p.ration()
 	p.refresh(now)
 }
 
@@ -103,7 +109,7 @@
 func (p *Placer) Deaf() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.fleet.others = nil
+	p.fleet.others, p.fleet.closed = nil, nil
 	p.refresh(time.Now())
 }
 
@@ -119,10 +125,31 @@
 		return engine.Slots, 0
 	}
 	learnt := p.speeds.of(engine.Service)
-	unheard := float64(p.fleet.pause) / float64(max(time.Millisecond, learnt.duration))
-	slots := float64(engine.Slots)
-	size = int(math.Ceil(slots * (1 + min(maxUnheard, unheard))))
-	return size, int(max(0, slots-learnt.batch()))
+	unheard := unheardWeight * float64(p.fleet.pause) / float64(max(time.Millisecond, learnt.duration))
+	size = int(math.Ceil(float64(engine.Slots) * (1 + min(maxUnheard, unheard))))
+	return size, engine.Slots - int(learnt.batch(float64(engine.Slots)))
+}
+
+// ration closes engines at random for calls that none of their own brings, where more
+// calls are waited for until the next news than there are places: so that all nodes
+// together take about as many as there are. The mutex is held.
+func (p *Placer) ration() {
+	p.fleet.closed = make(map[string]bool)
+	engines := make(map[string]int) // by service
+	for _, engine := range p.engines {
+		engines[engine.Service]++
+	}
+	for id, engine := range p.engines {
+		known := p.fleet.arrival[engine.Service]
+		if known == nil {
+			continue
+		}
+		waiting := float64(p.core.QueuedFor(engine.Service)) + known.perSecond*p.fleet.pause.Seconds()
+		wanted := waiting * float64(p.fleet.nodes+1) / float64(engines[engine.Service])
+		size, _ := p.batch(engine)
+		free := float64(size - p.own[id] - p.othersAt(id))
+		p.fleet.closed[id] = p.fleet.random.Float64()*wanted > free
+	}
 }
 
 // setEngines takes the engines that are known.
@@ -140,7 +167,7 @@
 	}
 }
 
-// arrived notes a call of a service.
+// arrived notes a call of a service that no earlier one binds to an engine.
 func (f *fleet) arrived(service string, now time.Time) {
 	known := f.arrival[service]
 	if known == nil {
--- a/internal/placement/news_test.go
+++ b/internal/placement/news_test.go
@@ -109,7 +109,7 @@
 	if got := learnt.expected(600); got < 230 || got > 270 {
 		t.Errorf("%d tokens are expected", got)
 	}
-	if batch := learnt.batch(); batch < 20 || batch > 80 {
+	if batch := learnt.batch(100); batch < 20 || batch > 80 {
 		t.Errorf("a batch of %.0f is thought to be in time", batch)
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -247,6 +247,7 @@
 			Running:             p.own[id] + p.othersAt(id),
 			MaxRunning:          batch,
 			Reserved:            reserved,
+			Closed:              p.fleet.closed[id],
 			LoadKnown:           p.fleet.others != nil,
 			PrefillTokensPerSec: learnt.prefillPerSecond(),
 			DecodeTokensPerSec:  decode,
@@ -268,7 +269,9 @@
 		p.refresh(now)
 	}
 	p.attempts++
-	p.fleet.arrived(request.Service, now)
+	if request.LastEngine == "" {
+		p.fleet.arrived(request.Service, now)
+	}
 	p.fleet.draw(request, p.engines)
 	p.urgency[request.Class] = request.Urgency
 	call := p.call(request, blocks, strconv.FormatUint(p.attempts, 10), now)
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -26,8 +26,10 @@
 	// mostSlowdown is how much longer an answer may take for the calls beside it than
 	// it takes alone, before further calls wait.
 	mostSlowdown = 1.8
-	// leastBatch is how many calls an engine may always have.
-	leastBatch = 4
+	// firstBatch is that part of an engine's places until its speed is known, and
+	// leastBatch the least part.
+	firstBatch = 0.75
+	leastBatch = 0.5
 	// fastestPrefill bounds what is believed, in ms a token: 1,000,000 a second.
 	fastestPrefill = 0.001
 )
@@ -101,14 +103,14 @@
 	return 1000 / base, max(0, slope) / base
 }
 
-// batch returns how many calls an engine may work on so that each is slowed by
-// mostSlowdown at most.
-func (s *speed) batch() float64 {
+// batch returns how many calls an engine of so many places may work on so that each is
+// slowed by mostSlowdown at most.
+func (s *speed) batch(places float64) float64 {
 	_, slowdown := s.decodePerSecond()
 	if slowdown <= 0 {
-		return math.Inf(1)
+		return firstBatch * places
 	}
-	return max(leastBatch, (mostSlowdown-1)/slowdown)
+	return min(places, max(leastBatch*places, (mostSlowdown-1)/slowdown))
 }
 
 // expected returns how long an answer will be, in tokens.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -139,8 +139,14 @@
 	if e.freeSlots(now) <= 0 {
 		return false
 	}
+	if !e.view.LoadKnown || call.LastEngine == e.view.Name {
+		return true
+	}
+	if e.view.Closed {
+		return false
+	}
 	favoured := call.Begun && !call.late(now)
-	return favoured || !e.view.LoadKnown || e.others+e.inFlight < max(1, e.batchSize()-e.view.Reserved)
+	return favoured || e.others+e.inFlight < max(1, e.batchSize()-e.view.Reserved)
 }
 
 // utilisation returns the estimated calls at the engine over its batch size.
