ingress: an engine is gone only if another one answers

A node that was cut off took every engine for gone, and went on elsewhere when it was back. Change: a silent engine counts as gone only if another engine answers an attempt to connect. Test: TestCutOffNodeRunsNothingTwice, which fails on the code before.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -98,7 +98,7 @@
 
 // New returns a handler.
 func New(options Options) *Handler {
-	return &Handler{options: options, splitter: routing.NewSplitter(), lines: newLastEngines(), hedges: newHedges(), looker: newLooker(options.Pool)}
+	return &Handler{options: options, splitter: routing.NewSplitter(), lines: newLastEngines(), hedges: newHedges(), looker: newLooker(options.Pool, func() map[string]routing.Engine { return options.View().Engines })}
 }
 
 // Drain asks callers to end their connections after their next answer.
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/upstream"
 )
 
@@ -18,6 +19,9 @@
 	stallAfter = 500 * time.Millisecond
 	// lookTimeout is how long it may take to accept one.
 	lookTimeout = 200 * time.Millisecond
+	// witnesses is how many other engines are looked at to tell a dark engine from a
+	// node that is itself cut off.
+	witnesses = 3
 	// lookAgain is how long the outcome of a look holds for every request.
 	lookAgain = time.Second
 )
@@ -50,7 +54,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return cancelledOutcome(ctx)
-	case errors.Is(context.Cause(t.ctx), errDark), upstream.IsDead(err):
+	case errors.Is(context.Cause(t.ctx), errDark):
 		return placement.Dark
 	}
 	return placement.Failed
@@ -59,7 +63,9 @@
 // looker looks whether engines take connections, each at most once in a while.
 // Safe for concurrent use.
 type looker struct {
-	pool  *upstream.Pool
+	pool    *upstream.Pool
+	engines func() map[string]routing.Engine
+
 	mutex sync.Mutex
 	seen  map[string]*sight // by address
 }
@@ -71,12 +77,13 @@
 	dark bool
 }
 
-func newLooker(pool *upstream.Pool) *looker {
-	return &looker{pool: pool, seen: make(map[string]*sight)}
+func newLooker(pool *upstream.Pool, engines func() map[string]routing.Engine) *looker {
+	return &looker{pool: pool, engines: engines, seen: make(map[string]*sight)}
 }
 
-// dark reports whether the address does not even answer an attempt to connect. One
-// that refuses is alive, or its connections have ended already.
+// dark reports whether the address does not even answer an attempt to connect, while
+// another engine does: otherwise this node may be cut off, and the engine may still be
+// at work. One that refuses is alive, or its connections have ended already.
 func (l *looker) dark(ctx context.Context, address string) bool {
 	now := time.Now()
 	l.mutex.Lock()
@@ -90,13 +97,32 @@
 	l.mutex.Unlock()
 	if fresh {
 		err := l.pool.Probe(ctx, address, lookTimeout)
-		known.dark = ctx.Err() == nil && upstream.IsSilent(err)
+		known.dark = ctx.Err() == nil && upstream.IsSilent(err) && l.hearsAnother(ctx, address)
 		close(known.done)
 	}
 	<-known.done
 	return known.dark
 }
 
+// hearsAnother reports whether another engine answers an attempt to connect.
+func (l *looker) hearsAnother(ctx context.Context, address string) bool {
+	asked := 0
+	heard := make(chan bool, witnesses)
+	for _, engine := range l.engines() {
+		if engine.Address == address || asked == witnesses {
+			continue
+		}
+		asked++
+		go func() { heard <- l.pool.Probe(ctx, engine.Address, lookTimeout) == nil }()
+	}
+	for range asked {
+		if <-heard {
+			return true
+		}
+	}
+	return false
+}
+
 // forget drops old sights. The mutex is held.
 func (l *looker) forget(now time.Time) {
 	for address, known := range l.seen {
--- a/internal/serving/dark_test.go
+++ b/internal/serving/dark_test.go
@@ -112,3 +112,39 @@
 		t.Fatalf("got %+v after %d runs", got, len(d.all("m")))
 	}
 }
+
+// TestCutOffNodeRunsNothingTwice lets every engine fall silent at once, as when the node
+// is cut off: they may all be at work. The stream's route allows one engine, and no
+// other gets it. The run that found it: grown hinokuni, scale-2, journal s8, where 19
+// streams of nodes that were cut off ran on two engines.
+func TestCutOffNodeRunsNothingTwice(t *testing.T) {
+	d := serve(t)
+	dark, other := newDarkEngine(t), newDarkEngine(t)
+	for _, id := range []string{"m1", "m2", "p1", "p2"} {
+		d.store.Remove("servers", "", id)
+	}
+	for name, engine := range map[string]*darkEngine{"dark": dark, "other": other} {
+		record := d.engines["m1"].Record("models", "ready")
+		record["address"] = engine.address()
+		d.store.Put("servers", "", name, record)
+	}
+	d.store.Put("op", "", "config", configuration(8, route("once", "stream", "models", map[string]any{"resumable": true, "max_attempts": 1, "timeout_ms": 1800})))
+	d.eventually("in force", func() bool {
+		return strings.Contains(d.log.String(), `"configuration":8`) && strings.Contains(d.log.String(), `"engines":2`)
+	})
+	answers := make(chan answer, 2)
+	for turn := range 2 {
+		go func() { answers <- d.turn("/once/", "p", fmt.Sprintf("t%d", turn), "", "x") }()
+	}
+	<-dark.fell
+	<-other.fell
+	for range 2 {
+		if got := <-answers; !got.cut && got.status == http.StatusOK {
+			t.Errorf("got %+v of an engine that had fallen silent", got)
+		}
+	}
+	d.eventually("ended", func() bool { return strings.Count(d.log.String(), `"msg":"request ended"`) >= 2 })
+	if strings.Contains(d.log.String(), `"outcome":"dark"`) {
+		t.Errorf("a silent engine is held to be gone by a node that hears none:\n%s", d.log)
+	}
+}
