ingress: a silent engine is looked at twice

Change: two looks, and none holds if the engine has spoken since; a dead connection alone is no proof.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,6 +56,7 @@
 	ctx      context.Context // ends with the request's, or when the engine has gone dark
 	cancel   context.CancelCauseFunc
 	watchdog *time.Timer
+	said     atomic.Int64 // times that the engine has said something
 }
 
 // send offers the request to engines until one begins to answer. The problem
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/placement"
 	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/upstream"
@@ -19,6 +20,9 @@
 	stallAfter = 500 * time.Millisecond
 	// lookTimeout is how long it may take to accept one.
 	lookTimeout = 200 * time.Millisecond
+	// lookPause is between the two looks that both have to find nothing: an engine with
+	// many callers at once may pass one attempt to connect over.
+	lookPause = 150 * time.Millisecond
 	// witnesses is how many other engines are looked at to tell a dark engine from a
 	// node that is itself cut off.
 	witnesses = 3
@@ -36,11 +40,15 @@
 }
 
 // alive notes that the engine has said something.
-func (t *try) alive() { t.watchdog.Reset(stallAfter) }
+func (t *try) alive() {
+	t.said.Add(1)
+	t.watchdog.Reset(stallAfter)
+}
 
 // look asks whether a silent engine still takes connections.
 func (t *try) look() {
-	if t.request.handler.looker.dark(t.ctx, t.placed.Engine.Address) {
+	said := t.said.Load()
+	if t.request.handler.looker.dark(t.ctx, t.placed.Engine.Address) && t.said.Load() == said {
 		t.cancel(errDark)
 		return
 	}
@@ -56,6 +64,8 @@
 		return cancelledOutcome(ctx)
 	case errors.Is(context.Cause(t.ctx), errDark):
 		return placement.Dark
+	case upstream.IsDead(err) && t.request.handler.looker.dark(ctx, t.placed.Engine.Address):
+		return placement.Dark
 	}
 	return placement.Failed
 }
@@ -96,14 +106,20 @@
 	}
 	l.mutex.Unlock()
 	if fresh {
-		err := l.pool.Probe(ctx, address, lookTimeout)
-		known.dark = ctx.Err() == nil && upstream.IsSilent(err) && l.hearsAnother(ctx, address)
+		known.dark = l.silent(ctx, address) && l.hearsAnother(ctx, address) &&
+			backoff.Wait(ctx, lookPause) && l.silent(ctx, address)
 		close(known.done)
 	}
 	<-known.done
 	return known.dark
 }
 
+// silent reports whether nothing at all answers an attempt to connect.
+func (l *looker) silent(ctx context.Context, address string) bool {
+	err := l.pool.Probe(ctx, address, lookTimeout)
+	return ctx.Err() == nil && upstream.IsSilent(err)
+}
+
 // hearsAnother reports whether another engine answers an attempt to connect.
 func (l *looker) hearsAnother(ctx context.Context, address string) bool {
 	asked := 0
