scheduler: moving a line costs more than its prefill

Of the mechanisms, knowing the load cost most: lines moved. Change: the factor for programs that have had turns holds there, too.

--- a/internal/scheduler/score_prefill.go
+++ b/internal/scheduler/score_prefill.go
@@ -2,19 +2,19 @@
 
 // scorePrefill estimates the time to prefill the part of the prompt that the
 // engine does not have in its cache. An engine that prefills keeps its whole batch
-// waiting: where its load is known, the time counts once for each call there, and
-// otherwise by the weight, and for more if the program has had turns. Called for every
-// engine that could run the call.
+// waiting: where its load is known, the time counts once for each call there. It counts
+// for more if the program has had turns. Called for every engine that could run the
+// call.
 type scorePrefill struct{}
 
 func (scorePrefill) name() string { return "prefill" }
 
 func (scorePrefill) score(r *request, e *engine) float64 {
 	weight := r.weights.prefix
-	switch {
-	case e.view.LoadKnown:
+	if e.view.LoadKnown {
 		weight *= float64(1 + e.others + e.inFlight)
-	case r.call.LastEngine != "":
+	}
+	if r.call.LastEngine != "" {
 		weight *= returningFactor
 	}
 	return weight * e.prefillMillis(r.missing)
