scheduler, placement: no places are reserved and no engine closed

Change: reserved places, closed engines and the bound by pace go; an engine may have twice its batch.

--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -18,12 +18,6 @@
 	notDrawnMillis = 100_000.0
 	// arrivalSmoothing is how fast the rate of arrivals is forgotten.
 	arrivalSmoothing = 2 * time.Second
-	// maxUnheard bounds how many times its batch an engine may be thought to end
-	// between two news.
-	maxUnheard = 2.0
-	// unheardWeight is the part of the calls that an engine ends between two news which
-	// it is given ahead.
-	unheardWeight = 0.5
 	// maxUntold bounds the prefixes that wait to be reported.
 	maxUntold = 4096
 )
@@ -90,7 +84,6 @@
 			p.index.addEnd(id, prefix.Hash)
 		}
 	}
-	p.ration()
 	p.refresh(now)
 }
 
@@ -109,49 +102,13 @@
 func (p *Placer) Deaf() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.fleet.others, p.fleet.closed = nil, nil
+	p.fleet.others = nil
 	p.refresh(time.Now())
 }
 
 // othersAt returns the calls of other nodes at an engine. The mutex is held.
 func (p *Placer) othersAt(engine string) int { return p.fleet.others[loads.KeyOf(engine)] }
 
-// batch returns how many calls of all nodes an engine may have: those that it works on
-// at once, and as many as it may end before the nodes hear of that. Of these, reserved
-// are for programs under way: what begins one waits while the calls there are slowed so
-// much that they would be late. The mutex is held.
-func (p *Placer) batch(engine routing.Engine) (size, reserved int) {
-	if p.fleet.others == nil {
-		return engine.Slots, 0
-	}
-	learnt := p.speeds.of(engine.Service)
-	unheard := unheardWeight * float64(p.fleet.pause) / float64(max(time.Millisecond, learnt.duration))
-	size = int(math.Ceil(float64(engine.Slots) * (1 + min(maxUnheard, unheard))))
-	return size, engine.Slots - int(learnt.batch(float64(engine.Slots)))
-}
-
-// ration closes engines at random for calls that none of their own brings, where more
-// calls are waited for until the next news than there are places: so that all nodes
-// together take about as many as there are. The mutex is held.
-func (p *Placer) ration() {
-	p.fleet.closed = make(map[string]bool)
-	engines := make(map[string]int) // by service
-	for _, engine := range p.engines {
-		engines[engine.Service]++
-	}
-	for id, engine := range p.engines {
-		known := p.fleet.arrival[engine.Service]
-		if known == nil {
-			continue
-		}
-		waiting := float64(p.core.QueuedFor(engine.Service)) + known.perSecond*p.fleet.pause.Seconds()
-		wanted := waiting * float64(p.fleet.nodes+1) / float64(engines[engine.Service])
-		size, _ := p.batch(engine)
-		free := float64(size - p.own[id] - p.othersAt(id))
-		p.fleet.closed[id] = p.fleet.random.Float64()*wanted > free
-	}
-}
-
 // setEngines takes the engines that are known.
 func (f *fleet) setEngines(engines map[string]routing.Engine) {
 	f.engine = make(map[loads.EngineKey]string, len(engines))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -237,7 +237,6 @@
 		suspected := now.Before(p.suspects[id].until) && reachable[engine.Service]
 		learnt := p.speeds.of(engine.Service)
 		decode, slowdown := learnt.decodePerSecond()
-		batch, reserved := p.batch(engine)
 		views = append(views, scheduler.EngineView{
 			Name:                id,
 			Zone:                engine.Zone,
@@ -245,9 +244,7 @@
 			Ready:               !suspected,
 			Leaving:             engine.Draining,
 			Running:             p.own[id] + p.othersAt(id),
-			MaxRunning:          batch,
-			Reserved:            reserved,
-			Closed:              p.fleet.closed[id],
+			MaxRunning:          engine.Slots,
 			LoadKnown:           p.fleet.others != nil,
 			PrefillTokensPerSec: learnt.prefillPerSecond(),
 			DecodeTokensPerSec:  decode,
@@ -454,11 +451,10 @@
 
 // learn takes what a whole answer tells of its service's speed. The mutex is held.
 func (p *Placer) learn(placement Placement, tokens int64, now time.Time) {
-	learnt := p.speeds.of(placement.Engine.Service)
-	learnt.took(now.Sub(placement.start))
 	if tokens <= 0 || placement.answered.IsZero() {
 		return
 	}
+	learnt := p.speeds.of(placement.Engine.Service)
 	learnt.length.note(float64(placement.most), float64(tokens))
 	if tokens >= leastDecodeTokens {
 		learnt.decode.note(float64(placement.beside), millis(now.Sub(placement.answered))/float64(tokens))
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -1,9 +1,6 @@
 package placement
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 // Speeds that engines are thought to have until they are known, in tokens a second.
 const (
@@ -15,21 +12,12 @@
 const (
 	// fitMemory is how many of the last answers count.
 	fitMemory = 200
-	// durationMemory is of how many calls the smoothed duration is.
-	durationMemory = 20
 	// leastSamples is after how many answers a fit is believed.
 	leastSamples = 20
 	// outlier is from how many times the mean on an answer counts as that much.
 	outlier = 4.0
 	// leastDecodeTokens is the shortest answer that tells how fast tokens are made.
 	leastDecodeTokens = 40
-	// mostSlowdown is how much longer an answer may take for the calls beside it than
-	// it takes alone, before further calls wait.
-	mostSlowdown = 1.8
-	// firstBatch is that part of an engine's places until its speed is known, and
-	// leastBatch the least part.
-	firstBatch = 0.75
-	leastBatch = 0.5
 	// fastestPrefill bounds what is believed, in ms a token: 1,000,000 a second.
 	fastestPrefill = 0.001
 )
@@ -71,16 +59,6 @@
 	prefill fit // ms until the answer began, by prompt tokens that were not cached
 	decode  fit // ms a token, by calls that ran beside
 	length  fit // tokens of an answer, by the most that it might have had
-
-	duration time.Duration // of a call, smoothed
-}
-
-// took notes how long a call took.
-func (s *speed) took(duration time.Duration) {
-	if s.duration == 0 {
-		s.duration = duration
-	}
-	s.duration += (duration - s.duration) / durationMemory
 }
 
 // prefillPerSecond returns the speed of reading prompts, in tokens a second.
@@ -103,16 +81,6 @@
 	return 1000 / base, max(0, slope) / base
 }
 
-// batch returns how many calls an engine of so many places may work on so that each is
-// slowed by mostSlowdown at most.
-func (s *speed) batch(places float64) float64 {
-	_, slowdown := s.decodePerSecond()
-	if slowdown <= 0 {
-		return firstBatch * places
-	}
-	return min(places, max(leastBatch*places, (mostSlowdown-1)/slowdown))
-}
-
 // expected returns how long an answer will be, in tokens.
 func (s *speed) expected(most int64) int64 {
 	if s.length.samples < leastSamples || s.length.x <= 0 {
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -38,9 +38,9 @@
 
 // add counts one engine.
 func (m *modelCapacity) add(e *engine, now time.Time) {
-	slots := e.slots(now)
+	slots := max(1, e.slots(now))
 	m.usable++
-	m.free += max(0, slots-e.inFlight)
+	m.free += max(0, e.freeSlots(now))
 	m.callsPerSecond += float64(slots) * 1000 / max(1, e.serviceMillis)
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -231,9 +231,6 @@
 // Queued returns how many calls wait.
 func (c *Core) Queued() int { return len(c.queuedByID) }
 
-// QueuedFor returns how many calls for a model wait.
-func (c *Core) QueuedFor(model string) int { return c.queueFor(model).length }
-
 // EngineState is what the core makes of one engine, for status pages.
 type EngineState struct {
 	Name         string
--- a/internal/scheduler/defaults.go
+++ b/internal/scheduler/defaults.go
@@ -63,6 +63,9 @@
 
 // Parameters of the concurrency limit and of ejection.
 const (
+	// queueFactor is how many times its batch an engine may have where the load is
+	// known. It keeps engines busy while nodes hear of each other late.
+	queueFactor           = 2
 	limitDecreaseFactor   = 0.7
 	limitDecreaseInterval = 2 * time.Second
 	serviceSamples        = 10 // durations that make up the mean
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -117,37 +117,21 @@
 }
 
 // slots returns how many own calls may be in flight: the adaptive limit, or
-// what other nodes leave of the batch, and at least one. An engine that is
-// being probed after an ejection gets one.
+// what other nodes leave of the batch, and at least one. Where the load is known, an
+// engine may have queueFactor times its batch, and gets none if others have filled that.
+// An engine that is being probed after an ejection gets one.
 func (e *engine) slots(now time.Time) int {
 	if e.probing(now) {
 		return 1
 	}
+	if e.view.LoadKnown {
+		return max(0, min(queueFactor*int(e.limit), queueFactor*e.batchSize()-e.others))
+	}
 	return max(1, min(int(e.limit), e.batchSize()-e.others))
 }
 
 // freeSlots returns how many more own calls the engine may take now.
-func (e *engine) freeSlots(now time.Time) int {
-	if e.view.LoadKnown && e.others+e.inFlight >= e.batchSize() {
-		return 0
-	}
-	return e.slots(now) - e.inFlight
-}
-
-// takes reports whether the engine may take one more call now.
-func (e *engine) takes(call *Call, now time.Time) bool {
-	if e.freeSlots(now) <= 0 {
-		return false
-	}
-	if !e.view.LoadKnown || call.LastEngine == e.view.Name {
-		return true
-	}
-	if e.view.Closed {
-		return false
-	}
-	favoured := call.Begun && !call.late(now)
-	return favoured || e.others+e.inFlight < max(1, e.batchSize()-e.view.Reserved)
-}
+func (e *engine) freeSlots(now time.Time) int { return e.slots(now) - e.inFlight }
 
 // utilisation returns the estimated calls at the engine over its batch size.
 func (e *engine) utilisation() float64 {
@@ -157,7 +141,10 @@
 // queueMillis estimates the wait for a slot, behind the calls in flight and
 // those that already wait for this engine.
 func (e *engine) queueMillis(now time.Time) float64 {
-	slots := e.slots(now)
+	slots := max(1, e.slots(now))
+	if e.view.LoadKnown {
+		slots = e.batchSize()
+	}
 	ahead := e.inFlight + e.waitingFor - slots + 1
 	queuedAtEngine := e.others + e.inFlight + 1 - e.batchSize()
 	ahead = max(ahead, queuedAtEngine)
--- a/internal/scheduler/filter_full.go
+++ b/internal/scheduler/filter_full.go
@@ -6,4 +6,4 @@
 
 func (filterFull) name() string { return "concurrency_full" }
 
-func (filterFull) rejects(r *request, e *engine) bool { return !e.takes(r.call, r.now) }
+func (filterFull) rejects(r *request, e *engine) bool { return e.freeSlots(r.now) <= 0 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -62,7 +62,7 @@
 func (q *tenantQueue) next(now time.Time) *queuedCall {
 	for ; q.cursor < len(q.calls); q.cursor++ {
 		call := q.calls[q.cursor]
-		if call.waitsFor == nil || !now.Before(call.recheckAt) || call.waitsFor.takes(&call.call, now) {
+		if call.waitsFor == nil || !now.Before(call.recheckAt) || call.waitsFor.freeSlots(now) > 0 {
 			return call
 		}
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -51,11 +51,6 @@
 	// nodes, so that what a call costs others can be counted call by call, and an engine
 	// that others fill gets none.
 	LoadKnown bool
-	// Reserved is how many of MaxRunning only calls of programs under way may take,
-	// as long as those can be over in time.
-	Reserved int
-	// Closed says that the engine takes no calls but those whose previous call it served.
-	Closed bool
 	// SlowdownPerCall is the part of a call's decode time that each call beside it
 	// costs; 0 if it is not known.
 	SlowdownPerCall float64
