--- a/internal/placement/news_test.go
+++ b/internal/placement/news_test.go
@@ -14,14 +14,16 @@
 // between news. The run that found it: grown hinokuni, a calm day, where 24 of 45
 // engines got nothing and the busiest 4.4 times the mean.
 func TestNodesThatHearOfEachOtherSpread(t *testing.T) {
-	const nodes, engines, rounds = 60, 40, 30
+	const nodes, engines, rounds = 60, 40, 120
 	placers := make([]*Placer, nodes)
 	for i := range placers {
 		placers[i] = newPlacer(fmt.Sprintf("node-%d", i), engines)
 	}
 	random := rand.New(rand.NewPCG(1, 2))
 	taken := make(map[string]int)
+	worst := 0 // calls that one engine got between two news, once prefixes are known
 	for round := range rounds {
+		between := make(map[string]int)
 		total := make(loads.Counts)
 		var prefixes []loads.Prefix
 		for _, p := range placers {
@@ -46,12 +48,19 @@
 				t.Fatal(problem)
 			}
 			taken[placed.Engine.ID]++
+			between[placed.Engine.ID]++
+			if round > rounds/2 {
+				worst = max(worst, between[placed.Engine.ID])
+			}
 			p.Answered(&placed)
 			if random.IntN(10) > 0 { // the others run on, within the places that there are
 				p.Done(placed, End{Outcome: Cancelled})
 			}
 		}
 	}
+	if worst > 9 {
+		t.Errorf("an engine got %d calls between two news, the mean is %.1f", worst, float64(nodes)/engines)
+	}
 	mean := float64(nodes*rounds) / engines
 	if len(taken) < engines {
 		t.Errorf("%d of %d engines were taken", len(taken), engines)
