--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -11,8 +11,9 @@
 
 // Parameters of drawing engines.
 const (
-	// leastDrawn is from how many engines a call is placed at least.
-	leastDrawn = 2
+	// leastDrawn is from how many engines a call is placed at least, and about how many
+	// calls all nodes together may send one engine between two news.
+	leastDrawn = 4
 	// notDrawnMillis keeps a call from engines that were not drawn for it, as long as
 	// one that was drawn can take it.
 	notDrawnMillis = 100_000.0
@@ -136,8 +137,8 @@
 
 // draw chooses the engines that a call may go to. Nodes that know of the same idle
 // engine would all take it before they hear of each other, so each call looks at a few
-// only: as many as keep all nodes together from sending an engine more than about two
-// calls between two news, and at least two.
+// only: as many as keep all nodes together from sending an engine more than about
+// leastDrawn calls between two news, and at least that many.
 func (f *fleet) draw(call Request, engines map[string]routing.Engine) {
 	f.service, f.drawn = call.Service, nil
 	if f.nodes == 0 {
