--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -13,7 +13,7 @@
 const (
 	// leastDrawn is from how many engines a call is placed at least, and about how many
 	// calls all nodes together may send one engine between two news.
-	leastDrawn = 4
+	leastDrawn = 8
 	// notDrawnMillis keeps a call from engines that were not drawn for it, as long as
 	// one that was drawn can take it.
 	notDrawnMillis = 100_000.0
