scheduler, placement, ingress: order by what never arrived goes

Change: what did nothing goes (Begun, urgency, their weights); what ran stays, named for what it does (waitShare). Conclusion: dead code gone.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -12,7 +12,6 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/placement"
-	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/upstream"
 )
 
@@ -157,13 +156,6 @@
 	return request
 }
 
-// begun reports whether the request's program has had requests: a first turn brings a
-// shared part and one of its own.
-func (r *request) begun() bool {
-	const firstTurnParts = 2
-	return r.route.Kind != routing.Stream || r.call.PreviousTurn != "" || len(r.call.PromptParts) > firstTurnParts
-}
-
 // lineKey names the line of turns that the request belongs to.
 func (r *request) lineKey() string {
 	if r.call.Session == "" {
--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -31,8 +31,6 @@
 	untold []loads.Prefix
 	engine map[loads.EngineKey]string // ids of engines
 
-	closed map[string]bool // engines whose free places others are thought to take
-
 	service string          // of the call that is placed
 	drawn   map[string]bool // engines drawn for it; nil if all are
 	random  *rand.Rand
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -33,16 +32,14 @@
 	prefixWeight = 1.0
 	// slackWeight is in seconds for each second of slack to the program's deadline.
 	slackWeight = 0.5
-	// urgencyWeight is the head start, in seconds, of each step of urgency.
-	urgencyWeight = 4.0
 	// othersWeight is how much a call that is slowed by another counts beside the
 	// delay of that other one: as much.
 	othersWeight = 2.0
 )
 
-// startShare is the part of the time that a program has which may pass before its first
-// request runs. The rest is what programs take on engines that are busy.
-const startShare = 0.25
+// waitShare is the part of the time left to a program that a request may wait. The rest
+// is what programs take on engines that are busy.
+const waitShare = 0.25
 
 // Times of suspicion and of waiting.
 const (
@@ -73,7 +70,6 @@
 	suspects  map[string]suspicion // by engine id
 	lags      *lags
 	own       map[string]int // calls in flight, by engine id
-	urgency   map[string]int // by class
 	fleet     fleet
 	speeds    speeds
 	asked     time.Time // when the core was last asked
@@ -103,8 +99,6 @@
 	MostTokens      int64 // that the answer may have; 0 if it is not counted in tokens
 	Deadline        time.Time
 	ProgramDeadline time.Time
-	Begun           bool     // the program has had requests
-	Urgency         int      // steps above the least urgent kind of request
 	LastEngine      string   // served the line's previous turn
 	Excluded        []string // engines already tried
 }
@@ -151,7 +145,7 @@
 
 // New returns a placer without engines.
 func New(options Options) *Placer {
-	core := scheduler.New(scheduler.ProgramAware, bundle.Scheduling{PrefixWeight: prefixWeight, SlackWeight: slackWeight, WorthWeight: urgencyWeight}, options.Node)
+	core := scheduler.New(scheduler.ProgramAware, bundle.Scheduling{PrefixWeight: prefixWeight, SlackWeight: slackWeight}, options.Node)
 	seed := xxhash.Sum64String(options.Node)
 	p := &Placer{
 		options:  options,
@@ -160,7 +154,6 @@
 		suspects: make(map[string]suspicion),
 		lags:     newLags(),
 		own:      make(map[string]int),
-		urgency:  make(map[string]int),
 		speeds:   make(speeds),
 		fleet:    fleet{random: rand.New(rand.NewPCG(seed, ^seed)), arrival: make(map[string]*rate)},
 		waiting:  make(map[string]chan answer),
@@ -169,7 +162,6 @@
 	core.SetRecorder(options.Recorder)
 	core.SetDistances(distance)
 	core.SetLocalCosts((*localCosts)(p))
-	core.SetClass(p.worth)
 	return p
 }
 
@@ -270,7 +262,6 @@
 		p.fleet.arrived(request.Service, now)
 	}
 	p.fleet.draw(request, p.engines)
-	p.urgency[request.Class] = request.Urgency
 	call := p.call(request, blocks, strconv.FormatUint(p.attempts, 10), now)
 	if refusal := p.core.Submit(call, now); refusal != nil {
 		p.mutex.Unlock()
@@ -300,30 +291,19 @@
 		Submitted:       now,
 		Deadline:        request.Deadline,
 		ProgramDeadline: request.ProgramDeadline,
-		Begun:           request.Begun,
-		LateFrom:        p.lateFrom(request, now),
+		LateFrom:        lateFrom(request, now),
 		LastEngine:      request.LastEngine,
 		Excluded:        request.Excluded,
 	}
 }
 
-// worth returns what makes the scheduler give each step of urgency the same head start.
-// The mutex is held.
-func (p *Placer) worth(class string) float64 { return math.Exp2(float64(p.urgency[class])) - 1 }
-
-// lateFrom returns when a request's program will miss its deadline if the request has
-// not begun; zero if it has no deadline. The mutex is held.
-func (p *Placer) lateFrom(request Request, now time.Time) time.Time {
+// lateFrom returns when a request's program is thought to miss its deadline unless the
+// request runs; zero if it has no deadline.
+func lateFrom(request Request, now time.Time) time.Time {
 	if request.ProgramDeadline.IsZero() {
 		return time.Time{}
 	}
-	if !request.Begun {
-		return now.Add(time.Duration(float64(request.ProgramDeadline.Sub(now)) * startShare))
-	}
-	learnt := p.speeds.of(request.Service)
-	decode, _ := learnt.decodePerSecond()
-	shortest := float64(learnt.expected(request.MostTokens)) / decode * float64(time.Second)
-	return request.ProgramDeadline.Add(-time.Duration(shortest))
+	return now.Add(time.Duration(float64(request.ProgramDeadline.Sub(now)) * waitShare))
 }
 
 // await returns the core's answer to a call.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -86,7 +86,6 @@
 type Table struct {
 	Configuration *Configuration
 	byHost        map[string][]*Route // longest prefix first
-	leastUrgent   int                 // highest Priority of any route
 }
 
 // NewTable indexes a configuration, which must not change any more.
@@ -94,7 +93,6 @@
 	table := &Table{Configuration: configuration, byHost: make(map[string][]*Route)}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
-		table.leastUrgent = max(table.leastUrgent, route.Priority)
 		host := strings.ToLower(route.Host)
 		table.byHost[host] = append(table.byHost[host], route)
 	}
@@ -106,9 +104,6 @@
 	return table
 }
 
-// Urgency returns how many steps a route is above the least urgent one.
-func (t *Table) Urgency(route *Route) int { return t.leastUrgent - route.Priority }
-
 // Match returns the route of a host, with or without port, and a path: the
 // one with the longest prefix that begins the path; nil if there is none.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/scheduler/defaults.go
+++ b/internal/scheduler/defaults.go
@@ -33,8 +33,6 @@
 	maxSlack = 10 * time.Minute
 	// maxOverdue bounds the credit of a program that is past its deadline.
 	maxOverdue = time.Minute
-	// begunAdvantage is the head start of calls of programs that have had calls.
-	begunAdvantage = 4 * time.Second
 	// latePenalty is how long a call that came later goes first, if its program can
 	// still be in time and that of the other call cannot.
 	latePenalty = 6 * time.Second
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -14,9 +14,6 @@
 //     The difference of the two is the logarithm of worth per service;
 //   - slack: minus the seconds left to the program's deadline at Submit,
 //     bounded on both sides;
-//   - begun: a program that has had calls goes before one that has not, by
-//     begunAdvantage: while engines are short, those that were let in are over in
-//     time, where otherwise all would be late;
 //   - late: a program that cannot be in time any more yields to those that can, by
 //     latePenalty;
 //   - aging: minus the time of Submit, so that a call gains on every later
@@ -34,9 +31,6 @@
 	rank += c.weights.worth * math.Log2(1+max(0, c.classWorth(call.Class)))
 	rank -= c.weights.attained * math.Log2(1+max(0, call.Attained.Seconds()))
 	rank -= c.weights.slack * boundedSlack(call, now).Seconds()
-	if call.Begun {
-		rank += begunAdvantage.Seconds()
-	}
 	if call.late(now) {
 		rank -= latePenalty.Seconds()
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -26,7 +26,6 @@
 	Deadline        time.Time // of the call; zero = none
 	ProgramStarted  time.Time
 	ProgramDeadline time.Time
-	Begun           bool          // the program has had calls
 	LateFrom        time.Time     // when the program cannot be over by its deadline any more unless this call has begun; zero = never
 	Attained        time.Duration // engine service that the program has had
 	LastEngine      string        // served the program's previous turn
