upstream: the writer of a large body keeps its own connection

It is no fault of the test: a node would have ended so. Change: the goroutine has the connection as it was. Test: TestBrokenLargeSendHarmsNothing, which fails before (data race, then the panic). Conclusion: traced and mended.

--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -97,10 +97,11 @@
 	if err := a.writeAll(head); err != nil {
 		return err
 	}
-	a.writing = make(chan error, 1)
+	conn, writing := a.conn, make(chan error, 1) // abort forgets a.conn
+	a.writing = writing
 	go func() {
-		_, err := a.conn.Write(request.Body)
-		a.writing <- err
+		_, err := conn.Write(request.Body)
+		writing <- err
 	}()
 	return nil
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -163,3 +163,37 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// TestBrokenLargeSendHarmsNothing ends sends of large bodies at once, while the body is
+// still to be written. The run that found it: the tests beside load, where the writer
+// used a connection that had been forgotten, which ends the process.
+func TestBrokenLargeSendHarmsNothing(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conn.Close()
+		}
+	}()
+	pool := upstream.NewPool(upstream.Options{DialTimeout: time.Second, DeadAfter: time.Second})
+	defer pool.Close()
+	body := make([]byte, 256<<10)
+	for range 300 {
+		ctx, cancel := context.WithCancel(context.Background())
+		conn, err := pool.Open(ctx, listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		if _, err := pool.Send(ctx, conn, upstream.Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body}); err == nil {
+			t.Fatal("a send that was given up succeeded")
+		}
+	}
+}
