relay: a node that the store turns away goes through its peers

Cause: peers were asked only when a call found no connection. A node that the store answers with 429 or 503 alone, while it serves the others, never asked one: it refused new programs, broke kept answers off after 1.8 s of trying to record them, and its view of engines and configuration stood still for as long.

Change: - relay.way, pure, tells "turned away" from "busy for all": after three calls in a row that failed, or one that got no answer for 150 ms, a peer reads one small row. If the store answers the peer, the own way is lost; if not, it is down for all and nothing is relayed. One question in 500 ms. - While the way is lost every call goes through a peer, the first that has a way of its own, and the calls under way on the lost one end at once. A probe of its own looks for the way back every 500 ms, so that no request's call waits for it. - tablestore.Feed: whole tables and their changes, implemented by platform.Store and by relay.Table, so that engines and configuration are followed through peers too. The peer asks the store, not its memory: what it tells is as new as what the node would have read. - A peer makes 32 calls and 64 watches for others at once, and none once its own way is lost; both are counted. Outcomes that make no sense (rows that were not asked for, older than asked, receipts that lack a row) are dropped, counted, logged once for each peer.

Ruled out: taking one refusal for being turned away (429 is the rate of all; a relayed call would only shift it); relaying a peer's memory of engines and configuration (a stale peer could take a view back).

--- a/cmd/pewtermill/serve.go
+++ b/cmd/pewtermill/serve.go
@@ -41,8 +41,9 @@
 		settings.Serving.MetricsAddress = net.JoinHostPort(settings.Serving.IP, strconv.Itoa(s.MetricsPort))
 	}
 	process := serving.New(settings.Serving, serving.Dependencies{
-		Source:    store,
 		Table:     store,
+		Feed:      store,
+		Records:   platform.NewRecords,
 		Protocol:  platform.Protocol{},
 		ReadyPath: platform.ReadyPath(),
 		Run:       strconv.FormatUint(rand.Uint64(), 36),
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,6 +16,13 @@
 	"github.com/pewtermill/pewtermill/platform"
 )
 
+// silent is an observer that is told in vain.
+type silent struct{}
+
+func (silent) WayLost(error)                {}
+func (silent) WayFound(uint64)              {}
+func (silent) OutcomeDropped(string, error) {}
+
 // cuttable is a table whose way can be lost.
 type cuttable struct {
 	tablestore.Table
@@ -60,14 +67,16 @@
 // start returns a node that has joined.
 func start(t *testing.T, store *operators.Store, name string) *node {
 	t.Helper()
-	direct := &cuttable{Table: platform.NewStore(store.Address(), nil)}
+	way := platform.NewStore(store.Address(), nil)
+	direct := &cuttable{Table: way}
+	table := relay.NewTable(direct, way, name, silent{})
 	directory := relay.Directory{Table: direct, Node: name, Zones: []string{"zone-a", "zone-b"}}
 	secret, err := directory.Secret(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
 	options := wire.Options{Node: name, ClusterKey: secret}
-	server, err := wire.Listen("127.0.0.1:0", options, relay.NewServer(direct))
+	server, err := wire.Listen("127.0.0.1:0", options, relay.NewServer(table))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -75,8 +84,9 @@
 	if err := directory.Join(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	n := &node{direct: direct, table: relay.NewTable(direct, name, nil), server: server, client: wire.NewClient(options), found: directory}
+	n := &node{direct: direct, table: table, server: server, client: wire.NewClient(options), found: directory}
 	t.Cleanup(func() {
+		n.table.Close()
 		n.client.Close()
 		n.server.Close()
 	})
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,53 +12,113 @@
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
-// serveTimeout bounds a call that is made for a peer.
-const serveTimeout = time.Second
+// Bounds of what is done for peers.
+const (
+	// serveTimeout bounds a call that is made for a peer, beyond what it waits itself.
+	serveTimeout = time.Second
+	// maxCalls and maxWatches are how many calls are under way for peers at most. A third
+	// of 300 nodes, spread over the others, needs two of each; the rest is for fleets of
+	// which few nodes are served.
+	maxCalls   = 32
+	maxWatches = 64
+	// maxWatchWait bounds how long a watch may be asked to wait.
+	maxWatchWait = 10 * time.Second
+)
 
-// Server makes calls for peers, by the direct way only. It implements
+// Server makes calls for peers, by this node's own way only. It implements
 // wire.ServerHandler. Safe for concurrent use.
 type Server struct {
-	direct tablestore.Table
+	table    *Table
+	calls    chan struct{} // semaphores
+	watches  chan struct{}
+	served   atomic.Uint64
+	declined atomic.Uint64
+}
+
+// NewServer returns a server over a node's own way to the table service.
+func NewServer(table *Table) *Server {
+	return &Server{table: table, calls: make(chan struct{}, maxCalls), watches: make(chan struct{}, maxWatches)}
 }
 
-// NewServer returns a server over the direct way to the table service.
-func NewServer(direct tablestore.Table) *Server { return &Server{direct: direct} }
+// Served returns how many calls were made for peers.
+func (s *Server) Served() uint64 { return s.served.Load() }
+
+// Declined returns how many calls of peers were declined, since the own way was
+// lost or as many as allowed were under way.
+func (s *Server) Declined() uint64 { return s.declined.Load() }
 
 // ServePeer implements wire.ServerHandler.
 func (s *Server) ServePeer(ctx context.Context, request *wirepb.Request, _ func(int64, []byte)) *wirepb.Reply {
-	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
-	defer cancel()
-	outcome := s.outcome(ctx, request)
-	body, err := json.Marshal(outcome)
+	body, err := json.Marshal(s.outcome(ctx, request))
 	if err != nil {
 		body = []byte(`{"failure":"unknown"}`)
 	}
 	return &wirepb.Reply{Body: body}
 }
 
-// outcome makes the call.
+// outcome makes the call, if this node may.
 func (s *Server) outcome(ctx context.Context, request *wirepb.Request) Outcome {
+	watch := request.GetWatchTable()
+	limit, wait := s.calls, time.Duration(0)
+	if watch != nil {
+		limit = s.watches
+		wait = min(maxWatchWait, time.Duration(watch.GetWaitMillis())*time.Millisecond)
+	}
+	if s.table.Lost() {
+		s.declined.Add(1)
+		return Outcome{Failure: Unreachable, Detail: "the peer has lost its own way"}
+	}
+	select {
+	case limit <- struct{}{}:
+		defer func() { <-limit }()
+	default:
+		s.declined.Add(1)
+		return Outcome{Failure: Busy, Detail: "the peer makes as many calls for others as it may"}
+	}
+	s.served.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, wait+serveTimeout)
+	defer cancel()
+	outcome, err := s.call(ctx, request, wait)
+	if errors.As(err, &outcome.Conflict) {
+		return outcome
+	}
+	outcome.Failure = failureOf(err)
+	if err != nil {
+		outcome.Detail = err.Error()
+	}
+	return outcome
+}
+
+// call makes the call by the own way.
+func (s *Server) call(ctx context.Context, request *wirepb.Request, wait time.Duration) (Outcome, error) {
 	var outcome Outcome
 	var err error
 	switch body := request.GetBody().(type) {
 	case *wirepb.Request_CommitTable:
 		var transaction tablestore.Transaction
 		if err := json.Unmarshal(body.CommitTable.GetTransaction(), &transaction); err != nil {
-			return Outcome{Failure: Rejected, Detail: err.Error()}
+			return outcome, errors.Mark(errors.Wrap(err, "decode transaction"), tablestore.ErrRejected)
 		}
-		outcome.Receipt, err = s.direct.Commit(ctx, transaction)
+		outcome.Receipt, err = s.table.direct.Commit(ctx, transaction)
 	case *wirepb.Request_RangeTable:
 		ask := body.RangeTable
-		outcome.Rows, err = s.direct.Range(ctx, ask.GetStart(), ask.GetEnd(), int(ask.GetLimit()))
+		outcome.Rows, err = s.table.direct.Range(ctx, ask.GetStart(), ask.GetEnd(), int(ask.GetLimit()))
+	case *wirepb.Request_WatchTable:
+		outcome, err = s.watch(ctx, body.WatchTable, wait)
 	default:
-		return Outcome{Failure: Rejected, Detail: "not a call to the table"}
+		return outcome, errors.Mark(errors.New("not a call to the table"), tablestore.ErrRejected)
 	}
-	if errors.As(err, &outcome.Conflict) {
-		return outcome
-	}
-	outcome.Failure = failureOf(err)
-	if err != nil {
-		outcome.Detail = err.Error()
+	return outcome, err
+}
+
+// watch reads a table or waits for its changes.
+func (s *Server) watch(ctx context.Context, ask *wirepb.WatchTable, wait time.Duration) (Outcome, error) {
+	var outcome Outcome
+	var err error
+	if ask.GetSnapshot() {
+		outcome.Changes, outcome.Version, err = s.table.feed.Snapshot(ctx, ask.GetTable())
+		return outcome, err
 	}
-	return outcome
+	outcome.Changes, outcome.Version, err = s.table.feed.Changes(ctx, ask.GetTable(), ask.GetAfter(), wait)
+	return outcome, err
 }
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -1,6 +1,6 @@
-// Package relay lets a node that has lost its way to the table service reach it
-// through its peers. A peer makes the call as if it were its own and tells the
-// outcome; conditions of writes hold as they would without it, so a relay adds
+// Package relay lets a node that the table service turns away, or that has lost its
+// way to it, reach it through its peers. A peer makes the call as if it were its own and
+// tells the outcome; conditions of writes hold as they would without it, so a relay adds
 // no authority and needs no agreement. A peer passes nothing on to a third.
 package relay
 
@@ -12,138 +12,99 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
-	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
-// Times of relayed calls.
+// Times of the own way.
 const (
-	directAgain = 500 * time.Millisecond // between two tries of the lost way
-	peerTimeout = 250 * time.Millisecond // of one peer
-	peersAgain  = 500 * time.Millisecond // after none of them had a way
-	maxPeers    = 3                      // that one call is tried at
+	probePause   = 500 * time.Millisecond // between two probes of a lost way
+	probeTimeout = 500 * time.Millisecond
+	// silenceLimit is how long a call may go unanswered before a peer is asked whether
+	// the service answers it. An answer takes 4 ms as a rule.
+	silenceLimit = 150 * time.Millisecond
+	// opinionTimeout is how long a peer's small read may take that is to show that the
+	// service answers others.
+	opinionTimeout = 100 * time.Millisecond
 )
 
-// Outcome is what a relayed call came to.
-type Outcome struct {
-	Receipt  tablestore.Receipt        `json:"receipt,omitzero"`
-	Rows     []tablestore.Row          `json:"rows,omitempty"`
-	Conflict *tablestore.ConflictError `json:"conflict,omitempty"`
-	Failure  Failure                   `json:"failure,omitempty"`
-	Detail   string                    `json:"detail,omitempty"`
+// Observer is told what becomes of the way to the table service. It must not block.
+type Observer interface {
+	// WayLost is called when calls begin to go through peers.
+	WayLost(cause error)
+	// WayFound is called when the own way is taken again; peers have made so many calls
+	// so far.
+	WayFound(relayed uint64)
+	// OutcomeDropped is called for an outcome of a peer that makes no sense.
+	OutcomeDropped(peer string, fault error)
 }
 
-// Failure names a failure of the table service across the wire.
-type Failure string
-
-// Failures.
-const (
-	Unreachable Failure = "unreachable" // from the peer, too
-	Unavailable Failure = "unavailable"
-	Throttled   Failure = "throttled"
-	Rejected    Failure = "rejected"
-	Unknown     Failure = "unknown"
-)
-
-// err translates an outcome back.
-func (o Outcome) err() error {
-	if o.Conflict != nil {
-		return o.Conflict
-	}
-	switch o.Failure {
-	case "":
-		return nil
-	case Unreachable, Unavailable:
-		return errors.Mark(errors.Newf("by a peer: %s", o.Detail), tablestore.ErrUnavailable)
-	case Throttled:
-		return errors.Mark(errors.Newf("by a peer: %s", o.Detail), tablestore.ErrThrottled)
-	case Rejected:
-		return errors.Mark(errors.Newf("by a peer: %s", o.Detail), tablestore.ErrRejected)
-	}
-	return errors.Mark(errors.Newf("by a peer: %s", o.Detail), tablestore.ErrUnknownOutcome)
-}
-
-// failureOf names an error of the table service.
-func failureOf(err error) Failure {
-	switch {
-	case err == nil:
-		return ""
-	case errors.Is(err, tablestore.ErrUnknownOutcome):
-		return Unknown
-	case errors.Is(err, tablestore.ErrUnreachable):
-		return Unreachable
-	case errors.Is(err, tablestore.ErrThrottled):
-		return Throttled
-	case errors.Is(err, tablestore.ErrRejected):
-		return Rejected
-	case errors.Is(err, tablestore.ErrUnavailable):
-		return Unavailable
-	}
-	return Unknown
-}
-
-// asker sends a request to a peer. *wire.Client implements it.
-type asker interface {
-	Do(ctx context.Context, address string, request *wirepb.Request, onPart func(offset int64, text []byte)) (*wirepb.Reply, error)
-}
-
-// Table is the table service, reached directly or through peers. It implements
-// tablestore.Table. Safe for concurrent use.
+// Table is the table service, reached by the own way or through peers. It implements
+// tablestore.Table and tablestore.Feed. Safe for concurrent use.
 type Table struct {
-	direct tablestore.Table
-	node   string
+	direct   tablestore.Table
+	feed     tablestore.Feed
+	helpers  helpers
+	observer Observer
+	closing  context.Context // ends with Close
+	close    context.CancelFunc
 
 	mutex    sync.Mutex
-	peers    []string // addresses, best first
-	asker    asker    // nil before Enable
-	lostAt   time.Time
-	triedAt  time.Time // last direct call while the way is lost
-	failedAt time.Time // when no peer had a way
-	relayed  uint64
-	observer func(lost bool, relayed uint64)
+	way      way
+	own      context.Context // ends when the way is lost
+	loseOwn  context.CancelFunc
+	opinions uint64
 }
 
-// NewTable returns a table that is reached directly only, until Enable. observer
-// is called when the direct way is lost and found; it must not block.
-func NewTable(direct tablestore.Table, node string, observer func(lost bool, relayed uint64)) *Table {
-	return &Table{direct: direct, node: node, observer: observer}
+// NewTable returns a table that is reached by the own way only, until Enable.
+func NewTable(direct tablestore.Table, feed tablestore.Feed, node string, observer Observer) *Table {
+	t := &Table{direct: direct, feed: feed, observer: observer}
+	t.helpers = helpers{node: node, dropped: observer.OutcomeDropped}
+	t.closing, t.close = context.WithCancel(context.Background())
+	t.own, t.loseOwn = context.WithCancel(t.closing)
+	return t
 }
 
 // Enable lets calls go through peers, in this order.
-func (t *Table) Enable(client asker, peers []string) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.asker, t.peers = client, peers
-}
+func (t *Table) Enable(client asker, peers []string) { t.helpers.use(client, peers) }
+
+// Close ends the probes of a lost way.
+func (t *Table) Close() { t.close() }
+
+// Dropped returns how many outcomes of peers were dropped.
+func (t *Table) Dropped() uint64 { return t.helpers.droppedCount() }
 
 // Relayed returns how many calls peers made for this node.
-func (t *Table) Relayed() uint64 {
+func (t *Table) Relayed() uint64 { return t.helpers.count() }
+
+// Opinions returns how often a peer was asked whether the service answers it.
+func (t *Table) Opinions() uint64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.relayed
+	return t.opinions
 }
 
 // Commit implements tablestore.Table.
 func (t *Table) Commit(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, error) {
-	if t.mayTryDirect(time.Now()) {
-		receipt, err := t.direct.Commit(ctx, transaction)
-		switch {
-		case !t.lost(err):
-			return receipt, err
-		case !errors.Is(err, tablestore.ErrUnavailable) && t.enabled():
-			// It may have been done. Made again, it goes through a peer, who
-			// is reachable; so nothing here says that the table is not.
-			return receipt, errors.Mark(errors.Newf("the way to the table was lost: %v", err), tablestore.ErrUnknownOutcome)
-		}
+	receipt, err, stands := direct(ctx, t, silenceLimit, func(ctx context.Context) (tablestore.Receipt, error) {
+		return t.direct.Commit(ctx, transaction)
+	})
+	switch {
+	case stands:
+		return receipt, err
+	case err != nil && !errors.Is(err, tablestore.ErrUnavailable) && !errors.Is(err, tablestore.ErrThrottled):
+		// It may have been done. Made again, it goes through a peer, who
+		// is reachable; so nothing here says that the table is not.
+		return receipt, errors.Mark(errors.Newf("the way to the table was lost: %v", err), tablestore.ErrUnknownOutcome)
 	}
 	content, err := json.Marshal(transaction)
 	if err != nil {
 		return tablestore.Receipt{}, errors.Wrap(err, "encode transaction")
 	}
-	outcome, err := t.ask(ctx, &wirepb.Request{Body: &wirepb.Request_CommitTable{
+	outcome, err := t.helpers.ask(ctx, &wirepb.Request{Body: &wirepb.Request_CommitTable{
 		CommitTable: &wirepb.CommitTable{Transaction: content},
-	}})
+	}}, 0, false)
 	if err != nil {
 		return tablestore.Receipt{}, err
 	}
@@ -152,15 +113,13 @@
 
 // Range implements tablestore.Table.
 func (t *Table) Range(ctx context.Context, start, end string, limit int) ([]tablestore.Row, error) {
-	if t.mayTryDirect(time.Now()) {
-		rows, err := t.direct.Range(ctx, start, end, limit)
-		if !t.lost(err) {
-			return rows, err
-		}
+	rows, err, stands := direct(ctx, t, silenceLimit, func(ctx context.Context) ([]tablestore.Row, error) {
+		return t.direct.Range(ctx, start, end, limit)
+	})
+	if stands {
+		return rows, err
 	}
-	outcome, err := t.ask(ctx, &wirepb.Request{Body: &wirepb.Request_RangeTable{
-		RangeTable: &wirepb.RangeTable{Start: start, End: end, Limit: int64(limit)},
-	}})
+	outcome, err := t.helpers.ask(ctx, rangeRequest(start, end, limit), 0, true)
 	if err != nil {
 		return nil, err
 	}
@@ -176,142 +135,137 @@
 	return rows[0], nil
 }
 
-// mayTryDirect reports whether to try the direct way: always, until it is lost,
-// and then now and again.
-func (t *Table) mayTryDirect(now time.Time) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.lostAt.IsZero() || t.asker == nil || len(t.peers) == 0 {
-		return true
-	}
-	if now.Sub(t.triedAt) < directAgain {
-		return false
-	}
-	t.triedAt = now
-	return true
+func rangeRequest(start, end string, limit int) *wirepb.Request {
+	return &wirepb.Request{Body: &wirepb.Request_RangeTable{
+		RangeTable: &wirepb.RangeTable{Start: start, End: end, Limit: int64(limit)},
+	}}
 }
 
-// lost takes notice of a direct call's end and reports whether the way is lost.
-func (t *Table) lost(err error) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	lost := errors.Is(err, tablestore.ErrUnreachable)
-	was := !t.lostAt.IsZero()
-	switch {
-	case lost && !was:
-		t.lostAt = time.Now()
-		t.triedAt = t.lostAt
-	case !lost && was && !errors.Is(err, context.DeadlineExceeded):
-		t.lostAt = time.Time{}
-	default:
-		return lost
+// direct makes a call by the own way. Its end stands, unless the way is lost or was
+// found to be while the call was under way; then peers are to be asked. silence is how
+// long no answer is unsuspicious; 0 means for ever.
+func direct[T any](ctx context.Context, t *Table, silence time.Duration, call func(context.Context) (T, error)) (T, error, bool) {
+	var none T
+	own := t.ownWay()
+	if own == nil {
+		return none, nil, false
+	}
+	callContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(own, cancel)()
+	if silence > 0 {
+		defer time.AfterFunc(silence, func() { t.suspectSilence(callContext) }).Stop()
+	}
+	value, err := call(callContext)
+	if own.Err() != nil && err != nil && ctx.Err() == nil {
+		return value, err, !t.helpers.any() // overtaken by the loss of the way
 	}
-	if t.observer != nil {
-		t.observer(lost, t.relayed)
+	if !t.ended(ctx, err) {
+		return value, err, true
 	}
-	return lost
+	return value, err, !t.helpers.any()
 }
 
-// enabled reports whether there are peers to ask.
-func (t *Table) enabled() bool {
-	client, peers := t.candidates()
-	return client != nil && len(peers) > 0
+// ownWay returns a context that ends when the own way is lost, or nil if it is. A node
+// that knows no peer has but its own way.
+func (t *Table) ownWay() context.Context {
+	t.mutex.Lock()
+	lost, own := t.way.lost, t.own
+	t.mutex.Unlock()
+	if lost && t.helpers.any() {
+		return nil
+	}
+	return own
 }
 
-// candidates returns the peers to ask, and with what.
-func (t *Table) candidates() (asker, []string) {
+// Lost reports whether the own way is lost.
+func (t *Table) Lost() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.asker == nil || time.Since(t.failedAt) < peersAgain {
-		return nil, nil
-	}
-	return t.asker, append([]string(nil), t.peers[:min(maxPeers, len(t.peers))]...)
+	return t.way.lost
 }
 
-// ask has peers make a call, one after another until one has an answer of the
-// service. The error is marked ErrUnreachable if none has.
-func (t *Table) ask(ctx context.Context, request *wirepb.Request) (Outcome, error) {
-	client, peers := t.candidates()
-	request.From = t.node
-	last := errors.Newf("%d peers to ask now", len(peers))
-	for _, peer := range peers {
-		outcome, err := askOne(ctx, client, peer, request)
-		switch {
-		case err == nil && outcome.Failure != Unreachable:
-			t.prefer(peer)
-			return outcome, nil
-		case err == nil:
-			last = errors.Newf("peer %s: %s", peer, outcome.Detail)
-		case !errors.Is(err, wire.ErrNotSent):
-			t.demote(peer)
-			return Outcome{}, errors.Mark(errors.Wrapf(err, "peer %s", peer), tablestore.ErrUnknownOutcome)
-		default:
-			last = err
-		}
-		t.demote(peer)
+// ended takes notice of the end of a call by the own way, asks for an opinion if one is
+// due, and reports whether the way is lost.
+func (t *Table) ended(ctx context.Context, err error) bool {
+	t.mutex.Lock()
+	lostNow := t.way.ended(endingOf(err))
+	if lostNow {
+		t.lose()
 	}
-	t.noPeers(len(peers))
-	return Outcome{}, errors.Mark(errors.Mark(errors.Wrap(last, "no way to the table, nor through peers"),
-		tablestore.ErrUnavailable), tablestore.ErrUnreachable)
+	ask := t.way.mayAsk(time.Now())
+	lost := t.way.lost
+	t.mutex.Unlock()
+	if lostNow {
+		t.observer.WayLost(err)
+	}
+	if ask {
+		return t.ask(ctx, err)
+	}
+	return lost && err != nil && endingOf(err) != answered
 }
 
-// noPeers notes that none of the peers that were asked had a way, so that the next
-// calls fail at once for a while.
-func (t *Table) noPeers(asked int) {
-	if asked == 0 {
+// suspectSilence asks for an opinion since a call has gone unanswered, if that call is
+// still under way.
+func (t *Table) suspectSilence(ctx context.Context) {
+	if ctx.Err() != nil {
 		return
 	}
 	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.failedAt = time.Now()
+	ask := t.way.takeOpinion(time.Now())
+	t.mutex.Unlock()
+	if ask {
+		t.ask(ctx, errors.Newf("no answer for %s", silenceLimit))
+	}
 }
 
-// askOne has one peer make a call.
-func askOne(ctx context.Context, client asker, peer string, request *wirepb.Request) (Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	reply, err := client.Do(ctx, peer, request, nil)
-	if err != nil {
-		return Outcome{}, err
+// ask has a peer read one row, and takes the own way for lost if the service answers the
+// peer. It reports whether it does.
+func (t *Table) ask(ctx context.Context, cause error) bool {
+	if !t.helpers.any() {
+		return false
 	}
-	var outcome Outcome
-	if err := json.Unmarshal(reply.GetBody(), &outcome); err != nil {
-		return Outcome{}, errors.Mark(errors.Wrap(err, "reply of a peer"), wire.ErrLinkBroken)
+	t.mutex.Lock()
+	t.opinions++
+	t.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, opinionTimeout)
+	defer cancel()
+	outcome, err := t.helpers.ask(ctx, rangeRequest(secretKey, secretKey+"\x00", 1), 0, true)
+	if err != nil || outcome.Failure != "" {
+		return false
 	}
-	return outcome, nil
-}
-
-// prefer counts a relayed call and puts its peer first.
-func (t *Table) prefer(peer string) {
 	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.relayed++
-	t.peers = moved(t.peers, peer, true)
+	lostNow := t.way.lose()
+	if lostNow {
+		t.lose()
+	}
+	t.mutex.Unlock()
+	if lostNow {
+		t.observer.WayLost(errors.Wrap(cause, "a peer is answered"))
+	}
+	return true
 }
 
-// demote puts a peer last.
-func (t *Table) demote(peer string) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.peers = moved(t.peers, peer, false)
+// lose ends the calls under way by the own way, and begins to probe it. The mutex is
+// held.
+func (t *Table) lose() {
+	t.loseOwn()
+	t.own, t.loseOwn = context.WithCancel(t.closing)
+	go t.probe()
 }
 
-// moved returns a list with one entry moved to an end.
-func moved(list []string, entry string, first bool) []string {
-	rest := make([]string, 0, len(list))
-	found := false
-	for _, other := range list {
-		if other == entry {
-			found = true
-			continue
+// probe reads one row by the own way, again and again until that is answered.
+func (t *Table) probe() {
+	for backoff.Wait(t.closing, backoff.Spread(probePause)) {
+		ctx, cancel := context.WithTimeout(t.closing, probeTimeout)
+		_, err := t.direct.Range(ctx, secretKey, secretKey+"\x00", 1)
+		cancel()
+		if endingOf(err) == answered {
+			t.mutex.Lock()
+			t.way.found()
+			t.mutex.Unlock()
+			t.observer.WayFound(t.Relayed())
+			return
 		}
-		rest = append(rest, other)
-	}
-	switch {
-	case !found:
-		return list
-	case first:
-		return append([]string{entry}, rest...)
 	}
-	return append(rest, entry)
 }
--- a/internal/serving/deployment_test.go
+++ b/internal/serving/deployment_test.go
@@ -30,6 +30,8 @@
 	ready   string
 	peers   string // where peers ask; empty for none
 	log     *syncBuffer
+
+	storeAddress string // where the process finds the store; empty for its own address
 }
 
 // syncBuffer is a buffer for logs.
@@ -124,12 +126,15 @@
 	d.t.Cleanup(writer.Flush)
 	d.metrics = serving.NewMetrics()
 	d.metrics.Gauge("pewtermill_serve_log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(writer.Dropped()) })
-	store := platform.NewStore(d.store.Address(), d.metrics.StoreCall)
+	if d.storeAddress == "" {
+		d.storeAddress = d.store.Address()
+	}
+	store := platform.NewStore(d.storeAddress, d.metrics.StoreCall)
 	d.process = serving.New(serving.Settings{
 		Node: node, Zone: "zone-a", IngressAddress: d.address, ReadyAddress: d.ready, GracePeriod: 8 * time.Second,
 		PeerAddress: peers, Zones: []string{"zone-a"},
 	}, serving.Dependencies{
-		Source: store, Table: store, Protocol: platform.Protocol{}, ReadyPath: platform.ReadyPath(),
+		Table: store, Feed: store, Records: platform.NewRecords, Protocol: platform.Protocol{}, ReadyPath: platform.ReadyPath(),
 		Run: "run-of-" + node, Logger: eventlog.NewLogger(writer, slog.LevelDebug), Metrics: d.metrics,
 	})
 	if err := d.process.Start(context.Background()); err != nil {
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -37,6 +37,7 @@
 	settle       prometheus.Histogram
 	store        *prometheus.HistogramVec
 	lost         *prometheus.CounterVec
+	wayLost      *prometheus.CounterVec
 	ownersLost   *prometheus.CounterVec
 	covered      *prometheus.CounterVec
 	loadsLost    *prometheus.CounterVec
@@ -55,6 +56,7 @@
 	m.firstByte = histograms("pewtermill_serve_first_byte_seconds", "From arrival to the first byte of the answer.", "kind")
 	m.duration = histograms("pewtermill_serve_request_seconds", "From arrival to the end of the answer.", "kind")
 	m.store = histograms("pewtermill_serve_store_call_seconds", "Calls to the platform's store.", "call", "result")
+	m.wayLost = counters("pewtermill_serve_way_lost_total", "Times that calls to the store began to go through peers.")
 	m.ownersLost = counters("pewtermill_serve_owners_lost_total", "Times that a process that holds allowances for others stopped answering.")
 	m.covered = counters("pewtermill_serve_turns_covered_total", "Turns by whose allowance covers them.", "allowance")
 	m.loadsLost = counters("pewtermill_serve_loads_lost_total", "Times that news of how busy engines are stopped.")
@@ -64,7 +66,7 @@
 		Name: "pewtermill_serve_ledger_wait_seconds", Help: "Until a turn got leave to run.", Buckets: latencyBuckets})
 	m.settle = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pewtermill_serve_settlement_seconds", Help: "Until a turn was recorded.", Buckets: latencyBuckets})
-	m.registry.MustRegister(m.requests, m.refusals, m.tries, m.firstByte, m.duration, m.store, m.lost, m.ownersLost, m.covered, m.loadsLost, m.loadsDropped, m.ledger, m.settle)
+	m.registry.MustRegister(m.requests, m.refusals, m.tries, m.firstByte, m.duration, m.store, m.lost, m.wayLost, m.ownersLost, m.covered, m.loadsLost, m.loadsDropped, m.ledger, m.settle)
 	return m
 }
 
@@ -168,6 +170,18 @@
 	p.metrics.Gauge("pewtermill_serve_calls_relayed", "Calls to the store that peers made for this process.", func() float64 {
 		return float64(p.relay.Relayed())
 	})
+	p.metrics.Gauge("pewtermill_serve_peers_asked", "Times that a peer was asked whether the store answers it.", func() float64 {
+		return float64(p.relay.Opinions())
+	})
+	p.metrics.Gauge("pewtermill_serve_calls_for_peers", "Calls to the store that this process made for peers.", func() float64 {
+		return float64(p.relaying.Served())
+	})
+	p.metrics.Gauge("pewtermill_serve_calls_for_peers_declined", "Calls of peers that this process did not make, since it had lost its own way or made as many as it may.", func() float64 {
+		return float64(p.relaying.Declined())
+	})
+	p.metrics.Gauge("pewtermill_serve_outcomes_dropped", "Outcomes of calls through peers that made no sense.", func() float64 {
+		return float64(p.relay.Dropped())
+	})
 	p.metrics.Gauge("pewtermill_serve_store_reachable", "1 while calls find a way to the store.", func() float64 {
 		if p.ledger.Reachable() && p.follower.Connected() {
 			return 1
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	options := wire.Options{Node: p.settings.Node, ClusterKey: secret}
-	handler := peerHandler{relay: relay.NewServer(p.dependencies.Table), owners: p.covering, collector: p.collector}
+	handler := peerHandler{relay: p.relaying, owners: p.covering, collector: p.collector}
 	server, err := wire.Listen(p.settings.PeerAddress, options, handler)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
@@ -136,15 +136,24 @@
 	j.server.Close()
 }
 
-// wayChanged is told when the direct way to the store is lost and found.
-func (p *Process) wayChanged(lost bool, relayed uint64) {
-	if lost {
-		p.logger.Warn("store reached through peers")
-		return
-	}
+// WayLost implements relay.Observer.
+func (p *Process) WayLost(cause error) {
+	p.metrics.wayLost.WithLabelValues().Inc()
+	p.logger.Warn("store reached through peers", "cause", cause.Error())
+}
+
+// WayFound implements relay.Observer.
+func (p *Process) WayFound(relayed uint64) {
 	p.logger.Info("store reached directly", "calls_relayed", relayed)
 }
 
+// OutcomeDropped implements relay.Observer. Each peer's first one is logged.
+func (p *Process) OutcomeDropped(peer string, fault error) {
+	if _, known := p.badOutcomes.LoadOrStore(peer, true); !known {
+		p.logger.Warn("outcome of a peer dropped", "peer", peer, "error", fault.Error())
+	}
+}
+
 // OwnerLost implements owners.Observer.
 func (p *Process) OwnerLost(address string, cause error) {
 	p.metrics.ownersLost.WithLabelValues().Inc()
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -43,8 +43,9 @@
 
 // Dependencies are what one process gets from outside.
 type Dependencies struct {
-	Source    discovery.Source
 	Table     tablestore.Table
+	Feed      tablestore.Feed // of the same service
+	Records   func(tablestore.Feed) discovery.Source
 	Protocol  ingress.Protocol
 	ReadyPath string
 	Run       string // names this run of the process; no other run has the same
@@ -75,10 +76,12 @@
 	placer       *placement.Placer
 	pool         *upstream.Pool
 	relay        *relay.Table
+	relaying     *relay.Server // makes calls for peers
 	ledger       *ledger.Ledger
 	covering     *owners.Server   // covers turns of peers
 	collector    *loads.Collector // gathers how busy engines are
 	badNews      sync.Map         // peers whose news made no sense, by address
+	badOutcomes  sync.Map         // peers of which an outcome made no sense, by address
 	handler      *ingress.Handler
 	ingress      *http.Server
 	ready        *http.Server
@@ -96,14 +99,15 @@
 		p.metrics = NewMetrics()
 	}
 	p.pool = upstream.NewPool(upstream.Options{DialTimeout: engineDialTimeout, DeadAfter: engineDeadAfter})
-	p.follower = discovery.New(discovery.Options{Source: dependencies.Source, Observer: p})
+	p.relay = relay.NewTable(dependencies.Table, dependencies.Feed, settings.Node, p)
+	p.relaying = relay.NewServer(p.relay)
+	p.follower = discovery.New(discovery.Options{Source: dependencies.Records(p.relay), Observer: p})
 	p.placer = placement.New(placement.Options{
 		Node:     settings.Node,
 		Zone:     settings.Zone,
 		Recorder: explain.NewLog(settings.Node, keptDecisions),
 		Idle:     p.pool.Idle,
 	})
-	p.relay = relay.NewTable(dependencies.Table, settings.Node, p.wayChanged)
 	p.ledger = ledger.New(ledger.Options{Table: p.relay, Run: dependencies.Run})
 	p.covering = owners.NewServer(p.ledger)
 	p.collector = loads.NewCollector(xxhash.Sum64String(dependencies.Run), time.Now)
@@ -240,6 +244,7 @@
 		return
 	}
 	p.cancel()
+	p.relay.Close()
 	p.ingress.Close()
 	p.ready.Close()
 	if p.figures != nil {
--- a/internal/tablestore/tablestore.go
+++ b/internal/tablestore/tablestore.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -61,6 +62,8 @@
 	ErrUnknownOutcome = errors.New("outcome of table write unknown")
 	// ErrNotFound: no such object.
 	ErrNotFound = errors.New("not found")
+	// ErrHistoryGone: changes since a version cannot be told any more.
+	ErrHistoryGone = errors.New("the history of changes is gone")
 	// ErrCorrupt: an object's content does not match its digest.
 	ErrCorrupt = errors.New("object does not match its digest")
 )
@@ -86,6 +89,23 @@
 	Range(ctx context.Context, start, end string, limit int) ([]Row, error)
 }
 
+// Change is a row as of its revision. Gone says that this revision removed it.
+type Change struct {
+	Row
+	Gone bool `json:"gone,omitempty"`
+}
+
+// Feed tells the rows of a whole table and how they change.
+type Feed interface {
+	// Snapshot returns all rows of a table, and the service's version as of which
+	// they were read.
+	Snapshot(ctx context.Context, table string) ([]Change, uint64, error)
+	// Changes waits until rows have changed after a version, and returns them in
+	// order, with the version to go on from. With none in time it returns none.
+	// Errors: those of Table, and ErrHistoryGone.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
+}
+
 // Objects is the object store. Objects are immutable and content-addressed:
 // PutObject returns the digest (SHA-256, hexadecimal) under which GetObject finds it.
 type Objects interface {
