ledger, ingress: kept turns are refused before an engine is asked; answers wait for their record

Cause: while the whole table was down, a kept turn whose allowance and line were in memory still went to an engine. Its record then failed for 1.8 s and the answer was broken off in the middle: an engine's work, and the caller's time, for nothing. And 1.8 s was one figure for all routes, though callers of routes with longer pauses wait for longer.

Change: Ledger.Begin looks whether the table is held to be down as a whole before a turn that is to be kept; then one read, if one is due, decides. The refusal says that nothing ran and when to come back. The end of an answer waits for its record as long as its caller waits for the stream to go on (2 s, 4 times the goal or 8 times the pause that events may take, whichever is longest), less 0.2 s in which it still has to reach the caller, and never past the request's own time.

Ruled out: waiting until the request's deadline; the caller has left by then. Answering before the record is durable: a loss of power at all nodes would lose the turn.

Tests, seen to fail before: TestKeptTurnIsRefusedBeforeItRuns, TestReadyAnswerWaitsForItsRecord.

--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -11,12 +11,27 @@
 	"github.com/pewtermill/pewtermill/internal/placement"
 )
 
-// Times that a turn may spend on its program's rows.
+// maxBeginWait is how long a turn may wait for its program's rows before it is refused.
+const maxBeginWait = 1200 * time.Millisecond
+
+// How long callers wait for a stream to go on or to end: the longest of leastPatience,
+// so many times the route's goal and so many times the pause that its events may take.
+// The figures are those of the operators' platform.
 const (
-	maxBeginWait  = 1200 * time.Millisecond // before it is refused
-	maxSettleWait = 1800 * time.Millisecond // before its answer is broken off
+	leastPatience       = 2 * time.Second
+	patienceGoals       = 4
+	patiencePauses      = 8
+	patienceLeftOver    = 200 * time.Millisecond // of the caller's patience, in which the end still reaches it
+	leastSettlePatience = 100 * time.Millisecond
 )
 
+// settlePatience is how long the end of an answer that is ready may wait for the turn's
+// record. A caller that has waited longer has left.
+func (r *request) settlePatience(now time.Time) time.Duration {
+	patience := max(leastPatience, patienceGoals*r.route.Goal, patiencePauses*r.route.PauseGoal)
+	return max(leastSettlePatience, min(patience, r.until.Sub(now))-patienceLeftOver)
+}
+
 // stream is the answer of one turn under way.
 type stream struct {
 	request   *request
@@ -165,7 +180,7 @@
 	}
 	run := s.run
 	s.run = nil
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxSettleWait)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.request.settlePatience(time.Now()))
 	defer cancel()
 	return run.Settle(ctx, s.events*s.tokensPerEvent(), kept)
 }
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -168,6 +168,13 @@
 	b.failedAt = now
 }
 
+// down reports whether the table as a whole is held to be down, or out of reach.
+func (h *health) down() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.way.failures > 0 || h.all.failures >= failuresOfAll
+}
+
 // closed is the error of a call that is not made because earlier ones failed.
 func (h *health) closed(now time.Time) error {
 	h.mutex.Lock()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -144,6 +144,11 @@
 		return nil, api.Errorf(api.RequestTooLarge, "a kept turn may bring %d bytes, not %d", maxInputBytes, ask.Input)
 	}
 	run := &Run{ledger: l, entry: e, ask: ask}
+	if ask.Input > 0 {
+		if err := l.mayRecord(ctx, e); err != nil {
+			return nil, l.refusal(e, err)
+		}
+	}
 	if ask.Previous != "" {
 		history, err := l.history(ctx, e, ask.Previous)
 		if err != nil {
@@ -165,6 +170,16 @@
 	return run, nil
 }
 
+// mayRecord returns an error if the turn could not be made durable once it has run: as far
+// as is known the whole table is down, and so it is still. A turn that runs all the same
+// keeps an engine busy for an answer that cannot end.
+func (l *Ledger) mayRecord(ctx context.Context, e *entry) error {
+	if !l.health.down() {
+		return nil
+	}
+	return l.readAccount(ctx, e, partOf(e.program))
+}
+
 // Reachable reports whether calls find a way to the table, as far as is known.
 func (l *Ledger) Reachable() bool { return l.health.reachable(l.options.Now()) }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -391,3 +391,38 @@
 		t.Errorf("%d rows, want the 3 of the program that another node went on with", rows)
 	}
 }
+
+// TestKeptTurnIsRefusedBeforeItRuns shows that a turn whose record could not be made is
+// refused at once, with when to come back, though its allowance and its line are known:
+// an engine would work for an answer that cannot end.
+func TestKeptTurnIsRefusedBeforeItRuns(t *testing.T) {
+	store := newStore(t)
+	l := newLedger(store, "a")
+	say(t, l, "known", "t1", "")
+	store.SetFault(func(string, string) operators.Fault { return operators.Refuse })
+	for other := range 12 { // of more parts than are needed to hold the whole table for down
+		_, problem := l.Begin(within(t, 5*time.Second), ledger.Ask{Program: fmt.Sprintf("other-%d", other), Budget: 1000, Most: most})
+		if problem == nil {
+			t.Fatal("a program began while the store refuses everything")
+		}
+	}
+	ask := ledger.Ask{Program: "known", Budget: 10_000, Most: most, Previous: "t1", Input: 10}
+	_, problem := l.Begin(within(t, 5*time.Second), ask)
+	if problem == nil || problem.Code != api.StoreDown || problem.Execution != api.NotRun || problem.RetryAfter <= 0 {
+		t.Fatalf("got %+v, want a refusal that says that it did not run and when to come back", problem)
+	}
+	ask.Input = 0
+	if _, problem := l.Begin(within(t, 5*time.Second), ask); problem != nil {
+		t.Fatalf("a turn that is not kept needs no record, and was refused: %v", problem)
+	}
+	store.SetFault(nil)
+	ask.Input = 10
+	for deadline := time.Now().Add(5 * time.Second); ; {
+		if _, problem = l.Begin(within(t, 5*time.Second), ask); problem == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("still refused after the store is back: %v", problem)
+		}
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -34,6 +34,7 @@
 	Kind        Kind
 	Timeout     time.Duration // longest time that a request may be held; 0 sets no limit
 	Goal        time.Duration // time within which an answer is worth most
+	PauseGoal   time.Duration // longest pause between a stream's events that keeps it in time; 0 if unknown
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // engines that one attempt of a client may run on; at least 1
 	Backends    []Backend     // at least one
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pewtermill/pewtermill/internal/standin/operators"
 )
@@ -202,6 +203,32 @@
 	}
 }
 
+// TestReadyAnswerWaitsForItsRecord has the store refuse writes for longer than two
+// seconds after an answer is ready. The route's callers wait longer than that, so the
+// answer ends whole.
+func TestReadyAnswerWaitsForItsRecord(t *testing.T) {
+	const away = 2200 * time.Millisecond
+	d := start(t)
+	d.store.Put("op", "", "config", configuration(7,
+		route("kept", "stream", "models", map[string]any{"retain": true, "gap_target_ms": 400})))
+	d.eventually("ready", d.process.Ready)
+	var answeredAt atomic.Int64 // in ns since 1970; 0 before
+	d.store.SetFault(func(path, _ string) operators.Fault {
+		since := answeredAt.Load()
+		if path == "/-/rows-tx" && since != 0 && time.Since(time.Unix(0, since)) < away {
+			return operators.Refuse
+		}
+		return operators.Healthy
+	})
+	d.handleAll("m", func(http.ResponseWriter, *http.Request) bool {
+		answeredAt.Store(time.Now().UnixNano())
+		return false
+	})
+	if got := d.turn("/kept/", "p", "t1", "", "x"); got.cut || got.body != fourEvents {
+		t.Fatalf("got %+v, want a whole answer", got)
+	}
+}
+
 // TestSurplusAnswerIsNobodys lets an engine send a second answer, late, in the
 // place of the one due next on the connection.
 func TestSurplusAnswerIsNobodys(t *testing.T) {
