placement, owners, lines: a line's engine is known wherever its next turn arrives

Three faults behind it: - which engine served a line was known to the node that sent it, alone; - a line's own part of a prompt grows with each turn, and the index knew a part by the hash at its end, so that it never knew the part again when it had grown: even the node that had sent the line saw but the shared part; - the sample of engines drawn for a call belonged to the placer, so that a call which waited was placed by the sample of whichever call came last.

Change: - A node that settles a turn with the program's owner says which engine served it; the owner's reply to the next ReserveTokens tells. No message more. A sub-agent's first turn is told the engine of its program's last. - A part of a prompt is known by the hash of its first block, and how many of its blocks an engine has read. - scheduler.Sample is a type of its own and belongs to its call. A last engine that is gone, or of another service, is not one.

Tests, seen to fail on the code before: TestLineStaysAtItsEngine, TestGrownLineIsKnown. TestFewEnginesAreDrawnWhereManyCallsAreUnheardOf asks the sample itself now, same bounds.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/placement"
 	"github.com/pewtermill/pewtermill/internal/upstream"
 )
@@ -139,6 +140,7 @@
 
 // placementRequest describes the request to the placer.
 func (r *request) placementRequest(made *attempts) placement.Request {
+	last := r.handler.lines.Get(r.line())
 	request := placement.Request{
 		Program:      r.call.Program,
 		Service:      r.service,
@@ -147,7 +149,8 @@
 		PromptTokens: r.call.PromptTokens,
 		MostTokens:   r.call.MostTokens,
 		Deadline:     r.until,
-		LastEngine:   r.handler.lines.get(r.lineKey()),
+		LastEngine:   last.Engine,
+		LastTokens:   last.Tokens,
 		Excluded:     slices.Clone(made.tried),
 	}
 	if r.call.FinishIn > 0 {
@@ -156,12 +159,9 @@
 	return request
 }
 
-// lineKey names the line of turns that the request belongs to.
-func (r *request) lineKey() string {
-	if r.call.Session == "" {
-		return ""
-	}
-	return r.call.Program + "/" + r.call.Session
+// line names the line of turns that the request belongs to.
+func (r *request) line() lines.Line {
+	return lines.Line{Program: r.call.Program, Session: r.call.Session}
 }
 
 // beginTry notes a send and starts to watch its engine.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/placement"
 	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/upstream"
@@ -83,6 +84,7 @@
 	Placer   Placer
 	Pool     *upstream.Pool
 	Ledger   *ledger.Ledger
+	Lines    *lines.Memory
 	Observer Observer
 }
 
@@ -90,7 +92,7 @@
 type Handler struct {
 	options  Options
 	splitter *routing.Splitter
-	lines    *lastEngines
+	lines    *lines.Memory
 	hedges   *hedges
 	looker   *looker
 	draining atomic.Bool
@@ -98,7 +100,7 @@
 
 // New returns a handler.
 func New(options Options) *Handler {
-	return &Handler{options: options, splitter: routing.NewSplitter(), lines: newLastEngines(), hedges: newHedges(), looker: newLooker(options.Pool, func() map[string]routing.Engine { return options.View().Engines })}
+	return &Handler{options: options, splitter: routing.NewSplitter(), lines: options.Lines, hedges: newHedges(), looker: newLooker(options.Pool, func() map[string]routing.Engine { return options.View().Engines })}
 }
 
 // Drain asks callers to end their connections after their next answer.
--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -8,6 +8,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/placement"
 )
 
@@ -78,7 +79,7 @@
 	if r.call.Program == "" || (r.call.Budget == 0 && !r.route.Retain) {
 		return nil
 	}
-	ask := ledger.Ask{Program: r.call.Program, Budget: r.call.Budget, Most: r.call.MostTokens}
+	ask := ledger.Ask{Program: r.call.Program, Session: r.call.Session, Budget: r.call.Budget, Most: r.call.MostTokens}
 	if r.route.Retain {
 		ask.Previous, ask.Input, ask.Keep = r.call.PreviousTurn, len(s.input), r.route.RetainFor
 	}
@@ -91,6 +92,7 @@
 	}
 	s.run = run
 	r.report.Owner = run.Owner()
+	r.handler.lines.Set(r.line(), run.LastPlace()) // an owner hears of all turns
 	if len(run.History) > 0 {
 		r.body = append(run.History, s.input...)
 	}
@@ -153,7 +155,7 @@
 // complete records the turn before its answer ends.
 func (s *stream) complete(ctx context.Context, current *try) *api.Error {
 	r := s.request
-	r.handler.lines.set(r.lineKey(), current.placed.Engine.ID)
+	s.served(current)
 	current.finish(placement.Served, "")
 	if !r.started {
 		r.firstByte()
@@ -172,6 +174,16 @@
 	return nil
 }
 
+// served notes which engine has the line's prompt, and how much of it.
+func (s *stream) served(current *try) {
+	r := s.request
+	place := lines.Place{Engine: current.placed.Engine.ID, Tokens: r.call.PromptTokens + s.events*s.tokensPerEvent()}
+	r.handler.lines.Set(r.line(), place)
+	if s.run != nil {
+		s.run.Served(place)
+	}
+}
+
 // settle accounts for what was passed on.
 func (s *stream) settle(ctx context.Context, kept *ledger.Turn) error {
 	s.request.report.Events = int(s.events)
--- a/internal/ledger/cover.go
+++ b/internal/ledger/cover.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/lines"
 )
 
 // ErrNoOwner says that no other node covers the turn, so that this one must.
@@ -24,8 +26,10 @@
 type Grant interface {
 	// Owner names the node that holds the allowance.
 	Owner() string
-	// Settle tells how many tokens were handed out. It does not wait.
-	Settle(tokens int64)
+	// LastPlace returns where the line's last turn was served, as far as the owner knows.
+	LastPlace() lines.Place
+	// Settle tells how many tokens were handed out, and where. It does not wait.
+	Settle(tokens int64, served lines.Place)
 }
 
 // SetOwners has owners asked from now on, before this node holds an allowance.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
@@ -104,6 +105,7 @@
 // Ask is a turn that wants to run.
 type Ask struct {
 	Program  string
+	Session  string        // line of turns that the turn belongs to
 	Budget   int64         // of the program, in tokens; 0 for none
 	Most     int64         // tokens that the turn may hand out at most
 	Previous string        // turn that it goes on from; empty for none
@@ -122,8 +124,21 @@
 	entry  *entry
 	ask    Ask
 	grant  Grant // nil if this node's own allowance covers the turn
+	served lines.Place
 }
 
+// LastPlace returns where the line's last turn was served, as far as another node that
+// covers the turn knows. It is empty if this node's own allowance covers it.
+func (r *Run) LastPlace() lines.Place {
+	if r.grant == nil {
+		return lines.Place{}
+	}
+	return r.grant.LastPlace()
+}
+
+// Served notes where the turn was served, for whoever covers it.
+func (r *Run) Served(place lines.Place) { r.served = place }
+
 // Owner names the node whose allowance covers the turn; empty for this node's own.
 func (r *Run) Owner() string {
 	if r.grant == nil {
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
@@ -17,7 +18,7 @@
 func (r *Run) Settle(ctx context.Context, tokens int64, kept *Turn) error {
 	e := r.entry
 	if r.grant != nil {
-		r.grant.Settle(tokens)
+		r.grant.Settle(tokens, r.served)
 		if kept == nil {
 			return nil
 		}
@@ -50,7 +51,7 @@
 // Abandon ends a turn that reached no engine: it counts nothing.
 func (r *Run) Abandon() {
 	if r.grant != nil {
-		r.grant.Settle(0)
+		r.grant.Settle(0, lines.Place{})
 		return
 	}
 	r.settled(0, nil)
--- a/internal/owners/client.go
+++ b/internal/owners/client.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/rendezvous"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -98,18 +100,20 @@
 			Budget:     ask.Budget,
 			Most:       ask.Most,
 			KeepMillis: ask.Keep.Milliseconds(),
+			Session:    ask.Session,
 		},
 	}})
 	if err != nil {
 		if ctx.Err() == nil {
 			c.suspect(address, err)
 		}
-		asked.Settle(0) // it may have been covered
+		asked.Settle(0, lines.Place{}) // it may have been covered
 		return nil, ledger.ErrNoOwner
 	}
 	switch api.Code(reply.GetCode()) {
 	case api.OK:
 		c.trust(address)
+		asked.last = lastPlace(reply.GetBody())
 		return asked, nil
 	case api.BudgetExhausted:
 		c.trust(address)
@@ -152,16 +156,30 @@
 	client  *Client
 	address string
 	id      string
+	last    lines.Place
+}
+
+// lastPlace reads the body of an owner's reply. One that makes no sense tells nothing: it
+// is a hint.
+func lastPlace(body []byte) lines.Place {
+	var covered wirepb.TurnCovered
+	if proto.Unmarshal(body, &covered) != nil {
+		return lines.Place{}
+	}
+	return lines.Place{Engine: covered.GetLastEngine(), Tokens: covered.GetLastTokens()}
 }
 
 // Owner implements ledger.Grant.
 func (g *grant) Owner() string { return g.address }
 
+// LastPlace implements ledger.Grant.
+func (g *grant) LastPlace() lines.Place { return g.last }
+
 // Settle implements ledger.Grant. An owner that does not get it counts the turn's most
 // as spent.
-func (g *grant) Settle(tokens int64) {
+func (g *grant) Settle(tokens int64, served lines.Place) {
 	request := &wirepb.Request{From: g.client.node, Body: &wirepb.Request_SettleTokens{
-		SettleTokens: &wirepb.SettleTokens{Grant: g.id, Tokens: tokens},
+		SettleTokens: &wirepb.SettleTokens{Grant: g.id, Tokens: tokens, Engine: served.Engine, EngineTokens: served.Tokens},
 	}}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
--- a/internal/owners/crash_test.go
+++ b/internal/owners/crash_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/owners"
 	"github.com/pewtermill/pewtermill/internal/standin/operators"
 	"github.com/pewtermill/pewtermill/platform"
@@ -75,7 +76,7 @@
 	tr.mutex.Unlock()
 	address := tr.address[number]
 	l := ledger.New(ledger.Options{Table: platform.NewStore(tr.store.Address(), nil), Run: run})
-	n := &node{address: address, ledger: l, server: owners.NewServer(l), client: owners.NewClient(tr.mesh, address, run, address, nil)}
+	n := &node{address: address, ledger: l, server: owners.NewServer(l, lines.NewMemory()), client: owners.NewClient(tr.mesh, address, run, address, nil)}
 	n.client.SetPeers(tr.address)
 	l.SetOwners(n.client)
 	tr.mesh.mutex.Lock()
--- a/internal/owners/owners_test.go
+++ b/internal/owners/owners_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/owners"
 	"github.com/pewtermill/pewtermill/internal/standin/operators"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
@@ -98,7 +99,7 @@
 	for i := range count {
 		address := fmt.Sprintf("node-%d", i)
 		l := ledger.New(ledger.Options{Table: platform.NewStore(store.Address(), nil), Run: "run-" + address})
-		n := &node{address: address, ledger: l, server: owners.NewServer(l), client: owners.NewClient(m, address, "run-"+address, address, nil)}
+		n := &node{address: address, ledger: l, server: owners.NewServer(l, lines.NewMemory()), client: owners.NewClient(m, address, "run-"+address, address, nil)}
 		m.nodes[address] = n.server
 		nodes = append(nodes, n)
 		addresses = append(addresses, address)
@@ -353,7 +354,7 @@
 		return operators.Healthy
 	})
 	l := ledger.New(ledger.Options{Table: platform.NewStore(store.Address(), nil), Run: "a"})
-	server := owners.NewServer(l)
+	server := owners.NewServer(l, lines.NewMemory())
 	done := make(chan *wirepb.Reply)
 	signs := 0
 	go func() {
@@ -382,7 +383,7 @@
 	store := newStore(t)
 	l := ledger.New(ledger.Options{Table: platform.NewStore(store.Address(), nil), Run: "a"})
 	now := time.Now()
-	server := owners.NewServerAt(l, func() time.Time { return now })
+	server := owners.NewServerAt(l, lines.NewMemory(), func() time.Time { return now })
 	cover := func(id string) *wirepb.Reply {
 		return server.Reserve(context.Background(), &wirepb.ReserveTokens{Grant: id, Program: "p", Budget: 2 * most, Most: most}, func() {})
 	}
--- a/internal/owners/server.go
+++ b/internal/owners/server.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -33,6 +35,7 @@
 // use.
 type Server struct {
 	ledger  coverer
+	lines   *lines.Memory // where the lines of the turns that this node covers were served
 	leaving atomic.Bool
 
 	mutex    sync.Mutex
@@ -46,15 +49,19 @@
 	run     *ledger.Run
 	most    int64
 	since   time.Time
+	line    lines.Line
 	settled *int64 // tokens, if it was settled before the run was there
 }
 
-// NewServer returns a server over a node's ledger.
-func NewServer(covering coverer) *Server { return NewServerAt(covering, time.Now) }
+// NewServer returns a server over a node's ledger, and its memory of where lines were
+// served.
+func NewServer(covering coverer, remembered *lines.Memory) *Server {
+	return NewServerAt(covering, remembered, time.Now)
+}
 
 // NewServerAt returns a server with a clock of its own.
-func NewServerAt(covering coverer, now func() time.Time) *Server {
-	return &Server{ledger: covering, grants: make(map[string]*held), now: now}
+func NewServerAt(covering coverer, remembered *lines.Memory, now func() time.Time) *Server {
+	return &Server{ledger: covering, lines: remembered, grants: make(map[string]*held), now: now}
 }
 
 // Leave turns new turns away, since the node is stopping.
@@ -74,7 +81,8 @@
 		return refusal(api.NotReady, "the node is stopping")
 	}
 	id := request.GetGrant()
-	s.begin(id, request.GetMost())
+	line := lines.Line{Program: request.GetProgram(), Session: request.GetSession()}
+	s.begin(id, line, request.GetMost())
 	run, err := s.ledger.Cover(ctx, ledger.Ask{
 		Program: request.GetProgram(),
 		Budget:  request.GetBudget(),
@@ -89,7 +97,18 @@
 		return refusal(api.StoreDown, err.Error())
 	}
 	s.cover(id, run)
-	return &wirepb.Reply{}
+	return &wirepb.Reply{Body: s.covered(line)}
+}
+
+// covered returns the body of the reply to a turn that is covered; empty if there is
+// nothing to tell.
+func (s *Server) covered(line lines.Line) []byte {
+	last := s.lines.Get(line)
+	body, err := proto.Marshal(&wirepb.TurnCovered{LastEngine: last.Engine, LastTokens: last.Tokens})
+	if err != nil {
+		return nil // a hint; the turn is covered all the same
+	}
+	return body
 }
 
 func refusal(code api.Code, detail string) *wirepb.Reply {
@@ -104,6 +123,7 @@
 		s.mutex.Unlock()
 		return
 	}
+	s.lines.Set(known.line, lines.Place{Engine: request.GetEngine(), Tokens: request.GetEngineTokens()})
 	if known.run == nil {
 		tokens := request.GetTokens()
 		known.settled = &tokens
@@ -123,12 +143,12 @@
 }
 
 // begin notes a grant whose turn is not covered yet.
-func (s *Server) begin(id string, most int64) {
+func (s *Server) begin(id string, line lines.Line, most int64) {
 	now := s.now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.expire(now)
-	s.grants[id] = &held{most: most, since: now}
+	s.grants[id] = &held{most: most, since: now, line: line}
 }
 
 // take forgets a grant.
--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -7,6 +7,7 @@
 
 	"github.com/pewtermill/pewtermill/internal/loads"
 	"github.com/pewtermill/pewtermill/internal/routing"
+	"github.com/pewtermill/pewtermill/internal/scheduler"
 )
 
 // Parameters of drawing engines.
@@ -14,9 +15,6 @@
 	// leastDrawn is from how many engines a call is placed at least, and about how many
 	// calls all nodes together may send one engine between two news.
 	leastDrawn = 8
-	// notDrawnMillis keeps a call from engines that were not drawn for it, as long as
-	// one that was drawn can take it.
-	notDrawnMillis = 100_000.0
 	// arrivalSmoothing is how fast the rate of arrivals is forgotten.
 	arrivalSmoothing = 2 * time.Second
 	// maxUntold bounds the prefixes that wait to be reported.
@@ -31,8 +29,6 @@
 	untold []loads.Prefix
 	engine map[loads.EngineKey]string // ids of engines
 
-	service string          // of the call that is placed
-	drawn   map[string]bool // engines drawn for it; nil if all are
 	random  *rand.Rand
 	arrival map[string]*rate // by service
 }
@@ -80,7 +76,7 @@
 	p.fleet.others, p.fleet.nodes, p.fleet.pause = news.Others, news.Nodes, news.Pause
 	for _, prefix := range news.Prefixes {
 		if id, known := p.fleet.engine[prefix.Engine]; known {
-			p.index.addEnd(id, prefix.Hash)
+			p.index.addPart(id, prefix.Hash, wholePart)
 		}
 	}
 	p.refresh(now)
@@ -133,14 +129,12 @@
 	known.count(now)
 }
 
-// draw chooses the engines that a call may go to. Nodes that know of the same idle
-// engine would all take it before they hear of each other, so each call looks at a few
-// only: as many as keep all nodes together from sending an engine more than about
-// leastDrawn calls between two news, and at least that many.
-func (f *fleet) draw(call Request, engines map[string]routing.Engine) {
-	f.service, f.drawn = call.Service, nil
+// sample draws the engines that a call may go to: as many as keep all nodes together
+// from sending an engine more than about leastDrawn calls between two news, and at least
+// that many, with the line's last engine. It returns nil if all engines are few enough.
+func (f *fleet) sample(call Request, engines map[string]routing.Engine) scheduler.Sample {
 	if f.nodes == 0 {
-		return
+		return nil
 	}
 	var usable []string
 	for id, engine := range engines {
@@ -150,15 +144,16 @@
 	}
 	count := f.share(call.Service, len(usable))
 	if count >= len(usable) {
-		return
+		return nil
 	}
-	f.drawn = make(map[string]bool, count+1)
+	drawn := make(scheduler.Sample, count+1)
 	for i := range count {
 		j := i + f.random.IntN(len(usable)-i)
 		usable[i], usable[j] = usable[j], usable[i]
-		f.drawn[usable[i]] = true
+		drawn[usable[i]] = true
 	}
-	f.drawn[call.LastEngine] = true
+	drawn[call.LastEngine] = true
+	return drawn
 }
 
 // share returns how many of a service's engines a call looks at.
@@ -170,11 +165,3 @@
 	unheard := known.perSecond * float64(f.nodes+1) * f.pause.Seconds()
 	return max(leastDrawn, int(math.Round(float64(leastDrawn*engines)/max(1, unheard))))
 }
-
-// notDrawn returns what keeps the call that is placed from an engine.
-func (f *fleet) notDrawn(engine routing.Engine) float64 {
-	if f.drawn == nil || engine.Service != f.service || f.drawn[engine.ID] {
-		return 0
-	}
-	return notDrawnMillis
-}
--- a/internal/placement/news_test.go
+++ b/internal/placement/news_test.go
@@ -85,11 +85,11 @@
 	} {
 		f := fleet{nodes: test.nodes, pause: 100 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2)),
 			arrival: map[string]*rate{"s": {perSecond: test.perSecond}}}
-		f.draw(Request{Service: "s", LastEngine: "last"}, engines)
-		if len(f.drawn) != test.want {
-			t.Errorf("%s: %d engines are drawn, want %d", test.name, len(f.drawn), test.want)
+		drawn := f.sample(Request{Service: "s", LastEngine: "last"}, engines)
+		if len(drawn) != test.want {
+			t.Errorf("%s: %d engines are drawn, want %d", test.name, len(drawn), test.want)
 		}
-		if f.drawn != nil && (!f.drawn["last"] || f.drawn["e00"] || f.notDrawn(routing.Engine{ID: "last", Service: "s"}) != 0) {
+		if drawn != nil && (!drawn["last"] || drawn["e00"]) {
 			t.Errorf("%s: the line's last engine is not drawn, or one that leaves is", test.name)
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -100,6 +100,7 @@
 	Deadline        time.Time
 	ProgramDeadline time.Time
 	LastEngine      string   // served the line's previous turn
+	LastTokens      int64    // of that turn's prompt and answer
 	Excluded        []string // engines already tried
 }
 
@@ -190,7 +191,7 @@
 
 // PreferenceCost implements scheduler.LocalCosts.
 func (p *localCosts) PreferenceCost(id string) float64 {
-	return preference(p.options.Node, id) + p.fleet.notDrawn(p.engines[id])
+	return preference(p.options.Node, id)
 }
 
 // SetEngines replaces what is known of engines and services. The maps must
@@ -258,11 +259,15 @@
 		p.refresh(now)
 	}
 	p.attempts++
+	if p.engines[request.LastEngine].Service != request.Service {
+		request.LastEngine = "" // it is gone, or the line's last call was of another service
+	}
 	if request.LastEngine == "" {
 		p.fleet.arrived(request.Service, now)
 	}
-	p.fleet.draw(request, p.engines)
+	p.index.add(request.LastEngine, blocks[:min(int64(len(blocks)), request.LastTokens/blockTokens)])
 	call := p.call(request, blocks, strconv.FormatUint(p.attempts, 10), now)
+	call.Sample = p.fleet.sample(request, p.engines)
 	if refusal := p.core.Submit(call, now); refusal != nil {
 		p.mutex.Unlock()
 		return Placement{Decision: refusal.Decision}, refusal.Error
@@ -378,7 +383,7 @@
 		most:     request.MostTokens,
 		start:    time.Now(),
 	}
-	if beginning, shared := sharedBeginning(request.Parts, blocks); shared && p.index.addEnd(id, beginning) {
+	if beginning, shared := sharedBeginning(request.Parts, blocks); shared && p.index.addPart(id, beginning, partLength(blocks)) {
 		made.begins = beginning
 	}
 	p.index.add(id, blocks)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -109,3 +109,26 @@
 		t.Errorf("%d blocks of the other prompt count as cached, want 8", cached)
 	}
 }
+
+// TestGrownLineIsKnown shows that an engine which has read a line's prompt is known to
+// have it when the line has grown, and only it.
+func TestGrownLineIsKnown(t *testing.T) {
+	shared := Part{ID: "shared", Tokens: 512}
+	index := newPrefixIndex()
+	index.add("e", blocksOf([]Part{shared, {ID: "line", Tokens: 640}}))
+	for _, test := range []struct {
+		name  string
+		parts []Part
+		want  int
+	}{
+		{"the next turn of the line", []Part{shared, {ID: "line", Tokens: 1280}}, 18},
+		{"the same turn again", []Part{shared, {ID: "line", Tokens: 640}}, 18},
+		{"a sub-agent begun when the line was shorter", []Part{shared, {ID: "line", Tokens: 320}, {ID: "sub", Tokens: 640}}, 13},
+		{"another line", []Part{shared, {ID: "other", Tokens: 640}}, 8},
+		{"another shared part", []Part{{ID: "unshared", Tokens: 512}, {ID: "line", Tokens: 640}}, 0},
+	} {
+		if cached := index.CachedBlocks("e", blocksOf(test.parts)); cached != test.want {
+			t.Errorf("%s: %d blocks are known to be cached, want %d", test.name, cached, test.want)
+		}
+	}
+}
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,9 +21,10 @@
 	minSharedTokens = 2048
 )
 
-// partEnd is set in the hash of the last block of each part, and in no other. Prompts
-// share whole parts, so it is enough to remember where parts end.
-const partEnd = 1
+// partStart is set in the hash of the first block of each part, and in no other. A part
+// is known by that hash, also when it has grown: the last part of a prompt, its line's,
+// is longer with each turn.
+const partStart = 1
 
 // Part is one part of a prompt, which prompts may share.
 type Part struct {
@@ -32,51 +34,62 @@
 
 // blocksOf returns the chained hashes of a prompt's blocks, as
 // scheduler.Call.PrefixBlocks wants them: equal at one place only if equal at
-// every place before it.
+// every place before it. The blocks of a part that has grown begin with those of the
+// part as it was.
 func blocksOf(parts []Part) []uint64 {
 	var blocks []uint64
-	var chain uint64
+	var before uint64 // hash of the parts before this one, with their lengths
 	var link [24]byte
 	for _, part := range parts {
-		id := xxhash.Sum64String(part.ID)
+		binary.LittleEndian.PutUint64(link[:8], before)
+		binary.LittleEndian.PutUint64(link[8:16], xxhash.Sum64String(part.ID))
 		count := (part.Tokens + blockTokens/2) / blockTokens
 		for i := range count {
-			binary.LittleEndian.PutUint64(link[:8], chain)
-			binary.LittleEndian.PutUint64(link[8:16], id)
 			binary.LittleEndian.PutUint64(link[16:], uint64(i))
-			chain = xxhash.Sum64(link[:]) &^ partEnd
-			if i == count-1 {
-				chain |= partEnd
+			block := xxhash.Sum64(link[:]) &^ partStart
+			if i == 0 {
+				block |= partStart
 			}
-			blocks = append(blocks, chain)
+			blocks = append(blocks, block)
 		}
+		binary.LittleEndian.PutUint64(link[16:], math.MaxUint64-uint64(count))
+		before = xxhash.Sum64(link[:])
 	}
 	return blocks
 }
 
-// sharedBeginning returns the hash at the end of a prompt's first part, if that is
+// partLength returns how many blocks the part has that begins the blocks.
+func partLength(blocks []uint64) int {
+	length := 1
+	for length < len(blocks) && blocks[length]&partStart == 0 {
+		length++
+	}
+	return length
+}
+
+// sharedBeginning returns the hash of a prompt's first part, if that is
 // long, and other parts follow: it is what prompts of many programs begin with.
 func sharedBeginning(parts []Part, blocks []uint64) (uint64, bool) {
-	if len(parts) < 2 || parts[0].Tokens < minSharedTokens {
+	if len(parts) < 2 || parts[0].Tokens < minSharedTokens || len(blocks) == 0 {
 		return 0, false
 	}
-	for _, block := range blocks {
-		if block&partEnd != 0 {
-			return block, true
-		}
-	}
-	return 0, false
+	return blocks[0], true
 }
 
+// wholePart is the length of a part that is known to have been read to its end,
+// however long it is.
+const wholePart = math.MaxInt
+
 // prefixIndex remembers which prompts engines have read, as far as this node has sent
 // them or was told. It is a hint: engines forget. Not safe for concurrent use.
 type prefixIndex struct {
 	engines map[string]*engineParts
 }
 
-// engineParts are the ends of parts, in two generations.
+// engineParts are the blocks that were read of each part, by the hash of its first, in
+// two generations.
 type engineParts struct {
-	newer, older map[uint64]struct{}
+	newer, older map[uint64]int
 }
 
 func newPrefixIndex() *prefixIndex {
@@ -89,45 +102,49 @@
 	if known == nil {
 		return 0
 	}
-	for i := len(blocks) - 1; i >= 0; i-- {
-		if blocks[i]&partEnd != 0 && known.has(blocks[i]) {
-			return i + 1
+	cached := 0
+	for cached < len(blocks) {
+		length := partLength(blocks[cached:])
+		read := known.read(blocks[cached])
+		if read < length {
+			return cached + read
 		}
+		cached += length
 	}
-	return 0
+	return cached
 }
 
-func (p *engineParts) has(end uint64) bool {
-	if _, found := p.newer[end]; found {
-		return true
+// read returns how many blocks of a part were read.
+func (p *engineParts) read(part uint64) int {
+	if length, found := p.newer[part]; found {
+		return length
 	}
-	_, found := p.older[end]
-	return found
+	return p.older[part]
 }
 
 // add notes that an engine has read a prompt.
 func (p *prefixIndex) add(engine string, blocks []uint64) {
-	for _, block := range blocks {
-		if block&partEnd != 0 {
-			p.addEnd(engine, block)
-		}
+	for len(blocks) > 0 {
+		length := partLength(blocks)
+		p.addPart(engine, blocks[0], length)
+		blocks = blocks[length:]
 	}
 }
 
-// addEnd notes that an engine has read a prompt up to the end of a part. It reports
-// whether that is new.
-func (p *prefixIndex) addEnd(engine string, end uint64) bool {
+// addPart notes that an engine has read so many blocks of a part. It reports whether the
+// part was unknown there.
+func (p *prefixIndex) addPart(engine string, part uint64, length int) bool {
 	known := p.engines[engine]
 	if known == nil {
-		known = &engineParts{newer: make(map[uint64]struct{})}
+		known = &engineParts{newer: make(map[uint64]int)}
 		p.engines[engine] = known
 	}
-	fresh := !known.has(end)
-	known.newer[end] = struct{}{}
+	before := known.read(part)
+	known.newer[part] = max(before, length)
 	if len(known.newer) > maxEngineParts/2 {
-		known.older, known.newer = known.newer, make(map[uint64]struct{})
+		known.older, known.newer = known.newer, make(map[uint64]int)
 	}
-	return fresh
+	return before == 0
 }
 
 // keepOnly forgets the engines that are gone.
--- a/internal/scheduler/plugin.go
+++ b/internal/scheduler/plugin.go
@@ -41,7 +41,7 @@
 var callFilters = []filter{filterExcluded{}, filterEjected{}}
 
 // scorers add up to an engine's total.
-var scorers = [...]scorer{scoreWait{}, scorePrefill{}, scoreDistance{}, scoreEviction{}, scoreConnection{}, scoreLag{}, scorePreference{}}
+var scorers = [...]scorer{scoreWait{}, scorePrefill{}, scoreDistance{}, scoreEviction{}, scoreConnection{}, scoreLag{}, scorePreference{}, scoreSample{}}
 
 // waitScorer is the position of scoreWait in scorers.
 const waitScorer = 0
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -29,6 +29,7 @@
 	LateFrom        time.Time     // when the program cannot be over by its deadline any more unless this call has begun; zero = never
 	Attained        time.Duration // engine service that the program has had
 	LastEngine      string        // served the program's previous turn
+	Sample          Sample        // engines to place the call on; nil for all
 	Excluded        []string      // engines already tried
 }
 
--- a/internal/serving/owners_test.go
+++ b/internal/serving/owners_test.go
@@ -31,3 +31,41 @@
 		t.Errorf("the metrics do not tell that a peer covered turns:\n%s", text)
 	}
 }
+
+// TestLineStaysAtItsEngine sends each turn of a program through the other of two
+// processes. All run on one engine, which has read the line's prompt: whoever covers a
+// program's turns tells where its last one was served.
+func TestLineStaysAtItsEngine(t *testing.T) {
+	d := prepare(t)
+	for _, id := range []string{"m3", "m4", "m5", "m6"} {
+		d.addEngine(id, "models")
+	}
+	d.run("node-1", freeAddress(t))
+	other := d.beside("node-2", freeAddress(t))
+	d.store.Put("op", "", "config", standard())
+	d.eventually("ready, and known to each other", func() bool {
+		known := strings.Contains(d.log.String(), `"msg":"peers found","count":1`) && strings.Contains(other.log.String(), `"msg":"peers found","count":1`)
+		return known && d.process.Ready() && other.process.Ready()
+	})
+	const turns = 8
+	for program := range 6 {
+		name := fmt.Sprintf("p%d", program)
+		for turn := range turns {
+			process := []*deployment{d, other}[turn%2]
+			if got := process.turn("/resumed/", name, fmt.Sprintf("%s-t%d", name, turn), "", "x"); got.status != http.StatusOK {
+				t.Fatalf("turn %d got %+v", turn, got)
+			}
+		}
+		served := make(map[string]int)
+		for id, engine := range d.engines {
+			for _, request := range engine.Requests() {
+				if strings.HasPrefix(request.Header.Get("X-Request-Id"), name+"-") {
+					served[id]++
+				}
+			}
+		}
+		if len(served) != 1 {
+			t.Errorf("the turns of program %s ran on %v, want one engine", name, served)
+		}
+	}
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -20,6 +20,7 @@
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/ingress"
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/loads"
 	"github.com/pewtermill/pewtermill/internal/owners"
 	"github.com/pewtermill/pewtermill/internal/placement"
@@ -109,7 +110,8 @@
 		Idle:     p.pool.Idle,
 	})
 	p.ledger = ledger.New(ledger.Options{Table: p.relay, Run: dependencies.Run})
-	p.covering = owners.NewServer(p.ledger)
+	remembered := lines.NewMemory()
+	p.covering = owners.NewServer(p.ledger, remembered)
 	p.collector = loads.NewCollector(xxhash.Sum64String(dependencies.Run), time.Now)
 	p.handler = ingress.New(ingress.Options{
 		Protocol: dependencies.Protocol,
@@ -117,6 +119,7 @@
 		Placer:   p.placer,
 		Pool:     p.pool,
 		Ledger:   p.ledger,
+		Lines:    remembered,
 		Observer: p,
 	})
 	p.registerGauges()
