--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"runtime"
 	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"github.com/pewtermill/pewtermill/internal/standin/operators"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire"
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 	"github.com/pewtermill/pewtermill/platform"
 )
 
@@ -227,3 +231,57 @@
 		}
 	}
 }
+
+// TestHelpIsBounded has a node watch for as many peers as it may. One more is declined at
+// once, and a table that is read has room beside the watches.
+func TestHelpIsBounded(t *testing.T) {
+	store := newStore(t)
+	way := platform.NewStore(store.Address(), nil)
+	table := relay.NewTable(way, way, "a", silent{})
+	t.Cleanup(table.Close)
+	server := relay.NewServer(table)
+	_, version, err := way.Snapshot(t.Context(), "servers")
+	if err != nil {
+		t.Fatal(err)
+	}
+	watch := &wirepb.Request{Body: &wirepb.Request_WatchTable{
+		WatchTable: &wirepb.WatchTable{Table: "servers", After: version, WaitMillis: 60_000},
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var watches sync.WaitGroup
+	const most = 64
+	for range most {
+		watches.Go(func() { server.ServePeer(ctx, watch, nil) })
+	}
+	for server.Served() < most {
+		runtime.Gosched()
+	}
+	if reply := server.ServePeer(ctx, watch, nil); !strings.Contains(string(reply.GetBody()), `"busy"`) {
+		t.Errorf("one watch too many got %s", reply.GetBody())
+	}
+	read := &wirepb.Request{Body: &wirepb.Request_RangeTable{RangeTable: &wirepb.RangeTable{Start: "t/p/a", End: "t/p/b", Limit: 1}}}
+	if reply := server.ServePeer(ctx, read, nil); strings.Contains(string(reply.GetBody()), "failure") {
+		t.Errorf("a read beside the watches got %s", reply.GetBody())
+	}
+	cancel()
+	watches.Wait()
+	if server.Declined() != 1 {
+		t.Errorf("%d calls were declined, want 1", server.Declined())
+	}
+}
+
+// TestPeerWithoutAWayDeclines shows that a node whose own way is lost makes no call for
+// others, and that the next peer is asked.
+func TestPeerWithoutAWayDeclines(t *testing.T) {
+	store := newStore(t)
+	a, b, c := start(t, store, "a"), start(t, store, "b"), start(t, store, "c")
+	b.direct.cut.Store(true)
+	if _, err := b.table.Get(t.Context(), "t/p/k"); err == nil || !b.table.Lost() {
+		t.Fatalf("b: got %v, and lost is %v", err, b.table.Lost())
+	}
+	a.table.Enable(a.client, []string{b.server.Address(), c.server.Address()})
+	a.direct.cut.Store(true)
+	if _, err := a.table.Get(t.Context(), "t/p/k"); err != nil {
+		t.Fatalf("past a peer that has no way: %v", err)
+	}
+}
