discovery: that the source is back is known at once

Cause: TestTurnedAwayProcessServesOn failed once beside load: the process was not ready though its peer was served. A watch that has failed counts as failed until its next call ends, and that one waits for changes for 2 s; one that brought changes counted only after the pause that follows them. A watch that failed before the way was known to be lost made the process not ready for as long, and so does each return of the store, on all nodes.

Change: the first call after one that failed does not wait for changes. The pause after changes comes after the call is counted as answered. The test waits until the process is ready once its watches go through the peer, and then asks for readiness at an instant as before.

Test, seen to fail before: TestReturnIsNoticedSoon.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -87,6 +87,9 @@
 	// follows bound for how long a change can go unseen once the source is back.
 	watchWait  = 2 * time.Second
 	watchGrace = 400 * time.Millisecond // beyond it before the call counts as lost
+	// regainWait is that of the first call after one that failed: its answer tells that
+	// the source is back, and is not to be waited for as long as a change is.
+	regainWait = time.Millisecond
 	// settlePause follows changes, so that those that come one after another,
 	// as when many engines start, cost one call.
 	settlePause  = 200 * time.Millisecond
@@ -147,6 +150,7 @@
 	after       uint64
 	relistAt    time.Time // zero: no further list is due
 	backoff     time.Duration
+	pause       time.Duration // before the next call, after changes
 	lastSuccess time.Time
 	lost        bool
 }
@@ -162,6 +166,8 @@
 	}
 	if err == nil {
 		s.succeeded()
+		backoff.Wait(ctx, s.pause)
+		s.pause = 0
 		return
 	}
 	if ctx.Err() == nil {
@@ -192,6 +198,9 @@
 // wait waits for changes.
 func (s *follow) wait(ctx context.Context) error {
 	wait := watchWait
+	if s.lost {
+		wait = regainWait
+	}
 	if !s.relistAt.IsZero() {
 		wait = max(time.Millisecond, min(wait, time.Until(s.relistAt)))
 	}
@@ -209,7 +218,7 @@
 	s.after = max(s.after, version)
 	if len(records) > 0 {
 		s.follower.change(s.collection, records, version)
-		backoff.Wait(ctx, settlePause)
+		s.pause = settlePause
 	}
 	return nil
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,6 +21,7 @@
 	silent  bool   // calls get no answer, not even those that began before
 	gone    bool   // history is gone
 	stale   uint64 // lists are as of this version, if not 0
+	refuses bool   // calls for changes fail at once
 	calls   int
 }
 
@@ -61,10 +62,12 @@
 	for {
 		s.mutex.Lock()
 		hung = hung || s.silent // an answer that is lost makes the connection silent for good
-		gone, record, seen := s.gone, s.record(), s.seen
+		gone, record, seen, refuses := s.gone, s.record(), s.seen, s.refuses
 		s.gone = s.gone && hung
 		s.mutex.Unlock()
 		switch {
+		case refuses:
+			return nil, 0, errors.New("refused")
 		case hung:
 			<-ctx.Done()
 			return nil, 0, ctx.Err()
@@ -167,3 +170,31 @@
 		}
 	})
 }
+
+// TestReturnIsNoticedSoon has the source refuse calls for a while and then serve them, with
+// no change to tell. That it serves again is known as soon as it is asked, and not only
+// when a watch ends.
+func TestReturnIsNoticedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &source{version: 1, seen: 10}
+		f := discovery.New(discovery.Options{Source: s, Observer: quiet{}})
+		var loops sync.WaitGroup
+		defer loops.Wait()
+		defer cancel()
+		for _, collection := range []discovery.Collection{discovery.Configurations, discovery.Engines} {
+			loops.Go(func() { f.Run(ctx, collection) })
+		}
+		time.Sleep(5 * time.Second)
+		s.set(func(s *source) { s.refuses = true })
+		time.Sleep(5 * time.Second)
+		if f.Connected() {
+			t.Error("a source that refuses every call counts as connected")
+		}
+		s.set(func(s *source) { s.refuses = false })
+		time.Sleep(500 * time.Millisecond)
+		if !f.Connected() {
+			t.Error("0.5 s after its return the source does not count as connected")
+		}
+	})
+}
--- a/internal/serving/turned_away_test.go
+++ b/internal/serving/turned_away_test.go
@@ -52,6 +52,7 @@
 					t.Fatalf("new program %d: got %+v", i, got)
 				}
 			}
+			d.eventually("ready, once its watches go through the peer", d.process.Ready)
 			d.store.Put("op", "", "config", configuration(9, route("later", "safe", "portal", nil)))
 			d.store.Put("servers", "", "p1", d.engines["p1"].Record("portal", "draining"))
 			d.eventually("in force", func() bool { return d.ask(http.MethodGet, "/later/x", "", "X-Request-Id", "r").status == http.StatusOK })
@@ -59,7 +60,7 @@
 				return strings.Contains(d.log.String(), `"engines":4,"engines_ready":3`)
 			})
 			if !d.process.Ready() {
-				t.Error("the process is not ready, though its peer is served")
+				t.Errorf("the process is not ready, though its peer is served; log:\n%s", d.log)
 			}
 			entrance.SetFault(operators.Healthy)
 			d.eventually("on its own way again", func() bool { return strings.Contains(d.log.String(), `"msg":"store reached directly"`) })
