loads, placement: reports are received, aggregated and expire

Cause: names that need explaining: news, hear, deaf, tell, untold, gathered.

Nothing else.

Ruled out: renaming the metrics, which operators may have wired.

--- a/internal/loads/collector.go
+++ b/internal/loads/collector.go
@@ -10,7 +10,7 @@
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
-// Collector gathers what nodes report to this one. Every node has one; only that of
+// Collector aggregates what nodes report to this one. Every node has one; only that of
 // the node which its zone has chosen gets reports. Safe for concurrent use.
 type Collector struct {
 	run uint64
@@ -24,10 +24,10 @@
 
 // report is what one node said last.
 type report struct {
-	counts   Counts
-	nodes    int
-	gathered bool // of a zone
-	at       time.Time
+	counts     Counts
+	nodes      int
+	aggregated bool // of a zone
+	at         time.Time
 }
 
 // NewCollector returns a collector of a run of this node, with a clock.
@@ -35,13 +35,13 @@
 	return &Collector{run: run, now: now, reports: make(map[uint64]report), prefixes: newPrefixLog()}
 }
 
-// Answer takes a report and returns the news for its sender.
+// Answer takes a report and returns the aggregate for its sender.
 func (c *Collector) Answer(sent *wirepb.ReportLoads) *wirepb.Reply {
-	news, sensible := c.take(sent)
+	aggregate, sensible := c.take(sent)
 	if !sensible {
 		return &wirepb.Reply{Code: int32(api.MalformedRequest), Execution: string(api.NotRun), Detail: "the report makes no sense"}
 	}
-	body, err := proto.Marshal(news)
+	body, err := proto.Marshal(aggregate)
 	if err != nil {
 		return &wirepb.Reply{Code: int32(api.Internal), Execution: string(api.NotRun), Detail: err.Error()}
 	}
@@ -49,7 +49,7 @@
 }
 
 // take notes a report. It reports false if that makes no sense.
-func (c *Collector) take(sent *wirepb.ReportLoads) (*wirepb.LoadNews, bool) {
+func (c *Collector) take(sent *wirepb.ReportLoads) (*wirepb.LoadAggregate, bool) {
 	counts, nodes, sensible := decode(sent.GetLoads())
 	now := c.now()
 	c.mutex.Lock()
@@ -60,47 +60,47 @@
 		c.dropped++
 		return nil, false
 	}
-	c.reports[sent.GetRun()] = report{counts: counts, nodes: max(1, nodes), gathered: sent.GetGathered(), at: now}
-	heard := c.heard(sent)
+	c.reports[sent.GetRun()] = report{counts: counts, nodes: max(1, nodes), aggregated: sent.GetAggregated(), at: now}
+	received := c.received(sent)
 	for _, prefix := range decodePrefixes(sent.GetPrefixes()) {
 		c.prefixes.add(prefix)
 	}
-	return c.news(sent.GetRun(), sent.GetGathered(), heard), true
+	return c.aggregate(sent.GetRun(), sent.GetAggregated(), received), true
 }
 
-// heard returns the number of the last prefix that the sender of a report has.
-func (c *Collector) heard(sent *wirepb.ReportLoads) uint32 {
-	if sent.GetHeardFrom() != c.run {
+// received returns the number of the last prefix that the sender of a report has.
+func (c *Collector) received(sent *wirepb.ReportLoads) uint32 {
+	if sent.GetReceivedFrom() != c.run {
 		return 0
 	}
-	return sent.GetPrefixesHeard()
+	return sent.GetPrefixesReceived()
 }
 
-// news returns what is news for a node; for one that gathers, the sums of this zone
-// alone, since it hears of the others from theirs. The mutex is held.
-func (c *Collector) news(asker uint64, gathers bool, heard uint32) *wirepb.LoadNews {
+// aggregate returns what a node is to receive; for one that aggregates, the sums of this
+// zone alone, since it receives the others from theirs. The mutex is held.
+func (c *Collector) aggregate(asker uint64, aggregates bool, received uint32) *wirepb.LoadAggregate {
 	sums, nodes, reporters := make(Counts), 0, 0
 	for run, said := range c.reports {
-		if !said.gathered {
+		if !said.aggregated {
 			reporters++
 		}
-		if run == asker || (gathers && said.gathered) {
+		if run == asker || (aggregates && said.aggregated) {
 			continue
 		}
 		sums.add(said.counts)
 		nodes += said.nodes
 	}
-	return &wirepb.LoadNews{
-		Run:           c.run,
-		Loads:         encode(sums, nodes),
-		Prefixes:      encodePrefixes(c.prefixes.after(heard)),
-		PrefixesHeard: c.prefixes.last(),
-		PauseMillis:   uint32(max(leastPause, time.Duration(reporters)*reporterShare) / time.Millisecond),
+	return &wirepb.LoadAggregate{
+		Run:              c.run,
+		Loads:            encode(sums, nodes),
+		Prefixes:         encodePrefixes(c.prefixes.after(received)),
+		PrefixesReceived: c.prefixes.last(),
+		PauseMillis:      uint32(max(leastPause, time.Duration(reporters)*reporterShare) / time.Millisecond),
 	}
 }
 
-// hear takes in what another collector answered to this one.
-func (c *Collector) hear(answered *wirepb.LoadNews) {
+// receive takes in what another collector answered to this one.
+func (c *Collector) receive(answered *wirepb.LoadAggregate) {
 	counts, nodes, sensible := decode(answered.GetLoads())
 	now := c.now()
 	c.mutex.Lock()
@@ -110,40 +110,40 @@
 		return
 	}
 	if nodes > 0 {
-		c.reports[answered.GetRun()] = report{counts: counts, nodes: nodes, gathered: true, at: now}
+		c.reports[answered.GetRun()] = report{counts: counts, nodes: nodes, aggregated: true, at: now}
 	}
 	for _, prefix := range decodePrefixes(answered.GetPrefixes()) {
 		c.prefixes.add(prefix)
 	}
 }
 
-// Gathers reports whether nodes report here.
-func (c *Collector) Gathers() bool {
+// Aggregates reports whether nodes report here.
+func (c *Collector) Aggregates() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.expire(c.now())
 	for _, said := range c.reports {
-		if !said.gathered {
+		if !said.aggregated {
 			return true
 		}
 	}
 	return false
 }
 
-// gathered returns the sums of this zone and how many nodes they are of, the prefixes
+// aggregated returns the sums of this zone and how many nodes they are of, the prefixes
 // behind a number, and the number of the last of them.
-func (c *Collector) gathered(heard uint32) (Counts, int, []Prefix, uint32) {
+func (c *Collector) aggregated(received uint32) (Counts, int, []Prefix, uint32) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.expire(c.now())
 	sums, nodes := make(Counts), 0
 	for _, said := range c.reports {
-		if !said.gathered {
+		if !said.aggregated {
 			sums.add(said.counts)
 			nodes += said.nodes
 		}
 	}
-	return sums, nodes, c.prefixes.after(heard), c.prefixes.last()
+	return sums, nodes, c.prefixes.after(received), c.prefixes.last()
 }
 
 // Dropped returns how many reports made no sense.
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -2,15 +2,15 @@
 // each engine, and which engines have read the shared beginnings of prompts.
 //
 // A node alone sees its own calls only: of 66 nodes each sees a sixty-sixth of an
-// engine's load. One node of each zone, found by rendezvous hashing, gathers for the
+// engine's load. One node of each zone, found by rendezvous hashing, aggregates for the
 // zone (Collector); the nodes report to it and get what all others have in flight
-// (Reporter); those that gather exchange their zones' sums. So a node sends one
+// (Reporter); those that aggregate exchange their zones' sums. So a node sends one
 // message each pause, however many nodes there are, and the pause grows with the
 // number of nodes of the zone.
 //
-// News is a hint. What a node reported counts for reportLife, a silent collector is
-// passed over, and a node without news goes by its own calls. No request is refused
-// for want of news.
+// Reports are hints. What a node reported counts for reportLife, a silent collector is
+// passed over, and a node without reports goes by its own calls. No request is refused
+// for want of them.
 package loads
 
 import (
@@ -37,7 +37,7 @@
 	// leastPause is between two reports of one node.
 	leastPause = 40 * time.Millisecond
 	// reporterShare is what each node of a zone adds to the pause, so that one which
-	// gathers gets 200 reports a second at most.
+	// aggregates gets 200 reports a second at most.
 	reporterShare = 5 * time.Millisecond
 	// idlePause is between two reports of a node that has nothing in flight.
 	idlePause = 400 * time.Millisecond
@@ -59,12 +59,12 @@
 	Hash   uint64
 }
 
-// News is what a node hears of the others.
-type News struct {
+// Aggregate is what a node receives of the others.
+type Aggregate struct {
 	Others   Counts // calls in flight of all other nodes
 	Nodes    int    // other nodes whose reports are in it
 	Prefixes []Prefix
-	Pause    time.Duration // until the next news is due
+	Pause    time.Duration // until the next report is due
 }
 
 // add adds other counts.
--- a/internal/loads/loads_test.go
+++ b/internal/loads/loads_test.go
@@ -41,17 +41,17 @@
 	m.dead[address] = true
 }
 
-// placer is a node's own calls, and what it heard.
+// placer is a node's own calls, and what it received.
 type placer struct {
-	own      Counts
-	fresh    []Prefix
-	news     News
-	prefixes map[Prefix]bool
-	deaf     bool
+	own       Counts
+	fresh     []Prefix
+	aggregate Aggregate
+	prefixes  map[Prefix]bool
+	expired   bool
 }
 
 func (p *placer) InFlight() Counts { return p.own }
-func (p *placer) Deaf()            { p.deaf = true }
+func (p *placer) Expire()          { p.expired = true }
 
 func (p *placer) NewPrefixes() []Prefix {
 	fresh := p.fresh
@@ -59,9 +59,9 @@
 	return fresh
 }
 
-func (p *placer) Hear(news News) {
-	p.news, p.deaf = news, false
-	for _, prefix := range news.Prefixes {
+func (p *placer) Receive(aggregate Aggregate) {
+	p.aggregate, p.expired = aggregate, false
+	for _, prefix := range aggregate.Prefixes {
 		p.prefixes[prefix] = true
 	}
 }
@@ -109,7 +109,7 @@
 	return m, nodes
 }
 
-// round has every living node report once, and those that gather exchange.
+// round has every living node report once, and those that aggregate exchange.
 func round(m *mesh, nodes []*node) {
 	for _, n := range nodes {
 		if !m.dead[n.address] {
@@ -119,14 +119,14 @@
 	}
 }
 
-// TestNodesHearOfAllOthers has nodes of several zones hear what all the others have in
+// TestNodesReceiveAllOthers has nodes of several zones receive what all the others have in
 // flight, and nothing of their own.
-func TestNodesHearOfAllOthers(t *testing.T) {
+func TestNodesReceiveAllOthers(t *testing.T) {
 	parameters := gopter.DefaultTestParameters()
 	parameters.Rng.Seed(1)
 	parameters.MinSuccessfulTests = 40
 	properties := gopter.NewProperties(parameters)
-	properties.Property("news is the sum of all others", prop.ForAll(func(zones, size int, calls []int) bool {
+	properties.Property("an aggregate is the sum of all others", prop.ForAll(func(zones, size int, calls []int) bool {
 		m, nodes := fleet(zones, size)
 		total := make(Counts)
 		for i, n := range nodes {
@@ -139,11 +139,11 @@
 			round(m, nodes)
 		}
 		for _, n := range nodes {
-			if n.placer.news.Nodes != len(nodes)-1 {
+			if n.placer.aggregate.Nodes != len(nodes)-1 {
 				return false
 			}
 			for engine, all := range total {
-				if n.placer.news.Others[engine] != all-n.placer.own[engine] {
+				if n.placer.aggregate.Others[engine] != all-n.placer.own[engine] {
 					return false
 				}
 			}
@@ -163,16 +163,16 @@
 	}
 	for _, n := range nodes {
 		if !n.placer.prefixes[told] {
-			t.Errorf("%s has not heard of the prefix", n.address)
+			t.Errorf("%s has not received the prefix", n.address)
 		}
 	}
-	heard := len(nodes[0].placer.news.Prefixes)
-	if heard != 0 {
-		t.Errorf("%d prefixes were told again in the last round", heard)
+	received := len(nodes[0].placer.aggregate.Prefixes)
+	if received != 0 {
+		t.Errorf("%d prefixes were reported again in the last round", received)
 	}
 }
 
-// TestDeadCollectorIsPassedOver kills the node that gathers for a zone: the next one
+// TestDeadCollectorIsPassedOver kills the node that aggregates for a zone: the next one
 // does, and the dead node's calls are forgotten.
 func TestDeadCollectorIsPassedOver(t *testing.T) {
 	m, nodes := fleet(1, 5)
@@ -180,18 +180,18 @@
 		n.placer.own[1] = 1
 	}
 	round(m, nodes)
-	var gathers *node
+	var aggregates *node
 	for _, n := range nodes {
-		if n.options.Collector.Gathers() {
-			gathers = n
+		if n.options.Collector.Aggregates() {
+			aggregates = n
 		}
 	}
-	m.kill(gathers.address)
+	m.kill(aggregates.address)
 	deadline := time.Now().Add(10 * time.Second)
 	for _, n := range nodes {
-		for n != gathers && n.placer.news.Others[1] != len(nodes)-2 {
+		for n != aggregates && n.placer.aggregate.Others[1] != len(nodes)-2 {
 			if time.Now().After(deadline) {
-				t.Fatalf("%s hears of %d calls of others, want %d", n.address, n.placer.news.Others[1], len(nodes)-2)
+				t.Fatalf("%s receives %d calls of others, want %d", n.address, n.placer.aggregate.Others[1], len(nodes)-2)
 			}
 			round(m, nodes)
 		}
@@ -207,12 +207,12 @@
 	}
 	alone := nodes[0]
 	alone.options.Address = "elsewhere" // not even itself
-	alone.heardAt = time.Now().Add(-2 * reportLife)
+	alone.receivedAt = time.Now().Add(-2 * reportLife)
 	for range 3 {
 		alone.report(context.Background(), alone.placer.own)
 	}
-	if !alone.placer.deaf || alone.observer.lost != 1 {
-		t.Errorf("deaf is %v, told %d times", alone.placer.deaf, alone.observer.lost)
+	if !alone.placer.expired || alone.observer.lost != 1 {
+		t.Errorf("expired is %v, lost %d times", alone.placer.expired, alone.observer.lost)
 	}
 }
 
@@ -230,8 +230,8 @@
 			t.Errorf("report %d was answered with code %d", i, reply.GetCode())
 		}
 	}
-	if collector.Dropped() != uint64(len(reports)) || collector.Gathers() {
-		t.Errorf("%d reports were dropped; gathers is %v", collector.Dropped(), collector.Gathers())
+	if collector.Dropped() != uint64(len(reports)) || collector.Aggregates() {
+		t.Errorf("%d reports were dropped; aggregates is %v", collector.Dropped(), collector.Aggregates())
 	}
 }
 
@@ -240,19 +240,19 @@
 	now := time.Unix(100, 0)
 	collector := NewCollector(1, func() time.Time { return now })
 	collector.Answer(&wirepb.ReportLoads{Run: 2, Loads: &wirepb.EngineLoads{Engines: []uint32{9}, Calls: []uint32{4}, Nodes: 1}})
-	heard := func() uint32 {
-		var news wirepb.LoadNews
+	received := func() uint32 {
+		var aggregate wirepb.LoadAggregate
 		reply := collector.Answer(&wirepb.ReportLoads{Run: 3, Loads: &wirepb.EngineLoads{Nodes: 1}})
-		if err := proto.Unmarshal(reply.GetBody(), &news); err != nil {
+		if err := proto.Unmarshal(reply.GetBody(), &aggregate); err != nil {
 			t.Fatal(err)
 		}
-		return news.GetLoads().GetNodes()
+		return aggregate.GetLoads().GetNodes()
 	}
-	if heard() != 1 {
-		t.Error("the report was not heard")
+	if received() != 1 {
+		t.Error("the report was not received")
 	}
 	now = now.Add(reportLife + time.Millisecond)
-	if heard() != 0 {
+	if received() != 0 {
 		t.Error("an old report still counts")
 	}
 }
--- a/internal/loads/prefixes.go
+++ b/internal/loads/prefixes.go
@@ -2,7 +2,7 @@
 
 import "github.com/pewtermill/pewtermill/internal/wire/wirepb"
 
-// prefixLog is a bounded list of prefixes in the order in which they were heard of,
+// prefixLog is a bounded list of prefixes in the order in which they were reported,
 // each once. Not safe for concurrent use.
 type prefixLog struct {
 	known map[Prefix]struct{}
@@ -15,7 +15,7 @@
 }
 
 // add appends a prefix that is new. The older half is forgotten when there are too
-// many, and counts as new when it is heard of again.
+// many, and counts as new when it is reported again.
 func (p *prefixLog) add(prefix Prefix) {
 	if _, found := p.known[prefix]; found {
 		return
--- a/internal/loads/reporter.go
+++ b/internal/loads/reporter.go
@@ -18,14 +18,14 @@
 const (
 	// replyTimeout is how long a collector may take.
 	replyTimeout = 150 * time.Millisecond
-	// maxCollectors is how many nodes of a zone may be chosen to gather.
+	// maxCollectors is how many nodes of a zone may be chosen to aggregate.
 	maxCollectors = 32
 	// maxPauseMillis is the longest pause that a collector may ask for.
 	maxPauseMillis = 2000
 )
 
 // errNoCollector says that no node can be asked now.
-var errNoCollector = errors.New("no node gathers for the zone")
+var errNoCollector = errors.New("no node aggregates for the zone")
 
 // Peer is one node of the directory.
 type Peer struct {
@@ -40,13 +40,13 @@
 	// NewPrefixes returns the prefixes that this node's calls have brought to engines
 	// since the last call.
 	NewPrefixes() []Prefix
-	// Hear takes news. It must not block.
-	Hear(news News)
-	// Deaf says that there is no news any more.
-	Deaf()
+	// Receive takes an aggregate. It must not block.
+	Receive(aggregate Aggregate)
+	// Expire says that the last aggregate does not count any more.
+	Expire()
 }
 
-// Observer is told when news stops and when it comes again. It must not block.
+// Observer is told when aggregates stop and when they come again. It must not block.
 type Observer interface {
 	LoadsLost(cause error)
 	LoadsRegained(collector string)
@@ -70,36 +70,36 @@
 	Observer  Observer
 }
 
-// Reporter reports this node's calls and, if this node gathers for its zone, what the
+// Reporter reports this node's calls and, if this node aggregates for its zone, what the
 // zone reported. Safe for concurrent use.
 type Reporter struct {
 	options Options
 
-	mutex  sync.Mutex
-	zones  map[string]*rendezvous.Ring // nodes that may gather, by zone
-	heard  map[hearer]hearing
-	told   map[string]hearing // of this node's collector's prefixes by another one, by address
-	unsent []Prefix           // until a collector has them
+	mutex    sync.Mutex
+	zones    map[string]*rendezvous.Ring // nodes that may aggregate, by zone
+	received map[receiver]cursor
+	reported map[string]cursor // of this node's collector's prefixes by another one, by address
+	unsent   []Prefix          // until a collector has them
 
-	heardAt time.Time // last news; the rest is used by Run alone
-	lost    bool
+	receivedAt time.Time // last aggregate; the rest is used by Run alone
+	lost       bool
 }
 
-// hearing is how far a collector's prefixes have been heard.
-type hearing struct {
+// cursor is how far a collector's prefixes have been received.
+type cursor struct {
 	run    uint64 // of the node at the other end
 	number uint32
 }
 
-// hearer tells apart the two that hear of a collector: this node, and its collector.
-type hearer struct {
-	address  string // of the collector that is heard
-	gathered bool
+// receiver tells apart the two that a collector answers: this node, and its collector.
+type receiver struct {
+	address    string // of the collector that answers
+	aggregated bool
 }
 
 // NewReporter returns a reporter that knows no peers.
 func NewReporter(options Options) *Reporter {
-	return &Reporter{options: options, zones: make(map[string]*rendezvous.Ring), heard: make(map[hearer]hearing), told: make(map[string]hearing)}
+	return &Reporter{options: options, zones: make(map[string]*rendezvous.Ring), received: make(map[receiver]cursor), reported: make(map[string]cursor)}
 }
 
 // SetPeers replaces the other nodes.
@@ -125,40 +125,40 @@
 
 // Run reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
-	r.heardAt = time.Now()
+	r.receivedAt = time.Now()
 	for pause := leastPause; backoff.Wait(ctx, pause); {
 		own := r.options.Placer.InFlight()
 		pause = max(leastPause, r.report(ctx, own))
-		gathers := r.share(ctx)
-		if len(own) == 0 && !gathers {
+		aggregates := r.share(ctx)
+		if len(own) == 0 && !aggregates {
 			pause = idlePause
 		}
 	}
 }
 
-// report tells the zone's collector of this node's calls, hands its news on, and
+// report tells the zone's collector of this node's calls, hands its aggregate on, and
 // returns the pause that the collector asks for.
 func (r *Reporter) report(ctx context.Context, own Counts) time.Duration {
-	collector, news, err := r.ask(ctx, own)
+	collector, aggregate, err := r.ask(ctx, own)
 	now := time.Now()
 	switch {
 	case err == nil:
-		r.options.Placer.Hear(news)
-		r.heardAt = now
+		r.options.Placer.Receive(aggregate)
+		r.receivedAt = now
 		if r.lost {
 			r.lost = false
 			r.options.Observer.LoadsRegained(collector)
 		}
-	case ctx.Err() == nil && now.Sub(r.heardAt) > reportLife && !r.lost:
+	case ctx.Err() == nil && now.Sub(r.receivedAt) > reportLife && !r.lost:
 		r.lost = true
-		r.options.Placer.Deaf()
+		r.options.Placer.Expire()
 		r.options.Observer.LoadsLost(err)
 	}
-	return news.Pause
+	return aggregate.Pause
 }
 
 // ask reports to the zone's collector.
-func (r *Reporter) ask(ctx context.Context, own Counts) (string, News, error) {
+func (r *Reporter) ask(ctx context.Context, own Counts) (string, Aggregate, error) {
 	r.mutex.Lock()
 	ring := r.zones[r.options.Zone]
 	r.unsent = append(r.unsent, r.options.Placer.NewPrefixes()...)
@@ -167,10 +167,10 @@
 	r.mutex.Unlock()
 	err := errNoCollector
 	if ring == nil {
-		return "", News{}, err
+		return "", Aggregate{}, err
 	}
 	for _, address := range ring.Candidates(r.options.Zone, time.Now()) {
-		var answered *wirepb.LoadNews
+		var answered *wirepb.LoadAggregate
 		answered, err = r.exchange(ctx, address, &wirepb.ReportLoads{Loads: encode(own, 1), Prefixes: encodePrefixes(unsent)})
 		if err != nil {
 			ring.Suspect(address, time.Now())
@@ -180,35 +180,35 @@
 		r.mutex.Lock()
 		r.unsent = r.unsent[min(len(unsent), len(r.unsent)):]
 		r.mutex.Unlock()
-		news, sensible := newsOf(answered)
+		aggregate, sensible := decodeAggregate(answered)
 		if !sensible {
 			r.options.Observer.LoadsDropped(address)
-			return address, News{}, errors.Newf("the news of %s makes no sense", address)
+			return address, Aggregate{}, errors.Newf("the aggregate of %s makes no sense", address)
 		}
-		return address, news, nil
+		return address, aggregate, nil
 	}
-	return "", News{}, err
+	return "", Aggregate{}, err
 }
 
 // exchange sends one report, to this node's own collector without the network.
-func (r *Reporter) exchange(ctx context.Context, address string, sent *wirepb.ReportLoads) (*wirepb.LoadNews, error) {
+func (r *Reporter) exchange(ctx context.Context, address string, sent *wirepb.ReportLoads) (*wirepb.LoadAggregate, error) {
 	sent.Run = r.options.Run
 	r.mutex.Lock()
-	who := hearer{address: address, gathered: sent.GetGathered()}
-	heard := r.heard[who]
+	who := receiver{address: address, aggregated: sent.GetAggregated()}
+	received := r.received[who]
 	r.mutex.Unlock()
-	sent.HeardFrom, sent.PrefixesHeard = heard.run, heard.number
+	sent.ReceivedFrom, sent.PrefixesReceived = received.run, received.number
 	answered, err := r.send(ctx, address, sent)
 	if err != nil {
 		return nil, err
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.heard[who] = hearing{run: answered.GetRun(), number: answered.GetPrefixesHeard()}
+	r.received[who] = cursor{run: answered.GetRun(), number: answered.GetPrefixesReceived()}
 	return answered, nil
 }
 
-func (r *Reporter) send(ctx context.Context, address string, sent *wirepb.ReportLoads) (*wirepb.LoadNews, error) {
+func (r *Reporter) send(ctx context.Context, address string, sent *wirepb.ReportLoads) (*wirepb.LoadAggregate, error) {
 	if address == r.options.Address {
 		answered, sensible := r.options.Collector.take(sent)
 		if !sensible {
@@ -228,18 +228,18 @@
 	if code := api.Code(reply.GetCode()); code != api.OK {
 		return nil, errors.Newf("%s: %s", address, reply.GetDetail())
 	}
-	answered := &wirepb.LoadNews{}
+	answered := &wirepb.LoadAggregate{}
 	if err := proto.Unmarshal(reply.GetBody(), answered); err != nil {
-		return nil, errors.Wrapf(err, "news of %s", address)
+		return nil, errors.Wrapf(err, "aggregate of %s", address)
 	}
 	return answered, nil
 }
 
-// share exchanges this zone's sums with one node that gathers for each other zone, if
-// nodes report here, and with the next one of this zone: that may gather for those who
+// share exchanges this zone's sums with one node that aggregates for each other zone, if
+// nodes report here, and with the next one of this zone: that may aggregate for those who
 // take another for dead. It reports whether nodes report here.
 func (r *Reporter) share(ctx context.Context) bool {
-	if !r.options.Collector.Gathers() {
+	if !r.options.Collector.Aggregates() {
 		return false
 	}
 	var exchanges sync.WaitGroup
@@ -261,32 +261,32 @@
 // shareWith exchanges sums with one node.
 func (r *Reporter) shareWith(ctx context.Context, ring *rendezvous.Ring, address string) {
 	r.mutex.Lock()
-	told := r.told[address]
+	reported := r.reported[address]
 	r.mutex.Unlock()
-	counts, nodes, prefixes, last := r.options.Collector.gathered(told.number)
+	counts, nodes, prefixes, last := r.options.Collector.aggregated(reported.number)
 	answered, err := r.exchange(ctx, address, &wirepb.ReportLoads{
-		Gathered: true,
-		Loads:    encode(counts, nodes),
-		Prefixes: encodePrefixes(prefixes),
+		Aggregated: true,
+		Loads:      encode(counts, nodes),
+		Prefixes:   encodePrefixes(prefixes),
 	})
 	if err != nil {
 		ring.Suspect(address, time.Now())
 		return
 	}
 	ring.Trust(address)
-	r.options.Collector.hear(answered)
+	r.options.Collector.receive(answered)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if told.run != 0 && told.run != answered.GetRun() {
+	if reported.run != 0 && reported.run != answered.GetRun() {
 		last = 0 // it has started anew
 	}
-	r.told[address] = hearing{run: answered.GetRun(), number: last}
+	r.reported[address] = cursor{run: answered.GetRun(), number: last}
 }
 
-// newsOf decodes news. It reports false if it makes no sense.
-func newsOf(answered *wirepb.LoadNews) (News, bool) {
+// decodeAggregate decodes an aggregate. It reports false if it makes no sense.
+func decodeAggregate(answered *wirepb.LoadAggregate) (Aggregate, bool) {
 	counts, nodes, sensible := decode(answered.GetLoads())
-	return News{
+	return Aggregate{
 		Others:   counts,
 		Nodes:    nodes,
 		Prefixes: decodePrefixes(answered.GetPrefixes()),
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -13,21 +13,21 @@
 // Parameters of drawing engines.
 const (
 	// leastDrawn is from how many engines a call is placed at least, and about how many
-	// calls all nodes together may send one engine between two news.
+	// calls all nodes together may send one engine between two aggregates.
 	leastDrawn = 8
 	// arrivalSmoothing is how fast the rate of arrivals is forgotten.
 	arrivalSmoothing = 2 * time.Second
-	// maxUntold bounds the prefixes that wait to be reported.
-	maxUntold = 4096
+	// maxPending bounds the prefixes that wait to be reported.
+	maxPending = 4096
 )
 
 // fleet is what a placer knows of the other nodes. The placer's mutex guards it.
 type fleet struct {
-	others loads.Counts // calls of other nodes; nil while there is no news
-	nodes  int          // other nodes, by the last news
-	pause  time.Duration
-	untold []loads.Prefix
-	engine map[loads.EngineKey]string // ids of engines
+	others  loads.Counts // calls of other nodes; nil while none are known
+	nodes   int          // other nodes, by the last aggregate
+	pause   time.Duration
+	pending []loads.Prefix
+	engine  map[loads.EngineKey]string // ids of engines
 
 	random  *rand.Rand
 	arrival map[string]*rate // by service
@@ -63,18 +63,18 @@
 func (p *Placer) NewPrefixes() []loads.Prefix {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	untold := p.fleet.untold
-	p.fleet.untold = nil
-	return untold
+	pending := p.fleet.pending
+	p.fleet.pending = nil
+	return pending
 }
 
-// Hear implements loads.Placer.
-func (p *Placer) Hear(news loads.News) {
+// Receive implements loads.Placer.
+func (p *Placer) Receive(aggregate loads.Aggregate) {
 	now := time.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.fleet.others, p.fleet.nodes, p.fleet.pause = news.Others, news.Nodes, news.Pause
-	for _, prefix := range news.Prefixes {
+	p.fleet.others, p.fleet.nodes, p.fleet.pause = aggregate.Others, aggregate.Nodes, aggregate.Pause
+	for _, prefix := range aggregate.Prefixes {
 		if id, known := p.fleet.engine[prefix.Engine]; known {
 			p.index.addPart(id, prefix.Hash, wholePart)
 		}
@@ -82,8 +82,8 @@
 	p.refresh(now)
 }
 
-// NodesHeard returns how many other nodes' calls are known.
-func (p *Placer) NodesHeard() int {
+// ReportingNodes returns how many other nodes' calls are known.
+func (p *Placer) ReportingNodes() int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.fleet.others == nil {
@@ -92,9 +92,9 @@
 	return p.fleet.nodes
 }
 
-// Deaf implements loads.Placer. How many nodes there are is not forgotten: that they
-// are not heard of makes it no safer to take the engine that seems idle.
-func (p *Placer) Deaf() {
+// Expire implements loads.Placer. How many nodes there are is not forgotten: that they
+// report nothing makes it no safer to take the engine that seems idle.
+func (p *Placer) Expire() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.fleet.others = nil
@@ -112,10 +112,10 @@
 	}
 }
 
-// tell notes that an engine has a prefix that others should hear of.
-func (f *fleet) tell(engine string, prefix uint64) {
-	if len(f.untold) < maxUntold {
-		f.untold = append(f.untold, loads.Prefix{Engine: loads.KeyOf(engine), Hash: prefix})
+// addPending notes that an engine has a prefix that is to be reported to others.
+func (f *fleet) addPending(engine string, prefix uint64) {
+	if len(f.pending) < maxPending {
+		f.pending = append(f.pending, loads.Prefix{Engine: loads.KeyOf(engine), Hash: prefix})
 	}
 }
 
@@ -130,7 +130,7 @@
 }
 
 // sample draws the engines that a call may go to: as many as keep all nodes together
-// from sending an engine more than about leastDrawn calls between two news, and at least
+// from sending an engine more than about leastDrawn calls between two aggregates, and at least
 // that many, with the line's last engine. It returns nil if all engines are few enough.
 func (f *fleet) sample(call Request, engines map[string]routing.Engine) scheduler.Sample {
 	if f.nodes == 0 {
@@ -162,6 +162,6 @@
 	if known == nil {
 		return engines
 	}
-	unheard := known.perSecond * float64(f.nodes+1) * f.pause.Seconds()
-	return max(leastDrawn, int(math.Round(float64(leastDrawn*engines)/max(1, unheard))))
+	unreported := known.perSecond * float64(f.nodes+1) * f.pause.Seconds()
+	return max(leastDrawn, int(math.Round(float64(leastDrawn*engines)/max(1, unreported))))
 }
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -11,10 +11,10 @@
 	"github.com/pewtermill/pewtermill/internal/routing"
 )
 
-// TestNodesThatHearOfEachOtherSpread has many nodes place calls of long shared prompts
-// between news. The run that found it: grown hinokuni, a calm day, where 24 of 45
+// TestNodesThatReportToEachOtherSpread has many nodes place calls of long shared prompts
+// between aggregates. The run that found it: grown hinokuni, a calm day, where 24 of 45
 // engines got nothing and the busiest 4.4 times the mean.
-func TestNodesThatHearOfEachOtherSpread(t *testing.T) {
+func TestNodesThatReportToEachOtherSpread(t *testing.T) {
 	const nodes, engines, rounds = 60, 40, 120
 	placers := make([]*Placer, nodes)
 	for i := range placers {
@@ -36,7 +36,7 @@
 			for engine, calls := range total {
 				others[engine] = calls - p.InFlight()[engine]
 			}
-			p.Hear(loads.News{Others: others, Nodes: nodes - 1, Prefixes: prefixes, Pause: 100 * time.Millisecond})
+			p.Receive(loads.Aggregate{Others: others, Nodes: nodes - 1, Prefixes: prefixes, Pause: 100 * time.Millisecond})
 		}
 		for i, p := range placers {
 			placed, problem := p.Place(context.Background(), Request{
@@ -64,9 +64,9 @@
 	}
 }
 
-// TestFewEnginesAreDrawnWhereManyCallsAreUnheardOf draws engines for calls of a node
+// TestFewEnginesAreDrawnWhereManyCallsAreUnreported draws engines for calls of a node
 // that hears of 59 others, and is busy, idle, or alone.
-func TestFewEnginesAreDrawnWhereManyCallsAreUnheardOf(t *testing.T) {
+func TestFewEnginesAreDrawnWhereManyCallsAreUnreported(t *testing.T) {
 	engines := make(map[string]routing.Engine)
 	for i := range 40 {
 		id := fmt.Sprintf("e%02d", i)
@@ -95,25 +95,25 @@
 	}
 }
 
-// TestPrefixIsKnownFromOthers has one node hear that an engine has a shared beginning.
+// TestPrefixIsKnownFromOthers has one node receive that an engine has a shared beginning.
 func TestPrefixIsKnownFromOthers(t *testing.T) {
-	teller, hearer := newPlacer("teller", 1), newPlacer("hearer", 1)
+	teller, receiver := newPlacer("teller", 1), newPlacer("receiver", 1)
 	parts := []Part{{ID: "shared", Tokens: 12_600}, {ID: "own", Tokens: 1_000}}
 	placed, problem := teller.Place(context.Background(), Request{Service: "s", Parts: parts, PromptTokens: 13_600, Deadline: time.Now().Add(time.Minute)})
 	if problem != nil {
 		t.Fatal(problem)
 	}
 	if len(teller.NewPrefixes()) != 0 {
-		t.Error("a prefix was told before the engine answered")
+		t.Error("a prefix was reported before the engine answered")
 	}
 	teller.Answered(&placed)
-	told := teller.NewPrefixes()
-	if len(told) != 1 {
-		t.Fatalf("%d prefixes were told, want 1", len(told))
+	reported := teller.NewPrefixes()
+	if len(reported) != 1 {
+		t.Fatalf("%d prefixes were reported, want 1", len(reported))
 	}
-	hearer.Hear(loads.News{Others: loads.Counts{}, Nodes: 1, Prefixes: told})
+	receiver.Receive(loads.Aggregate{Others: loads.Counts{}, Nodes: 1, Prefixes: reported})
 	other := blocksOf([]Part{parts[0], {ID: "another", Tokens: 500}})
-	if cached := hearer.index.CachedBlocks(placed.Engine.ID, other); cached != 197 {
+	if cached := receiver.index.CachedBlocks(placed.Engine.ID, other); cached != 197 {
 		t.Errorf("%d blocks count as cached, want the 197 of the shared part", cached)
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -404,7 +404,7 @@
 		p.speeds.of(placement.Engine.Service).prefill.note(float64(placement.missing), took)
 	}
 	if placement.begins != 0 {
-		p.fleet.tell(placement.Engine.ID, placement.begins)
+		p.fleet.addPending(placement.Engine.ID, placement.begins)
 	}
 }
 
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -59,8 +59,8 @@
 	m.wayLost = counters("pewtermill_serve_way_lost_total", "Times that calls to the store began to go through peers.")
 	m.ownersLost = counters("pewtermill_serve_owners_lost_total", "Times that a process that holds allowances for others stopped answering.")
 	m.covered = counters("pewtermill_serve_turns_covered_total", "Turns by whose allowance covers them.", "allowance")
-	m.loadsLost = counters("pewtermill_serve_loads_lost_total", "Times that news of how busy engines are stopped.")
-	m.loadsDropped = counters("pewtermill_serve_loads_dropped_total", "News of peers that made no sense.")
+	m.loadsLost = counters("pewtermill_serve_loads_lost_total", "Times that reports of how busy engines are stopped.")
+	m.loadsDropped = counters("pewtermill_serve_loads_dropped_total", "Reports of peers that made no sense.")
 	m.lost = counters("pewtermill_serve_store_lost_total", "Times that the store stopped answering a watch.", "collection")
 	m.ledger = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pewtermill_serve_ledger_wait_seconds", Help: "Until a turn got leave to run.", Buckets: latencyBuckets})
@@ -162,7 +162,7 @@
 		return float64(readyEngines(p.follower.View()))
 	})
 	p.metrics.Gauge("pewtermill_serve_loads_nodes", "Other processes whose calls at engines are known.", func() float64 {
-		return float64(p.placer.NodesHeard())
+		return float64(p.placer.ReportingNodes())
 	})
 	p.metrics.Gauge("pewtermill_serve_grants", "Turns of other processes that this one covers.", func() float64 {
 		return float64(p.covering.Grants())
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -179,7 +179,7 @@
 // LoadsDropped implements loads.Observer. Each peer's first line is logged.
 func (p *Process) LoadsDropped(collector string) {
 	p.metrics.loadsDropped.WithLabelValues().Inc()
-	if _, known := p.badNews.LoadOrStore(collector, true); !known {
+	if _, known := p.badReports.LoadOrStore(collector, true); !known {
 		p.logger.Warn("loads dropped", "peer", collector)
 	}
 }
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -80,8 +80,8 @@
 	relaying     *relay.Server // makes calls for peers
 	ledger       *ledger.Ledger
 	covering     *owners.Server   // covers turns of peers
-	collector    *loads.Collector // gathers how busy engines are
-	badNews      sync.Map         // peers whose news made no sense, by address
+	collector    *loads.Collector // aggregates how busy engines are
+	badReports   sync.Map         // peers whose reports made no sense, by address
 	badOutcomes  sync.Map         // peers of which an outcome made no sense, by address
 	handler      *ingress.Handler
 	ingress      *http.Server
