ledger: accounts, turns and lines of a program belong to one tenant

Change: what is kept of a program stands under a key of its tenant and its id (ProgramKey); the index of turns has the tenant's part too, so that no lookup of another tenant's request can find it, at any node, in memory or in the table. Without tenants the keys are what they were. Rows of a build without tenants are still read: a program's first write takes the old account over, in one transaction; its own old turns are found; an old turn of another program is answered 503, since whose it is cannot be told.

Ruled out: a tenant noted inside the row, compared when it is read: each reader must then not forget to compare, and two programs of one id would share a row.

Open: while nodes of both builds run, an account of a tenant's program may be begun twice, once by each build.

--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -57,7 +57,10 @@
 	if turn := e.knownTurn(id); turn != nil {
 		return turn, nil
 	}
-	foundIn, program, err := l.find(ctx, id)
+	foundIn, program, err := l.find(ctx, e.program, id)
+	if errors.Is(err, tablestore.ErrNotFound) {
+		return l.turnWithoutTenant(ctx, e, id, err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -147,15 +150,16 @@
 	return nil
 }
 
-// find looks in every part for the program that said a turn. The error is
-// marked ErrNotFound if every part answered and none has it.
-func (l *Ledger) find(ctx context.Context, id string) (part int, program string, err error) {
+// find looks in every part for the program that said a turn, among those of the tenant
+// whose program asks. The error is marked ErrNotFound if every part answered and none has
+// it.
+func (l *Ledger) find(ctx context.Context, asking, id string) (part int, program string, err error) {
 	found := make([]string, Parts)
 	group, groupContext := errgroup.WithContext(ctx)
 	group.SetLimit(findAtOnce)
 	for part := range Parts {
 		group.Go(func() error {
-			key := indexKey(part, id)
+			key := indexKey(part, asking, id)
 			rows, err := l.readRange(groupContext, part, key, key+"\x00")
 			if err == nil && len(rows) == 1 {
 				found[part] = string(rows[0].Value)
--- a/internal/ledger/keys.go
+++ b/internal/ledger/keys.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"strings"
 
@@ -29,8 +31,47 @@
 	return true
 }
 
-// partOf returns the part of a program's account.
-func partOf(program string) int { return int(xxhash.Sum64String(program) % Parts) }
+// Bounds of the text that stands for a tenant in keys. With the ids of a program and a
+// turn it fits the 200 bytes of a key.
+const (
+	maxTenantBytes  = 48
+	tenantHashBytes = 16
+	hashedTenant    = "~" // begins the text of a tenant whose name is hashed
+	tenantEnd       = "." // between tenant and program, neither of which holds it
+)
+
+// ProgramKey returns the key of a tenant's program: account, turns, owner and line of a
+// program are found under it, so that no other tenant's request finds them whatever
+// program or turn it names. Without a tenant it is the program's id, and empty if that is.
+func ProgramKey(tenant, program string) string {
+	if tenant == "" || program == "" {
+		return program
+	}
+	return tenantText(tenant) + tenantEnd + program
+}
+
+// tenantText returns what stands for a tenant in keys: its name, or a hash of it.
+func tenantText(tenant string) string {
+	if ValidID(tenant) && len(tenant) <= maxTenantBytes && !strings.HasPrefix(tenant, hashedTenant) {
+		return tenant
+	}
+	sum := sha256.Sum256([]byte(tenant))
+	return hashedTenant + hex.EncodeToString(sum[:tenantHashBytes])
+}
+
+// splitProgram returns the tenant's part of a program's key, with its end, and the
+// program's id.
+func splitProgram(program string) (tenant, id string) {
+	at := strings.LastIndex(program, tenantEnd) + 1
+	return program[:at], program[at:]
+}
+
+// partOf returns the part of a program's account. It is the same for every tenant, so that
+// the rows of a build that knew no tenants are in the part of those that take their place.
+func partOf(program string) int {
+	_, id := splitProgram(program)
+	return int(xxhash.Sum64String(id) % Parts)
+}
 
 // accountKey is the key of a program's account. Its turns follow it in key
 // order, as programEnd's range does.
@@ -59,8 +100,9 @@
 	return turn, piece, err == nil
 }
 
-// indexKey is the key of the row that names a turn's program. It is in the
-// part that holds the turn.
-func indexKey(part int, turn string) string {
-	return fmt.Sprintf("turn-programs/%d/%s", part, turn)
+// indexKey is the key of the row that names the program of a turn, among the turns of the
+// tenant whose program asks. It is in the part that holds the turn.
+func indexKey(part int, program, turn string) string {
+	tenant, _ := splitProgram(program)
+	return fmt.Sprintf("turn-programs/%d/%s%s", part, tenant, turn)
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -40,10 +40,10 @@
 	entries map[string]*entry
 }
 
-// entry is what this node knows of one program. commit is held over I/O and
+// entry is what this node knows of one program of one tenant. commit is held over I/O and
 // serialises the writes; mutex guards the fields and never is.
 type entry struct {
-	program string
+	program string        // see ProgramKey
 	commit  chan struct{} // semaphore of one
 
 	mutex     sync.Mutex
@@ -52,6 +52,7 @@
 	readAt    time.Time     // when the account was last read or written
 	account   Account
 	revision  uint64 // of account; 0 if the row is absent
+	precedent precedent
 	known     bool   // account and revision are those of some moment of this run
 	resolved  bool   // an earlier write was just found to have taken effect
 	uncertain bool   // a write's outcome is unknown, so held may be too high
@@ -104,7 +105,7 @@
 
 // Ask is a turn that wants to run.
 type Ask struct {
-	Program  string
+	Program  string        // see ProgramKey
 	Session  string        // line of turns that the turn belongs to
 	Budget   int64         // of the program, in tokens; 0 for none
 	Most     int64         // tokens that the turn may hand out at most
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -67,7 +67,7 @@
 	if len(rows) == 0 || rows[0].Key != account || rows[0].Revision != e.revision || len(rows) == rangeLimit {
 		return nil
 	}
-	removals := removalsOf(part, rows)
+	removals := removalsOf(part, e.program, rows)
 	condition := []tablestore.Condition{{Key: account, Revision: e.revision}}
 	for chunk := range slices.Chunk(removals, maxRemovals) {
 		if err := l.removeChunk(ctx, condition, chunk); err != nil {
@@ -79,12 +79,12 @@
 
 // removalsOf returns what removes a program's rows and the index of its turns,
 // the account last, since it is the condition of all.
-func removalsOf(part int, rows []tablestore.Row) []tablestore.Write {
+func removalsOf(part int, program string, rows []tablestore.Row) []tablestore.Write {
 	var removals []tablestore.Write
 	for _, row := range rows[1:] {
 		removals = append(removals, tablestore.Write{Key: row.Key, Delete: true})
 		if turn, piece, ok := turnOfPiece(row.Key); ok && piece == 0 {
-			removals = append(removals, tablestore.Write{Key: indexKey(part, turn), Delete: true})
+			removals = append(removals, tablestore.Write{Key: indexKey(part, program, turn), Delete: true})
 		}
 	}
 	return append(removals, tablestore.Write{Key: rows[0].Key, Delete: true})
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -78,6 +78,9 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	account := e.account
+	if e.revision == 0 && e.precedent.revision != 0 {
+		account = e.precedent.account
+	}
 	if account.Budget == 0 {
 		account.Budget = ask.Budget
 	}
@@ -108,6 +111,7 @@
 	for _, waiting := range records {
 		transaction.Writes = append(transaction.Writes, turnWrites(part, e.program, waiting.turn)...)
 	}
+	e.takeOver(part, &transaction)
 	e.attempts[e.write] = attempt{settled: e.unsettled, records: records}
 	e.flight = &flight{held: next.Allowances[run].Tokens, asked: ask.Most, settled: e.unsettled}
 	return transaction, e.write, nil
@@ -132,7 +136,7 @@
 	for i, piece := range pieces {
 		writes = append(writes, tablestore.Write{Key: pieceKey(part, program, turn.ID, i), Value: piece})
 	}
-	return append(writes, tablestore.Write{Key: indexKey(part, turn.ID), Value: []byte(program)})
+	return append(writes, tablestore.Write{Key: indexKey(part, program, turn.ID), Value: []byte(program)})
 }
 
 // commit sends one write. It reports whether the change took effect; with
@@ -147,6 +151,11 @@
 		e.seen(l.options.Now())
 		return true, e.applied(l.options.Run, write, receipt, transaction, ask)
 	case errors.As(err, &conflict):
+		preceded, err := e.observePrecedent(part, conflict.Current)
+		if preceded || err != nil {
+			l.health.report(part, nil, l.options.Now())
+			return false, err
+		}
 		seen = &conflict.Current
 	}
 	if seen != nil {
