ingress, platform: keys name tenants, and callers set nothing that is the system's

Change: tenants of the configuration are decoded once into bundle.Tenant, the type of both interfaces (its keys as digests); a key is looked up by its digest in the configuration in force, 401 if no tenant holds it, public routes need none; X-Tenant is always the system's and the key never goes on. A configuration with a bad tenant (a key held twice, no name, a rate below 0) is refused as a whole, by a message that names the field, and the one before stays.

--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -32,6 +32,7 @@
 // Upper bounds that catch slips of the keyboard.
 const (
 	maxWeight         = 1e6
+	maxRequestRate    = 1e6 // of a tenant, in requests a second; a hundred times the traffic of all at letter 1's size
 	maxDistanceMillis = 10_000
 	maxDurationMillis = 31 * 24 * 3_600_000
 	maxKeepMillis     = 10 * 366 * 24 * 3_600_000
--- a/internal/bundle/check_items.go
+++ b/internal/bundle/check_items.go
@@ -119,6 +119,11 @@
 		c.references(path+".models", "model", tenant.Models, c.names.models)
 		c.references(path+".tools", "tool", tenant.Tools, c.names.tools)
 		c.within(path+".max_programs", int64(tenant.MaxPrograms), 0, maxCount)
+		c.numberWithin(path+".requests_per_second", tenant.RequestsPerSecond, 0, maxRequestRate)
+		c.numberWithin(path+".burst", tenant.Burst, 0, maxRequestRate)
+		if tenant.Burst > 0 && tenant.RequestsPerSecond == 0 {
+			c.fault(path+".burst", "is given without requests_per_second")
+		}
 	}
 }
 
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -74,6 +74,16 @@
 	Models      []string `json:"models" yaml:"models"`                       // allowed; empty means all
 	Tools       []string `json:"tools" yaml:"tools"`                         // allowed; empty means all
 	MaxPrograms int      `json:"max_programs,omitempty" yaml:"max_programs"` // per node; 0 = no limit
+
+	// RequestsPerSecond and Burst limit its requests, counted over all nodes: no more
+	// than Burst above RequestsPerSecond times the seconds of any span. Without
+	// RequestsPerSecond there is no limit.
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty" yaml:"requests_per_second"`
+	Burst             float64 `json:"burst,omitempty" yaml:"burst"` // in requests
+
+	// Priority comes before that of a route; 0 is the most urgent. The operators'
+	// platform sets it; bundles give a Weight in its place.
+	Priority int `json:"-" yaml:"-"`
 }
 
 // Class is a kind of program, with its worth and its limits. A limit of 0
--- a/internal/bundle/snapshot.go
+++ b/internal/bundle/snapshot.go
@@ -120,6 +120,12 @@
 	return s.Bundle.Version
 }
 
+// KeyDigest returns the digest of a key, as in Tenant.KeyDigests.
+func KeyDigest(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(digest[:])
+}
+
 // findKey compares with every key, so that its time says nothing about them.
 func findKey[T any](keys []indexedKey[T], key string) (*T, bool) {
 	digest := sha256.Sum256([]byte(key))
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/placement"
 	"github.com/pewtermill/pewtermill/internal/upstream"
@@ -163,7 +164,7 @@
 func (r *request) placementRequest(made *attempts) placement.Request {
 	last := r.handler.lines.Get(r.line())
 	request := placement.Request{
-		Program:      r.call.Program,
+		Program:      r.program(),
 		Service:      r.service,
 		Class:        r.route.Name,
 		Parts:        r.call.PromptParts,
@@ -182,9 +183,13 @@
 
 // line names the line of turns that the request belongs to.
 func (r *request) line() lines.Line {
-	return lines.Line{Program: r.call.Program, Session: r.call.Session}
+	return lines.Line{Program: r.program(), Session: r.call.Session}
 }
 
+// program returns the key of the request's program, which is its tenant's; empty if it has
+// none.
+func (r *request) program() string { return ledger.ProgramKey(r.tenantName(), r.call.Program) }
+
 // beginTry notes a send and starts to watch its engine.
 func (r *request) beginTry(ctx context.Context, placed placement.Placement) *try {
 	r.reportMutex.Lock()
@@ -254,6 +259,8 @@
 		Engine:    engine,
 		Remaining: time.Until(r.until),
 		LastEvent: lastEvent,
+		Keyed:     r.view.Table.Configuration.Keyed,
+		Tenant:    r.tenantName(),
 	})
 	return upstream.Request{
 		Method: r.http.Method,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/lines"
@@ -33,6 +34,7 @@
 	MostTokens   int64 // that the answer may have
 	PreviousTurn string
 	LastEvent    string // event behind which a stream is to go on
+	KeyDigest    string // of the caller's key, as in bundle.Tenant; empty if it brings none
 	PromptParts  []placement.Part
 }
 
@@ -43,6 +45,8 @@
 	Engine    string        // id of the incarnation that the request is meant for
 	Remaining time.Duration // for how long the answer is of use
 	LastEvent string        // event behind which to go on; empty for the caller's own
+	Keyed     bool          // callers show keys to the system, which no engine may see
+	Tenant    string        // whose request it is; empty if it is no tenant's
 }
 
 // Protocol translates between the callers' and engines' headers and this
@@ -120,8 +124,9 @@
 	call    Call
 	view    *discovery.View
 	route   *routing.Route
-	service string // part of the route that serves it
-	body    []byte // as it goes to the engine
+	tenant  *bundle.Tenant // whose key the caller showed; nil if the route needs none
+	service string         // part of the route that serves it
+	body    []byte         // as it goes to the engine
 	arrived time.Time
 	until   time.Time // when the caller or the route gives up
 	started bool      // the answer's head has been written
@@ -154,6 +159,9 @@
 	if r.route == nil {
 		return api.Errorf(api.PathNotFound, "configuration %d has no route for this host and path", r.report.ConfigurationVersion)
 	}
+	if refusal := r.authenticate(); refusal != nil {
+		return refusal
+	}
 	if problem != nil {
 		return problem
 	}
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -12,6 +12,7 @@
 // Report is the story of one request, for logs and metrics.
 type Report struct {
 	Call                 Call
+	Tenant               string // whose key the caller showed; empty if none was needed
 	Route                string
 	Kind                 string
 	Service              string
--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -89,7 +89,7 @@
 	if r.call.Program == "" || (r.call.Budget == 0 && !r.route.Retain) {
 		return nil
 	}
-	ask := ledger.Ask{Program: r.call.Program, Session: r.call.Session, Budget: r.call.Budget, Most: r.call.MostTokens}
+	ask := ledger.Ask{Program: r.program(), Session: r.call.Session, Budget: r.call.Budget, Most: r.call.MostTokens}
 	if r.route.Retain {
 		ask.Previous, ask.Input, ask.Keep = r.call.PreviousTurn, len(s.input), r.route.RetainFor
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/pewtermill/pewtermill/internal/bundle"
 )
 
 // Kind says what may be done with a request more than once.
@@ -41,6 +43,7 @@
 	Retain      bool          // the system keeps what was said, turn by turn
 	RetainFor   time.Duration // how long a kept turn can be gone on from
 	Resumable   bool          // a stream may go on at another engine behind its last event
+	Public      bool          // callers need no key
 }
 
 // Repeatable reports whether a request may run again after it may have run.
@@ -70,6 +73,11 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+
+	// Keyed says that callers need a key of one of the tenants, but for routes that are
+	// public. Without it there are no tenants.
+	Keyed   bool
+	Tenants []bundle.Tenant
 }
 
 // Engine is one incarnation of an engine. A restart makes a new one, with
@@ -83,15 +91,25 @@
 	Draining bool // serves what it has, and takes no new work
 }
 
-// Table finds routes. It never changes after NewTable.
+// Table finds routes, and tenants by their keys. It never changes after NewTable.
 type Table struct {
 	Configuration *Configuration
-	byHost        map[string][]*Route // longest prefix first
+	byHost        map[string][]*Route       // longest prefix first
+	byKey         map[string]*bundle.Tenant // by the digest of a key
 }
 
 // NewTable indexes a configuration, which must not change any more.
 func NewTable(configuration *Configuration) *Table {
-	table := &Table{Configuration: configuration, byHost: make(map[string][]*Route)}
+	table := &Table{
+		Configuration: configuration,
+		byHost:        make(map[string][]*Route),
+		byKey:         make(map[string]*bundle.Tenant),
+	}
+	for i := range configuration.Tenants {
+		for _, digest := range configuration.Tenants[i].KeyDigests {
+			table.byKey[digest] = &configuration.Tenants[i]
+		}
+	}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
 		host := strings.ToLower(route.Host)
@@ -118,3 +136,7 @@
 	}
 	return nil
 }
+
+// Tenant returns the tenant that holds a key, which is given by its digest as in
+// bundle.Tenant; nil if none does.
+func (t *Table) Tenant(keyDigest string) *bundle.Tenant { return t.byKey[keyDigest] }
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -86,6 +86,9 @@
 		slog.Uint64("engines_version", report.EnginesVersion),
 		slog.Float64("took_ms", millis(report.Took)),
 	}
+	if report.Tenant != "" {
+		attributes = append(attributes, slog.String("tenant", report.Tenant))
+	}
 	if report.Detail != "" {
 		attributes = append(attributes, slog.String("reason", report.Detail))
 	}
