node, gateway, wire, logstory: limits in the own interface, silent connections, stories of limits

The first holder that a shard ever has begins with a full account.

Prompts were 100 tokens, the same for all programs, so that a call still reported at the line's engine, or the settlement on its way, outweighed reading it anew, and from then on both engines had it.

Seen to fail first: the silent connection (no answer in 20 s without SilenceLimit); the line's engine (mutation). The two tests of callers that leave and of connections passed on the code before: what they check held already.

Ruled out: SilenceLimit for all connections (a caller who leaves a long call would end the calls of others on it).

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -7,6 +7,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/httpapi"
+	"github.com/pewtermill/pewtermill/internal/quota"
 )
 
 // maxIdempotencyKeyBytes bounds the Idempotency-Key header.
@@ -77,6 +78,9 @@
 	if _, problem := api.DecodeCallRequest(body); problem != nil {
 		return answer{}, problem
 	}
+	if problem := g.admit(x); problem != nil {
+		return answer{}, problem
+	}
 	ctx, cancel := context.WithCancel(x.request.Context())
 	defer cancel()
 	var onPart func(offset int64, text []byte)
@@ -87,11 +91,35 @@
 	}
 	result, err := g.service.ExecuteCall(ctx, x.tenant, x.program, x.sequence, body, onPart)
 	if err != nil {
+		g.giveBack(x, err)
 		return answer{}, err
 	}
 	return callAnswer(result), nil
 }
 
+// admit counts a call towards its tenant's limit.
+func (g *gateway) admit(x *exchange) *api.Error {
+	tenant, known := x.snapshot.Tenant(x.tenant)
+	if g.options.Limiter == nil || !known || tenant.RequestsPerSecond == 0 {
+		return nil
+	}
+	decision := g.options.Limiter.Admit(x.request.Context(), tenant, x.snapshot.Version(), x.sequence == 1)
+	if decision.Verdict == quota.Granted {
+		x.counted = true
+		return nil
+	}
+	problem := api.Errorf(api.TenantLimit, "tenant %s is at its limit of %v requests a second and a burst of %v",
+		tenant.Name, tenant.RequestsPerSecond, tenant.Burst)
+	return problem.After(max(leastLimitDelay, decision.Wait)).Here()
+}
+
+// giveBack uncounts a call that certainly did not run.
+func (g *gateway) giveBack(x *exchange, err error) {
+	if x.counted && httpapi.Classify(err).Execution == api.NotRun {
+		g.options.Limiter.GiveBack(x.tenant)
+	}
+}
+
 // callAnswer gives a failed result its code's HTTP status.
 func callAnswer(result api.CallResult) answer {
 	return answer{status: result.Code.Info().HTTPStatus, code: result.Code, body: result}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -29,6 +29,7 @@
 	started  time.Time
 	snapshot *bundle.Snapshot
 	tenant   string
+	counted  bool // towards the tenant's limit
 	program  string
 	sequence int64
 	stream   *answerStream // nil unless the caller asked for events
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/httpapi"
+	"github.com/pewtermill/pewtermill/internal/quota"
 )
 
 // Service runs programs. Its errors are *api.Error; any other error is
@@ -36,6 +37,15 @@
 	GetCall(ctx context.Context, tenant, program string, sequence int64) (api.CallResult, error)
 }
 
+// Limiter keeps tenants to their limits, counted over all nodes.
+type Limiter interface {
+	// Admit decides on one call of a tenant, whose limit is that of a version of the bundle;
+	// begins says that it is its program's first. A call that is granted and then certainly
+	// does not run is to be given back.
+	Admit(ctx context.Context, tenant *bundle.Tenant, version uint64, begins bool) quota.Decision
+	GiveBack(tenant string)
+}
+
 // Options adjusts a gateway; zero values mean the defaults.
 type Options struct {
 	Logger               *slog.Logger          // default: discards
@@ -43,6 +53,7 @@
 	MaxInFlightPerTenant int                   // requests at once; default 4096
 	MaxHeaderBytes       int                   // default 16 KiB
 	BodyTimeout          time.Duration         // to receive a body; default 30 s
+	Limiter              Limiter               // default: limits of tenants are not kept
 }
 
 // Routes whose refusals speak of a call.
@@ -54,6 +65,7 @@
 const (
 	defaultMaxInFlightPerTenant = 4096
 	tenantLimitDelay            = time.Second
+	leastLimitDelay             = 50 * time.Millisecond // beyond a limit; tokens come a few at a time
 	notReadyDelay               = time.Second
 )
 
--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,80 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/gateway"
+	"github.com/pewtermill/pewtermill/internal/quota"
+)
+
+// countingLimiter grants a number of calls, and notes what it is asked.
+type countingLimiter struct {
+	left      int
+	begins    []bool
+	givenBack int
+}
+
+func (c *countingLimiter) Admit(_ context.Context, _ *bundle.Tenant, _ uint64, begins bool) quota.Decision {
+	c.begins = append(c.begins, begins)
+	if c.left == 0 {
+		return quota.Decision{Verdict: quota.Refused, Wait: 1500 * time.Millisecond}
+	}
+	c.left--
+	return quota.Decision{Verdict: quota.Granted}
+}
+
+func (c *countingLimiter) GiveBack(string) { c.givenBack++ }
+
+// limitedSnapshot returns the test's bundle with a limit of its first tenant.
+func limitedSnapshot(t *testing.T) *bundle.Snapshot {
+	t.Helper()
+	source, err := os.ReadFile("../httpapi/testdata/bundle.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limited := strings.Replace(string(source), "  - name: ibarra\n", "  - name: ibarra\n    requests_per_second: 5\n    burst: 2\n", 1)
+	snapshot, err := bundle.Compile(bundle.Signed{Source: []byte(limited)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if tenant, known := snapshot.Tenant("ibarra"); !known || tenant.RequestsPerSecond != 5 {
+		t.Fatalf("the bundle's tenant is %+v", tenant)
+	}
+	return snapshot
+}
+
+// TestCallsBeyondATenantsLimit shows what is counted, what a caller is told who is refused, and
+// that a call which certainly did not run is uncounted.
+func TestCallsBeyondATenantsLimit(t *testing.T) {
+	snapshot := limitedSnapshot(t)
+	limiter := &countingLimiter{left: 2}
+	service := &fakeService{}
+	handler := gateway.New(service, func() *bundle.Snapshot { return snapshot }, gateway.Options{Limiter: limiter})
+	call := func(sequence string) (int, string) {
+		got := ask(handler, http.MethodPut, "/v1/programs/"+knownProgram+"/calls/"+sequence, "ibarra-key", modelCall)
+		return got.Code, got.Header().Get("Retry-After")
+	}
+	if status, _ := call("1"); status != http.StatusOK {
+		t.Fatalf("got %d", status)
+	}
+	service.execute = func(context.Context, func(int64, []byte)) (api.CallResult, error) {
+		return api.CallResult{}, api.Errorf(api.NoReadyBackend, "")
+	}
+	if status, _ := call("2"); status != http.StatusServiceUnavailable || limiter.givenBack != 1 {
+		t.Errorf("a call that did not run got %d, %d were given back", status, limiter.givenBack)
+	}
+	if status, wait := call("3"); status != http.StatusTooManyRequests || wait != "2" {
+		t.Errorf("a call beyond the limit got %d, to come back in %q s", status, wait)
+	}
+	if !slices.Equal(limiter.begins, []bool{true, false, false}) {
+		t.Errorf("of the calls these were told as first ones: %v", limiter.begins)
+	}
+}
--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -27,11 +27,16 @@
 	messageRegained = "store regained"
 	messageStarted  = "started"
 	messageStopping = "stopping"
+	messageHolder   = "holder of limits lost"
+	messageTaken    = "shard of limits taken"
 )
 
 // background is how long before a request what its node came to believe is told.
 const background = 15 * time.Second
 
+// groundAlone is the ground of a decision on a limit that was made without who counts.
+const groundAlone = "alone"
+
 // maxLineBytes bounds one log line.
 const maxLineBytes = 1 << 20
 
@@ -42,12 +47,18 @@
 	Node          string          `json:"node"`
 	Request       string          `json:"request"`
 	Program       string          `json:"program"`
+	Tenant        string          `json:"tenant"`
 	Route         string          `json:"route"`
 	Service       string          `json:"service"`
 	Status        int             `json:"status"`
 	Code          api.Code        `json:"code"`
 	Reason        string          `json:"reason"`
 	Configuration int64           `json:"configuration"`
+	AgeMillis     float64         `json:"configuration_age_ms"` // of that configuration
+	LimitMillis   float64         `json:"limit_ms"`             // until it was counted towards its tenant's limit
+	Limit         *limit          `json:"limit"`
+	Peer          string          `json:"peer"`
+	Shard         int             `json:"shard"`
 	TookMillis    float64         `json:"took_ms"`
 	LedgerMillis  float64         `json:"ledger_ms"`
 	SettleMillis  float64         `json:"settle_ms"`
@@ -61,6 +72,29 @@
 	EnginesReady  int             `json:"engines_ready"`
 }
 
+// limit is what was decided on a request's count towards its tenant's limit.
+type limit struct {
+	Verdict string  `json:"verdict"`
+	Ground  string  `json:"ground"`
+	Rate    float64 `json:"rate"`  // requests a second
+	Burst   float64 `json:"burst"` // requests above that
+	Left    int     `json:"left"`  // tokens at the holder when it was heard
+	Term    uint64  `json:"term"`  // of that holder; 0 if none was heard
+	HeardMS float64 `json:"heard_ms"`
+}
+
+// String tells the decision in a sentence.
+func (l limit) String() string {
+	said := fmt.Sprintf("%s by %v requests a second and a burst of %v", l.Verdict, l.Rate, l.Burst)
+	if l.Ground == groundAlone {
+		said += ", by this node's own part, since it did not reach who counts"
+	}
+	if l.Term == 0 {
+		return said
+	}
+	return fmt.Sprintf("%s; %d tokens were left %.0f ms before, in term %d", said, l.Left, l.HeardMS, l.Term)
+}
+
 // attempt is one send to an engine.
 type attempt struct {
 	engine  string
@@ -134,6 +168,10 @@
 			fmt.Fprintf(w, "%s %s had lost the store (%s): %s\n", clock(line.Time), line.Node, line.Collection, line.Error)
 		case messageRegained:
 			fmt.Fprintf(w, "%s %s had regained the store (%s) after %s\n", clock(line.Time), line.Node, line.Collection, line.Silence)
+		case messageHolder:
+			fmt.Fprintf(w, "%s %s had lost %s, who counts for shard %d of the tenants: %s\n", clock(line.Time), line.Node, line.Peer, line.Shard, line.Error)
+		case messageTaken:
+			fmt.Fprintf(w, "%s %s counted for shard %d of the tenants\n", clock(line.Time), line.Node, line.Shard)
 		case messageStarted, messageStopping:
 			fmt.Fprintf(w, "%s %s was %s\n", clock(line.Time), line.Node, line.Message)
 		case messageView:
@@ -150,6 +188,9 @@
 	if line.Program != "" {
 		fmt.Fprintf(w, " of program %s", line.Program)
 	}
+	if line.Tenant != "" {
+		fmt.Fprintf(w, " of tenant %s", line.Tenant)
+	}
 	if line.Route != "" {
 		fmt.Fprintf(w, " on route %s to service %s, by configuration %d", line.Route, line.Service, line.Configuration)
 	}
@@ -157,6 +198,9 @@
 	if line.LedgerMillis > 0 {
 		fmt.Fprintf(w, "    +%.1f ms: the ledger had answered whether it may run\n", line.LedgerMillis)
 	}
+	if line.Limit != nil {
+		fmt.Fprintf(w, "    the tenant's limit took %.1f ms: %s\n", line.LimitMillis, line.Limit)
+	}
 	for _, sent := range line.attempts() {
 		fmt.Fprintf(w, "    +%.1f ms: sent to %s (%s)\n", sent.AtMS, sent.engine, sent.Why)
 		fmt.Fprintf(w, "    +%.1f ms: %s%s\n", sent.AtMS+sent.TookMS, sent.Outcome, after(": ", sent.Detail))
@@ -207,7 +251,11 @@
 	case line.Code == api.StoreDown:
 		return "the store did not answer this node: " + line.Reason
 	case line.Code == api.NotReady:
-		return "the node had no configuration yet"
+		return "the node had no configuration, or none that it could rely on: " + line.Reason
+	case line.Code == api.TenantLimit && line.Limit != nil && line.Limit.Ground == groundAlone:
+		return "this node did not reach who counts for the tenant: " + line.Reason
+	case line.Code == api.TenantLimit, line.Code == api.Unauthenticated:
+		return fmt.Sprintf("%s; configuration %d had been in force here for %.0f ms", line.Reason, line.Configuration, line.AgeMillis)
 	case line.Code == api.BudgetExhausted, line.Code == api.CallNotFound, line.Code == api.PathNotFound:
 		return line.Reason
 	case len(sent) == 0:
--- a/internal/logstory/logstory_test.go
+++ b/internal/logstory/logstory_test.go
@@ -13,6 +13,10 @@
 some other program's line
 {"time":"2026-04-02T11:38:31.0Z","level":"WARN","msg":"request ended","node":"node-1","request":"r1","program":"p","route":"a","service":"s","status":503,"code":305,"configuration":7,"took_ms":0.2,"ledger_ms":0.2,"reason":"program p: not asked, since a call failed 12 ms ago: connection timed out","retry_after_ms":260}
 {"time":"2026-04-02T11:38:32.0Z","level":"WARN","msg":"request ended","node":"node-2","request":"r2","program":"p","route":"a","service":"s","status":502,"code":402,"configuration":7,"took_ms":120,"reason":"the engine did not answer","engines":{"i-2":{"outcome":"failed","at_ms":60,"took_ms":60,"why":"lowest weighted delay","detail":"unexpected EOF"},"i-1":{"outcome":"shed","at_ms":1,"took_ms":2,"why":"lowest weighted delay","detail":"turned away with status 503"}}}
+{"time":"2026-04-02T11:38:32.1Z","level":"WARN","msg":"holder of limits lost","node":"node-3","shard":4,"peer":"10.0.0.7:7380","term":2,"error":"no sign of life"}
+{"time":"2026-04-02T11:38:32.2Z","level":"WARN","msg":"request ended","node":"node-3","request":"r3","program":"q","route":"a","service":"","status":429,"code":206,"configuration":9,"took_ms":3.4,"tenant":"alpha","reason":"tenant alpha is at its limit of 20 requests a second and a burst of 20","retry_after_ms":260,"limit_ms":3.1,"limit":{"verdict":"refused","ground":"holder","rate":20,"burst":20,"left":-3,"term":5,"heard_ms":12},"configuration_age_ms":4100}
+{"time":"2026-04-02T11:38:32.3Z","level":"WARN","msg":"request ended","node":"node-3","request":"r4","program":"q","route":"a","service":"","status":429,"code":206,"configuration":9,"took_ms":153,"tenant":"alpha","reason":"tenant alpha is at its limit of 20 requests a second and a burst of 20","limit_ms":152,"limit":{"verdict":"refused","ground":"alone","rate":20,"burst":20,"left":0,"term":0,"heard_ms":0},"configuration_age_ms":4200}
+{"time":"2026-04-02T11:38:32.4Z","level":"WARN","msg":"request ended","node":"node-3","request":"r5","program":"q","route":"a","service":"","status":401,"code":103,"configuration":9,"took_ms":0.1,"reason":"no tenant of configuration 9 holds key 1f2e3d4c","configuration_age_ms":4300}
 {"time":"2026-04-02T11:38:33.0Z","level":"INFO","msg":"view changed","node":"node-2","collection":"engines","engines":20,"engines_ready":19}
 `
 
@@ -34,6 +38,9 @@
 func TestStoryEndsWithTheCause(t *testing.T) {
 	for id, cause := range map[string]string{
 		"r1": "cause: the store did not answer this node: program p: not asked, since a call failed 12 ms ago: connection timed out\n",
+		"r3": "cause: tenant alpha is at its limit of 20 requests a second and a burst of 20; configuration 9 had been in force here for 4100 ms\n",
+		"r4": "cause: this node did not reach who counts for the tenant: tenant alpha is at its limit of 20 requests a second and a burst of 20\n",
+		"r5": "cause: no tenant of configuration 9 holds key 1f2e3d4c; configuration 9 had been in force here for 4300 ms\n",
 		"r2": "cause: the engine did not answer [i-1 shed: turned away with status 503; i-2 failed: unexpected EOF]\n",
 	} {
 		if story := tell(t, id); !strings.HasSuffix(story, cause) {
@@ -53,6 +60,21 @@
 	}
 }
 
+// TestStoryOfALimit shows what a limit's decision rests on.
+func TestStoryOfALimit(t *testing.T) {
+	story := tell(t, "q")
+	for _, part := range []string{
+		"node-3 had lost 10.0.0.7:7380, who counts for shard 4 of the tenants: no sign of life",
+		"got request r3 of program q of tenant alpha",
+		"the tenant's limit took 3.1 ms: refused by 20 requests a second and a burst of 20; -3 tokens were left 12 ms before, in term 5",
+		"refused by 20 requests a second and a burst of 20, by this node's own part, since it did not reach who counts",
+	} {
+		if !strings.Contains(story, part) {
+			t.Errorf("the story lacks %q:\n%s", part, story)
+		}
+	}
+}
+
 // TestUnknownRequest shows an error for an id that no line names.
 func TestUnknownRequest(t *testing.T) {
 	if err := logstory.Tell(&strings.Builder{}, nil, "r9"); !errors.Is(err, logstory.ErrNoLine) {
--- a/internal/node/loops.go
+++ b/internal/node/loops.go
@@ -37,6 +37,7 @@
 // applyBundle puts a bundle in force on this node.
 func (n *Node) applyBundle(snapshot *bundle.Snapshot) {
 	n.dispatcher.Apply(snapshot)
+	n.limits.apply(snapshot)
 	if self, _ := n.members.View().Member(n.settings.Name); !self.Ready {
 		n.members.announce() // with its first bundle the node takes work
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 	dispatcher *dispatch.Dispatcher
 	programs   *ownership.Programs
 	planner    *planner.Planner
+	limits     *limits // of tenants
 	members    *members
 	peers      *wire.Client
 	peerServer *wire.Server
@@ -149,6 +150,7 @@
 		Logger:      n.logger,
 	})
 	n.planner = n.newPlanner()
+	n.limits = newLimits(n)
 	n.registerMetrics()
 	return n, nil
 }
@@ -192,6 +194,7 @@
 		}
 	}
 	close(n.started)
+	n.limits.start()
 	n.run(n.dispatcher.Run)
 	n.run(n.members.run)
 	n.run(n.keepBundle)
@@ -216,7 +219,7 @@
 	if n.operatorListener, err = net.Listen("tcp", n.settings.OperatorAddress); err != nil {
 		return errors.Wrap(err, "operator address")
 	}
-	callers := gateway.New(&router{n}, n.keeper.InForce, gateway.Options{Logger: n.logger, Registerer: n.registry})
+	callers := gateway.New(&router{n}, n.keeper.InForce, gateway.Options{Logger: n.logger, Registerer: n.registry, Limiter: n.limits})
 	operators := operator.New(&operatorService{n}, n.keeper.InForce, n.registry, operator.WithLogger(n.logger))
 	n.callerServer = n.serve(n.callerListener, callers)
 	n.operatorServer = n.serve(n.operatorListener, operators)
@@ -291,6 +294,7 @@
 	n.leaving.Store(true)
 	n.programs.Leave()
 	n.members.announce()
+	n.limits.giveUp(ctx)
 	backoff.Wait(ctx, drainNotice)
 	for n.busy() {
 		if !backoff.Wait(ctx, drainPoll) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -74,6 +74,8 @@
 		return replyWith(n.programs.List(body.ListPrograms.GetTenant()), nil)
 	case *wirepb.Request_Explain:
 		return replyWith(n.decisions.Recent(body.Explain.GetProgram(), body.Explain.GetSequence(), maxExplained), nil)
+	case *wirepb.Request_AskRequests:
+		return n.limits.client.Answer(body.AskRequests)
 	case *wirepb.Request_ModelDemand:
 		return replyWith(n.dispatcher.Demand(), nil)
 	}
--- a/internal/quota/holdings.go
+++ b/internal/quota/holdings.go
@@ -40,7 +40,7 @@
 // HoldAll has this node answer for every shard for good, since it has no peers.
 func (h *Holdings) HoldAll(now time.Time) {
 	h.each(func(_ int, l *lease) {
-		l.written(Row{Holder: Holder{Address: "self", Run: l.run, Term: 1}}, now, now)
+		l.written(Row{Holder: Holder{Address: "self", Run: l.run, Term: firstTerm + 1}}, now, now)
 		l.goodTill = now.Add(wholeLife)
 	})
 }
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -39,6 +39,9 @@
 	Term    uint64 // rises with each holder
 }
 
+// firstTerm is that of the first holder that a shard ever has.
+const firstTerm = 1
+
 // Row is a shard's row as it was read or written.
 type Row struct {
 	Holder
@@ -154,6 +157,9 @@
 func (l *lease) written(row Row, begun, now time.Time) {
 	if !l.mine || row.Term != l.row.Term {
 		l.claimedAt = now
+		if row.Term == firstTerm {
+			l.claimedAt = time.Time{} // nobody has counted before
+		}
 	}
 	l.row, l.seen, l.read, l.lost, l.free = row, now, true, notLost, time.Time{}
 	l.mine = true
--- a/internal/serving/owners_test.go
+++ b/internal/serving/owners_test.go
@@ -39,8 +39,10 @@
 // processes. All run on one engine, which has read the line's prompt: whoever covers a
 // program's turns tells where its last one was served, once it has heard of it. That is told
 // behind the turn's end and not waited for, so the test waits: on a busy machine the next turn
-// came first, ran on another engine, and the prompt, which all programs here share, was then
-// cached at both.
+// came first, and ran on another engine. Prompts are long and no two programs share theirs:
+// where reading one again costs 2 ms, as with the short prompt that all programs shared here
+// before, a call that another process was still reported to have at the line's engine, or a
+// connection at rest to another one, rightly outweighed it.
 func TestLineStaysAtItsEngine(t *testing.T) {
 	d := prepare(t)
 	for _, id := range []string{"m3", "m4", "m5", "m6"} {
@@ -58,7 +60,9 @@
 		name := fmt.Sprintf("p%d", program)
 		for turn := range turns {
 			process := []*deployment{d, other}[turn%2]
-			if got := process.turn("/resumed/", name, fmt.Sprintf("%s-t%d", name, turn), "", "x"); got.status != http.StatusOK {
+			got := process.ask(http.MethodPost, "/resumed/", "x", "X-Request-Id", fmt.Sprintf("%s-t%d", name, turn), "X-Program-Id", name,
+				"X-Session-Id", "s", "X-Token-Budget", "2304", "X-Token-Usage", "15000,288", "X-Prompt-Prefix", fmt.Sprintf("a%d:15000", program), "X-Deadline-Ms", "4000")
+			if got.status != http.StatusOK {
 				t.Fatalf("turn %d got %+v", turn, got)
 			}
 			d.eventually("settled", func() bool { return d.nothingCovered() && other.nothingCovered() })
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -20,6 +20,9 @@
 	joinRetry  = time.Second      // after a failure to join
 	firstLook  = 3 * time.Second  // after which those that start together have joined
 	laterLooks = 60 * time.Second // between further looks
+	// peerSilenceLimit is for how long questions to a peer may wait in vain on a connection
+	// before another one is made. All of them are answered, or given up, within less.
+	peerSilenceLimit = time.Second
 )
 
 // peers is this process's part among those that help each other: to reach the store,
@@ -96,7 +99,7 @@
 	if err := directory.Join(ctx); err != nil {
 		return nil, err
 	}
-	options := wire.Options{Node: p.settings.Node, ClusterKey: secret}
+	options := wire.Options{Node: p.settings.Node, ClusterKey: secret, SilenceLimit: peerSilenceLimit}
 	handler := peerHandler{relay: p.relaying, owners: p.covering, collector: p.collector, limits: p.quota}
 	server := wire.Serve(p.listeners.peers, options, handler)
 	client := wire.NewClient(options)
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -26,6 +26,7 @@
 	traffic  *traffic
 	queue    *sendQueue
 	lastUsed atomic.Int64 // unix nanoseconds of the last frame either way
+	silence  silence
 
 	failOnce   sync.Once
 	cause      error         // why the link ended; valid once ended is closed
@@ -43,6 +44,7 @@
 		writerDone: make(chan struct{}),
 	}
 	l.touch()
+	l.silence.begin()
 	go l.write()
 	return l
 }
@@ -191,6 +193,7 @@
 		l.traffic.addReceived(size)
 		if err == nil {
 			l.touch()
+			l.silence.heard()
 			err = l.receive(frame, handle)
 		}
 		if err != nil {
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -54,6 +54,10 @@
 	ClusterKey []byte
 	// Logger gets handshake failures and broken frames; nil: discarded.
 	Logger *slog.Logger
+	// SilenceLimit is for how long requests may wait in vain on a connection, with no frame
+	// coming in all that time, before a Client ends it and makes another. 0: it does not, as
+	// is right where requests may wait long for an answer.
+	SilenceLimit time.Duration
 	// OnRefused is called when an address has refused a connection: its
 	// machine is there, and no process listens. afterBreak says that the
 	// peer had closed the connection before it. A Client calls it without
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -95,6 +96,7 @@
 ) (*wirepb.Reply, error) {
 	opened := s.open()
 	defer s.forget(opened.correlation)
+	sent := time.Now()
 	frame, err := s.enqueue(ctx, opened.correlation, request)
 	if err != nil {
 		return nil, err
@@ -107,7 +109,7 @@
 		select {
 		case <-opened.wake:
 		case <-ctx.Done():
-			return nil, s.abandon(ctx, opened, frame)
+			return nil, s.abandon(ctx, opened, frame, sent)
 		case <-s.down:
 			reply, err := s.deliver(opened, onPart)
 			if reply != nil || err != nil {
@@ -183,10 +185,13 @@
 }
 
 // abandon ends an exchange whose caller gave up.
-func (s *session) abandon(ctx context.Context, opened *stream, frame *outgoing) error {
+func (s *session) abandon(ctx context.Context, opened *stream, frame *outgoing, sent time.Time) error {
 	if frame.withdraw() {
 		return errors.Mark(errors.Wrap(ctx.Err(), "request withdrawn"), ErrNotSent)
 	}
+	if s.link.silence.gaveUp(sent, s.link.options.SilenceLimit) {
+		s.link.fail(errSilent)
+	}
 	s.cancel(opened)
 	return errors.Mark(errors.Wrap(ctx.Err(), "request abandoned"), ErrLinkBroken)
 }
