quota: peers that tell whether a node is cut off are drawn at random

Cause: read as a newcomer: the first three of a node's peers alone told it whether it is cut off; if those had lost power, a third of the machines, it went on with its part of the tolerance only, though it reached all others. A probe also made an account for a tenant without a name.

Change: four peers drawn at random each time; an ask without a tenant is answered as malformed, which is sign enough. The fields of a share are grouped by what they are for.

Conclusion: with a third of the machines gone, one draw of 81 finds none of four that answers, and the next ask draws again.

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -19,10 +19,10 @@
 	// askTimeout is how long a holder may take. On a machine that has used its share of a
 	// core up, nothing runs for the rest of a tenth of a second.
 	askTimeout = 150 * time.Millisecond
-	// cutOffAfter is for how long a node that holds a shard may have no answer of a peer before it asks
-	// some whether it is cut off.
+	// cutOffAfter is for how long a node that holds a shard may have no answer of a peer
+	// before it asks some, drawn at random, to tell whether it is cut off.
 	cutOffAfter = 400 * time.Millisecond
-	witnesses   = 3
+	witnesses   = 4
 	// gateLife is for how long a tenant's share is kept that no request takes from.
 	gateLife = 60 * time.Second
 )
@@ -53,8 +53,8 @@
 	Node     string
 	Holdings *Holdings
 	Wake     func() // has holders looked for soon; Keeper.Wake
-	// Witnesses returns the addresses of a few peers, by which a node tells whether it is
-	// cut off; Keeper.Witnesses.
+	// Witnesses draws the addresses of a few peers, by which a node tells whether it is cut
+	// off; Keeper.Witnesses.
 	Witnesses func(count int) []string
 	Random    func() float64 // draws numbers from 0 to 1
 	Observer  Observer
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -263,11 +264,18 @@
 	return false
 }
 
-// Witnesses returns the addresses of at most so many peers.
+// Witnesses draws the addresses of at most so many peers.
 func (k *Keeper) Witnesses(count int) []string {
 	k.peersMutex.Lock()
 	defer k.peersMutex.Unlock()
-	return slices.Clone(k.peers[:min(count, len(k.peers))])
+	drawn := make([]string, 0, count)
+	for _, at := range rand.Perm(len(k.peers)) {
+		if len(drawn) == count {
+			break
+		}
+		drawn = append(drawn, k.peers[at])
+	}
+	return drawn
 }
 
 // write writes rows in one transaction, on condition that they are unchanged. It returns
--- a/internal/quota/server.go
+++ b/internal/quota/server.go
@@ -57,6 +57,9 @@
 // decodeAsk reads a peer's question. The error says what makes no sense.
 func decodeAsk(asked *wirepb.AskRequests) (Ask, error) {
 	limit := Limit{Rate: asked.GetRate(), Burst: asked.GetBurst(), Version: asked.GetVersion()}
+	if asked.GetTenant() == "" {
+		return Ask{}, errors.New("no tenant") // a probe
+	}
 	if !(limit.Rate >= 0 && limit.Rate <= maxRate) || !(limit.Burst >= 0 && limit.Burst <= maxRate) {
 		return Ask{}, errors.Newf("limit of %v requests a second and a burst of %v", limit.Rate, limit.Burst)
 	}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -53,32 +53,35 @@
 
 // Share is what one node holds of a tenant's tokens. Not safe for concurrent use.
 type Share struct {
-	rules Rules
+	rules  Rules
+	random func() float64 // from 0 to 1
 
+	// Tokens in hand.
 	tokens  int
 	expires time.Time
-	term    uint64 // in which the tokens were handed out
+	term    uint64 // in which they were handed out
 	unused  int    // expired, of the term
+	begins  int    // programs that may begin, of the answer that has just come
 
-	left       int // tokens that the holder had left then
-	answeredAt time.Time
-	pausedTill time.Time
-
-	begins           int // programs that may begin, of the answer that has just come
+	// What the last answer said.
+	answeredAt       time.Time
+	left             int // tokens that the holder had left then
+	pausedTill       time.Time
+	wait             time.Duration // of refusals during that pause
 	beginsPausedTill time.Time
 	beginWait        time.Duration // of refusals during that pause
-	beginsRefused    int           // since the last answer
 
-	wait    time.Duration // of refusals during the pause
-	taken   int           // since the last answer, to guess what comes
-	unasked int           // let through without the holder since the last answer
+	// What has been decided since.
+	taken         int // tokens, to guess what comes
+	beginsRefused int
+	unasked       int // let through without the holder
 
+	// How the node goes on without the holder.
 	aloneTill time.Time
-	alone     float64 // what the node may let through on its own
+	alone     float64 // what it may let through
 	aloneAt   time.Time
 	nodes     int
-	inTouch   bool           // with any other node, as of when the holder was last asked in vain
-	random    func() float64 // from 0 to 1
+	inTouch   bool // with any other node, as of when the holder was last asked in vain
 }
 
 // NewShare returns a share without tokens. random draws numbers from 0 to 1.
