--- a/cmd/pewtermill-lab/main.go
+++ b/cmd/pewtermill-lab/main.go
@@ -18,7 +18,6 @@
 	Engine      engineCommand      `cmd:"" help:"Run a model engine."`
 	Tool        toolCommand        `cmd:"" help:"Run a tool service."`
 	ReviewerKey reviewerKeyCommand `cmd:"" help:"Print the private key of a reviewer of the example bundles."`
-	Fleet       fleetCommand       `cmd:"" help:"Measure what control costs a node, with many hollow nodes in one process."`
 	Load        loadCommand        `cmd:"" help:"Compare scheduling policies in virtual time."`
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -31,15 +31,16 @@
 }
 
 func newMembers(n *Node, address string) *members {
-	config := n.heartbeats
-	config.Self = membership.Member{
-		Name:        n.settings.Name,
-		Zone:        n.settings.Zone,
-		Address:     address,
-		Cell:        n.settings.Cell,
-		Incarnation: n.incarnation,
-	}
-	config.Seeds = n.settings.Seeds
+	config := membership.Config{
+		Self: membership.Member{
+			Name:        n.settings.Name,
+			Zone:        n.settings.Zone,
+			Address:     address,
+			Cell:        n.settings.Cell,
+			Incarnation: n.incarnation,
+		},
+		Seeds: n.settings.Seeds,
+	}
 	return &members{
 		node:   n,
 		core:   membership.New(config, time.Now()),
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -26,9 +26,7 @@
 		options := prometheus.CounterOpts{Name: counter.name, Help: counter.help}
 		n.registry.MustRegister(prometheus.NewCounterFunc(options, counter.value))
 	}
-	if !n.hollow {
-		n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	}
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 }
 
 func (n *Node) gauges() []metric {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,10 +52,6 @@
 	Objects  tablestore.Objects
 	Machines tablestore.Machines
 	Faults   *wire.Faults // test switch for links to peers
-	// Heartbeats overrides the membership's periods; for tests.
-	Heartbeats membership.Config
-	// Hollow leaves out callers' and operators' HTTP: for measuring control.
-	Hollow bool
 	// BackendClient reaches engines and tools; nil takes a pooled one.
 	BackendClient *http.Client
 }
@@ -68,7 +64,6 @@
 	logger      *slog.Logger
 	registry    *prometheus.Registry
 	machines    tablestore.Machines
-	hollow      bool
 
 	store      *tablestore.GroupStore
 	keeper     *bundle.Keeper
@@ -83,8 +78,7 @@
 	forwards   *forwards
 	seeds      *seeds // of other cells
 
-	faults     *wire.Faults
-	heartbeats membership.Config
+	faults *wire.Faults
 
 	callerListener   net.Listener
 	operatorListener net.Listener
@@ -120,8 +114,6 @@
 		faults:      dependencies.Faults,
 		forwards:    newForwards(),
 		seeds:       newSeeds(),
-		heartbeats:  dependencies.Heartbeats,
-		hollow:      dependencies.Hollow,
 		started:     make(chan struct{}),
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
@@ -188,10 +180,8 @@
 	n.peerServer = server
 	n.keeper.SetOrigin(server.Address())
 	n.members = newMembers(n, server.Address())
-	if !n.hollow {
-		if err := n.serveHTTP(); err != nil {
-			return err
-		}
+	if err := n.serveHTTP(); err != nil {
+		return err
 	}
 	close(n.started)
 	n.limits.start()
@@ -249,19 +239,10 @@
 // PeerAddress returns where other nodes reach this one.
 func (n *Node) PeerAddress() string { return n.peerServer.Address() }
 
-// PeerTraffic returns what the node has sent to and received from peers. It
-// may be called once Start has returned.
-func (n *Node) PeerTraffic() wire.Traffic {
-	return n.peers.Traffic().Add(n.peerServer.Traffic())
-}
-
 // Members returns the node's view of its cell. It may be called once Start
 // has returned.
 func (n *Node) Members() *membership.View { return n.members.View() }
 
-// Operator returns the operators' service, as their endpoint uses it.
-func (n *Node) Operator() operator.Service { return &operatorService{n} }
-
 // Decisions returns the node's decision log.
 func (n *Node) Decisions() *explain.Log { return n.decisions }
 
@@ -301,9 +282,6 @@
 			return errors.Wrap(ctx.Err(), "calls are still under way")
 		}
 	}
-	if n.hollow {
-		return nil
-	}
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "requests are still under way")
 	}
