quota: tokens at nodes live no longer than they were lent for

Tokens in hand got a new life with each answer, as a node gets whenever a program begins there, and asked for as many ahead again; and a token given back by a request that had waited for seconds was used at once by another, long after it was counted.

Change: tokens in hand keep their end, and are taken off what is asked for ahead; a token given back goes back to the holder with the next ask.

--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -60,7 +60,7 @@
 		return
 	}
 	if decision := <-mine.decided; decision.Verdict == Granted {
-		g.share.GiveBack(time.Now())
+		g.share.GiveBack()
 	}
 }
 
@@ -68,7 +68,7 @@
 func (g *gate) giveBack() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.share.GiveBack(time.Now())
+	g.share.GiveBack()
 }
 
 // ask asks the holder until no request waits.
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -112,14 +112,9 @@
 	return Decision{Verdict: Undecided}
 }
 
-// GiveBack takes a token back whose request reached no engine.
-func (s *Share) GiveBack(now time.Time) {
-	s.expire(now)
-	if s.tokens == 0 {
-		s.expires = now.Add(lendLife)
-	}
-	s.tokens++
-}
+// GiveBack takes a token back whose request reached no engine. It goes back to the holder: used
+// here it would count at another time than it was handed out for.
+func (s *Share) GiveBack() { s.unused++ }
 
 // Ask returns what to ask the holder when so many requests wait for it, and so many that begin
 // programs. What the node had no use for is told once: if the answer is lost, it stays counted.
@@ -129,6 +124,7 @@
 	if now.Sub(s.answeredAt) > lendLife {
 		ahead = firstAhead
 	}
+	ahead = max(0, ahead-s.tokens)
 	ask := Ask{
 		Limit: limit, Needed: needed, Begins: begins, Ahead: ahead,
 		Unasked: s.unasked, Refused: s.beginsRefused, Unused: s.unused, Term: s.term,
@@ -143,9 +139,11 @@
 	if grant.Term != s.term {
 		s.tokens, s.unused = 0, 0 // of a holder that is none any more
 	}
+	if s.tokens == 0 {
+		s.expires = now.Add(lendLife) // those in hand live no longer for what comes to them
+	}
 	s.tokens += grant.Tokens
 	s.term = grant.Term
-	s.expires = now.Add(lendLife)
 	s.left, s.answeredAt = grant.Left, now
 	s.taken, s.beginsRefused = 0, 0
 	s.unasked = max(0, s.unasked-ask.Unasked)
--- /dev/null
+++ b/internal/quota/share_test.go
@@ -0,0 +1,112 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// sharedAccount is an account that a few nodes ask by their shares.
+type sharedAccount struct {
+	account *Account
+	shares  []*Share
+	limit   Limit
+	used    ran
+}
+
+func newSharedAccount(limit Limit, nodes int) *sharedAccount {
+	s := &sharedAccount{account: NewAccount(DefaultRules, limit, start.Add(-time.Minute), start), limit: limit}
+	for range nodes {
+		s.shares = append(s.shares, NewShare(DefaultRules, func() float64 { return 0.5 }))
+	}
+	return s
+}
+
+// request makes one request at a node.
+func (s *sharedAccount) request(now time.Time, node int, begins bool) Verdict {
+	share := s.shares[node]
+	decision := share.Take(now, s.limit, begins)
+	if decision.Verdict == Undecided {
+		ask := share.Ask(now, s.limit, 1, 0)
+		if begins {
+			ask = share.Ask(now, s.limit, 0, 1)
+		}
+		share.Answered(now, ask, s.account.Ask(now, ask, 1))
+		decision = share.Take(now, s.limit, begins)
+	}
+	if decision.Verdict == Granted {
+		s.used = append(s.used, now)
+	}
+	return decision.Verdict
+}
+
+// TestSharesKeepToTheLimit has nodes ask for programs that begin and for others, at random, and
+// then all at once: what they have in hand by then does not add up.
+func TestSharesKeepToTheLimit(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.Rng.Seed(3)
+	parameters.MinSuccessfulTests = 200
+	properties := gopter.NewProperties(parameters)
+	properties.Property("no window holds more than rate, burst and headroom", prop.ForAll(
+		func(rate float64, gaps, nodes, begins []int) bool {
+			limit := Limit{Rate: rate, Burst: rate, Version: 1}
+			s := newSharedAccount(limit, 12)
+			now := start
+			for i, gap := range gaps {
+				now = now.Add(time.Duration(gap) * time.Millisecond)
+				s.request(now, nodes[i%len(nodes)], begins[i%len(begins)] > 0)
+			}
+			for range 4000 { // a burst at all nodes
+				now = now.Add(time.Millisecond)
+				for node := range s.shares {
+					s.request(now, node, false)
+				}
+			}
+			return float64(s.used.most(DefaultRules.Window)) <= rate*DefaultRules.Window.Seconds()+DefaultRules.capacity(limit)+1
+		},
+		gen.Float64Range(10, 300),
+		gen.SliceOfN(300, gen.IntRange(0, 60)), gen.SliceOfN(37, gen.IntRange(0, 11)), gen.SliceOfN(41, gen.IntRange(0, 1)),
+	))
+	properties.TestingRun(t)
+}
+
+// TestTokensInHandAreNotKeptAlive shows that tokens ahead expire though the node goes on asking
+// for programs that begin, and that it does not ask for more ahead while it has some.
+func TestTokensInHandAreNotKeptAlive(t *testing.T) {
+	limit := Limit{Rate: 100, Burst: 100, Version: 1}
+	s := newSharedAccount(limit, 1)
+	share := s.shares[0]
+	s.request(start, 0, true)
+	if share.tokens == 0 {
+		t.Fatal("an ample account lends nothing ahead")
+	}
+	before := share.tokens
+	for i := range 20 {
+		s.request(start.Add(time.Duration(i+1)*20*time.Millisecond), 0, true)
+	}
+	if share.tokens > before {
+		t.Errorf("%d tokens in hand, %d after asks for programs that begin", before, share.tokens)
+	}
+	share.expire(start.Add(lendLife))
+	if share.tokens != 0 {
+		t.Errorf("%d tokens live longer than they may", share.tokens)
+	}
+}
+
+// TestATokenGivenBackIsToldToTheHolder shows that a request which waited long and reached no
+// engine does not leave a token behind that is used later than it was counted.
+func TestATokenGivenBackIsToldToTheHolder(t *testing.T) {
+	limit := Limit{Rate: 0.001, Burst: 1, Version: 1}
+	s := newSharedAccount(limit, 1)
+	share := s.shares[0]
+	for s.request(start, 0, false) == Granted {
+	}
+	later := start.Add(4 * time.Second)
+	share.GiveBack()
+	if share.tokens != 0 || share.Ask(later, limit, 1, 0).Unused != 1 {
+		t.Errorf("%d tokens in hand after one was given back", share.tokens)
+	}
+}
