--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -46,7 +46,7 @@
 const (
 	// headroom is how far an account may go above the burst: so that tokens which wait unused
 	// at other nodes refuse nobody, nor a small tenant of which a few programs run at once.
-	headroom = 0.75
+	headroom = 0.5
 	// startShare is what an account holds whose holder does not know what was counted before
 	// it. It is a debt, as the last holder may have handed out a whole burst just now.
 	startShare = -0.2
