quota: the mutation of an endless lease does not end

The mutated lease was set once, and the holder's own tries to renew it gave it an end again; whether they came in time depended on the order in which the bubble's goroutines ran.

Change: the mutation is kept up as long as the fleet runs. The assertion is the same.

Conclusion: a fault of the test's mutation, not of what it tests.

--- a/internal/quota/fleet_faults_test.go
+++ b/internal/quota/fleet_faults_test.go
@@ -135,6 +135,13 @@
 	}
 }
 
+// keepEndless keeps a node's leases from running out, whatever the node itself makes of them.
+func (f *fleet) keepEndless(n *fleetNode) {
+	for ; f.ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		n.holdings.each(func(_ int, l *lease) { l.goodTill = time.Now().Add(wholeLife) })
+	}
+}
+
 // TestMutationsBreakLimits shows that the tests above see what they are to see: a holder whose
 // lease does not run out while it stands still and the table is out of its reach, and accounts
 // that take many times the tolerance for granted.
@@ -142,9 +149,9 @@
 	limit := Limit{Rate: 40, Burst: 40, Version: 1}
 	generous := DefaultRules
 	generous.Slack *= 30
-	endless := fault{"its lease does not run out", func(_ *fleet, holder *fleetNode, now time.Time) {
-		holder.frozen, holder.noTable = now.Add(4*time.Second), now.Add(10*time.Second)
-		holder.holdings.each(func(_ int, l *lease) { l.goodTill = now.Add(wholeLife) })
+	endless := fault{"its lease does not run out", func(f *fleet, holder *fleetNode, now time.Time) {
+		holder.frozen, holder.noTable = now.Add(4*time.Second), now.Add(12*time.Second)
+		go f.keepEndless(holder)
 	}}
 	for _, mutation := range []struct {
 		name   string
