callers, serving, ingress: it shows which connection ends with a request on it, and why

Change: internal/callers follows callers' connections; one that ends although a request on it has no whole answer is counted and logged with what it was doing and why it ended. The HTTP servers' own errors are logged, one line a second at most. A panic in a handler is answered, and its line says where it arose. Ruled out: http.Server.ConnState, which calls a connection idle until a whole head has been taken in, so that the state asked about is just the one it does not show.

--- /dev/null
+++ b/internal/callers/tracker.go
@@ -0,0 +1,145 @@
+// Package callers follows the connections of callers: which are at rest, on which a request
+// is under way, and which end although a request on them has no whole answer. The server of
+// net/http tells none of this: it counts a connection as at rest until it has taken in a
+// request's whole head, and says nothing of one that it closes.
+package callers
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// State is what a connection is doing.
+type State int
+
+// States of a connection.
+const (
+	Resting  State = iota // no byte of a request has come since the last answer
+	Unread                // as Resting, but bytes have come that are not read yet
+	Arriving              // a part of a request has been read
+	Serving               // a request is being served
+)
+
+// Name returns the state's name in logs and figures.
+func (s State) Name() string {
+	return [...]string{"resting", "unread", "arriving", "serving"}[s]
+}
+
+// Cause is why a connection ended.
+type Cause string
+
+// Causes of an end.
+const (
+	CallerLeft  Cause = "caller_left"  // the caller closed or reset it, or is gone
+	TooSlow     Cause = "too_slow"     // a head took longer than it may
+	BrokenOff   Cause = "broken_off"   // the answer could not be ended whole
+	ProcessEnds Cause = "process_ends" // this process closed it, since it stops
+)
+
+// End tells of a connection that ended although a request on it had no whole answer.
+type End struct {
+	State    State
+	Cause    Cause
+	Served   int           // requests that were answered whole on it before
+	Age      time.Duration // of the connection
+	SinceIn  time.Duration // since a byte of the request was last read
+	Stopping bool          // the process was stopping
+}
+
+// Tracker follows connections. Safe for concurrent use.
+type Tracker struct {
+	unanswered func(End)
+
+	mutex       sync.Mutex
+	connections map[*connection]struct{}
+	stopping    bool
+}
+
+// NewTracker returns a tracker that tells of each connection that ended without a whole
+// answer. unanswered must not block.
+func NewTracker(unanswered func(End)) *Tracker {
+	return &Tracker{unanswered: unanswered, connections: make(map[*connection]struct{})}
+}
+
+// Listen returns a listener whose connections are followed.
+func (t *Tracker) Listen(listener net.Listener) net.Listener {
+	return &followedListener{Listener: listener, tracker: t}
+}
+
+// followedListener is a listener whose connections are followed.
+type followedListener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept implements net.Listener.
+func (l *followedListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.tracker.follow(accepted), nil
+}
+
+func (t *Tracker) follow(accepted net.Conn) *connection {
+	now := time.Now()
+	c := &connection{Conn: accepted, tracker: t, openedAt: now, readAt: now}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.connections[c] = struct{}{}
+	return c
+}
+
+func (t *Tracker) forget(c *connection) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.connections, c)
+}
+
+// Stop notes that the process has begun to stop.
+func (t *Tracker) Stop() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.stopping = true
+}
+
+func (t *Tracker) isStopping() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.stopping
+}
+
+// Open returns how many connections there are.
+func (t *Tracker) Open() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.connections)
+}
+
+// contextKey is under what a request's context holds its connection.
+type contextKey struct{}
+
+// Context has the context of a connection's requests know the connection. It is
+// http.Server.ConnContext.
+func (t *Tracker) Context(ctx context.Context, served net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, served)
+}
+
+// Handler notes when requests of followed connections begin and end.
+func (t *Tracker) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		c, followed := request.Context().Value(contextKey{}).(*connection)
+		if !followed {
+			next.ServeHTTP(writer, request)
+			return
+		}
+		c.begin()
+		whole := false
+		defer func() { c.end(whole) }()
+		next.ServeHTTP(writer, request)
+		whole = true
+	})
+}
--- /dev/null
+++ b/internal/callers/tracker_test.go
@@ -0,0 +1,132 @@
+package callers_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/callers"
+)
+
+// wait bounds each wait for a condition.
+const wait = 10 * time.Second
+
+// served is a server whose connections are followed.
+type served struct {
+	t       *testing.T
+	tracker *callers.Tracker
+	server  *http.Server
+	address string
+	ends    chan callers.End
+}
+
+// serve has a handler serve followed connections.
+func serve(t *testing.T, handler http.HandlerFunc) *served {
+	t.Helper()
+	s := &served{t: t, ends: make(chan callers.End, 16)}
+	s.tracker = callers.NewTracker(func(end callers.End) { s.ends <- end })
+	s.server = &http.Server{Handler: s.tracker.Handler(handler), ConnContext: s.tracker.Context, ReadHeaderTimeout: time.Second}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = listener.Addr().String()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.server.Serve(s.tracker.Listen(listener))
+	}()
+	t.Cleanup(func() {
+		s.server.Close()
+		<-done
+	})
+	return s
+}
+
+// dial opens a connection.
+func (s *served) dial() net.Conn {
+	s.t.Helper()
+	connection, err := net.Dial("tcp4", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { connection.Close() })
+	return connection
+}
+
+// send sends text on a connection.
+func (s *served) send(connection net.Conn, text string) {
+	s.t.Helper()
+	if _, err := connection.Write([]byte(text)); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// answer reads one whole answer.
+func (s *served) answer(connection net.Conn) {
+	s.t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	response.Body.Close()
+}
+
+// ended returns the next connection that ended without a whole answer.
+func (s *served) ended() callers.End {
+	s.t.Helper()
+	select {
+	case end := <-s.ends:
+		return end
+	case <-time.After(wait):
+		s.t.Fatal("nothing is told of the connection")
+	}
+	return callers.End{}
+}
+
+const request = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n"
+
+// TestConnectionsWithoutAnAnswerAreTold ends connections in each state, and looks at what is told.
+func TestConnectionsWithoutAnAnswerAreTold(t *testing.T) {
+	for name, play := range map[string]struct {
+		end   func(s *served)
+		state callers.State
+		cause callers.Cause
+	}{
+		"answer broken off": {func(s *served) { s.send(s.dial(), request) }, callers.Serving, callers.BrokenOff},
+		"part of a head":    {func(s *served) { s.send(s.dial(), "GET / HT") }, callers.Arriving, callers.TooSlow},
+		"caller left": {func(s *served) {
+			connection := s.dial()
+			s.send(connection, "GET / HT")
+			connection.Close()
+		}, callers.Arriving, callers.CallerLeft},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+			play.end(s)
+			if got := s.ended(); got.State != play.state || got.Cause != play.cause {
+				t.Fatalf("told %+v", got)
+			}
+		})
+	}
+}
+
+// TestWholeAnswersAreNotTold ends a connection at rest.
+func TestWholeAnswersAreNotTold(t *testing.T) {
+	s := serve(t, func(http.ResponseWriter, *http.Request) {})
+	connection := s.dial()
+	s.send(connection, request)
+	s.answer(connection)
+	s.tracker.Stop()
+	if err := s.server.Shutdown(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case end := <-s.ends:
+		t.Fatalf("told %+v", end)
+	default:
+	}
+}
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
@@ -62,8 +64,12 @@
 	Took    time.Duration
 }
 
-// end reports the request, and cuts the connection if the answer was broken off.
+// end reports the request, and cuts the connection if the answer was broken off. Deferred, it
+// turns a panic of the handler into an answer, if none has begun.
 func (r *request) end() {
+	if fault := recover(); fault != nil {
+		r.panicked(fault)
+	}
 	r.report.Call = r.call
 	r.report.Service = r.service
 	r.report.EnginesVersion = r.view.Versions[discovery.Engines]
@@ -79,6 +85,23 @@
 	}
 }
 
+// maxPanicDetail is how much a line says of a panic and of where it arose.
+const maxPanicDetail = 1200 // bytes
+
+// panicked answers a request whose handler ended by a panic. An engine may have run it.
+func (r *request) panicked(fault any) {
+	detail := fmt.Sprintf("panic: %v\n%s", fault, debug.Stack())
+	problem := api.Errorf(api.Internal, "the request's handler failed")
+	problem.Execution = api.Unknown
+	if r.started {
+		r.breakOff(problem.Detail)
+	} else {
+		r.refuse(problem)
+	}
+	r.report.Code = api.Internal
+	r.report.Detail = detail[:min(len(detail), maxPanicDetail)]
+}
+
 // firstByte notes when the answer began.
 func (r *request) firstByte() {
 	if r.report.Waits.FirstByte == 0 {
--- a/internal/serving/deployment_test.go
+++ b/internal/serving/deployment_test.go
@@ -43,17 +43,22 @@
 	across       bool              // see serving.Settings.CommitsAcross
 	linkMegabits float64           // see serving.Settings
 	forwarded    atomic.Int64      // times that headers were made for an engine
+	panics       atomic.Bool       // making them fails by a panic
 }
 
 // countingProtocol is the platform's protocol, and counts how often headers are made for engines.
 type countingProtocol struct {
 	platform.Protocol
 	forwarded *atomic.Int64
+	panics    *atomic.Bool
 }
 
 // Forward implements ingress.Protocol.
 func (p countingProtocol) Forward(header http.Header, hop ingress.Hop) {
 	p.forwarded.Add(1)
+	if p.panics.Load() {
+		panic("no headers today")
+	}
 	p.Protocol.Forward(header, hop)
 }
 
@@ -168,7 +173,7 @@
 		Node: node, Topology: topology.New(cmp.Or(d.zone, "zone-a"), d.regions), IngressAddress: anyPort, ReadyAddress: anyPort, GracePeriod: 8 * time.Second,
 		PeerAddress: peers, PeersListen: d.peersListen, KeysExpire: d.keysExpire, CarryFrom: d.carryFrom, CommitsAcross: d.across, RegionLinkMegabits: d.linkMegabits,
 	}, serving.Dependencies{
-		Table: store, Feed: store, Records: platform.NewRecords, Protocol: countingProtocol{forwarded: &d.forwarded}, ReadyPath: platform.ReadyPath(),
+		Table: store, Feed: store, Records: platform.NewRecords, Protocol: countingProtocol{forwarded: &d.forwarded, panics: &d.panics}, ReadyPath: platform.ReadyPath(),
 		Run: "run-of-" + node, Logger: eventlog.NewLogger(writer, slog.LevelDebug), Metrics: d.metrics,
 	})
 	if err := d.process.Start(context.Background()); err != nil {
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -67,6 +67,7 @@
 	ways         *prometheus.CounterVec
 	carriersLost *prometheus.CounterVec
 	connections  *prometheus.CounterVec
+	unanswered   *prometheus.CounterVec
 }
 
 // boundedLabels are the values of a label: as many as may be have figures of their own, and
@@ -130,7 +131,8 @@
 	m.ways = counters("pewtermill_serve_ways_total", "Sends to engines, by the way that they took.", "way")
 	m.carriersLost = counters("pewtermill_serve_carriers_lost_total", "Times that a process that carried requests for this one stopped answering.")
 	m.connections = counters("pewtermill_serve_engine_connections_total", "New connections to engines.")
-	m.registry.MustRegister(m.admissions, m.ejections, m.zones, m.ways, m.carriersLost, m.connections)
+	m.unanswered = counters("pewtermill_serve_unanswered_total", "Callers' connections that ended although a request on them had no whole answer, by what they were doing and why they ended.", "state", "cause")
+	m.registry.MustRegister(m.admissions, m.ejections, m.zones, m.ways, m.carriersLost, m.connections, m.unanswered)
 	return m
 }
 
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"log"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -17,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/callers"
 	"github.com/pewtermill/pewtermill/internal/carry"
 	"github.com/pewtermill/pewtermill/internal/coldstart"
 	"github.com/pewtermill/pewtermill/internal/commitgroup"
@@ -137,6 +139,8 @@
 	crossings    crossings
 	handler      *ingress.Handler
 	listeners    listeners
+	callers      *callers.Tracker // follows callers' connections
+	serverErrors boundedLines     // of the HTTP servers
 	ingress      *http.Server
 	ready        *http.Server
 	figures      *http.Server // nil if none are served
@@ -148,6 +152,7 @@
 // New returns a process that has not started.
 func New(settings Settings, dependencies Dependencies) *Process {
 	p := &Process{settings: settings, dependencies: dependencies, logger: dependencies.Logger, orders: make(map[string]notedOrder)}
+	p.serverErrors.write = func(line string) { p.logger.Warn("server", "error", line) }
 	p.metrics = dependencies.Metrics
 	if p.metrics == nil {
 		p.metrics = NewMetrics()
@@ -246,11 +251,13 @@
 		return err
 	}
 	ctx, p.cancel = context.WithCancel(ctx)
-	p.ingress = newServer(p.handler)
-	p.ready = newServer(p.readyHandler())
+	p.callers = callers.NewTracker(p.unanswered)
+	p.ingress = p.newServer(p.callers.Handler(p.handler))
+	p.ingress.ConnContext = p.callers.Context
+	p.ready = p.newServer(p.readyHandler())
 	p.loops.Go(func() { p.follower.Run(ctx, discovery.Configurations) })
 	p.loops.Go(func() { p.follower.Run(ctx, discovery.Engines) })
-	p.loops.Go(func() { _ = p.ingress.Serve(p.listeners.ingress) })
+	p.loops.Go(func() { _ = p.ingress.Serve(p.callers.Listen(p.listeners.ingress)) })
 	p.loops.Go(func() { _ = p.ready.Serve(p.listeners.ready) })
 	p.loops.Go(func() { p.sweep(ctx) })
 	p.loops.Go(func() { p.reportCalls(ctx) })
@@ -298,17 +305,17 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics.Handler())
-	p.figures = newServer(mux)
+	p.figures = p.newServer(mux)
 	p.loops.Go(func() { _ = p.figures.Serve(listener) })
 }
 
-func newServer(handler http.Handler) *http.Server {
+func (p *Process) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+		ErrorLog:          log.New(&p.serverErrors, "", 0),
 	}
 }
 
@@ -354,6 +361,7 @@
 func (p *Process) Stop(ctx context.Context) {
 	start := time.Now()
 	p.stopping.Store(true)
+	p.callers.Stop()
 	p.handler.Drain()
 	p.covering.Leave()
 	p.carrying.Leave()
