--- /dev/null
+++ b/internal/serving/open_connections_test.go
@@ -0,0 +1,157 @@
+package serving_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Seen: while processes were stopped in turn, 10 to 20 requests of a day ended by a closed
+// connection, without an answer and without a line in any log. They had just come, on
+// connections that were open.
+//
+// How: 2.5 s after the order to stop the process closed callers' connections that were at rest.
+// A caller may use one that has rested for much longer, and was told of the stop only if it got
+// an answer meanwhile. And a request whose head was read to its end from then on was thrown away:
+// net/http closes its connection without a word once it shuts down.
+//
+// Shown by: a count of how each connection ended. All that ended with a request on them ended within
+// .2 ms after its bytes were read, in a process that was stopping, none on days without stops.
+
+// openConnection is a caller's connection.
+type openConnection struct {
+	net.Conn
+	reader *bufio.Reader
+	unsent string    // of the request's head
+	until  time.Time // when its caller does not use it any more; zero for never
+}
+
+// dialCaller opens a connection.
+func (d *deployment) dialCaller() *openConnection {
+	d.t.Helper()
+	dialled, err := net.Dial("tcp4", d.address)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { dialled.Close() })
+	return &openConnection{Conn: dialled, reader: bufio.NewReader(dialled)}
+}
+
+// safeRequest is the head of a request, in two parts.
+func safeRequest(id string) (first, rest string) {
+	return "GET /safe/ HTTP/1.1\r\nHost: site.example\r\n", "X-Request-Id: " + id + "\r\n\r\n"
+}
+
+// answered reads one answer, and returns its status; 0 if there is no whole one.
+func (c *openConnection) answered(t *testing.T) int {
+	t.Helper()
+	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	c.until = promisedUntil(response.Header)
+	return response.StatusCode
+}
+
+// promisedUntil returns until when a connection may be used again by an answer's Keep-Alive.
+func promisedUntil(header http.Header) time.Time {
+	_, seconds, found := strings.Cut(header.Get("Keep-Alive"), "timeout=")
+	whole, err := strconv.Atoi(seconds)
+	if !found || err != nil {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(whole) * time.Second)
+}
+
+// TestStopAnswersRequestsOnOpenConnections stops a process while callers go on using the
+// connections that they have, until the process is gone.
+func TestStopAnswersRequestsOnOpenConnections(t *testing.T) {
+	arriving := func(d *deployment, caller *openConnection, number int) {
+		first, rest := safeRequest(fmt.Sprintf("r%d", number))
+		caller.write(d.t, first)
+		caller.unsent = rest
+	}
+	for name, prepare := range map[string]func(d *deployment, caller *openConnection, number int){
+		"a part of a head has come": arriving,
+		"every other one rests": func(d *deployment, caller *openConnection, number int) {
+			if number%2 != 0 {
+				arriving(d, caller, number)
+				return
+			}
+			first, rest := safeRequest(fmt.Sprintf("r%d", number))
+			d.request(caller, first+rest)
+			first, rest = safeRequest(fmt.Sprintf("r%d-again", number))
+			caller.unsent = first + rest
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			stopUnderCallers(t, prepare)
+		})
+	}
+}
+
+// stopUnderCallers stops a process, and meanwhile uses one connection after the other.
+func stopUnderCallers(t *testing.T, prepare func(d *deployment, caller *openConnection, number int)) {
+	const connections, pause = 36, 150 * time.Millisecond
+	d := serve(t)
+	var open []*openConnection
+	for number := range connections {
+		caller := d.dialCaller()
+		prepare(d, caller, number)
+		open = append(open, caller)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.process.Stop(context.Background())
+	}()
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	for number, caller := range open {
+		select {
+		case <-stopped:
+			return
+		case <-ticker.C:
+		}
+		if !caller.until.IsZero() && time.Now().After(caller.until) {
+			continue
+		}
+		caller.write(t, caller.unsent)
+		if status := caller.answered(t); status != http.StatusOK && status != http.StatusServiceUnavailable {
+			t.Fatalf("a request on connection %d got status %d in a planned stop, want an answer", number, status)
+		}
+	}
+	<-stopped
+}
+
+// write sends a part of a request.
+func (c *openConnection) write(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatalf("a connection was closed before the process was gone: %v", err)
+	}
+}
+
+// request has a caller send a request and get its answer.
+func (d *deployment) request(caller *openConnection, text string) {
+	d.t.Helper()
+	caller.write(d.t, text)
+	if status := caller.answered(d.t); status != http.StatusOK {
+		d.t.Fatalf("got status %d before the stop", status)
+	}
+}
