callers, serving, commitgroup: a planned stop drops no request on open connections

Cause: the end of a planned stop closed callers' connections by http.Server.Shutdown, which closes what rests at once, though callers may use it, and throws away each request that it reads from then on. Change: answers say for how long a connection may rest; a stop closes connections only once no caller may use them, and others after their answer. A connection that waited when the listener ends is accepted. A stopping process declines to write for its peers from the signal on. Answers cut since their record is late are left.

--- /dev/null
+++ b/internal/callers/drain.go
@@ -0,0 +1,61 @@
+package callers
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Times of a planned stop.
+const (
+	// restMargin is kept beyond the time for which callers may use a connection at rest: a request
+	// may be sent at its very end, and is on its way for a while.
+	restMargin = 500 * time.Millisecond
+	// arrivalTime is how long a request may take to come in whole that began when its connection
+	// was to be closed.
+	arrivalTime = time.Second
+	// drainPeriod is how often connections are looked at.
+	drainPeriod = 20 * time.Millisecond
+)
+
+// ErrConnectionsLeft says that callers' connections had not ended in time.
+var ErrConnectionsLeft = errors.New("callers' connections are left")
+
+// Drain ends connections that no caller may use any more, until there are none: a connection
+// that rests is closed only once its caller may not use it any more, and any other one after its
+// request is answered. No connection may be accepted any more. With ErrConnectionsLeft ctx ended before.
+//
+// It stands in for http.Server.Shutdown, which closes connections at rest at once, and from then on
+// reads requests without answering them: 10 to 20 requests of a day on which all processes were
+// stopped three times.
+func (t *Tracker) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPeriod)
+	defer ticker.Stop()
+	for {
+		open := t.all()
+		if len(open) == 0 {
+			return nil
+		}
+		now := time.Now()
+		for _, c := range open {
+			c.closeIfRested(t.options.KeptFor+restMargin, now)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ErrConnectionsLeft, "%d of them", len(open))
+		}
+	}
+}
+
+// all returns the connections that are open.
+func (t *Tracker) all() []*connection {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	open := make([]*connection, 0, len(t.connections))
+	for c := range t.connections {
+		open = append(open, c)
+	}
+	return open
+}
--- a/internal/callers/tracker.go
+++ b/internal/callers/tracker.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -49,44 +50,39 @@
 	Stopping bool          // the process was stopping
 }
 
+// Options are what a Tracker needs.
+type Options struct {
+	// Unanswered is told of each connection that ended although a request on it had no whole
+	// answer. It must not block.
+	Unanswered func(End)
+	// KeptFor is for how long callers are told that they may use a connection that rests; whole
+	// seconds.
+	KeptFor time.Duration
+}
+
 // Tracker follows connections. Safe for concurrent use.
 type Tracker struct {
-	unanswered func(End)
+	options   Options
+	keepAlive string // header of answers
 
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
+	listeners   []*followedListener
 	stopping    bool
 }
 
-// NewTracker returns a tracker that tells of each connection that ended without a whole
-// answer. unanswered must not block.
-func NewTracker(unanswered func(End)) *Tracker {
-	return &Tracker{unanswered: unanswered, connections: make(map[*connection]struct{})}
-}
-
-// Listen returns a listener whose connections are followed.
-func (t *Tracker) Listen(listener net.Listener) net.Listener {
-	return &followedListener{Listener: listener, tracker: t}
-}
-
-// followedListener is a listener whose connections are followed.
-type followedListener struct {
-	net.Listener
-	tracker *Tracker
-}
-
-// Accept implements net.Listener.
-func (l *followedListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+// NewTracker returns a tracker that follows nothing yet.
+func NewTracker(options Options) *Tracker {
+	return &Tracker{
+		options:     options,
+		keepAlive:   fmt.Sprintf("timeout=%d", int(options.KeptFor.Seconds())),
+		connections: make(map[*connection]struct{}),
 	}
-	return l.tracker.follow(accepted), nil
 }
 
 func (t *Tracker) follow(accepted net.Conn) *connection {
 	now := time.Now()
-	c := &connection{Conn: accepted, tracker: t, openedAt: now, readAt: now}
+	c := &connection{Conn: accepted, tracker: t, openedAt: now, readAt: now, restsSince: now}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.connections[c] = struct{}{}
@@ -128,7 +124,8 @@
 	return context.WithValue(ctx, contextKey{}, served)
 }
 
-// Handler notes when requests of followed connections begin and end.
+// Handler notes when requests of followed connections begin and end, and tells callers for how
+// long they may use a connection that rests.
 func (t *Tracker) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		c, followed := request.Context().Value(contextKey{}).(*connection)
@@ -137,6 +134,9 @@
 			return
 		}
 		c.begin()
+		if !t.isStopping() {
+			writer.Header().Set("Keep-Alive", t.keepAlive)
+		}
 		whole := false
 		defer func() { c.end(whole) }()
 		next.ServeHTTP(writer, request)
--- a/internal/callers/tracker_test.go
+++ b/internal/callers/tracker_test.go
@@ -27,17 +27,21 @@
 func serve(t *testing.T, handler http.HandlerFunc) *served {
 	t.Helper()
 	s := &served{t: t, ends: make(chan callers.End, 16)}
-	s.tracker = callers.NewTracker(func(end callers.End) { s.ends <- end })
+	s.tracker = callers.NewTracker(callers.Options{Unanswered: func(end callers.End) { s.ends <- end }, KeptFor: time.Second})
 	s.server = &http.Server{Handler: s.tracker.Handler(handler), ConnContext: s.tracker.Context, ReadHeaderTimeout: time.Second}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.address = listener.Addr().String()
+	followed, err := s.tracker.Listen(listener)
+	if err != nil {
+		t.Fatal(err)
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = s.server.Serve(s.tracker.Listen(listener))
+		_ = s.server.Serve(followed)
 	}()
 	t.Cleanup(func() {
 		s.server.Close()
@@ -87,6 +91,16 @@
 	return callers.End{}
 }
 
+// drain stops the server as planned.
+func (s *served) drain() {
+	s.t.Helper()
+	s.tracker.Stop()
+	s.tracker.StopAccepting()
+	if err := s.tracker.Drain(context.Background()); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 const request = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n"
 
 // TestConnectionsWithoutAnAnswerAreTold ends connections in each state, and looks at what is told.
@@ -120,10 +134,7 @@
 	connection := s.dial()
 	s.send(connection, request)
 	s.answer(connection)
-	s.tracker.Stop()
-	if err := s.server.Shutdown(context.Background()); err != nil {
-		t.Fatal(err)
-	}
+	s.drain()
 	select {
 	case end := <-s.ends:
 		t.Fatalf("told %+v", end)
--- a/internal/commitgroup/group_test.go
+++ b/internal/commitgroup/group_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
@@ -333,6 +334,26 @@
 	})
 }
 
+// TestStoppingWriterDeclines has a writer stop while it has a peer's transaction: it ends that one,
+// and takes no further one, so that its peers turn elsewhere before it is gone.
+func TestStoppingWriterDeclines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newFaultyTable(1, 0)
+		writer := NewTable(Options{Table: service, Lost: func() bool { return false }, Observer: silentObserver{}})
+		taken := make(chan *wirepb.Reply, 1)
+		go func() { taken <- writer.Answer(t.Context(), "peer", encode(row(1, "a", 0), time.Second), func() {}) }()
+		synctest.Wait()
+		writer.Leave()
+		reply := writer.Answer(t.Context(), "peer", encode(row(2, "b", 0), time.Second), func() {})
+		if reply.GetCode() != int32(api.NotReady) || reply.GetExecution() != string(api.NotRun) {
+			t.Errorf("a stopping writer answered %v", reply)
+		}
+		if reply := <-taken; reply.GetCode() != 0 {
+			t.Errorf("what it had was answered with %v", reply)
+		}
+	})
+}
+
 func marshal(t *testing.T, outcome *wirepb.GroupedOutcome) []byte {
 	t.Helper()
 	body, err := proto.Marshal(outcome)
--- a/internal/commitgroup/table.go
+++ b/internal/commitgroup/table.go
@@ -82,6 +82,7 @@
 	options          Options
 	group            *Group
 	peers            atomic.Pointer[peers]
+	leaving          atomic.Bool
 
 	asked    atomic.Uint64
 	silent   atomic.Uint64
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/callers"
@@ -153,6 +152,7 @@
 func New(settings Settings, dependencies Dependencies) *Process {
 	p := &Process{settings: settings, dependencies: dependencies, logger: dependencies.Logger, orders: make(map[string]notedOrder)}
 	p.serverErrors.write = func(line string) { p.logger.Warn("server", "error", line) }
+	p.callers = callers.NewTracker(callers.Options{Unanswered: p.unanswered, KeptFor: restTime})
 	p.metrics = dependencies.Metrics
 	if p.metrics == nil {
 		p.metrics = NewMetrics()
@@ -251,13 +251,17 @@
 		return err
 	}
 	ctx, p.cancel = context.WithCancel(ctx)
-	p.callers = callers.NewTracker(p.unanswered)
+	followed, err := p.callers.Listen(p.listeners.ingress)
+	if err != nil {
+		p.listeners.close()
+		return err
+	}
 	p.ingress = p.newServer(p.callers.Handler(p.handler))
 	p.ingress.ConnContext = p.callers.Context
 	p.ready = p.newServer(p.readyHandler())
 	p.loops.Go(func() { p.follower.Run(ctx, discovery.Configurations) })
 	p.loops.Go(func() { p.follower.Run(ctx, discovery.Engines) })
-	p.loops.Go(func() { _ = p.ingress.Serve(p.callers.Listen(p.listeners.ingress)) })
+	p.loops.Go(func() { _ = p.ingress.Serve(followed) })
 	p.loops.Go(func() { _ = p.ready.Serve(p.listeners.ready) })
 	p.loops.Go(func() { p.sweep(ctx) })
 	p.loops.Go(func() { p.reportCalls(ctx) })
@@ -344,55 +348,3 @@
 	limit := p.settings.KeysExpire
 	return limit <= 0 || time.Since(p.follower.HeardAt(discovery.Configurations)) <= limit
 }
-
-// Times of a planned stop.
-const (
-	// noticeTime is how long new connections still come after the process
-	// says that it is not ready: two questions, a second apart, and some delay.
-	noticeTime = 2500 * time.Millisecond
-	// stopMargin is left of the grace period for what comes after the last answer.
-	stopMargin = 700 * time.Millisecond
-	// flushTime is the most that giving budgets back may take.
-	flushTime = 500 * time.Millisecond
-)
-
-// Stop ends the process as planned: it says that it is not ready, serves on
-// until no more connections come, then waits for the requests under way.
-func (p *Process) Stop(ctx context.Context) {
-	start := time.Now()
-	p.stopping.Store(true)
-	p.callers.Stop()
-	p.handler.Drain()
-	p.covering.Leave()
-	p.carrying.Leave()
-	p.giveShardsUp(ctx)
-	p.logger.Info("stopping", "grace", p.settings.GracePeriod.String())
-	backoff.Wait(ctx, noticeTime)
-	limit := max(time.Second, p.settings.GracePeriod-stopMargin-time.Since(start))
-	drainContext, cancel := context.WithTimeout(ctx, limit)
-	err := errors.CombineErrors(p.ingress.Shutdown(drainContext), p.carrying.Drain(drainContext))
-	cancel()
-	flushContext, cancel := context.WithTimeout(ctx, flushTime)
-	p.ledger.Flush(flushContext)
-	p.flushPeers(flushContext)
-	cancel()
-	p.Close()
-	p.logger.Info("stopped", "took", time.Since(start).String(), "cut", err != nil)
-}
-
-// Close ends the process at once.
-func (p *Process) Close() {
-	if p.cancel == nil {
-		return
-	}
-	p.cancel()
-	p.relay.Close()
-	p.ingress.Close()
-	p.ready.Close()
-	p.listeners.close()
-	if p.figures != nil {
-		p.figures.Close()
-	}
-	p.loops.Wait()
-	p.pool.Close()
-}
--- /dev/null
+++ b/internal/serving/stop.go
@@ -0,0 +1,67 @@
+package serving
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/backoff"
+)
+
+// Times of a planned stop.
+const (
+	// noticeTime is how long new connections still come after the process
+	// says that it is not ready: two questions, a second apart, and some delay.
+	noticeTime = 2500 * time.Millisecond
+	// restTime is for how long a caller may use a connection that rests. It is over for those that
+	// hear nothing of the stop when no more connections come.
+	restTime = 2 * time.Second
+	// stopMargin is left of the grace period for what comes after the last answer.
+	stopMargin = 700 * time.Millisecond
+	// flushTime is the most that giving budgets back may take.
+	flushTime = 500 * time.Millisecond
+)
+
+// Stop ends the process as planned: it says that it is not ready, serves on
+// until no more connections come, then waits for the requests under way.
+func (p *Process) Stop(ctx context.Context) {
+	start := time.Now()
+	p.stopping.Store(true)
+	p.callers.Stop()
+	p.handler.Drain()
+	p.covering.Leave()
+	p.carrying.Leave()
+	p.commits.Leave()
+	p.giveShardsUp(ctx)
+	p.logger.Info("stopping", "grace", p.settings.GracePeriod.String())
+	backoff.Wait(ctx, noticeTime)
+	limit := max(time.Second, p.settings.GracePeriod-stopMargin-time.Since(start))
+	drainContext, cancel := context.WithTimeout(ctx, limit)
+	p.callers.StopAccepting()
+	err := errors.CombineErrors(p.callers.Drain(drainContext), p.carrying.Drain(drainContext))
+	cancel()
+	flushContext, cancel := context.WithTimeout(ctx, flushTime)
+	p.ledger.Flush(flushContext)
+	p.flushPeers(flushContext)
+	cancel()
+	p.Close()
+	p.logger.Info("stopped", "took", time.Since(start).String(), "cut", err != nil)
+}
+
+// Close ends the process at once.
+func (p *Process) Close() {
+	if p.cancel == nil {
+		return
+	}
+	p.cancel()
+	p.relay.Close()
+	p.ingress.Close()
+	p.ready.Close()
+	p.listeners.close()
+	if p.figures != nil {
+		p.figures.Close()
+	}
+	p.loops.Wait()
+	p.pool.Close()
+}
