callers, ingress, serving: the configuration's limits hold; refusals of long bodies arrive

Cause: header bytes, the time of a head and of a rest were decoded and read by nobody. A refusal made before the body was read ended the connection behind it once the body was longer than a quarter of a megabyte, and was lost to a reset. Change: internal/callers sets deadlines by the limits in force, also for connections that are open; a smaller rest closes none before its caller was told. Heads over the limit are refused. Bodies of refused requests are read, bounded in size and time. Ruled out: the server's own settings, which hold for a server's whole life. Conclusion: a route that a change takes away answers callers with long bodies, too.

--- a/internal/callers/connection.go
+++ b/internal/callers/connection.go
@@ -9,7 +9,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// connection is a caller's connection that is followed.
+// connection is a caller's connection that is followed. What it does with deadlines for reads: the
+// server's own are replaced by those of the limits in force, but for those in the past, by which
+// it ends a read.
 type connection struct {
 	net.Conn
 	tracker  *Tracker
@@ -18,10 +20,12 @@
 	mutex      sync.Mutex
 	state      State
 	served     int
-	readAt     time.Time // when a byte was last read, or the connection was opened
-	restsSince time.Time // if it rests
-	closing    bool      // it rested for long enough, and its next read ends it
-	cause      Cause     // empty until something that ends it has shown
+	readAt     time.Time     // when a byte was last read, or the connection was opened
+	arrivesAt  time.Time     // when a request began to arrive, if one does
+	restsSince time.Time     // if it rests
+	keptFor    time.Duration // for which its caller was told that it may use it at rest
+	closing    bool          // it rested for long enough, and its next read ends it
+	cause      Cause         // empty until something that ends it has shown
 	ended      bool
 }
 
@@ -35,8 +39,8 @@
 	}
 }
 
-// noteRead takes notice of a read. It reports whether to read again: the read ended since the
-// connection was to be closed, and a request has come in that very moment.
+// noteRead takes notice of a read. It reports whether to read again: the connection rested for long
+// enough, and a request has come in that very moment.
 func (c *connection) noteRead(count int, err error) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -46,7 +50,7 @@
 	if err == nil || c.ended || c.cause != "" {
 		return false
 	}
-	if c.closing && errors.Is(err, os.ErrDeadlineExceeded) && hasUnread(c.Conn) {
+	if c.state == Resting && errors.Is(err, os.ErrDeadlineExceeded) && hasUnread(c.Conn) {
 		c.stayOpen()
 		return true
 	}
@@ -57,26 +61,65 @@
 // noteBytes takes notice of bytes of a request. The mutex is held.
 func (c *connection) noteBytes() {
 	c.readAt = time.Now()
-	if c.state == Resting {
-		c.state = Arriving
-	}
-	if c.closing {
-		c.stayOpen()
+	if c.state != Resting {
+		return
 	}
+	c.state = Arriving
+	c.arrivesAt = c.readAt
+	c.stayOpen()
 }
 
-// stayOpen takes back that the connection is to be closed. The mutex is held.
+// stayOpen takes back that the connection is to be closed, and gives its caller the time that a
+// request's head may take. The mutex is held.
 func (c *connection) stayOpen() {
 	c.closing = false
-	_ = c.Conn.SetReadDeadline(time.Now().Add(arrivalTime)) // a connection that is gone shows at the read
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.tracker.limits().Head)) // one that is gone shows at the read
+}
+
+// SetReadDeadline implements net.Conn for the server.
+func (c *connection) SetReadDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.state == Serving || deadline.IsZero() || !deadline.After(time.Now()) {
+		return c.Conn.SetReadDeadline(deadline)
+	}
+	if c.state == Arriving {
+		return c.Conn.SetReadDeadline(c.arrivesAt.Add(c.tracker.limits().Head))
+	}
+	if c.closing {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(c.restsSince.Add(c.mayRest()))
+}
+
+// mayRest returns for how long the connection may rest: as the limits say, and not less than its
+// caller was told, so that no request is cut that its caller was allowed to send. The mutex is held.
+func (c *connection) mayRest() time.Duration {
+	return max(c.tracker.limits().Rest, c.keptFor+restMargin)
+}
+
+// limitRest has the connection keep to the limits in force if it rests.
+func (c *connection) limitRest() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.state == Resting && !c.closing {
+		_ = c.Conn.SetReadDeadline(c.restsSince.Add(c.mayRest())) // one that is gone shows at the read
+	}
+}
+
+// promise notes for how long the caller is told that it may use the connection at rest.
+func (c *connection) promise(keptFor time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.keptFor = keptFor
 }
 
-// closeIfRested has the connection closed if it rests, and has done so for long enough. The
+// closeIfUnused has the connection closed if it rests, and its caller may not use it any more. The
 // server's own way, to close it from beside its reader, would throw away what has just come.
-func (c *connection) closeIfRested(limit time.Duration, now time.Time) {
+func (c *connection) closeIfUnused(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.state != Resting || c.closing || now.Sub(c.restsSince) < limit {
+	if c.state != Resting || c.closing || now.Sub(c.restsSince) < c.keptFor+restMargin {
 		return
 	}
 	c.closing = true
@@ -100,6 +143,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.state = Serving
+	_ = c.Conn.SetReadDeadline(time.Time{}) // the limit of a head does not bound its body
 }
 
 // end notes that a request's handler has returned.
--- a/internal/callers/drain.go
+++ b/internal/callers/drain.go
@@ -12,9 +12,6 @@
 	// restMargin is kept beyond the time for which callers may use a connection at rest: a request
 	// may be sent at its very end, and is on its way for a while.
 	restMargin = 500 * time.Millisecond
-	// arrivalTime is how long a request may take to come in whole that began when its connection
-	// was to be closed.
-	arrivalTime = time.Second
 	// drainPeriod is how often connections are looked at.
 	drainPeriod = 20 * time.Millisecond
 )
@@ -39,7 +36,7 @@
 		}
 		now := time.Now()
 		for _, c := range open {
-			c.closeIfRested(t.options.KeptFor+restMargin, now)
+			c.closeIfUnused(now)
 		}
 		select {
 		case <-ticker.C:
--- a/internal/callers/tracker.go
+++ b/internal/callers/tracker.go
@@ -55,15 +55,40 @@
 	// Unanswered is told of each connection that ended although a request on it had no whole
 	// answer. It must not block.
 	Unanswered func(End)
-	// KeptFor is for how long callers are told that they may use a connection that rests; whole
-	// seconds.
+	// KeptFor is for how long callers are told that they may use a connection that rests, at
+	// most; whole seconds.
 	KeptFor time.Duration
+	// Limits returns the limits in force. A zero Limits means DefaultLimits.
+	Limits func() Limits
+}
+
+// Limits bound callers' connections.
+type Limits struct {
+	Head time.Duration // that a request's head may take to come in
+	Rest time.Duration // that a connection may rest
+}
+
+// DefaultLimits hold where the configuration names none.
+var DefaultLimits = Limits{Head: 5 * time.Second, Rest: 60 * time.Second}
+
+// limits returns the limits in force.
+func (t *Tracker) limits() Limits {
+	var limits Limits
+	if t.options.Limits != nil {
+		limits = t.options.Limits()
+	}
+	if limits.Head <= 0 {
+		limits.Head = DefaultLimits.Head
+	}
+	if limits.Rest <= 0 {
+		limits.Rest = DefaultLimits.Rest
+	}
+	return limits
 }
 
 // Tracker follows connections. Safe for concurrent use.
 type Tracker struct {
-	options   Options
-	keepAlive string // header of answers
+	options Options
 
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
@@ -75,14 +100,13 @@
 func NewTracker(options Options) *Tracker {
 	return &Tracker{
 		options:     options,
-		keepAlive:   fmt.Sprintf("timeout=%d", int(options.KeptFor.Seconds())),
 		connections: make(map[*connection]struct{}),
 	}
 }
 
 func (t *Tracker) follow(accepted net.Conn) *connection {
 	now := time.Now()
-	c := &connection{Conn: accepted, tracker: t, openedAt: now, readAt: now, restsSince: now}
+	c := &connection{Conn: accepted, tracker: t, openedAt: now, readAt: now, restsSince: now, keptFor: t.keptFor()}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.connections[c] = struct{}{}
@@ -115,6 +139,31 @@
 	return len(t.connections)
 }
 
+// usedShare is how much of the limit of its rest a connection's caller may use.
+const usedShare = 0.8
+
+// keptFor returns for how long callers are told that they may use a connection that rests: whole
+// seconds, one at least.
+func (t *Tracker) keptFor() time.Duration {
+	limited := time.Duration(usedShare * float64(t.limits().Rest)).Truncate(time.Second)
+	return max(time.Second, min(t.options.KeptFor, limited))
+}
+
+// keepAlive is the header by which callers are told for how long a connection may rest.
+func keepAlive(keptFor time.Duration) string {
+	return fmt.Sprintf("timeout=%d", int(keptFor.Seconds()))
+}
+
+// KeepAlive returns what callers are told now.
+func (t *Tracker) KeepAlive() string { return keepAlive(t.keptFor()) }
+
+// LimitsChanged has connections at rest keep to the limits that are in force now.
+func (t *Tracker) LimitsChanged() {
+	for _, c := range t.all() {
+		c.limitRest()
+	}
+}
+
 // contextKey is under what a request's context holds its connection.
 type contextKey struct{}
 
@@ -135,7 +184,9 @@
 		}
 		c.begin()
 		if !t.isStopping() {
-			writer.Header().Set("Keep-Alive", t.keepAlive)
+			keptFor := t.keptFor()
+			c.promise(keptFor)
+			writer.Header().Set("Keep-Alive", keepAlive(keptFor))
 		}
 		whole := false
 		defer func() { c.end(whole) }()
--- a/internal/callers/tracker_test.go
+++ b/internal/callers/tracker_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,14 +22,22 @@
 	server  *http.Server
 	address string
 	ends    chan callers.End
+	head    atomic.Int64 // limit of a head, in ns
+	rest    atomic.Int64 // limit of a rest, in ns
+}
+
+// limits returns the limits in force.
+func (s *served) limits() callers.Limits {
+	return callers.Limits{Head: time.Duration(s.head.Load()), Rest: time.Duration(s.rest.Load())}
 }
 
 // serve has a handler serve followed connections.
 func serve(t *testing.T, handler http.HandlerFunc) *served {
 	t.Helper()
 	s := &served{t: t, ends: make(chan callers.End, 16)}
-	s.tracker = callers.NewTracker(callers.Options{Unanswered: func(end callers.End) { s.ends <- end }, KeptFor: time.Second})
-	s.server = &http.Server{Handler: s.tracker.Handler(handler), ConnContext: s.tracker.Context, ReadHeaderTimeout: time.Second}
+	s.head.Store(int64(time.Second))
+	s.tracker = callers.NewTracker(callers.Options{Unanswered: func(end callers.End) { s.ends <- end }, KeptFor: time.Second, Limits: s.limits})
+	s.server = &http.Server{Handler: s.tracker.Handler(handler), ConnContext: s.tracker.Context, ReadHeaderTimeout: callers.DefaultLimits.Head}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -20,6 +20,7 @@
 		return api.Errorf(api.RequestTooLarge, "the body of %d bytes is over the limit of %d", r.http.ContentLength, limit)
 	}
 	if r.http.ContentLength == 0 {
+		r.bodyRead = true
 		return nil
 	}
 	limited := http.MaxBytesReader(r.writer, r.http.Body, limit)
@@ -32,9 +33,35 @@
 		return api.Errorf(api.MalformedRequest, "the body could not be read: %v", err)
 	}
 	r.body = body
+	r.bodyRead = true
 	return nil
 }
 
+// headLeeway is what a request's head may hold beyond what headBytes counts of it: the marks between
+// names and values, and the first line's protocol.
+const headLeeway = 64
+
+// checkHead refuses a request whose head is over the limit of the configuration.
+func (r *request) checkHead() *api.Error {
+	limit := r.view.Table.Configuration.Limits.HeaderBytes
+	if size := headBytes(r.http); limit > 0 && size > limit+headLeeway {
+		return api.Errorf(api.RequestTooLarge, "the head of some %d bytes is over the limit of %d", size, limit)
+	}
+	return nil
+}
+
+// headBytes returns how large a request's head is, but for a few bytes.
+func headBytes(request *http.Request) int {
+	const separators = len(": ") + len("\r\n")
+	size := len(request.Method) + len(request.RequestURI) + len(request.Host)
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 // readSized reads to the end, into one allocation if the size is known.
 func readSized(content io.Reader, size int64) ([]byte, error) {
 	if size < 0 {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -147,22 +147,23 @@
 
 // request is one request under way.
 type request struct {
-	handler *Handler
-	writer  http.ResponseWriter
-	http    *http.Request
-	call    Call
-	view    *discovery.View
-	route   *routing.Route
-	tenant  *bundle.Tenant // whose key the caller showed; nil if the route needs none
-	service string         // part of the route that serves it
-	regions []string       // that it may be served in; nil for everywhere, none for nowhere
-	body    []byte         // as it goes to the engine
-	arrived time.Time
-	until   time.Time // when the caller or the route gives up
-	started bool      // the answer's head has been written
-	counted bool      // towards the limit of its tenant
-	asks    func()    // ends the announcement of the program that it begins; nil if there is none
-	report  Report
+	handler  *Handler
+	writer   http.ResponseWriter
+	http     *http.Request
+	call     Call
+	view     *discovery.View
+	route    *routing.Route
+	tenant   *bundle.Tenant // whose key the caller showed; nil if the route needs none
+	service  string         // part of the route that serves it
+	regions  []string       // that it may be served in; nil for everywhere, none for nowhere
+	body     []byte         // as it goes to the engine
+	bodyRead bool           // nothing of the caller's body is left to read
+	arrived  time.Time
+	until    time.Time // when the caller or the route gives up
+	started  bool      // the answer's head has been written
+	counted  bool      // towards the limit of its tenant
+	asks     func()    // ends the announcement of the program that it begins; nil if there is none
+	report   Report
 
 	reportMutex sync.Mutex // guards report.Tries while two sends are under way
 }
@@ -187,6 +188,9 @@
 		return api.Errorf(api.NotReady, "no configuration has been read yet").After(notReadyRetryAfter)
 	}
 	r.report.ConfigurationVersion = r.view.Table.Configuration.Version
+	if refusal := r.checkHead(); refusal != nil {
+		return refusal
+	}
 	r.route = r.view.Table.Match(r.http.Host, pathOf(r.target()))
 	if r.route == nil {
 		return api.Errorf(api.PathNotFound, "configuration %d has no route for this host and path", r.report.ConfigurationVersion)
--- a/internal/ingress/refuse.go
+++ b/internal/ingress/refuse.go
@@ -55,18 +55,24 @@
 	r.report.Status = status
 	r.writer.WriteHeader(status)
 	_, _ = r.writer.Write(content) // a caller that left is no fault
-	if problem.Code == api.RequestTooLarge {
+	if !r.bodyRead && r.http.ContentLength != 0 {
 		r.readOut()
 	}
 }
 
-// maxReadOut is how much of a refused body is read for its caller's sake.
-const maxReadOut = 1 << 20
+// Bounds of what is read of a refused body for its caller's sake.
+const (
+	maxReadOut  = defaultBodyBytes
+	readOutTime = time.Second
+)
 
 // readOut reads on after a refusal, so that the connection is not reset under a
-// caller who is still sending, before the answer reaches it.
+// caller who is still sending, before the answer reaches it: the server itself reads a quarter of
+// a megabyte and no more.
 func (r *request) readOut() {
-	_ = http.NewResponseController(r.writer).Flush()
+	controller := http.NewResponseController(r.writer)
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(time.Now().Add(readOutTime))
 	_, _ = io.CopyN(io.Discard, r.http.Body, maxReadOut)
 }
 
--- a/internal/serving/unanswered.go
+++ b/internal/serving/callers.go
@@ -25,6 +25,16 @@
 		slog.Float64("since_read_ms", millis(end.SinceIn)))
 }
 
+// callerLimits returns what the configuration in force says of callers' connections.
+func (p *Process) callerLimits() callers.Limits {
+	view := p.follower.View()
+	if view.Table == nil {
+		return callers.Limits{}
+	}
+	limits := view.Table.Configuration.Limits
+	return callers.Limits{Head: limits.HeaderTimeout, Rest: limits.IdleTimeout}
+}
+
 // linesPeriod is between two lines that boundedLines lets through.
 const linesPeriod = time.Second
 
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -40,6 +40,9 @@
 	p.logger.Info("view changed", "collection", collection.String(), "row_version", view.Versions[collection],
 		"configuration", version, "engines", len(view.Engines), "engines_ready", readyEngines(view))
 	p.carried.KeepOnly(func(id string) bool { _, present := view.Engines[id]; return present })
+	if collection == discovery.Configurations {
+		p.callers.LimitsChanged()
+	}
 	p.noteOrders(view)
 	p.noteRegions(view)
 	p.enableRelay()
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -90,9 +90,7 @@
 const (
 	engineDialTimeout = 250 * time.Millisecond
 	engineDeadAfter   = time.Second
-	headerTimeout     = 5 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
+	maxHeaderBytes    = 1 << 20 // whatever the configuration says
 )
 
 // keptDecisions is how many decisions are kept in memory.
@@ -152,7 +150,7 @@
 func New(settings Settings, dependencies Dependencies) *Process {
 	p := &Process{settings: settings, dependencies: dependencies, logger: dependencies.Logger, orders: make(map[string]notedOrder)}
 	p.serverErrors.write = func(line string) { p.logger.Warn("server", "error", line) }
-	p.callers = callers.NewTracker(callers.Options{Unanswered: p.unanswered, KeptFor: restTime})
+	p.callers = callers.NewTracker(callers.Options{Unanswered: p.unanswered, KeptFor: restTime, Limits: p.callerLimits})
 	p.metrics = dependencies.Metrics
 	if p.metrics == nil {
 		p.metrics = NewMetrics()
@@ -316,8 +314,8 @@
 func (p *Process) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: callers.DefaultLimits.Head,
+		IdleTimeout:       callers.DefaultLimits.Rest,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(&p.serverErrors, "", 0),
 	}
