node, callers: a planned stop of a node drops no request on open connections either

Cause: the callers' endpoint of a node ended by http.Server.Shutdown too, which closes what rests and throws away requests that it reads from then on. Change: the node follows its callers' connections by internal/callers. That an answer of a stopping process asks for the end of its connection is said there, for both endpoints. Ruled out: a second way of stopping for the node. Conclusion: no planned stop uses the library's shutdown for callers any more.

--- a/internal/callers/tracker.go
+++ b/internal/callers/tracker.go
@@ -119,7 +119,7 @@
 	delete(t.connections, c)
 }
 
-// Stop notes that the process has begun to stop.
+// Stop notes that the process has begun to stop: answers ask callers to end their connections.
 func (t *Tracker) Stop() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -149,6 +149,17 @@
 	return max(time.Second, min(t.options.KeptFor, limited))
 }
 
+// promise says in an answer's header for how long the connection may rest, and keeps to it.
+func (t *Tracker) promise(c *connection, header http.Header) {
+	if t.isStopping() {
+		header.Set("Connection", "close")
+		return
+	}
+	keptFor := t.keptFor()
+	c.promise(keptFor)
+	header.Set("Keep-Alive", keepAlive(keptFor))
+}
+
 // keepAlive is the header by which callers are told for how long a connection may rest.
 func keepAlive(keptFor time.Duration) string {
 	return fmt.Sprintf("timeout=%d", int(keptFor.Seconds()))
@@ -183,11 +194,7 @@
 			return
 		}
 		c.begin()
-		if !t.isStopping() {
-			keptFor := t.keptFor()
-			c.promise(keptFor)
-			writer.Header().Set("Keep-Alive", keepAlive(keptFor))
-		}
+		t.promise(c, writer.Header())
 		whole := false
 		defer func() { c.end(whole) }()
 		next.ServeHTTP(writer, request)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -127,7 +127,6 @@
 	lines    *lines.Memory
 	hedges   *hedges
 	looker   *looker
-	draining atomic.Bool
 	withheld atomic.Int64 // bytes of answers that wait for leave
 }
 
@@ -136,9 +135,6 @@
 	return &Handler{options: options, splitter: routing.NewSplitter(), lines: options.Lines, hedges: newHedges(), looker: newLooker(options.Pool, options.View)}
 }
 
-// Drain asks callers to end their connections after their next answer.
-func (h *Handler) Drain() { h.draining.Store(true) }
-
 // Bounds of requests.
 const (
 	defaultBodyBytes = 4 << 20
@@ -171,7 +167,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	r := &request{handler: h, writer: writer, http: incoming, view: h.options.View(), arrived: time.Now()}
-	if _, cutOff := h.cutOff(); cutOff || h.draining.Load() {
+	if _, cutOff := h.cutOff(); cutOff {
 		writer.Header().Set("Connection", "close")
 	}
 	defer r.end()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
+	"github.com/pewtermill/pewtermill/internal/callers"
 	"github.com/pewtermill/pewtermill/internal/dispatch"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/gateway"
@@ -42,6 +43,9 @@
 	// drainNotice is how long a leaving node goes on as before, so that peers
 	// and load balancers learn of it.
 	drainNotice = 500 * time.Millisecond
+	// callerRest is for how long a caller may use a connection that rests. A planned stop lasts for
+	// longer than it if there are any.
+	callerRest = 2 * time.Second
 )
 
 // Dependencies are what a node is given besides its settings. Zero values
@@ -82,6 +86,7 @@
 
 	callerListener   net.Listener
 	operatorListener net.Listener
+	callers          *callers.Tracker // follows callers' connections
 	callerServer     *http.Server
 	operatorServer   *http.Server
 
@@ -209,25 +214,46 @@
 	if n.operatorListener, err = net.Listen("tcp", n.settings.OperatorAddress); err != nil {
 		return errors.Wrap(err, "operator address")
 	}
-	callers := gateway.New(&router{n}, n.keeper.InForce, gateway.Options{Logger: n.logger, Registerer: n.registry, Limiter: n.limits})
+	gateways := gateway.New(&router{n}, n.keeper.InForce, gateway.Options{Logger: n.logger, Registerer: n.registry, Limiter: n.limits})
 	operators := operator.New(&operatorService{n}, n.keeper.InForce, n.registry, operator.WithLogger(n.logger))
-	n.callerServer = n.serve(n.callerListener, callers)
-	n.operatorServer = n.serve(n.operatorListener, operators)
+	n.callers = callers.NewTracker(callers.Options{Unanswered: n.unanswered, KeptFor: callerRest})
+	followed, err := n.callers.Listen(n.callerListener)
+	if err != nil {
+		return err
+	}
+	n.callerServer = n.newServer(n.callers.Handler(gateways))
+	n.callerServer.ConnContext = n.callers.Context
+	n.operatorServer = n.newServer(operators)
+	n.serveOn(followed, n.callerServer)
+	n.serveOn(n.operatorListener, n.operatorServer)
 	return nil
 }
 
-func (n *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{
+// unanswered logs a caller's connection that ended although a request on it had no whole answer.
+func (n *Node) unanswered(end callers.End) {
+	if end.Cause == callers.CallerLeft {
+		return
+	}
+	n.logger.Warn("connection ended without an answer", "state", end.State.Name(), "cause", string(end.Cause),
+		"stopping", end.Stopping, "answered_before", end.Served, "age", end.Age.String(), "since_read", end.SinceIn.String())
+}
+
+func (n *Node) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ErrorLog:          slog.NewLogLogger(n.logger.Handler(), slog.LevelWarn),
 	}
+}
+
+// serveOn serves a listener until it or the server is closed.
+func (n *Node) serveOn(listener net.Listener, server *http.Server) {
 	n.tasks.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.logger.Error("HTTP server ended", "error", err.Error())
 		}
 	})
-	return server
 }
 
 // CallerURL returns the base URL of the callers' endpoint.
@@ -273,6 +299,7 @@
 func (n *Node) Drain(ctx context.Context) error {
 	n.logger.Info("draining", "programs", n.programs.Count(), "calls", n.programs.InFlight())
 	n.leaving.Store(true)
+	n.callers.Stop()
 	n.programs.Leave()
 	n.members.announce()
 	n.limits.giveUp(ctx)
@@ -282,7 +309,8 @@
 			return errors.Wrap(ctx.Err(), "calls are still under way")
 		}
 	}
-	if err := n.callerServer.Shutdown(ctx); err != nil {
+	n.callers.StopAccepting()
+	if err := n.callers.Drain(ctx); err != nil {
 		return errors.Wrap(err, "requests are still under way")
 	}
 	n.programs.ReleaseAll(ctx)
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -29,7 +29,6 @@
 	start := time.Now()
 	p.stopping.Store(true)
 	p.callers.Stop()
-	p.handler.Drain()
 	p.covering.Leave()
 	p.carrying.Leave()
 	p.commits.Leave()
