--- a/internal/callers/connection.go
+++ b/internal/callers/connection.go
@@ -24,7 +24,7 @@
 	arrivesAt  time.Time     // when a request began to arrive, if one does
 	restsSince time.Time     // if it rests
 	keptFor    time.Duration // for which its caller was told that it may use it at rest
-	closing    bool          // it rested for long enough, and its next read ends it
+	toClose    bool          // it rested for long enough; a request that comes all the same is served
 	cause      Cause         // empty until something that ends it has shown
 	ended      bool
 }
@@ -72,7 +72,7 @@
 // stayOpen takes back that the connection is to be closed, and gives its caller the time that a
 // request's head may take. The mutex is held.
 func (c *connection) stayOpen() {
-	c.closing = false
+	c.toClose = false
 	_ = c.Conn.SetReadDeadline(time.Now().Add(c.tracker.limits().Head)) // one that is gone shows at the read
 }
 
@@ -80,14 +80,14 @@
 func (c *connection) SetReadDeadline(deadline time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.state == Serving || deadline.IsZero() || !deadline.After(time.Now()) {
+	if c.state == Answering || c.state == Answered || deadline.IsZero() || !deadline.After(time.Now()) {
 		return c.Conn.SetReadDeadline(deadline)
 	}
 	if c.state == Arriving {
 		return c.Conn.SetReadDeadline(c.arrivesAt.Add(c.tracker.limits().Head))
 	}
-	if c.closing {
-		return nil
+	if c.toClose {
+		return c.Conn.SetReadDeadline(time.Now())
 	}
 	return c.Conn.SetReadDeadline(c.restsSince.Add(c.mayRest()))
 }
@@ -102,7 +102,7 @@
 func (c *connection) limitRest() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.state == Resting && !c.closing {
+	if c.state == Resting && !c.toClose {
 		_ = c.Conn.SetReadDeadline(c.restsSince.Add(c.mayRest())) // one that is gone shows at the read
 	}
 }
@@ -114,20 +114,24 @@
 	c.keptFor = keptFor
 }
 
-// closeIfUnused has the connection closed if it rests, and its caller may not use it any more. The
-// server's own way, to close it from beside its reader, would throw away what has just come.
+// closeIfUnused has the connection closed if it rests, and its caller may not use it any more, or if
+// a head has stopped to come in. The server's own way, to close it from beside its reader, would throw
+// away what has just come.
 func (c *connection) closeIfUnused(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.state != Resting || c.closing || now.Sub(c.restsSince) < c.keptFor+restMargin {
+	switch {
+	case c.state == Resting && now.Sub(c.restsSince) >= c.keptFor+restMargin:
+		c.toClose = true
+	case c.state == Arriving && now.Sub(c.arrivesAt) >= c.tracker.limits().Head:
+	default:
 		return
 	}
-	c.closing = true
 	_ = c.Conn.SetReadDeadline(now) // its reader gets an error, and closes it
 }
 
 // noteReadError takes what a failed read says of why the connection ends. While a request is
-// served the server ends its own reads by a deadline in the past, which says nothing. The
+// answered the server ends its own reads by a deadline in the past, which says nothing. The
 // mutex is held.
 func (c *connection) noteReadError(err error) {
 	switch {
@@ -142,7 +146,7 @@
 func (c *connection) begin() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.state = Serving
+	c.state = Answering
 	_ = c.Conn.SetReadDeadline(time.Time{}) // the limit of a head does not bound its body
 }
 
@@ -156,9 +160,25 @@
 		}
 		return
 	}
+	c.state = Answered
+	c.served++
+}
+
+// rest notes that the server has sent the whole answer, and has read what was left of the body.
+func (c *connection) rest() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	c.state = Resting
 	c.restsSince = time.Now()
-	c.served++
+}
+
+// CloseWrite has the server end its answer before it closes the connection, as it does with
+// *net.TCPConn.
+func (c *connection) CloseWrite() error {
+	if half, is := c.Conn.(interface{ CloseWrite() error }); is {
+		return half.CloseWrite()
+	}
+	return nil
 }
 
 // Close implements net.Conn.
@@ -172,7 +192,7 @@
 
 // close notes the end, and returns what to tell of it if a request had no whole answer.
 func (c *connection) close(now time.Time) (End, bool) {
-	stopping := c.tracker.isStopping()
+	stopping := c.tracker.stopping.Load()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.ended {
@@ -193,5 +213,5 @@
 		SinceIn:  now.Sub(c.readAt),
 		Stopping: stopping,
 	}
-	return end, c.state != Resting
+	return end, c.state != Resting && c.state != Answered
 }
--- a/internal/callers/drain.go
+++ b/internal/callers/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,7 +22,7 @@
 
 // Drain ends connections that no caller may use any more, until there are none: a connection
 // that rests is closed only once its caller may not use it any more, and any other one after its
-// request is answered. No connection may be accepted any more. With ErrConnectionsLeft ctx ended before.
+// request is answered. StopAccepting is called before. With ErrConnectionsLeft ctx ended first.
 //
 // It stands in for http.Server.Shutdown, which closes connections at rest at once, and from then on
 // reads requests without answering them: 10 to 20 requests of a day on which all processes were
@@ -30,8 +31,9 @@
 	ticker := time.NewTicker(drainPeriod)
 	defer ticker.Stop()
 	for {
+		ended := t.acceptNoMore() // first: a connection may be accepted until then
 		open := t.all()
-		if len(open) == 0 {
+		if ended && len(open) == 0 {
 			return nil
 		}
 		now := time.Now()
@@ -46,6 +48,13 @@
 	}
 }
 
+// acceptNoMore reports whether no listener accepts any more.
+func (t *Tracker) acceptNoMore() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return !slices.ContainsFunc(t.listeners, func(l *followedListener) bool { return !l.ended.Load() })
+}
+
 // all returns the connections that are open.
 func (t *Tracker) all() []*connection {
 	t.mutex.Lock()
--- a/internal/callers/drain_test.go
+++ b/internal/callers/drain_test.go
@@ -1,10 +1,12 @@
 package callers_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,3 +102,150 @@
 		t.Fatalf("got %v, want the end of the listener", err)
 	}
 }
+
+// TestDrainAfterABodyThatNobodyRead has a request answered whose body its handler did not read. Its
+// connection rests, though bytes of the body come after the handler's end: it is closed in time, and
+// nothing is told of it.
+func TestDrainAfterABodyThatNobodyRead(t *testing.T) {
+	s := serve(t, hello)
+	connection := s.dial()
+	s.send(connection, "POST / HTTP/1.1\r\nHost: site.example\r\nContent-Length: 20000\r\n\r\n"+strings.Repeat("x", 20000))
+	s.answer(connection)
+	s.drain()
+	s.nothingIsTold()
+}
+
+// TestDrainWaitsForTheListener drains before a connection that waits has been accepted.
+func TestDrainWaitsForTheListener(t *testing.T) {
+	tracker := callers.NewTracker(callers.Options{Unanswered: func(callers.End) {}, KeptFor: time.Second})
+	below, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	followed, err := tracker.Listen(below)
+	if err != nil {
+		t.Fatal(err)
+	}
+	connection, err := net.Dial("tcp4", below.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	if _, err := io.WriteString(connection, request); err != nil {
+		t.Fatal(err)
+	}
+	tracker.Stop()
+	tracker.StopAccepting()
+	server := &http.Server{Handler: tracker.Handler(http.HandlerFunc(hello))}
+	tracker.Follow(server)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(followed)
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	if err := tracker.Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+	server.Close()
+	<-done
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatalf("what waited to be accepted got no answer: %v", err)
+	}
+	response.Body.Close()
+}
+
+// gatedListener accepts connections whose writes wait for a gate, as for a caller that reads slowly.
+type gatedListener struct {
+	*net.TCPListener
+	gate chan struct{}
+}
+
+type gatedConnection struct {
+	net.Conn
+	gate chan struct{}
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	accepted, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return gatedConnection{accepted, l.gate}, nil
+}
+
+func (c gatedConnection) Write(content []byte) (int, error) {
+	<-c.gate
+	return c.Conn.Write(content)
+}
+
+// TestDrainAfterAnAnswerThatWaited has the end of an answer wait at a slow caller for longer than
+// its connection may rest. The server sets a deadline of its own afterwards.
+func TestDrainAfterAnAnswerThatWaited(t *testing.T) {
+	tracker := callers.NewTracker(callers.Options{Unanswered: func(callers.End) {}, KeptFor: time.Second})
+	below, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	gate := make(chan struct{})
+	followed, err := tracker.Listen(gatedListener{below, gate})
+	if err != nil {
+		t.Fatal(err)
+	}
+	handled := make(chan struct{})
+	server := &http.Server{Handler: tracker.Handler(http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		hello(writer, incoming)
+		close(handled)
+	}))}
+	tracker.Follow(server)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(followed)
+	}()
+	connection, err := net.Dial("tcp4", below.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	if _, err := io.WriteString(connection, request); err != nil {
+		t.Fatal(err)
+	}
+	<-handled
+	tracker.Stop()
+	tracker.StopAccepting()
+	time.AfterFunc(2*time.Second, func() { close(gate) }) // longer than it may rest
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	if err := tracker.Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+	server.Close()
+	<-done
+}
+
+// TestAnswerThatBeginsInAStopEndsItsConnection has a request come before the stop, and its answer
+// begin after it.
+func TestAnswerThatBeginsInAStopEndsItsConnection(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(writer http.ResponseWriter, incoming *http.Request) {
+		close(running)
+		<-release
+		hello(writer, incoming)
+	})
+	connection := s.dial()
+	s.send(connection, request)
+	<-running
+	s.tracker.Stop()
+	close(release)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if !response.Close || response.Header.Get("Keep-Alive") != "" {
+		t.Fatalf("the caller was told %v, and not that the connection ends", response.Header)
+	}
+}
--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -29,6 +29,7 @@
 	listener
 	tracker *Tracker
 	endsAt  atomic.Pointer[time.Time] // when it ends at the latest; nil while it is to go on
+	ended   atomic.Bool               // no connection is accepted any more
 }
 
 // Listen returns a listener whose connections are followed. below is a *net.TCPListener, or
@@ -72,6 +73,7 @@
 		}
 		endsAt := l.endsAt.Load()
 		if endsAt == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			l.ended.Store(errors.Is(err, net.ErrClosed))
 			return nil, err
 		}
 		if now := time.Now(); !looked && now.Before(*endsAt) {
@@ -79,6 +81,7 @@
 			_ = l.SetDeadline(now.Add(lastLook)) // the next Accept tells
 			continue
 		}
+		l.ended.Store(true)
 		return nil, errors.CombineErrors(net.ErrClosed, l.Close())
 	}
 }
--- a/internal/callers/tracker.go
+++ b/internal/callers/tracker.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,15 +19,16 @@
 
 // States of a connection.
 const (
-	Resting  State = iota // no byte of a request has come since the last answer
-	Unread                // as Resting, but bytes have come that are not read yet
-	Arriving              // a part of a request has been read
-	Serving               // a request is being served
+	Resting   State = iota // no byte of a request has come since the last answer
+	Unread                 // as Resting, but bytes have come that are not read yet
+	Arriving               // a part of a request has been read
+	Answering              // a request is being served
+	Answered               // its handler has returned; the server ends the answer, and reads what is left of the body
 )
 
 // Name returns the state's name in logs and figures.
 func (s State) Name() string {
-	return [...]string{"resting", "unread", "arriving", "serving"}[s]
+	return [...]string{"resting", "unread", "arriving", "answering", "answered"}[s]
 }
 
 // Cause is why a connection ended.
@@ -93,7 +95,8 @@
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
 	listeners   []*followedListener
-	stopping    bool
+
+	stopping atomic.Bool
 }
 
 // NewTracker returns a tracker that follows nothing yet.
@@ -119,18 +122,9 @@
 	delete(t.connections, c)
 }
 
-// Stop notes that the process has begun to stop: answers ask callers to end their connections.
-func (t *Tracker) Stop() {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.stopping = true
-}
-
-func (t *Tracker) isStopping() bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.stopping
-}
+// Stop notes that the process has begun to stop: answers that begin from now on ask callers to end
+// their connections.
+func (t *Tracker) Stop() { t.stopping.Store(true) }
 
 // Open returns how many connections there are.
 func (t *Tracker) Open() int {
@@ -151,7 +145,7 @@
 
 // promise says in an answer's header for how long the connection may rest, and keeps to it.
 func (t *Tracker) promise(c *connection, header http.Header) {
-	if t.isStopping() {
+	if t.stopping.Load() {
 		header.Set("Connection", "close")
 		return
 	}
@@ -178,12 +172,19 @@
 // contextKey is under what a request's context holds its connection.
 type contextKey struct{}
 
-// Context has the context of a connection's requests know the connection. It is
+// context has the context of a connection's requests know the connection. It is
 // http.Server.ConnContext.
-func (t *Tracker) Context(ctx context.Context, served net.Conn) context.Context {
+func (t *Tracker) context(ctx context.Context, served net.Conn) context.Context {
 	return context.WithValue(ctx, contextKey{}, served)
 }
 
+// connState notes when connections come to rest. It is http.Server.ConnState.
+func (t *Tracker) connState(served net.Conn, state http.ConnState) {
+	if c, followed := served.(*connection); followed && state == http.StateIdle {
+		c.rest()
+	}
+}
+
 // Handler notes when requests of followed connections begin and end, and tells callers for how
 // long they may use a connection that rests.
 func (t *Tracker) Handler(next http.Handler) http.Handler {
@@ -194,10 +195,18 @@
 			return
 		}
 		c.begin()
-		t.promise(c, writer.Header())
 		whole := false
 		defer func() { c.end(whole) }()
-		next.ServeHTTP(writer, request)
+		next.ServeHTTP(&promisingWriter{ResponseWriter: writer, promise: func() { t.promise(c, writer.Header()) }}, request)
 		whole = true
 	})
 }
+
+// Follow has a server's connections followed. Its handler and the listener that it serves are to be
+// those of Handler and Listen. The times that it sets are replaced by those of the limits in force.
+func (t *Tracker) Follow(server *http.Server) {
+	server.ReadHeaderTimeout = DefaultLimits.Head
+	server.IdleTimeout = DefaultLimits.Rest
+	server.ConnContext = t.context
+	server.ConnState = t.connState
+}
--- a/internal/callers/tracker_test.go
+++ b/internal/callers/tracker_test.go
@@ -37,7 +37,8 @@
 	s := &served{t: t, ends: make(chan callers.End, 16)}
 	s.head.Store(int64(time.Second))
 	s.tracker = callers.NewTracker(callers.Options{Unanswered: func(end callers.End) { s.ends <- end }, KeptFor: time.Second, Limits: s.limits})
-	s.server = &http.Server{Handler: s.tracker.Handler(handler), ConnContext: s.tracker.Context, ReadHeaderTimeout: callers.DefaultLimits.Head}
+	s.server = &http.Server{Handler: s.tracker.Handler(handler)}
+	s.tracker.Follow(s.server)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -105,11 +106,23 @@
 	s.t.Helper()
 	s.tracker.Stop()
 	s.tracker.StopAccepting()
-	if err := s.tracker.Drain(context.Background()); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	if err := s.tracker.Drain(ctx); err != nil {
 		s.t.Fatal(err)
 	}
 }
 
+// nothingIsTold fails if a connection is told to have ended without a whole answer.
+func (s *served) nothingIsTold() {
+	s.t.Helper()
+	select {
+	case end := <-s.ends:
+		s.t.Fatalf("told %+v", end)
+	default:
+	}
+}
+
 const request = "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n"
 
 // TestConnectionsWithoutAnAnswerAreTold ends connections in each state, and looks at what is told.
@@ -119,7 +132,7 @@
 		state callers.State
 		cause callers.Cause
 	}{
-		"answer broken off": {func(s *served) { s.send(s.dial(), request) }, callers.Serving, callers.BrokenOff},
+		"answer broken off": {func(s *served) { s.send(s.dial(), request) }, callers.Answering, callers.BrokenOff},
 		"part of a head":    {func(s *served) { s.send(s.dial(), "GET / HT") }, callers.Arriving, callers.TooSlow},
 		"caller left": {func(s *served) {
 			connection := s.dial()
@@ -144,9 +157,5 @@
 	s.send(connection, request)
 	s.answer(connection)
 	s.drain()
-	select {
-	case end := <-s.ends:
-		t.Fatalf("told %+v", end)
-	default:
-	}
+	s.nothingIsTold()
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/admission"
+	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/ledger"
@@ -127,7 +128,8 @@
 	lines    *lines.Memory
 	hedges   *hedges
 	looker   *looker
-	withheld atomic.Int64 // bytes of answers that wait for leave
+	withheld atomic.Int64              // bytes of answers that wait for leave
+	endsAt   atomic.Pointer[time.Time] // when a planned stop ends; nil while none does
 }
 
 // New returns a handler.
@@ -135,6 +137,10 @@
 	return &Handler{options: options, splitter: routing.NewSplitter(), lines: options.Lines, hedges: newHedges(), looker: newLooker(options.Pool, options.View)}
 }
 
+// EndAt has requests refused that may last for longer than until a planned stop ends: the end
+// would cut them off.
+func (h *Handler) EndAt(end time.Time) { h.endsAt.Store(&end) }
+
 // Bounds of requests.
 const (
 	defaultBodyBytes = 4 << 20
@@ -201,6 +207,9 @@
 		return problem
 	}
 	r.until = r.arrived.Add(r.hold())
+	if endsAt := r.handler.endsAt.Load(); endsAt != nil && r.until.After(*endsAt) {
+		return api.Errorf(api.Draining, "this node is stopping").After(backoff.Spread(elsewhereRetryAfter))
+	}
 	ctx, cancel := context.WithDeadline(r.http.Context(), r.until)
 	defer cancel()
 	defer r.giveBack()
--- a/internal/ingress/refuse.go
+++ b/internal/ingress/refuse.go
@@ -15,6 +15,8 @@
 const (
 	notReadyRetryAfter = 500 * time.Millisecond
 	fullRetryAfter     = 150 * time.Millisecond
+	// elsewhereRetryAfter is for callers whose next connection is to another process.
+	elsewhereRetryAfter = 20 * time.Millisecond
 )
 
 // statusOf returns the status of a problem's answer. 503 promises that the
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -222,7 +222,7 @@
 		return err
 	}
 	n.callerServer = n.newServer(n.callers.Handler(gateways))
-	n.callerServer.ConnContext = n.callers.Context
+	n.callers.Follow(n.callerServer)
 	n.operatorServer = n.newServer(operators)
 	n.serveOn(followed, n.callerServer)
 	n.serveOn(n.operatorListener, n.operatorServer)
--- a/internal/serving/open_connections_test.go
+++ b/internal/serving/open_connections_test.go
@@ -17,13 +17,14 @@
 // connection, without an answer and without a line in any log. They had just come, on
 // connections that were open.
 //
-// How: 2.5 s after the order to stop the process closed callers' connections that were at rest.
-// A caller may use one that has rested for much longer, and was told of the stop only if it got
-// an answer meanwhile. And a request whose head was read to its end from then on was thrown away:
-// net/http closes its connection without a word once it shuts down.
+// How: 2.5 s after the order to stop the process shut its server down. From then on net/http throws away
+// each request whose head it has just read, and closes its connection without a word. It also closes
+// connections at rest, though their callers may use them for much longer, and were told of the stop only if they got
+// an answer meanwhile.
 //
 // Shown by: a count of how each connection ended. All that ended with a request on them ended within
-// .2 ms after its bytes were read, in a process that was stopping, none on days without stops.
+// .2 ms after its bytes were read, in a process that was stopping, none on days without stops. Of connections
+// at rest this test alone shows it.
 
 // openConnection is a caller's connection.
 type openConnection struct {
@@ -108,7 +109,11 @@
 // stopUnderCallers stops a process, and meanwhile uses one connection after the other.
 func stopUnderCallers(t *testing.T, prepare func(d *deployment, caller *openConnection, number int)) {
 	const connections, pause = 36, 150 * time.Millisecond
-	d := serve(t)
+	d := start(t)
+	patient := standard()
+	patient["limits"] = map[string]any{"header_bytes": 16384, "body_bytes": 100_000, "header_timeout_ms": 20_000, "idle_timeout_ms": 15_000}
+	d.store.Put("op", "", "config", patient) // heads may take longer to come in than the test does
+	d.eventually("ready", d.process.Ready)
 	var open []*openConnection
 	for number := range connections {
 		caller := d.dialCaller()
@@ -155,3 +160,55 @@
 		d.t.Fatalf("got status %d before the stop", status)
 	}
 }
+
+// TestRequestThatAStopWouldCutIsRefused sends a request late in a stop, on a connection whose answer began
+// before it and said that it may be used. Before such requests were refused, they ran, and were cut
+// off when the grace period ended.
+func TestRequestThatAStopWouldCutIsRefused(t *testing.T) {
+	d := start(t)
+	d.store.Put("op", "", "config", configuration(7, route("long", "stream", "models", map[string]any{"timeout_ms": 9000})))
+	d.eventually("ready", d.process.Ready)
+	running, release := make(chan struct{}, 2), make(chan struct{})
+	d.handleAll("m", func(writer http.ResponseWriter, incoming *http.Request) bool {
+		writer.Header().Set("X-Request-Id", incoming.Header.Get("X-Request-Id"))
+		writer.Header().Set("X-Response-Seal", "seal")
+		writer.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(writer, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(writer).Flush()
+		running <- struct{}{}
+		<-release
+		return true
+	})
+	turn := func(id string) string {
+		return "POST /long/ HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: " + id + "\r\nX-Token-Usage: 100,288\r\nContent-Length: 1\r\n\r\nx"
+	}
+	caller := d.dialCaller()
+	caller.write(t, turn("r1"))
+	<-running
+	response, err := http.ReadResponse(caller.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.process.Stop(context.Background())
+	}()
+	d.eventually("closed to new connections", func() bool {
+		dialled, err := net.Dial("tcp4", d.address)
+		if err == nil {
+			dialled.Close()
+		}
+		return err != nil
+	})
+	close(release)
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatalf("the answer under way was cut: %v", err)
+	}
+	caller.write(t, turn("r2"))
+	if status := caller.answered(t); status != http.StatusServiceUnavailable {
+		t.Fatalf("got status %d, want 503", status)
+	}
+	<-stopped
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -255,7 +255,7 @@
 		return err
 	}
 	p.ingress = p.newServer(p.callers.Handler(p.handler))
-	p.ingress.ConnContext = p.callers.Context
+	p.callers.Follow(p.ingress)
 	p.ready = p.newServer(p.readyHandler())
 	p.loops.Go(func() { p.follower.Run(ctx, discovery.Configurations) })
 	p.loops.Go(func() { p.follower.Run(ctx, discovery.Engines) })
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -36,6 +36,7 @@
 	p.logger.Info("stopping", "grace", p.settings.GracePeriod.String())
 	backoff.Wait(ctx, noticeTime)
 	limit := max(time.Second, p.settings.GracePeriod-stopMargin-time.Since(start))
+	p.handler.EndAt(time.Now().Add(limit))
 	drainContext, cancel := context.WithTimeout(ctx, limit)
 	p.callers.StopAccepting()
 	err := errors.CombineErrors(p.callers.Drain(drainContext), p.carrying.Drain(drainContext))
