--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -66,6 +66,15 @@
 	Evacuations evacuations // by zone, also those that were taken back
 }
 
+// Serves reports whether the configuration in force names a service.
+func (v *View) Serves(service string) bool {
+	if v.Table == nil {
+		return false
+	}
+	_, named := v.Table.Configuration.Services[service]
+	return named
+}
+
 // Options are what a Follower needs.
 type Options struct {
 	Source   Source
@@ -77,7 +86,8 @@
 type Observer interface {
 	// Changed is called after a new view is in force.
 	Changed(collection Collection, view *View)
-	// Unreadable is called for a record that cannot be read and is ignored.
+	// Unreadable is called once for each version of a record that cannot be read. It names
+	// nothing: an engine that had its key is none any more.
 	Unreadable(collection Collection, key string, version uint64, fault error)
 	// Lost is called when the source stops answering, Regained when it answers again.
 	Lost(collection Collection, cause error)
@@ -298,10 +308,18 @@
 
 // apply takes records into a view and puts it in force. The mutex is held.
 func (f *Follower) apply(next *View, collection Collection, records []Record, version uint64) {
+	told := next.Versions[collection]
 	for _, record := range records {
 		switch {
 		case record.Fault != nil:
-			f.options.Observer.Unreadable(collection, record.Key, record.Version, record.Fault)
+			// The entry took the place of the engine's own: what it said of itself holds no
+			// more, until it has written it anew.
+			if collection == Engines {
+				delete(next.Engines, record.Key)
+			}
+			if record.Version > told { // lists tell older ones again
+				f.options.Observer.Unreadable(collection, record.Key, record.Version, record.Fault)
+			}
 		case record.Evacuates != "":
 			next.Evacuations.take(record)
 		case record.Gone:
