serving: records that cannot be read are counted, and few are logged

Cause: each such record was one line with the writer's key in full, and nothing counted them. 600 entries at once were 600 lines.

Change: pewtermill_serve_records_unreadable_total by collection and field; five lines a second and collection, with how many were left out, key and error cut. Tests with the real process: entries wrong in each way, beside engines' own and over them; 600 at once among requests; through the watcher of the zone.

Ruled out: a label by key, which the writer chooses.

Conclusion: what others write shows, and fills neither log nor metrics.

--- a/internal/serving/crossing.go
+++ b/internal/serving/crossing.go
@@ -61,8 +61,9 @@
 
 // countEngine returns what counts the bytes of a connection to an engine.
 func (p *Process) countEngine(address string) upstream.ByteCounter {
-	for _, engine := range p.follower.View().Engines {
-		if engine.Address == address {
+	view := p.follower.View()
+	for _, engine := range view.Engines {
+		if engine.Address == address && view.Serves(engine.Service) {
 			return p.counter(engine.Zone, crossing.Calls)
 		}
 	}
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -59,12 +59,6 @@
 	return ready
 }
 
-// Unreadable implements discovery.Observer.
-func (p *Process) Unreadable(collection discovery.Collection, key string, version uint64, fault error) {
-	p.logger.Warn("record unreadable", "collection", collection.String(), "key", key,
-		"row_version", version, "error", fault.Error())
-}
-
 // Lost implements discovery.Observer.
 func (p *Process) Lost(collection discovery.Collection, cause error) {
 	p.metrics.lost.WithLabelValues(collection.String()).Inc()
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -68,6 +68,7 @@
 	carriersLost *prometheus.CounterVec
 	connections  *prometheus.CounterVec
 	unanswered   *prometheus.CounterVec
+	unreadable   *prometheus.CounterVec
 }
 
 // boundedLabels are the values of a label: as many as may be have figures of their own, and
@@ -132,7 +133,8 @@
 	m.carriersLost = counters("pewtermill_serve_carriers_lost_total", "Times that a process that carried requests for this one stopped answering.")
 	m.connections = counters("pewtermill_serve_engine_connections_total", "New connections to engines.")
 	m.unanswered = counters("pewtermill_serve_unanswered_total", "Callers' connections that ended although a request on them had no whole answer, by what they were doing and why they ended.", "state", "cause")
-	m.registry.MustRegister(m.admissions, m.ejections, m.zones, m.ways, m.carriersLost, m.connections, m.unanswered)
+	m.unreadable = counters("pewtermill_serve_records_unreadable_total", "Versions of records of the store that cannot be read, by collection and by the field that is wrong.", "collection", "field")
+	m.registry.MustRegister(m.admissions, m.ejections, m.zones, m.ways, m.carriersLost, m.connections, m.unanswered, m.unreadable)
 	return m
 }
 
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -139,8 +139,9 @@
 	crossings    crossings
 	handler      *ingress.Handler
 	listeners    listeners
-	callers      *callers.Tracker // follows callers' connections
-	serverErrors boundedLines     // of the HTTP servers
+	callers      *callers.Tracker   // follows callers' connections
+	serverErrors boundedLines       // of the HTTP servers
+	unreadable   [2]unreadableLines // by discovery.Collection
 	ingress      *http.Server
 	ready        *http.Server
 	figures      *http.Server // nil if none are served
