placement, ingress, coldstart: entries of unknown services tell nothing of others

Cause: whether a service is known is judged by the configuration in force. An entry of a service that none names got no requests, but it told of its address, zone and region: with the address of some engine it moved that engine to its own zone in what is known of ways and lost zones, and it could be the witness by whose answer another engine is held to be dark. And an engine whose entry was another writer's for a moment lost the count of what had been let go to it while cold, so that more than its part went there.

Change: the placer takes addresses, zones and regions from engines of named services alone; so do looks at dark engines and the count of bytes between regions. Such an engine is known all the same, so that a configuration that names its service later finds it, and warmth goes on. What was let go to a cold engine counts on while it is not listed, for as long as it counts.

Ruled out: leaving such engines out of the view: a configuration that names their service would find them new, and cold; at the start, all of them.

Conclusion: such an entry costs a place in the list of engines, and no more. An engine that is back after its entry was another writer's still counts as cold for cold_s, and its cached prompts are not remembered; its start (born) could tell that it is the same.

--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -40,8 +40,10 @@
 	g.refresh(now)
 	present := func(engine string) bool { _, found := engines[engine]; return found }
 	g.senders.keep(present)
-	for engine := range g.meters {
-		if !present(engine) {
+	// What was let go counts on while an engine is not listed: its entry may be another writer's
+	// for a moment, and the engine cold when its own is back.
+	for engine, known := range g.meters {
+		if !present(engine) && known.expired(now) {
 			delete(g.meters, engine)
 		}
 	}
--- a/internal/coldstart/gate_test.go
+++ b/internal/coldstart/gate_test.go
@@ -266,3 +266,32 @@
 		t.Errorf("figures %+v, want none", figures)
 	}
 }
+
+// TestWhatWasLetGoCountsOnWhileAnEngineIsNotListed has the entry of a cold engine be another
+// writer's again and again. In a span the node lets no more go than its part.
+func TestWhatWasLetGoCountsOnWhileAnEngineIsNotListed(t *testing.T) {
+	gate := NewGate(wide)
+	gate.SetNodes(address(0), nil)
+	all := map[string]time.Duration{"old": 0, "new": time.Hour}
+	gate.SetEngines(at(0), listed(map[string]time.Duration{"old": 0}), services(28))
+	gate.SetEngines(at(0), listed(all), services(28))
+	part, let := gate.left(at(0), "new"), 0
+	for millisecond := range 1000 {
+		now := at(millisecond)
+		if millisecond%100 == 50 {
+			gate.SetEngines(now, listed(map[string]time.Duration{"old": 0}), services(28))
+			gate.SetEngines(now, listed(all), services(28))
+		}
+		if !gate.Held(now, "new") {
+			gate.Let(now, "new")
+			let++
+		}
+	}
+	if part <= 0 || let > part {
+		t.Errorf("%d requests were let go in a second, the part is %d", let, part)
+	}
+	gate.SetEngines(at(10_000), listed(map[string]time.Duration{"old": 0}), services(28))
+	if len(gate.meters) > 0 {
+		t.Error("an engine that is gone is still metered")
+	}
+}
--- a/internal/coldstart/senders.go
+++ b/internal/coldstart/senders.go
@@ -117,3 +117,8 @@
 	m.gone = slices.Delete(m.gone, 0, expired)
 	return max(0, part-len(m.gone))
 }
+
+// expired reports whether nothing that was let go counts any more.
+func (m *meter) expired(now time.Time) bool {
+	return len(m.gone) == 0 || now.Sub(m.gone[len(m.gone)-1]) >= span
+}
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -145,7 +145,7 @@
 	heard := make(chan bool, witnesses)
 	view := l.view()
 	for _, engine := range view.Engines {
-		if engine.Address == address || asked == witnesses || view.Evacuated(engine.Zone) {
+		if engine.Address == address || asked == witnesses || view.Evacuated(engine.Zone) || !view.Serves(engine.Service) {
 			continue
 		}
 		asked++
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -159,9 +159,10 @@
 	defer p.mutex.Unlock()
 	p.engines, p.services = engines, services
 	p.fleet.setEngines(engines)
-	p.ways.setEngines(engines)
-	p.lost.setEngines(engines)
-	p.crossings.setEngines(engines, p.options.Topology.RegionOf)
+	served := ofServices(engines, services)
+	p.ways.setEngines(served)
+	p.lost.setEngines(served)
+	p.crossings.setEngines(served, p.options.Topology.RegionOf)
 	p.cold.SetEngines(time.Now(), engines, services)
 	present := func(id string) bool { _, found := engines[id]; return found }
 	p.index.keepOnly(present)
