relay, quota, ledger: rows that make no sense are not gone on from

Cause: rows of the product's own tables were read as they came. An entry of the directory without an address, or with a host name, was a peer; one with a huge number of processors drew what goes by them. From the largest term the next one is 0. An account with tokens below 0 gave more out than the budget.

Change: peers need IP:port, and have up to 1024 cores. A row of limits with a term above 2^62 names no holder and is written anew, as one that cannot be read. An account with tokens below 0, or whose sum overflows, covers no turn, as one that cannot be read.

Ruled out: an upper bound of an account's tokens: callers name budgets of any size. Writing such an account anew: what was spent would be forgotten.

Measured: on the code before, TestOddEntriesAreNoPeers and TestRowThatMakesNoSenseNamesNoHolder fail.

Conclusion: what is read of these rows is within bounds.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -319,11 +318,9 @@
 
 // observe takes the account's row as read at some moment. The mutex is held.
 func (e *entry) observe(run string, row tablestore.Row) error {
-	var account Account
-	if row.Revision != 0 {
-		if err := json.Unmarshal(row.Value, &account); err != nil {
-			return errors.Wrap(err, "decode account")
-		}
+	account, err := decodeAccount(row)
+	if err != nil {
+		return err
 	}
 	if e.known && row.Revision < e.revision {
 		return nil
--- a/internal/ledger/tenantless.go
+++ b/internal/ledger/tenantless.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/cockroachdb/errors"
 
@@ -76,12 +75,11 @@
 	if !tenanted || row.Key != key {
 		return false, nil
 	}
-	found := precedent{revision: row.Revision}
-	if row.Revision != 0 {
-		if err := json.Unmarshal(row.Value, &found.account); err != nil {
-			return true, errors.Wrap(err, "decode account without tenant")
-		}
+	account, err := decodeAccount(row)
+	if err != nil {
+		return true, errors.Wrap(err, "account without tenant")
 	}
+	found := precedent{account: account, revision: row.Revision}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.precedent = found
--- a/internal/quota/levels_test.go
+++ b/internal/quota/levels_test.go
@@ -263,6 +263,17 @@
 	}
 }
 
+// TestRowThatMakesNoSenseNamesNoHolder covers rows that are written anew, and not gone on from: the
+// term after the largest one would be the lowest.
+func TestRowThatMakesNoSenseNamesNoHolder(t *testing.T) {
+	for _, value := range []string{"", "\x80", "[]", `{"t":-1}`, `{"t":1.5}`, `{"t":18446744073709551615}`, `{"a":7}`, `{"l":{"a":"x"}}`} {
+		row, err := decodeRow(rowOf("k", []byte(value)))
+		if err == nil || row.Holder != (Holder{}) || row.Revision != 1 {
+			t.Errorf("%q: got %+v, %v", value, row, err)
+		}
+	}
+}
+
 // rowOf returns a row as the table tells it.
 func rowOf(key string, value []byte) tablestore.Row {
 	return tablestore.Row{Key: key, Value: value, Revision: 1}
--- a/internal/quota/rows.go
+++ b/internal/quota/rows.go
@@ -15,6 +15,9 @@
 
 func rowKey(shard int) string { return fmt.Sprintf("%s%02d", rowTable, shard) }
 
+// maxTerm is far above any term that is counted to. From a larger one the next could overflow.
+const maxTerm = 1 << 62
+
 // rowValue is a row's content.
 type rowValue struct {
 	Address string `json:"a"`
@@ -41,6 +44,9 @@
 	if err := json.Unmarshal(row.Value, &value); err != nil {
 		return Row{Revision: row.Revision}, errors.Wrapf(err, "row %s", row.Key)
 	}
+	if value.Term > maxTerm {
+		return Row{Revision: row.Revision}, errors.Newf("row %s: term is above %d", row.Key, uint64(maxTerm))
+	}
 	holder := Holder{Address: value.Address, Run: value.Run, Term: value.Term}
 	return Row{Holder: holder, Revision: row.Revision, Levels: value.Levels}, nil
 }
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -31,6 +32,7 @@
 	maxListed      = 500
 	listCallLimit  = time.Second
 	secretAttempts = 3
+	maxProcessors  = 1024 // cores; an entry that says more would draw all that goes by them
 )
 
 // member is a node's entry.
@@ -123,13 +125,20 @@
 	for i := range rows {
 		var found member
 		row := rows[(start+i)%len(rows)]
-		if json.Unmarshal(row.Value, &found) == nil && found.Address != d.Address {
-			peers = append(peers, Peer{Zone: zone, Address: found.Address, Processors: max(0, found.Processors)})
+		if json.Unmarshal(row.Value, &found) == nil && isAddress(found.Address) && found.Address != d.Address {
+			peers = append(peers, Peer{Zone: zone, Address: found.Address, Processors: max(0, min(found.Processors, maxProcessors))})
 		}
 	}
 	return peers, nil
 }
 
+// isAddress reports whether a text is an IP address and a port. An entry without one is not of a
+// node: it would be asked in vain, and chosen for duties that then nobody does.
+func isAddress(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && address.Port() != 0
+}
+
 // commit writes one row on condition of its revision.
 func (d Directory) commit(ctx context.Context, key string, revision uint64, value []byte) (tablestore.Receipt, error) {
 	ctx, cancel := context.WithTimeout(ctx, listCallLimit)
