ledger: a turn whose rows make no sense spares the others

Cause: one turn whose rows could not be decoded refused every turn of its program at a node that knew none of them, those of other lines too. An index row that named no program, or another tenant's, was answered 404, as if the turn had never been.

An index row must name a program of the tenant that asks; else the search is no proof that there is no such turn.

Ruled out: 404 for it: a caller would give a line up that the next read may still find.

Measured: on the code before, TestTurnThatMakesNoSenseSparesOthers and TestIndexThatMakesNoSenseIsNoMissingTurn fail.

Conclusion: a row that makes no sense costs the line that needs it, no more.

--- /dev/null
+++ b/internal/ledger/corrupt_rows_test.go
@@ -0,0 +1,65 @@
+package ledger_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/standin/operators"
+)
+
+// overwrite replaces a row of a table, found by the end of its key, by one that makes no sense.
+func overwrite(t *testing.T, store *operators.Store, table, end, value string) {
+	t.Helper()
+	for _, row := range store.Rows(table) {
+		if len(row.Key) >= len(end) && row.Key[len(row.Key)-len(end):] == end {
+			store.Put(table, row.Part, row.Key, value)
+			return
+		}
+	}
+	t.Fatalf("no row of %s ends with %q", table, end)
+}
+
+// goesOn begins a turn that goes on from another at a node that knows nothing.
+func goesOn(t *testing.T, store *operators.Store, run, program, previous string) *api.Error {
+	t.Helper()
+	_, problem := newLedger(store, run).Begin(within(t, 5*time.Second), ledger.Ask{Program: program, Budget: 10_000, Most: most, Previous: previous})
+	return problem
+}
+
+// TestTurnThatMakesNoSenseSparesOthers overwrites the rows of one turn. Those that go on from it
+// are refused, and not as if it had never been; other lines of its program go on.
+func TestTurnThatMakesNoSenseSparesOthers(t *testing.T) {
+	store := newStore(t)
+	first := newLedger(store, "a")
+	say(t, first, "p", "t1", "")
+	say(t, first, "p", "t2", "t1")
+	say(t, first, "p", "u1", "")
+	overwrite(t, store, "program-turns", "t1.00", "\xff")
+	for _, previous := range []string{"t1", "t2"} {
+		if err := goesOn(t, store, "b", "p", previous); err == nil || err.Code == api.CallNotFound {
+			t.Errorf("a turn after %s: got %v", previous, err)
+		}
+	}
+	for range 10 { // rows are taken in any order
+		if err := goesOn(t, store, "c", "p", "u1"); err != nil {
+			t.Fatalf("another line of the program: %v", err)
+		}
+	}
+}
+
+// TestIndexThatMakesNoSenseIsNoMissingTurn overwrites the row that names the program of a turn.
+func TestIndexThatMakesNoSenseIsNoMissingTurn(t *testing.T) {
+	store := newStore(t)
+	say(t, newLedger(store, "a"), "p", "t1", "")
+	if err := goesOn(t, store, "b", "q", "t1"); err != nil {
+		t.Fatalf("before: %v", err)
+	}
+	for _, value := range []string{"a/b", "tenant.p", "two words"} {
+		overwrite(t, store, "turn-programs", "t1", value)
+		if err := goesOn(t, store, "c", "q", "t1"); err == nil || err.Code == api.CallNotFound {
+			t.Errorf("the index says %q: got %v", value, err)
+		}
+	}
+}
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -49,8 +49,8 @@
 	if err := l.load(ctx, e, part, e.program); err != nil && !l.health.away(part) {
 		return nil, err // else it may have been recorded in another part, since its own fails
 	}
-	if turn := e.knownTurn(id); turn != nil {
-		return turn, nil
+	if turn, err := e.loadedTurn(id); turn != nil || err != nil {
+		return turn, err
 	}
 	if l.nowhere(ctx, e.program, id) {
 		return nil, errors.Wrapf(tablestore.ErrNotFound, "turn %s in none of %d parts", id, Parts)
@@ -65,8 +65,8 @@
 	if err := l.load(ctx, e, foundIn, program); err != nil {
 		return nil, err
 	}
-	if turn := e.knownTurn(id); turn != nil {
-		return turn, nil
+	if turn, err := e.loadedTurn(id); turn != nil || err != nil {
+		return turn, err
 	}
 	return nil, errors.Wrapf(tablestore.ErrNotFound, "turn %s", id)
 }
@@ -86,6 +86,17 @@
 	return e.turns[id]
 }
 
+// loadedTurn returns a turn whose rows may just have been read; nil if there are none. The error
+// says that there are and make no sense: that is not to be taken for a turn that never was.
+func (e *entry) loadedTurn(id string) (*Turn, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if turn := e.turns[id]; turn != nil {
+		return turn, nil
+	}
+	return nil, e.corrupt[id]
+}
+
 // load reads the rows of a program from one part into the entry: its turns,
 // and its account if they are the entry's own.
 func (l *Ledger) load(ctx context.Context, e *entry, part int, program string) error {
@@ -135,7 +146,8 @@
 	}
 }
 
-// take keeps the turns among the rows, and the account.
+// take keeps the turns among the rows, and the account. A turn whose rows make no sense spares the
+// others of its program.
 func (e *entry) take(run, account string, rows []tablestore.Row) error {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -154,9 +166,11 @@
 	for id, found := range pieces {
 		turn, err := decodeTurn(id, found)
 		if err != nil {
-			return errors.Wrapf(err, "turn %s", id)
+			e.corrupt[id] = errors.Wrapf(err, "turn %s", id)
+			continue
 		}
 		e.turns[id] = turn
+		delete(e.corrupt, id)
 	}
 	return nil
 }
@@ -211,8 +225,10 @@
 		group.Go(func() error {
 			key := indexKey(part, asking, id)
 			rows, err := l.readRange(ctx, part, key, key+"\x00")
-			if err == nil && len(rows) == 1 {
-				found[part] = string(rows[0].Value)
+			if err != nil || len(rows) == 0 {
+				return err
+			}
+			if found[part], err = programOfIndex(asking, rows[0].Value); err == nil {
 				foundIt()
 			}
 			return err
@@ -229,3 +245,17 @@
 	}
 	return 0, "", errors.Wrapf(tablestore.ErrNotFound, "turn %s in none of %d parts", id, Parts)
 }
+
+// errIndexCorrupt says that the row that names the program of a turn makes no sense.
+var errIndexCorrupt = errors.New("the row of a turn's program makes no sense")
+
+// programOfIndex returns the program that an index row names. One that names none, or another
+// tenant's, does not say that there is no such turn.
+func programOfIndex(asking string, value []byte) (string, error) {
+	tenant, _ := splitProgram(asking)
+	said, id := splitProgram(string(value))
+	if said != tenant || !ValidID(id) {
+		return "", errIndexCorrupt
+	}
+	return string(value), nil
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -82,6 +82,7 @@
 	flight    *flight   // the write under way; nil if none is
 	pending   []*record // turns that wait to be recorded
 	turns     map[string]*Turn
+	corrupt   map[string]error // of turns whose rows made no sense when they were last read
 	recalls   recalls
 	refusals  int // writes in a row that were refused for their rate; guarded by commit
 }
@@ -249,6 +250,7 @@
 			recalls:  recalls{turn: make(chan struct{}, 1)},
 			attempts: make(map[uint64]attempt),
 			turns:    make(map[string]*Turn),
+			corrupt:  make(map[string]error),
 		}
 		l.entries[program] = e
 	}
--- a/internal/ledger/tenantless.go
+++ b/internal/ledger/tenantless.go
@@ -35,8 +35,8 @@
 	if err := l.load(ctx, e, part, program); err != nil {
 		return nil, err
 	}
-	if turn := e.knownTurn(id); turn != nil {
-		return turn, nil
+	if turn, err := e.loadedTurn(id); turn != nil || err != nil {
+		return turn, err
 	}
 	return nil, missing
 }
