serving: a test of entries of another writer that come through a relay

Cause: the tests covered the zone's watcher, not a call that a peer makes.

Change: TestEntriesOfAnotherWriterArriveThroughARelay.

Conclusion: every node decodes what it hears by itself, whichever way it comes.

--- a/internal/serving/strangers_test.go
+++ b/internal/serving/strangers_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/pewtermill/pewtermill/internal/standin/operators"
 )
 
 // otherWriters returns entries that name no engine, by the field that is wrong. Each names the
@@ -109,3 +111,22 @@
 		follower.allFrom("p2", "through-a-peer")
 	}
 }
+
+// TestEntriesOfAnotherWriterArriveThroughARelay has the store turn one process away, which then
+// hears of an entry over an engine's own by a call that its peer makes.
+func TestEntriesOfAnotherWriterArriveThroughARelay(t *testing.T) {
+	d, _, entrance := besideServed(t)
+	entrance.SetFault(operators.Refuse)
+	asked := 0
+	d.eventually("through its peer", func() bool {
+		asked++
+		d.turn("/kept/", fmt.Sprint("p", asked), fmt.Sprint("t", asked), "", "x")
+		return strings.Contains(d.log.String(), `"msg":"store reached through peers"`)
+	})
+	d.store.Put("servers", "", "x", "no record")
+	d.store.Put("servers", "", "p1", otherWriters(d.engines["p1"].Address())["cold_left_ms"])
+	d.eventually("without p1", func() bool { return d.figure("pewtermill_serve_engines", "3") })
+	d.allFrom("p2", "through-a-relay")
+	d.store.Put("servers", "", "p1", d.engines["p1"].Record("portal", "ready"))
+	d.eventually("with p1", func() bool { return d.figure("pewtermill_serve_engines", "4") })
+}
