serving: the test of a relay has its process watch by itself

Both processes were of one zone, so that the entries came from its watcher and not by a relayed call.

Change: the process watches by itself (keys expire there), and the test waits until its calls are relayed. It asks for the same as before, and more surely.

Conclusion: what comes by a relayed call is covered.

--- a/internal/serving/strangers_test.go
+++ b/internal/serving/strangers_test.go
@@ -112,17 +112,21 @@
 	}
 }
 
-// TestEntriesOfAnotherWriterArriveThroughARelay has the store turn one process away, which then
-// hears of an entry over an engine's own by a call that its peer makes.
+// TestEntriesOfAnotherWriterArriveThroughARelay has the store turn one process away, which watches
+// by itself and then hears of an entry over an engine's own by a call that its peer makes.
 func TestEntriesOfAnotherWriterArriveThroughARelay(t *testing.T) {
-	d, _, entrance := besideServed(t)
-	entrance.SetFault(operators.Refuse)
-	asked := 0
-	d.eventually("through its peer", func() bool {
-		asked++
-		d.turn("/kept/", fmt.Sprint("p", asked), fmt.Sprint("t", asked), "", "x")
-		return strings.Contains(d.log.String(), `"msg":"store reached through peers"`)
+	d := prepare(t)
+	entrance := d.store.NewEntrance()
+	t.Cleanup(entrance.Server.Close)
+	d.storeAddress, d.keysExpire = entrance.Address(), time.Hour // with which each process watches by itself
+	d.run("node-1", anyPort)
+	d.beside("node-2", anyPort)
+	d.store.Put("op", "", "config", standard())
+	d.eventually("ready, and known to its peer", func() bool {
+		return d.process.Ready() && strings.Contains(d.log.String(), `"msg":"peers found","count":1`)
 	})
+	entrance.SetFault(operators.Refuse)
+	d.eventually("watching through its peer", func() bool { return !d.figure("pewtermill_serve_calls_relayed", "0") })
 	d.store.Put("servers", "", "x", "no record")
 	d.store.Put("servers", "", "p1", otherWriters(d.engines["p1"].Address())["cold_left_ms"])
 	d.eventually("without p1", func() bool { return d.figure("pewtermill_serve_engines", "3") })
