--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,6 +82,7 @@
 	flight    *flight   // the write under way; nil if none is
 	pending   []*record // turns that wait to be recorded
 	turns     map[string]*Turn
+	corrupt   map[string]error // of turns whose rows made no sense when they were last read
 	recalls   recalls
 	refusals  int // writes in a row that were refused for their rate; guarded by commit
 }
@@ -250,6 +250,7 @@
 			recalls:  recalls{turn: make(chan struct{}, 1)},
 			attempts: make(map[uint64]attempt),
 			turns:    make(map[string]*Turn),
+			corrupt:  make(map[string]error),
 		}
 		l.entries[program] = e
 	}
@@ -319,11 +320,9 @@
 
 // observe takes the account's row as read at some moment. The mutex is held.
 func (e *entry) observe(run string, row tablestore.Row) error {
-	var account Account
-	if row.Revision != 0 {
-		if err := json.Unmarshal(row.Value, &account); err != nil {
-			return errors.Wrap(err, "decode account")
-		}
+	account, err := decodeAccount(row)
+	if err != nil {
+		return err
 	}
 	if e.known && row.Revision < e.revision {
 		return nil
--- a/internal/ledger/tenantless.go
+++ b/internal/ledger/tenantless.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/cockroachdb/errors"
 
@@ -36,8 +35,8 @@
 	if err := l.load(ctx, e, part, program); err != nil {
 		return nil, err
 	}
-	if turn := e.knownTurn(id); turn != nil {
-		return turn, nil
+	if turn, err := e.loadedTurn(id); turn != nil || err != nil {
+		return turn, err
 	}
 	return nil, missing
 }
@@ -76,12 +75,11 @@
 	if !tenanted || row.Key != key {
 		return false, nil
 	}
-	found := precedent{revision: row.Revision}
-	if row.Revision != 0 {
-		if err := json.Unmarshal(row.Value, &found.account); err != nil {
-			return true, errors.Wrap(err, "decode account without tenant")
-		}
+	account, err := decodeAccount(row)
+	if err != nil {
+		return true, errors.Wrap(err, "account without tenant")
 	}
+	found := precedent{account: account, revision: row.Revision}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.precedent = found
