--- a/internal/carry/bench_test.go
+++ b/internal/carry/bench_test.go
@@ -28,7 +28,7 @@
 	f := prepare(b, func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "ok") })
 	request := f.request("x")
 	for b.Loop() {
-		conn, err := f.pool.Open(context.Background(), f.address())
+		conn, err := f.pool.Open(context.Background(), f.destination())
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/carry/carry_test.go
+++ b/internal/carry/carry_test.go
@@ -91,7 +91,7 @@
 		if got, err := readAll(response); err != nil || got != "ok" {
 			t.Fatalf("got %q, %v", got, err)
 		}
-		if resting := f.pool.Idle(f.address()); resting != 1 {
+		if resting := f.pool.Idle(f.destination()); resting != 1 {
 			t.Fatalf("%d connections are at rest at the carrier, want 1", resting)
 		}
 	}
@@ -210,6 +210,7 @@
 	for name, test := range map[string]struct {
 		prepare func(f *fixture)
 		handle  func(f *fixture, writer http.ResponseWriter)
+		start   string // of the engine, as the sender knows it; empty for that of the carrier
 		want    error
 		ran     int64
 		lost    int64
@@ -218,6 +219,8 @@
 		"carrier ended after":        {handle: func(f *fixture, _ http.ResponseWriter) { f.link.close() }, want: carry.ErrLost, ran: 1, lost: 1},
 		"carrier stands still":       {prepare: func(f *fixture) { f.warm(); f.link.pause() }, want: carry.ErrLost, ran: 1, lost: 1},
 		"carrier is stopping":        {prepare: func(f *fixture) { f.server.Leave() }, want: carry.ErrNotRun},
+		"engine has started again":   {start: "e@1", want: carry.ErrNotRun},
+		"carrier has an older view":  {start: "e@3", want: carry.ErrNotRun},
 		"engine has left":            {prepare: func(f *fixture) { f.reaches.Store(false) }, want: carry.ErrNotRun},
 		"engine takes no connection": {prepare: func(f *fixture) { f.engine.Listener.Close() }, want: carry.ErrNotRun},
 		"engine breaks off":          {handle: func(*fixture, http.ResponseWriter) { panic(http.ErrAbortHandler) }, want: upstream.ErrNoAnswer, ran: 1},
@@ -236,7 +239,11 @@
 			if test.prepare != nil {
 				test.prepare(f)
 			}
-			response, err := f.send(context.Background(), f.request("x"))
+			request := f.request("x")
+			if test.start != "" {
+				request.Engine = test.start
+			}
+			response, err := f.send(context.Background(), request)
 			if err == nil {
 				response.Body.Close()
 			}
@@ -436,3 +443,21 @@
 	f.close()
 	f.eventually("as many goroutines as before", func() bool { return runtime.NumGoroutine() <= before })
 }
+
+// TestCarrierExpectsTheEngineByItsName has the carrier tell the engine whom the request is for, by
+// the name that it has on the wire.
+func TestCarrierExpectsTheEngineByItsName(t *testing.T) {
+	var expected atomic.Pointer[string]
+	f := prepare(t, func(_ http.ResponseWriter, request *http.Request) {
+		name := request.Header.Get(expectedHeader)
+		expected.Store(&name)
+	})
+	response, err := f.send(context.Background(), f.request("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if got := *expected.Load(); got != engineName {
+		t.Errorf("the engine is expected to be %q, want %q", got, engineName)
+	}
+}
--- a/internal/carry/choice_test.go
+++ b/internal/carry/choice_test.go
@@ -9,6 +9,7 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+	"github.com/pewtermill/pewtermill/internal/upstream"
 )
 
 // seed makes runs alike.
@@ -151,7 +152,7 @@
 
 // TestSmallRegionsCarryNothing compares regions of fewer nodes than it takes, and of as many.
 func TestSmallRegionsCarryNothing(t *testing.T) {
-	client := NewClient(ClientOptions{From: 3, Node: "a", Zone: "z", Kept: func(string) int { return 0 }})
+	client := NewClient(ClientOptions{From: 3, Node: "a", Zone: "z", Kept: func(upstream.Destination) int { return 0 }})
 	for nodes, want := range map[int]bool{2: false, 3: true} {
 		var region []Node
 		for i := range nodes {
@@ -168,7 +169,7 @@
 func TestDoubtedCarriersArePassedOver(t *testing.T) {
 	doubted := make(map[string]bool)
 	client := NewClient(ClientOptions{
-		From: 1, Kept: func(string) int { return 0 }, Doubted: func(address string) bool { return doubted[address] },
+		From: 1, Kept: func(upstream.Destination) int { return 0 }, Doubted: func(address string) bool { return doubted[address] },
 	})
 	client.SetNodes(nil, "self", []Node{{Address: "a", Zone: "z"}, {Address: "b", Zone: "z"}})
 	first := client.Choose(Request{Engine: "e"}, "z", false)
--- a/internal/carry/client.go
+++ b/internal/carry/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/upstream"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -53,12 +54,12 @@
 
 // ClientOptions are what a Client needs.
 type ClientOptions struct {
-	From     int    // from how many nodes of the region on requests are carried; 0 for never
-	Node     string // this node's name
-	Zone     string // its zone
-	Kept     func(address string) int
-	Excluded func(zone string) bool    // no node of the zone carries now
-	Doubted  func(address string) bool // nodes that are passed over with their zone; nil if none is
+	From     int                               // from how many nodes of the region on requests are carried; 0 for never
+	Node     string                            // this node's name
+	Zone     string                            // its zone
+	Kept     func(to upstream.Destination) int // connections at rest of this node's own
+	Excluded func(zone string) bool            // no node of the zone carries now
+	Doubted  func(address string) bool         // nodes that are passed over with their zone; nil if none is
 	Observer Observer
 }
 
@@ -145,7 +146,7 @@
 		Self:      self,
 		BodyBytes: len(request.Body),
 		Paced:     paced,
-		AtRest:    c.options.Kept(request.Address),
+		AtRest:    c.options.Kept(request.destination()),
 	}
 	if !situation.Enabled || situation.AtRest > 0 {
 		return Choose(situation)
--- a/internal/carry/fixture_test.go
+++ b/internal/carry/fixture_test.go
@@ -30,6 +30,13 @@
 const (
 	callHeader      = "Call"
 	remainingHeader = "Remaining-Ms"
+	expectedHeader  = "Expected"
+)
+
+// The engine, as the carrier knows it.
+const (
+	engineName  = "e"
+	engineStart = "e@2"
 )
 
 // fixture is a sender, a carrier and an engine.
@@ -79,9 +86,12 @@
 	}))
 	f.pool = upstream.NewPool(upstream.Options{DialTimeout: time.Second, DeadAfter: time.Second})
 	f.server = carry.NewServer(carry.ServerOptions{
-		Pool:    f.pool,
-		Reaches: func(string, string) bool { return f.reaches.Load() },
+		Pool: f.pool,
+		Reaches: func(engine, _ string) (string, bool) {
+			return engineName, f.reaches.Load() && engine == engineStart
+		},
 		Forward: func(header http.Header, hop carry.Hop) {
+			header.Set(expectedHeader, hop.Engine)
 			header.Set(remainingHeader, strconv.FormatInt(hop.Remaining.Milliseconds(), 10))
 		},
 		Belongs: func(header http.Header, call string) bool { return header.Get(callHeader) == call },
@@ -96,7 +106,7 @@
 	options.Node = "sender"
 	f.asker = wire.NewClient(options)
 	f.client = carry.NewClient(carry.ClientOptions{
-		From: 1, Node: "sender", Zone: "z", Kept: func(string) int { return 0 }, Observer: f,
+		From: 1, Node: "sender", Zone: "z", Kept: func(upstream.Destination) int { return 0 }, Observer: f,
 	})
 	f.client.SetNodes(f.asker, "self", []carry.Node{{Address: f.link.address(), Zone: "z"}})
 	t.Cleanup(f.close)
@@ -115,6 +125,11 @@
 
 func (f *fixture) address() string { return strings.TrimPrefix(f.engine.URL, "http://") }
 
+// destination returns whom the carrier's connections to the engine are to.
+func (f *fixture) destination() upstream.Destination {
+	return upstream.Destination{Incarnation: engineStart, Address: f.address()}
+}
+
 // request returns a request to the engine.
 func (f *fixture) request(body string) carry.Request {
 	return carry.Request{
@@ -122,7 +137,7 @@
 			Method: http.MethodPost, Target: "/a%2Fb?x=1&y=%20", Host: "site.example",
 			Header: http.Header{callHeader: {"c1"}, "Odd-Name": {"one", "two"}}, Body: []byte(body),
 		},
-		Engine: "e", Address: f.address(), Call: "c1", Until: time.Now().Add(patience),
+		Engine: engineStart, Address: f.address(), Call: "c1", Until: time.Now().Add(patience),
 	}
 }
 
--- a/internal/carry/message.go
+++ b/internal/carry/message.go
@@ -20,7 +20,7 @@
 type Request struct {
 	upstream.Request // Accept is the peer's to set
 
-	Engine    string // id of the incarnation
+	Engine    string // identity of the incarnation
 	Address   string // of the engine
 	Call      string // id of the request, which the answer must have
 	LastEvent string // behind which a stream goes on; empty for the caller's own
@@ -28,6 +28,11 @@
 	Until     time.Time // for how long the answer is of use
 }
 
+// destination returns whom connections for the request are to.
+func (r Request) destination() upstream.Destination {
+	return upstream.Destination{Incarnation: r.Engine, Address: r.Address}
+}
+
 // encode returns the message for a peer.
 func (r Request) encode(from string, now time.Time) *wirepb.Request {
 	return &wirepb.Request{
--- a/internal/carry/server.go
+++ b/internal/carry/server.go
@@ -23,7 +23,7 @@
 
 // Hop is what the last node on a request's way tells the engine.
 type Hop struct {
-	Engine    string
+	Engine    string // its name
 	LastEvent string
 	Tenant    string
 	Remaining time.Duration
@@ -33,8 +33,10 @@
 type ServerOptions struct {
 	Pool       *upstream.Pool
 	Processors float64 // of this machine, in cores; 0 if unknown
-	// Reaches says whether an engine has an address and takes new work, as far as is known here.
-	Reaches func(engine, address string) bool
+	// Reaches says whether an incarnation of an engine has an address and takes new work, as far
+	// as is known here, and returns the engine's name. One that has started again is another:
+	// whoever sees the start later or earlier than this node sends by itself.
+	Reaches func(engine, address string) (name string, reaches bool)
 	// Forward sets the headers that the engine is to get anew.
 	Forward func(header http.Header, hop Hop)
 	// Belongs reports whether an answer is that to a call.
@@ -99,9 +101,9 @@
 	}
 }
 
-// begin takes a request on; with a reply it does not.
-func (s *Server) begin(request *wirepb.CarryRequest) *wirepb.Reply {
-	reaches := s.options.Reaches(request.GetEngine(), request.GetAddress())
+// begin takes a request on, and returns the name of its engine; with a reply it does not.
+func (s *Server) begin(request *wirepb.CarryRequest) (string, *wirepb.Reply) {
+	name, reaches := s.options.Reaches(request.GetEngine(), request.GetAddress())
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var declined *wirepb.Reply
@@ -115,10 +117,10 @@
 	default:
 		s.figures.InFlight++
 		s.figures.Carried++
-		return nil
+		return name, nil
 	}
 	s.figures.Declined++
-	return declined
+	return "", declined
 }
 
 func (s *Server) end() {
@@ -139,7 +141,8 @@
 func (s *Server) Answer(ctx context.Context, request *wirepb.Request, onPart func(offset int64, text []byte)) *wirepb.Reply {
 	arrived := time.Now()
 	asked := request.GetCarryRequest()
-	if declined := s.begin(asked); declined != nil {
+	name, declined := s.begin(asked)
+	if declined != nil {
 		return declined
 	}
 	defer s.end()
@@ -148,7 +151,7 @@
 	until := arrived.Add(time.Duration(request.GetTimeoutMillis()) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	conn, err := s.options.Pool.Open(ctx, asked.GetAddress())
+	conn, err := s.options.Pool.Open(ctx, upstream.Destination{Incarnation: asked.GetEngine(), Address: asked.GetAddress()})
 	if err != nil {
 		return failure(api.NoReadyBackend, api.NotRun, err.Error())
 	}
@@ -156,7 +159,7 @@
 		s.options.Pool.Release(conn)
 		return failure(api.Cancelled, api.NotRun, "the sender left before the request went out")
 	}
-	answer, err := s.options.Pool.Send(ctx, conn, s.outgoing(asked, until))
+	answer, err := s.options.Pool.Send(ctx, conn, s.outgoing(asked, name, until))
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		return failure(api.NoReadyBackend, api.NotRun, err.Error())
@@ -172,10 +175,10 @@
 }
 
 // outgoing returns the request as the engine gets it, with the time that is left now.
-func (s *Server) outgoing(asked *wirepb.CarryRequest, until time.Time) upstream.Request {
+func (s *Server) outgoing(asked *wirepb.CarryRequest, engine string, until time.Time) upstream.Request {
 	header := decodeHeaders(asked.GetHeaders())
 	s.options.Forward(header, Hop{
-		Engine:    asked.GetEngine(),
+		Engine:    engine,
 		LastEvent: string(asked.GetLastEvent()),
 		Tenant:    asked.GetTenant(),
 		Remaining: time.Until(until),
--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -1,6 +1,7 @@
 package coldstart
 
 import (
+	"maps"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/routing"
@@ -17,7 +18,7 @@
 	senders  senders
 	services map[string]routing.Service
 	engines  map[string]routing.Engine
-	meters   map[string]*meter // by engine id
+	meters   map[string]*meter // by the engine's name: what was let go to an earlier start may reach a later one
 	cold     map[string]bool   // engines, as of the last refresh
 	kept     uint64
 	let      uint64
@@ -38,13 +39,12 @@
 	g.warmth.SetServices(services)
 	g.warmth.SetEngines(now, engines)
 	g.refresh(now)
-	present := func(engine string) bool { _, found := engines[engine]; return found }
-	g.senders.keep(present)
-	for engine := range g.meters {
-		if !present(engine) {
-			delete(g.meters, engine)
-		}
+	names := make(map[string]bool, len(engines))
+	for _, engine := range engines {
+		names[engine.Name] = true
 	}
+	g.senders.keep(func(name string) bool { return names[name] })
+	maps.DeleteFunc(g.meters, func(name string, _ *meter) bool { return !names[name] })
 }
 
 // SetAvoided takes the zones to which nothing is to be sent.
@@ -91,8 +91,10 @@
 
 // left returns how many requests this node may still let go to an engine.
 func (g *Gate) left(now time.Time, engine string) int {
-	part := g.senders.part(engine, g.rules.planned(g.services[g.engines[engine].Service].ColdPerSecond))
-	if known := g.meters[engine]; known != nil {
+	listed := g.engines[engine]
+	// By its name, on which nodes agree that see a start at different times.
+	part := g.senders.part(listed.Name, g.rules.planned(g.services[listed.Service].ColdPerSecond))
+	if known := g.meters[listed.Name]; known != nil {
 		return known.left(now, part)
 	}
 	return part
@@ -104,10 +106,11 @@
 	if !g.cold[engine] {
 		return time.Time{}
 	}
-	known := g.meters[engine]
+	name := g.engines[engine].Name
+	known := g.meters[name]
 	if known == nil {
 		known = &meter{}
-		g.meters[engine] = known
+		g.meters[name] = known
 	}
 	known.gone = append(known.gone, now)
 	g.let++
--- /dev/null
+++ b/internal/coldstart/incarnations_test.go
@@ -0,0 +1,121 @@
+package coldstart
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/routing"
+)
+
+// tooMany ends a test whose engine is never held.
+const tooMany = 1000
+
+// startedAt returns the list of engines of which each has started at a time.
+func startedAt(born map[string]int64) map[string]routing.Engine {
+	engines := make(map[string]routing.Engine)
+	for name, at := range born {
+		start := routing.Incarnation{Name: name, Born: at}
+		engines[start.ID()] = routing.Engine{Incarnation: start, ID: start.ID(), Service: "s", Zone: "zone-a"}
+	}
+	return engines
+}
+
+// TestEngineThatStartsAgainIsCold starts an engine again under its name. What comes late of the
+// earlier start makes the later one neither warm nor silent.
+func TestEngineThatStartsAgainIsCold(t *testing.T) {
+	w := NewWarmth()
+	w.SetServices(services(28))
+	w.SetEngines(at(-60_000), startedAt(map[string]int64{"a": 100, "b": 100, "c": 100}))
+	w.Silenced(at(-10), "a@100")
+	w.SetEngines(at(0), startedAt(map[string]int64{"a": 200, "b": 100, "c": 100}))
+	w.Answered(at(10), "a@100")
+	expect(t, w, at(20), "a@200")
+	if changes := w.Changes(at(20)); len(changes) != 1 || changes[0].ID != "a@200" || changes[0].Word != NewIncarnation {
+		t.Errorf("told %+v, want that the later start is cold as a new one", changes)
+	}
+	w.SetEngines(at(2000), startedAt(map[string]int64{"a": 200, "b": 100, "c": 100}))
+	w.Silenced(at(3200), "a@100")
+	w.Answered(at(3300), "a@100")
+	expect(t, w, at(3400))
+}
+
+// TestEnginesThatStartAgainTogetherExcuseNoOther starts most engines of a service again while
+// the entry of another goes, and comes back: the store has not done that.
+func TestEnginesThatStartAgainTogetherExcuseNoOther(t *testing.T) {
+	w := NewWarmth()
+	w.SetServices(services(28))
+	before, after := make(map[string]int64), make(map[string]int64)
+	for i := range 10 {
+		name := fmt.Sprintf("e%d", i)
+		before[name], after[name] = 100, 100
+		if i > 0 && i < 8 {
+			after[name] = 200
+		}
+	}
+	delete(after, "e0")
+	w.SetEngines(at(-60_000), startedAt(before))
+	w.SetEngines(at(0), startedAt(after))
+	after["e0"] = 100
+	w.SetEngines(at(5_000), startedAt(after))
+	expect(t, w, at(5_010), "e0@100")
+}
+
+// TestStartsOfOneEngineShareItsLimit starts a cold engine again and again. What was let go to an
+// earlier start may reach a later one, so all count as one.
+func TestStartsOfOneEngineShareItsLimit(t *testing.T) {
+	rules, bears := Rules{Times: 1, Slack: 3}, 4.0
+	gate := NewGate(rules)
+	gate.SetNodes("n", nil)
+	gate.SetEngines(at(-60_000), startedAt(map[string]int64{"other": 1}), services(bears))
+	let := 0
+	for i := range 5 {
+		now := at(i * 100)
+		engines := startedAt(map[string]int64{"other": 1, "e": int64(100 + i)})
+		gate.SetEngines(now, engines, services(bears))
+		for id, engine := range engines {
+			for engine.Name == "e" && !gate.Held(now, id) && let < tooMany {
+				gate.Let(now, id)
+				let++
+			}
+		}
+	}
+	if planned := rules.planned(bears); let != planned {
+		t.Errorf("%d requests were let go within half a second, want %d", let, planned)
+	}
+}
+
+// TestNodesAgreeOnTheSendersOfAllStarts has nodes see a start at different times.
+func TestNodesAgreeOnTheSendersOfAllStarts(t *testing.T) {
+	rules, bears, nodes := Rules{Times: 1, Slack: 3}, 4.0, []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9"}
+	let := 0
+	for i, own := range nodes {
+		gate := NewGate(rules)
+		gate.SetNodes(own, nodes)
+		gate.SetEngines(at(-60_000), startedAt(map[string]int64{"other": 1}), services(bears))
+		engines := startedAt(map[string]int64{"other": 1, "e": int64(100 + i)})
+		gate.SetEngines(at(0), engines, services(bears))
+		for id, engine := range engines {
+			for engine.Name == "e" && !gate.Held(at(0), id) && let < tooMany {
+				gate.Let(at(0), id)
+				let++
+			}
+		}
+	}
+	if planned := rules.planned(bears); let != planned {
+		t.Errorf("%d requests were let go by all nodes, want %d", let, planned)
+	}
+}
+
+// TestEntryOfALaterStartCounts has a later start say that it is cold for longer.
+func TestEntryOfALaterStartCounts(t *testing.T) {
+	w := NewWarmth()
+	w.SetServices(services(28))
+	w.SetEngines(at(-60_000), startedAt(map[string]int64{"a": 100}))
+	engines := startedAt(map[string]int64{"a": 200})
+	later := engines["a@200"]
+	later.ColdLeft = 10 * time.Second
+	engines["a@200"] = later
+	w.SetEngines(at(0), engines)
+	expect(t, w, at(9_000), "a@200")
+}
--- a/internal/coldstart/warmth.go
+++ b/internal/coldstart/warmth.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,7 +38,7 @@
 
 // Words.
 const (
-	NewIncarnation Word = "new_incarnation" // an id that was not listed before
+	NewIncarnation Word = "new_incarnation" // a name, or a start of it, that was not listed before
 	CameBack       Word = "came_back"       // its entry had gone
 	Entry          Word = "entry"           // its own entry
 	Silent         Word = "silent"          // it refused connections or fell silent
@@ -62,7 +63,7 @@
 // while cold are ever cold.
 type Warmth struct {
 	services map[string]routing.Service
-	engines  map[string]*warmth // by id
+	engines  map[string]*warmth // by the identity of the incarnation
 	listed   bool               // a list was taken
 	lost     bool               // the store is, now
 	lostAt   time.Time          // when it last was; zero if never
@@ -110,6 +111,7 @@
 // SetEngines takes the list of engines. Those of the first list may have run for long, and are
 // cold only if they say so.
 func (w *Warmth) SetEngines(now time.Time, engines map[string]routing.Engine) {
+	w.dropEnded(engines)
 	for id, known := range w.engines {
 		if _, found := engines[id]; !found {
 			w.goes(now, id, known)
@@ -122,6 +124,19 @@
 	w.listed = w.listed || len(engines) > 0
 }
 
+// dropEnded forgets engines that have started again: they neither come back nor count among
+// those whose entries went.
+func (w *Warmth) dropEnded(engines map[string]routing.Engine) {
+	started := make(map[string]string, len(engines))
+	for id, engine := range engines {
+		started[engine.Name] = id
+	}
+	maps.DeleteFunc(w.engines, func(id string, known *warmth) bool {
+		newest, listed := started[known.engine.Name]
+		return listed && newest != id
+	})
+}
+
 // goes notes that an engine is not listed.
 func (w *Warmth) goes(now time.Time, id string, known *warmth) {
 	switch {
--- a/internal/coldstart/warmth_test.go
+++ b/internal/coldstart/warmth_test.go
@@ -27,7 +27,7 @@
 func listed(left map[string]time.Duration) map[string]routing.Engine {
 	engines := make(map[string]routing.Engine)
 	for id, cold := range left {
-		engines[id] = routing.Engine{ID: id, Service: "s", Zone: "zone-" + id[:1], ColdLeft: cold}
+		engines[id] = routing.Engine{ID: id, Incarnation: routing.Incarnation{Name: id}, Service: "s", Zone: "zone-" + id[:1], ColdLeft: cold}
 	}
 	return engines
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -60,7 +60,7 @@
 // View is what is known at one moment. It never changes.
 type View struct {
 	Table    *routing.Table            // nil before the first configuration
-	Engines  map[string]routing.Engine // by id
+	Engines  map[string]routing.Engine // by the identity of the incarnation; one for each name
 	Versions [collectionCount]uint64   // of the newest record seen
 
 	Evacuations evacuations // by zone, also those that were taken back
@@ -108,13 +108,14 @@
 	options Options
 	view    atomic.Pointer[View]
 	mutex   sync.Mutex // serialises changes of view
+	starts  starts     // the mutex guards it
 	healthy [collectionCount]atomic.Bool
 	heardAt [collectionCount]atomic.Pointer[time.Time] // of the last answer; nil before the first
 }
 
 // New returns a follower with an empty view.
 func New(options Options) *Follower {
-	f := &Follower{options: options}
+	f := &Follower{options: options, starts: make(starts)}
 	f.view.Store(&View{Engines: map[string]routing.Engine{}, Evacuations: evacuations{}})
 	return f
 }
@@ -270,7 +271,7 @@
 	f.mutex.Lock()
 	next := f.copyView()
 	if collection == Engines {
-		next.Engines = make(map[string]routing.Engine, len(records))
+		f.starts.withdrawOthers(next.Engines, records, version, time.Now())
 	} else {
 		next.Evacuations = next.Evacuations.replaced(records, version)
 	}
@@ -298,6 +299,7 @@
 
 // apply takes records into a view and puts it in force. The mutex is held.
 func (f *Follower) apply(next *View, collection Collection, records []Record, version uint64) {
+	now := time.Now()
 	for _, record := range records {
 		switch {
 		case record.Fault != nil:
@@ -306,16 +308,17 @@
 			next.Evacuations.take(record)
 		case record.Gone:
 			if collection == Engines {
-				delete(next.Engines, record.Key)
+				f.starts.withdraw(next.Engines, record.Key, record.Version, now)
 			}
 		case record.Engine != nil:
-			next.Engines[record.Key] = *record.Engine
+			f.starts.take(next.Engines, *record.Engine, record.Version, now)
 		case record.Configuration != nil:
 			if next.Table == nil || record.Configuration.Version > next.Table.Configuration.Version {
 				next.Table = routing.NewTable(record.Configuration)
 			}
 		}
 	}
+	f.starts.forget(now)
 	next.Versions[collection] = max(next.Versions[collection], version)
 	f.view.Store(next)
 }
--- /dev/null
+++ b/internal/discovery/starts.go
@@ -0,0 +1,105 @@
+package discovery
+
+import (
+	"maps"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/routing"
+)
+
+// startMemory is for how long the newest start of an engine is remembered whose entry has
+// gone. What was written or read before that arrives within seconds; an engine whose clock
+// was set back is taken again after it.
+const startMemory = time.Minute
+
+// start is the newest start of an engine of some name that was seen. It is listed if its last
+// entry is newer than the last word that the name has none.
+type start struct {
+	routing.Incarnation
+	version   uint64    // of its entry, of those that were seen the newest
+	withdrawn uint64    // as of which version the name had no entry; 0 if it always had one
+	gone      time.Time // since when it is not listed; zero if it is
+}
+
+// starts are the newest starts, by name. They keep an older start that arrives late from
+// taking the place of a newer one, or from coming back after it: what is listed does not
+// depend on the order in which words arrive. Not safe for concurrent use.
+type starts map[string]*start
+
+// take takes an engine's entry into a view's engines, unless it is older than what is known
+// of the name. An older start that has overwritten the entry of the newer one changes nothing:
+// the newer one stays as it was last known.
+func (s starts) take(engines map[string]routing.Engine, engine routing.Engine, version uint64, now time.Time) {
+	known := s[engine.Name]
+	if known == nil {
+		known = &start{Incarnation: engine.Incarnation}
+		s[engine.Name] = known
+	}
+	if engine.Precedes(known.Incarnation) || (engine.Incarnation == known.Incarnation && version < known.version) {
+		return
+	}
+	delete(engines, known.ID())
+	known.Incarnation, known.version = engine.Incarnation, version
+	if version < known.withdrawn {
+		known.goes(now)
+		return
+	}
+	known.gone = time.Time{}
+	engines[engine.ID] = engine
+}
+
+// withdraw notes that a name had no entry as of a version.
+func (s starts) withdraw(engines map[string]routing.Engine, name string, version uint64, now time.Time) {
+	known := s[name]
+	if known == nil {
+		return
+	}
+	known.withdrawn = max(known.withdrawn, version)
+	if version >= known.version {
+		delete(engines, known.ID())
+		known.goes(now)
+	}
+}
+
+// goes notes that the start is not listed.
+func (k *start) goes(now time.Time) {
+	if k.gone.IsZero() {
+		k.gone = now
+	}
+}
+
+// withdrawOthers notes which names a whole list of a version does not have.
+func (s starts) withdrawOthers(engines map[string]routing.Engine, records []Record, version uint64, now time.Time) {
+	listed := make(map[string]bool, len(records))
+	for _, record := range records {
+		if record.Engine != nil {
+			listed[record.Engine.Name] = true
+		}
+	}
+	for name := range s {
+		if !listed[name] {
+			s.withdraw(engines, name, version, now)
+		}
+	}
+}
+
+// forget drops the names that have gone for long.
+func (s starts) forget(now time.Time) {
+	maps.DeleteFunc(s, func(_ string, known *start) bool {
+		return !known.gone.IsZero() && now.Sub(known.gone) >= startMemory
+	})
+}
+
+// SucceededBy reports whether the view lists a later start of an engine, so that this one has
+// ended.
+func (v *View) SucceededBy(engine routing.Engine) bool {
+	if _, listed := v.Engines[engine.ID]; listed {
+		return false
+	}
+	for _, other := range v.Engines {
+		if engine.Precedes(other.Incarnation) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/upstream"
 )
 
@@ -290,10 +291,10 @@
 }
 
 // outgoing returns the request as an engine gets it.
-func (r *request) outgoing(engine, lastEvent string) upstream.Request {
+func (r *request) outgoing(engine routing.Engine, lastEvent string) upstream.Request {
 	header := passedOn(r.http.Header)
 	r.handler.options.Protocol.Forward(header, Hop{
-		Engine:    engine,
+		Engine:    engine.Name,
 		Remaining: time.Until(r.until),
 		LastEvent: lastEvent,
 		Keyed:     r.view.Table.Configuration.Keyed,
--- a/internal/ingress/carried.go
+++ b/internal/ingress/carried.go
@@ -66,7 +66,7 @@
 func (t *try) carried(lastEvent string) carry.Request {
 	r := t.request
 	return carry.Request{
-		Request:   r.outgoing(t.placed.Engine.ID, lastEvent),
+		Request:   r.outgoing(t.placed.Engine, lastEvent),
 		Engine:    t.placed.Engine.ID,
 		Address:   t.placed.Engine.Address,
 		Call:      r.call.ID,
@@ -82,7 +82,7 @@
 	if t.ctx.Err() != nil {
 		return nil, errors.Mark(context.Cause(t.ctx), upstream.ErrNoConnection)
 	}
-	conn, err := options.Pool.Open(t.ctx, t.placed.Engine.Address)
+	conn, err := options.Pool.Open(t.ctx, connectionsTo(t.placed.Engine))
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +90,7 @@
 		options.Pool.Release(conn)
 		return nil, errLate
 	}
-	answer, err := options.Pool.Send(t.ctx, conn, t.request.outgoing(t.placed.Engine.ID, lastEvent))
+	answer, err := options.Pool.Send(t.ctx, conn, t.request.outgoing(t.placed.Engine, lastEvent))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -44,7 +44,7 @@
 // tell the route's priority: engines interrupt what runs for what is more urgent and
 // read its prompt anew, which costs a full service more than the order gains.
 type Hop struct {
-	Engine    string        // id of the incarnation that the request is meant for
+	Engine    string        // name of the engine that the request is meant for
 	Remaining time.Duration // for how long the answer is of use
 	LastEvent string        // event behind which to go on; empty for the caller's own
 	Keyed     bool          // callers show keys to the system, which no engine may see
@@ -67,6 +67,9 @@
 	NotExecuted(status int, header http.Header) bool
 	// Misdirected reports whether another engine has the address.
 	Misdirected(status int) bool
+	// Speaker tells of which start of an engine an answer to the question how it is says that it
+	// is. The name is empty, and the start 0, where it does not say.
+	Speaker(header http.Header, body []byte) routing.Incarnation
 	// Mark sets the headers that an answer of the system's own carries.
 	Mark(header http.Header, call Call)
 }
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -10,6 +10,7 @@
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/upstream"
 )
 
@@ -36,6 +37,9 @@
 // errDark is why a send to an engine that has gone dark is given up.
 var errDark = errors.New("the engine fell silent and takes no connections")
 
+// errStartedAgain is why a send to an engine that has started again is given up.
+var errStartedAgain = errors.New("the engine fell silent and has started again since")
+
 // watch gives the try a context of its own and starts to watch the engine.
 func (t *try) watch(ctx context.Context) {
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
@@ -60,12 +64,16 @@
 		t.watchdog.Reset(stallAfter - zoneAfter)
 		return
 	}
+	if t.request.handler.options.View().SucceededBy(t.placed.Engine) {
+		t.cancel(errStartedAgain) // the later start at the address tells nothing of the request
+		return
+	}
 	said := t.said.Load()
 	if t.carrierSilent() && t.said.Load() == said {
 		t.cancel(errCarrierSilent)
 		return
 	}
-	if !t.evacuated() && t.request.handler.looker.dark(t.ctx, t.placed.Engine.Address) && t.said.Load() == said {
+	if !t.evacuated() && t.request.handler.looker.dark(t.ctx, t.placed.Engine) && t.said.Load() == said {
 		t.cancel(errDark)
 		return
 	}
@@ -81,9 +89,11 @@
 		return cancelledOutcome(ctx)
 	case errors.Is(context.Cause(t.ctx), errDark):
 		return placement.Dark
+	case errors.Is(context.Cause(t.ctx), errStartedAgain):
+		return placement.Failed
 	case t.carrierLost(err):
 		return placement.CarrierLost
-	case upstream.IsDead(err) && !t.evacuated() && t.request.handler.looker.dark(ctx, t.placed.Engine.Address):
+	case upstream.IsDead(err) && !t.evacuated() && t.request.handler.looker.dark(ctx, t.placed.Engine):
 		return placement.Dark
 	}
 	return placement.Failed
@@ -96,7 +106,7 @@
 	view func() *discovery.View
 
 	mutex sync.Mutex
-	seen  map[string]*sight // by address
+	seen  map[upstream.Destination]*sight
 }
 
 // sight is one look at an engine. Who comes meanwhile waits for it.
@@ -107,26 +117,31 @@
 }
 
 func newLooker(pool *upstream.Pool, view func() *discovery.View) *looker {
-	return &looker{pool: pool, view: view, seen: make(map[string]*sight)}
+	return &looker{pool: pool, view: view, seen: make(map[upstream.Destination]*sight)}
+}
+
+// connectionsTo returns whom connections to an engine are to.
+func connectionsTo(engine routing.Engine) upstream.Destination {
+	return upstream.Destination{Incarnation: engine.ID, Address: engine.Address}
 }
 
-// dark reports whether the address does not even answer an attempt to connect, while
+// dark reports whether the engine does not even answer an attempt to connect, while
 // another engine does: otherwise this node may be cut off, and the engine may still be
 // at work. One that refuses is alive, or its connections have ended already.
-func (l *looker) dark(ctx context.Context, address string) bool {
-	now := time.Now()
+func (l *looker) dark(ctx context.Context, engine routing.Engine) bool {
+	now, looked := time.Now(), connectionsTo(engine)
 	l.mutex.Lock()
-	known := l.seen[address]
+	known := l.seen[looked]
 	fresh := known == nil || now.Sub(known.at) > lookAgain
 	if fresh {
 		known = &sight{done: make(chan struct{}), at: now}
 		l.forget(now)
-		l.seen[address] = known
+		l.seen[looked] = known
 	}
 	l.mutex.Unlock()
 	if fresh {
-		known.dark = l.silent(ctx, address) && l.hearsAnother(ctx, address) &&
-			backoff.Wait(ctx, lookPause) && l.silent(ctx, address)
+		known.dark = l.silent(ctx, engine) && l.hearsAnother(ctx, engine.Address) &&
+			backoff.Wait(ctx, lookPause) && l.silent(ctx, engine)
 		close(known.done)
 	}
 	<-known.done
@@ -134,8 +149,8 @@
 }
 
 // silent reports whether nothing at all answers an attempt to connect.
-func (l *looker) silent(ctx context.Context, address string) bool {
-	err := l.pool.Probe(ctx, address, lookTimeout)
+func (l *looker) silent(ctx context.Context, engine routing.Engine) bool {
+	err := l.pool.Probe(ctx, connectionsTo(engine), lookTimeout)
 	return ctx.Err() == nil && upstream.IsSilent(err)
 }
 
@@ -149,7 +164,7 @@
 			continue
 		}
 		asked++
-		go func() { heard <- l.pool.Probe(ctx, engine.Address, lookTimeout) == nil }()
+		go func() { heard <- l.pool.Probe(ctx, connectionsTo(engine), lookTimeout) == nil }()
 	}
 	for range asked {
 		if <-heard {
@@ -161,9 +176,9 @@
 
 // forget drops old sights. The mutex is held.
 func (l *looker) forget(now time.Time) {
-	for address, known := range l.seen {
+	for looked, known := range l.seen {
 		if now.Sub(known.at) > lookAgain {
-			delete(l.seen, address)
+			delete(l.seen, looked)
 		}
 	}
 }
--- a/internal/ingress/zones.go
+++ b/internal/ingress/zones.go
@@ -118,7 +118,7 @@
 		return true
 	}
 	said := t.said.Load()
-	return !t.evacuated() && t.request.handler.looker.silent(t.ctx, t.placed.Engine.Address) && t.said.Load() == said
+	return !t.evacuated() && t.request.handler.looker.silent(t.ctx, t.placed.Engine) && t.said.Load() == said
 }
 
 // evacuated reports whether nothing more is to be sent to the try's engine, not even a look
--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -22,19 +22,19 @@
 func newColdPlacer(cold routing.Engine, warm ...string) *Placer {
 	p := New(Options{
 		Node: "node", Topology: topology.New("zone-a", nil), Recorder: explain.NewLog("node", 8),
-		Idle: func(string) int { return 1 }, Cold: coldstart.Rules{Times: 1.5},
+		Idle: func(routing.Engine) int { return 1 }, Cold: coldstart.Rules{Times: 1.5},
 	})
 	p.SetNodes("node", nil)
 	engines := map[string]routing.Engine{cold.ID: cold}
 	for _, id := range warm {
-		engines[id] = routing.Engine{ID: id, Service: "s", Address: id, Zone: "zone-a", Slots: 6}
+		engines[id] = routing.Engine{ID: id, Incarnation: routing.Incarnation{Name: id}, Service: "s", Address: id, Zone: "zone-a", Slots: 6}
 	}
 	p.SetEngines(engines, coldServices())
 	return p
 }
 
 func coldEngine() routing.Engine {
-	return routing.Engine{ID: "cold", Service: "s", Address: "cold", Zone: "zone-a", Slots: 6, ColdLeft: time.Minute}
+	return routing.Engine{ID: "cold", Incarnation: routing.Incarnation{Name: "cold"}, Service: "s", Address: "cold", Zone: "zone-a", Slots: 6, ColdLeft: time.Minute}
 }
 
 // TestColdEngineGetsNoMoreThanItsPart sends to a cold engine alone, which has room for more.
@@ -95,7 +95,7 @@
 
 // TestEngineThatAnswersAfterSilenceIsCold covers an engine that comes back under its old id.
 func TestEngineThatAnswersAfterSilenceIsCold(t *testing.T) {
-	p := newColdPlacer(routing.Engine{ID: "e", Service: "s", Address: "e", Zone: "zone-a", Slots: 6}, "warm-0", "warm-1")
+	p := newColdPlacer(routing.Engine{ID: "e", Incarnation: routing.Incarnation{Name: "e"}, Service: "s", Address: "e", Zone: "zone-a", Slots: 6}, "warm-0", "warm-1")
 	only := Request{Service: "s", Excluded: []string{"warm-0", "warm-1"}, Deadline: time.Now().Add(time.Minute)}
 	placed, problem := p.Place(context.Background(), only)
 	if problem != nil {
--- a/internal/placement/crossing_test.go
+++ b/internal/placement/crossing_test.go
@@ -24,7 +24,7 @@
 func TestCallsStayWhereTheLinkIsFull(t *testing.T) {
 	closed := closedLinks{}
 	places := topology.New("zone-a", map[string]string{"zone-a": "north", "zone-b": "south", "zone-c": "east"})
-	p := New(Options{Node: "n", Topology: places, Recorder: explain.NewLog("n", 8), Idle: func(string) int { return 0 }, Crossing: closed})
+	p := New(Options{Node: "n", Topology: places, Recorder: explain.NewLog("n", 8), Idle: func(routing.Engine) int { return 0 }, Crossing: closed})
 	p.SetEngines(map[string]routing.Engine{
 		"north": {ID: "north", Service: "both", Zone: "zone-a", Slots: 1, Address: "a:1"},
 		"south": {ID: "south", Service: "both", Zone: "zone-b", Slots: 9, Address: "b:1"},
--- a/internal/placement/failing.go
+++ b/internal/placement/failing.go
@@ -66,8 +66,12 @@
 }
 
 // failed takes in a failure. One that fails at once is always free, and would draw ever more
-// calls. The mutex is held.
+// calls. What ends at an engine that is gone, as with an earlier start, tells nothing. The mutex
+// is held.
 func (p *Placer) failed(id string, evidence outliers.Evidence, now time.Time) {
+	if _, listed := p.engines[id]; !listed {
+		return
+	}
 	p.failing.detector.Failed(id, evidence, now, p.failing.random.Float64())
 	p.refresh(now)
 }
@@ -104,7 +108,7 @@
 	}
 	p.tell()
 	for _, id := range p.failing.detector.ToLook(now) {
-		if p.options.Look == nil {
+		if _, listed := p.engines[id]; p.options.Look == nil || !listed {
 			p.failing.detector.Looked(id, false, now, 0)
 			continue
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -52,8 +52,8 @@
 	Node     string
 	Topology topology.Topology
 	Recorder explain.Recorder
-	// Idle returns how many connections to an address are at rest.
-	Idle func(address string) int
+	// Idle returns how many connections to an engine are at rest.
+	Idle func(engine routing.Engine) int
 	// Cold says how exactly the limits of cold engines are to be kept.
 	Cold coldstart.Rules
 	// Warmth is told of engines that turn cold or warm; nil if nobody is. It must not block.
@@ -136,7 +136,7 @@
 
 // ConnectCost implements scheduler.LocalCosts.
 func (p *localCosts) ConnectCost(id string) float64 {
-	if p.options.Idle(p.engines[id].Address) > 0 {
+	if p.options.Idle(p.engines[id]) > 0 {
 		return 0
 	}
 	return connectMillis
@@ -206,9 +206,9 @@
 	p.core.SetEngines(views)
 }
 
-// Place waits for an engine. The error says that none could take the request
-// before ctx ended, or at all; it has not run.
-func (p *Placer) Place(ctx context.Context, request Request) (Placement, *api.Error) {
+// placeOnce does what Place does, but returns an empty placement if the engine that it waited
+// for is gone.
+func (p *Placer) placeOnce(ctx context.Context, request Request) (Placement, *api.Error) {
 	now := time.Now()
 	blocks := blocksOf(request.Parts)
 	waiter := make(chan answer, 1)
@@ -253,9 +253,25 @@
 	if problem != nil {
 		return Placement{}, problem
 	}
+	if _, listed := p.engines[given.Engine]; !listed {
+		// It went, or started again, between the core's word and this one's.
+		p.core.Finish(given.Call.ID, scheduler.Result{Engine: given.Engine, Succeeded: true}, time.Now())
+		return Placement{}, nil
+	}
 	return p.placed(given, request, blocks), nil
 }
 
+// Place waits for an engine. The error says that none could take the request
+// before ctx ended, or at all; it has not run.
+func (p *Placer) Place(ctx context.Context, request Request) (Placement, *api.Error) {
+	for {
+		made, problem := p.placeOnce(ctx, request)
+		if problem != nil || made.Engine.ID != "" {
+			return made, problem
+		}
+	}
+}
+
 // call translates a request for the core.
 func (p *Placer) call(request Request, blocks []uint64, id string, now time.Time) scheduler.Call {
 	return scheduler.Call{
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -14,7 +14,7 @@
 // newPlacer returns a placer of a node before a number of like engines, with no
 // connection at rest to any.
 func newPlacer(node string, engines int) *Placer {
-	p := New(Options{Node: node, Topology: topology.New("zone-a", nil), Recorder: explain.NewLog(node, 8), Idle: func(string) int { return 0 }})
+	p := New(Options{Node: node, Topology: topology.New("zone-a", nil), Recorder: explain.NewLog(node, 8), Idle: func(routing.Engine) int { return 0 }})
 	known := make(map[string]routing.Engine)
 	for i := range engines {
 		id := fmt.Sprintf("e%02d", i)
--- a/internal/placement/regions_test.go
+++ b/internal/placement/regions_test.go
@@ -15,7 +15,7 @@
 // is the last engine of a service for a request that is not bound.
 func TestBoundRequestMayTryTheLastEngineOfItsRegions(t *testing.T) {
 	places := topology.New("zone-a", map[string]string{"zone-a": "north", "zone-b": "south"})
-	p := New(Options{Node: "n", Topology: places, Recorder: explain.NewLog("n", 8), Idle: func(string) int { return 0 }})
+	p := New(Options{Node: "n", Topology: places, Recorder: explain.NewLog("n", 8), Idle: func(routing.Engine) int { return 0 }})
 	p.SetEngines(map[string]routing.Engine{
 		"north": {ID: "north", Service: "s", Zone: "zone-a", Slots: 4, Address: "a:1"},
 		"south": {ID: "south", Service: "s", Zone: "zone-b", Slots: 4, Address: "b:1"},
--- a/internal/placement/ways_test.go
+++ b/internal/placement/ways_test.go
@@ -16,7 +16,7 @@
 		Node:     "node",
 		Topology: topology.New("north-a", map[string]string{"north-a": "north", "north-b": "north", "south-a": "south"}),
 		Recorder: explain.NewLog("node", 8),
-		Idle:     func(string) int { return 1 },
+		Idle:     func(routing.Engine) int { return 1 },
 	})
 	p.SetEngines(map[string]routing.Engine{
 		"near": {ID: "near", Service: "s", Address: "near:1", Zone: "north-b", Slots: 12},
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -98,9 +98,10 @@
 }
 
 // Engine is one incarnation of an engine. A restart makes a new one, with
-// another ID, perhaps at the same address.
+// another ID, perhaps under the same name and at the same address.
 type Engine struct {
-	ID       string
+	Incarnation
+	ID       string // Incarnation.ID(); all that is known of engines is kept by it
 	Service  string
 	Address  string // IP:port
 	Zone     string
--- a/internal/serving/carrying.go
+++ b/internal/serving/carrying.go
@@ -6,6 +6,8 @@
 	"github.com/pewtermill/pewtermill/internal/carry"
 	"github.com/pewtermill/pewtermill/internal/ingress"
 	"github.com/pewtermill/pewtermill/internal/relay"
+	"github.com/pewtermill/pewtermill/internal/routing"
+	"github.com/pewtermill/pewtermill/internal/upstream"
 	"github.com/pewtermill/pewtermill/internal/wire"
 )
 
@@ -48,11 +50,17 @@
 	return p.carried
 }
 
-// reaches reports whether this process would send an engine new work, by its own view.
-func (p *Process) reaches(id, address string) bool {
+// reaches reports whether this process would send an incarnation of an engine new work, by its
+// own view, and returns the engine's name.
+func (p *Process) reaches(id, address string) (name string, reaches bool) {
 	view := p.follower.View()
 	engine, known := view.Engines[id]
-	return known && engine.Address == address && !engine.Draining && !view.Evacuated(engine.Zone)
+	return engine.Name, known && engine.Address == address && !engine.Draining && !view.Evacuated(engine.Zone)
+}
+
+// connectionsTo returns whom connections to an engine are to.
+func connectionsTo(engine routing.Engine) upstream.Destination {
+	return upstream.Destination{Incarnation: engine.ID, Address: engine.Address}
 }
 
 // setCarriers takes the processes of the own region, this one among them, as those that may
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -12,6 +12,7 @@
 	"github.com/pewtermill/pewtermill/internal/ingress"
 	"github.com/pewtermill/pewtermill/internal/quota"
 	"github.com/pewtermill/pewtermill/internal/routing"
+	"github.com/pewtermill/pewtermill/internal/upstream"
 )
 
 // Changed implements discovery.Observer.
@@ -32,11 +33,7 @@
 	p.placer.SetEvacuations(evacuatedZones(view))
 	p.placer.SetEngines(view.Engines, services)
 	p.changedAt[collection].Store(time.Now().UnixNano())
-	addresses := make(map[string]bool, len(view.Engines))
-	for _, engine := range view.Engines {
-		addresses[engine.Address] = true
-	}
-	p.pool.Forget(func(address string) bool { return addresses[address] })
+	p.pool.Forget(func(to upstream.Destination) bool { return view.Engines[to.Incarnation].Address == to.Address })
 	p.logger.Info("view changed", "collection", collection.String(), "row_version", view.Versions[collection],
 		"configuration", version, "engines", len(view.Engines), "engines_ready", readyEngines(view))
 	p.carried.KeepOnly(func(id string) bool { _, present := view.Engines[id]; return present })
--- a/internal/serving/failing.go
+++ b/internal/serving/failing.go
@@ -32,7 +32,7 @@
 func (p *Process) fails(engine routing.Engine) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
 	defer cancel()
-	conn, err := p.pool.OpenNew(ctx, engine.Address)
+	conn, err := p.pool.OpenNew(ctx, connectionsTo(engine))
 	if err != nil {
 		return ctx.Err() == nil && !upstream.IsSilent(err)
 	}
@@ -46,13 +46,29 @@
 		return ctx.Err() == nil
 	}
 	defer answer.Close()
-	if _, err = io.Copy(io.Discard, io.LimitReader(answer.Body, maxHealthAnswer)); err != nil {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHealthAnswer))
+	if err != nil {
 		return ctx.Err() == nil
 	}
+	if other, ended := answeredByAnother(engine, p.dependencies.Protocol.Speaker(answer.Header, body)); other {
+		return ended
+	}
 	return answer.StatusCode >= http.StatusInternalServerError &&
 		!p.dependencies.Protocol.NotExecuted(answer.StatusCode, answer.Header)
 }
 
+// answeredByAnother reports whether not the engine that was asked has answered, and whether that
+// one has ended then. How another one is tells nothing of it, and an earlier start nothing at all.
+func answeredByAnother(asked routing.Engine, said routing.Incarnation) (other, ended bool) {
+	switch {
+	case said.Name != "" && said.Name != asked.Name:
+		return true, true
+	case said.Born == 0 || asked.Born == 0 || said.Born == asked.Born:
+		return false, false
+	}
+	return true, said.Born > asked.Born
+}
+
 // healthPath returns where engines of a service are asked how they are.
 func (p *Process) healthPath(service string) string {
 	if table := p.follower.View().Table; table != nil && table.Configuration.Services[service].HealthPath != "" {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -175,7 +175,7 @@
 		Node:     settings.Node,
 		Topology: settings.Topology,
 		Recorder: explain.NewLog(settings.Node, keptDecisions),
-		Idle:     p.pool.Idle,
+		Idle:     func(engine routing.Engine) int { return p.pool.Idle(connectionsTo(engine)) },
 		Cold:     p.settings.Cold,
 		Warmth:   p.warmthChanged,
 		Look:     p.look,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,10 +21,10 @@
 
 // Defaults of a pool's options.
 const (
-	defaultIdleTime   = 30 * time.Second
-	keepAliveMargin   = 0.8 // of the time for which the peer keeps a connection
-	maxIdlePerAddress = 32
-	bufferBytes       = 4 << 10
+	defaultIdleTime       = 30 * time.Second
+	keepAliveMargin       = 0.8 // of the time for which the peer keeps a connection
+	maxIdlePerDestination = 32
+	bufferBytes           = 4 << 10
 )
 
 // ErrNoConnection says that no connection could be made. Nothing was sent.
@@ -80,19 +80,26 @@
 	return holder.SyscallConn()
 }
 
-// Pool keeps connections to any number of addresses. Safe for concurrent use.
+// Destination is whom connections are to. Those that were made for one incarnation of a back
+// end never serve another one at its address: they may have gone silent with it.
+type Destination struct {
+	Incarnation string // identity of the back end; empty where the address is all there is
+	Address     string // IP:port
+}
+
+// Pool keeps connections to any number of destinations. Safe for concurrent use.
 type Pool struct {
 	options Options
 	dialer  net.Dialer
 
 	mutex  sync.Mutex
-	idle   map[string][]*Conn // newest last
+	idle   map[Destination][]*Conn // newest last
 	closed bool
 }
 
 // NewPool returns a pool without connections.
 func NewPool(options Options) *Pool {
-	p := &Pool{options: options, idle: make(map[string][]*Conn)}
+	p := &Pool{options: options, idle: make(map[Destination][]*Conn)}
 	p.dialer.KeepAliveConfig = net.KeepAliveConfig{
 		Enable:   true,
 		Idle:     options.DeadAfter / 2,
@@ -113,71 +120,71 @@
 // Conn is one connection. Not safe for concurrent use.
 type Conn struct {
 	net.Conn
-	Address string
-	Reused  bool // it has served a request before
+	Destination
+	Reused bool // it has served a request before
 
 	reader    *bufio.Reader
 	idleSince time.Time
 	idleLimit time.Duration
 }
 
-// Idle returns how many connections to an address are at rest.
-func (p *Pool) Idle(address string) int {
+// Idle returns how many connections to a destination are at rest.
+func (p *Pool) Idle(to Destination) int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return len(p.idle[address])
+	return len(p.idle[to])
 }
 
 // Open returns a connection at rest, the newest that still lives, or makes
 // one. The error is marked ErrNoConnection.
-func (p *Pool) Open(ctx context.Context, address string) (*Conn, error) {
-	for conn := p.takeIdle(address); conn != nil; conn = p.takeIdle(address) {
+func (p *Pool) Open(ctx context.Context, to Destination) (*Conn, error) {
+	for conn := p.takeIdle(to); conn != nil; conn = p.takeIdle(to) {
 		if conn.usable(time.Now()) {
 			conn.Reused = true
 			return conn, nil
 		}
 		conn.Close()
 	}
-	return p.dial(ctx, address)
+	return p.dial(ctx, to)
 }
 
 // OpenNew makes a connection, whether or not one is at rest. The error is marked
 // ErrNoConnection.
-func (p *Pool) OpenNew(ctx context.Context, address string) (*Conn, error) {
-	return p.dial(ctx, address)
+func (p *Pool) OpenNew(ctx context.Context, to Destination) (*Conn, error) {
+	return p.dial(ctx, to)
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+func (p *Pool) dial(ctx context.Context, to Destination) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
 	defer cancel()
 	start := time.Now()
-	connection, err := p.dialer.DialContext(ctx, "tcp4", address)
+	connection, err := p.dialer.DialContext(ctx, "tcp4", to.Address)
 	if err != nil {
 		if p.options.Silent != nil && IsSilent(err) {
-			p.options.Silent(address, start)
+			p.options.Silent(to.Address, start)
 		}
-		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrNoConnection)
+		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", to.Address), ErrNoConnection)
 	}
 	if p.options.Connected != nil {
-		p.options.Connected(address, time.Since(start))
+		p.options.Connected(to.Address, time.Since(start))
 	}
 	if p.options.Count != nil {
-		connection = counted{Conn: connection, counter: p.options.Count(address)}
+		connection = counted{Conn: connection, counter: p.options.Count(to.Address)}
 	}
 	return &Conn{
-		Conn:      connection,
-		Address:   address,
-		reader:    bufio.NewReaderSize(connection, bufferBytes),
-		idleLimit: defaultIdleTime,
+		Conn:        connection,
+		Destination: to,
+		reader:      bufio.NewReaderSize(connection, bufferBytes),
+		idleLimit:   defaultIdleTime,
 	}, nil
 }
 
-// Probe makes a connection to an address and puts it to rest. The error is
+// Probe makes a connection to a destination and puts it to rest. The error is
 // marked ErrNoConnection.
-func (p *Pool) Probe(ctx context.Context, address string, timeout time.Duration) error {
+func (p *Pool) Probe(ctx context.Context, to Destination, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := p.dial(ctx, address)
+	conn, err := p.dial(ctx, to)
 	if err != nil {
 		return err
 	}
@@ -186,15 +193,15 @@
 }
 
 // takeIdle takes the newest connection at rest; nil if there is none.
-func (p *Pool) takeIdle(address string) *Conn {
+func (p *Pool) takeIdle(from Destination) *Conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	resting := p.idle[address]
+	resting := p.idle[from]
 	if len(resting) == 0 {
 		return nil
 	}
 	conn := resting[len(resting)-1]
-	p.idle[address] = resting[:len(resting)-1]
+	p.idle[from] = resting[:len(resting)-1]
 	return conn
 }
 
@@ -206,16 +213,16 @@
 	now := time.Now()
 	conn.idleSince = now
 	p.mutex.Lock()
-	resting := p.idle[conn.Address]
+	resting := p.idle[conn.Destination]
 	var dropped *Conn
 	switch {
-	case p.closed || len(resting) >= maxIdlePerAddress:
+	case p.closed || len(resting) >= maxIdlePerDestination:
 		dropped = conn
 	default:
 		if len(resting) > 0 && resting[0].expired(now) {
 			dropped, resting = resting[0], resting[1:]
 		}
-		p.idle[conn.Address] = append(resting, conn)
+		p.idle[conn.Destination] = append(resting, conn)
 	}
 	p.mutex.Unlock()
 	if dropped != nil {
@@ -223,24 +230,24 @@
 	}
 }
 
-// Forget closes the connections at rest to every address that is not kept.
-func (p *Pool) Forget(keep func(address string) bool) {
+// Forget closes the connections at rest to every destination that is not kept.
+func (p *Pool) Forget(keep func(to Destination) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for address, resting := range p.idle {
-		if keep(address) {
+	for to, resting := range p.idle {
+		if keep(to) {
 			continue
 		}
 		for _, conn := range resting {
 			conn.Close()
 		}
-		delete(p.idle, address)
+		delete(p.idle, to)
 	}
 }
 
 // Close closes the connections at rest, and others as they are released.
 func (p *Pool) Close() {
-	p.Forget(func(string) bool { return false })
+	p.Forget(func(Destination) bool { return false })
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.closed = true
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -45,7 +45,7 @@
 // send opens a connection and sends one request on it.
 func send(ctx context.Context, t *testing.T, pool *upstream.Pool, address string, request upstream.Request) (*upstream.Answer, *upstream.Conn, error) {
 	t.Helper()
-	conn, err := pool.Open(ctx, address)
+	conn, err := pool.Open(ctx, upstream.Destination{Address: address})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -135,7 +135,7 @@
 	}
 	_, _ = io.ReadAll(answer.Body)
 	answer.Close()
-	if pool.Idle(address) != 0 {
+	if pool.Idle(upstream.Destination{Address: address}) != 0 {
 		t.Error("the connection is kept although the rest of the body is due on it")
 	}
 }
@@ -159,7 +159,7 @@
 
 // TestNoConnection shows the error of an address that nobody listens at.
 func TestNoConnection(t *testing.T) {
-	if _, err := newPool().Open(t.Context(), "127.0.0.1:1"); !errors.Is(err, upstream.ErrNoConnection) {
+	if _, err := newPool().Open(t.Context(), upstream.Destination{Address: "127.0.0.1:1"}); !errors.Is(err, upstream.ErrNoConnection) {
 		t.Fatalf("got %v", err)
 	}
 }
@@ -187,7 +187,7 @@
 	body := make([]byte, 256<<10)
 	for range 300 {
 		ctx, cancel := context.WithCancel(context.Background())
-		conn, err := pool.Open(ctx, listener.Addr().String())
+		conn, err := pool.Open(ctx, upstream.Destination{Address: listener.Addr().String()})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -197,3 +197,43 @@
 		}
 	}
 }
+
+// TestConnectionOfAnEarlierStartServesNoLater has an engine start again at its address. What it
+// kept open has gone silent with the earlier start, also what comes to rest late.
+func TestConnectionOfAnEarlierStartServesNoLater(t *testing.T) {
+	address := peer(t, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	pool := newPool()
+	defer pool.Close()
+	earlier := upstream.Destination{Incarnation: "e@1", Address: address}
+	later := upstream.Destination{Incarnation: "e@2", Address: address}
+	busy, err := pool.OpenNew(t.Context(), earlier)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := pool.Probe(t.Context(), earlier, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	pool.Release(busy)
+	if pool.Idle(earlier) != 2 || pool.Idle(later) != 0 {
+		t.Errorf("%d connections to the earlier start and %d to the later one are at rest", pool.Idle(earlier), pool.Idle(later))
+	}
+	conn, err := pool.Open(t.Context(), later)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if conn.Reused {
+		t.Error("a connection to the earlier start is used for the later one")
+	}
+	pool.Release(conn)
+	pool.Forget(func(to upstream.Destination) bool { return to == later })
+	if pool.Idle(earlier) != 0 || pool.Idle(later) != 1 {
+		t.Errorf("%d connections to the earlier start and %d to the later one are kept", pool.Idle(earlier), pool.Idle(later))
+	}
+}
