serving, operators: an engine starts again under its id, in a test

Cause: the stand-in of an engine could not start again, nor tell when it had started.

Change: Restart and RestartSilently: the same id and address, another born, nothing of before; connections of before are cut, or stay open and say nothing. It tells of its start in its entry and when it is looked at or expected to be another.

Ruled out: another listener for each start: the address may stay the same, which is the harder case.

--- a/internal/standin/operators/engine.go
+++ b/internal/standin/operators/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -38,7 +39,9 @@
 	unwell      atomic.Bool
 
 	mutex    sync.Mutex
-	requests []Request
+	born     int64                                         // Unix ms of its start, of which it tells; 0 for none
+	starts   int                                           // that it has had since the first
+	requests []Request                                     // since its start
 	handle   func(http.ResponseWriter, *http.Request) bool // true: it has answered
 }
 
@@ -51,19 +54,60 @@
 			e.connections.Add(1)
 		}
 	}
+	e.Server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, startOfConnection{}, e.start())
+	}
 	e.Server.Start()
 	return e
 }
 
+// startOfConnection is the key of the start at which a connection was accepted.
+type startOfConnection struct{}
+
+// start returns how many times the engine has started again.
+func (e *Engine) start() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.starts
+}
+
+// Restart starts the engine again under its id and at its address, to tell of another time of
+// its start. It has and knows nothing of before. Connections of before are cut.
+func (e *Engine) Restart(born int64) {
+	e.RestartSilently(born)
+	e.Server.CloseClientConnections()
+}
+
+// RestartSilently does the same, but connections of before stay open, and say nothing more.
+func (e *Engine) RestartSilently(born int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.starts++
+	e.born = born
+	e.requests = nil
+	e.unwell.Store(false)
+}
+
+// Born returns of which time of its start the engine tells; 0 for none.
+func (e *Engine) Born() int64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.born
+}
+
 // Address returns the engine's IP:port.
 func (e *Engine) Address() string { return strings.TrimPrefix(e.Server.URL, "http://") }
 
 // Record returns the engine's own entry in the store.
 func (e *Engine) Record(service, state string) map[string]any {
-	return map[string]any{
+	record := map[string]any{
 		"service": service, "address": e.Address(), "zone": "zone-a", "version": "v1",
 		"slots": 12, "state": state, "cold_left_ms": 0, "sequence": 1,
 	}
+	if born := e.Born(); born != 0 {
+		record["born"] = born
+	}
+	return record
 }
 
 // Handle lets a function answer requests in the engine's place, where it
@@ -83,7 +127,7 @@
 // Looks returns how many times the engine was asked how it is.
 func (e *Engine) Looks() int64 { return e.looks.Load() }
 
-// Requests returns the requests that the engine ran, oldest first.
+// Requests returns the requests that the engine ran since its start, oldest first.
 func (e *Engine) Requests() []Request {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -91,14 +135,18 @@
 }
 
 func (e *Engine) serve(writer http.ResponseWriter, request *http.Request) {
+	accepted, _ := request.Context().Value(startOfConnection{}).(int)
+	if accepted != e.start() {
+		<-request.Context().Done() // a start that has ended says nothing
+		panic(http.ErrAbortHandler)
+	}
 	if request.URL.Path == healthPath {
 		e.answerLook(writer)
 		return
 	}
 	body, _ := io.ReadAll(request.Body)
 	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != e.ID {
-		writer.Header().Set("X-Instance-Id", e.ID)
-		writer.WriteHeader(http.StatusMisdirectedRequest)
+		e.say(writer, http.StatusMisdirectedRequest)
 		return
 	}
 	e.mutex.Lock()
@@ -109,6 +157,11 @@
 		return
 	}
 	e.mutex.Lock()
+	if accepted != e.starts {
+		e.mutex.Unlock()
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	e.requests = append(e.requests, Request{
 		Method: request.Method, Target: request.RequestURI, Host: request.Host,
 		Header: request.Header.Clone(), Body: string(body),
@@ -120,9 +173,19 @@
 // answerLook says how the engine is; that is no request, and counts among none.
 func (e *Engine) answerLook(writer http.ResponseWriter) {
 	e.looks.Add(1)
-	writer.Header().Set("X-Instance-Id", e.ID)
+	status := http.StatusOK
 	if e.unwell.Load() {
-		writer.WriteHeader(http.StatusServiceUnavailable)
+		status = http.StatusServiceUnavailable
+	}
+	e.say(writer, status)
+}
+
+// say answers with which engine this is, and which of its starts.
+func (e *Engine) say(writer http.ResponseWriter, status int) {
+	writer.Header().Set("X-Instance-Id", e.ID)
+	writer.WriteHeader(status)
+	if born := e.Born(); born != 0 {
+		fmt.Fprintf(writer, `{"born":%d}`, born)
 	}
 }
 
