--- a/internal/discovery/faults_test.go
+++ b/internal/discovery/faults_test.go
@@ -21,7 +21,7 @@
 func (o *told) Regained(Collection, time.Duration) {}
 
 func good(key string, version uint64) Record {
-	return Record{Key: key, Version: version, Engine: &routing.Engine{ID: key}}
+	return Record{Key: key, Version: version, Engine: &routing.Engine{Incarnation: routing.Incarnation{Name: key}, ID: key}}
 }
 
 func bad(key string, version uint64) Record {
