soak: callers that keep a connection until the process is gone; it finds that stops close them

Cause: the soak's callers took a new connection for each request, so that no check told what a planned stop does to those that are open.

Change: 16 callers of each process keep one connection to it, rest for up to 4 s between requests, and send some heads in two parts. They obey Connection: close, the seconds of Keep-Alive, and four fifths of the shortest idle time that may be in force. Promise open_connection: a request that was begun on a connection that looks open is answered or refused, unless its process is gone within 250 ms. A part of planned_stop that goes by the time of sending leaves these callers to it. Engines tell when they were born, and the store can be slow and hold any bytes, for faults to come.

--- a/cmd/pewtermill-lab/soak.go
+++ b/cmd/pewtermill-lab/soak.go
@@ -53,7 +53,7 @@
 	fmt.Fprintf(streams.Err, "seed %d\n", s.Seed)
 	report, err := soak.Run(ctx, soak.Options{
 		Seed: s.Seed, Length: time.Duration(s.Minutes * float64(time.Minute)), Processes: s.Processes,
-		Program: program, Kinds: kinds, CarryFrom: s.carryFrom(), Keep: s.Keep, Out: streams.Out,
+		Program: program, Kinds: kinds, CarryFrom: s.carryFrom(), Keepers: soak.KeepersOfProcess, Keep: s.Keep, Out: streams.Out,
 	})
 	if err == nil && report.Found() {
 		err = errors.Newf("promises were found broken; replay with --seed %d", s.Seed)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -34,6 +34,7 @@
 type caller struct {
 	deployment *deployment
 	random     *rand.Rand
+	keeper     *keeper // of its connection; nil if each request has one of its own
 }
 
 // line is a line of a program's turns.
@@ -46,17 +47,18 @@
 }
 
 // runCallers runs callers until the context ends.
-func (d *deployment) runCallers(ctx context.Context, seed uint64) {
+func (d *deployment) runCallers(ctx context.Context, options Options) {
 	var callers sync.WaitGroup
 	for number := range callersOfProcess * len(d.processes) {
-		c := &caller{deployment: d, random: rand.New(rand.NewPCG(seed, uint64(number)+1))}
+		c := &caller{deployment: d, random: rand.New(rand.NewPCG(options.Seed, uint64(number)+1))}
 		callers.Go(func() {
 			for backoff.Wait(ctx, c.within(longestPause)) {
 				c.program(ctx)
 			}
 		})
 	}
-	d.runLimited(ctx, seed, &callers)
+	d.runLimited(ctx, options.Seed, &callers)
+	d.runKeepers(ctx, options, &callers)
 	callers.Wait()
 }
 
@@ -131,7 +133,7 @@
 // send makes one attempt at some process and tells the judge.
 func (c *caller) send(sent Attempt, ask operators.Ask) operators.Reply {
 	d := c.deployment
-	p := d.processes[c.random.IntN(len(d.processes))]
+	p := c.chooseProcess()
 	sent.Process, sent.Deadline, sent.Path = p.place.Node, callerDeadline, "/"+sent.Route+"/x"
 	ask.ID, ask.Path, ask.Deadline, ask.Program = sent.ID, sent.Path, sent.Deadline, sent.Program
 	ask.Budget, ask.Most = sent.Budget, sent.Most
@@ -142,15 +144,36 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerLeaves) // the soak's end waits for it
 	defer cancel()
 	d.judge.Sent(d.now(), sent)
-	reply := operators.Send(ctx, p.place.Front, host, ask)
+	reply := c.exchange(ctx, p, ask)
 	d.judge.Ended(d.now(), sent.ID, Outcome{
-		Unreached: isDial(reply.Failure), GaveUp: ctx.Err() != nil, Status: reply.Status, ID: reply.ID, Seal: reply.Seal,
+		Unreached: unreached(reply.Failure), GaveUp: ctx.Err() != nil, Status: reply.Status, ID: reply.ID, Seal: reply.Seal,
 		Events: reply.Events, Body: reply.Body, Complete: reply.Complete,
+		Begun: reply.Begun, Whole: reply.Whole, At: reply.At.Sub(d.began),
 	})
-	d.outcomes.add(outcomeName(outcomeGroup(sent), reply, ctx.Err() != nil))
-	return reply
+	d.outcomes.add(outcomeName(outcomeGroup(sent), reply.Reply, ctx.Err() != nil))
+	return reply.Reply
 }
 
+// chooseProcess returns where the next request goes; a keeper's connection rests before.
+func (c *caller) chooseProcess() *process {
+	if c.keeper == nil {
+		return c.deployment.processes[c.random.IntN(len(c.deployment.processes))]
+	}
+	c.rest()
+	return c.keeper.process
+}
+
+// exchange sends a request on the caller's connection, or on one of its own.
+func (c *caller) exchange(ctx context.Context, p *process, ask operators.Ask) operators.OnConnection {
+	if c.keeper == nil {
+		return operators.OnConnection{Reply: operators.Send(ctx, p.place.Front, host, ask)}
+	}
+	return c.sendOnKept(ctx, ask)
+}
+
+// unreached reports whether nothing of a request was sent.
+func unreached(err error) bool { return isDial(err) || errors.Is(err, operators.ErrSeenClosed) }
+
 // isDial reports whether no connection came up.
 func isDial(err error) bool {
 	var failure *net.OpError
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -44,6 +44,7 @@
 	enginesOfService = 4
 	keptHistory      = 5000 // changes of the store
 	routeTimeout     = 4 * time.Second
+	idleAtFirst      = 15 * time.Second
 	watchPause       = 100 * time.Millisecond
 )
 
@@ -64,6 +65,7 @@
 	configuring sync.Mutex
 	version     int
 	movedTo     string
+	idle        idleTimes
 	tasks       sync.WaitGroup
 	injected    counter
 	outcomes    counter
@@ -165,7 +167,7 @@
 		{Name: routeUnsafe, Kind: "unsafe", Service: servicePortal, Timeout: routeTimeout, Attempts: 2},
 		{Name: routeMoved, Kind: "safe", Service: d.movedTo, Timeout: routeTimeout, Attempts: 3},
 	}
-	d.store.PutConfiguration(operators.Configuration(d.version, host, services, routes, tenants))
+	d.store.PutConfiguration(operators.Configuration(d.version, host, services, routes, tenants, idleAtFirst))
 	d.judge.RouteChanged(d.now(), routeMoved, d.movedTo)
 }
 
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -53,31 +53,33 @@
 type Judge struct {
 	seed uint64
 
-	mutex    sync.Mutex
-	attempts map[string]*attempt
-	programs map[string]*spending
-	bounds   bounds
-	cold     coldLimits
-	limits   tenantLimits
-	checked  map[Promise]int64
-	broken   map[Promise]int64
-	brokenAt map[seenAt]int64
-	findings []Finding
-	swept    time.Duration
+	mutex       sync.Mutex
+	attempts    map[string]*attempt
+	programs    map[string]*spending
+	bounds      bounds
+	cold        coldLimits
+	limits      tenantLimits
+	connections connections
+	checked     map[Promise]int64
+	broken      map[Promise]int64
+	brokenAt    map[seenAt]int64
+	findings    []Finding
+	swept       time.Duration
 }
 
 // NewJudge returns a judge that has seen nothing.
 func NewJudge(seed uint64) *Judge {
 	return &Judge{
-		seed:     seed,
-		attempts: make(map[string]*attempt),
-		programs: make(map[string]*spending),
-		bounds:   newBounds(),
-		cold:     newColdLimits(),
-		limits:   newTenantLimits(),
-		checked:  make(map[Promise]int64),
-		broken:   make(map[Promise]int64),
-		brokenAt: make(map[seenAt]int64),
+		seed:        seed,
+		attempts:    make(map[string]*attempt),
+		programs:    make(map[string]*spending),
+		bounds:      newBounds(),
+		cold:        newColdLimits(),
+		limits:      newTenantLimits(),
+		connections: newConnections(),
+		checked:     make(map[Promise]int64),
+		broken:      make(map[Promise]int64),
+		brokenAt:    make(map[seenAt]int64),
 	}
 }
 
@@ -222,6 +224,7 @@
 	j.checkBudget(now, a, outcome)
 	j.checkCut(now, a, outcome)
 	j.checkWithinLimit(now, a, outcome)
+	j.checkConnection(now, a, outcome)
 }
 
 // checkDenied checks refusals that say the request is at fault.
@@ -301,7 +304,7 @@
 	if !found || now < stopped || outcome.Unreached {
 		return
 	}
-	read := len(a.runs) > 0 || a.sent < stopped-cutMargin
+	read := len(a.runs) > 0 || !outcome.Begun && a.sent < stopped-cutMargin // checkConnection has those that keep theirs
 	if !read || a.broken || now-a.sent > a.Deadline-cutMargin || !j.bounds.calm(a.Process, a.sent, now, true) {
 		return
 	}
--- a/internal/soak/observe.go
+++ b/internal/soak/observe.go
@@ -27,6 +27,8 @@
 	Limit        Promise = "limit"         // a tenant's requests over a window keep to its limit
 	SaysReady    Promise = "ready"         // a process in touch says that it is ready
 	WithinLimit  Promise = "within_limit"  // who is within a limit is not refused for it
+
+	OpenConnection Promise = "open_connection" // a request on an open connection is answered, or refused
 )
 
 // Finding is a promise that was seen broken.
@@ -75,6 +77,11 @@
 	Events    []string // whole ones
 	Body      string   // of an answer that is no stream
 	Complete  bool     // the answer ended as a whole one does
+
+	// Of callers that keep their connection:
+	Begun bool          // the first bytes were sent while the connection was open
+	Whole bool          // and the last ones, too
+	At    time.Duration // when the last ones were sent, or would have been
 }
 
 // Seal returns the seal of an engine's answer.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -196,11 +196,13 @@
 	defer timer.Stop()
 	select {
 	case <-p.exited:
+		d.judge.Gone(d.now(), p.place.Node)
 		how := fmt.Sprintf("ended %.2f s after it was told to: %v", (d.now() - began).Seconds(), p.exit)
 		d.judge.ProcessEnded(d.now(), p.place.Node, p.exit == nil, how)
 	case <-timer.C:
 		d.judge.ProcessEnded(d.now(), p.place.Node, false, "runs on though it was told to stop")
 		p.kill()
+		d.judge.Gone(d.now(), p.place.Node)
 	}
 	d.restart(p, restartAfter)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -29,6 +29,7 @@
 	Program   string // path of the product's program
 	Kinds     []Kind // to draw faults from
 	CarryFrom int    // from how many processes on peers carry requests; 0 for never
+	Keepers   int    // callers that keep a connection, of each process
 	Keep      string // where logs go if something is found; empty for nowhere
 	Out       io.Writer
 }
@@ -86,7 +87,7 @@
 	callersEnded := make(chan struct{})
 	go func() {
 		defer close(callersEnded)
-		d.runCallers(callersContext, options.Seed)
+		d.runCallers(callersContext, options)
 	}()
 	backoff.Wait(ctx, options.Length-(d.now()-began))
 	stopCallers()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,12 +34,38 @@
 	{"zone cut off and all killed", 558, []Kind{ZoneCut, ProcessesKill, StoreParts, StoreForgets}, 1, killedLength, []Kind{ZoneCut, ProcessesKill}},
 }
 
-// TestShortSoakFindsNothing soaks real processes for a few seconds.
-func TestShortSoakFindsNothing(t *testing.T) {
+// openConnectionsSeed stops two processes of three early, one a third of a second after the other.
+const (
+	openConnectionsSeed   = 367
+	openConnectionsLength = 9 * time.Second
+)
+
+// build builds the program under test.
+func build(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "pewtermill")
 	if output, err := exec.Command("go", "build", "-o", program, "../../cmd/pewtermill").CombinedOutput(); err != nil {
 		t.Fatalf("build the program: %v\n%s", err, output)
 	}
+	return program
+}
+
+// TestShortSoakOnOpenConnections stops processes while callers go on using the connections that
+// they have.
+func TestShortSoakOnOpenConnections(t *testing.T) {
+	t.Parallel()
+	report := soakShortly(t, Options{
+		Seed: openConnectionsSeed, Length: openConnectionsLength, Processes: 3, Program: build(t), Kinds: []Kind{ProcessStop}, Keepers: KeepersOfProcess,
+	})
+	if report.Injected[string(ProcessStop)] != 2 || report.Checked[OpenConnection] == 0 {
+		t.Errorf("too little was checked: %+v", report)
+	}
+}
+
+// TestShortSoakFindsNothing soaks real processes for a few seconds.
+func TestShortSoakFindsNothing(t *testing.T) {
+	t.Parallel()
+	program := build(t)
 	for _, test := range regressions {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/standin/operators/documents.go
+++ b/internal/standin/operators/documents.go
@@ -47,6 +47,8 @@
 // Route is a route of the operator's configuration; its path prefix is its name.
 type Route struct {
 	Name, Kind, Service string
+	Also                string  // a second service, or none
+	AlsoWeight          float64 // of 1
 	Timeout             time.Duration
 	Attempts            int
 	Retain              time.Duration // 0 where turns aren't kept
@@ -60,10 +62,10 @@
 }
 
 // Configuration returns what the operator writes.
-func Configuration(version int, host string, services []Service, routes []Route, tenants []Tenant) map[string]any {
+func Configuration(version int, host string, services []Service, routes []Route, tenants []Tenant, idle time.Duration) map[string]any {
 	return map[string]any{
 		"version": version, "services": serviceDocuments(services), "routes": routeDocuments(host, routes), "tenants": tenantDocuments(tenants),
-		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 100_000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 100_000, "header_timeout_ms": 3000, "idle_timeout_ms": idle.Milliseconds()},
 	}
 }
 
@@ -86,6 +88,11 @@
 			"timeout_ms": route.Timeout.Milliseconds(), "goal_ms": 200, "priority": 1, "max_attempts": route.Attempts,
 			"retain": route.Retain > 0, "retain_s": route.Retain.Seconds(), "sticky": true, "resumable": route.Resumable, "gap_target_ms": 200,
 		}
+		if route.Also != "" {
+			documents[i]["backends"] = []map[string]any{
+				{"service": route.Service, "weight": 1 - route.AlsoWeight}, {"service": route.Also, "weight": route.AlsoWeight},
+			}
+		}
 	}
 	return documents
 }
--- a/internal/standin/operators/engine.go
+++ b/internal/standin/operators/engine.go
@@ -31,7 +31,8 @@
 type Engine struct {
 	ID     string
 	Server *httptest.Server
-	Events int // of a stream
+	Events int   // of a stream
+	born   int64 // Unix millisecond of its start
 
 	connections atomic.Int64
 	looks       atomic.Int64
@@ -44,7 +45,7 @@
 
 // NewEngine returns a running engine. Close its Server in the end.
 func NewEngine(id string, events int) *Engine {
-	e := &Engine{ID: id, Events: events}
+	e := &Engine{ID: id, Events: events, born: time.Now().UnixMilli()}
 	e.Server = httptest.NewUnstartedServer(http.HandlerFunc(e.serve))
 	e.Server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
@@ -62,7 +63,7 @@
 func (e *Engine) Record(service, state string) map[string]any {
 	return map[string]any{
 		"service": service, "address": e.Address(), "zone": "zone-a", "version": "v1",
-		"slots": 12, "state": state, "cold_left_ms": 0, "sequence": 1,
+		"slots": 12, "state": state, "cold_left_ms": 0, "sequence": 1, "born": e.born,
 	}
 }
 
--- a/internal/standin/operators/store.go
+++ b/internal/standin/operators/store.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pewtermill/pewtermill/internal/backoff"
 )
 
 // Row is a row of the store.
@@ -40,11 +42,15 @@
 	Late              // no answer; done a little later if its conditions hold then
 	HangAfter         // done, and no answer before the caller leaves
 	Hang              // not done, and no answer before the caller leaves
+	Slow              // done and answered, 200 ms late
 )
 
 // lateBy is after what time a late write is done.
 const lateBy = 150 * time.Millisecond
 
+// slowBy is how late a slow store does what it is asked: 50 times the 4 ms of a healthy one.
+const slowBy = 200 * time.Millisecond
+
 // Store is the stand-in for the platform's store.
 type Store struct {
 	Server *httptest.Server
@@ -129,6 +135,11 @@
 	if err != nil {
 		panic(err) // a test's own value
 	}
+	s.PutBytes(table, part, key, content)
+}
+
+// PutBytes writes a row of another writer, whatever it holds.
+func (s *Store) PutBytes(table, part, key string, content []byte) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.version++
@@ -222,6 +233,9 @@
 	case Hang:
 		<-request.Context().Done()
 		panic(http.ErrAbortHandler)
+	case Slow:
+		backoff.Wait(request.Context(), slowBy)
+		return false // also for a caller that has left
 	default:
 		return false
 	}
--- a/internal/standin/operators/work.go
+++ b/internal/standin/operators/work.go
@@ -75,26 +75,17 @@
 
 // Send sends a request on a connection of its own to a process, and reads the answer.
 func Send(ctx context.Context, address, host string, ask Ask) Reply {
-	request, err := http.NewRequestWithContext(ctx, ask.Method, "http://"+address+ask.Path, strings.NewReader(ask.Body))
+	request, err := ask.request(ctx, address, host)
 	if err != nil {
 		return Reply{Failure: err}
 	}
-	request.Host = host
-	ask.setHeaders(request.Header)
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return Reply{Failure: err}
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, mostReply))
-	reply := Reply{Status: response.StatusCode, ID: response.Header.Get("X-Request-Id"), Seal: response.Header.Get("X-Response-Seal"), Complete: err == nil}
-	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		reply.Events = readEvents(string(content))
-	} else {
-		reply.Body = string(content)
-	}
-	return reply
+	return replyOf(response)
 }
 
 func (a Ask) setHeaders(header http.Header) {
