soak: overlapping series, restarts under an id, strangers' entries, a slow store

Cause: faults came singly, the configuration changed in one way, an engine that started again had a new id, every entry of the engines' table was an engine's, and the store was away or well.

Change: kind series draws 6 to 14 signals, changes of the configuration and engines that leave or start again, up to 0.6 s apart, from a stream of its own, so that other kinds are drawn the same without it. configuration_weights, _timeout and _idle; process_stop_pause; engine_restart, soon or after its entry has lapsed, at its address or another, cold or not; strangers, 4 entries beside one over an engine's own; store_slow. Promise stranger: nothing connects to where a stranger's entry leads; serves_on: the other engines of each service serve meanwhile, and one that started again warm gets a request within 6 s; engine_left holds the overwritten engine, too.

--- a/cmd/pewtermill-lab/soak.go
+++ b/cmd/pewtermill-lab/soak.go
@@ -71,7 +71,7 @@
 
 // kinds returns the kinds of faults that the flag names.
 func (s *soakCommand) kinds() ([]soak.Kind, error) {
-	all := append(append([]soak.Kind(nil), soak.Disruptions...), soak.Operations...)
+	all := soak.Kinds()
 	if len(s.Only) == 0 {
 		return all, nil
 	}
--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -1,6 +1,9 @@
 package soak
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Bounds of the soak's settings files.
 const (
@@ -40,10 +43,10 @@
 	leftAt        time.Duration
 }
 
-// version says to which service a route goes from a time on.
+// version says to which services a route goes from a time on.
 type version struct {
-	since   time.Duration
-	service string
+	since    time.Duration
+	services []string
 }
 
 // bounds holds what the rules with a time bound need.
@@ -119,7 +122,7 @@
 func allowed(versions []version, sent time.Duration, service string) bool {
 	for i, candidate := range versions {
 		replaced := i+1 < len(versions) && versions[i+1].since+configurationBound < sent
-		if candidate.service == service && !replaced {
+		if slices.Contains(candidate.services, service) && !replaced {
 			return true
 		}
 	}
@@ -197,9 +200,9 @@
 	}
 }
 
-// RouteChanged tells that a configuration was accepted in which a route goes to a service.
-func (j *Judge) RouteChanged(now time.Duration, route, service string) {
+// RouteChanged tells that a configuration was accepted in which a route goes to some services.
+func (j *Judge) RouteChanged(now time.Duration, route string, services ...string) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	j.bounds.routes[route] = append(j.bounds.routes[route], version{since: now, service: service})
+	j.bounds.routes[route] = append(j.bounds.routes[route], version{since: now, services: services})
 }
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -43,8 +43,6 @@
 const (
 	enginesOfService = 4
 	keptHistory      = 5000 // changes of the store
-	routeTimeout     = 4 * time.Second
-	idleAtFirst      = 15 * time.Second
 	watchPause       = 100 * time.Millisecond
 )
 
@@ -64,7 +62,7 @@
 	evacuating  sync.Mutex
 	configuring sync.Mutex
 	version     int
-	movedTo     string
+	variant     variant
 	idle        idleTimes
 	tasks       sync.WaitGroup
 	injected    counter
@@ -100,7 +98,7 @@
 
 // newDeployment starts everything and waits until the processes are ready.
 func newDeployment(ctx context.Context, judge *Judge, directory string, options Options) (*deployment, error) {
-	d := &deployment{context: ctx, judge: judge, began: time.Now(), store: operators.NewStore(), movedTo: servicePortal}
+	d := &deployment{context: ctx, judge: judge, began: time.Now(), store: operators.NewStore(), variant: firstVariant}
 	d.store.SetFault(d.storeFaults.of)
 	for _, service := range []string{serviceModels, servicePortal, serviceOther} {
 		for i := range enginesOfService {
@@ -152,25 +150,6 @@
 	return nil
 }
 
-// configure writes the configuration with the next version.
-func (d *deployment) configure() {
-	d.version++
-	services := []operators.Service{
-		{Name: serviceModels, TokensPerEvent: tokensPerEvent, ColdFor: coldFor, ColdPerSecond: coldPerSecond},
-		{Name: servicePortal, ColdFor: coldFor, ColdPerSecond: coldPerSecond},
-		{Name: serviceOther, ColdFor: coldFor, ColdPerSecond: coldPerSecond},
-	}
-	routes := []operators.Route{
-		{Name: routeKept, Kind: "stream", Service: serviceModels, Timeout: routeTimeout, Attempts: 2, Retain: retainFor},
-		{Name: routeResumed, Kind: "stream", Service: serviceModels, Timeout: routeTimeout, Attempts: 3, Resumable: true},
-		{Name: routeSafe, Kind: "safe", Service: servicePortal, Timeout: routeTimeout, Attempts: 3},
-		{Name: routeUnsafe, Kind: "unsafe", Service: servicePortal, Timeout: routeTimeout, Attempts: 2},
-		{Name: routeMoved, Kind: "safe", Service: d.movedTo, Timeout: routeTimeout, Attempts: 3},
-	}
-	d.store.PutConfiguration(operators.Configuration(d.version, host, services, routes, tenants, idleAtFirst))
-	d.judge.RouteChanged(d.now(), routeMoved, d.movedTo)
-}
-
 // close ends what the deployment started.
 func (d *deployment) close() {
 	for _, p := range d.processes {
--- a/internal/soak/engines.go
+++ b/internal/soak/engines.go
@@ -23,6 +23,7 @@
 // incarnation is one life of an engine.
 type incarnation struct {
 	*operators.Engine
+	name  string       // to the judge: its id, and which start under it this is
 	mode  atomic.Value // Kind of its faulty answers; empty for none
 	calls atomic.Int64
 }
@@ -31,22 +32,32 @@
 type slot struct {
 	name, service, zone string
 
-	busy    sync.Mutex // held while a fault is at it
-	lives   int
+	busy    sync.Mutex   // held while a fault is at it
+	lives   int          // engines so far
+	starts  int          // of the current one, beyond its first
 	current *incarnation // busy is held, or nobody changes it
 }
 
 // addEngine starts the slot's next engine and enters it in the store.
 func (d *deployment) addEngine(s *slot, cold time.Duration) {
 	s.lives++
-	engine := &incarnation{Engine: operators.NewEngine(fmt.Sprintf("%s-%d", s.name, s.lives), 0)}
+	s.starts = 0
+	d.begin(s, operators.NewEngine(fmt.Sprintf("%s-%d", s.name, s.lives), 0), cold)
+}
+
+// begin has an engine be the slot's, and enters it in the store.
+func (d *deployment) begin(s *slot, started *operators.Engine, cold time.Duration) {
+	engine := &incarnation{Engine: started, name: started.ID}
+	if s.starts > 0 {
+		engine.name = fmt.Sprintf("%s/%d", started.ID, s.starts)
+	}
 	engine.mode.Store(Kind(""))
 	engine.Handle(func(writer http.ResponseWriter, request *http.Request) bool {
 		d.answer(engine, writer, request)
 		return true
 	})
 	s.current = engine
-	d.judge.EngineAdded(d.now(), engine.ID, s.service, s.zone, cold)
+	d.judge.EngineAdded(d.now(), engine.name, s.service, s.zone, cold)
 	d.enter(s, "ready", cold)
 }
 
@@ -70,13 +81,13 @@
 		operators.Shed(writer, request)
 		return
 	}
-	d.judge.Arrived(d.now(), Arrival{ID: work.ID, Engine: engine.ID, Path: work.Path, Body: work.Body})
+	d.judge.Arrived(d.now(), Arrival{ID: work.ID, Engine: engine.name, Path: work.Path, Body: work.Body})
 	if mode == EngineErrors {
-		d.judge.Gave(engine.ID, work.ID, http.StatusInternalServerError)
-		operators.AnswerWith(writer, work.ID, Seal(engine.ID, work.ID), http.StatusInternalServerError, false)
+		d.judge.Gave(engine.name, work.ID, http.StatusInternalServerError)
+		operators.AnswerWith(writer, work.ID, Seal(engine.name, work.ID), http.StatusInternalServerError, false)
 		return
 	}
-	d.judge.Gave(engine.ID, work.ID, http.StatusOK)
+	d.judge.Gave(engine.name, work.ID, http.StatusOK)
 	d.work(engine, writer, request, work, mode == EngineBreak)
 }
 
@@ -92,9 +103,9 @@
 	if breaks && !stream {
 		panic(http.ErrAbortHandler)
 	}
-	operators.AnswerWith(writer, work.ID, Seal(engine.ID, work.ID), http.StatusOK, stream)
+	operators.AnswerWith(writer, work.ID, Seal(engine.name, work.ID), http.StatusOK, stream)
 	if !stream {
-		_, _ = writer.Write([]byte(AnswerBody(work.ID, engine.ID))) // a caller that left gets none
+		_, _ = writer.Write([]byte(AnswerBody(work.ID, engine.name))) // a caller that left gets none
 		return
 	}
 	repeatable := strings.HasPrefix(work.Path, "/"+routeResumed+"/")
@@ -103,7 +114,7 @@
 		if breaks && number > events/2 {
 			panic(http.ErrAbortHandler)
 		}
-		operators.WriteEvent(writer, number, EventData(work.ID, engine.ID, number, repeatable))
+		operators.WriteEvent(writer, number, EventData(work.ID, engine.name, number, repeatable))
 		if !backoff.Wait(request.Context(), engineWork) {
 			return
 		}
@@ -124,19 +135,56 @@
 	} else {
 		d.store.RemoveEngine(leaving.ID)
 	}
-	d.judge.EngineLeaves(d.now(), leaving.ID)
+	d.judge.EngineLeaves(d.now(), leaving.name)
 	d.addEngine(s, 0)
 	d.later(servesOnFor, func() {
 		d.store.RemoveEngine(leaving.ID)
-		d.judge.Crashed(leaving.ID)
+		d.judge.Crashed(leaving.name)
 		leaving.end()
 	})
 }
 
+// Ways in which an engine starts again.
+const (
+	soonAgain      = 100 * time.Millisecond // before its entry lapses
+	servesAgainFor = 6 * time.Second        // it gets a request by then
+)
+
+// restartEngine ends a slot's engine at once and starts it again under its id: soon or after its
+// entry has lapsed, at its address or another, cold or not.
+func (d *deployment) restartEngine(s *slot, fault Fault) {
+	again := s.current
+	d.judge.Crashed(again.name)
+	again.end()
+	pause, cold := soonAgain, time.Duration(0)
+	if fault.Target>>32&1 == 1 {
+		pause = lapseAfter
+	}
+	if fault.Target>>33&1 == 1 {
+		cold = coldFor
+	}
+	if !backoff.Wait(d.context, pause) {
+		return
+	}
+	if pause == lapseAfter {
+		d.store.RemoveEngine(again.ID)
+	}
+	address := ""
+	if fault.Target>>34&1 == 1 {
+		address = again.Address()
+	}
+	s.starts++
+	d.begin(s, operators.NewEngineAt(again.ID, 0, address), cold)
+	began := d.now()
+	if cold == 0 && backoff.Wait(d.context, servesAgainFor) { // cold ones may be spared
+		d.judge.ServesAgain(d.now(), began, s.current.name)
+	}
+}
+
 // crash ends a slot's engine at once, and another follows.
 func (d *deployment) crash(s *slot, cold time.Duration) {
 	crashed := s.current
-	d.judge.Crashed(crashed.ID)
+	d.judge.Crashed(crashed.name)
 	crashed.end()
 	d.later(lapseAfter, func() { d.store.RemoveEngine(crashed.ID) })
 	if backoff.Wait(d.context, replacementAfter) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,6 +30,7 @@
 	{StoreLoseReply, operators.LoseReply, 3},
 	{StoreHang, operators.Hang, 3},
 	{StoreLate, operators.Late, 3},
+	{StoreSlow, operators.Slow, 1},
 }
 
 // storeFaults are the store's faults under way. Safe for concurrent use.
@@ -89,7 +91,7 @@
 func (d *deployment) inject(fault Fault) {
 	done := false
 	switch fault.Kind {
-	case ProcessStop, ProcessPause, ProcessKill:
+	case ProcessStop, ProcessPause, ProcessStopPause, ProcessKill:
 		done = d.injectProcess(fault)
 	case ProcessesKill:
 		done = d.killAll()
@@ -103,9 +105,11 @@
 		done = d.forget()
 	case ZoneEvacuated:
 		done = d.evacuate(fault)
-	case ConfigurationNew:
-		done = d.reconfigure()
-	case EngineLeave, EngineVanish, EngineCrash, EngineCold, EngineErrors, EngineRefuse, EngineBreak:
+	case ConfigurationNew, ConfigurationWeights, ConfigurationTimeout, ConfigurationIdle:
+		done = d.reconfigure(fault)
+	case Strangers:
+		done = d.strangers(fault)
+	case EngineLeave, EngineVanish, EngineCrash, EngineCold, EngineRestart, EngineErrors, EngineRefuse, EngineBreak:
 		done = d.injectEngine(fault)
 	default:
 		done = d.spoilStore(fault)
@@ -180,20 +184,34 @@
 		return false
 	}
 	if fault.Kind == ProcessStop {
-		d.stop(p)
+		d.stop(p, func() {})
 		return true
 	}
 	d.judge.Disrupt(p.place.Node, false)
 	defer func() { d.judge.Calm(d.now(), p.place.Node, false) }()
-	if fault.Kind == ProcessKill {
+	switch fault.Kind {
+	case ProcessKill:
 		p.kill()
 		d.restart(p, restartAfter)
-		return true
+	case ProcessStopPause:
+		d.stop(p, func() {
+			backoff.Wait(d.context, pauseOfStop)
+			d.pause(p, min(fault.For, longestOfSteps))
+		})
+	default:
+		d.pause(p, fault.For)
 	}
+	return true
+}
+
+// pauseOfStop is after what time of a stop a process is paused.
+const pauseOfStop = 300 * time.Millisecond
+
+// pause pauses the process that runs now, which may end meanwhile.
+func (d *deployment) pause(p *process, pause time.Duration) {
 	p.signal(syscall.SIGSTOP)
-	backoff.Wait(d.context, fault.For)
+	backoff.Wait(d.context, pause)
 	p.signal(syscall.SIGCONT)
-	return true
 }
 
 // killAll kills all processes at once and starts them again a little later, as when all
@@ -237,6 +255,8 @@
 		d.crash(s, 0)
 	case EngineCold:
 		d.crash(s, coldFor)
+	case EngineRestart:
+		d.restartEngine(s, fault)
 	default:
 		s.current.mode.Store(fault.Kind)
 		backoff.Wait(d.context, fault.For)
@@ -259,16 +279,3 @@
 	d.store.TakeBack(zone)
 	return true
 }
-
-// reconfigure has a route go to the other service.
-func (d *deployment) reconfigure() bool {
-	d.configuring.Lock()
-	defer d.configuring.Unlock()
-	if d.movedTo == servicePortal {
-		d.movedTo = serviceOther
-	} else {
-		d.movedTo = servicePortal
-	}
-	d.configure()
-	return true
-}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -59,6 +59,7 @@
 	bounds      bounds
 	cold        coldLimits
 	limits      tenantLimits
+	served      map[string]int64 // requests, by engine
 	connections connections
 	checked     map[Promise]int64
 	broken      map[Promise]int64
@@ -76,6 +77,7 @@
 		bounds:      newBounds(),
 		cold:        newColdLimits(),
 		limits:      newTenantLimits(),
+		served:      make(map[string]int64),
 		connections: newConnections(),
 		checked:     make(map[Promise]int64),
 		broken:      make(map[Promise]int64),
@@ -155,6 +157,7 @@
 		return
 	}
 	a.runs = append(a.runs, arrival.Engine)
+	j.served[arrival.Engine]++
 	j.check(arrival.Path == a.Path, Asked, now, a, arrival.Engine, "path %q became %q", a.Path, arrival.Path)
 	promise := Asked
 	if a.Previous != "" {
--- a/internal/soak/observe.go
+++ b/internal/soak/observe.go
@@ -29,6 +29,8 @@
 	WithinLimit  Promise = "within_limit"  // who is within a limit is not refused for it
 
 	OpenConnection Promise = "open_connection" // a request on an open connection is answered, or refused
+	Stranger       Promise = "stranger"        // nothing is sent to what an entry names that is no engine's
+	ServesOn       Promise = "serves_on"       // the engines beside it serve on, and one that started again does
 )
 
 // Finding is a promise that was seen broken.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -184,8 +184,8 @@
 	p.waitReady(d.context)
 }
 
-// stop has a process stop as planned, and be started again.
-func (d *deployment) stop(p *process) {
+// stop has a process stop as planned, and be started again. Something may be done to it meanwhile.
+func (d *deployment) stop(p *process, meanwhile func()) {
 	d.judge.Disrupt(p.place.Node, true)
 	defer func() { d.judge.Calm(d.now(), p.place.Node, true) }()
 	p.expected.Store(true)
@@ -194,6 +194,7 @@
 	p.signal(syscall.SIGTERM)
 	timer := time.NewTimer(gracePeriod + endMargin)
 	defer timer.Stop()
+	meanwhile()
 	select {
 	case <-p.exited:
 		d.judge.Gone(d.now(), p.place.Node)
--- a/internal/standin/operators/engine.go
+++ b/internal/standin/operators/engine.go
@@ -44,7 +44,10 @@
 }
 
 // NewEngine returns a running engine. Close its Server in the end.
-func NewEngine(id string, events int) *Engine {
+func NewEngine(id string, events int) *Engine { return NewEngineAt(id, events, "") }
+
+// NewEngineAt returns a running engine at an address, or at another if that is empty or taken.
+func NewEngineAt(id string, events int, address string) *Engine {
 	e := &Engine{ID: id, Events: events, born: time.Now().UnixMilli()}
 	e.Server = httptest.NewUnstartedServer(http.HandlerFunc(e.serve))
 	e.Server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
@@ -52,6 +55,10 @@
 			e.connections.Add(1)
 		}
 	}
+	if listener, err := net.Listen("tcp4", address); address != "" && err == nil {
+		_ = e.Server.Listener.Close() // nobody knows it yet
+		e.Server.Listener = listener
+	}
 	e.Server.Start()
 	return e
 }
