operators: a test that a slow store does what it is asked late

Cause: the slow store had no test of its own.

Change: a write to a slow store is done and answered, not before 200 ms.

--- a/internal/standin/operators/work_test.go
+++ b/internal/standin/operators/work_test.go
@@ -61,3 +61,22 @@
 		}
 	}
 }
+
+// TestSlowStoreDoesWhatItIsAskedLate writes to a slow store and reads the row.
+func TestSlowStoreDoesWhatItIsAskedLate(t *testing.T) {
+	store := operators.NewStore()
+	t.Cleanup(store.Server.Close)
+	store.SetFault(func(string, string) operators.Fault { return operators.Slow })
+	began := time.Now()
+	response, err := http.Post(store.Server.URL+"/-/rows-tx", "application/json", strings.NewReader(`{"put":[{"table":"op","tls_key":"a","value":"MQ=="}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if took := time.Since(began); response.StatusCode != http.StatusOK || took < 200*time.Millisecond {
+		t.Errorf("answered %d after %s", response.StatusCode, took)
+	}
+	if rows := store.Rows("op"); len(rows) != 1 {
+		t.Errorf("holds %v", rows)
+	}
+}
