--- a/internal/standin/operators/engine.go
+++ b/internal/standin/operators/engine.go
@@ -45,9 +45,17 @@
 	handle   func(http.ResponseWriter, *http.Request) bool // true: it has answered
 }
 
-// NewEngine returns a running engine. Close its Server in the end.
-func NewEngine(id string, events int) *Engine {
-	e := &Engine{ID: id, Events: events}
+// NewEngine returns a running engine that does not tell when it started. Close its Server in the end.
+func NewEngine(id string, events int) *Engine { return newEngine(id, events, "", 0) }
+
+// NewEngineAt returns a running engine that started just now, at an address, or at another if that
+// is empty or taken.
+func NewEngineAt(id string, events int, address string) *Engine {
+	return newEngine(id, events, address, time.Now().UnixMilli())
+}
+
+func newEngine(id string, events int, address string, born int64) *Engine {
+	e := &Engine{ID: id, Events: events, born: born}
 	e.Server = httptest.NewUnstartedServer(http.HandlerFunc(e.serve))
 	e.Server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
@@ -57,6 +65,10 @@
 	e.Server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, startOfConnection{}, e.start())
 	}
+	if listener, err := net.Listen("tcp4", address); address != "" && err == nil {
+		_ = e.Server.Listener.Close() // nobody knows it yet
+		e.Server.Listener = listener
+	}
 	e.Server.Start()
 	return e
 }
