serving: tests of second sends wait until engines are listed

Ruled out: a fault of the product: it says rightly that it knows no engine. Conclusion: the assertions are unchanged.

--- a/internal/serving/hedge_test.go
+++ b/internal/serving/hedge_test.go
@@ -16,6 +16,7 @@
 	d.addEngine("p4", "portal")
 	d.store.Put("op", "", "config", configuration(8, route("safe", "safe", "portal", map[string]any{"max_attempts": 2})))
 	d.eventually("in force", func() bool { return d.inForce("8") })
+	d.eventually("ready", d.process.Ready) // engines are listed as well
 	var ran atomic.Int64
 	hedged := make(chan struct{})
 	d.handleAll("p", func(http.ResponseWriter, *http.Request) bool {
@@ -46,6 +47,7 @@
 	d.addEngine("p4", "portal")
 	d.store.Put("op", "", "config", configuration(8, route("safe", "safe", "portal", map[string]any{"max_attempts": 2, "timeout_ms": 1000})))
 	d.eventually("in force", func() bool { return d.inForce("8") })
+	d.eventually("ready", d.process.Ready) // engines are listed as well
 	var ran atomic.Int64
 	d.handleAll("p", func(_ http.ResponseWriter, request *http.Request) bool {
 		switch ran.Add(1) {
@@ -72,6 +74,7 @@
 	d := start(t)
 	d.store.Put("op", "", "config", configuration(8, route("safe", "safe", "portal", map[string]any{"max_attempts": 2})))
 	d.eventually("in force", func() bool { return d.inForce("8") })
+	d.eventually("ready", d.process.Ready) // engines are listed as well
 	var ran atomic.Int64
 	hedged, failed := make(chan struct{}), make(chan struct{})
 	d.handleAll("p", func(writer http.ResponseWriter, request *http.Request) bool {
