commitgroup, serving: groups by what the parts of a slow store bear

Cause: while the store is slow, a part takes its writes one after another, some six a second. Six zones' writers sent groups of several parts, which have each of them wait twice as long, cancelled those that nobody waited for (the store does their work all the same) and sent late ones twice. Parts were full after .3 s and stayed so. Change: while answers take 100 ms or more, groups are of one part, two of it under way; each part has one writer, of all regions unless one binds what is said; full parts are left alone for .3 s; calls run to their end; a late answer causes no second sends; a distant writer has 300 ms for a sign of life. One group until answers tell how slow it is: a lost answer then holds its part for 1.5 s (a test showed it).

--- a/internal/commitgroup/group.go
+++ b/internal/commitgroup/group.go
@@ -67,6 +67,7 @@
 	// when a late group was last sent again while it answered none.
 	answeredSent time.Time
 	triedAt      time.Time
+	fullUntil    map[string]time.Time // of parts that refused groups while the service was slow
 	wake         *time.Timer
 	stats        Stats
 }
@@ -85,11 +86,12 @@
 // several parts. cut, if not nil, is told of a pace that was cut, in groups a second.
 func NewGroup(table tablestore.Table, across bool, cut func(rate float64)) *Group {
 	return &Group{
-		table:    table,
-		cut:      cut,
-		queue:    newQueue(across),
-		pace:     newPace(interval),
-		underWay: make(map[*flight]bool),
+		table:     table,
+		cut:       cut,
+		queue:     newQueue(across),
+		pace:      newPace(interval),
+		underWay:  make(map[*flight]bool),
+		fullUntil: make(map[string]time.Time),
 	}
 }
 
@@ -183,17 +185,29 @@
 			g.wakeAt(due, now)
 			return
 		}
-		members := g.queue.next(now)
+		members, due := g.next(now)
 		if len(members) == 0 {
-			g.wakeForProbe(now)
+			g.wakeForProbe(due, now)
 			return
 		}
 		g.send(members, now)
 	}
 }
 
+// next takes out the members of the next group. Without any, it returns when a part that has to
+// be waited for may be written to; zero if there is none. The mutex is held.
+func (g *Group) next(now time.Time) (members []*member, due time.Time) {
+	if g.isSlow() {
+		return g.nextSlow(now)
+	}
+	return g.queue.next(now), time.Time{}
+}
+
 // maySend reports whether one more group may be under way. The mutex is held.
 func (g *Group) maySend() bool {
+	if g.isSlow() {
+		return len(g.underWay) < maxUnanswered
+	}
 	prompt := 0
 	for f := range g.underWay {
 		if !f.late {
@@ -203,11 +217,14 @@
 	return prompt < maxUnderWay && len(g.underWay) < maxUnanswered
 }
 
-// wakeForProbe sets the timer for the next silent part that is to be written to. The mutex is
-// held.
-func (g *Group) wakeForProbe(now time.Time) {
-	if probe, found := g.queue.nextProbe(); found && probe.After(now) {
-		g.wakeAt(probe, now)
+// wakeForProbe sets the timer for the next silent part that is to be written to, or for due if that
+// is sooner and not zero. The mutex is held.
+func (g *Group) wakeForProbe(due, now time.Time) {
+	if probe, found := g.queue.nextProbe(); found && probe.After(now) && (due.IsZero() || probe.Before(due)) {
+		due = probe
+	}
+	if !due.IsZero() {
+		g.wakeAt(due, now)
 	}
 }
 
@@ -222,6 +239,9 @@
 		}
 		return now
 	}
+	if g.isSlow() {
+		return due // each part waits for its own groups only
+	}
 	for f := range g.underWay {
 		if f.late || g.queue.silent.hasMissed(f.members[0].part) {
 			continue
@@ -317,7 +337,7 @@
 		answerAll(f.members, receipt, nil)
 	case errors.Is(err, tablestore.ErrThrottled):
 		g.stats.Throttled++
-		if g.pace.refused(now) {
+		if !g.refusedPart(f, now) && g.pace.refused(now) {
 			cutTo = g.pace.rate
 		}
 		for _, m := range f.members {
@@ -380,7 +400,8 @@
 	if !spans(f.members) {
 		g.queue.rejoin(f.members[0].part)
 	}
-	if g.answeredSent.Before(f.sentAt) {
+	// An answer that was late itself says that the service is slow, and not that a part is silent.
+	if g.answeredSent.Before(f.sentAt) && !f.late {
 		g.answeredSent = f.sentAt
 		g.sendLateAgain(now)
 	}
--- a/internal/commitgroup/group_test.go
+++ b/internal/commitgroup/group_test.go
@@ -218,7 +218,7 @@
 	for i := range 4 {
 		nodes = append(nodes, Node{Address: fmt.Sprintf("other-%d", i), Processors: 0.6})
 	}
-	table.SetPeers(writer, "self", nodes, nil)
+	table.SetPeers(writer, "self", nodes, nil, nil)
 	if known := table.peers.Load().writers("1", time.Now()); len(known) != 2 {
 		t.Fatalf("writers %v", known)
 	}
--- a/internal/commitgroup/history_test.go
+++ b/internal/commitgroup/history_test.go
@@ -215,7 +215,7 @@
 		fleet, names = append(fleet, table), append(names, Node{Address: name})
 	}
 	for i, table := range fleet {
-		table.SetPeers(carrier, names[i].Address, names, nil)
+		table.SetPeers(carrier, names[i].Address, names, nil, nil)
 	}
 	return fleet
 }
--- a/internal/commitgroup/late.go
+++ b/internal/commitgroup/late.go
@@ -109,8 +109,12 @@
 	return slices.DeleteFunc(waitedFor(members), func(m *member) bool { return m.answered })
 }
 
-// cancelUnneeded ends the calls of groups for which nobody waits any more. The mutex is held.
+// cancelUnneeded ends the calls of groups for which nobody waits any more. A slow service does the
+// work of those all the same, and their answers tell how slow it is. The mutex is held.
 func (g *Group) cancelUnneeded() {
+	if g.isSlow() {
+		return
+	}
 	for f := range g.underWay {
 		if len(unanswered(f.members)) == 0 {
 			f.cancel()
--- a/internal/commitgroup/queue.go
+++ b/internal/commitgroup/queue.go
@@ -179,11 +179,17 @@
 // keys of a group's members are disjoint, and disjoint from those of groups under way;
 // members that share a key are taken in order. Those of silent parts stay, but for one group
 // of each at times.
-func (q *queue) next(now time.Time) []*member {
+func (q *queue) next(now time.Time) []*member { return q.nextOf("", now) }
+
+// nextOf is next for the members of one part; of any if it is empty.
+func (q *queue) nextOf(part string, now time.Time) []*member {
 	var group []*member
 	claimed := tablestore.NewKeyLocks()
 	entries, bytes := 0, 0
 	for _, m := range q.waiting {
+		if part != "" && m.part != part {
+			continue
+		}
 		if len(group) > 0 && (entries+m.entries > maxEntries || bytes+m.bytes > maxBytes) {
 			break
 		}
--- /dev/null
+++ b/internal/commitgroup/slow.go
@@ -0,0 +1,157 @@
+package commitgroup
+
+import (
+	"slices"
+	"time"
+)
+
+// Settings of a service that is slow for all. Its parts take their writes one after another, so
+// that each group for several parts has all of them wait, and a group sent beside others of its
+// part only lengthens the queue there.
+const (
+	// slowAnswer is the usual time of a group's answer from which on the service is slow. It takes
+	// 10 ms as a rule, and four times that on a busy machine.
+	slowAnswer = 100 * time.Millisecond
+	// slowCommit is the same of a transaction, which waits for its group and crosses a zone.
+	slowCommit = 150 * time.Millisecond
+	// mostOfPart is how many groups of one part may be under way.
+	mostOfPart = 2
+	// fullPause is for how long a part is not written to that has refused a group of its own: more
+	// than a second's writes wait there.
+	fullPause = 300 * time.Millisecond
+	// slowSignTimeout is signTimeout while the service is slow. The writer may be in another region, and
+	// the first to be asked there, and a transaction sent twice takes a part's time twice.
+	slowSignTimeout = 300 * time.Millisecond
+	// commitSmoothing is the weight of the newest transaction's time.
+	commitSmoothing = 0.3
+)
+
+// isSlow reports whether the service takes long to answer: as a rule of late, or to a group since
+// which none was answered. Then groups are of one part each, and wait for those of their part only.
+// The mutex is held.
+func (g *Group) isSlow() bool {
+	if g.usual >= slowAnswer {
+		return true
+	}
+	for f := range g.underWay {
+		if f.late && !f.sentAt.Before(g.answeredSent) {
+			return true
+		}
+	}
+	return false
+}
+
+// partDue returns when the next group of a part may be sent to a slow service. A second one may be
+// under way, but not sooner than half the time of an answer after the first: that half is the way
+// and the call, the other one the part's own work. ok is false if two are. The mutex is held.
+func (g *Group) partDue(part string) (due time.Time, ok bool) {
+	due = g.fullUntil[part]
+	unanswered := 0
+	for f := range g.underWay {
+		if f.givenUp || !slices.ContainsFunc(f.members, func(m *member) bool { return m.part == part }) {
+			continue
+		}
+		unanswered++
+		if next := f.sentAt.Add(max(slowAnswer, g.usual) / mostOfPart); due.Before(next) {
+			due = next
+		}
+	}
+	return due, unanswered < mostOfPart
+}
+
+// refusedPart notes that a part of a slow service refused a group of its own, which says nothing of
+// the rate of all calls. It reports whether that is so. The mutex is held.
+func (g *Group) refusedPart(f *flight, now time.Time) bool {
+	if !g.isSlow() || spans(f.members) {
+		return false
+	}
+	g.fullUntil[f.members[0].part] = now.Add(fullPause)
+	return true
+}
+
+// nextSlow takes out the next group for a slow service, or returns when one is due. due is zero if
+// nothing waits that may be sent. The mutex is held.
+func (g *Group) nextSlow(now time.Time) (members []*member, due time.Time) {
+	parts := make(map[string]time.Time)
+	for _, m := range g.queue.waiting {
+		if _, seen := parts[m.part]; seen {
+			continue
+		}
+		partDue, ok := g.partDue(m.part)
+		parts[m.part] = partDue
+		if !ok {
+			continue
+		}
+		if partDue.After(now) {
+			if due.IsZero() || partDue.Before(due) {
+				due = partDue
+			}
+			continue
+		}
+		if members := g.queue.nextOf(m.part, now); len(members) > 0 {
+			return members, time.Time{}
+		}
+	}
+	return nil, due
+}
+
+// isSlow reports whether this node's transactions take long of late.
+func (t *Table) isSlow() bool { return time.Duration(t.usual.Load()) >= slowCommit }
+
+// watchTime begins to note how long a transaction takes; what it returns ends that. One that has
+// taken long counts before it ends, and one that was refused counts only if it has.
+func (t *Table) watchTime() (end func(err error)) {
+	began := time.Now()
+	long := time.AfterFunc(slowCommit, func() { t.raiseUsual(int64(slowCommit)) })
+	return func(err error) {
+		long.Stop()
+		took := int64(time.Since(began))
+		for {
+			before := t.usual.Load()
+			if err != nil && took < before {
+				return
+			}
+			next := before + int64(commitSmoothing*float64(took-before))
+			if t.usual.CompareAndSwap(before, next) {
+				return
+			}
+		}
+	}
+}
+
+// raiseUsual raises the smoothed time of transactions to at least so much.
+func (t *Table) raiseUsual(least int64) {
+	for {
+		before := t.usual.Load()
+		if before >= least || t.usual.CompareAndSwap(before, least) {
+			return
+		}
+	}
+}
+
+// signWithin returns for how long a writer may give no sign of life.
+func (t *Table) signWithin() time.Duration {
+	if t.isSlow() {
+		return slowSignTimeout
+	}
+	return signTimeout
+}
+
+// writersNow returns the nodes to ask for a part, the best first, up to this one.
+func (t *Table) writersNow(known *peers, part string) []string {
+	now := time.Now()
+	if t.isSlow() {
+		return t.partWriters(known, part, now)
+	}
+	return known.writers(part, now)
+}
+
+// partWriters is writers while the service is slow. A part takes few writes a second then, so that
+// they meet at one node: of all regions, unless one binds what is said.
+func (t *Table) partWriters(known *peers, part string, now time.Time) []string {
+	ring := known.everywhere.ring
+	if t.options.Bound == nil || t.options.Bound() {
+		ring = known.all.ring
+	}
+	return known.upToSelf(ring.Candidates("part-"+part, now))
+}
--- a/internal/commitgroup/table.go
+++ b/internal/commitgroup/table.go
@@ -63,6 +63,8 @@
 	Across   bool        // whether one transaction may be of several parts
 	Lost     func() bool // whether the node has no way of its own to the service
 	Observer Observer
+	// Bound, if not nil, tells whether what is written must not leave the region; nil: it must not.
+	Bound func() bool
 	// Doubted, if not nil, tells which nodes are passed over with their zone.
 	Doubted func(address string) bool
 	// Committed, if not nil, is told of each transaction that this node's group has had
@@ -82,6 +84,7 @@
 	options          Options
 	group            *Group
 	peers            atomic.Pointer[peers]
+	usual            atomic.Int64 // smoothed time of transactions, in ns
 
 	asked    atomic.Uint64
 	silent   atomic.Uint64
@@ -100,6 +103,9 @@
 	self   string
 	zone   writerRing            // of the own zone
 	others map[string]writerRing // of other zones, by their names
+	// all and everywhere are the nodes of these zones, and of those of other regions besides. Each
+	// part has one writer there.
+	all, everywhere writerRing
 }
 
 // writerRing is the nodes of one zone.
@@ -144,17 +150,22 @@
 
 // SetPeers replaces the nodes of which writers are chosen: this one, and the others of its
 // zone, so that what is written crosses no zones on its way to a writer. further are the nodes
-// of other zones, which have writers of their own, by the zones' names.
-func (t *Table) SetPeers(client asker, self string, nodes []Node, further map[string][]Node) {
+// of other zones, which have writers of their own, by the zones' names; distant are those of other
+// regions.
+func (t *Table) SetPeers(client asker, self string, nodes []Node, further map[string][]Node, distant []Node) {
 	next := &peers{client: client, self: self, others: make(map[string]writerRing, len(further))}
 	old := t.peers.Load()
 	if old == nil || old.self != self {
 		old = &peers{}
 	}
 	next.zone = t.newWriterRing(old.zone.ring, nodes)
+	all := slices.Clone(nodes)
 	for zone, others := range further {
 		next.others[zone] = t.newWriterRing(old.others[zone].ring, others)
+		all = append(all, others...)
 	}
+	next.all = t.newWriterRing(old.all.ring, all)
+	next.everywhere = t.newWriterRing(old.everywhere.ring, append(all, distant...))
 	t.peers.Store(next)
 }
 
@@ -176,14 +187,21 @@
 
 // writers returns the nodes to ask for a part, the best first, up to this one.
 func (p *peers) writers(part string, now time.Time) []string {
-	var found []string
-	for _, address := range p.zone.candidates(part, now) {
-		if address == p.self {
-			break
-		}
-		found = append(found, address)
+	return p.upToSelf(p.zone.candidates(part, now))
+}
+
+// suspectEverywhere has a node passed over for a while among the writers of parts.
+func (p *peers) suspectEverywhere(address string, now time.Time) {
+	p.all.ring.Suspect(address, now)
+	p.everywhere.ring.Suspect(address, now)
+}
+
+// upToSelf returns those of some nodes that come before this one.
+func (p *peers) upToSelf(addresses []string) []string {
+	if own := slices.Index(addresses, p.self); own >= 0 {
+		return addresses[:own]
 	}
-	return found
+	return addresses
 }
 
 // WritersOf returns the nodes past which writes of a key go, those of the own zone first,
@@ -194,7 +212,11 @@
 		return nil
 	}
 	part, now := partOf(key), time.Now()
-	found := known.writers(part, now)
+	var found []string
+	if t.isSlow() {
+		found = first(t.partWriters(known, part, now))
+	}
+	found = append(found, known.writers(part, now)...)
 	for _, zone := range known.others {
 		found = append(found, first(zone.candidates(part, now))...)
 	}
@@ -210,6 +232,7 @@
 	if known.zone.has(address) {
 		t.suspect(known, address, cause)
 	}
+	known.suspectEverywhere(address, time.Now())
 	for _, zone := range known.others {
 		if zone.has(address) {
 			zone.ring.Suspect(address, time.Now())
@@ -226,7 +249,15 @@
 	if known == nil || newMember(transaction) == nil {
 		return t.group.Commit(ctx, transaction)
 	}
-	for _, address := range known.writers(partOf(transaction.Writes[0].Key), time.Now()) {
+	end := t.watchTime()
+	receipt, err := t.commitBy(ctx, known, transaction)
+	end(err)
+	return receipt, err
+}
+
+// commitBy commits by the first of the writers that answers, or by this node.
+func (t *Table) commitBy(ctx context.Context, known *peers, transaction tablestore.Transaction) (tablestore.Receipt, error) {
+	for _, address := range t.writersNow(known, partOf(transaction.Writes[0].Key)) {
 		receipt, err := t.ask(ctx, known, address, transaction)
 		switch {
 		case errors.Is(err, errNotAsked):
@@ -272,7 +303,7 @@
 		return tablestore.Receipt{}, errors.Mark(context.DeadlineExceeded, tablestore.ErrUnavailable)
 	}
 	t.asked.Add(1)
-	reply, err := exchange(ctx, known.client, address, &wirepb.Request{
+	reply, err := exchange(ctx, known.client, address, t.signWithin(), &wirepb.Request{
 		From: t.options.Node,
 		Body: &wirepb.Request_CommitTable{CommitTable: &wirepb.CommitTable{Grouped: encode(transaction, wait)}},
 	})
@@ -308,22 +339,25 @@
 }
 
 func (t *Table) suspect(known *peers, address string, cause error) {
+	known.suspectEverywhere(address, time.Now())
 	if known.zone.ring.Suspect(address, time.Now()) {
 		t.options.Observer.WriterLost(address, cause)
 	}
 }
 
 func (t *Table) trust(known *peers, address string) {
+	known.all.ring.Trust(address)
+	known.everywhere.ring.Trust(address)
 	if known.zone.ring.Trust(address) {
 		t.options.Observer.WriterRegained(address)
 	}
 }
 
 // exchange asks a writer, and gives it up if it gives no sign of life.
-func exchange(ctx context.Context, client asker, address string, request *wirepb.Request) (*wirepb.Reply, error) {
+func exchange(ctx context.Context, client asker, address string, signWithin time.Duration, request *wirepb.Request) (*wirepb.Reply, error) {
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
-	silence := time.AfterFunc(signTimeout, func() { giveUp(errNoSign) })
+	silence := time.AfterFunc(signWithin, func() { giveUp(errNoSign) })
 	defer silence.Stop()
 	return client.Do(ctx, address, request, func(int64, []byte) { silence.Stop() })
 }
--- a/internal/serving/commits.go
+++ b/internal/serving/commits.go
@@ -115,13 +115,18 @@
 func (p *Process) setWriters(client *zonewatch.Asker, byZone map[string][]commitgroup.Node) {
 	topology := p.settings.Topology
 	further := make(map[string][]commitgroup.Node)
+	var distant []commitgroup.Node
 	for _, zone := range topology.Zones() {
-		if zone != topology.Zone() && topology.Near(zone) && len(byZone[zone]) > 0 {
+		switch {
+		case zone == topology.Zone() || len(byZone[zone]) == 0:
+		case topology.Near(zone):
 			further[zone] = byZone[zone]
+		default:
+			distant = append(distant, byZone[zone]...)
 		}
 	}
 	own := commitgroup.Node{Address: p.PeerAddress(), Processors: p.settings.Processors}
-	p.commits.SetPeers(client, own.Address, append(byZone[topology.Zone()], own), further)
+	p.commits.SetPeers(client, own.Address, append(byZone[topology.Zone()], own), further, distant)
 }
 
 // TurnsDropped implements turncache.Observer. Each peer's first line is logged.
--- a/internal/serving/regions.go
+++ b/internal/serving/regions.go
@@ -58,14 +58,19 @@
 	return addresses
 }
 
+// bindsRegions reports whether the configuration in force binds what is said to regions.
+func (p *Process) bindsRegions() bool {
+	table := p.follower.View().Table
+	return table != nil && table.Configuration.BindsRegions()
+}
+
 // enableRelay lets calls go through the peers that may make them, by the configuration in
 // force. Without one nothing is said yet that could be bound. viewing is held.
 func (p *Process) enableRelay() {
 	if p.relayClient == nil {
 		return
 	}
-	table := p.follower.View().Table
-	bound := table != nil && table.Configuration.BindsRegions()
+	bound := p.bindsRegions()
 	addresses := addressesOf(relayPeers(p.found, p.settings.Topology, bound))
 	if p.relaysSet && slices.Equal(addresses, p.relays) {
 		return // the order in which they served is kept
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -193,6 +193,7 @@
 		Lost:     p.relay.Lost,
 		Observer: p,
 		Doubted:  p.zones.Doubted,
+		Bound:    p.bindsRegions,
 
 		Committed: p.recent.Committed,
 	})
