ledger: fewer calls of a slow table, each begun once

Cause: a look-up over all parts counts as a write of each, and all parts take some 200 a second; writes were given up after .8 s and made again; an account was read before each write; an allowance covered one turn ahead. Change: while the table is slow no look-up over all parts (reads search them), no read before a write but where the last one met another run's, all of the budget held ahead (eight turns at most). A write is waited for whose row a slow read shows unchanged. A turn whose caller leaves sooner than writes take is refused at once. Ruled out: a read beside a write only after .8 s (worse: answers of full parts come later than reads). Conclusion: waiting longer for parts that are full only fills them; calls have to go first.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -9,6 +9,7 @@
 package ledger
 
 import (
+	"cmp"
 	"maps"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,10 @@
 // the program, so they shrink as the budget does.
 const aheadShare = 4
 
+// slowShare is the same while the table is slow: each write that a turn needs first would cost it
+// more than the risk that the node dies meanwhile.
+const slowShare = 1
+
 // Account is the durable state of one program's budget, in tokens.
 //
 // Invariant: Spent + the sum of all allowances <= Budget, but for a program's first
@@ -64,6 +69,7 @@
 	UnderWay int64  // most tokens of the turns that are running on the old allowance
 	Most     int64  // most tokens of the turn that asks to run; 0 if none does
 	Ahead    bool   // whether to hold tokens for later turns
+	Share    int64  // part of the unspent budget to hold at most, one over this number; 0: aheadShare
 }
 
 // Apply returns the account after a change. The node's old allowance is given
@@ -88,7 +94,7 @@
 	}
 	tokens := change.UnderWay + change.Most
 	if change.Ahead {
-		tokens += ahead(next, committed+change.Most)
+		tokens += ahead(next, committed+change.Most, cmp.Or(change.Share, aheadShare))
 	}
 	next.Allowances[change.Node] = Allowance{Tokens: tokens, Write: change.Write, Address: change.Address}
 	return next, nil
@@ -105,18 +111,26 @@
 }
 
 // ahead returns how many tokens to hold for turns to come.
-func ahead(a Account, committed int64) int64 {
+func ahead(a Account, committed, share int64) int64 {
 	if a.Least <= 0 {
 		return 0
 	}
 	unspent := a.Budget - committed
-	turns := min(aheadTurns, unspent/aheadShare/a.Least)
+	turns := min(aheadTurns, unspent/share/a.Least)
 	if turns == 0 && unspent >= a.Least {
 		turns = 1
 	}
 	return max(0, turns) * a.Least
 }
 
+// aheadShare returns which part of the unspent budget to hold ahead now.
+func (l *Ledger) aheadShare() int64 {
+	if l.health.slow() {
+		return slowShare
+	}
+	return aheadShare
+}
+
 // exhausted reports whether what was handed out, with what is not charged yet,
 // leaves no room for a turn of a run, even if no other turn runs and its allowance is
 // given back. What was handed out only grows.
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -51,18 +51,19 @@
 // one probe in a while. Calls that were refused for their rate have breakers of their own,
 // which hold back calls of their kind only: the table is up. Safe for concurrent use.
 type health struct {
-	mutex   sync.Mutex
-	failing breakers        // of calls that were not answered
-	over    [kinds]breakers // of calls that were refused for their rate
-	way     breaker
-	last    error // of the last call that failed
-	at      time.Time
-	heardAt time.Time            // when a call was last answered
-	quickAt time.Time            // when one was last answered in quickAnswer
-	usual   time.Duration        // smoothed time of calls that were answered
-	quick   time.Duration        // time of the quickest of them; 0 before the first
-	by      [kinds]time.Duration // smoothed time of those of a kind; 0 before the first
-	unheard map[int]bool         // parts whose calls went without an answer since any was answered
+	mutex     sync.Mutex
+	failing   breakers        // of calls that were not answered
+	over      [kinds]breakers // of calls that were refused for their rate
+	way       breaker
+	last      error // of the last call that failed
+	at        time.Time
+	heardAt   time.Time            // when a call was last answered
+	quickAt   time.Time            // when one was last answered in quickAnswer
+	writtenAt time.Time            // when a write was last answered
+	usual     time.Duration        // smoothed time of calls that were answered
+	quick     time.Duration        // time of the quickest of them; 0 before the first
+	by        [kinds]time.Duration // smoothed time of those of a kind; 0 before the first
+	unheard   map[int]bool         // parts whose calls went without an answer since any was answered
 	// returned wakes those who wait for the table, once it answers a call after calls were held
 	// back.
 	returned signal
@@ -123,11 +124,31 @@
 	return h.isSlow()
 }
 
+// isLong reports whether one read took as long as those of a slow table do. A write beside which it
+// was made waits its turn, though answers have not been slow for long enough to show.
+func (h *health) isLong(took time.Duration) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return took > slowFactor*max(leastQuick, h.quick)
+}
+
 func (h *health) isSlow() bool {
 	limit := slowFactor * max(leastQuick, h.quick)
 	return h.by[reading] > limit || h.by[writing] > limit+h.gathers
 }
 
+// tooSlow returns why a write that begins now is not done by some time, if the table is slow and
+// its writes take longer than that. until is zero if nobody gives up. Where no write was answered
+// lately the next one tells how long they take now.
+func (h *health) tooSlow(now, until time.Time) error {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if until.IsZero() || !h.isSlow() || now.Sub(h.writtenAt) > busyPeriod || now.Add(h.by[writing]).Before(until) {
+		return nil
+	}
+	return errors.Mark(errors.Newf("writes take %s, and the caller waits for %s", h.by[writing], until.Sub(now)), tablestore.ErrUnavailable)
+}
+
 // callTimeout returns how long one write is waited for, and readTimeout one read. A call to a
 // slow table that is given up and made again makes the table slower.
 func (h *health) callTimeout() time.Duration { return h.timeout(callTimeout) }
@@ -169,6 +190,9 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.heardAt = now
+	if kind == writing {
+		h.writtenAt = now
+	}
 	if took < quickAnswer {
 		h.quickAt = now
 	}
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -165,8 +165,8 @@
 // program asks nor of a build without tenants. One call tells that of all parts; where it
 // fails, or some part has the turn, each part is to be asked.
 func (l *Ledger) nowhere(ctx context.Context, asking, id string) bool {
-	if l.options.Present == nil || !l.mayLookUp() {
-		return false
+	if l.options.Present == nil || l.health.slow() || !l.mayLookUp() {
+		return false // a slow table takes few writes of a part, and the call counts as one of each
 	}
 	tenant, program := splitProgram(asking)
 	keys := make([]string, 0, 2*Parts)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -84,7 +84,8 @@
 	pending   []*record // turns that wait to be recorded
 	turns     map[string]*Turn
 	recalls   recalls
-	refusals  int // writes in a row that were refused for their rate; guarded by commit
+	refusals  int  // writes in a row that were refused for their rate; guarded by commit
+	contended bool // the last write met one of another run; guarded by commit
 }
 
 // attempt is a write whose outcome may not be known yet.
@@ -134,6 +135,7 @@
 	Previous string        // turn that it goes on from; empty for none
 	Input    int           // bytes of input that are to be kept; 0 if the turn is not
 	Keep     time.Duration // for how long others may go on from the turn
+	Until    time.Time     // when the caller gives up; zero if unknown
 
 	// KeepNothing gives the allowance back, but for the turns under way.
 	KeepNothing bool
@@ -184,7 +186,7 @@
 	}
 	run := &Run{ledger: l, entry: e, ask: ask}
 	if ask.Input > 0 {
-		if err := l.mayRecord(ctx, e); err != nil {
+		if err := l.mayRecord(ctx, e, ask.Until); err != nil {
 			return nil, l.refusal(e, err)
 		}
 	}
@@ -210,9 +212,13 @@
 }
 
 // mayRecord returns an error if the turn could not be made durable once it has run: as far
-// as is known the whole table is down, and so it is still, or refuses writes for their rate. A turn that runs all the same
+// as is known the whole table is down, and so it is still, or refuses writes for their rate, or takes
+// longer for one than the caller waits. A turn that runs all the same
 // keeps an engine busy for an answer that cannot end.
-func (l *Ledger) mayRecord(ctx context.Context, e *entry) error {
+func (l *Ledger) mayRecord(ctx context.Context, e *entry, until time.Time) error {
+	if err := l.health.tooSlow(l.options.Now(), until); err != nil {
+		return err
+	}
 	if err := l.health.busy(partOf(e.program), l.options.Now()); err != nil {
 		return err
 	}
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -21,6 +21,9 @@
 	// with each refusal in a row, up to maxThrottlePause.
 	throttlePause    = 200 * time.Millisecond
 	maxThrottlePause = 800 * time.Millisecond
+	// queuedTimeout is how long a write is waited for that is known to wait its turn at a slow
+	// table. Its caller leaves before.
+	queuedTimeout = 4 * time.Second
 	// throttleDoublings bounds the doubling, so that no pause overflows.
 	throttleDoublings = 8
 )
@@ -35,14 +38,15 @@
 		if e.satisfied(ask) {
 			return nil
 		}
-		if l.health.slow() && !e.isFresh(l.options.Now()) {
+		if e.contended && l.health.slow() && !e.isFresh(l.options.Now()) {
 			// A write that fails its condition would take a place in the part's
-			// queue for nothing; a read takes none.
+			// queue for nothing; a read takes none. Where no other run writes the account,
+			// conditions hold, and a read would only double what the turn waits.
 			if err := l.readAccount(ctx, e, part); err != nil {
 				return err
 			}
 		}
-		transaction, write, err := e.prepare(l.options, part, ask)
+		transaction, write, err := e.prepare(l.options, part, ask, l.aheadShare())
 		if errors.Is(err, ErrBudgetSpent) && !e.isFresh(l.options.Now()) && !e.isExhausted(l.options.Run, ask) {
 			// Other nodes may have given back what this one does not know of.
 			if err := l.load(ctx, e, part, e.program); err != nil {
@@ -79,7 +83,7 @@
 
 // prepare builds the next write. Its number and content are kept until its
 // outcome is known.
-func (e *entry) prepare(options Options, part int, ask Ask) (tablestore.Transaction, uint64, error) {
+func (e *entry) prepare(options Options, part int, ask Ask, share int64) (tablestore.Transaction, uint64, error) {
 	run := options.Run
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -100,6 +104,7 @@
 		UnderWay: e.underWay,
 		Most:     ask.Most,
 		Ahead:    !ask.KeepNothing,
+		Share:    share,
 	})
 	if err != nil {
 		return tablestore.Transaction{}, 0, errors.Wrapf(err, "row version %d", e.revision)
@@ -157,6 +162,7 @@
 	defer e.land()
 	refusals := e.countRefusal(err)
 	var conflict *tablestore.ConflictError
+	e.contended = errors.As(err, &conflict)
 	switch {
 	case err == nil && seen == nil:
 		l.health.note(writing, part, nil, l.options.Now())
@@ -193,14 +199,23 @@
 // waited for: sent again it would only lengthen the queue that it waits in. Where the read gets no
 // answer either, while other parts give quick ones, the part is silent, and the write is given up.
 func (l *Ledger) commitOrRead(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, *tablestore.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.health.callTimeout())
+	most := l.health.callTimeout()
+	ctx, cancel := context.WithTimeout(ctx, max(most, queuedTimeout))
 	defer cancel()
 	condition := transaction.Conditions[0]
 	began := l.options.Now()
+	start := time.Now()
 	read := make(chan *tablestore.Row, 1)
-	var silent atomic.Bool
+	var silent, queued, late atomic.Bool
+	unanswered := time.AfterFunc(most, func() {
+		if !queued.Load() {
+			late.Store(true)
+			cancel()
+		}
+	})
+	defer unanswered.Stop()
 	timer := time.AfterFunc(l.health.patience(), func() {
-		start := time.Now()
+		asked := time.Now()
 		row, err := l.readBeside(ctx, condition.Key)
 		if err != nil {
 			silent.Store(errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil && l.health.heardQuicklySince(began))
@@ -210,20 +225,27 @@
 			read <- nil
 			return
 		}
-		l.health.answered(reading, time.Since(start), l.options.Now())
-		if row.Revision == condition.Revision && l.health.slow() {
+		took := time.Since(asked)
+		l.health.answered(reading, took, l.options.Now())
+		if row.Revision == condition.Revision && (l.health.slow() || l.health.isLong(took)) {
+			queued.Store(true)
 			read <- nil
 			return
 		}
+		if row.Revision != condition.Revision {
+			l.health.answered(writing, time.Since(start), l.options.Now())
+		}
 		read <- &row
 		cancel()
 	})
-	start := time.Now()
 	receipt, err := l.options.Table.Commit(ctx, transaction)
 	var conflict *tablestore.ConflictError
 	if err == nil || errors.As(err, &conflict) {
 		l.health.answered(writing, time.Since(start), l.options.Now())
 	}
+	if late.Load() {
+		err = lateError(err, most)
+	}
 	if timer.Stop() {
 		return receipt, nil, err
 	}
@@ -241,6 +263,18 @@
 	return receipt, row, err
 }
 
+// lateError is the error of a write that was given up since it got no answer for long. Unlike one
+// that its caller gave up it says something of the table, so that it is not a cancelled one.
+func lateError(err error, after time.Duration) error {
+	late := errors.Newf("no answer in %s: %v", after, err)
+	for _, kind := range []error{tablestore.ErrUnknownOutcome, tablestore.ErrUnavailable, tablestore.ErrThrottled, tablestore.ErrBusy} {
+		if errors.Is(err, kind) {
+			late = errors.Mark(late, kind)
+		}
+	}
+	return late
+}
+
 // readBeside reads a row while a write of it is under way. The error is marked
 // context.DeadlineExceeded if there was no answer in time.
 func (l *Ledger) readBeside(ctx context.Context, key string) (tablestore.Row, error) {
