owners, ingress: what a slow store needs is waited for to the end

Cause: an owner's write was given up with the question of a peer that had left after .9 s, and made again for the next one; the end of a ready answer was cut 120 ms before its caller's patience ended. Change: covering a turn goes on for 2 s whoever has left; the end of an answer waits until 20 ms before that moment. Ruled out: nothing else tried.

--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -26,12 +26,15 @@
 	patiencePauses      = 8
 	patienceLeftOver    = 120 * time.Millisecond // of the caller's patience, in which the end still reaches it
 	leastSettlePatience = 100 * time.Millisecond
+	// endLeftOver is of the caller's patience for the last bytes of an answer that is ready. Where its
+	// record comes that late, an answer that is cut sooner is lost for nothing.
+	endLeftOver = 20 * time.Millisecond
 )
 
 // settlePatience is how long the end of an answer that is ready may wait for the turn's
 // record. A caller that has waited longer has left.
 func (r *request) settlePatience(now time.Time) time.Duration {
-	return max(leastSettlePatience, min(r.callerPatience(), r.until.Sub(now))-patienceLeftOver)
+	return max(leastSettlePatience, min(r.callerPatience(), r.until.Sub(now))-endLeftOver)
 }
 
 // callerPatience is for how long the caller waits for a stream to begin or to go on.
@@ -120,7 +123,7 @@
 	if problem := r.refuseCutOff(); problem != nil {
 		return problem
 	}
-	ask := ledger.Ask{Program: r.program(), Session: r.call.Session, Budget: r.call.Budget, Most: r.call.MostTokens}
+	ask := ledger.Ask{Program: r.program(), Session: r.call.Session, Budget: r.call.Budget, Most: r.call.MostTokens, Until: r.until}
 	if r.route.Retain {
 		ask.Previous, ask.Input, ask.Keep = r.call.PreviousTurn, len(s.input), r.route.RetainFor
 	}
--- a/internal/owners/server.go
+++ b/internal/owners/server.go
@@ -24,6 +24,10 @@
 	expiryPeriod = time.Second
 	// settleLimit bounds the write that a settlement may need.
 	settleLimit = 2 * time.Second
+	// coverLimit bounds the write that covering a turn may need. It goes on when the asker has left:
+	// given up and made again by the next asker it would take a slow table's time twice, and what
+	// it covers is there for the turn when its caller comes back.
+	coverLimit = 2 * time.Second
 )
 
 // coverer covers turns of other nodes. *ledger.Ledger implements it.
@@ -89,6 +93,8 @@
 		return refusal(api.MalformedRequest, "a grant of this name is there")
 	}
 	defer close(ended)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), coverLimit)
+	defer cancel()
 	run, err := s.ledger.Cover(ctx, ledger.Ask{
 		Program: request.GetProgram(),
 		Budget:  request.GetBudget(),
--- a/internal/owners/waiting_test.go
+++ b/internal/owners/waiting_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/owners"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
@@ -71,3 +72,41 @@
 		})
 	}
 }
+
+// patientLedger covers a turn once it is let, and tells whether it was given up before.
+type patientLedger struct {
+	began, let chan struct{}
+	givenUp    error
+}
+
+// Cover waits for the table.
+func (p *patientLedger) Cover(ctx context.Context, _ ledger.Ask, waiting func()) (*ledger.Run, error) {
+	waiting()
+	close(p.began)
+	<-p.let
+	p.givenUp = ctx.Err()
+	return nil, ledger.ErrBudgetSpent
+}
+
+// GiveBack has nothing to give.
+func (p *patientLedger) GiveBack(context.Context, string, string) (bool, error) { return false, nil }
+
+// TestCoveringOutlivesItsAsker has a peer give up its question while the table is waited for. The write
+// goes on: its caller comes back, and finds the turn covered.
+func TestCoveringOutlivesItsAsker(t *testing.T) {
+	waiting := &patientLedger{began: make(chan struct{}), let: make(chan struct{})}
+	server := owners.NewServer(waiting, lines.NewMemory())
+	ctx, leave := context.WithCancel(t.Context())
+	replied := make(chan struct{})
+	go func() {
+		defer close(replied)
+		server.Reserve(ctx, &wirepb.ReserveTokens{Grant: "g", Program: "p", Budget: 1000, Most: most}, func() {})
+	}()
+	<-waiting.began
+	leave()
+	close(waiting.let)
+	<-replied
+	if waiting.givenUp != nil {
+		t.Errorf("given up with its asker: %v", waiting.givenUp)
+	}
+}
