discovery: an entry of another writer keeps no start of an engine out

Cause: an entry that can be read, of a service that nobody has, with a late start, took the engine's place among the newest starts; the engine's own next entry looked like an older start and was passed over until its name had gone for a minute, which it never does. The same held for a clock that was set back. Change: what is known yields to a newer entry if it is of a service that the configuration does not name, or was taken 10 s ago. Ruled out: the store's version alone as the order, by which a late write of a start that has crashed takes the later one's place.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -75,6 +75,9 @@
 	return named
 }
 
+// mayServe reports whether there may be engines of a service, as far as is known.
+func (v *View) mayServe(service string) bool { return v.Table == nil || v.Serves(service) }
+
 // Options are what a Follower needs.
 type Options struct {
 	Source   Source
@@ -329,7 +332,7 @@
 				f.starts.withdraw(next.Engines, record.Key, record.Version, now)
 			}
 		case record.Engine != nil:
-			f.starts.take(next.Engines, *record.Engine, record.Version, now)
+			f.starts.take(next.Engines, *record.Engine, record.Version, now, next.mayServe)
 		case record.Configuration != nil:
 			if next.Table == nil || record.Configuration.Version > next.Table.Configuration.Version {
 				next.Table = routing.NewTable(record.Configuration)
--- a/internal/discovery/starts.go
+++ b/internal/discovery/starts.go
@@ -12,6 +12,10 @@
 // was set back is taken again after it.
 const startMemory = time.Minute
 
+// lateWrites is for how long after an engine's start was taken an entry of an earlier one may be a write
+// that its store has done late. One that comes after it is a start whose clock was set back.
+const lateWrites = 10 * time.Second
+
 // start is the newest start of an engine of some name that was seen. It is listed if its last
 // entry is newer than the last word that the name has none.
 type start struct {
@@ -19,6 +23,15 @@
 	version   uint64    // of its entry, of those that were seen the newest
 	withdrawn uint64    // as of which version the name had no entry; 0 if it always had one
 	gone      time.Time // since when it is not listed; zero if it is
+	takenAt   time.Time // when the start was taken
+	service   string    // by its last entry
+}
+
+// yields reports whether a start that looks older may take its place by a newer entry: since that can be no
+// late write of before, or since what is known is another writer's entry, of a service that nobody has, which
+// must not keep the engine's own out.
+func (k *start) yields(version uint64, now time.Time, serves func(service string) bool) bool {
+	return version > k.version && (now.Sub(k.takenAt) >= lateWrites || !serves(k.service))
 }
 
 // starts are the newest starts, by name. They keep an older start that arrives late from
@@ -28,18 +41,25 @@
 
 // take takes an engine's entry into a view's engines, unless it is older than what is known
 // of the name. An older start that has overwritten the entry of the newer one changes nothing:
-// the newer one stays as it was last known.
-func (s starts) take(engines map[string]routing.Engine, engine routing.Engine, version uint64, now time.Time) {
+// the newer one stays as it was last known, unless it yields. serves reports whether there may be engines of a
+// service.
+func (s starts) take(engines map[string]routing.Engine, engine routing.Engine, version uint64, now time.Time, serves func(service string) bool) {
 	known := s[engine.Name]
 	if known == nil {
-		known = &start{Incarnation: engine.Incarnation}
+		known = &start{Incarnation: engine.Incarnation, takenAt: now}
 		s[engine.Name] = known
 	}
-	if engine.Precedes(known.Incarnation) || (engine.Incarnation == known.Incarnation && version < known.version) {
+	if engine.Precedes(known.Incarnation) && !known.yields(version, now, serves) {
+		return
+	}
+	if engine.Incarnation == known.Incarnation && version < known.version {
 		return
 	}
 	delete(engines, known.ID())
-	known.Incarnation, known.version = engine.Incarnation, version
+	if engine.Incarnation != known.Incarnation {
+		known.takenAt = now
+	}
+	known.Incarnation, known.version, known.service = engine.Incarnation, version, engine.Service
 	if version < known.withdrawn {
 		known.goes(now)
 		return
--- a/internal/discovery/starts_test.go
+++ b/internal/discovery/starts_test.go
@@ -113,6 +113,43 @@
 	})
 }
 
+// TestEntryOfAnotherWriterKeepsNoStartOut overwrites an engine's entry with a readable one of a service that
+// nobody has, which says that it started later than any. The engine's own next entry holds at once.
+func TestEntryOfAnotherWriterKeepsNoStartOut(t *testing.T) {
+	f := newFollower()
+	f.replace(Configurations, []Record{
+		{Key: "config", Version: 1, Configuration: &routing.Configuration{Version: 7, Services: map[string]routing.Service{"s": {}}}},
+	}, 1)
+	stranger := entry("a", 1<<52, 11)
+	stranger.Engine.Service = "nobody's"
+	views := tell(f, []news{
+		{whole: true, version: 10, records: []Record{entry("a", 100, 10)}},
+		{version: 11, records: []Record{stranger}},
+		{version: 12, records: []Record{entry("a", 100, 12)}},
+	})
+	if got := bornOf(views[2], "a"); !slices.Equal(got, []int64{100}) {
+		t.Errorf("the starts of a are %v", got)
+	}
+}
+
+// TestStartWithAClockThatWasSetBackIsTaken restarts an engine long after its start, with an earlier time of it.
+func TestStartWithAClockThatWasSetBackIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollower()
+		tell(f, []news{{whole: true, version: 10, records: []Record{entry("a", 200, 10)}}})
+		time.Sleep(lateWrites) // virtual
+		views := tell(f, []news{
+			{version: 11, records: []Record{entry("a", 100, 9)}}, // told late
+			{version: 12, records: []Record{entry("a", 100, 12)}},
+		})
+		for i, want := range [][]int64{{200}, {100}} {
+			if got := bornOf(views[i], "a"); !slices.Equal(got, want) {
+				t.Errorf("after news %d the starts of a are %v, want %v", i, got, want)
+			}
+		}
+	})
+}
+
 // TestNewestStartWins draws writes of the entries of two names: by several starts of each, with
 // and without the time of a start, and withdrawals. They are told in any order, late, more than
 // once or not at all, with whole lists between.
