quota: a node that knows of no other does not count alone at the whole rate

Cause: a node that starts first finds no peer for its first 3 s. If it stops meanwhile it gives its shards up, asks their new holders in vain, and counted on alone at its part of the rate: all of it, as the only node that it knew. A soak found 373 to 432 requests of a tenant in 5 s where 372 are allowed. Change: such a node has its part of the tolerance only. Ruled out: the successor's level: the logs show 55 requests granted 'alone' by the node that stopped, at nodes 1, and as many too many.

--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -122,8 +122,10 @@
 
 // unanswered has the node go on alone, and decides on those that wait.
 func (g *gate) unanswered(ask Ask) {
-	_, nodes := g.client.peers()
-	inTouch := g.client.InTouch()
+	peers, nodes := g.client.peers()
+	// A node that knows of no other is no part of how many there are: it has asked in vain, so another one
+	// counts, or soon will.
+	inTouch := peers != nil && nodes > 1 && g.client.InTouch()
 	now := time.Now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/quota/successor_test.go
+++ b/internal/quota/successor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -124,3 +125,32 @@
 		t.Error("it is waited for without end")
 	}
 }
+
+// TestANodeThatKnowsOfNoOtherIsNotAlone has a node start first, so that it finds no other, hold all
+// shards, and give them up as it stops, while a tenant sends many times its limit to both nodes. Before,
+// the node that was left without a shard counted on at its part of the rate: all of it, as the only node that
+// it knew. Seen in a soak: 430 requests where 372 are allowed.
+func TestANodeThatKnowsOfNoOtherIsNotAlone(t *testing.T) {
+	limit := Limit{Rate: 40, Burst: 40, Version: 1}
+	var f *fleet
+	synctest.Test(t, func(*testing.T) {
+		f = newFleet(DefaultRules, 0)
+		defer f.end()
+		const one, other = "10.0.0.0:7", "10.0.0.1:7"
+		first := f.start(one, "run of "+one, []string{one})
+		f.nodes = append(f.nodes, first)
+		time.Sleep(settleTime)
+		second := f.start(other, "run of "+other, []string{one, other})
+		f.change(func() { f.nodes = append(f.nodes, second) })
+		time.Sleep(settleTime)
+		for _, n := range f.nodes {
+			f.send(n, tenant, limit, 100, 8*time.Second)
+		}
+		time.Sleep(time.Second)
+		first.keeper.GiveUp(f.ctx)
+		time.Sleep(9 * time.Second)
+	})
+	if got := f.ran.most(DefaultRules.Window); float64(got) > allowed(DefaultRules, limit) {
+		t.Errorf("%d requests in a window, allowed are %v", got, allowed(DefaultRules, limit))
+	}
+}
