ingress, discovery, carry: a request that a later start runs is waited for

Cause: a send made before a node had heard of an engine's later start may have reached that one; once it was listed, and silent for half a second, the send was broken off while the later start worked on it. Change: only sends that began 2.5 s or more before the later start was listed are given up. Ruled out: the age of the connection: a new one may be to either. Conclusion: TestConnectionsOfAnEarlierStartAreNotUsed waits for that time before it restarts its engine.

--- a/internal/discovery/starts.go
+++ b/internal/discovery/starts.go
@@ -65,6 +65,7 @@
 		return
 	}
 	known.gone = time.Time{}
+	engine.ListedAt = known.takenAt
 	engines[engine.ID] = engine
 }
 
@@ -110,14 +111,19 @@
 	})
 }
 
-// SucceededBy reports whether the view lists a later start of an engine, so that this one has
-// ended.
-func (v *View) SucceededBy(engine routing.Engine) bool {
+// newsLag is for how long a node may not have heard of a start: engines tell of it at once, and a view
+// changes within a second where the store answers. A request sent in that time may have reached the
+// later start.
+const newsLag = 2500 * time.Millisecond
+
+// SucceededBy reports whether the view lists a later start of an engine, and a request that was sent to
+// the engine then was surely sent to the earlier one, which has ended.
+func (v *View) SucceededBy(engine routing.Engine, sent time.Time) bool {
 	if _, listed := v.Engines[engine.ID]; listed {
 		return false
 	}
 	for _, other := range v.Engines {
-		if engine.Precedes(other.Incarnation) {
+		if engine.Precedes(other.Incarnation) && v.mayServe(other.Service) && sent.Before(other.ListedAt.Add(-newsLag)) {
 			return true
 		}
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -86,7 +86,8 @@
 	answer  *http.Response
 	peer    atomic.Pointer[string] // that carries the request; nil if this node sends it itself
 	request *request
-	index   int   // in request.report.Tries
+	index   int // in request.report.Tries
+	began   time.Time
 	tokens  int64 // that the engine has made
 
 	ctx      context.Context // ends with the request's, or when the engine has gone dark
@@ -239,7 +240,7 @@
 		Reason: placed.Decision.Reason,
 		At:     time.Since(r.arrived),
 	})
-	begun := &try{placed: placed, request: r, index: len(r.report.Tries) - 1}
+	begun := &try{placed: placed, request: r, index: len(r.report.Tries) - 1, began: time.Now()}
 	begun.watch(ctx)
 	return begun
 }
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -64,7 +64,7 @@
 		t.watchdog.Reset(stallAfter - zoneAfter)
 		return
 	}
-	if t.request.handler.options.View().SucceededBy(t.placed.Engine) {
+	if t.request.handler.options.View().SucceededBy(t.placed.Engine, t.began) {
 		t.cancel(errStartedAgain) // the later start at the address tells nothing of the request
 		return
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -108,6 +108,9 @@
 	Slots    int  // requests that it works on at once
 	Draining bool // serves what it has, and takes no new work
 
+	// ListedAt is when this start of the engine was first listed here, some time after it.
+	ListedAt time.Time
+
 	// ColdLeft is for how long the engine said that it would stay cold, when it wrote its
 	// entry; that may have been some seconds ago.
 	ColdLeft time.Duration
--- a/internal/serving/incarnations_test.go
+++ b/internal/serving/incarnations_test.go
@@ -122,6 +122,7 @@
 	if got := d.ask(http.MethodPost, "/unsafe/rests", "x", "X-Request-Id", "rests"); got.status != http.StatusOK {
 		t.Fatalf("a request whose connection is to rest got %+v", got)
 	}
+	<-time.After(2600 * time.Millisecond) // longer than news of a start may take; what is sent later may reach it
 	engine.RestartSilently(secondBorn)
 	d.relist(engine.Record("portal", "ready"))
 	d.relist(earlier) // the earlier start's last entry arrives late
