--- a/internal/callers/drain_test.go
+++ b/internal/callers/drain_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -115,6 +116,48 @@
 	s.nothingIsTold()
 }
 
+// begin serves a followed listener until the test ends, or until what it returns is called.
+func begin(t *testing.T, tracker *callers.Tracker, followed net.Listener, handler http.HandlerFunc) (end func()) {
+	t.Helper()
+	server := &http.Server{Handler: tracker.Handler(handler)}
+	tracker.Follow(server)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(followed)
+	}()
+	end = sync.OnceFunc(func() {
+		server.Close()
+		<-done
+	})
+	t.Cleanup(end)
+	return end
+}
+
+// ask opens a connection and sends a request on it.
+func ask(t *testing.T, address string) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { connection.Close() })
+	if _, err := io.WriteString(connection, request); err != nil {
+		t.Fatal(err)
+	}
+	return connection
+}
+
+// drainWithin drains in bounded time.
+func drainWithin(t *testing.T, tracker *callers.Tracker) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	if err := tracker.Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestDrainWaitsForTheListener drains before a connection that waits has been accepted.
 func TestDrainWaitsForTheListener(t *testing.T) {
 	tracker := callers.NewTracker(callers.Options{Unanswered: func(callers.End) {}, KeptFor: time.Second})
@@ -126,30 +169,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	connection, err := net.Dial("tcp4", below.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer connection.Close()
-	if _, err := io.WriteString(connection, request); err != nil {
-		t.Fatal(err)
-	}
+	connection := ask(t, below.Addr().String())
 	tracker.Stop()
 	tracker.StopAccepting()
-	server := &http.Server{Handler: tracker.Handler(http.HandlerFunc(hello))}
-	tracker.Follow(server)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = server.Serve(followed)
-	}()
-	ctx, cancel := context.WithTimeout(t.Context(), wait)
-	defer cancel()
-	if err := tracker.Drain(ctx); err != nil {
-		t.Fatal(err)
-	}
-	server.Close()
-	<-done
+	end := begin(t, tracker, followed, hello)
+	drainWithin(t, tracker)
+	end()
 	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
 		t.Fatalf("what waited to be accepted got no answer: %v", err)
@@ -195,35 +220,16 @@
 		t.Fatal(err)
 	}
 	handled := make(chan struct{})
-	server := &http.Server{Handler: tracker.Handler(http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+	begin(t, tracker, followed, func(writer http.ResponseWriter, incoming *http.Request) {
 		hello(writer, incoming)
 		close(handled)
-	}))}
-	tracker.Follow(server)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = server.Serve(followed)
-	}()
-	connection, err := net.Dial("tcp4", below.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer connection.Close()
-	if _, err := io.WriteString(connection, request); err != nil {
-		t.Fatal(err)
-	}
+	})
+	ask(t, below.Addr().String())
 	<-handled
 	tracker.Stop()
 	tracker.StopAccepting()
 	time.AfterFunc(2*time.Second, func() { close(gate) }) // longer than it may rest
-	ctx, cancel := context.WithTimeout(t.Context(), wait)
-	defer cancel()
-	if err := tracker.Drain(ctx); err != nil {
-		t.Fatal(err)
-	}
-	server.Close()
-	<-done
+	drainWithin(t, tracker)
 }
 
 // TestAnswerThatBeginsInAStopEndsItsConnection has a request come before the stop, and its answer
--- a/internal/serving/later_start_test.go
+++ b/internal/serving/later_start_test.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// TestRequestThatTheLaterStartRunsIsWaitedFor sends a request after the engine has started again and before the view has that start: the
-// later start runs it, over half a second. The entry arrives meanwhile.
+// TestRequestThatTheLaterStartRunsIsWaitedFor sends a request after the engine has started again,
+// and before the view has that start. The later start runs it for longer than a silent engine is waited
+// for, and its entry arrives meanwhile. Before, the request was broken off.
 func TestRequestThatTheLaterStartRunsIsWaitedFor(t *testing.T) {
 	d, engine := serveOne(t, false)
 	reached := make(chan struct{}, 1)
