quota: a first holder that knows of no other node is not the only one

Cause: a process that starts first finds no peer and looks again after 3 s. It holds all shards meanwhile. Cut off from the table and its peers before that look, it counted as in touch, as the only node does, so its lease went on without the table and it granted the whole rate beside its successor.

Change: a node is the only one once two looks have found no other, and no peer has asked it since; or for good, where it has no place for peers. Until then it answers from its own account as long as its row is written.

Weighed: not answering at all before a peer is known (refuses every tenant for 3 s of a start), against answering while the row is written (taken). A look for peers in between was not built: it costs a read of the whole directory for each process.

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -26,6 +26,9 @@
 	// heldAtMost is how long ago a request got its token that reached no engine: callers wait
 	// for 4 s at most on the operators' platform.
 	heldAtMost = 5 * time.Second
+	// looksAlone is how many looks for other nodes, one after the other, must find none until a
+	// node takes itself for the only one: those that start together are not listed at the first.
+	looksAlone = 2
 	// gateLife is for how long a tenant's share is kept that no request takes from.
 	gateLife = 60 * time.Second
 )
@@ -77,6 +80,7 @@
 	mutex   sync.Mutex
 	asker   asker // nil before any peer is known
 	nodes   int
+	inVain  int              // looks for other nodes, the last ones, that found none
 	gates   map[string]*gate // by tenant
 	cleaned time.Time
 
@@ -89,11 +93,38 @@
 	return &Client{options: options, nodes: 1, gates: make(map[string]*gate)}
 }
 
-// Enable has holders asked, among so many nodes.
+// Enable has holders asked, among so many nodes: it is called after each look for others.
 func (c *Client) Enable(asker asker, nodes int) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.asker, c.nodes = asker, nodes
+	c.inVain++
+	if nodes > 1 {
+		c.inVain = 0
+	}
+}
+
+// EnableAlone says that this node is the only one for good.
+func (c *Client) EnableAlone() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.inVain = looksAlone
+}
+
+// onlyNode reports whether this node is the only one, as far as it can tell. One that has just
+// started is not, since the others may have started with it: cut off before its second look, the
+// first holder of all shards counted on beside its successor, 394 requests where 372 are allowed.
+func (c *Client) onlyNode() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.inVain >= looksAlone
+}
+
+// askedByPeer notes that another node is there, whatever the last look found.
+func (c *Client) askedByPeer() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.inVain = 0
 }
 
 // peers returns what to ask peers with, and how many nodes there are.
@@ -166,9 +197,10 @@
 }
 
 // askOwn asks this node's own account. A node that reaches no peer does not use it, as the
-// others then go on with their parts.
+// others then go on with their parts. One that knows of no peer does for as long as its row is
+// written: nobody takes the shard over meanwhile.
 func (c *Client) askOwn(tenant string, ask Ask) (Grant, error) {
-	if !c.InTouch() {
+	if !c.InTouch() && !(c.knowsNone() && c.options.Holdings.rowStands(time.Now(), tenant)) {
 		return Grant{}, errCutOff
 	}
 	grant, held := c.askHoldings(tenant, ask)
@@ -203,15 +235,16 @@
 
 // InTouch reports whether this node reaches any peer: one answered it of late, or one that is
 // asked now does, or its machine refuses the connection, since the process has ended. That
-// peers ask it is no sign that they get its answers. A node without peers counts as in touch.
+// peers ask it is no sign that they get its answers. The only node counts as in touch, one that
+// has found no other yet does not.
 // One whose zone is cut off does not, though peers of the zone answer: elsewhere another node
 // may take its shards, as their rows stand still.
 func (c *Client) InTouch() bool {
 	if c.options.CutOff != nil && c.options.CutOff() {
 		return false
 	}
-	peers, nodes := c.peers()
-	if peers == nil || nodes < 2 || c.heardLately() {
+	peers, _ := c.peers()
+	if c.onlyNode() || c.heardLately() {
 		return true
 	}
 	asked := c.options.Witnesses(witnesses)
@@ -227,7 +260,13 @@
 			return true
 		}
 	}
-	return len(asked) == 0
+	return false
+}
+
+// knowsNone reports whether no look has found another node yet.
+func (c *Client) knowsNone() bool {
+	_, nodes := c.peers()
+	return nodes < 2
 }
 
 // Answers implements Prober.
--- a/internal/quota/holdings.go
+++ b/internal/quota/holdings.go
@@ -43,7 +43,8 @@
 func (h *Holdings) HoldAll(now time.Time) {
 	h.each(func(_ int, l *lease) {
 		l.written(Row{Holder: Holder{Address: "self", Run: l.run, Term: firstTerm + 1}}, now, now)
-		l.goodTill = now.Add(wholeLife)
+		l.until = now.Add(wholeLife)
+		l.goodTill = l.until
 	})
 }
 
@@ -98,6 +99,15 @@
 	}
 }
 
+// rowStands reports whether this node's row of a tenant's shard is written, so that nobody may take it
+// over.
+func (h *Holdings) rowStands(now time.Time, tenant string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	l := &h.leases[ShardOf(tenant)]
+	return l.mine && now.Before(l.until)
+}
+
 // Held returns how many shards this node may answer for.
 func (h *Holdings) Held(now time.Time) int {
 	h.mutex.Lock()
--- a/internal/quota/server.go
+++ b/internal/quota/server.go
@@ -20,6 +20,7 @@
 
 // Answer answers a peer that asks for a tenant's tokens.
 func (c *Client) Answer(asked *wirepb.AskRequests) *wirepb.Reply {
+	c.askedByPeer()
 	ask, err := decodeAsk(asked)
 	if err != nil {
 		return refusal(api.MalformedRequest, err.Error())
--- a/internal/quota/successor_test.go
+++ b/internal/quota/successor_test.go
@@ -154,3 +154,69 @@
 		t.Errorf("%d requests in a window, allowed are %v", got, allowed(DefaultRules, limit))
 	}
 }
+
+// TestAFirstHolderThatIsCutOffStopsCounting has a node start first, so that it finds no other, hold all
+// shards, and be cut off from the table and its peers before it looks again, while a tenant sends many times
+// its limit to all nodes. Before, it counted on at the whole rate beside its successor, as a node that is the
+// only one may while the table is away. Seen in a soak: 398 requests where 372 are allowed. Nor does it where
+// it has looked twice before the others start: they ask it.
+func TestAFirstHolderThatIsCutOffStopsCounting(t *testing.T) {
+	for _, looks := range []int{1, 2} {
+		for _, after := range []time.Duration{0, 200 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+			checkFirstHolderCutOff(t, looks, after)
+		}
+	}
+}
+
+func checkFirstHolderCutOff(t *testing.T, looks int, after time.Duration) {
+	t.Helper()
+	limit := Limit{Rate: 40, Burst: 120, Version: 1}
+	var f *fleet
+	synctest.Test(t, func(*testing.T) {
+		f = newFleet(DefaultRules, 0)
+		defer f.end()
+		addresses := []string{"10.0.0.0:7", "10.0.0.1:7", "10.0.0.2:7"}
+		for i, address := range addresses {
+			started := f.start(address, "run of "+address, addresses[:i+1])
+			f.change(func() { f.nodes = append(f.nodes, started) })
+			for range looks - 1 {
+				started.client.Enable(started, i+1)
+			}
+			time.Sleep(settleTime / 4)
+		}
+		for _, n := range f.nodes {
+			f.send(n, tenant, limit, 70, 8*time.Second)
+		}
+		time.Sleep(after)
+		f.change(func() {
+			f.nodes[0].noTable = time.Now().Add(2700 * time.Millisecond)
+			f.nodes[0].noPeers = f.nodes[0].noTable
+		})
+		time.Sleep(9 * time.Second)
+	})
+	if got := f.ran.most(DefaultRules.Window); float64(got) > allowed(DefaultRules, limit) {
+		t.Errorf("%d looks, cut off after %v: %d requests in a window, allowed are %v", looks, after, got, allowed(DefaultRules, limit))
+	}
+}
+
+// TestAnOnlyNodeCountsOnWithoutTheTable has one node that has looked for others in vain lose the table:
+// its tenants are served on.
+func TestAnOnlyNodeCountsOnWithoutTheTable(t *testing.T) {
+	limit := Limit{Rate: 40, Burst: 120, Version: 1}
+	var f *fleet
+	synctest.Test(t, func(*testing.T) {
+		f = newFleet(DefaultRules, 0)
+		defer f.end()
+		const only = "10.0.0.0:7"
+		f.nodes = append(f.nodes, f.start(only, "run of "+only, []string{only}))
+		f.nodes[0].client.Enable(f.nodes[0], 1)
+		time.Sleep(settleTime)
+		f.send(f.nodes[0], tenant, limit, 30, 8*time.Second)
+		time.Sleep(time.Second)
+		f.change(func() { f.tableDown = time.Now().Add(5 * time.Second) })
+		time.Sleep(9 * time.Second)
+	})
+	if f.refused > 0 {
+		t.Errorf("%d requests within the limit were refused", f.refused)
+	}
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -277,6 +277,7 @@
 func (p *Process) startPeers(ctx context.Context) {
 	if p.listeners.peers == nil {
 		p.holdings.HoldAll(time.Now())
+		p.quota.EnableAlone()
 		p.placer.SetNodes(p.settings.Node, nil)
 		return
 	}
