quota: a token of a request that did not run is taken back by when it was handed out

Cause: a token whose request reached no engine was told to the holder as handed out 5 s ago, the longest that a caller waits. The account takes nothing back from before it was last full. So for 5 s after a tenant had rested, requests that every engine turned away were charged, and the tenant was refused for what never ran. TestRequestsThatReachNoEngineDoNotCount failed once for it, in a run with -race at a load of 90: it passes only where it ends before the account has filled up.

Change: a grant says when its token was handed out, and that is what is told. A token of another holder's term is left counted, as that account knows nothing of it.

Weighed: a shorter bound than 5 s in place of the true time (still wrong for quick engines).

Tests of quota, gateway, ingress, node pass; the test that failed passed 8 times with -race at a load of 80.

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -105,7 +105,7 @@
 	}
 	decision := g.options.Limiter.Admit(x.request.Context(), tenant, x.snapshot.Version(), x.sequence == 1)
 	if decision.Verdict == quota.Granted {
-		x.counted = true
+		x.granted = decision
 		return nil
 	}
 	problem := api.Errorf(api.TenantLimit, "tenant %s is at its limit of %v requests a second and a burst of %v",
@@ -115,8 +115,8 @@
 
 // giveBack uncounts a call that certainly did not run.
 func (g *gateway) giveBack(x *exchange, err error) {
-	if x.counted && httpapi.Classify(err).Execution == api.NotRun {
-		g.options.Limiter.GiveBack(x.tenant)
+	if x.granted.Verdict == quota.Granted && httpapi.Classify(err).Execution == api.NotRun {
+		g.options.Limiter.GiveBack(x.tenant, x.granted)
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/httpapi"
+	"github.com/pewtermill/pewtermill/internal/quota"
 )
 
 // endpoint serves one request; an error is answered as a problem.
@@ -29,7 +30,7 @@
 	started  time.Time
 	snapshot *bundle.Snapshot
 	tenant   string
-	counted  bool // towards the tenant's limit
+	granted  quota.Decision // by which it counts towards its tenant's limit; Undecided if it does not
 	program  string
 	sequence int64
 	stream   *answerStream // nil unless the caller asked for events
--- a/internal/ingress/admit.go
+++ b/internal/ingress/admit.go
@@ -33,7 +33,7 @@
 	r.report.Waits.Quota = time.Since(start)
 	r.report.Quota = QuotaReport{Limit: limit, Decision: decision}
 	if decision.Verdict == quota.Granted {
-		r.counted = true
+		r.granted = decision
 		return nil
 	}
 	problem := api.Errorf(api.TenantLimit, "tenant %s is at its limit of %v requests a second and a burst of %v",
@@ -43,8 +43,8 @@
 
 // giveBack uncounts the request if it reached no engine that may have run it.
 func (r *request) giveBack() {
-	if r.counted && !r.reachedEngine() {
-		r.handler.options.Quota.GiveBack(r.tenant.Name)
+	if r.granted.Verdict == quota.Granted && !r.reachedEngine() {
+		r.handler.options.Quota.GiveBack(r.tenant.Name, r.granted)
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -94,7 +94,7 @@
 	// Admit decides on one request; begins says that it begins a program. One that is granted
 	// and then reaches no engine is to be given back.
 	Admit(ctx context.Context, tenant string, limit quota.Limit, begins bool) quota.Decision
-	GiveBack(tenant string)
+	GiveBack(tenant string, granted quota.Decision)
 }
 
 // Observer is told of each request's end. It must not block.
@@ -164,10 +164,10 @@
 	body     []byte         // as it goes to the engine
 	bodyRead bool           // nothing of the caller's body is left to read
 	arrived  time.Time
-	until    time.Time // when the caller or the route gives up
-	started  bool      // the answer's head has been written
-	counted  bool      // towards the limit of its tenant
-	asks     func()    // ends the announcement of the program that it begins; nil if there is none
+	until    time.Time      // when the caller or the route gives up
+	started  bool           // the answer's head has been written
+	granted  quota.Decision // by which it counts towards its tenant's limit; Undecided if it does not
+	asks     func()         // ends the announcement of the program that it begins; nil if there is none
 	report   Report
 
 	reportMutex sync.Mutex // guards report.Tries while two sends are under way
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -102,7 +102,7 @@
 }
 
 // GiveBack implements gateway.Limiter.
-func (l *limits) GiveBack(tenant string) { l.client.GiveBack(tenant) }
+func (l *limits) GiveBack(tenant string, granted quota.Decision) { l.client.GiveBack(tenant, granted) }
 
 // HolderLost implements quota.Observer.
 func (l *limits) HolderLost(shard int, holder quota.Holder, cause error) {
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -23,9 +23,6 @@
 	// before it asks some, drawn at random, to tell whether it is cut off.
 	cutOffAfter = 400 * time.Millisecond
 	witnesses   = 4
-	// heldAtMost is how long ago a request got its token that reached no engine: callers wait
-	// for 4 s at most on the operators' platform.
-	heldAtMost = 5 * time.Second
 	// looksAlone is how many looks for other nodes, one after the other, must find none until a
 	// node takes itself for the only one: those that start together are not listed at the first.
 	looksAlone = 2
@@ -140,8 +137,8 @@
 	return c.gate(tenant).admit(ctx, limit, begins)
 }
 
-// GiveBack takes back the token of a request that reached no engine.
-func (c *Client) GiveBack(tenant string) { c.gate(tenant).giveBack() }
+// GiveBack takes back the token of a grant whose request reached no engine.
+func (c *Client) GiveBack(tenant string, granted Decision) { c.gate(tenant).giveBack(granted) }
 
 // gate returns a tenant's gate.
 func (c *Client) gate(tenant string) *gate {
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -60,15 +60,15 @@
 		return
 	}
 	if decision := <-mine.decided; decision.Verdict == Granted {
-		g.share.GiveBack(time.Now(), heldAtMost)
+		g.share.GiveBack(decision)
 	}
 }
 
-// giveBack takes a token back whose request reached no engine.
-func (g *gate) giveBack() {
+// giveBack takes the token of a grant back whose request reached no engine.
+func (g *gate) giveBack(granted Decision) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.share.GiveBack(time.Now(), heldAtMost)
+	g.share.GiveBack(granted)
 }
 
 // ask asks the holder until no request waits.
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -52,6 +52,8 @@
 	Term    uint64        // of the holder that was heard last; 0 if none was
 	Heard   time.Duration // since that holder was heard
 	Left    int           // tokens that it had left then; below 0 if nodes had let more through
+	// HandedOut is from when on the token of a grant was handed out.
+	HandedOut time.Time
 }
 
 // Share is what one node holds of a tenant's tokens. Not safe for concurrent use.
@@ -103,14 +105,14 @@
 	switch {
 	case begins && s.begins > 0:
 		s.begins--
-		return s.decision(now, Granted, ByHolder, 0)
+		return s.grant(now, ByHolder, s.askedAt)
 	case begins && now.Before(s.beginsPausedTill):
 		s.beginsRefused++
 		return s.decision(now, Refused, ByHolder, max(s.beginWait, s.beginsPausedTill.Sub(now)))
 	case !begins && s.tokens > 0:
 		s.tokens--
 		s.taken++
-		return s.decision(now, Granted, ByHolder, 0)
+		return s.grant(now, ByHolder, s.handedOut)
 	case now.Before(s.pausedTill):
 		return s.decision(now, Refused, ByHolder, max(s.wait, s.pausedTill.Sub(now)))
 	case now.Before(s.aloneTill):
@@ -119,10 +121,14 @@
 	return Decision{Verdict: Undecided}
 }
 
-// GiveBack takes a token back whose request reached no engine, which was handed out before so
-// long. It goes back to the holder: used here it would count at another time than it was handed
-// out for.
-func (s *Share) GiveBack(now time.Time, held time.Duration) { s.leftOver(1, now.Add(-held)) }
+// GiveBack takes the token of a grant back whose request reached no engine. It goes back to the
+// holder: used here it would count at another time than it was handed out for. One of another holder's
+// term is left counted.
+func (s *Share) GiveBack(granted Decision) {
+	if granted.Term == s.term {
+		s.leftOver(1, granted.HandedOut)
+	}
+}
 
 // leftOver notes tokens that the node had no use for, and from when on they were handed out.
 func (s *Share) leftOver(tokens int, since time.Time) {
@@ -223,7 +229,7 @@
 	}
 	s.alone--
 	s.unasked++
-	return s.decision(now, Granted, Alone, 0)
+	return s.grant(now, Alone, now)
 }
 
 // waitAlone returns when a caller may come back who is refused without the holder.
@@ -234,6 +240,13 @@
 	return aloneWait
 }
 
+// grant returns the decision that lets a request through, by a token that was handed out from some time on.
+func (s *Share) grant(now time.Time, ground Ground, handedOut time.Time) Decision {
+	made := s.decision(now, Granted, ground, 0)
+	made.HandedOut = handedOut
+	return made
+}
+
 // decision returns a verdict with what explains it.
 func (s *Share) decision(now time.Time, verdict Verdict, ground Ground, wait time.Duration) Decision {
 	made := Decision{Verdict: verdict, Ground: ground, Wait: wait, Term: s.term, Left: s.left}
--- a/internal/quota/share_test.go
+++ b/internal/quota/share_test.go
@@ -106,7 +106,7 @@
 	for s.request(start, 0, false) == Granted {
 	}
 	later := start.Add(4 * time.Second)
-	share.GiveBack(later, time.Second)
+	share.GiveBack(Decision{Verdict: Granted, Term: 1, HandedOut: later.Add(-time.Second)})
 	if share.tokens != 0 || share.Ask(later, limit, 1, 0).Unused != 1 {
 		t.Errorf("%d tokens in hand after one was given back", share.tokens)
 	}
