ledger: an error of a write tells what it took

Cause: `request abandoned: context deadline exceeded` after 2 s did not tell a single write that was never answered from many that were given up or met another's. Change: the error of a change of an account tells how many writes were made, how many met another one, and how many were given up beside a read.

--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -28,11 +28,43 @@
 	throttleDoublings = 8
 )
 
+// tries count the calls that one change of an account took, for the error that ends it.
+type tries struct {
+	writes    int // begun
+	overtaken int // that met another write of the account, of another node or of an earlier try
+	givenUp   int // that got no answer, while the row beside them was read
+}
+
+// note counts one write by how it ended.
+func (t *tries) note(seen *tablestore.Row, err error) {
+	t.writes++
+	var conflict *tablestore.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		t.overtaken++
+	case seen != nil:
+		t.givenUp++
+	}
+}
+
+// explain adds the tries to an error that ends them. One try explains itself.
+func (t *tries) explain(err error) error {
+	if err == nil || t.writes < 2 {
+		return err
+	}
+	return errors.Wrapf(err, "after %d writes, of which %d met another and %d were given up", t.writes, t.overtaken, t.givenUp)
+}
+
 // write changes the account until the change has taken effect: it charges
 // what is unsettled, records the turns that wait, and covers the asking turn,
 // if any. The right to write must be held. With an error the asking turn is
 // not covered.
 func (l *Ledger) write(ctx context.Context, e *entry, ask Ask) error {
+	var made tries
+	return made.explain(l.writeBy(ctx, e, ask, &made))
+}
+
+func (l *Ledger) writeBy(ctx context.Context, e *entry, ask Ask, made *tries) error {
 	part := partOf(e.program)
 	for {
 		if e.satisfied(ask) {
@@ -60,7 +92,7 @@
 		if err := l.health.admit(writing, part, l.options.Now()); err != nil {
 			return err
 		}
-		done, err := l.commit(ctx, e, part, transaction, write, ask)
+		done, err := l.commit(ctx, e, part, transaction, write, ask, made)
 		if done || err != nil {
 			return err
 		}
@@ -156,9 +188,10 @@
 
 // commit sends one write. It reports whether the change took effect; with
 // neither that nor an error the caller prepares it anew.
-func (l *Ledger) commit(ctx context.Context, e *entry, part int, transaction tablestore.Transaction, write uint64, ask Ask) (bool, error) {
+func (l *Ledger) commit(ctx context.Context, e *entry, part int, transaction tablestore.Transaction, write uint64, ask Ask, made *tries) (bool, error) {
 	began := l.options.Now()
 	receipt, seen, err := l.commitOrRead(ctx, transaction)
+	made.note(seen, err)
 	defer e.land()
 	refusals := e.countRefusal(err)
 	var conflict *tablestore.ConflictError
