ledger: a write that waits at its writer is not given up beside a quick read

Cause: 60 to 250 ms after a write began its account's row was read beside it, and a quick read that showed the row unchanged had the write given up and begun again, behind others in the same queue, while the first one was still under way. In planned stops of whole zones writes wait for 50 to 300 ms at the few writers left.

Change: an unchanged row says that the write waits. It is read again after twice the time, until the row is changed, or the time of a call (.8 s) is over.

Ruled out: a longer first look alone (a lost answer would show later).

Measured: TestWriteThatWaitsAtItsWriterIsNotBegunAgain: 83 writes and no turn in 5 s before, 2 writes now. The package's other tests pass, TestLostWriteIsMadeAgainSoon among them.

--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -226,10 +226,10 @@
 }
 
 // commitOrRead sends a write. If no answer has come in the usual time, the
-// account's row is read beside it. Where the answer was lost, the row comes as soon
-// as ever, is returned, and the write is given up. Where the table is slow, so is the
-// read; then an unchanged row says that the write still waits its turn, and it is
-// waited for: sent again it would only lengthen the queue that it waits in. Where the read gets no
+// account's row is read beside it, and once more after a while. Where the answer was lost, the row
+// is changed, is returned, and the write is given up. An unchanged row says that the write still waits its turn, and
+// it is waited for: sent again it would only lengthen the queue that it waits in. It is waited for longer where the
+// read takes long as well, since the table is slow then. Where the read gets no
 // answer either, while other parts give quick ones, the part is silent, and the write is given up.
 func (l *Ledger) commitOrRead(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, *tablestore.Row, error) {
 	most := l.health.callTimeout()
@@ -248,28 +248,20 @@
 	})
 	defer unanswered.Stop()
 	timer := time.AfterFunc(l.health.patience(), func() {
-		asked := time.Now()
-		row, err := l.readBeside(ctx, condition.Key)
-		if err != nil {
-			silent.Store(errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil && l.health.heardQuicklySince(began))
-			if silent.Load() {
-				cancel()
+		found := l.lookUntilChanged(ctx, condition, l.health.patience())
+		switch {
+		case found.row != nil:
+			if found.long {
+				l.health.answered(writing, time.Since(start), l.options.Now()) // a lost answer of a quick table says nothing
 			}
-			read <- nil
-			return
-		}
-		took := time.Since(asked)
-		l.health.answered(reading, took, l.options.Now())
-		if row.Revision == condition.Revision && l.health.isLong(took) {
+			cancel()
+		case found.long:
 			queued.Store(true)
-			read <- nil
-			return
-		}
-		if row.Revision != condition.Revision && l.health.isLong(took) {
-			l.health.answered(writing, time.Since(start), l.options.Now()) // a lost answer of a quick table says nothing
+		case errors.Is(found.err, context.DeadlineExceeded) && ctx.Err() == nil && l.health.heardQuicklySince(began):
+			silent.Store(true)
+			cancel()
 		}
-		read <- &row
-		cancel()
+		read <- found.row
 	})
 	receipt, err := l.options.Table.Commit(ctx, transaction)
 	var conflict *tablestore.ConflictError
@@ -296,6 +288,37 @@
 	return receipt, row, err
 }
 
+// looked is what reads beside a write have come to.
+type looked struct {
+	row  *tablestore.Row // changed since; nil if it was not seen to be
+	long bool            // the last read took as long as those of a slow table do
+	err  error           // of a read that failed
+}
+
+// lookUntilChanged reads a row beside a write of it, again and again, until it is changed, a read takes as long as
+// those of a slow table, or one fails. That a quick read shows the row unchanged does not say that the write is lost:
+// it may wait at its writer behind others, and would lose its place there if it were given up. In a stop of whole
+// zones such writes were begun up to five times, and their turns not recorded within 2 s. The pauses double, so that
+// a write is read beside four times at most before it is given up for its time.
+func (l *Ledger) lookUntilChanged(ctx context.Context, condition tablestore.Condition, pause time.Duration) looked {
+	for ; ; pause *= 2 {
+		asked := time.Now()
+		row, err := l.readBeside(ctx, condition.Key)
+		if err != nil {
+			return looked{err: err}
+		}
+		took := time.Since(asked)
+		l.health.answered(reading, took, l.options.Now())
+		long := l.health.isLong(took)
+		if row.Revision != condition.Revision {
+			return looked{row: &row, long: long}
+		}
+		if long || !backoff.Wait(ctx, pause) {
+			return looked{long: long}
+		}
+	}
+}
+
 // lateError is the error of a write that was given up since it got no answer for long. Unlike one
 // that its caller gave up it says something of the table, so that it is not a cancelled one.
 func lateError(err error, after time.Duration) error {
