ledger: the record of a turn that ran does not race for its account

Cause: a turn covered by a node's own allowance was recorded in one transaction with the program's account, on condition of its row. While owners stop in turn several nodes write the account; who was slower met another's write each time until its caller had left, and the ready answer was cut.

Change: the record goes with the account while that is quiet, which saves a write. Where the last write met another's, where this one does, or where the right to write is not to be had within 60 ms, the turn is recorded alone, as it is where another node covers it. What it used stays held, and is charged by the next write of the account. A table that refuses for its rate is asked again as before; one that fails has the turn go to another part, as before.

Ruled out: a pause after each conflict (it bounds calls, not the wait). Weighed: all records alone (one more write for each turn of a program that this node covers).

--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -102,25 +103,51 @@
 	return l.write(ctx, e, Ask{})
 }
 
-// record makes a turn durable: with its program's account, or, if that part of
-// the table fails, in another part, where readers look next.
+// accountWait is for how long a turn that has run waits for the right to write its program's account, which saves
+// it a write of its own. Two writes of a quick table take less.
+const accountWait = 60 * time.Millisecond
+
+// record makes a turn durable: with its program's account, or alone, in the account's part or, if that fails, in
+// another one, where readers look next. A record must not race for the account: the answer is ready, its condition
+// is met by no other write, and what is charged later stays held. Where it raced, in a stop of whole zones, turns were
+// overtaken by other nodes until their callers had left.
 func (l *Ledger) record(ctx context.Context, e *entry, waiting *record) error {
-	if err := e.lock(ctx); err != nil {
-		return err
+	durable, err := l.recordWithAccount(ctx, e, waiting)
+	switch {
+	case err != nil:
+		err = l.recordElsewhere(ctx, e, waiting.turn, err)
+	case !durable:
+		err = l.recordAlone(ctx, e, waiting.turn)
 	}
-	defer e.unlock()
-	if e.isDurable(waiting) {
-		return nil
+	if err == nil {
+		e.remember(waiting)
 	}
-	err := l.write(ctx, e, Ask{})
-	if err != nil {
-		err = l.recordElsewhere(ctx, e, waiting.turn, err)
+	return err
+}
+
+// recordWithAccount tries to record a turn with its program's account. It reports whether the turn is durable. It
+// writes nothing where the last write met another node's, or another turn has the right to write for long, and gives
+// up once its write meets another. Only a table that refuses writes for their rate is asked again.
+func (l *Ledger) recordWithAccount(ctx context.Context, e *entry, waiting *record) (durable bool, err error) {
+	lockContext, cancel := context.WithTimeout(ctx, accountWait)
+	defer cancel()
+	if e.lock(lockContext) != nil {
+		return e.isDurable(waiting), nil
 	}
-	if err != nil {
-		return err
+	defer e.unlock()
+	var made tries
+	for !e.isDurable(waiting) {
+		if e.contended {
+			return false, nil
+		}
+		if _, err := l.writeOnce(ctx, e, Ask{}, &made); err != nil {
+			return false, made.explain(err)
+		}
+		if e.refusals == 0 {
+			return e.isDurable(waiting), nil
+		}
 	}
-	e.remember(waiting)
-	return nil
+	return true, nil
 }
 
 // isDurable reports whether another turn's write took this one along.
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -65,38 +65,40 @@
 }
 
 func (l *Ledger) writeBy(ctx context.Context, e *entry, ask Ask, made *tries) error {
-	part := partOf(e.program)
 	for {
-		if e.satisfied(ask) {
-			return nil
-		}
-		if e.contended && l.health.slow() && !e.isFresh(l.options.Now()) {
-			// A write that fails its condition would take a place in the part's
-			// queue for nothing; a read takes none. Where no other run writes the account,
-			// conditions hold, and a read would only double what the turn waits.
-			if err := l.readAccount(ctx, e, part); err != nil {
-				return err
-			}
-		}
-		transaction, write, err := e.prepare(l.options, part, ask, l.aheadShare())
-		if errors.Is(err, ErrBudgetSpent) && !e.isFresh(l.options.Now()) && !e.isExhausted(l.options.Run, ask) {
-			// Other nodes may have given back what this one does not know of.
-			if err := l.load(ctx, e, part, e.program); err != nil {
-				return err
-			}
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		if err := l.health.admit(writing, part, l.options.Now()); err != nil {
+		if done, err := l.writeOnce(ctx, e, ask, made); done || err != nil {
 			return err
 		}
-		done, err := l.commit(ctx, e, part, transaction, write, ask, made)
-		if done || err != nil {
-			return err
+	}
+}
+
+// writeOnce makes one try to change the account. With neither done nor an error the change is to be prepared anew.
+// The right to write must be held.
+func (l *Ledger) writeOnce(ctx context.Context, e *entry, ask Ask, made *tries) (done bool, err error) {
+	part := partOf(e.program)
+	if e.satisfied(ask) {
+		return true, nil
+	}
+	if e.contended && l.health.slow() && !e.isFresh(l.options.Now()) {
+		// A write that fails its condition would take a place in the part's
+		// queue for nothing; a read takes none. Where no other run writes the account,
+		// conditions hold, and a read would only double what the turn waits.
+		if err := l.readAccount(ctx, e, part); err != nil {
+			return false, err
 		}
 	}
+	transaction, write, err := e.prepare(l.options, part, ask, l.aheadShare())
+	if errors.Is(err, ErrBudgetSpent) && !e.isFresh(l.options.Now()) && !e.isExhausted(l.options.Run, ask) {
+		// Other nodes may have given back what this one does not know of.
+		return false, l.load(ctx, e, part, e.program)
+	}
+	if err != nil {
+		return false, err
+	}
+	if err := l.health.admit(writing, part, l.options.Now()); err != nil {
+		return false, err
+	}
+	return l.commit(ctx, e, part, transaction, write, ask, made)
 }
 
 // readAccount reads the program's account.
