ledger, serving: a planned stop gives idle allowances back from the order on

Cause: while the store is slow a node holds all of a budget ahead, and a planned stop began to give allowances back only after its last answer, eight programs at once, for half a second; a write takes .3 s then. The programs whose tokens stayed held were told elsewhere that their budget is spent.

Change: Ledger.Leave, from the order to stop on, holds nothing ahead any more and gives back what programs without turns under way hold, again every 200 ms as turns end. 128 at once, deferring to writes that others wait for; those of one part share a call. Flush at the end has what is left of the grace period (half a second at least), 2 s a program. A program whose write got no answer is counted as holding.

A process with a stream under way: the resting program's tokens came back at the stream's end (never, while it ran), and now at once.

Ruled out: Flush with all of the grace period as its only limit. Left: a program that goes on at the stopping node pays a write before each turn there.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -123,12 +123,19 @@
 	return max(0, turns) * a.Least
 }
 
-// aheadShare returns which part of the unspent budget to hold ahead now.
-func (l *Ledger) aheadShare() int64 {
+// holding is what a write holds for turns to come.
+type holding struct {
+	ahead bool
+	share int64 // see Change
+}
+
+// ahead returns what the write for a turn is to hold for others now.
+func (l *Ledger) ahead(ask Ask) holding {
+	held := holding{ahead: !ask.KeepNothing && !l.leaving.Load(), share: aheadShare}
 	if l.health.slow() {
-		return slowShare
+		held.share = slowShare
 	}
-	return aheadShare
+	return held
 }
 
 // exhausted reports whether what was handed out, with what is not charged yet,
--- /dev/null
+++ b/internal/ledger/giveback_test.go
@@ -0,0 +1,213 @@
+package ledger_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
+)
+
+// delayed is a table in memory that answers in virtual time.
+type delayed struct {
+	mutex   sync.Mutex
+	delay   time.Duration // of each call
+	rows    map[string]tablestore.Row
+	version uint64
+	writes  int
+	atOnce  int // writes under way
+	most    int // of them at any time
+}
+
+func newDelayed() *delayed { return &delayed{rows: make(map[string]tablestore.Row)} }
+
+func (d *delayed) set(delay time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.delay, d.writes, d.most = delay, 0, 0
+}
+
+// wait lasts as long as a call does.
+func (d *delayed) wait(ctx context.Context) error {
+	d.mutex.Lock()
+	delay := d.delay
+	d.mutex.Unlock()
+	return pause(ctx, delay)
+}
+
+// count counts a write that begins or, if by is below 0, ends.
+func (d *delayed) count(by int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.writes += max(0, by)
+	d.atOnce += by
+	d.most = max(d.most, d.atOnce)
+}
+
+func (d *delayed) Commit(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, error) {
+	d.count(1)
+	defer d.count(-1)
+	if d.wait(ctx) != nil {
+		return tablestore.Receipt{}, tablestore.ErrUnknownOutcome
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for i, condition := range transaction.Conditions {
+		if row := d.rows[condition.Key]; row.Revision != condition.Revision {
+			row.Key = condition.Key
+			return tablestore.Receipt{}, &tablestore.ConflictError{Index: i, Current: row}
+		}
+	}
+	d.version++
+	receipt := tablestore.Receipt{Revisions: make(map[string]uint64)}
+	for _, write := range transaction.Writes {
+		d.rows[write.Key] = tablestore.Row{Key: write.Key, Value: write.Value, Revision: d.version}
+		receipt.Revisions[write.Key] = d.version
+	}
+	return receipt, nil
+}
+
+func (d *delayed) Get(ctx context.Context, key string) (tablestore.Row, error) {
+	if err := d.wait(ctx); err != nil {
+		return tablestore.Row{}, err
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	row := d.rows[key]
+	row.Key = key
+	return row, nil
+}
+
+// Range returns an account's row; no turn is read in these tests.
+func (d *delayed) Range(ctx context.Context, start, _ string, _ int) ([]tablestore.Row, error) {
+	row, err := d.Get(ctx, start)
+	if err != nil || row.Revision == 0 {
+		return nil, err
+	}
+	return []tablestore.Row{row}, nil
+}
+
+// held returns how many tokens accounts hold for runs.
+func (d *delayed) held(t *testing.T) int64 {
+	t.Helper()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var sum int64
+	for key, row := range d.rows {
+		if !strings.HasPrefix(key, "program-turns/") || !strings.HasSuffix(key, "/") {
+			continue
+		}
+		var account ledger.Account
+		if err := json.Unmarshal(row.Value, &account); err != nil {
+			t.Error(err)
+		}
+		sum += account.Outstanding()
+	}
+	return sum
+}
+
+const (
+	slowWrite    = 300 * time.Millisecond
+	quickWrite   = 5 * time.Millisecond
+	wholeBudget  = 1000
+	manyPrograms = 102
+)
+
+// learn has a ledger write until it knows how long the table's calls take now.
+func learn(t *testing.T, l *ledger.Ledger) {
+	t.Helper()
+	for range 12 {
+		cover(t, l, "another", wholeBudget).Abandon()
+		if _, err := l.GiveBack(t.Context(), "another", "a"); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// cover covers a turn of a program.
+func cover(t *testing.T, l *ledger.Ledger, program string, budget int64) *ledger.Run {
+	t.Helper()
+	run, err := l.Cover(t.Context(), ledger.Ask{Program: program, Budget: budget, Most: most}, func() {})
+	if err != nil {
+		t.Fatalf("program %s: %v", program, err)
+	}
+	return run
+}
+
+// slowlyHeld returns a ledger over a table that has become slow, and the turns of many programs,
+// that hold all of their budgets.
+func slowlyHeld(t *testing.T) (*ledger.Ledger, *delayed, []*ledger.Run) {
+	t.Helper()
+	table := newDelayed()
+	l := ledger.New(ledger.Options{Table: table, Run: "a"})
+	l.SetOwners(noOwner{})
+	table.set(quickWrite)
+	learn(t, l)
+	table.set(slowWrite)
+	learn(t, l)
+	runs := make([]*ledger.Run, manyPrograms)
+	var group sync.WaitGroup
+	for i := range runs {
+		group.Go(func() { runs[i] = cover(t, l, fmt.Sprintf("p%d", i), wholeBudget) })
+	}
+	group.Wait()
+	return l, table, runs
+}
+
+// settle ends turns that used half of what they might.
+func settle(t *testing.T, runs []*ledger.Run) {
+	t.Helper()
+	for _, run := range runs {
+		if err := run.Settle(t.Context(), most/2, nil); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestStopGivesBackBesideTurns stops a node while its table is slow. Half of the programs rest, the
+// others' turns end one after another. When the last one has, all budgets are given back.
+func TestStopGivesBackBesideTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, table, runs := slowlyHeld(t)
+		settle(t, runs[:manyPrograms/2])
+		before := table.held(t)
+		table.set(slowWrite)
+		var giving sync.WaitGroup
+		giving.Go(func() { l.Leave(t.Context()) })
+		time.Sleep(1500 * time.Millisecond)
+		for _, run := range runs[manyPrograms/2:] {
+			settle(t, []*ledger.Run{run})
+			time.Sleep(20 * time.Millisecond)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		l.Flush(ctx)
+		t.Logf("%d tokens of %d stay held, after %d writes, %d at once", table.held(t), before, table.writes, table.most)
+		if held := table.held(t); held > 0 {
+			t.Errorf("%d tokens of %d stay held after a planned stop", held, before)
+		}
+		giving.Wait()
+	})
+}
+
+// TestFlushOfASilentTableEnds has a table answer nothing any more while much is held. The stop is not
+// to last as long as its grace period for that.
+func TestFlushOfASilentTableEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, table, runs := slowlyHeld(t)
+		settle(t, runs)
+		table.set(time.Hour)
+		began := time.Now()
+		l.Flush(within(t, time.Minute))
+		t.Logf("%s, %d writes", time.Since(began), table.writes)
+		if took := time.Since(began); took > 10*time.Second {
+			t.Errorf("giving back to a silent table took %s", took)
+		}
+	})
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -53,6 +53,8 @@
 	source  atomic.Pointer[Source] // nil: turns are known to this node or read
 
 	lookedUp atomic.Int64 // when a turn was last looked up by one call, in ns since 1970
+	leaving  atomic.Bool  // nothing is held ahead any more; see Leave
+	flushing atomic.Bool  // the stop is at its end; see Flush
 
 	mutex   sync.Mutex
 	entries map[string]*entry
@@ -139,6 +141,8 @@
 
 	// KeepNothing gives the allowance back, but for the turns under way.
 	KeepNothing bool
+
+	defers bool // the write may come after those that others wait for
 }
 
 // Run is a turn that may run. Exactly one of Settle and Abandon ends it.
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -184,48 +183,3 @@
 	}
 	return err
 }
-
-// flushWorkers is how many programs Flush settles at once.
-const flushWorkers = 8
-
-// Flush gives allowances back, as far as ctx allows, before a planned stop.
-func (l *Ledger) Flush(ctx context.Context) {
-	var group sync.WaitGroup
-	entries := make(chan *entry)
-	for range flushWorkers {
-		group.Go(func() {
-			for e := range entries {
-				l.giveBack(ctx, e)
-			}
-		})
-	}
-	for _, e := range l.holding() {
-		entries <- e
-	}
-	close(entries)
-	group.Wait()
-}
-
-// holding returns the programs of which this run holds an allowance.
-func (l *Ledger) holding() []*entry {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	var found []*entry
-	for _, e := range l.entries {
-		e.mutex.Lock()
-		if e.known && e.held > e.underWay+e.unsettled {
-			found = append(found, e)
-		}
-		e.mutex.Unlock()
-	}
-	return found
-}
-
-// giveBack settles one program without holding tokens for later turns.
-func (l *Ledger) giveBack(ctx context.Context, e *entry) {
-	if ctx.Err() != nil || e.lock(ctx) != nil {
-		return
-	}
-	defer e.unlock()
-	_ = l.write(ctx, e, Ask{KeepNothing: true}) // what could not be given back stays charged
-}
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -46,7 +46,7 @@
 				return err
 			}
 		}
-		transaction, write, err := e.prepare(l.options, part, ask, l.aheadShare())
+		transaction, write, err := e.prepare(l.options, part, ask, l.ahead(ask))
 		if errors.Is(err, ErrBudgetSpent) && !e.isFresh(l.options.Now()) && !e.isExhausted(l.options.Run, ask) {
 			// Other nodes may have given back what this one does not know of.
 			if err := l.load(ctx, e, part, e.program); err != nil {
@@ -83,7 +83,7 @@
 
 // prepare builds the next write. Its number and content are kept until its
 // outcome is known.
-func (e *entry) prepare(options Options, part int, ask Ask, share int64) (tablestore.Transaction, uint64, error) {
+func (e *entry) prepare(options Options, part int, ask Ask, held holding) (tablestore.Transaction, uint64, error) {
 	run := options.Run
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -103,8 +103,8 @@
 		Settled:  e.unsettled,
 		UnderWay: e.underWay,
 		Most:     ask.Most,
-		Ahead:    !ask.KeepNothing,
-		Share:    share,
+		Ahead:    held.ahead,
+		Share:    held.share,
 	})
 	if err != nil {
 		return tablestore.Transaction{}, 0, errors.Wrapf(err, "row version %d", e.revision)
@@ -121,14 +121,14 @@
 	}
 	records := e.waiting()
 	// What frees a budget or records a turn that has run comes before what lets one run.
-	transaction.Deferrable = ask.Most > 0 && len(records) == 0
+	transaction.Deferrable = (ask.Most > 0 || ask.defers) && len(records) == 0
 	for _, waiting := range records {
 		transaction.Writes = append(transaction.Writes, turnWrites(part, e.program, waiting.turn)...)
 	}
 	e.takeOver(part, &transaction)
-	held := next.Allowances[run].Tokens
-	e.attempts[e.write] = attempt{held: held, settled: e.unsettled, records: records}
-	e.flight = &flight{held: held, asked: ask.Most, settled: e.unsettled}
+	tokens := next.Allowances[run].Tokens
+	e.attempts[e.write] = attempt{held: tokens, settled: e.unsettled, records: records}
+	e.flight = &flight{held: tokens, asked: ask.Most, settled: e.unsettled}
 	return transaction, e.write, nil
 }
 
--- /dev/null
+++ b/internal/serving/giveback_test.go
@@ -0,0 +1,67 @@
+package serving_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/pewtermill/pewtermill/internal/ledger"
+)
+
+// heldOf returns how many tokens the store's account of a program holds for processes.
+func (d *deployment) heldOf(program string) int64 {
+	d.t.Helper()
+	for _, row := range d.store.Rows("program-turns") {
+		if row.Gone || !strings.HasSuffix(ledger.AccountKey(program), "/"+row.Key) {
+			continue
+		}
+		var account ledger.Account
+		if err := json.Unmarshal(row.Value, &account); err != nil {
+			d.t.Fatal(err)
+		}
+		return account.Outstanding()
+	}
+	d.t.Fatalf("no account of program %s", program)
+	return 0
+}
+
+// TestStopGivesBackBesideAStream stops a process while a stream runs, which is cut if budgets are given
+// back at the end of the stop only.
+func TestStopGivesBackBesideAStream(t *testing.T) {
+	d := serve(t)
+	if got := d.turn("/kept/", "rests", "t0", "", "x"); got.status != http.StatusOK {
+		t.Fatalf("got %+v", got)
+	}
+	if d.heldOf("rests") == 0 {
+		t.Fatal("nothing is held ahead")
+	}
+	release := make(chan struct{})
+	running := make(chan struct{}, 1)
+	d.handleAll("m", func(http.ResponseWriter, *http.Request) bool {
+		running <- struct{}{}
+		<-release
+		return false
+	})
+	answers := make(chan answer, 1)
+	go func() { answers <- d.turn("/kept/", "runs", "t1", "", "x") }()
+	<-running
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		d.process.Stop(context.Background())
+	}()
+	d.eventually("given back", func() bool { return d.heldOf("rests") == 0 })
+	if d.heldOf("runs") == 0 {
+		t.Error("the budget of a turn under way was given back")
+	}
+	close(release)
+	if got := <-answers; got.status != http.StatusOK || got.cut {
+		t.Errorf("got %+v", got)
+	}
+	<-stopped
+	if held := d.heldOf("runs"); held > 0 {
+		t.Errorf("%d tokens stay held after the stop", held)
+	}
+}
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,9 @@
 	restTime = 2 * time.Second
 	// stopMargin is left of the grace period for what comes after the last answer.
 	stopMargin = 700 * time.Millisecond
-	// flushTime is the most that giving budgets back may take.
+	// flushTime is what giving budgets back has at least once the last answer has ended. It has what
+	// the grace period leaves if that is more: a program whose tokens stay held here is told that its
+	// budget is spent, and a write to a slow store takes .3 s.
 	flushTime = 500 * time.Millisecond
 )
 
@@ -27,24 +30,31 @@
 // until no more connections come, then waits for the requests under way.
 func (p *Process) Stop(ctx context.Context) {
 	start := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	p.stopping.Store(true)
 	p.callers.Stop()
 	p.covering.Leave()
 	p.carrying.Leave()
 	p.commits.Leave()
 	p.giveShardsUp(ctx)
+	var giving sync.WaitGroup
+	giving.Go(func() { p.ledger.Leave(ctx) })
 	p.logger.Info("stopping", "grace", p.settings.GracePeriod.String())
 	backoff.Wait(ctx, noticeTime)
 	limit := max(time.Second, p.settings.GracePeriod-stopMargin-time.Since(start))
-	p.handler.EndAt(time.Now().Add(limit))
-	drainContext, cancel := context.WithTimeout(ctx, limit)
+	end := time.Now().Add(limit)
+	p.handler.EndAt(end)
+	drainContext, endDrain := context.WithDeadline(ctx, end)
 	p.callers.StopAccepting()
 	err := errors.CombineErrors(p.callers.Drain(drainContext), p.carrying.Drain(drainContext))
-	cancel()
-	flushContext, cancel := context.WithTimeout(ctx, flushTime)
+	endDrain()
+	flushContext, endFlush := context.WithTimeout(ctx, max(flushTime, time.Until(end)))
 	p.ledger.Flush(flushContext)
 	p.flushPeers(flushContext)
+	endFlush()
 	cancel()
+	giving.Wait()
 	p.Close()
 	p.logger.Info("stopped", "took", time.Since(start).String(), "cut", err != nil)
 }
