ledger, serving: what was held ahead while the store was slow shrinks once it is quick

Cause: an allowance taken while the store is slow holds all of a budget, until the next write of its account. A program that rests has none, nor has one whose turns other nodes record, so that a node that died much later took such budgets with it.

Change: Ledger.Shrink, once a second, writes the accounts that would hold less by the usual share and have no turn under way, ten a second at most and after writes that others wait for. It ends at a write that takes long, and tries one every 5 s if no call was answered meanwhile, since a node without calls does not learn that the store is quick.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -132,7 +132,7 @@
 // ahead returns what the write for a turn is to hold for others now.
 func (l *Ledger) ahead(ask Ask) holding {
 	held := holding{ahead: !ask.KeepNothing && !l.leaving.Load(), share: aheadShare}
-	if l.health.slow() {
+	if l.health.slow() && !ask.usualShare {
 		held.share = slowShare
 	}
 	return held
--- a/internal/ledger/giveback_test.go
+++ b/internal/ledger/giveback_test.go
@@ -211,3 +211,64 @@
 		}
 	})
 }
+
+// TestHeldTokensShrinkOnceTheTableIsQuick has a table be quick again while programs rest, at a node that
+// learns it by other turns and at one that makes none.
+func TestHeldTokensShrinkOnceTheTableIsQuick(t *testing.T) {
+	const (
+		usual   = 2 * most // a quarter of what is left
+		seconds = 30
+		aSecond = 10 // writes
+	)
+	for name, others := range map[string]bool{"busy": true, "idle": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, table, runs := slowlyHeld(t)
+				settle(t, runs[1:])
+				l.Shrink(t.Context())
+				before := table.held(t)
+				table.set(quickWrite)
+				if others {
+					learn(t, l)
+				}
+				table.set(quickWrite)
+				for range seconds {
+					l.Shrink(t.Context())
+					time.Sleep(time.Second)
+				}
+				held, writes := table.held(t), table.writes
+				t.Logf("%d of %d tokens are held after %d writes", held, before, writes)
+				if want := int64(usual*(manyPrograms-1) + 9*most); held > want {
+					t.Errorf("%d of %d tokens are held, want %d at most", held, before, want)
+				}
+				if writes > manyPrograms || table.most > 1 {
+					t.Errorf("%d writes, %d at once, for %d programs", writes, table.most, manyPrograms-1)
+				}
+				settle(t, runs[:1])
+				table.set(quickWrite)
+				l.Shrink(t.Context())
+				l.Shrink(t.Context())
+				if table.writes != 1 {
+					t.Errorf("%d writes for a program whose turn has ended, want 1", table.writes)
+				}
+			})
+		})
+	}
+}
+
+// TestHeldTokensStayWhileTheTableIsSlow counts the writes that shrinking costs a slow table.
+func TestHeldTokensStayWhileTheTableIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, table, runs := slowlyHeld(t)
+		settle(t, runs)
+		table.set(slowWrite)
+		const seconds, writes = 20, 4
+		for range seconds {
+			l.Shrink(t.Context())
+			time.Sleep(time.Second)
+		}
+		if table.writes > writes {
+			t.Errorf("%d writes in %d s while the table is slow", table.writes, seconds)
+		}
+	})
+}
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -132,6 +132,11 @@
 	return took > slowFactor*max(leastQuick, h.quick)
 }
 
+// isLongWrite is isLong for a write, which the table may have held back.
+func (h *health) isLongWrite(took time.Duration) bool {
+	return h.isLong(took - h.gathers)
+}
+
 func (h *health) isSlow() bool {
 	limit := slowFactor * max(leastQuick, h.quick)
 	return h.by[reading] > limit || h.by[writing] > limit+h.gathers
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -77,6 +77,7 @@
 	resolved  bool   // an earlier write was just found to have taken effect
 	uncertain bool   // a write's outcome is unknown, so held may be too high; see leastLeft
 	held      int64  // allowance of this run
+	generous  bool   // it was taken by the share for a slow table
 	underWay  int64  // most tokens of the turns that are running
 	unsettled int64  // tokens handed out and not charged yet
 	write     uint64 // number of the newest write tried
@@ -92,9 +93,10 @@
 
 // attempt is a write whose outcome may not be known yet.
 type attempt struct {
-	held    int64 // allowance of this run if it took effect
-	settled int64 // unsettled tokens that it charges
-	records []*record
+	held     int64 // allowance of this run if it took effect
+	generous bool  // it is by the share for a slow table
+	settled  int64 // unsettled tokens that it charges
+	records  []*record
 }
 
 // flight is what a write under way will make of the allowance.
@@ -142,7 +144,8 @@
 	// KeepNothing gives the allowance back, but for the turns under way.
 	KeepNothing bool
 
-	defers bool // the write may come after those that others wait for
+	defers     bool // the write may come after those that others wait for
+	usualShare bool // no more is held ahead than while the table is quick
 }
 
 // Run is a turn that may run. Exactly one of Settle and Abandon ends it.
@@ -352,6 +355,7 @@
 func (e *entry) confirm(write uint64) {
 	if done, found := e.attempts[write]; found {
 		e.unsettled -= done.settled
+		e.generous = done.generous
 		for _, recorded := range done.records {
 			recorded.durable = true
 		}
--- a/internal/serving/giveback_test.go
+++ b/internal/serving/giveback_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/standin/operators"
 )
 
 // heldOf returns how many tokens the store's account of a program holds for processes.
@@ -65,3 +67,23 @@
 		t.Errorf("%d tokens stay held after the stop", held)
 	}
 }
+
+// TestHeldTokensShrinkOnceTheStoreIsQuick has a process take all of a budget while the store is slow. Its
+// program rests when the store is quick again.
+func TestHeldTokensShrinkOnceTheStoreIsQuick(t *testing.T) {
+	const budget, share = 2304, 4
+	d := serve(t)
+	if got := d.turn("/kept/", "quick", "t0", "", "x"); got.status != http.StatusOK {
+		t.Fatalf("got %+v", got)
+	}
+	d.store.SetFault(func(string, string) operators.Fault { return operators.Slow })
+	program, turns := "", 0
+	d.eventually("holding all of a budget", func() bool {
+		turns++
+		program = fmt.Sprintf("p%d", turns)
+		got := d.turn("/kept/", program, fmt.Sprintf("t%d", turns), "", "x")
+		return got.status == http.StatusOK && d.heldOf(program) > budget/2
+	})
+	d.store.SetFault(nil)
+	d.eventually("shrunk", func() bool { return d.heldOf(program) <= budget/share })
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -264,6 +264,7 @@
 	p.loops.Go(func() { _ = p.ingress.Serve(followed) })
 	p.loops.Go(func() { _ = p.ready.Serve(p.listeners.ready) })
 	p.loops.Go(func() { p.sweep(ctx) })
+	p.loops.Go(func() { p.shrink(ctx) })
 	p.loops.Go(func() { p.reportCalls(ctx) })
 	p.startPeers(ctx)
 	p.startMetrics()
@@ -289,6 +290,16 @@
 // sweepPeriod is how often rows of programs that are over are looked for.
 const sweepPeriod = 30 * time.Second
 
+// shrinkPeriod is how often allowances are looked for that were taken while the store was slow.
+const shrinkPeriod = time.Second
+
+// shrink gives back what such allowances hold beyond the usual, until ctx ends.
+func (p *Process) shrink(ctx context.Context) {
+	for backoff.Wait(ctx, backoff.Spread(shrinkPeriod)) {
+		p.ledger.Shrink(ctx)
+	}
+}
+
 // sweep removes rows of programs that are over, until ctx ends.
 func (p *Process) sweep(ctx context.Context) {
 	for backoff.Wait(ctx, backoff.Spread(sweepPeriod)) {
