ledger: a recall waits by how long writes take at present

Cause: a node that asks another to give an idle allowance back waited 250 ms, where one write to a slow store takes 300 ms, and a write of the same program may come first. The turn was refused, 503 code 310, though the holder gave the tokens back a moment later.

Change: a recall is waited for 100 ms and two writes of the smoothed time of late, 250 ms at least, and 1 s at most: then the caller is better told to come back.

Measured in virtual time, writes and reads of 300 ms, one write of the program under way at the holder: before, refused after .85 s; now covered after 1.5 s. A holder that is silent costs 260 ms as before at a store of 5 ms, 1.30 s in place of .85 s at 300 ms, and 2.2 s in place of 1.45 s at 600 ms. Ruled out: without a write under way at the holder the refusal did not show, since the account's read, itself 300 ms, found what the holder had written meanwhile.

--- a/internal/ledger/giveback_test.go
+++ b/internal/ledger/giveback_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
@@ -120,11 +122,11 @@
 )
 
 // learn has a ledger write until it knows how long the table's calls take now.
-func learn(t *testing.T, l *ledger.Ledger) {
+func learn(t *testing.T, l *ledger.Ledger, run string) {
 	t.Helper()
 	for range 12 {
 		cover(t, l, "another", wholeBudget).Abandon()
-		if _, err := l.GiveBack(t.Context(), "another", "a"); err != nil {
+		if _, err := l.GiveBack(t.Context(), "another", run); err != nil {
 			t.Error(err)
 		}
 	}
@@ -148,9 +150,9 @@
 	l := ledger.New(ledger.Options{Table: table, Run: "a"})
 	l.SetOwners(noOwner{})
 	table.set(quickWrite)
-	learn(t, l)
+	learn(t, l, "a")
 	table.set(slowWrite)
-	learn(t, l)
+	learn(t, l, "a")
 	runs := make([]*ledger.Run, manyPrograms)
 	var group sync.WaitGroup
 	for i := range runs {
@@ -229,7 +231,7 @@
 				before := table.held(t)
 				table.set(quickWrite)
 				if others {
-					learn(t, l)
+					learn(t, l, "a")
 				}
 				table.set(quickWrite)
 				for range seconds {
@@ -272,3 +274,91 @@
 		}
 	})
 }
+
+// slowHolder is a node whose allowance is asked back over a slow table.
+type slowHolder struct {
+	noOwner
+	holder *ledger.Ledger
+}
+
+// Recall implements ledger.Owners. A write of the program is under way at the holder, and comes first.
+// The holder goes on when its asker has left, as a node does.
+func (h slowHolder) Recall(ctx context.Context, _, run, program string) (bool, error) {
+	answers := make(chan error, 1)
+	go func() {
+		time.Sleep(slowWrite)
+		_, err := h.holder.GiveBack(context.WithoutCancel(ctx), program, run)
+		answers <- err
+	}()
+	select {
+	case err := <-answers:
+		return false, err
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+}
+
+// TestRecallWaitsForSlowWrites has a node need what another one holds ahead, while a write takes longer
+// than a recall of a quick table is waited for.
+func TestRecallWaitsForSlowWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newDelayed()
+		nodes := make(map[string]*ledger.Ledger)
+		for _, name := range []string{"a", "b"} {
+			nodes[name] = ledger.New(ledger.Options{Table: table, Run: name, Address: func() string { return name }})
+			nodes[name].SetOwners(noOwner{})
+			table.set(quickWrite)
+			learn(t, nodes[name], name)
+			table.set(slowWrite)
+			learn(t, nodes[name], name)
+		}
+		nodes["b"].SetOwners(slowHolder{holder: nodes["a"]})
+		cover(t, nodes["a"], "p", wholeBudget).Abandon()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		began := time.Now()
+		_, err := nodes["b"].Cover(ctx, ledger.Ask{Program: "p", Budget: wholeBudget, Most: 3 * most}, func() {})
+		t.Logf("%s: %v", time.Since(began), err)
+		if err != nil {
+			t.Errorf("a turn is refused that fits without what rests elsewhere: %v", err)
+		}
+		time.Sleep(time.Minute) // virtual: no call is under way
+	})
+}
+
+// TestRecallOfASilentHolderEnds has the holder give no answer.
+func TestRecallOfASilentHolderEnds(t *testing.T) {
+	for _, trial := range []struct{ write, most time.Duration }{
+		{quickWrite, 300 * time.Millisecond},
+		{slowWrite, 1600 * time.Millisecond},
+		{2 * slowWrite, 2300 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			table := newDelayed()
+			a := ledger.New(ledger.Options{Table: table, Run: "a", Address: func() string { return "a" }})
+			b := ledger.New(ledger.Options{Table: table, Run: "b"})
+			b.SetOwners(silentHolder{})
+			for _, delay := range []time.Duration{quickWrite, (quickWrite + trial.write) / 2, trial.write} {
+				table.set(delay)
+				learn(t, b, "b")
+			}
+			cover(t, a, "p", 2*most).Abandon()
+			began := time.Now()
+			_, err := b.Cover(t.Context(), ledger.Ask{Program: "p", Budget: 2 * most, Most: 2 * most}, func() {})
+			took := time.Since(began)
+			t.Logf("writes of %s: %s, %v", trial.write, took, err)
+			if !errors.Is(err, ledger.ErrBudgetUnsettled) || took > trial.most {
+				t.Errorf("writes of %s: %v after %s, want that it is unsettled, within %s", trial.write, err, took, trial.most)
+			}
+		})
+	}
+}
+
+// silentHolder is a node that does not answer.
+type silentHolder struct{ noOwner }
+
+// Recall implements ledger.Owners.
+func (silentHolder) Recall(ctx context.Context, _, _, _ string) (bool, error) {
+	<-ctx.Done()
+	return false, ctx.Err()
+}
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -124,6 +124,13 @@
 	return h.isSlow()
 }
 
+// writeTime returns how long writes take of late; 0 before the first.
+func (h *health) writeTime() time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.by[writing]
+}
+
 // isLong reports whether one read took as long as those of a slow table do. A write beside which it
 // was made waits its turn, though answers have not been slow for long enough to show.
 func (h *health) isLong(took time.Duration) bool {
--- a/internal/ledger/recall.go
+++ b/internal/ledger/recall.go
@@ -16,9 +16,16 @@
 
 // Times of recalls.
 const (
-	// recallTimeout bounds one recall: two round trips between regions for a new
-	// connection and the question, and a write to the table in the time that is usual.
-	recallTimeout = 250 * time.Millisecond
+	// recallWay is of one recall: two round trips between regions for a new connection and the
+	// question.
+	recallWay = 100 * time.Millisecond
+	// recallWrites is how many writes a recall waits for: the holder's, and one of the same program
+	// that is under way there.
+	recallWrites = 2
+	// Bounds of a recall. The least has room for writes that some other call holds up; beyond the most
+	// the caller is better told to come back, while the holder goes on.
+	leastRecallTimeout = 250 * time.Millisecond
+	mostRecallTimeout  = time.Second
 	// recallPause is for how long the outcome of a recall holds. A program that is told
 	// again and again that its budget is spent costs no further questions meanwhile.
 	recallPause = 100 * time.Millisecond
@@ -75,9 +82,14 @@
 	return e.recalls.silent, true
 }
 
+// recallTimeout returns how long a recall is waited for, by how long writes take at present.
+func (l *Ledger) recallTimeout() time.Duration {
+	return min(mostRecallTimeout, max(leastRecallTimeout, recallWay+recallWrites*l.health.writeTime()))
+}
+
 // askBack asks all holders at once and returns those that did not answer.
 func (l *Ledger) askBack(ctx context.Context, program string, holders []holder) map[string]error {
-	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.recallTimeout())
 	defer cancel()
 	var group sync.WaitGroup
 	failures := make([]error, len(holders))
