--- a/internal/ledger/account_test.go
+++ b/internal/ledger/account_test.go
@@ -38,7 +38,7 @@
 		n := nodes[name]
 		most := 100 + random.Int64N(3)*100
 		largest = max(largest, most)
-		change := Change{Node: name, Write: uint64(step + 1), Settled: n.unsettled, UnderWay: n.underWay, Ahead: random.IntN(2) == 0}
+		change := Change{Node: name, Write: uint64(step + 1), Settled: n.unsettled, UnderWay: n.underWay, Ahead: random.IntN(2) == 0, Share: []int64{aheadShare, slowShare}[random.IntN(2)]}
 		switch random.IntN(4) {
 		case 0:
 			change.Most = most
--- a/internal/owners/crash_test.go
+++ b/internal/owners/crash_test.go
@@ -68,7 +68,11 @@
 		old.server.Leave()
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 		defer cancel()
+		var giving sync.WaitGroup
+		giving.Go(func() { old.ledger.Leave(ctx) })
 		old.ledger.Flush(ctx)
+		old.ledger.Shrink(ctx)
+		giving.Wait()
 	}
 	tr.mutex.Lock()
 	tr.starts++
