--- a/internal/serving/giveback_test.go
+++ b/internal/serving/giveback_test.go
@@ -85,5 +85,9 @@
 		return got.status == http.StatusOK && d.heldOf(program) > budget/2
 	})
 	d.store.SetFault(nil)
-	d.eventually("shrunk", func() bool { return d.heldOf(program) <= budget/share })
+	d.eventually("shrunk", func() bool {
+		turns++
+		d.turn("/kept/", fmt.Sprintf("q%d", turns), fmt.Sprintf("t%d", turns), "", "x") // tells how quick it is
+		return d.heldOf(program) <= budget/share
+	})
 }
