ledger: records without the account lose neither turns nor tokens

A write of the account could take all the time that a record had. One lost look beside a write had an answering part count as silent. The end of an answer that is not kept raced for the account too.

Change: a write that met another's keeps records from the account for 250 ms only; a record takes half of the time left with the account; a program is not forgotten before its tokens are charged, and rows of which another run holds tokens are left to that one; a part that answered a look is not silent; a charge at the end of an answer is given up after 400 ms; who meets others four times in a row pauses 40 ms.

Ruled out: one try for a charge (a turn that begins during it must be counted: TestTurnDuringAWriteIsCounted hung); a test that has an idle program's rows removed by its only node (rows go after their time, as before).

Left: an account whose row was removed under a node that still uses it meets conflicts until its callers leave; a request lost between a node and its writer costs .8 s (.06 before); a writer that signs and then freezes is kept for as long.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -329,6 +329,13 @@
 	}
 }
 
+// lockSoon is lock for accountWait at most.
+func (e *entry) lockSoon(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, accountWait)
+	defer cancel()
+	return e.lock(ctx)
+}
+
 func (e *entry) unlock() { <-e.commit }
 
 // observe takes the account's row as read at some moment. The mutex is held.
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -93,18 +93,30 @@
 	return e.account.Budget > 0 && e.account.tight()
 }
 
-// charge writes what is unsettled.
+// charge writes what is unsettled. An answer's end may wait for it, so it is given up soon, and not begun while another
+// write holds the account for long: what is not charged stays held, and goes with the next write.
 func (l *Ledger) charge(ctx context.Context, e *entry) error {
-	if err := e.lock(ctx); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, chargeLimit)
+	defer cancel()
+	if err := e.lockSoon(ctx); err != nil {
 		return err
 	}
 	defer e.unlock()
 	return l.write(ctx, e, Ask{})
 }
 
-// accountWait is for how long a turn that has run waits for the right to write its program's account, which saves
-// it a write of its own. Two writes of a quick table take less.
-const accountWait = 60 * time.Millisecond
+// Bounds of writing a program's account at the end of an answer.
+const (
+	// accountWait is for how long a turn that has run waits for the right to write its program's account, which
+	// saves it a write of its own. Two writes of a quick table take less.
+	accountWait = 60 * time.Millisecond
+	// chargeLimit is for how long an answer that is not kept waits until what it used is charged: a write to a
+	// slow table takes 300 ms.
+	chargeLimit = 400 * time.Millisecond
+	// accountPart is which part of the time that is left a record may take with the account, so that the rest is
+	// enough without it.
+	accountPart = 2
+)
 
 // record makes a turn durable: with its program's account, or alone, in the account's part or, if that fails, in
 // another one, where readers look next. A record must not race for the account: the answer is ready, its condition
@@ -125,18 +137,22 @@
 }
 
 // recordWithAccount tries to record a turn with its program's account. It reports whether the turn is durable. It
-// writes nothing where the last write met another node's, or another turn has the right to write for long, and gives
-// up once its write meets another. Only a table that refuses writes for their rate is asked again.
+// writes nothing where the last write met another node's just now, or another turn has the right to write for long,
+// and gives up once its write meets another. Only a table that refuses writes for their rate is asked again. Most
+// records go with the account all the same: a node whose write of it is the last one removes its rows in the end.
 func (l *Ledger) recordWithAccount(ctx context.Context, e *entry, waiting *record) (durable bool, err error) {
-	lockContext, cancel := context.WithTimeout(ctx, accountWait)
-	defer cancel()
-	if e.lock(lockContext) != nil {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/accountPart)
+		defer cancel()
+	}
+	if e.lockSoon(ctx) != nil {
 		return e.isDurable(waiting), nil
 	}
 	defer e.unlock()
 	var made tries
 	for !e.isDurable(waiting) {
-		if e.contended {
+		if e.contended && e.isFresh(l.options.Now()) {
 			return false, nil
 		}
 		if _, err := l.writeOnce(ctx, e, Ask{}, &made); err != nil {
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -21,6 +21,10 @@
 // kept, and removes their rows, unless another node has written them since: then
 // that node will. What a node that died would have removed stays.
 func (l *Ledger) Sweep(ctx context.Context) {
+	now := l.options.Now()
+	for _, e := range l.entriesThat(func(e *entry) bool { return e.isOver(now) && e.mustBeSettled(l.options.Run) }) {
+		l.flush(ctx, e) // what could not be charged is kept, and tried again
+	}
 	for _, e := range l.takeIdle() {
 		if l.health.admit(writing, partOf(e.program), l.options.Now()) == nil {
 			_ = l.removeRows(ctx, e) // what could not be removed stays
@@ -46,18 +50,43 @@
 	return idle
 }
 
-// idle reports whether the program was not used for as long as it is kept.
+// idle reports whether the program was not used for as long as it is kept, and nothing of it is to be written: what
+// this run holds in the row would be handed out again if tokens of it were forgotten that are not charged.
 func (e *entry) idle(now time.Time) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return now.Sub(e.usedAt) > e.keep+keepMargin && e.underWay == 0 && len(e.waiting()) == 0
+	return e.isOver(now) && !e.isUnsettled() && len(e.waiting()) == 0
+}
+
+// isOver reports whether the program has no turn under way, nor had one for as long as it is kept. The mutex is held.
+func (e *entry) isOver(now time.Time) bool {
+	return now.Sub(e.usedAt) > e.keep+keepMargin && e.underWay == 0
+}
+
+// isUnsettled reports whether tokens were handed out that are not charged. The mutex is held.
+func (e *entry) isUnsettled() bool { return e.unsettled > 0 && e.account.Budget > 0 }
+
+// mustBeSettled reports whether the account is to be written before the program is forgotten: tokens are not charged,
+// or this run holds some while others do, one of whom removes the rows. The mutex is held.
+func (e *entry) mustBeSettled(run string) bool {
+	return e.isUnsettled() || (e.held > 0 && e.othersHold(run))
+}
+
+// othersHold reports whether other runs hold tokens of the program. They may use it without a write.
+func (e *entry) othersHold(run string) bool {
+	for other, allowance := range e.account.Allowances {
+		if other != run && allowance.Tokens > 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// removeRows removes a program's rows if this node was the last to write its account.
+// removeRows removes a program's rows if this node was the last to write its account, and no other holds tokens.
 func (l *Ledger) removeRows(ctx context.Context, e *entry) error {
 	part := partOf(e.program)
 	account := accountKey(part, e.program)
-	if _, wrote := e.account.Allowances[l.options.Run]; !wrote || e.revision == 0 {
+	if _, wrote := e.account.Allowances[l.options.Run]; !wrote || e.revision == 0 || e.othersHold(l.options.Run) {
 		return nil
 	}
 	rows, err := l.readRange(ctx, part, account, programEnd(part, e.program))
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -16,6 +16,9 @@
 // Times of calls to the table.
 const (
 	retryPause = 40 * time.Millisecond // before a refused or lost call is sent again
+	// overtakenAtOnce is how many writes that met another are made again at once: the conflict tells the row as
+	// it is. Whoever goes on meeting others makes room for them.
+	overtakenAtOnce = 3
 	// throttlePause is the first one before a call that was refused for its rate is sent
 	// again: the rate is that of all nodes, or of a queue as long as a second. It doubles
 	// with each refusal in a row, up to maxThrottlePause.
@@ -69,6 +72,9 @@
 		if done, err := l.writeOnce(ctx, e, ask, made); done || err != nil {
 			return err
 		}
+		if made.overtaken > overtakenAtOnce && !backoff.Wait(ctx, backoff.Spread(retryPause)) {
+			return errors.Mark(ctx.Err(), tablestore.ErrUnavailable)
+		}
 	}
 }
 
@@ -228,7 +234,7 @@
 }
 
 // commitOrRead sends a write. If no answer has come in the usual time, the
-// account's row is read beside it, and once more after a while. Where the answer was lost, the row
+// account's row is read beside it, and again after a while. Where the answer was lost, the row
 // is changed, is returned, and the write is given up. An unchanged row says that the write still waits its turn, and
 // it is waited for: sent again it would only lengthen the queue that it waits in. It is waited for longer where the
 // read takes long as well, since the table is slow then. Where the read gets no
@@ -259,7 +265,7 @@
 			cancel()
 		case found.long:
 			queued.Store(true)
-		case errors.Is(found.err, context.DeadlineExceeded) && ctx.Err() == nil && l.health.heardQuicklySince(began):
+		case errors.Is(found.err, context.DeadlineExceeded) && ctx.Err() == nil && !found.heard && l.health.heardQuicklySince(began):
 			silent.Store(true)
 			cancel()
 		}
@@ -292,9 +298,10 @@
 
 // looked is what reads beside a write have come to.
 type looked struct {
-	row  *tablestore.Row // changed since; nil if it was not seen to be
-	long bool            // the last read took as long as those of a slow table do
-	err  error           // of a read that failed
+	row   *tablestore.Row // changed since; nil if it was not seen to be
+	long  bool            // the last read took as long as those of a slow table do
+	heard bool            // a read was answered, so that the part is not silent
+	err   error           // of a read that failed
 }
 
 // lookUntilChanged reads a row beside a write of it, again and again, until it is changed, a read takes as long as
@@ -303,12 +310,13 @@
 // zones such writes were begun up to five times, and their turns not recorded within 2 s. The pauses double, so that
 // a write is read beside four times at most before it is given up for its time.
 func (l *Ledger) lookUntilChanged(ctx context.Context, condition tablestore.Condition, pause time.Duration) looked {
-	for ; ; pause *= 2 {
+	for heard := false; ; pause *= 2 {
 		asked := time.Now()
 		row, err := l.readBeside(ctx, condition.Key)
 		if err != nil {
-			return looked{err: err}
+			return looked{heard: heard, err: err}
 		}
+		heard = true
 		took := time.Since(asked)
 		l.health.answered(reading, took, l.options.Now())
 		long := l.health.isLong(took)
