soak: a start that fails or hangs is found; ends beside faults are told

Cause: restart waited for readiness without a bound and held the process back from its watch, with its start still counted as a planned disruption: a program that ended or hung as it started after a stop or a kill was never found, for the rest of the soak. A process that had ended by itself just before a kill or during the wait of a kill of all was not told either. The watch could take a process that a fault had ended, and the end of the soak had kept from being started again, for one that ended by itself (by reading). A start that failed left an end that nobody could wait for, and a signal to it would have met a nil process.

Change: waitReady ends with the process, and after 15 s; from then on the judge holds the process to saying that it is ready. restartEnded looks before each fault, and not once the soak is over. The field expected was written and never read: gone.

Ruled out: a bound on readiness as a promise of its own, since `ready` says the same once the wait ends.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -183,6 +183,7 @@
 	if d.context.Err() != nil {
 		return false
 	}
+	d.restartEnded(p) // else the fault would hide its end
 	if fault.Kind == ProcessStop {
 		d.stop(p, func() {})
 		return true
@@ -225,7 +226,9 @@
 	}
 	backoff.Wait(d.context, untilBurstSpent(d.now()))
 	for _, p := range d.processes {
-		p.expected.Store(true)
+		if p.ended() {
+			d.tellEnded(p) // while the kill waited
+		}
 		p.signal(syscall.SIGKILL)
 	}
 	for _, p := range d.processes {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +33,9 @@
 	readyTimeout    = time.Second
 	readyEvery      = 250 * time.Millisecond // between two rounds of questions
 	endMargin       = time.Second            // beyond the grace period
+	// startBound is how long a start may take, on a machine that much other work shares. Beyond it a
+	// process is held to saying that it is ready as any other is.
+	startBound = 15 * time.Second
 )
 
 // mostLog bounds what is kept of a process's log: the newest half of it, at least.
@@ -74,9 +76,8 @@
 	busy      sync.Mutex // held while a fault is at it
 	command   *exec.Cmd
 	forwarder *forwarder
-	exited    chan struct{} // closed when the command has ended
+	exited    chan struct{} // closed when the command has ended, or could not be started
 	exit      error         // set then
-	expected  atomic.Bool   // whether it was told to end
 }
 
 // newProcess writes the settings of a process that has not started.
@@ -109,17 +110,19 @@
 
 // start starts the process. A successor may only start when its predecessor has ended.
 func (p *process) start() error {
-	p.expected.Store(false)
 	p.exited = make(chan struct{})
 	p.command = exec.Command(p.program, "serve", "--settings", p.settings, "--carry-from", strconv.Itoa(p.carryFrom), "--peers-listen", p.forwarder.to)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the soak
-	if err := p.forwarder.listen(); err != nil {
-		return err
+	err := p.forwarder.listen()
+	if err == nil {
+		err = p.command.Start()
 	}
-	if err := p.command.Start(); err != nil {
+	if err != nil {
 		p.forwarder.close()
-		return errors.Wrapf(err, "start %s", p.place.Node)
+		p.exit = errors.Wrapf(err, "start %s", p.place.Node)
+		close(p.exited) // nobody is to wait for what never ran
+		return p.exit
 	}
 	go func(command *exec.Cmd, exited chan struct{}) {
 		p.exit = command.Wait()
@@ -131,30 +134,40 @@
 
 // signal sends a signal to this very process, if it still runs.
 func (p *process) signal(signal syscall.Signal) {
-	select {
-	case <-p.exited:
-	default:
+	if !p.ended() {
 		_ = p.command.Process.Signal(signal) // it may just have ended
 	}
 }
 
 // kill ends the process at once and waits for its end.
 func (p *process) kill() {
-	p.expected.Store(true)
 	p.signal(syscall.SIGKILL)
 	<-p.exited
 }
 
-// waitReady waits until the process says that it is ready.
+// waitReady waits until the process says that it is ready. It returns false if the process ends
+// first, or has not said so in time: whoever waits for it holds it back from being watched.
 func (p *process) waitReady(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, startBound)
+	defer cancel()
 	for !p.ready(ctx) {
-		if !backoff.Wait(ctx, readyPause) {
+		if p.ended() || !backoff.Wait(ctx, readyPause) {
 			return false
 		}
 	}
 	return true
 }
 
+// ended reports whether the process has ended.
+func (p *process) ended() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *process) ready(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
@@ -171,7 +184,7 @@
 }
 
 // restart starts the successor of a process that has ended, a little later, and waits until
-// it is ready.
+// it is ready. One that is not is left to those that watch processes.
 func (d *deployment) restart(p *process, after time.Duration) {
 	if !backoff.Wait(d.context, after) {
 		return
@@ -188,7 +201,6 @@
 func (d *deployment) stop(p *process, meanwhile func()) {
 	d.judge.Disrupt(p.place.Node, true)
 	defer func() { d.judge.Calm(d.now(), p.place.Node, true) }()
-	p.expected.Store(true)
 	began := d.now()
 	d.judge.Stopping(began, p.place.Node)
 	p.signal(syscall.SIGTERM)
@@ -234,15 +246,19 @@
 	}
 }
 
-// restartEnded starts a process again if it has ended by itself.
+// restartEnded starts a process again if it has ended by itself. Once the soak is over those that a
+// fault has ended are not started again, and have not ended by themselves.
 func (d *deployment) restartEnded(p *process) {
-	select {
-	case <-p.exited:
-	default:
+	if !p.ended() || d.context.Err() != nil {
 		return
 	}
 	d.judge.Disrupt(p.place.Node, false)
-	d.judge.ProcessEnded(d.now(), p.place.Node, false, fmt.Sprintf("ended by itself: %v", p.exit))
+	d.tellEnded(p)
 	d.restart(p, restartAfter)
 	d.judge.Calm(d.now(), p.place.Node, false)
 }
+
+// tellEnded tells of a process that has ended by itself.
+func (d *deployment) tellEnded(p *process) {
+	d.judge.ProcessEnded(d.now(), p.place.Node, false, fmt.Sprintf("ended by itself: %v", p.exit))
+}
