soak: faults of the store and of entrances take hold beside others of their kind

Cause: of faults that take one call in equally many the first in the list took all of them: throttling beside refusals, silent and late calls beside lost replies never took hold. A zone that was cut off heard the store again as soon as a store that turned processes away was whole, and the other way round: the first end reset the entrance for both.

Change: such faults take turns at the calls that are due; an entrance keeps what is under way. The count of faults under way was written three times (store, parts, links): one type now.

Measured on the code before: TestEachStoreFaultTakesHoldBesideAnother fails for 4 pairs of 4 that share a count (refuse/throttle 18:0 of 36 calls, lose_reply/hang, lose_reply/late, hang/late 12:0); TestAnEndOfOneTurningAwayLeavesTheOther: 200, want 503. Both pass now. Weighed: digits of the call's number in base 2 and 3, which make faults independent, but then late calls come nine in a row when alone; taking turns leaves a fault alone as it was (TestAStoreFaultAloneTakesItsCalls).

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -35,9 +35,8 @@
 
 // storeFaults are the store's faults under way. Safe for concurrent use.
 type storeFaults struct {
-	mutex  sync.Mutex
-	active map[Kind]int
-	silent map[uint64]int // groups of parts that give no answer
+	active underWay[Kind]
+	silent underWay[uint64] // groups of parts that give no answer
 	calls  atomic.Int64
 }
 
@@ -52,39 +51,23 @@
 	return xxhash.Sum64String(part) % partGroups
 }
 
-// silence has a group of parts give no answer, or ends that.
-func (s *storeFaults) silence(group uint64, by int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.silent == nil {
-		s.silent = make(map[uint64]int)
-	}
-	s.silent[group] += by
-}
-
-func (s *storeFaults) change(kind Kind, by int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.active == nil {
-		s.active = make(map[Kind]int)
-	}
-	s.active[kind] += by
-}
-
-// of says what becomes of a call.
+// of says what becomes of a call. Faults that take one call in equally many take turns at them, so
+// that each takes hold beside the others.
 func (s *storeFaults) of(_, part string) operators.Fault {
 	call := s.calls.Add(1)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.silent[groupOf(part)] > 0 {
+	if s.silent.has(groupOf(part)) {
 		return operators.Hang
 	}
-	for _, candidate := range storeFaultList {
-		if s.active[candidate.kind] > 0 && call%candidate.oneOf == 0 {
-			return candidate.fault
-		}
+	due := slices.DeleteFunc(slices.Clone(storeFaultList), func(f storeFault) bool { return call%f.oneOf != 0 || !s.active.has(f.kind) })
+	if len(due) == 0 {
+		return operators.Healthy
 	}
-	return operators.Healthy
+	first := due[0]
+	if first.oneOf == 1 {
+		return first.fault // all calls are its own
+	}
+	due = slices.DeleteFunc(due, func(f storeFault) bool { return f.oneOf != first.oneOf })
+	return due[call/first.oneOf%int64(len(due))].fault
 }
 
 // inject carries a fault out, from its beginning to its end.
@@ -126,9 +109,9 @@
 		return false
 	}
 	d.judge.Disrupt(core, false)
-	d.storeFaults.change(fault.Kind, 1)
+	d.storeFaults.active.change(fault.Kind, 1)
 	backoff.Wait(d.context, fault.For)
-	d.storeFaults.change(fault.Kind, -1)
+	d.storeFaults.active.change(fault.Kind, -1)
 	d.judge.Calm(d.now(), core, false)
 	return true
 }
@@ -137,9 +120,9 @@
 func (d *deployment) silenceParts(fault Fault) bool {
 	group := fault.Target % partGroups
 	d.judge.Disrupt(core, false)
-	d.storeFaults.silence(group, 1)
+	d.storeFaults.silent.change(group, 1)
 	backoff.Wait(d.context, fault.For)
-	d.storeFaults.silence(group, -1)
+	d.storeFaults.silent.change(group, -1)
 	d.judge.Calm(d.now(), core, false)
 	return true
 }
@@ -152,9 +135,35 @@
 	return true
 }
 
-// awayFaults are the ways in which the store turns processes away.
+// awayFaults are the ways in which the store turns processes away. The first that is under way is in
+// force.
 var awayFaults = []operators.Fault{operators.Refuse, operators.Hang, operators.LoseRequest}
 
+// away is how the store turns one process away.
+type away struct {
+	mutex    sync.Mutex // from a change until it is in force
+	underWay underWay[operators.Fault]
+}
+
+// change tells that a fault of the entrance begins (by 1) or ends (by -1). Others go on.
+func (a *away) change(entrance *operators.Entrance, fault operators.Fault, by int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.underWay.change(fault, by)
+	inForce := operators.Healthy
+	if first := slices.IndexFunc(awayFaults, a.underWay.has); first >= 0 {
+		inForce = awayFaults[first]
+	}
+	entrance.SetFault(inForce)
+}
+
+// changeEntrances begins (by 1) or ends (by -1) a fault of the entrances of some processes.
+func changeEntrances(processes []*process, fault operators.Fault, by int) {
+	for _, p := range processes {
+		p.away.change(p.entrance, fault, by)
+	}
+}
+
 // turnAway has the store turn a third of the processes away.
 func (d *deployment) turnAway(fault Fault) bool {
 	var away []*process
@@ -165,13 +174,9 @@
 	}
 	d.judge.Disrupt(core, false) // the store is not stable for all
 	how := awayFaults[fault.Target/3%uint64(len(awayFaults))]
-	for _, p := range away {
-		p.entrance.SetFault(how)
-	}
+	changeEntrances(away, how, 1)
 	backoff.Wait(d.context, fault.For)
-	for _, p := range away {
-		p.entrance.SetFault(operators.Healthy)
-	}
+	changeEntrances(away, how, -1)
 	d.judge.Calm(d.now(), core, false)
 	return true
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -96,3 +96,70 @@
 		t.Errorf("after it forgot: %d, want 410", status)
 	}
 }
+
+// TestEachStoreFaultTakesHoldBesideAnother has each two of the store's faults under way at once, but
+// those that take all calls.
+func TestEachStoreFaultTakesHoldBesideAnother(t *testing.T) {
+	const calls = 36
+	for _, one := range storeFaultList {
+		for _, other := range storeFaultList {
+			if one.kind == other.kind || one.oneOf == 1 || other.oneOf == 1 {
+				continue
+			}
+			var faults storeFaults
+			faults.active.change(one.kind, 1)
+			faults.active.change(other.kind, 1)
+			seen := make(map[operators.Fault]int)
+			for range calls {
+				seen[faults.of("", "")]++
+			}
+			if seen[one.fault] == 0 || seen[other.fault] == 0 || seen[operators.Healthy] == 0 {
+				t.Errorf("%s beside %s: %v", one.kind, other.kind, seen)
+			}
+		}
+	}
+}
+
+// TestAStoreFaultAloneTakesItsCalls counts what becomes of calls under each fault, and after it.
+func TestAStoreFaultAloneTakesItsCalls(t *testing.T) {
+	const calls = 36
+	for _, one := range storeFaultList {
+		var faults storeFaults
+		for _, by := range []int{1, -1} {
+			faults.active.change(one.kind, by)
+			taken := int64(0)
+			for range calls {
+				if faults.of("", "") == one.fault {
+					taken++
+				}
+			}
+			if want := calls / one.oneOf * int64(max(by, 0)); taken != want {
+				t.Errorf("%s took %d of %d calls, want %d", one.kind, taken, calls, want)
+			}
+		}
+	}
+}
+
+// TestAnEndOfOneTurningAwayLeavesTheOther has the store turn a process away twice over.
+func TestAnEndOfOneTurningAwayLeavesTheOther(t *testing.T) {
+	d, end := storeDeployment(t, 1)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		d.turnAway(Fault{Kind: StoreTurnsAway, For: time.Hour})
+	}()
+	address := d.processes[0].entrance.Address()
+	eventually(t, "the process is turned away", func() bool {
+		status, _ := askStore(t, address, listQuestion)
+		return status == http.StatusServiceUnavailable
+	})
+	d.turnAway(Fault{Kind: StoreTurnsAway, For: time.Millisecond})
+	if status, _ := askStore(t, address, listQuestion); status != http.StatusServiceUnavailable {
+		t.Errorf("while one goes on: %d, want 503", status)
+	}
+	end()
+	<-ended
+	if status, _ := askStore(t, address, listQuestion); status != http.StatusOK {
+		t.Errorf("after both: %d", status)
+	}
+}
--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -104,7 +104,7 @@
 	silenced := 0
 	for group := range uint64(partGroups) {
 		var faults storeFaults
-		faults.silence(group, 1)
+		faults.silent.change(group, 1)
 		if faults.of("", "") != operators.Healthy {
 			t.Error("rows without a part are silent")
 		}
@@ -113,7 +113,7 @@
 				silenced++
 			}
 		}
-		faults.silence(group, -1)
+		faults.silent.change(group, -1)
 		if faults.of("", "1") != operators.Healthy || faults.of("", "2") != operators.Healthy {
 			t.Error("parts stay silent")
 		}
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
@@ -18,30 +17,19 @@
 // way is one direction between two processes.
 type way struct{ from, to string }
 
-// links are the faults of the ways between processes. Safe for concurrent use.
-type links struct {
-	mutex  sync.Mutex
-	active map[way]map[Kind]int
+// wayFault is a fault of one direction.
+type wayFault struct {
+	way  way
+	kind Kind
 }
 
-func (l *links) change(faulty way, kind Kind, by int) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.active == nil {
-		l.active = make(map[way]map[Kind]int)
-	}
-	if l.active[faulty] == nil {
-		l.active[faulty] = make(map[Kind]int)
-	}
-	l.active[faulty][kind] += by
-}
+// links are the faults of the ways between processes. Safe for concurrent use.
+type links struct{ active underWay[wayFault] }
+
+func (l *links) change(faulty way, kind Kind, by int) { l.active.change(wayFault{faulty, kind}, by) }
 
 // has reports whether a way has a fault now.
-func (l *links) has(asked way, kind Kind) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.active[asked][kind] > 0
-}
+func (l *links) has(asked way, kind Kind) bool { return l.active.has(wayFault{asked, kind}) }
 
 // pass waits until bytes of a way may go on: for as long as it is silent, and once for a
 // delay. It returns false if the way resets connections, or the connection has ended.
@@ -106,11 +94,11 @@
 	kind, ways := waysOf(fault.Kind, nodesOf(first), nodesOf(second))
 	d.setLinks(ways, kind, 1)
 	if fault.Kind == ZoneCut {
-		setEntrances(first, operators.Hang)
+		changeEntrances(first, operators.Hang, 1)
 	}
 	backoff.Wait(d.context, fault.For)
 	if fault.Kind == ZoneCut {
-		setEntrances(first, operators.Healthy)
+		changeEntrances(first, operators.Hang, -1)
 	}
 	d.setLinks(ways, kind, -1)
 	for _, p := range d.processes {
@@ -125,12 +113,6 @@
 	}
 }
 
-func setEntrances(processes []*process, fault operators.Fault) {
-	for _, p := range processes {
-		p.entrance.SetFault(fault)
-	}
-}
-
 func nodesOf(processes []*process) []string {
 	names := make([]string, len(processes))
 	for i, p := range processes {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -71,6 +71,7 @@
 	program   string
 	carryFrom int // processes
 	entrance  *operators.Entrance
+	away      away // the entrance's faults
 	log       *tail
 
 	busy      sync.Mutex // held while a fault is at it
