soak: callers that wait in vain are found; refusals of later turns, strangers at the end; tests of what lived

Cause, by reading and by mutations of the judge. A request on a connection of its own that was closed without an answer, or had none before its caller left, was checked by nothing, also in calm: a hang was no finding. A turn that goes on from a whole one was held to `retained` only, so that 403 to it passed; one whose line had just expired was found `denied` for 404. Strangers within 6 s of a soak's end were never judged. Faults of engines that no request met counted as injected.

Change: promise `answered` (processes in touch, in calm; kept connections remain checkConnection's); denied beside retained; strangers judged whether or not the soak ends; such faults count as skipped. Requests of tenants and of cold engines were counted in two ways, with times that nobody read: one now.

Left: planned_stop knows the caller's deadline, not a route's own timeout of 2 to 4 s.

--- a/internal/soak/cold.go
+++ b/internal/soak/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -15,13 +14,10 @@
 	coldWindow    = time.Second
 )
 
-// coldArrival is one request at a cold engine.
-type coldArrival struct{ sent, arrived time.Duration }
-
 // coldEngine is an engine while it is cold.
 type coldEngine struct {
-	until    time.Duration
-	arrivals []coldArrival // of the last window
+	until time.Duration
+	sent  sentLately // what has reached it
 }
 
 // coldLimits counts what cold engines get.
@@ -40,14 +36,7 @@
 	if state == nil || now >= state.until {
 		return 0, 0, false
 	}
-	state.arrivals = append(state.arrivals, coldArrival{sent: sent, arrived: now})
-	state.arrivals = slices.DeleteFunc(state.arrivals, func(a coldArrival) bool { return a.arrived <= now-coldWindow })
-	for _, arrival := range state.arrivals {
-		if arrival.sent > now-coldWindow {
-			count++
-		}
-	}
-	return count, coldPerSecond*coldOver + coldSlack, true
+	return state.sent.add(now, sent, coldWindow), coldPerSecond*coldOver + coldSlack, true
 }
 
 // forget drops engines that are warm.
--- a/internal/soak/engines.go
+++ b/internal/soak/engines.go
@@ -127,6 +127,17 @@
 	e.Server.CloseClientConnections()
 }
 
+// misbehave has a slot's engine answer by a fault for a while. Where no request comes the fault has not
+// taken hold.
+func (d *deployment) misbehave(s *slot, fault Fault) bool {
+	engine := s.current
+	before := engine.calls.Load()
+	engine.mode.Store(fault.Kind)
+	backoff.Wait(d.context, fault.For)
+	engine.mode.Store(Kind(""))
+	return engine.calls.Load() > before
+}
+
 // leave has a slot's engine end as planned, announced or not, and another follow at once.
 func (d *deployment) leave(s *slot, announced bool) {
 	leaving := s.current
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -13,7 +13,7 @@
 	"github.com/pewtermill/pewtermill/internal/standin/operators"
 )
 
-// skipped marks faults that had no target free.
+// skipped marks faults that had no target free, or that nothing has met.
 const skipped = "skipped_"
 
 // storeFault says what becomes of one call in so many.
@@ -266,9 +266,7 @@
 	case EngineRestart:
 		d.restartEngine(s, fault)
 	default:
-		s.current.mode.Store(fault.Kind)
-		backoff.Wait(d.context, fault.For)
-		s.current.mode.Store(Kind(""))
+		return d.misbehave(s, fault)
 	}
 	return true
 }
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -58,8 +58,8 @@
 	programs    map[string]*spending
 	bounds      bounds
 	cold        coldLimits
-	limits      tenantLimits
-	served      map[string]int64 // requests, by engine
+	ran         map[string]*sentLately // requests of tenants with a limit
+	served      map[string]int64       // requests, by engine
 	connections connections
 	checked     map[Promise]int64
 	broken      map[Promise]int64
@@ -76,7 +76,7 @@
 		programs:    make(map[string]*spending),
 		bounds:      newBounds(),
 		cold:        newColdLimits(),
-		limits:      newTenantLimits(),
+		ran:         make(map[string]*sentLately),
 		served:      make(map[string]int64),
 		connections: newConnections(),
 		checked:     make(map[Promise]int64),
@@ -228,6 +228,7 @@
 	j.checkCut(now, a, outcome)
 	j.checkWithinLimit(now, a, outcome)
 	j.checkConnection(now, a, outcome)
+	j.checkAnswered(now, a, outcome)
 }
 
 // checkDenied checks refusals that say the request is at fault.
@@ -236,12 +237,12 @@
 	if status == 0 || outcome.Seal != "" {
 		return
 	}
+	unknown := a.Previous != "" && (status == 404 || status == 410) // the turn that it goes on from
 	previous := j.attempts[a.Previous]
 	if previous != nil && previous.whole && a.sent-previous.ended < retainFor-a.Deadline {
-		j.check(status != 404 && status != 410, Retained, now, a, "", "answered %d, though turn %s was answered whole", status, a.Previous)
-		return
+		j.check(!unknown, Retained, now, a, "", "answered %d, though turn %s was answered whole", status, a.Previous)
 	}
-	denied := status >= 300 && status < 500 && !promisesNotRun(status)
+	denied := status >= 300 && status < 500 && !promisesNotRun(status) && !unknown
 	j.check(!denied, Denied, now, a, "", "answered %d", status)
 }
 
@@ -286,6 +287,19 @@
 	return ""
 }
 
+// checkAnswered checks that a process in touch answers while its caller waits, which is for longer than
+// the request's deadline. Callers that keep their connection send late, and are checkConnection's.
+func (j *Judge) checkAnswered(now time.Duration, a *attempt, outcome Outcome) {
+	if outcome.Begun || outcome.Unreached || !j.bounds.calm(a.Process, a.sent, now, false) {
+		return
+	}
+	what := "closed without an answer"
+	if outcome.GaveUp {
+		what = "its caller left without a whole answer"
+	}
+	j.check(!outcome.GaveUp && outcome.Status != 0, Answered, now, a, "", "%s after %.2f s", what, (now - a.sent).Seconds())
+}
+
 // checkBudget counts what a program's callers were handed.
 func (j *Judge) checkBudget(now time.Duration, a *attempt, outcome Outcome) {
 	program := j.programs[a.Program]
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"testing"
@@ -81,7 +83,16 @@
 		{"budget spent though it ran", func(s *story) { s.outcome = Outcome{Status: 402} }, []Promise{NotRun}},
 		{"turned away though it ran", func(s *story) { s.outcome = Outcome{Status: 429} }, []Promise{NotRun}},
 		{"line unknown though kept", func(s *story) { s.outcome = Outcome{Status: 404} }, []Promise{Retained}},
+		{"its expired line unknown", func(s *story) { s.sent.Previous = "long ago"; s.outcome = Outcome{Status: 404} }, nil},
+		{"line gone though kept", func(s *story) { s.outcome = Outcome{Status: 410} }, []Promise{Retained}},
 		{"denied", func(s *story) { s.sent.Previous = ""; s.outcome = Outcome{Status: 403} }, []Promise{Denied}},
+		{"denied, going on from a turn", func(s *story) { s.outcome = Outcome{Status: 403} }, []Promise{Denied}},
+		{"unknown, going on from none", func(s *story) { s.sent.Previous = ""; s.outcome = Outcome{Status: 404} }, []Promise{Denied}},
+		{"sent elsewhere", func(s *story) { s.outcome = Outcome{Status: 302} }, []Promise{Denied, Whole}},
+		{"failed", func(s *story) { s.outcome = Outcome{Status: 502} }, nil},
+		{"body of a first turn altered", func(s *story) { s.sent.Previous = ""; s.arrival.Body = "second" }, []Promise{Asked}},
+		{"seal of another request", func(s *story) { s.outcome.Seal = Seal(first, "other") }, []Promise{Whole}},
+		{"another engine's answer", func(s *story) { s.outcome.Seal = Seal("models2-1", s.sent.ID) }, []Promise{Whole}},
 		{"seal of an engine that gave otherwise", func(s *story) { s.outcome.Status = 500 }, []Promise{Whole}},
 	}
 	for _, test := range tests {
@@ -134,7 +145,7 @@
 
 // TestJudgeCatchesARunAfterARefusal has a request reach an engine after it was refused.
 func TestJudgeCatchesARunAfterARefusal(t *testing.T) {
-	for status, want := range map[int][]Promise{502: nil, 503: {NotRun}, 429: {NotRun}, 402: {NotRun}} {
+	for status, want := range map[int][]Promise{502: nil, 503: {NotRun}, 429: {NotRun}, 402: {NotRun}, 408: {NotRun}, 421: {NotRun}} {
 		j := NewJudge(1)
 		turn := turnOf("t1", "", "x")
 		j.Sent(0, turn.sent)
@@ -219,6 +230,45 @@
 	wantBroken(t, j)
 }
 
+// TestJudgeHoldsNoEngineThatLeavesUnheard has an engine leave while the store is disrupted.
+func TestJudgeHoldsNoEngineThatLeavesUnheard(t *testing.T) {
+	for ended, want := range map[time.Duration][]Promise{10*time.Second - contactBound: {EngineLeft}, 10*time.Second - contactBound + 1: nil} {
+		j := NewJudge(1)
+		j.EngineAdded(0, first, servicePortal, "zone-a", 0)
+		j.Disrupt(core, false)
+		j.Calm(ended, core, false)
+		j.EngineLeaves(10*time.Second, first)
+		arriveAt(j, 10*time.Second+drainBound+1, first)
+		wantBroken(t, j, want...)
+	}
+}
+
+// TestJudgeCountsAnEvacuationFromItsFirstOrder orders an evacuation twice.
+func TestJudgeCountsAnEvacuationFromItsFirstOrder(t *testing.T) {
+	j := NewJudge(1)
+	j.EngineAdded(0, first, servicePortal, "zone-a", 0)
+	j.ZoneEvacuated(10*time.Second, "zone-a", true)
+	j.ZoneEvacuated(12*time.Second, "zone-a", true)
+	arriveAt(j, 10*time.Second+evacuationBound+1, first)
+	wantBroken(t, j, Evacuated)
+}
+
+// TestJudgeCountsForColdEnginesWhatWasSentLately has requests reach a cold engine that were sent
+// over more than a second.
+func TestJudgeCountsForColdEnginesWhatWasSentLately(t *testing.T) {
+	const count = 2 * int(coldPerSecond*coldOver+coldSlack)
+	for held, want := range map[time.Duration][]Promise{0: {ColdLimit}, coldWindow: nil} {
+		j := NewJudge(1)
+		j.EngineAdded(0, first, servicePortal, "zone-a", coldFor)
+		for i := range count {
+			id := fmt.Sprint(i)
+			j.Sent(2*time.Second-held, Attempt{ID: id, Process: node, Path: "/safe/x", Repeatable: true})
+			j.Arrived(2*time.Second+time.Duration(i), Arrival{ID: id, Engine: first, Path: "/safe/x"})
+		}
+		wantBroken(t, j, want...)
+	}
+}
+
 // TestJudgeCatchesAStormOnAColdEngine sends a cold engine the most it may get in a second, and
 // one more.
 func TestJudgeCatchesAStormOnAColdEngine(t *testing.T) {
@@ -278,6 +328,153 @@
 	}
 }
 
+// TestJudgeHoldsATurnToItsRetention has a turn be unknown that was cut, or was whole a while ago.
+func TestJudgeHoldsATurnToItsRetention(t *testing.T) {
+	const lasts = retainFor - callerDeadline
+	for _, test := range []struct {
+		name  string
+		whole bool
+		after time.Duration // the turn before it ended
+		want  []Promise
+	}{
+		{"whole, lately", true, lasts - 1, []Promise{Retained}},
+		{"whole, as long ago as it is kept", true, lasts, nil},
+		{"cut", false, time.Second, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			j := NewJudge(1)
+			before := turnOf("t1", "", "first")
+			before.outcome.Complete = test.whole
+			before.tell(j, 0)
+			next := turnOf("t2", "t1", "firstanswersecond")
+			next.outcome = Outcome{Status: http.StatusNotFound}
+			j.Sent(100*time.Millisecond+test.after, next.sent) // a story ends after 100 ms
+			j.Ended(101*time.Millisecond+test.after, "t2", next.outcome)
+			wantBroken(t, j, test.want...)
+		})
+	}
+}
+
+// TestJudgeCatchesACutOfARequestThatHasNotRun cuts requests by a planned stop before they ran.
+func TestJudgeCatchesACutOfARequestThatHasNotRun(t *testing.T) {
+	const stop = 10 * time.Second
+	for _, test := range []struct {
+		name        string
+		sent, ended time.Duration
+		outcome     Outcome
+		want        []Promise
+	}{
+		{"read for sure", stop - cutMargin - 1, stop + 1, Outcome{}, []Promise{PlannedStop}},
+		{"perhaps not read", stop - cutMargin, stop + 1, Outcome{}, nil},
+		{"on a connection that is kept", stop - cutMargin - 1, stop + 1, Outcome{Begun: true, Status: 502}, nil},
+		{"not sent", stop - cutMargin - 1, stop + 1, Outcome{Unreached: true}, nil},
+		{"before the stop", stop - cutMargin - 2, stop - 1, Outcome{GaveUp: true}, nil},
+		{"near its deadline", stop + 1 - callerDeadline + cutMargin - 1, stop + 1, Outcome{}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			j := NewJudge(1)
+			j.Sent(test.sent, turnOf("t1", "", "x").sent)
+			j.Disrupt(node, true)
+			j.Stopping(stop, node)
+			j.Ended(test.ended, "t1", test.outcome)
+			wantBroken(t, j, test.want...)
+		})
+	}
+}
+
+// TestJudgeHoldsACrashAgainstTheLastEngineOnly cuts a turn after an engine that it has left crashed.
+func TestJudgeHoldsACrashAgainstTheLastEngineOnly(t *testing.T) {
+	j := NewJudge(1)
+	turn := turnOf("t1", "", "x")
+	turn.sent.Repeatable = true
+	j.Sent(10*time.Second, turn.sent)
+	j.Arrived(10*time.Second, turn.arrival)
+	j.Arrived(10*time.Second, Arrival{ID: "t1", Engine: "models2-1", Path: "/kept/x", Body: "x"})
+	j.Crashed(first)
+	j.Stopping(10*time.Second, node)
+	j.Ended(11*time.Second, "t1", Outcome{})
+	wantBroken(t, j, Answered, PlannedStop)
+}
+
+// TestJudgeCatchesACallerThatWaitsInVain has a process not answer, in touch and not.
+func TestJudgeCatchesACallerThatWaitsInVain(t *testing.T) {
+	const sent = 10 * time.Second
+	answer := turnOf("t1", "", "x").outcome
+	for _, test := range []struct {
+		name    string
+		before  func(j *Judge)
+		outcome Outcome
+		want    []Promise
+	}{
+		{"answered", func(*Judge) {}, answer, nil},
+		{"refused", func(*Judge) {}, Outcome{Status: 503}, nil},
+		{"its caller leaves", func(*Judge) {}, Outcome{GaveUp: true}, []Promise{Answered}},
+		{"its caller leaves in the middle", func(*Judge) {}, Outcome{GaveUp: true, Status: 200, ID: "t1", Seal: answer.Seal}, []Promise{Answered}},
+		{"closed", func(*Judge) {}, Outcome{}, []Promise{Answered}},
+		{"not reached", func(*Judge) {}, Outcome{Unreached: true}, nil},
+		{"sent late on a kept connection", func(*Judge) {}, Outcome{Begun: true, GaveUp: true}, nil},
+		{"its process was killed", func(j *Judge) { j.Disrupt(node, false) }, Outcome{}, nil},
+		{"its process was told to stop", func(j *Judge) { j.Disrupt(node, true) }, Outcome{}, nil},
+		{"the store was away", func(j *Judge) { j.Disrupt(core, false); j.Calm(sent, core, false) }, Outcome{GaveUp: true}, nil},
+		{"another process was killed", func(j *Judge) { j.Disrupt("node-2", false) }, Outcome{}, []Promise{Answered}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			j := NewJudge(1)
+			turn := turnOf("t1", "", "x")
+			j.Sent(sent, turn.sent)
+			j.Arrived(sent, turn.arrival)
+			j.Gave(first, "t1", http.StatusOK)
+			test.before(j)
+			if test.outcome.Status == 503 {
+				delete(j.attempts, "t1") // it has not run
+				j.Sent(sent, turn.sent)
+			}
+			j.Ended(sent+time.Second, "t1", test.outcome)
+			wantBroken(t, j, test.want...)
+		})
+	}
+}
+
+// TestJudgeCountsWhatItChecks counts checks and broken promises, of which some findings are kept.
+func TestJudgeCountsWhatItChecks(t *testing.T) {
+	const count = keptOfPromise + 10
+	for engine, kept := range map[string]int{"": keptOfPromise, first: keptOfEngine} {
+		j := NewJudge(1)
+		for range count {
+			j.check(false, Asked, 0, nil, engine, "")
+			j.check(true, Once, 0, nil, engine, "")
+		}
+		checked, broken := j.Counts()
+		if checked[Asked] != count || checked[Once] != count || broken[Asked] != count || len(broken) != 1 {
+			t.Errorf("checked %v, broken %v", checked, broken)
+		}
+		if found := j.Take(); len(found) != kept {
+			t.Errorf("%d findings at engine %q were kept, want %d", len(found), engine, kept)
+		}
+		if again := j.Take(); len(again) != 0 {
+			t.Errorf("%d findings were taken twice", len(again))
+		}
+	}
+}
+
+// TestReportTellsWhatWasFound keeps logs where something was found, and only there.
+func TestReportTellsWhatWasFound(t *testing.T) {
+	for _, holds := range []bool{true, false} {
+		d, end := storeDeployment(t, 1)
+		defer end()
+		d.processes[0].place.Node, d.processes[0].log = node, &tail{}
+		d.judge.check(holds, Asked, 0, nil, "", "")
+		report, directory := d.report(Options{}), filepath.Join(t.TempDir(), "logs")
+		if err := d.keep(directory, report); err != nil {
+			t.Fatal(err)
+		}
+		_, err := os.Stat(filepath.Join(directory, node+".log"))
+		if report.Found() == holds || (err == nil) == holds {
+			t.Errorf("holds %t: found %t, log %v", holds, report.Found(), err)
+		}
+	}
+}
+
 // TestJudgeCatchesAnUnwantedEnd has a process end as it was told to, and otherwise.
 func TestJudgeCatchesAnUnwantedEnd(t *testing.T) {
 	for expected, want := range map[bool][]Promise{true: nil, false: {EndsAsWanted}} {
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -102,21 +102,14 @@
 	return slices.ContainsFunc(tenants, func(known operators.Tenant) bool { return known.Name == tenant && known.Rate > 0 })
 }
 
-// ranWithin is one request of a tenant that ran: it was let in between these times.
-type ranWithin struct{ sent, arrived time.Duration }
-
-// tenantLimits counts the requests of tenants that ran.
-type tenantLimits struct{ ran map[string][]ranWithin }
-
-func newTenantLimits() tenantLimits { return tenantLimits{ran: make(map[string][]ranWithin)} }
-
-// arrived returns how many requests of a tenant were surely let in within the window that ends
-// now: they were sent in it, too.
-func (l *tenantLimits) arrived(now, sent time.Duration, tenant string) int {
-	ran := append(l.ran[tenant], ranWithin{sent: sent, arrived: now})
-	ran = slices.DeleteFunc(ran, func(r ranWithin) bool { return r.sent <= now-limitWindow })
-	l.ran[tenant] = ran
-	return len(ran)
+// sentLately are requests that arrived, by when they were sent. What was sent within a window that
+// ends now was surely let in within it.
+type sentLately []time.Duration
+
+// add notes an arrival, and returns how many of those so far were sent in the window that ends now.
+func (s *sentLately) add(now, sent, window time.Duration) int {
+	*s = slices.DeleteFunc(append(*s, sent), func(at time.Duration) bool { return at <= now-window })
+	return len(*s)
 }
 
 // mostInWindow is how many requests of a tenant with a limit may run in a window.
@@ -129,7 +122,12 @@
 	if !hasLimit(a.Tenant) || len(a.runs) > 1 {
 		return
 	}
-	count := j.limits.arrived(now, a.sent, a.Tenant)
+	ran := j.ran[a.Tenant]
+	if ran == nil {
+		ran = &sentLately{}
+		j.ran[a.Tenant] = ran
+	}
+	count := ran.add(now, a.sent, limitWindow)
 	j.check(float64(count) <= mostInWindow(), Limit, now, a, "", "%d requests of tenant %s in %s, %.0f at most", count, a.Tenant, limitWindow, mostInWindow())
 }
 
--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -58,6 +58,19 @@
 	wantBroken(t, j)
 }
 
+// TestJudgeCountsForTenantsWhatWasSentLately has requests run at once that were sent a window ago.
+func TestJudgeCountsForTenantsWhatWasSentLately(t *testing.T) {
+	for held, want := range map[time.Duration][]Promise{0: {Limit}, limitWindow: nil} {
+		j := NewJudge(1)
+		for i := range 2 * int(mostInWindow()) {
+			id := fmt.Sprint(i)
+			j.Sent(limitWindow-held, Attempt{ID: id, Process: node, Path: "/safe/x", Tenant: tenantGreedy, Repeatable: true})
+			j.Arrived(limitWindow+time.Duration(i), Arrival{ID: id, Engine: first, Path: "/safe/x"})
+		}
+		wantBroken(t, j, want...)
+	}
+}
+
 // TestJudgeCatchesARefusalWithinALimit refuses a tenant that is within its limit, soon and a
 // while after something was disrupted.
 func TestJudgeCatchesARefusalWithinALimit(t *testing.T) {
--- a/internal/soak/observe.go
+++ b/internal/soak/observe.go
@@ -27,6 +27,7 @@
 	Limit        Promise = "limit"         // a tenant's requests over a window keep to its limit
 	SaysReady    Promise = "ready"         // a process in touch says that it is ready
 	WithinLimit  Promise = "within_limit"  // who is within a limit is not refused for it
+	Answered     Promise = "answered"      // a process in touch answers while its caller waits
 
 	OpenConnection Promise = "open_connection" // a request on an open connection is answered, or refused
 	Stranger       Promise = "stranger"        // nothing is sent to what an entry names that is no engine's
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,9 +66,10 @@
 			report := soakShortly(t, Options{
 				Seed: test.seed, Length: steadyLength, Processes: 3, Program: program, Kinds: []Kind{test.kind}, Keepers: KeepersOfProcess,
 			})
-			if report.Injected[string(ProcessStop)] != 2 || report.Checked[OpenConnection] == 0 {
-				t.Errorf("too little was checked: %+v", report)
+			if report.Injected[string(ProcessStop)] != 2 {
+				t.Errorf("not both stops were injected: %v", report.Injected)
 			}
+			wantChecked(t, report, OpenConnection, PlannedStop, Answered)
 		})
 	}
 }
@@ -76,8 +77,19 @@
 // TestShortSoakBesideStrangers has entries that name no engine beside those that do.
 func TestShortSoakBesideStrangers(t *testing.T) {
 	report := soakShortly(t, Options{Seed: strangersSeed, Length: steadyLength, Processes: 3, Program: build(t), Kinds: []Kind{Strangers}})
-	if report.Injected[string(Strangers)] != 2 || report.Checked[Stranger] != 2 || report.Checked[EngineLeft] == 0 {
-		t.Errorf("too little was checked: %+v", report)
+	if report.Injected[string(Strangers)] != 2 || report.Checked[Stranger] != 2 {
+		t.Errorf("not both strangers were judged: %+v", report)
+	}
+	wantChecked(t, report, EngineLeft, Answered)
+}
+
+// wantChecked demands that promises were checked.
+func wantChecked(t *testing.T, report Report, promises ...Promise) {
+	t.Helper()
+	for _, promise := range promises {
+		if report.Checked[promise] == 0 {
+			t.Errorf("%s was never checked: %v", promise, report.Checked)
+		}
 	}
 }
 
@@ -110,10 +122,6 @@
 	if report.Found() {
 		t.Errorf("promises were found broken:\n%s", &lines)
 	}
-	for _, promise := range []Promise{History, Retained, Budget, Once, NotRun, Whole, Asked, Limit} {
-		if report.Checked[promise] == 0 {
-			t.Errorf("%s was never checked:\n%s", promise, &lines)
-		}
-	}
+	wantChecked(t, report, History, Retained, Budget, Once, NotRun, Whole, Asked, Limit)
 	return report
 }
--- a/internal/soak/strangers.go
+++ b/internal/soak/strangers.go
@@ -145,10 +145,17 @@
 	began := d.now()
 	before := d.judge.Served()
 	written := d.writeStrangers(t, s, fault.Target)
-	if !backoff.Wait(d.context, fault.For) {
-		return false
+	if backoff.Wait(d.context, fault.For) {
+		d.judge.StrangersOver(d.now(), began, s.current.name, before)
+		d.removeStrangers(s, written)
 	}
-	d.judge.StrangersOver(d.now(), began, s.current.name, before)
+	count, first := t.seen() // whether or not the soak ended meanwhile
+	d.judge.Strayed(d.now(), count, fmt.Sprintf("%q, of %v", first, written))
+	return true
+}
+
+// removeStrangers removes the entries, and has the slot's engine write its own again.
+func (d *deployment) removeStrangers(s *slot, written map[string]string) {
 	d.judge.EngineBack(s.current.name)
 	d.enter(s, "ready", 0)
 	for key := range written {
@@ -156,9 +163,6 @@
 			d.store.RemoveEngine(key)
 		}
 	}
-	count, first := t.seen()
-	d.judge.Strayed(d.now(), count, fmt.Sprintf("%q, of %v", first, written))
-	return true
 }
 
 // writeStrangers writes the entries and returns their shapes by key.
--- a/internal/soak/strangers_test.go
+++ b/internal/soak/strangers_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/pewtermill/pewtermill/internal/standin/operators"
 )
 
 // TestJudgeCatchesWhatIsSentToStrangers tells of connections to where strangers' entries led.
@@ -54,6 +56,9 @@
 		arriveAt(j, 11*time.Second, "portal1-1")
 		j.StrangersOver(16*time.Second, 10*time.Second, first, before)
 		wantBroken(t, j, want...)
+		j.Disrupt("node-2", true)
+		j.StrangersOver(16*time.Second, 10*time.Second, first, before)
+		wantBroken(t, j) // not in calm
 	}
 }
 
@@ -74,17 +79,120 @@
 
 // TestJudgeCatchesAnEngineThatIsNotServedAgain starts an engine again under its id.
 func TestJudgeCatchesAnEngineThatIsNotServedAgain(t *testing.T) {
-	for served, want := range map[bool][]Promise{true: nil, false: {ServesOn}} {
-		j := NewJudge(1)
-		j.EngineAdded(0, first, serviceModels, zones[0], 0)
-		arriveAt(j, time.Second, first)
-		j.EngineAdded(10*time.Second, first+"/1", serviceModels, zones[0], 0)
-		if served {
-			arriveAt(j, 12*time.Second, first+"/1")
+	const again, began = first + "/1", 10 * time.Second
+	for _, test := range []struct {
+		name    string
+		service string
+		before  func(j *Judge)
+		want    []Promise
+	}{
+		{"served", serviceModels, func(j *Judge) { arriveAt(j, 12*time.Second, again) }, nil},
+		{"not served", serviceModels, func(*Judge) {}, []Promise{ServesOn}},
+		{"not served, long after a disruption", serviceModels, func(j *Judge) { j.Disrupt("node-2", true); j.Calm(began-servedAgain, "node-2", true) }, []Promise{ServesOn}},
+		{"a disruption lately", serviceModels, func(j *Judge) { j.Disrupt("node-2", true); j.Calm(began-servedAgain+1, "node-2", true) }, nil},
+		{"a service that is asked at times", serviceOther, func(*Judge) {}, nil},
+		{"it leaves", serviceModels, func(j *Judge) { j.EngineLeaves(12*time.Second, again) }, nil},
+		{"a zone is evacuated", serviceModels, func(j *Judge) { j.ZoneEvacuated(12*time.Second, zones[0], true) }, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			j := NewJudge(1)
+			j.EngineAdded(0, first, test.service, zones[0], 0)
+			arriveAt(j, time.Second, first)
+			j.EngineAdded(began, again, test.service, zones[0], 0)
+			test.before(j)
+			j.ServesAgain(16*time.Second, began, again)
+			wantBroken(t, j, test.want...)
+		})
+	}
+}
+
+// TestAnEngineIsCheckedWhereItStillIs checks one that started again, where another is now, and where
+// a fault is under way.
+func TestAnEngineIsCheckedWhereItStillIs(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(d *deployment, s *slot)
+		want   []Promise
+	}{
+		"still there":      {func(*deployment, *slot) {}, []Promise{ServesOn}},
+		"another is there": {func(d *deployment, s *slot) { s.current.end(); d.addEngine(s, 0) }, nil},
+		"under a fault":    {func(_ *deployment, s *slot) { s.busy.Lock() }, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, end := storeDeployment(t, 0)
+			defer end()
+			s := &slot{name: "portal1", service: servicePortal, zone: zones[0]}
+			d.addEngine(s, 0)
+			started := s.current
+			test.change(d, s)
+			defer func() { s.current.end() }()
+			d.checkServesAgain(s, started, 0)
+			wantBroken(t, d.judge, test.want...)
+		})
+	}
+}
+
+// TestAFaultOfAnEngineThatNobodyAsksDoesNotCount has an engine misbehave while no request comes.
+func TestAFaultOfAnEngineThatNobodyAsksDoesNotCount(t *testing.T) {
+	for asked, want := range map[bool]string{true: string(EngineErrors), false: skipped + string(EngineErrors)} {
+		d, end := storeDeployment(t, 0)
+		s := &slot{name: "portal1", service: servicePortal, zone: zones[0]}
+		d.addEngine(s, 0)
+		d.slots = append(d.slots, s)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			d.inject(Fault{Kind: EngineErrors, For: time.Hour})
+		}()
+		eventually(t, "the fault begins", func() bool { return s.current.mode.Load() == EngineErrors })
+		if asked {
+			s.current.calls.Add(1)
+		}
+		end()
+		<-done
+		s.current.end()
+		if d.injected.counts[want] != 1 {
+			t.Errorf("asked %t: %v, want one %s", asked, d.injected.counts, want)
+		}
+	}
+}
+
+// TestStrangersAreJudgedAtTheEndOfASoak connects to where a stranger's entry leads, and ends the soak.
+func TestStrangersAreJudgedAtTheEndOfASoak(t *testing.T) {
+	d, end := storeDeployment(t, 0)
+	s := &slot{name: "portal1", service: servicePortal, zone: zones[0]}
+	d.addEngine(s, 0)
+	defer s.current.end()
+	d.slots = append(d.slots, s)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.inject(Fault{Kind: Strangers, For: time.Hour})
+	}()
+	eventually(t, "something strays", func() bool { return stray(d.store.Rows("servers"), s.current.Address()) })
+	end()
+	<-done
+	wantBroken(t, d.judge, Stranger)
+}
+
+// stray connects to an address that an entry names and that is not an engine's.
+func stray(rows []operators.Row, own string) bool {
+	for _, row := range rows {
+		var entry struct {
+			Address string `json:"address"`
+		}
+		if json.Unmarshal(row.Value, &entry) != nil || entry.Address == "" || entry.Address == own {
+			continue // as some strangers' are
+		}
+		if came, err := net.Dial("tcp4", entry.Address); err == nil {
+			defer came.Close()
+			if err := came.(*net.TCPConn).CloseWrite(); err != nil {
+				return false
+			}
+			_, err = came.Read(make([]byte, 1)) // its end, before which it is counted
+			return err != nil
 		}
-		j.ServesAgain(16*time.Second, 10*time.Second, first+"/1")
-		wantBroken(t, j, want...)
 	}
+	return false
 }
 
 // TestNoShapeIsASoundEntry makes each shape of a sound entry.
