--- a/internal/soak/engines.go
+++ b/internal/soak/engines.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -161,6 +162,9 @@
 	// servesAgainFor is by when it gets a request, if nothing else happens. Until it is warm it may be
 	// spared, and then as long as the others answer faster than it is thought to.
 	servesAgainFor = coldFor + 18*time.Second
+	// demandFor is how long the other engines of its service leave for, so that it is needed: beyond
+	// the bound for them.
+	demandFor = drainBound + time.Second
 )
 
 // restartEngine ends a slot's engine at once and starts it again under its id: soon or after its
@@ -199,11 +203,40 @@
 		return
 	}
 	defer s.busy.Unlock()
-	if s.current == started {
+	if s.current != started || !slices.Contains(alwaysAsked, s.service) {
+		return
+	}
+	if d.judge.Served()[started.name] > 0 || d.demand(s) {
 		d.judge.ServesAgain(d.now(), began, started.name)
 	}
 }
 
+// demand has the other engines of a slot's service leave for a while. An engine that nobody has a
+// connection to counts as dearer than idle ones, and is rightly left unused as long as they are idle. It
+// returns false if the soak ended meanwhile.
+func (d *deployment) demand(s *slot) bool {
+	var others []*slot
+	for _, other := range d.slots {
+		if other != s && other.service == s.service && other.busy.TryLock() {
+			defer other.busy.Unlock()
+			others = append(others, other)
+		}
+	}
+	if len(others) == 0 {
+		return true
+	}
+	for _, other := range others {
+		d.enter(other, "draining", 0)
+		d.judge.EngineLeaves(d.now(), other.current.name)
+	}
+	whole := backoff.Wait(d.context, demandFor)
+	for _, other := range others {
+		d.judge.EngineBack(other.current.name)
+		d.enter(other, "ready", 0)
+	}
+	return whole
+}
+
 // crashCold ends a slot's engine at once, and a cold one follows. For half of the targets the other
 // engines of its service do the same: then all that its callers send is due to cold engines, which
 // are hardly asked while others are warm.
--- a/internal/soak/engines_test.go
+++ b/internal/soak/engines_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"testing"
+	"time"
 )
 
 // TestAnEngineComesBackColdAloneOrWithItsService crashes one engine, and all of its service.
@@ -28,3 +30,51 @@
 		})
 	}
 }
+
+// stateInEntry returns the state of an engine by its entry.
+func stateInEntry(t *testing.T, d *deployment, id string) string {
+	t.Helper()
+	for _, row := range d.store.Rows("servers") {
+		var entry struct {
+			State string `json:"state"`
+		}
+		if err := json.Unmarshal(row.Value, &entry); err != nil {
+			t.Fatal(err)
+		}
+		if row.Key == id {
+			return entry.State
+		}
+	}
+	return ""
+}
+
+// TestAnEngineThatIsNotNeededIsMadeNeeded checks an engine that has got nothing since it started again.
+func TestAnEngineThatIsNotNeededIsMadeNeeded(t *testing.T) {
+	t.Parallel()
+	d, end := storeDeployment(t, 0)
+	defer end()
+	for _, name := range []string{"portal1", "portal2"} {
+		s := &slot{name: name, service: servicePortal}
+		d.slots = append(d.slots, s)
+		d.addEngine(s, 0)
+		defer func() { s.current.end() }()
+	}
+	again, other := d.slots[0], d.slots[1].current
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.checkServesAgain(again, again.current, 0)
+	}()
+	eventually(t, "the other leaves", func() bool { return stateInEntry(t, d, other.ID) == "draining" })
+	if state := stateInEntry(t, d, again.current.ID); state != "ready" {
+		t.Errorf("it is %s itself", state)
+	}
+	arriveAt(d.judge, time.Second, again.current.name)
+	<-done
+	if state := stateInEntry(t, d, other.ID); state != "ready" {
+		t.Errorf("the other is %s in the end", state)
+	}
+	if checked, broken := d.judge.Counts(); checked[ServesOn] != 1 || broken[ServesOn] != 0 {
+		t.Errorf("checked %v, broken %v", checked, broken)
+	}
+}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -75,7 +75,10 @@
 		{"an event is missing", func(s *story) { s.outcome.Events = s.outcome.Events[:3] }, []Promise{Whole}},
 		{"an event is another's", func(s *story) { s.outcome.Events[1] = EventData("other", first, 2, false) }, []Promise{Whole}},
 		{"an event came twice", func(s *story) { s.outcome.Events[2] = s.outcome.Events[1] }, []Promise{Whole}},
-		{"a surplus event", func(s *story) { s.outcome.Events = append(s.outcome.Events, EventData(s.sent.ID, first, eventsOfTurn+1, false)); s.outcome.Complete = false }, []Promise{Whole}},
+		{"a surplus event", func(s *story) {
+			s.outcome.Events = append(s.outcome.Events, EventData(s.sent.ID, first, eventsOfTurn+1, false))
+			s.outcome.Complete = false
+		}, []Promise{Whole}},
 		{"cut and marked so", func(s *story) { s.outcome.Events = s.outcome.Events[:3]; s.outcome.Complete = false }, nil},
 		{"no seal", func(s *story) { s.outcome.Seal = "" }, []Promise{Whole}},
 		{"another request's answer", func(s *story) { s.outcome.ID = "other" }, []Promise{Whole}},
