--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -134,8 +134,9 @@
 func (c *caller) send(sent Attempt, ask operators.Ask) operators.Reply {
 	d := c.deployment
 	p := c.chooseProcess()
-	sent.Process, sent.Deadline, sent.Path = p.place.Node, callerDeadline, "/"+sent.Route+"/x"
-	ask.ID, ask.Path, ask.Deadline, ask.Program = sent.ID, sent.Path, sent.Deadline, sent.Program
+	sent.Process, sent.Path = p.place.Node, "/"+sent.Route+"/x"
+	sent.Deadline = min(callerDeadline, d.timeout.shortest(d.now(), 0))
+	ask.ID, ask.Path, ask.Deadline, ask.Program = sent.ID, sent.Path, callerDeadline, sent.Program
 	ask.Budget, ask.Most = sent.Budget, sent.Most
 	if sent.Tenant == "" {
 		sent.Tenant = tenantFree
--- a/internal/soak/configuration.go
+++ b/internal/soak/configuration.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"math"
+	"sync"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/standin/operators"
@@ -59,6 +61,36 @@
 	return []string{v.movedTo, v.also}
 }
 
+// settingVersion is a time that one version of the configuration sets.
+type settingVersion struct{ since, value time.Duration }
+
+// setting is a time that the configuration sets, by all versions. Safe for concurrent use.
+type setting struct {
+	mutex    sync.Mutex
+	versions []settingVersion
+}
+
+func (s *setting) changed(now, value time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.versions = append(s.versions, settingVersion{since: now, value: value})
+}
+
+// shortest returns the shortest time that may have been in force for a process in touch, now or
+// lately.
+func (s *setting) shortest(now, lately time.Duration) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	shortest := time.Duration(math.MaxInt64)
+	for number, version := range s.versions {
+		replaced := number+1 < len(s.versions) && s.versions[number+1].since+configurationBound+lately < now
+		if !replaced {
+			shortest = min(shortest, version.value)
+		}
+	}
+	return shortest
+}
+
 // reconfigure changes the configuration.
 func (d *deployment) reconfigure(fault Fault) bool {
 	d.configuring.Lock()
@@ -85,6 +117,7 @@
 		{Name: routeMoved, Kind: "safe", Service: v.movedTo, Also: v.also, AlsoWeight: v.weight, Timeout: v.timeout, Attempts: 3},
 	}
 	d.idle.changed(d.now(), v.idle)
+	d.timeout.changed(d.now(), v.timeout)
 	d.store.PutConfiguration(operators.Configuration(d.version, host, services, routes, tenants, v.idle))
 	d.judge.RouteChanged(d.now(), routeMoved, v.services()...)
 }
--- a/internal/soak/connections.go
+++ b/internal/soak/connections.go
@@ -73,7 +73,7 @@
 // sendOnKept sends a request on the caller's connection, or on a new one if that may not be used.
 func (c *caller) sendOnKept(ctx context.Context, ask operators.Ask) operators.OnConnection {
 	d, k := c.deployment, c.keeper
-	if k.connection != nil && !k.connection.Usable(d.idle.longestRest(d.now())) {
+	if k.connection != nil && !k.connection.Usable(usableRest(&d.idle, d.now())) {
 		k.drop()
 	}
 	if k.connection != nil && !k.connection.Open() {
@@ -96,37 +96,10 @@
 	return sent
 }
 
-// idleVersion is the time for which connections may rest by one version of the configuration.
-type idleVersion struct {
-	since time.Duration
-	idle  time.Duration
-}
-
-// idleTimes are those of all versions. Safe for concurrent use.
-type idleTimes struct {
-	mutex    sync.Mutex
-	versions []idleVersion
-}
-
-func (i *idleTimes) changed(now, idle time.Duration) {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	i.versions = append(i.versions, idleVersion{since: now, idle: idle})
-}
-
-// longestRest returns how long a connection may have rested that is used again now: four fifths
+// usableRest returns how long a connection may have rested that is used again now: four fifths
 // of the shortest time that may have been in force while it rested.
-func (i *idleTimes) longestRest(now time.Duration) time.Duration {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	shortest := idleAtFirst
-	for number, version := range i.versions {
-		replaced := number+1 < len(i.versions) && i.versions[number+1].since+configurationBound+longestRest < now
-		if !replaced {
-			shortest = min(shortest, version.idle)
-		}
-	}
-	return shortest * 4 / 5
+func usableRest(idle *setting, now time.Duration) time.Duration {
+	return idle.shortest(now, longestRest) * 4 / 5
 }
 
 // goneMargin is how long before its end a process may leave unread what callers send. A caller
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -63,7 +63,8 @@
 	configuring sync.Mutex
 	version     int
 	variant     variant
-	idle        idleTimes
+	idle        setting // for how long connections may rest
+	timeout     setting // of routes
 	tasks       sync.WaitGroup
 	injected    counter
 	outcomes    counter
--- a/internal/soak/observe.go
+++ b/internal/soak/observe.go
@@ -56,10 +56,10 @@
 	Previous   string // turn that it goes on from
 	Tenant     string
 	Program    string
-	Budget     int64 // of the program; 0 for none
-	Most       int64 // tokens of this turn at most
-	Events     int   // that an engine makes of it; 0 for an answer that is no stream
-	Deadline   time.Duration
+	Budget     int64         // of the program; 0 for none
+	Most       int64         // tokens of this turn at most
+	Events     int           // that an engine makes of it; 0 for an answer that is no stream
+	Deadline   time.Duration // the caller's, or the route's if that may be shorter
 }
 
 // Arrival is a request as an engine got it, to run it.
