--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -58,6 +58,19 @@
 	wantBroken(t, j)
 }
 
+// TestJudgeCountsForTenantsWhatWasSentLately has requests run at once that were sent a window ago.
+func TestJudgeCountsForTenantsWhatWasSentLately(t *testing.T) {
+	for held, want := range map[time.Duration][]Promise{0: {Limit}, limitWindow: nil} {
+		j := NewJudge(1)
+		for i := range 2 * int(mostInWindow()) {
+			id := fmt.Sprint(i)
+			j.Sent(limitWindow-held, Attempt{ID: id, Process: node, Path: "/safe/x", Tenant: tenantGreedy, Repeatable: true})
+			j.Arrived(limitWindow+time.Duration(i), Arrival{ID: id, Engine: first, Path: "/safe/x"})
+		}
+		wantBroken(t, j, want...)
+	}
+}
+
 // TestJudgeCatchesARefusalWithinALimit refuses a tenant that is within its limit, soon and a
 // while after something was disrupted.
 func TestJudgeCatchesARefusalWithinALimit(t *testing.T) {
@@ -104,7 +117,7 @@
 	silenced := 0
 	for group := range uint64(partGroups) {
 		var faults storeFaults
-		faults.silence(group, 1)
+		faults.silent.change(group, 1)
 		if faults.of("", "") != operators.Healthy {
 			t.Error("rows without a part are silent")
 		}
@@ -113,7 +126,7 @@
 				silenced++
 			}
 		}
-		faults.silence(group, -1)
+		faults.silent.change(group, -1)
 		if faults.of("", "1") != operators.Healthy || faults.of("", "2") != operators.Healthy {
 			t.Error("parts stay silent")
 		}
--- a/internal/soak/observe.go
+++ b/internal/soak/observe.go
@@ -27,6 +27,7 @@
 	Limit        Promise = "limit"         // a tenant's requests over a window keep to its limit
 	SaysReady    Promise = "ready"         // a process in touch says that it is ready
 	WithinLimit  Promise = "within_limit"  // who is within a limit is not refused for it
+	Answered     Promise = "answered"      // a process in touch answers while its caller waits
 
 	OpenConnection Promise = "open_connection" // a request on an open connection is answered, or refused
 	Stranger       Promise = "stranger"        // nothing is sent to what an entry names that is no engine's
@@ -55,10 +56,10 @@
 	Previous   string // turn that it goes on from
 	Tenant     string
 	Program    string
-	Budget     int64 // of the program; 0 for none
-	Most       int64 // tokens of this turn at most
-	Events     int   // that an engine makes of it; 0 for an answer that is no stream
-	Deadline   time.Duration
+	Budget     int64         // of the program; 0 for none
+	Most       int64         // tokens of this turn at most
+	Events     int           // that an engine makes of it; 0 for an answer that is no stream
+	Deadline   time.Duration // the caller's, or the route's if that may be shorter
 }
 
 // Arrival is a request as an engine got it, to run it.
