commitgroup: one slow part is not taken for a slow store, and holds no other back

Cause: one mean over all parts told a node whether transactions take long, so that each write of a slow part had the next few of the others sent to the part writers of all regions. Change: two of the three parts that were written last have to take 250 ms, and two of three less than 150 ms end it. A group's usual time is the second longest of three until that is long.

--- a/internal/commitgroup/group.go
+++ b/internal/commitgroup/group.go
@@ -62,6 +62,7 @@
 	queue    queue
 	pace     pace
 	underWay map[*flight]bool
+	times    partTimes     // of the newest answers
 	usual    time.Duration // smoothed time of answers
 	// answeredSent is when the newest group was sent that the service has answered; triedAt is
 	// when a late group was last sent again while it answered none.
@@ -395,12 +396,14 @@
 
 // answered notes that the service took a group up. The mutex is held.
 func (g *Group) answered(f *flight, now time.Time) {
-	g.usual += time.Duration(answerSmoothing * float64(now.Sub(f.sentAt)-g.usual))
 	g.pace.taken()
+	part := severalParts
 	if !spans(f.members) {
-		g.queue.rejoin(f.members[0].part)
-		g.tookGroup(f.members[0].part, now)
+		part = f.members[0].part
+		g.queue.rejoin(part, f.late, now)
+		g.tookGroup(part, now)
 	}
+	g.noteTime(part, now.Sub(f.sentAt))
 	// An answer that was late itself says that the service is slow, and not that a part is silent.
 	if g.answeredSent.Before(f.sentAt) && !f.late {
 		g.answeredSent = f.sentAt
--- /dev/null
+++ b/internal/commitgroup/parttimes.go
@@ -0,0 +1,58 @@
+package commitgroup
+
+import "time"
+
+// Settings of telling a slow service from a slow part.
+const (
+	// partsKept is of how many parts the newest times are kept. Two of them have to be long, so that one slow
+	// part is not taken for the service, nor, by chance, two of many.
+	partsKept = 3
+	// quickCommit is the time of a transaction below which it is quick again once the service was slow, so
+	// that times about slowCommit do not have its writers change with each of them. A quick service at its
+	// rate takes 70 to 100 ms.
+	quickCommit = 150 * time.Millisecond
+	// severalParts stands for the part of a group of several.
+	severalParts = ""
+)
+
+// partTimes are the newest times of different parts, and whether they say that the service is slow. They are
+// not changed once they are made.
+type partTimes struct {
+	newest []partTime // of the part that was written last first
+	slow   bool
+}
+
+// partTime is how long the newest transaction or group of a part took.
+type partTime struct {
+	part string
+	took time.Duration
+}
+
+// with returns the times with one more.
+func (p partTimes) with(part string, took time.Duration) partTimes {
+	next := partTimes{newest: append(make([]partTime, 0, partsKept), partTime{part, took})}
+	for _, other := range p.newest {
+		if other.part != part && len(next.newest) < partsKept {
+			next.newest = append(next.newest, other)
+		}
+	}
+	long := slowCommit
+	if p.slow {
+		long = quickCommit
+	}
+	next.slow = len(next.newest) > 1 && next.usual() >= long
+	return next
+}
+
+// usual returns the longest time but that of one part; the only one if there is no other.
+func (p partTimes) usual() time.Duration {
+	if len(p.newest) == 1 {
+		return p.newest[0].took
+	}
+	var longest, second time.Duration
+	for _, known := range p.newest {
+		second = max(second, min(longest, known.took))
+		longest = max(longest, known.took)
+	}
+	return second
+}
--- /dev/null
+++ b/internal/commitgroup/parttimes_test.go
@@ -0,0 +1,174 @@
+package commitgroup
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// timedWriters answer transactions of their peers, each after the time of its part, and count what those of
+// other regions get of parts that are quick.
+type timedWriters struct {
+	takes   func(part string) time.Duration
+	mutex   sync.Mutex
+	asked   int // of quick parts
+	distant int // of these, by writers of other regions
+}
+
+// Do implements asker.
+func (w *timedWriters) Do(_ context.Context, address string, request *wirepb.Request, onPart func(int64, []byte)) (*wirepb.Reply, error) {
+	transaction, _, err := decode(request.GetCommitTable().GetGrouped())
+	if err != nil {
+		return nil, err
+	}
+	takes := w.takes(partOf(transaction.Writes[0].Key))
+	if takes < slowCommit {
+		w.mutex.Lock()
+		w.asked++
+		if strings.HasPrefix(address, "far") {
+			w.distant++
+		}
+		w.mutex.Unlock()
+	}
+	onPart(0, nil)
+	time.Sleep(takes) // virtual
+	receipt := tablestore.Receipt{Revisions: map[string]uint64{transaction.Writes[0].Key: 1}}
+	body, err := proto.Marshal(encodeOutcome(transaction, receipt, nil))
+	return &wirepb.Reply{Body: body}, err
+}
+
+// TestOneSlowPartSendsNothingElsewhere has one or two parts of 32 take a second for a write. What is written to
+// the others goes to writers of the own zone, next to all of it where two are slow.
+func TestOneSlowPartSendsNothingElsewhere(t *testing.T) {
+	for slow := 1; slow <= 2; slow++ {
+		synctest.Test(t, func(t *testing.T) {
+			writers := &timedWriters{takes: func(part string) time.Duration {
+				if number, err := strconv.Atoi(part); err == nil && number < slow {
+					return time.Second
+				}
+				return 30 * time.Millisecond
+			}}
+			table := NewTable(Options{Table: newFaultyTable(1, 0), Node: "self", Lost: func() bool { return false }, Observer: silentObserver{}, Bound: func() bool { return false }})
+			near, far := []Node{{Address: "self", Processors: 0.2}}, []Node(nil)
+			for i := range 5 {
+				near = append(near, Node{Address: fmt.Sprint("near-", i), Processors: 0.8})
+				far = append(far, Node{Address: fmt.Sprint("far-", i), Processors: 0.8})
+			}
+			table.SetPeers(writers, "self", near, nil, far)
+			random := rand.New(rand.NewPCG(32, 1))
+			var callers sync.WaitGroup
+			for i := range 2000 {
+				at, part := time.Duration(random.Int64N(int64(20*time.Second))), random.IntN(32)
+				callers.Go(func() {
+					time.Sleep(at) // virtual
+					if _, err := table.Commit(t.Context(), row(part, fmt.Sprint(i), 0)); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			callers.Wait()
+			if most := writers.asked * (slow - 1) / 50; writers.distant > most || writers.asked < 1800 {
+				t.Errorf("%d parts are slow: of %d writes to others %d went to other regions", slow, writers.asked, writers.distant)
+			}
+		})
+	}
+}
+
+// oneSlowPart is a table service that takes 8 ms for a call, and longer if it is of part 0.
+type oneSlowPart struct {
+	*faultyTable
+	takes time.Duration
+}
+
+// Commit implements tablestore.Table.
+func (o *oneSlowPart) Commit(_ context.Context, transaction tablestore.Transaction) (tablestore.Receipt, error) {
+	takes := 8 * time.Millisecond
+	for _, write := range transaction.Writes {
+		if partOf(write.Key) == "0" {
+			takes = o.takes
+		}
+	}
+	time.Sleep(takes) // virtual
+	return o.apply(transaction)
+}
+
+// TestOneSlowPartHoldsNoOtherBack has one part of 32 take long. What is written to the others takes 30 ms at
+// most on average, of 13 without a slow part.
+func TestOneSlowPartHoldsNoOtherBack(t *testing.T) {
+	for _, takes := range []time.Duration{300 * time.Millisecond, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			group := NewGroup(&oneSlowPart{faultyTable: newFaultyTable(1, 0), takes: takes}, true, nil)
+			var callers sync.WaitGroup
+			var mutex sync.Mutex
+			var sum time.Duration
+			others := 0
+			commitAtRandom(t, group, &callers, 9, 4000, 20*time.Second, func(part int, took time.Duration, err error) {
+				if part == 0 {
+					return
+				}
+				mutex.Lock()
+				defer mutex.Unlock()
+				sum += took
+				others++
+				var conflict *tablestore.ConflictError // with itself, sent twice
+				if err != nil && !errors.As(err, &conflict) {
+					t.Errorf("part %d: %v", part, err)
+				}
+			})
+			callers.Wait()
+			time.Sleep(commitTimeout) // no call is under way
+			if mean := sum / time.Duration(others); mean > 30*time.Millisecond {
+				t.Errorf("one part takes %s, and the others %s on average", takes, mean)
+			}
+		})
+	}
+}
+
+// TestTwoPartsTellOfTheService has parts take long or not, at random. One slow part never counts for the
+// service, two parts in a row that are slow always do, and two that are quick end it.
+func TestTwoPartsTellOfTheService(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(332)
+	parameters.MinSuccessfulTests = 500
+	properties := gopter.NewProperties(parameters)
+	properties.Property("slow by two parts, quick by two", prop.ForAll(playTimes, gen.SliceOf(gen.IntRange(0, 1<<20))))
+	properties.TestingRun(t)
+}
+
+// playTimes plays steps; it returns what went wrong.
+func playTimes(steps []int) string {
+	var all, oneSlow partTimes
+	var before partTime
+	for _, step := range steps {
+		now := partTime{part: strconv.Itoa(step % 4), took: time.Duration(step/4%500) * time.Millisecond}
+		all = all.with(now.part, now.took)
+		switch differ := now.part != before.part && before.part != ""; {
+		case differ && min(now.took, before.took) >= slowCommit && !all.slow:
+			return "two parts take long, and the service is quick"
+		case differ && max(now.took, before.took) < quickCommit && all.slow:
+			return "two parts are quick, and the service is slow"
+		}
+		before = now
+		if now.part != "0" {
+			now.took = min(now.took, slowCommit-1)
+		}
+		if oneSlow = oneSlow.with(now.part, now.took); oneSlow.slow {
+			return "the service is slow by one part"
+		}
+	}
+	return ""
+}
--- a/internal/commitgroup/queue.go
+++ b/internal/commitgroup/queue.go
@@ -263,9 +263,14 @@
 	}
 }
 
-// rejoin notes that a part was answered.
-func (q *queue) rejoin(part string) {
-	delete(q.alone, part)
+// rejoin notes that a part was answered. One whose answer was late stays on its own: a group of
+// several parts would be late with it.
+func (q *queue) rejoin(part string, late bool, now time.Time) {
+	if late {
+		q.alone[part] = now.Add(aloneFor)
+	} else {
+		delete(q.alone, part)
+	}
 	q.silent.answered(part)
 }
 
--- a/internal/commitgroup/slow.go
+++ b/internal/commitgroup/slow.go
@@ -12,9 +12,9 @@
 	// slowAnswer is the usual time of a group's answer from which on the service is slow. It takes
 	// 10 ms as a rule, and four times that on a busy machine.
 	slowAnswer = 100 * time.Millisecond
-	// slowCommit is the same of a transaction, which waits for its group and crosses a zone. It is above
-	// what a quick service at its rate has them wait, 70 to 100 ms on average: writers elsewhere would be of
-	// no help then, and send more calls. A slow service takes 300 ms for a write.
+	// slowCommit is from when on a transaction takes long, which waits for its group and crosses a zone. It is
+	// above what a quick service at its rate has them wait, 70 to 100 ms on average: writers elsewhere would be
+	// of no help then, and send more calls. A slow service takes 300 ms for a write.
 	slowCommit = 250 * time.Millisecond
 	// mostOfPart is how many groups of one part may be under way.
 	mostOfPart = 2
@@ -27,8 +27,6 @@
 	// slowSignTimeout is signTimeout while the service is slow. The writer may be in another region, and
 	// the first to be asked there, and a transaction sent twice takes a part's time twice.
 	slowSignTimeout = 300 * time.Millisecond
-	// commitSmoothing is the weight of the newest transaction's time.
-	commitSmoothing = 0.3
 )
 
 // isSlow reports whether the service takes long to answer: as a rule of late, or to a group since
@@ -46,6 +44,16 @@
 	return false
 }
 
+// noteTime notes how long the answer to a group of a part took. One slow part does not make the service slow,
+// nor the others wait for it; of a service that is slow, all times count. The mutex is held.
+func (g *Group) noteTime(part string, took time.Duration) {
+	g.times = g.times.with(part, took)
+	if g.usual < slowAnswer {
+		took = g.times.usual()
+	}
+	g.usual += time.Duration(answerSmoothing * float64(took-g.usual))
+}
+
 // partDue returns when the next group of a part may be sent to a slow service. A second one may be
 // under way, but not sooner than half the time of an answer after the first: that half is the way
 // and the call, the other one the part's own work. ok is false if two are. The mutex is held.
@@ -131,35 +139,29 @@
 	return nil, due
 }
 
-// isSlow reports whether this node's transactions take long of late.
-func (t *Table) isSlow() bool { return time.Duration(t.usual.Load()) >= slowCommit }
+// isSlow reports whether this node's transactions take long of late, of two parts at least.
+func (t *Table) isSlow() bool { return t.times.Load().slow }
 
-// watchTime begins to note how long a transaction takes; what it returns ends that. One that has
+// watchTime begins to note how long a transaction of a part takes; what it returns ends that. One that has
 // taken long counts before it ends, and one that was refused counts only if it has.
-func (t *Table) watchTime() (end func(err error)) {
+func (t *Table) watchTime(part string) (end func(err error)) {
 	began := time.Now()
-	long := time.AfterFunc(slowCommit, func() { t.raiseUsual(int64(slowCommit)) })
+	long := time.AfterFunc(slowCommit, func() { t.noteTime(part, slowCommit) })
 	return func(err error) {
 		long.Stop()
-		took := int64(time.Since(began))
-		for {
-			before := t.usual.Load()
-			if err != nil && took < before {
-				return
-			}
-			next := before + int64(commitSmoothing*float64(took-before))
-			if t.usual.CompareAndSwap(before, next) {
-				return
-			}
+		took := time.Since(began)
+		if err == nil || took >= slowCommit {
+			t.noteTime(part, took)
 		}
 	}
 }
 
-// raiseUsual raises the smoothed time of transactions to at least so much.
-func (t *Table) raiseUsual(least int64) {
+// noteTime notes how long a transaction of a part took.
+func (t *Table) noteTime(part string, took time.Duration) {
 	for {
-		before := t.usual.Load()
-		if before >= least || t.usual.CompareAndSwap(before, least) {
+		before := t.times.Load()
+		next := before.with(part, took)
+		if t.times.CompareAndSwap(before, &next) {
 			return
 		}
 	}
--- a/internal/commitgroup/table.go
+++ b/internal/commitgroup/table.go
@@ -85,7 +85,7 @@
 	group            *Group
 	peers            atomic.Pointer[peers]
 	leaving          atomic.Bool
-	usual            atomic.Int64 // smoothed time of transactions, in ns
+	times            atomic.Pointer[partTimes]
 
 	asked    atomic.Uint64
 	silent   atomic.Uint64
@@ -146,6 +146,7 @@
 		group:   NewGroup(options.Table, options.Across, options.Observer.PaceCut),
 	}
 	t.group.committed = options.Committed
+	t.times.Store(&partTimes{})
 	return t
 }
 
@@ -250,7 +251,7 @@
 	if known == nil || newMember(transaction) == nil {
 		return t.group.Commit(ctx, transaction)
 	}
-	end := t.watchTime()
+	end := t.watchTime(partOf(transaction.Writes[0].Key))
 	receipt, err := t.commitBy(ctx, known, transaction)
 	end(err)
 	return receipt, err
