commitgroup: times of parts that are no longer written age out

Cause: the newest times of three parts were kept without an end. Where one part alone was written after a slow time, the old times of the two others stayed, so that the table took the store for slow for ever, and a group's usual time rose again each time it had come down. Change: times that are 2 s old do not count. The clock is passed in. Ruled out: ageing only where one part is written, which needs to know that; the same rule for all is shorter. A node with less than a write in 2 s never takes the store for slow, which costs calls and no answers.

--- a/internal/commitgroup/group.go
+++ b/internal/commitgroup/group.go
@@ -403,7 +403,7 @@
 		g.queue.rejoin(part, f.late, now)
 		g.tookGroup(part, now)
 	}
-	g.noteTime(part, now.Sub(f.sentAt))
+	g.noteTime(part, now.Sub(f.sentAt), now)
 	// An answer that was late itself says that the service is slow, and not that a part is silent.
 	if g.answeredSent.Before(f.sentAt) && !f.late {
 		g.answeredSent = f.sentAt
--- a/internal/commitgroup/parttimes.go
+++ b/internal/commitgroup/parttimes.go
@@ -7,6 +7,9 @@
 	// partsKept is of how many parts the newest times are kept. Two of them have to be long, so that one slow
 	// part is not taken for the service, nor, by chance, two of many.
 	partsKept = 3
+	// timeKept is for how long the time of a part counts that is not written any more. Where one part is still
+	// written, old times of others must not have the service slow for ever. Nodes write to several within it.
+	timeKept = 2 * time.Second
 	// quickCommit is the time of a transaction below which it is quick again once the service was slow, so
 	// that times about slowCommit do not have its writers change with each of them. A quick service at its
 	// rate takes 70 to 100 ms.
@@ -26,13 +29,14 @@
 type partTime struct {
 	part string
 	took time.Duration
+	at   time.Time // it was noted
 }
 
-// with returns the times with one more.
-func (p partTimes) with(part string, took time.Duration) partTimes {
-	next := partTimes{newest: append(make([]partTime, 0, partsKept), partTime{part, took})}
+// with returns the times with one more, and without those that are too old.
+func (p partTimes) with(part string, took time.Duration, now time.Time) partTimes {
+	next := partTimes{newest: append(make([]partTime, 0, partsKept), partTime{part, took, now})}
 	for _, other := range p.newest {
-		if other.part != part && len(next.newest) < partsKept {
+		if other.part != part && now.Sub(other.at) < timeKept && len(next.newest) < partsKept {
 			next.newest = append(next.newest, other)
 		}
 	}
--- a/internal/commitgroup/slow.go
+++ b/internal/commitgroup/slow.go
@@ -46,8 +46,8 @@
 
 // noteTime notes how long the answer to a group of a part took. One slow part does not make the service slow,
 // nor the others wait for it; of a service that is slow, all times count. The mutex is held.
-func (g *Group) noteTime(part string, took time.Duration) {
-	g.times = g.times.with(part, took)
+func (g *Group) noteTime(part string, took time.Duration, now time.Time) {
+	g.times = g.times.with(part, took, now)
 	if g.usual < slowAnswer {
 		took = g.times.usual()
 	}
@@ -158,9 +158,10 @@
 
 // noteTime notes how long a transaction of a part took.
 func (t *Table) noteTime(part string, took time.Duration) {
+	now := time.Now()
 	for {
 		before := t.times.Load()
-		next := before.with(part, took)
+		next := before.with(part, took, now)
 		if t.times.CompareAndSwap(before, &next) {
 			return
 		}
