commitgroup: the way to far writers does not keep a table slow for ever

Cause: a table that took the store for slow was quick again only below 150 ms. Its transactions go to the parts' writers of all regions then, and where the way there alone takes 160 ms, it stayed with them for ever. Change: 2 s without two long times (250 ms) end a slow time too; below 150 ms ends it at once, as before. Ruled out: below 250 ms alone, which is less code, but has 419 changes of the writer in 1,800 writes of 200 to 300 ms (TestTimesAboutTheLimitChangeLittle fails with it), which the two limits were made against. A try in the own zone once a second for each node: up to 36 more groups a second where parts take 200, and more code; reckoned, not run. Measured: TestTableIsNotKeptSlowByDistance slow after 10,000 transactions before, quick now; TestTimesAboutTheLimitChangeLittle 2 changes at most before and now. Left: where the way to the writers itself takes over 250 ms, a table would still stay.

--- a/internal/commitgroup/aging_test.go
+++ b/internal/commitgroup/aging_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -85,3 +87,46 @@
 		}
 	})
 }
+
+// TestTableIsNotKeptSlowByDistance has a slow time end while the way to the writers of parts alone takes 160 ms,
+// and that to the own zone's writer 10.
+func TestTableIsNotKeptSlowByDistance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := slowTable(t)
+		for i := range 10000 {
+			end := table.watchTime(fmt.Sprint(i % 32))
+			if table.isSlow() {
+				time.Sleep(160 * time.Millisecond) // virtual
+			} else {
+				time.Sleep(10 * time.Millisecond)
+			}
+			end(nil)
+		}
+		if table.isSlow() {
+			t.Error("slow by the way to the far writers")
+		}
+	})
+}
+
+// TestTimesAboutTheLimitChangeLittle has times be drawn about slowCommit for a minute: the writers must not change
+// with each of them.
+func TestTimesAboutTheLimitChangeLittle(t *testing.T) {
+	const writes, most = 1800, 2
+	for _, spread := range []int{20, 50, 90} {
+		random := rand.New(rand.NewPCG(1, 2))
+		var times partTimes
+		now, changes := time.Unix(0, 0), 0
+		for range writes {
+			now = now.Add(time.Minute / writes)
+			took := slowCommit + time.Duration(random.IntN(2*spread)-spread)*time.Millisecond
+			next := times.with(strconv.Itoa(random.IntN(32)), took, now)
+			if next.slow != times.slow {
+				changes++
+			}
+			times = next
+		}
+		if changes > most {
+			t.Errorf("%d changes of %d writes that take %s and up to %d ms more or less", changes, writes, slowCommit, spread)
+		}
+	}
+}
--- a/internal/commitgroup/parttimes.go
+++ b/internal/commitgroup/parttimes.go
@@ -14,6 +14,10 @@
 	// that times about slowCommit do not have its writers change with each of them. A quick service at its
 	// rate takes 70 to 100 ms.
 	quickCommit = 150 * time.Millisecond
+	// longPause is after what time without a long one times between the two are quick as well: the way to the
+	// writers of a slow service may take so long, and it must not be slow by that for ever. Long ones come
+	// several times a second where a service takes about slowCommit.
+	longPause = 2 * time.Second
 	// severalParts stands for the part of a group of several.
 	severalParts = ""
 )
@@ -23,6 +27,7 @@
 type partTimes struct {
 	newest []partTime // of the part that was written last first
 	slow   bool
+	longAt time.Time // they were last long, of two parts
 }
 
 // partTime is how long the newest transaction or group of a part took.
@@ -40,11 +45,15 @@
 			next.newest = append(next.newest, other)
 		}
 	}
-	long := slowCommit
-	if p.slow {
-		long = quickCommit
+	next.slow, next.longAt = p.slow, p.longAt
+	switch usual := next.usual(); {
+	case len(next.newest) < 2:
+		next.slow = false
+	case usual >= slowCommit:
+		next.slow, next.longAt = true, now
+	case usual < quickCommit || now.Sub(p.longAt) >= longPause:
+		next.slow = false
 	}
-	next.slow = len(next.newest) > 1 && next.usual() >= long
 	return next
 }
 
