commitgroup: old refusals of parts hide no new ones

Cause: a part that refused a group of its own was known as one that refuses all until a group of its own was taken. Where the store is quick groups are of several parts and never tell, so that an hour later a refusal of all parts counted for the pace of no call. Change: 2 s after its pause a part that refuses counts as one that begins to. Ruled out: forgetting parts when the store is quick again, which needs a place that sees it and does not help where it stays slow but is not written to. Measured: TestOldRefusalsHideNoNewOnes 0 of 32 refusals count in the second round before, 31 now. The other rate tests pass unchanged.

--- a/internal/commitgroup/rate_test.go
+++ b/internal/commitgroup/rate_test.go
@@ -161,3 +161,24 @@
 		}
 	})
 }
+
+// TestOldRefusalsHideNoNewOnes has all parts refuse, and do so again an hour later without a group of one part
+// taken in between. The pace has to slow again.
+func TestOldRefusalsHideNoNewOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := NewGroup(newFaultyTable(1, 0), true, nil)
+		for round := range 2 {
+			group.usual = 300 * time.Millisecond
+			ofRate := 0
+			for part := range 32 {
+				if !group.refusedPart(&flight{members: []*member{{part: strconv.Itoa(part)}}}, time.Now()) {
+					ofRate++
+				}
+			}
+			if ofRate != 31 {
+				t.Errorf("round %d: all 32 parts refuse, and %d of that count for the pace", round, ofRate)
+			}
+			time.Sleep(time.Hour) // virtual
+		}
+	})
+}
--- a/internal/commitgroup/slow.go
+++ b/internal/commitgroup/slow.go
@@ -21,6 +21,9 @@
 	// fullPause is for how long a part is not written to that has refused a group of its own: more
 	// than a second's writes wait there.
 	fullPause = 300 * time.Millisecond
+	// fullKept is for how long after its pause a part counts as one that refuses all. One that still does is
+	// tried again soon after the pause; a group of several parts may be taken in between, and does not tell.
+	fullKept = 2 * time.Second
 	// refusalMoment is within what time two parts begin to refuse groups where the rate of all calls is passed:
 	// in the pause of the first. Parts that are hot on their own seldom begin so close to each other.
 	refusalMoment = 300 * time.Millisecond
@@ -87,6 +90,7 @@
 	}
 	part := f.members[0].part
 	known, wasFull := g.full[part]
+	wasFull = wasFull && now.Sub(known.until) < fullKept
 	if !wasFull {
 		known.since = now
 	}
