commitgroup: one slow part does not count twice for a slow store

Cause: the times of groups of several parts counted as those of one more part. A group that waited for a slow part and one of that part alone were two long times of three, so that one part made the store slow. Change: the time of a late group of several parts tells nothing. One that was in time does, for its parts are quick then. Ruled out: no times of groups of several at all, by which a usual time would never come down where all groups are of several; a limit of its own, since late already says that an answer takes longer than usual.

--- a/internal/commitgroup/group.go
+++ b/internal/commitgroup/group.go
@@ -403,7 +403,10 @@
 		g.queue.rejoin(part, f.late, now)
 		g.tookGroup(part, now)
 	}
-	g.noteTime(part, now.Sub(f.sentAt), now)
+	// A late group of several parts may have waited for one whose own groups tell of it.
+	if part != severalParts || !f.late {
+		g.noteTime(part, now.Sub(f.sentAt), now)
+	}
 	// An answer that was late itself says that the service is slow, and not that a part is silent.
 	if g.answeredSent.Before(f.sentAt) && !f.late {
 		g.answeredSent = f.sentAt
--- a/internal/commitgroup/parttimes_test.go
+++ b/internal/commitgroup/parttimes_test.go
@@ -175,3 +175,26 @@
 	}
 	return ""
 }
+
+// TestOneSlowPartCountsOnce has one slow part answer late, in a group of its own and in one of several parts, by
+// turns with quick ones. It must not count twice, and make the service slow.
+func TestOneSlowPartCountsOnce(t *testing.T) {
+	group := NewGroup(newFaultyTable(1, 0), true, nil)
+	now := time.Unix(0, 0)
+	answer := func(took time.Duration, parts ...string) {
+		f := &flight{sentAt: now.Add(-took), late: took >= group.overdueAfter()}
+		for _, part := range parts {
+			f.members = append(f.members, &member{part: part})
+		}
+		group.answered(f, now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	for range 100 {
+		answer(8*time.Millisecond, "1")
+		answer(time.Second, "0")
+		answer(time.Second, "0", "1")
+	}
+	if group.isSlow() {
+		t.Errorf("one part is slow, and an answer usually takes %s", group.usual)
+	}
+}
