commitgroup: names that say what they are

Cause: refusedPart reported the contrary of its name and had its caller negate it, partTimes.usual was the second longest time, and the field full held parts. Change: noteRefusal says whether the rate of all calls is meant, secondLongest, fullParts. Nothing else changes. Ruled out: splitting noteRefusal into a question and a note, since the answer needs the state before the note. Measured: all tests of the package pass before and after, with no change but the name and sign in one of them. Conclusion: none for what runs.

--- a/internal/commitgroup/group.go
+++ b/internal/commitgroup/group.go
@@ -68,7 +68,7 @@
 	// when a late group was last sent again while it answered none.
 	answeredSent time.Time
 	triedAt      time.Time
-	full         map[string]fullPart // parts that refused their last groups while the service was slow
+	fullParts    map[string]fullPart // parts that refused their last groups while the service was slow
 	wake         *time.Timer
 	stats        Stats
 }
@@ -87,12 +87,12 @@
 // several parts. cut, if not nil, is told of a pace that was cut, in groups a second.
 func NewGroup(table tablestore.Table, across bool, cut func(rate float64)) *Group {
 	return &Group{
-		table:    table,
-		cut:      cut,
-		queue:    newQueue(across),
-		pace:     newPace(interval),
-		underWay: make(map[*flight]bool),
-		full:     make(map[string]fullPart),
+		table:     table,
+		cut:       cut,
+		queue:     newQueue(across),
+		pace:      newPace(interval),
+		underWay:  make(map[*flight]bool),
+		fullParts: make(map[string]fullPart),
 	}
 }
 
@@ -338,7 +338,7 @@
 		answerAll(f.members, receipt, nil)
 	case errors.Is(err, tablestore.ErrThrottled):
 		g.stats.Throttled++
-		if !g.refusedPart(f, now) && g.pace.refused(now) {
+		if g.noteRefusal(f, now) && g.pace.refused(now) {
 			cutTo = g.pace.rate
 		}
 		for _, m := range f.members {
--- a/internal/commitgroup/parttimes.go
+++ b/internal/commitgroup/parttimes.go
@@ -46,19 +46,19 @@
 		}
 	}
 	next.slow, next.longAt = p.slow, p.longAt
-	switch usual := next.usual(); {
+	switch second := next.secondLongest(); {
 	case len(next.newest) < 2:
 		next.slow = false
-	case usual >= slowCommit:
+	case second >= slowCommit:
 		next.slow, next.longAt = true, now
-	case usual < quickCommit || now.Sub(p.longAt) >= longPause:
+	case second < quickCommit || now.Sub(p.longAt) >= longPause:
 		next.slow = false
 	}
 	return next
 }
 
-// usual returns the longest time but that of one part; the only one if there is no other.
-func (p partTimes) usual() time.Duration {
+// secondLongest returns the second longest time; the only one if there is no other.
+func (p partTimes) secondLongest() time.Duration {
 	if len(p.newest) == 1 {
 		return p.newest[0].took
 	}
--- a/internal/commitgroup/rate_test.go
+++ b/internal/commitgroup/rate_test.go
@@ -169,14 +169,14 @@
 		group := NewGroup(newFaultyTable(1, 0), true, nil)
 		for round := range 2 {
 			group.usual = 300 * time.Millisecond
-			ofRate := 0
+			counted := 0
 			for part := range 32 {
-				if !group.refusedPart(&flight{members: []*member{{part: strconv.Itoa(part)}}}, time.Now()) {
-					ofRate++
+				if group.noteRefusal(&flight{members: []*member{{part: strconv.Itoa(part)}}}, time.Now()) {
+					counted++
 				}
 			}
-			if ofRate != 31 {
-				t.Errorf("round %d: all 32 parts refuse, and %d of that count for the pace", round, ofRate)
+			if counted != 31 {
+				t.Errorf("round %d: all 32 parts refuse, and %d of that count for the pace", round, counted)
 			}
 			time.Sleep(time.Hour) // virtual
 		}
--- a/internal/commitgroup/slow.go
+++ b/internal/commitgroup/slow.go
@@ -52,7 +52,7 @@
 func (g *Group) noteTime(part string, took time.Duration, now time.Time) {
 	g.times = g.times.with(part, took, now)
 	if g.usual < slowAnswer {
-		took = g.times.usual()
+		took = g.times.secondLongest()
 	}
 	g.usual += time.Duration(answerSmoothing * float64(took-g.usual))
 }
@@ -61,7 +61,7 @@
 // under way, but not sooner than half the time of an answer after the first: that half is the way
 // and the call, the other one the part's own work. ok is false if two are. The mutex is held.
 func (g *Group) partDue(part string) (due time.Time, ok bool) {
-	due = g.full[part].until
+	due = g.fullParts[part].until
 	unanswered := 0
 	for f := range g.underWay {
 		if f.givenUp || !slices.ContainsFunc(f.members, func(m *member) bool { return m.part == part }) {
@@ -81,27 +81,27 @@
 	until time.Time // it is left alone
 }
 
-// refusedPart notes that a part of a slow service refused a group of its own. It reports whether that
-// says nothing of the rate of all calls: one part alone says nothing, nor does one that refuses all. Where two
-// that took their last groups refuse within a moment, the rate is passed. The mutex is held.
-func (g *Group) refusedPart(f *flight, now time.Time) bool {
+// noteRefusal notes that the service refused a group. ofRate says that it did for the rate of all calls. Of a
+// slow service, one part that refuses a group of its own says nothing of it, nor does one that refuses all. Where
+// two that took their last groups refuse within a moment, the rate is passed. The mutex is held.
+func (g *Group) noteRefusal(f *flight, now time.Time) (ofRate bool) {
 	if !g.isSlow() || spans(f.members) {
-		return false
+		return true
 	}
 	part := f.members[0].part
-	known, wasFull := g.full[part]
+	known, wasFull := g.fullParts[part]
 	wasFull = wasFull && now.Sub(known.until) < fullKept
 	if !wasFull {
 		known.since = now
 	}
 	known.until = now.Add(fullPause)
-	g.full[part] = known
-	return wasFull || !g.otherRefuses(part, now)
+	g.fullParts[part] = known
+	return !wasFull && g.otherRefuses(part, now)
 }
 
 // otherRefuses reports whether another part has begun to refuse groups a moment ago. The mutex is held.
 func (g *Group) otherRefuses(part string, now time.Time) bool {
-	for other, known := range g.full {
+	for other, known := range g.fullParts {
 		if other != part && now.Sub(known.since) < refusalMoment {
 			return true
 		}
@@ -112,8 +112,8 @@
 // tookGroup notes that a part took a group of its own. One that was sent before the part refused another
 // does not end its pause. The mutex is held.
 func (g *Group) tookGroup(part string, now time.Time) {
-	if !now.Before(g.full[part].until) {
-		delete(g.full, part)
+	if !now.Before(g.fullParts[part].until) {
+		delete(g.fullParts, part)
 	}
 }
 
