--- a/internal/commitgroup/group.go
+++ b/internal/commitgroup/group.go
@@ -62,12 +62,13 @@
 	queue    queue
 	pace     pace
 	underWay map[*flight]bool
+	times    partTimes     // of the newest answers
 	usual    time.Duration // smoothed time of answers
 	// answeredSent is when the newest group was sent that the service has answered; triedAt is
 	// when a late group was last sent again while it answered none.
 	answeredSent time.Time
 	triedAt      time.Time
-	fullUntil    map[string]time.Time // of parts that refused groups while the service was slow
+	fullParts    map[string]fullPart // parts that refused their last groups while the service was slow
 	wake         *time.Timer
 	stats        Stats
 }
@@ -91,7 +92,7 @@
 		queue:     newQueue(across),
 		pace:      newPace(interval),
 		underWay:  make(map[*flight]bool),
-		fullUntil: make(map[string]time.Time),
+		fullParts: make(map[string]fullPart),
 	}
 }
 
@@ -337,7 +338,7 @@
 		answerAll(f.members, receipt, nil)
 	case errors.Is(err, tablestore.ErrThrottled):
 		g.stats.Throttled++
-		if !g.refusedPart(f, now) && g.pace.refused(now) {
+		if g.noteRefusal(f, now) && g.pace.refused(now) {
 			cutTo = g.pace.rate
 		}
 		for _, m := range f.members {
@@ -395,10 +396,16 @@
 
 // answered notes that the service took a group up. The mutex is held.
 func (g *Group) answered(f *flight, now time.Time) {
-	g.usual += time.Duration(answerSmoothing * float64(now.Sub(f.sentAt)-g.usual))
 	g.pace.taken()
+	part := severalParts
 	if !spans(f.members) {
-		g.queue.rejoin(f.members[0].part)
+		part = f.members[0].part
+		g.queue.rejoin(part, f.late, now)
+		g.tookGroup(part, now)
+	}
+	// A late group of several parts may have waited for one whose own groups tell of it.
+	if part != severalParts || !f.late {
+		g.noteTime(part, now.Sub(f.sentAt), now)
 	}
 	// An answer that was late itself says that the service is slow, and not that a part is silent.
 	if g.answeredSent.Before(f.sentAt) && !f.late {
--- a/internal/commitgroup/slow.go
+++ b/internal/commitgroup/slow.go
@@ -12,20 +12,24 @@
 	// slowAnswer is the usual time of a group's answer from which on the service is slow. It takes
 	// 10 ms as a rule, and four times that on a busy machine.
 	slowAnswer = 100 * time.Millisecond
-	// slowCommit is the same of a transaction, which waits for its group and crosses a zone. It is above
-	// what a quick service at its rate has them wait, 70 to 100 ms on average: writers elsewhere would be of
-	// no help then, and send more calls. A slow service takes 300 ms for a write.
+	// slowCommit is from when on a transaction takes long, which waits for its group and crosses a zone. It is
+	// above what a quick service at its rate has them wait, 70 to 100 ms on average: writers elsewhere would be
+	// of no help then, and send more calls. A slow service takes 300 ms for a write.
 	slowCommit = 250 * time.Millisecond
 	// mostOfPart is how many groups of one part may be under way.
 	mostOfPart = 2
 	// fullPause is for how long a part is not written to that has refused a group of its own: more
 	// than a second's writes wait there.
 	fullPause = 300 * time.Millisecond
+	// fullKept is for how long after its pause a part counts as one that refuses all. One that still does is
+	// tried again soon after the pause; a group of several parts may be taken in between, and does not tell.
+	fullKept = 2 * time.Second
+	// refusalMoment is within what time two parts begin to refuse groups where the rate of all calls is passed:
+	// in the pause of the first. Parts that are hot on their own seldom begin so close to each other.
+	refusalMoment = 300 * time.Millisecond
 	// slowSignTimeout is signTimeout while the service is slow. The writer may be in another region, and
 	// the first to be asked there, and a transaction sent twice takes a part's time twice.
 	slowSignTimeout = 300 * time.Millisecond
-	// commitSmoothing is the weight of the newest transaction's time.
-	commitSmoothing = 0.3
 )
 
 // isSlow reports whether the service takes long to answer: as a rule of late, or to a group since
@@ -43,11 +47,21 @@
 	return false
 }
 
+// noteTime notes how long the answer to a group of a part took. One slow part does not make the service slow,
+// nor the others wait for it; of a service that is slow, all times count. The mutex is held.
+func (g *Group) noteTime(part string, took time.Duration, now time.Time) {
+	g.times = g.times.with(part, took, now)
+	if g.usual < slowAnswer {
+		took = g.times.secondLongest()
+	}
+	g.usual += time.Duration(answerSmoothing * float64(took-g.usual))
+}
+
 // partDue returns when the next group of a part may be sent to a slow service. A second one may be
 // under way, but not sooner than half the time of an answer after the first: that half is the way
 // and the call, the other one the part's own work. ok is false if two are. The mutex is held.
 func (g *Group) partDue(part string) (due time.Time, ok bool) {
-	due = g.fullUntil[part]
+	due = g.fullParts[part].until
 	unanswered := 0
 	for f := range g.underWay {
 		if f.givenUp || !slices.ContainsFunc(f.members, func(m *member) bool { return m.part == part }) {
@@ -61,14 +75,46 @@
 	return due, unanswered < mostOfPart
 }
 
-// refusedPart notes that a part of a slow service refused a group of its own, which says nothing of
-// the rate of all calls. It reports whether that is so. The mutex is held.
-func (g *Group) refusedPart(f *flight, now time.Time) bool {
+// fullPart is a part of a slow service that refused its last group.
+type fullPart struct {
+	since time.Time // it has taken none since
+	until time.Time // it is left alone
+}
+
+// noteRefusal notes that the service refused a group. ofRate says that it did for the rate of all calls. Of a
+// slow service, one part that refuses a group of its own says nothing of it, nor does one that refuses all. Where
+// two that took their last groups refuse within a moment, the rate is passed. The mutex is held.
+func (g *Group) noteRefusal(f *flight, now time.Time) (ofRate bool) {
 	if !g.isSlow() || spans(f.members) {
-		return false
+		return true
+	}
+	part := f.members[0].part
+	known, wasFull := g.fullParts[part]
+	wasFull = wasFull && now.Sub(known.until) < fullKept
+	if !wasFull {
+		known.since = now
+	}
+	known.until = now.Add(fullPause)
+	g.fullParts[part] = known
+	return !wasFull && g.otherRefuses(part, now)
+}
+
+// otherRefuses reports whether another part has begun to refuse groups a moment ago. The mutex is held.
+func (g *Group) otherRefuses(part string, now time.Time) bool {
+	for other, known := range g.fullParts {
+		if other != part && now.Sub(known.since) < refusalMoment {
+			return true
+		}
+	}
+	return false
+}
+
+// tookGroup notes that a part took a group of its own. One that was sent before the part refused another
+// does not end its pause. The mutex is held.
+func (g *Group) tookGroup(part string, now time.Time) {
+	if !now.Before(g.fullParts[part].until) {
+		delete(g.fullParts, part)
 	}
-	g.fullUntil[f.members[0].part] = now.Add(fullPause)
-	return true
 }
 
 // nextSlow takes out the next group for a slow service, or returns when one is due. due is zero if
@@ -97,35 +143,30 @@
 	return nil, due
 }
 
-// isSlow reports whether this node's transactions take long of late.
-func (t *Table) isSlow() bool { return time.Duration(t.usual.Load()) >= slowCommit }
+// isSlow reports whether this node's transactions take long of late, of two parts at least.
+func (t *Table) isSlow() bool { return t.times.Load().slow }
 
-// watchTime begins to note how long a transaction takes; what it returns ends that. One that has
+// watchTime begins to note how long a transaction of a part takes; what it returns ends that. One that has
 // taken long counts before it ends, and one that was refused counts only if it has.
-func (t *Table) watchTime() (end func(err error)) {
+func (t *Table) watchTime(part string) (end func(err error)) {
 	began := time.Now()
-	long := time.AfterFunc(slowCommit, func() { t.raiseUsual(int64(slowCommit)) })
+	long := time.AfterFunc(slowCommit, func() { t.noteTime(part, slowCommit) })
 	return func(err error) {
 		long.Stop()
-		took := int64(time.Since(began))
-		for {
-			before := t.usual.Load()
-			if err != nil && took < before {
-				return
-			}
-			next := before + int64(commitSmoothing*float64(took-before))
-			if t.usual.CompareAndSwap(before, next) {
-				return
-			}
+		took := time.Since(began)
+		if err == nil || took >= slowCommit {
+			t.noteTime(part, took)
 		}
 	}
 }
 
-// raiseUsual raises the smoothed time of transactions to at least so much.
-func (t *Table) raiseUsual(least int64) {
+// noteTime notes how long a transaction of a part took.
+func (t *Table) noteTime(part string, took time.Duration) {
+	now := time.Now()
 	for {
-		before := t.usual.Load()
-		if before >= least || t.usual.CompareAndSwap(before, least) {
+		before := t.times.Load()
+		next := before.with(part, took, now)
+		if t.times.CompareAndSwap(before, &next) {
 			return
 		}
 	}
