upstream: a connection released after its engine was forgotten is closed at once

Cause: Forget closed what was at rest; a connection in use then came to rest under an engine that is not listed, and stayed until the next view. Change: the pool keeps what Forget was last told and asks it as connections are released; a view tells the pool before the placer, so that a new engine's connections are kept from its first request on. Ruled out: an option of the pool that reads the follower's view, since the pool is made before it and tests need no view. Before: TestConnectionReleasedAfterItsDestinationWasForgottenIsClosed fails, 1 connection rests; after: it passes, with all tests of the package. Conclusion: nothing rests at an engine that has ended.

--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -30,10 +30,11 @@
 		version = view.Table.Configuration.Version
 		p.keeper.SetNeeded(view.Table.Configuration.Limited())
 	}
+	// Before anything is placed at a new engine, whose connections would not be kept yet.
+	p.pool.Forget(func(to upstream.Destination) bool { return view.Engines[to.Incarnation].Address == to.Address })
 	p.placer.SetEvacuations(evacuatedZones(view))
 	p.placer.SetEngines(view.Engines, services)
 	p.changedAt[collection].Store(time.Now().UnixNano())
-	p.pool.Forget(func(to upstream.Destination) bool { return view.Engines[to.Incarnation].Address == to.Address })
 	p.logger.Info("view changed", "collection", collection.String(), "row_version", view.Versions[collection],
 		"configuration", version, "engines", len(view.Engines), "engines_ready", readyEngines(view))
 	p.carried.KeepOnly(func(id string) bool { _, present := view.Engines[id]; return present })
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -93,7 +93,8 @@
 	dialer  net.Dialer
 
 	mutex  sync.Mutex
-	idle   map[Destination][]*Conn // newest last
+	idle   map[Destination][]*Conn   // newest last
+	kept   func(to Destination) bool // as Forget was last told; nil if it never was
 	closed bool
 }
 
@@ -216,7 +217,7 @@
 	resting := p.idle[conn.Destination]
 	var dropped *Conn
 	switch {
-	case p.closed || len(resting) >= maxIdlePerDestination:
+	case p.closed || len(resting) >= maxIdlePerDestination || (p.kept != nil && !p.kept(conn.Destination)):
 		dropped = conn
 	default:
 		if len(resting) > 0 && resting[0].expired(now) {
@@ -230,10 +231,13 @@
 	}
 }
 
-// Forget closes the connections at rest to every destination that is not kept.
+// Forget closes the connections at rest to every destination that is not kept, and until it is called again
+// those that are released: else they would rest at an engine that has ended. keep is called under the pool's
+// mutex and must not block.
 func (p *Pool) Forget(keep func(to Destination) bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.kept = keep
 	for to, resting := range p.idle {
 		if keep(to) {
 			continue
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -237,3 +237,30 @@
 		t.Errorf("%d connections to the earlier start and %d to the later one are kept", pool.Idle(earlier), pool.Idle(later))
 	}
 }
+
+// TestConnectionReleasedAfterItsDestinationWasForgottenIsClosed ends a request at an engine that a view does
+// not list any more.
+func TestConnectionReleasedAfterItsDestinationWasForgottenIsClosed(t *testing.T) {
+	ended := make(chan struct{}, 1)
+	address := peer(t, func(connection net.Conn, reader *bufio.Reader) {
+		_, _ = reader.ReadByte()
+		ended <- struct{}{}
+	})
+	pool := newPool()
+	defer pool.Close()
+	earlier := upstream.Destination{Incarnation: "e@1", Address: address}
+	busy, err := pool.OpenNew(t.Context(), earlier)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool.Forget(func(to upstream.Destination) bool { return to != earlier })
+	pool.Release(busy)
+	if resting := pool.Idle(earlier); resting != 0 {
+		t.Fatalf("%d connections to an engine that is not listed are at rest", resting)
+	}
+	<-ended
+	pool.Forget(func(to upstream.Destination) bool { return to == earlier }) // it is listed again
+	if err := pool.Probe(t.Context(), earlier, time.Second); err != nil || pool.Idle(earlier) != 1 {
+		t.Errorf("%v; %d connections to an engine that is listed again are at rest", err, pool.Idle(earlier))
+	}
+}
