discovery: an older-looking start is kept aside, and taken once no late write comes

Cause: an entry of a start that looks older, written within 10 s after a newer one was taken, was passed over and forgotten. It is not told again before it changes, so an engine whose clock was set back stayed unknown till then, or till the next whole list. Change: it is kept as the rival of the known start while it stands in the list; a later word about the name drops it. It is taken when the 10 s are over, or when the service of the known entry is named no more. The wait for changes ends at that moment. Weighed: a timer of its own beside the loop, which would change views from a third goroutine; looking at each regular wait's end, up to 2 s late. The wait that is cut short needs neither, and costs one call of the source. Conclusion: what stands in the list decides, whether it is told again or not.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -231,8 +231,11 @@
 	if s.lost {
 		wait = regainWait
 	}
-	if !s.relistAt.IsZero() {
-		wait = max(time.Millisecond, min(wait, time.Until(s.relistAt)))
+	rivalDue := s.follower.rivalDue(s.collection)
+	for _, due := range []time.Time{s.relistAt, rivalDue} {
+		if !due.IsZero() {
+			wait = max(time.Millisecond, min(wait, time.Until(due)))
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
@@ -250,7 +253,7 @@
 	}
 	s.fresh = false
 	s.after = max(s.after, version)
-	if len(records) > 0 {
+	if len(records) > 0 || (!rivalDue.IsZero() && !time.Now().Before(rivalDue)) {
 		s.follower.change(s.collection, records, version)
 		s.pause = settlePause
 	}
@@ -339,6 +342,7 @@
 			}
 		}
 	}
+	f.starts.settle(next.Engines, now, next.mayServe)
 	f.starts.forget(now)
 	next.Versions[collection] = max(next.Versions[collection], version)
 	f.view.Store(next)
--- a/internal/discovery/starts.go
+++ b/internal/discovery/starts.go
@@ -25,6 +25,7 @@
 	gone      time.Time // since when it is not listed; zero if it is
 	takenAt   time.Time // when the start was taken
 	service   string    // by its last entry
+	rival     *rival    // whose entry stands in the place of the start's own; nil if none does
 }
 
 // yields reports whether a start that looks older may take its place by a newer entry: since that can be no
@@ -41,7 +42,7 @@
 
 // take takes an engine's entry into a view's engines, unless it is older than what is known
 // of the name. An older start that has overwritten the entry of the newer one changes nothing:
-// the newer one stays as it was last known, unless it yields. serves reports whether there may be engines of a
+// the newer one stays as it was last known, until it yields. serves reports whether there may be engines of a
 // service.
 func (s starts) take(engines map[string]routing.Engine, engine routing.Engine, version uint64, now time.Time, serves func(service string) bool) {
 	known := s[engine.Name]
@@ -50,11 +51,13 @@
 		s[engine.Name] = known
 	}
 	if engine.Precedes(known.Incarnation) && !known.yields(version, now, serves) {
+		known.keepAside(engine, version)
 		return
 	}
 	if engine.Incarnation == known.Incarnation && version < known.version {
 		return
 	}
+	known.overtaken(version)
 	delete(engines, known.ID())
 	if engine.Incarnation != known.Incarnation {
 		known.takenAt = now
@@ -75,6 +78,7 @@
 	if known == nil {
 		return
 	}
+	known.overtaken(version)
 	known.withdrawn = max(known.withdrawn, version)
 	if version >= known.version {
 		delete(engines, known.ID())
--- a/internal/discovery/starts_test.go
+++ b/internal/discovery/starts_test.go
@@ -51,6 +51,15 @@
 	return Record{Key: name, Version: version, Engine: &engine}
 }
 
+// serving is a configuration that names services.
+func serving(version uint64, names ...string) Record {
+	services := make(map[string]routing.Service)
+	for _, name := range names {
+		services[name] = routing.Service{}
+	}
+	return Record{Key: "config", Version: version, Configuration: &routing.Configuration{Version: int64(version), Services: services}}
+}
+
 func withdrawn(name string, version uint64) Record {
 	return Record{Key: name, Version: version, Gone: true}
 }
@@ -121,9 +130,7 @@
 // nobody has, which says that it started later than any. The engine's own next entry holds at once.
 func TestEntryOfAnotherWriterKeepsNoStartOut(t *testing.T) {
 	f := newFollower()
-	f.replace(Configurations, []Record{
-		{Key: "config", Version: 1, Configuration: &routing.Configuration{Version: 7, Services: map[string]routing.Service{"s": {}}}},
-	}, 1)
+	f.replace(Configurations, []Record{serving(1, "s")}, 1)
 	stranger := entry("a", 1<<52, 11)
 	stranger.Engine.Service = "nobody's"
 	views := tell(f, []news{
