discovery, coldstart, placement: a start whose entry was overwritten keeps what is known of it

Cause: an entry that cannot be read, in the place of an engine's own, was told on as the engine's end. With its own entry back, some 1.2 s later, the engine counted as cold (came_back) and its cached prompts and failures were forgotten, though its start says that it is the same one. Change: the view names such starts as hidden. What is known of them is kept, and one that is back within 3.6 s, three heartbeats, is not cold. Without a start in its entry, after a word that the name has no entry, or later, all is as before. What TestEnginesThatStartAgainTogetherExcuseNoOther expects holds untouched: an entry that merely goes and comes back under the same start counts as cold, since the engine was silent for three heartbeats; that test knows of no other writer. Ruled out: no came_back for the same start, which that test forbids with reason; keeping the engine listed, which has requests go where nobody may be; a mark on the engine that is back, which a view that is passed over would lose. Before: TestEngineWhoseEntryWasOverwrittenIsNotCold fails (engine cold, word came_back, 0.2 s after the entry is back); after: it passes, and its later start is cold. Conclusion: an identity that tells the start decides what may be remembered.

--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -33,6 +33,10 @@
 // SetNodes takes the addresses of this node and all others.
 func (g *Gate) SetNodes(own string, others []string) { g.senders.set(own, others) }
 
+// SetHidden takes the engines, by identity, that the next list lacks only since another writer's entry stands in
+// the place of their own.
+func (g *Gate) SetHidden(engines map[string]bool) { g.warmth.SetHidden(engines) }
+
 // SetEngines takes what is known of engines and services.
 func (g *Gate) SetEngines(now time.Time, engines map[string]routing.Engine, services map[string]routing.Service) {
 	g.engines, g.services = engines, services
--- a/internal/coldstart/incarnations_test.go
+++ b/internal/coldstart/incarnations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -119,3 +120,52 @@
 	w.SetEngines(at(0), engines)
 	expect(t, w, at(9_000), "a@200")
 }
+
+// TestStartThatWasHiddenForAMomentIsNotCold has one engine of five not be listed, since another writer's entry
+// stands in the place of its own, and be back.
+func TestStartThatWasHiddenForAMomentIsNotCold(t *testing.T) {
+	all := startedAt(map[string]int64{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1})
+	without := maps.Clone(all)
+	delete(without, "a@1")
+	hidden, back := map[string]bool{"a@1": true}, int(hiddenFor.Milliseconds())-1
+	for name, test := range map[string]struct {
+		views []map[string]bool // what is hidden, at 0 ms and 500 ms
+		back  int               // ms
+		cold  []string
+	}{
+		"a moment":                  {[]map[string]bool{hidden, hidden}, back, nil},
+		"long":                      {[]map[string]bool{hidden, hidden}, back + 1, []string{"a@1"}},
+		"then it had no entry":      {[]map[string]bool{hidden, nil}, 1_000, []string{"a@1"}},
+		"it had none, then another": {[]map[string]bool{nil, hidden}, 1_000, []string{"a@1"}},
+		"another one is hidden":     {[]map[string]bool{{"b@1": true}, {"b@1": true}}, 1_000, []string{"a@1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := NewWarmth()
+			w.SetServices(services(28))
+			w.SetEngines(at(-60_000), all)
+			for i, view := range test.views {
+				w.SetHidden(view)
+				w.SetEngines(at(500*i), without)
+			}
+			w.SetHidden(nil)
+			w.SetEngines(at(test.back), all)
+			expect(t, w, at(test.back+10), test.cold...)
+		})
+	}
+}
+
+// TestHiddenEngineIsColdByItsEntry has an engine that was hidden say that it is cold.
+func TestHiddenEngineIsColdByItsEntry(t *testing.T) {
+	w := NewWarmth()
+	w.SetServices(services(28))
+	all := startedAt(map[string]int64{"a": 1, "b": 1, "c": 1})
+	w.SetEngines(at(-60_000), all)
+	w.SetHidden(map[string]bool{"a@1": true})
+	w.SetEngines(at(0), startedAt(map[string]int64{"b": 1, "c": 1}))
+	w.SetHidden(nil)
+	cold := all["a@1"]
+	cold.ColdLeft = 2 * time.Second
+	all["a@1"] = cold
+	w.SetEngines(at(1_200), all)
+	expect(t, w, at(1_210), "a@1")
+}
--- a/internal/coldstart/warmth.go
+++ b/internal/coldstart/warmth.go
@@ -29,6 +29,10 @@
 	// stays listed: its entry goes after three heartbeats of 1.2 s, and is known to have gone
 	// some time later. A node that may not send it anything does not find out sooner.
 	silentFor = 5 * time.Second
+	// hiddenFor is for how long an engine's entry may have been another writer's without being evidence, once the
+	// same start has written its own again. An engine that is silent for three heartbeats of 1.2 s loses its
+	// entry; one that is hidden for longer may have been silent too, and counts as one that came back.
+	hiddenFor = 3600 * time.Millisecond
 	// forgetAfter is for how long an engine is remembered that is not listed.
 	forgetAfter = time.Minute
 )
@@ -69,6 +73,7 @@
 	lostAt   time.Time          // when it last was; zero if never
 	cutOff   map[string]time.Time
 	avoided  map[string]bool // zones to which nothing is to be sent
+	hidden   map[string]bool // engines, as SetHidden has it
 }
 
 // warmth is what is known of one engine.
@@ -76,6 +81,7 @@
 	engine  routing.Engine
 	gone    time.Time // since when it is not listed; zero if it is
 	excused bool      // its entry went by the store's doing
+	hidden  bool      // it has been hidden for as long as it is not listed
 	silent  bool      // it did not answer, and has not since
 	silence time.Time // when it last did not
 
@@ -108,6 +114,10 @@
 	return w.lost || (!w.lostAt.IsZero() && now.Sub(w.lostAt) < outageMemory)
 }
 
+// SetHidden takes the engines, by identity, that the next list lacks only since another writer's entry stands in
+// the place of their own.
+func (w *Warmth) SetHidden(engines map[string]bool) { w.hidden = engines }
+
 // SetEngines takes the list of engines. Those of the first list may have run for long, and are
 // cold only if they say so.
 func (w *Warmth) SetEngines(now time.Time, engines map[string]routing.Engine) {
@@ -141,11 +151,12 @@
 func (w *Warmth) goes(now time.Time, id string, known *warmth) {
 	switch {
 	case known.gone.IsZero():
-		known.gone, known.excused = now, false
+		known.gone, known.excused, known.hidden = now, false, true
 	case now.Sub(known.gone) >= forgetAfter:
 		delete(w.engines, id)
 	}
 	known.excused = known.excused || w.outage(now)
+	known.hidden = known.hidden && w.hidden[id]
 }
 
 // excuseMass excuses engines whose entries went with those of most of their service: the
@@ -177,7 +188,8 @@
 			known.evidence(NewIncarnation, now)
 		}
 	case !known.gone.IsZero():
-		if !known.excused && !w.outage(now) {
+		overwritten := known.hidden && now.Sub(known.gone) < hiddenFor
+		if !known.excused && !overwritten && !w.outage(now) {
 			known.evidence(CameBack, now)
 		}
 		known.gone = time.Time{}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -63,6 +63,10 @@
 	Engines  map[string]routing.Engine // by the identity of the incarnation; one for each name
 	Versions [collectionCount]uint64   // of the newest record seen
 
+	// Hidden are identities of engines that are not listed only since an entry that cannot be read stands in the
+	// place of their own: once that is back they are the same start.
+	Hidden map[string]bool
+
 	Evacuations evacuations // by zone, also those that were taken back
 }
 
@@ -323,7 +327,7 @@
 			// The entry took the place of the engine's own: what it said of itself holds no
 			// more, until it has written it anew.
 			if collection == Engines {
-				f.starts.withdraw(next.Engines, record.Key, record.Version, now)
+				f.starts.hide(next.Engines, record.Key, record.Version, now)
 			}
 			if record.Version > told { // lists tell older ones again
 				f.options.Observer.Unreadable(collection, record.Key, record.Version, record.Fault)
@@ -344,6 +348,7 @@
 	}
 	f.starts.settle(next.Engines, now, next.mayServe)
 	f.starts.forget(now)
+	next.Hidden = f.starts.hiddenEngines()
 	next.Versions[collection] = max(next.Versions[collection], version)
 	f.view.Store(next)
 }
--- a/internal/discovery/starts.go
+++ b/internal/discovery/starts.go
@@ -25,6 +25,7 @@
 	gone      time.Time // since when it is not listed; zero if it is
 	takenAt   time.Time // when the start was taken
 	service   string    // by its last entry
+	hidden    bool      // it is not listed since an entry that cannot be read stands in the place of its own
 	rival     *rival    // whose entry stands in the place of the start's own; nil if none does
 }
 
@@ -58,6 +59,7 @@
 		return
 	}
 	known.overtaken(version)
+	known.hidden = false
 	delete(engines, known.ID())
 	if engine.Incarnation != known.Incarnation {
 		known.takenAt = now
@@ -79,6 +81,7 @@
 		return
 	}
 	known.overtaken(version)
+	known.hidden = known.hidden && version < known.withdrawn
 	known.withdrawn = max(known.withdrawn, version)
 	if version >= known.version {
 		delete(engines, known.ID())
@@ -93,12 +96,13 @@
 	}
 }
 
-// withdrawOthers notes which names a whole list of a version does not have.
+// withdrawOthers notes which names a whole list of a version does not have. Those whose entry cannot be read
+// are hidden by it.
 func (s starts) withdrawOthers(engines map[string]routing.Engine, records []Record, version uint64, now time.Time) {
 	listed := make(map[string]bool, len(records))
 	for _, record := range records {
-		if record.Engine != nil {
-			listed[record.Engine.Name] = true
+		if record.Engine != nil || record.Fault != nil {
+			listed[record.Key] = true
 		}
 	}
 	for name := range s {
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -26,6 +26,15 @@
 	p.cold.SetNodes(own, others)
 }
 
+// SetHidden takes the engines, by identity, that the next SetEngines lacks only since another writer's entry
+// stands in the place of their own. What is known of them is kept. The map must not change any more.
+func (p *Placer) SetHidden(engines map[string]bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.hidden = engines
+	p.cold.SetHidden(engines)
+}
+
 // SourceLost notes that engines are not heard of, and SourceRegained that they are again.
 func (p *Placer) SourceLost() {
 	p.mutex.Lock()
--- a/internal/placement/incarnations_test.go
+++ b/internal/placement/incarnations_test.go
@@ -148,6 +148,24 @@
 	}
 }
 
+// TestHiddenStartKeepsItsPrompts has an engine's entry be another writer's for a moment. What it has read is known once its
+// own is back; with no entry for a moment it is forgotten.
+func TestHiddenStartKeepsItsPrompts(t *testing.T) {
+	parts := []Part{{ID: "shared", Tokens: 12_600}, {ID: "own", Tokens: 1_000}}
+	for _, hidden := range []bool{true, false} {
+		p := restartable("node", nil)
+		placeAt(t, p, earlierStart.ID, parts...)
+		other := startOf("other", 1)
+		p.SetHidden(map[string]bool{earlierStart.ID: hidden})
+		p.SetEngines(map[string]routing.Engine{other.ID: other}, nil)
+		p.SetHidden(nil)
+		p.SetEngines(listOf(earlierStart), nil)
+		if known := p.index.CachedBlocks(earlierStart.ID, blocksOf(parts)) > 0; known != hidden {
+			t.Errorf("hidden %t: prompts known %t", hidden, known)
+		}
+	}
+}
+
 // TestEndAtTheEarlierStartFreesNothingOfTheLater fills both starts of an engine, and ends what
 // ran at the earlier one.
 func TestEndAtTheEarlierStartFreesNothingOfTheLater(t *testing.T) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -81,6 +81,7 @@
 	index      *prefixIndex
 	engines    map[string]routing.Engine // by id
 	services   map[string]routing.Service
+	hidden     map[string]bool // engines, as SetHidden has it
 	failing    failing
 	lags       *lags
 	own        map[string]int // calls in flight, by engine id
@@ -164,7 +165,7 @@
 	p.lost.setEngines(served)
 	p.crossings.setEngines(served, p.options.Topology.RegionOf)
 	p.cold.SetEngines(time.Now(), engines, services)
-	present := func(id string) bool { _, found := engines[id]; return found }
+	present := func(id string) bool { _, found := engines[id]; return found || p.hidden[id] }
 	p.index.keepOnly(present)
 	p.failing.keepOnly(present)
 	p.refresh(time.Now())
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -33,6 +33,7 @@
 	// Before anything is placed at a new engine, whose connections would not be kept yet.
 	p.pool.Forget(func(to upstream.Destination) bool { return view.Engines[to.Incarnation].Address == to.Address })
 	p.placer.SetEvacuations(evacuatedZones(view))
+	p.placer.SetHidden(view.Hidden)
 	p.placer.SetEngines(view.Engines, services)
 	p.changedAt[collection].Store(time.Now().UnixNano())
 	p.logger.Info("view changed", "collection", collection.String(), "row_version", view.Versions[collection],
--- a/internal/serving/strangers_test.go
+++ b/internal/serving/strangers_test.go
@@ -134,3 +134,32 @@
 	d.store.Put("servers", "", "p1", d.engines["p1"].Record("portal", "ready"))
 	d.eventually("with p1", func() bool { return d.figure("pewtermill_serve_engines", "4") })
 }
+
+// TestEngineWhoseEntryWasOverwrittenIsNotCold overwrites the entry of an engine that tells of its start, and has its own
+// back a moment later, as its next heartbeat writes it. A later start is cold as before.
+func TestEngineWhoseEntryWasOverwrittenIsNotCold(t *testing.T) {
+	d := prepare(t)
+	for _, id := range []string{"p1", "p2"} {
+		d.engines[id].Restart(firstBorn)
+		d.store.Put("servers", "", id, d.engines[id].Record("portal", "ready"))
+	}
+	bounded := standard()
+	bounded["services"] = []any{
+		map[string]any{"name": "models", "max_conns": 160, "engine": map[string]any{"tokens_per_event": 9, "kv_tokens": 100_000}},
+		map[string]any{"name": "portal", "max_conns": 110, "cold_s": 60.0, "cold_per_s": 3.0},
+	}
+	d.store.Put("op", "", "config", bounded)
+	d.run("node-1", anyPort)
+	d.eventually("ready", d.process.Ready)
+	d.store.Put("servers", "", "p1", otherWriters(d.engines["p1"].Address())["state"])
+	d.eventually("without p1", func() bool { return strings.Contains(d.log.String(), `"engines":3,`) })
+	d.relist(d.engines["p1"].Record("portal", "ready"))
+	if !d.figure("pewtermill_serve_engines", "4") || !d.figure("pewtermill_serve_engines_cold", "0") {
+		t.Errorf("the engine is not listed, or cold: %s", d.log.String())
+	}
+	d.engines["p1"].Restart(secondBorn)
+	d.relist(d.engines["p1"].Record("portal", "ready"))
+	if !d.figure("pewtermill_serve_engines_cold", "1") {
+		t.Error("a later start is not cold")
+	}
+}
