discovery, coldstart: an entry of nobody's service hides a start as an unreadable one does

Cause: a readable entry of another writer, of a service that the configuration does not name, took the place of an engine's start where it tells of a later one, or after 10 s of any. The engine's own next entry was taken at once, but counted as a new start: cold, its prompts forgotten. Change: such an entry hides the start, for a minute at most, so that what is known of it is kept. Ruled out: hiding each start that another one replaces, since those that have ended would count among entries that went together, and excuse others. An entry that names a served service and a later start is taken for the engine's as before. Conclusion: both kinds of foreign entries do the same now.

--- a/internal/coldstart/incarnations_test.go
+++ b/internal/coldstart/incarnations_test.go
@@ -169,3 +169,20 @@
 	w.SetEngines(at(1_200), all)
 	expect(t, w, at(1_210), "a@1")
 }
+
+// TestStartThatAnothersEntryHidIsNotCold has the entry of another writer tell of a later start for a moment. An
+// engine that has gone on is not cold once its own is back.
+func TestStartThatAnothersEntryHidIsNotCold(t *testing.T) {
+	for _, hidden := range []bool{true, false} {
+		w := NewWarmth()
+		w.SetServices(services(28))
+		w.SetEngines(at(-60_000), startedAt(map[string]int64{"a": 1, "b": 1, "c": 1}))
+		w.SetHidden(map[string]bool{"a@1": hidden})
+		w.SetEngines(at(0), startedAt(map[string]int64{"a": 9, "b": 1, "c": 1}))
+		w.SetHidden(nil)
+		w.SetEngines(at(1_200), startedAt(map[string]int64{"a": 1, "b": 1, "c": 1}))
+		if cold := w.Cold(at(1_210), "a@1"); cold == hidden {
+			t.Errorf("hidden %t: cold %t", hidden, cold)
+		}
+	}
+}
--- a/internal/coldstart/warmth.go
+++ b/internal/coldstart/warmth.go
@@ -135,7 +135,7 @@
 }
 
 // dropEnded forgets engines that have started again: they neither come back nor count among
-// those whose entries went.
+// those whose entries went. One that is hidden has not, as far as is known.
 func (w *Warmth) dropEnded(engines map[string]routing.Engine) {
 	started := make(map[string]string, len(engines))
 	for id, engine := range engines {
@@ -143,7 +143,7 @@
 	}
 	maps.DeleteFunc(w.engines, func(id string, known *warmth) bool {
 		newest, listed := started[known.engine.Name]
-		return listed && newest != id
+		return listed && newest != id && !w.hidden[id]
 	})
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -63,8 +63,9 @@
 	Engines  map[string]routing.Engine // by the identity of the incarnation; one for each name
 	Versions [collectionCount]uint64   // of the newest record seen
 
-	// Hidden are identities of engines that are not listed only since an entry that cannot be read stands in the
-	// place of their own: once that is back they are the same start.
+	// Hidden are identities of engines that are not listed only since another writer's entry stands in the place
+	// of their own, one that cannot be read or of a service that nobody has: once their own is back they are the
+	// same start. None stays for more than a minute.
 	Hidden map[string]bool
 
 	Evacuations evacuations // by zone, also those that were taken back
--- a/internal/discovery/hidden.go
+++ b/internal/discovery/hidden.go
@@ -14,22 +14,45 @@
 	if known == nil {
 		return
 	}
-	hidden := known.Born != 0 && (known.hidden || known.gone.IsZero())
+	hidden := known.toHide()
 	s.withdraw(engines, name, version, now)
-	known.hidden = hidden && !known.gone.IsZero()
+	if !known.gone.IsZero() {
+		known.hidden = hidden
+	}
+}
+
+// toHide returns which start another writer's entry hides that takes the place of the known one; empty for none.
+func (k *start) toHide() string {
+	if k.hidden == "" && k.gone.IsZero() && k.Born != 0 {
+		return k.ID()
+	}
+	return k.hidden
+}
+
+// hiddenBy returns which start of the name is hidden once an entry is taken; empty for none. One of a service that
+// nobody has is another writer's, and one of a service that is served is the engine's own, as far as is known.
+func (k *start) hiddenBy(engine routing.Engine, serves func(service string) bool) string {
+	switch {
+	case serves(engine.Service), engine.ID == k.hidden:
+		return ""
+	case engine.Incarnation == k.Incarnation: // the other writer's, once more
+		return k.hidden
+	default:
+		return k.toHide()
+	}
 }
 
 // hiddenEngines returns the identities of the starts that are hidden; nil if none is.
 func (s starts) hiddenEngines() map[string]bool {
 	var hidden map[string]bool
 	for _, known := range s {
-		if !known.hidden {
+		if known.hidden == "" {
 			continue
 		}
 		if hidden == nil {
 			hidden = make(map[string]bool)
 		}
-		hidden[known.ID()] = true
+		hidden[known.hidden] = true
 	}
 	return hidden
 }
--- a/internal/discovery/hidden_test.go
+++ b/internal/discovery/hidden_test.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // TestOverwrittenStartIsHidden overwrites the entry of an engine that tells its start with one that cannot be
@@ -40,6 +42,48 @@
 	}
 }
 
+// TestStartIsHiddenByAnEntryOfNobodysService overwrites an engine's entry with a readable one, of a service that
+// nobody has, which tells of a later start. What comes then is taken at once, and the start is hidden till then.
+func TestStartIsHiddenByAnEntryOfNobodysService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollower()
+		f.replace(Configurations, []Record{serving(1, "s")}, 1)
+		stranger := func(version uint64) Record {
+			record := entry("a", 1<<52, version)
+			record.Engine.Service = "nobody's"
+			return record
+		}
+		for i, step := range []struct {
+			record Record
+			want   []string
+		}{
+			{entry("a", 100, 10), nil},
+			{stranger(11), []string{"a@100"}},
+			{stranger(12), []string{"a@100"}},
+			{bad("a", 13), []string{"a@100"}},
+			{stranger(14), []string{"a@100"}},
+			{entry("a", 100, 15), nil},
+			{stranger(16), []string{"a@100"}},
+			{entry("a", 200, 17), nil},
+			{stranger(18), []string{"a@200"}},
+			{withdrawn("a", 19), nil},
+			{stranger(20), nil},
+			{entry("a", 200, 21), nil},
+			{stranger(22), []string{"a@200"}},
+		} {
+			f.change(Engines, []Record{step.record}, step.record.Version)
+			if got := slices.Sorted(maps.Keys(f.View().Hidden)); !slices.Equal(got, step.want) {
+				t.Errorf("step %d: hidden are %q, want %q", i, got, step.want)
+			}
+		}
+		time.Sleep(startMemory) // virtual
+		f.change(Engines, []Record{stranger(23)}, 23)
+		if got := f.View().Hidden; len(got) != 0 {
+			t.Errorf("hidden for good are %v", got)
+		}
+	})
+}
+
 // TestListWithAnOverwrittenEntryHidesItsStart learns of the overwriting by a whole list.
 func TestListWithAnOverwrittenEntryHidesItsStart(t *testing.T) {
 	f := newFollower()
--- a/internal/discovery/starts.go
+++ b/internal/discovery/starts.go
@@ -25,7 +25,7 @@
 	gone      time.Time // since when it is not listed; zero if it is
 	takenAt   time.Time // when the start was taken
 	service   string    // by its last entry
-	hidden    bool      // it is not listed since an entry that cannot be read stands in the place of its own
+	hidden    string    // identity of the name's start in whose place another writer's entry stands; empty if none does
 	rival     *rival    // whose entry stands in the place of the start's own; nil if none does
 }
 
@@ -59,7 +59,7 @@
 		return
 	}
 	known.overtaken(version)
-	known.hidden = false
+	known.hidden = known.hiddenBy(engine, serves)
 	delete(engines, known.ID())
 	if engine.Incarnation != known.Incarnation {
 		known.takenAt = now
@@ -81,7 +81,9 @@
 		return
 	}
 	known.overtaken(version)
-	known.hidden = known.hidden && version < known.withdrawn
+	if version >= max(known.version, known.withdrawn) {
+		known.hidden = ""
+	}
 	known.withdrawn = max(known.withdrawn, version)
 	if version >= known.version {
 		delete(engines, known.ID())
@@ -112,8 +114,13 @@
 	}
 }
 
-// forget drops the names that have gone for long.
+// forget drops the names that have gone for long, and what an entry of another writer has hidden for as long.
 func (s starts) forget(now time.Time) {
+	for _, known := range s {
+		if known.gone.IsZero() && now.Sub(known.takenAt) >= startMemory {
+			known.hidden = ""
+		}
+	}
 	maps.DeleteFunc(s, func(_ string, known *start) bool {
 		return !known.gone.IsZero() && now.Sub(known.gone) >= startMemory
 	})
