serving: lines about cold engines are bounded by the second

Cause: each engine that turned cold, warm, or went wrote a line, so that as many lines came as entries were written, by whomever, under the placer's mutex. Change: twenty a second of the three messages, each with left_out, the number of those that were not written before it; the bound is that of the lines about unreadable records, which is a type of its own now. Weighed: a bound for each engine, which many engines pass together; a line that only counts, which would name no engine. Before: TestLinesOfColdEnginesAreBounded has 201 lines for 201 engines; after: at most 20 a second, and lines and left_out add up to 201. Conclusion: the log stays readable in a release, and says what it leaves out.

--- a/internal/serving/cold.go
+++ b/internal/serving/cold.go
@@ -6,9 +6,17 @@
 	"github.com/pewtermill/pewtermill/internal/coldstart"
 )
 
-// warmthChanged logs that an engine turned cold or warm. It may be called under the placer's
+// maxColdLines bounds the lines about engines that turn cold or warm, a second: engines start by the hundred in a
+// release, and other writers may write any number of entries. A few that start together have a line each.
+const maxColdLines = 20
+
+// warmthChanged logs that an engine turned cold or warm, as far as lines are left. It may be called under the placer's
 // mutex, and calls nothing of it.
 func (p *Process) warmthChanged(change coldstart.Change) {
+	leftOut, may := p.coldLines.take(time.Now())
+	if !may {
+		return
+	}
 	message := "engine warm"
 	switch {
 	case change.Cold:
@@ -21,7 +29,7 @@
 		since = millis(time.Since(change.Since))
 	}
 	p.logger.Info(message, "engine", change.ID, "service", change.Engine.Service, "zone", change.Engine.Zone,
-		"word", string(change.Word), "heard_ms", since, "cold_left_ms", millis(change.Engine.ColdLeft))
+		"word", string(change.Word), "heard_ms", since, "cold_left_ms", millis(change.Engine.ColdLeft), "left_out", leftOut)
 }
 
 // registerColdGauges publishes what is done about cold engines.
--- a/internal/serving/cold_test.go
+++ b/internal/serving/cold_test.go
@@ -1,10 +1,12 @@
 package serving_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestEngineThatStartsIsNotStormed starts an engine while a process serves, and sends it all.
@@ -49,3 +51,40 @@
 		t.Error("the figures do not show the cold engine")
 	}
 }
+
+// TestLinesOfColdEnginesAreBounded starts 200 engines at once. Few lines tell of them, which say how many were left out.
+func TestLinesOfColdEnginesAreBounded(t *testing.T) {
+	d := start(t)
+	bounded := standard()
+	bounded["services"] = []any{
+		map[string]any{"name": "models", "max_conns": 160, "engine": map[string]any{"tokens_per_event": 9, "kv_tokens": 100_000}},
+		map[string]any{"name": "portal", "max_conns": 110, "cold_s": 60.0, "cold_per_s": 3.0},
+	}
+	d.store.Put("op", "", "config", bounded)
+	d.eventually("ready", d.process.Ready)
+	began := time.Now()
+	const engines = 200
+	for number := range engines {
+		d.store.Put("servers", "", fmt.Sprintf("x%03d", number), d.engines["p1"].Record("portal", "ready"))
+	}
+	d.eventually("cold", func() bool { return d.figure("pewtermill_serve_engines_cold", fmt.Sprint(engines)) })
+	<-time.After(time.Second) // for which lines are counted
+	d.store.Put("servers", "", "last", d.engines["p1"].Record("portal", "ready"))
+	d.eventually("told of the last", func() bool { return strings.Contains(d.log.String(), `"engine cold","engine":"last"`) })
+	lines, leftOut := 0, 0
+	for line := range strings.Lines(d.log.String()) {
+		var said struct {
+			Message string `json:"msg"`
+			LeftOut int    `json:"left_out"`
+		}
+		if err := json.Unmarshal([]byte(line), &said); err != nil {
+			t.Fatal(err)
+		}
+		if said.Message == "engine cold" {
+			lines, leftOut = lines+1, leftOut+said.LeftOut
+		}
+	}
+	if most := 20 * (int(time.Since(began)/time.Second) + 2); lines > most || lines+leftOut != engines+1 {
+		t.Errorf("%d lines of %d engines that turned cold, %d left out; at most %d are wanted", lines, engines+1, leftOut, most)
+	}
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -136,9 +136,10 @@
 	crossings    crossings
 	handler      *ingress.Handler
 	listeners    listeners
-	callers      *callers.Tracker   // follows callers' connections
-	serverErrors boundedLines       // of the HTTP servers
-	unreadable   [2]unreadableLines // by discovery.Collection
+	callers      *callers.Tracker // follows callers' connections
+	serverErrors boundedLines     // of the HTTP servers
+	unreadable   [2]lineLimit     // by discovery.Collection
+	coldLines    lineLimit
 	ingress      *http.Server
 	ready        *http.Server
 	figures      *http.Server // nil if none are served
@@ -150,6 +151,10 @@
 // New returns a process that has not started.
 func New(settings Settings, dependencies Dependencies) *Process {
 	p := &Process{settings: settings, dependencies: dependencies, logger: dependencies.Logger, orders: make(map[string]notedOrder)}
+	for i := range p.unreadable {
+		p.unreadable[i].most = maxUnreadableLines
+	}
+	p.coldLines.most = maxColdLines
 	p.serverErrors.write = func(line string) { p.logger.Warn("server", "error", line) }
 	p.callers = callers.NewTracker(callers.Options{Unanswered: p.unanswered, KeptFor: restTime, Limits: p.callerLimits})
 	p.metrics = dependencies.Metrics
