--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -63,6 +63,11 @@
 	Engines  map[string]routing.Engine // by the identity of the incarnation; one for each name
 	Versions [collectionCount]uint64   // of the newest record seen
 
+	// Hidden are identities of engines that are not listed only since another writer's entry stands in the place
+	// of their own, one that cannot be read or of a service that nobody has: once their own is back they are the
+	// same start. None stays for more than a minute while anything changes, whatever other writers do.
+	Hidden map[string]bool
+
 	Evacuations evacuations // by zone, also those that were taken back
 }
 
@@ -231,8 +236,11 @@
 	if s.lost {
 		wait = regainWait
 	}
-	if !s.relistAt.IsZero() {
-		wait = max(time.Millisecond, min(wait, time.Until(s.relistAt)))
+	rivalDue := s.follower.rivalDue(s.collection)
+	for _, due := range []time.Time{s.relistAt, rivalDue} {
+		if !due.IsZero() {
+			wait = max(time.Millisecond, min(wait, time.Until(due)))
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
@@ -250,7 +258,7 @@
 	}
 	s.fresh = false
 	s.after = max(s.after, version)
-	if len(records) > 0 {
+	if len(records) > 0 || (!rivalDue.IsZero() && !time.Now().Before(rivalDue)) {
 		s.follower.change(s.collection, records, version)
 		s.pause = settlePause
 	}
@@ -320,7 +328,7 @@
 			// The entry took the place of the engine's own: what it said of itself holds no
 			// more, until it has written it anew.
 			if collection == Engines {
-				f.starts.withdraw(next.Engines, record.Key, record.Version, now)
+				f.starts.hide(next.Engines, record.Key, record.Version, now)
 			}
 			if record.Version > told { // lists tell older ones again
 				f.options.Observer.Unreadable(collection, record.Key, record.Version, record.Fault)
@@ -339,7 +347,9 @@
 			}
 		}
 	}
+	f.starts.settle(next.Engines, now, next.mayServe)
 	f.starts.forget(now)
+	next.Hidden = f.starts.hiddenEngines()
 	next.Versions[collection] = max(next.Versions[collection], version)
 	f.view.Store(next)
 }
--- a/internal/discovery/starts.go
+++ b/internal/discovery/starts.go
@@ -20,11 +20,14 @@
 // entry is newer than the last word that the name has none.
 type start struct {
 	routing.Incarnation
-	version   uint64    // of its entry, of those that were seen the newest
-	withdrawn uint64    // as of which version the name had no entry; 0 if it always had one
-	gone      time.Time // since when it is not listed; zero if it is
-	takenAt   time.Time // when the start was taken
-	service   string    // by its last entry
+	version     uint64    // of its entry, of those that were seen the newest
+	withdrawn   uint64    // as of which version the name had no entry; 0 if it always had one
+	gone        time.Time // since when it is not listed; zero if it is
+	takenAt     time.Time // when the start was taken
+	service     string    // by its last entry
+	hidden      string    // identity of the name's start in whose place another writer's entry stands; empty if none does
+	hiddenSince time.Time // when it became so; whatever other entries stand there since
+	rival       *rival    // whose entry stands in the place of the start's own; nil if none does
 }
 
 // yields reports whether a start that looks older may take its place by a newer entry: since that can be no
@@ -41,7 +44,7 @@
 
 // take takes an engine's entry into a view's engines, unless it is older than what is known
 // of the name. An older start that has overwritten the entry of the newer one changes nothing:
-// the newer one stays as it was last known, unless it yields. serves reports whether there may be engines of a
+// the newer one stays as it was last known, until it yields. serves reports whether there may be engines of a
 // service.
 func (s starts) take(engines map[string]routing.Engine, engine routing.Engine, version uint64, now time.Time, serves func(service string) bool) {
 	known := s[engine.Name]
@@ -50,11 +53,14 @@
 		s[engine.Name] = known
 	}
 	if engine.Precedes(known.Incarnation) && !known.yields(version, now, serves) {
+		known.keepAside(engine, version)
 		return
 	}
 	if engine.Incarnation == known.Incarnation && version < known.version {
 		return
 	}
+	known.overtaken(version)
+	known.setHidden(known.hiddenBy(engine, serves), now)
 	delete(engines, known.ID())
 	if engine.Incarnation != known.Incarnation {
 		known.takenAt = now
@@ -75,6 +81,10 @@
 	if known == nil {
 		return
 	}
+	known.overtaken(version)
+	if version >= max(known.version, known.withdrawn) {
+		known.hidden = ""
+	}
 	known.withdrawn = max(known.withdrawn, version)
 	if version >= known.version {
 		delete(engines, known.ID())
@@ -89,12 +99,13 @@
 	}
 }
 
-// withdrawOthers notes which names a whole list of a version does not have.
+// withdrawOthers notes which names a whole list of a version does not have. Those whose entry cannot be read
+// are hidden by it.
 func (s starts) withdrawOthers(engines map[string]routing.Engine, records []Record, version uint64, now time.Time) {
 	listed := make(map[string]bool, len(records))
 	for _, record := range records {
-		if record.Engine != nil {
-			listed[record.Engine.Name] = true
+		if record.Engine != nil || record.Fault != nil {
+			listed[record.Key] = true
 		}
 	}
 	for name := range s {
@@ -104,8 +115,13 @@
 	}
 }
 
-// forget drops the names that have gone for long.
+// forget drops the names that have gone for long, and what an entry of another writer has hidden for as long.
 func (s starts) forget(now time.Time) {
+	for _, known := range s {
+		if now.Sub(known.hiddenSince) >= startMemory {
+			known.hidden = ""
+		}
+	}
 	maps.DeleteFunc(s, func(_ string, known *start) bool {
 		return !known.gone.IsZero() && now.Sub(known.gone) >= startMemory
 	})
