--- a/internal/serving/cold_test.go
+++ b/internal/serving/cold_test.go
@@ -71,7 +71,7 @@
 	more, next := 0, time.Now()
 	d.eventually("told of one more, once the second is over for which lines are counted", func() bool {
 		if now := time.Now(); now.After(next) {
-			more, next = more+1, now.Add(time.Second / 4) // a quarter of the time for which lines are counted
+			more, next = more+1, now.Add(time.Second/4) // a quarter of the time for which lines are counted
 			d.store.Put("servers", "", fmt.Sprintf("more%03d", more), d.engines["p1"].Record("portal", "ready"))
 		}
 		return strings.Contains(d.log.String(), `"engine cold","engine":"more`)
