--- a/internal/commitgroup/budget_stops_test.go
+++ b/internal/commitgroup/budget_stops_test.go
@@ -97,7 +97,7 @@
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(300+random.IntN(700)) * time.Millisecond)
 		r.node(number).Shrink(ctx)
-		switch random.IntN(12) {
+		switch random.IntN(6) {
 		case 0:
 			r.begin(number)
 		case 1, 2:
@@ -110,8 +110,8 @@
 // as they stop and once it is quick, and crash meanwhile. No program is handed more than its budget and
 // one turn.
 func TestBudgetsHoldOverStopsAndCrashes(t *testing.T) {
-	const nodes, programs, clients, turns, budget, most = 4, 6, 24, 16, 2500, 100
-	for seed := range uint64(48) {
+	const nodes, programs, clients, turns, budget, most = 4, 12, 36, 16, 1200, 100
+	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 11))
 			service := spells{readable{newFaultyTable(seed, []float64{0, .1, .3}[seed%3])}, time.Now()}
--- a/internal/ledger/giveback_test.go
+++ b/internal/ledger/giveback_test.go
@@ -362,3 +362,45 @@
 	<-ctx.Done()
 	return false, ctx.Err()
 }
+
+// TestTurnsBesideGivingBackAreCounted has turns run, and some begin, while their node gives back what no
+// turn needs, and another node hand out the rest.
+func TestTurnsBesideGivingBackAreCounted(t *testing.T) {
+	for _, beginning := range []int{0, 4} {
+		synctest.Test(t, func(t *testing.T) {
+			l, table, _ := slowlyHeld(t)
+			begin := func(node *ledger.Ledger) bool {
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				_, err := node.Cover(ctx, ledger.Ask{Program: "p0", Budget: wholeBudget, Most: most}, func() {})
+				return err == nil
+			}
+			handed := int64(most) // the turn that is under way
+			for range 2 {
+				if begin(l) {
+					handed += most
+				}
+			}
+			var group sync.WaitGroup
+			ctx, cancel := context.WithCancel(t.Context())
+			group.Go(func() { l.Leave(ctx) })
+			group.Go(func() { l.Flush(ctx) })
+			time.Sleep(slowWrite / 2)
+			for range beginning {
+				if begin(l) {
+					handed += most
+				}
+			}
+			group.Wait()
+			cancel()
+			other := ledger.New(ledger.Options{Table: table, Run: "b"})
+			for begin(other) {
+				handed += most
+			}
+			if handed < wholeBudget || handed > wholeBudget+most {
+				t.Errorf("%d tokens were handed out of %d and one turn of %d", handed, wholeBudget, most)
+			}
+			time.Sleep(time.Minute) // virtual: no call is under way
+		})
+	}
+}
