relay, zonefeed, turncache: a stopping process declines from the signal on

Cause: a process that was told to stop went on to make store calls for peers, to tell its zone what changed and to tell turns, until it was gone; what its peers had asked for then was cut off. Change: all three decline from the signal on, with answers that say that nothing was done. Peers turn to others within the same call: the next peer of a relayed call, the service and the next watcher, the next writer. A peer that declines to tell turns is passed over like a silent one. Ruled out: a new kind of failure on the wire for relayed calls; processes of the version before would take it for an unknown outcome, while they pass over one that is busy.

--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -26,7 +26,7 @@
 // Failures.
 const (
 	Unreachable Failure = "unreachable" // from the peer, too
-	Busy        Failure = "busy"        // the peer relays as much as it may; nothing was asked
+	Busy        Failure = "busy"        // the peer relays as much as it may, or stops; nothing was asked
 	Unavailable Failure = "unavailable"
 	Throttled   Failure = "throttled"
 	Rejected    Failure = "rejected"
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -61,11 +61,12 @@
 
 // node is one node's way to the table, and its part in the directory.
 type node struct {
-	direct *cuttable
-	table  *relay.Table
-	server *wire.Server
-	client *wire.Client
-	found  relay.Directory
+	direct   *cuttable
+	table    *relay.Table
+	relaying *relay.Server
+	server   *wire.Server
+	client   *wire.Client
+	found    relay.Directory
 }
 
 // start returns a node that has joined.
@@ -80,7 +81,8 @@
 		t.Fatal(err)
 	}
 	options := wire.Options{Node: name, ClusterKey: secret}
-	server, err := wire.Listen("127.0.0.1:0", options, relay.NewServer(table))
+	relaying := relay.NewServer(table)
+	server, err := wire.Listen("127.0.0.1:0", options, relaying)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -88,7 +90,7 @@
 	if err := directory.Join(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	n := &node{direct: direct, table: table, server: server, client: wire.NewClient(options), found: directory}
+	n := &node{direct: direct, table: table, relaying: relaying, server: server, client: wire.NewClient(options), found: directory}
 	t.Cleanup(func() {
 		n.table.Close()
 		n.client.Close()
@@ -285,3 +287,23 @@
 		t.Fatalf("past a peer that has no way: %v", err)
 	}
 }
+
+// TestStoppingPeerDeclines has the peer that is asked first stop. It does nothing that it is asked for,
+// and the next peer does it within the same call, though it can be done once only.
+func TestStoppingPeerDeclines(t *testing.T) {
+	store := newStore(t)
+	a, b, c := start(t, store, "a"), start(t, store, "b"), start(t, store, "c")
+	a.table.Enable(a.client, []string{b.server.Address(), c.server.Address()})
+	a.direct.cut.Store(true)
+	b.relaying.Leave()
+	if _, err := a.table.Commit(t.Context(), put("t/p/k", "one", 0)); err != nil {
+		t.Fatalf("past a peer that is stopping: %v", err)
+	}
+	if _, err := a.table.Get(t.Context(), "t/p/k"); err != nil {
+		t.Fatal(err)
+	}
+	if b.relaying.Served() != 0 || b.relaying.Declined() != 1 || c.relaying.Served() != 2 {
+		t.Errorf("the stopping peer made %d calls and declined %d, want 0 and 1; the next one made %d, want 2",
+			b.relaying.Served(), b.relaying.Declined(), c.relaying.Served())
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -31,6 +31,7 @@
 	table    *Table
 	calls    chan struct{} // semaphores
 	watches  chan struct{}
+	leaving  atomic.Bool
 	served   atomic.Uint64
 	declined atomic.Uint64
 }
@@ -40,11 +41,15 @@
 	return &Server{table: table, calls: make(chan struct{}, maxCalls), watches: make(chan struct{}, maxWatches)}
 }
 
+// Leave declines calls of peers from now on, since the node is stopping, so that they turn to others
+// before it is gone. Those under way are ended.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
 // Served returns how many calls were made for peers.
 func (s *Server) Served() uint64 { return s.served.Load() }
 
 // Declined returns how many calls of peers were declined, since the own way was
-// lost or as many as allowed were under way.
+// lost, as many as allowed were under way, or the node was stopping.
 func (s *Server) Declined() uint64 { return s.declined.Load() }
 
 // ServePeer implements wire.ServerHandler.
@@ -64,6 +69,10 @@
 		limit = s.watches
 		wait = min(maxWatchWait, time.Duration(watch.GetWaitMillis())*time.Millisecond)
 	}
+	if s.leaving.Load() {
+		s.declined.Add(1)
+		return Outcome{Failure: Busy, Detail: "the peer is stopping"}
+	}
 	if s.table.Lost() {
 		s.declined.Add(1)
 		return Outcome{Failure: Unreachable, Detail: "the peer has lost its own way"}
--- a/internal/turncache/cache.go
+++ b/internal/turncache/cache.go
@@ -9,6 +9,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
@@ -23,7 +24,8 @@
 
 // Cache holds turns, the newer ones longer. Safe for concurrent use.
 type Cache struct {
-	limit int // bytes of text in a generation
+	limit   int // bytes of text in a generation
+	leaving atomic.Bool
 
 	mutex        sync.Mutex
 	newer, older map[string]*ledger.Turn // by ledger.TurnKey
--- a/internal/turncache/cache_test.go
+++ b/internal/turncache/cache_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
@@ -95,3 +96,35 @@
 		}
 	}
 }
+
+// fleet has several caches asked by their addresses.
+type fleet map[string]*Cache
+
+func (f fleet) Do(ctx context.Context, address string, request *wirepb.Request, onPart func(int64, []byte)) (*wirepb.Reply, error) {
+	return peer{f[address]}.Do(ctx, address, request, onPart)
+}
+
+// TestStoppingPeerIsPassedOver has the first writer stop: the second one tells the line within the same
+// question, and the first is passed over from then on.
+func TestStoppingPeerIsPassedOver(t *testing.T) {
+	stopping, other := NewCache(), NewCache()
+	for _, cache := range []*Cache{stopping, other} {
+		cache.Committed(record(t, "p", turn("t0", "", 10)))
+	}
+	stopping.Leave()
+	var silent []string
+	client := NewClient(Options{Cache: NewCache(),
+		Writers: func(string) []string { return []string{"stopping", "other"} },
+		Silent:  func(address string, _ error) { silent = append(silent, address) },
+	})
+	client.Enable(fleet{"stopping": stopping, "other": other})
+	if line := client.Line(t.Context(), "p", "t0"); len(line) != 1 {
+		t.Errorf("told %d turns, want one", len(line))
+	}
+	if asked, told := client.Asked(); asked != 2 || told != 1 {
+		t.Errorf("asked %d peers, of which %d told turns, want 2 and 1", asked, told)
+	}
+	if !slices.Equal(silent, []string{"stopping"}) {
+		t.Errorf("passed over are %v, want the one that stops", silent)
+	}
+}
--- a/internal/turncache/peers.go
+++ b/internal/turncache/peers.go
@@ -37,7 +37,8 @@
 	// Writers returns the nodes past which the records of a program's turns go, the nearest
 	// first, without this one.
 	Writers func(program string) []string
-	// Silent is told of a writer that did not answer, so that it is passed over for a while.
+	// Silent is told of a writer that did not answer, or is stopping, so that it is passed over for a
+	// while.
 	Silent   func(address string, cause error)
 	Observer Observer
 }
@@ -99,7 +100,12 @@
 		}
 		return nil
 	}
-	if api.Code(reply.GetCode()) != api.OK {
+	switch api.Code(reply.GetCode()) {
+	case api.OK:
+	case api.NotReady:
+		c.options.Silent(address, errors.New(reply.GetDetail()))
+		return nil
+	default:
 		return nil
 	}
 	line, err := decodeLine(turn, reply.GetBody())
@@ -113,8 +119,14 @@
 	return line
 }
 
+// Leave declines to tell peers turns from now on, since the node is stopping.
+func (c *Cache) Leave() { c.leaving.Store(true) }
+
 // Answer tells a peer what this node knows of a line.
 func (c *Cache) Answer(asked *wirepb.FetchTurns) *wirepb.Reply {
+	if c.leaving.Load() {
+		return &wirepb.Reply{Code: int32(api.NotReady), Execution: string(api.NotRun), Detail: "the node is stopping"}
+	}
 	var told wirepb.TurnsFetched
 	for _, turn := range c.Line(asked.GetProgram(), asked.GetTurn()) {
 		told.Turns = append(told.Turns, &wirepb.TurnsFetched_Turn{
--- a/internal/zonefeed/answer.go
+++ b/internal/zonefeed/answer.go
@@ -26,9 +26,16 @@
 	maxListsBytes = 2 << 20
 )
 
+// Leave declines questions of other processes from now on, since this one is stopping, so that they
+// choose another watcher before it is gone. What it answers already goes on.
+func (f *Feed) Leave() { f.leaving.Store(true) }
+
 // Answer tells another process what changed, as the watcher of its zone. sign says a word ahead
 // of the reply; it may block, and is not called after Answer returned.
 func (f *Feed) Answer(ctx context.Context, question *wirepb.FollowTable, sign func()) *wirepb.Reply {
+	if f.leaving.Load() {
+		return f.decline("the process is stopping")
+	}
 	select {
 	case f.places <- struct{}{}:
 		defer func() { <-f.places }()
--- a/internal/zonefeed/ask.go
+++ b/internal/zonefeed/ask.go
@@ -29,7 +29,7 @@
 // Reasons for which a watcher is not followed.
 var (
 	errSilent    = errors.New("the watcher of the zone said nothing")
-	errDeclined  = errors.New("the watcher of the zone cannot vouch for what it knows")
+	errDeclined  = errors.New("the watcher of the zone declined to tell")
 	errTooLarge  = errors.New("the table is too large for the watcher of the zone to tell as a whole")
 	errMalformed = errors.New("the watcher's reply makes no sense")
 )
@@ -62,7 +62,7 @@
 	case err != nil && context.Cause(ctx) != nil:
 		err = errors.CombineErrors(context.Cause(ctx), err)
 	case err == nil && api.Code(reply.GetCode()) != api.OK:
-		err = errDeclined
+		err = errors.Wrap(errDeclined, reply.GetDetail())
 	case err == nil:
 		answer, err = decode(question, reply.GetBody())
 	}
--- a/internal/zonefeed/feed.go
+++ b/internal/zonefeed/feed.go
@@ -57,7 +57,7 @@
 	Asked    uint64 // calls that the watcher of the zone was asked instead of the service
 	Lost     uint64 // of these, without an answer that could be used
 	Answered uint64 // calls of others that this process answered as their watcher
-	Declined uint64 // of these, since it could not vouch for what it knows, or answers too many
+	Declined uint64 // of these, since it could not vouch for what it knows, answers too many, or is stopping
 }
 
 // Feed tells tables by the watcher of the zone, or by the service where there is none. It
@@ -69,6 +69,7 @@
 	lost     atomic.Uint64
 	answered atomic.Uint64
 	declined atomic.Uint64
+	leaving  atomic.Bool
 
 	mutex   sync.Mutex
 	asker   asker // nil before any peer is known
--- a/internal/zonefeed/feed_test.go
+++ b/internal/zonefeed/feed_test.go
@@ -278,3 +278,25 @@
 		}
 	})
 }
+
+// TestStoppingWatcherDeclines has the zone's watcher stop. Its followers choose another one before it is
+// gone, and hear of a change as soon as ever.
+func TestStoppingWatcherDeclines(t *testing.T) {
+	runFleet(t, 6, func(f *fleet) {
+		watcher := f.watcher()
+		watcher.feed.Leave()
+		f.expect(f.change(), 500*time.Millisecond)
+		time.Sleep(followWait) // the questions that it had are over
+		answered := watcher.feed.Stats().Answered
+		for range 5 {
+			f.expect(f.change(), 500*time.Millisecond)
+			time.Sleep(500 * time.Millisecond)
+		}
+		if more := watcher.feed.Stats().Answered - answered; more > 0 {
+			t.Errorf("the stopping watcher answered %d questions more", more)
+		}
+		if watcher.feed.Stats().Declined == 0 {
+			t.Error("the stopping watcher declined nothing")
+		}
+	})
+}
