callers: no connection is made between a listener's last look and its end

Cause: once a stop accepts no more, the listener looked for 2 ms whether a connection waited, and was closed. One that the kernel made after the look, or that waited while the process did not get a processor (Accept reports its deadline without a try then), was reset with the request on it: its caller had sent it whole, and no process had a line of it. Change: a socket filter has the kernel drop packets that ask for a connection, so that none is made any more; connections being made have 50 ms to be ended; then what waits is accepted until a poll says that nothing does, and only then is the listener closed. Callers' listeners are plain TCP, as multipath TCP, the library's default, takes no such filter. A caller that comes in the window is refused a second later instead of being reset. TestNobodyComesBetweenTheLastLookAndTheEnd fails before.

--- a/internal/callers/drain_test.go
+++ b/internal/callers/drain_test.go
@@ -255,3 +255,53 @@
 		t.Fatalf("the caller was told %v, and not that the connection ends", response.Header)
 	}
 }
+
+// lateListener has a caller come when its last look is over, in the moment before it is closed.
+type lateListener struct {
+	*net.TCPListener
+	come func()
+}
+
+func (l lateListener) Close() error {
+	l.come()
+	return l.TCPListener.Close()
+}
+
+// bind returns a listener of Bind.
+func bind(t *testing.T) *net.TCPListener {
+	t.Helper()
+	bound, err := callers.Bind("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bound.(*net.TCPListener)
+}
+
+// TestNobodyComesBetweenTheLastLookAndTheEnd has a caller come just as a listener is closed. Either its
+// connection is not made, or what it sends on it is answered.
+func TestNobodyComesBetweenTheLastLookAndTheEnd(t *testing.T) {
+	tracker := callers.NewTracker(callers.Options{Unanswered: func(callers.End) {}, KeptFor: time.Second})
+	below := bind(t)
+	var late net.Conn // nil if its connection was not made
+	followed, err := tracker.Listen(lateListener{below, sync.OnceFunc(func() {
+		late, _ = net.DialTimeout("tcp4", below.Addr().String(), 200*time.Millisecond) // one that fails is as wanted
+	})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	begin(t, tracker, followed, hello)
+	tracker.Stop()
+	tracker.StopAccepting()
+	drainWithin(t, tracker)
+	if late == nil {
+		return
+	}
+	defer late.Close()
+	_, err = io.WriteString(late, request)
+	if err == nil {
+		_, err = http.ReadResponse(bufio.NewReader(late), nil)
+	}
+	if err != nil {
+		t.Fatalf("a connection was made, and its request got no answer: %v", err)
+	}
+}
--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"context"
 	"net"
 	"os"
 	"sync/atomic"
@@ -11,10 +12,12 @@
 
 // Times of the end of a listener.
 const (
-	// lastLook is how long a connection is waited for that may have come already, when no more
-	// are to be accepted.
-	lastLook = 2 * time.Millisecond
-	// lastLooks bounds how long connections that come one after another may hold the end up.
+	// lastLook is how long a connection is waited for that is being made when no more are to be
+	// accepted: its caller takes it for made, and the last packet that makes it is on its way. A
+	// stop takes 2 s longer all the same, while other connections rest.
+	lastLook = 50 * time.Millisecond
+	// lastLooks bounds how long connections that come one after another may hold the end up, where
+	// they cannot be kept from coming.
 	lastLooks = 300 * time.Millisecond
 )
 
@@ -30,9 +33,21 @@
 	tracker *Tracker
 	endsAt  atomic.Pointer[time.Time] // when it ends at the latest; nil while it is to go on
 	ended   atomic.Bool               // no connection is accepted any more
+
+	// Of Accept, which one goroutine calls at a time:
+	lookedAt time.Time // when the last look began
+	noneCome bool      // no connection is made any more
+}
+
+// Bind listens at an address, by plain TCP: the kernel lets no connection of multipath TCP, which is the
+// default, be kept from being made, and so its last one would be reset as the listener ends.
+func Bind(network, address string) (net.Listener, error) {
+	var plain net.ListenConfig
+	plain.SetMultipathTCP(false)
+	return plain.Listen(context.Background(), network, address)
 }
 
-// Listen returns a listener whose connections are followed. below is a *net.TCPListener, or
+// Listen returns a listener whose connections are followed. below is one of Bind, or
 // has the same methods.
 func (t *Tracker) Listen(below net.Listener) (net.Listener, error) {
 	bounded, is := below.(listener)
@@ -64,20 +79,18 @@
 
 // Accept implements net.Listener. Once it is to end, it returns connections that were waiting, and
 // then net.ErrClosed: those that wait when a listener is closed are reset, with the requests that their
-// callers have sent.
+// callers have sent. So no connection is made any more before the last look.
 func (l *followedListener) Accept() (net.Conn, error) {
-	for looked := false; ; {
+	for {
 		accepted, err := l.listener.Accept()
 		if err == nil {
 			return l.tracker.follow(accepted), nil
 		}
-		endsAt := l.endsAt.Load()
-		if endsAt == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if l.endsAt.Load() == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			l.ended.Store(errors.Is(err, net.ErrClosed))
 			return nil, err
 		}
-		if now := time.Now(); !looked && now.Before(*endsAt) {
-			looked = true
+		if now := time.Now(); l.looksOn(now) {
 			_ = l.SetDeadline(now.Add(lastLook)) // the next Accept tells
 			continue
 		}
@@ -85,3 +98,17 @@
 		return nil, errors.CombineErrors(net.ErrClosed, l.Close())
 	}
 }
+
+// looksOn reports whether connections may still come or wait: for lastLook, and then while one waits. That
+// Accept found none in time doesn't say so: its time may be over while the process waits for a processor.
+func (l *followedListener) looksOn(now time.Time) bool {
+	if l.lookedAt.IsZero() {
+		l.lookedAt = now
+		l.noneCome = refuseRequests(l.listener) == nil // if it cannot be had, one that comes at the very end is reset
+		return true
+	}
+	if now.Sub(l.lookedAt) < lastLook {
+		return true
+	}
+	return hasWaiting(l.listener) && (l.noneCome || now.Before(*l.endsAt.Load()))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -208,7 +208,7 @@
 
 func (n *Node) serveHTTP() error {
 	var err error
-	if n.callerListener, err = net.Listen("tcp", n.settings.CallerAddress); err != nil {
+	if n.callerListener, err = callers.Bind("tcp", n.settings.CallerAddress); err != nil {
 		return errors.Wrap(err, "caller address")
 	}
 	if n.operatorListener, err = net.Listen("tcp", n.settings.OperatorAddress); err != nil {
--- a/internal/serving/listeners.go
+++ b/internal/serving/listeners.go
@@ -4,6 +4,8 @@
 	"net"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/callers"
 )
 
 // listeners are where a process is reached. They are bound before anything else starts, so
@@ -28,7 +30,7 @@
 		if place.address == "" {
 			continue
 		}
-		bound, err := net.Listen("tcp4", place.address)
+		bound, err := callers.Bind("tcp4", place.address)
 		if err != nil {
 			p.listeners.close()
 			return errors.Wrapf(err, "listen for %s", place.what)
