wire, serving: a server that drains refuses what comes and has its peers go

Cause: the drain of the peers' server waited until nothing was being answered, and the server was closed a moment later: requests that peers had sent meanwhile were dropped without an answer, so that their senders had to take them for done perhaps. Change: from the drain on requests are refused with an answer that says not run, behind a word to the peer to go elsewhere (a reply under correlation 0). Budgets are given back meanwhile, not before: both had to share .5 s one after the other. A holder of a tenant's requests that refuses so counts as over at once, as one whose port is closed. Ways weighed: a new kind of frame (peers of the version before end their connection at one that they don't know, all on it then unknown) against a reply under an id that no request has (they take no notice, and understand the refusals); the latter. A half-closed connection instead of a word: a peer sees it only when it reads, and the library's reader ends with it. Ruled out: to retry at the same address within the client; callers know other peers.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -314,7 +314,10 @@
 		return errors.Wrap(err, "requests are still under way")
 	}
 	n.programs.ReleaseAll(ctx)
-	if err := n.peerServer.Drain(ctx); err != nil {
+	switch err := n.peerServer.Drain(ctx); {
+	case errors.Is(err, wire.ErrPeersStay):
+		n.logger.Info("peers keep their connections", "error", err.Error()) // all that they asked is answered
+	case err != nil:
 		return errors.Wrap(err, "peers still wait for answers")
 	}
 	if err := n.programs.WaitIdle(ctx); err != nil {
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -290,7 +291,7 @@
 // lost notes that a holder did not answer, and has another one looked for.
 func (c *Client) lost(tenant string, holder Holder, cause error) {
 	how := silent
-	if errors.Is(cause, errNotHolder) || errors.Is(cause, syscall.ECONNREFUSED) {
+	if errors.Is(cause, errNotHolder) || errors.Is(cause, syscall.ECONNREFUSED) || errors.Is(cause, wire.ErrPeerLeaves) {
 		how = over
 	}
 	if c.options.Holdings.failed(time.Now(), tenant, holder, how) {
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/carry"
@@ -190,15 +191,19 @@
 	p.placer.SetNodes(p.PeerAddress(), others)
 }
 
-// flushPeers waits until what peers have asked for is answered, and the answers have left.
-func (p *Process) flushPeers(ctx context.Context) {
+// drainPeers has peers go elsewhere, and waits until what they have asked for is answered and they have
+// ended their connections.
+func (p *Process) drainPeers(ctx context.Context) {
 	p.viewing.Lock()
 	server := p.peerServer
 	p.viewing.Unlock()
 	if server == nil {
 		return
 	}
-	if err := server.Drain(ctx); err != nil {
+	switch err := server.Drain(ctx); {
+	case errors.Is(err, wire.ErrPeersStay):
+		p.logger.Info("peers keep their connections", "error", err.Error()) // all that they asked is answered
+	case err != nil:
 		p.logger.Info("peers not answered", "error", err.Error())
 	}
 }
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,7 @@
 	restTime = 2 * time.Second
 	// stopMargin is left of the grace period for what comes after the last answer.
 	stopMargin = 700 * time.Millisecond
-	// flushTime is the most that giving budgets back may take.
+	// flushTime is the most that giving budgets back may take, and the end of peers' connections.
 	flushTime = 500 * time.Millisecond
 )
 
@@ -44,14 +45,22 @@
 	p.callers.StopAccepting()
 	err := errors.CombineErrors(p.callers.Drain(drainContext), p.carrying.Drain(drainContext))
 	cancel()
-	flushContext, cancel := context.WithTimeout(ctx, flushTime)
-	p.ledger.Flush(flushContext)
-	p.flushPeers(flushContext)
-	cancel()
+	p.flush(ctx)
 	p.Close()
 	p.logger.Info("stopped", "took", time.Since(start).String(), "cut", err != nil)
 }
 
+// flush gives budgets back, and meanwhile has peers go elsewhere and answers what they have asked for:
+// one does not wait for the other, and neither takes the other's time.
+func (p *Process) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTime)
+	defer cancel()
+	var flushing sync.WaitGroup
+	flushing.Go(func() { p.drainPeers(ctx) })
+	p.ledger.Flush(ctx)
+	flushing.Wait()
+}
+
 // Close ends the process at once.
 func (p *Process) Close() {
 	if p.cancel == nil {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -85,7 +85,8 @@
 }
 
 // withSession runs the exchange, once more on a new connection if the old
-// one turned out to be closed before the request was queued.
+// one turned out to be closed, or its peer to be leaving, before the request
+// was queued.
 func (c *Client) withSession(ctx context.Context, address string, exchange func(*session) error) error {
 	var err error
 	for range sendAttemptsPerRequest {
@@ -128,7 +129,7 @@
 		known = &peer{}
 		c.peers[address] = known
 	}
-	if known.session != nil && !known.session.link.hasEnded() {
+	if known.session != nil && !known.session.link.hasEnded() && !known.session.isLeaving() {
 		return known.session, nil, nil
 	}
 	if known.dial != nil {
@@ -168,7 +169,7 @@
 	unhook := context.AfterFunc(c.ctx, func() { attempt.session.link.fail(errClientClosed) })
 	defer unhook()
 	attempt.session.run()
-	if attempt.session.link.closedByPeer() {
+	if attempt.session.link.closedByPeer() || attempt.session.isLeaving() {
 		c.reconnect(address, known)
 	}
 }
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -7,10 +7,16 @@
 // cluster key before the first request (see handshake.go). The key
 // authenticates the peer; frames themselves are neither encrypted nor signed.
 //
+// Planned stop. A server that drains tells its peers, by a reply under
+// correlation 0, to go elsewhere, and refuses what they send from then on. They
+// open no stream on the connection any more, and end it once all on it are
+// answered. So a planned stop leaves no outcome unknown.
+//
 // Outcome of a request. Every error of Client.Do and Client.Send satisfies
 // errors.Is with exactly one of ErrNotSent and ErrLinkBroken. ErrNotSent means
 // that no byte of the request was handed to the socket, so the other side
-// certainly did not see it. ErrLinkBroken means that bytes may have left and
+// certainly did not see it, or that a draining server refused it unread.
+// ErrLinkBroken means that bytes may have left and
 // the outcome is unknown. If the caller's context ended, the error satisfies
 // errors.Is with that context's error as well. errors.Is is that of
 // cockroachdb/errors here; the standard library's does not see these marks.
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +30,7 @@
 	lastUsed atomic.Int64 // unix nanoseconds of the last frame either way
 	silence  silence
 
+	leaveOnce  sync.Once
 	failOnce   sync.Once
 	cause      error         // why the link ended; valid once ended is closed
 	ended      chan struct{} // closed when the link fails or is closed
@@ -133,6 +135,9 @@
 		return err
 	}
 	reportFlushed(handed)
+	if slices.ContainsFunc(handed, func(frame *outgoing) bool { return frame.last }) {
+		return ErrPeerLeaves
+	}
 	return nil
 }
 
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -40,10 +40,13 @@
 
 // Errors that tell what became of a request. See the package comment.
 var (
-	// ErrNotSent: the request certainly never reached the other side.
+	// ErrNotSent: the request certainly never reached the other side, or was
+	// refused there unread.
 	ErrNotSent = errors.New("request not sent")
 	// ErrLinkBroken: the request may have been sent; its outcome is unknown.
 	ErrLinkBroken = errors.New("link broken, outcome unknown")
+	// ErrPeerLeaves: the other side is stopping as planned; see Drain.
+	ErrPeerLeaves = errors.New("the peer is leaving")
 )
 
 // Options configure a Client or a Server.
--- a/internal/wire/queue.go
+++ b/internal/wire/queue.go
@@ -23,6 +23,7 @@
 type outgoing struct {
 	encoded []byte
 	flushed chan struct{} // if set, closed once the frame is with the kernel
+	last    bool          // the link ends with it
 	stage   atomic.Int32
 }
 
--- a/internal/wire/responder.go
+++ b/internal/wire/responder.go
@@ -67,8 +67,13 @@
 	if correlation != 0 && r.exchanges[correlation] != nil {
 		return
 	}
+	if r.server.draining.Load() && correlation != 0 {
+		r.link.tellLeaving() // first: the refusal is read by it
+		r.refuse(correlation, leavingReply())
+		return
+	}
 	if r.open >= maxRequestsPerLink {
-		r.refuse(correlation)
+		r.refuse(correlation, overloadedReply())
 		return
 	}
 	started := newExchange(r, correlation)
@@ -84,17 +89,20 @@
 }
 
 // refuse answers a request that was not started.
-func (r *responder) refuse(correlation uint64) {
+func (r *responder) refuse(correlation uint64, reply *wirepb.Reply) {
 	if correlation == 0 {
 		return
 	}
-	reply := &wirepb.Reply{
+	r.link.control(&wirepb.Frame{Correlation: correlation, Body: &wirepb.Frame_Reply{Reply: reply}})
+}
+
+func overloadedReply() *wirepb.Reply {
+	return &wirepb.Reply{
 		Code:             int32(api.Overloaded),
 		Execution:        string(api.NotRun),
 		Detail:           "too many open requests of one peer",
 		RetryAfterMillis: overloadRetryAfter.Milliseconds(),
 	}
-	r.link.control(&wirepb.Frame{Correlation: correlation, Body: &wirepb.Frame_Reply{Reply: reply}})
 }
 
 func (r *responder) lookup(correlation uint64) *exchange {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,14 +33,16 @@
 // Server answers requests on connections of peers. Safe for concurrent use.
 type Server struct {
 	traffic
-	listener   net.Listener
-	options    Options
-	handler    ServerHandler
-	ctx        context.Context // ends with Close
-	stop       context.CancelFunc
-	tasks      sync.WaitGroup
-	open       openRequests
-	handshakes chan struct{} // one token per handshake under way
+	listener    net.Listener
+	options     Options
+	handler     ServerHandler
+	ctx         context.Context // ends with Close
+	stop        context.CancelFunc
+	tasks       sync.WaitGroup
+	open        openCount // requests being answered
+	connections openCount
+	draining    atomic.Bool
+	handshakes  chan struct{} // one token per handshake under way
 
 	mu    sync.Mutex
 	links map[*link]struct{}
@@ -100,7 +103,11 @@
 func (s *Server) admit(conn net.Conn) {
 	select {
 	case s.handshakes <- struct{}{}:
-		s.tasks.Go(func() { s.serve(conn) })
+		s.connections.begin()
+		s.tasks.Go(func() {
+			defer s.connections.end()
+			s.serve(conn)
+		})
 	default:
 		s.options.Logger.Warn("too many handshakes, refusing", "address", conn.RemoteAddr().String())
 		_ = conn.Close()
@@ -135,6 +142,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.links[accepted] = struct{}{}
+	if s.draining.Load() {
+		accepted.tellLeaving()
+	}
 }
 
 func (s *Server) untrack(accepted *link) {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -22,6 +22,7 @@
 	mu      sync.Mutex
 	last    uint64 // last correlation id given out
 	streams map[uint64]*stream
+	leaving bool // the peer has told this side to go elsewhere: no stream is opened
 }
 
 func newSession(link *link) *session {
@@ -48,6 +49,10 @@
 			stream.addPart(body.Part)
 		}
 	case *wirepb.Frame_Reply:
+		if frame.GetCorrelation() == 0 && isLeavingReply(body.Reply) {
+			s.leave()
+			return nil
+		}
 		if stream := s.forget(frame.GetCorrelation()); stream != nil {
 			stream.setReply(body.Reply)
 		}
@@ -57,16 +62,46 @@
 	return nil
 }
 
-// open begins a stream under a correlation id not used before.
+// open begins a stream under a correlation id not used before; nil if the
+// peer is leaving.
 func (s *session) open() *stream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.leaving {
+		return nil
+	}
 	s.last++
 	opened := newStream(s.last)
 	s.streams[opened.correlation] = opened
 	return opened
 }
 
+// leave ends the link, since the peer is leaving, once nothing is unanswered.
+func (s *session) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return
+	}
+	s.leaving = true
+	s.endIfLeft()
+}
+
+// endIfLeft ends the link behind the frames that are queued, if the peer is
+// leaving and nothing is unanswered. s.mu is held.
+func (s *session) endIfLeft() {
+	if s.leaving && len(s.streams) == 0 {
+		s.link.queue.force(&outgoing{last: true})
+	}
+}
+
+// isLeaving tells whether the peer has told this side to go elsewhere.
+func (s *session) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 func (s *session) lookup(correlation uint64) *stream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,7 +113,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found := s.streams[correlation]
-	delete(s.streams, correlation)
+	if found != nil {
+		delete(s.streams, correlation)
+		s.endIfLeft()
+	}
 	return found
 }
 
@@ -89,12 +127,29 @@
 	return len(s.streams) == 0
 }
 
+// errLeft is ErrPeerLeaves for a request that was not sent for it.
+var errLeft = errors.Mark(errors.Mark(ErrPeerLeaves, errQueueClosed), ErrNotSent)
+
 // exchange sends a request and waits for its reply. Errors are marked with
 // ErrNotSent or ErrLinkBroken.
 func (s *session) exchange(
 	ctx context.Context, request *wirepb.Request, onPart func(offset int64, text []byte),
 ) (*wirepb.Reply, error) {
 	opened := s.open()
+	if opened == nil {
+		return nil, errLeft
+	}
+	reply, err := s.converse(ctx, opened, request, onPart)
+	if err == nil && isLeavingReply(reply) && s.isLeaving() {
+		return nil, errors.Mark(errors.Wrap(ErrPeerLeaves, "request refused"), ErrNotSent)
+	}
+	return reply, err
+}
+
+// converse is an exchange on an open stream, which it closes.
+func (s *session) converse(
+	ctx context.Context, opened *stream, request *wirepb.Request, onPart func(offset int64, text []byte),
+) (*wirepb.Reply, error) {
 	defer s.forget(opened.correlation)
 	sent := time.Now()
 	frame, err := s.enqueue(ctx, opened.correlation, request)
@@ -122,6 +177,9 @@
 
 // send queues a one-way request. It does not wait for the socket.
 func (s *session) send(ctx context.Context, request *wirepb.Request) error {
+	if s.isLeaving() {
+		return errLeft
+	}
 	_, err := s.enqueue(ctx, 0, request)
 	return err
 }
