--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -13,9 +13,10 @@
 // Times of the end of a listener.
 const (
 	// lastLook is how long a connection is waited for that is being made when no more are to be
-	// accepted: its caller takes it for made, and the last packet that makes it is on its way. A
-	// stop takes 2 s longer all the same, while other connections rest.
-	lastLook = 50 * time.Millisecond
+	// accepted: its caller takes it for made, and the last packet that makes it is on its way. More
+	// than a way there and back within a region; not much more, as whoever comes meanwhile is refused
+	// a second later only, when its system asks again.
+	lastLook = 2 * time.Millisecond
 	// lastLooks bounds how long connections that come one after another may hold the end up, where
 	// they cannot be kept from coming.
 	lastLooks = 300 * time.Millisecond
@@ -94,8 +95,9 @@
 			_ = l.SetDeadline(now.Add(lastLook)) // the next Accept tells
 			continue
 		}
+		err = l.Close()
 		l.ended.Store(true)
-		return nil, errors.CombineErrors(net.ErrClosed, l.Close())
+		return nil, errors.CombineErrors(net.ErrClosed, err)
 	}
 }
 
