--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -22,7 +22,7 @@
 	stopMargin = 700 * time.Millisecond
 	// flushTime is what giving budgets back has at least once the last answer has ended. It has what
 	// the grace period leaves if that is more: a program whose tokens stay held here is told that its
-	// budget is spent, and a write to a slow store takes .3 s.
+	// budget is spent, and a write to a slow store takes .3 s. Peers end their connections within it as well.
 	flushTime = 500 * time.Millisecond
 )
 
@@ -37,6 +37,9 @@
 	p.covering.Leave()
 	p.carrying.Leave()
 	p.commits.Leave()
+	p.relaying.Leave()
+	p.watch.Leave()
+	p.recent.Leave()
 	p.giveShardsUp(ctx)
 	var giving sync.WaitGroup
 	giving.Go(func() { p.ledger.Leave(ctx) })
@@ -49,16 +52,24 @@
 	p.callers.StopAccepting()
 	err := errors.CombineErrors(p.callers.Drain(drainContext), p.carrying.Drain(drainContext))
 	endDrain()
-	flushContext, endFlush := context.WithTimeout(ctx, max(flushTime, time.Until(end)))
-	p.ledger.Flush(flushContext)
-	p.flushPeers(flushContext)
-	endFlush()
+	p.flush(ctx, max(flushTime, time.Until(end)))
 	cancel()
 	giving.Wait()
 	p.Close()
 	p.logger.Info("stopped", "took", time.Since(start).String(), "cut", err != nil)
 }
 
+// flush gives budgets back, and meanwhile has peers go elsewhere and answers what they have asked for:
+// one does not wait for the other, and neither takes the other's time.
+func (p *Process) flush(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var flushing sync.WaitGroup
+	flushing.Go(func() { p.drainPeers(ctx) })
+	p.ledger.Flush(ctx)
+	flushing.Wait()
+}
+
 // Close ends the process at once.
 func (p *Process) Close() {
 	if p.cancel == nil {
