quota: asks wait for the level that is worked out after them; a leaving holder is like one that has ended

An ask that the recorded level binds waits for the row to be written; it was woken by a write that had begun before it. And asks at one moment were each told that they are not bound, and then took each other's tokens. Steps of a keeper waited for each other by a mutex: a stop could wait for a step's I/O beyond its time, and tests in virtual time could stand still.

Change: who waits is woken by a write that began after it; an ask is answered, or told to wait, under one lock; the word of a peer that leaves counts as refused connections do; a keeper's steps take turns by a semaphore.

Ruled out: a longer wait (60 ms were not used up).

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -212,22 +212,29 @@
 // askHoldings asks an account that this node holds, once its level is recorded if that bounds
 // it. It reports false if this node may not answer for the tenant's shard.
 func (c *Client) askHoldings(tenant string, ask Ask) (Grant, bool) {
-	if recorded := c.options.Holdings.bound(time.Now(), tenant, ask); recorded != nil {
+	var waited *time.Timer
+	for {
+		grant, held, recorded := c.options.Holdings.askUnlessBound(time.Now(), tenant, ask)
+		if recorded == nil {
+			return grant, held
+		}
+		if waited == nil {
+			waited = time.NewTimer(recordWait)
+			defer waited.Stop()
+		}
 		c.options.Wake()
-		waited := time.NewTimer(recordWait)
-		defer waited.Stop()
 		select {
 		case <-recorded:
 		case <-waited.C:
+			return c.options.Holdings.Ask(time.Now(), tenant, ask)
 		}
 	}
-	return c.options.Holdings.Ask(time.Now(), tenant, ask)
 }
 
 // awaitsHolder reports whether requests are to wait, after an ask that failed, since the shard is
 // free and its next holder is about to be known.
 func (c *Client) awaitsHolder(tenant string, cause error) bool {
-	free := errors.IsAny(cause, errNoHolder, errNotHolder, syscall.ECONNREFUSED)
+	free := errors.IsAny(cause, errNoHolder, errNotHolder, syscall.ECONNREFUSED, wire.ErrPeerLeaves)
 	return free && c.options.Holdings.changing(time.Now(), tenant)
 }
 
@@ -250,7 +257,7 @@
 	for _, address := range asked {
 		go func() {
 			err := c.probe(peers, address)
-			reached <- err == nil || errors.Is(err, syscall.ECONNREFUSED)
+			reached <- err == nil || errors.IsAny(err, syscall.ECONNREFUSED, wire.ErrPeerLeaves)
 		}()
 	}
 	for range asked {
--- a/internal/quota/holdings.go
+++ b/internal/quota/holdings.go
@@ -18,7 +18,8 @@
 	mutex    sync.Mutex
 	leases   [Shards]lease
 	accounts map[string]*heldAccount // by tenant
-	waiting  [Shards]chan struct{}   // closed once a shard's levels are recorded; nil if nobody waits
+	waiting  [Shards]chan struct{}   // closed once a shard's levels are recorded by a write to come; nil if nobody waits
+	awaited  [Shards][]chan struct{} // the same, by the write that has begun
 	cleaned  time.Time
 }
 
@@ -53,6 +54,24 @@
 func (h *Holdings) Ask(now time.Time, tenant string, ask Ask) (Grant, bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	return h.ask(now, tenant, ask)
+}
+
+// askUnlessBound answers as Ask does, unless the ask would get less than it could for the level that is recorded: then it
+// returns what is closed once that has been recorded anew, and the account is as it was. Asks at one moment that were
+// told one by one whether they are bound, and answered later, took each other's tokens, and the last was refused.
+func (h *Holdings) askUnlessBound(now time.Time, tenant string, ask Ask) (grant Grant, held bool, recorded <-chan struct{}) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if recorded = h.bound(now, tenant, ask); recorded != nil {
+		return Grant{}, false, recorded
+	}
+	grant, held = h.ask(now, tenant, ask)
+	return grant, held, nil
+}
+
+// ask is Ask. The mutex is held.
+func (h *Holdings) ask(now time.Time, tenant string, ask Ask) (Grant, bool) {
 	held := &h.leases[ShardOf(tenant)]
 	if !held.mayAnswer(now) {
 		return Grant{}, false
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -51,9 +51,9 @@
 	wake     chan struct{}
 	needed   atomic.Bool // some tenant has a limit
 
-	mutex   sync.Mutex // held over I/O: one step at a time
-	leaving bool
-	lookAt  time.Time // not before
+	turn    chan struct{} // semaphore of one, held over I/O: one step at a time
+	leaving atomic.Bool   // the node is stopping, and takes no shard
+	lookAt  time.Time     // not before; guarded by turn
 
 	peersMutex sync.Mutex
 	peers      []string // addresses
@@ -64,7 +64,7 @@
 func NewKeeper(holdings *Holdings, table tablestore.Table, run string, observer KeeperObserver) *Keeper {
 	return &Keeper{
 		holdings: holdings, table: table, run: run,
-		ring: rendezvous.New(maxHolders), observer: observer, wake: make(chan struct{}, 1),
+		ring: rendezvous.New(maxHolders), observer: observer, wake: make(chan struct{}, 1), turn: make(chan struct{}, 1),
 	}
 }
 
@@ -147,11 +147,10 @@
 // step renews what is due, and looks for holders that are wanted: also at a node that is stopping, which asks the
 // next ones until it ends. Two such nodes that counted alone beside them passed a limit.
 func (k *Keeper) step(ctx context.Context) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	if !k.needed.Load() {
+	if !k.needed.Load() || !k.begin(ctx) {
 		return
 	}
+	defer k.end()
 	k.renew(ctx)
 	wanted, _ := k.needs()
 	if now := time.Now(); wanted && !now.Before(k.lookAt) {
@@ -160,6 +159,18 @@
 	}
 }
 
+// begin waits until no other step is under way. It reports false if ctx ends before.
+func (k *Keeper) begin(ctx context.Context) bool {
+	select {
+	case k.turn <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (k *Keeper) end() { <-k.turn }
+
 // renew writes the rows that are due.
 func (k *Keeper) renew(ctx context.Context) {
 	now := time.Now()
@@ -188,7 +199,7 @@
 		return
 	}
 	k.observe(rows)
-	if k.leaving {
+	if k.leaving.Load() {
 		return
 	}
 	for _, claim := range k.claims() {
@@ -233,7 +244,7 @@
 	case l.row.Address != k.address:
 	case l.row.Run != k.run:
 		l.failed(over, now) // an earlier run of this node, whose process has ended
-	case !l.mine && !k.leaving:
+	case !l.mine && !k.leaving.Load():
 		l.regain(now)
 	}
 }
@@ -353,12 +364,11 @@
 // GiveUp gives this node's shards up, before a planned stop, so that others take them at
 // once. It holds none from then on.
 func (k *Keeper) GiveUp(ctx context.Context) {
-	if k.address == "" {
+	k.leaving.Store(true)
+	if k.address == "" || !k.begin(ctx) {
 		return
 	}
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	k.leaving = true
+	defer k.end()
 	now := time.Now()
 	var changes []change
 	k.holdings.each(func(shard int, l *lease) {
--- a/internal/quota/levels.go
+++ b/internal/quota/levels.go
@@ -98,6 +98,11 @@
 		}
 	}
 	l.doubt = l.doubt.merge(levels)
+	l.urgent = false
+	if waiting := h.waiting[shard]; waiting != nil {
+		h.awaited[shard] = append(h.awaited[shard], waiting)
+		h.waiting[shard] = nil
+	}
 	return change{shard: shard, revision: l.row.Revision, holder: l.row.Holder, levels: levels}
 }
 
@@ -119,26 +124,25 @@
 	return change{shard: shard, revision: l.row.Revision, holder: Holder{Term: l.row.Term}, levels: levels}
 }
 
-// recorded notes that a shard's levels are recorded. The mutex is held.
+// recorded notes that a shard's levels are recorded, as they were when the write began. Who has begun to wait since
+// waits for the next one: woken by this one it would be refused, though the account holds tokens. The mutex is held.
 func (h *Holdings) recorded(shard int, l *lease) {
-	l.doubt, l.urgent = nil, false
+	l.doubt = nil
 	for tenant, held := range h.accounts {
 		if held.shard == shard && held.term == l.row.Term {
 			held.account.recordedAs(l.row.Levels[tenant])
 		}
 	}
-	if waiting := h.waiting[shard]; waiting != nil {
-		close(waiting)
-		h.waiting[shard] = nil
+	for _, awaited := range h.awaited[shard] {
+		close(awaited)
 	}
+	h.awaited[shard] = nil
 }
 
 // bound returns what is closed once a tenant's level has been recorded, if an ask would get
 // less than it could before; else nil. While rows cannot be written there is nothing to wait
-// for.
+// for. The mutex is held.
 func (h *Holdings) bound(now time.Time, tenant string, ask Ask) <-chan struct{} {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
 	shard := ShardOf(tenant)
 	l := &h.leases[shard]
 	if !l.mayAnswer(now) || now.After(l.until) {
