--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -329,9 +329,9 @@
 	}
 }
 
-// lockSoon is lock for accountWait at most.
-func (e *entry) lockSoon(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, accountWait)
+// lockSoon is lock for some time at most.
+func (e *entry) lockSoon(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	return e.lock(ctx)
 }
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -98,7 +98,7 @@
 func (l *Ledger) charge(ctx context.Context, e *entry) error {
 	ctx, cancel := context.WithTimeout(ctx, chargeLimit)
 	defer cancel()
-	if err := e.lockSoon(ctx); err != nil {
+	if err := e.lockSoon(ctx, l.accountWait()); err != nil {
 		return err
 	}
 	defer e.unlock()
@@ -107,9 +107,9 @@
 
 // Bounds of writing a program's account at the end of an answer.
 const (
-	// accountWait is for how long a turn that has run waits for the right to write its program's account, which
-	// saves it a write of its own. Two writes of a quick table take less.
-	accountWait = 60 * time.Millisecond
+	// leastAccountWait is for how long a turn that has run waits for the right to write its program's account, which
+	// saves it a write of its own. Two writes of a quick table take less; of a slow one they take longer.
+	leastAccountWait = 60 * time.Millisecond
 	// chargeLimit is for how long an answer that is not kept waits until what it used is charged: a write to a
 	// slow table takes 300 ms.
 	chargeLimit = 400 * time.Millisecond
@@ -118,6 +118,11 @@
 	accountPart = 2
 )
 
+// accountWait returns how long the right to write an account is waited for, by how long writes take at present.
+func (l *Ledger) accountWait() time.Duration {
+	return max(leastAccountWait, 2*l.health.writeTime())
+}
+
 // record makes a turn durable: with its program's account, or alone, in the account's part or, if that fails, in
 // another one, where readers look next. A record must not race for the account: the answer is ready, its condition
 // is met by no other write, and what is charged later stays held. Where it raced, in a stop of whole zones, turns were
@@ -146,7 +151,7 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/accountPart)
 		defer cancel()
 	}
-	if e.lockSoon(ctx) != nil {
+	if e.lockSoon(ctx, l.accountWait()) != nil {
 		return e.isDurable(waiting), nil
 	}
 	defer e.unlock()
