--- a/internal/ledger/contended_account_test.go
+++ b/internal/ledger/contended_account_test.go
@@ -179,6 +179,17 @@
 	return s.Table.Get(ctx, key)
 }
 
+// beginOn begins a turn of program p at a node with a table.
+func beginOn(t *testing.T, table tablestore.Table, budget int64) (*ledger.Ledger, *ledger.Run) {
+	t.Helper()
+	l := ledger.New(ledger.Options{Table: table, Run: "a"})
+	run, problem := l.Begin(within(t, 5*time.Second), ledger.Ask{Program: "p", Budget: budget, Most: most})
+	if problem != nil {
+		t.Fatal(problem)
+	}
+	return l, run
+}
+
 // TestLostAccountWriteLeavesTimeForTheRecord loses the write of an account, and has the second look at its row take
 // 30 ms, as at a slow table. The answer is ready, and its turn is recorded while its caller waits.
 func TestLostAccountWriteLeavesTimeForTheRecord(t *testing.T) {
@@ -188,11 +199,7 @@
 		}
 		return 0
 	}}
-	l := ledger.New(ledger.Options{Table: table, Run: "a"})
-	run, problem := l.Begin(within(t, 5*time.Second), ledger.Ask{Program: "p", Budget: 1000, Most: most})
-	if problem != nil {
-		t.Fatal(problem)
-	}
+	_, run := beginOn(t, table, 1000)
 	table.on.Store(true)
 	err := run.Settle(within(t, 2*time.Second), 40, &ledger.Turn{ID: "t1", Input: []byte("in")})
 	if err != nil {
@@ -209,11 +216,7 @@
 		}
 		return 0
 	}}
-	l := ledger.New(ledger.Options{Table: table, Run: "a"})
-	run, problem := l.Begin(within(t, 5*time.Second), ledger.Ask{Program: "p", Budget: 1000, Most: most})
-	if problem != nil {
-		t.Fatal(problem)
-	}
+	l, run := beginOn(t, table, 1000)
 	table.on.Store(true)
 	err := run.Settle(within(t, 2*time.Second), 40, &ledger.Turn{ID: "t1", Input: []byte("in")})
 	if err != nil {
@@ -227,11 +230,7 @@
 // TestChargeDoesNotRaceForTheAccount has the end of an answer that is not kept wait for no race for the account.
 func TestChargeDoesNotRaceForTheAccount(t *testing.T) {
 	table := &contended{Table: platform.NewStore(newStore(t).Address(), nil)}
-	l := ledger.New(ledger.Options{Table: table, Run: "a"})
-	run, problem := l.Begin(within(t, 5*time.Second), ledger.Ask{Program: "p", Budget: 150, Most: most})
-	if problem != nil {
-		t.Fatal(problem)
-	}
+	_, run := beginOn(t, table, 150)
 	table.on.Store(true)
 	began := time.Now()
 	err := run.Settle(within(t, 2*time.Second), 40, nil)
