ledger: a row read during its own write covers one turn

Cause: a turn that asks for tokens has its program's account written. If another turn of the program read the row after the write was made and before its answer came, what the write charges was taken off what is unsettled, and then counted as still to be charged once more: the other turn was let in by the tokens that the first had asked for.

Change: a write under way charges nothing more once a row shows that it has.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -101,9 +101,10 @@
 
 // flight is what a write under way will make of the allowance.
 type flight struct {
-	held    int64 // allowance after it
-	asked   int64 // of which the turn that asked takes this
-	settled int64 // unsettled tokens that it charges
+	write   uint64 // its number
+	held    int64  // allowance after it
+	asked   int64  // of which the turn that asked takes this
+	settled int64  // unsettled tokens that it charges; none once a row that was read meanwhile shows that it has
 }
 
 // leaves reports whether a turn would fit the allowance after the write, too. The
@@ -362,6 +363,11 @@
 func (e *entry) confirm(write uint64) {
 	if done, found := e.attempts[write]; found {
 		e.unsettled -= done.settled
+		if e.flight != nil && e.flight.write == write {
+			// A row that was read before the answer came tells of the write under way. Counted twice, what it
+			// charges would let a turn have the tokens of the one that asked for the write.
+			e.flight.settled = 0
+		}
 		e.generous = done.generous
 		for _, recorded := range done.records {
 			recorded.durable = true
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -168,7 +168,7 @@
 	e.takeOver(part, &transaction)
 	tokens := next.Allowances[run].Tokens
 	e.attempts[e.write] = attempt{held: tokens, generous: held.ahead && held.share == slowShare, settled: e.unsettled, records: records}
-	e.flight = &flight{held: tokens, asked: ask.Most, settled: e.unsettled}
+	e.flight = &flight{write: e.write, held: tokens, asked: ask.Most, settled: e.unsettled}
 	return transaction, e.write, nil
 }
 
