quota: a test's wrong rows are caught by more than their bound

Change: holders are lost 900 ms apart in place of 700. As strict: the same wrong rows must break the limit, and the limit must hold without them.

--- a/internal/quota/levels_test.go
+++ b/internal/quota/levels_test.go
@@ -190,7 +190,8 @@
 		return changed
 	}
 	lost := []fault{faults[0], faults[0], faults[0], faults[0]}
-	pauses := []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 700 * time.Millisecond, 700 * time.Millisecond}
+	const next = 900 * time.Millisecond // until the next holder is lost; each then hands out nearly all that its row says
+	pauses := []time.Duration{100 * time.Millisecond, next, next, next}
 	for _, mutated := range []bool{false, true} {
 		got := playBurst(t, limit, lost, pauses, func(f *fleet) {
 			if mutated {
