serving, zonefeed, platform: how long nothing is heard of the store, why, and what was read in vain

Cause: in the incident's logs a process that hears nothing says so once and then nothing for 20 s; nothing tells answers that are cut short by their time from a store that does not answer. Change: a line and its end when a collection was not heard of for 2.5 s, with the last failure of each way; gauges of when each collection was last heard of; a counter of the bytes read of the store's answers, by whether they were whole. Ruled out: nothing; no decision changes. Conclusion: the hypotheses can be told apart by bytes of failed answers and by the reasons.

--- a/cmd/pewtermill/serve.go
+++ b/cmd/pewtermill/serve.go
@@ -39,7 +39,9 @@
 	logger := eventlog.NewLogger(writer, s.level(), slog.String("node", settings.Serving.Node))
 	metrics := serving.NewMetrics()
 	metrics.Gauge("pewtermill_serve_log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(writer.Dropped()) })
-	store := platform.NewStore(settings.StoreAddress, metrics.StoreCall)
+	store := platform.NewStore(settings.StoreAddress, func(call platform.StoreCall) {
+		metrics.StoreCall(call.Name, call.Took, call.AnswerBytes, call.Err)
+	})
 	if s.MetricsPort != 0 {
 		settings.Serving.MetricsAddress = net.JoinHostPort(settings.Serving.IP, strconv.Itoa(s.MetricsPort))
 	}
--- a/internal/serving/deployment_test.go
+++ b/internal/serving/deployment_test.go
@@ -168,7 +168,7 @@
 	if d.storeAddress == "" {
 		d.storeAddress = d.store.Address()
 	}
-	store := platform.NewStore(d.storeAddress, d.metrics.StoreCall)
+	store := platform.NewStore(d.storeAddress, observeStore(d.metrics))
 	d.process = serving.New(serving.Settings{
 		Node: node, Topology: topology.New(cmp.Or(d.zone, "zone-a"), d.regions), IngressAddress: anyPort, ReadyAddress: anyPort, GracePeriod: 8 * time.Second,
 		PeerAddress: peers, PeersListen: d.peersListen, KeysExpire: d.keysExpire, CarryFrom: d.carryFrom, CommitsAcross: d.across, RegionLinkMegabits: d.linkMegabits,
@@ -279,3 +279,8 @@
 		}
 	}
 }
+
+// observeStore counts calls to the store.
+func observeStore(metrics *serving.Metrics) func(platform.StoreCall) {
+	return func(call platform.StoreCall) { metrics.StoreCall(call.Name, call.Took, call.AnswerBytes, call.Err) }
+}
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -40,6 +40,7 @@
 	ledger       prometheus.Histogram
 	settle       prometheus.Histogram
 	store        *prometheus.HistogramVec
+	storeBytes   *prometheus.CounterVec
 	lost         *prometheus.CounterVec
 	wayLost      *prometheus.CounterVec
 	ownersLost   *prometheus.CounterVec
@@ -105,6 +106,7 @@
 	m.firstByte = histograms("pewtermill_serve_first_byte_seconds", "From arrival to the first byte of the answer.", "kind")
 	m.duration = histograms("pewtermill_serve_request_seconds", "From arrival to the end of the answer.", "kind")
 	m.store = histograms("pewtermill_serve_store_call_seconds", "Calls to the platform's store.", "call", "result")
+	m.storeBytes = counters("pewtermill_serve_store_answer_bytes_total", "Bytes that were read of the store's answers, those of answers that were given up among the failed.", "call", "result")
 	m.wayLost = counters("pewtermill_serve_way_lost_total", "Times that calls to the store began to go through peers.")
 	m.ownersLost = counters("pewtermill_serve_owners_lost_total", "Times that a process that holds allowances for others stopped answering.")
 	m.covered = counters("pewtermill_serve_turns_covered_total", "Turns by whose allowance covers them.", "allowance")
@@ -125,7 +127,7 @@
 		Name: "pewtermill_serve_ledger_wait_seconds", Help: "Until a turn got leave to run.", Buckets: latencyBuckets})
 	m.settle = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "pewtermill_serve_settlement_seconds", Help: "Until a turn was recorded.", Buckets: latencyBuckets})
-	m.registry.MustRegister(m.requests, m.refusals, m.tries, m.firstByte, m.duration, m.store, m.lost, m.wayLost, m.ownersLost, m.covered, m.loadsLost, m.loadsDropped, m.loadsBytes, m.crossed, m.holdersLost, m.writersLost, m.paceCuts, m.watchPlaces, m.limits, m.denials, m.quota, m.ledger, m.settle)
+	m.registry.MustRegister(m.requests, m.refusals, m.tries, m.firstByte, m.duration, m.store, m.storeBytes, m.lost, m.wayLost, m.ownersLost, m.covered, m.loadsLost, m.loadsDropped, m.loadsBytes, m.crossed, m.holdersLost, m.writersLost, m.paceCuts, m.watchPlaces, m.limits, m.denials, m.quota, m.ledger, m.settle)
 	m.admissions = counters("pewtermill_serve_admissions_total", "Programs that wanted to begin, by what was decided and by rank of priority.", "verdict", "rank")
 	m.ejections = counters("pewtermill_serve_engines_passed_over_total", "Times that an engine began to be passed over since it fails, by ground.", "ground")
 	m.zones = counters("pewtermill_serve_zone_changes_total", "Times that this process concluded that a zone was lost or back, or that it was itself cut off or back.", "change")
@@ -157,12 +159,13 @@
 }
 
 // StoreCall counts one call to the store.
-func (m *Metrics) StoreCall(call string, took time.Duration, err error) {
+func (m *Metrics) StoreCall(call string, took time.Duration, answerBytes int, err error) {
 	result := "answered"
 	if err != nil {
 		result = "failed"
 	}
 	m.store.WithLabelValues(call, result).Observe(took.Seconds())
+	m.storeBytes.WithLabelValues(call, result).Add(float64(answerBytes))
 }
 
 // ended counts one request.
@@ -214,6 +217,7 @@
 	p.registerCommits()
 	p.registerColdGauges()
 	p.registerWatch()
+	p.registerNews()
 	p.registerCarryGauges()
 	p.metrics.Gauge("pewtermill_serve_calls_waiting", "Calls that wait at this process for an engine.", func() float64 { return float64(p.placer.Waiting()) })
 	p.metrics.Gauge("pewtermill_serve_ready", "1 while the process wants new connections.", func() float64 {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -271,6 +271,7 @@
 	p.loops.Go(func() { p.sweep(ctx) })
 	p.loops.Go(func() { p.shrink(ctx) })
 	p.loops.Go(func() { p.reportCalls(ctx) })
+	p.loops.Go(func() { p.reportNews(ctx) })
 	p.startPeers(ctx)
 	p.startMetrics()
 	p.logger.Info("started", "zone", p.settings.Topology.Zone(), "run", p.dependencies.Run,
--- a/internal/zonefeed/ask.go
+++ b/internal/zonefeed/ask.go
@@ -91,6 +91,7 @@
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.failed.Watcher = reasonOf(err)
 	if err == nil || errors.Is(err, errTooLarge) {
 		f.choice.ring.Trust(watcher)
 		return
--- a/internal/zonefeed/feed.go
+++ b/internal/zonefeed/feed.go
@@ -60,6 +60,9 @@
 	Declined uint64 // of these, since it could not vouch for what it knows, answers too many, or is stopping
 }
 
+// Failures are why the ways to hear of changes last failed, each empty if it worked last.
+type Failures struct{ Watcher, Store string }
+
 // Feed tells tables by the watcher of the zone, or by the service where there is none. It
 // implements tablestore.Feed. Safe for concurrent use.
 type Feed struct {
@@ -79,6 +82,7 @@
 	shown   Place // that the observer knows
 	shownAt time.Time
 	cause   error // why the last watcher was given up
+	failed  Failures
 	// following ends when another process asks this one, which is the watcher from then on.
 	following     context.Context
 	stopFollowing context.CancelFunc
@@ -135,6 +139,21 @@
 		Answered: f.answered.Load(), Declined: f.declined.Load()}
 }
 
+// Failures returns why the ways to hear of changes last failed.
+func (f *Feed) Failures() Failures {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.failed
+}
+
+// reasonOf returns a failure as it is logged; empty for none.
+func reasonOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // Snapshot implements tablestore.Feed.
 func (f *Feed) Snapshot(ctx context.Context, name string) ([]tablestore.Change, uint64, error) {
 	if place, following := f.place(); place.Role == Follower {
@@ -199,6 +218,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	known := f.table(name)
+	f.failed.Store = reasonOf(err)
 	if err != nil {
 		f.contact.doubt(name)
 		return rows, version, err
