progress: calls that bring a large answer are bounded by silence

Cause: a look at the store for changes had .4 s for its whole answer, a list 1 s, a peer's reply .25 s, whatever their size and the way; given up midway, they begin again, and the link between regions is full of what nobody gets. Change: a bound that goes on while pieces of the answer come (internal/progress), noted by the store's client and, for large frames, by connections between nodes; used by discovery, zonefeed and relay. A way that is lost does not end an answer that is coming. Ruled out: longer fixed times, which only move the size at which this begins. Measured: TestLargeConfigurationReachesAnotherRegion passes (its fakes note pieces as the interface now asks); before, not in force after 3 s at 33 of 33 processes.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/routing"
 )
 
@@ -109,13 +110,18 @@
 	// follows bound for how long a change can go unseen once the source is back.
 	watchWait  = 2 * time.Second
 	watchGrace = 400 * time.Millisecond // beyond it before the call counts as lost
+	// answerSilence is how long nothing of an answer may come once it has begun to, and answerMost
+	// how long it may take in all: a row of 1 MB over a link that leaves a process 1 Mbit a second.
+	// A fixed time for the whole would end a large answer while it comes, and begin it again.
+	answerSilence = 400 * time.Millisecond
+	answerMost    = 10 * time.Second
 	// regainWait is that of the first call after one that failed: its answer tells that
 	// the source is back, and is not to be waited for as long as a change is.
 	regainWait = time.Millisecond
 	// settlePause follows changes, so that those that come one after another,
 	// as when many engines start, cost one call.
 	settlePause  = 200 * time.Millisecond
-	listTimeout  = time.Second
+	listTimeout  = time.Second // until a list begins to come
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
 	freshAfter   = 3500 * time.Millisecond // a list that follows lost history is read again after this, since reads may be stale
@@ -213,7 +219,7 @@
 // list reads the whole collection. A list older than what has been seen is
 // stale and is not taken.
 func (s *follow) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: listTimeout, Silence: answerSilence, Most: answerMost})
 	defer cancel()
 	records, version, err := s.follower.options.Source.List(ctx, s.collection)
 	if err != nil {
@@ -242,7 +248,7 @@
 			wait = max(time.Millisecond, min(wait, time.Until(due)))
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + watchGrace, Silence: answerSilence, Most: wait + answerMost})
 	defer cancel()
 	records, version, err := s.follower.options.Source.Changes(ctx, s.collection, s.after, wait)
 	if errors.Is(err, ErrHistoryGone) {
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
@@ -14,7 +15,10 @@
 
 // Bounds of calls through peers.
 const (
-	peerTimeout = 250 * time.Millisecond // of one peer, beyond what the call itself waits
+	// peerTimeout is how long one peer may take, beyond what the call itself waits, until its reply
+	// begins to come, and between two pieces of it.
+	peerTimeout = 250 * time.Millisecond
+	answerMost  = 10 * time.Second       // for a whole reply
 	peersAgain  = 500 * time.Millisecond // after none of them had a way
 	// maxPeers is how many peers one call is tried at. With a third of the nodes turned
 	// away, one call in eighty finds none that is not.
@@ -121,7 +125,7 @@
 
 // askOne has one peer make a call. An outcome that makes no sense counts as lost.
 func (h *helpers) askOne(ctx context.Context, client asker, peer string, request *wirepb.Request, wait time.Duration) (Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + peerTimeout, Silence: peerTimeout, Most: wait + answerMost})
 	defer cancel()
 	reply, err := client.Do(ctx, peer, request, nil)
 	if err != nil {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -8,13 +8,15 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
 // Bounds of what is done for peers.
 const (
-	// serveTimeout bounds a call that is made for a peer, beyond what it waits itself.
+	// serveTimeout bounds how long a call that is made for a peer may go unanswered, beyond what it waits
+	// itself, and between two pieces of the answer.
 	serveTimeout = time.Second
 	// maxCalls and maxWatches are how many calls are under way for peers at most. A third
 	// of 300 nodes, spread over the others, needs two of each; the rest is for fleets of
@@ -85,7 +87,7 @@
 		return Outcome{Failure: Busy, Detail: "the peer makes as many calls for others as it may"}
 	}
 	s.served.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, wait+serveTimeout)
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + serveTimeout, Silence: serveTimeout, Most: wait + answerMost})
 	defer cancel()
 	outcome, err := s.call(ctx, request, wait)
 	if errors.As(err, &outcome.Conflict) {
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -157,7 +158,13 @@
 	}
 	callContext, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(own, cancel)()
+	defer context.AfterFunc(own, func() {
+		// An answer that is coming is not given up for a way that others lost: a large one fills a link
+		// so that new connections fail beside it, and would have to come again from its beginning.
+		if !progress.Arriving(ctx) {
+			cancel()
+		}
+	})()
 	if silence > 0 {
 		defer time.AfterFunc(silence, func() { t.suspectSilence(callContext) }).Stop()
 	}
@@ -216,7 +223,7 @@
 // suspectSilence asks for an opinion since a call has gone unanswered, if that call is
 // still under way.
 func (t *Table) suspectSilence(ctx context.Context) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || progress.Arriving(ctx) {
 		return
 	}
 	t.mutex.Lock()
--- a/internal/tablestore/tablestore.go
+++ b/internal/tablestore/tablestore.go
@@ -108,6 +108,8 @@
 }
 
 // Feed tells the rows of a whole table and how they change.
+//
+// Answers may be large: for each piece that arrives, implementations call progress.Made with the call's context.
 type Feed interface {
 	// Snapshot returns all rows of a table, and the service's version as of which
 	// they were read.
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -26,6 +26,7 @@
 	remote   string // name of the node at the other end
 	traffic  *traffic
 	counter  ByteCounter // nil if nobody is told
+	arriving func()      // told of each piece of a large frame that arrives; nil for nobody
 	queue    *sendQueue
 	lastUsed atomic.Int64 // unix nanoseconds of the last frame either way
 	silence  silence
@@ -209,8 +210,10 @@
 // read passes every frame to handle until the link ends, and returns after
 // the link has failed. handle must not block.
 func (l *link) read(handle func(*wirepb.Frame) error) {
-	reader := bufio.NewReaderSize(l.conn, readBufferBytes)
+	pieces := &pieceReader{link: l}
+	reader := bufio.NewReaderSize(pieces, readBufferBytes)
 	for {
+		pieces.unfinished = 0
 		frame, size, err := readFrame(reader, l.options.MaxFrameBytes)
 		l.received(size)
 		if err == nil {
@@ -226,6 +229,26 @@
 	}
 }
 
+// pieceReader reads a connection and takes notice while a large frame arrives: nothing else can come on the
+// connection meanwhile, so that no wait for a frame is in vain.
+type pieceReader struct {
+	link       *link
+	unfinished int // bytes that came since the last whole frame
+}
+
+// Read implements io.Reader.
+func (p *pieceReader) Read(into []byte) (int, error) {
+	read, err := p.link.conn.Read(into)
+	p.unfinished += read
+	if read > 0 && p.unfinished >= largeFrameBytes {
+		p.link.silence.heard()
+		if p.link.arriving != nil {
+			p.link.arriving()
+		}
+	}
+	return read, err
+}
+
 // receive handles one frame unless a test fault drops it.
 func (l *link) receive(frame *wirepb.Frame, handle func(*wirepb.Frame) error) error {
 	lost, err := l.loses(&l.lostFrom, l.options.Fault.dropsFrom(l.remote))
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -32,6 +32,7 @@
 	minRedialDelay         = 50 * time.Millisecond
 	maxRedialDelay         = time.Second
 	readBufferBytes        = 4 << 10
+	largeFrameBytes        = 16 << 10 // from which on its pieces are noted: 4 ms on 30 Mbit a second
 	keepAliveIdle          = 15 * time.Second
 	keepAliveProbeEvery    = 5 * time.Second
 	keepAliveProbes        = 3
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -26,11 +27,22 @@
 }
 
 func newSession(link *link) *session {
-	return &session{
+	s := &session{
 		link:    link,
 		down:    make(chan struct{}),
 		streams: make(map[uint64]*stream),
 	}
+	link.arriving = s.arriving
+	return s
+}
+
+// arriving has all who wait on the connection know that a piece of a large frame came.
+func (s *session) arriving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, waiting := range s.streams {
+		progress.Made(waiting.ctx)
+	}
 }
 
 // run reads frames until the link ends.
@@ -64,14 +76,14 @@
 
 // open begins a stream under a correlation id not used before; nil if the
 // peer is leaving.
-func (s *session) open() *stream {
+func (s *session) open(ctx context.Context) *stream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving {
 		return nil
 	}
 	s.last++
-	opened := newStream(s.last)
+	opened := newStream(ctx, s.last)
 	s.streams[opened.correlation] = opened
 	return opened
 }
@@ -135,7 +147,7 @@
 func (s *session) exchange(
 	ctx context.Context, request *wirepb.Request, onPart func(offset int64, text []byte),
 ) (*wirepb.Reply, error) {
-	opened := s.open()
+	opened := s.open(ctx)
 	if opened == nil {
 		return nil, errLeft
 	}
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"context"
 	"sync"
 
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
@@ -24,6 +25,7 @@
 // stream is the asking side of one exchange: parts and reply that arrived
 // and were not consumed yet. Safe for concurrent use.
 type stream struct {
+	ctx         context.Context // of the caller, who is told of pieces of large frames
 	correlation uint64
 	wake        chan struct{} // holds one token when something arrived
 	ungranted   int           // consumed bytes not granted again; consumer only
@@ -35,8 +37,8 @@
 	overrun  bool // the peer sent more than the window allows
 }
 
-func newStream(correlation uint64) *stream {
-	return &stream{correlation: correlation, wake: make(chan struct{}, 1)}
+func newStream(ctx context.Context, correlation uint64) *stream {
+	return &stream{ctx: ctx, correlation: correlation, wake: make(chan struct{}, 1)}
 }
 
 // addPart stores a part for the consumer. Called by the link's reader; never
--- a/internal/zonefeed/ask.go
+++ b/internal/zonefeed/ask.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -46,21 +47,21 @@
 // over for a while. following ends when this process becomes the watcher.
 func (f *Feed) ask(ctx context.Context, following context.Context, watcher string, question *wirepb.FollowTable) (told, error) {
 	f.asked.Add(1)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	defer context.AfterFunc(following, func() { cancel(context.Canceled) })()
 	limit := silenceWithin(ctx, question)
-	silence := time.AfterFunc(limit, func() { cancel(errSilent) })
-	defer silence.Stop()
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: limit, Silence: limit, Most: followWait + answerMost})
+	defer cancel()
+	defer context.AfterFunc(following, cancel)()
 	f.mutex.Lock()
 	client := f.asker
 	f.mutex.Unlock()
 	request := &wirepb.Request{From: f.options.Node, Body: &wirepb.Request_FollowTable{FollowTable: question}}
-	reply, err := client.Do(ctx, watcher, request, func(int64, []byte) { silence.Reset(limit) })
+	reply, err := client.Do(ctx, watcher, request, func(int64, []byte) { progress.Made(ctx) })
 	var answer told
 	switch {
-	case err != nil && context.Cause(ctx) != nil:
-		err = errors.CombineErrors(context.Cause(ctx), err)
+	case err != nil && errors.Is(context.Cause(ctx), progress.ErrSilent):
+		err = errors.CombineErrors(errSilent, err)
+	case err != nil && ctx.Err() != nil:
+		err = errors.CombineErrors(ctx.Err(), err)
 	case err == nil && api.Code(reply.GetCode()) != api.OK:
 		err = errors.Wrap(errDeclined, reply.GetDetail())
 	case err == nil:
--- a/internal/zonefeed/feed.go
+++ b/internal/zonefeed/feed.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -19,9 +20,11 @@
 	// says nothing, as one without changes does; so a watcher asks often, and the others learn
 	// with each answer that it is in touch with the service.
 	ownWait = 400 * time.Millisecond
-	// ownGrace is how much longer an answer may take. The slowest that the platform announces
-	// takes 200 ms.
+	// ownGrace is how much longer an answer may take to begin, and then between two pieces of it.
+	// The slowest that the platform announces takes 200 ms.
 	ownGrace = 400 * time.Millisecond
+	// answerMost is how long an answer may take in all, as discovery's.
+	answerMost = 10 * time.Second
 	// lookWait is that of a call which is to tell at once what changed.
 	lookWait = time.Millisecond
 	// pauseAfterChanges is how long the reader of a feed pauses after changes; discovery's
@@ -212,7 +215,7 @@
 // watch asks the service, and takes notice of its answer.
 func (f *Feed) watch(ctx context.Context, name string, after uint64, wait time.Duration) ([]tablestore.Change, uint64, error) {
 	begun := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, wait+ownGrace)
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + ownGrace, Silence: ownGrace, Most: wait + answerMost})
 	defer cancel()
 	rows, version, err := f.options.Feed.Changes(ctx, name, after, wait)
 	f.mutex.Lock()
--- a/internal/zonefeed/fleet_test.go
+++ b/internal/zonefeed/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire"
@@ -203,7 +204,7 @@
 			}
 		})
 		other.hold()
-		if other.uplink != nil && other.uplink.carry(ctx, len(reply.GetBody()), func() {}) != nil {
+		if other.uplink != nil && other.uplink.carry(ctx, len(reply.GetBody()), func() { progress.Made(ctx) }) != nil {
 			return
 		}
 		if !other.isApart() && !n.isApart() {
--- a/internal/zonefeed/region_test.go
+++ b/internal/zonefeed/region_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
@@ -66,7 +67,7 @@
 	for _, row := range rows {
 		bytes += int(float64(len(row.Value)) * textPerByte)
 	}
-	if err := f.link.carry(ctx, bytes, func() {}); err != nil {
+	if err := f.link.carry(ctx, bytes, func() { progress.Made(ctx) }); err != nil {
 		return errors.Mark(err, tablestore.ErrUnknownOutcome)
 	}
 	return nil
