zonefeed: large configurations by both ways: answers bounded by silence, rows asked of one process

Change: both joined. A process that catches up first asks for versions, which are small, and then the nearest process that knows a newer one for its rows; what is asked in a time of its own is bounded by silence as well. Ruled out: asking several for rows at once: up to five answers for one that is used.

--- a/internal/zonefeed/catchup.go
+++ b/internal/zonefeed/catchup.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -20,6 +21,8 @@
 	// 30 KB takes 10 ms more on the slowest link. It is not taken from the time of the call that failed, which
 	// is over by then.
 	catchUpTime = 300 * time.Millisecond
+	// nearWait is how long a nearer process is waited for once one has named a newer version.
+	nearWait = 30 * time.Millisecond
 	// askedOfZone, askedOfRegion and askedOfOthers are how many processes are asked at a time: of the own zone, of
 	// the other zones of the own region, and of other regions. All at once, since those that are lost cost
 	// their whole time. A process may be cut off from each of the three.
@@ -47,8 +50,9 @@
 	return shuffled[:min(count, len(shuffled))]
 }
 
-// catchUp asks some processes for what they know of a table after a version, and takes the first that is newer. It
-// reports whether there was any. What it learns is not confirmed: there may be something newer still.
+// catchUp asks some processes which version of a table they know, and the nearest that knows a newer one for
+// what changed. It reports whether there was any. What it learns is not confirmed: there may be something newer
+// still. Rows are asked of one process only, since they may be large.
 func (f *Feed) catchUp(ctx context.Context, name string, after uint64) (told, bool) {
 	f.mutex.Lock()
 	client, neighbours := f.neighbour, f.neighbours
@@ -57,48 +61,82 @@
 		return told{}, false
 	}
 	asked := slices.Concat(drawn(neighbours.Zone, askedOfZone), drawn(neighbours.Region, askedOfRegion), drawn(neighbours.Others, askedOfOthers))
+	address, found := f.nearestNewer(ctx, client, asked, name, after)
+	if !found {
+		return told{}, false
+	}
+	ctx, cancel := f.ownTime(ctx, catchUpTime)
+	defer cancel()
+	learnt, err := f.askAsKnown(ctx, client, address, &wirepb.FollowTable{Table: name, After: after, AsKnown: true, ReadsPacked: true})
+	if err != nil {
+		f.noteNeighbours(err)
+		return told{}, false
+	}
+	return learnt, f.tookAsKnown(name, after, learnt)
+}
+
+// nearestNewer asks processes, the nearest first in the list, for the version that they know, and returns the
+// nearest that knows a newer one: of those that have answered when the first word of a newer one is
+// nearWait old.
+func (f *Feed) nearestNewer(ctx context.Context, client asker, asked []string, name string, after uint64) (string, bool) {
 	ctx, cancel := f.ownTime(ctx, catchUpTime)
 	defer cancel()
 	type reply struct {
-		told told
-		err  error
+		place   int // among the asked
+		version uint64
+		err     error
 	}
 	replies := make(chan reply, len(asked))
-	for _, address := range asked {
+	for place, address := range asked {
 		go func() {
-			told, err := f.askAsKnown(ctx, client, address, name, after)
-			replies <- reply{told, err}
+			told, err := f.askAsKnown(ctx, client, address, &wirepb.FollowTable{Table: name, After: after, AsKnown: true, VersionOnly: true})
+			replies <- reply{place, told.version, err}
 		}()
 	}
+	best := len(asked)
 	var last error
+	var enough <-chan time.Time
 	for range asked {
-		got := <-replies
-		if got.err == nil && f.tookAsKnown(name, after, got.told) {
-			return got.told, true
+		select {
+		case got := <-replies:
+			last = errors.CombineErrors(got.err, last)
+			if got.err == nil {
+				f.noteNewest(got.version)
+			}
+			if got.err == nil && got.version > after && got.place < best {
+				best = got.place
+				enough = time.After(nearWait)
+			}
+		case <-enough:
+			return asked[best], true
+		}
+		if best == 0 {
+			break
 		}
-		last = errors.CombineErrors(got.err, last)
 	}
 	f.noteNeighbours(last)
-	return told{}, false
+	if best == len(asked) {
+		return "", false
+	}
+	return asked[best], true
 }
 
 // ownTime returns a context for a question with a time of its own, that of its caller's call being over, or due to
 // be over. It ends with the feed.
 func (f *Feed) ownTime(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	ctx, cancel := progress.WithLimits(context.WithoutCancel(ctx), progress.Limits{First: limit, Silence: limit, Most: answerMost})
 	stop := context.AfterFunc(f.closing, cancel)
 	return ctx, func() { stop(); cancel() }
 }
 
 // askAsKnown asks one process for what it knows.
-func (f *Feed) askAsKnown(ctx context.Context, client asker, address, name string, after uint64) (told, error) {
-	question := &wirepb.FollowTable{Table: name, After: after, AsKnown: true, ReadsPacked: true}
+func (f *Feed) askAsKnown(ctx context.Context, client asker, address string, question *wirepb.FollowTable) (told, error) {
 	reply, err := client.Do(ctx, address, &wirepb.Request{From: f.options.Node, Body: &wirepb.Request_FollowTable{FollowTable: question}}, nil)
 	switch {
 	case err != nil:
-		return told{}, err
+		return told{}, errors.Wrapf(err, "peer %s", address)
 	case api.Code(reply.GetCode()) != api.OK:
-		return told{}, errors.Wrap(errDeclined, reply.GetDetail())
+		return told{}, errors.Wrapf(errDeclined, "peer %s: %s", address, reply.GetDetail())
 	}
 	answer, err := decode(question, reply.GetBody())
 	if err != nil {
@@ -107,6 +145,13 @@
 	return answer, err
 }
 
+// noteNewest keeps the newest version that another process named.
+func (f *Feed) noteNewest(version uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.newest = max(f.newest, version)
+}
+
 // noteNeighbours keeps why no process told anything newer; nil if all had nothing newer.
 func (f *Feed) noteNeighbours(err error) {
 	f.mutex.Lock()
@@ -120,7 +165,6 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.failed.Neighbours = ""
-	f.newest = max(f.newest, known.version)
 	if known.gone || known.version <= after || len(known.rows) == 0 {
 		return false
 	}
@@ -129,8 +173,7 @@
 	return true
 }
 
-// asKnown answers a process that has no other word of a table. The reply says the version that is known here
-// also where nothing is newer.
+// asKnown answers a process that has no other word of a table.
 func (f *Feed) asKnown(question *wirepb.FollowTable) *wirepb.Reply {
 	f.mutex.Lock()
 	known := f.table(question.GetTable())
@@ -141,6 +184,13 @@
 	}
 	followed := f.followed(&known.journal, rows)
 	f.mutex.Unlock()
+	if question.GetVersionOnly() {
+		followed.Rows = nil
+		followed.Version = question.GetAfter()
+		if len(rows) > 0 {
+			followed.Version = rows[len(rows)-1].Revision
+		}
+	}
 	f.answered.Add(1)
 	return f.reply(question, followed)
 }
