relay: whether the own way is lost is asked in a time of its own

Cause: the question was asked in the context of the call that had failed. A watch ends by its own deadline, so that neither the own small read nor a peer's could be answered, and the question still counted for the next half second. 100 ms were for all peers, and a silent one had them. A peer that had what others left of a caller's time went to the end of the list. Change: the question runs by itself; its caller waits for it while it has time. A later peer that fails with its caller's time keeps its place. Ruled out: asking all peers at once, which would have a store that is down for all read eight times as often. Measured: TestWayIsJudgedInATimeOfItsOwn failed before, in all four cases no call through a peer in 5 s; passes now.

--- /dev/null
+++ b/internal/relay/judge_test.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/wire"
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// unheard is an observer that is told in vain.
+type unheard struct{}
+
+func (unheard) WayLost(error)                {}
+func (unheard) WayFound(uint64)              {}
+func (unheard) OutcomeDropped(string, error) {}
+
+// mute is a service that answers nothing.
+type mute struct{ tablestore.Table }
+
+func (mute) wait(ctx context.Context) error {
+	<-ctx.Done()
+	return errors.Mark(ctx.Err(), tablestore.ErrUnknownOutcome)
+}
+
+// Commit implements tablestore.Table.
+func (m mute) Commit(ctx context.Context, _ tablestore.Transaction) (tablestore.Receipt, error) {
+	return tablestore.Receipt{}, m.wait(ctx)
+}
+
+// Range implements tablestore.Table.
+func (m mute) Range(ctx context.Context, _, _ string, _ int) ([]tablestore.Row, error) {
+	return nil, m.wait(ctx)
+}
+
+// Snapshot implements tablestore.Feed.
+func (m mute) Snapshot(ctx context.Context, _ string) ([]tablestore.Change, uint64, error) {
+	return nil, 0, m.wait(ctx)
+}
+
+// Changes implements tablestore.Feed.
+func (m mute) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]tablestore.Change, uint64, error) {
+	return nil, 0, m.wait(ctx)
+}
+
+// peersOf answers for peers: those that are silent never, the others after a while.
+type peersOf struct {
+	silent []string
+	after  time.Duration
+}
+
+// Do implements asker.
+func (p peersOf) Do(ctx context.Context, address string, request *wirepb.Request, _ func(int64, []byte)) (*wirepb.Reply, error) {
+	answer := time.NewTimer(p.after)
+	defer answer.Stop()
+	if slices.Contains(p.silent, address) {
+		answer.Stop()
+	}
+	select {
+	case <-answer.C:
+	case <-ctx.Done():
+		return nil, errors.Mark(ctx.Err(), wire.ErrLinkBroken)
+	}
+	if request.GetWatchTable() != nil {
+		return &wirepb.Reply{Body: []byte(`{"version":1}`)}, nil
+	}
+	return &wirepb.Reply{Body: []byte(`{}`)}, nil
+}
+
+// TestWayIsJudgedInATimeOfItsOwn has the service leave a process unanswered whose only calls wait for changes and
+// end by their own time, as those of a process do whose writes others make: on days with such a store processes
+// stayed for 25 s at a configuration that their peers had replaced. Whether the way is lost was asked in
+// the time of the call that had just used it up, so that no answer could come; and one time was for all
+// peers, so that a silent one used up that of the next. Soon the calls go through a peer, whoever else is silent.
+func TestWayIsJudgedInATimeOfItsOwn(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		peers  []string
+		silent []string
+		after  time.Duration // a peer's answer
+	}{
+		{"all peers answer", []string{"a", "b", "c", "d"}, nil, 5 * time.Millisecond},
+		{"two peers are silent", []string{"a", "b", "c", "d"}, []string{"a", "b"}, 5 * time.Millisecond},
+		{"all but the last are silent", []string{"a", "b", "c", "d"}, []string{"a", "b", "c"}, 5 * time.Millisecond},
+		{"peers take as long as a slow service", []string{"a", "b"}, []string{"a"}, 200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := NewTable(mute{}, mute{}, "n", unheard{})
+				defer table.Close()
+				table.Enable(peersOf{c.silent, c.after}, c.peers)
+				begun := time.Now()
+				for {
+					ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+					_, _, err := table.Changes(ctx, "t", 1, time.Millisecond)
+					cancel()
+					if err == nil {
+						break
+					}
+					time.Sleep(200 * time.Millisecond) // virtual time
+					if time.Since(begun) > 5*time.Second {
+						t.Fatalf("no call was made through a peer in 5 s, the last failed with %v; lost is %v", err, table.Lost())
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -89,13 +89,15 @@
 	client, peers := h.candidates()
 	request.From = h.node
 	last := errors.Newf("%d peers to ask now", len(peers))
-	for _, peer := range peers {
+	for i, peer := range peers {
 		outcome, err := h.askOne(ctx, client, peer, request, wait)
 		if err == nil && outcome.Failure != Unreachable && outcome.Failure != Busy {
 			h.prefer(peer)
 			return outcome, nil
 		}
-		h.demote(peer)
+		if ctx.Err() == nil || i == 0 { // a later one has had what the others left of the caller's time
+			h.demote(peer)
+		}
 		switch {
 		case ctx.Err() != nil:
 			return Outcome{}, errors.Mark(errors.Wrapf(ctx.Err(), "peer %s", peer), tablestore.ErrUnknownOutcome)
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -25,9 +25,9 @@
 	// silenceLimit is how long a call may go unanswered before a peer is asked whether
 	// the service answers it. An answer takes 4 ms as a rule.
 	silenceLimit = 150 * time.Millisecond
-	// opinionTimeout is how long a peer's small read may take that is to show that the
-	// service answers others.
-	opinionTimeout = 100 * time.Millisecond
+	// ownReadTimeout is how long the own small reads may take that are to show that the service
+	// answers this node.
+	ownReadTimeout = 100 * time.Millisecond
 	// ownReads is how many small reads by the own way are refused before a peer is asked,
 	// once calls were refused for their rate: at twice the rate of reads each is refused
 	// with even chances. They are ownReadPause apart.
@@ -211,11 +211,8 @@
 	if lostNow {
 		t.observer.WayLost(err)
 	}
-	if ask && t.isServed(ctx) {
-		return false
-	}
 	if ask {
-		return t.ask(ctx, err)
+		return t.judge(ctx, err)
 	}
 	return lost && err != nil && endingOf(err) != answered
 }
@@ -229,8 +226,22 @@
 	t.mutex.Lock()
 	ask := t.way.takeOpinion(time.Now())
 	t.mutex.Unlock()
-	if ask && !t.isServed(ctx) {
-		t.ask(ctx, errors.Newf("no answer for %s", silenceLimit))
+	if ask {
+		t.judge(ctx, errors.Newf("no answer for %s", silenceLimit))
+	}
+}
+
+// judge finds out whether the own way is lost, and reports whether it is; false if the caller's context ends
+// first. It takes a time of its own: the call that gives rise to it has mostly used its own up, and in that time no
+// peer could answer. A node whose only calls wait for changes would never learn that others are answered.
+func (t *Table) judge(ctx context.Context, cause error) bool {
+	verdict := make(chan bool, 1)
+	go func() { verdict <- !t.isServed() && t.ask(cause) }()
+	select {
+	case lost := <-verdict:
+		return lost
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -238,8 +249,8 @@
 // writes and reads for their rate separately, takes the writes of a part one after another, and
 // a part may be down alone; so a peer whose read is answered says nothing of the writes that
 // fail here. A service that turns this node away refuses its reads, too.
-func (t *Table) isServed(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, opinionTimeout)
+func (t *Table) isServed() bool {
+	ctx, cancel := context.WithTimeout(t.closing, ownReadTimeout)
 	defer cancel()
 	for try := range ownReads {
 		if try > 0 && !backoff.Wait(ctx, backoff.Spread(ownReadPause)) {
@@ -258,16 +269,14 @@
 
 // ask has a peer read one row, and takes the own way for lost if the service answers the
 // peer. It reports whether it does.
-func (t *Table) ask(ctx context.Context, cause error) bool {
+func (t *Table) ask(cause error) bool {
 	if !t.helpers.any() {
 		return false
 	}
 	t.mutex.Lock()
 	t.opinions++
 	t.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, opinionTimeout)
-	defer cancel()
-	outcome, err := t.helpers.ask(ctx, rangeRequest(secretKey, secretKey+"\x00", 1), 0, true)
+	outcome, err := t.helpers.ask(t.closing, rangeRequest(secretKey, secretKey+"\x00", 1), 0, true)
 	if err != nil || outcome.Failure != "" {
 		return false
 	}
