--- a/cmd/pewtermill/serve.go
+++ b/cmd/pewtermill/serve.go
@@ -52,6 +52,7 @@
 		Table:     store,
 		Feed:      store,
 		Records:   platform.NewRecords,
+		TableOf:   platform.TableOf,
 		Protocol:  platform.Protocol{},
 		ReadyPath: platform.ReadyPath(),
 		Run:       strconv.FormatUint(rand.Uint64(), 36),
--- a/internal/ledger/lookup_test.go
+++ b/internal/ledger/lookup_test.go
@@ -19,7 +19,7 @@
 // newLookingLedger returns a ledger that asks all parts with one call, and the count of its calls.
 func newLookingLedger(store *operators.Store, run string) (*ledger.Ledger, *atomic.Int64) {
 	var calls atomic.Int64
-	table := platform.NewStore(store.Address(), func(string, time.Duration, error) { calls.Add(1) })
+	table := platform.NewStore(store.Address(), func(platform.StoreCall) { calls.Add(1) })
 	present := func(ctx context.Context, keys []string) ([]tablestore.Row, error) {
 		return tablestore.Present(ctx, table, run, keys)
 	}
--- a/internal/serving/deployment_test.go
+++ b/internal/serving/deployment_test.go
@@ -173,7 +173,7 @@
 		Node: node, Topology: topology.New(cmp.Or(d.zone, "zone-a"), d.regions), IngressAddress: anyPort, ReadyAddress: anyPort, GracePeriod: 8 * time.Second,
 		PeerAddress: peers, PeersListen: d.peersListen, KeysExpire: d.keysExpire, CarryFrom: d.carryFrom, CommitsAcross: d.across, RegionLinkMegabits: d.linkMegabits,
 	}, serving.Dependencies{
-		Table: store, Feed: store, Records: platform.NewRecords, Protocol: countingProtocol{forwarded: &d.forwarded, panics: &d.panics}, ReadyPath: platform.ReadyPath(),
+		Table: store, Feed: store, Records: platform.NewRecords, TableOf: platform.TableOf, Protocol: countingProtocol{forwarded: &d.forwarded, panics: &d.panics}, ReadyPath: platform.ReadyPath(),
 		Run: "run-of-" + node, Logger: eventlog.NewLogger(writer, slog.LevelDebug), Metrics: d.metrics,
 	})
 	if err := d.process.Start(context.Background()); err != nil {
--- a/internal/serving/news.go
+++ b/internal/serving/news.go
@@ -62,7 +62,7 @@
 	ways := p.watch.Failures()
 	p.logger.Warn("no news of the store", "collection", collection.String(), "silent_ms", now.Sub(heard).Milliseconds(),
 		"configuration", p.configurationVersion(), "row_version", p.follower.View().Versions[collection],
-		"newest_told", p.watch.Newest(), "watcher", ways.Watcher, "store", ways.Store, "neighbours", ways.Neighbours)
+		"newest_told", p.watch.Newest(p.dependencies.TableOf(collection)), "watcher", ways.Watcher, "store", ways.Store, "neighbours", ways.Neighbours)
 }
 
 // configurationVersion returns the version of the configuration in force; 0 before the first.
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -79,6 +79,7 @@
 	Table     tablestore.Table
 	Feed      tablestore.Feed // of the same service
 	Records   func(tablestore.Feed) discovery.Source
+	TableOf   func(discovery.Collection) string // in which Feed tells a collection
 	Protocol  ingress.Protocol
 	ReadyPath string
 	Run       string // names this run of the process; no other run has the same
--- a/internal/zonefeed/catchup.go
+++ b/internal/zonefeed/catchup.go
@@ -54,13 +54,10 @@
 // what changed. It reports whether there was any. What it learns is not confirmed: there may be something newer
 // still. Rows are asked of one process only, since they may be large.
 func (f *Feed) catchUp(ctx context.Context, name string, after uint64) (told, bool) {
-	f.mutex.Lock()
-	client, neighbours := f.neighbour, f.neighbours
-	f.mutex.Unlock()
+	client, asked := f.whomToAsk()
 	if client == nil {
 		return told{}, false
 	}
-	asked := slices.Concat(drawn(neighbours.Zone, askedOfZone), drawn(neighbours.Region, askedOfRegion), drawn(neighbours.Others, askedOfOthers))
 	address, found := f.nearestNewer(ctx, client, asked, name, after)
 	if !found {
 		return told{}, false
@@ -72,7 +69,19 @@
 		f.noteNeighbours(err)
 		return told{}, false
 	}
-	return learnt, f.tookAsKnown(name, after, learnt)
+	return learnt, f.tookAsKnown(address, name, after, learnt)
+}
+
+// whomToAsk returns the processes to ask, the nearest first, but for the one that told something last: a process
+// that is cut off from most finds one that it reaches by chance, and keeps to it.
+func (f *Feed) whomToAsk() (asker, []string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	asked := slices.Concat(drawn(f.neighbours.Zone, askedOfZone), drawn(f.neighbours.Region, askedOfRegion), drawn(f.neighbours.Others, askedOfOthers))
+	if f.helpful != "" && !slices.Contains(asked, f.helpful) {
+		asked = slices.Insert(asked, 0, f.helpful)
+	}
+	return f.neighbour, asked
 }
 
 // nearestNewer asks processes, the nearest first in the list, for the version that they know, and returns the
@@ -101,7 +110,7 @@
 		case got := <-replies:
 			last = errors.CombineErrors(got.err, last)
 			if got.err == nil {
-				f.noteNewest(got.version)
+				f.noteNewest(name, got.version)
 			}
 			if got.err == nil && got.version > after && got.place < best {
 				best = got.place
@@ -146,10 +155,11 @@
 }
 
 // noteNewest keeps the newest version that another process named.
-func (f *Feed) noteNewest(version uint64) {
+func (f *Feed) noteNewest(name string, version uint64) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.newest = max(f.newest, version)
+	known := f.table(name)
+	known.newest = max(known.newest, version)
 }
 
 // noteNeighbours keeps why no process told anything newer; nil if all had nothing newer.
@@ -161,7 +171,7 @@
 
 // tookAsKnown takes what a process knows of a table, and reports whether it is newer than a version. Rows and
 // version go together: the other has every change up to its version.
-func (f *Feed) tookAsKnown(name string, after uint64, known told) bool {
+func (f *Feed) tookAsKnown(from, name string, after uint64, known told) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.failed.Neighbours = ""
@@ -169,6 +179,7 @@
 		return false
 	}
 	f.learnt.Add(1)
+	f.helpful = from
 	f.table(name).journal.changed(known.rows, known.version)
 	return true
 }
@@ -195,11 +206,11 @@
 	return f.reply(question, followed)
 }
 
-// Newest returns the newest version that another process named when it was asked for what it knows.
-func (f *Feed) Newest() uint64 {
+// Newest returns the newest version of a row that another process named when it was asked for what it knows.
+func (f *Feed) Newest(table string) uint64 {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.newest
+	return f.table(table).newest
 }
 
 // unconfirmed marks rows that another process told, and why nobody confirms that they are the newest.
--- a/internal/zonefeed/feed.go
+++ b/internal/zonefeed/feed.go
@@ -91,7 +91,7 @@
 	// neighbours are asked, by neighbour, while nobody vouches for anything.
 	neighbour  asker // nil before any is known
 	neighbours Neighbours
-	newest     uint64          // version that one of them named
+	helpful    string          // the one that told something last; empty for none
 	closing    context.Context // ends with Close
 	close      context.CancelFunc
 	// following ends when another process asks this one, which is the watcher from then on.
@@ -105,6 +105,7 @@
 	news    chan struct{} // closed, and replaced, when the service has answered
 	basis   basis         // of what the watcher told last
 	packing packing
+	newest  uint64 // version of a row that another process named, when it was asked for what it knows
 	// settledAt is from when on this process tells others what it does not vouch for.
 	settledAt time.Time
 }
--- a/internal/zonefeed/fleet_test.go
+++ b/internal/zonefeed/fleet_test.go
@@ -252,6 +252,9 @@
 	if errors.Is(err, tablestore.ErrHistoryGone) {
 		err = errors.Mark(err, discovery.ErrHistoryGone)
 	}
+	if errors.Is(err, tablestore.ErrUnconfirmed) {
+		err = errors.Mark(err, discovery.ErrUnconfirmed)
+	}
 	return records(rows), version, err
 }
 
