--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
@@ -14,7 +15,10 @@
 
 // Bounds of calls through peers.
 const (
-	peerTimeout = 250 * time.Millisecond // of one peer, beyond what the call itself waits
+	// peerTimeout is how long one peer may take, beyond what the call itself waits, until its reply
+	// begins to come, and between two pieces of it.
+	peerTimeout = 250 * time.Millisecond
+	answerMost  = 10 * time.Second       // for a whole reply
 	peersAgain  = 500 * time.Millisecond // after none of them had a way
 	// maxPeers is how many peers one call is tried at. With a third of the nodes turned
 	// away, one call in eighty finds none that is not.
@@ -85,13 +89,15 @@
 	client, peers := h.candidates()
 	request.From = h.node
 	last := errors.Newf("%d peers to ask now", len(peers))
-	for _, peer := range peers {
+	for i, peer := range peers {
 		outcome, err := h.askOne(ctx, client, peer, request, wait)
 		if err == nil && outcome.Failure != Unreachable && outcome.Failure != Busy {
 			h.prefer(peer)
 			return outcome, nil
 		}
-		h.demote(peer)
+		if ctx.Err() == nil || i == 0 { // a later one has had what the others left of the caller's time
+			h.demote(peer)
+		}
 		switch {
 		case ctx.Err() != nil:
 			return Outcome{}, errors.Mark(errors.Wrapf(ctx.Err(), "peer %s", peer), tablestore.ErrUnknownOutcome)
@@ -121,7 +127,7 @@
 
 // askOne has one peer make a call. An outcome that makes no sense counts as lost.
 func (h *helpers) askOne(ctx context.Context, client asker, peer string, request *wirepb.Request, wait time.Duration) (Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + peerTimeout, Silence: peerTimeout, Most: wait + answerMost})
 	defer cancel()
 	reply, err := client.Do(ctx, peer, request, nil)
 	if err != nil {
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -79,6 +79,7 @@
 	Table     tablestore.Table
 	Feed      tablestore.Feed // of the same service
 	Records   func(tablestore.Feed) discovery.Source
+	TableOf   func(discovery.Collection) string // in which Feed tells a collection
 	Protocol  ingress.Protocol
 	ReadyPath string
 	Run       string // names this run of the process; no other run has the same
@@ -291,6 +292,7 @@
 	p.loops.Go(func() { p.findPeers(ctx) })
 	p.loops.Go(func() { p.zones.Run(ctx) })
 	p.loops.Go(func() { p.watch.Run(ctx) })
+	context.AfterFunc(ctx, p.watch.Close)
 	p.loops.Go(func() { p.keeper.Run(ctx) })
 }
 
--- a/internal/tablestore/tablestore.go
+++ b/internal/tablestore/tablestore.go
@@ -73,6 +73,8 @@
 	ErrNotFound = errors.New("not found")
 	// ErrHistoryGone: changes since a version cannot be told any more.
 	ErrHistoryGone = errors.New("the history of changes is gone")
+	// ErrUnconfirmed: another reader told the rows, while the service did not answer.
+	ErrUnconfirmed = errors.New("the service has not confirmed that these are the newest rows")
 	// ErrCorrupt: an object's content does not match its digest.
 	ErrCorrupt = errors.New("object does not match its digest")
 )
@@ -108,13 +110,16 @@
 }
 
 // Feed tells the rows of a whole table and how they change.
+//
+// Answers may be large: for each piece that arrives, implementations call progress.Made with the call's context.
 type Feed interface {
 	// Snapshot returns all rows of a table, and the service's version as of which
 	// they were read.
 	Snapshot(ctx context.Context, table string) ([]Change, uint64, error)
 	// Changes waits until rows have changed after a version, and returns them in
 	// order, with the version to go on from. With none in time it returns none.
-	// Errors: those of Table, and ErrHistoryGone.
+	// Errors: those of Table, and ErrHistoryGone. With an error marked ErrUnconfirmed rows and version
+	// hold, but nobody says that there are no newer ones.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
 }
 
--- a/internal/zonefeed/fleet_test.go
+++ b/internal/zonefeed/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire"
@@ -62,10 +64,17 @@
 // row returns the row as of a version. The mutex is held.
 func (s *store) row(version uint64) tablestore.Change {
 	row := configRow(version)
-	row.Value = append(row.Value, make([]byte, s.bulk)...)
+	row.Value = append(row.Value, noise(s.bulk)...)
 	return row
 }
 
+// noise returns so many bytes that cannot be packed, the same each time.
+func noise(bytes int) []byte {
+	content := make([]byte, bytes)
+	rand.NewChaCha8([32]byte{}).Read(content)
+	return content
+}
+
 func (s *store) after(version uint64) ([]tablestore.Change, uint64, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -203,7 +212,7 @@
 			}
 		})
 		other.hold()
-		if other.uplink != nil && other.uplink.carry(ctx, len(reply.GetBody()), func() {}) != nil {
+		if other.uplink != nil && other.uplink.carry(ctx, len(reply.GetBody()), func() { progress.Made(ctx) }) != nil {
 			return
 		}
 		if !other.isApart() && !n.isApart() {
@@ -243,6 +252,9 @@
 	if errors.Is(err, tablestore.ErrHistoryGone) {
 		err = errors.Mark(err, discovery.ErrHistoryGone)
 	}
+	if errors.Is(err, tablestore.ErrUnconfirmed) {
+		err = errors.Mark(err, discovery.ErrUnconfirmed)
+	}
 	return records(rows), version, err
 }
 
--- a/internal/zonefeed/region_test.go
+++ b/internal/zonefeed/region_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
@@ -66,7 +68,7 @@
 	for _, row := range rows {
 		bytes += int(float64(len(row.Value)) * textPerByte)
 	}
-	if err := f.link.carry(ctx, bytes, func() {}); err != nil {
+	if err := f.link.carry(ctx, bytes, func() { progress.Made(ctx) }); err != nil {
 		return errors.Mark(err, tablestore.ErrUnknownOutcome)
 	}
 	return nil
@@ -112,9 +114,12 @@
 			f.loops.Go(func() { n.view.Run(ctx, discovery.Configurations) })
 		}
 		time.Sleep(time.Second)
-		for _, zone := range addresses {
+		for i, zone := range addresses {
+			elsewhere := slices.Concat(slices.Delete(slices.Clone(addresses), i, i+1)...)
 			for _, address := range zone {
-				f.nodes[address].feed.SetPeers(f.nodes[address], address, zone)
+				n := f.nodes[address]
+				n.feed.SetPeers(n, address, zone)
+				n.feed.SetNeighbours(n, Neighbours{Zone: without(zone, address), Region: elsewhere})
 			}
 		}
 		time.Sleep(4 * time.Second)
@@ -124,6 +129,11 @@
 	})
 }
 
+// without returns a zone's processes but one.
+func without(zone []string, address string) []string {
+	return slices.DeleteFunc(slices.Clone(zone), func(other string) bool { return other == address })
+}
+
 // TestLargeConfigurationReachesAnotherRegion changes a configuration of 1,400 routes, and a second later
 // changes it again, as an operator did in an incident: 32 processes of the region that is away from the
 // store stayed at the version before for 20 s and more, were not ready, and two of them handled requests
