ledger, turncache: long histories are bounded by silence too

A writer that was sending was taken for silent, and passed over for writes as well. Change: both go on while the answer comes. Ruled out: news of loads (34 KB at most), the directory and leases (small rows), groups of writes (small answers): their fixed times are far above what their bytes take. Conclusion: the same bound everywhere an answer may be large.

--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
@@ -119,13 +120,19 @@
 	return e.take(l.options.Run, accountKey(partOf(e.program), e.program), rows)
 }
 
+// longestRead bounds a read whose rows keep coming: 1 MB, the most that one read tells, at 1 Mbit a second. Callers
+// mostly leave sooner.
+const longestRead = 8 * time.Second
+
 // readRange reads rows, again if the table fails, until its part is closed.
 func (l *Ledger) readRange(ctx context.Context, part int, start, end string) ([]tablestore.Row, error) {
 	for tries := 0; ; tries++ {
 		if err := l.health.admit(reading, part, l.options.Now()); err != nil {
 			return nil, err
 		}
-		callContext, cancel := context.WithTimeout(ctx, l.health.readTimeout())
+		// A long history that is coming is not given up: it would be begun again, and come no further.
+		silence := l.health.readTimeout()
+		callContext, cancel := progress.WithLimits(ctx, progress.Limits{First: silence, Silence: silence, Most: longestRead})
 		begun, began := time.Now(), l.options.Now()
 		rows, err := l.options.Table.Range(callContext, start, end, rangeLimit)
 		unanswered := err != nil && ctx.Err() == nil && callContext.Err() != nil
--- a/internal/turncache/cache_test.go
+++ b/internal/turncache/cache_test.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -104,6 +107,38 @@
 	return peer{f[address]}.Do(ctx, address, request, onPart)
 }
 
+// slowLink has a peer's reply come in pieces, for longer than a peer may be silent.
+type slowLink struct{ peer }
+
+func (l slowLink) Do(ctx context.Context, address string, request *wirepb.Request, onPart func(int64, []byte)) (*wirepb.Reply, error) {
+	for range 10 {
+		select {
+		case <-time.After(fetchTimeout / 2): // virtual time
+			progress.Made(ctx)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return l.peer.Do(ctx, address, request, onPart)
+}
+
+// TestLongLineIsWaitedForWhileItComes has a peer tell a line over a slow link. The line is had from it, and the
+// peer is not taken for silent, for which it would be passed over as a writer too.
+func TestLongLineIsWaitedForWhileItComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writer := NewCache()
+		writer.Committed(record(t, "p", turn("t0", "", 300_000)))
+		client := NewClient(Options{Cache: NewCache(),
+			Writers: func(string) []string { return []string{"writer"} },
+			Silent:  func(address string, cause error) { t.Errorf("%s was taken for silent: %v", address, cause) },
+		})
+		client.Enable(slowLink{peer{writer}})
+		if line := client.Line(t.Context(), "p", "t0"); len(line) != 1 {
+			t.Errorf("told %d turns, want one", len(line))
+		}
+	})
+}
+
 // TestStoppingPeerIsPassedOver has the first writer stop: the second one tells the line within the same
 // question, and the first is passed over from then on.
 func TestStoppingPeerIsPassedOver(t *testing.T) {
--- a/internal/turncache/peers.go
+++ b/internal/turncache/peers.go
@@ -10,12 +10,18 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/ledger"
+	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
-// fetchTimeout is how long a writer may take to tell turns. In the own zone that takes a
-// millisecond; reading the table takes four and more.
-const fetchTimeout = 60 * time.Millisecond
+// fetchTimeout is how long a writer may take until what it tells begins to come, and between two pieces of
+// it. In the own zone that takes a millisecond; reading the table takes four and more. A long line may take
+// fetchMost in all: 300 KB have .08 s on a link of 30 Mbit a second that nobody else uses. One that is
+// coming must not have its writer taken for silent.
+const (
+	fetchTimeout = 60 * time.Millisecond
+	fetchMost    = time.Second
+)
 
 // errNotALine says that turns of a peer don't make up the line that was asked for.
 var errNotALine = errors.New("the turns are not those of a line")
@@ -88,7 +94,7 @@
 
 // fetch has one peer tell turns. A peer that doesn't answer tells none: the table knows them.
 func (c *Client) fetch(parent context.Context, client asker, address, program, turn string) []*ledger.Turn {
-	ctx, cancel := context.WithTimeout(parent, fetchTimeout)
+	ctx, cancel := progress.WithLimits(parent, progress.Limits{First: fetchTimeout, Silence: fetchTimeout, Most: fetchMost})
 	defer cancel()
 	c.asked.Add(1)
 	reply, err := client.Do(ctx, address, &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_FetchTurns{
