zonewatch: a late answer does not hide a lost zone

Cause: one answer that was on its way when its zone was lost ended the suspicion for good. All peers of the zone stay doubted until each answers; callers' requests pass them over, and their silences did not count. Change: beside the doubted ones one that is believed is asked; if it is silent too, silences of doubted peers count, and the zone is suspected again. Ruled out: to leave a zone suspected until several answer: a zone that is back would be passed over for longer.

--- a/internal/zonewatch/judge.go
+++ b/internal/zonewatch/judge.go
@@ -171,11 +171,13 @@
 		return // another one of the zone was heard since: this one is slow
 	}
 	one := j.sourceOf(address, name)
-	if !one.doubted.IsZero() {
-		return // not believed yet: its connection may be as old as the loss of its zone
+	if !one.doubted.IsZero() && !known.suspected.IsZero() {
+		return // passed over with its zone, which is asked all the time
 	}
 	one.asked, one.noticed = asked, now
-	known.look = true
+	if one.doubted.IsZero() {
+		known.look = true
+	} // else its connection may be as old as the loss of its zone: alone it says nothing
 }
 
 // Look has a zone looked at, since another node suspects it, or the way to the store was lost.
@@ -265,10 +267,10 @@
 }
 
 // silence returns since when nobody of a zone answers, and how many were asked in vain. Zero
-// means that too few were.
+// means that too few were, or only such as are not believed yet.
 func (z *zone) silence(now time.Time) (time.Time, int) {
 	var first time.Time
-	silent, peers, known := 0, 0, 0
+	silent, peers, known, believed := 0, 0, 0, 0
 	for _, one := range z.sources {
 		if one.peer {
 			known++
@@ -280,11 +282,14 @@
 		if one.peer {
 			peers++
 		}
+		if one.doubted.IsZero() {
+			believed++
+		}
 		if first.IsZero() || one.asked.Before(first) {
 			first = one.asked
 		}
 	}
-	if peers == 0 || peers < min(known, looksPerZone) || silent < leastSilent || now.Sub(first) < silentFor {
+	if peers == 0 || peers < min(known, looksPerZone) || silent < leastSilent || believed == 0 || now.Sub(first) < silentFor {
 		return time.Time{}, silent
 	}
 	return first, silent
--- a/internal/zonewatch/judge_test.go
+++ b/internal/zonewatch/judge_test.go
@@ -405,3 +405,30 @@
 		t.Error("it is doubted for ever")
 	}
 }
+
+// TestLateAnswerDoesNotHideALostZone loses a zone, and has an answer of it that was on its way arrive just after
+// the zone is suspected. In a run beside load that ended the suspicion for good: all of the zone were passed over
+// one by one, so that callers' requests asked none of them any more, and the silence of those that were looked at did not
+// count, as their connections might be old. A turn waited at an engine there until its time was over. The
+// zone is suspected again soon, whichever of it was heard.
+func TestLateAnswerDoesNotHideALostZone(t *testing.T) {
+	for seed := range uint64(20) {
+		peers := peersOf(5, "a", "b", "c")
+		p := newPlay(t, seed, peers)
+		p.alive = silentZones(peers, time.Second, time.Hour, "b")
+		for p.changed(ZoneSuspected, "b") < 0 && p.now.Sub(p.begun) < 5*time.Second {
+			p.until(p.now.Sub(p.begun) + tick)
+		}
+		p.nextAsk = p.begun.Add(time.Hour) // callers' requests pass doubted peers over
+		p.judge.Heard(fmt.Sprintf("b-%d", seed%5), "b", p.now)
+		p.step = p.now
+		believed := p.now.Sub(p.begun)
+		p.until(believed + 1500*time.Millisecond)
+		if p.changed(ZoneBelieved, "b") < 0 {
+			t.Fatalf("seed %d: a zone of which one was heard is not believed", seed)
+		}
+		if !p.judge.Suspected()["b"] {
+			t.Errorf("seed %d: 1.5 s after the late answer the zone is believed: %+v", seed, p.changes)
+		}
+	}
+}
--- a/internal/zonewatch/look.go
+++ b/internal/zonewatch/look.go
@@ -16,8 +16,10 @@
 		case known.look:
 			looking = true
 			known.ask(looksPerZone, lookPause, &known.lookedAt, now, orders, (*source).isPeer)
-		default:
-			known.ask(returnBatch, returnPause, &known.lookedAt, now, orders, (*source).isDoubted)
+		case known.ask(returnBatch, returnPause, &known.lookedAt, now, orders, (*source).isDoubted):
+			// One that is believed beside them: it may have been heard by an answer that was on its way when
+			// its zone was lost. Callers' requests pass the others over, so that nothing else would tell.
+			known.name(1, now, orders, (*source).isBelieved)
 		}
 	}
 	if looking {
@@ -53,12 +55,19 @@
 
 func (s *source) isDoubted() bool { return s.peer && !s.doubted.IsZero() }
 
-// ask names some sources, those first that were not named for the longest time, if the last time
-// is a pause ago.
-func (z *zone) ask(count int, pause time.Duration, last *time.Time, now time.Time, orders *Orders, which func(*source) bool) {
-	if now.Sub(*last) < pause {
-		return
+func (s *source) isBelieved() bool { return s.peer && s.doubted.IsZero() }
+
+// ask names some sources if the last time is a pause ago, and reports whether there were any.
+func (z *zone) ask(count int, pause time.Duration, last *time.Time, now time.Time, orders *Orders, which func(*source) bool) bool {
+	if now.Sub(*last) < pause || !z.name(count, now, orders, which) {
+		return false
 	}
+	*last = now
+	return true
+}
+
+// name names some sources, those first that were not named for the longest time, and reports whether there were any.
+func (z *zone) name(count int, now time.Time, orders *Orders, which func(*source) bool) bool {
 	var addresses []string
 	for address, one := range z.sources {
 		if which(one) {
@@ -66,17 +75,17 @@
 		}
 	}
 	if len(addresses) == 0 {
-		return
+		return false
 	}
 	slices.Sort(addresses)
 	slices.SortStableFunc(addresses, func(a, b string) int {
 		return z.sources[a].askedAt.Compare(z.sources[b].askedAt)
 	})
-	*last = now
 	for _, address := range addresses[:min(count, len(addresses))] {
 		z.sources[address].askedAt = now
 		orders.Ask = append(orders.Ask, address)
 	}
+	return true
 }
 
 // forget drops what is too old to count.
