--- a/internal/serving/turned_away_test.go
+++ b/internal/serving/turned_away_test.go
@@ -73,6 +73,34 @@
 	}
 }
 
+// TestTurnedAwayProcessIsServedThroughASlowStore has the store refuse one process, and take 200 ms for each read of the
+// other one, as beside load. The first one denies a turn that nobody said, which takes reads of every part through its peer. Where a
+// peer had 100 ms to show that the store answers it, the process did not learn that it was turned away alone, and
+// said that the store was down; beside load TestTurnedAwayProcessServesOn was seen to fail so.
+func TestTurnedAwayProcessIsServedThroughASlowStore(t *testing.T) {
+	d, _, entrance := besideServed(t)
+	if got := d.turn("/kept/", "p", "t0", "", "first;"); got.status != http.StatusOK || got.cut {
+		t.Fatalf("before: got %+v", got)
+	}
+	entrance.SetFault(operators.Refuse)
+	d.store.SetFault(func(path, _ string) operators.Fault {
+		if path == "/-/rows-get" {
+			return operators.Slow
+		}
+		return operators.Healthy
+	})
+	var got answer
+	tries := 0
+	d.eventually("denied", func() bool {
+		tries++
+		got = d.turn("/kept/", "p", fmt.Sprintf("u%d", tries), "never-said", "next;")
+		return got.status == http.StatusNotFound || tries == 3 // as often as a caller tries
+	})
+	if got.status != http.StatusNotFound {
+		t.Errorf("a turn that goes on from one that nobody said: got %+v; log:\n%s", got, d.log)
+	}
+}
+
 // TestBusyStoreIsNotRelayed has the store refuse every process alike. No calls go through
 // peers then, and the questions whether peers are served stay few.
 func TestBusyStoreIsNotRelayed(t *testing.T) {
