zonefeed, serving: a process that becomes the watcher looks at once; clearer names

Cause: a process that others had just taken for their watcher first asked its neighbours, up to .3 s of the .7 s that they wait for it; one that stops asked them too. Change: both go straight on. Names of a line and a list. Ruled out: nothing. Measured: tests of the packages pass.

--- a/internal/serving/news.go
+++ b/internal/serving/news.go
@@ -18,8 +18,8 @@
 	newsAgain   = 5 * time.Second        // between two lines while it lasts
 )
 
-// followed are the collections of which news are awaited.
-var followed = [...]discovery.Collection{discovery.Configurations, discovery.Engines}
+// awaited are the collections of which news are awaited.
+var awaited = [...]discovery.Collection{discovery.Configurations, discovery.Engines}
 
 // overdue is a collection of which no news came for too long.
 type overdue struct {
@@ -31,9 +31,9 @@
 // reportNews logs when a collection was not heard of for too long, why none of the ways to hear of it
 // worked, and when it is over, until ctx ends.
 func (p *Process) reportNews(ctx context.Context) {
-	var late [len(followed)]overdue
+	var late [len(awaited)]overdue
 	for backoff.Wait(ctx, newsLooks) {
-		for i, collection := range followed {
+		for i, collection := range awaited {
 			p.lookForNews(collection, &late[i], time.Now())
 		}
 	}
@@ -47,7 +47,7 @@
 		return // not ready before its first list
 	case now.Sub(heard) < newsOverdue:
 		if !late.since.IsZero() {
-			p.logger.Info("news are back", "collection", collection.String(), "silent_ms", heard.Sub(late.since).Milliseconds(),
+			p.logger.Info("news of the store again", "collection", collection.String(), "silent_ms", heard.Sub(late.since).Milliseconds(),
 				"configuration_before", late.version, "configuration", p.configurationVersion())
 		}
 		*late = overdue{}
@@ -75,7 +75,7 @@
 
 // registerNews publishes how long ago the store was last heard of.
 func (p *Process) registerNews() {
-	for _, collection := range followed {
+	for _, collection := range awaited {
 		p.metrics.Gauge("pewtermill_serve_"+collection.String()+"_heard_seconds",
 			"Since the store last said what changed among the "+collection.String()+"; 0 before it first did.", func() float64 {
 				if heard := p.follower.HeardAt(collection); !heard.IsZero() {
--- a/internal/zonefeed/feed.go
+++ b/internal/zonefeed/feed.go
@@ -211,6 +211,8 @@
 		return f.tookChanges(name, after, told)
 	case ctx.Err() != nil:
 		return nil, 0, errors.Wrap(err, "watcher of the zone")
+	case following.Err() != nil: // others wait for this process to vouch for what it knows
+		return f.watch(ctx, name, after, min(wait, lookWait))
 	}
 	return f.lookAfterSilence(ctx, name, after, min(wait, lookWait))
 }
@@ -232,10 +234,10 @@
 	return append(learnt.rows, rows...), max(version, learnt.version), nil
 }
 
-// watchOrLearn asks the service, and other processes if it does not answer.
+// watchOrLearn asks the service, and other processes if it does not answer while the caller waits.
 func (f *Feed) watchOrLearn(ctx context.Context, name string, after uint64, wait time.Duration) ([]tablestore.Change, uint64, error) {
 	rows, version, err := f.watch(ctx, name, after, wait)
-	if err == nil || errors.Is(err, tablestore.ErrHistoryGone) {
+	if err == nil || errors.Is(err, tablestore.ErrHistoryGone) || errors.Is(ctx.Err(), context.Canceled) {
 		return rows, version, err
 	}
 	if learnt, newer := f.catchUp(ctx, name, after); newer {
