--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -28,6 +28,10 @@
 // Each connection's send queue is bounded in bytes; a full queue makes senders
 // wait (until their context ends), not readers.
 //
+// Large frames. While one arrives nothing else can come on its connection. Each piece of it extends the
+// time of all who wait there and bound it by silence (package progress), and the connection is not
+// taken for a silent one.
+//
 // Idle connections carry no pings: heartbeats of the membership package are
 // the traffic that finds a dead link. The kernel ends connections whose data
 // stays unacknowledged for DeadPeerTimeout and probes idle ones.
