--- a/internal/zonefeed/doc.go
+++ b/internal/zonefeed/doc.go
@@ -9,4 +9,7 @@
 // What a watcher says is never older than what it has read, and it says nothing unless the
 // service has just answered it. A process believes its watcher from one word to the next, for
 // silenceLimit at most.
+//
+// A process that hears neither its watcher nor the service asks some others, near and far, for what they
+// know. That is put in force and vouched for by nobody: there may be something newer still.
 package zonefeed
