ownership: what every run of a test cluster does with a program can be read, and a refusal that is false in a fixed order

What callers see: a refusal says not_run of a call that has started.

Cause, by evidence: the test's nodes logged nowhere. Now they write their decisions, the executor's starts and the callers' answers to one log, and a failed check prints the lines of its programs.

Ruled out by the same lines: that a takeover of a dead owner forgets the attempt (epochs after 'is gone' always refuse as unknown), and that a call is refused while it waits for another.

--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -15,7 +15,6 @@
 	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/bundle"
-	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/historycheck"
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
@@ -28,9 +27,12 @@
 	table    *standin.Platform
 	snapshot *bundle.Snapshot
 	executor *testExecutor
+	log      *clusterLog
 
 	mutex   sync.Mutex
 	current map[string]*Programs
+	tables  map[string]*heldTable // of the present runs
+	alive   map[string]uint64     // former runs that others still count as alive
 	all     []*Programs
 	stores  []*tablestore.GroupStore
 	starts  uint64
@@ -50,8 +52,12 @@
 		table:    standin.New(standin.Options{}),
 		snapshot: snapshot,
 		executor: newTestExecutor(seed),
+		log:      newClusterLog(),
 		current:  make(map[string]*Programs),
+		tables:   make(map[string]*heldTable),
+		alive:    make(map[string]uint64),
 	}
+	c.executor.logger = c.log.logger
 	for _, name := range nodes {
 		c.replace(name)
 	}
@@ -64,7 +70,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.starts++
-	store := tablestore.NewStore(c.table, c.table, tablestore.StoreOptions{Node: fmt.Sprintf("%s-%d", name, c.starts)})
+	c.tables[name] = &heldTable{Platform: c.table}
+	store := tablestore.NewStore(c.tables[name], c.table, tablestore.StoreOptions{Node: fmt.Sprintf("%s-%d", name, c.starts)})
+	logger := c.log.logger.With("node", name, "start", c.starts)
 	fresh := New(Dependencies{
 		Node:        name,
 		Incarnation: c.starts,
@@ -72,9 +80,9 @@
 		Executor:    c.executor,
 		Peers:       c,
 		InForce:     func() *bundle.Snapshot { return c.snapshot },
-		Recorder:    explain.NewLog(name, 64),
+		Recorder:    decisionLog{logger},
 		Meter:       noMeter{},
-		Logger:      slog.New(slog.DiscardHandler),
+		Logger:      logger,
 	})
 	c.current[name] = fresh
 	c.all = append(c.all, fresh)
@@ -114,7 +122,12 @@
 
 // Alive implements Peers.
 func (c *testCluster) Alive(node string, incarnation uint64) bool {
-	present := c.node(node)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if former, ok := c.alive[node]; ok && former == incarnation {
+		return true
+	}
+	present := c.current[node]
 	return present != nil && present.Incarnation == incarnation
 }
 
@@ -125,6 +138,7 @@
 
 // testExecutor answers at once and remembers what it ran.
 type testExecutor struct {
+	logger     *slog.Logger
 	mutex      sync.Mutex
 	random     *rand.Rand
 	executions map[string]int // by idempotency key
@@ -134,6 +148,7 @@
 	// refuseShare of the calls are refused, by chance.
 	refuseShare float64
 	hang        chan struct{} // if set, tool calls wait for it
+	hold        chan struct{} // if set, all calls that have started wait for it
 	entered     chan string   // if set, gets the key of each tool call
 	work        time.Duration // longest duration of a call
 	begun       chan struct{} // gets one for each call, if anyone listens
@@ -141,6 +156,7 @@
 
 func newTestExecutor(seed uint64) *testExecutor {
 	return &testExecutor{
+		logger:     slog.New(slog.DiscardHandler),
 		random:     rand.New(rand.NewPCG(seed, seed)),
 		executions: make(map[string]int),
 		prompts:    make(map[string][]string),
@@ -163,11 +179,12 @@
 	x.mutex.Lock()
 	if x.refusing || x.refuseShare > x.random.Float64() {
 		x.mutex.Unlock()
+		x.log("refused by the executor", work)
 		return Outcome{Refusal: api.Errorf(api.Overloaded, "too many calls").After(time.Second)}
 	}
 	x.executions[work.Key]++
 	x.starts = append(x.starts, historycheck.Execution{Program: work.Header.ID, Sequence: work.Sequence, Started: time.Now()})
-	hang, entered := x.hang, x.entered
+	hang, hold, entered := x.hang, x.hold, x.entered
 	var prompt []string
 	for _, message := range messagesOf(work.Prompt) {
 		prompt = append(prompt, message.Content)
@@ -176,11 +193,15 @@
 	number := len(x.starts) // tells apart the answers of two runs of a call
 	duration := time.Duration(x.random.Int64N(int64(x.work) + 1))
 	x.mutex.Unlock()
+	x.log("started", work)
 	select {
 	case x.begun <- struct{}{}:
 	default:
 	}
 	backoff.Wait(ctx, duration)
+	if hold != nil {
+		<-hold
+	}
 	if work.Request.Kind == api.KindTool {
 		if entered != nil {
 			entered <- work.Key
@@ -206,6 +227,11 @@
 	}
 }
 
+func (x *testExecutor) log(message string, work Work) {
+	x.logger.Info(message, "program", work.Header.ID, "sequence", work.Sequence, "epoch", work.Header.Epoch,
+		"reserved", work.Header.Reserved, "node", work.Header.Owner, "start", work.Header.OwnerStart)
+}
+
 // Lookup implements Executor: this tool can't tell.
 func (x *testExecutor) Lookup(context.Context, string, string) (Outcome, bool) {
 	return Outcome{}, false
@@ -229,6 +255,29 @@
 	x.refusing = refusing
 }
 
+// holdCalls makes the calls that start from now on wait until it is undone.
+func (x *testExecutor) holdCalls() (undo func()) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	hold := make(chan struct{})
+	x.hold = hold
+	return func() {
+		x.mutex.Lock()
+		defer x.mutex.Unlock()
+		if x.hold == hold {
+			x.hold = nil
+		}
+		close(hold)
+	}
+}
+
+// holdNoMore lets the calls that start from now on run freely.
+func (x *testExecutor) holdNoMore() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.hold = nil
+}
+
 func (x *testExecutor) started() []historycheck.Execution {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
--- /dev/null
+++ b/internal/ownership/handover_test.go
@@ -0,0 +1,90 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backoff"
+)
+
+// pollPause is between two looks at a condition that a test waits for.
+const pollPause = time.Millisecond
+
+// waitUntil waits for a condition.
+func waitUntil(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for giveUp := time.Now().Add(time.Minute); !holds(); backoff.Wait(context.Background(), pollPause) {
+		if time.Now().After(giveUp) {
+			t.Fatalf("waited in vain until %s", what)
+		}
+	}
+}
+
+// answer is what a call's caller got.
+type answer struct {
+	result api.CallResult
+	err    error
+}
+
+// executeAside makes a call in the background.
+func executeAside(ctx context.Context, owner *Programs, id string, sequence int64) <-chan answer {
+	answers := make(chan answer, 1)
+	go func() {
+		result, err := owner.Execute(ctx, "dev", id, sequence, bodyOf(id, sequence), nil)
+		answers <- answer{result, err}
+	}()
+	return answers
+}
+
+// checkNotSaidToBeNotRun fails if a caller is told that a call which has
+// started was not run.
+func checkNotSaidToBeNotRun(t *testing.T, err error) {
+	t.Helper()
+	var refusal *api.Error
+	if errors.As(err, &refusal) && refusal.Execution == api.NotRun {
+		t.Errorf("a call that has started was refused as not run: %v", refusal)
+	}
+}
+
+// TestFormerOwnerRunsNothingBesideAClaimOnItsWay tells the story of a refusal
+// that said "not run" of a call that had started. An idle owner, a, gives its
+// program up to b, whose claim is still on its way when b's caller leaves. The
+// caller comes back to a. The row names a as owner still, so a took the program
+// for its own again, without a write, and ran the call under the standing
+// reservation. Then the claim of b took effect: it rested on a's word that
+// nothing had run under that reservation, and so no trace was left that the call
+// might have run. The next refusal by b said "not run".
+//
+// In the decisions of all owners, each such refusal was preceded by "released"
+// at a, a claim with an unknown outcome at b, and a start at a in the epoch that
+// it had given up.
+func TestFormerOwnerRunsNothingBesideAClaimOnItsWay(t *testing.T) {
+	c := newTestCluster(t, 1, "a", "b")
+	a, b := c.node("a"), c.node("b")
+	id := createPrograms(t, c, 1)[0]
+	execute(t, a, id, 1) // leaves a reservation for call 2
+
+	claim := c.tables["b"].holdNext()
+	patience, leave := context.WithCancel(context.Background())
+	left := executeAside(patience, b, id, 2)
+	<-claim.arrived
+	leave()
+	<-left
+
+	letCallEnd := c.executor.holdCalls()
+	returned := executeAside(context.Background(), a, id, 2)
+	waitUntil(t, "call 2 has started", func() bool { return c.executor.ran(id+"/2") == 1 })
+	close(claim.leave)
+	<-claim.applied
+	c.executor.refuse(true)
+	_, err := b.Execute(context.Background(), "dev", id, 2, bodyOf(id, 2), nil)
+	checkNotSaidToBeNotRun(t, err)
+
+	letCallEnd()
+	if got := <-returned; got.err != nil {
+		t.Errorf("the call at the owner that took its program back: %v", got.err)
+	}
+}
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -43,11 +43,15 @@
 		}
 		node := c.cluster.anyRun(c.random)
 		input := historycheck.Input{Program: id, Sequence: sequence}
-		_, output := c.recorder.Call(c.index, input, func() (api.CallResult, error) {
+		var err error
+		_, output := c.recorder.Call(c.index, input, func() (result api.CallResult, _ error) {
 			limited, cancel := context.WithTimeout(ctx, patience)
 			defer cancel()
-			return node.Execute(limited, "dev", id, sequence, bodyOf(id, sequence), nil)
+			result, err = node.Execute(limited, "dev", id, sequence, bodyOf(id, sequence), nil)
+			return result, err
 		})
+		c.cluster.log.logger.Info("answered", "program", id, "sequence", sequence, "node", node.Node, "start", node.Incarnation,
+			"refused", output.Refused, "unanswered", output.Unanswered, "error", fmt.Sprint(err))
 		if output.IsFinal() {
 			sequence++
 		}
@@ -106,6 +110,9 @@
 
 	if err := recorder.Check(c.executor.started()); err != nil {
 		t.Error(err)
+		for _, refused := range recorder.RefusedThoughRun(c.executor.started()) {
+			c.log.print(t, refused.Program)
+		}
 	}
 	for _, id := range ids {
 		checkProgram(t, c, id)
