ownership: a program that was given up is taken back by a write

What callers saw: a refusal that says not_run of a call that had started, and so calls made again on the strength of that word.

Cause: an idle owner that is asked to give a program up forgets it, and the asker claims it under the condition of the row as it read it. Until that claim takes effect the row names the former owner; a caller that comes there (its call to the claimant timed out) had it loaded as its own, with no write, and run under the standing reservation. The claim's condition still held, and it counted nothing as attempted, as its reservation had been handed over idle.

Change: a row that names this run is no proof that it owns the program. It claims like anyone, under a condition, so that one of the two claims fails. With a call under way nothing can have been given up: then the row is taken as it is.

Why it holds: nothing is dispatched before the own claim is durable, and a claim that another one's overtakes conflicts and is read anew.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -63,7 +63,10 @@
 	return err
 }
 
-// load reads the row and claims it if it is open and not this node's yet.
+// load reads the row and claims it if it is open. That a row names this run as
+// the owner does not make it so: a run that gave its program up, or lost its hold
+// on the row, can't know whether a claim of another is on its way. Its own claim
+// lets one of the two through. With a call under way here nothing was given up.
 func (p *Programs) load(ctx context.Context, e *entry) error {
 	row, err := p.Store.Get(ctx, program.HeaderKey(e.id))
 	if err != nil {
@@ -76,7 +79,7 @@
 	if err != nil {
 		return api.Errorf(api.Internal, "program row cannot be read: %v", err)
 	}
-	if header.Status == api.ProgramClosed || p.isOurs(header) {
+	if header.Status == api.ProgramClosed || (p.isOurs(header) && !e.idle()) {
 		e.store(header, row.Revision)
 		return nil
 	}
@@ -98,6 +101,11 @@
 	switch {
 	case former == "":
 		reason = "released by its former owner"
+	case p.isOurs(header):
+		if p.handovers.take(header.ID, header.Epoch) {
+			header = program.HandOver(header)
+		}
+		reason = "taken back, as nobody has claimed it since"
 	case p.Peers.Alive(former, header.OwnerStart):
 		if former == p.Node {
 			return moving("an earlier run of this node still counts as alive")
@@ -194,6 +202,7 @@
 	e.disown()
 	p.forget(e)
 	if owned {
+		p.handovers.add(header.ID, header.Epoch)
 		p.record(header, explain.Decision{Kind: explain.Released, Reason: "another node is to own it"})
 	}
 	return true
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -46,13 +46,14 @@
 // Programs holds the programs that this node owns. Safe for concurrent use.
 type Programs struct {
 	Dependencies
-	entries  sync.Map // program id -> *entry
-	count    atomic.Int64
-	flights  sync.WaitGroup
-	inFlight atomic.Int64
-	leaving  atomic.Bool
-	closing  context.Context
-	close    context.CancelFunc
+	entries   sync.Map // program id -> *entry
+	handovers handovers
+	count     atomic.Int64
+	flights   sync.WaitGroup
+	inFlight  atomic.Int64
+	leaving   atomic.Bool
+	closing   context.Context
+	close     context.CancelFunc
 }
 
 // New returns an empty Programs.
