ownership: only the owner in that epoch hands a program over as idle

A node that is asked to give a program up answered 'given up' also when it held nothing of it: a new run of the node, while its former one, which others still counted as alive, ran a call; or an owner whose call had run and whose record of it had met a write without an outcome. The epoch that it is asked about was not looked at. The claimant took the answer for 'idle', freed the reservation, and left no trace that a call may have run.

Change: three answers. Idle (owner in that epoch, nothing under way), refused (a call under way, or the asker's row is older), unknown (does not hold it in that epoch). With the last one the claim charges the reservation and marks its call as one that may have run, as after a crash.

Why it holds: the reservation is freed only on the word of the run that holds the fence of that very epoch, given under the lock that its writes take.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -32,10 +32,10 @@
 const acquaintance = 5 * time.Second
 
 // AskRelease implements ownership.Peers.
-func (p peerAccess) AskRelease(ctx context.Context, node, program string, epoch uint64) (bool, error) {
+func (p peerAccess) AskRelease(ctx context.Context, node, program string, epoch uint64) (ownership.Handover, error) {
 	member, ok := p.node.members.View().Member(node)
 	if !ok {
-		return false, errors.Newf("member %s is not known", node)
+		return ownership.HandoverRefused, errors.Newf("member %s is not known", node)
 	}
 	ctx, cancel := context.WithTimeout(ctx, releaseWait)
 	defer cancel()
@@ -44,9 +44,20 @@
 		Body: &wirepb.Request_ReleaseProgram{ReleaseProgram: &wirepb.ReleaseProgram{Program: program, Epoch: epoch}},
 	}, nil)
 	if err != nil {
-		return false, err
+		return ownership.HandoverRefused, err
 	}
-	return api.Code(reply.GetCode()) == api.OK, nil
+	return handoverOf(api.Code(reply.GetCode())), nil
+}
+
+// handoverOf reads the code of a reply to ReleaseProgram.
+func handoverOf(code api.Code) ownership.Handover {
+	switch code {
+	case api.OK:
+		return ownership.HandoverIdle
+	case api.ProgramNotFound:
+		return ownership.HandoverUnknown
+	}
+	return ownership.HandoverRefused
 }
 
 // ServePeer implements wire.ServerHandler. Peers may connect as soon as the
@@ -91,8 +102,11 @@
 const maxExplained = 500
 
 func (n *Node) serveRelease(ctx context.Context, request *wirepb.ReleaseProgram) *wirepb.Reply {
-	if n.programs.Release(ctx, request.GetProgram(), request.GetEpoch()) {
+	switch n.programs.Release(ctx, request.GetProgram(), request.GetEpoch()) {
+	case ownership.HandoverIdle:
 		return &wirepb.Reply{}
+	case ownership.HandoverUnknown:
+		return &wirepb.Reply{Code: int32(api.ProgramNotFound)}
 	}
 	return &wirepb.Reply{Code: int32(api.OwnerMoving), Execution: string(api.NotRun), Owner: n.settings.Name}
 }
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -110,15 +110,20 @@
 		if former == p.Node {
 			return moving("an earlier run of this node still counts as alive")
 		}
-		released, err := p.Peers.AskRelease(ctx, former, header.ID, header.Epoch)
+		handover, err := p.Peers.AskRelease(ctx, former, header.ID, header.Epoch)
 		if err != nil {
 			return moving("owner %s does not answer", former)
 		}
-		if !released {
+		switch handover {
+		case HandoverIdle:
+			header = program.HandOver(header)
+			reason = "handed over by " + former
+		case HandoverUnknown:
+			// The reservation counts as used, and its call as one that may have run.
+			reason = former + " does not hold it any more"
+		default:
 			return &MovedError{Owner: former}
 		}
-		header = program.HandOver(header)
-		reason = "handed over by " + former
 	}
 	claimed := program.Claim(header, p.Node, p.Incarnation)
 	receipt, err := p.Store.Commit(ctx, tablestore.Transaction{
@@ -180,32 +185,34 @@
 	return api.Errorf(api.OwnerMoving, format, arguments...).After(movingRetryAfter).Here()
 }
 
-// Release gives a program up if it is idle. It returns false while a call is
-// under way. Epoch is the one that the asker read from the row.
-func (p *Programs) Release(ctx context.Context, id string, epoch uint64) bool {
+// Release gives a program up if it is idle. Epoch is the one that the asker
+// read from the row. Only a run that owns the program in that epoch, with no call
+// under way, knows that nothing runs under its reservation.
+func (p *Programs) Release(ctx context.Context, id string, epoch uint64) Handover {
 	found, ok := p.entries.Load(id)
 	if !ok {
-		return true
+		return HandoverUnknown
 	}
 	e := found.(*entry)
 	if !e.idle() {
-		return false
+		return HandoverRefused
 	}
 	if err := e.lock(ctx); err != nil {
-		return false
+		return HandoverRefused
 	}
 	defer e.unlock()
-	if !e.idle() {
-		return false
-	}
 	header, owned := e.snapshot()
+	if !e.idle() || (owned && header.Epoch > epoch) {
+		return HandoverRefused
+	}
 	e.disown()
 	p.forget(e)
-	if owned {
-		p.handovers.add(header.ID, header.Epoch)
-		p.record(header, explain.Decision{Kind: explain.Released, Reason: "another node is to own it"})
+	if !owned || header.Epoch != epoch {
+		return HandoverUnknown
 	}
-	return true
+	p.handovers.add(header.ID, header.Epoch)
+	p.record(header, explain.Decision{Kind: explain.Released, Reason: "another node is to own it"})
+	return HandoverIdle
 }
 
 // isConflict says that a row had changed under a transaction.
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -132,7 +132,7 @@
 }
 
 // AskRelease implements Peers.
-func (c *testCluster) AskRelease(ctx context.Context, node, program string, epoch uint64) (bool, error) {
+func (c *testCluster) AskRelease(ctx context.Context, node, program string, epoch uint64) (Handover, error) {
 	return c.node(node).Release(ctx, program, epoch), nil
 }
 
--- a/internal/ownership/handover_test.go
+++ b/internal/ownership/handover_test.go
@@ -88,3 +88,51 @@
 		t.Errorf("the call at the owner that took its program back: %v", got.err)
 	}
 }
+
+// TestCallWhoseResultIsLostIsNotSaidToBeNotRun runs a call whose owner loses
+// its hold on the row before the result is recorded, as after a write whose
+// outcome stays unknown. The row still names that owner and holds the
+// reservation. Neither that owner nor the next one may say "not run".
+func TestCallWhoseResultIsLostIsNotSaidToBeNotRun(t *testing.T) {
+	for _, next := range []string{"a", "b"} {
+		t.Run("asked at "+next, func(t *testing.T) {
+			c := newTestCluster(t, 1, "a", "b")
+			a := c.node("a")
+			id := createPrograms(t, c, 1)[0]
+			execute(t, a, id, 1)
+			letCallEnd := c.executor.holdCalls()
+			under := executeAside(context.Background(), a, id, 2)
+			waitUntil(t, "call 2 has started", func() bool { return c.executor.ran(id+"/2") == 1 })
+			a.entry(id).disown()
+			letCallEnd()
+			if got := <-under; got.err == nil {
+				t.Fatal("the result was recorded, want it lost")
+			}
+			c.executor.refuse(true)
+			_, err := c.node(next).Execute(context.Background(), "dev", id, 2, bodyOf(id, 2), nil)
+			checkNotSaidToBeNotRun(t, err)
+		})
+	}
+}
+
+// TestAnotherRunVouchesForNothing lets a node start anew while a call runs at
+// its former run, which others still count as alive. The new run holds no
+// programs, and gives up at once what it is asked for. It does not know what
+// ran, so the next owner must not say that the call was not run.
+func TestAnotherRunVouchesForNothing(t *testing.T) {
+	c := newTestCluster(t, 1, "a", "b")
+	former := c.node("a")
+	id := createPrograms(t, c, 1)[0]
+	execute(t, former, id, 1)
+	letCallEnd := c.executor.holdCalls()
+	under := executeAside(context.Background(), former, id, 2)
+	waitUntil(t, "call 2 has started", func() bool { return c.executor.ran(id+"/2") == 1 })
+
+	c.alive["a"] = former.Incarnation
+	c.replace("a")
+	c.executor.refuse(true)
+	_, err := c.node("b").Execute(context.Background(), "dev", id, 2, bodyOf(id, 2), nil)
+	checkNotSaidToBeNotRun(t, err)
+	letCallEnd()
+	<-under
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -25,11 +25,26 @@
 type Peers interface {
 	// Alive says whether that run of the node may still be serving.
 	Alive(node string, incarnation uint64) bool
-	// AskRelease asks a program's owner to give it up. It returns true once
-	// the owner has forgotten it, false while the owner is busy with it.
-	AskRelease(ctx context.Context, node, program string, epoch uint64) (bool, error)
+	// AskRelease asks a program's owner to give it up. Epoch is that of the row
+	// as the asker read it.
+	AskRelease(ctx context.Context, node, program string, epoch uint64) (Handover, error)
 }
 
+// Handover is what a node that is asked to give a program up answers.
+type Handover int
+
+// Handovers.
+const (
+	// HandoverRefused: a call is under way there, or the asker's row is out of date.
+	HandoverRefused Handover = iota
+	// HandoverIdle: it was the owner in that epoch and has forgotten the program.
+	// Nothing has run under the standing reservation.
+	HandoverIdle
+	// HandoverUnknown: it does not hold the program in that epoch, as after a new
+	// start of the node, so that it can't say what has run there.
+	HandoverUnknown
+)
+
 // Dependencies are the parts that a Programs uses. All are required.
 type Dependencies struct {
 	Node        string
