ownership: a late result does not replace the final answer of a call

What callers saw: two different answers to one call, the later one in place of the one that had been given; the history of the program went on from either.

Cause: found by looking for the same fault elsewhere. An owner can lose its hold on a row while its call runs (a write beside it without an outcome), and get the program back after another owner has made that call final. Settling asked only whether the program was its own again: the state machine leaves the header as it is for a call that is not the next one, but the call's row was written all the same.

Change: settling also asks that the call is still the next one. Otherwise its callers are told, as when the program has moved, that the outcome is another owner's to tell.

Why it holds: the header says under the same lock and fence which call is not final, and both rows are written in one transaction under its revision.

TestFinalAnswerIsNotWrittenOver failed before (digest of call 2 changed) and passes; the package three times.

--- a/internal/ownership/handover_test.go
+++ b/internal/ownership/handover_test.go
@@ -136,3 +136,33 @@
 	letCallEnd()
 	<-under
 }
+
+// TestFinalAnswerIsNotWrittenOver lets an owner lose and get back its program
+// while a call runs there. Meanwhile another owner has made that call final.
+// The result that comes late must not replace the answer that was given.
+func TestFinalAnswerIsNotWrittenOver(t *testing.T) {
+	c := newTestCluster(t, 1, "a", "b")
+	former := c.node("a")
+	id := createPrograms(t, c, 1)[0]
+	execute(t, former, id, 1)
+	letCallEnd := c.executor.holdCalls()
+	under := executeAside(context.Background(), former, id, 2)
+	waitUntil(t, "call 2 has started", func() bool { return c.executor.ran(id+"/2") == 1 })
+	former.entry(id).disown()
+	c.replace("a")
+	c.executor.holdNoMore()
+	execute(t, c.node("b"), id, 2)
+	given := answerOf(t, c.node("b"), id, 2)
+
+	patience, leave := context.WithCancel(context.Background())
+	defer leave()
+	next := executeAside(patience, former, id, 3)
+	waitUntil(t, "the former owner has the program back", func() bool { return rowOf(t, c, id).OwnerStart == former.Incarnation })
+	letCallEnd()
+	<-under
+	leave()
+	<-next
+	if kept := answerOf(t, c.node("b"), id, 2); kept.Digest != given.Digest {
+		t.Errorf("the answer of call 2 was %q and is now %q", given.Output, kept.Output)
+	}
+}
--- a/internal/ownership/settle.go
+++ b/internal/ownership/settle.go
@@ -63,7 +63,9 @@
 	}
 	defer e.unlock()
 	header, owned := e.snapshot()
-	if !owned {
+	if !owned || header.NextSequence != f.sequence {
+		// Another owner may have made the call final before this one had the program back: what it
+		// answered stays.
 		return api.CallResult{}, ranElsewhere()
 	}
 	result := p.resultOf(header, f, planned, outcome)
