ownership: no further attempt at a call that is final meanwhile

What callers would see: a call that has its final answer runs once more at an engine, with no reservation behind it.

A failed attempt is paid for and the next one set aside by reserveAgain; where the state machine answers neither 'run' nor 'refuse', since another owner has made the call final and the program has come back, the refusal is nil, which reads as leave, in epoch 0.

Change: such an answer refuses. TestNoFurtherAttemptAtAFinalCall failed before (allowed in epoch 0) and passes.

--- a/internal/ownership/handover_test.go
+++ b/internal/ownership/handover_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/program"
 )
 
 // pollPause is between two looks at a condition that a test waits for.
@@ -166,3 +167,21 @@
 		t.Errorf("the answer of call 2 was %q and is now %q", given.Output, kept.Output)
 	}
 }
+
+// TestNoFurtherAttemptAtAFinalCall asks for another attempt at a call that is
+// final by then, as when its program went to another owner and came back while
+// the first attempt ran. There is nothing left to pay for, and it must not run.
+func TestNoFurtherAttemptAtAFinalCall(t *testing.T) {
+	c := newTestCluster(t, 1, "a")
+	owner := c.node("a")
+	id := createPrograms(t, c, 1)[0]
+	execute(t, owner, id, 1)
+	final := plan{call: program.Call{Sequence: 1, Repeatable: true, DearestCost: 1}}
+	before := rowOf(t, c, id)
+	if epoch, refusal := owner.reserveAgain(t.Context(), owner.entry(id), final); refusal == nil {
+		t.Errorf("another attempt at a final call is allowed in epoch %d", epoch)
+	}
+	if after := rowOf(t, c, id); after.Spent != before.Spent || after.Epoch != before.Epoch {
+		t.Errorf("it was paid for: %+v, before %+v", after, before)
+	}
+}
--- a/internal/ownership/run.go
+++ b/internal/ownership/run.go
@@ -181,8 +181,12 @@
 	}
 	paid := program.Claim(header, p.Node, p.Incarnation)
 	admission := program.Admit(paid, planned.call, planned.limits, time.Now())
-	if admission.Verdict != program.Run {
+	switch admission.Verdict {
+	case program.Run:
+	case program.Refuse:
 		return 0, admission.Error
+	default: // another owner has made the call final meanwhile
+		return 0, api.Errorf(api.OwnerMoving, "the program moved on meanwhile")
 	}
 	if err := p.write(ctx, e, admission.Header); err != nil {
 		return 0, api.Errorf(api.StoreDown, "%v", err)
