relay: a slow service is not taken for a lost way

Cause: a call that is unanswered for 150 ms has the way judged. The own small read then had 100 ms, and after it a peer's read 250 ms (both had 100 ms before, so that neither was answered by a slow store). A store that takes 200 ms for everybody seemed to answer the peer alone. The process took its own way for lost, gave up the calls under way, and made them again through peers: TestSlowServiceIsNoLostWay, in virtual time, has 104 to 152 calls through peers in 5 s where the service answers every own call.

Change: the own read goes on while the peer's is under way, and then for as long again as the peer's took; only then is it unanswered. It was sent first, so a service that answers both alike is never taken for one that turns this process away, however slow. With a quick peer that adds a few milliseconds: TestSilenceIsNoticedSoon.

Not taken back: a time of its own, two failures, one verdict for all (TestWayIsJudgedInATimeOfItsOwn, TestFewCallsLearnToo and TestCallsThatFailTogetherWaitForOneVerdict pass unchanged).

--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -25,9 +25,9 @@
 	// silenceLimit is how long a call may go unanswered before a peer is asked whether
 	// the service answers it. An answer takes 4 ms as a rule.
 	silenceLimit = 150 * time.Millisecond
-	// ownReadTimeout is how long the own small reads may take that are to show that the service
-	// answers this node.
-	ownReadTimeout = 100 * time.Millisecond
+	// ownReadAlone is how long the own small read that is to show that the service answers this
+	// node is waited for before a peer is asked beside it.
+	ownReadAlone = 100 * time.Millisecond
 	// ownReads is how many small reads by the own way are refused before a peer is asked,
 	// once calls were refused for their rate: at twice the rate of reads each is refused
 	// with even chances. They are ownReadPause apart.
@@ -249,7 +249,7 @@
 	asked := &question{over: make(chan struct{})}
 	t.question = asked
 	go func() {
-		asked.lost = !t.isServed() && t.ask(cause)
+		asked.lost = t.judge(cause)
 		t.mutex.Lock()
 		t.question = nil
 		t.mutex.Unlock()
@@ -272,13 +272,46 @@
 	}
 }
 
+// judge reports whether the service answers a peer and not this node; then the own way is
+// lost. A service that is slow answers a peer's read as late as this node's. So the own read
+// goes on while the peer's is under way, and then for as long again as the peer's took: it was
+// sent first, and an answer that is only late is not taken for none.
+func (t *Table) judge(cause error) bool {
+	ctx, cancel := context.WithCancel(t.closing)
+	defer cancel()
+	own := make(chan bool, 1)
+	go func() { own <- t.isServed(ctx) }()
+	served, ended := within(own, ownReadAlone)
+	if served {
+		return false
+	}
+	begun := time.Now()
+	if !t.isPeerServed() {
+		return false
+	}
+	if !ended {
+		served, _ = within(own, time.Since(begun))
+	}
+	return !served && t.loseFor(cause)
+}
+
+// within waits for a verdict for so long at most. It reports the verdict, and whether there was one.
+func within(verdict <-chan bool, most time.Duration) (value, ended bool) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case value = <-verdict:
+		return value, true
+	case <-timer.C:
+		return false, false
+	}
+}
+
 // isServed reports whether the service answers a small read by the own way. It refuses
 // writes and reads for their rate separately, takes the writes of a part one after another, and
 // a part may be down alone; so a peer whose read is answered says nothing of the writes that
 // fail here. A service that turns this node away refuses its reads, too.
-func (t *Table) isServed() bool {
-	ctx, cancel := context.WithTimeout(t.closing, ownReadTimeout)
-	defer cancel()
+func (t *Table) isServed(ctx context.Context) bool {
 	for try := range ownReads {
 		if try > 0 && !backoff.Wait(ctx, backoff.Spread(ownReadPause)) {
 			return false
@@ -294,9 +327,8 @@
 	return false
 }
 
-// ask has a peer read one row, and takes the own way for lost if the service answers the
-// peer. It reports whether it does.
-func (t *Table) ask(cause error) bool {
+// isPeerServed has a peer read one row, and reports whether the service answers it.
+func (t *Table) isPeerServed() bool {
 	if !t.helpers.any() {
 		return false
 	}
@@ -304,9 +336,11 @@
 	t.opinions++
 	t.mutex.Unlock()
 	outcome, err := t.helpers.ask(t.closing, rangeRequest(secretKey, secretKey+"\x00", 1), 0, true)
-	if err != nil || outcome.Failure != "" {
-		return false
-	}
+	return err == nil && outcome.Failure == ""
+}
+
+// loseFor takes the own way for lost, since a peer is answered. It returns true.
+func (t *Table) loseFor(cause error) bool {
 	t.mutex.Lock()
 	lostNow := t.way.lose()
 	if lostNow {
