quota: a holder that says nothing is asked once more before a node counts alone

What callers saw: 429 for a tenant far within its limit (127 requests left by the holder's last word), in calm.

Change: a node that followed the holder until then asks it once more (150 ms) before it counts alone. While it counts alone it asks once, as before. Nothing is let through meanwhile, and what expired unused is told with one ask only, so no limit is passed for it.

Ruled out: beginning alone with what was left by the holder's last word (two nodes would each take it, the case that the slack of .1 is for).

--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -40,6 +40,9 @@
 // errNotHolder says that the node that was asked does not hold the shard.
 var errNotHolder = errors.New("the node does not hold the tenant's shard")
 
+// errSilent says that the holder gave no sign of life, and may be asked once more before it counts as lost.
+var errSilent = errors.New("the node that holds the tenant's shard says nothing")
+
 // errCutOff says that this node holds the shard and reaches no peer.
 var errCutOff = errors.New("this node reaches no peer")
 
@@ -169,8 +172,9 @@
 	}
 }
 
-// ask asks the holder of a tenant's shard.
-func (c *Client) ask(tenant string, ask Ask) (Grant, error) {
+// ask asks the holder of a tenant's shard. With spare, a holder that says nothing does not count as
+// lost yet: the error is errSilent then.
+func (c *Client) ask(tenant string, ask Ask, spare bool) (Grant, error) {
 	holder, own, known := c.options.Holdings.holder(time.Now(), tenant)
 	peers, _ := c.peers()
 	switch {
@@ -186,6 +190,9 @@
 	if c.options.Doubted == nil || !c.options.Doubted(holder.Address) {
 		grant, err = c.exchange(peers, holder.Address, encodeAsk(c.options.Node, tenant, ask), ask)
 	}
+	if spare && errors.Is(err, context.DeadlineExceeded) {
+		return Grant{}, errSilent
+	}
 	if err != nil {
 		c.lost(tenant, holder, err)
 		return Grant{}, err
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // gate decides on the requests of one tenant at one node. Requests that come while the holder
@@ -71,17 +73,23 @@
 	g.share.GiveBack(granted)
 }
 
-// ask asks the holder until no request waits.
+// ask asks the holder until no request waits. One that says nothing is asked once more before the
+// node counts alone: with nothing in hand it would refuse a tenant within its limit, and a machine
+// may stand still for longer than one ask. While the node counts alone already it is asked once.
 func (g *gate) ask() {
+	spare := g.followsHolder()
 	for {
 		ask, any := g.nextAsk()
 		if !any {
 			return
 		}
-		grant, err := g.client.ask(g.tenant, ask)
+		grant, err := g.client.ask(g.tenant, ask, spare)
 		switch {
+		case errors.Is(err, errSilent):
+			spare = false
 		case err == nil:
 			g.answered(ask, grant)
+			spare = true
 		case g.client.awaitsHolder(g.tenant, err):
 			time.Sleep(changePoll)
 		default:
@@ -90,6 +98,13 @@
 	}
 }
 
+// followsHolder reports whether the holder answered the last ask.
+func (g *gate) followsHolder() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.share.followsHolder()
+}
+
 // nextAsk returns what to ask for those that wait; any is false if none do, and the asking
 // ends with that.
 func (g *gate) nextAsk() (ask Ask, any bool) {
--- a/internal/quota/leaving_peer_test.go
+++ b/internal/quota/leaving_peer_test.go
@@ -31,7 +31,7 @@
 		Witnesses: func(int) []string { return []string{"10.0.0.1:7"} },
 	})
 	client.Enable(leavingPeer{}, 2)
-	_, err := client.ask(tenant, Ask{Needed: 1})
+	_, err := client.ask(tenant, Ask{Needed: 1}, false)
 	if err == nil || !client.awaitsHolder(tenant, err) {
 		t.Errorf("the next holder is not waited for after: %v", err)
 	}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -182,6 +182,9 @@
 	s.wait, s.beginWait = grant.Wait, grant.BeginWait
 }
 
+// followsHolder reports whether the last ask was answered.
+func (s *Share) followsHolder() bool { return !s.answeredAt.IsZero() && s.aloneTill.IsZero() }
+
 // Unanswered says that the holder could not be asked, how many nodes there are, and whether
 // this one reaches any other. The node goes on alone for a while.
 func (s *Share) Unanswered(now time.Time, limit Limit, nodes int, inTouch bool) {
