ownership: another body under a number does not hide that the call may have run

What callers saw: sequence_conflict, not_run, for a call that had started: its owner was taken for dead while it ran, the caller tried another body under the same number, and then the first one again.

Cause: found by looking for the same fault elsewhere, at every place that says not_run. The conflict was answered without a look at whether a former owner may have run a call of that number; once the other body's call was final, the row did not tell it any more.

Change: the answer leaves open whether it ran where an attempt is not accounted for. A call's row keeps that, for answers after it is final (one field more in such rows, left out elsewhere).

Ruled out: counting the intent of the call under way (its body is known, so another one has not run by it).

TestAnotherBodyDoesNotHideAnAttempt failed before in both places and passes.

--- a/internal/ownership/call.go
+++ b/internal/ownership/call.go
@@ -104,7 +104,7 @@
 	}
 	if e.flight != nil && e.flight.sequence == sequence {
 		if e.flight.digest != digest {
-			return step{}, conflictError(sequence)
+			return step{}, conflictError(sequence, e.header.WasAttempted(sequence))
 		}
 		return step{flight: e.flight}, nil
 	}
@@ -165,8 +165,14 @@
 	return channel
 }()
 
-func conflictError(sequence int64) *api.Error {
-	return api.Errorf(api.SequenceConflict, "call %d was made with another body", sequence)
+// conflictError refuses a body other than that of the call. A former owner may have run this one, where an
+// attempt is not accounted for.
+func conflictError(sequence int64, attempted bool) *api.Error {
+	conflict := api.Errorf(api.SequenceConflict, "call %d was made with another body", sequence)
+	if attempted {
+		return mayHaveRun(conflict)
+	}
+	return conflict
 }
 
 func gapError(header program.Header, sequence int64) *api.Error {
--- a/internal/ownership/handover_test.go
+++ b/internal/ownership/handover_test.go
@@ -185,3 +185,36 @@
 		t.Errorf("it was paid for: %+v, before %+v", after, before)
 	}
 }
+
+// TestAnotherBodyDoesNotHideAnAttempt runs a call at an owner that is then taken
+// for dead, and has the next one be asked for the same number with another body,
+// by a caller that changed its mind. Asked for the first body again, it must
+// not say that it was not run: while the other is under way, or once it is final.
+func TestAnotherBodyDoesNotHideAnAttempt(t *testing.T) {
+	c := newTestCluster(t, 1, "a", "b")
+	id := createPrograms(t, c, 1)[0]
+	execute(t, c.node("a"), id, 1)
+	letFirstEnd := c.executor.holdCalls()
+	first := executeAside(context.Background(), c.node("a"), id, 2)
+	waitUntil(t, "call 2 has started", func() bool { return c.executor.ran(id+"/2") == 1 })
+	c.replace("a")
+	c.executor.holdNoMore()
+
+	letOtherEnd := c.executor.holdCalls()
+	other := make(chan error, 1)
+	go func() {
+		_, err := c.node("b").Execute(context.Background(), "dev", id, 2, bodyOf(id, 4), nil)
+		other <- err
+	}()
+	waitUntil(t, "the other body has started", func() bool { return c.executor.ran(id+"/2") == 2 })
+	_, err := c.node("b").Execute(context.Background(), "dev", id, 2, bodyOf(id, 2), nil)
+	checkNotSaidToBeNotRun(t, err)
+	letOtherEnd()
+	if err := <-other; err != nil {
+		t.Fatalf("the other body: %v", err)
+	}
+	_, err = c.node("b").Execute(context.Background(), "dev", id, 2, bodyOf(id, 2), nil)
+	checkNotSaidToBeNotRun(t, err)
+	letFirstEnd()
+	<-first
+}
--- a/internal/ownership/history.go
+++ b/internal/ownership/history.go
@@ -127,7 +127,7 @@
 		return api.CallResult{}, err
 	}
 	if row.RequestDigest != digest {
-		return api.CallResult{}, conflictError(sequence)
+		return api.CallResult{}, conflictError(sequence, row.Attempted)
 	}
 	result := row.Segment.Result
 	if onPart != nil && result.Output != "" {
--- a/internal/ownership/settle.go
+++ b/internal/ownership/settle.go
@@ -155,6 +155,7 @@
 		Sequence:      f.sequence,
 		RequestDigest: f.digest,
 		Segment:       &segment,
+		Attempted:     header.WasAttempted(f.sequence),
 	}
 	encoded := program.EncodeCall(row)
 	if len(encoded) <= maxInlineBytes {
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -52,9 +52,13 @@
 	if h.Intent != nil && h.Intent.Sequence == sequence {
 		return true
 	}
-	return h.AttemptedSequence == sequence
+	return h.WasAttempted(sequence)
 }
 
+// WasAttempted reports whether a former owner may have dispatched the call with this number,
+// perhaps with another body, and no outcome of that is known.
+func (h Header) WasAttempted(sequence int64) bool { return h.AttemptedSequence == sequence }
+
 // Claim takes the program over for another owner, or another start of the
 // same one. The former owner may have dispatched a call under its
 // reservation, and nobody can say what that cost, so the whole reservation
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -62,6 +62,8 @@
 	RequestDigest string   `json:"request_digest"`
 	Segment       *Segment `json:"segment,omitempty"`
 	SegmentObject string   `json:"segment_object,omitempty"`
+	// Attempted says that a former attempt may have run, perhaps with another body.
+	Attempted bool `json:"attempted,omitempty"`
 }
 
 // Segment is what the call added to the history, with its final answer.
