ownership: the prompts that a test's executor keeps are read under its mutex

Cause, by the detector's report: a former run of a node, which goes on unseen, starts a call while the test reads what was sent, without the mutex that the executor writes it under. The test's fault alone.

Change: read under it.

--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -284,6 +284,13 @@
 	return x.starts
 }
 
+// promptOf returns what the last execution under the key was sent.
+func (x *testExecutor) promptOf(key string) []string {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.prompts[key]
+}
+
 func (x *testExecutor) ran(key string) int {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
--- a/internal/ownership/history_test.go
+++ b/internal/ownership/history_test.go
@@ -76,6 +76,13 @@
 // and the table loses replies and applies writes late. It then checks every
 // history against the model of a program, the number of executions of calls
 // that are not repeatable, the budgets, and the prompts that were sent.
+//
+// Where the machine was busy it found refusals that said "not run" of calls that
+// had started. Whoever claims a program asks its owner to give it up; the former
+// owner ran a call of what it had given up while that claim was on its way, and
+// the claim rested on "nothing has run". The lines that a failure prints showed
+// it: "released", then a start in the same epoch without "claimed" before it.
+// TestFormerOwnerRunsNothingBesideAClaimOnItsWay has the order fixed.
 func TestHistoriesUnderTakeoverAndLostReplies(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { checkHistories(t, seed) })
@@ -184,7 +191,7 @@
 		if sequence%3 == 0 {
 			continue
 		}
-		sent := c.executor.prompts[program.IdempotencyKey(id, sequence)]
+		sent := c.executor.promptOf(program.IdempotencyKey(id, sequence))
 		if len(sent) != position+1 {
 			t.Fatalf("%s call %d was sent %d messages, want %d", id, sequence, len(sent), position+1)
 		}
