ownership: a call whose result is lost does not count as under way

Not seen; found by reading the mend of handovers: a row that names this run is taken as it is while a call is under way, since its result will be recorded. A call that has just given up recording (its owner had lost its hold) counted as one until it was off the entry. A request that loaded the row in between got the program back with no trace that the call may have run.

Change: the loss is marked under the commit lock, which loading takes too.

TestLostResultIsNotTakenForACallUnderWay fails without the mark (case lost) and passes.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -66,7 +66,8 @@
 // load reads the row and claims it if it is open. That a row names this run as
 // the owner does not make it so: a run that gave its program up, or lost its hold
 // on the row, can't know whether a claim of another is on its way. Its own claim
-// lets one of the two through. With a call under way here nothing was given up.
+// lets one of the two through, and charges for a call whose result was lost here.
+// With a call under way nothing was given up, and its result will be recorded.
 func (p *Programs) load(ctx context.Context, e *entry) error {
 	row, err := p.Store.Get(ctx, program.HeaderKey(e.id))
 	if err != nil {
@@ -79,7 +80,7 @@
 	if err != nil {
 		return api.Errorf(api.Internal, "program row cannot be read: %v", err)
 	}
-	if header.Status == api.ProgramClosed || (p.isOurs(header) && !e.idle()) {
+	if header.Status == api.ProgramClosed || (p.isOurs(header) && e.recordsItsCall()) {
 		e.store(header, row.Revision)
 		return nil
 	}
--- a/internal/ownership/entry.go
+++ b/internal/ownership/entry.go
@@ -90,6 +90,14 @@
 	return e.flight == nil
 }
 
+// recordsItsCall says that a call is under way whose result can still be recorded.
+// The commit lock is held.
+func (e *entry) recordsItsCall() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.flight != nil && !e.flight.unrecorded.Load()
+}
+
 // authorize hides programs of other tenants.
 func authorize(header program.Header, tenant string) *api.Error {
 	if tenant != "" && header.Tenant != tenant {
--- a/internal/ownership/flight.go
+++ b/internal/ownership/flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/program"
@@ -15,6 +16,9 @@
 	request  api.CallRequest
 	call     program.Call
 	cancel   context.CancelFunc
+	// unrecorded is set once the call has ended and its result will not be
+	// recorded here. The program's commit lock is held.
+	unrecorded atomic.Bool
 
 	mutex sync.Mutex
 	text  []byte // streamed so far
--- a/internal/ownership/handover_test.go
+++ b/internal/ownership/handover_test.go
@@ -218,3 +218,28 @@
 	letFirstEnd()
 	<-first
 }
+
+// TestLostResultIsNotTakenForACallUnderWay loads a row that names this run while
+// its call has ended, just before the call is taken off the entry. If its result
+// can't be recorded any more, the program must be claimed anew, which keeps that
+// the call may have run; else its owner goes on as it was.
+func TestLostResultIsNotTakenForACallUnderWay(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		c := newTestCluster(t, 1, "a")
+		owner := c.node("a")
+		id := createPrograms(t, c, 1)[0]
+		execute(t, owner, id, 1)
+		e := owner.entry(id)
+		e.disown()
+		e.flight = newFlight(2, "", func() {})
+		e.flight.unrecorded.Store(lost)
+		if _, err := owner.acquire(t.Context(), id); err != nil {
+			t.Fatal(err)
+		}
+		header, _ := e.snapshot()
+		if header.MayHaveRun(2) != lost {
+			t.Errorf("result lost: %v, the call may have run: %v", lost, header.MayHaveRun(2))
+		}
+		e.land(e.flight)
+	}
+}
--- a/internal/ownership/settle.go
+++ b/internal/ownership/settle.go
@@ -29,8 +29,7 @@
 		if err == nil {
 			return result, nil
 		}
-		refusal, passing := err.(*api.Error)
-		if !passing || refusal.Code != api.StoreDown {
+		if !isPassing(err) {
 			return api.CallResult{}, ranElsewhere()
 		}
 		f.park(pending)
@@ -41,6 +40,12 @@
 	}
 }
 
+// isPassing says that a result may be recorded by another try.
+func isPassing(err error) bool {
+	refusal, ok := err.(*api.Error)
+	return ok && refusal.Code == api.StoreDown
+}
+
 // notRecorded answers callers while a call that ran waits for the table.
 func notRecorded() *api.Error {
 	pending := api.Errorf(api.StoreDown, "the call ran; its result is recorded as soon as the table service answers").After(storeRetryAfter)
@@ -62,6 +67,15 @@
 		return api.CallResult{}, ranElsewhere()
 	}
 	defer e.unlock()
+	result, err := p.settleLocked(e, f, planned, outcome)
+	if err != nil && !isPassing(err) {
+		f.unrecorded.Store(true) // before anybody loads the row again
+	}
+	return result, err
+}
+
+// settleLocked is settle with the commit lock held.
+func (p *Programs) settleLocked(e *entry, f *flight, planned plan, outcome Outcome) (api.CallResult, error) {
 	header, owned := e.snapshot()
 	if !owned || header.NextSequence != f.sequence {
 		// Another owner may have made the call final before this one had the program back: what it
