program: a takeover remembers that a free call may have run

What callers would see: not_run of a call that had started, where its model costs nothing. Not seen; found by looking for the same fault elsewhere.

Cause: the mark that a former owner may have run a call rests on its reservation. A call whose dearest cost is 0 was dispatched within a reservation of 0, without a write; the next owner saw none and told a refusal as not run. Bundles allow prices of 0.

Change: a reservation of nothing is none. The first free call writes that free calls may be dispatched (one write a program and owner, none for later ones); a takeover takes that for a reservation, a planned handover clears it.

Ruled out: marking every takeover (a program that nobody called, or whose reservation was handed over, would be told as one that may have run).

TestTakeoverRemembersAFreeCall failed before and passes; the machine's properties and simulation pass.

--- a/internal/program/admit.go
+++ b/internal/program/admit.go
@@ -36,7 +36,7 @@
 	if err := checkLimits(h, call, limits); err != nil {
 		return refuse(h, narrow(h, call, err))
 	}
-	if call.Repeatable && call.DearestCost <= h.Reserved {
+	if call.Repeatable && h.covers(call.DearestCost) {
 		return Admission{Verdict: Run, Header: h}
 	}
 	return Admission{Verdict: Run, Header: reserve(h, call), NeedsCommit: true}
@@ -90,6 +90,7 @@
 func reserve(h Header, call Call) Header {
 	h.Reserved = call.DearestCost
 	if call.Repeatable {
+		h.FreeCalls = h.FreeCalls || call.DearestCost == 0
 		return h
 	}
 	h.Intent = &Intent{
@@ -102,6 +103,16 @@
 	return h
 }
 
+// covers reports whether a call that may cost so much can be dispatched without a write. A
+// reservation of nothing is none: whoever takes the program over must see by the row that a
+// call may have run, also one that is free.
+func (h Header) covers(cost api.Credits) bool {
+	return cost <= h.Reserved && h.MayDispatch()
+}
+
+// MayDispatch reports whether the owner may dispatch any repeatable call without a write.
+func (h Header) MayDispatch() bool { return h.Reserved > 0 || h.FreeCalls }
+
 func refuse(h Header, err *api.Error) Admission {
 	return Admission{Verdict: Refuse, Header: h, Error: err}
 }
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -68,9 +68,10 @@
 // An owner may also claim its own program: this is how it pays for a failed
 // attempt at a repeatable call before it tries again.
 func Claim(h Header, owner string, start uint64) Header {
-	if h.Reserved > 0 {
+	if h.MayDispatch() {
 		h.AttemptedSequence = h.NextSequence
 	}
+	h.FreeCalls = false
 	h.Epoch++
 	h.Owner = owner
 	h.OwnerStart = start
@@ -87,6 +88,7 @@
 		return h
 	}
 	h.Reserved = 0
+	h.FreeCalls = false
 	return h
 }
 
@@ -112,6 +114,7 @@
 	}
 	h.Status = api.ProgramClosed
 	h.Reserved = 0
+	h.FreeCalls = false
 	h.EndedAt = now.UTC()
 	h.EndReason = reason
 	return h
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -39,6 +39,9 @@
 	ExpiresAt     time.Time         `json:"expires_at"`  // hard wall-time limit
 	EndedAt       time.Time         `json:"ended_at,omitzero"`
 	EndReason     api.Code          `json:"end_reason,omitempty"`
+	// FreeCalls says that calls which cost nothing may be dispatched without a
+	// further write, as others may be within Reserved.
+	FreeCalls bool `json:"free_calls,omitempty"`
 	// AttemptedSequence is the call that a former owner may have dispatched
 	// without an intent; 0 if none.
 	AttemptedSequence int64 `json:"attempted_sequence,omitempty"`
