ownership: a sub-agent is not claimed by the node that made it

Change: a row by which nothing can be dispatched without a write (nothing set aside, no intent) may be gone on from as it is: that write is conditional, and decides between this run and a claim on its way. What was remembered as given up is forgotten then, since it says nothing of what runs from there.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -67,7 +67,6 @@
 // the owner does not make it so: a run that gave its program up, or lost its hold
 // on the row, can't know whether a claim of another is on its way. Its own claim
 // lets one of the two through, and charges for a call whose result was lost here.
-// With a call under way nothing was given up, and its result will be recorded.
 func (p *Programs) load(ctx context.Context, e *entry) error {
 	row, err := p.Store.Get(ctx, program.HeaderKey(e.id))
 	if err != nil {
@@ -80,13 +79,25 @@
 	if err != nil {
 		return api.Errorf(api.Internal, "program row cannot be read: %v", err)
 	}
-	if header.Status == api.ProgramClosed || (p.isOurs(header) && e.recordsItsCall()) {
+	if header.Status == api.ProgramClosed || p.mayGoOn(e, header) {
+		p.handovers.take(header.ID, header.Epoch)
 		e.store(header, row.Revision)
 		return nil
 	}
 	return p.claim(ctx, e, header, row.Revision)
 }
 
+// mayGoOn reports whether this run may own the program by the row as it is. Either a
+// call is under way here, so that nothing was given up, and its result will be
+// recorded; or nothing can be dispatched without a write, which decides between this run
+// and a claim on its way, as with a sub-agent that was made here and never called.
+func (p *Programs) mayGoOn(e *entry, header program.Header) bool {
+	if !p.isOurs(header) {
+		return false
+	}
+	return e.recordsItsCall() || (!header.MayDispatch() && header.Intent == nil)
+}
+
 func (p *Programs) isOurs(header program.Header) bool {
 	return header.Owner == p.Node && header.OwnerStart == p.Incarnation
 }
--- a/internal/ownership/handover_test.go
+++ b/internal/ownership/handover_test.go
@@ -243,3 +243,19 @@
 		e.land(e.flight)
 	}
 }
+
+// TestSubAgentNeedsNoClaim makes a sub-agent and calls it at the node that made
+// it. Its row names that node and sets nothing aside, so that its first call
+// writes anyway; a claim before it would be a write for nothing.
+func TestSubAgentNeedsNoClaim(t *testing.T) {
+	c := newTestCluster(t, 1, "a")
+	id := createPrograms(t, c, 1)[0]
+	child := program.ChildID(id, 1)
+	if _, err := c.node("a").CreateChild(t.Context(), "dev", id, child, api.CreateProgramRequest{Class: "batch", Budget: 10_000}); err != nil {
+		t.Fatal(err)
+	}
+	execute(t, c.node("a"), child, 1)
+	if header := rowOf(t, c, child); header.Epoch != 1 || header.AttemptedSequence != 0 {
+		t.Errorf("the sub-agent was claimed anew: %+v", header)
+	}
+}
