discovery: a stale list is an answer, not a lost source

Cause: each list older than the view counted as a failed call, so the source as lost and the process as not ready.

Change: while something was heard within the time for which reads may be stale, it stays connected and reads again; where a list was taken before, changes are followed meanwhile. Beyond that time it counts as lost.

Ruled out: taking the stale list (the view never goes back).

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -128,7 +128,7 @@
 	listTimeout  = time.Second // until a list begins to come
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
-	freshAfter   = 3500 * time.Millisecond // a list that follows lost history is read again after this, since reads may be stale
+	freshAfter   = 3500 * time.Millisecond // for how long reads may be stale; a list that follows lost history is read again after it
 )
 
 // Follower keeps a View up to date. Safe for concurrent use.
@@ -207,19 +207,36 @@
 	default:
 		err = s.wait(ctx)
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		s.succeeded()
 		if s.pause > 0 {
 			backoff.Wait(ctx, s.pause)
 			s.pause = 0
 		}
-		return
-	}
-	if ctx.Err() == nil {
+	case ctx.Err() != nil:
+	case errors.Is(err, errStale) && time.Since(s.lastSuccess) < freshAfter:
+		// The source answers, and what it told before holds: a process that counted it as lost would
+		// not be ready, though it serves as well as before.
+		s.readAgain(ctx)
+	default:
 		s.failed(ctx, err)
 	}
 }
 
+// errStale is why a list is not taken.
+var errStale = errors.New("the list is older than what was seen")
+
+// readAgain waits before the next list, after one that was stale. Where one was taken before, changes are waited for
+// meanwhile.
+func (s *follow) readAgain(ctx context.Context) {
+	if s.listed {
+		s.relistAt = time.Now().Add(maxBackoff)
+		return
+	}
+	backoff.Wait(ctx, settlePause)
+}
+
 // list reads the whole collection. A list older than what has been seen is
 // stale and is not taken.
 func (s *follow) list(ctx context.Context) error {
@@ -230,7 +247,7 @@
 		return err
 	}
 	if version < s.after {
-		return errors.Newf("list of %s is stale: version %d, %d was seen", s.collection, version, s.after)
+		return errors.Wrapf(errStale, "list of %s: version %d, %d was seen", s.collection, version, s.after)
 	}
 	s.follower.replace(s.collection, records, version)
 	if s.listed {
