quota: a table that does not answer draws out the leases of all shards that a node holds

Callers of small tenants were refused while the whole store was away, though they were within their limits: nobody counted for their shard.

Cause: a failed write drew out the leases of the rows in it. A node's rows are written at different moments, one alone for its levels, so that another row's lease could run out before its own turn to be tried in vain; its holder then answered no more until the table was back. A look for other holders, as long as a write, had the same effect.

Change: any call to the table without an answer is noted for all shards held.

--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -196,6 +196,7 @@
 	rows, err := k.table.Range(callContext, rowTable, rowTable+"\x7f", Shards)
 	if err != nil {
 		k.lookAt = time.Now().Add(backoff.Spread(lookAgain))
+		k.tableAway(time.Now())
 		return
 	}
 	k.observe(rows)
@@ -316,22 +317,41 @@
 	if errors.As(err, &conflict) {
 		return k.refused(changes, conflict, now)
 	}
-	inTouch := err == nil || k.prober.InTouch()
+	if err != nil {
+		k.unwritten(changes, now)
+		return -1
+	}
 	k.holdings.each(func(shard int, l *lease) {
 		for _, written := range changes {
-			if written.shard != shard {
-				continue
-			}
-			if err != nil {
-				l.unwritten(inTouch, now)
-				continue
+			if written.shard == shard {
+				k.written(l, written, receipt.Revisions[rowKey(shard)], begun, now)
 			}
-			k.written(l, written, receipt.Revisions[rowKey(shard)], begun, now)
 		}
 	})
 	return -1
 }
 
+// unwritten takes in that rows could not be written, and that nothing says that another node has written them.
+func (k *Keeper) unwritten(changes []change, now time.Time) {
+	k.holdings.each(func(shard int, l *lease) {
+		if slices.ContainsFunc(changes, func(tried change) bool { return tried.shard == shard }) {
+			l.urgent = false
+		}
+	})
+	k.tableAway(now)
+}
+
+// tableAway takes in that a call to the table had no answer by now. That holds for all shards of this node: rows are
+// written at different moments, and a lease that runs out before its own row's turn comes would end the counting
+// for its tenants until the table is back.
+func (k *Keeper) tableAway(now time.Time) {
+	if _, mine := k.needs(); !mine {
+		return
+	}
+	inTouch := k.prober.InTouch()
+	k.holdings.each(func(_ int, l *lease) { l.tableAway(inTouch, now) })
+}
+
 // written takes a row that this node has written. The holdings' mutex is held.
 func (k *Keeper) written(l *lease, written change, revision uint64, begun, now time.Time) {
 	row := Row{Holder: written.holder, Revision: revision, Levels: written.levels}
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -210,18 +210,16 @@
 	l.goodTill = l.until
 }
 
-// unwritten notes that the row could not be written, and that nothing says that another node
-// has written it. inTouch says that peers are reached.
-func (l *lease) unwritten(inTouch bool, now time.Time) {
-	l.urgent = false
-	if inTouch && now.Before(l.goodTill) {
+// tableAway notes that the table did not answer this node, and that nothing says that another node has written the
+// row. inTouch says that peers are reached.
+func (l *lease) tableAway(inTouch bool, now time.Time) {
+	if l.mine && inTouch && now.Before(l.goodTill) {
 		l.goodTill = now.Add(leaseLife)
 	}
 }
 
-// mayAnswer reports whether this node may answer for the shard. A holder that tries in vain to
-// write its row, again and again since before its lease ran out, goes on as long as it reaches
-// peers: who does not reach the table cannot take the shard, and who does asks this node while
+// mayAnswer reports whether this node may answer for the shard. A holder whom the table does not
+// answer, again and again since before its lease ran out, goes on as long as it reaches peers: who does not reach the table cannot take the shard, and who does asks this node while
 // it answers. One that was cut off, or whose own process stood still, must write its row first.
 func (l *lease) mayAnswer(now time.Time) bool { return l.mine && now.Before(l.goodTill) }
 
