serving: the test of a node that is cut off does only what it tells

Cause, by logs: seven times the test's own 64 to 170 programs filled the engines; once one of its turns went to the engine of the lost zone, which it had left there, so that the node rightly rejoined; once a call of the outage failed after its end (listed as open).

Change: four turns of four programs are under way at a time, and the lost zone's engine is lost as well. The checks are as they were.

--- a/internal/serving/zones_test.go
+++ b/internal/serving/zones_test.go
@@ -136,21 +136,39 @@
 	}
 }
 
-// TestCutOffNodeTellsCallersAtOnce loses both other zones and the store. Turns are refused at
+// TestCutOffNodeTellsCallersAtOnce loses both other zones, with their engines, and the store. Turns are refused at
 // once, with when to come back, on a connection that ends; what needs no table is served. It
 // ends when the store answers.
+//
+// Beside much load it failed in 9 of 540 runs, for what the test itself did: each look for the line in the log began
+// a turn of another program, 64 to 170 in all. Seven times engines carried no more programs when the turn after the
+// return came ("at_capacity", "18 programs to come for 12 places"). Once so many turns waited for an engine of the own zone that
+// one went to the engine of zone b, which was still there: 0.2 ms later the log has "node rejoined", rightly, since
+// that zone had been heard. Once a turn of the outage failed 5 ms before the last one, whose part of the table then
+// counted as silent.
 func TestCutOffNodeTellsCallersAtOnce(t *testing.T) {
+	const underWay = 4 // turns, and programs
 	d, others, entrance := threeZoned(t)
+	d.store.Remove("servers", "", "m2")
+	d.eventually("without m2", func() bool { return strings.Contains(d.log.String(), `"engines":3,`) })
 	entrance.SetFault(operators.Hang)
 	silent := append(loseZone(others["zone-b"]), loseZone(others["zone-c"])...)
-	turns := 0
+	turns, places := 0, make(chan struct{}, underWay)
 	d.eventually("cut off", func() bool {
-		turns++
-		go d.turn("/kept/", fmt.Sprintf("p%d", turns), fmt.Sprintf("t%d", turns), "", "x")
+		select {
+		case places <- struct{}{}:
+			turns++
+			program, turn := fmt.Sprintf("p%d", turns%underWay), fmt.Sprintf("t%d", turns)
+			go func() {
+				d.turn("/kept/", program, turn, "", "x")
+				<-places
+			}()
+		default:
+		}
 		return strings.Contains(d.log.String(), `"msg":"node cut off"`)
 	})
 	if d.process.Ready() {
-		t.Error("ready, though it is cut off")
+		t.Errorf("ready, though it is cut off; log:\n%s", d.log)
 	}
 	began := time.Now()
 	got := d.turn("/kept/", "late", "late", "", "x")
@@ -172,7 +190,7 @@
 	entrance.SetFault(operators.Healthy)
 	d.eventually("back", func() bool { return strings.Contains(d.log.String(), `"msg":"node rejoined"`) && d.process.Ready() })
 	if got := d.turn("/kept/", "back", "back", "", "x"); got.status != http.StatusOK {
-		t.Errorf("a turn after the return got %+v", got)
+		t.Errorf("a turn after the return, and %d before it, got %+v; log:\n%s", turns, got, d.log)
 	}
 }
 
