ledger: a call of an outage says nothing of the table after it

Callers were refused for 1.1 s by a process that was ready again: "not asked, since a call failed 5 ms ago".

Cause: a call that was sent in an outage and is given up after its end counted for a part that is silent while others answer quickly; the answer that was quick was the one by which the table returned. Seen in one log.

Change: failures of calls that began before the return are not counted.

Ruled out: counting each failure for the time of its call alone (a part that is silent beside answers of others has to be learnt at once).

Measured: the new test failed for an outage of the table and of the way to it before, passes since; the package's tests pass.

--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -64,6 +64,7 @@
 	quick     time.Duration        // time of the quickest of them; 0 before the first
 	by        [kinds]time.Duration // smoothed time of those of a kind; 0 before the first
 	unheard   map[int]bool         // parts whose calls went without an answer since any was answered
+	backAt    time.Time            // when the table, or the way to it, was last heard again after it was held to be lost
 	// returned wakes those who wait for the table, once it answers a call after calls were held
 	// back.
 	returned signal
@@ -249,6 +250,7 @@
 	}
 	unreachable := errors.Is(err, tablestore.ErrUnreachable)
 	wayWasLost := h.way.failures > 0
+	wasAway := wayWasLost || h.failing.all.failures >= failuresOfAll
 	h.way.report(!unreachable, now)
 	switch {
 	case unreachable:
@@ -257,6 +259,9 @@
 	case err == nil:
 		h.over[kind].report(part, true, now)
 		clear(h.unheard)
+		if wasAway {
+			h.backAt = now
+		}
 		if h.failing.answered(part, now) || wayWasLost {
 			h.returned.broadcast()
 		}
@@ -283,6 +288,13 @@
 	return h.quickAt.After(began)
 }
 
+// backSince reports whether the table has come back, after it was held to be lost, since some time.
+func (h *health) backSince(began time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.backAt.After(began)
+}
+
 // noteEnd is note for the end of a call. A part that gave no answer has its breaker opened at
 // once: each further call would have its caller wait as long.
 func (h *health) noteEnd(kind kind, part int, err error, now time.Time) {
@@ -302,6 +314,9 @@
 	if err != nil && ctx.Err() != nil && now.Sub(began) < readTimeout {
 		return
 	}
+	if err != nil && !errors.IsAny(err, tablestore.ErrThrottled, tablestore.ErrBusy) && l.health.backSince(began) {
+		return // it tells of the outage in which it began, and not that its part is silent now
+	}
 	l.health.noteEnd(kind, part, err, now)
 	if err != nil && now.Sub(began) >= readTimeout && !l.health.heardSince(began) {
 		l.health.nothingHeard(part, err, now)
--- a/internal/ledger/health_test.go
+++ b/internal/ledger/health_test.go
@@ -229,3 +229,43 @@
 		}
 	}
 }
+
+// TestAFailureOfAnOutageSaysNothingOfWhatFollows has the whole table, or the way to it, away, and come back while calls
+// of the outage are still waited for.
+//
+// What callers saw: the first program after a return was refused for 1.1 s, by a process that was ready. Its log:
+// "not asked, since a call failed 5 ms ago: neither a write nor a read of its row is answered". That call had been
+// sent in the outage; what it needs to count for a silent part, that another call was answered quickly since, was
+// the answer by which the table returned.
+func TestAFailureOfAnOutageSaysNothingOfWhatFollows(t *testing.T) {
+	unanswered := errors.Mark(errors.Mark(errors.New("no answer"), tablestore.ErrUnknownOutcome), errNoAnswer)
+	wayLost := errors.Mark(tablestore.ErrUnavailable, tablestore.ErrUnreachable)
+	for name, outage := range map[string]func(h *health, now time.Time){
+		"the table": func(h *health, now time.Time) {
+			for part := range failuresOfAll {
+				h.report(part, tablestore.ErrUnknownOutcome, now)
+			}
+		},
+		"the way to it": func(h *health, now time.Time) { h.report(1, wayLost, now) },
+	} {
+		now := time.Unix(100, 0)
+		l := New(Options{Run: "a", Now: func() time.Time { return now }})
+		outage(l.health, now)
+		began := now.Add(time.Second)
+		now = began.Add(readTimeout)
+		l.health.report(2, nil, now)
+		now = now.Add(5 * time.Millisecond)
+		for range failuresToOpen {
+			l.ended(t.Context(), writing, 7, unanswered, began)
+		}
+		if !l.health.allow(7, now) || !l.health.reachable(now) {
+			t.Errorf("%s is back, and a part is not asked for a call that began before", name)
+		}
+		began = now
+		now = now.Add(readTimeout)
+		l.ended(t.Context(), writing, 7, unanswered, began)
+		if l.health.allow(7, now) {
+			t.Errorf("%s is back, and a part that gives no answer since is asked as before", name)
+		}
+	}
+}
