--- a/internal/quota/outage_test.go
+++ b/internal/quota/outage_test.go
@@ -10,8 +10,12 @@
 // outage is how long the table is away in the plays of this file.
 const outage = 6 * time.Second
 
-// unheldDuringAnOutage has the table away for some seconds, while tenants of all shards send what their limits allow,
-// and returns the shards that no node may answer for at some moment of it, with when. before is done just before.
+// tenantsOfOutage is how many tenants send requests in these plays.
+const tenantsOfOutage = 5
+
+// unheldDuringAnOutage has the table away for some seconds, while some tenants send five times what their limits allow,
+// so that their shards' rows are written at once, for their levels, again and again. It returns the shards that no node
+// may answer for at some moment of the outage, with when. before is done just before.
 func unheldDuringAnOutage(t *testing.T, before func(f *fleet)) map[int]time.Duration {
 	t.Helper()
 	unheld := make(map[int]time.Duration)
@@ -20,8 +24,8 @@
 		defer f.end()
 		time.Sleep(settleTime)
 		limit := Limit{Rate: 40, Burst: 40, Version: 1}
-		for i := range 3 * Shards {
-			f.send(f.nodes[i%len(f.nodes)], fmt.Sprintf("tenant %d", i), limit, 25, 3*time.Second+outage)
+		for i := range tenantsOfOutage {
+			f.send(f.nodes[i%len(f.nodes)], fmt.Sprintf("tenant %d", i), limit, 5*limit.Rate, 3*time.Second+outage)
 		}
 		time.Sleep(3 * time.Second)
 		held := f.heldShards()
