--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -116,6 +116,23 @@
 	})
 }
 
+// followAll runs a test in virtual time beside a follower of both collections.
+func followAll(t *testing.T, s *source, test func(f *discovery.Follower)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := discovery.New(discovery.Options{Source: s, Observer: quiet{}})
+		var loops sync.WaitGroup
+		defer loops.Wait()
+		defer cancel()
+		for _, collection := range []discovery.Collection{discovery.Configurations, discovery.Engines} {
+			loops.Go(func() { f.Run(ctx, collection) })
+		}
+		time.Sleep(time.Second)
+		test(f)
+	})
+}
+
 // TestChangeIsSeenSoonAfterSilence loses the answers of calls under way and
 // changes the configuration meanwhile. The hunt that found it: trouble-2 of
 // Wales with seed 910874055709, where a call that had begun just before the
@@ -196,17 +213,9 @@
 // no change to tell. That it serves again is known as soon as it is asked, and not only
 // when a watch ends.
 func TestReturnIsNoticedSoon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		s := &source{version: 1, seen: 10}
-		f := discovery.New(discovery.Options{Source: s, Observer: quiet{}})
-		var loops sync.WaitGroup
-		defer loops.Wait()
-		defer cancel()
-		for _, collection := range []discovery.Collection{discovery.Configurations, discovery.Engines} {
-			loops.Go(func() { f.Run(ctx, collection) })
-		}
-		time.Sleep(5 * time.Second)
+	s := &source{version: 1, seen: 10}
+	followAll(t, s, func(f *discovery.Follower) {
+		time.Sleep(4 * time.Second)
 		s.set(func(s *source) { s.refuses = true })
 		time.Sleep(5 * time.Second)
 		if f.Connected() {
--- a/internal/discovery/stale_test.go
+++ b/internal/discovery/stale_test.go
@@ -1,32 +1,12 @@
 package discovery_test
 
 import (
-	"context"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/discovery"
 )
 
-// followAll runs a test in virtual time beside a follower of both collections.
-func followAll(t *testing.T, s *source, test func(f *discovery.Follower)) {
-	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		f := discovery.New(discovery.Options{Source: s, Observer: quiet{}})
-		var loops sync.WaitGroup
-		defer loops.Wait()
-		defer cancel()
-		for _, collection := range []discovery.Collection{discovery.Configurations, discovery.Engines} {
-			loops.Go(func() { f.Run(ctx, collection) })
-		}
-		time.Sleep(time.Second)
-		test(f)
-	})
-}
-
 // TestAStaleListIsNoLostSource has the history go and lists be older than what was seen, for the 3.5 s that a read
 // may be stale.
 //
