--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -218,9 +218,10 @@
 	}
 }
 
-// mayAnswer reports whether this node may answer for the shard. A holder whom the table does not
-// answer, again and again since before its lease ran out, goes on as long as it reaches peers: who does not reach the table cannot take the shard, and who does asks this node while
-// it answers. One that was cut off, or whose own process stood still, must write its row first.
+// mayAnswer reports whether this node may answer for the shard. A holder whom the table does not answer, again and
+// again since before its lease ran out, goes on as long as it reaches peers: who does not reach the table cannot take
+// the shard, and who does asks this node while it answers. One that was cut off, or whose own process stood still,
+// must write its row first.
 func (l *lease) mayAnswer(now time.Time) bool { return l.mine && now.Before(l.goodTill) }
 
 // due reports whether the row is to be written again, since time has passed or a level is to
