--- a/internal/zonefeed/search.go
+++ b/internal/zonefeed/search.go
@@ -20,7 +20,7 @@
 
 	asked   map[string]bool
 	pending int // of the asked, without an answer
-	silent  int // of the asked, whose question failed
+	silent  int // questions that failed since more processes were asked last
 	replies chan versionReply
 	best    versionReply // the nearest that knows a newer version; none if its version is 0
 	failure error        // of the last that failed; nil if the last answered
