ingress: a node that is cut off with its zone holds no engine of another zone for gone

Change: a stream of one engine leaves one that a look shows to be gone; for an engine of another zone the look's witness is of a third one, where there is any.

Ruled out: peers that carry requests (streams sent by the node itself ran twice as well); the caller's own second try (one line for both engines).

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -116,6 +116,7 @@
 	// be relied on.
 	KeysCurrent func() bool
 	RegionOf    func(zone string) string // empty if it is not known
+	Zone        string                   // of this node
 	// ZoneLost reports whether nobody of a zone answers; nil if none is ever lost.
 	ZoneLost func(zone string) bool
 	// CutOff reports whether this node's zone is cut off from the others and from the store,
@@ -137,7 +138,7 @@
 
 // New returns a handler.
 func New(options Options) *Handler {
-	return &Handler{options: options, splitter: routing.NewSplitter(), lines: options.Lines, hedges: newHedges(), looker: newLooker(options.Pool, options.View)}
+	return &Handler{options: options, splitter: routing.NewSplitter(), lines: options.Lines, hedges: newHedges(), looker: newLooker(options.Pool, options.View, options.Zone)}
 }
 
 // EndAt has requests refused that may last for longer than until a planned stop ends: the end
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -104,6 +104,7 @@
 type looker struct {
 	pool *upstream.Pool
 	view func() *discovery.View
+	zone string // of this node
 
 	mutex sync.Mutex
 	seen  map[upstream.Destination]*sight
@@ -116,8 +117,8 @@
 	dark bool
 }
 
-func newLooker(pool *upstream.Pool, view func() *discovery.View) *looker {
-	return &looker{pool: pool, view: view, seen: make(map[upstream.Destination]*sight)}
+func newLooker(pool *upstream.Pool, view func() *discovery.View, zone string) *looker {
+	return &looker{pool: pool, view: view, zone: zone, seen: make(map[upstream.Destination]*sight)}
 }
 
 // connectionsTo returns whom connections to an engine are to.
@@ -140,7 +141,7 @@
 	}
 	l.mutex.Unlock()
 	if fresh {
-		known.dark = l.silent(ctx, engine) && l.hearsAnother(ctx, engine.Address) &&
+		known.dark = l.silent(ctx, engine) && l.hearsAnother(ctx, engine) &&
 			backoff.Wait(ctx, lookPause) && l.silent(ctx, engine)
 		close(known.done)
 	}
@@ -155,16 +156,11 @@
 }
 
 // hearsAnother reports whether another engine answers an attempt to connect.
-func (l *looker) hearsAnother(ctx context.Context, address string) bool {
-	asked := 0
-	heard := make(chan bool, witnesses)
-	view := l.view()
-	for _, engine := range view.Engines {
-		if engine.Address == address || asked == witnesses || view.Evacuated(engine.Zone) || !view.Serves(engine.Service) {
-			continue
-		}
-		asked++
-		go func() { heard <- l.pool.Probe(ctx, connectionsTo(engine), lookTimeout) == nil }()
+func (l *looker) hearsAnother(ctx context.Context, engine routing.Engine) bool {
+	asked := l.witnessesFor(engine)
+	heard := make(chan bool, len(asked))
+	for _, one := range asked {
+		go func() { heard <- l.pool.Probe(ctx, connectionsTo(one), lookTimeout) == nil }()
 	}
 	for range asked {
 		if <-heard {
@@ -174,6 +170,27 @@
 	return false
 }
 
+// witnessesFor returns engines whose answer shows that this node is not cut off from a silent one. Those of this
+// node's zone do not show that for an engine of another zone: this node may be cut off together with its zone, and the
+// engine be at work. Where there are only the two zones, nothing can show it, and any engine will do.
+func (l *looker) witnessesFor(engine routing.Engine) []routing.Engine {
+	var others, elsewhere []routing.Engine
+	view := l.view()
+	for _, other := range view.Engines {
+		if other.Address == engine.Address || view.Evacuated(other.Zone) || !view.Serves(other.Service) {
+			continue
+		}
+		others = append(others, other)
+		if other.Zone != l.zone && other.Zone != engine.Zone {
+			elsewhere = append(elsewhere, other)
+		}
+	}
+	if engine.Zone != l.zone && len(elsewhere) > 0 {
+		others = elsewhere
+	}
+	return others[:min(len(others), witnesses)]
+}
+
 // forget drops old sights. The mutex is held.
 func (l *looker) forget(now time.Time) {
 	for looked, known := range l.seen {
--- a/internal/ingress/zones.go
+++ b/internal/ingress/zones.go
@@ -112,12 +112,16 @@
 
 // mayLeave reports whether a try may leave an engine of a zone that this node takes for lost. That
 // may be wrong: whoever may not send the request again leaves only an engine that takes no
-// connection. One that does ends the suspicion.
+// connection. One that does ends the suspicion. Whoever may run on one engine only leaves one that is
+// gone: in the moments before a node learns that it is itself cut off, it takes other zones for lost.
 func (t *try) mayLeave() bool {
-	if t.request.route.Repeatable() {
+	said, route := t.said.Load(), t.request.route
+	switch {
+	case route.Repeatable() && route.MaxAttempts > 1:
 		return true
+	case route.Repeatable():
+		return !t.evacuated() && t.request.handler.looker.dark(t.ctx, t.placed.Engine) && t.said.Load() == said
 	}
-	said := t.said.Load()
 	return !t.evacuated() && t.request.handler.looker.silent(t.ctx, t.placed.Engine) && t.said.Load() == said
 }
 
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -243,6 +243,7 @@
 		Quota:       p.quota,
 		KeysCurrent: p.keysCurrent,
 		RegionOf:    settings.Topology.RegionOf,
+		Zone:        settings.Topology.Zone(),
 		ZoneLost:    p.zones.Suspected,
 		CutOff:      p.comeBack,
 		Observer:    p,
--- a/internal/serving/zones_test.go
+++ b/internal/serving/zones_test.go
@@ -235,6 +235,49 @@
 	}
 }
 
+// TestStreamOfOneEngineStaysWithAnEngineThatTakesConnections is the same for a stream that may go on at another engine,
+// of a route that allows one: in a lost zone it may go on only where the engine is gone. Nodes that were being cut
+// off took other zones for lost .1 s before they knew, and their streams ran on two engines of one allowed.
+func TestStreamOfOneEngineStaysWithAnEngineThatTakesConnections(t *testing.T) {
+	d, others, _ := threeZoned(t)
+	d.store.Put("op", "", "config", configuration(8, route("once", "stream", "models", map[string]any{"resumable": true, "max_attempts": 1}),
+		route("resumed", "stream", "models", map[string]any{"resumable": true, "max_attempts": 3})))
+	d.store.Remove("servers", "", "m1")
+	d.eventually("in force, without m1", func() bool {
+		return strings.Contains(d.log.String(), `"configuration":8`) && strings.Contains(d.log.String(), `"engines":3,`)
+	})
+	release, reached := make(chan struct{}), make(chan struct{}, 1)
+	d.handleAll("m2", func(http.ResponseWriter, *http.Request) bool {
+		select {
+		case reached <- struct{}{}:
+		default:
+		}
+		<-release
+		return false
+	})
+	answers := make(chan answer, 1)
+	go func() { answers <- d.turn("/once/", "p", "held", "", "x") }()
+	<-reached
+	d.move("m1", "models", "zone-a")
+	loseZone(others["zone-b"])
+	turns := 0
+	d.eventually("zone b suspected, and the engine looked at", func() bool {
+		turns++
+		go d.turn("/resumed/", fmt.Sprintf("p%d", turns), fmt.Sprintf("t%d", turns), "", "x")
+		return d.said("zone suspected", "zone-b") && d.said("zone believed", "zone-b")
+	})
+	close(release)
+	if got := <-answers; got.status != http.StatusOK || got.body != fourEvents || got.cut {
+		t.Errorf("got %+v; log:\n%s", got, d.log)
+	}
+	d.eventually("in the log", func() bool { return strings.Contains(d.log.String(), `"request":"held"`) })
+	for _, line := range strings.Split(d.log.String(), "\n") {
+		if strings.Contains(line, `"request":"held"`) && strings.Contains(line, `"outcome":"dark"`) {
+			t.Errorf("the stream left an engine that takes connections: %s", line)
+		}
+	}
+}
+
 // TestTurnStaysWithAnEngineThatTakesConnections has an engine hold a turn that may not be sent
 // again, while nobody of its zone answers but the engine: it takes connections. The turn is not
 // broken off, and the zone is believed.
