origins, ingress, scheduler: a stream goes on only at the software version that began it

Nothing remembered which version began a stream, and placement asked for none: whoever took it up, the process within its answer or the caller at any process, had it go on by chance.

Change: - scheduler, placement: a call may name a version; engines of another are filtered (other_version). An engine of the lesser version keeps a quarter of its slots for calls that name it. Where all engines of the version are ejected, one is tried. - origins: whoever begins a stream while several versions serve tells three peers, ranked by rendezvous over the stream's id and spread over zones, while the engine reads the prompt; the first event waits for one of them. Who takes it up asks eight. Nobody guesses: one version that all who answer know is no guess; else 503, not run, code 313 or 314, at once. A process that stops hands over what it remembers; one that lists a second version tells what it began before. - discovery: versions of a service that are or were listed; an entry that changes its version counts as a start, and a stream of about that time is not certain. - Kept: a split route's stream goes on at the service that began it.

Ruled out: a row of the store for each stream (a write each, and the store may be away); a version drawn from the id (views differ while a release goes).

--- a/api/codes.go
+++ b/api/codes.go
@@ -77,6 +77,9 @@
 	BudgetUnsettled Code = 310
 	AtCapacity      Code = 311 // a new program that engines would not carry
 	RegionLinkFull  Code = 312 // only other regions have engines, and too much crosses
+	// StreamVersionUnknown: nobody who can be asked knows which version began the stream
+	StreamVersionUnknown Code = 313
+	StreamVersionGone    Code = 314 // no back end of the version that began the stream can go on with it
 
 	BackendFailed  Code = 401 // ran, and failed for good
 	OutcomeUnknown Code = 402
@@ -133,6 +136,8 @@
 	{BudgetUnsettled, "budget_unsettled", http.StatusServiceUnavailable, NotRun, true, "Nodes that do not answer hold what the call needs of the program's budget, and may yet give it back."},
 	{AtCapacity, "at_capacity", http.StatusServiceUnavailable, NotRun, true, "Engines carry no more programs of this priority now; Retry-After says when to come back."},
 	{RegionLinkFull, "region_link_full", http.StatusServiceUnavailable, NotRun, true, "Only other regions have back ends for the call, and what crosses to them has reached this node's part of the link."},
+	{StreamVersionUnknown, "stream_version_unknown", http.StatusServiceUnavailable, NotRun, true, "The stream cannot go on, as it is not known which software version of the back end began it; it may be begun anew."},
+	{StreamVersionGone, "stream_version_gone", http.StatusServiceUnavailable, NotRun, true, "The stream cannot go on, as no back end of the software version that began it can serve it; it may be begun anew."},
 	{BackendFailed, "backend_failed", http.StatusBadGateway, Ran, false, "The back end ran the call and reported failure."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, false, "The call may have run; its outcome cannot be established."},
 	{Cancelled, "cancelled", http.StatusConflict, Unknown, false, "The call was cut off after it was dispatched."},
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -74,6 +74,8 @@
 	Hidden map[string]bool
 
 	Evacuations evacuations // by zone, also those that were taken back
+
+	seenVersions seenVersions // of services' software
 }
 
 // Serves reports whether the configuration in force names a service.
@@ -377,6 +379,7 @@
 	f.starts.settle(next.Engines, now, next.mayServe)
 	f.starts.forget(now)
 	next.Hidden = f.starts.hiddenEngines()
+	next.seenVersions = next.seenVersions.after(next.Engines, now)
 	next.Versions[collection] = max(next.Versions[collection], version)
 	f.view.Store(next)
 }
--- a/internal/discovery/starts.go
+++ b/internal/discovery/starts.go
@@ -25,6 +25,7 @@
 	gone        time.Time // since when it is not listed; zero if it is
 	takenAt     time.Time // when the start was taken
 	service     string    // by its last entry
+	software    string    // version, by its last entry
 	hidden      string    // identity of the name's start in whose place another writer's entry stands; empty if none does
 	hiddenSince time.Time // when it became so; whatever other entries stand there since
 	rival       *rival    // whose entry stands in the place of the start's own; nil if none does
@@ -62,10 +63,10 @@
 	known.overtaken(version)
 	known.setHidden(known.hiddenBy(engine, serves), now)
 	delete(engines, known.ID())
-	if engine.Incarnation != known.Incarnation {
-		known.takenAt = now
+	if engine.Incarnation != known.Incarnation || engine.Version != known.software {
+		known.takenAt = now // one that does not tell its start has started again, too, if its software is another
 	}
-	known.Incarnation, known.version, known.service = engine.Incarnation, version, engine.Service
+	known.Incarnation, known.version, known.service, known.software = engine.Incarnation, version, engine.Service, engine.Version
 	if version < known.withdrawn {
 		known.goes(now)
 		return
--- a/internal/ingress/ahead.go
+++ b/internal/ingress/ahead.go
@@ -196,6 +196,7 @@
 	s.endAhead()
 	s.run = run
 	r.report.Owner = run.Owner()
+	r.awaitTold()
 	r.firstByte()
 	r.writeHead(first.StatusCode, first.Header)
 	if len(withheld) == 0 {
@@ -221,3 +222,12 @@
 		}
 	}()
 }
+
+// beginAnew forgets what was withheld, so that the next engine begins the stream.
+func (s *stream) beginAnew() {
+	r := s.request
+	r.handler.withheld.Add(-int64(len(s.ahead.withheld)))
+	s.ahead.withheld, s.ahead.first = nil, nil
+	s.output, s.events, s.lastEvent = nil, 0, r.call.LastEvent
+	r.origin = streamOrigin{sends: r.origin.sends, telling: r.origin.telling}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -113,6 +113,7 @@
 		made.offers++
 		made.tried = append(made.tried, placed.Engine.ID)
 		current := r.beginTry(ctx, placed)
+		r.tellOrigin(current)
 		outcome, err := current.exchange(ctx, lastEvent)
 		if outcome == placement.Served {
 			return current, nil
@@ -176,8 +177,8 @@
 		return problem
 	}
 	problem.Execution = api.NotRun
-	if problem.Code == api.ZonesEvacuated {
-		return problem // it says itself when to come back
+	if problem.Code == api.ZonesEvacuated || problem.Code == api.StreamVersionGone {
+		return problem // it says itself when to come back, if that may help
 	}
 	return problem.After(backoff.Spread(fullRetryAfter))
 }
@@ -215,6 +216,7 @@
 		LastTokens:   last.Tokens,
 		Excluded:     slices.Clone(made.tried),
 		Regions:      r.regions,
+		Version:      r.origin.version,
 	}
 	if r.call.FinishIn > 0 {
 		request.ProgramDeadline = r.arrived.Add(r.call.FinishIn)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -113,6 +113,8 @@
 	Ledger   *ledger.Ledger
 	Lines    *lines.Memory
 	Quota    Quota
+	// Origins knows which software version began a stream.
+	Origins Origins
 	// KeysCurrent reports whether the configuration was heard of so lately that its keys can
 	// be relied on.
 	KeysCurrent func() bool
@@ -169,6 +171,7 @@
 	until    time.Time      // when the caller or the route gives up
 	started  bool           // the answer's head has been written
 	granted  quota.Decision // by which it counts towards its tenant's limit; Undecided if it does not
+	origin   streamOrigin   // of the stream that the request begins or takes up
 	asks     func()         // ends the announcement of the program that it begins; nil if there is none
 	report   Report
 
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -10,6 +10,7 @@
 	"github.com/pewtermill/pewtermill/internal/admission"
 	"github.com/pewtermill/pewtermill/internal/carry"
 	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/origins"
 	"github.com/pewtermill/pewtermill/internal/placement"
 	"github.com/pewtermill/pewtermill/internal/quota"
 )
@@ -36,6 +37,14 @@
 	Owner                string // node whose allowance covers the turn; empty for this one
 	Quota                QuotaReport
 	Admission            admission.Decision // undecided but for a program's first turn
+	Origin               OriginReport
+}
+
+// OriginReport is what was known of the software version that a stream has to stay at.
+type OriginReport struct {
+	Finding   origins.Finding // its Ground is empty unless the caller takes a stream up
+	Version   string          // at which the stream went on, within one answer or by Finding; empty if it never had to
+	Confirmed int             // peers that confirmed to know where the request began a stream
 }
 
 // QuotaReport is what was decided on the request's count towards its tenant's limit.
--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -63,6 +63,9 @@
 // or a stream outside any.
 func (r *request) serveTurn(ctx context.Context) *api.Error {
 	s := &stream{request: r, input: r.body, lastEvent: r.call.LastEvent}
+	if problem := r.findOrigin(ctx); problem != nil {
+		return problem
+	}
 	if problem := s.admitEarly(); problem != nil {
 		return problem
 	}
@@ -106,6 +109,9 @@
 		if ctx.Err() != nil || !r.route.Repeatable() {
 			return s.failed(ctx, r.mayHaveRun(ctx, err), made.ran)
 		}
+		if problem := s.keepVersion(); problem != nil {
+			return s.failed(ctx, problem, made.ran)
+		}
 	}
 }
 
@@ -201,6 +207,7 @@
 func (s *stream) write(current *try, next event) error {
 	r := s.request
 	if !r.started {
+		r.awaitTold()
 		r.firstByte()
 		r.writeHead(current.answer.StatusCode, current.answer.Header)
 	}
@@ -218,6 +225,7 @@
 	if !next.has {
 		return
 	}
+	s.request.origin.hold(current)
 	s.events++
 	current.tokens += s.tokensPerEvent()
 	if s.request.route.Retain {
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -28,6 +28,9 @@
 	if request.Regions != nil && !slices.Contains(request.Regions, p.options.Topology.RegionOf(engine.Zone)) {
 		return true
 	}
+	if request.Version != "" && engine.Version != request.Version {
+		return true
+	}
 	return p.evacuation.covers(engine)
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -183,6 +183,7 @@
 	p.spareLost()
 	p.judge(now)
 	p.measure()
+	lesser := p.lesserVersions()
 	views := make([]scheduler.EngineView, 0, len(p.engines))
 	for id, engine := range p.engines {
 		learnt := p.speeds.of(engine.Service)
@@ -192,6 +193,8 @@
 			Zone:                engine.Zone,
 			Region:              p.options.Topology.RegionOf(engine.Zone),
 			Models:              []string{engine.Service},
+			Version:             engine.Version,
+			KeptForVersion:      keptSlots(engine.Slots, lesser[versionKey{engine.Service, engine.Version}]),
 			Ready:               true,
 			Failing:             p.passedOver(id),
 			Leaving:             engine.Draining,
@@ -292,7 +295,8 @@
 		LastEngine:      request.LastEngine,
 		Excluded:        request.Excluded,
 		Regions:         request.Regions,
-		LastResort:      request.Regions != nil && !p.reachable(request, now),
+		Version:         request.Version,
+		LastResort:      (request.Regions != nil || request.Version != "") && !p.reachable(request, now),
 	}
 }
 
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -20,6 +20,7 @@
 	LastEngine      string   // served the line's previous turn
 	LastTokens      int64    // of that turn's prompt and answer
 	Excluded        []string // engines already tried
+	Version         string   // of the engines' software that began its stream; empty for any
 	Regions         []string // where it may be served; nil for everywhere, none for nowhere
 }
 
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -94,7 +94,7 @@
 
 // refuseUnservable refuses a call that no engine can serve.
 func (c *Core) refuseUnservable(call *Call, queue *modelQueue, now time.Time) *Refusal {
-	if queue.capacity.usable > 0 && len(call.Excluded) == 0 && call.Regions == nil {
+	if queue.capacity.usable > 0 && len(call.Excluded) == 0 && call.Regions == nil && call.Version == "" {
 		return nil
 	}
 	if c.judge(c.newRequest(call, queue, now)) > 0 {
@@ -111,6 +111,9 @@
 		return api.Errorf(api.ZonesEvacuated, "none of %d engines can serve model %s now: %d of them are in evacuated zones",
 			len(c.engines), call.Model, capacity.evacuated).After(c.jittered(noBackendRetryAfter))
 	}
+	if call.Version != "" {
+		return api.Errorf(api.StreamVersionGone, "none of %d engines can serve model %s at version %s now, which began the stream", len(c.engines), call.Model, call.Version)
+	}
 	return api.Errorf(api.NoReadyBackend, "none of %d engines can serve model %s now", len(c.engines), call.Model).
 		After(c.jittered(noBackendRetryAfter))
 }
--- a/internal/scheduler/filter_full.go
+++ b/internal/scheduler/filter_full.go
@@ -6,4 +6,11 @@
 
 func (filterFull) name() string { return "concurrency_full" }
 
-func (filterFull) rejects(r *request, e *engine) bool { return e.freeSlots(r.now) <= 0 }
+// rejects leaves the engine's kept places to calls that only its version can serve.
+func (filterFull) rejects(r *request, e *engine) bool {
+	free := e.freeSlots(r.now)
+	if r.call.Version == "" {
+		free -= min(e.view.KeptForVersion, e.slots(r.now)-1)
+	}
+	return free <= 0
+}
--- a/internal/scheduler/plugin.go
+++ b/internal/scheduler/plugin.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // request is what plugins may look at when they judge one call's engines.
 type request struct {
@@ -39,7 +42,7 @@
 
 // callFilters run after modelFilters. filterFull comes last and apart: an
 // engine that it alone rejects may still be worth waiting for.
-var callFilters = []filter{filterRegion{}, filterExcluded{}, filterEjected{}}
+var callFilters = []filter{filterRegion{}, filterVersion{}, filterExcluded{}, filterEjected{}}
 
 // scorers add up to an engine's total.
 var scorers = [...]scorer{scoreWait{}, scorePrefill{}, scoreDistance{}, scoreEviction{}, scoreConnection{}, scoreLag{}, scorePreference{}, scoreSample{}, scoreWarmup{}}
@@ -64,8 +67,24 @@
 func (c *candidate) free() bool { return c.filteredBy == "" && !c.full }
 
 // judge runs the plugins over every engine and leaves the outcome in
-// c.candidates, in order of name. It returns how many are usable.
+// c.candidates, in order of name. It returns how many are usable. A call that names a version may try ejected
+// engines where it has no others.
 func (c *Core) judge(r *request) int {
+	usable := c.judgeOnce(r)
+	if usable > 0 || r.call.Version == "" || r.ignoreEjection || !c.anyFilteredBy(filterEjected{}) {
+		return usable
+	}
+	r.ignoreEjection = true
+	return c.judgeOnce(r)
+}
+
+// anyFilteredBy reports whether a filter alone excludes any of the engines as last judged.
+func (c *Core) anyFilteredBy(rule filter) bool {
+	return slices.ContainsFunc(c.candidates, func(judged candidate) bool { return judged.filteredBy == rule.name() })
+}
+
+// judgeOnce runs the plugins as the request has them.
+func (c *Core) judgeOnce(r *request) int {
 	usable := 0
 	c.candidates = c.candidates[:0]
 	for _, e := range c.engines {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -32,15 +32,20 @@
 	Sample          Sample        // engines to place the call on; nil for all
 	Excluded        []string      // engines already tried
 	Regions         []string      // where it may run; nil for everywhere, none for nowhere
+	Version         string        // of the software of the engines that may have it; empty for any
 	LastResort      bool          // engines that are not ready may be tried, since none that it may have is
 }
 
 // EngineView is what is known of one engine; all of it may be late.
 type EngineView struct {
-	Name                string
-	Zone                string
-	Region              string // that the zone lies in; empty if it is not known
-	Models              []string
+	Name    string
+	Zone    string
+	Region  string // that the zone lies in; empty if it is not known
+	Models  []string
+	Version string // of its software; empty if versions do not matter
+	// KeptForVersion is how many of its slots are left to calls that name its version. One slot
+	// at least is for all calls.
+	KeptForVersion      int
 	Ready               bool
 	Leaving             bool
 	Evacuated           bool // an operator wants nothing more sent to its zone
--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -42,6 +42,7 @@
 	if collection == discovery.Configurations {
 		p.callers.LimitsChanged()
 	}
+	p.tellOrigins(view)
 	p.noteOrders(view)
 	p.noteRegions(view)
 	p.enableRelay()
@@ -195,6 +196,7 @@
 	}
 	attributes = append(attributes, quotaAttributes(report.Quota)...)
 	attributes = append(attributes, admissionAttributes(report)...)
+	attributes = append(attributes, originAttributes(report.Origin)...)
 	return append(attributes, tryAttributes(report.Tries)...)
 }
 
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -70,6 +70,8 @@
 	connections  *prometheus.CounterVec
 	unanswered   *prometheus.CounterVec
 	unreadable   *prometheus.CounterVec
+	resumed      *prometheus.CounterVec
+	untold       *prometheus.CounterVec
 }
 
 // boundedLabels are the values of a label: as many as may be have figures of their own, and
@@ -136,6 +138,9 @@
 	m.connections = counters("pewtermill_serve_engine_connections_total", "New connections to engines.")
 	m.unanswered = counters("pewtermill_serve_unanswered_total", "Callers' connections that ended although a request on them had no whole answer, by what they were doing and why they ended.", "state", "cause")
 	m.unreadable = counters("pewtermill_serve_records_unreadable_total", "Versions of records of the store that cannot be read, by collection and by the field that is wrong.", "collection", "field")
+	m.resumed = counters("pewtermill_serve_streams_taken_up_total", "Streams that callers took up, by how their software version was known and what became of them.", "ground", "result")
+	m.untold = counters("pewtermill_serve_origins_untold_total", "Streams of which no peer confirmed to know the origin while several software versions served.")
+	m.registry.MustRegister(m.resumed, m.untold)
 	m.registry.MustRegister(m.admissions, m.ejections, m.zones, m.ways, m.carriersLost, m.connections, m.unanswered, m.unreadable)
 	return m
 }
@@ -190,6 +195,9 @@
 	if decision := report.Quota.Decision; decision.Verdict != quota.Undecided {
 		m.limits.WithLabelValues(decision.Verdict.String(), string(decision.Ground)).Inc()
 	}
+	if ground := report.Origin.Finding.Ground; ground != "" {
+		m.resumed.WithLabelValues(string(ground), resumeResult(report)).Inc()
+	}
 	if decision := report.Admission; decision.Decided {
 		verdict := "refused"
 		if decision.Admitted {
@@ -219,6 +227,7 @@
 	p.registerWatch()
 	p.registerNews()
 	p.registerCarryGauges()
+	p.registerOrigins()
 	p.metrics.Gauge("pewtermill_serve_calls_waiting", "Calls that wait at this process for an engine.", func() float64 { return float64(p.placer.Waiting()) })
 	p.metrics.Gauge("pewtermill_serve_ready", "1 while the process wants new connections.", func() float64 {
 		if p.Ready() {
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -11,6 +11,7 @@
 	"github.com/pewtermill/pewtermill/internal/carry"
 	"github.com/pewtermill/pewtermill/internal/commitgroup"
 	"github.com/pewtermill/pewtermill/internal/loads"
+	"github.com/pewtermill/pewtermill/internal/origins"
 	"github.com/pewtermill/pewtermill/internal/owners"
 	"github.com/pewtermill/pewtermill/internal/quota"
 	"github.com/pewtermill/pewtermill/internal/relay"
@@ -51,6 +52,7 @@
 	limits    *quota.Client
 	watch     *zonefeed.Feed
 	carrying  *carry.Server
+	keeping   *origins.Server
 }
 
 // ServePeer implements wire.ServerHandler.
@@ -71,6 +73,10 @@
 		return h.carrying.Answer(ctx, request, onPart)
 	case *wirepb.Request_AskAlive:
 		return &wirepb.Reply{}
+	case *wirepb.Request_TellOrigins:
+		return h.keeping.Tell(body.TellOrigins)
+	case *wirepb.Request_FindOrigin:
+		return h.keeping.Find(body.FindOrigin)
 	case *wirepb.Request_FetchTurns:
 		return h.turns.Answer(body.FetchTurns)
 	case *wirepb.Request_FollowTable:
@@ -131,7 +137,7 @@
 		return nil, err
 	}
 	options := wire.Options{Node: p.settings.Node, ClusterKey: secret, SilenceLimit: peerSilenceLimit}
-	handler := peerHandler{relay: p.relaying, commits: p.commits, turns: p.recent, owners: p.covering, collector: p.collector, limits: p.quota, watch: p.watch, carrying: p.carrying}
+	handler := peerHandler{relay: p.relaying, commits: p.commits, turns: p.recent, owners: p.covering, collector: p.collector, limits: p.quota, watch: p.watch, carrying: p.carrying, keeping: p.keeping}
 	server := wire.Serve(p.listeners.peers, options, handler)
 	options.Count = p.countPeer
 	client := wire.NewClient(options)
@@ -176,6 +182,7 @@
 	joined.owners.SetPeers(addressesOf(regionPeers(found, p.settings.Topology)))
 	joined.reporter.SetPeers(known)
 	p.setCarriers(joined.client, found)
+	p.origins.SetPeers(joined.asker, originPeers(found))
 	p.ledger.SetOwners(joined.owners)
 	p.keeper.SetPeers(addresses)
 	p.quota.Enable(joined.asker, len(addresses)+1)
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -28,6 +28,7 @@
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/lines"
 	"github.com/pewtermill/pewtermill/internal/loads"
+	"github.com/pewtermill/pewtermill/internal/origins"
 	"github.com/pewtermill/pewtermill/internal/owners"
 	"github.com/pewtermill/pewtermill/internal/placement"
 	"github.com/pewtermill/pewtermill/internal/quota"
@@ -126,7 +127,10 @@
 	calls        storeCalls         // how often the store is called, by purpose
 	cutLogged    atomic.Int64       // when a cut of the pace was last logged, in ns since 1970
 	ledger       *ledger.Ledger
-	covering     *owners.Server   // covers turns of peers
+	covering     *owners.Server  // covers turns of peers
+	origins      *origins.Client // knows where streams began
+	keeping      *origins.Server // tells peers where streams began
+	began        *origins.Memory
 	collector    *loads.Collector // aggregates how busy engines are
 	holdings     *quota.Holdings  // accounts of tenants' limits that this process keeps for all
 	quota        *quota.Client
@@ -141,6 +145,8 @@
 	serverErrors boundedLines     // of the HTTP servers
 	unreadable   [2]lineLimit     // by discovery.Collection
 	coldLines    lineLimit
+	originLines  lineLimit
+	versioned    map[string]bool // services of which several versions were known at the last view; viewing is held
 	ingress      *http.Server
 	ready        *http.Server
 	figures      *http.Server // nil if none are served
@@ -151,7 +157,7 @@
 
 // New returns a process that has not started.
 func New(settings Settings, dependencies Dependencies) *Process {
-	p := &Process{settings: settings, dependencies: dependencies, logger: dependencies.Logger, orders: make(map[string]notedOrder)}
+	p := &Process{settings: settings, dependencies: dependencies, logger: dependencies.Logger, orders: make(map[string]notedOrder), versioned: make(map[string]bool)}
 	for i := range p.unreadable {
 		p.unreadable[i].most = maxUnreadableLines
 	}
@@ -231,6 +237,7 @@
 	})
 	p.keeper.SetProber(p.quota)
 	p.keeper.SetDoubted(p.zones.Doubted)
+	p.prepareOrigins()
 	p.collector = loads.NewCollector(xxhash.Sum64String(dependencies.Run), time.Now, p)
 	p.handler = ingress.New(ingress.Options{
 		Protocol:    dependencies.Protocol,
@@ -241,6 +248,7 @@
 		Ledger:      p.ledger,
 		Lines:       remembered,
 		Quota:       p.quota,
+		Origins:     p.origins,
 		KeysCurrent: p.keysCurrent,
 		RegionOf:    settings.Topology.RegionOf,
 		Zone:        settings.Topology.Zone(),
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -40,6 +40,7 @@
 	p.relaying.Leave()
 	p.watch.Leave()
 	p.recent.Leave()
+	p.keeping.Leave()
 	p.giveShardsUp(ctx)
 	var giving sync.WaitGroup
 	giving.Go(func() { p.ledger.Leave(ctx) })
@@ -59,13 +60,14 @@
 	p.logger.Info("stopped", "took", time.Since(start).String(), "cut", err != nil)
 }
 
-// flush gives budgets back, and meanwhile has peers go elsewhere and answers what they have asked for:
-// one does not wait for the other, and neither takes the other's time.
+// flush gives budgets back, and meanwhile tells peers where streams began, has them go elsewhere and answers what they have
+// asked for: one does not wait for the other, and neither takes the other's time.
 func (p *Process) flush(ctx context.Context, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var flushing sync.WaitGroup
 	flushing.Go(func() { p.drainPeers(ctx) })
+	flushing.Go(p.origins.HandOver)
 	p.ledger.Flush(ctx)
 	flushing.Wait()
 }
--- a/internal/serving/versions_test.go
+++ b/internal/serving/versions_test.go
@@ -126,26 +126,26 @@
 			resume:  func(_, second *deployment) *deployment { return second }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			first, second, runs := serveTwoVersions(t)
+			one, other, runs := serveTwoVersions(t)
 			for number := range streams {
-				first.stream(play.path, "a"+strconv.Itoa(number), "")
+				one.stream(play.path, "a"+strconv.Itoa(number), "")
 			}
 			if play.between != nil {
-				play.between(first, second)
+				play.between(one, other)
 			}
 			mixed, wentOn := 0, 0
 			for number := range streams {
-				began, second2, third := "a"+strconv.Itoa(number), "b"+strconv.Itoa(number), "c"+strconv.Itoa(number)
+				began, second, third := "a"+strconv.Itoa(number), "b"+strconv.Itoa(number), "c"+strconv.Itoa(number)
 				if play.resume == nil {
 					wentOn += len(runs.of[began]) - 1
 				} else {
-					taker := play.resume(first, second)
-					if got := taker.stream(play.path, second2, began); got.status == http.StatusOK {
+					taker := play.resume(one, other)
+					if got := taker.stream(play.path, second, began); got.status == http.StatusOK {
 						wentOn++
 					}
 					taker.stream(play.path, third, began) // a third attempt names the first as well
 				}
-				if len(runs.versions(began, second2, third)) > 1 {
+				if len(runs.versions(began, second, third)) > 1 {
 					mixed++
 				}
 			}
@@ -168,6 +168,7 @@
 			t.Errorf("the metrics lack %s:\n%s", line, text)
 		}
 	}
+	d.stream("/resumed/", "t0", "")
 	d.stream("/resumed/", "t1", "t0")
 	d.eventually("logged", func() bool {
 		return strings.Contains(d.log.String(), `"last_event":"2","resumes":"t0"`) && strings.Contains(d.log.String(), `"version":"v`)
