soak: engines run several versions, and callers take streams up

Change: engines of the models run two of three versions, and change them by replacement and by starts under an id; a route whose streams one engine serves for each attempt breaks off one of three, whatever the faults, and its callers take them up at any process.

--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -183,6 +183,7 @@
 func (j *Judge) EngineLeaves(now time.Duration, engine string) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
+	j.streams.engineEnds(engine)
 	state := j.bounds.engines[engine]
 	if state != nil && !state.left && j.bounds.unplanned[core].calm(now-contactBound) {
 		state.left, state.leftAt = true, now
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -128,6 +128,25 @@
 	c.send(Attempt{ID: c.name("v"), Route: routeMoved, Program: l.program, Repeatable: true}, operators.Ask{Method: http.MethodGet, Session: l.session})
 	c.send(Attempt{ID: c.name("r"), Route: routeResumed, Body: body, Program: l.program, Budget: l.budget, Most: mostTokens, Events: eventsOfTurn, Repeatable: true},
 		operators.Ask{Method: http.MethodPost, Body: body, Session: l.session})
+	c.stream(ctx, l)
+}
+
+// stream sends a stream, and takes it up where it broke off, at any process. Each attempt names the first.
+func (c *caller) stream(ctx context.Context, l *line) {
+	body, began, had := c.name("body "), c.name("o"), 0
+	for number := range sendsOfTurn {
+		sent := Attempt{ID: began, Route: routeOnce, Body: body, Program: l.program, Budget: l.budget, Most: mostTokens, Events: eventsOfTurn, Repeatable: true}
+		ask := operators.Ask{Method: http.MethodPost, Body: body, Session: l.session}
+		if number > 0 {
+			sent.ID, sent.Resumes, sent.Had = c.name("o"), began, had
+			ask.Resumes, ask.LastEvent = began, had
+		}
+		reply := c.send(sent, ask)
+		had += len(reply.Events)
+		if reply.Complete && reply.Status == http.StatusOK || had == 0 || had >= eventsOfTurn || !backoff.Wait(ctx, c.within(longestRetry)) {
+			return
+		}
+	}
 }
 
 // send makes one attempt at some process and tells the judge.
--- a/internal/soak/configuration.go
+++ b/internal/soak/configuration.go
@@ -112,6 +112,7 @@
 	routes := []operators.Route{
 		{Name: routeKept, Kind: "stream", Service: serviceModels, Timeout: v.timeout, Attempts: 2, Retain: retainFor},
 		{Name: routeResumed, Kind: "stream", Service: serviceModels, Timeout: v.timeout, Attempts: 3, Resumable: true},
+		{Name: routeOnce, Kind: "stream", Service: serviceModels, Timeout: v.timeout, Attempts: 1, Resumable: true},
 		{Name: routeSafe, Kind: "safe", Service: servicePortal, Timeout: v.timeout, Attempts: 3},
 		{Name: routeUnsafe, Kind: "unsafe", Service: servicePortal, Timeout: v.timeout, Attempts: 2},
 		{Name: routeMoved, Kind: "safe", Service: v.movedTo, Also: v.also, AlsoWeight: v.weight, Timeout: v.timeout, Attempts: 3},
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -20,6 +20,7 @@
 	host          = "soak.example"
 	routeKept     = "kept"
 	routeResumed  = "resumed"
+	routeOnce     = "once" // may be resumed, and runs at one engine for each attempt
 	routeSafe     = "safe"
 	routeUnsafe   = "unsafe"
 	routeMoved    = "moved" // goes from service to service
@@ -103,7 +104,7 @@
 	d.store.SetFault(d.storeFaults.of)
 	for _, service := range []string{serviceModels, servicePortal, serviceOther} {
 		for i := range enginesOfService {
-			d.slots = append(d.slots, &slot{name: fmt.Sprintf("%s%d", service, i+1), service: service, zone: zones[i%len(zones)]})
+			d.slots = append(d.slots, &slot{name: fmt.Sprintf("%s%d", service, i+1), number: i, service: service, zone: zones[i%len(zones)]})
 		}
 	}
 	for _, s := range d.slots {
--- a/internal/soak/engines.go
+++ b/internal/soak/engines.go
@@ -19,6 +19,7 @@
 	lapseAfter       = 2 * time.Second      // an entry without a writer goes
 	servesOnFor      = drainBound + 4*time.Second
 	replacementAfter = time.Second
+	brokenStreams    = 3 // one of so many streams that only callers may take up is broken off, whatever the faults
 )
 
 // incarnation is one life of an engine.
@@ -34,6 +35,7 @@
 	name, service, zone string
 
 	busy    sync.Mutex   // held while a fault is at it
+	number  int          // among those of its service
 	lives   int          // engines so far
 	starts  int          // of the current one, beyond its first
 	current *incarnation // busy is held, or nobody changes it
@@ -46,8 +48,18 @@
 	d.begin(s, operators.NewEngineAt(fmt.Sprintf("%s-%d", s.name, s.lives), 0, ""), cold)
 }
 
+// softwareVersions is how many versions engines go through.
+const softwareVersions = 3
+
+// version returns the software version of the slot's engine: two serve from the beginning, every other replacement has the next one,
+// and so has an engine that starts again under its id.
+func (s *slot) version() string {
+	return fmt.Sprintf("v%d", 1+(s.number%2+(s.lives-1)/2+s.starts)%softwareVersions)
+}
+
 // begin has an engine be the slot's, and enters it in the store.
 func (d *deployment) begin(s *slot, started *operators.Engine, cold time.Duration) {
+	started.SetVersion(s.version())
 	engine := &incarnation{Engine: started, name: started.ID}
 	if s.starts > 0 {
 		engine.name = fmt.Sprintf("%s/%d", started.ID, s.starts)
@@ -59,6 +71,9 @@
 	})
 	s.current = engine
 	d.judge.EngineAdded(d.now(), engine.name, s.service, s.zone, cold)
+	if s.service == serviceModels {
+		d.judge.EngineVersion(engine.name, started.Version())
+	}
 	d.enter(s, "ready", cold)
 }
 
@@ -109,13 +124,22 @@
 		_, _ = writer.Write([]byte(AnswerBody(work.ID, engine.name))) // a caller that left gets none
 		return
 	}
-	repeatable := strings.HasPrefix(work.Path, "/"+routeResumed+"/")
+	once := strings.HasPrefix(work.Path, "/"+routeOnce+"/")
+	repeatable := once || strings.HasPrefix(work.Path, "/"+routeResumed+"/")
+	if once && work.Events == 0 && engine.calls.Load()%brokenStreams == 0 {
+		d.judge.Broke(work.ID)
+		breaks = true
+	}
 	events := int(work.Most / tokensPerEvent)
 	for number := work.Events + 1; number <= events; number++ {
 		if breaks && number > events/2 {
 			panic(http.ErrAbortHandler)
 		}
-		operators.WriteEvent(writer, number, EventData(work.ID, engine.name, number, repeatable))
+		data := EventData(work.ID, engine.name, number, repeatable)
+		if repeatable {
+			data = VersionedEvent(data, engine.Version())
+		}
+		operators.WriteEvent(writer, number, data)
 		if !backoff.Wait(request.Context(), engineWork) {
 			return
 		}
@@ -232,6 +256,9 @@
 	whole := backoff.Wait(d.context, demandFor)
 	for _, other := range others {
 		d.judge.EngineBack(other.current.name)
+		if other.service == serviceModels {
+			d.judge.EngineVersion(other.current.name, other.current.Version())
+		}
 		d.enter(other, "ready", 0)
 	}
 	return whole
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -61,6 +61,7 @@
 	ran         map[string]*sentLately // requests of tenants with a limit
 	served      map[string]int64       // requests, by engine
 	connections connections
+	streams     streams
 	checked     map[Promise]int64
 	broken      map[Promise]int64
 	brokenAt    map[seenAt]int64
@@ -79,6 +80,7 @@
 		ran:         make(map[string]*sentLately),
 		served:      make(map[string]int64),
 		connections: newConnections(),
+		streams:     newStreams(),
 		checked:     make(map[Promise]int64),
 		broken:      make(map[Promise]int64),
 		brokenAt:    make(map[seenAt]int64),
@@ -145,6 +147,7 @@
 	maps.DeleteFunc(j.attempts, func(_ string, a *attempt) bool { return a.ended > 0 && now-a.ended > forgetAfter })
 	maps.DeleteFunc(j.programs, func(_ string, p *spending) bool { return now-p.last > forgetAfter })
 	j.cold.forget(now)
+	j.streams.forget(now)
 }
 
 // Arrived tells that an engine begins to run a request.
@@ -203,6 +206,7 @@
 func (j *Judge) Crashed(engine string) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
+	j.streams.engineEnds(engine)
 	for _, a := range j.attempts {
 		if a.ended == 0 && len(a.runs) > 0 && a.runs[len(a.runs)-1] == engine {
 			a.broken = true
@@ -229,6 +233,7 @@
 	j.checkWithinLimit(now, a, outcome)
 	j.checkConnection(now, a, outcome)
 	j.checkAnswered(now, a, outcome)
+	j.checkVersions(now, a, outcome)
 }
 
 // checkDenied checks refusals that say the request is at fault.
@@ -274,14 +279,18 @@
 		return fmt.Sprintf("success %d, its engine gave %d", outcome.Status, a.gave[engine])
 	case a.Events == 0 && outcome.Complete && outcome.Body != AnswerBody(a.ID, engine):
 		return fmt.Sprintf("body %.200q looks whole", outcome.Body)
-	case a.Events > 0 && outcome.Complete && len(outcome.Events) != a.Events:
-		return fmt.Sprintf("%d of %d events look whole", len(outcome.Events), a.Events)
-	case len(outcome.Events) > a.Events:
-		return fmt.Sprintf("%d events, the engine made %d", len(outcome.Events), a.Events)
+	case a.Events > 0 && outcome.Complete && len(outcome.Events) != a.Events-a.Had:
+		return fmt.Sprintf("%d of %d events look whole", len(outcome.Events), a.Events-a.Had)
+	case len(outcome.Events) > a.Events-a.Had:
+		return fmt.Sprintf("%d events, the engine made %d", len(outcome.Events), a.Events-a.Had)
 	}
 	for i, data := range outcome.Events {
-		if due := EventData(a.ID, engine, i+1, a.Repeatable); data != due {
-			return fmt.Sprintf("event %d is %.200q, due was %q", i+1, data, due)
+		number := a.Had + i + 1
+		if a.Repeatable {
+			data, _ = splitVersion(data)
+		}
+		if due := EventData(a.ID, engine, number, a.Repeatable); data != due {
+			return fmt.Sprintf("event %d is %.200q, due was %q", number, data, due)
 		}
 	}
 	return ""
--- a/internal/soak/observe.go
+++ b/internal/soak/observe.go
@@ -31,6 +31,8 @@
 
 	OpenConnection Promise = "open_connection" // a request on an open connection is answered, or refused
 	Stranger       Promise = "stranger"        // nothing is sent to what an entry names that is no engine's
+	OneVersion     Promise = "one_version"     // a stream's events come from engines of one software version
+	GoesOn         Promise = "goes_on"         // streams that callers take up go on where their version serves
 	ServesOn       Promise = "serves_on"       // the engines beside it serve on, and one that started again does
 )
 
@@ -59,6 +61,8 @@
 	Budget     int64         // of the program; 0 for none
 	Most       int64         // tokens of this turn at most
 	Events     int           // that an engine makes of it; 0 for an answer that is no stream
+	Resumes    string        // attempt that began the stream that this one takes up; empty for none
+	Had        int           // events of that stream that its caller had before
 	Deadline   time.Duration // the caller's, or the route's if that may be shorter
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -44,6 +44,8 @@
 	Checked   map[Promise]int64 `json:"promises_checked"`
 	Broken    map[Promise]int64 `json:"promises_broken"`
 	Outcomes  map[string]int64  `json:"outcomes"`
+	Begun     Share             `json:"streams_begun"`    // at processes in touch
+	TakenUp   Share             `json:"streams_taken_up"` // there, while two engines of their version take new work
 }
 
 // Found reports whether a promise was found broken.
@@ -66,6 +68,7 @@
 	}
 	lines := json.NewEncoder(options.Out)
 	d.soak(ctx, cancel, options, lines)
+	judge.CheckGoingOn(d.now())
 	report := d.report(options)
 	if err := errors.CombineErrors(d.writeFindings(lines), errors.Wrap(lines.Encode(report), "write the report")); err != nil {
 		return report, err
@@ -118,7 +121,8 @@
 
 func (d *deployment) report(options Options) Report {
 	checked, broken := d.judge.Counts()
-	return Report{Seed: options.Seed, Seconds: d.now().Seconds(), Processes: options.Processes, CarryFrom: options.CarryFrom,
+	begun, takenUp := d.judge.Streams()
+	return Report{Begun: begun, TakenUp: takenUp, Seed: options.Seed, Seconds: d.now().Seconds(), Processes: options.Processes, CarryFrom: options.CarryFrom,
 		Injected: maps.Clone(d.injected.counts), Checked: checked, Broken: broken, Outcomes: maps.Clone(d.outcomes.counts)}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -31,6 +31,7 @@
 	injected []Kind // at least once
 }{
 	{"single faults", regressionSeed, regressionKinds, 0, regressionLength, []Kind{StoreLoseReply, ProcessStop, EngineLeave}},
+	{"engines of other versions come", 4507, []Kind{EngineLeave, EngineCrash, EngineRestart, ProcessKill}, 0, regressionLength, []Kind{EngineLeave, EngineRestart, ProcessKill}},
 	{"zone cut off and all killed", 558, []Kind{ZoneCut, ProcessesKill, StoreParts, StoreForgets}, 1, killedLength, []Kind{ZoneCut, ProcessesKill}},
 }
 
@@ -122,6 +123,6 @@
 	if report.Found() {
 		t.Errorf("promises were found broken:\n%s", &lines)
 	}
-	wantChecked(t, report, History, Retained, Budget, Once, NotRun, Whole, Asked, Limit)
+	wantChecked(t, report, History, Retained, Budget, Once, NotRun, Whole, Asked, Limit, OneVersion)
 	return report
 }
--- a/internal/standin/operators/work.go
+++ b/internal/standin/operators/work.go
@@ -57,7 +57,9 @@
 	Key                string // of a tenant; empty for none
 	Program, Session   string // of a turn
 	Previous           string
-	Budget, Most       int64 // tokens; Most above 0 makes it a turn
+	Budget, Most       int64  // tokens; Most above 0 makes it a turn
+	Resumes            string // attempt that began the stream that is taken up; empty for none
+	LastEvent          int    // of that stream that came
 }
 
 // Reply is what a caller got.
@@ -104,6 +106,10 @@
 		header.Set("X-Token-Usage", fmt.Sprintf("%d,%d", len(a.Body), a.Most))
 		header.Set("X-Prompt-Prefix", fmt.Sprintf("ab:16,%x:8", []byte(a.Session)))
 	}
+	if a.Resumes != "" {
+		header.Set("Resumes", a.Resumes)
+		header.Set("Last-Event-Id", strconv.Itoa(a.LastEvent))
+	}
 	if a.Previous != "" {
 		header.Set("X-Previous-Turn", a.Previous)
 	}
