origins: only a send that replaces another version waits for all that were told

Cause: any second send of a stream that had not begun, as after an engine turned it away, waited for every peer that was told: up to 250 ms if one was silent.

Change: that wait is for a send of another version or service than the one before; what a peer may tell wrongly is that alone.

Tests of origins, ingress and the streams of serving pass.

--- a/internal/ingress/ahead.go
+++ b/internal/ingress/ahead.go
@@ -229,5 +229,5 @@
 	r.handler.withheld.Add(-int64(len(s.ahead.withheld)))
 	s.ahead.withheld, s.ahead.first = nil, nil
 	s.output, s.events, s.lastEvent = nil, 0, r.call.LastEvent
-	r.origin = streamOrigin{sends: r.origin.sends, telling: r.origin.telling}
+	r.origin = streamOrigin{told: r.origin.told, telling: r.origin.telling}
 }
--- a/internal/ingress/origin.go
+++ b/internal/ingress/origin.go
@@ -14,7 +14,7 @@
 // Origins knows which software version began a stream. *origins.Client implements it.
 type Origins interface {
 	// Begin remembers where a stream is about to begin, and tells peers if they may need it.
-	Begin(origin origins.Origin, split bool) *origins.Telling
+	Begin(origin origins.Origin, how origins.Beginning) *origins.Telling
 	// Find returns where a stream began that its caller takes up.
 	Find(ctx context.Context, stream, service string) origins.Finding
 }
@@ -28,8 +28,8 @@
 	version string // at which alone the stream may go on; empty while no event of it is there
 	engine  string // name of the engine
 	sent    time.Time
-	sends   int              // that may have begun the stream
-	telling *origins.Telling // of the last of them; nil if there was none
+	told    origins.Origin   // of the last send that was to begin the stream; its Attempt is 0 before the first
+	telling *origins.Telling // of that send; nil before the first
 }
 
 // takesUp reports whether the caller holds events of the stream already.
@@ -108,17 +108,20 @@
 	if r.route.Kind != routing.Stream || !r.route.Resumable || r.origin.version != "" {
 		return
 	}
-	r.origin.sends++
-	engine := current.placed.Engine
-	r.origin.telling = r.handler.options.Origins.Begin(origins.Origin{
+	engine, before := current.placed.Engine, r.origin.told
+	r.origin.told = origins.Origin{
 		Stream:  r.call.ID,
 		Service: engine.Service,
 		Version: engine.Version,
 		Engine:  engine.Name,
 		Sent:    current.began,
 		Until:   r.arrived.Add(max(r.call.Deadline, r.hold()) + originMargin),
-		Attempt: r.origin.sends,
-	}, len(r.route.Backends) > 1)
+		Attempt: before.Attempt + 1,
+	}
+	r.origin.telling = r.handler.options.Origins.Begin(r.origin.told, origins.Beginning{
+		Split:    len(r.route.Backends) > 1,
+		Replaces: before.Attempt > 0 && (before.Version != engine.Version || before.Service != engine.Service),
+	})
 }
 
 // awaitTold waits until a peer knows where the stream begins, before the first event goes out. Engines take longer for
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -136,7 +136,7 @@
 		f := newFleet(12)
 		first, second := f.node(0), f.node(4)
 		for number := range 40 {
-			telling := first.Begin(origin(fmt.Sprint(number), "v2", 1), false)
+			telling := first.Begin(origin(fmt.Sprint(number), "v2", 1), Beginning{})
 			if telling.Wait(t.Context()); telling.Confirmed() == 0 {
 				t.Fatal("the first event goes out before any peer knows where the stream began")
 			}
@@ -207,8 +207,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(12)
 		first := f.node(0)
-		first.Begin(origin("a", "v1", 1), false)
-		first.Begin(origin("a", "v2", 2), false).Wait(t.Context())
+		first.Begin(origin("a", "v1", 1), Beginning{})
+		first.Begin(origin("a", "v2", 2), Beginning{Replaces: true}).Wait(t.Context())
 		for number := range 12 {
 			expectKnown(t, f.node(number).memory, "a", "v2")
 		}
@@ -229,7 +229,7 @@
 		f := newFleet(6)
 		f.setOthers(silent)
 		began := time.Now()
-		telling := f.node(0).Begin(origin("a", "v1", 1), false)
+		telling := f.node(0).Begin(origin("a", "v1", 1), Beginning{})
 		telling.Wait(t.Context())
 		synctest.Wait()
 		if took := time.Since(began); took < tellTimeout || took > tellTimeout+5*time.Millisecond || telling.Confirmed() != 0 || len(f.untold) != 1 {
@@ -245,10 +245,10 @@
 		f := newFleet(6)
 		f.knowOnly("v1")
 		first := f.node(0)
-		first.Begin(origin("old", "v1", 1), false)
+		first.Begin(origin("old", "v1", 1), Beginning{})
 		time.Sleep(7 * time.Second)
-		first.Begin(origin("a", "v1", 1), false).Wait(t.Context())
-		first.Begin(origin("split", "v1", 1), true).Wait(t.Context())
+		first.Begin(origin("a", "v1", 1), Beginning{}).Wait(t.Context())
+		first.Begin(origin("split", "v1", 1), Beginning{Split: true}).Wait(t.Context())
 		time.Sleep(time.Second)
 		if held := f.holders("a"); held != 1 {
 			t.Errorf("%d nodes remember the stream while one version serves", held)
--- a/internal/origins/telling.go
+++ b/internal/origins/telling.go
@@ -45,13 +45,18 @@
 // Confirmed returns how many peers are known to remember the origin.
 func (t *Telling) Confirmed() int { return int(t.confirmed.Load()) }
 
+// Beginning is what decides who is told of a stream, besides its origin.
+type Beginning struct {
+	Split    bool // the stream's route has several services
+	Replaces bool // an earlier send of the stream, of which no event came, had another version or service
+}
+
 // Begin remembers where a stream is about to begin, before it is sent there. While several versions of the service are
-// known, or split says that the stream's route has several services, peers are told as well. One peer that confirms
-// it is enough for the first event to go out; where an earlier send of the stream had another version, all that were told have to
-// confirm or fail, so that none tells the old one.
-func (c *Client) Begin(origin Origin, split bool) *Telling {
+// known, or the route is split, peers are told as well. One peer that confirms it is enough for the first event to go
+// out; where an earlier send is replaced, all that were told have to confirm or fail, so that none tells the old one.
+func (c *Client) Begin(origin Origin, how Beginning) *Telling {
 	now := time.Now()
-	needed := split || len(c.options.Versions(origin.Service)) > 1
+	needed := how.Split || len(c.options.Versions(origin.Service)) > 1
 	peers := c.reachable(origin.Stream)
 	c.options.Memory.putOwn(origin, needed, now)
 	if !needed || len(peers) == 0 {
@@ -59,7 +64,7 @@
 	}
 	telling := &Telling{settled: make(chan struct{})}
 	enough := int32(1)
-	if origin.Attempt > 1 {
+	if how.Replaces {
 		enough = copies
 	}
 	go c.tell(telling, peers, origin, enough)
