origins: a node that started just now does not conclude from the one version that it lists

Cause: found by reading. A process that starts lists what is there now. A version whose last engine went a moment before is unknown to it, so that it would have taken a stream of that version for one of the version that is left, where it knew no peer yet or all peers had started as well.

Change: one version is a conclusion only if the node itself or a peer that answered has listed engines for 15 s. For that long a node tells of the streams that it begins whatever it lists, so that they go on; who asked nobody is told to come back.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -141,6 +141,7 @@
 	starts  starts     // the mutex guards it
 	healthy [collectionCount]atomic.Bool
 	heardAt [collectionCount]atomic.Pointer[time.Time] // of the last answer; nil before the first
+	listed  atomic.Pointer[time.Time]                  // when engines were first listed; nil before
 }
 
 // New returns a follower with an empty view.
@@ -178,6 +179,14 @@
 	return time.Time{}
 }
 
+// FirstListed returns when engines were first listed; zero if they never were.
+func (f *Follower) FirstListed() time.Time {
+	if listed := f.listed.Load(); listed != nil {
+		return *listed
+	}
+	return time.Time{}
+}
+
 // Run follows a collection until ctx ends.
 func (f *Follower) Run(ctx context.Context, collection Collection) {
 	follow := &follow{follower: f, collection: collection, lastSuccess: time.Now()}
@@ -326,6 +335,9 @@
 		next.Evacuations = next.Evacuations.replaced(records, version)
 	}
 	f.apply(next, collection, records, version)
+	if now := time.Now(); collection == Engines {
+		f.listed.CompareAndSwap(nil, &now)
+	}
 	f.mutex.Unlock()
 	f.options.Observer.Changed(collection, next)
 }
--- a/internal/ingress/origin.go
+++ b/internal/ingress/origin.go
@@ -55,7 +55,7 @@
 	if found.Ground == origins.Unknown {
 		problem := api.Errorf(api.StreamVersionUnknown, "versions %q of service %s are known, and neither this node nor any of %d peers that answered, of %d asked, knows which one began stream %q",
 			found.Versions, r.service, found.Answered, found.Asked, r.call.Resumes)
-		if found.Answered == found.Asked {
+		if found.Asked > 0 && found.Answered == found.Asked {
 			return problem
 		}
 		return problem.After(backoff.Spread(elsewhereRetryAfter)) // another node may reach those that know
--- a/internal/origins/client.go
+++ b/internal/origins/client.go
@@ -42,6 +42,9 @@
 	Versions func(service string) []string
 	// Current reports whether the list of engines was confirmed of late.
 	Current func() bool
+	// Settled reports whether this node has listed engines for longer than callers come back with a stream. One that
+	// has not may never have heard of the version that began it.
+	Settled func() bool
 	// Doubted reports whether a peer is passed over, with its zone.
 	Doubted  func(address string) bool
 	Observer Observer
@@ -94,6 +97,7 @@
 	Asked    int      // peers
 	Answered int      // peers, before the origin was found
 	Versions []string // of the service, that this node and those peers know
+	Settled  bool     // any of them has listed engines for long enough to know all that streams began at
 }
 
 // answer is what one peer said.
@@ -114,7 +118,7 @@
 	switch {
 	case found.Ground == ByPeer:
 		c.options.Memory.Put(found.Origin, now)
-	case len(found.Versions) == 1 && (found.Answered > 0 || found.Asked == 0 || c.options.Current()):
+	case len(found.Versions) == 1 && found.Settled && (found.Answered > 0 || found.Asked == 0 || c.options.Current()):
 		found.Ground = ByOnlyVersion
 		found.Origin = Origin{Stream: stream, Service: service, Version: found.Versions[0]}
 	}
@@ -125,7 +129,7 @@
 func (c *Client) ask(ctx context.Context, stream, service string) Finding {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	found := Finding{Ground: Unknown, Versions: slices.Clone(c.options.Versions(service))}
+	found := Finding{Ground: Unknown, Settled: c.options.Settled(), Versions: slices.Clone(c.options.Versions(service))}
 	peers := c.reachable(stream)
 	peers = peers[:min(maxAsked, len(peers))]
 	found.Asked = len(peers)
@@ -144,6 +148,7 @@
 			return found
 		}
 		found.Versions = append(found.Versions, said.found.GetVersions()...)
+		found.Settled = found.Settled || said.found.GetSettled()
 	}
 	slices.Sort(found.Versions)
 	found.Versions = slices.Compact(found.Versions)
--- a/internal/origins/origin.go
+++ b/internal/origins/origin.go
@@ -4,8 +4,8 @@
 //
 // A node that begins a stream while several versions serve tells some peers before the first event goes out. They are
 // chosen by rendezvous hashing over the stream's id and spread over zones, so that a node that takes the stream up knows
-// whom to ask. While one version serves nothing is told: a node that finds nobody who knows a stream, and no second
-// version, knows its version all the same. All state is in memory and is forgotten once no caller waits any more.
+// whom to ask. While one version serves nothing is told, but for a while after a node's start: a node that finds nobody who knows a
+// stream, and no second version, knows its version all the same. All state is in memory and is forgotten once no caller waits any more.
 package origins
 
 import (
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -24,6 +24,7 @@
 	memory   *Memory
 	versions []string
 	current  bool
+	settled  bool
 	state    state
 }
 
@@ -93,11 +94,12 @@
 		all = append(all, Peer{Zone: fmt.Sprintf("zone-%d", i%3), Address: fmt.Sprintf("10.0.0.%d:1", i)})
 	}
 	for _, peer := range all {
-		made := &node{memory: NewMemory(), versions: []string{"v1", "v2"}, current: true}
+		made := &node{memory: NewMemory(), versions: []string{"v1", "v2"}, current: true, settled: true}
 		versions := func(string) []string { return made.versions }
-		made.server = NewServer(made.memory, versions)
+		settled := func() bool { return made.settled }
+		made.server = NewServer(made.memory, versions, settled)
 		made.Client = NewClient(Options{Node: peer.Address, Memory: made.memory, Versions: versions,
-			Current: func() bool { return made.current }, Doubted: func(string) bool { return false }, Observer: f})
+			Current: func() bool { return made.current }, Settled: settled, Doubted: func(string) bool { return false }, Observer: f})
 		made.SetPeers(f, slices.DeleteFunc(slices.Clone(all), func(other Peer) bool { return other == peer }))
 		f.nodes[peer.Address] = made
 	}
@@ -175,6 +177,10 @@
 		"all silent, list current":    {func(f *fleet) { f.knowOnly("v1"); f.setOthers(silent) }, "v1", ByOnlyVersion},
 		"all silent, list not so":     {func(f *fleet) { f.knowOnly("v1"); f.setOthers(silent); f.node(0).current = false }, "", Unknown},
 		"some silent, list not so":    {func(f *fleet) { f.knowOnly("v1"); f.set(silent, "10.0.0.1:1"); f.node(0).current = false }, "v1", ByOnlyVersion},
+		"started just now, peers not": {func(f *fleet) { f.knowOnly("v1"); f.node(0).settled = false }, "v1", ByOnlyVersion},
+		"all started just now":        {func(f *fleet) { f.knowOnly("v1"); f.unsettle() }, "", Unknown},
+		"started just now, alone":     {func(f *fleet) { f.knowOnly("v1"); f.node(0).settled = false; f.node(0).SetPeers(f, nil) }, "", Unknown},
+		"alone for long":              {func(f *fleet) { f.knowOnly("v1"); f.node(0).SetPeers(f, nil) }, "v1", ByOnlyVersion},
 		"all silent, two are known":   {func(f *fleet) { f.setOthers(silent) }, "", Unknown},
 		"refused by all, list not so": {func(f *fleet) { f.knowOnly("v1"); f.setOthers(refusing); f.node(0).current = false }, "", Unknown},
 	} {
@@ -201,6 +207,26 @@
 	}
 }
 
+// unsettle has all nodes have started just now.
+func (f *fleet) unsettle() {
+	for _, one := range f.nodes {
+		one.settled = false
+	}
+}
+
+// TestNodesThatStartedJustNowTell has all nodes start again while one version serves, so that none of them can conclude from that
+// which version began a stream of before. Streams that begin then go on.
+func TestNodesThatStartedJustNowTell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6)
+		f.knowOnly("v1")
+		f.unsettle()
+		f.node(0).Begin(origin("a", "v1", 1), Beginning{}).Wait(t.Context())
+		f.set(refusing, "10.0.0.0:1")
+		expectVersion(t, f.node(1), "a", "v1", f.node(1).groundOf("a"))
+	})
+}
+
 // TestLaterSendReplacesTheEarlier has a stream's first send fail before any event, and the second go to another version.
 // Nobody tells the first one's once the second one's event may go out.
 func TestLaterSendReplacesTheEarlier(t *testing.T) {
@@ -366,7 +392,7 @@
 // TestUnreadableOriginsAreDeclined has peers tell what makes no sense.
 func TestUnreadableOriginsAreDeclined(t *testing.T) {
 	memory := NewMemory()
-	server := NewServer(memory, func(string) []string { return nil })
+	server := NewServer(memory, func(string) []string { return nil }, func() bool { return true })
 	for _, told := range []*wirepb.StreamOrigin{
 		{}, {Stream: "a", Service: "s"}, {Stream: "a", Version: "v1"}, {Service: "s", Version: "v1"},
 	} {
--- a/internal/origins/server.go
+++ b/internal/origins/server.go
@@ -15,12 +15,13 @@
 	memory *Memory
 	// versions returns the software versions of a service that the node lists or listed of late.
 	versions func(service string) []string
+	settled  func() bool // see Options.Settled
 	leaving  atomic.Bool
 }
 
 // NewServer returns a server over a memory.
-func NewServer(memory *Memory, versions func(service string) []string) *Server {
-	return &Server{memory: memory, versions: versions}
+func NewServer(memory *Memory, versions func(service string) []string, settled func() bool) *Server {
+	return &Server{memory: memory, versions: versions, settled: settled}
 }
 
 // Leave declines to remember more, since the node is stopping. What is known is told until the end.
@@ -46,7 +47,7 @@
 
 // Find answers a question where a stream began.
 func (s *Server) Find(request *wirepb.FindOrigin) *wirepb.Reply {
-	found := &wirepb.OriginFound{Understood: true, Versions: s.versions(request.GetService())}
+	found := &wirepb.OriginFound{Understood: true, Settled: s.settled(), Versions: s.versions(request.GetService())}
 	now := time.Now()
 	if origin, known := s.memory.Get(request.GetStream(), now); known {
 		found.Origin = origin.message(now)
--- a/internal/origins/telling.go
+++ b/internal/origins/telling.go
@@ -52,14 +52,15 @@
 }
 
 // Begin remembers where a stream is about to begin, before it is sent there. While several versions of the service are
-// known, or the route is split, peers are told as well. One peer that confirms it is enough for the first event to go
+// known or this node has not listed engines for long, or if the route is split, peers are told as well. One peer that confirms it is enough for the first event to go
 // out; where an earlier send is replaced, all that were told have to confirm or fail, so that none tells the old one.
 func (c *Client) Begin(origin Origin, how Beginning) *Telling {
 	now := time.Now()
-	needed := how.Split || len(c.options.Versions(origin.Service)) > 1
+	needed := how.Split || !c.options.Settled() || len(c.options.Versions(origin.Service)) > 1
 	peers := c.reachable(origin.Stream)
-	c.options.Memory.putOwn(origin, needed, now)
-	if !needed || len(peers) == 0 {
+	told := needed && len(peers) > 0
+	c.options.Memory.putOwn(origin, told, now)
+	if !told {
 		return untold
 	}
 	telling := &Telling{settled: make(chan struct{})}
--- a/internal/serving/deployment_test.go
+++ b/internal/serving/deployment_test.go
@@ -42,8 +42,10 @@
 	regions      map[string]string // of zones; nil for zone-a alone, in none
 	across       bool              // see serving.Settings.CommitsAcross
 	linkMegabits float64           // see serving.Settings
-	forwarded    atomic.Int64      // times that headers were made for an engine
-	panics       atomic.Bool       // making them fails by a panic
+	// streamsSettled is as in serving.Settings; 0 for a process that may rely on what it lists at once.
+	streamsSettled time.Duration
+	forwarded      atomic.Int64 // times that headers were made for an engine
+	panics         atomic.Bool  // making them fails by a panic
 }
 
 // countingProtocol is the platform's protocol, and counts how often headers are made for engines.
@@ -172,6 +174,7 @@
 	d.process = serving.New(serving.Settings{
 		Node: node, Topology: topology.New(cmp.Or(d.zone, "zone-a"), d.regions), IngressAddress: anyPort, ReadyAddress: anyPort, GracePeriod: 8 * time.Second,
 		PeerAddress: peers, PeersListen: d.peersListen, KeysExpire: d.keysExpire, CarryFrom: d.carryFrom, CommitsAcross: d.across, RegionLinkMegabits: d.linkMegabits,
+		StreamsSettled: cmp.Or(d.streamsSettled, time.Nanosecond),
 	}, serving.Dependencies{
 		Table: store, Feed: store, Records: platform.NewRecords, TableOf: platform.TableOf, Protocol: countingProtocol{forwarded: &d.forwarded, panics: &d.panics}, ReadyPath: platform.ReadyPath(),
 		Run: "run-of-" + node, Logger: eventlog.NewLogger(writer, slog.LevelDebug), Metrics: d.metrics,
--- a/internal/serving/origins.go
+++ b/internal/serving/origins.go
@@ -15,24 +15,38 @@
 // naming one version.
 const listCurrent = 3 * time.Second
 
+// settledAfter is for how long a node has listed engines that knows the versions of all streams that a caller may take up: beyond the
+// deadlines of callers.
+const settledAfter = 15 * time.Second
+
 // maxOriginLines is how many lines a second tell of origins that peers do not know.
 const maxOriginLines = 5
 
 // prepareOrigins sets up what remembers and tells where streams began.
 func (p *Process) prepareOrigins() {
+	if p.settings.StreamsSettled == 0 {
+		p.settings.StreamsSettled = settledAfter
+	}
 	p.originLines.most = maxOriginLines
 	p.began = origins.NewMemory()
-	p.keeping = origins.NewServer(p.began, p.knownVersions)
+	p.keeping = origins.NewServer(p.began, p.knownVersions, p.settled)
 	p.origins = origins.NewClient(origins.Options{
 		Node:     p.settings.Node,
 		Memory:   p.began,
 		Versions: p.knownVersions,
 		Current:  func() bool { return time.Since(p.follower.HeardAt(discovery.Engines)) < listCurrent },
+		Settled:  p.settled,
 		Doubted:  p.zones.Doubted,
 		Observer: p,
 	})
 }
 
+// settled reports whether this process has listed engines for longer than callers come back with a stream.
+func (p *Process) settled() bool {
+	first := p.follower.FirstListed()
+	return !first.IsZero() && time.Since(first) >= p.settings.StreamsSettled
+}
+
 // knownVersions returns the software versions of a service that are listed, or were of late.
 func (p *Process) knownVersions(service string) []string {
 	return p.follower.View().SoftwareVersions(service, time.Now(), discovery.VersionMemory)
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -68,6 +68,9 @@
 	// CarryFrom is from how many processes of a region on requests reach engines over
 	// connections that peers keep; 0 for never.
 	CarryFrom int
+	// StreamsSettled is for how long the process has to have listed engines to know the software versions
+	// of all streams that callers may take up; 0 for a time beyond their deadlines.
+	StreamsSettled time.Duration
 	// Processors is how much processor time the machine has, in cores; 0 if unknown.
 	Processors float64
 	// RegionLinkMegabits is what the link between two regions carries a second each way, for all
--- a/internal/serving/versions_refused_test.go
+++ b/internal/serving/versions_refused_test.go
@@ -69,6 +69,25 @@
 	expectRefusal(t, got, took, "313", runs.versions("b2"))
 }
 
+// TestProcessThatStartedJustNowDoesNotGuess has a process start that lists one version. Another one may have gone just before, so that
+// streams that it does not know are refused, and those that it begins go on.
+func TestProcessThatStartedJustNowDoesNotGuess(t *testing.T) {
+	d := prepare(t)
+	d.streamsSettled = time.Minute
+	d.store.Put("op", "", "config", standard())
+	d.run("node-1", "")
+	d.eventually("ready", d.process.Ready)
+	got := d.stream("/resumed/", "b1", "nobodys")
+	expectRefusal(t, got, 0, "313", nil)
+	if got.header.Get("Retry-After") == "" {
+		t.Error("the caller is not told to come back, though another process may know")
+	}
+	d.stream("/resumed/", "a2", "")
+	if got := d.stream("/resumed/", "b2", "a2"); got.status != http.StatusOK {
+		t.Errorf("a stream that it began: got %+v", got)
+	}
+}
+
 // TestStreamIsRefusedOnceItsVersionHasGone has all engines of the version that began streams leave or drain. Those that
 // take them up are refused at once; a stream under way is cut, never gone on with at another version.
 func TestStreamIsRefusedOnceItsVersionHasGone(t *testing.T) {
