origins: names and comments that say what they mean

Cause: reading the change as a newcomer: untold named both nothing to tell and not told; read said nothing of what; a comment of 180 columns.

Change: names and comments only.

Measured: tests of origins pass.

--- a/internal/origins/client.go
+++ b/internal/origins/client.go
@@ -170,7 +170,7 @@
 	}
 	said := answer{found: &found}
 	if found.GetOrigin() != nil {
-		said.origin, said.known = read(found.GetOrigin(), time.Now())
+		said.origin, said.known = originOf(found.GetOrigin(), time.Now())
 	}
 	return said
 }
--- a/internal/origins/origin.go
+++ b/internal/origins/origin.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// read returns the origin that a peer told. It reports false for one that names no stream, service or version.
-func read(told *wirepb.StreamOrigin, now time.Time) (Origin, bool) {
+// originOf returns the origin that a peer told. It reports false for one that names no stream, service or version.
+func originOf(told *wirepb.StreamOrigin, now time.Time) (Origin, bool) {
 	origin := Origin{
 		Stream:  told.GetStream(),
 		Service: told.GetService(),
--- a/internal/origins/server.go
+++ b/internal/origins/server.go
@@ -34,7 +34,7 @@
 	}
 	now := time.Now()
 	for _, told := range request.GetOrigins() {
-		origin, valid := read(told, now)
+		origin, valid := originOf(told, now)
 		if !valid {
 			return refusal(api.MalformedRequest, "an origin names no stream, service or version")
 		}
--- a/internal/origins/telling.go
+++ b/internal/origins/telling.go
@@ -27,8 +27,8 @@
 	confirmed atomic.Int32
 }
 
-// untold is the telling of an origin that nobody needs to know.
-var untold = func() *Telling {
+// nothingToTell is the telling of an origin that no peer needs to know.
+var nothingToTell = func() *Telling {
 	telling := &Telling{settled: make(chan struct{})}
 	close(telling.settled)
 	return telling
@@ -52,8 +52,9 @@
 }
 
 // Begin remembers where a stream is about to begin, before it is sent there. While several versions of the service are
-// known or this node has not listed engines for long, or if the route is split, peers are told as well. One peer that confirms it is enough for the first event to go
-// out; where an earlier send is replaced, all that were told have to confirm or fail, so that none tells the old one.
+// known or this node has not listed engines for long, or if the route is split, peers are told as well. One peer that
+// confirms it is enough for the first event to go out; where an earlier send is replaced, all that were told have to
+// confirm or fail, so that none tells the old one.
 func (c *Client) Begin(origin Origin, how Beginning) *Telling {
 	now := time.Now()
 	needed := how.Split || !c.options.Settled() || len(c.options.Versions(origin.Service)) > 1
@@ -61,7 +62,7 @@
 	told := needed && len(peers) > 0
 	c.options.Memory.putOwn(origin, told, now)
 	if !told {
-		return untold
+		return nothingToTell
 	}
 	telling := &Telling{settled: make(chan struct{})}
 	enough := int32(1)
@@ -72,7 +73,7 @@
 	return telling
 }
 
-// tell tells peers one after another, copies at a time, until that many confirm.
+// tell has as many peers as copies are wanted remember an origin. A peer that fails is followed by the next one.
 func (c *Client) tell(telling *Telling, peers []string, origin Origin, enough int32) {
 	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
--- a/internal/serving/origins.go
+++ b/internal/serving/origins.go
@@ -15,8 +15,8 @@
 // naming one version.
 const listCurrent = 3 * time.Second
 
-// settledAfter is for how long a node has listed engines that knows the versions of all streams that a caller may take up: beyond the
-// deadlines of callers.
+// settledAfter is for how long a node has to have listed engines to know the versions of all streams that callers may
+// take up: beyond their deadlines.
 const settledAfter = 15 * time.Second
 
 // maxOriginLines is how many lines a second tell of origins that peers do not know.
