serving: a test waits for what is listed now, not for a line of before

By the failed run's answer the process did not list the version yet.

Change: it waits for the gauge, which tells the present. What it demands stays.

--- a/internal/serving/versions_refused_test.go
+++ b/internal/serving/versions_refused_test.go
@@ -113,7 +113,7 @@
 	}
 	// The version comes back.
 	first.store.Put("servers", "", "v1-1", first.engines["v1-1"].Record("models", "ready"))
-	second.eventually("told of the return", func() bool { return strings.Contains(second.log.String(), `"engines":8,"engines_ready":6`) })
+	second.eventually("told of the return", func() bool { return strings.Contains(second.metricsText(), "pewtermill_serve_engines_ready 6") })
 	if got, _ := second.takeUp("d", began["v1"]); got.status != http.StatusOK || len(runs.versions("d", began["v1"])) != 1 {
 		t.Errorf("a stream whose version is back: got %+v", got)
 	}
