--- a/cmd/pewtermill-lab/soak.go
+++ b/cmd/pewtermill-lab/soak.go
@@ -27,6 +27,7 @@
 	Processes int      `help:"Processes under test." default:"4"`
 	Keep      string   `help:"Directory for the processes' logs, written only if something is found." placeholder:"DIR"`
 	Program   string   `help:"The pewtermill program; empty builds it from the sources here." type:"existingfile" optional:""`
+	Beside    string   `help:"Another build of the program. Half of the processes begin with it, and each start of a process changes its build." type:"existingfile" optional:""`
 	CarryFrom int      `help:"From how many processes on peers carry requests to engines; 0 for never. If left out, half of the seeds carry." default:"-1"`
 	Only      []string `help:"Kinds of faults to draw from; empty means all."`
 }
@@ -53,7 +54,7 @@
 	fmt.Fprintf(streams.Err, "seed %d\n", s.Seed)
 	report, err := soak.Run(ctx, soak.Options{
 		Seed: s.Seed, Length: time.Duration(s.Minutes * float64(time.Minute)), Processes: s.Processes,
-		Program: program, Kinds: kinds, CarryFrom: s.carryFrom(), Keepers: soak.KeepersOfProcess, Keep: s.Keep, Out: streams.Out,
+		Program: program, Beside: s.Beside, Kinds: kinds, CarryFrom: s.carryFrom(), Keepers: soak.KeepersOfProcess, Keep: s.Keep, Out: streams.Out,
 	})
 	if err == nil && report.Found() {
 		err = errors.Newf("promises were found broken; replay with --seed %d", s.Seed)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -67,8 +67,9 @@
 // process is one process under test and its successors.
 type process struct {
 	place     operators.Place
-	settings  string // path
-	program   string
+	settings  string    // path
+	programs  [2]string // of which each start takes the other one
+	starts    int
 	carryFrom int // processes
 	entrance  *operators.Entrance
 	away      away // the entrance's faults
@@ -85,7 +86,7 @@
 func (d *deployment) newProcess(number int, directory string, options Options) (*process, error) {
 	entrance := d.store.NewEntrance()
 	ip := fmt.Sprintf("%s%d", d.subnet, firstProcessHost+number)
-	p := &process{program: options.Program, carryFrom: options.CarryFrom, entrance: entrance, log: &tail{}, place: operators.Place{
+	p := &process{programs: options.programsOf(number), carryFrom: options.CarryFrom, entrance: entrance, log: &tail{}, place: operators.Place{
 		Node: fmt.Sprintf("node-%d", number+1), IP: ip, Zone: zones[number%len(zones)], Zones: inOneRegion(zones),
 		Front: ip + ":7100", Ready: ip + ":7101", FirstPort: 7110, LastPort: 7119, Store: entrance.Address(), Grace: gracePeriod,
 		ColdOver: coldOver, ColdSlack: coldSlack, Contact: contactBound, Drain: drainBound, Evacuation: evacuationBound, ConfigurationTime: configurationBound,
@@ -100,6 +101,18 @@
 	return p, errors.Wrap(os.WriteFile(p.settings, content, 0o600), "settings")
 }
 
+// programsOf returns the programs that a process takes in turn: where two builds are played, every other process begins with
+// the second one.
+func (o Options) programsOf(number int) [2]string {
+	switch {
+	case o.Beside == "":
+		return [2]string{o.Program, o.Program}
+	case number%2 == 1:
+		return [2]string{o.Beside, o.Program}
+	}
+	return [2]string{o.Program, o.Beside}
+}
+
 // inOneRegion returns the region of each zone.
 func inOneRegion(names []string) map[string]string {
 	regions := make(map[string]string)
@@ -112,7 +125,9 @@
 // start starts the process. A successor may only start when its predecessor has ended.
 func (p *process) start() error {
 	p.exited = make(chan struct{})
-	p.command = exec.Command(p.program, "serve", "--settings", p.settings, "--carry-from", strconv.Itoa(p.carryFrom), "--peers-listen", p.forwarder.to)
+	program := p.programs[p.starts%len(p.programs)]
+	p.starts++
+	p.command = exec.Command(program, "serve", "--settings", p.settings, "--carry-from", strconv.Itoa(p.carryFrom), "--peers-listen", p.forwarder.to)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the soak
 	err := p.forwarder.listen()
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -30,7 +30,7 @@
 		t.Fatal(err)
 	}
 	return &process{
-		place: operators.Place{Node: node, Ready: closedAddress(t)}, program: program, settings: filepath.Join(t.TempDir(), "none"), log: &tail{},
+		place: operators.Place{Node: node, Ready: closedAddress(t)}, programs: [2]string{program, program}, settings: filepath.Join(t.TempDir(), "none"), log: &tail{},
 		forwarder: newForwarder(&d.links, node, "127.0.0.1:0", closedAddress(t)),
 	}
 }
@@ -97,7 +97,8 @@
 	d, end := storeDeployment(t, 0)
 	defer end()
 	p := endsAtOnce(t, d)
-	p.program = filepath.Join(t.TempDir(), "none")
+	missing := filepath.Join(t.TempDir(), "none")
+	p.programs = [2]string{missing, missing}
 	d.restart(p, 0)
 	p.kill() // waits for its end
 	if endsFound(d) != 1 || p.exit == nil {
@@ -115,3 +116,16 @@
 		}
 	})
 }
+
+// TestProcessesChangeTheirBuild shows which of two builds processes begin with, and that each has the other next.
+func TestProcessesChangeTheirBuild(t *testing.T) {
+	both := Options{Program: "new", Beside: "old"}
+	for number, want := range [][2]string{{"new", "old"}, {"old", "new"}, {"new", "old"}} {
+		if got := both.programsOf(number); got != want {
+			t.Errorf("process %d takes %v in turn, want %v", number, got, want)
+		}
+	}
+	if got := (Options{Program: "new"}).programsOf(1); got != [2]string{"new", "new"} {
+		t.Errorf("without another build a process takes %v", got)
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -27,6 +27,7 @@
 	Length    time.Duration
 	Processes int
 	Program   string // path of the product's program
+	Beside    string // path of another build of it, which every other process begins with; each start of a process changes its build; empty for none
 	Kinds     []Kind // to draw faults from
 	CarryFrom int    // from how many processes on peers carry requests; 0 for never
 	Keepers   int    // callers that keep a connection, of each process
