serving: the attributes of a request's line are collected by one type

Change: optionalAttributes leaves out what has no value; names and order of the line stay.

Ruled out: slog's own LogValuer, which cannot leave a field out.

--- a/internal/serving/events.go
+++ b/internal/serving/events.go
@@ -136,9 +136,30 @@
 	)}
 }
 
+// optionalAttributes are attributes of a line. What has no value is left out, as most of it has for most requests.
+type optionalAttributes []slog.Attr
+
+func (a *optionalAttributes) text(name, value string) {
+	if value != "" {
+		*a = append(*a, slog.String(name, value))
+	}
+}
+
+func (a *optionalAttributes) number(name string, value int64) {
+	if value > 0 {
+		*a = append(*a, slog.Int64(name, value))
+	}
+}
+
+func (a *optionalAttributes) millis(name string, value time.Duration) {
+	if value > 0 {
+		*a = append(*a, slog.Float64(name, millis(value)))
+	}
+}
+
 // reportAttributes returns what a line says of a request.
 func reportAttributes(report ingress.Report) []slog.Attr {
-	attributes := []slog.Attr{
+	attributes := optionalAttributes{
 		slog.String("request", report.Call.ID),
 		slog.String("program", report.Call.Program),
 		slog.String("route", report.Route),
@@ -149,48 +170,20 @@
 		slog.Uint64("engines_version", report.EnginesVersion),
 		slog.Float64("took_ms", millis(report.Took)),
 	}
-	if report.Tenant != "" {
-		attributes = append(attributes, slog.String("tenant", report.Tenant))
-	}
-	if report.Detail != "" {
-		attributes = append(attributes, slog.String("reason", report.Detail))
-	}
-	if report.RetryAfter > 0 {
-		attributes = append(attributes, slog.Float64("retry_after_ms", millis(report.RetryAfter)))
-	}
-	if report.Waits.FirstByte > 0 {
-		attributes = append(attributes, slog.Float64("first_ms", millis(report.Waits.FirstByte)))
-	}
-	if report.Waits.Quota > 0 {
-		attributes = append(attributes, slog.Float64("limit_ms", millis(report.Waits.Quota)))
-	}
-	if report.Waits.Ledger > 0 {
-		attributes = append(attributes, slog.Float64("ledger_ms", millis(report.Waits.Ledger)))
-	}
-	if report.Waits.Settlement > 0 {
-		attributes = append(attributes, slog.Float64("settle_ms", millis(report.Waits.Settlement)))
-	}
-	if report.Waits.Ahead > 0 {
-		attributes = append(attributes, slog.Float64("ahead_ms", millis(report.Waits.Ahead)))
-	}
-	if report.Events > 0 {
-		attributes = append(attributes, slog.Int("events", report.Events))
-	}
-	if report.Call.LastEvent != "" {
-		attributes = append(attributes, slog.String("last_event", report.Call.LastEvent))
-	}
-	if report.Call.Resumes != "" {
-		attributes = append(attributes, slog.String("resumes", report.Call.Resumes))
-	}
-	if report.Call.Budget > 0 {
-		attributes = append(attributes, slog.Int64("budget", report.Call.Budget))
-	}
-	if report.Call.FinishIn > 0 {
-		attributes = append(attributes, slog.Int64("finish_in_ms", report.Call.FinishIn.Milliseconds()))
-	}
-	if report.Owner != "" {
-		attributes = append(attributes, slog.String("allowance_at", report.Owner))
-	}
+	attributes.text("tenant", report.Tenant)
+	attributes.text("reason", report.Detail)
+	attributes.millis("retry_after_ms", report.RetryAfter)
+	attributes.millis("first_ms", report.Waits.FirstByte)
+	attributes.millis("limit_ms", report.Waits.Quota)
+	attributes.millis("ledger_ms", report.Waits.Ledger)
+	attributes.millis("settle_ms", report.Waits.Settlement)
+	attributes.millis("ahead_ms", report.Waits.Ahead)
+	attributes.number("events", int64(report.Events))
+	attributes.text("last_event", report.Call.LastEvent)
+	attributes.text("resumes", report.Call.Resumes)
+	attributes.number("budget", report.Call.Budget)
+	attributes.number("finish_in_ms", report.Call.FinishIn.Milliseconds())
+	attributes.text("allowance_at", report.Owner)
 	if report.CallerLeft {
 		attributes = append(attributes, slog.Bool("caller_left", true))
 	}
