ingress: a stream goes on only at the start that was chosen, as the engine itself says

Cause, by the logs: the second attempt knew v2 from memory and was placed at an engine listed with v2, which had been started again under its name, at its address, with v3; the entry was read 5 ms after the request had arrived there. X-Expect-Instance names the id, which a later start has as well.

Change: where an engine tells when it started, a stream that must stay at a version asks it, after its answer has begun, which start it is; any other answer drops it. Starts follow one another, so that whoever is there then, and is the one chosen, has begun the answer. One question more for such a stream alone, none where engines get new ids. askHealth is what looks at failing engines do, split off.

Ruled out: asking before the send (the start may come between); waiting until the list is sure (2.5 s).

Measured: TestStreamDoesNotGoOnAtALaterStart fails without the question and passes with it.

Conclusion: the entry's own time of start is needed; an engine that reuses its name without one is held by the time of its listing alone.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -290,6 +290,9 @@
 	case !options.Protocol.Genuine(answer.StatusCode, answer.Header):
 		return placement.Failed, errors.New("the answer is not an engine's")
 	}
+	if err := t.confirmStart(ctx); err != nil {
+		return placement.Cancelled, err
+	}
 	options.Placer.Answered(&t.placed)
 	return placement.Served, nil
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -115,6 +115,8 @@
 	Quota    Quota
 	// Origins knows which software version began a stream.
 	Origins Origins
+	// StartOf asks an engine which of its starts is at its address.
+	StartOf func(ctx context.Context, engine routing.Engine) (routing.Incarnation, error)
 	// KeysCurrent reports whether the configuration was heard of so lately that its keys can
 	// be relied on.
 	KeysCurrent func() bool
--- a/internal/ingress/origin.go
+++ b/internal/ingress/origin.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/origins"
@@ -124,6 +126,27 @@
 	})
 }
 
+// errOtherStart is why a stream is not gone on with at an engine that may have another version than is listed.
+var errOtherStart = errors.New("the engine does not say that it is the start that was chosen")
+
+// confirmStart makes sure that a stream which has to stay at a version goes on at the start that was chosen, where engines start again
+// under their names: a later start, perhaps of another version, is listed some time after it answers. Whoever is at the address
+// after the answer has begun, and is the start that was chosen, has begun it.
+func (t *try) confirmStart(ctx context.Context) error {
+	engine := t.placed.Engine
+	if t.request.origin.version == "" || engine.Born == 0 {
+		return nil
+	}
+	said, err := t.request.handler.options.StartOf(ctx, engine)
+	if err != nil {
+		return errors.Mark(err, errOtherStart)
+	}
+	if said != engine.Incarnation {
+		return errOtherStart
+	}
+	return nil
+}
+
 // awaitTold waits until a peer knows where the stream begins, before the first event goes out. Engines take longer for
 // that event than peers for an answer.
 func (r *request) awaitTold() {
--- a/internal/serving/failing.go
+++ b/internal/serving/failing.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pewtermill/pewtermill/internal/outliers"
 	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/upstream"
@@ -26,15 +28,18 @@
 	go func() { p.placer.Looked(engine.ID, p.fails(engine)) }()
 }
 
-// fails reports whether an engine takes no connection, ends a new one without an answer, or
-// says that it fails. Silence is no sign of that, nor is being full: a full engine lets the
-// question wait or turns it away. That an engine says it is well counts for nothing.
-func (p *Process) fails(engine routing.Engine) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
-	defer cancel()
+// health is what an engine answers to the question how it is.
+type health struct {
+	status  int
+	header  http.Header
+	speaker routing.Incarnation // that answered, as far as it says
+}
+
+// askHealth asks an engine how it is, on a new connection.
+func (p *Process) askHealth(ctx context.Context, engine routing.Engine) (health, error) {
 	conn, err := p.pool.OpenNew(ctx, connectionsTo(engine))
 	if err != nil {
-		return ctx.Err() == nil && !upstream.IsSilent(err)
+		return health{}, err
 	}
 	answer, err := p.pool.Send(ctx, conn, upstream.Request{
 		Method: http.MethodGet,
@@ -43,18 +48,39 @@
 		Header: http.Header{},
 	})
 	if err != nil {
-		return ctx.Err() == nil
+		return health{}, err
 	}
 	defer answer.Close()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHealthAnswer))
-	if err != nil {
+	return health{status: answer.StatusCode, header: answer.Header, speaker: p.dependencies.Protocol.Speaker(answer.Header, body)}, err
+}
+
+// startOf returns which start of an engine is at its address now.
+func (p *Process) startOf(ctx context.Context, engine routing.Engine) (routing.Incarnation, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	said, err := p.askHealth(ctx, engine)
+	return said.speaker, err
+}
+
+// fails reports whether an engine takes no connection, ends a new one without an answer, or
+// says that it fails. Silence is no sign of that, nor is being full: a full engine lets the
+// question wait or turns it away. That an engine says it is well counts for nothing.
+func (p *Process) fails(engine routing.Engine) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	said, err := p.askHealth(ctx, engine)
+	switch {
+	case errors.Is(err, upstream.ErrNoConnection):
+		return ctx.Err() == nil && !upstream.IsSilent(err)
+	case err != nil:
 		return ctx.Err() == nil
 	}
-	if other, ended := answeredByAnother(engine, p.dependencies.Protocol.Speaker(answer.Header, body)); other {
+	if other, ended := answeredByAnother(engine, said.speaker); other {
 		return ended
 	}
-	return answer.StatusCode >= http.StatusInternalServerError &&
-		!p.dependencies.Protocol.NotExecuted(answer.StatusCode, answer.Header)
+	return said.status >= http.StatusInternalServerError &&
+		!p.dependencies.Protocol.NotExecuted(said.status, said.header)
 }
 
 // answeredByAnother reports whether not the engine that was asked has answered, and whether that
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -253,6 +253,7 @@
 		Lines:       remembered,
 		Quota:       p.quota,
 		Origins:     p.origins,
+		StartOf:     p.startOf,
 		KeysCurrent: p.keysCurrent,
 		RegionOf:    settings.Topology.RegionOf,
 		Zone:        settings.Topology.Zone(),
--- a/internal/serving/versions_refused_test.go
+++ b/internal/serving/versions_refused_test.go
@@ -163,17 +163,29 @@
 // TestStreamsFromBeforeAReleaseGoOn has streams begin while one version serves, and break off. A second one comes before they
 // are taken up at another process, after the first was stopped.
 func TestStreamsFromBeforeAReleaseGoOn(t *testing.T) {
-	first, second, runs := serveTwoVersions(t)
 	const streams = 10
-	for _, id := range []string{"v2-0", "v2-1", "v2-2"} {
-		first.store.Remove("servers", "", id)
+	first := prepare(t)
+	runs := &versionedRuns{of: make(map[string][]string)}
+	for _, id := range []string{"m1", "m2", "m3"} {
+		first.addVersioned(id, "v1", runs)
+	}
+	config := standard()
+	config["routes"] = append(config["routes"].([]map[string]any), onceRoute())
+	first.store.Put("op", "", "config", config)
+	first.run("node-1", anyPort)
+	second := first.beside("node-2", anyPort)
+	for _, d := range []*deployment{first, second} {
+		d.eventually("ready, and known to its peer", func() bool {
+			return d.process.Ready() && strings.Contains(d.log.String(), `"msg":"peers found","count":1`)
+		})
 	}
 	for number := range streams {
 		first.stream("/once/", "a"+strconv.Itoa(number), "")
 	}
-	first.addVersioned("v3-0", "v3", runs)
-	second.eventually("told of the release", func() bool { return strings.Contains(second.metricsText(), `version="v3"`) })
-	first.eventually("told of the release", func() bool { return strings.Contains(first.metricsText(), `version="v3"`) })
+	first.addVersioned("v2-0", "v2", runs)
+	for _, d := range []*deployment{first, second} {
+		d.eventually("told of the release", func() bool { return strings.Contains(d.metricsText(), `version="v2"`) })
+	}
 	first.process.Stop(t.Context())
 	for number := range streams {
 		began, id := "a"+strconv.Itoa(number), "b"+strconv.Itoa(number)
@@ -183,6 +195,40 @@
 	}
 }
 
+// TestStreamDoesNotGoOnAtALaterStart has the engine that began a stream start again under its name and at its address with another
+// version, and the stream be taken up before that is listed. No event of the later start reaches the caller.
+//
+// What the soak saw (seed 4602): a stream of version v2 went on at an engine that was listed with v2, and was v3 since 70 ms. Its
+// entry was read 5 ms later.
+func TestStreamDoesNotGoOnAtALaterStart(t *testing.T) {
+	d := prepare(t)
+	runs := &versionedRuns{of: make(map[string][]string)}
+	for id, version := range map[string]string{"m1": "v1", "m2": "v2"} {
+		engine := d.addVersioned(id, version, runs)
+		engine.Restart(firstBorn)
+		d.store.Put("servers", "", id, engine.Record("models", "ready"))
+	}
+	d.store.Put("op", "", "config", standard())
+	d.run("node-1", "")
+	d.eventually("ready", d.process.Ready)
+	began := make(map[string]string) // a stream of each version
+	for number := 0; len(began) < 2; number++ {
+		id := fmt.Sprintf("a%d", number)
+		d.stream("/resumed/", id, "")
+		for version := range runs.versions(id) {
+			began[version] = id
+		}
+	}
+	d.engines["m1"].Restart(secondBorn)
+	d.engines["m1"].SetVersion("v3")
+	if got := d.stream("/resumed/", "b1", began["v1"]); strings.Contains(got.body, "data: event") {
+		t.Errorf("events of a later start reached the caller: %+v", got)
+	}
+	if got := d.stream("/resumed/", "b2", began["v2"]); got.status != http.StatusOK || got.cut {
+		t.Errorf("a stream whose engine is the one that is listed: got %+v", got)
+	}
+}
+
 // TestWithheldStreamBeginsAnewAtAnotherVersion has an engine break off a turn that runs ahead of the store, of which no event
 // has gone out, and its version leave. The turn begins anew at the other version.
 func TestWithheldStreamBeginsAnewAtAnotherVersion(t *testing.T) {
