tablestore: the pace of a throttling service holds for partial groups, too

Cause: a full group waits for the pace since the last start; a partial one waited for its oldest member alone, which had been queued for seconds. When the members of a full group that waited for the pace left at their deadline, what was left of it was partial, and was sent at once, by the call that left. The members that left at the same moment were told that their outcome is unknown, and a service that refuses for its rate got a call before its time.

Change: dueAt applies the pace to both.

Ruled out: the coincidence of a timer and the deadline (the times differ by 1 to 33 ms); a lost wake-up (the timer was armed in each).

Conclusion: the outcome "unknown" was true, but needless; the early call was a fault.

--- a/internal/tablestore/group.go
+++ b/internal/tablestore/group.go
@@ -246,17 +246,22 @@
 }
 
 // dueAt is when a group of so many rows may start: a full one as soon as the
-// pace allows, another when its oldest member has waited for others to join.
-// It needs s.mu.
+// pace allows, another when its oldest member has also waited for others to
+// join. It needs s.mu.
 func (s *GroupStore) dueAt(oldest *submission, rows int) time.Time {
+	paced := s.lastStart.Add(s.pace)
 	if rows >= s.maxGroup {
-		return s.lastStart.Add(s.pace)
+		return paced
 	}
 	gather := s.pace
 	if s.active > 0 {
 		gather = max(gather, minGather)
 	}
-	return oldest.queuedAt.Add(gather)
+	gathered := oldest.queuedAt.Add(gather)
+	if gathered.Before(paced) {
+		return paced
+	}
+	return gathered
 }
 
 // wakeUpAt arms the timer for the next look at the queue. It needs s.mu.
--- a/internal/tablestore/group_test.go
+++ b/internal/tablestore/group_test.go
@@ -256,6 +256,45 @@
 	})
 }
 
+// TestPaceHoldsForPartialGroups: a full group waits for the pace that throttling imposed. When one of its members
+// leaves meanwhile, the rest is a partial group, which was sent at once: it loaded a service that had just refused,
+// and members whose time ended at that moment were told that their outcome is unknown.
+func TestPaceHoldsForPartialGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.New(standin.Options{})
+		table.SetFaults(standin.Faults{TransactionsPerSecond: 1e-6})
+		const fullGroup = 10
+		store := newStore(t, table, tablestore.StoreOptions{MaxGroup: fullGroup, Window: time.Minute})
+		for i := range 10 { // what the service lets through at once
+			if _, err := store.Commit(t.Context(), create(fmt.Sprintf("first/%d", i))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		staying, stop := context.WithCancel(t.Context())
+		leaving, leave := context.WithCancel(t.Context())
+		var submitters sync.WaitGroup
+		for i := range fullGroup {
+			ctx := staying
+			if i == 0 {
+				ctx = leaving
+			}
+			submitters.Go(func() { _, _ = store.Commit(ctx, create(fmt.Sprintf("row/%d", i))) })
+		}
+		const refusals = 14 // after which the pace is 16 s
+		for store.Stats().Throttled < refusals {
+			time.Sleep(100 * time.Millisecond) // virtual
+		}
+		time.Sleep(2 * time.Second) // virtual; longer than the jittered wait after a refusal
+		leave()
+		synctest.Wait()
+		if sent := store.Stats().Throttled; sent != refusals {
+			t.Errorf("%d groups sent within the pace", sent-refusals)
+		}
+		stop()
+		submitters.Wait()
+	})
+}
+
 // TestForeignLaneWrite: if another writer changes the lane's row, a lost
 // reply can't be settled, and the answer says so.
 func TestForeignLaneWrite(t *testing.T) {
