relay: a peer that waits for a slow store says so, and is not taken for gone

Cause: a peer had 250 ms for its answer, whatever it did. Where the store itself takes 200 ms and the machines are busy, the peer was given up while it waited for the store. As it was the only one, every call was refused for the next half second, and so on.

Change: a peer that makes a call says every 100 ms that it is at work, by an empty part, which nodes of an earlier build discard. The asking node waits 250 ms from each sign on, and no longer than the peer itself waits for the store.

A longer fixed time: the next slowness breaks it, and a dead peer is noticed later.

--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -15,8 +15,8 @@
 
 // Bounds of calls through peers.
 const (
-	// peerTimeout is how long one peer may take, beyond what the call itself waits, until its reply
-	// begins to come, and between two pieces of it.
+	// peerTimeout is how long one peer may take, beyond what the call itself waits, until it says that it
+	// is at work or its reply begins to come, and between two signs or pieces of it.
 	peerTimeout = 250 * time.Millisecond
 	answerMost  = 10 * time.Second       // for a whole reply
 	peersAgain  = 500 * time.Millisecond // after none of them had a way
@@ -129,7 +129,7 @@
 func (h *helpers) askOne(ctx context.Context, client asker, peer string, request *wirepb.Request, wait time.Duration) (Outcome, error) {
 	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + peerTimeout, Silence: peerTimeout, Most: wait + answerMost})
 	defer cancel()
-	reply, err := client.Do(ctx, peer, request, nil)
+	reply, err := client.Do(ctx, peer, request, signed(ctx, wait))
 	if err != nil {
 		return Outcome{}, err
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -55,16 +55,16 @@
 func (s *Server) Declined() uint64 { return s.declined.Load() }
 
 // ServePeer implements wire.ServerHandler.
-func (s *Server) ServePeer(ctx context.Context, request *wirepb.Request, _ func(int64, []byte)) *wirepb.Reply {
-	body, err := json.Marshal(s.outcome(ctx, request))
+func (s *Server) ServePeer(ctx context.Context, request *wirepb.Request, onPart func(int64, []byte)) *wirepb.Reply {
+	body, err := json.Marshal(s.outcome(ctx, request, onPart))
 	if err != nil {
 		body = []byte(`{"failure":"unknown"}`)
 	}
 	return &wirepb.Reply{Body: body}
 }
 
-// outcome makes the call, if this node may.
-func (s *Server) outcome(ctx context.Context, request *wirepb.Request) Outcome {
+// outcome makes the call, if this node may, and says meanwhile that it does.
+func (s *Server) outcome(ctx context.Context, request *wirepb.Request, onPart func(int64, []byte)) Outcome {
 	watch := request.GetWatchTable()
 	limit, wait := s.calls, time.Duration(0)
 	if watch != nil {
@@ -89,7 +89,9 @@
 	s.served.Add(1)
 	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + serveTimeout, Silence: serveTimeout, Most: wait + answerMost})
 	defer cancel()
+	signs := startSigner(wait, onPart)
 	outcome, err := s.call(ctx, request, wait)
+	signs.end()
 	if errors.As(err, &outcome.Conflict) {
 		return outcome
 	}
