soak: how many software versions engines go through is a flag

Cause: an older build beside this one mixes software versions by itself, which hid what the mix of builds does.

--- a/cmd/pewtermill-lab/soak.go
+++ b/cmd/pewtermill-lab/soak.go
@@ -29,6 +29,7 @@
 	Program   string   `help:"The pewtermill program; empty builds it from the sources here." type:"existingfile" optional:""`
 	Beside    string   `help:"Another build of the program. Half of the processes begin with it, and each start of a process changes its build." type:"existingfile" optional:""`
 	CarryFrom int      `help:"From how many processes on peers carry requests to engines; 0 for never. If left out, half of the seeds carry." default:"-1"`
+	Versions  int      `help:"How many versions of their software engines go through. A build that does not know of versions mixes them by itself." default:"3"`
 	Only      []string `help:"Kinds of faults to draw from; empty means all."`
 }
 
@@ -38,8 +39,8 @@
 	if err != nil {
 		return err
 	}
-	if s.Processes < 1 || s.Processes > mostProcesses || s.Minutes <= 0 {
-		return errors.Mark(errors.Newf("processes must be 1 to %d, minutes above 0", mostProcesses), command.ErrUsage)
+	if s.Processes < 1 || s.Processes > mostProcesses || s.Minutes <= 0 || s.Versions < 1 {
+		return errors.Mark(errors.Newf("processes must be 1 to %d, minutes above 0, versions 1 or more", mostProcesses), command.ErrUsage)
 	}
 	for s.Seed == 0 {
 		s.Seed = uint64(rand.Uint32()) // short enough to type
@@ -54,7 +55,7 @@
 	fmt.Fprintf(streams.Err, "seed %d\n", s.Seed)
 	report, err := soak.Run(ctx, soak.Options{
 		Seed: s.Seed, Length: time.Duration(s.Minutes * float64(time.Minute)), Processes: s.Processes,
-		Program: program, Beside: s.Beside, Kinds: kinds, CarryFrom: s.carryFrom(), Keepers: soak.KeepersOfProcess, Keep: s.Keep, Out: streams.Out,
+		Program: program, Beside: s.Beside, Kinds: kinds, Versions: s.Versions, CarryFrom: s.carryFrom(), Keepers: soak.KeepersOfProcess, Keep: s.Keep, Out: streams.Out,
 	})
 	if err == nil && report.Found() {
 		err = errors.Newf("promises were found broken; replay with --seed %d", s.Seed)
--- a/internal/soak/engines.go
+++ b/internal/soak/engines.go
@@ -48,18 +48,18 @@
 	d.begin(s, operators.NewEngineAt(fmt.Sprintf("%s-%d", s.name, s.lives), 0, ""), cold)
 }
 
-// softwareVersions is how many versions engines go through.
+// softwareVersions is how many versions engines go through, unless the options say otherwise.
 const softwareVersions = 3
 
-// version returns the software version of the slot's engine: two serve from the beginning, every other replacement has the next one,
-// and so has an engine that starts again under its id.
-func (s *slot) version() string {
-	return fmt.Sprintf("v%d", 1+(s.number%2+(s.lives-1)/2+s.starts)%softwareVersions)
+// version returns the software version of the slot's engine, of so many: two serve from the beginning, every other
+// replacement has the next one, and so has an engine that starts again under its id.
+func (s *slot) version(versions int) string {
+	return fmt.Sprintf("v%d", 1+(s.number%2+(s.lives-1)/2+s.starts)%versions)
 }
 
 // begin has an engine be the slot's, and enters it in the store.
 func (d *deployment) begin(s *slot, started *operators.Engine, cold time.Duration) {
-	started.SetVersion(s.version())
+	started.SetVersion(s.version(d.versions))
 	engine := &incarnation{Engine: started, name: started.ID}
 	if s.starts > 0 {
 		engine.name = fmt.Sprintf("%s/%d", started.ID, s.starts)
--- a/internal/soak/engines_test.go
+++ b/internal/soak/engines_test.go
@@ -78,3 +78,22 @@
 		t.Errorf("checked %v, broken %v", checked, broken)
 	}
 }
+
+// TestSoftwareVersionsOfASlot follows a slot's engine: replacements and starts under its id, with several versions and one.
+func TestSoftwareVersionsOfASlot(t *testing.T) {
+	for _, test := range []struct {
+		number, lives, starts, versions int
+		want                            string
+	}{
+		{0, 1, 0, 3, "v1"},
+		{1, 1, 0, 3, "v2"},
+		{1, 3, 0, 3, "v3"},
+		{1, 3, 1, 3, "v1"},
+		{1, 3, 1, 1, "v1"},
+	} {
+		place := &slot{number: test.number, lives: test.lives, starts: test.starts}
+		if got := place.version(test.versions); got != test.want {
+			t.Errorf("%+v: got %s", test, got)
+		}
+	}
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -29,6 +29,7 @@
 	Program   string // path of the product's program
 	Beside    string // path of another build of it, which every other process begins with; each start of a process changes its build; empty for none
 	Kinds     []Kind // to draw faults from
+	Versions  int    // of their software that engines go through; 0 for softwareVersions
 	CarryFrom int    // from how many processes on peers carry requests; 0 for never
 	Keepers   int    // callers that keep a connection, of each process
 	Keep      string // where logs go if something is found; empty for nowhere
