serving: a message of a later build is declined by a code of its own, and a gauge tells the build

Cause: a message that this build does not know was handed to the relay, which answered it with code 0, as a call to the table that makes no sense. A sender that looked at the code alone took it for done.

Change: code 315, unknown_message, not run; counted, and logged once for each peer. pewtermill_serve_build tells version and revision of a process.

Ruled out: that a sender of today errs there. Origins look at the body as well; all other messages are known to every build since.

--- a/api/codes.go
+++ b/api/codes.go
@@ -80,6 +80,7 @@
 	// StreamVersionUnknown: nobody who can be asked knows which version began the stream
 	StreamVersionUnknown Code = 313
 	StreamVersionGone    Code = 314 // no back end of the version that began the stream can go on with it
+	UnknownMessage       Code = 315 // between nodes: the asked one is of a build that does not know the message
 
 	BackendFailed  Code = 401 // ran, and failed for good
 	OutcomeUnknown Code = 402
@@ -138,6 +139,7 @@
 	{RegionLinkFull, "region_link_full", http.StatusServiceUnavailable, NotRun, true, "Only other regions have back ends for the call, and what crosses to them has reached this node's part of the link."},
 	{StreamVersionUnknown, "stream_version_unknown", http.StatusServiceUnavailable, NotRun, true, "The stream cannot go on, as it is not known which software version of the back end began it; it may be begun anew."},
 	{StreamVersionGone, "stream_version_gone", http.StatusServiceUnavailable, NotRun, true, "The stream cannot go on, as no back end of the software version that began it can serve it; it may be begun anew."},
+	{UnknownMessage, "unknown_message", http.StatusServiceUnavailable, NotRun, false, "The asked node's build does not know the message of another node; it did nothing."},
 	{BackendFailed, "backend_failed", http.StatusBadGateway, Ran, false, "The back end ran the call and reported failure."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, Unknown, false, "The call may have run; its outcome cannot be established."},
 	{Cancelled, "cancelled", http.StatusConflict, Unknown, false, "The call was cut off after it was dispatched."},
--- a/cmd/pewtermill/serve.go
+++ b/cmd/pewtermill/serve.go
@@ -38,6 +38,8 @@
 	defer writer.Flush()
 	logger := eventlog.NewLogger(writer, s.level(), slog.String("node", settings.Serving.Node))
 	metrics := serving.NewMetrics()
+	build := buildVersion()
+	metrics.Build(build.Version, build.Revision)
 	metrics.Gauge("pewtermill_serve_log_lines_dropped", "Log lines that were dropped.", func() float64 { return float64(writer.Dropped()) })
 	store := platform.NewStore(settings.StoreAddress, func(call platform.StoreCall) {
 		metrics.StoreCall(call.Name, call.Took, call.AnswerBytes, call.Err)
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -153,6 +153,13 @@
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, labels)
 }
 
+// Build publishes which build of the program this is.
+func (m *Metrics) Build(version, revision string) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pewtermill_serve_build", Help: "1, with the build of the program.", ConstLabels: prometheus.Labels{"version": version, "revision": revision},
+	}, func() float64 { return 1 }))
+}
+
 // Gauge publishes a number that is read at each scrape.
 func (m *Metrics) Gauge(name, help string, value func() float64) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -287,6 +294,9 @@
 	p.metrics.Gauge("pewtermill_serve_outcomes_dropped", "Outcomes of calls through peers that made no sense.", func() float64 {
 		return float64(p.relay.Dropped())
 	})
+	p.metrics.Gauge("pewtermill_serve_messages_unknown", "Messages of peers that were declined, since this build does not know them.", func() float64 {
+		return float64(p.unknown.Load())
+	})
 	p.metrics.Gauge("pewtermill_serve_limit_shards", "Shards of tenants that this process counts for.", func() float64 {
 		return float64(p.holdings.Held(time.Now()))
 	})
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backoff"
 	"github.com/pewtermill/pewtermill/internal/carry"
 	"github.com/pewtermill/pewtermill/internal/commitgroup"
@@ -53,6 +54,7 @@
 	watch     *zonefeed.Feed
 	carrying  *carry.Server
 	keeping   *origins.Server
+	unknown   func(peer string) // told of messages that this build does not know
 }
 
 // ServePeer implements wire.ServerHandler.
@@ -85,8 +87,14 @@
 		if grouped := body.CommitTable.GetGrouped(); grouped != nil {
 			return h.commits.Answer(ctx, request.GetFrom(), grouped, func() { onPart(0, nil) })
 		}
+		return h.relay.ServePeer(ctx, request, onPart)
+	case *wirepb.Request_RangeTable, *wirepb.Request_WatchTable:
+		return h.relay.ServePeer(ctx, request, onPart)
+	}
+	h.unknown(request.GetFrom())
+	return &wirepb.Reply{
+		Code: int32(api.UnknownMessage), Execution: string(api.NotRun), Detail: "this node's build does not know the message",
 	}
-	return h.relay.ServePeer(ctx, request, onPart)
 }
 
 // findPeers joins the other processes and keeps their addresses up
@@ -137,7 +145,10 @@
 		return nil, err
 	}
 	options := wire.Options{Node: p.settings.Node, ClusterKey: secret, SilenceLimit: peerSilenceLimit}
-	handler := peerHandler{relay: p.relaying, commits: p.commits, turns: p.recent, owners: p.covering, collector: p.collector, limits: p.quota, watch: p.watch, carrying: p.carrying, keeping: p.keeping}
+	handler := peerHandler{
+		relay: p.relaying, commits: p.commits, turns: p.recent, owners: p.covering, collector: p.collector, limits: p.quota, watch: p.watch, carrying: p.carrying, keeping: p.keeping,
+		unknown: p.declineUnknown,
+	}
 	server := wire.Serve(p.listeners.peers, options, handler)
 	options.Count = p.countPeer
 	client := wire.NewClient(options)
@@ -273,3 +284,12 @@
 func (p *Process) LoadsMoved(direction loads.Direction, form loads.Form, bytes int) {
 	p.metrics.loadsBytes.WithLabelValues(string(direction), string(form)).Add(float64(bytes))
 }
+
+// declineUnknown takes notice of a message that this build does not know, from a peer of a later one. Each peer's first
+// is logged.
+func (p *Process) declineUnknown(peer string) {
+	p.unknown.Add(1)
+	if _, known := p.badOutcomes.LoadOrStore("messages of "+peer, true); !known {
+		p.logger.Warn("message of a peer not known", "peer", peer)
+	}
+}
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -142,6 +142,7 @@
 	keeper       *quota.Keeper    // finds who counts for which tenants
 	badReports   sync.Map         // peers whose reports made no sense, by address
 	badOutcomes  sync.Map         // peers of which an outcome made no sense, by address
+	unknown      atomic.Int64     // messages of peers that this build does not know
 	crossings    crossings
 	handler      *ingress.Handler
 	listeners    listeners
