ledger: an account names what its reader must understand

Cause: a build that reads an account drops fields that it does not know when it writes the account back. So no field could ever be added that another build must not lose, as processes of two builds share the rows of a program.

Change: `needs` in the row.

Ruled out: keeping unknown fields on the way: what they mean for the other fields is not known either.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -41,6 +41,9 @@
 	Spent      int64                `json:"s"`
 	Least      int64                `json:"l"` // smallest maximum of any turn so far
 	Allowances map[string]Allowance `json:"a,omitempty"`
+	// Needs names what a reader must understand of the row besides these fields. A build that writes such a row back
+	// without understanding it would lose what another build keeps in it.
+	Needs []string `json:"needs,omitempty"`
 }
 
 // Allowance is what one run of a node may hand out beyond what it settled.
--- a/internal/ledger/corrupt_rows_test.go
+++ b/internal/ledger/corrupt_rows_test.go
@@ -63,3 +63,35 @@
 		}
 	}
 }
+
+// TestAccountThatNeedsALaterBuildIsLeft has a later build keep something in an account that this one does not know. Its turns
+// are refused here as not run, neither as spent nor as missing, and the row stays as that build wrote it; other
+// programs go on.
+func TestAccountThatNeedsALaterBuildIsLeft(t *testing.T) {
+	const later = `{"b":10000,"s":20,"l":10,"needs":["escrow"],"escrow":{"x":7}}`
+	store := newStore(t)
+	say(t, newLedger(store, "a"), "p", "t1", "")
+	for _, row := range store.Rows("program-turns") {
+		if row.Key == "p/" {
+			store.PutBytes(row.Table, row.Part, row.Key, []byte(later))
+		}
+	}
+	for _, previous := range []string{"", "t1"} {
+		err := goesOn(t, store, "b", "p", previous)
+		if err == nil || err.Execution != api.NotRun || err.Code == api.CallNotFound || err.Code == api.BudgetExhausted {
+			t.Errorf("a turn after %q: got %v", previous, err)
+		}
+	}
+	left := 0
+	for _, row := range store.Rows("program-turns") {
+		if string(row.Value) == later {
+			left++
+		}
+	}
+	if left != 1 {
+		t.Errorf("%d rows are as the later build wrote them, want 1", left)
+	}
+	if err := goesOn(t, store, "c", "q", ""); err != nil {
+		t.Errorf("another program: %v", err)
+	}
+}
