serving: tests of lost zones share how an engine holds a turn

Cause: three tests repeated how an engine holds a turn and how others are sent beside it.

Change: holdTurn and besideTurns; what the tests demand is as it was.

Measured: the five tests of lost and cut-off zones, twice: passed.

--- a/internal/serving/zones_test.go
+++ b/internal/serving/zones_test.go
@@ -194,37 +194,55 @@
 	}
 }
 
-// TestTurnLeavesAnEngineOfALostZone has an engine hold a turn without a word, and take connections,
-// as one that is only slow does. When its zone is lost the turn goes on at another engine.
-func TestTurnLeavesAnEngineOfALostZone(t *testing.T) {
-	d, others, _ := threeZoned(t)
-	listed := func(engines string) func() bool {
-		return func() bool { return strings.Contains(d.log.String(), `"engines":`+engines+`,`) }
-	}
-	d.store.Remove("servers", "", "m1")
-	d.eventually("without m1", listed("3"))
-	release, reached := make(chan struct{}), make(chan struct{}, 1)
-	defer close(release)
-	d.handleAll("m2", func(http.ResponseWriter, *http.Request) bool {
+// heldTurn is a turn that an engine holds without a word.
+type heldTurn struct {
+	answers chan answer // gets the caller's
+	release func()      // ends the holding
+}
+
+// holdTurn has an engine hold all turns that reach it, and sends one until it does. Once they are released the engine
+// answers them, unless it swallows them.
+func (d *deployment) holdTurn(engine, path string, swallow bool) heldTurn {
+	released, reached := make(chan struct{}), make(chan struct{}, 1)
+	d.handleAll(engine, func(http.ResponseWriter, *http.Request) bool {
 		select {
 		case reached <- struct{}{}:
 		default:
 		}
-		<-release
-		return true
+		<-released
+		return swallow
 	})
-	answers := make(chan answer, 1)
-	go func() { answers <- d.turn("/resumed/", "p", "held", "", "x") }()
+	held := heldTurn{answers: make(chan answer, 1), release: func() { close(released) }}
+	go func() { held.answers <- d.turn(path, "p", "held", "", "x") }()
 	<-reached
+	return held
+}
+
+// besideTurns returns what sends a turn of another program each time that it is called, and does not wait for it.
+func (d *deployment) besideTurns(path string) func() {
+	turns := 0
+	return func() {
+		turns++
+		go d.turn(path, fmt.Sprintf("p%d", turns), fmt.Sprintf("t%d", turns), "", "x")
+	}
+}
+
+// TestTurnLeavesAnEngineOfALostZone has an engine hold a turn without a word, and take connections,
+// as one that is only slow does. When its zone is lost the turn goes on at another engine.
+func TestTurnLeavesAnEngineOfALostZone(t *testing.T) {
+	d, others, _ := threeZoned(t)
+	d.store.Remove("servers", "", "m1")
+	d.eventually("without m1", func() bool { return strings.Contains(d.log.String(), `"engines":3,`) })
+	held := d.holdTurn("m2", "/resumed/", true)
+	defer held.release()
 	d.move("m1", "models", "zone-a")
 	loseZone(others["zone-b"])
 	got := answer{}
-	turns := 0
+	beside := d.besideTurns("/resumed/")
 	d.eventually("answered", func() bool {
-		turns++
-		go d.turn("/resumed/", fmt.Sprintf("p%d", turns), fmt.Sprintf("t%d", turns), "", "x")
+		beside()
 		select {
-		case got = <-answers:
+		case got = <-held.answers:
 			return true
 		default:
 			return false
@@ -246,28 +264,16 @@
 	d.eventually("in force, without m1", func() bool {
 		return strings.Contains(d.log.String(), `"configuration":8`) && strings.Contains(d.log.String(), `"engines":3,`)
 	})
-	release, reached := make(chan struct{}), make(chan struct{}, 1)
-	d.handleAll("m2", func(http.ResponseWriter, *http.Request) bool {
-		select {
-		case reached <- struct{}{}:
-		default:
-		}
-		<-release
-		return false
-	})
-	answers := make(chan answer, 1)
-	go func() { answers <- d.turn("/once/", "p", "held", "", "x") }()
-	<-reached
+	held := d.holdTurn("m2", "/once/", false)
 	d.move("m1", "models", "zone-a")
 	loseZone(others["zone-b"])
-	turns := 0
+	beside := d.besideTurns("/resumed/")
 	d.eventually("zone b suspected, and the engine looked at", func() bool {
-		turns++
-		go d.turn("/resumed/", fmt.Sprintf("p%d", turns), fmt.Sprintf("t%d", turns), "", "x")
+		beside()
 		return d.said("zone suspected", "zone-b") && d.said("zone believed", "zone-b")
 	})
-	close(release)
-	if got := <-answers; got.status != http.StatusOK || got.body != fourEvents || got.cut {
+	held.release()
+	if got := <-held.answers; got.status != http.StatusOK || got.body != fourEvents || got.cut {
 		t.Errorf("got %+v; log:\n%s", got, d.log)
 	}
 	d.eventually("in the log", func() bool { return strings.Contains(d.log.String(), `"request":"held"`) })
@@ -283,42 +289,27 @@
 // broken off, and the zone is believed.
 func TestTurnStaysWithAnEngineThatTakesConnections(t *testing.T) {
 	d, others, _ := threeZoned(t)
-	listed := func(engines string) func() bool {
-		return func() bool { return strings.Contains(d.log.String(), `"engines":`+engines+`,`) }
-	}
 	d.store.Remove("servers", "", "m1")
-	d.eventually("without m1", listed("3"))
-	release, reached := make(chan struct{}), make(chan struct{}, 1)
-	d.handleAll("m2", func(http.ResponseWriter, *http.Request) bool {
-		select {
-		case reached <- struct{}{}:
-		default:
-		}
-		<-release
-		return false
-	})
-	answers := make(chan answer, 1)
-	go func() { answers <- d.turn("/kept/", "p", "held", "", "x") }()
-	<-reached
+	d.eventually("without m1", func() bool { return strings.Contains(d.log.String(), `"engines":3,`) })
+	held := d.holdTurn("m2", "/kept/", false)
 	d.move("m1", "models", "zone-a")
 	loseZone(others["zone-b"])
-	turns := 0
+	beside := d.besideTurns("/kept/")
 	var early *answer
 	d.eventually("zone b suspected and, as its engine takes a connection, believed", func() bool {
-		turns++
-		go d.turn("/kept/", fmt.Sprintf("p%d", turns), fmt.Sprintf("t%d", turns), "", "x")
+		beside()
 		select {
-		case got := <-answers:
+		case got := <-held.answers:
 			early = &got
 		default:
 		}
 		return early != nil || d.said("zone suspected", "zone-b") && d.said("zone believed", "zone-b")
 	})
-	close(release)
+	held.release()
 	if early != nil {
 		t.Fatalf("the turn ended while its engine was at work: %+v", *early)
 	}
-	if got := <-answers; got.status != http.StatusOK || got.cut {
+	if got := <-held.answers; got.status != http.StatusOK || got.cut {
 		t.Errorf("got %+v; log:\n%s", got, d.log)
 	}
 }
