soak: a deployment without options runs engines of three versions

Cause: the flag for versions left the number unset where a test builds its own deployment.

Measured: the package's tests pass, with -race as well; they had not been run after the flag.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -65,7 +64,7 @@
 	configuring sync.Mutex
 	version     int
 	variant     variant
-	versions    int     // of engines' software
+	versions    int     // of engines' software; 0 for softwareVersions
 	idle        setting // for how long connections may rest
 	timeout     setting // of routes
 	tasks       sync.WaitGroup
@@ -103,7 +102,7 @@
 // newDeployment starts everything and waits until the processes are ready.
 func newDeployment(ctx context.Context, judge *Judge, directory string, options Options) (*deployment, error) {
 	d := &deployment{context: ctx, judge: judge, began: time.Now(), store: operators.NewStore(), variant: firstVariant}
-	d.versions = cmp.Or(options.Versions, softwareVersions)
+	d.versions = options.Versions
 	d.store.SetFault(d.storeFaults.of)
 	for _, service := range []string{serviceModels, servicePortal, serviceOther} {
 		for i := range enginesOfService {
--- a/internal/soak/engines.go
+++ b/internal/soak/engines.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -59,7 +60,7 @@
 
 // begin has an engine be the slot's, and enters it in the store.
 func (d *deployment) begin(s *slot, started *operators.Engine, cold time.Duration) {
-	started.SetVersion(s.version(d.versions))
+	started.SetVersion(s.version(cmp.Or(d.versions, softwareVersions)))
 	engine := &incarnation{Engine: started, name: started.ID}
 	if s.starts > 0 {
 		engine.name = fmt.Sprintf("%s/%d", started.ID, s.starts)
