serving: a test lists an engine of another version once, with that version

Cause: the test listed the engine of v2 as one of v1 first and at once again as v2. Between the two the process had five engines, which is what the test waits for, and the gauge told what was listed. Its own output shows that state.

Change: the engine is made, gets its version, and is listed then. What the test asks is as it was.

--- a/internal/serving/deployment_test.go
+++ b/internal/serving/deployment_test.go
@@ -203,10 +203,16 @@
 }
 
 func (d *deployment) addEngine(id, service string) *operators.Engine {
+	engine := d.newEngine(id)
+	d.store.Put("servers", "", id, engine.Record(service, "ready"))
+	return engine
+}
+
+// newEngine starts an engine that is not listed yet.
+func (d *deployment) newEngine(id string) *operators.Engine {
 	engine := operators.NewEngine(id, 4)
 	d.t.Cleanup(engine.Server.CloseClientConnections)
 	d.engines[id] = engine
-	d.store.Put("servers", "", id, engine.Record(service, "ready"))
 	return engine
 }
 
--- a/internal/serving/versions_test.go
+++ b/internal/serving/versions_test.go
@@ -56,7 +56,7 @@
 
 // addVersioned adds an engine of a version that notes its runs.
 func (d *deployment) addVersioned(id, version string, runs *versionedRuns) *operators.Engine {
-	engine := d.addEngine(id, "models")
+	engine := d.newEngine(id)
 	engine.SetVersion(version)
 	engine.Handle(func(writer http.ResponseWriter, request *http.Request) bool {
 		runs.began(request.Header.Get("X-Request-Id"), engine.Version())
