relay: when the store last answered is kept by the steady clock

Cause: it was kept as a time of day, which may be set back: a peer that the store leaves unanswered would go on saying that it waits for it for as long as the clock was set back.

Change: the time is kept with its steady part.

Measured: the package's tests with -race pass.

--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -57,7 +57,7 @@
 	closing  context.Context // ends with Close
 	close    context.CancelFunc
 
-	answeredAt atomic.Int64 // when the service last answered a call by the own way, in ns of Unix time; 0 if it never did
+	answeredAt atomic.Pointer[time.Time] // when the service last answered a call by the own way; nil if it never did
 
 	mutex    sync.Mutex
 	way      way
@@ -210,13 +210,15 @@
 // noteEnd takes notice of when the service answers.
 func (t *Table) noteEnd(err error) {
 	if endingOf(err) == answered {
-		t.answeredAt.Store(time.Now().UnixNano())
+		now := time.Now()
+		t.answeredAt.Store(&now)
 	}
 }
 
 // servedLately reports whether the service has answered this node of late.
 func (t *Table) servedLately() bool {
-	return time.Since(time.Unix(0, t.answeredAt.Load())) < servedLately
+	last := t.answeredAt.Load()
+	return last != nil && time.Since(*last) < servedLately
 }
 
 // ended takes notice of the end of a call by the own way, asks for an opinion if one is
