soak: the judge knows that the process which carried a turn was killed

By the processes' logs another process, which carried the turn to its engine, was killed 44 ms before; what may run once only can't be sent again, so that no promise was broken. The judge counted disruptions of the stopping process alone, since no engine told it who had reached it.

Change: an engine tells the judge that its caller left before the answer's end, and the runner that a process is about to be killed. A cut is excused where both come within 100 ms, at the engine that ran the request last, where another process than the caller's own was killed, and only of what may not be sent again. A caller whose answer was cut tells it 50 ms later, at the time it ended, since engines saw the kill up to 8 ms after the caller did.

Ruled out: excusing every cut beside any kill: a stop that cuts by itself would hide behind it. The connection's address at the engine: all processes come from one.

Measured: seven cases of TestJudgeKnowsThatACarrierWasKilled, of which one fails without the change and six hold the check as it was.

--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -54,6 +54,7 @@
 	unplanned map[string]*contact // by process, and core
 	planned   map[string]*contact
 	stops     map[string]time.Duration // when processes were last told to stop
+	kills     map[string]time.Duration // when processes were last killed
 	engines   map[string]*engineState
 	zones     map[string]time.Duration // since when they are evacuated
 	routes    map[string][]version
@@ -64,12 +65,26 @@
 		unplanned: make(map[string]*contact),
 		planned:   make(map[string]*contact),
 		stops:     make(map[string]time.Duration),
+		kills:     make(map[string]time.Duration),
 		engines:   make(map[string]*engineState),
 		zones:     make(map[string]time.Duration),
 		routes:    make(map[string][]version),
 	}
 }
 
+// seenAfterKill is how long after a process was killed engines see its connections end.
+const seenAfterKill = 100 * time.Millisecond
+
+// killedBeside reports whether another process was killed just before.
+func (b *bounds) killedBeside(process string, now time.Duration) bool {
+	for other, killed := range b.kills {
+		if other != process && now >= killed && now-killed <= seenAfterKill {
+			return true
+		}
+	}
+	return false
+}
+
 // calm reports whether a process and the core were in touch from some time on.
 func (b *bounds) calm(process string, from, now time.Duration, plannedToo bool) bool {
 	since := min(from, now) - contactBound
@@ -161,6 +176,13 @@
 	j.bounds.stops[process] = now
 }
 
+// Killed tells that a process is about to be killed.
+func (j *Judge) Killed(now time.Duration, process string) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.bounds.kills[process] = now
+}
+
 // Started tells that a process was started again.
 func (j *Judge) Started(process string) {
 	j.mutex.Lock()
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -149,6 +149,9 @@
 	}
 }
 
+// engineTellsWithin is how long after the end of an answer that was cut its engine has told that its caller left.
+const engineTellsWithin = 50 * time.Millisecond
+
 // send makes one attempt at some process and tells the judge.
 func (c *caller) send(sent Attempt, ask operators.Ask) operators.Reply {
 	d := c.deployment
@@ -165,7 +168,11 @@
 	defer cancel()
 	d.judge.Sent(d.now(), sent)
 	reply := c.exchange(ctx, p, ask)
-	d.judge.Ended(d.now(), sent.ID, Outcome{
+	ended := d.now()
+	if !reply.Complete && ctx.Err() == nil {
+		backoff.Wait(ctx, engineTellsWithin)
+	}
+	d.judge.Ended(ended, sent.ID, Outcome{
 		Unreached: unreached(reply.Failure), GaveUp: ctx.Err() != nil, Status: reply.Status, ID: reply.ID, Seal: reply.Seal,
 		Events: reply.Events, Body: reply.Body, Complete: reply.Complete,
 		Begun: reply.Begun, Whole: reply.Whole, At: reply.At.Sub(d.began),
--- a/internal/soak/engines.go
+++ b/internal/soak/engines.go
@@ -114,6 +114,7 @@
 		d.judge.Broke(work.ID)
 	}
 	if !backoff.Wait(request.Context(), engineWork) {
+		d.judge.CallerLeft(d.now(), work.ID, engine.name)
 		return
 	}
 	stream := work.Most > 0
@@ -142,6 +143,7 @@
 		}
 		operators.WriteEvent(writer, number, data)
 		if !backoff.Wait(request.Context(), engineWork) {
+			d.judge.CallerLeft(d.now(), work.ID, engine.name)
 			return
 		}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -197,6 +197,7 @@
 	defer func() { d.judge.Calm(d.now(), p.place.Node, false) }()
 	switch fault.Kind {
 	case ProcessKill:
+		d.judge.Killed(d.now(), p.place.Node)
 		p.kill()
 		d.restart(p, restartAfter)
 	case ProcessStopPause:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -39,7 +39,7 @@
 	whole  bool          // answered whole
 	runs   []string      // engines
 	gave   map[string]int
-	broken bool // an engine broke off, or ended
+	broken bool // an engine broke off, or ended, or the process that carried it was killed
 }
 
 // spending is what a program's callers were handed.
@@ -202,6 +202,20 @@
 	}
 }
 
+// CallerLeft tells that an engine's caller left before the answer's end. Where another process than the caller's
+// own was killed just then, it carried the request, and what may run once only can't be sent again.
+func (j *Judge) CallerLeft(now time.Duration, id, engine string) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	a := j.attempts[id]
+	if a == nil || a.Repeatable || len(a.runs) == 0 || a.runs[len(a.runs)-1] != engine {
+		return
+	}
+	if j.bounds.killedBeside(a.Process, now) {
+		a.broken = true
+	}
+}
+
 // Crashed tells that an engine ends at once, before it does.
 func (j *Judge) Crashed(engine string) {
 	j.mutex.Lock()
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -201,6 +201,49 @@
 	}
 }
 
+// TestJudgeKnowsThatACarrierWasKilled cuts a turn of a stopping process whose engine was reached through another one.
+// Only the end of that one excuses the cut, only at that engine, and only of what may not be sent again.
+func TestJudgeKnowsThatACarrierWasKilled(t *testing.T) {
+	const (
+		stop    = 10 * time.Second
+		killed  = stop + time.Second
+		carrier = "node-2"
+	)
+	for _, test := range []struct {
+		name       string
+		process    string // that was killed
+		left       time.Duration
+		engine     string // that saw its caller leave; empty for none
+		repeatable bool
+		want       []Promise
+	}{
+		{"as its carrier was killed", carrier, killed + seenAfterKill, first, false, nil},
+		{"later", carrier, killed + seenAfterKill + 1, first, false, []Promise{PlannedStop}},
+		{"before", carrier, killed - 1, first, false, []Promise{PlannedStop}},
+		{"its engine saw nothing", carrier, 0, "", false, []Promise{PlannedStop}},
+		{"another engine saw its caller leave", carrier, killed, "models2-1", false, []Promise{PlannedStop}},
+		{"the stopping process itself left", node, killed, first, false, []Promise{PlannedStop}},
+		{"it could be sent again", carrier, killed, first, true, []Promise{PlannedStop}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			j := NewJudge(1)
+			turn := turnOf("t1", "", "x")
+			turn.sent.Repeatable = test.repeatable
+			j.Sent(stop, turn.sent)
+			j.Arrived(stop, turn.arrival)
+			j.Gave(first, "t1", http.StatusOK)
+			j.Disrupt(node, true)
+			j.Stopping(stop, node)
+			j.Killed(killed, test.process)
+			if test.engine != "" {
+				j.CallerLeft(test.left, "t1", test.engine)
+			}
+			j.Ended(killed+time.Second, "t1", Outcome{})
+			wantBroken(t, j, test.want...)
+		})
+	}
+}
+
 // TestJudgeHoldsATurnToItsRetention has a turn be unknown that was cut, or was whole a while ago.
 func TestJudgeHoldsATurnToItsRetention(t *testing.T) {
 	const lasts = retainFor - callerDeadline
