relay: a slow moment does not put off the question that refusals raise

Cause: whether the store answers a peer was asked at most once in 500 ms, on whatever ground. A call that went unanswered for 150 ms had it asked; the own small read was answered, so the way was good. When the store then turned this process away, its refusals raised no question for the rest of that time: the third of them found the pause not over, later callers were refused at once, and the ledger took the table for down. A question that was due while another one was under way also used the pause up without being asked.

Change: failures and silence have a pause of their own each, and a pause begins only with a question that is asked.

Ruled out: no pause after a question that found the own way good: at twice the store's rate each three refusals in a row would raise one, two reads more for every few calls.

Conclusion: kept for the fault that its own test shows.

--- a/internal/relay/judge_test.go
+++ b/internal/relay/judge_test.go
@@ -172,3 +172,54 @@
 		}
 	})
 }
+
+// slowThenRefusing is a service that is slow for a moment, and then refuses every call of this process.
+type slowThenRefusing struct {
+	mute
+	refusesAt time.Time
+	smallRead time.Duration // what the small read of a question takes before that
+}
+
+// Range implements tablestore.Table.
+func (s slowThenRefusing) Range(_ context.Context, start, _ string, _ int) ([]tablestore.Row, error) {
+	if !time.Now().Before(s.refusesAt) {
+		time.Sleep(time.Millisecond) // virtual time
+		return nil, errors.Mark(errors.New("refused"), tablestore.ErrUnavailable)
+	}
+	takes := silenceLimit + 30*time.Millisecond
+	if start == secretKey {
+		takes = s.smallRead
+	}
+	time.Sleep(takes) // virtual time
+	return nil, nil
+}
+
+// TestSlowMomentHidesNoRefusals has the service be slow for a moment, so that the way is judged and found good, and then
+// turn the process away. The refusals have it judged anew: where the last question, on a silence, put them off for half a
+// second, a caller's tries were over, and the table counted as down for all, before a peer was asked. Beside load
+// TestTurnedAwayProcessIsServedThroughASlowStore was seen to fail with three tries refused within .3 s.
+func TestSlowMomentHidesNoRefusals(t *testing.T) {
+	for _, smallRead := range []time.Duration{time.Millisecond, 40 * time.Millisecond, 90 * time.Millisecond} {
+		t.Run(smallRead.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := slowThenRefusing{refusesAt: time.Now().Add(silenceLimit + 30*time.Millisecond), smallRead: smallRead}
+				table := NewTable(service, mute{}, "n", unheard{})
+				defer table.Close()
+				table.Enable(peersOf{after: 5 * time.Millisecond}, []string{"a"})
+				if _, err := table.Range(t.Context(), "t/p/a", "t/p/b", 1); err != nil {
+					t.Fatalf("the slow read: %v", err)
+				}
+				refused := 0
+				for ; refused <= failuresToAsk; refused++ {
+					if _, err := table.Range(t.Context(), "t/p/a", "t/p/b", 1); err == nil {
+						break
+					}
+					time.Sleep(40 * time.Millisecond) // virtual time
+				}
+				if refused > failuresToAsk {
+					t.Errorf("%d reads in a row were refused, and no peer was asked", refused)
+				}
+			})
+		})
+	}
+}
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -230,7 +230,7 @@
 	if lostNow {
 		t.lose()
 	}
-	if t.way.mayAsk(time.Now()) {
+	if t.question == nil && t.way.mayAsk(time.Now()) {
 		t.begin(err)
 	}
 	lost, asked := t.way.lost, t.question
@@ -252,18 +252,15 @@
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.way.takeOpinion(time.Now()) {
+	if t.question == nil && t.way.takeOpinion(onSilence, time.Now()) {
 		t.begin(errors.Newf("no answer for %s", silenceLimit))
 	}
 }
 
 // begin has it found out whether the own way is lost. That takes a time of its own: the call that gives rise to it
 // has mostly used its own up, and in that time no peer could answer. A node whose only calls wait for
-// changes would never learn that others are answered. The mutex is held.
+// changes would never learn that others are answered. No question is under way, and the mutex is held.
 func (t *Table) begin(cause error) {
-	if t.question != nil {
-		return
-	}
 	asked := &question{over: make(chan struct{})}
 	t.question = asked
 	go func() {
--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -22,11 +22,21 @@
 	// the rate one in four such pairs is refused; of the two own reads that come before a peer is asked, too.
 	failuresApart = 2
 	apart         = 150 * time.Millisecond
-	// opinionPause is between two such questions, so that a service that is down for all
-	// gets two small reads a second from a node at most.
+	// opinionPause is between two such questions on the same ground, so that a service that is down for all
+	// gets two small reads a second from a node at most, and two more if it is silent to some calls.
 	opinionPause = 500 * time.Millisecond
 )
 
+// ground is what gives rise to the question whether the service answers a peer. Each has its own pause: a slow
+// moment, after which the service answered, says nothing of refusals that come after it.
+type ground int
+
+const (
+	onFailures ground = iota // calls that failed in a row
+	onSilence                // a call that has gone unanswered for long
+	grounds
+)
+
 // ending says what the end of a call tells of the node's own way to the table service.
 type ending int
 
@@ -58,9 +68,9 @@
 // and a peer, asked for its opinion, is answered. It is found again when a probe is.
 type way struct {
 	lost      bool
-	failures  int       // calls that failed in a row
-	failingAt time.Time // when the first of them did
-	opinionAt time.Time // when a peer was last asked
+	failures  int                // calls that failed in a row
+	failingAt time.Time          // when the first of them did
+	askedAt   [grounds]time.Time // when a peer was last asked
 }
 
 // ended takes notice of a call that ended on the own way. It reports whether the way
@@ -96,15 +106,15 @@
 	if w.lost || !w.fails(now) {
 		return false
 	}
-	return w.takeOpinion(now)
+	return w.takeOpinion(onFailures, now)
 }
 
 // takeOpinion reports whether a question may be asked now, and counts it.
-func (w *way) takeOpinion(now time.Time) bool {
-	if w.lost || now.Sub(w.opinionAt) < opinionPause {
+func (w *way) takeOpinion(on ground, now time.Time) bool {
+	if w.lost || now.Sub(w.askedAt[on]) < opinionPause {
 		return false
 	}
-	w.opinionAt = now
+	w.askedAt[on] = now
 	return true
 }
 
@@ -117,5 +127,5 @@
 
 // found notes that a probe of the own way was answered.
 func (w *way) found() {
-	*w = way{opinionAt: w.opinionAt}
+	*w = way{askedAt: w.askedAt}
 }
