zonefeed: a test that fails: a watcher receiving a large row declines its followers

Cause: a watcher counts its data as confirmed for .7 s after the last answer of the store. A row that takes longer to arrive makes it decline all its followers, and each of them reads the row over the same link. Conclusion: reproduces the storm without any fault, in virtual time.

--- /dev/null
+++ b/internal/zonefeed/large_answer_test.go
@@ -0,0 +1,28 @@
+package zonefeed
+
+import (
+	"testing"
+	"time"
+)
+
+// largerRowBytes is the size of a configuration that has grown several times. Three watchers that read it over the link
+// between two regions at the same moment receive it for longer than their data stays confirmed.
+const largerRowBytes = 4 * largeRowBytes
+
+// TestWatcherReceivingALargeAnswerKeepsItsFollowers guards against a link that fills with one row per process: a watcher
+// that was still receiving a large row declined its followers after 0.7 s, and each of them read the row from the service.
+func TestWatcherReceivingALargeAnswerKeepsItsFollowers(t *testing.T) {
+	const zones = 3
+	runFarRegion(t, zones, func(f *fleet, link *bandwidth) {
+		f.store.set(func(s *store) { s.padding = largerRowBytes })
+		for range 10 {
+			time.Sleep(70 * time.Millisecond) // start at another point of the watchers' calls each time
+			before := link.bytes
+			f.expect(f.change(), 4*time.Second) // the operators' bound from the acknowledgement
+			time.Sleep(5 * time.Second)
+			if reads := float64(link.bytes-before) / (largerRowBytes * textPerByte); reads > zones+0.01 {
+				t.Errorf("%d zones read the row %.2f times over the link, want once each", zones, reads)
+			}
+		}
+	})
+}
