zonefeed: a watcher that is receiving an answer keeps its followers

What callers saw: beside a change of a large configuration, answers that were whole were cut, since their turns could not be recorded, or came late; processes of the region without the store were not ready. Cause: a watcher counted its data as confirmed for .7 s after the last answer of the store, and then declined all its followers, also while the next answer was arriving. Each of them read the same large row over the link between the regions; for as long as that took, nothing else came through it, and the processes took store, writers and each other for lost. Change: while parts of an answer arrive, requests of followers wait on, with a keep-alive each 100 ms; an answer for another table counts too, as it shows that the service is reachable over a busy link, until the request's own wait is over. What bounds the wait is the call itself: .4 s without a part, 10 s in all. An answer that fails makes the watcher decline, as before. Ruled out: longer lifetimes for confirmed data: the next size breaks them. Left: the three watchers' own reads of 1.1 MB keep the link for .4 s, in which zones are suspected and watchers change.

--- a/internal/zonefeed/answer.go
+++ b/internal/zonefeed/answer.go
@@ -20,6 +20,9 @@
 	// is current, before the request is declined: one poll of the service by a process that has just
 	// become the watcher. It is less than idleTimeout, so that the client receives the reply.
 	confirmTimeout = 700 * time.Millisecond
+	// receivingKeepAlive is the time between two keep-alives to followers while a large answer of the service
+	// arrives. It is less than the idle timeout of a follower that polls, which is 150 ms.
+	receivingKeepAlive = 100 * time.Millisecond
 	// maxListsBytes is the maximum total size of the snapshots that all processes of the zone may
 	// request at the same moment, as they do when the service truncates its history. On the slowest
 	// link, 30 Mbit/s, that takes half a second. Each process reads a larger table from the service.
@@ -49,7 +52,7 @@
 	wait := min(followWait, time.Duration(query.GetWaitMillis())*time.Millisecond)
 	end := time.NewTimer(wait)
 	defer end.Stop()
-	confirmTimer := time.NewTimer(confirmTimeout)
+	confirmTimer := time.NewTimer(f.confirmWait())
 	defer confirmTimer.Stop()
 	for woken, timedOut := false, false; ; {
 		followed, current, updated := f.lookup(query, timedOut)
@@ -68,13 +71,47 @@
 		case <-end.C:
 			timedOut = true
 		case <-confirmTimer.C:
-			return f.decline("the table service has not answered of late")
+			if !f.awaitsAnswer(query.GetTable(), timedOut) {
+				return f.decline("the table service has not answered of late")
+			}
+			keepAlive()
+			confirmTimer.Reset(receivingKeepAlive)
 		case <-ctx.Done():
 			return &wirepb.Reply{Code: int32(api.NotReady), Execution: string(api.NotRun), Detail: "nobody waits"}
 		}
 	}
 }
 
+// confirmWait returns how long a request waits before the state of the call to the service is checked.
+func (f *Feed) confirmWait() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.isReceiving() {
+		return 0
+	}
+	return confirmTimeout
+}
+
+// awaitsAnswer reports whether a request for a table whose data is not current is to wait on because an answer of the
+// service is arriving. If all followers were declined meanwhile, each of them would read the same large row over the same
+// link. An answer for another table shows that the service is reachable over a busy link; that holds until the request's
+// wait is over.
+func (f *Feed) awaitsAnswer(name string, timedOut bool) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.table(name).isReceiving() || (!timedOut && f.isReceiving())
+}
+
+// isReceiving reports whether an answer of the service for any table is arriving. The mutex is held.
+func (f *Feed) isReceiving() bool {
+	for _, entry := range f.tables {
+		if entry.isReceiving() {
+			return true
+		}
+	}
+	return false
+}
+
 // recordRequest makes this process the watcher, because another process follows it.
 func (f *Feed) recordRequest() {
 	f.mutex.Lock()
--- a/internal/zonefeed/feed.go
+++ b/internal/zonefeed/feed.go
@@ -105,6 +105,8 @@
 	basis     basis         // of the watcher's last answer
 	packCache packCache
 	newest    uint64 // version of a row that another process reported in answer to a query
+	// call is the context of the call to the service in progress, with its progress limits; nil if there is none.
+	call context.Context
 	// stableAt is the time from which this process returns unconfirmed data to others.
 	stableAt time.Time
 }
@@ -264,10 +266,12 @@
 	begun := time.Now()
 	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + responseTimeout, Idle: responseTimeout, Total: wait + maxAnswerTime})
 	defer cancel()
+	f.setCall(name, ctx)
 	rows, version, err := f.options.Feed.Changes(ctx, name, after, wait)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	entry := f.table(name)
+	entry.call = nil
 	f.failures.Store = reasonOf(err)
 	if err != nil {
 		f.contact.invalidate(name)
@@ -282,6 +286,13 @@
 	return rows, version, nil
 }
 
+// setCall records the call to the service in progress for a table.
+func (f *Feed) setCall(name string, ctx context.Context) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.table(name).call = ctx
+}
+
 // watcherWait returns how long a watcher's next call waits for changes. If the data is not current,
 // the watcher polls, since others may wait for its answer.
 func (f *Feed) watcherWait(name string) time.Duration {
@@ -361,6 +372,9 @@
 // The mutex is held.
 func (t *table) hasNewList(now basis) bool { return t.basis.run == now.run && t.basis != now }
 
+// isReceiving reports whether an answer of the service for this table is arriving. The mutex is held.
+func (t *table) isReceiving() bool { return t.call != nil && progress.Recent(t.call) }
+
 // notify wakes those who wait for updates of a table. The mutex is held.
 func (t *table) notify() {
 	close(t.updated)
