zonefeed: followers wait for a call of their watcher that is still in time

What callers saw: while the watchers' own reads of a large row keep the link between two regions, small answers of the store arrive up to .45 s late behind them. The watchers then declined their followers for the other table, whose last answer was .7 s old; the followers suspected them for all tables and made others watchers, each of which read the large row again. Cause: data counted as confirmed for 100 ms less than the call that confirms it may take. Class as before: work given up for taking longer than a fixed time, and begun again by more processes. Change: a request waits on while the watcher's call is in time, up to 1 s after the last answer; a call that fails declines it as before. A watcher that the store has left is so given up .3 s later, 1 s after its last answer in place of .7. TestWatcherWithASlowCallKeepsItsFollowers failed before (15 requests declined, two watchers).

--- a/internal/zonefeed/answer.go
+++ b/internal/zonefeed/answer.go
@@ -17,11 +17,11 @@
 	// 500. Each has a goroutine.
 	maxAnswers = 1_024
 	// confirmTimeout is how long a request waits for the service to confirm that this process's data
-	// is current, before the request is declined: one poll of the service by a process that has just
-	// become the watcher. It is less than idleTimeout, so that the client receives the reply.
+	// is current, before it is declined or told to wait on: one poll of the service by a process that has
+	// just become the watcher. It is less than idleTimeout, so that the client receives the reply.
 	confirmTimeout = 700 * time.Millisecond
 	// receivingKeepAlive is the time between two keep-alives to followers while a large answer of the service
-	// arrives. It is less than the idle timeout of a follower that polls, which is 150 ms.
+	// arrives, or is late. It is less than the idle timeout of a follower that polls, which is 150 ms.
 	receivingKeepAlive = 100 * time.Millisecond
 	// maxListsBytes is the maximum total size of the snapshots that all processes of the zone may
 	// request at the same moment, as they do when the service truncates its history. On the slowest
@@ -92,14 +92,14 @@
 	return confirmTimeout
 }
 
-// awaitsAnswer reports whether a request for a table whose data is not current is to wait on because an answer of the
-// service is arriving. If all followers were declined meanwhile, each of them would read the same large row over the same
-// link. An answer for another table shows that the service is reachable over a busy link; that holds until the request's
-// wait is over.
+// awaitsAnswer reports whether a request for a table whose data is not current is to wait on: its call to the service is
+// still in time, or an answer of the service is arriving. If all followers were declined meanwhile, each of them would read
+// the same row over the same link. An answer for another table shows that the service is reachable over a busy link; that
+// holds until the request's wait is over.
 func (f *Feed) awaitsAnswer(name string, timedOut bool) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.table(name).isReceiving() || (!timedOut && f.isReceiving())
+	return f.contact.awaitsCall(name, time.Now()) || f.table(name).isReceiving() || (!timedOut && f.isReceiving())
 }
 
 // isReceiving reports whether an answer of the service for any table is arriving. The mutex is held.
--- a/internal/zonefeed/contact.go
+++ b/internal/zonefeed/contact.go
@@ -13,6 +13,8 @@
 	// confirmationLifetime is how long an answer of the service confirms that the data is current: as
 	// long as the next answer may take, which is pauseAfterChanges, watchWait and 100 ms of latency.
 	confirmationLifetime = pauseAfterChanges + watchWait + 100*time.Millisecond
+	// callLifetime is how long after an answer of the service the next one may begin before the call counts as failed.
+	callLifetime = pauseAfterChanges + watchWait + responseTimeout
 )
 
 // contact records when the service last answered a call for the changes of a table, and whether the
@@ -46,6 +48,13 @@
 // invalidate makes a table's data count as not current until the next answer of the service.
 func (c *contact) invalidate(table string) { delete(c.lastCalls, table) }
 
+// awaitsCall reports whether the next answer of the service may still begin: the last call did not fail, and the
+// next one has not timed out.
+func (c *contact) awaitsCall(table string, now time.Time) bool {
+	last, found := c.lastCalls[table]
+	return found && now.Sub(last.ended) <= callLifetime
+}
+
 // isCurrent reports whether the service has confirmed a table's data recently enough to return it to followers.
 func (c *contact) isCurrent(table string, now time.Time) bool {
 	last, found := c.lastCalls[table]
--- a/internal/zonefeed/large_answer_test.go
+++ b/internal/zonefeed/large_answer_test.go
@@ -26,3 +26,22 @@
 		}
 	})
 }
+
+// TestWatcherWithASlowCallKeepsItsFollowers guards against followers that leave their watcher while its call to the service
+// is still in time: small answers behind a large one on a link between regions arrive some 0.4 s late.
+func TestWatcherWithASlowCallKeepsItsFollowers(t *testing.T) {
+	runFleet(t, 4, func(f *fleet) {
+		watcher := f.watcher()
+		watcher.set(func(n *node) { n.storeDelay = responseTimeout - 50*time.Millisecond })
+		for range 10 {
+			f.expect(f.change(), 2*time.Second)
+			time.Sleep(2 * time.Second)
+		}
+		if declined := watcher.feed.Stats().Declined; declined > 0 {
+			t.Errorf("the watcher declined %d requests while its calls were answered in time", declined)
+		}
+		if now := f.watcher(); now != watcher {
+			t.Errorf("the processes follow %s, want %s", now.address, watcher.address)
+		}
+	})
+}
