standin: one handler for fault switches of engines and tools

Cause: the same twelve lines stood in both stand-ins. Change: standin.FaultsHandler serves both; answers as before (204, 400 with the wire error). Ruled out: sharing it with the platform's stand-in, which answers with the faults and has bodies of its own. Conclusion: one copy.

--- a/internal/standin/engine/admin.go
+++ b/internal/standin/engine/admin.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -40,18 +39,6 @@
 	return true
 }
 
-func (e *Engine) serveFaults(writer http.ResponseWriter, request *http.Request) {
-	var faults Faults
-	decoder := json.NewDecoder(request.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&faults); err != nil {
-		backend.WriteError(writer, http.StatusBadRequest, backend.WireInvalid, err.Error())
-		return
-	}
-	e.SetFaults(faults)
-	writer.WriteHeader(http.StatusNoContent)
-}
-
 func (e *Engine) serveHolds(writer http.ResponseWriter, _ *http.Request) {
 	backend.WriteJSON(writer, http.StatusOK, backend.WireHolds{Programs: e.Holds()})
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/standin"
 )
 
 // Defaults of Options.
@@ -137,7 +138,7 @@
 	mux.HandleFunc("GET /load", e.serveLoad)
 	mux.HandleFunc("GET /cache/events", e.serveCacheEvents)
 	mux.HandleFunc("POST /orders", e.serveOrder)
-	mux.HandleFunc("POST /faults", e.serveFaults)
+	mux.HandleFunc("POST /faults", standin.FaultsHandler(e.SetFaults))
 	mux.HandleFunc("GET /log", e.serveLog)
 	return mux
 }
--- a/internal/standin/tool/tool.go
+++ b/internal/standin/tool/tool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/backend"
+	"github.com/pewtermill/pewtermill/internal/standin"
 )
 
 const maxRequestBytes = 16 << 20
@@ -84,7 +85,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run", t.serveRun)
 	mux.HandleFunc("GET /outcome", t.serveOutcome)
-	mux.HandleFunc("POST /faults", t.serveFaults)
+	mux.HandleFunc("POST /faults", standin.FaultsHandler(t.SetFaults))
 	mux.HandleFunc("GET /log", t.serveLog)
 	return mux
 }
@@ -217,18 +218,6 @@
 	}
 }
 
-func (t *Tool) serveFaults(writer http.ResponseWriter, request *http.Request) {
-	var faults Faults
-	decoder := json.NewDecoder(request.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&faults); err != nil {
-		backend.WriteError(writer, http.StatusBadRequest, backend.WireInvalid, err.Error())
-		return
-	}
-	t.SetFaults(faults)
-	writer.WriteHeader(http.StatusNoContent)
-}
-
 func (t *Tool) serveLog(writer http.ResponseWriter, _ *http.Request) {
 	backend.WriteJSON(writer, http.StatusOK, t.Log())
 }
