ledger: a read without an answer beside a write is made again

Cause: a read that got no answer within 300 ms ended the reads beside the write. Nothing said then that the write was queued, so that it ended after .8 s and was sent again, to the end of the same queue.

Change: such a read counts as no evidence. It remains in flight, another one is sent after each read timeout, and the first that ends counts. Whether the part is unresponsive is asked at each of these timeouts, by the same rule as before (no read of this write was answered, another call was, fast). The time after which a write is taken for lost (.8 s) is as it was: a fast read of the unchanged row, or no answered read at all, leaves the write to it.

Ruled out: a longer time for the one read (a lost read would still say nothing); taking a late read for a slow table (it would keep a lost write for 4 s).

--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -54,7 +54,7 @@
 // write is in flight, and polls it after that. If the row has changed, this write or another one was applied and the
 // response may be lost: commitOrRead abandons the write and returns the row. An unchanged row shows that the write is
 // still queued, so it keeps waiting: sent again, the write would only lengthen the queue that it waits in. It waits
-// longer if the read is slow as well, since the table is slow then. If the read gets no response either, while other
+// longer if the read is slow as well, since the table is slow then. If no read gets a response either, while other
 // parts respond fast, the part is unresponsive, and the write is abandoned.
 func (l *Ledger) commitOrRead(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, *tablestore.Row, error) {
 	timeout := l.health.currentCallTimeout()
@@ -73,7 +73,7 @@
 	})
 	defer timeoutTimer.Stop()
 	hedgeTimer := time.AfterFunc(l.health.hedgeDelay(), func() {
-		result := l.pollUntilChanged(ctx, condition, l.health.hedgeDelay())
+		result := l.pollUntilChanged(ctx, condition, l.health.hedgeDelay(), began)
 		switch {
 		case result.row != nil:
 			if result.slow {
@@ -82,7 +82,7 @@
 			cancel()
 		case result.slow:
 			queued.Store(true)
-		case errors.Is(result.err, context.DeadlineExceeded) && ctx.Err() == nil && !result.responded && l.health.answeredFastSince(began):
+		case errors.Is(result.err, errNoAnswer) && ctx.Err() == nil:
 			partUnresponsive.Store(true)
 			cancel()
 		}
@@ -115,29 +115,28 @@
 
 // pollResult is the result of reading a row while a write of it is in flight.
 type pollResult struct {
-	row       *tablestore.Row // the changed row; nil if no change was seen
-	slow      bool            // the last read took as long as reads of a slow table do
-	responded bool            // a read was answered, so the part is responsive
-	err       error           // of a failed read
+	row  *tablestore.Row // the changed row; nil if no change was seen
+	slow bool            // the last read took as long as reads of a slow table do
+	err  error           // of a failed read; marked errNoAnswer if the part is unresponsive
 }
 
-// pollUntilChanged reads a row repeatedly while a write of it is in flight, until the row has changed, a read takes as
-// long as reads of a slow table, or a read fails. A fast read of the unchanged row does not mean that the write is
-// lost: it may be queued at its writer behind others, and would lose its place in the queue if it were abandoned. The
-// interval doubles, so that the row is read at most four times before the write times out.
-func (l *Ledger) pollUntilChanged(ctx context.Context, condition tablestore.Condition, interval time.Duration) pollResult {
-	for responded := false; ; interval *= 2 {
-		start := time.Now()
-		row, err := l.readDuringWrite(ctx, condition.Key)
-		if err != nil {
-			return pollResult{responded: responded, err: err}
+// pollUntilChanged reads a row repeatedly while a write of it, begun at began, is in flight, until the row has changed,
+// a read takes as long as reads of a slow table, or a read fails. A fast read of the unchanged row does not mean that
+// the write is lost: it may be queued at its writer behind others, and would lose its place in the queue if it were
+// abandoned. The interval doubles, so that the row is read at most four times before the write times out.
+func (l *Ledger) pollUntilChanged(ctx context.Context, condition tablestore.Condition, interval time.Duration, began time.Time) pollResult {
+	// Once a read was answered the part is responsive.
+	isUnresponsive := func() bool { return l.health.answeredFastSince(began) }
+	for ; ; interval *= 2 {
+		read := l.readDuringWrite(ctx, condition.Key, isUnresponsive)
+		if read.err != nil {
+			return pollResult{err: read.err}
 		}
-		responded = true
-		took := time.Since(start)
-		l.health.recordAnswer(reading, took, l.options.Now())
-		slow := l.health.isSlowCall(took)
-		if row.Revision != condition.Revision {
-			return pollResult{row: &row, slow: slow}
+		isUnresponsive = func() bool { return false }
+		l.health.recordAnswer(reading, read.took, l.options.Now())
+		slow := l.health.isSlowCall(read.took)
+		if read.row.Revision != condition.Revision {
+			return pollResult{row: &read.row, slow: slow}
 		}
 		if slow || !backoff.Wait(ctx, interval) {
 			return pollResult{slow: slow}
@@ -158,14 +157,42 @@
 	return timeout
 }
 
-// readDuringWrite reads a row while a write of it is in flight. The error is marked
-// context.DeadlineExceeded if the read timed out.
-func (l *Ledger) readDuringWrite(ctx context.Context, key string) (tablestore.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.health.currentReadTimeout())
+// timedRead is the result of a read, and how long it took.
+type timedRead struct {
+	row  tablestore.Row
+	took time.Duration
+	err  error
+}
+
+// readDuringWrite reads a row while a write of it is in flight, and returns the result of the first read that ends. A
+// read that has not ended within its timeout shows nothing about the write: the read may have been lost or held up on
+// its own, or the table may be slow. So another one is sent, and the first remains in flight, until one of them ends,
+// ctx ends, or isUnresponsive reports that the part does not respond; the error is marked errNoAnswer then.
+func (l *Ledger) readDuringWrite(ctx context.Context, key string, isUnresponsive func() bool) timedRead {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	row, err := l.options.Table.Get(ctx, key)
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		err = errors.Mark(err, context.DeadlineExceeded)
+	ended := make(chan timedRead)
+	for {
+		go func() {
+			start := time.Now()
+			row, err := l.options.Table.Get(ctx, key)
+			select {
+			case ended <- timedRead{row, time.Since(start), err}:
+			case <-ctx.Done():
+			}
+		}()
+		timeout := time.NewTimer(l.health.currentReadTimeout())
+		select {
+		case read := <-ended:
+			timeout.Stop()
+			return read
+		case <-ctx.Done():
+			timeout.Stop()
+			return timedRead{err: ctx.Err()}
+		case <-timeout.C:
+			if isUnresponsive() {
+				return timedRead{err: errors.Mark(errors.New("no read of the row was answered"), errNoAnswer)}
+			}
+		}
 	}
-	return row, err
 }
