ledger: a write is given up later while nothing is answered at all

Cause: a write without an answer ended after .8 s, whatever else was known. Where all answers of the store are .8 s late or more, as behind a queue on the link to it, that is just before its answer comes: it is made again, by way of the record without the account or in another part, waits in the same queue and ends after .8 s again, until the caller has left. The breaker opens beside it ("not asked, since a call failed 70 ms ago: no response in 800ms").

Change: while no read of the row and no fast call has been answered since the write began, nothing says that this write is lost, and it is given up after 1 s: half of the 2 s for which callers wait for the end of an answer, so that one that is lost can be made once more. With an answered read of the unchanged row, or a fast answer to any call, the time is .8 s as before; an unresponsive part is found as before.

--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -55,7 +55,8 @@
 // response may be lost: commitOrRead abandons the write and returns the row. An unchanged row shows that the write is
 // still queued, so it keeps waiting: sent again, the write would only lengthen the queue that it waits in. It waits
 // longer if the read is slow as well, since the table is slow then. If no read gets a response either, while other
-// parts respond fast, the part is unresponsive, and the write is abandoned.
+// parts respond fast, the part is unresponsive, and the write is abandoned. If nothing is answered at all, the table may
+// have become slow as a whole, as behind a queue on the link to it: the write is abandoned after silenceTimeout only.
 func (l *Ledger) commitOrRead(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, *tablestore.Row, error) {
 	timeout := l.health.currentCallTimeout()
 	ctx, cancel := context.WithTimeout(ctx, max(timeout, queuedTimeout))
@@ -64,16 +65,23 @@
 	began := l.options.Now()
 	start := time.Now()
 	polled := make(chan *tablestore.Row, 1)
-	var partUnresponsive, queued, timedOut atomic.Bool
-	timeoutTimer := time.AfterFunc(timeout, func() {
+	var partUnresponsive, queued, timedOut, readAnswered atomic.Bool
+	abandon := func() {
 		if !queued.Load() {
 			timedOut.Store(true)
 			cancel()
 		}
+	}
+	silenceTimer := time.AfterFunc(max(timeout, silenceTimeout), abandon)
+	defer silenceTimer.Stop()
+	timeoutTimer := time.AfterFunc(timeout, func() {
+		if readAnswered.Load() || l.health.answeredFastSince(began) {
+			abandon()
+		}
 	})
 	defer timeoutTimer.Stop()
 	hedgeTimer := time.AfterFunc(l.health.hedgeDelay(), func() {
-		result := l.pollUntilChanged(ctx, condition, l.health.hedgeDelay(), began)
+		result := l.pollUntilChanged(ctx, condition, l.health.hedgeDelay(), began, &readAnswered)
 		switch {
 		case result.row != nil:
 			if result.slow {
@@ -123,16 +131,16 @@
 // pollUntilChanged reads a row repeatedly while a write of it, begun at began, is in flight, until the row has changed,
 // a read takes as long as reads of a slow table, or a read fails. A fast read of the unchanged row does not mean that
 // the write is lost: it may be queued at its writer behind others, and would lose its place in the queue if it were
-// abandoned. The interval doubles, so that the row is read at most four times before the write times out.
-func (l *Ledger) pollUntilChanged(ctx context.Context, condition tablestore.Condition, interval time.Duration, began time.Time) pollResult {
-	// Once a read was answered the part is responsive.
-	isUnresponsive := func() bool { return l.health.answeredFastSince(began) }
+// abandoned. The interval doubles, so that the row is read at most four times before the write times out. Once a read
+// is answered, pollUntilChanged sets answered: the part is responsive.
+func (l *Ledger) pollUntilChanged(ctx context.Context, condition tablestore.Condition, interval time.Duration, began time.Time, answered *atomic.Bool) pollResult {
+	isUnresponsive := func() bool { return !answered.Load() && l.health.answeredFastSince(began) }
 	for ; ; interval *= 2 {
 		read := l.readDuringWrite(ctx, condition.Key, isUnresponsive)
 		if read.err != nil {
 			return pollResult{err: read.err}
 		}
-		isUnresponsive = func() bool { return false }
+		answered.Store(true)
 		l.health.recordAnswer(reading, read.took, l.options.Now())
 		slow := l.health.isSlowCall(read.took)
 		if read.row.Revision != condition.Revision {
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -78,6 +78,11 @@
 // callTimeout is the timeout of a call while the table is not slow.
 const callTimeout = 800 * time.Millisecond
 
+// silenceTimeout replaces callTimeout for a write while no read of its row and no fast call is answered either. Nothing
+// shows then that this write is lost, and sent again it would wait in the same queue. It is half of the 2 s that callers
+// wait for the end of an answer, so that a write that is lost can be made once more.
+const silenceTimeout = time.Second
+
 // readTimeout is the timeout of a read while the table is neither slow nor down. Unlike a write, a read that times out
 // and is repeated does not lose a place in a part's write queue.
 const readTimeout = 300 * time.Millisecond
