ledger: a record is not begun again at half of its time where that gains nothing

Cause: the write of a record together with its program's account was given up at half of the time that is left, so that the record alone could be written in the rest, also where the write was queued at a table whose answers take that long. Made again it waits in the same queue: behind its own first write, and for the answers to others of its part, as a writer keeps two writes of a part in flight.

Change: at half of the time the write is given up only if another one may be answered by the caller's deadline: another call was answered since it began (any call fast, or a read of its row), and twice the time of the last read beside it fits into the rest. Twice, since a write may wait for one of its part before it. The lock, the reads before the write and the pauses after throttled writes end at half of the time as before.

Ruled out: no limit at half of the time (a lost write of the account beside reads of 30 ms would take the record's time: TestLostAccountWriteLeavesTimeForTheRecord says so); more than two writes of a part in flight (a store that is slow in its parts has the longer queues then, docs/design/slow-store.md).

--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,7 +14,7 @@
 // neither that nor an error, the caller prepares the change again.
 func (l *Ledger) commit(ctx context.Context, e *entry, part int, transaction tablestore.Transaction, write uint64, request TurnRequest, counts *writeCounts) (bool, error) {
 	began := l.options.Now()
-	receipt, row, err := l.commitOrRead(ctx, transaction)
+	receipt, row, err := l.commitOrRead(ctx, transaction, request.giveUpAt)
 	counts.add(row, err)
 	defer e.clearCurrentWrite()
 	throttled := e.countThrottled(err)
@@ -40,11 +39,13 @@
 		e.markRead(l.options.Now())
 		return e.applyConflict(l.options.RunID, write, *row, request)
 	}
-	l.callEnded(ctx, writing, part, err, began)
+	limited, cancel := request.untilGivenUp(ctx)
+	defer cancel()
+	l.callEnded(limited, writing, part, err, began)
 	if errors.Is(err, tablestore.ErrUnknownOutcome) {
 		e.markOutcomeUnknown()
 	}
-	if mayRetry(ctx, err, throttled, l.health.answerTime(writing)) {
+	if mayRetry(limited, err, throttled, l.health.answerTime(writing)) {
 		return false, nil
 	}
 	return false, err
@@ -53,56 +54,27 @@
 // commitOrRead sends a write. If there is no response within the hedge delay, it reads the account's row while the
 // write is in flight, and polls it after that. If the row has changed, this write or another one was applied and the
 // response may be lost: commitOrRead abandons the write and returns the row. An unchanged row shows that the write is
-// still queued, so it keeps waiting: sent again, the write would only lengthen the queue that it waits in. It waits
-// longer if the read is slow as well, since the table is slow then. If no read gets a response either, while other
-// parts respond fast, the part is unresponsive, and the write is abandoned. If nothing is answered at all, the table may
-// have become slow as a whole, as behind a queue on the link to it: the write is abandoned after silenceTimeout only.
-func (l *Ledger) commitOrRead(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, *tablestore.Row, error) {
+// still queued, so it keeps waiting: sent again, the write would only lengthen the queue that it waits in. How long it
+// waits, see pendingWrite. If no read gets a response either, while other parts respond fast, the part is unresponsive,
+// and the write is abandoned. giveUpAt, if not zero, is when the caller would rather do without the write.
+func (l *Ledger) commitOrRead(ctx context.Context, transaction tablestore.Transaction, giveUpAt time.Time) (tablestore.Receipt, *tablestore.Row, error) {
 	timeout := l.health.currentCallTimeout()
+	callerDeadline, _ := ctx.Deadline()
 	ctx, cancel := context.WithTimeout(ctx, max(timeout, queuedTimeout))
 	defer cancel()
-	condition := transaction.Conditions[0]
-	began := l.options.Now()
-	start := time.Now()
+	pending := &pendingWrite{health: l.health, began: l.options.Now(), sentAt: time.Now(), abandon: cancel}
+	defer pending.limit(timeout, giveUpAt, callerDeadline)()
 	polled := make(chan *tablestore.Row, 1)
-	var partUnresponsive, queued, timedOut, readAnswered atomic.Bool
-	abandon := func() {
-		if !queued.Load() {
-			timedOut.Store(true)
-			cancel()
-		}
-	}
-	silenceTimer := time.AfterFunc(max(timeout, silenceTimeout), abandon)
-	defer silenceTimer.Stop()
-	timeoutTimer := time.AfterFunc(timeout, func() {
-		if readAnswered.Load() || l.health.answeredFastSince(began) {
-			abandon()
-		}
-	})
-	defer timeoutTimer.Stop()
 	hedgeTimer := time.AfterFunc(l.health.hedgeDelay(), func() {
-		result := l.pollUntilChanged(ctx, condition, l.health.hedgeDelay(), began, &readAnswered)
-		switch {
-		case result.row != nil:
-			if result.slow {
-				l.health.recordAnswer(writing, time.Since(start), l.options.Now()) // with a fast table, the time does not show its latency: the response was lost
-			}
-			cancel()
-		case result.slow:
-			queued.Store(true)
-		case errors.Is(result.err, errNoAnswer) && ctx.Err() == nil:
-			partUnresponsive.Store(true)
-			cancel()
-		}
-		polled <- result.row
+		polled <- l.watchRow(ctx, transaction.Conditions[0], pending)
 	})
 	receipt, err := l.options.Table.Commit(ctx, transaction)
 	var conflict *tablestore.ConflictError
 	if err == nil || errors.As(err, &conflict) {
-		l.health.recordAnswer(writing, time.Since(start), l.options.Now())
+		l.health.recordAnswer(writing, time.Since(pending.sentAt), l.options.Now())
 	}
-	if timedOut.Load() && err != nil && conflict == nil {
-		err = timeoutError(err, timeout) // a response that arrives as the write times out still counts as a response
+	if pending.timedOut.Load() && err != nil && conflict == nil {
+		err = timeoutError(err, time.Since(pending.sentAt)) // a response that arrives as the write times out still counts as a response
 	}
 	if hedgeTimer.Stop() {
 		return receipt, nil, err
@@ -114,13 +86,32 @@
 	if err == nil || conflict != nil {
 		return receipt, nil, err
 	}
-	if partUnresponsive.Load() {
+	if pending.partUnresponsive.Load() {
 		err = errors.Mark(errors.Mark(errors.New("neither a write nor a read of its row is answered"),
 			tablestore.ErrUnknownOutcome), errNoAnswer)
 	}
 	return receipt, row, err
 }
 
+// watchRow reads the row of a write in flight, and ends the write if the row has changed, or if its part does not
+// respond. It returns the changed row, or nil.
+func (l *Ledger) watchRow(ctx context.Context, condition tablestore.Condition, pending *pendingWrite) *tablestore.Row {
+	result := l.pollUntilChanged(ctx, condition, l.health.hedgeDelay(), pending)
+	switch {
+	case result.row != nil:
+		if result.slow {
+			l.health.recordAnswer(writing, time.Since(pending.sentAt), l.options.Now()) // with a fast table, the time does not show its latency: the response was lost
+		}
+		pending.abandon()
+	case result.slow:
+		pending.queued.Store(true)
+	case errors.Is(result.err, errNoAnswer) && ctx.Err() == nil:
+		pending.partUnresponsive.Store(true)
+		pending.abandon()
+	}
+	return result.row
+}
+
 // pollResult is the result of reading a row while a write of it is in flight.
 type pollResult struct {
 	row  *tablestore.Row // the changed row; nil if no change was seen
@@ -128,19 +119,17 @@
 	err  error           // of a failed read; marked errNoAnswer if the part is unresponsive
 }
 
-// pollUntilChanged reads a row repeatedly while a write of it, begun at began, is in flight, until the row has changed,
-// a read takes as long as reads of a slow table, or a read fails. A fast read of the unchanged row does not mean that
+// pollUntilChanged reads a row repeatedly while a write of it is in flight, until the row has changed, a read takes as
+// long as reads of a slow table, or a read fails. A fast read of the unchanged row does not mean that
 // the write is lost: it may be queued at its writer behind others, and would lose its place in the queue if it were
-// abandoned. The interval doubles, so that the row is read at most four times before the write times out. Once a read
-// is answered, pollUntilChanged sets answered: the part is responsive.
-func (l *Ledger) pollUntilChanged(ctx context.Context, condition tablestore.Condition, interval time.Duration, began time.Time, answered *atomic.Bool) pollResult {
-	isUnresponsive := func() bool { return !answered.Load() && l.health.answeredFastSince(began) }
+// abandoned. The interval doubles, so that the row is read at most four times before the write times out.
+func (l *Ledger) pollUntilChanged(ctx context.Context, condition tablestore.Condition, interval time.Duration, pending *pendingWrite) pollResult {
 	for ; ; interval *= 2 {
-		read := l.readDuringWrite(ctx, condition.Key, isUnresponsive)
+		read := l.readDuringWrite(ctx, condition.Key, pending.isPartUnresponsive)
 		if read.err != nil {
 			return pollResult{err: read.err}
 		}
-		answered.Store(true)
+		pending.recordRead(read.took)
 		l.health.recordAnswer(reading, read.took, l.options.Now())
 		slow := l.health.isSlowCall(read.took)
 		if read.row.Revision != condition.Revision {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -148,6 +148,17 @@
 
 	deferrable  bool // the write may be sent after writes that callers wait for
 	normalShare bool // reserve ahead at aheadDivisor even while the table is slow
+	// giveUpAt, if not zero, is when the write is given up, so that its caller can do without it in the time that is
+	// left; see Ledger.commitOrRead.
+	giveUpAt time.Time
+}
+
+// untilGivenUp returns a context that ends at giveUpAt, or with ctx.
+func (r TurnRequest) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
+	if r.giveUpAt.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, r.giveUpAt)
 }
 
 // RunningTurn is a turn that has been admitted. The caller ends it with exactly one of Settle and Abandon.
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -115,7 +115,7 @@
 	// slow table takes 300 ms.
 	chargeTimeout = 400 * time.Millisecond
 	// accountTimeDivisor limits the write of a record together with the account to the remaining time divided by
-	// this number, so that the rest is enough to write the record without the account.
+	// this number, so that the rest is enough to write the record without the account, unless writes take longer.
 	accountTimeDivisor = 2
 )
 
@@ -149,12 +149,13 @@
 // that the table throttled. Most records do go with the account: a node whose write of the account is the last one
 // eventually removes the program's rows.
 func (l *Ledger) recordWithAccount(ctx context.Context, e *entry, rec *turnRecord) (durable bool, err error) {
+	var request TurnRequest
 	if deadline, bounded := ctx.Deadline(); bounded {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/accountTimeDivisor)
-		defer cancel()
+		request.giveUpAt = time.Now().Add(time.Until(deadline) / accountTimeDivisor)
 	}
-	if e.lockWithin(ctx, l.accountWait()) != nil {
+	limited, cancel := request.untilGivenUp(ctx)
+	defer cancel()
+	if e.lockWithin(limited, l.accountWait()) != nil {
 		return e.isDurable(rec), nil
 	}
 	defer e.unlock()
@@ -163,7 +164,7 @@
 		if e.contended && e.isFresh(l.options.Now()) {
 			return false, nil
 		}
-		if _, err := l.writeOnce(ctx, e, TurnRequest{}, &counts); err != nil {
+		if _, err := l.writeOnce(ctx, e, request, &counts); err != nil {
 			return false, counts.explain(err)
 		}
 		if e.throttled == 0 {
@@ -227,7 +228,7 @@
 		WriteID:    l.options.RunID + "/" + turn.ID,
 		Conditions: []tablestore.Condition{{Key: pieceKey(part, program, turn.ID, 0)}},
 		Writes:     turnWrites(part, program, turn),
-	})
+	}, time.Time{})
 	var conflict *tablestore.ConflictError
 	if errors.As(err, &conflict) || (row != nil && row.Revision != 0) {
 		return nil // this write, or an earlier one of the same turn, took effect
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -84,18 +84,20 @@
 	if e.alreadyApplied(request) {
 		return true, nil
 	}
+	limited, cancel := request.untilGivenUp(ctx)
+	defer cancel()
 	if e.contended && l.health.slow() && !e.isFresh(l.options.Now()) {
 		// A write whose condition fails would occupy a place in the part's
 		// write queue for nothing; a read occupies none. Where no other run writes the account,
 		// conditions hold, and a read would only double the turn's wait.
-		if err := l.readAccount(ctx, e, part); err != nil {
+		if err := l.readAccount(limited, e, part); err != nil {
 			return false, err
 		}
 	}
 	transaction, write, err := e.prepare(l.options, part, request, l.aheadPolicy(request))
 	if errors.Is(err, ErrBudgetSpent) && !e.isFresh(l.options.Now()) && !e.isExhausted(l.options.RunID, request) {
 		// Other nodes may have returned allowances since the account was read.
-		return false, l.load(ctx, e, part, e.program)
+		return false, l.load(limited, e, part, e.program)
 	}
 	if err != nil {
 		return false, err
