--- a/internal/ledger/late_store_test.go
+++ b/internal/ledger/late_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
@@ -335,7 +336,18 @@
 			late *= time.Millisecond
 			t.Run(fmt.Sprintf("%d_programs/%s", count, late), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					store, run := playLateStore(t, count, late)
+					store, run := playLateStore(t, count, func() time.Duration { return late })
+					check(t, store, run)
+				})
+			})
+		}
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%d_programs/drawn/%d", count, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(seed, 0))
+					store, run := playLateStore(t, count, func() time.Duration {
+						return 500*time.Millisecond + time.Duration(random.Int64N(int64(400*time.Millisecond)))
+					})
 					check(t, store, run)
 				})
 			})
@@ -343,14 +355,15 @@
 	}
 }
 
-// playLateStore has programs run turns in a zone while the answers of the store are late.
-func playLateStore(t *testing.T, programs int, late time.Duration) (*lateStore, *lateRun) {
+// playLateStore has programs run turns in a zone while the answers of the store are late. late is called with the mutex
+// of the store held.
+func playLateStore(t *testing.T, programs int, late func() time.Duration) (*lateStore, *lateRun) {
 	store := &lateStore{start: time.Now(), rows: make(map[string]tablestore.Row), sent: make(map[string][]time.Duration)}
 	store.late = func(since time.Duration) time.Duration {
 		if since < calmBefore || since >= calmBefore+lateFor {
 			return 0
 		}
-		return late
+		return late()
 	}
 	nodes := newZone(t, store, 8)
 	run := &lateRun{}
