ledger: the error of a write that was given up names its time in milliseconds

Cause: the time is measured now, as a write is given up at several moments, and was printed to the nanosecond.

Ruled out: naming the configured time, which is not always the one that applied.

--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -74,7 +74,7 @@
 		l.health.recordAnswer(writing, time.Since(pending.sentAt), l.options.Now())
 	}
 	if pending.timedOut.Load() && err != nil && conflict == nil {
-		err = timeoutError(err, time.Since(pending.sentAt)) // a response that arrives as the write times out still counts as a response
+		err = timeoutError(err, time.Since(pending.sentAt).Round(time.Millisecond)) // a response that arrives as the write times out still counts as a response
 	}
 	if hedgeTimer.Stop() {
 		return receipt, nil, err
