zonefeed: a follower's wait for a confirmation is bounded

What callers would see: a zone keeps an old configuration for up to 11 s if its watcher alone receives an answer slowly, or if its machine pauses it again and again: it answers nothing, but its keep-alives hold the followers. Cause: since a request waits for as long as parts of an answer arrive (10 s), or as the watcher's calls are answered in time, whether or not their answers make the data current. Change: a request that has waited 1.5 s since the last confirmation is declined: half of the shortest bound for a configuration (3 s); the other half is for the follower's own read. Left: on a link of 60 Mbit/s three watchers receive rows of up to 3.2 MB each, as encoded, within the bound; beyond that followers leave and each reads the row itself, as before. What mends that is a follower that asks the next candidate before the service.

--- a/internal/zonefeed/answer.go
+++ b/internal/zonefeed/answer.go
@@ -23,6 +23,10 @@
 	// receivingKeepAlive is the time between two keep-alives to followers while a large answer of the service
 	// arrives, or is late. It is less than the idle timeout of a follower that polls, which is 150 ms.
 	receivingKeepAlive = 100 * time.Millisecond
+	// maxUnconfirmedWait is how long a request waits without a confirmation while an answer of the service arrives
+	// or is late. The shortest time in which a configuration has to be active is 3 s; half of it remains for the
+	// follower to read the table from the service if only this process receives it slowly.
+	maxUnconfirmedWait = 1500 * time.Millisecond
 	// maxListsBytes is the maximum total size of the snapshots that all processes of the zone may
 	// request at the same moment, as they do when the service truncates its history. On the slowest
 	// link, 30 Mbit/s, that takes half a second. Each process reads a larger table from the service.
@@ -54,6 +58,7 @@
 	defer end.Stop()
 	confirmTimer := time.NewTimer(f.confirmWait())
 	defer confirmTimer.Stop()
+	confirmedAt := time.Now()
 	for woken, timedOut := false, false; ; {
 		followed, current, updated := f.lookup(query, timedOut)
 		switch {
@@ -61,6 +66,7 @@
 			f.answered.Add(1)
 			return f.reply(query, followed)
 		case current && woken:
+			confirmedAt = time.Now()
 			confirmTimer.Reset(confirmTimeout)
 			keepAlive()
 		}
@@ -71,7 +77,7 @@
 		case <-end.C:
 			timedOut = true
 		case <-confirmTimer.C:
-			if !f.awaitsAnswer(query.GetTable(), timedOut) {
+			if time.Since(confirmedAt) > maxUnconfirmedWait || !f.awaitsAnswer(query.GetTable(), timedOut) {
 				return f.decline("the table service has not answered of late")
 			}
 			keepAlive()
--- a/internal/zonefeed/fleet_test.go
+++ b/internal/zonefeed/fleet_test.go
@@ -98,12 +98,13 @@
 	uplink  *bandwidth // for its replies to others; nil: no delay
 
 	mutex             sync.Mutex
-	storeUnresponsive bool          // its calls to the service get no answer
-	storeFails        bool          // its calls to the service fail
-	isolated          bool          // it reaches no other process, and none reaches it
-	reachable         []string      // the only processes that it reaches; nil for all
-	dead              bool          // it refuses connections
-	storeDelay        time.Duration // additional latency of the service for its calls
+	storeUnresponsive bool                            // its calls to the service get no answer
+	storeFails        bool                            // its calls to the service fail
+	isolated          bool                            // it reaches no other process, and none reaches it
+	reachable         []string                        // the only processes that it reaches; nil for all
+	dead              bool                            // it refuses connections
+	storeDelay        time.Duration                   // additional latency of the service for its calls
+	receive           func(ctx context.Context) error // receives the service's answers with rows; nil: at once
 	paused            chan struct{}
 	stopTicks         context.CancelFunc
 	activeVersions    []uint64 // in the order of their activation
@@ -181,12 +182,26 @@
 		rows, version, err := n.store.after(after)
 		if err != nil || len(rows) > 0 || !time.Now().Before(end) {
 			n.waitWhilePaused() // the answer is pending during a pause
+			if err == nil && len(rows) > 0 {
+				err = n.receiveRows(ctx)
+			}
 			return rows, version, err
 		}
 		time.Sleep(5 * time.Millisecond) // virtual time
 	}
 }
 
+// receiveRows receives an answer with rows as set in receive.
+func (n *node) receiveRows(ctx context.Context) error {
+	n.mutex.Lock()
+	receive := n.receive
+	n.mutex.Unlock()
+	if receive == nil {
+		return nil
+	}
+	return receive(ctx)
+}
+
 // Do implements peerClient: another node of the fleet answers.
 func (n *node) Do(ctx context.Context, address string, request *wirepb.Request, onPart func(int64, []byte)) (*wirepb.Reply, error) {
 	other := n.fleet.nodes[address]
--- /dev/null
+++ b/internal/zonefeed/waiting_followers_test.go
@@ -0,0 +1,62 @@
+package zonefeed
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/progress"
+)
+
+// boundInForce is the operators' bound from the acknowledgement of a configuration until all processes use it.
+const boundInForce = 4 * time.Second
+
+// TestFollowersLeaveAWatcherThatPausesOften guards against followers that wait for a watcher whose calls are answered
+// in time, but whose data never counts as current: its machine pauses it again and again.
+func TestFollowersLeaveAWatcherThatPausesOften(t *testing.T) {
+	runFleet(t, 4, func(f *fleet) {
+		watcher := f.watcher()
+		watcher.set(func(n *node) { n.storeDelay = responseTimeout - 50*time.Millisecond })
+		watcher.stopTicks()
+		f.loops.Go(func() { // the ticks come too late each time, and calls go on
+			for f.ctx.Err() == nil {
+				watcher.feed.mutex.Lock()
+				watcher.feed.contact.tick(time.Now())
+				watcher.feed.mutex.Unlock()
+				time.Sleep(pauseThreshold + 50*time.Millisecond) // virtual time
+			}
+		})
+		for range 5 {
+			f.expect(f.change(), boundInForce, watcher)
+			time.Sleep(time.Second) // virtual time
+		}
+	})
+}
+
+// drip receives an answer of which a part arrives shortly before each time limit. If it stalls, the last part never arrives.
+func drip(ctx context.Context, stalls bool) error {
+	const parts = 20
+	for range parts {
+		progress.Report(ctx)
+		if !backoff.Wait(ctx, responseTimeout-50*time.Millisecond) { // virtual time
+			return ctx.Err()
+		}
+	}
+	if stalls {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+// TestFollowersLeaveAWatcherWhoseAnswerDrips guards against a zone that keeps an old configuration for as long as its
+// watcher alone receives the answer slowly: parts of it arrive, but not the whole within the operators' bound.
+func TestFollowersLeaveAWatcherWhoseAnswerDrips(t *testing.T) {
+	for _, stalls := range []bool{false, true} {
+		runFleet(t, 4, func(f *fleet) {
+			watcher := f.watcher()
+			watcher.set(func(n *node) { n.receive = func(ctx context.Context) error { return drip(ctx, stalls) } })
+			f.expect(f.change(), boundInForce, watcher)
+		})
+	}
+}
