zonefeed: a short request of a follower does not suspect its watcher

What callers would see: 3.5 s after the store has dropped its history, and while an entry of an engine is deferred, followers leave their watchers one after another, poll the store and read tables as a whole themselves, although nothing has failed. Cause: a request with less than 1.2 s to wait allowed its watcher .15 s until the first part, whatever it was to wait for; a watcher without changes says nothing for up to .6 s. Requests are shorter in the last second before a list is due, or a deferred entry. Change: the time without data is the request's wait and what was allowed so far on top, at most .9 s as before. Consequence: followers now keep following, so that one lists once more because of its watcher's second list, and its data counted as unstable for 12.2 s instead of at most 10: TestUnstableSnapshotIsNotReturnedUnconfirmed failed with the first change alone.

--- a/internal/zonefeed/feed.go
+++ b/internal/zonefeed/feed.go
@@ -100,11 +100,13 @@
 
 // table is the state of one table.
 type table struct {
-	journal   journal
-	updated   chan struct{} // closed, and replaced, when the service has answered
-	basis     basis         // of the watcher's last answer
-	packCache packCache
-	newest    uint64 // version of a row that another process reported in answer to a query
+	journal journal
+	updated chan struct{} // closed, and replaced, when the service has answered
+	basis   basis         // of the watcher's last answer
+	// snapshotBasis is the basis of the last snapshot; zero if the service sent it.
+	snapshotBasis basis
+	packCache     packCache
+	newest        uint64 // version of a row that another process reported in answer to a query
 	// call is the context of the call to the service in progress, with its progress limits; nil if there is none.
 	call context.Context
 	// stableAt is the time from which this process returns unconfirmed data to others.
@@ -311,8 +313,10 @@
 	defer f.mutex.Unlock()
 	entry := f.table(name)
 	entry.journal.applySnapshot(list.rows, list.version)
-	entry.basis = list.basis
-	entry.stableAt = time.Now().Add(stableAfter)
+	if list.basis == (basis{}) || list.basis != entry.snapshotBasis { // otherwise from the same list of the service as before
+		entry.stableAt = time.Now().Add(stableAfter)
+	}
+	entry.basis, entry.snapshotBasis = list.basis, list.basis
 	f.contact.invalidate(name)
 }
 
--- a/internal/zonefeed/fleet_test.go
+++ b/internal/zonefeed/fleet_test.go
@@ -32,7 +32,8 @@
 	stale     uint64 // lists are as of this version, if not 0
 	changes   int    // calls
 	lists     int
-	padding   int // bytes appended to the value
+	padding   int  // bytes appended to the value
+	isText    bool // the padding compresses to a tenth, as a configuration does
 }
 
 func (s *store) set(change func(*store)) {
@@ -65,10 +66,25 @@
 // row returns the row as of a version. The mutex is held.
 func (s *store) row(version uint64) tablestore.Change {
 	row := configRow(version)
-	row.Value = append(row.Value, noise(s.padding)...)
+	if s.isText {
+		row.Value = append(row.Value, repetitive(s.padding)...)
+	} else {
+		row.Value = append(row.Value, noise(s.padding)...)
+	}
 	return row
 }
 
+// repetitive returns bytes that compress to about a tenth, the same each time.
+func repetitive(bytes int) []byte {
+	const period, repetitions = 1_000, 10
+	random := noise(bytes/repetitions + period)
+	content := make([]byte, bytes)
+	for i := range content {
+		content[i] = random[i/(period*repetitions)*period+i%period]
+	}
+	return content
+}
+
 // noise returns incompressible bytes, the same each time.
 func noise(bytes int) []byte {
 	content := make([]byte, bytes)
--- a/internal/zonefeed/waiting_followers_test.go
+++ b/internal/zonefeed/waiting_followers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,3 +61,21 @@
 		})
 	}
 }
+
+// TestShortWaitsDoNotSuspectTheWatcher guards against followers that take their watcher for unresponsive because their own
+// call is short: 3.5 s after lost history, and while an entry is deferred, a call ends at the moment at which it is due.
+func TestShortWaitsDoNotSuspectTheWatcher(t *testing.T) {
+	runFleet(t, 4, func(f *fleet) {
+		for range 5 {
+			f.store.set(func(s *store) { s.version++; s.forgotten = s.version })
+			time.Sleep(9 * time.Second) // virtual time
+		}
+		for _, n := range f.nodes {
+			for _, line := range n.log {
+				if strings.Contains(line, errUnresponsive.Error()) {
+					t.Errorf("%s: %s", n.address, line)
+				}
+			}
+		}
+	})
+}
--- a/internal/zonefeed/watcher_request.go
+++ b/internal/zonefeed/watcher_request.go
@@ -71,15 +71,17 @@
 	return answer, err
 }
 
-// idleTimeoutWithin returns the maximum time without data from a watcher. Of the time that the caller
-// has beyond the wait, it leaves a quarter, and at least reservedForService, for a call to the service.
+// idleTimeoutWithin returns the maximum time without data from a watcher, which may say nothing for as long as the request
+// waits for changes. Of the time that the caller has beyond the wait, it leaves a quarter, and at least
+// reservedForService, for a call to the service.
 func idleTimeoutWithin(ctx context.Context, query *wirepb.FollowTable) time.Duration {
 	deadline, hasDeadline := ctx.Deadline()
 	if !hasDeadline {
 		return idleTimeout
 	}
-	spare := time.Until(deadline) - time.Duration(query.GetWaitMillis())*time.Millisecond
-	return min(idleTimeout, max(0, min(spare*3/4, spare-reservedForService)))
+	wait := time.Duration(query.GetWaitMillis()) * time.Millisecond
+	spare := time.Until(deadline) - wait
+	return min(idleTimeout, wait+max(0, min(spare*3/4, spare-reservedForService)))
 }
 
 // recordResult records the result of a request to a watcher.
