zonefeed: a large table is listed by the watcher of a zone

Cause: after lost history every process reads tables as a whole, and above 2 MB for a zone (a table of 190 KB for 11 processes) each read it from the service. That limit counted bytes before compression. Apart from it, a watcher that was receiving a list declined its followers after .7 s, as with changes before. A list that arrives counts as an answer that arrives. Measured: TestWatcherListingALargeTableKeepsItsFollowers (rows of 205 and 820 KB): 24 and 66 reads over the link on, where three zones need 6; passes now.

--- a/internal/zonefeed/answer.go
+++ b/internal/zonefeed/answer.go
@@ -27,7 +27,7 @@
 	// or is late. The shortest time in which a configuration has to be active is 3 s; half of it remains for the
 	// follower to read the table from the service if only this process receives it slowly.
 	maxUnconfirmedWait = 1500 * time.Millisecond
-	// maxListsBytes is the maximum total size of the snapshots that all processes of the zone may
+	// maxListsBytes is the maximum total size, as sent, of the snapshots that all processes of the zone may
 	// request at the same moment, as they do when the service truncates its history. On the slowest
 	// link, 30 Mbit/s, that takes half a second. Each process reads a larger table from the service.
 	maxListsBytes = 2 << 20
@@ -136,7 +136,7 @@
 	if entry.journal.listCount == 0 || !f.contact.isCurrent(query.GetTable(), time.Now()) {
 		return nil, false, entry.updated
 	}
-	if query.GetSnapshot() && entry.journal.size()*f.choice.peers > maxListsBytes {
+	if query.GetSnapshot() && !query.GetReadsPacked() && entry.journal.size()*f.choice.peers > maxListsBytes {
 		return &wirepb.TableFollowed{HistoryGone: true}, true, entry.updated
 	}
 	if query.GetSnapshot() {
@@ -170,10 +170,13 @@
 	var err error
 	if query.GetReadsPacked() && rowBytes(followed.GetRows()) >= packFrom {
 		f.mutex.Lock()
-		cache := &f.table(query.GetTable()).packCache
+		cache, peers := &f.table(query.GetTable()).packCache, f.choice.peers
 		f.mutex.Unlock()
 		body, err = cache.reply(packKey{snapshot: query.GetSnapshot(), after: query.GetAfter(),
 			version: followed.GetVersion(), list: followed.GetList()}, followed)
+		if err == nil && query.GetSnapshot() && len(body)*peers > maxListsBytes {
+			body, err = proto.Marshal(&wirepb.TableFollowed{HistoryGone: true})
+		}
 	} else {
 		body, err = proto.Marshal(followed)
 	}
--- a/internal/zonefeed/feed.go
+++ b/internal/zonefeed/feed.go
@@ -189,7 +189,9 @@
 			return nil, 0, errors.Wrap(err, "watcher of the zone")
 		}
 	}
+	f.setCall(name, ctx)
 	rows, version, err := f.options.Feed.Snapshot(ctx, name)
+	f.setCall(name, nil)
 	if err == nil {
 		f.applySnapshot(name, update{rows: rows, version: version})
 	}
@@ -288,7 +290,7 @@
 	return rows, version, nil
 }
 
-// setCall records the call to the service in progress for a table.
+// setCall records the call to the service in progress for a table; nil if none is.
 func (f *Feed) setCall(name string, ctx context.Context) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/zonefeed/waiting_followers_test.go
+++ b/internal/zonefeed/waiting_followers_test.go
@@ -79,3 +79,24 @@
 		}
 	})
 }
+
+// TestWatcherListingALargeTableKeepsItsFollowers guards against a link that fills with one table per process: the service
+// has truncated its history, and a watcher that reads the large table as a whole declines its followers.
+func TestWatcherListingALargeTableKeepsItsFollowers(t *testing.T) {
+	for _, padding := range []int{largeRowBytes, largerRowBytes} {
+		const zones = 3
+		runFarRegion(t, zones, func(f *fleet, link *bandwidth) {
+			f.store.set(func(s *store) { s.padding, s.isText = padding, true })
+			f.expect(f.change(), boundInForce)
+			time.Sleep(5 * time.Second) // virtual time
+			before := link.bytes
+			f.store.set(func(s *store) { s.version++; s.forgotten = s.version })
+			f.expect(f.store.version, boundInForce)
+			time.Sleep(15 * time.Second) // virtual time
+			// Each watcher lists the table twice, the second time when reads are no longer stale.
+			if reads := float64(link.bytes-before) / (float64(padding) * textPerByte); reads > 2*zones+0.01 {
+				t.Errorf("%d zones read a row of %d bytes %.2f times over the link, want twice each", zones, padding, reads)
+			}
+		})
+	}
+}
