--- a/internal/zonefeed/region_test.go
+++ b/internal/zonefeed/region_test.go
@@ -33,6 +33,13 @@
 	bytes  int // transferred
 }
 
+// transferred returns how many bytes the link has transferred.
+func (b *bandwidth) transferred() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.bytes
+}
+
 // carry transfers bytes over the link, unless the context ends first. It calls onChunk for each chunk.
 func (b *bandwidth) carry(ctx context.Context, bytes int, onChunk func()) error {
 	for ; bytes > 0; bytes -= chunkBytes {
