--- a/internal/zonefeed/feed.go
+++ b/internal/zonefeed/feed.go
@@ -100,11 +100,13 @@
 
 // table is the state of one table.
 type table struct {
-	journal   journal
-	updated   chan struct{} // closed, and replaced, when the service has answered
-	basis     basis         // of the watcher's last answer
-	packCache packCache
-	newest    uint64 // version of a row that another process reported in answer to a query
+	journal journal
+	updated chan struct{} // closed, and replaced, when the service has answered
+	basis   basis         // of the watcher's last answer
+	// snapshotBasis is the basis of the last snapshot; zero if the service sent it.
+	snapshotBasis basis
+	packCache     packCache
+	newest        uint64 // version of a row that another process reported in answer to a query
 	// call is the context of the call to the service in progress, with its progress limits; nil if there is none.
 	call context.Context
 	// stableAt is the time from which this process returns unconfirmed data to others.
@@ -187,9 +189,12 @@
 			return nil, 0, errors.Wrap(err, "watcher of the zone")
 		}
 	}
+	f.setCall(name, ctx)
 	rows, version, err := f.options.Feed.Snapshot(ctx, name)
+	f.setCall(name, nil)
 	if err == nil {
 		f.applySnapshot(name, update{rows: rows, version: version})
+		f.recordServed(name)
 	}
 	return rows, version, err
 }
@@ -273,11 +278,14 @@
 	entry := f.table(name)
 	entry.call = nil
 	f.failures.Store = reasonOf(err)
-	if err != nil {
+	switch {
+	case errors.Is(err, tablestore.ErrHistoryTruncated):
 		f.contact.invalidate(name)
-		if errors.Is(err, tablestore.ErrHistoryTruncated) {
-			entry.stableAt = time.Now().Add(stableAfter)
-		}
+		f.contact.recordServed(name, time.Now())
+		entry.stableAt = time.Now().Add(stableAfter)
+		return rows, version, err
+	case err != nil:
+		f.contact.recordFailure(name)
 		return rows, version, err
 	}
 	entry.journal.applyChanges(rows, version)
@@ -286,13 +294,20 @@
 	return rows, version, nil
 }
 
-// setCall records the call to the service in progress for a table.
+// setCall records the call to the service in progress for a table; nil if none is.
 func (f *Feed) setCall(name string, ctx context.Context) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.table(name).call = ctx
 }
 
+// recordServed records that the service answered a call for a table without a confirmation.
+func (f *Feed) recordServed(name string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.contact.recordServed(name, time.Now())
+}
+
 // watcherWait returns how long a watcher's next call waits for changes. If the data is not current,
 // the watcher polls, since others may wait for its answer.
 func (f *Feed) watcherWait(name string) time.Duration {
@@ -311,8 +326,10 @@
 	defer f.mutex.Unlock()
 	entry := f.table(name)
 	entry.journal.applySnapshot(list.rows, list.version)
-	entry.basis = list.basis
-	entry.stableAt = time.Now().Add(stableAfter)
+	if list.basis == (basis{}) || list.basis != entry.snapshotBasis { // otherwise from the same list of the service as before
+		entry.stableAt = time.Now().Add(stableAfter)
+	}
+	entry.basis, entry.snapshotBasis = list.basis, list.basis
 	f.contact.invalidate(name)
 }
 
--- a/internal/zonefeed/fleet_test.go
+++ b/internal/zonefeed/fleet_test.go
@@ -32,7 +32,8 @@
 	stale     uint64 // lists are as of this version, if not 0
 	changes   int    // calls
 	lists     int
-	padding   int // bytes appended to the value
+	padding   int  // bytes appended to the value
+	isText    bool // the padding compresses to a tenth, as a configuration does
 }
 
 func (s *store) set(change func(*store)) {
@@ -65,10 +66,27 @@
 // row returns the row as of a version. The mutex is held.
 func (s *store) row(version uint64) tablestore.Change {
 	row := configRow(version)
-	row.Value = append(row.Value, noise(s.padding)...)
+	if s.isText {
+		row.Value = append(row.Value, repetitive(s.padding)...)
+	} else {
+		row.Value = append(row.Value, noise(s.padding)...)
+	}
 	return row
 }
 
+// repetitive returns bytes that compress to about a tenth, the same each time.
+func repetitive(bytes int) []byte {
+	const period, repetitions = 1_000, 10
+	random := noise(bytes/repetitions + period)
+	content := make([]byte, 0, bytes+period)
+	for start := 0; len(content) < bytes; start += period {
+		for range repetitions {
+			content = append(content, random[start:min(start+period, len(random))]...)
+		}
+	}
+	return content[:bytes]
+}
+
 // noise returns incompressible bytes, the same each time.
 func noise(bytes int) []byte {
 	content := make([]byte, bytes)
@@ -98,12 +116,13 @@
 	uplink  *bandwidth // for its replies to others; nil: no delay
 
 	mutex             sync.Mutex
-	storeUnresponsive bool          // its calls to the service get no answer
-	storeFails        bool          // its calls to the service fail
-	isolated          bool          // it reaches no other process, and none reaches it
-	reachable         []string      // the only processes that it reaches; nil for all
-	dead              bool          // it refuses connections
-	storeDelay        time.Duration // additional latency of the service for its calls
+	storeUnresponsive bool                            // its calls to the service get no answer
+	storeFails        bool                            // its calls to the service fail
+	isolated          bool                            // it reaches no other process, and none reaches it
+	reachable         []string                        // the only processes that it reaches; nil for all
+	dead              bool                            // it refuses connections
+	storeDelay        time.Duration                   // additional latency of the service for its calls
+	receive           func(ctx context.Context) error // receives the service's answers with rows; nil: at once
 	paused            chan struct{}
 	stopTicks         context.CancelFunc
 	activeVersions    []uint64 // in the order of their activation
@@ -181,12 +200,26 @@
 		rows, version, err := n.store.after(after)
 		if err != nil || len(rows) > 0 || !time.Now().Before(end) {
 			n.waitWhilePaused() // the answer is pending during a pause
+			if err == nil && len(rows) > 0 {
+				err = n.receiveRows(ctx)
+			}
 			return rows, version, err
 		}
 		time.Sleep(5 * time.Millisecond) // virtual time
 	}
 }
 
+// receiveRows receives an answer with rows as set in receive.
+func (n *node) receiveRows(ctx context.Context) error {
+	n.mutex.Lock()
+	receive := n.receive
+	n.mutex.Unlock()
+	if receive == nil {
+		return nil
+	}
+	return receive(ctx)
+}
+
 // Do implements peerClient: another node of the fleet answers.
 func (n *node) Do(ctx context.Context, address string, request *wirepb.Request, onPart func(int64, []byte)) (*wirepb.Reply, error) {
 	other := n.fleet.nodes[address]
@@ -349,6 +382,13 @@
 	})
 }
 
+// setAll changes all processes.
+func (f *fleet) setAll(change func(*node)) {
+	for _, n := range f.nodes {
+		n.set(change)
+	}
+}
+
 // watcher returns the process that the others follow.
 func (f *fleet) watcher() *node {
 	f.t.Helper()
