soak: the short soaks keep the logs of a soak that has findings

Cause: three short soaks failed once each, and nothing was kept by which their findings could be traced. Change: they save the processes' logs to the test's artifact directory, which go test removes unless it is run with -artifacts. No check changed. Ruled out: a flag of our own, since go test has one. Conclusion: findings of short soaks can be traced.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -110,11 +110,12 @@
 	}
 }
 
-// runShortSoak demands that a soak has no findings and has checked what a short one can check.
+// runShortSoak demands that a soak has no findings and has checked what a short one can check. With go test -artifacts
+// the processes' logs of a soak that has findings are kept.
 func runShortSoak(t *testing.T, options Options) Report {
 	t.Helper()
 	var lines bytes.Buffer
-	options.Out = &lines
+	options.Out, options.LogDirectory = &lines, t.ArtifactDir()
 	report, err := Run(t.Context(), options)
 	if err != nil {
 		t.Fatal(err)
