soak: readiness is not judged while the soak itself got no processor time

Cause: beside busy processes `ready` was found although nothing was injected. The store is a stand-in in the soak's process. In a trial with a timer in that process and the processor waits of its threads by /proc/PID/task/TID/schedstat, the timer was late by 2,313 ms at 7.02 s where one of its threads had waited 2,312 ms for a processor; the soak had run 15 ms. Processes whose store does not answer rightly report that they are not ready. Change: the soak's own timer beats every 10 ms and tells the judge. If a beat was more than 200 ms late (what store_slow adds, which is a disruption of the store), a process that is not ready is no finding until contactBound after it, as after other disruptions. The bound of the check is as it was. The report has the stalls and what they excused. Ruled out: a lock of the stand-in store or its history (the timer would have been on time); leaving `ready` out; stalls as disruptions of all checks (only `ready` has a trace).

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -61,6 +61,8 @@
 	servedByEngine map[string]int64       // requests by engine
 	connections    connections
 	streams        streams
+	stalls         stalls
+	excused        map[Promise]int64 // violations while the soak stalled
 	checked        map[Promise]int64
 	broken         map[Promise]int64
 	brokenByEngine map[enginePromise]int64
@@ -80,6 +82,7 @@
 		servedByEngine: make(map[string]int64),
 		connections:    newConnections(),
 		streams:        newStreams(),
+		excused:        make(map[Promise]int64),
 		checked:        make(map[Promise]int64),
 		broken:         make(map[Promise]int64),
 		brokenByEngine: make(map[enginePromise]int64),
@@ -351,11 +354,15 @@
 	c.check(outcome.Complete || outcome.GaveUp, PlannedStop, now, a, "", "cut %.2f s after the process was told to stop (status %d)", (now - stopped).Seconds(), outcome.Status)
 }
 
-// Readiness records a process's response to a readiness request that was sent at requestedAt.
+// Readiness records a process's response to a readiness request that was sent at requestedAt. A process whose store
+// stood still together with the soak may rightly report that it is not ready.
 func (c *Checker) Readiness(requestedAt, now time.Duration, process string, ready bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.bounds.undisturbed(process, requestedAt, now, false) {
+	if !c.bounds.undisturbed(process, requestedAt, now, false) {
+		return
+	}
+	if ready || !c.excuseStalled(ReportsReady, min(requestedAt, now)-contactBound, now) {
 		c.check(ready, ReportsReady, now, &attempt{Attempt: Attempt{Process: process}}, "", "is in touch and does not say that it is ready")
 	}
 }
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -103,6 +103,7 @@
 func newDeployment(ctx context.Context, checker *Checker, directory string, options Options) (*deployment, error) {
 	d := &deployment{context: ctx, checker: checker, startTime: time.Now(), store: operators.NewStore(), variant: initialVariant}
 	d.engineVersions = options.EngineVersions
+	d.tasks.Go(d.beat)
 	d.store.SetFault(d.storeFaults.faultFor)
 	for _, service := range []string{serviceModels, servicePortal, serviceOther} {
 		for i := range enginesPerService {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -48,6 +48,8 @@
 	Outcomes  map[string]int64  `json:"outcomes"`
 	Begun     StreamCounts      `json:"streams_begun"`    // at connected processes
 	TakenUp   StreamCounts      `json:"streams_taken_up"` // at connected processes, while two engines of their version accept new work
+	Stalls    StallCounts       `json:"stalls"`           // of the soak's own process, for lack of processor time
+	Excused   map[Promise]int64 `json:"promises_excused"` // violations that are no findings because of these stalls
 }
 
 // HasFindings reports whether a promise was violated.
@@ -124,8 +126,9 @@
 func (d *deployment) report(options Options) Report {
 	checked, broken := d.checker.Counts()
 	begun, takenUp := d.checker.StreamTotals()
+	stalled, excused := d.checker.StallTotals()
 	return Report{Begun: begun, TakenUp: takenUp, Seed: options.Seed, Seconds: d.now().Seconds(), Processes: options.Processes, CarryFrom: options.CarryFrom,
-		Injected: maps.Clone(d.injected.counts), Checked: checked, Broken: broken, Outcomes: maps.Clone(d.outcomes.counts)}
+		Injected: maps.Clone(d.injected.counts), Checked: checked, Broken: broken, Outcomes: maps.Clone(d.outcomes.counts), Stalls: stalled, Excused: excused}
 }
 
 // saveLogs saves the processes' logs if there are findings.
