soak: readiness is not judged while a process got no processor time

Traced: node-3 was asked at 9.36 s and had said nothing 1 s later; its log has no line from 8.97 to 10.54 s, both others logged "owner lost ... no sign of life" for it at 9.14 and 9.30 s and "regained" at 10.58 s, and by schedstat one of its threads had waited 1,493 ms for a processor by 10.68 s, in which time the whole process ran 21 ms at most. Nothing was injected into it: it stood as one that is paused. Change: the soak samples state, run time and number of time slices of all threads of the processes every 100 ms. A thread that is runnable in samples between which it has not run has waited; a wait of more than 300 ms (the shortest injected pause) excuses `ready` of that process until contactBound after it. The bound of the check stays. A wait is known while it lasts, which the wait time in schedstat is not: it grows only when the thread runs again. Ruled out: judging later, when schedstat has the wait (a wait has no bound); the mean load of the machine (says nothing of one process); relaxing other checks, for which there is no trace. Conclusion: each traced `ready` is the machine's, and measured as such.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -62,6 +62,7 @@
 	connections    connections
 	streams        streams
 	stalls         stalls
+	processStalls  map[string]*processStall
 	excused        map[Promise]int64 // violations while the soak stalled
 	checked        map[Promise]int64
 	broken         map[Promise]int64
@@ -82,6 +83,7 @@
 		servedByEngine: make(map[string]int64),
 		connections:    newConnections(),
 		streams:        newStreams(),
+		processStalls:  make(map[string]*processStall),
 		excused:        make(map[Promise]int64),
 		checked:        make(map[Promise]int64),
 		broken:         make(map[Promise]int64),
@@ -355,14 +357,15 @@
 }
 
 // Readiness records a process's response to a readiness request that was sent at requestedAt. A process whose store
-// stood still together with the soak may rightly report that it is not ready.
+// stood still together with the soak may rightly report that it is not ready, and one without processor time reports
+// nothing.
 func (c *Checker) Readiness(requestedAt, now time.Duration, process string, ready bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.bounds.undisturbed(process, requestedAt, now, false) {
 		return
 	}
-	if ready || !c.excuseStalled(ReportsReady, min(requestedAt, now)-contactBound, now) {
+	if ready || !c.excuseStalled(ReportsReady, process, min(requestedAt, now)-contactBound, now) {
 		c.check(ready, ReportsReady, now, &attempt{Attempt: Attempt{Process: process}}, "", "is in touch and does not say that it is ready")
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -80,6 +81,7 @@
 	forwarder  *forwarder
 	exited     chan struct{} // closed when the command has exited, or could not be started
 	exitErr    error         // set before exited is closed
+	processID  atomic.Int64  // 0 while no process runs
 }
 
 // newProcess writes the settings of a process and does not start it.
@@ -140,8 +142,10 @@
 		close(p.exited) // nothing may wait for a process that never ran
 		return p.exitErr
 	}
+	p.processID.Store(int64(p.command.Process.Pid))
 	go func(command *exec.Cmd, exited chan struct{}) {
 		p.exitErr = command.Wait()
+		p.processID.Store(0)
 		p.forwarder.close() // peers are rejected, as by a machine whose process has exited
 		close(exited)
 	}(p.command, p.exited)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -48,8 +48,8 @@
 	Outcomes  map[string]int64  `json:"outcomes"`
 	Begun     StreamCounts      `json:"streams_begun"`    // at connected processes
 	TakenUp   StreamCounts      `json:"streams_taken_up"` // at connected processes, while two engines of their version accept new work
-	Stalls    StallCounts       `json:"stalls"`           // of the soak's own process, for lack of processor time
-	Excused   map[Promise]int64 `json:"promises_excused"` // violations that are no findings because of these stalls
+	Stalls    StallTotals       `json:"stalls"`           // for lack of processor time
+	Excused   map[Promise]int64 `json:"promises_excused"` // violations that are no findings, mostly because of these stalls
 }
 
 // HasFindings reports whether a promise was violated.
@@ -88,6 +88,7 @@
 	for _, fault := range Plan(options.Seed, options.Duration, options.Kinds) {
 		d.later(fault.At, func() { d.inject(fault) })
 	}
+	d.tasks.Go(d.watchWaits)
 	d.tasks.Go(d.watchExits)
 	d.tasks.Go(d.watchReadiness)
 	d.tasks.Go(func() { d.reportPeriodically(lines) })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -120,6 +120,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Logf("without processor time: %+v; violations excused: %v", report.Stalls, report.Excused)
 	if report.HasFindings() {
 		t.Errorf("promises were violated:\n%s", &lines)
 	}
--- a/internal/soak/stalls.go
+++ b/internal/soak/stalls.go
@@ -16,13 +16,26 @@
 	stallBound = 200 * time.Millisecond
 )
 
-// StallCounts counts the times in which the soak's own process got no processor time.
+// StallCounts counts times without processor time.
 type StallCounts struct {
 	Count     int64 `json:"count"`
 	TotalMS   int64 `json:"total_ms"`
 	LongestMS int64 `json:"longest_ms"`
 }
 
+// StallTotals holds the stalls of a soak.
+type StallTotals struct {
+	Soak      StallCounts            `json:"soak"`      // of its own process
+	Processes map[string]StallCounts `json:"processes"` // under test, if any
+}
+
+// add counts a stall.
+func (s *StallCounts) add(took time.Duration) {
+	s.Count++
+	s.TotalMS += took.Milliseconds()
+	s.LongestMS = max(s.LongestMS, took.Milliseconds())
+}
+
 // stalls records when the soak's own process stalled, by the beats of a timer. Without beats there are no stalls.
 type stalls struct {
 	beating   bool
@@ -36,9 +49,7 @@
 func (s *stalls) beat(now time.Duration) {
 	if late := s.lateBy(now); late > stallBound {
 		s.anyEnded, s.lastEnded = true, now
-		s.counts.Count++
-		s.counts.TotalMS += late.Milliseconds()
-		s.counts.LongestMS = max(s.counts.LongestMS, late.Milliseconds())
+		s.counts.add(late)
 	}
 	s.beating, s.lastBeat = true, now
 }
@@ -63,16 +74,50 @@
 	c.stalls.beat(now)
 }
 
-// StallTotals returns how often the soak stalled, and how many violations of each promise that excused.
-func (c *Checker) StallTotals() (StallCounts, map[Promise]int64) {
+// processStall records when threads of a process waited for a processor for longer than processStallBound.
+type processStall struct {
+	waiting   time.Duration // how long a thread has been waiting; 0 without a stall
+	anySeen   bool
+	lastSeen  time.Duration
+	completed StallCounts
+}
+
+// ThreadWaited records for how long a thread of a process has been waiting for a processor.
+func (c *Checker) ThreadWaited(now time.Duration, process string, waited time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	stall := c.processStalls[process]
+	if stall == nil {
+		stall = &processStall{}
+		c.processStalls[process] = stall
+	}
+	if stall.waiting > 0 && waited < stall.waiting {
+		stall.completed.add(stall.waiting)
+		stall.waiting = 0
+	}
+	if waited > processStallBound {
+		stall.waiting, stall.anySeen, stall.lastSeen = waited, true, now
+	}
+}
+
+// StallTotals returns the completed stalls, and how many violations of each promise were excused.
+func (c *Checker) StallTotals() (StallTotals, map[Promise]int64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.stalls.counts, maps.Clone(c.excused)
+	totals := StallTotals{Soak: c.stalls.counts, Processes: make(map[string]StallCounts)}
+	for process, stall := range c.processStalls {
+		if stall.completed.Count > 0 {
+			totals.Processes[process] = stall.completed
+		}
+	}
+	return totals, maps.Clone(c.excused)
 }
 
-// excuseStalled reports whether a stall after since excuses a violation, and counts it. The caller holds the mutex.
-func (c *Checker) excuseStalled(promise Promise, since, now time.Duration) bool {
-	stalled := c.stalls.stalledAfter(since, now)
+// excuseStalled reports whether a stall of the soak or of the process after since excuses a violation, and counts it. The
+// caller holds the mutex.
+func (c *Checker) excuseStalled(promise Promise, process string, since, now time.Duration) bool {
+	stall := c.processStalls[process]
+	stalled := c.stalls.stalledAfter(since, now) || stall != nil && stall.anySeen && stall.lastSeen > since
 	if stalled {
 		c.excused[promise]++
 	}
--- a/internal/soak/stalls_test.go
+++ b/internal/soak/stalls_test.go
@@ -82,7 +82,7 @@
 		c.Beat(at)
 	}
 	want := StallCounts{Count: 2, TotalMS: 800, LongestMS: 500}
-	if got, _ := c.StallTotals(); got != want {
+	if got, _ := c.StallTotals(); got.Soak != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
--- /dev/null
+++ b/internal/soak/waits_test.go
@@ -0,0 +1,110 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// TestOnlyAThreadThatDoesNotRunWaits reports two samples of a thread that are alike, or differ in one respect.
+func TestOnlyAThreadThatDoesNotRunWaits(t *testing.T) {
+	waiting := threadSample{runnable: true, runTime: 5, slices: 7}
+	for name, test := range map[string]struct {
+		before, after threadSample
+		want          time.Duration
+	}{
+		"waits":       {waiting, waiting, time.Second},
+		"runs":        {waiting, threadSample{runnable: true, runTime: 6, slices: 7}, 0},
+		"ran":         {waiting, threadSample{runnable: true, runTime: 5, slices: 8}, 0},
+		"sleeps":      {threadSample{runTime: 5, slices: 7}, threadSample{runTime: 5, slices: 7}, 0},
+		"fell asleep": {waiting, threadSample{runTime: 5, slices: 7}, 0},
+		"woke up":     {threadSample{runTime: 5, slices: 7}, waiting, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var waits threadWaits
+			waits.add(time.Second, map[string]threadSample{"a": test.before})
+			idle := threadSample{runTime: 1, slices: 1}
+			if got := waits.add(2*time.Second, map[string]threadSample{"a": test.after, "b": idle}); got != test.want {
+				t.Errorf("waited %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// TestWaitLastsOverManySamples reports a thread that waits in three samples and then runs, beside one that ends.
+func TestWaitLastsOverManySamples(t *testing.T) {
+	var waits threadWaits
+	waiting := threadSample{runnable: true, runTime: 5, slices: 7}
+	waits.add(0, map[string]threadSample{"a": waiting, "ended": waiting})
+	for _, at := range []time.Duration{time.Second, 2 * time.Second} {
+		if got := waits.add(at, map[string]threadSample{"a": waiting}); got != at {
+			t.Errorf("waited %s, want %s", got, at)
+		}
+	}
+	if got := waits.add(3*time.Second, map[string]threadSample{"a": {runnable: true, runTime: 6, slices: 8}}); got != 0 {
+		t.Errorf("waited %s after it ran, want 0", got)
+	}
+}
+
+// TestReadThread reads a thread whose name looks like the end of a name and a state.
+func TestReadThread(t *testing.T) {
+	for status, runnable := range map[string]bool{"12 (a) R b) S 1 2": false, "12 (a) S b) R 1 2": true} {
+		directory := t.TempDir()
+		for name, content := range map[string]string{"stat": status, "schedstat": "635451 77189 8\n"} {
+			if err := os.WriteFile(filepath.Join(directory, name), []byte(content), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		want := threadSample{runnable: runnable, runTime: 635451, slices: 8}
+		if got, ok := readThread(directory); !ok || got != want {
+			t.Errorf("%s: got %+v, %t, want %+v", status, got, ok, want)
+		}
+	}
+	if _, ok := readThread(t.TempDir()); ok {
+		t.Error("a thread that is gone has a sample")
+	}
+}
+
+// A process whose threads waited 1.5 s for a processor did not answer whether it is ready, and the soak took it for one
+// in touch.
+//
+// TestReadinessIsExcusedByAProcessStallOnly reports a process as not ready after one of its threads, or one of another
+// process, has waited for a processor.
+func TestReadinessIsExcusedByAProcessStallOnly(t *testing.T) {
+	const waitedAt = 20 * time.Second
+	for name, test := range map[string]struct {
+		process string
+		waited  time.Duration
+		askedAt time.Duration
+		want    []Promise
+	}{
+		"as long as allowed":  {node, processStallBound, waitedAt, []Promise{ReportsReady}},
+		"longer than allowed": {node, processStallBound + 1, waitedAt, nil},
+		"another process":     {"node-2", time.Second, waitedAt, []Promise{ReportsReady}},
+		"still recovering":    {node, time.Second, waitedAt + contactBound - 1, nil},
+		"recovered":           {node, time.Second, waitedAt + contactBound, []Promise{ReportsReady}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := NewChecker(1)
+			c.ThreadWaited(waitedAt, test.process, test.waited)
+			c.Readiness(test.askedAt, test.askedAt+time.Second, node, false)
+			wantBroken(t, c, test.want...)
+			if _, excused := c.StallTotals(); excused[ReportsReady] != int64(1-len(test.want)) {
+				t.Errorf("%d violations were excused", excused[ReportsReady])
+			}
+		})
+	}
+}
+
+// TestProcessStallsAreCounted reports two waits that are longer than allowed, the first in two samples, and short ones.
+func TestProcessStallsAreCounted(t *testing.T) {
+	c := NewChecker(1)
+	for i, waited := range []time.Duration{0, 400, 500, 100, 0, 350, 0} {
+		c.ThreadWaited(time.Duration(i)*waitSampleInterval, node, waited*time.Millisecond)
+	}
+	want := StallCounts{Count: 2, TotalMS: 850, LongestMS: 500}
+	if got, _ := c.StallTotals(); got.Processes[node] != want || len(got.Processes) != 1 || got.Soak.Count != 0 {
+		t.Errorf("got %+v, want %+v of %s alone", got, want, node)
+	}
+}
