soak: the report counts how long the soak's own threads waited

The logs: node-2 got no answer to both of its calls that wait for changes ("i/o timeout", silent_ms 2506) and had them 70 ms later; node-1 reached the store through node-2. Nothing was injected into the store. Suspected: a thread of the soak with the stand-in store's connections or timers waited for a processor while the timer beat on another. That this is the cause here is not shown: the waits of the soak's own threads were not sampled. Change: they are, and the report counts those above 200 ms. They excuse nothing.

--- a/internal/soak/stalls.go
+++ b/internal/soak/stalls.go
@@ -25,8 +25,8 @@
 
 // StallTotals holds the stalls of a soak.
 type StallTotals struct {
-	Soak      StallCounts            `json:"soak"`      // of its own process
-	Processes map[string]StallCounts `json:"processes"` // under test, if any
+	Soak      StallCounts            `json:"soak"`      // late beats of its own timer
+	Processes map[string]StallCounts `json:"processes"` // waits of threads, of the processes under test and of the soak's own
 }
 
 // add counts a stall.
@@ -74,7 +74,19 @@
 	c.stalls.beat(now)
 }
 
-// processStall records when threads of a process waited for a processor for longer than processStallBound.
+// soakName stands for the soak's own process among those whose threads wait.
+const soakName = "soak"
+
+// threadWaitBound returns how long a thread of a process may wait for a processor. Waits of the soak's own threads, on
+// which the stand-ins run, are only counted; they excuse nothing.
+func threadWaitBound(process string) time.Duration {
+	if process == soakName {
+		return stallBound
+	}
+	return processStallBound
+}
+
+// processStall records when threads of a process waited for a processor for longer than threadWaitBound.
 type processStall struct {
 	waiting   time.Duration // how long a thread has been waiting; 0 without a stall
 	anySeen   bool
@@ -82,6 +94,11 @@
 	completed StallCounts
 }
 
+// stalledAfter reports whether a thread has waited too long after since.
+func (s *processStall) stalledAfter(since time.Duration) bool {
+	return s != nil && s.anySeen && s.lastSeen > since
+}
+
 // ThreadWaited records for how long a thread of a process has been waiting for a processor.
 func (c *Checker) ThreadWaited(now time.Duration, process string, waited time.Duration) {
 	c.mutex.Lock()
@@ -95,7 +112,7 @@
 		stall.completed.add(stall.waiting)
 		stall.waiting = 0
 	}
-	if waited > processStallBound {
+	if waited > threadWaitBound(process) {
 		stall.waiting, stall.anySeen, stall.lastSeen = waited, true, now
 	}
 }
@@ -116,8 +133,7 @@
 // excuseStalled reports whether a stall of the soak or of the process after since excuses a violation, and counts it. The
 // caller holds the mutex.
 func (c *Checker) excuseStalled(promise Promise, process string, since, now time.Duration) bool {
-	stall := c.processStalls[process]
-	stalled := c.stalls.stalledAfter(since, now) || stall != nil && stall.anySeen && stall.lastSeen > since
+	stalled := c.stalls.stalledAfter(since, now) || c.processStalls[process].stalledAfter(since)
 	if stalled {
 		c.excused[promise]++
 	}
--- a/internal/soak/waits.go
+++ b/internal/soak/waits.go
@@ -84,16 +84,19 @@
 	return sample, runErr == nil && slicesErr == nil
 }
 
-// watchWaits reports processes whose threads wait for a processor to the checker, until the soak ends.
+// watchWaits reports for how long threads of the processes, and of the soak itself, wait for a processor to the checker,
+// until the soak ends.
 func (d *deployment) watchWaits() {
-	waits := make(map[*process]*threadWaits)
+	waits := make([]threadWaits, len(d.processes)+1)
 	for backoff.Wait(d.context, waitSampleInterval) {
-		for _, p := range d.processes {
-			if waits[p] == nil {
-				waits[p] = &threadWaits{}
-			}
-			now := d.now()
-			d.checker.ThreadWaited(now, p.settings.Node, waits[p].add(now, readThreads(p.processID.Load())))
+		for i, p := range d.processes {
+			d.reportWait(p.settings.Node, &waits[i], p.processID.Load())
 		}
+		d.reportWait(soakName, &waits[len(d.processes)], int64(os.Getpid()))
 	}
 }
+
+func (d *deployment) reportWait(name string, waits *threadWaits, processID int64) {
+	now := d.now()
+	d.checker.ThreadWaited(now, name, waits.add(now, readThreads(processID)))
+}
--- a/internal/soak/waits_test.go
+++ b/internal/soak/waits_test.go
@@ -79,11 +79,12 @@
 		askedAt time.Duration
 		want    []Promise
 	}{
-		"as long as allowed":  {node, processStallBound, waitedAt, []Promise{ReportsReady}},
-		"longer than allowed": {node, processStallBound + 1, waitedAt, nil},
-		"another process":     {"node-2", time.Second, waitedAt, []Promise{ReportsReady}},
-		"still recovering":    {node, time.Second, waitedAt + contactBound - 1, nil},
-		"recovered":           {node, time.Second, waitedAt + contactBound, []Promise{ReportsReady}},
+		"as long as allowed":   {node, processStallBound, waitedAt, []Promise{ReportsReady}},
+		"longer than allowed":  {node, processStallBound + 1, waitedAt, nil},
+		"another process":      {"node-2", time.Second, waitedAt, []Promise{ReportsReady}},
+		"a thread of the soak": {soakName, time.Second, waitedAt, []Promise{ReportsReady}},
+		"still recovering":     {node, time.Second, waitedAt + contactBound - 1, nil},
+		"recovered":            {node, time.Second, waitedAt + contactBound, []Promise{ReportsReady}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := NewChecker(1)
@@ -97,6 +98,17 @@
 	}
 }
 
+// TestWaitsOfTheSoakAreCounted reports a wait of a thread of the soak that is longer than a beat may be late.
+func TestWaitsOfTheSoakAreCounted(t *testing.T) {
+	c := NewChecker(1)
+	c.ThreadWaited(0, soakName, stallBound+time.Millisecond)
+	c.ThreadWaited(waitSampleInterval, soakName, 0)
+	want := StallCounts{Count: 1, TotalMS: 201, LongestMS: 201}
+	if got, _ := c.StallTotals(); got.Processes[soakName] != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 // TestProcessStallsAreCounted reports two waits that are longer than allowed, the first in two samples, and short ones.
 func TestProcessStallsAreCounted(t *testing.T) {
 	c := NewChecker(1)
