soak: a finding names the builds, processes and engines of a stream's events

Change: the finding of one_version lists the attempts of the stream that got events, each with its process, the build that the process ran ("program" or "beside"), the versions of its events, when it was sent and the engines it ran at. Every finding of a request has its process's build in a field of its own.

Tests: TestFindingOfTwoVersionsNamesItsParts, TestProcessNamesItsBuild (new); go test ./internal/soak -run 'Checker|TwoVersions|NamesItsBuild|Finding' passes.

--- a/cmd/pewtermill-lab/soak.go
+++ b/cmd/pewtermill-lab/soak.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -25,7 +26,7 @@
 	Seed      uint64   `help:"Seed of the faults; 0 draws one. It is printed." default:"0"`
 	Minutes   float64  `help:"How long to soak." default:"3"`
 	Processes int      `help:"Processes under test." default:"4"`
-	Keep      string   `help:"Directory for the processes' logs, written only if something is found." placeholder:"DIR"`
+	Keep      string   `help:"Directory for the processes' logs, written only if something is found; bin/soak-logs/SEED if left out." placeholder:"DIR"`
 	Program   string   `help:"The pewtermill program; empty builds it from the sources here." type:"existingfile" optional:""`
 	Beside    string   `help:"Another build of the program. Half of the processes begin with it, and each start of a process changes its build." type:"existingfile" optional:""`
 	CarryFrom int      `help:"From how many processes on peers carry requests to engines; 0 for never. If left out, half of the seeds carry." default:"-1"`
@@ -52,13 +53,16 @@
 		return err
 	}
 	defer remove()
+	if s.Keep == "" {
+		s.Keep = filepath.Join("bin", "soak-logs", strconv.FormatUint(s.Seed, 10))
+	}
 	fmt.Fprintf(streams.Err, "seed %d\n", s.Seed)
 	report, err := soak.Run(ctx, soak.Options{
 		Seed: s.Seed, Duration: time.Duration(s.Minutes * float64(time.Minute)), Processes: s.Processes,
 		Program: program, SecondProgram: s.Beside, Kinds: kinds, EngineVersions: s.Versions, CarryFrom: s.carryFrom(), KeepAliveCallers: soak.KeepAliveCallersPerProcess, LogDirectory: s.Keep, Out: streams.Out,
 	})
 	if err == nil && report.HasFindings() {
-		err = errors.Newf("soak found broken promises; replay with --seed %d", s.Seed)
+		err = errors.Newf("soak found broken promises; replay with --seed %d; the processes' logs are in %s", s.Seed, s.Keep)
 	}
 	return err
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -157,7 +157,7 @@
 func (c *caller) send(sent Attempt, request operators.ClientRequest) operators.Reply {
 	d := c.deployment
 	p := c.chooseProcess()
-	sent.Process, sent.Path = p.settings.Node, "/"+sent.Route+"/x"
+	sent.Process, sent.Build, sent.Path = p.settings.Node, p.build(), "/"+sent.Route+"/x"
 	sent.Deadline = min(callerDeadline, d.timeout.shortest(d.now(), 0))
 	request.ID, request.Path, request.Deadline, request.Program = sent.ID, sent.Path, callerDeadline, sent.Program
 	request.Budget, request.MaxTokens = sent.Budget, sent.MaxTokens
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -99,7 +99,7 @@
 	}
 	finding := Finding{Seed: c.seed, Second: now.Seconds(), Promise: promise, Seen: fmt.Sprintf(format, arguments...), Engine: engine}
 	if a != nil {
-		finding.Request, finding.Process = a.ID, a.Process
+		finding.Request, finding.Process, finding.Build = a.ID, a.Process, a.Build
 	}
 	c.findings = append(c.findings, finding)
 }
--- a/internal/soak/observe.go
+++ b/internal/soak/observe.go
@@ -44,6 +44,7 @@
 	Seen    string  `json:"seen"`
 	Request string  `json:"request,omitempty"`
 	Process string  `json:"process,omitempty"`
+	Build   string  `json:"build,omitempty"` // "program" or "beside", which the process ran; empty if all run the same
 	Engine  string  `json:"engine,omitempty"`
 }
 
@@ -51,6 +52,7 @@
 type Attempt struct {
 	ID             string
 	Process        string
+	Build          string // see Finding
 	Route          string
 	Path           string
 	Repeatable     bool   // may run more than once
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -69,7 +70,8 @@
 	settings       operators.ProcessSettings
 	settingsPath   string
 	programs       [2]string // starts alternate between them
-	startCount     int
+	secondProgram  string    // see Options
+	startCount     atomic.Int64
 	carryFrom      int // number of processes from which peers carry requests
 	endpoint       *operators.Endpoint
 	endpointFaults endpointFaults
@@ -86,7 +88,7 @@
 func (d *deployment) newProcess(number int, directory string, options Options) (*process, error) {
 	endpoint := d.store.NewEndpoint()
 	ip := fmt.Sprintf("%s%d", d.subnet, firstProcessHost+number)
-	p := &process{programs: options.programsOf(number), carryFrom: options.CarryFrom, endpoint: endpoint, log: &tail{}, settings: operators.ProcessSettings{
+	p := &process{programs: options.programsOf(number), secondProgram: options.SecondProgram, carryFrom: options.CarryFrom, endpoint: endpoint, log: &tail{}, settings: operators.ProcessSettings{
 		Node: fmt.Sprintf("node-%d", number+1), IP: ip, Zone: zones[number%len(zones)], Zones: inOneRegion(zones),
 		ClientAddress: ip + ":7100", ReadyAddress: ip + ":7101", FirstPort: 7110, LastPort: 7119, StoreAddress: endpoint.Address(), GracePeriod: gracePeriod,
 		ColdFactor: coldFactor, ColdSlack: coldSlack, ContactBound: contactBound, DrainBound: drainBound, EvacuationBound: evacuationBound, ConfigurationBound: configurationBound,
@@ -125,8 +127,8 @@
 // start starts the process. Its predecessor must have exited.
 func (p *process) start() error {
 	p.exited = make(chan struct{})
-	program := p.programs[p.startCount%len(p.programs)]
-	p.startCount++
+	program := p.programs[p.startCount.Load()%int64(len(p.programs))]
+	p.startCount.Add(1)
 	p.command = exec.Command(program, "serve", "--settings", p.settingsPath, "--carry-from", strconv.Itoa(p.carryFrom), "--peers-listen", p.forwarder.to)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives the soak
@@ -148,6 +150,24 @@
 	return nil
 }
 
+// Values of process.build.
+const (
+	buildProgram = "program" // Options.Program
+	buildBeside  = "beside"  // Options.SecondProgram
+)
+
+// build returns which of two programs the process runs, or ran last; empty if there is only one.
+func (p *process) build() string {
+	last := max(0, p.startCount.Load()-1)
+	switch {
+	case p.secondProgram == "":
+		return ""
+	case p.programs[last%int64(len(p.programs))] == p.secondProgram:
+		return buildBeside
+	}
+	return buildProgram
+}
+
 // signal sends a signal to the process if it is still running.
 func (p *process) signal(signal syscall.Signal) {
 	if !p.ended() {
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -29,6 +30,7 @@
 // streamRecord is what callers received of one stream over all its attempts.
 type streamRecord struct {
 	versions []string // distinct versions of its events
+	parts    []string // descriptions of the attempts that received events, in order
 	last     time.Duration
 }
 
@@ -102,14 +104,31 @@
 	}
 	c.countStream(now, a, outcome, record)
 	record.last = now
+	if len(outcome.Events) > 0 {
+		record.parts = append(record.parts, describePart(a, outcome.Events))
+	}
 	for _, event := range outcome.Events {
 		if _, version := splitVersion(event); !slices.Contains(record.versions, version) {
 			record.versions = append(record.versions, version)
 		}
 	}
 	if len(outcome.Events) > 0 {
-		c.check(len(record.versions) == 1, OneVersion, now, a, "", "stream %s has events of versions %q", firstID, record.versions)
+		c.check(len(record.versions) == 1, OneVersion, now, a, "", "stream %s has events of versions %q: %s", firstID, record.versions, strings.Join(record.parts, "; "))
+	}
+}
+
+// describePart describes which versions' events an attempt received, at which process and from which engines.
+func describePart(a *attempt, events []string) string {
+	versions := make([]string, 0, len(events))
+	for _, event := range events {
+		_, version := splitVersion(event)
+		versions = append(versions, version)
+	}
+	process := a.Process
+	if a.Build != "" {
+		process += " (" + a.Build + ")"
 	}
+	return fmt.Sprintf("%s at %s got %s, sent at %.3f s, ran at %s", a.ID, process, strings.Join(versions, " "), a.sent.Seconds(), strings.Join(a.ranAt, ", "))
 }
 
 // countStream counts an attempt at a connected process while no zone is evacuated: one that starts a stream, or one
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -10,7 +10,7 @@
 // playStream reports an attempt of a stream to a checker that got events of a version, from a number on.
 func playStream(c *Checker, at time.Duration, id, resumes string, received, events int, version string) {
 	engine := "models-of-" + version
-	sent := Attempt{ID: id, Process: node, Route: routeOnce, Path: "/once/x", Events: eventsPerTurn, Repeatable: true, ResumesID: resumes, EventsReceived: received, Deadline: callerDeadline}
+	sent := Attempt{ID: id, Process: node, Build: buildBeside, Route: routeOnce, Path: "/once/x", Events: eventsPerTurn, Repeatable: true, ResumesID: resumes, EventsReceived: received, Deadline: callerDeadline}
 	outcome := Outcome{Status: http.StatusOK, ID: id, Seal: Seal(engine, id), Complete: received+events == eventsPerTurn}
 	for number := received + 1; number <= received+events; number++ {
 		outcome.Events = append(outcome.Events, VersionedEvent(EventData(id, engine, number, true), version))
@@ -40,6 +40,39 @@
 	wantBroken(t, c, OneVersion)
 }
 
+// TestFindingOfTwoVersionsNamesItsParts guards against a finding that does not tell which processes, of which build, and
+// which engines the events of a stream came from.
+func TestFindingOfTwoVersionsNamesItsParts(t *testing.T) {
+	c := NewChecker(1)
+	playStream(c, time.Second, "a1", "", 0, 2, "v1")
+	playStream(c, 2*time.Second, "a2", "a1", 2, 2, "v2")
+	findings := c.TakeFindings()
+	want := `stream a1 has events of versions ["v1" "v2"]: a1 at node-1 (beside) got v1 v1, sent at 1.000 s, ran at models-of-v1; a2 at node-1 (beside) got v2 v2, sent at 2.000 s, ran at models-of-v2`
+	if len(findings) != 1 || findings[0].Seen != want || findings[0].Build != buildBeside {
+		t.Errorf("got %+v, want one that says %q", findings, want)
+	}
+}
+
+// TestProcessNamesItsBuild starts processes of two builds several times.
+func TestProcessNamesItsBuild(t *testing.T) {
+	two, one := Options{Program: "new", SecondProgram: "old"}, Options{Program: "new"}
+	for _, test := range []struct {
+		options Options
+		number  int
+		starts  int64
+		want    string
+	}{
+		{two, 0, 1, buildProgram}, {two, 0, 2, buildBeside}, {two, 0, 3, buildProgram},
+		{two, 1, 1, buildBeside}, {two, 1, 2, buildProgram}, {one, 1, 2, ""},
+	} {
+		p := &process{programs: test.options.programsOf(test.number), secondProgram: test.options.SecondProgram}
+		p.startCount.Store(test.starts)
+		if got := p.build(); got != test.want {
+			t.Errorf("process %d after %d starts of %+v: got %q, want %q", test.number, test.starts, test.options, got, test.want)
+		}
+	}
+}
+
 // TestCheckerFindsStreamsThatDoNotResume rejects resumed streams while two engines of their version serve, and while
 // one does.
 func TestCheckerFindsStreamsThatDoNotResume(t *testing.T) {
