ingress: a stream that a later start began is not continued at the listed version

Callers got answers whose events are of two software versions: an engine starts again under its name and address with the next version, takes a stream before its entry is listed, and the stream is cut. Its node took the stream for one of the listed version, and another engine of that version went on with it, within the answer or at a caller's next attempt at any process. VersionIsCertain refuses such a stream only once the later start is listed, which may be after the stream has gone on.

Change: before a stream goes on elsewhere, the engine that began it is asked which start it is (the health check that already confirms the engine that goes on). If it reports another start than the one that was chosen, or, at a node that did not begin the stream, than the listed one, the stream is refused with 313, or cut, or begun anew if no event was sent. An engine that does not respond has ended, and the listed version holds. Engines that do not say when they started are not asked, so that nothing is sent to them.

Weighed: a check at each stream's start (doubles what engines get for a case of a second after a restart); comparing the start with the time of sending (clocks of two machines); waiting for the next list (stale while the store is away).

--- a/internal/ingress/origin.go
+++ b/internal/ingress/origin.go
@@ -31,6 +31,7 @@
 	version     string // the only one at which the stream may continue; empty before its first event
 	engine      string // name of the engine
 	sentAt      time.Time
+	startedBy   routing.Engine       // the engine as it was chosen, or as it is listed if another node started the stream; empty if it is not listed
 	announced   origins.Origin       // of the last send that was to start the stream; its Attempt is 0 before the first
 	replication *origins.Replication // of that send; nil before the first
 }
@@ -43,7 +44,7 @@
 func (o *streamOrigin) bindTo(current *attempt) {
 	if o.version == "" {
 		o.version = current.placed.Engine.Version
-		o.engine, o.sentAt = current.placed.Engine.Name, current.startedAt
+		o.engine, o.sentAt, o.startedBy = current.placed.Engine.Name, current.startedAt, current.placed.Engine
 	}
 }
 
@@ -70,7 +71,8 @@
 	}
 	r.service = origin.Service
 	r.origin = streamOrigin{version: origin.Version, engine: origin.Engine, sentAt: origin.SentAt}
-	return r.checkOrigin()
+	r.origin.startedBy, _ = r.handler.options.View().EngineOf(origin.Engine, origin.Version)
+	return r.checkOrigin(ctx)
 }
 
 // mayServe reports whether a service is a backend of the route.
@@ -80,7 +82,7 @@
 
 // checkOrigin rejects a stream that is bound to a version that no engine serves, or whose starting
 // version is uncertain.
-func (r *request) checkOrigin() *api.Error {
+func (r *request) checkOrigin(ctx context.Context) *api.Error {
 	r.report.Origin.Version = r.origin.version
 	view := r.handler.options.View()
 	if r.origin.engine != "" && !view.VersionIsCertain(r.origin.engine, r.origin.version, r.origin.sentAt) {
@@ -89,17 +91,32 @@
 	if !view.HasVersion(r.service, r.origin.version) {
 		return api.Errorf(api.StreamVersionGone, "no engine of service %s accepts new work at version %s, which started the stream", r.service, r.origin.version)
 	}
+	if r.startedByOtherIncarnation(ctx) {
+		return api.Errorf(api.StreamVersionUnknown, "engine %s reports a start that is not listed, and may have started the stream with a version other than %s", r.origin.engine, r.origin.version)
+	}
 	return nil
 }
 
+// startedByOtherIncarnation reports whether the engine that started the stream may have been another incarnation, and so
+// of another version, than the listed one: a later incarnation takes requests before its entry is listed. An engine that
+// does not respond has ended, and counts as the listed incarnation.
+func (r *request) startedByOtherIncarnation(ctx context.Context) bool {
+	engine := r.origin.startedBy
+	if engine.StartUnixMilli == 0 {
+		return false
+	}
+	reported, err := r.handler.options.IncarnationOf(ctx, engine)
+	return err == nil && reported.Name == engine.Name && reported.StartUnixMilli != 0 && reported != engine.Incarnation
+}
+
 // checkResumable returns a problem if an interrupted stream must not continue. A stream whose events
 // were all buffered may restart at any version if its own one is not available.
-func (s *stream) checkResumable() *api.Error {
+func (s *stream) checkResumable(ctx context.Context) *api.Error {
 	r := s.request
 	if r.origin.version == "" {
 		return nil
 	}
-	problem := r.checkOrigin()
+	problem := r.checkOrigin(ctx)
 	if problem == nil || s.optimistic == nil || r.call.isResume() {
 		return problem
 	}
--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -109,7 +109,7 @@
 		if ctx.Err() != nil || !r.route.Repeatable() {
 			return s.failed(ctx, r.unknownOutcomeProblem(ctx, err), attempts.mayHaveRun)
 		}
-		if problem := s.checkResumable(); problem != nil {
+		if problem := s.checkResumable(ctx); problem != nil {
 			return s.failed(ctx, problem, attempts.mayHaveRun)
 		}
 	}
