ingress, discovery: the last start of an engine that has ended is read from the store

Change: if the engine that began a stream does not say which start it is, the node reads the changes of the engines that its view lacks, from the store itself or through a peer that reaches it, within 200 ms. Another start of the engine there, or no answer, refuses the stream (or cuts it); else it goes on at the listed version. The zone's watcher is not asked, since its list has the same delay; nor is the whole list read, which may be stale. An engine that states no start is left out, as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -144,6 +144,7 @@
 	healthy      [collectionCount]atomic.Bool
 	lastAnswers  [collectionCount]atomic.Pointer[time.Time] // when the source last answered; nil before the first answer
 	firstListed  atomic.Pointer[time.Time]                  // when engines were first listed; nil before
+	readVersions [collectionCount]atomic.Uint64             // up to which the view has all changes
 }
 
 // New returns a follower with an empty view.
@@ -315,6 +316,7 @@
 	s.lastSuccess, s.backoff = now, 0
 	s.follower.healthy[s.collection].Store(true)
 	s.follower.lastAnswers[s.collection].Store(&now)
+	s.follower.readVersions[s.collection].Store(s.after)
 }
 
 // failed waits before the next call, longer after each consecutive failure.
--- a/internal/discovery/versions.go
+++ b/internal/discovery/versions.go
@@ -80,10 +80,10 @@
 	return true
 }
 
-// EngineOf returns the listed engine of a name and software version.
-func (v *View) EngineOf(name, version string) (routing.Engine, bool) {
+// EngineOf returns the listed engine of a name, whatever its version.
+func (v *View) EngineOf(name string) (routing.Engine, bool) {
 	for _, engine := range v.Engines {
-		if engine.Name == name && engine.Version == version {
+		if engine.Name == name {
 			return engine, true
 		}
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -115,6 +115,8 @@
 	Origins Origins
 	// IncarnationOf requests from the address of an engine which incarnation is running there.
 	IncarnationOf func(ctx context.Context, engine routing.Engine) (routing.Incarnation, error)
+	// HasUnreadIncarnation reports whether the store has another incarnation of an engine that the view does not have yet.
+	HasUnreadIncarnation func(ctx context.Context, engine routing.Engine) (bool, error)
 	// KeysCurrent reports whether the configuration was confirmed recently enough for its keys to be
 	// trusted.
 	KeysCurrent func() bool
--- a/internal/ingress/origin.go
+++ b/internal/ingress/origin.go
@@ -9,6 +9,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/origins"
 	"github.com/pewtermill/pewtermill/internal/routing"
 )
@@ -71,7 +72,9 @@
 	}
 	r.service = origin.Service
 	r.origin = streamOrigin{version: origin.Version, engine: origin.Engine, sentAt: origin.SentAt}
-	r.origin.startedBy, _ = r.handler.options.View().EngineOf(origin.Engine, origin.Version)
+	if listed, found := r.handler.options.View().EngineOf(origin.Engine); found && listed.Version == origin.Version {
+		r.origin.startedBy = listed
+	}
 	return r.checkOrigin(ctx)
 }
 
@@ -91,22 +94,38 @@
 	if !view.HasVersion(r.service, r.origin.version) {
 		return api.Errorf(api.StreamVersionGone, "no engine of service %s accepts new work at version %s, which started the stream", r.service, r.origin.version)
 	}
-	if r.startedByOtherIncarnation(ctx) {
-		return api.Errorf(api.StreamVersionUnknown, "engine %s reports a start that is not listed, and may have started the stream with a version other than %s", r.origin.engine, r.origin.version)
+	if detail := r.unlistedStart(ctx, view); detail != "" {
+		return api.Errorf(api.StreamVersionUnknown, "engine %s may have started the stream with a version other than %s: %s", r.origin.engine, r.origin.version, detail)
 	}
 	return nil
 }
 
-// startedByOtherIncarnation reports whether the engine that started the stream may have been another incarnation, and so
-// of another version, than the listed one: a later incarnation takes requests before its entry is listed. An engine that
-// does not respond has ended, and counts as the listed incarnation.
-func (r *request) startedByOtherIncarnation(ctx context.Context) bool {
-	engine := r.origin.startedBy
+// unlistedStart returns why an incarnation that this node does not list yet may have started the stream; empty if it
+// certainly did not. An engine takes requests as soon as it has restarted, and may end again before this node has read its
+// entry; so one that does not say which incarnation it is, is looked up in the store.
+func (r *request) unlistedStart(ctx context.Context, view *discovery.View) string {
+	engine, options := r.origin.startedBy, r.handler.options
 	if engine.StartUnixMilli == 0 {
-		return false
+		return ""
+	}
+	if listed, found := view.EngineOf(engine.Name); found && listed.Incarnation != engine.Incarnation {
+		return "" // VersionIsCertain has compared the time at which that one was listed
+	}
+	reported, err := options.IncarnationOf(ctx, engine)
+	if err == nil && reported.Name == engine.Name && reported.StartUnixMilli != 0 {
+		if reported == engine.Incarnation {
+			return ""
+		}
+		return "it reports a start that is not listed"
+	}
+	unread, err := options.HasUnreadIncarnation(ctx, engine)
+	switch {
+	case err != nil:
+		return "it does not respond, and the store does not confirm its last start: " + err.Error()
+	case unread, !options.View().VersionIsCertain(r.origin.engine, r.origin.version, r.origin.sentAt):
+		return "it does not respond, and has restarted"
 	}
-	reported, err := r.handler.options.IncarnationOf(ctx, engine)
-	return err == nil && reported.Name == engine.Name && reported.StartUnixMilli != 0 && reported != engine.Incarnation
+	return ""
 }
 
 // checkResumable returns a problem if an interrupted stream must not continue. A stream whose events
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -254,12 +254,15 @@
 		Quota:         p.quota,
 		Origins:       p.originClient,
 		IncarnationOf: p.incarnationAt,
-		KeysCurrent:   p.keysCurrent,
-		RegionOf:      settings.Topology.RegionOf,
-		Zone:          settings.Topology.Zone(),
-		ZoneLost:      p.zones.ZoneSuspected,
-		Isolated:      p.retryAfter,
-		Observer:      p,
+		HasUnreadIncarnation: func(ctx context.Context, engine routing.Engine) (bool, error) {
+			return p.follower.HasUnreadIncarnation(ctx, dependencies.NewSource(p.relayTable), engine)
+		},
+		KeysCurrent: p.keysCurrent,
+		RegionOf:    settings.Topology.RegionOf,
+		Zone:        settings.Topology.Zone(),
+		ZoneLost:    p.zones.ZoneSuspected,
+		Isolated:    p.retryAfter,
+		Observer:    p,
 	})
 	p.registerGauges()
 	return p
--- a/internal/serving/versions_restarted_test.go
+++ b/internal/serving/versions_restarted_test.go
@@ -160,3 +160,36 @@
 		t.Errorf("got %+v, and then %+v; want the events that are missing", answers[id], got)
 	}
 }
+
+// TestStreamOfALaterStartThatEndedDoesNotGoOn guards against answers with events of two software versions: an engine has
+// restarted with another version, starts a stream and ends, before the process has read its entry. The soak (seed 5103)
+// restarts an engine as v3 that was listed as v2 and crashes it 131 ms later.
+func TestStreamOfALaterStartThatEndedDoesNotGoOn(t *testing.T) {
+	for name, publish := range map[string]func(d *deployment, m1 *operators.Engine){
+		"its entry is not read yet": func(d *deployment, m1 *operators.Engine) {
+			d.relist(d.engines["p1"].StoreEntry("portal", "ready")) // the process pauses after each change
+			d.store.Put("servers", "", "m1", m1.StoreEntry("models", "ready"))
+		},
+		"the store does not confirm that it has no entry": func(d *deployment, _ *operators.Engine) { d.disableStore() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, _, streams := serveListedStarts(t)
+			m1 := first.engines["m1"]
+			m1.Restart(secondStart)
+			m1.SetVersion("v3")
+			handler := streams.handler(m1)
+			var ended atomic.Bool
+			m1.SetHandler(func(writer http.ResponseWriter, request *http.Request) bool {
+				if ended.CompareAndSwap(false, true) {
+					publish(first, m1)
+					_ = m1.Server.Listener.Close()
+				}
+				return handler(writer, request)
+			})
+			answers := first.startStreams("/resumed/", streams, "m1", 1)
+			if got := answers[streams.startedBy("m1")[0]]; versionsIn(got) != 1 || !got.cut {
+				t.Errorf("the stream has events of two versions, or looks complete: %+v", got)
+			}
+		})
+	}
+}
