--- a/internal/discovery/unread.go
+++ b/internal/discovery/unread.go
@@ -9,8 +9,11 @@
 	"github.com/pewtermill/pewtermill/internal/routing"
 )
 
-// unreadTimeout limits the wait for changes that the view does not have yet.
-const unreadTimeout = 200 * time.Millisecond
+// Times of reading the changes that the view does not have yet.
+const (
+	unreadTimeout = 200 * time.Millisecond // for the whole answer
+	unreadWait    = time.Millisecond       // of the source for changes that have not happened yet
+)
 
 // HasUnreadIncarnation reports whether a source has an entry of another incarnation of an engine that the view does not
 // have yet. With an error, it is unknown. The source must be the store itself: the changes of a follower's own source may
@@ -18,7 +21,7 @@
 func (f *Follower) HasUnreadIncarnation(ctx context.Context, source Source, engine routing.Engine) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, unreadTimeout)
 	defer cancel()
-	records, _, err := source.Changes(ctx, Engines, f.readVersions[Engines].Load(), time.Millisecond)
+	records, _, err := source.Changes(ctx, Engines, f.readVersions[Engines].Load(), unreadWait)
 	if err != nil {
 		return false, errors.Wrap(err, "read the changes of the engines")
 	}
