--- a/internal/ingress/origin.go
+++ b/internal/ingress/origin.go
@@ -9,6 +9,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/origins"
 	"github.com/pewtermill/pewtermill/internal/routing"
 )
@@ -31,6 +32,7 @@
 	version     string // the only one at which the stream may continue; empty before its first event
 	engine      string // name of the engine
 	sentAt      time.Time
+	startedBy   routing.Engine       // the engine as it was chosen, or as it is listed if another node started the stream; empty if it is not listed
 	announced   origins.Origin       // of the last send that was to start the stream; its Attempt is 0 before the first
 	replication *origins.Replication // of that send; nil before the first
 }
@@ -43,7 +45,7 @@
 func (o *streamOrigin) bindTo(current *attempt) {
 	if o.version == "" {
 		o.version = current.placed.Engine.Version
-		o.engine, o.sentAt = current.placed.Engine.Name, current.startedAt
+		o.engine, o.sentAt, o.startedBy = current.placed.Engine.Name, current.startedAt, current.placed.Engine
 	}
 }
 
@@ -70,7 +72,10 @@
 	}
 	r.service = origin.Service
 	r.origin = streamOrigin{version: origin.Version, engine: origin.Engine, sentAt: origin.SentAt}
-	return r.checkOrigin()
+	if listed, found := r.handler.options.View().EngineOf(origin.Engine); found && listed.Version == origin.Version {
+		r.origin.startedBy = listed
+	}
+	return r.checkOrigin(ctx)
 }
 
 // mayServe reports whether a service is a backend of the route.
@@ -80,7 +85,7 @@
 
 // checkOrigin rejects a stream that is bound to a version that no engine serves, or whose starting
 // version is uncertain.
-func (r *request) checkOrigin() *api.Error {
+func (r *request) checkOrigin(ctx context.Context) *api.Error {
 	r.report.Origin.Version = r.origin.version
 	view := r.handler.options.View()
 	if r.origin.engine != "" && !view.VersionIsCertain(r.origin.engine, r.origin.version, r.origin.sentAt) {
@@ -89,17 +94,48 @@
 	if !view.HasVersion(r.service, r.origin.version) {
 		return api.Errorf(api.StreamVersionGone, "no engine of service %s accepts new work at version %s, which started the stream", r.service, r.origin.version)
 	}
+	if detail := r.unlistedStart(ctx, view); detail != "" {
+		return api.Errorf(api.StreamVersionUnknown, "engine %s may have started the stream with a version other than %s: %s", r.origin.engine, r.origin.version, detail)
+	}
 	return nil
 }
 
+// unlistedStart returns why an incarnation that this node does not list yet may have started the stream; empty if it
+// certainly did not. An engine takes requests as soon as it has restarted, and may end again before this node has read its
+// entry; so one that does not say which incarnation it is, is looked up in the store.
+func (r *request) unlistedStart(ctx context.Context, view *discovery.View) string {
+	engine, options := r.origin.startedBy, r.handler.options
+	if engine.StartUnixMilli == 0 {
+		return ""
+	}
+	if listed, found := view.EngineOf(engine.Name); found && listed.Incarnation != engine.Incarnation {
+		return "" // VersionIsCertain has compared the time at which that one was listed
+	}
+	reported, err := options.IncarnationOf(ctx, engine)
+	if err == nil && reported.Name == engine.Name && reported.StartUnixMilli != 0 {
+		if reported == engine.Incarnation {
+			return ""
+		}
+		return "it reports a start that is not listed"
+	}
+	unread, err := options.HasUnreadIncarnation(ctx, engine)
+	switch {
+	case err != nil:
+		return "it does not respond, and the store does not confirm its last start: " + err.Error()
+	case unread, !options.View().VersionIsCertain(r.origin.engine, r.origin.version, r.origin.sentAt):
+		return "it does not respond, and has restarted"
+	}
+	return ""
+}
+
 // checkResumable returns a problem if an interrupted stream must not continue. A stream whose events
 // were all buffered may restart at any version if its own one is not available.
-func (s *stream) checkResumable() *api.Error {
+func (s *stream) checkResumable(ctx context.Context) *api.Error {
 	r := s.request
 	if r.origin.version == "" {
 		return nil
 	}
-	problem := r.checkOrigin()
+	problem := r.checkOrigin(ctx)
 	if problem == nil || s.optimistic == nil || r.call.isResume() {
 		return problem
 	}
