--- a/internal/zonefeed/answer.go
+++ b/internal/zonefeed/answer.go
@@ -17,7 +17,7 @@
 	// 500. Each has a goroutine.
 	maxAnswers = 1_024
 	// confirmTimeout is how long a request waits for the service to confirm that this process's data
-	// is current, before it is declined or told to wait on: one poll of the service by a process that has
+	// is current, before it is declined or waits on: one poll of the service by a process that has
 	// just become the watcher. It is less than idleTimeout, so that the client receives the reply.
 	confirmTimeout = 700 * time.Millisecond
 	// receivingKeepAlive is the time between two keep-alives to followers while a large answer of the service
