serving: a test in which a request ends every engine that runs it, failing

Callers saw (report): a request under which three engines had ended was sent to more, and ended those too.

Change: stand-in engines can end as a crash does (connections closed, further ones refused) or fall silent (nothing answered, no connection accepted). TestRequestEndsNoMoreThanThreeEngines has such engines end under one body and tries the request 8 times at two processes. The bound, three, is the report's.

--- a/internal/standin/operators/engine.go
+++ b/internal/standin/operators/engine.go
@@ -37,6 +37,9 @@
 	connections  atomic.Int64
 	healthChecks atomic.Int64
 	unhealthy    atomic.Bool
+	listener     *endableListener
+	silent       chan struct{} // closed by FallSilent
+	silentOnce   sync.Once
 
 	mutex          sync.Mutex
 	version        string                                        // of its software
@@ -56,7 +59,7 @@
 }
 
 func newEngine(id string, events int, address string, startUnixMilli int64) *Engine {
-	e := &Engine{ID: id, StreamEvents: events, version: "v1", startUnixMilli: startUnixMilli}
+	e := &Engine{ID: id, StreamEvents: events, version: "v1", startUnixMilli: startUnixMilli, silent: make(chan struct{})}
 	e.Server = httptest.NewUnstartedServer(http.HandlerFunc(e.serve))
 	e.Server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
@@ -70,6 +73,8 @@
 		_ = e.Server.Listener.Close() // its address was not given to anyone yet
 		e.Server.Listener = listener
 	}
+	e.listener = newEndableListener(e.Server.Listener)
+	e.Server.Listener = e.listener
 	e.Server.Start()
 	return e
 }
@@ -167,6 +172,7 @@
 		<-request.Context().Done() // connection of an earlier incarnation: no response
 		panic(http.ErrAbortHandler)
 	}
+	e.stopIfSilent(request)
 	if request.URL.Path == healthPath {
 		e.answerHealthCheck(writer)
 		return
@@ -219,6 +225,7 @@
 // Answer answers as a healthy engine does, but cuts a stream off after the given
 // number of events if that is less than StreamEvents.
 func (e *Engine) Answer(writer http.ResponseWriter, request *http.Request, events int) {
+	e.stopIfSilent(request)
 	header := writer.Header()
 	header.Set("X-Request-Id", request.Header.Get("X-Request-Id"))
 	header.Set("X-Response-Seal", "seal-of-"+e.ID)
@@ -229,6 +236,7 @@
 	header.Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for number := first + 1; number <= events; number++ {
+		e.stopIfSilent(request)
 		fmt.Fprintf(writer, "id: %d\ndata: event %d\n\n", number, number)
 		_ = http.NewResponseController(writer).Flush()
 	}
