poison, ingress: say which engines ended under a request, over all its tries

Cause: no line, metric or message tells that an engine ended while it ran a request, and nothing joins the tries of one client, of which each has an id of its own. So whether a request ends engines, or only ran on some that crashed, cannot be told by the logs.

Change: after a send that ended without an answer, the process finds out whether the engine has ended, and records that under a key of what the client asks for (tenant, method, host, target, program, session, previous turn, prompt parts, body). It tells all peers (messages TellEnds and AskEnds), before the failure is answered, so that every process knows. An answer clears a request; engines that are leaving, or lost with their zone, do not count. Nothing is computed or sent while no engine has ended. No request is decided by it yet.

Ruled out: peers chosen by rendezvous hashing, asked before a send. Who is to ask? With nothing known, every request would have to.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -32,7 +32,7 @@
 	case err != nil:
 		return api.Errorf(api.MalformedRequest, "reading the body failed: %v", err)
 	}
-	r.body = body
+	r.input, r.body = body, body
 	r.bodyRead = true
 	return nil
 }
--- /dev/null
+++ b/internal/ingress/ended_engines.go
@@ -0,0 +1,217 @@
+package ingress
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/poison"
+	"github.com/pewtermill/pewtermill/internal/routing"
+	"github.com/pewtermill/pewtermill/internal/upstream"
+)
+
+// A request that ends every engine that runs it must not reach one after the other, neither within one try of its client
+// nor over several. So after each send that ended without an answer this node finds out whether the engine has ended, and
+// records that with the request. Engines that leave as planned, or are lost with their zone, do not count. One that
+// cannot be told from these does: a wrong count matters only if it happens to the same request again and again, and a
+// missed one costs an engine.
+
+// Limits of recording ended engines.
+const (
+	// maxEndCheck is how long the examination of one engine may take.
+	maxEndCheck = time.Second
+	// maxReportWait is how long the answer to a failed request waits until the peers, one of which may get the next
+	// try, know which engines ended.
+	maxReportWait = 250 * time.Millisecond
+	// lateReportWait is how long it waits if the request's deadline has passed.
+	lateReportWait = 60 * time.Millisecond
+)
+
+// EngineEnd is the end of an engine under a request, for the observer.
+type EngineEnd struct {
+	Key      poison.Key
+	Try      string
+	Engine   routing.Engine
+	How      string
+	Standing poison.Standing
+}
+
+// EndReporter tells other nodes which engines ended under which requests. *poison.Client implements it.
+type EndReporter interface {
+	// Tell returns once the peers know what this node has recorded, or ctx ends.
+	Tell(ctx context.Context)
+}
+
+// How an engine ended, in logs and metrics.
+const (
+	endRefused      = "refuses_connections"
+	endRestarted    = "restarted"
+	endUnresponsive = "unresponsive"
+)
+
+// poisonKey returns the key of the request over all tries of its client.
+func (r *request) poisonKey() poison.Key {
+	r.keyOnce.Do(func() {
+		var parts strings.Builder
+		for _, part := range r.call.PromptParts {
+			parts.WriteString(part.ID + ":" + strconv.FormatInt(part.Tokens, 10) + ",")
+		}
+		r.key = poison.KeyOf(r.input, r.tenantName(), r.http.Method, r.http.Host, r.target(),
+			r.call.Program, r.call.Session, r.call.PreviousTurn, parts.String())
+	})
+	return r.key
+}
+
+// recordEnd records whether the attempt's engine ended under the request, or that it answered it. It does not block.
+func (t *attempt) recordEnd(outcome placement.Outcome, lostHedge bool) {
+	r, memory := t.request, t.request.handler.options.EndedEngines
+	if outcome == placement.Served {
+		if !memory.Empty() && memory.Answered(r.poisonKey(), time.Now()) {
+			go r.handler.options.EndReporter.Tell(context.Background())
+		}
+		return
+	}
+	if lostHedge || !t.mayHaveEnded(outcome) {
+		return
+	}
+	end := poison.End{Engine: t.placed.Engine.ID, Try: r.call.ID, SentAt: t.startedAt, EndedAt: t.lastActivity()}
+	check := memory.BeginCheck(r.poisonKey(), time.Now())
+	reported := make(chan struct{})
+	r.addEndReport(reported)
+	if outcome == placement.Cancelled && memory.StandingOf(r.poisonKey(), time.Now()).Ended > 0 {
+		go t.presume(check, end, reported)
+		return
+	}
+	go func() {
+		defer close(reported)
+		t.examine(check, end, outcome)
+	}()
+}
+
+// presume records and reports that the engine ended, and examines it then. It is used where an engine sent nothing until
+// the request's time was over, and others ended under the request before: the next try would reach a peer before the
+// examination is over.
+func (t *attempt) presume(check *poison.Check, end poison.End, reported chan<- struct{}) {
+	check.Presume(end)
+	t.request.handler.options.EndReporter.Tell(context.Background())
+	close(reported)
+	t.examine(check, end, placement.Cancelled)
+}
+
+// mayHaveEnded reports whether the engine may have ended, after a send with this outcome. A client that leaves shows
+// nothing about an engine that sent something just before.
+func (t *attempt) mayHaveEnded(outcome placement.Outcome) bool {
+	switch outcome {
+	case placement.Failed, placement.Unresponsive, placement.CarrierLost:
+		return true
+	case placement.Cancelled:
+		return time.Since(t.lastActivity()) >= zoneCheckAfter || errors.Is(t.ctx.Err(), context.DeadlineExceeded) ||
+			t.request.handler.options.EndedEngines.StandingOf(t.request.poisonKey(), time.Now()).Ended > 0
+	}
+	return false
+}
+
+// lastActivity returns when the engine last sent anything; when the request was sent if it has sent nothing.
+func (t *attempt) lastActivity() time.Time {
+	return t.startedAt.Add(time.Duration(t.activityAfter.Load()))
+}
+
+// examine finds out whether the engine has ended, and records and reports it.
+func (t *attempt) examine(check *poison.Check, end poison.End, outcome placement.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxEndCheck)
+	defer cancel()
+	handler, engine := t.request.handler, t.placed.Engine
+	how := endUnresponsive
+	if outcome != placement.Unresponsive {
+		how = handler.howEnded(ctx, engine, t.startedAt)
+	}
+	if how == "" || handler.leftAsPlanned(engine) {
+		check.Finish(nil)
+		handler.options.EndReporter.Tell(context.Background()) // if the end was presumed
+		return
+	}
+	if how != endUnresponsive {
+		end.EndedAt = time.Now()
+	}
+	if !check.Finish(&end) {
+		return
+	}
+	key := t.request.poisonKey()
+	handler.options.Observer.EngineEnded(EngineEnd{Key: key, Try: end.Try, Engine: engine, How: how,
+		Standing: handler.options.EndedEngines.StandingOf(key, time.Now())})
+	handler.options.EndReporter.Tell(context.Background())
+}
+
+// howEnded returns how an engine ended to which a request was sent at a time; empty if it has not, or nothing shows it.
+func (h *Handler) howEnded(ctx context.Context, engine routing.Engine, sentAt time.Time) string {
+	if h.options.View().ReplacedAfter(engine, sentAt) {
+		return endRestarted
+	}
+	err := h.options.Pool.Probe(ctx, destinationOf(engine), probeTimeout)
+	switch {
+	case err == nil:
+		return h.whetherRestarted(ctx, engine)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return endRefused
+	case upstream.IsDialTimeout(err) && h.prober.unresponsive(ctx, engine):
+		return endUnresponsive
+	}
+	return ""
+}
+
+// whetherRestarted returns endRestarted if another incarnation responds at the engine's address; otherwise it is empty.
+// Only where engines restart under their names does one take the address of another at once.
+func (h *Handler) whetherRestarted(ctx context.Context, engine routing.Engine) string {
+	if engine.StartUnixMilli == 0 {
+		return ""
+	}
+	reported, err := h.options.IncarnationOf(ctx, engine)
+	if err != nil || reported.Name == "" || reported.StartUnixMilli == 0 || reported == engine.Incarnation {
+		return ""
+	}
+	return endRestarted
+}
+
+// leftAsPlanned reports whether an engine's end has another cause than its requests: it was leaving, or its zone is
+// lost or evacuated.
+func (h *Handler) leftAsPlanned(engine routing.Engine) bool {
+	view := h.options.View()
+	listed, found := view.EngineOf(engine.Name)
+	if found && listed.Incarnation == engine.Incarnation && listed.Draining {
+		return true
+	}
+	return view.Evacuated(engine.Zone) || h.options.ZoneLost != nil && h.options.ZoneLost(engine.Zone)
+}
+
+// addEndReport adds an examination of an engine to those of the request.
+func (r *request) addEndReport(reported <-chan struct{}) {
+	r.reportMutex.Lock()
+	defer r.reportMutex.Unlock()
+	r.endReports = append(r.endReports, reported)
+}
+
+// awaitEndReports waits until the peers know which engines ended under the request, so that the one that gets the
+// client's next try does. A client that has left is not made to wait.
+func (r *request) awaitEndReports() {
+	r.reportMutex.Lock()
+	reports := r.endReports
+	r.reportMutex.Unlock()
+	if len(reports) == 0 {
+		return
+	}
+	wait := min(maxReportWait, max(lateReportWait, time.Until(r.deadline)))
+	ctx, cancel := context.WithTimeout(r.http.Context(), wait)
+	defer cancel()
+	for _, reported := range reports {
+		select {
+		case <-reported:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/poison"
 	"github.com/pewtermill/pewtermill/internal/quota"
 	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/upstream"
@@ -96,9 +97,11 @@
 	ReturnToken(tenant string, granted quota.Decision)
 }
 
-// Observer is notified of each request's end. It must not block.
+// Observer is notified of each request's end, and of engines that end. It must not block.
 type Observer interface {
 	RequestEnded(report Report)
+	// EngineEnded is called for each engine that ended under a request and counts against it.
+	EngineEnded(end EngineEnd)
 }
 
 // Options configure a Handler.
@@ -113,6 +116,9 @@
 	Quota    Quota
 	// Origins stores which software version started a stream.
 	Origins Origins
+	// EndedEngines records which engines ended under which requests, and EndReporter tells other nodes.
+	EndedEngines *poison.Memory
+	EndReporter  EndReporter
 	// IncarnationOf requests from the address of an engine which incarnation is running there.
 	IncarnationOf func(ctx context.Context, engine routing.Engine) (routing.Incarnation, error)
 	// HasUnreadIncarnation reports whether the store has another incarnation of an engine that the view does not have yet.
@@ -167,6 +173,7 @@
 	tenant      *bundle.Tenant // of the caller's key; nil if there is none
 	service     string         // backend of the route that serves it
 	regions     []string       // regions in which it may be served; nil for all, empty for none
+	input       []byte         // the body as the client sent it
 	body        []byte         // as it is sent to the engine
 	bodyRead    bool           // the client's body has been read to its end
 	arrived     time.Time
@@ -177,7 +184,11 @@
 	endPending  func()         // ends the pending count of the program that it starts; nil if there is none
 	report      Report
 
-	reportMutex sync.Mutex // guards report.Attempts while two sends are in flight
+	keyOnce sync.Once
+	key     poison.Key // see poisonKey
+
+	reportMutex sync.Mutex        // guards report.Attempts while two sends are in flight, and endReports
+	endReports  []<-chan struct{} // closed once it is known, here and at peers, whether an engine ended
 }
 
 // ServeHTTP implements http.Handler.
@@ -187,7 +198,11 @@
 		writer.Header().Set("Connection", "close")
 	}
 	defer r.end()
-	if problem := r.serve(); problem != nil {
+	problem := r.serve()
+	if problem != nil || r.report.Truncated {
+		r.awaitEndReports()
+	}
+	if problem != nil {
 		r.refuse(problem)
 	}
 }
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -49,6 +49,7 @@
 
 // recordActivity records that the engine has sent something.
 func (t *attempt) recordActivity() {
+	t.activityAfter.Store(int64(time.Since(t.startedAt)))
 	t.activity.Add(1)
 	t.stalled.Store(false)
 	t.watchdog.Reset(zoneCheckAfter)
--- /dev/null
+++ b/internal/poison/client.go
@@ -0,0 +1,236 @@
+package poison
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/backoff"
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// Limits of telling peers.
+const (
+	// tellTimeout is how long a peer, also one in another region, may take to confirm.
+	tellTimeout = 150 * time.Millisecond
+	// maxTold is how many requests one message holds at most.
+	maxTold = 200
+	// firstRetry and maxRetry are the pauses before a peer that has not confirmed is told again.
+	firstRetry = 250 * time.Millisecond
+	maxRetry   = 4 * time.Second
+	// maxAsked is how many peers are asked, one after another, by a node that has started.
+	maxAsked = 5
+)
+
+// peerClient sends a request to a peer. *wire.Client implements it.
+type peerClient interface {
+	Do(ctx context.Context, address string, request *wirepb.Request, onPart func(offset int64, text []byte)) (*wirepb.Reply, error)
+}
+
+// Observer is notified of peers that were not told. It must not block.
+type Observer interface {
+	// PeerNotTold is called for the first of consecutive failures of telling a peer.
+	PeerNotTold(peer string, cause error)
+}
+
+// Options configure a Client.
+type Options struct {
+	Node   string
+	Memory *Memory
+	// Suspected reports whether a peer is not waited for, because its zone is suspected to be lost.
+	Suspected func(address string) bool
+	Observer  Observer
+}
+
+// Client tells all peers which engines ended under which requests, so that each of them knows when it gets the client's
+// next try. Safe for concurrent use.
+type Client struct {
+	options Options
+
+	mutex  sync.Mutex
+	client peerClient // nil before SetPeers
+	peers  map[string]*peer
+	asked  bool // a peer has returned what it has recorded since this node started, or is being asked
+}
+
+// peer is what a Client knows of one peer.
+type peer struct {
+	address string
+	removed context.Context // ends when the peer is no longer listed
+	remove  context.CancelFunc
+
+	telling  sync.Mutex // held while the peer is being told
+	told     uint64     // sequence number of the last change that it has confirmed; guarded by telling
+	mutex    sync.Mutex
+	retrying bool // a goroutine tells it again until it confirms; guarded by mutex
+}
+
+// NewClient returns a client without peers.
+func NewClient(options Options) *Client {
+	return &Client{options: options, peers: make(map[string]*peer)}
+}
+
+// SetPeers replaces the peers, nearest first. New ones are told what this node has recorded. Until a peer has returned
+// what it has recorded, each call has peers asked for it.
+func (c *Client) SetPeers(client peerClient, addresses []string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.client = client
+	listed := make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		listed[address] = true
+		if c.peers[address] == nil {
+			added := &peer{address: address}
+			added.removed, added.remove = context.WithCancel(context.Background())
+			c.peers[address] = added
+			if !c.options.Memory.Empty() {
+				go c.tell(context.Background(), added)
+			}
+		}
+	}
+	for address, existing := range c.peers {
+		if !listed[address] {
+			existing.remove()
+			delete(c.peers, address)
+		}
+	}
+	if !c.asked && len(addresses) > 0 {
+		c.asked = true
+		go c.askPeers(addresses)
+	}
+}
+
+// Close ends all retries.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, existing := range c.peers {
+		existing.remove()
+	}
+}
+
+// Tell tells all peers what this node has recorded and has not told them yet. It returns once each has confirmed or
+// failed to, or ctx ends; peers that have not confirmed are told again later.
+func (c *Client) Tell(ctx context.Context) {
+	c.mutex.Lock()
+	peers := make([]*peer, 0, len(c.peers))
+	for _, listed := range c.peers {
+		peers = append(peers, listed)
+	}
+	c.mutex.Unlock()
+	var awaited sync.WaitGroup
+	for _, listed := range peers {
+		if c.options.Suspected(listed.address) {
+			c.retry(listed)
+			continue
+		}
+		awaited.Go(func() { c.tell(context.WithoutCancel(ctx), listed) })
+	}
+	confirmed := make(chan struct{})
+	go func() {
+		awaited.Wait()
+		close(confirmed)
+	}()
+	select {
+	case <-confirmed:
+	case <-ctx.Done():
+	}
+}
+
+// tell tells a peer once, unless it is being told again and again already.
+func (c *Client) tell(ctx context.Context, listed *peer) {
+	if listed.isRetrying() {
+		return
+	}
+	if err := c.deliver(ctx, listed); err != nil && listed.removed.Err() == nil {
+		c.options.Observer.PeerNotTold(listed.address, err)
+		c.retry(listed)
+	}
+}
+
+func (p *peer) isRetrying() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.retrying
+}
+
+// setRetrying sets whether a goroutine tells the peer again. It reports whether that changed.
+func (p *peer) setRetrying(retrying bool) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	changed := p.retrying != retrying
+	p.retrying = retrying
+	return changed
+}
+
+// retry tells a peer again, with growing pauses, until it confirms or is no longer listed.
+func (c *Client) retry(listed *peer) {
+	if !listed.setRetrying(true) {
+		return
+	}
+	go func() {
+		for pause := firstRetry; backoff.Wait(listed.removed, backoff.Jitter(pause)); pause = min(maxRetry, 2*pause) {
+			if c.deliver(listed.removed, listed) == nil {
+				break
+			}
+		}
+		listed.setRetrying(false)
+		if listed.removed.Err() == nil && c.deliver(listed.removed, listed) != nil { // recorded while retrying was still set
+			c.retry(listed)
+		}
+	}()
+}
+
+// deliver sends a peer all changes that it has not confirmed.
+func (c *Client) deliver(ctx context.Context, listed *peer) error {
+	listed.telling.Lock()
+	defer listed.telling.Unlock()
+	for {
+		requests, upTo := c.options.Memory.changesAfter(listed.told, maxTold, time.Now())
+		if len(requests) == 0 {
+			listed.told = upTo
+			return nil
+		}
+		message := &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_TellEnds{TellEnds: &wirepb.TellEnds{Requests: requests}}}
+		reply, err := c.do(ctx, listed.address, message)
+		if err != nil {
+			return err
+		}
+		// A peer whose build does not know the message cannot be told at all.
+		if code := api.Code(reply.GetCode()); code != api.OK && code != api.UnknownMessage {
+			return errors.Newf("refused with code %d: %s", code, reply.GetDetail())
+		}
+		listed.told = upTo
+	}
+}
+
+func (c *Client) do(ctx context.Context, address string, message *wirepb.Request) (*wirepb.Reply, error) {
+	c.mutex.Lock()
+	client := c.client
+	c.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	return client.Do(ctx, address, message, nil)
+}
+
+// askPeers asks peers, one after another, until one has returned what it has recorded.
+func (c *Client) askPeers(addresses []string) {
+	for _, address := range addresses[:min(len(addresses), maxAsked)] {
+		reply, err := c.do(context.Background(), address, &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_AskEnds{AskEnds: &wirepb.AskEnds{}}})
+		if err != nil || api.Code(reply.GetCode()) != api.OK {
+			continue
+		}
+		var recorded wirepb.EndsRecorded
+		if proto.Unmarshal(reply.GetBody(), &recorded) == nil && recorded.GetUnderstood() {
+			c.options.Memory.merge(recorded.GetRequests(), time.Now())
+			return
+		}
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.asked = false // until the next call of SetPeers
+}
--- /dev/null
+++ b/internal/poison/client_test.go
@@ -0,0 +1,241 @@
+package poison
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// state is how a node responds to its peers.
+type state int
+
+const (
+	healthy      state = iota
+	unresponsive       // it never responds
+	earlierBuild       // it does not know the messages
+)
+
+// node is one of several nodes that tell each other which engines ended.
+type node struct {
+	*Client
+	memory *Memory
+	state  state
+	calls  int // messages received
+}
+
+// fleet is a set of nodes by address. It implements peerClient and Observer.
+type fleet struct {
+	mutex   sync.Mutex
+	nodes   map[string]*node
+	notTold []string
+	ended   int // engines that ended so far
+}
+
+// Do implements peerClient.
+func (f *fleet) Do(ctx context.Context, address string, request *wirepb.Request, _ func(int64, []byte)) (*wirepb.Reply, error) {
+	time.Sleep(time.Millisecond) // network latency
+	f.mutex.Lock()
+	target := f.nodes[address]
+	target.calls++
+	behavior := target.state
+	f.mutex.Unlock()
+	switch behavior {
+	case unresponsive:
+		<-ctx.Done()
+		return nil, errors.Wrap(ctx.Err(), "no response")
+	case earlierBuild:
+		return &wirepb.Reply{Code: int32(api.UnknownMessage)}, nil
+	}
+	server := NewServer(target.memory)
+	if told := request.GetTellEnds(); told != nil {
+		return server.Record(told), nil
+	}
+	return server.List(), nil
+}
+
+// PeerNotTold implements Observer.
+func (f *fleet) PeerNotTold(peer string, _ error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.notTold = append(f.notTold, peer)
+}
+
+// address returns the address of a node by its number.
+func address(number int) string { return fmt.Sprintf("10.0.0.%d:1", number) }
+
+// newFleet returns nodes that know each other. They stop telling when the test ends.
+func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := &fleet{nodes: make(map[string]*node)}
+	for number := range size {
+		f.add(number)
+	}
+	f.connect()
+	time.Sleep(10 * time.Millisecond) // the nodes ask each other
+	t.Cleanup(func() {
+		for _, member := range f.nodes {
+			member.Close()
+		}
+	})
+	return f
+}
+
+// add adds a node that knows nothing, or replaces one that has that number.
+func (f *fleet) add(number int) *node {
+	created := &node{memory: NewMemory()}
+	created.Client = NewClient(Options{Node: address(number), Memory: created.memory, Suspected: func(string) bool { return false }, Observer: f})
+	f.nodes[address(number)] = created
+	return created
+}
+
+// connect sets the peers of all nodes.
+func (f *fleet) connect() {
+	for own, member := range f.nodes {
+		var peers []string
+		for other := range f.nodes {
+			if other != own {
+				peers = append(peers, other)
+			}
+		}
+		slices.Sort(peers)
+		member.SetPeers(f, peers)
+	}
+}
+
+// endEngines has nodes record, by turns, that engines ended one after another under a request, and tell it.
+func (f *fleet) endEngines(t *testing.T, key Key, nodes ...int) {
+	t.Helper()
+	for _, number := range nodes {
+		member := f.nodes[address(number)]
+		f.ended++
+		end := End{Engine: fmt.Sprint("e", f.ended), Try: fmt.Sprint("t", f.ended), SentAt: time.Now(), EndedAt: time.Now()}
+		member.memory.BeginCheck(key, time.Now()).Finish(&end)
+		member.Tell(t.Context())
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// set changes how a node responds, and forgets the messages that it received.
+func (f *fleet) set(number int, behavior state) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.nodes[address(number)].state, f.nodes[address(number)].calls = behavior, 0
+}
+
+// calls returns how many messages a node received.
+func (f *fleet) calls(number int) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.nodes[address(number)].calls
+}
+
+// expectEnded checks how many engines count against a request at a node.
+func (f *fleet) expectEnded(t *testing.T, number int, key Key, want int) {
+	t.Helper()
+	if got := f.nodes[address(number)].memory.StandingOf(key, time.Now()).Ended; got != want {
+		t.Errorf("node %d counts %d engines, want %d", number, got, want)
+	}
+}
+
+// TestAllNodesKnowWhichEnginesEnded has engines end under a request at several nodes. When Tell returns, every other node
+// counts them: the next try may reach any of them. An answer at any node clears it at all.
+func TestAllNodesKnowWhichEnginesEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, key := newFleet(t, 6), KeyOf([]byte("x"))
+		f.endEngines(t, key, 0, 3, 5)
+		for number := range 6 {
+			f.expectEnded(t, number, key, 3)
+		}
+		f.nodes[address(2)].memory.Answered(key, time.Now())
+		f.nodes[address(2)].Tell(t.Context())
+		for number := range 6 {
+			f.expectEnded(t, number, key, 0)
+		}
+	})
+}
+
+// TestUnresponsivePeerIsToldLater has one peer not respond. The others are told at once, the wait for it is bounded, and it is
+// told once it responds. One failure is reported, not each.
+func TestUnresponsivePeerIsToldLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, key := newFleet(t, 4), KeyOf([]byte("x"))
+		f.set(3, unresponsive)
+		begin := time.Now()
+		f.endEngines(t, key, 0)
+		if took := time.Since(begin); took > tellTimeout+5*time.Millisecond {
+			t.Errorf("telling took %s, want at most %s", took, tellTimeout)
+		}
+		f.expectEnded(t, 2, key, 1)
+		begin = time.Now()
+		f.endEngines(t, key, 0)
+		if took := time.Since(begin); took > 5*time.Millisecond {
+			t.Errorf("a peer that is told again later was waited for, %s", took)
+		}
+		f.expectEnded(t, 2, key, 2)
+		time.Sleep(2 * time.Second)
+		if len(f.notTold) != 1 {
+			t.Errorf("%d failures reported, want 1", len(f.notTold))
+		}
+		f.set(3, healthy)
+		time.Sleep(maxRetry + time.Second)
+		f.expectEnded(t, 3, key, 2)
+	})
+}
+
+// TestRestartedNodeAsks restarts a node, which then knows what the others do; so does one that is new.
+func TestRestartedNodeAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, key := newFleet(t, 4), KeyOf([]byte("x"))
+		f.set(0, earlierBuild)
+		f.endEngines(t, key, 1, 2, 2)
+		f.nodes[address(3)].Close()
+		f.add(3)
+		f.add(4)
+		f.connect()
+		time.Sleep(100 * time.Millisecond)
+		for _, number := range []int{1, 2, 3, 4} {
+			f.expectEnded(t, number, key, 3)
+		}
+	})
+}
+
+// TestPeerOfAnEarlierBuildIsNotToldAgain has a peer that does not know the message. It is neither retried nor reported.
+func TestPeerOfAnEarlierBuildIsNotToldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, key := newFleet(t, 3), KeyOf([]byte("x"))
+		f.set(2, earlierBuild)
+		f.endEngines(t, key, 0)
+		time.Sleep(time.Minute)
+		if calls := f.calls(2); calls != 1 || len(f.notTold) != 0 {
+			t.Errorf("the peer got %d messages and %d failures are reported, want 1 and 0", calls, len(f.notTold))
+		}
+	})
+}
+
+// TestNothingIsSentWithoutEnds has nodes tell although they have recorded nothing, as on a calm day.
+func TestNothingIsSentWithoutEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		for number := range 3 {
+			f.set(number, healthy)
+		}
+		for _, member := range f.nodes {
+			member.Tell(t.Context())
+		}
+		time.Sleep(time.Minute)
+		for number := range 3 {
+			if calls := f.calls(number); calls != 0 {
+				t.Errorf("node %d got %d messages", number, calls)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/poison/server.go
@@ -0,0 +1,34 @@
+package poison
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
+)
+
+// maxListed is how many requests one reply lists at most, so that it fits into a frame.
+const maxListed = 1000
+
+// Server records ends for peers and returns those that are recorded. Safe for concurrent use.
+type Server struct{ memory *Memory }
+
+// NewServer returns a server for a memory.
+func NewServer(memory *Memory) *Server { return &Server{memory: memory} }
+
+// Record handles a peer's request to record ends.
+func (s *Server) Record(request *wirepb.TellEnds) *wirepb.Reply {
+	s.memory.merge(request.GetRequests(), time.Now())
+	return &wirepb.Reply{}
+}
+
+// List handles a peer's query for all recorded ends.
+func (s *Server) List() *wirepb.Reply {
+	body, err := proto.Marshal(&wirepb.EndsRecorded{Understood: true, Requests: s.memory.all(maxListed, time.Now())})
+	if err != nil {
+		return &wirepb.Reply{Code: int32(api.Internal), Execution: string(api.NotRun), Detail: err.Error()}
+	}
+	return &wirepb.Reply{Body: body}
+}
--- /dev/null
+++ b/internal/serving/ended_engines.go
@@ -0,0 +1,67 @@
+package serving
+
+import (
+	"time"
+
+	"github.com/pewtermill/pewtermill/internal/ingress"
+	"github.com/pewtermill/pewtermill/internal/poison"
+	"github.com/pewtermill/pewtermill/internal/relay"
+)
+
+// maxEndRecords is the maximum number of log records per second about engines that ended under requests, and about peers
+// that were not told of them.
+const maxEndRecords = 20
+
+// initEndedEngines sets up the record of engines that ended under requests.
+func (p *Process) initEndedEngines() {
+	p.endLog.maxPerSecond = maxEndRecords
+	p.endedEngines = poison.NewMemory()
+	p.endServer = poison.NewServer(p.endedEngines)
+	p.endClient = poison.NewClient(poison.Options{
+		Node:      p.settings.Node,
+		Memory:    p.endedEngines,
+		Suspected: p.zones.PeerSuspected,
+		Observer:  p,
+	})
+}
+
+// EngineEnded implements ingress.Observer.
+func (p *Process) EngineEnded(end ingress.EngineEnd) {
+	p.metrics.engineEnds.WithLabelValues(end.How).Inc()
+	if suppressed, allowed := p.endLog.allow(time.Now()); allowed {
+		p.logger.Warn("engine ended under a request", "request", end.Try, "request_key", end.Key.String(), "engine", end.Engine.ID,
+			"service", end.Engine.Service, "how", end.How, "ended", end.Standing.Ended, "engines", end.Standing.Engines, "left_out", suppressed)
+	}
+}
+
+// PeerNotTold implements poison.Observer.
+func (p *Process) PeerNotTold(peer string, cause error) {
+	if suppressed, allowed := p.endLog.allow(time.Now()); allowed {
+		p.logger.Warn("ended engines not reported to a peer", "peer", peer, "error", cause.Error(), "left_out", suppressed)
+	}
+}
+
+// setEndPeers sets the peers that are told which engines ended under requests.
+func (p *Process) setEndPeers(services *peerServices, peers []relay.Peer) {
+	addresses := make([]string, 0, len(peers))
+	for _, peer := range peers {
+		addresses = append(addresses, peer.Address)
+	}
+	p.endClient.SetPeers(services.peerClient, addresses)
+}
+
+// registerEndedEngines registers the metrics of requests under which engines ended.
+func (p *Process) registerEndedEngines() {
+	p.metrics.RegisterGauge("pewtermill_serve_suspect_requests", "Requests under which engines ended, as far as this process remembers.", func() float64 {
+		count, _, _ := p.endedEngines.Len(time.Now())
+		return float64(count)
+	})
+	p.metrics.RegisterGauge("pewtermill_serve_stopped_requests", "Requests that no engine gets any more, since engines ended under them one after another.", func() float64 {
+		_, stopped, _ := p.endedEngines.Len(time.Now())
+		return float64(stopped)
+	})
+	p.metrics.RegisterGauge("pewtermill_serve_suspect_requests_dropped", "Requests under which engines ended that are not remembered, since there were too many.", func() float64 {
+		_, _, dropped := p.endedEngines.Len(time.Now())
+		return float64(dropped)
+	})
+}
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -14,6 +14,7 @@
 	"github.com/pewtermill/pewtermill/internal/loads"
 	"github.com/pewtermill/pewtermill/internal/origins"
 	"github.com/pewtermill/pewtermill/internal/owners"
+	"github.com/pewtermill/pewtermill/internal/poison"
 	"github.com/pewtermill/pewtermill/internal/quota"
 	"github.com/pewtermill/pewtermill/internal/relay"
 	"github.com/pewtermill/pewtermill/internal/turncache"
@@ -54,6 +55,7 @@
 	watch        *zonefeed.Feed
 	carryServer  *carry.Server
 	originServer *origins.Server
+	endServer    *poison.Server
 	onUnknown    func(peer string) // called for messages that this build does not know
 }
 
@@ -79,6 +81,10 @@
 		return h.originServer.Store(body.TellOrigins)
 	case *wirepb.Request_FindOrigin:
 		return h.originServer.Find(body.FindOrigin)
+	case *wirepb.Request_TellEnds:
+		return h.endServer.Record(body.TellEnds)
+	case *wirepb.Request_AskEnds:
+		return h.endServer.List()
 	case *wirepb.Request_FetchTurns:
 		return h.turns.ServeFetch(body.FetchTurns)
 	case *wirepb.Request_FollowTable:
@@ -119,6 +125,7 @@
 		}
 	}
 	defer services.close()
+	defer p.endClient.Close()
 	p.loops.Go(func() { services.reporter.Run(ctx) })
 	for wait := firstRefresh; ; wait = refreshPeriod {
 		peers, complete, err := directory.Peers(ctx)
@@ -145,7 +152,7 @@
 	}
 	options := wire.Options{Node: p.settings.Node, ClusterKey: secret, UnresponsiveTimeout: peerUnresponsiveTimeout}
 	handler := peerHandler{
-		relay: p.relayServer, commits: p.commits, turns: p.turnCache, owners: p.ownerServer, collector: p.collector, limits: p.quota, watch: p.watch, carryServer: p.carryServer, originServer: p.originServer,
+		relay: p.relayServer, commits: p.commits, turns: p.turnCache, owners: p.ownerServer, collector: p.collector, limits: p.quota, watch: p.watch, carryServer: p.carryServer, originServer: p.originServer, endServer: p.endServer,
 		onUnknown: p.declineUnknown,
 	}
 	server := wire.Serve(p.listeners.peers, options, handler)
@@ -193,6 +200,7 @@
 	services.reporter.SetPeers(loadPeers)
 	p.setCarriers(services.client, peers)
 	p.originClient.SetPeers(services.peerClient, originPeers(peers))
+	p.setEndPeers(services, peers)
 	p.ledger.SetOwners(services.owners)
 	p.leases.SetPeers(addresses)
 	p.quota.SetPeers(services.peerClient, len(addresses)+1)
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -31,6 +31,7 @@
 	"github.com/pewtermill/pewtermill/internal/origins"
 	"github.com/pewtermill/pewtermill/internal/owners"
 	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/poison"
 	"github.com/pewtermill/pewtermill/internal/quota"
 	"github.com/pewtermill/pewtermill/internal/relay"
 	"github.com/pewtermill/pewtermill/internal/routing"
@@ -134,6 +135,10 @@
 	originClient        *origins.Client // finds and replicates the origins of streams
 	originServer        *origins.Server // answers peers' queries for origins
 	originStore         *origins.Memory
+	endedEngines        *poison.Memory // engines that ended under requests
+	endClient           *poison.Client // tells peers of them
+	endServer           *poison.Server // records what peers tell
+	endLog              logLimiter
 	collector           *loads.Collector // aggregates load reports
 	holdings            *quota.Holdings  // accounts of tenants' limits that this process holds for all
 	quota               *quota.Client
@@ -242,6 +247,7 @@
 	p.leases.SetProber(p.quota)
 	p.leases.SetSuspected(p.zones.PeerSuspected)
 	p.initOrigins()
+	p.initEndedEngines()
 	p.collector = loads.NewCollector(xxhash.Sum64String(dependencies.RunID), time.Now, p)
 	p.handler = ingress.New(ingress.Options{
 		Protocol:      dependencies.Protocol,
@@ -253,6 +259,8 @@
 		Lines:         locations,
 		Quota:         p.quota,
 		Origins:       p.originClient,
+		EndedEngines:  p.endedEngines,
+		EndReporter:   p.endClient,
 		IncarnationOf: p.incarnationAt,
 		HasUnreadIncarnation: func(ctx context.Context, engine routing.Engine) (bool, error) {
 			return p.follower.HasUnreadIncarnation(ctx, dependencies.NewSource(p.relayTable), engine)
