poison: several checks of one engine count as one that may have ended

Cause (by reading): requests that ask for the same thing have one key. While several of them wait for one silent engine to be checked, each check counted as an engine that may have ended, so that two of them made every further one wait for the checks, .75 s at most, though one engine ends once.

Change: checks in progress are counted by engine.

TestStandingWaitsForDecidingChecks has two checks of one engine, and fails with each counted.

Conclusion: identical requests wait only if several engines are checked at once.

--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -125,7 +125,7 @@
 		return
 	}
 	end := poison.End{Engine: t.placed.Engine.ID, Try: r.call.ID, SentAt: t.startedAt, EndedAt: t.lastActivity()}
-	check := memory.BeginCheck(r.poisonKey(), time.Now())
+	check := memory.BeginCheck(r.poisonKey(), end.Engine, time.Now())
 	reported := make(chan struct{})
 	r.addEndReport(reported)
 	if outcome == placement.Cancelled && memory.StandingOf(r.poisonKey(), time.Now()).Ended > 0 {
--- a/internal/poison/client_test.go
+++ b/internal/poison/client_test.go
@@ -118,7 +118,7 @@
 		member := f.nodes[address(number)]
 		f.ended++
 		end := End{Engine: fmt.Sprint("e", f.ended), Try: fmt.Sprint("t", f.ended), SentAt: time.Now(), EndedAt: time.Now()}
-		member.memory.BeginCheck(key, time.Now()).Finish(&end)
+		member.memory.BeginCheck(key, end.Engine, time.Now()).Finish(&end)
 		member.Tell(t.Context())
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/poison/memory.go
+++ b/internal/poison/memory.go
@@ -31,9 +31,9 @@
 // suspect is the state of one request under which engines ended, or may have ended.
 type suspect struct {
 	ends       []endRecord
-	checks     int           // in progress
-	changed    chan struct{} // closed when a check ends, and replaced by another one
-	answeredAt time.Time     // last answer of an engine that this node passed on while it had this record
+	checks     map[string]int // checks in progress, by engine
+	changed    chan struct{}  // closed when a check ends, and replaced by another one
+	answeredAt time.Time      // last answer of an engine that this node passed on while it had this record
 	lastEnd    time.Time
 	ended      int // see countEnded
 }
@@ -59,16 +59,17 @@
 type Check struct {
 	memory   *Memory
 	key      Key
+	engine   string
 	presumed End // of Presume; empty if that was not called
 }
 
 // BeginCheck records that an engine may have ended under a request. Finish must be called.
-func (m *Memory) BeginCheck(key Key, now time.Time) *Check {
+func (m *Memory) BeginCheck(key Key, engine string, now time.Time) *Check {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.expire(now)
-	m.suspectOf(key).checks++
-	return &Check{memory: m, key: key}
+	m.suspectOf(key).checks[engine]++
+	return &Check{memory: m, key: key, engine: engine}
 }
 
 // Presume records an end before the check shows whether the engine has ended. Finish withdraws it if it has not.
@@ -88,7 +89,9 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	record := m.suspects[c.key]
-	record.checks--
+	if record.checks[c.engine]--; record.checks[c.engine] == 0 {
+		delete(record.checks, c.engine)
+	}
 	defer record.signal()
 	recorded := end != nil && !record.answeredAt.After(end.SentAt)
 	switch {
@@ -137,7 +140,7 @@
 // Standing is what is known of a request.
 type Standing struct {
 	Ended   int      // engines that ended under it one after another, or under one try
-	Checks  int      // checks in progress
+	Checks  int      // engines that are being checked
 	Engines []string // IDs of all engines that ended under it, in order
 	LastEnd time.Time
 }
@@ -159,13 +162,13 @@
 	if record == nil || record.expired(now) {
 		return Standing{}, nil
 	}
-	standing := Standing{Ended: record.ended, Checks: record.checks, LastEnd: record.lastEnd}
+	standing := Standing{Ended: record.ended, Checks: len(record.checks), LastEnd: record.lastEnd}
 	for _, end := range record.inOrder() {
 		if !end.cleared && !slices.Contains(standing.Engines, end.Engine) {
 			standing.Engines = append(standing.Engines, end.Engine)
 		}
 	}
-	if record.checks == 0 {
+	if len(record.checks) == 0 {
 		return standing, nil
 	}
 	return standing, record.changed
@@ -208,7 +211,7 @@
 		if len(m.suspects) >= maxRequests {
 			m.dropLeast()
 		}
-		record = &suspect{changed: make(chan struct{})}
+		record = &suspect{checks: make(map[string]int), changed: make(chan struct{})}
 		m.suspects[key] = record
 		m.size.Store(int64(len(m.suspects)))
 	}
@@ -220,7 +223,7 @@
 	var least Key
 	var found *suspect
 	for key, record := range m.suspects {
-		if record.checks > 0 {
+		if len(record.checks) > 0 {
 			continue
 		}
 		if found == nil || cmp.Or(cmp.Compare(record.ended, found.ended), record.lastEnd.Compare(found.lastEnd)) < 0 {
@@ -240,7 +243,7 @@
 
 // dropIfUnused removes a record without ends and checks. The mutex must be held.
 func (m *Memory) dropIfUnused(key Key, record *suspect) {
-	if len(record.ends) == 0 && record.checks == 0 {
+	if len(record.ends) == 0 && len(record.checks) == 0 {
 		m.remove(key)
 	}
 }
@@ -259,7 +262,7 @@
 }
 
 func (s *suspect) expired(now time.Time) bool {
-	return s.checks == 0 && now.Sub(s.lastEnd) > retention
+	return len(s.checks) == 0 && now.Sub(s.lastEnd) > retention
 }
 
 // signal notifies those that wait for a check.
--- a/internal/poison/memory_test.go
+++ b/internal/poison/memory_test.go
@@ -29,7 +29,9 @@
 }
 
 // record records an end.
-func record(m *Memory, key Key, end End) bool { return m.BeginCheck(key, end.EndedAt).Finish(&end) }
+func record(m *Memory, key Key, end End) bool {
+	return m.BeginCheck(key, end.Engine, end.EndedAt).Finish(&end)
+}
 
 // TestEnginesCountOneAfterAnother guards against refusing requests that were not at fault: engines that are lost at the same
 // time count once, whatever number of clients asked for the same thing there.
@@ -75,7 +77,7 @@
 	memory, key := NewMemory(), KeyOf([]byte("x"))
 	record(memory, key, endOf("a", "1", 0, 10))
 	record(memory, key, endOf("b", "2", 20, 30))
-	pending := memory.BeginCheck(key, at(35))
+	pending := memory.BeginCheck(key, "c", at(35))
 	if !memory.Answered(key, at(50)) {
 		t.Error("the answer cleared nothing")
 	}
@@ -96,7 +98,7 @@
 func TestPresumedEndIsWithdrawn(t *testing.T) {
 	memory, key := NewMemory(), KeyOf([]byte("x"))
 	for name, end := range map[string]*End{"has not ended": nil, "has ended": {Engine: "a", SentAt: at(0), EndedAt: at(0)}} {
-		check := memory.BeginCheck(key, at(10))
+		check := memory.BeginCheck(key, "a", at(10))
 		check.Presume(endOf("a", "1", 0, 0))
 		if got := memory.StandingOf(key, at(10)).Ended; got != 1 {
 			t.Errorf("%s: %d engines count during the check, want 1", name, got)
@@ -111,7 +113,7 @@
 		}
 		memory = NewMemory()
 	}
-	check := memory.BeginCheck(key, at(10))
+	check := memory.BeginCheck(key, "a", at(10))
 	check.Presume(endOf("a", "1", 0, 0))
 	check.Finish(nil)
 	record(memory, key, endOf("a", "2", 20, 30))
@@ -125,12 +127,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		memory, key := NewMemory(), KeyOf([]byte("x"))
 		now := time.Now()
-		first := memory.BeginCheck(key, now)
-		memory.BeginCheck(key, now)
+		first := memory.BeginCheck(key, "a", now)
+		memory.BeginCheck(key, "b", now)
+		memory.BeginCheck(key, "b", now) // of another request for the same; one engine ends once
 		if got := memory.AwaitStanding(t.Context(), key, MaxEngines); got.Checks != 2 || time.Since(now) > 0 {
 			t.Errorf("got %+v after %s, want two checks at once", got, time.Since(now))
 		}
-		third := memory.BeginCheck(key, now)
+		third := memory.BeginCheck(key, "c", now)
 		go func() {
 			time.Sleep(100 * time.Millisecond)
 			first.Finish(nil)
@@ -139,8 +142,8 @@
 		if got := memory.AwaitStanding(t.Context(), key, MaxEngines); got.Checks != 1 && got.Checks != 2 || time.Since(now) != 100*time.Millisecond {
 			t.Errorf("got %+v after %s, want it after the first check that decides", got, time.Since(now))
 		}
-		memory.BeginCheck(key, now)
-		memory.BeginCheck(key, now)
+		memory.BeginCheck(key, "d", now)
+		memory.BeginCheck(key, "e", now)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		if got := memory.AwaitStanding(ctx, key, MaxEngines); got.Checks < 3 || ctx.Err() == nil {
