poison: a process that has just started is told which engines end

Callers would see: up to five engines lost to one request while processes are replaced.

Cause: processes list a new one up to a minute after its start, while it serves within a second. It asked one peer for what was recorded, and was told nothing that ended after that until it was listed.

Change: it asks every peer, with its own address; who is asked tells it from then on, listed or not, for three minutes. A peer that asks again has restarted, and is told everything again.

Ruled out: a shorter refresh of the directory. It costs every process calls to the store all the time.

Conclusion: what a process records reaches every process that it can reach, from the moment at which that one knows its peers.

--- a/internal/poison/client.go
+++ b/internal/poison/client.go
@@ -22,8 +22,12 @@
 	// firstRetry and maxRetry are the pauses before a peer that has not confirmed is told again.
 	firstRetry = 250 * time.Millisecond
 	maxRetry   = 4 * time.Second
-	// maxAsked is how many peers are asked, one after another, by a node that has started.
-	maxAsked = 5
+	// maxAsks is how many times a peer is asked that does not answer, and askPause the pause between two of them.
+	maxAsks  = 4
+	askPause = 500 * time.Millisecond
+	// announcementTTL is how long a peer that has asked is told although it is not listed. Nodes refresh their lists of
+	// peers more often.
+	announcementTTL = 3 * time.Minute
 )
 
 // peerClient sends a request to a peer. *wire.Client implements it.
@@ -39,8 +43,9 @@
 
 // Options configure a Client.
 type Options struct {
-	Node   string
-	Memory *Memory
+	Node    string
+	Address func() string // of this node, for peers
+	Memory  *Memory
 	// Suspected reports whether a peer is not waited for, because its zone is suspected to be lost.
 	Suspected func(address string) bool
 	Observer  Observer
@@ -54,14 +59,14 @@
 	mutex  sync.Mutex
 	client peerClient // nil before SetPeers
 	peers  map[string]*peer
-	asked  bool // a peer has returned what it has recorded since this node started, or is being asked
 }
 
 // peer is what a Client knows of one peer.
 type peer struct {
-	address string
-	removed context.Context // ends when the peer is no longer listed
-	remove  context.CancelFunc
+	address     string
+	announcedAt time.Time       // when it last asked; zero if it never did; guarded by the client's mutex
+	removed     context.Context // ends when the peer is no longer listed
+	remove      context.CancelFunc
 
 	telling  sync.Mutex // held while the peer is being told
 	told     uint64     // sequence number of the last change that it has confirmed; guarded by telling
@@ -74,8 +79,8 @@
 	return &Client{options: options, peers: make(map[string]*peer)}
 }
 
-// SetPeers replaces the peers, nearest first. New ones are told what this node has recorded. Until a peer has returned
-// what it has recorded, each call has peers asked for it.
+// SetPeers replaces the peers. New ones are told what this node has recorded, and asked for what they have. A node that has
+// started knows its peers before they list it; they tell it from then on, since it has asked.
 func (c *Client) SetPeers(client peerClient, addresses []string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -84,24 +89,43 @@
 	for _, address := range addresses {
 		listed[address] = true
 		if c.peers[address] == nil {
-			added := &peer{address: address}
-			added.removed, added.remove = context.WithCancel(context.Background())
-			c.peers[address] = added
-			if !c.options.Memory.Empty() {
-				go c.tell(context.Background(), added)
-			}
+			c.add(address)
+			go c.ask(address)
 		}
 	}
 	for address, existing := range c.peers {
-		if !listed[address] {
+		if !listed[address] && time.Since(existing.announcedAt) > announcementTTL {
 			existing.remove()
 			delete(c.peers, address)
 		}
 	}
-	if !c.asked && len(addresses) > 0 {
-		c.asked = true
-		go c.askPeers(addresses)
+}
+
+// addPeer adds a peer that has asked. One that is known may have restarted, and is told everything again.
+func (c *Client) addPeer(address string, now time.Time) {
+	if address == "" {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.client == nil {
+		return // this node has not found its own peers yet, and will ask this one
+	}
+	if existing := c.peers[address]; existing != nil {
+		existing.remove()
+	}
+	c.add(address).announcedAt = now
+}
+
+// add adds a peer, and tells it what this node has recorded. The mutex must be held.
+func (c *Client) add(address string) *peer {
+	added := &peer{address: address}
+	added.removed, added.remove = context.WithCancel(context.Background())
+	c.peers[address] = added
+	if !c.options.Memory.Empty() {
+		go c.tell(context.Background(), added)
 	}
+	return added
 }
 
 // Close ends all retries.
@@ -217,20 +241,21 @@
 	return client.Do(ctx, address, message, nil)
 }
 
-// askPeers asks peers, one after another, until one has returned what it has recorded.
-func (c *Client) askPeers(addresses []string) {
-	for _, address := range addresses[:min(len(addresses), maxAsked)] {
-		reply, err := c.do(context.Background(), address, &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_AskEnds{AskEnds: &wirepb.AskEnds{}}})
-		if err != nil || api.Code(reply.GetCode()) != api.OK {
+// ask asks a peer for what it has recorded. One that does not answer is asked again by maxAsks.
+func (c *Client) ask(address string) {
+	question := &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_AskEnds{AskEnds: &wirepb.AskEnds{Address: c.options.Address()}}}
+	for attempt := range maxAsks {
+		if attempt > 0 {
+			backoff.Wait(context.Background(), backoff.Jitter(askPause))
+		}
+		reply, err := c.do(context.Background(), address, question)
+		if err != nil {
 			continue
 		}
 		var recorded wirepb.EndsRecorded
 		if proto.Unmarshal(reply.GetBody(), &recorded) == nil && recorded.GetUnderstood() {
 			c.options.Memory.merge(recorded.GetRequests(), time.Now())
-			return
 		}
+		return // a peer whose build does not know the message cannot be asked at all
 	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.asked = false // until the next call of SetPeers
 }
--- a/internal/poison/client_test.go
+++ b/internal/poison/client_test.go
@@ -55,11 +55,11 @@
 	case earlierBuild:
 		return &wirepb.Reply{Code: int32(api.UnknownMessage)}, nil
 	}
-	server := NewServer(target.memory)
+	server := NewServer(target.memory, target.Client)
 	if told := request.GetTellEnds(); told != nil {
 		return server.Record(told), nil
 	}
-	return server.List(), nil
+	return server.List(request.GetAskEnds()), nil
 }
 
 // PeerNotTold implements Observer.
@@ -92,7 +92,7 @@
 // add adds a node that knows nothing, or replaces one that has that number.
 func (f *fleet) add(number int) *node {
 	created := &node{memory: NewMemory()}
-	created.Client = NewClient(Options{Node: address(number), Memory: created.memory, Suspected: func(string) bool { return false }, Observer: f})
+	created.Client = NewClient(Options{Node: address(number), Address: func() string { return address(number) }, Memory: created.memory, Suspected: func(string) bool { return false }, Observer: f})
 	f.nodes[address(number)] = created
 	return created
 }
@@ -191,6 +191,42 @@
 	})
 }
 
+// TestNodeThatHasJustStartedIsTold starts a node, and restarts another one, while the others do not list the first and know
+// nothing of the restart. Both know which engines ended before, and which end from then on.
+func TestNodeThatHasJustStartedIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, key := newFleet(t, 4), KeyOf([]byte("x"))
+		f.endEngines(t, key, 1)
+		f.nodes[address(3)].Close()
+		for _, number := range []int{3, 4} {
+			f.add(number).SetPeers(f, []string{address(0), address(1), address(2)})
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.endEngines(t, key, 0, 2)
+		for _, number := range []int{0, 1, 2, 3, 4} {
+			f.expectEnded(t, number, key, 3)
+		}
+		f.connectOnly(0, 1, 2)
+		f.endEngines(t, key, 1)
+		f.expectEnded(t, 4, key, 4)
+		time.Sleep(announcementTTL)
+		f.connectOnly(0, 1, 2)
+		f.endEngines(t, key, 1)
+		f.expectEnded(t, 4, key, 4)
+	})
+}
+
+// connectOnly has some nodes list each other, and no other node.
+func (f *fleet) connectOnly(numbers ...int) {
+	var all []string
+	for _, number := range numbers {
+		all = append(all, address(number))
+	}
+	for _, number := range numbers {
+		f.nodes[address(number)].SetPeers(f, slices.DeleteFunc(slices.Clone(all), func(other string) bool { return other == address(number) }))
+	}
+}
+
 // TestRestartedNodeAsks restarts a node, which then knows what the others do; so does one that is new.
 func TestRestartedNodeAsks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/poison/server.go
+++ b/internal/poison/server.go
@@ -13,10 +13,15 @@
 const maxListed = 1000
 
 // Server records ends for peers and returns those that are recorded. Safe for concurrent use.
-type Server struct{ memory *Memory }
+type Server struct {
+	memory *Memory
+	client *Client
+}
 
-// NewServer returns a server for a memory.
-func NewServer(memory *Memory) *Server { return &Server{memory: memory} }
+// NewServer returns a server for a memory. The client tells peers that ask what is recorded from then on.
+func NewServer(memory *Memory, client *Client) *Server {
+	return &Server{memory: memory, client: client}
+}
 
 // Record handles a peer's request to record ends.
 func (s *Server) Record(request *wirepb.TellEnds) *wirepb.Reply {
@@ -25,7 +30,8 @@
 }
 
 // List handles a peer's query for all recorded ends.
-func (s *Server) List() *wirepb.Reply {
+func (s *Server) List(request *wirepb.AskEnds) *wirepb.Reply {
+	s.client.addPeer(request.GetAddress(), time.Now())
 	body, err := proto.Marshal(&wirepb.EndsRecorded{Understood: true, Requests: s.memory.all(maxListed, time.Now())})
 	if err != nil {
 		return &wirepb.Reply{Code: int32(api.Internal), Execution: string(api.NotRun), Detail: err.Error()}
--- a/internal/serving/ended_engines.go
+++ b/internal/serving/ended_engines.go
@@ -16,13 +16,14 @@
 func (p *Process) initEndedEngines() {
 	p.endLog.maxPerSecond = maxEndRecords
 	p.endedEngines = poison.NewMemory()
-	p.endServer = poison.NewServer(p.endedEngines)
 	p.endClient = poison.NewClient(poison.Options{
 		Node:      p.settings.Node,
+		Address:   p.PeerAddress,
 		Memory:    p.endedEngines,
 		Suspected: p.zones.PeerSuspected,
 		Observer:  p,
 	})
+	p.endServer = poison.NewServer(p.endedEngines, p.endClient)
 }
 
 // EngineEnded implements ingress.Observer.
--- a/internal/serving/fatal_request_test.go
+++ b/internal/serving/fatal_request_test.go
@@ -14,7 +14,7 @@
 // maxEnginesEnded is how many engines may end under one request, over all tries of its client.
 const maxEnginesEnded = 3
 
-// fatalBody is the body of a request that ends every engine that runs it.
+// fatalBody begins the bodies of requests that end every engine that runs them.
 const fatalBody = "ends its engine"
 
 // ending is how an engine ends under a request.
@@ -23,27 +23,31 @@
 	events int  // it sends so many events of a stream first
 }
 
-// endedEngines records which engines ended under a request.
+// endedEngines records which engines ended under requests, by the body.
 type endedEngines struct {
-	mutex sync.Mutex
-	ids   map[string]bool
-	sends int // requests that ended an engine, or reached one that had ended
+	mutex  sync.Mutex
+	byBody map[string]map[string]bool
 }
 
-func (e *endedEngines) record(id string) {
+func (e *endedEngines) record(body, id string) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.ids[id] = true
-	e.sends++
+	if e.byBody[body] == nil {
+		e.byBody[body] = make(map[string]bool)
+	}
+	e.byBody[body][id] = true
 }
 
-// count returns how many engines have ended.
-func (e *endedEngines) count() int {
+// under returns how many engines have ended under the request with a body.
+func (e *endedEngines) under(body string) int {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return len(e.ids)
+	return len(e.byBody[body])
 }
 
+// count returns how many engines have ended under the request with fatalBody.
+func (e *endedEngines) count() int { return e.under(fatalBody) }
+
 // addFatalEngines replaces the engines of models by a number of others that end under a request with fatalBody.
 func (d *deployment) addFatalEngines(count int, how ending) *endedEngines {
 	d.t.Helper()
@@ -51,7 +55,7 @@
 		d.store.Remove("servers", "", id)
 		delete(d.engines, id)
 	}
-	ended := &endedEngines{ids: make(map[string]bool)}
+	ended := &endedEngines{byBody: make(map[string]map[string]bool)}
 	for number := range count {
 		d.addFatalEngine("f"+strconv.Itoa(number), how, ended)
 	}
@@ -63,10 +67,10 @@
 	engine := d.newEngine(id)
 	engine.SetHandler(func(writer http.ResponseWriter, request *http.Request) bool {
 		parsed, _ := operators.ParseRequest(request)
-		if parsed.Body != fatalBody {
+		if !strings.HasPrefix(parsed.Body, fatalBody) {
 			return false
 		}
-		ended.record(id)
+		ended.record(parsed.Body, id)
 		if how.events > 0 {
 			operators.WriteAnswerHeader(writer, parsed.ID, "seal-of-"+id, http.StatusOK, true)
 			for number := range how.events {
--- a/internal/serving/fatal_request_tries_test.go
+++ b/internal/serving/fatal_request_tries_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -157,6 +159,50 @@
 	}
 }
 
+// TestFatalRequestsWhileProcessesAreReplaced has clients try requests that end their engines, while processes are stopped and
+// others started, and the store comes and goes. No try is sent on once three engines have ended under its request.
+func TestFatalRequestsWhileProcessesAreReplaced(t *testing.T) {
+	const requests, tries = 4, 7
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 55))
+			first, second, ended := serveFatal(t, 2+requests*maxEnginesEnded, ending{silent: seed%2 == 1, events: int(seed / 2)})
+			processes := []*deployment{first, second}
+			all := slices.Clone(processes)
+			replace := func() {
+				started := first.runAnother(fmt.Sprint("node-", 10+random.IntN(1000)), anyPort)
+				started.eventually("ready, with the peers found", func() bool {
+					return started.process.Ready() && strings.Contains(started.log.String(), `"msg":"peers found"`)
+				})
+				stopped := random.IntN(len(processes))
+				processes[stopped].process.Close()
+				processes[stopped], all = started, append(all, started)
+			}
+			for number := range requests {
+				body, path := fmt.Sprint(fatalBody, " ", number), []string{"/plain1/", "/plain2/", "/stream1/", "/stream3/"}[random.IntN(4)]
+				for try := range tries {
+					processes[random.IntN(len(processes))].try(path, fmt.Sprint("r-", number, "-", try), body)
+					switch random.IntN(6) {
+					case 0:
+						replace()
+					case 1:
+						restore := first.disableStore()
+						processes[random.IntN(len(processes))].try(path, fmt.Sprint("r-", number, "-", try, "-without-store"), body)
+						restore()
+					}
+				}
+				if count := ended.under(body); count > maxEnginesEnded {
+					t.Errorf("%d engines ended under request %d on %s, want at most %d", count, number, path, maxEnginesEnded)
+					for _, d := range all {
+						t.Log(d.log)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestRequestsBesideAFatalOneAreServed has many requests run beside one that ends its engines, at the same engines. They share
 // the fate of the first engines, but none is refused as if it were at fault, and each is served within four tries.
 func TestRequestsBesideAFatalOneAreServed(t *testing.T) {
@@ -176,7 +222,7 @@
 			if parsed.Body != fatalBody {
 				return false
 			}
-			ended.record(id)
+			ended.record(parsed.Body, id)
 			engine.End()
 			panic(http.ErrAbortHandler)
 		})
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -84,7 +84,7 @@
 	case *wirepb.Request_TellEnds:
 		return h.endServer.Record(body.TellEnds)
 	case *wirepb.Request_AskEnds:
-		return h.endServer.List()
+		return h.endServer.List(body.AskEnds)
 	case *wirepb.Request_FetchTurns:
 		return h.turns.ServeFetch(body.FetchTurns)
 	case *wirepb.Request_FollowTable:
