ingress: an engine of which nothing is known counts if others ended before

Callers would see: a fourth engine lost to a request.

Cause: "unknown" was treated as "has not ended".

Change: unknown is a value of its own. It counts as an end if other engines ended under the request before, and as none otherwise.

Conclusion: an isolated node may count an engine that lives, for requests under which one ended before.

--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -39,7 +39,7 @@
 	Key      poison.Key
 	Try      string
 	Engine   routing.Engine
-	How      string
+	How      EndKind
 	Standing poison.Standing
 }
 
@@ -49,11 +49,16 @@
 	Tell(ctx context.Context)
 }
 
-// How an engine ended, in logs and metrics.
+// EndKind is how an engine ended, in logs and metrics.
+type EndKind string
+
+// Values of EndKind.
 const (
-	endRefused      = "refuses_connections"
-	endRestarted    = "restarted"
-	endUnresponsive = "unresponsive"
+	endRefused      EndKind = "refuses_connections"
+	endRestarted    EndKind = "restarted"
+	endUnresponsive EndKind = "unresponsive"
+	endUnknown      EndKind = "unknown" // it does not respond, nor does any other engine that shows that this node is not isolated
+	notEnded        EndKind = ""
 )
 
 // poisonKey returns the key of the request over all tries of its client.
@@ -134,18 +139,18 @@
 	}
 	go func() {
 		defer close(reported)
-		t.examine(check, end, outcome)
+		t.examine(check, end, t.howEnded(outcome))
 	}()
 }
 
 // presume records and reports that the engine ended, and examines it then. It is used where an engine sent nothing until
 // the request's time was over, and others ended under the request before: the next try would reach a peer before the
-// examination is over.
+// examination is over. The end counts unless the engine responds.
 func (t *attempt) presume(check *poison.Check, end poison.End, reported chan<- struct{}) {
 	check.Presume(end)
 	t.request.handler.options.EndReporter.Tell(context.Background())
 	close(reported)
-	t.examine(check, end, placement.Cancelled)
+	t.examine(check, end, t.howEnded(placement.Cancelled))
 }
 
 // mayHaveEnded reports whether the engine may have ended, after a send with this outcome. A client that leaves shows
@@ -166,16 +171,24 @@
 	return t.startedAt.Add(time.Duration(t.activityAfter.Load()))
 }
 
-// examine finds out whether the engine has ended, and records and reports it.
-func (t *attempt) examine(check *poison.Check, end poison.End, outcome placement.Outcome) {
+// howEnded returns how the engine ended, after a send with this outcome.
+func (t *attempt) howEnded(outcome placement.Outcome) EndKind {
+	if outcome == placement.Unresponsive {
+		return endUnresponsive
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), maxEndCheck)
 	defer cancel()
-	handler, engine := t.request.handler, t.placed.Engine
-	how := endUnresponsive
-	if outcome != placement.Unresponsive {
-		how = handler.howEnded(ctx, engine, t.startedAt)
+	return t.request.handler.howEnded(ctx, t.placed.Engine, t.startedAt)
+}
+
+// examine records and reports how the engine ended, if it did. One of which that is unknown counts as unresponsive if
+// others ended under the request.
+func (t *attempt) examine(check *poison.Check, end poison.End, how EndKind) {
+	handler, engine, key := t.request.handler, t.placed.Engine, t.request.poisonKey()
+	if how == endUnknown && handler.options.EndedEngines.StandingOf(key, time.Now()).Ended > 0 {
+		how = endUnresponsive
 	}
-	if how == "" || handler.leftAsPlanned(engine) {
+	if how == notEnded || how == endUnknown || handler.leftAsPlanned(engine) {
 		check.Finish(nil)
 		handler.options.EndReporter.Tell(context.Background()) // if the end was presumed
 		return
@@ -186,14 +199,13 @@
 	if !check.Finish(&end) {
 		return
 	}
-	key := t.request.poisonKey()
 	handler.options.Observer.EngineEnded(EngineEnd{Key: key, Try: end.Try, Engine: engine, How: how,
 		Standing: handler.options.EndedEngines.StandingOf(key, time.Now())})
 	handler.options.EndReporter.Tell(context.Background())
 }
 
-// howEnded returns how an engine ended to which a request was sent at a time; empty if it has not, or nothing shows it.
-func (h *Handler) howEnded(ctx context.Context, engine routing.Engine, sentAt time.Time) string {
+// howEnded returns how an engine ended to which a request was sent at a time.
+func (h *Handler) howEnded(ctx context.Context, engine routing.Engine, sentAt time.Time) EndKind {
 	if h.options.View().ReplacedAfter(engine, sentAt) {
 		return endRestarted
 	}
@@ -207,18 +219,18 @@
 	case upstream.IsDialTimeout(err) && h.prober.unresponsiveSince(ctx, engine, start):
 		return endUnresponsive
 	}
-	return ""
+	return endUnknown
 }
 
-// whetherRestarted returns endRestarted if another incarnation responds at the engine's address; otherwise it is empty.
+// whetherRestarted returns endRestarted if another incarnation responds at the engine's address, notEnded otherwise.
 // Only where engines restart under their names does one take the address of another at once.
-func (h *Handler) whetherRestarted(ctx context.Context, engine routing.Engine) string {
+func (h *Handler) whetherRestarted(ctx context.Context, engine routing.Engine) EndKind {
 	if engine.StartUnixMilli == 0 {
-		return ""
+		return notEnded
 	}
 	reported, err := h.options.IncarnationOf(ctx, engine)
 	if err != nil || reported.Name == "" || reported.StartUnixMilli == 0 || reported == engine.Incarnation {
-		return ""
+		return notEnded
 	}
 	return endRestarted
 }
--- a/internal/serving/ended_engines.go
+++ b/internal/serving/ended_engines.go
@@ -28,10 +28,10 @@
 
 // EngineEnded implements ingress.Observer.
 func (p *Process) EngineEnded(end ingress.EngineEnd) {
-	p.metrics.engineEnds.WithLabelValues(end.How).Inc()
+	p.metrics.engineEnds.WithLabelValues(string(end.How)).Inc()
 	if suppressed, allowed := p.endLog.allow(time.Now()); allowed {
 		p.logger.Warn("engine ended under a request", "request", end.Try, "request_key", end.Key.String(), "engine", end.Engine.ID,
-			"service", end.Engine.Service, "how", end.How, "ended", end.Standing.Ended, "engines", end.Standing.Engines, "left_out", suppressed)
+			"service", end.Engine.Service, "how", string(end.How), "ended", end.Standing.Ended, "engines", end.Standing.Engines, "left_out", suppressed)
 	}
 }
 
