poison: reports in place of what a process tells; the stand-in fills its queue again

Cause: the words of messages, methods and comments of the package were not the field's.

Change: ReportEnds and ListEnds, Client.Report, Observer.ReportFailed; the messages have not landed under other names. A stand-in engine fills its accept queue, as before, but before it sends its events, so that it takes no connection once it stops sending.

Conclusion: no change of what the product does.

--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -20,7 +20,7 @@
 // A request that ends every engine that runs it must not reach one after the other, neither within one try of its client
 // nor over several. So after each send that ended without an answer this node finds out whether the engine has ended, and
 // records that with the request. Engines that leave as planned, or are lost with their zone, do not count. One that
-// cannot be told from these does: a wrong count matters only if it happens to the same request again and again, and a
+// cannot be distinguished from these does: a wrong count matters only if it happens to the same request again and again, and a
 // missed one costs an engine.
 
 // Limits of recording ended engines.
@@ -43,10 +43,10 @@
 	Standing poison.Standing
 }
 
-// EndReporter tells other nodes which engines ended under which requests. *poison.Client implements it.
+// EndReporter reports to other nodes which engines ended under which requests. *poison.Client implements it.
 type EndReporter interface {
-	// Tell returns once the peers know what this node has recorded, or ctx ends.
-	Tell(ctx context.Context)
+	// Report returns once the peers know what this node has recorded, or ctx ends.
+	Report(ctx context.Context)
 }
 
 // EndKind is how an engine ended, in logs and metrics.
@@ -122,7 +122,7 @@
 	r, memory := t.request, t.request.handler.options.EndedEngines
 	if outcome == placement.Served {
 		if !memory.Empty() && memory.Answered(r.poisonKey(), time.Now()) {
-			go r.handler.options.EndReporter.Tell(context.Background())
+			go r.handler.options.EndReporter.Report(context.Background())
 		}
 		return
 	}
@@ -148,7 +148,7 @@
 // examination is over. The end counts unless the engine responds.
 func (t *attempt) presume(check *poison.Check, end poison.End, reported chan<- struct{}) {
 	check.Presume(end)
-	t.request.handler.options.EndReporter.Tell(context.Background())
+	t.request.handler.options.EndReporter.Report(context.Background())
 	close(reported)
 	t.examine(check, end, t.howEnded(placement.Cancelled))
 }
@@ -190,7 +190,7 @@
 	}
 	if how == notEnded || how == endUnknown || handler.leftAsPlanned(engine) {
 		check.Finish(nil)
-		handler.options.EndReporter.Tell(context.Background()) // if the end was presumed
+		handler.options.EndReporter.Report(context.Background()) // if the end was presumed
 		return
 	}
 	if how != endUnresponsive {
@@ -201,7 +201,7 @@
 	}
 	handler.options.Observer.EngineEnded(EngineEnd{Key: key, Try: end.Try, Engine: engine, How: how,
 		Standing: handler.options.EndedEngines.StandingOf(key, time.Now())})
-	handler.options.EndReporter.Tell(context.Background())
+	handler.options.EndReporter.Report(context.Background())
 }
 
 // howEnded returns how an engine ended to which a request was sent at a time.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -116,7 +116,7 @@
 	Quota    Quota
 	// Origins stores which software version started a stream.
 	Origins Origins
-	// EndedEngines records which engines ended under which requests, and EndReporter tells other nodes.
+	// EndedEngines records which engines ended under which requests, and EndReporter reports it to other nodes.
 	EndedEngines *poison.Memory
 	EndReporter  EndReporter
 	// IncarnationOf requests from the address of an engine which incarnation is running there.
--- a/internal/poison/client.go
+++ b/internal/poison/client.go
@@ -13,19 +13,19 @@
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
-// Limits of telling peers.
+// Limits of reporting to peers.
 const (
-	// tellTimeout is how long a peer, also one in another region, may take to confirm.
-	tellTimeout = 150 * time.Millisecond
-	// maxTold is how many requests one message holds at most.
-	maxTold = 200
-	// firstRetry and maxRetry are the pauses before a peer that has not confirmed is told again.
+	// reportTimeout is how long a peer, also one in another region, may take to confirm.
+	reportTimeout = 150 * time.Millisecond
+	// maxReported is how many requests one message holds at most.
+	maxReported = 200
+	// firstRetry and maxRetry are the pauses before a report that a peer has not confirmed is sent again.
 	firstRetry = 250 * time.Millisecond
 	maxRetry   = 4 * time.Second
 	// maxAsks is how many times a peer is asked that does not answer, and askPause the pause between two of them.
 	maxAsks  = 4
 	askPause = 500 * time.Millisecond
-	// announcementTTL is how long a peer that has asked is told although it is not listed. Nodes refresh their lists of
+	// announcementTTL is how long a peer that has asked gets reports although it is not listed. Nodes refresh their lists of
 	// peers more often.
 	announcementTTL = 3 * time.Minute
 )
@@ -35,10 +35,10 @@
 	Do(ctx context.Context, address string, request *wirepb.Request, onPart func(offset int64, text []byte)) (*wirepb.Reply, error)
 }
 
-// Observer is notified of peers that were not told. It must not block.
+// Observer is notified of peers that confirm no report. It must not block.
 type Observer interface {
-	// PeerNotTold is called for the first of consecutive failures of telling a peer.
-	PeerNotTold(peer string, cause error)
+	// ReportFailed is called for the first of consecutive failures to report to a peer.
+	ReportFailed(peer string, cause error)
 }
 
 // Options configure a Client.
@@ -51,8 +51,8 @@
 	Observer  Observer
 }
 
-// Client tells all peers which engines ended under which requests, so that each of them knows when it gets the client's
-// next try. Safe for concurrent use.
+// Client reports to all peers which engines ended under which requests, so that each of them knows when it gets the
+// client's next try. Safe for concurrent use.
 type Client struct {
 	options Options
 
@@ -68,10 +68,10 @@
 	removed     context.Context // ends when the peer is no longer listed
 	remove      context.CancelFunc
 
-	telling  sync.Mutex // held while the peer is being told
-	told     uint64     // sequence number of the last change that it has confirmed; guarded by telling
-	mutex    sync.Mutex
-	retrying bool // a goroutine tells it again until it confirms; guarded by mutex
+	sending   sync.Mutex // held while a report is sent
+	confirmed uint64     // sequence number of the last change that the peer has confirmed; guarded by sending
+	mutex     sync.Mutex
+	retrying  bool // a goroutine repeats the report until the peer confirms; guarded by mutex
 }
 
 // NewClient returns a client without peers.
@@ -79,8 +79,8 @@
 	return &Client{options: options, peers: make(map[string]*peer)}
 }
 
-// SetPeers replaces the peers. New ones are told what this node has recorded, and asked for what they have. A node that has
-// started knows its peers before they list it; they tell it from then on, since it has asked.
+// SetPeers replaces the peers. New ones get a report of what this node has recorded, and are asked for what they have. A
+// node that has started knows its peers before they list it; they report to it from then on, since it has asked.
 func (c *Client) SetPeers(client peerClient, addresses []string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -101,7 +101,7 @@
 	}
 }
 
-// addPeer adds a peer that has asked. One that is known may have restarted, and is told everything again.
+// addPeer adds a peer that has asked. One that is known may have restarted, and gets everything again.
 func (c *Client) addPeer(address string, now time.Time) {
 	if address == "" {
 		return
@@ -117,13 +117,13 @@
 	c.add(address).announcedAt = now
 }
 
-// add adds a peer, and tells it what this node has recorded. The mutex must be held.
+// add adds a peer, and reports to it what this node has recorded. The mutex must be held.
 func (c *Client) add(address string) *peer {
 	added := &peer{address: address}
 	added.removed, added.remove = context.WithCancel(context.Background())
 	c.peers[address] = added
 	if !c.options.Memory.Empty() {
-		go c.tell(context.Background(), added)
+		go c.report(context.Background(), added)
 	}
 	return added
 }
@@ -137,9 +137,9 @@
 	}
 }
 
-// Tell tells all peers what this node has recorded and has not told them yet. It returns once each has confirmed or
-// failed to, or ctx ends; peers that have not confirmed are told again later.
-func (c *Client) Tell(ctx context.Context) {
+// Report reports to all peers what this node has recorded and they have not confirmed yet. It returns once each has
+// confirmed or failed to, or ctx ends. A report that a peer has not confirmed is sent again later.
+func (c *Client) Report(ctx context.Context) {
 	c.mutex.Lock()
 	peers := make([]*peer, 0, len(c.peers))
 	for _, listed := range c.peers {
@@ -152,7 +152,7 @@
 			c.retry(listed)
 			continue
 		}
-		awaited.Go(func() { c.tell(context.WithoutCancel(ctx), listed) })
+		awaited.Go(func() { c.report(context.WithoutCancel(ctx), listed) })
 	}
 	confirmed := make(chan struct{})
 	go func() {
@@ -165,13 +165,13 @@
 	}
 }
 
-// tell tells a peer once, unless it is being told again and again already.
-func (c *Client) tell(ctx context.Context, listed *peer) {
+// report reports to a peer once, unless a goroutine does so repeatedly already.
+func (c *Client) report(ctx context.Context, listed *peer) {
 	if listed.isRetrying() {
 		return
 	}
 	if err := c.deliver(ctx, listed); err != nil && listed.removed.Err() == nil {
-		c.options.Observer.PeerNotTold(listed.address, err)
+		c.options.Observer.ReportFailed(listed.address, err)
 		c.retry(listed)
 	}
 }
@@ -182,7 +182,7 @@
 	return p.retrying
 }
 
-// setRetrying sets whether a goroutine tells the peer again. It reports whether that changed.
+// setRetrying sets whether a goroutine repeats the report. It reports whether that changed.
 func (p *peer) setRetrying(retrying bool) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -191,7 +191,7 @@
 	return changed
 }
 
-// retry tells a peer again, with growing pauses, until it confirms or is no longer listed.
+// retry repeats the report to a peer, with growing pauses, until it confirms or is no longer listed.
 func (c *Client) retry(listed *peer) {
 	if !listed.setRetrying(true) {
 		return
@@ -211,24 +211,24 @@
 
 // deliver sends a peer all changes that it has not confirmed.
 func (c *Client) deliver(ctx context.Context, listed *peer) error {
-	listed.telling.Lock()
-	defer listed.telling.Unlock()
+	listed.sending.Lock()
+	defer listed.sending.Unlock()
 	for {
-		requests, upTo := c.options.Memory.changesAfter(listed.told, maxTold, time.Now())
+		requests, upTo := c.options.Memory.changesAfter(listed.confirmed, maxReported, time.Now())
 		if len(requests) == 0 {
-			listed.told = upTo
+			listed.confirmed = upTo
 			return nil
 		}
-		message := &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_TellEnds{TellEnds: &wirepb.TellEnds{Requests: requests}}}
+		message := &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_ReportEnds{ReportEnds: &wirepb.ReportEnds{Requests: requests}}}
 		reply, err := c.do(ctx, listed.address, message)
 		if err != nil {
 			return err
 		}
-		// A peer whose build does not know the message cannot be told at all.
+		// A peer whose build does not know the message will not confirm it later either.
 		if code := api.Code(reply.GetCode()); code != api.OK && code != api.UnknownMessage {
 			return errors.Newf("refused with code %d: %s", code, reply.GetDetail())
 		}
-		listed.told = upTo
+		listed.confirmed = upTo
 	}
 }
 
@@ -236,14 +236,14 @@
 	c.mutex.Lock()
 	client := c.client
 	c.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	return client.Do(ctx, address, message, nil)
 }
 
 // ask asks a peer for what it has recorded. One that does not answer is asked again by maxAsks.
 func (c *Client) ask(address string) {
-	question := &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_AskEnds{AskEnds: &wirepb.AskEnds{Address: c.options.Address()}}}
+	question := &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_ListEnds{ListEnds: &wirepb.ListEnds{Address: c.options.Address()}}}
 	for attempt := range maxAsks {
 		if attempt > 0 {
 			backoff.Wait(context.Background(), backoff.Jitter(askPause))
--- a/internal/poison/client_test.go
+++ b/internal/poison/client_test.go
@@ -24,7 +24,7 @@
 	earlierBuild       // it does not know the messages
 )
 
-// node is one of several nodes that tell each other which engines ended.
+// node is one of several nodes that report to each other which engines ended.
 type node struct {
 	*Client
 	memory *Memory
@@ -34,10 +34,10 @@
 
 // fleet is a set of nodes by address. It implements peerClient and Observer.
 type fleet struct {
-	mutex   sync.Mutex
-	nodes   map[string]*node
-	notTold []string
-	ended   int // engines that ended so far
+	mutex  sync.Mutex
+	nodes  map[string]*node
+	failed []string // peers of failed reports
+	ended  int      // engines that ended so far
 }
 
 // Do implements peerClient.
@@ -56,23 +56,23 @@
 		return &wirepb.Reply{Code: int32(api.UnknownMessage)}, nil
 	}
 	server := NewServer(target.memory, target.Client)
-	if told := request.GetTellEnds(); told != nil {
-		return server.Record(told), nil
+	if report := request.GetReportEnds(); report != nil {
+		return server.Record(report), nil
 	}
-	return server.List(request.GetAskEnds()), nil
+	return server.List(request.GetListEnds()), nil
 }
 
-// PeerNotTold implements Observer.
-func (f *fleet) PeerNotTold(peer string, _ error) {
+// ReportFailed implements Observer.
+func (f *fleet) ReportFailed(peer string, _ error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.notTold = append(f.notTold, peer)
+	f.failed = append(f.failed, peer)
 }
 
 // address returns the address of a node by its number.
 func address(number int) string { return fmt.Sprintf("10.0.0.%d:1", number) }
 
-// newFleet returns nodes that know each other. They stop telling when the test ends.
+// newFleet returns nodes that know each other. They stop reporting when the test ends.
 func newFleet(t *testing.T, size int) *fleet {
 	t.Helper()
 	f := &fleet{nodes: make(map[string]*node)}
@@ -111,7 +111,7 @@
 	}
 }
 
-// endEngines has nodes record, by turns, that engines ended one after another under a request, and tell it.
+// endEngines has nodes record, by turns, that engines ended one after another under a request, and report it.
 func (f *fleet) endEngines(t *testing.T, key Key, nodes ...int) {
 	t.Helper()
 	for _, number := range nodes {
@@ -119,7 +119,7 @@
 		f.ended++
 		end := End{Engine: fmt.Sprint("e", f.ended), Try: fmt.Sprint("t", f.ended), SentAt: time.Now(), EndedAt: time.Now()}
 		member.memory.BeginCheck(key, end.Engine, time.Now()).Finish(&end)
-		member.Tell(t.Context())
+		member.Report(t.Context())
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -146,7 +146,7 @@
 	}
 }
 
-// TestAllNodesKnowWhichEnginesEnded has engines end under a request at several nodes. When Tell returns, every other node
+// TestAllNodesKnowWhichEnginesEnded has engines end under a request at several nodes. When Report returns, every other node
 // counts them: the next try may reach any of them. An answer at any node clears it at all.
 func TestAllNodesKnowWhichEnginesEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -156,34 +156,34 @@
 			f.expectEnded(t, number, key, 3)
 		}
 		f.nodes[address(2)].memory.Answered(key, time.Now())
-		f.nodes[address(2)].Tell(t.Context())
+		f.nodes[address(2)].Report(t.Context())
 		for number := range 6 {
 			f.expectEnded(t, number, key, 0)
 		}
 	})
 }
 
-// TestUnresponsivePeerIsToldLater has one peer not respond. The others are told at once, the wait for it is bounded, and it is
-// told once it responds. One failure is reported, not each.
-func TestUnresponsivePeerIsToldLater(t *testing.T) {
+// TestUnresponsivePeerGetsTheReportLater has one peer not respond. The others get the report at once, the wait for it is
+// bounded, and it gets the report once it responds. The observer is notified of one failure, not of each.
+func TestUnresponsivePeerGetsTheReportLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, key := newFleet(t, 4), KeyOf([]byte("x"))
 		f.set(3, unresponsive)
 		begin := time.Now()
 		f.endEngines(t, key, 0)
-		if took := time.Since(begin); took > tellTimeout+5*time.Millisecond {
-			t.Errorf("telling took %s, want at most %s", took, tellTimeout)
+		if took := time.Since(begin); took > reportTimeout+5*time.Millisecond {
+			t.Errorf("reporting took %s, want at most %s", took, reportTimeout)
 		}
 		f.expectEnded(t, 2, key, 1)
 		begin = time.Now()
 		f.endEngines(t, key, 0)
 		if took := time.Since(begin); took > 5*time.Millisecond {
-			t.Errorf("a peer that is told again later was waited for, %s", took)
+			t.Errorf("a peer that gets the report later was waited for, %s", took)
 		}
 		f.expectEnded(t, 2, key, 2)
 		time.Sleep(2 * time.Second)
-		if len(f.notTold) != 1 {
-			t.Errorf("%d failures reported, want 1", len(f.notTold))
+		if len(f.failed) != 1 {
+			t.Errorf("%d failures reported, want 1", len(f.failed))
 		}
 		f.set(3, healthy)
 		time.Sleep(maxRetry + time.Second)
@@ -191,9 +191,9 @@
 	})
 }
 
-// TestNodeThatHasJustStartedIsTold starts a node, and restarts another one, while the others do not list the first and know
+// TestNodeThatHasJustStartedGetsReports starts a node, and restarts another one, while the others do not list the first and know
 // nothing of the restart. Both know which engines ended before, and which end from then on.
-func TestNodeThatHasJustStartedIsTold(t *testing.T) {
+func TestNodeThatHasJustStartedGetsReports(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, key := newFleet(t, 4), KeyOf([]byte("x"))
 		f.endEngines(t, key, 1)
@@ -244,20 +244,20 @@
 	})
 }
 
-// TestPeerOfAnEarlierBuildIsNotToldAgain has a peer that does not know the message. It is neither retried nor reported.
-func TestPeerOfAnEarlierBuildIsNotToldAgain(t *testing.T) {
+// TestPeerOfAnEarlierBuildGetsNoReportTwice has a peer that does not know the message. It is neither retried nor reported.
+func TestPeerOfAnEarlierBuildGetsNoReportTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, key := newFleet(t, 3), KeyOf([]byte("x"))
 		f.set(2, earlierBuild)
 		f.endEngines(t, key, 0)
 		time.Sleep(time.Minute)
-		if calls := f.calls(2); calls != 1 || len(f.notTold) != 0 {
-			t.Errorf("the peer got %d messages and %d failures are reported, want 1 and 0", calls, len(f.notTold))
+		if calls := f.calls(2); calls != 1 || len(f.failed) != 0 {
+			t.Errorf("the peer got %d messages and %d failures are reported, want 1 and 0", calls, len(f.failed))
 		}
 	})
 }
 
-// TestNothingIsSentWithoutEnds has nodes tell although they have recorded nothing, as on a calm day.
+// TestNothingIsSentWithoutEnds has nodes report although they have recorded nothing, as on a calm day.
 func TestNothingIsSentWithoutEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
@@ -265,7 +265,7 @@
 			f.set(number, healthy)
 		}
 		for _, member := range f.nodes {
-			member.Tell(t.Context())
+			member.Report(t.Context())
 		}
 		time.Sleep(time.Minute)
 		for number := range 3 {
--- a/internal/poison/isolation.go
+++ b/internal/poison/isolation.go
@@ -13,7 +13,7 @@
 const isolationPeriod = 10 * time.Second
 
 // GatherPeriod is how long after its last end a request waits, before it is kept apart from others, for the ends of those
-// that ran beside it: other nodes notice them at the same time, and tell them within a round trip.
+// that ran beside it: other nodes notice them at the same time, and report them within a round trip.
 const GatherPeriod = 50 * time.Millisecond
 
 // oneEndLeft reports whether no engine gets the request any more once another one ends under it.
--- a/internal/poison/memory_test.go
+++ b/internal/poison/memory_test.go
@@ -42,7 +42,7 @@
 	}{
 		"none":                        {nil, 0},
 		"one after another":           {[]End{endOf("a", "1", 0, 10), endOf("b", "2", 20, 30), endOf("c", "3", 40, 50)}, 3},
-		"the same, told out of order": {[]End{endOf("c", "3", 40, 50), endOf("a", "1", 0, 10), endOf("b", "2", 20, 30)}, 3},
+		"the same, out of order":      {[]End{endOf("c", "3", 40, 50), endOf("a", "1", 0, 10), endOf("b", "2", 20, 30)}, 3},
 		"sent when the last one ends": {[]End{endOf("a", "1", 0, 10), endOf("b", "2", 10, 20)}, 2},
 		"within one try":              {[]End{endOf("a", "1", 0, 10), endOf("b", "1", 12, 20), endOf("c", "1", 22, 30)}, 3},
 		"hedged within one try":       {[]End{endOf("a", "1", 0, 20), endOf("b", "1", 10, 20)}, 2},
@@ -185,12 +185,12 @@
 	}
 }
 
-// TestMemoriesConverge has three nodes record ends and answers, and tell each other in any order and more than once. They
+// TestMemoriesConverge has three nodes record ends and answers, and report to each other in any order and more than once. They
 // agree in the end on how many engines count.
 func TestMemoriesConverge(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(8086)
 	properties := gopter.NewProperties(parameters)
-	properties.Property("all nodes agree once each was told everything", prop.ForAll(func(seed uint64) bool {
+	properties.Property("all nodes agree once each has everything", prop.ForAll(func(seed uint64) bool {
 		random := rand.New(rand.NewPCG(seed, 1))
 		memories := []*Memory{NewMemory(), NewMemory(), NewMemory()}
 		keys := []Key{KeyOf([]byte("a")), KeyOf([]byte("b"))}
@@ -225,7 +225,7 @@
 	properties.TestingRun(t)
 }
 
-// merge has one node told all that another has recorded.
+// merge gives one node all that another has recorded.
 func merge(to, from *Memory, now int) {
 	if to != from {
 		to.merge(from.all(maxRequests, at(now)), at(now))
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,5 +1,5 @@
 // Package poison limits how many engines are lost to one request. Some requests end every engine that runs them. A node
-// records which engines ended under which requests, tells the other nodes, and sends a request to no further engine once
+// records which engines ended under which requests, reports that to the other nodes, and sends a request to no further engine once
 // MaxEngines have ended under it, over all tries of its client and at all nodes.
 //
 // An engine that ends has usually run other requests as well, so one end alone proves nothing against any of them. What
--- a/internal/poison/server.go
+++ b/internal/poison/server.go
@@ -18,19 +18,19 @@
 	client *Client
 }
 
-// NewServer returns a server for a memory. The client tells peers that ask what is recorded from then on.
+// NewServer returns a server for a memory. From then on, the client reports to peers that ask.
 func NewServer(memory *Memory, client *Client) *Server {
 	return &Server{memory: memory, client: client}
 }
 
 // Record handles a peer's request to record ends.
-func (s *Server) Record(request *wirepb.TellEnds) *wirepb.Reply {
+func (s *Server) Record(request *wirepb.ReportEnds) *wirepb.Reply {
 	s.memory.merge(request.GetRequests(), time.Now())
 	return &wirepb.Reply{}
 }
 
 // List handles a peer's query for all recorded ends.
-func (s *Server) List(request *wirepb.AskEnds) *wirepb.Reply {
+func (s *Server) List(request *wirepb.ListEnds) *wirepb.Reply {
 	s.client.addPeer(request.GetAddress(), time.Now())
 	body, err := proto.Marshal(&wirepb.EndsRecorded{Understood: true, Requests: s.memory.all(maxListed, time.Now())})
 	if err != nil {
--- a/internal/serving/ended_engines.go
+++ b/internal/serving/ended_engines.go
@@ -8,8 +8,8 @@
 	"github.com/pewtermill/pewtermill/internal/relay"
 )
 
-// maxEndRecords is the maximum number of log records per second about engines that ended under requests, and about peers
-// that were not told of them.
+// maxEndRecords is the maximum number of log records per second about engines that ended under requests, and about failed
+// reports of them to peers.
 const maxEndRecords = 20
 
 // initEndedEngines sets up the record of engines that ended under requests.
@@ -35,14 +35,14 @@
 	}
 }
 
-// PeerNotTold implements poison.Observer.
-func (p *Process) PeerNotTold(peer string, cause error) {
+// ReportFailed implements poison.Observer.
+func (p *Process) ReportFailed(peer string, cause error) {
 	if suppressed, allowed := p.endLog.allow(time.Now()); allowed {
 		p.logger.Warn("ended engines not reported to a peer", "peer", peer, "error", cause.Error(), "left_out", suppressed)
 	}
 }
 
-// setEndPeers sets the peers that are told which engines ended under requests.
+// setEndPeers sets the peers that get reports of engines that ended under requests.
 func (p *Process) setEndPeers(services *peerServices, peers []relay.Peer) {
 	addresses := make([]string, 0, len(peers))
 	for _, peer := range peers {
--- a/internal/serving/fatal_request_test.go
+++ b/internal/serving/fatal_request_test.go
@@ -71,6 +71,11 @@
 			return false
 		}
 		ended.record(parsed.Body, id)
+		if how.silent { // before the events, so that the engine takes no connection once it stops sending
+			if err := engine.FallSilent(); err != nil {
+				d.t.Error(err)
+			}
+		}
 		if how.events > 0 {
 			operators.WriteAnswerHeader(writer, parsed.ID, "seal-of-"+id, http.StatusOK, true)
 			for number := range how.events {
@@ -81,9 +86,6 @@
 			engine.End()
 			panic(http.ErrAbortHandler)
 		}
-		if err := engine.FallSilent(); err != nil {
-			d.t.Error(err)
-		}
 		<-request.Context().Done()
 		panic(http.ErrAbortHandler)
 	})
--- a/internal/serving/fatal_request_tries_test.go
+++ b/internal/serving/fatal_request_tries_test.go
@@ -23,7 +23,7 @@
 		t.Errorf("got status %d and %q, want 503 with code 316, not run", got.status, got.body)
 	}
 	if retryAfter := got.header.Get("Retry-After"); retryAfter != "" {
-		t.Errorf("the client is told to come back after %s", retryAfter)
+		t.Errorf("the client is invited to come back after %s", retryAfter)
 	}
 }
 
@@ -40,7 +40,7 @@
 			third.eventually("ready, with the peers found", func() bool {
 				return third.process.Ready() && strings.Contains(third.log.String(), `"msg":"peers found","count":2`)
 			})
-			third.eventually("told by a peer", func() bool { return strings.Contains(third.metricsText(), "pewtermill_serve_stopped_requests 1") })
+			third.eventually("informed by a peer", func() bool { return strings.Contains(third.metricsText(), "pewtermill_serve_stopped_requests 1") })
 			return third
 		},
 	} {
--- a/internal/serving/peers.go
+++ b/internal/serving/peers.go
@@ -81,10 +81,10 @@
 		return h.originServer.Store(body.TellOrigins)
 	case *wirepb.Request_FindOrigin:
 		return h.originServer.Find(body.FindOrigin)
-	case *wirepb.Request_TellEnds:
-		return h.endServer.Record(body.TellEnds)
-	case *wirepb.Request_AskEnds:
-		return h.endServer.List(body.AskEnds)
+	case *wirepb.Request_ReportEnds:
+		return h.endServer.Record(body.ReportEnds)
+	case *wirepb.Request_ListEnds:
+		return h.endServer.List(body.ListEnds)
 	case *wirepb.Request_FetchTurns:
 		return h.turns.ServeFetch(body.FetchTurns)
 	case *wirepb.Request_FollowTable:
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -136,8 +136,8 @@
 	originServer        *origins.Server // answers peers' queries for origins
 	originStore         *origins.Memory
 	endedEngines        *poison.Memory // engines that ended under requests
-	endClient           *poison.Client // tells peers of them
-	endServer           *poison.Server // records what peers tell
+	endClient           *poison.Client // reports them to peers
+	endServer           *poison.Server // records what peers report
 	endLog              logLimiter
 	collector           *loads.Collector // aggregates load reports
 	holdings            *quota.Holdings  // accounts of tenants' limits that this process holds for all
--- a/internal/standin/operators/ending.go
+++ b/internal/standin/operators/ending.go
@@ -4,9 +4,8 @@
 	"net"
 	"net/http"
 	"sync"
-
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
+	"syscall"
+	"time"
 )
 
 // endableListener is an engine's listener that can stop accepting without refusing connections.
@@ -19,7 +18,7 @@
 	closeOnce  sync.Once
 
 	mutex sync.Mutex
-	held  []net.Conn // accepted too late to be served
+	held  []net.Conn // fill the accept queue, or were accepted too late to be served
 }
 
 func newEndableListener(listener net.Listener) *endableListener {
@@ -60,19 +59,27 @@
 	l.held = append(l.held, conn)
 }
 
-// fallSilent has the kernel drop all connection attempts from now on, so that they get no response.
+// fillTimeout is how long a connection attempt may take until the accept queue counts as full.
+const fillTimeout = 50 * time.Millisecond
+
+// fallSilent shortens the accept queue and fills it, so that further connection attempts get no response.
 func (l *endableListener) fallSilent() error {
 	raw, err := l.Listener.(*net.TCPListener).SyscallConn()
 	if err != nil {
 		return err
 	}
 	l.silentOnce.Do(func() { close(l.silent) })
-	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
-	var optionError error
-	err = raw.Control(func(descriptor uintptr) {
-		optionError = unix.SetsockoptSockFprog(int(descriptor), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
-	})
-	return errors.CombineErrors(err, optionError)
+	var listenError error
+	if err := raw.Control(func(descriptor uintptr) { listenError = syscall.Listen(int(descriptor), 0) }); err != nil {
+		return err
+	}
+	for {
+		conn, err := net.DialTimeout("tcp4", l.Addr().String(), fillTimeout)
+		if err != nil {
+			return listenError
+		}
+		l.hold(conn)
+	}
 }
 
 // End ends the engine as a crash does: its connections are closed, and further ones are refused.
