standin: a silent engine's queue counts as full after three attempts that time out

Suspected: one attempt that was slow by itself ended the filling of its accept queue, so that it took connections.

Change: three attempts in a row have to time out, of 100 ms each.

--- a/internal/standin/operators/ending.go
+++ b/internal/standin/operators/ending.go
@@ -59,8 +59,11 @@
 	l.held = append(l.held, conn)
 }
 
-// fillTimeout is how long a connection attempt may take until the accept queue counts as full.
-const fillTimeout = 50 * time.Millisecond
+// The accept queue counts as full once so many connection attempts in a row have timed out. One alone may have been slow.
+const (
+	fillTimeout  = 100 * time.Millisecond
+	fillTimeouts = 3
+)
 
 // fallSilent shortens the accept queue and fills it, so that further connection attempts get no response.
 func (l *endableListener) fallSilent() error {
@@ -73,13 +76,14 @@
 	if err := raw.Control(func(descriptor uintptr) { listenError = syscall.Listen(int(descriptor), 0) }); err != nil {
 		return err
 	}
-	for {
+	for timeouts := 0; timeouts < fillTimeouts; timeouts++ {
 		conn, err := net.DialTimeout("tcp4", l.Addr().String(), fillTimeout)
-		if err != nil {
-			return listenError
+		if err == nil {
+			l.hold(conn)
+			timeouts = -1 // counted from the next attempt
 		}
-		l.hold(conn)
 	}
+	return listenError
 }
 
 // End ends the engine as a crash does: its connections are closed, and further ones are refused.
