poison: only ends that the client may come back with are reported

Change: the ends under a request are reported once its try has failed, or once two engines have ended under it. What clears an end that nobody else has is not reported. A process that starts asks 32 peers at most.

Ruled out: reporting to some peers that pass it on. It saves connections after a failed try only, and costs a second hop before the failure is answered.

--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -148,7 +148,7 @@
 // examination is over. The end counts unless the engine responds.
 func (t *attempt) presume(check *poison.Check, end poison.End, reported chan<- struct{}) {
 	check.Presume(end)
-	t.request.handler.options.EndReporter.Report(context.Background())
+	t.request.reportEnds(context.Background())
 	close(reported)
 	t.examine(check, end, t.howEnded(placement.Cancelled))
 }
@@ -189,19 +189,31 @@
 		how = endUnresponsive
 	}
 	if how == notEnded || how == endUnknown || handler.leftAsPlanned(engine) {
-		check.Finish(nil)
-		handler.options.EndReporter.Report(context.Background()) // if the end was presumed
+		if check.Withdraw() {
+			handler.options.EndReporter.Report(context.Background())
+		}
 		return
 	}
 	if how != endUnresponsive {
 		end.EndedAt = time.Now()
 	}
-	if !check.Finish(&end) {
+	if !check.Finish(end) {
 		return
 	}
-	handler.options.Observer.EngineEnded(EngineEnd{Key: key, Try: end.Try, Engine: engine, How: how,
-		Standing: handler.options.EndedEngines.StandingOf(key, time.Now())})
-	handler.options.EndReporter.Report(context.Background())
+	standing := handler.options.EndedEngines.StandingOf(key, time.Now())
+	handler.options.Observer.EngineEnded(EngineEnd{Key: key, Try: end.Try, Engine: engine, How: how, Standing: standing})
+	// A request that is served elsewhere within this try concerns no other node.
+	if standing.Ended > 1 || t.request.failed.Load() {
+		t.request.reportEnds(context.Background())
+	}
+}
+
+// reportEnds reports the ends under the request to other nodes, if any are not reported yet. It returns once they know
+// them, or ctx ends.
+func (r *request) reportEnds(ctx context.Context) {
+	if r.handler.options.EndedEngines.Share(r.poisonKey()) {
+		r.handler.options.EndReporter.Report(ctx)
+	}
 }
 
 // howEnded returns how an engine ended to which a request was sent at a time.
@@ -253,9 +265,10 @@
 	r.endReports = append(r.endReports, reported)
 }
 
-// awaitEndReports waits until the peers know which engines ended under the request, so that the one that gets the
-// client's next try does. A client that has left is not made to wait.
+// awaitEndReports has the ends under a failed request reported, and waits until the peers know them, so that the one that
+// gets the client's next try does. A client that has left is not made to wait.
 func (r *request) awaitEndReports() {
+	r.failed.Store(true)
 	r.reportMutex.Lock()
 	reports := r.endReports
 	r.reportMutex.Unlock()
@@ -269,7 +282,9 @@
 		select {
 		case <-reported:
 		case <-ctx.Done():
+			go r.reportEnds(context.Background())
 			return
 		}
 	}
+	r.reportEnds(ctx)
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -187,6 +187,7 @@
 	keyOnce       sync.Once
 	key           poison.Key   // see poisonKey
 	sendsUnderWay atomic.Int32 // to engines
+	failed        atomic.Bool  // its client gets no complete answer, and may try again
 
 	reportMutex sync.Mutex        // guards report.Attempts while two sends are in flight, and endReports
 	endReports  []<-chan struct{} // closed once it is known, here and at peers, whether an engine ended
--- a/internal/poison/client.go
+++ b/internal/poison/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	// firstRetry and maxRetry are the pauses before a report that a peer has not confirmed is sent again.
 	firstRetry = 250 * time.Millisecond
 	maxRetry   = 4 * time.Second
+	// maxAsked is how many peers a node asks, of those that it has newly listed, and thereby how many connections it opens.
+	maxAsked = 32
 	// maxAsks is how many times a peer is asked that does not answer, and askPause the pause between two of them.
 	maxAsks  = 4
 	askPause = 500 * time.Millisecond
@@ -79,20 +82,26 @@
 	return &Client{options: options, peers: make(map[string]*peer)}
 }
 
-// SetPeers replaces the peers. New ones get a report of what this node has recorded, and are asked for what they have. A
-// node that has started knows its peers before they list it; they report to it from then on, since it has asked.
+// SetPeers replaces the peers. New ones get a report of what this node has recorded, and up to maxAsked of them are asked
+// for what they have. A node that has started knows its peers before they list it; those that it has asked report to it
+// from then on.
 func (c *Client) SetPeers(client peerClient, addresses []string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.client = client
 	listed := make(map[string]bool, len(addresses))
+	var added []string
 	for _, address := range addresses {
 		listed[address] = true
 		if c.peers[address] == nil {
 			c.add(address)
-			go c.ask(address)
+			added = append(added, address)
 		}
 	}
+	rand.Shuffle(len(added), func(i, j int) { added[i], added[j] = added[j], added[i] })
+	for _, address := range added[:min(len(added), maxAsked)] {
+		go c.ask(address)
+	}
 	for address, existing := range c.peers {
 		if !listed[address] && time.Since(existing.announcedAt) > announcementTTL {
 			existing.remove()
--- a/internal/poison/client_test.go
+++ b/internal/poison/client_test.go
@@ -93,6 +93,8 @@
 func (f *fleet) add(number int) *node {
 	created := &node{memory: NewMemory()}
 	created.Client = NewClient(Options{Node: address(number), Address: func() string { return address(number) }, Memory: created.memory, Suspected: func(string) bool { return false }, Observer: f})
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.nodes[address(number)] = created
 	return created
 }
@@ -118,7 +120,8 @@
 		member := f.nodes[address(number)]
 		f.ended++
 		end := End{Engine: fmt.Sprint("e", f.ended), Try: fmt.Sprint("t", f.ended), SentAt: time.Now(), EndedAt: time.Now()}
-		member.memory.BeginCheck(key, end.Engine, time.Now()).Finish(&end)
+		member.memory.BeginCheck(key, end.Engine, time.Now()).Finish(end)
+		member.memory.Share(key)
 		member.Report(t.Context())
 		time.Sleep(time.Millisecond)
 	}
@@ -257,6 +260,26 @@
 	})
 }
 
+// TestEndsOfServedRequestsAreNotReported records ends that concern no other node, as the request was served within the same
+// try. Neither they nor what clears them is reported.
+func TestEndsOfServedRequestsAreNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, key := newFleet(t, 3), KeyOf([]byte("x"))
+		f.set(1, healthy)
+		member := f.nodes[address(0)]
+		member.memory.BeginCheck(key, "e", time.Now()).Finish(End{Engine: "e", Try: "t", SentAt: time.Now(), EndedAt: time.Now()})
+		member.Report(t.Context())
+		time.Sleep(time.Millisecond)
+		if member.memory.Answered(key, time.Now()) {
+			t.Error("what clears an end that no other node has is to be reported")
+		}
+		member.Report(t.Context())
+		if calls := f.calls(1); calls != 0 {
+			t.Errorf("%d messages sent, want none", calls)
+		}
+	})
+}
+
 // TestNothingIsSentWithoutEnds has nodes report although they have recorded nothing, as on a calm day.
 func TestNothingIsSentWithoutEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/poison/memory.go
+++ b/internal/poison/memory.go
@@ -25,7 +25,8 @@
 type endRecord struct {
 	End
 	cleared  bool   // it does not count: the request was answered since, or the engine has not ended
-	sequence uint64 // of the last change by this node; 0 if only other nodes have recorded it
+	shared   bool   // other nodes have it, or are to get it
+	sequence uint64 // of the last change by this node that others are to get; 0 if there is none
 }
 
 // suspect is the state of one request under which engines ended, or may have ended.
@@ -63,7 +64,7 @@
 	presumed End // of Presume; empty if that was not called
 }
 
-// BeginCheck records that an engine may have ended under a request. Finish must be called.
+// BeginCheck records that an engine may have ended under a request. Finish or Withdraw must be called.
 func (m *Memory) BeginCheck(key Key, engine string, now time.Time) *Check {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -72,57 +73,93 @@
 	return &Check{memory: m, key: key, engine: engine}
 }
 
-// Presume records an end before the check shows whether the engine has ended. Finish withdraws it if it has not.
+// Presume records an end before the check shows whether the engine has ended.
 func (c *Check) Presume(end End) {
 	m := c.memory
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	c.presumed = end
-	m.sequence++
-	m.suspects[c.key].add(endRecord{End: end, sequence: m.sequence})
+	m.suspects[c.key].add(endRecord{End: end})
 }
 
-// Finish ends the check. end is nil if the engine has not ended. It reports whether the end was recorded: it is not if
-// the request was answered after it was sent to the engine.
-func (c *Check) Finish(end *End) bool {
+// Finish ends the check of an engine that has ended. It reports whether the end was recorded: it is not if the request was
+// answered after it was sent to the engine.
+func (c *Check) Finish(end End) bool {
 	m := c.memory
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	record := m.suspects[c.key]
+	recorded := !record.answeredAt.After(end.SentAt)
+	if recorded {
+		record.add(endRecord{End: end})
+	}
+	m.endCheck(c, record)
+	return recorded
+}
+
+// Withdraw ends the check of an engine that has not ended. It reports whether other nodes are to learn that, since the end
+// was presumed and shared.
+func (c *Check) Withdraw() bool {
+	m := c.memory
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	record := m.suspects[c.key]
+	changesShared := m.clear(record, func(end End) bool { return end == c.presumed })
+	m.endCheck(c, record)
+	return changesShared
+}
+
+// endCheck removes a check. The mutex must be held.
+func (m *Memory) endCheck(c *Check, record *suspect) {
 	if record.checks[c.engine]--; record.checks[c.engine] == 0 {
 		delete(record.checks, c.engine)
 	}
-	defer record.signal()
-	recorded := end != nil && !record.answeredAt.After(end.SentAt)
-	switch {
-	case recorded:
-		m.sequence++
-		record.add(endRecord{End: *end, sequence: m.sequence})
-	case c.presumed != (End{}):
-		m.clear(record, func(end End) bool { return end == c.presumed })
-	}
+	record.signal()
 	m.dropIfUnused(c.key, record)
-	return recorded
 }
 
-// clear records that the selected ends do not count. It reports whether any did. The mutex must be held.
+// Share selects the ends that are recorded under a request for the next report to other nodes. It reports whether there
+// are any that were not selected before.
+func (m *Memory) Share(key Key) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	record := m.suspects[key]
+	if record == nil {
+		return false
+	}
+	selected := false
+	for i := range record.ends {
+		if end := &record.ends[i]; !end.shared && !end.cleared {
+			m.sequence++
+			end.shared, end.sequence = true, m.sequence
+			selected = true
+		}
+	}
+	return selected
+}
+
+// clear records that the selected ends do not count. It reports whether other nodes are to learn that of any. The mutex
+// must be held.
 func (m *Memory) clear(record *suspect, selects func(end End) bool) bool {
-	cleared := false
+	changesShared := false
 	for i := range record.ends {
 		end := &record.ends[i]
 		if end.cleared || !selects(end.End) {
 			continue
 		}
-		m.sequence++
-		end.cleared, end.sequence = true, m.sequence
-		cleared = true
+		end.cleared = true
+		if end.shared {
+			m.sequence++
+			end.sequence = m.sequence
+			changesShared = true
+		}
 	}
 	record.ended = record.countEnded()
-	return cleared
+	return changesShared
 }
 
 // Answered records that an engine answered a request, which clears it of all ends recorded so far. It reports whether
-// there were any.
+// other nodes are to learn that.
 func (m *Memory) Answered(key Key, now time.Time) bool {
 	if m.Empty() {
 		return false
@@ -282,7 +319,7 @@
 		if stored.cleared || !next.cleared {
 			return false
 		}
-		stored.cleared, stored.sequence = true, max(stored.sequence, next.sequence)
+		stored.cleared, stored.shared = true, stored.shared || next.shared
 		s.ended = s.countEnded()
 		return true
 	}
--- a/internal/poison/memory_test.go
+++ b/internal/poison/memory_test.go
@@ -30,7 +30,7 @@
 
 // record records an end.
 func record(m *Memory, key Key, end End) bool {
-	return m.BeginCheck(key, end.Engine, end.EndedAt).Finish(&end)
+	return m.BeginCheck(key, end.Engine, end.EndedAt).Finish(end)
 }
 
 // TestEnginesCountOneAfterAnother guards against refusing requests that were not at fault: engines that are lost at the same
@@ -77,12 +77,15 @@
 	memory, key := NewMemory(), KeyOf([]byte("x"))
 	record(memory, key, endOf("a", "1", 0, 10))
 	record(memory, key, endOf("b", "2", 20, 30))
+	if !memory.Share(key) || memory.Share(key) {
+		t.Error("the ends are not selected for a report once")
+	}
 	pending := memory.BeginCheck(key, "c", at(35))
 	if !memory.Answered(key, at(50)) {
-		t.Error("the answer cleared nothing")
+		t.Error("the answer cleared nothing that other nodes have")
 	}
 	late := endOf("c", "3", 32, 35)
-	if pending.Finish(&late) {
+	if pending.Finish(late) {
 		t.Error("an end counts although the request was answered after it was sent")
 	}
 	if got := memory.StandingOf(key, at(60)).Ended; got != 0 {
@@ -103,9 +106,11 @@
 		if got := memory.StandingOf(key, at(10)).Ended; got != 1 {
 			t.Errorf("%s: %d engines count during the check, want 1", name, got)
 		}
-		check.Finish(end)
 		want := 0
-		if end != nil {
+		if end == nil {
+			check.Withdraw()
+		} else {
+			check.Finish(*end)
 			want = 1
 		}
 		if got := memory.StandingOf(key, at(20)).Ended; got != want {
@@ -115,7 +120,7 @@
 	}
 	check := memory.BeginCheck(key, "a", at(10))
 	check.Presume(endOf("a", "1", 0, 0))
-	check.Finish(nil)
+	check.Withdraw()
 	record(memory, key, endOf("a", "2", 20, 30))
 	if got := memory.StandingOf(key, at(40)).Ended; got != 1 {
 		t.Errorf("%d engines count after the engine ended under a later try, want 1", got)
@@ -136,8 +141,8 @@
 		third := memory.BeginCheck(key, "c", now)
 		go func() {
 			time.Sleep(100 * time.Millisecond)
-			first.Finish(nil)
-			third.Finish(nil)
+			first.Withdraw()
+			third.Withdraw()
 		}()
 		if got := memory.AwaitStanding(t.Context(), key, MaxEngines); got.Checks != 1 && got.Checks != 2 || time.Since(now) != 100*time.Millisecond {
 			t.Errorf("got %+v after %s, want it after the first check that decides", got, time.Since(now))
--- a/internal/poison/message.go
+++ b/internal/poison/message.go
@@ -95,7 +95,7 @@
 
 // receivedEnd converts a peer's message to an end.
 func receivedEnd(message *wirepb.EngineEnd, now time.Time) endRecord {
-	return endRecord{cleared: message.GetCleared(), End: End{
+	return endRecord{cleared: message.GetCleared(), shared: true, End: End{
 		Engine:  message.GetEngine(),
 		Try:     message.GetTry(),
 		SentAt:  now.Add(-age(message.GetSentMillisAgo())),
