--- a/internal/serving/fatal_request_tries_test.go
+++ b/internal/serving/fatal_request_tries_test.go
@@ -159,27 +159,38 @@
 	}
 }
 
-// TestFatalRequestsWhileProcessesAreReplaced has clients try requests that end their engines, while processes are stopped as
-// planned and others started, and the store comes and goes. No try is sent on once three engines have ended under its request.
+// TestFatalRequestsWhileProcessesAreReplaced has clients try requests that end their engines, while processes end at once and
+// others start, and the store comes and goes. No try is sent on once three engines have ended under its request.
 func TestFatalRequestsWhileProcessesAreReplaced(t *testing.T) {
+	playFatalRequests(t, []uint64{0, 1, 2, 3, 17, 19, 27, 39}, func(ended *deployment) { ended.process.Close() })
+}
+
+// TestFatalRequestsBesidePlannedStops does so while processes are stopped as planned, beside further tries.
+func TestFatalRequestsBesidePlannedStops(t *testing.T) {
+	playFatalRequests(t, []uint64{0, 1, 2, 3}, func(stopped *deployment) { stopped.process.Stop(t.Context()) })
+}
+
+// playFatalRequests tries requests that end their engines, while processes are replaced and end in a given way, which runs
+// beside the tries.
+func playFatalRequests(t *testing.T, seeds []uint64, end func(replaced *deployment)) {
 	const requests, tries = 4, 7
-	for seed := range uint64(4) {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			random := rand.New(rand.NewPCG(seed, 55))
 			first, second, ended := serveFatal(t, 2+requests*maxEnginesEnded, ending{silent: seed%2 == 1, events: int(seed / 2)})
 			processes := []*deployment{first, second}
 			all := slices.Clone(processes)
-			var stops sync.WaitGroup
-			defer stops.Wait()
+			var ends sync.WaitGroup
+			defer ends.Wait()
 			replace := func() {
 				started := first.runAnother(fmt.Sprint("node-", 10+random.IntN(1000)), anyPort)
 				started.eventually("ready, with the peers found", func() bool {
 					return started.process.Ready() && strings.Contains(started.log.String(), `"msg":"peers found"`)
 				})
 				index := random.IntN(len(processes))
-				stopped := processes[index]
-				stops.Go(func() { stopped.process.Stop(t.Context()) })
+				replaced := processes[index]
+				ends.Go(func() { end(replaced) })
 				processes[index], all = started, append(all, started)
 			}
 			for number := range requests {
