review/2: an engine that sends bytes that are no answer ends processes

Cause: http.ReadResponse on an engine's connection collects the first line and the header without a bound, and an event's line has none either before it ends. An engine that sends other bytes until its caller leaves takes a process over its memory_mb within 1 to 2 s.

Nothing is fixed here.

--- a/review/stand/bed.go
+++ b/review/stand/bed.go
@@ -155,7 +155,7 @@
 		"listen":     map[string]any{"front": p.Address(), "ready": p.readyAddress()},
 		"port_range": []int{portsForPeers, portsForPeers + 9},
 		"seeds":      []string{}, "bootstrap": true, "count_loss": false,
-		"limits":   map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": 304, "max_fds": 8200, "link_mbps": 1000.0, "disk_mb": 0},
+		"limits":   map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": memoryMB, "max_fds": 8200, "link_mbps": 1000.0, "disk_mb": 0},
 		"data_dir": nil, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200,
 		"contracts":       []string{"base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "platform"},
 		"fault_tolerance": map[string]any{"machines": 1, "zones": 0, "regions": 0},
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -22,6 +22,9 @@
 	header := request.Header
 	header.Set("X-Request-Id", t.ID)
 	header.Set("X-Deadline-Ms", strconv.FormatInt(clientDeadline.Milliseconds(), 10))
+	if t.MaxTokens == 0 {
+		return request, nil
+	}
 	header.Set("X-Program-Id", t.Program)
 	header.Set("X-Session-Id", t.Session)
 	header.Set("X-Finish-Ms", "60000")
--- a/review/stand/platform.go
+++ b/review/stand/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -46,24 +47,30 @@
 func (b *Bed) StartEngines(service string, events int, pause time.Duration) *Engines {
 	e := &Engines{bed: b, service: service, events: events, pause: pause, runs: make(map[string]Run)}
 	for number := range engineCount {
-		engine := operators.NewEngine(fmt.Sprintf("%s-%d", service, number+1), events)
-		engine.SetHandler(func(writer http.ResponseWriter, request *http.Request) bool {
-			return e.handle(engine.ID, writer, request)
-		})
-		e.engines = append(e.engines, engine)
-		b.Store.PutEngine(engine, service, Zones[number], "ready", 0)
+		e.Add(fmt.Sprintf("%s-%d", service, number+1), Zones[number])
 	}
 	return e
 }
 
+// Add starts one more engine and enters it into the store.
+func (e *Engines) Add(id, zone string) *operators.Engine {
+	engine := operators.NewEngine(id, e.events)
+	engine.SetHandler(func(writer http.ResponseWriter, request *http.Request) bool {
+		return e.Handle(id, writer, request)
+	})
+	e.engines = append(e.engines, engine)
+	e.bed.Store.PutEngine(engine, e.service, zone, "ready", 0)
+	return engine
+}
+
 // EventData returns the data of an event of a request's stream. It is the same at each engine, as on a route whose
 // streams may be taken up elsewhere.
 func EventData(stream string, number int) string {
 	return fmt.Sprintf("reply %d to %s", number, stream)
 }
 
-// handle runs a request as an engine does.
-func (e *Engines) handle(engine string, writer http.ResponseWriter, request *http.Request) bool {
+// Handle runs a request as an engine does.
+func (e *Engines) Handle(engine string, writer http.ResponseWriter, request *http.Request) bool {
 	parsed, ofClient := operators.ParseRequest(request)
 	if !ofClient {
 		writer.WriteHeader(http.StatusNotFound)
@@ -73,7 +80,11 @@
 	e.runs[parsed.ID] = Run{Engine: engine, ID: parsed.ID, Body: parsed.Body, After: parsed.LastEventID}
 	e.mutex.Unlock()
 	e.bed.Log("%s runs %s after event %d: %d bytes", engine, parsed.ID, parsed.LastEventID, len(parsed.Body))
-	operators.WriteAnswerHeader(writer, parsed.ID, "seal-"+engine, http.StatusOK, true)
+	operators.WriteAnswerHeader(writer, parsed.ID, "seal-"+engine, http.StatusOK, parsed.MaxTokens > 0)
+	if parsed.MaxTokens == 0 {
+		_, _ = io.WriteString(writer, "answer of "+engine) // a client that has left needs no answer
+		return true
+	}
 	for number := parsed.LastEventID + 1; number <= e.events; number++ {
 		operators.WriteEvent(writer, number, EventData(streamOf(parsed.Body), number))
 		select {
@@ -119,7 +130,7 @@
 	b.Log("configuration %d acknowledged", version)
 }
 
-// Turn is one turn of a program, as a client sends it.
+// Turn is one turn of a program, as a client sends it; a request outside of programs if MaxTokens is 0.
 type Turn struct {
 	ID, Route, Program, Session, Previous, Input string
 	Budget, MaxTokens                            int64
--- a/review/stand/process.go
+++ b/review/stand/process.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -23,6 +24,7 @@
 	settingsPath string
 	command      *exec.Cmd
 	exited       chan struct{} // closed when the command has exited
+	ownEnds      int           // see Supervise
 }
 
 // Address returns where the process serves clients.
@@ -118,3 +120,53 @@
 	}
 	return errors.Newf("%s was not ready within %s", p.Node, readyTimeout)
 }
+
+// memoryMB is the limit of a process's memory, as the settings state it.
+const memoryMB = 304
+
+// Times of the platform's supervision.
+const (
+	memoryCheckInterval = 50 * time.Millisecond
+	restartDelay        = 500 * time.Millisecond
+)
+
+// Supervise does what the platform does with a process until ctx ends: it kills one that is over its memory, and starts one
+// that has ended again after a short delay. It must not be used beside Stop and Kill.
+func (p *Process) Supervise(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-p.exited:
+			p.ownEnds++
+			p.bed.Log("%s: has ended by itself, for the %d. time", p.Node, p.ownEnds)
+			time.Sleep(restartDelay)
+			if err := p.Start(); err != nil {
+				p.bed.Log("%s: %v", p.Node, err)
+				return
+			}
+		case <-time.After(memoryCheckInterval):
+			if resident := p.residentMB(); resident > memoryMB {
+				p.bed.Log("%s: %d MB of memory, over the limit of %d MB: SIGKILL", p.Node, resident, memoryMB)
+				p.Kill()
+			}
+		case <-ctx.Done():
+		}
+	}
+}
+
+// OwnEnds returns how often the process ended by itself under Supervise. Memory over the limit counts.
+func (p *Process) OwnEnds() int { return p.ownEnds }
+
+// residentMB returns the process's memory in MB; 0 if it does not run.
+func (p *Process) residentMB() int {
+	content, err := os.ReadFile("/proc/" + strconv.Itoa(p.command.Process.Pid) + "/status")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(content)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+			kilobytes, _ := strconv.Atoi(fields[1])
+			return kilobytes >> 10
+		}
+	}
+	return 0
+}
