ledger, tablestore: a page that the store ended by its size is not the last one

A range read returned rows without saying whether there are more, so readers compared the number of rows with their limit. A page that the store ended at 1 MB has fewer rows and was taken for the last one. platform.Store decoded "more" and dropped it; Ledger.turn then answered "indexed, but not among the rows read" as ErrNotFound.

Change: Table.Range returns a Page with More; ReadAll and ReadPages read on and return no rows if a page fails. A peer states that the rows of a relayed read are complete; rows of an older build's peer are read on from. A turn that is indexed without rows is 503. The account of a program whose budget seems spent is read alone, not with all turns. Both stand-ins of a table end a page at 1 MB.

Ruled out: a row limit derived from the size of rows (sizes differ, and the bound is the store's); reading turn by turn (a call for each turn of a chain in place of one for all).

--- a/internal/bundle/testing_test.go
+++ b/internal/bundle/testing_test.go
@@ -64,8 +64,8 @@
 	return t.row, nil
 }
 
-func (t *memoryTable) Range(context.Context, string, string, int) ([]tablestore.Row, error) {
-	return nil, tablestore.ErrUnavailable
+func (t *memoryTable) Range(context.Context, string, string, int) (tablestore.Page, error) {
+	return tablestore.Page{}, tablestore.ErrUnavailable
 }
 
 func reviewerKey(name string) ed25519.PrivateKey {
--- a/internal/commitgroup/budget_history_test.go
+++ b/internal/commitgroup/budget_history_test.go
@@ -21,12 +21,12 @@
 type readableTable struct{ *faultyTable }
 
 // Range implements tablestore.Table.
-func (r readableTable) Range(ctx context.Context, start, end string, _ int) ([]tablestore.Row, error) {
+func (r readableTable) Range(ctx context.Context, start, end string, _ int) (tablestore.Page, error) {
 	time.Sleep(2 * time.Millisecond)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.random.Float64() < r.faultShare/2 {
-		return nil, errors.Mark(errors.New("503"), tablestore.ErrUnavailable)
+		return tablestore.Page{}, errors.Mark(errors.New("503"), tablestore.ErrUnavailable)
 	}
 	var rows []tablestore.Row
 	for key, row := range r.rows {
@@ -35,7 +35,7 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b tablestore.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows, ctx.Err()
+	return tablestore.Page{Rows: rows}, ctx.Err()
 }
 
 // recallingOwners lets nodes recall each other's allowances. No program has an owner.
--- a/internal/commitgroup/budget_stops_test.go
+++ b/internal/commitgroup/budget_stops_test.go
@@ -39,7 +39,7 @@
 }
 
 // Range implements tablestore.Table.
-func (s intermittentlySlowTable) Range(ctx context.Context, start, end string, limit int) ([]tablestore.Row, error) {
+func (s intermittentlySlowTable) Range(ctx context.Context, start, end string, limit int) (tablestore.Page, error) {
 	s.delayWhileSlow()
 	return s.readableTable.Range(ctx, start, end, limit)
 }
--- a/internal/commitgroup/history_test.go
+++ b/internal/commitgroup/history_test.go
@@ -149,8 +149,8 @@
 }
 
 // Range implements tablestore.Table.
-func (f *faultyTable) Range(context.Context, string, string, int) ([]tablestore.Row, error) {
-	return nil, errors.New("not used")
+func (f *faultyTable) Range(context.Context, string, string, int) (tablestore.Page, error) {
+	return tablestore.Page{}, errors.New("not used")
 }
 
 // link carries requests to tables by name, and loses some.
--- a/internal/commitgroup/ledger_test.go
+++ b/internal/commitgroup/ledger_test.go
@@ -46,15 +46,12 @@
 
 // Get implements tablestore.Table.
 func (h *healthyTable) Get(ctx context.Context, key string) (tablestore.Row, error) {
-	rows, err := h.Range(ctx, key, key+"\x00", 1)
-	if len(rows) == 0 {
-		rows = []tablestore.Row{{Key: key}}
-	}
-	return rows[0], err
+	page, err := h.Range(ctx, key, key+"\x00", 1)
+	return page.RowAt(key), err
 }
 
 // Range implements tablestore.Table.
-func (h *healthyTable) Range(_ context.Context, start, end string, _ int) ([]tablestore.Row, error) {
+func (h *healthyTable) Range(_ context.Context, start, end string, _ int) (tablestore.Page, error) {
 	time.Sleep(4 * time.Millisecond)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -68,7 +65,7 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b tablestore.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows, nil
+	return tablestore.Page{Rows: rows}, nil
 }
 
 // ignoringObserver ignores all events.
--- a/internal/commitgroup/return_allowances_test.go
+++ b/internal/commitgroup/return_allowances_test.go
@@ -32,7 +32,7 @@
 }
 
 // Range implements tablestore.Table.
-func (s slowReadsService) Range(ctx context.Context, start, end string, limit int) ([]tablestore.Row, error) {
+func (s slowReadsService) Range(ctx context.Context, start, end string, limit int) (tablestore.Page, error) {
 	s.delayRead()
 	return readableTable{s.faultyTable}.Range(ctx, start, end, limit)
 }
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -69,9 +69,14 @@
 	if turn, err := e.loadedTurn(id); turn != nil || err != nil {
 		return turn, err
 	}
-	return nil, errors.Wrapf(tablestore.ErrNotFound, "turn %s", id)
+	// The index row names a turn whose rows are not there: they were removed after the index row was read, or are lost.
+	// The next search tells which.
+	return nil, errors.Mark(errors.Wrapf(errIndexedTurnMissing, "turn %s of program %s", id, program), tablestore.ErrUnavailable)
 }
 
+// errIndexedTurnMissing reports that a turn has an index row, but no rows of its own.
+var errIndexedTurnMissing = errors.New("the turn is indexed, but its rows were not found")
+
 // cachedTurn returns a turn from memory or from the turn source; nil if neither has it.
 func (l *Ledger) cachedTurn(ctx context.Context, e *entry, id string) *Turn {
 	if turn := e.turnInMemory(id); turn != nil {
@@ -101,40 +106,46 @@
 // load reads the rows of a program from one part into the entry: its turns,
 // and its account if program and part are the entry's own.
 func (l *Ledger) load(ctx context.Context, e *entry, part int, program string) error {
-	var rows []tablestore.Row
-	start, end := accountKey(part, program), programEnd(part, program)
-	for {
-		page, err := l.readRange(ctx, part, start, end)
-		if err != nil {
-			return err
-		}
-		rows = append(rows, page...)
-		if len(page) < maxRangeRows {
-			break
-		}
-		start = page[len(page)-1].Key + "\x00"
+	rows, accountReadAt, err := l.readProgram(ctx, part, program)
+	if err != nil {
+		return err
 	}
 	if program == e.program && part == partOf(e.program) {
-		e.markRead(l.options.Now())
+		e.markRead(accountReadAt)
 	}
 	return e.applyRows(l.options.RunID, accountKey(partOf(e.program), e.program), rows)
 }
 
+// readProgram reads all rows of a program in one part, its account first. It fails if the rest of the rows could not be
+// read: turns behind the rows that were read must not be taken for turns that do not exist. The account is as of
+// accountReadAt, when the first page was read.
+func (l *Ledger) readProgram(ctx context.Context, part int, program string) (rows []tablestore.Row, accountReadAt time.Time, err error) {
+	start, end := accountKey(part, program), programEnd(part, program)
+	rows, err = tablestore.ReadPages(start, func(start string) (tablestore.Page, error) {
+		page, err := l.readRange(ctx, part, start, end)
+		if accountReadAt.IsZero() {
+			accountReadAt = l.options.Now()
+		}
+		return page, err
+	})
+	return rows, accountReadAt, err
+}
+
 // maxReadTime limits a read whose rows keep arriving: 1 MB, the most that one read returns, at 1 Mbit per second.
 // Callers mostly disconnect sooner.
 const maxReadTime = 8 * time.Second
 
-// readRange reads rows, and retries while the table fails, until the breaker of the part opens.
-func (l *Ledger) readRange(ctx context.Context, part int, start, end string) ([]tablestore.Row, error) {
+// readRange reads a page of rows, and retries while the table fails, until the breaker of the part opens.
+func (l *Ledger) readRange(ctx context.Context, part int, start, end string) (tablestore.Page, error) {
 	for attempts := 0; ; attempts++ {
 		if err := l.health.admit(reading, part, l.options.Now()); err != nil {
-			return nil, err
+			return tablestore.Page{}, err
 		}
 		// A long history that keeps arriving is not cancelled: a retry would start over, and get no further.
 		idleLimit := l.health.currentReadTimeout()
 		callContext, cancel := progress.WithLimits(ctx, progress.Limits{First: idleLimit, Idle: idleLimit, Total: maxReadTime})
 		sentAt, began := time.Now(), l.options.Now()
-		rows, err := l.options.Table.Range(callContext, start, end, maxRangeRows)
+		page, err := l.options.Table.Range(callContext, start, end, maxRangeRows)
 		unanswered := err != nil && ctx.Err() == nil && callContext.Err() != nil
 		if unanswered && l.health.answeredFastSince(began) {
 			err = errors.Mark(err, errNoAnswer)
@@ -145,10 +156,10 @@
 		}
 		l.callEnded(ctx, reading, part, err, began)
 		if err == nil {
-			return rows, nil
+			return page, nil
 		}
 		if (unanswered && attempts+1 >= maxUnansweredReads) || !mayRetry(ctx, err, attempts, l.health.answerTime(reading)) {
-			return nil, err
+			return tablestore.Page{}, err
 		}
 	}
 }
@@ -231,11 +242,11 @@
 	for part := range Parts {
 		group.Go(func() error {
 			key := indexKey(part, requester, id)
-			rows, err := l.readRange(ctx, part, key, key+"\x00")
-			if err != nil || len(rows) == 0 {
+			page, err := l.readRange(ctx, part, key, key+"\x00")
+			if err != nil || len(page.Rows) == 0 {
 				return err
 			}
-			if programs[part], err = programOfIndex(requester, rows[0].Value); err == nil {
+			if programs[part], err = programOfIndex(requester, page.Rows[0].Value); err == nil {
 				cancelOthers()
 			}
 			return err
--- a/internal/ledger/late_retry_test.go
+++ b/internal/ledger/late_retry_test.go
@@ -25,9 +25,9 @@
 	return tablestore.Receipt{}, errors.Mark(errors.New("too many writes"), tablestore.ErrThrottled)
 }
 
-func (r throttlingTable) Range(context.Context, string, string, int) ([]tablestore.Row, error) {
+func (r throttlingTable) Range(context.Context, string, string, int) (tablestore.Page, error) {
 	time.Sleep(r.responseTime)
-	return nil, errors.Mark(errors.New("too many reads"), tablestore.ErrThrottled)
+	return tablestore.Page{}, errors.Mark(errors.New("too many reads"), tablestore.ErrThrottled)
 }
 
 // TestNoRetryIsTooLateForItsAnswer runs callers with many deadlines that record and look up turns in a
--- a/internal/ledger/late_store_test.go
+++ b/internal/ledger/late_store_test.go
@@ -100,26 +100,23 @@
 
 // Get implements tablestore.Table.
 func (s *lateStore) Get(ctx context.Context, key string) (tablestore.Row, error) {
-	rows, err := s.Range(ctx, key, key+"\x00", 1)
-	if err != nil || len(rows) == 0 {
-		return tablestore.Row{Key: key}, err
-	}
-	return rows[0], nil
+	page, err := s.Range(ctx, key, key+"\x00", 1)
+	return page.RowAt(key), err
 }
 
 // Range implements tablestore.Table; it returns a single row only, as no program here is continued elsewhere.
-func (s *lateStore) Range(ctx context.Context, start, _ string, _ int) ([]tablestore.Row, error) {
+func (s *lateStore) Range(ctx context.Context, start, _ string, _ int) (tablestore.Page, error) {
 	time.Sleep(4 * time.Millisecond)
 	s.mutex.Lock()
 	row := s.rows[start]
 	s.mutex.Unlock()
 	if err := s.answer(ctx); err != nil {
-		return nil, errors.Mark(err, tablestore.ErrUnavailable)
+		return tablestore.Page{}, errors.Mark(err, tablestore.ErrUnavailable)
 	}
 	if row.Revision == 0 {
-		return nil, nil
+		return tablestore.Page{}, nil
 	}
-	return []tablestore.Row{row}, nil
+	return tablestore.Page{Rows: []tablestore.Row{row}}, nil
 }
 
 // Snapshot implements tablestore.Feed.
--- a/internal/ledger/legacy_rows.go
+++ b/internal/ledger/legacy_rows.go
@@ -38,7 +38,7 @@
 	if turn, err := e.loadedTurn(id); turn != nil || err != nil {
 		return turn, err
 	}
-	return nil, missing
+	return nil, errors.Mark(errors.Wrapf(errIndexedTurnMissing, "turn %s of program %s", id, program), tablestore.ErrUnavailable)
 }
 
 // legacyAccount is the account of a program as written by a build without tenants. The program's
--- a/internal/ledger/long_reads_test.go
+++ b/internal/ledger/long_reads_test.go
@@ -17,7 +17,7 @@
 }
 
 // Range implements tablestore.Table.
-func (t *chunkedTable) Range(ctx context.Context, start, end string, limit int) ([]tablestore.Row, error) {
+func (t *chunkedTable) Range(ctx context.Context, start, end string, limit int) (tablestore.Page, error) {
 	for range 10 {
 		timer := time.NewTimer(t.chunkDelay)
 		select {
@@ -25,7 +25,7 @@
 			progress.Report(ctx)
 		case <-ctx.Done():
 			timer.Stop()
-			return nil, ctx.Err()
+			return tablestore.Page{}, ctx.Err()
 		}
 	}
 	return t.delayedTable.Range(ctx, start, end, limit)
--- a/internal/ledger/return_allowances_test.go
+++ b/internal/ledger/return_allowances_test.go
@@ -87,12 +87,12 @@
 }
 
 // Range returns an account's row; these tests read no turns.
-func (d *delayedTable) Range(ctx context.Context, start, _ string, _ int) ([]tablestore.Row, error) {
+func (d *delayedTable) Range(ctx context.Context, start, _ string, _ int) (tablestore.Page, error) {
 	row, err := d.Get(ctx, start)
 	if err != nil || row.Revision == 0 {
-		return nil, err
+		return tablestore.Page{}, err
 	}
-	return []tablestore.Row{row}, nil
+	return tablestore.Page{Rows: []tablestore.Row{row}}, nil
 }
 
 // heldTokens returns the sum of the allowances in all accounts.
--- a/internal/ledger/slow_reads_test.go
+++ b/internal/ledger/slow_reads_test.go
@@ -48,8 +48,8 @@
 }
 
 // Range implements tablestore.Table.
-func (l *delayedTable) Range(ctx context.Context, _, _ string, _ int) ([]tablestore.Row, error) {
-	return nil, l.wait(ctx)
+func (l *delayedTable) Range(ctx context.Context, _, _ string, _ int) (tablestore.Page, error) {
+	return tablestore.Page{}, l.wait(ctx)
 }
 
 // TestSlowTableIsReadByNodesThatWriteNothing delays each answer by more than the timeout of a read of a fast table,
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -89,11 +89,11 @@
 	if _, wrote := e.account.Allowances[l.options.RunID]; !wrote || e.revision == 0 || e.othersHoldTokens(l.options.RunID) {
 		return nil
 	}
-	rows, err := l.readRange(ctx, part, account, programEnd(part, e.program))
+	rows, _, err := l.readProgram(ctx, part, e.program)
 	if err != nil {
 		return err
 	}
-	if len(rows) == 0 || rows[0].Key != account || rows[0].Revision != e.revision || len(rows) == maxRangeRows {
+	if len(rows) == 0 || rows[0].Key != account || rows[0].Revision != e.revision {
 		return nil
 	}
 	removals := removalsOf(part, e.program, rows)
--- a/internal/ledger/unknown_outcome_test.go
+++ b/internal/ledger/unknown_outcome_test.go
@@ -54,12 +54,12 @@
 	return row, nil
 }
 
-func (m *memoryTable) Range(ctx context.Context, start, _ string, _ int) ([]tablestore.Row, error) {
+func (m *memoryTable) Range(ctx context.Context, start, _ string, _ int) (tablestore.Page, error) {
 	row, err := m.Get(ctx, start)
 	if err != nil || row.Revision == 0 {
-		return nil, err
+		return tablestore.Page{}, err
 	}
-	return []tablestore.Row{row}, nil
+	return tablestore.Page{Rows: []tablestore.Row{row}}, nil
 }
 
 // TestNothingIsGrantedInDoubt loses the response to a write that makes the node's
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -97,7 +97,7 @@
 	transaction, write, err := e.prepare(l.options, part, request, l.aheadPolicy(request))
 	if errors.Is(err, ErrBudgetSpent) && !e.isFresh(l.options.Now()) && !e.isExhausted(l.options.RunID, request) {
 		// Other nodes may have returned allowances since the account was read.
-		return false, l.load(limited, e, part, e.program)
+		return false, l.readAccount(limited, e, part)
 	}
 	if err != nil {
 		return false, err
@@ -111,15 +111,12 @@
 // readAccount reads the program's account.
 func (l *Ledger) readAccount(ctx context.Context, e *entry, part int) error {
 	key := accountKey(part, e.program)
-	rows, err := l.readRange(ctx, part, key, key+"\x00")
+	page, err := l.readRange(ctx, part, key, key+"\x00")
 	if err != nil {
 		return err
 	}
-	if len(rows) == 0 {
-		rows = []tablestore.Row{{Key: key}}
-	}
 	e.markRead(l.options.Now())
-	return e.applyRows(l.options.RunID, key, rows)
+	return e.applyRows(l.options.RunID, key, []tablestore.Row{page.RowAt(key)})
 }
 
 // prepare builds the next write. It keeps the write's number and content until the outcome is known.
--- a/internal/ownership/collect.go
+++ b/internal/ownership/collect.go
@@ -43,16 +43,16 @@
 		if err != nil {
 			return
 		}
-		last := len(calls) < collectPageRows
-		writes := []tablestore.Write{{Key: key, Value: program.EncodeHeader(header), Delete: last}}
-		for _, call := range calls {
+		_, more := calls.Next()
+		writes := []tablestore.Write{{Key: key, Value: program.EncodeHeader(header), Delete: !more}}
+		for _, call := range calls.Rows {
 			writes = append(writes, tablestore.Write{Key: call.Key, Delete: true})
 		}
 		receipt, err := p.Store.Commit(ctx, tablestore.Transaction{
 			Conditions: []tablestore.Condition{{Key: key, Revision: revision}},
 			Writes:     writes,
 		})
-		if err != nil || last {
+		if err != nil || !more {
 			return
 		}
 		revision = receipt.Revisions[key]
--- a/internal/ownership/collect_test.go
+++ b/internal/ownership/collect_test.go
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	if header.Revision == 0 {
-		return len(calls)
+		return len(calls.Rows)
 	}
-	return len(calls) + 1
+	return len(calls.Rows) + 1
 }
--- a/internal/ownership/history.go
+++ b/internal/ownership/history.go
@@ -8,6 +8,7 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/backend"
 	"github.com/pewtermill/pewtermill/internal/program"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
 // callPageRows is the number of call rows that one range read returns.
@@ -48,7 +49,7 @@
 	var messages []api.Message
 	for sequence := int64(1); sequence < next; {
 		last := min(next, sequence+callPageRows)
-		rows, err := p.Store.Range(ctx, program.CallKey(id, sequence), program.CallKey(id, last), callPageRows)
+		rows, err := tablestore.ReadAll(ctx, p.Store, program.CallKey(id, sequence), program.CallKey(id, last), callPageRows)
 		if err != nil {
 			return nil, p.storeError(err)
 		}
--- a/internal/ownership/maintain.go
+++ b/internal/ownership/maintain.go
@@ -120,11 +120,11 @@
 func (p *Programs) MaintainPartition(ctx context.Context, cell string, partition int) error {
 	start, end := program.HeaderRange(cell, partition)
 	for {
-		rows, err := p.Store.Range(ctx, start, end, scanPageRows)
+		page, err := p.Store.Range(ctx, start, end, scanPageRows)
 		if err != nil {
 			return p.storeError(err)
 		}
-		for _, row := range rows {
+		for _, row := range page.Rows {
 			header, err := program.DecodeHeader(row.Value)
 			if err != nil {
 				p.Logger.Error("program row cannot be read", "key", row.Key, "error", err.Error())
@@ -132,10 +132,11 @@
 			}
 			p.maintain(ctx, header, row.Revision)
 		}
-		if len(rows) < scanPageRows {
+		next, more := page.Next()
+		if !more {
 			return nil
 		}
-		start = rows[len(rows)-1].Key + "\x00"
+		start = next
 	}
 }
 
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -210,9 +210,9 @@
 }
 
 // Range implements tablestore.Table.
-func (n *fleetNode) Range(ctx context.Context, _, _ string, _ int) ([]tablestore.Row, error) {
+func (n *fleetNode) Range(ctx context.Context, _, _ string, _ int) (tablestore.Page, error) {
 	if err := n.reachTable(ctx); err != nil {
-		return nil, err
+		return tablestore.Page{}, err
 	}
 	n.fleet.mutex.Lock()
 	defer n.fleet.mutex.Unlock()
@@ -220,7 +220,7 @@
 	for _, row := range n.fleet.rows {
 		rows = append(rows, row)
 	}
-	return rows, nil
+	return tablestore.Page{Rows: rows}, nil
 }
 
 // Get implements tablestore.Table.
--- a/internal/quota/lease_manager.go
+++ b/internal/quota/lease_manager.go
@@ -199,7 +199,7 @@
 func (k *LeaseManager) readRows(ctx context.Context) {
 	callContext, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	rows, err := k.table.Range(callContext, rowTable, rowTable+"\x7f", Shards)
+	rows, err := tablestore.ReadAll(callContext, k.table, rowTable, rowTable+"\x7f", Shards)
 	if err != nil {
 		k.nextReadAt = time.Now().Add(backoff.Jitter(readRetryPause))
 		k.tableUnavailable(time.Now())
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -112,7 +112,7 @@
 func (d Directory) zonePeers(ctx context.Context, zone string) ([]Peer, error) {
 	ctx, cancel := context.WithTimeout(ctx, listCallLimit)
 	defer cancel()
-	rows, err := d.Table.Range(ctx, memberKey(zone, ""), memberKey(zone, "\x7f"), maxListed)
+	rows, err := tablestore.ReadAll(ctx, d.Table, memberKey(zone, ""), memberKey(zone, "\x7f"), maxListed)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,8 +15,9 @@
 type Outcome struct {
 	Receipt  tablestore.Receipt        `json:"receipt,omitzero"`
 	Rows     []tablestore.Row          `json:"rows,omitempty"`
-	Changes  []tablestore.Change       `json:"changes,omitempty"` // of a watch
-	Version  uint64                    `json:"version,omitempty"` // of a watch: the version to continue from
+	Complete bool                      `json:"complete,omitempty"` // of a range read: there are no rows after Rows
+	Changes  []tablestore.Change       `json:"changes,omitempty"`  // of a watch
+	Version  uint64                    `json:"version,omitempty"`  // of a watch: the version to continue from
 	Conflict *tablestore.ConflictError `json:"conflict,omitempty"`
 	Failure  Failure                   `json:"failure,omitempty"`
 	Detail   string                    `json:"detail,omitempty"`
@@ -34,6 +37,12 @@
 	Unknown     Failure = "unknown"
 )
 
+// page returns the result of a range read. A peer of an older build does not state that its rows are complete, so
+// rows without that statement are read on from.
+func (o Outcome) page() tablestore.Page {
+	return tablestore.Page{Rows: o.Rows, More: !o.Complete && len(o.Rows) > 0}
+}
+
 // err converts an outcome to an error of tablestore; nil if the call succeeded.
 func (o Outcome) err() error {
 	if o.Conflict != nil {
@@ -130,6 +139,10 @@
 	if len(outcome.Rows) > int(request.GetLimit()) {
 		return errors.Newf("peer returned %d rows, more than the limit of %d", len(outcome.Rows), request.GetLimit())
 	}
+	// A reader continues behind the last row, so rows out of order would hide others.
+	if !slices.IsSortedFunc(outcome.Rows, func(a, b tablestore.Row) int { return strings.Compare(a.Key, b.Key) }) {
+		return errors.New("peer returned rows out of order")
+	}
 	for _, row := range outcome.Rows {
 		if row.Key < request.GetStart() || row.Key >= request.GetEnd() || row.Revision == 0 {
 			return errors.Newf("peer returned row %s, revision %d, which was not requested", row.Key, row.Revision)
--- a/internal/relay/outcome_test.go
+++ b/internal/relay/outcome_test.go
@@ -36,6 +36,7 @@
 		{"a conflict of another row", commit, `{"conflict":{"index":0,"current":{"key":"t/p/b","revision":7}}}`, false},
 		{"a conflict of a condition that does not exist", commit, `{"conflict":{"index":3,"current":{"key":"t/p/a","revision":7}}}`, false},
 		{"rows", read, `{"rows":[{"key":"t/p/a","revision":3},{"key":"t/p/b","revision":4}]}`, true},
+		{"rows out of order", read, `{"rows":[{"key":"t/p/b","revision":4},{"key":"t/p/a","revision":3}]}`, false},
 		{"no rows", read, `{}`, true},
 		{"a row outside of the range", read, `{"rows":[{"key":"t/p/c","revision":3}]}`, false},
 		{"a row that was never written", read, `{"rows":[{"key":"t/p/a"}]}`, false},
@@ -53,3 +54,25 @@
 		}
 	}
 }
+
+// TestRowsOfAnOlderPeerAreReadOn guards against taking the rows that a peer of an older build returns for all rows of a
+// range: such a peer does not state whether there are more.
+func TestRowsOfAnOlderPeerAreReadOn(t *testing.T) {
+	read := &wirepb.Request{Body: &wirepb.Request_RangeTable{RangeTable: &wirepb.RangeTable{Start: "t/p/a", End: "t/p/c", Limit: 2}}}
+	for _, test := range []struct {
+		name, content string
+		more          bool
+	}{
+		{"rows of an older build", `{"rows":[{"key":"t/p/a","revision":3}]}`, true},
+		{"no rows of an older build", `{}`, false},
+		{"all rows", `{"rows":[{"key":"t/p/a","revision":3}],"complete":true}`, false},
+	} {
+		outcome, err := decodeOutcome(read, []byte(test.content))
+		if err != nil {
+			t.Fatalf("%s: %v", test.name, err)
+		}
+		if page := outcome.page(); page.More != test.more {
+			t.Errorf("%s: got more=%t, want %t", test.name, page.More, test.more)
+		}
+	}
+}
--- a/internal/relay/path_check_test.go
+++ b/internal/relay/path_check_test.go
@@ -35,8 +35,8 @@
 }
 
 // Range implements tablestore.Table.
-func (s unresponsiveService) Range(ctx context.Context, _, _ string, _ int) ([]tablestore.Row, error) {
-	return nil, s.wait(ctx)
+func (s unresponsiveService) Range(ctx context.Context, _, _ string, _ int) (tablestore.Page, error) {
+	return tablestore.Page{}, s.wait(ctx)
 }
 
 // Snapshot implements tablestore.Feed.
@@ -118,9 +118,9 @@
 type throttlingService struct{ unresponsiveService }
 
 // Range implements tablestore.Table.
-func (throttlingService) Range(ctx context.Context, _, _ string, _ int) ([]tablestore.Row, error) {
+func (throttlingService) Range(ctx context.Context, _, _ string, _ int) (tablestore.Page, error) {
 	time.Sleep(time.Millisecond) // virtual time
-	return nil, errors.Mark(errors.New("throttled"), tablestore.ErrThrottled)
+	return tablestore.Page{}, errors.Mark(errors.New("throttled"), tablestore.ErrThrottled)
 }
 
 // TestCallsThatFailTogetherWaitForOneVerdict makes eight concurrent reads in a process that the service rejects while
@@ -182,17 +182,17 @@
 }
 
 // Range implements tablestore.Table.
-func (s slowThenUnavailable) Range(_ context.Context, start, _ string, _ int) ([]tablestore.Row, error) {
+func (s slowThenUnavailable) Range(_ context.Context, start, _ string, _ int) (tablestore.Page, error) {
 	if !time.Now().Before(s.unavailableAt) {
 		time.Sleep(time.Millisecond) // virtual time
-		return nil, errors.Mark(errors.New("unavailable"), tablestore.ErrUnavailable)
+		return tablestore.Page{}, errors.Mark(errors.New("unavailable"), tablestore.ErrUnavailable)
 	}
 	duration := unansweredLimit + 30*time.Millisecond
 	if start == secretKey {
 		duration = s.checkRead
 	}
 	time.Sleep(duration) // virtual time
-	return nil, nil
+	return tablestore.Page{}, nil
 }
 
 // TestSlowMomentHidesNoRefusals makes the service slow at first, so that a path check runs and finds the direct path
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -52,9 +52,9 @@
 	return c.Table.Commit(ctx, transaction)
 }
 
-func (c *partitionableTable) Range(ctx context.Context, start, end string, limit int) ([]tablestore.Row, error) {
+func (c *partitionableTable) Range(ctx context.Context, start, end string, limit int) (tablestore.Page, error) {
 	if err := c.failure(); err != nil {
-		return nil, err
+		return tablestore.Page{}, err
 	}
 	return c.Table.Range(ctx, start, end, limit)
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -116,7 +116,9 @@
 		outcome.Receipt, err = s.table.direct.Commit(ctx, transaction)
 	case *wirepb.Request_RangeTable:
 		read := body.RangeTable
-		outcome.Rows, err = s.table.direct.Range(ctx, read.GetStart(), read.GetEnd(), int(read.GetLimit()))
+		var page tablestore.Page
+		page, err = s.table.direct.Range(ctx, read.GetStart(), read.GetEnd(), int(read.GetLimit()))
+		outcome.Rows, outcome.Complete = page.Rows, !page.More
 	case *wirepb.Request_WatchTable:
 		outcome, err = s.watch(ctx, body.WatchTable, wait)
 	default:
--- a/internal/relay/slow_test.go
+++ b/internal/relay/slow_test.go
@@ -33,8 +33,8 @@
 }
 
 // Range implements tablestore.Table.
-func (s slowService) Range(ctx context.Context, _, _ string, _ int) ([]tablestore.Row, error) {
-	return nil, s.wait(ctx)
+func (s slowService) Range(ctx context.Context, _, _ string, _ int) (tablestore.Page, error) {
+	return tablestore.Page{}, s.wait(ctx)
 }
 
 // TestSlowServiceIsNoLostWay lets the service answer this process and its peers alike, but slowly: every call takes
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -128,27 +128,24 @@
 }
 
 // Range implements tablestore.Table.
-func (t *Table) Range(ctx context.Context, start, end string, limit int) ([]tablestore.Row, error) {
-	rows, err, final := callDirect(ctx, t, unansweredLimit, func(ctx context.Context) ([]tablestore.Row, error) {
+func (t *Table) Range(ctx context.Context, start, end string, limit int) (tablestore.Page, error) {
+	page, err, final := callDirect(ctx, t, unansweredLimit, func(ctx context.Context) (tablestore.Page, error) {
 		return t.direct.Range(ctx, start, end, limit)
 	})
 	if final {
-		return rows, err
+		return page, err
 	}
 	outcome, err := t.pool.call(ctx, rangeRequest(start, end, limit), 0, true)
 	if err != nil {
-		return nil, err
+		return tablestore.Page{}, err
 	}
-	return outcome.Rows, outcome.err()
+	return outcome.page(), outcome.err()
 }
 
 // Get implements tablestore.Table.
 func (t *Table) Get(ctx context.Context, key string) (tablestore.Row, error) {
-	rows, err := t.Range(ctx, key, key+"\x00", 1)
-	if err != nil || len(rows) == 0 {
-		return tablestore.Row{Key: key}, err
-	}
-	return rows[0], nil
+	page, err := t.Range(ctx, key, key+"\x00", 1)
+	return page.RowAt(key), err
 }
 
 func rangeRequest(start, end string, limit int) *wirepb.Request {
--- a/internal/serving/commits.go
+++ b/internal/serving/commits.go
@@ -82,7 +82,7 @@
 }
 
 // Range implements tablestore.Table.
-func (t countedTable) Range(ctx context.Context, start, end string, limit int) ([]tablestore.Row, error) {
+func (t countedTable) Range(ctx context.Context, start, end string, limit int) (tablestore.Page, error) {
 	t.calls[purposeOf(start, end)].Add(1)
 	return t.Table.Range(ctx, start, end, limit)
 }
--- a/internal/standin/operators/store.go
+++ b/internal/standin/operators/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"encoding/base64"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -316,8 +317,8 @@
 		return
 	}
 	limit, err := strconv.Atoi(query.Get("limit"))
-	if err != nil || limit > 500 {
-		limit = 500
+	if err != nil || limit > maxPageRows {
+		limit = maxPageRows
 	}
 	s.mutex.Lock()
 	matching := []Row{}
@@ -330,11 +331,27 @@
 	version := s.version
 	s.mutex.Unlock()
 	slices.SortFunc(matching, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
-	more := len(matching) > limit
-	if more {
-		matching = matching[:limit]
+	page := firstPage(matching, limit)
+	more := len(page) < len(matching)
+	reply(writer, http.StatusOK, map[string]any{"rows": page, "more": more, "ver": version, "now_ms": nowMillis()})
+}
+
+// Limits of one answer to a read of rows.
+const (
+	maxPageRows  = 500
+	maxPageBytes = 1 << 20 // of the encoded values
+)
+
+// firstPage returns the rows that one answer holds: at most limit, and at least one if there are any.
+func firstPage(rows []Row, limit int) []Row {
+	size := 0
+	for i, row := range rows {
+		size += base64.StdEncoding.EncodedLen(len(row.Value))
+		if i >= limit || (size > maxPageBytes && i > 0) {
+			return rows[:i]
+		}
 	}
-	reply(writer, http.StatusOK, map[string]any{"rows": matching, "more": more, "ver": version, "now_ms": nowMillis()})
+	return rows
 }
 
 func (s *Store) feed(writer http.ResponseWriter, request *http.Request) {
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -67,12 +67,12 @@
 		http.Error(w, "limit is not a number", http.StatusBadRequest)
 		return
 	}
-	rows, err := p.Range(r.Context(), query.Get("start"), query.Get("end"), limit)
+	page, err := p.Range(r.Context(), query.Get("start"), query.Get("end"), limit)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	answer(w, rows)
+	answer(w, page)
 }
 
 func (p *Platform) servePutObject(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -79,9 +79,9 @@
 	if !errors.As(err, &conflict) || conflict.Index != 1 || string(conflict.Current.Value) != "old" {
 		t.Fatalf("stale commit: %v", err)
 	}
-	rows, err := p.Range(t.Context(), "a", "c", 10)
-	if err != nil || len(rows) != 2 || rows[0].WriteID != "1" {
-		t.Fatalf("rows %+v, %v", rows, err)
+	page, err := p.Range(t.Context(), "a", "c", 10)
+	if err != nil || len(page.Rows) != 2 || page.More || page.Rows[0].WriteID != "1" {
+		t.Fatalf("page %+v, %v", page, err)
 	}
 	for _, remove := range []bool{true, false} {
 		again := tablestore.Transaction{Writes: []tablestore.Write{{Key: "a", Delete: remove}}}
--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -123,20 +123,30 @@
 	return p.row(key), nil
 }
 
-// Range implements tablestore.Table. A limit of 0 or less returns no rows.
-func (p *Platform) Range(ctx context.Context, start, end string, limit int) ([]tablestore.Row, error) {
+// maxPageBytes limits the values that one range read returns.
+const maxPageBytes = 1 << 20
+
+// Range implements tablestore.Table. A limit of 0 or less returns no rows. At least one row is returned, however
+// large it is.
+func (p *Platform) Range(ctx context.Context, start, end string, limit int) (tablestore.Page, error) {
 	if err := p.admitRead(ctx); err != nil {
-		return nil, err
+		return tablestore.Page{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stats.Reads++
-	rows := []tablestore.Row{}
+	page, size := tablestore.Page{Rows: []tablestore.Row{}}, 0
 	for key := range p.keys.from(start) {
-		if key >= end || len(rows) >= limit {
+		if key >= end {
+			break
+		}
+		row := p.rows[key]
+		size += len(row.Value)
+		if len(page.Rows) >= limit || (size > maxPageBytes && len(page.Rows) > 0) {
+			page.More = true
 			break
 		}
-		rows = append(rows, p.rows[key])
+		page.Rows = append(page.Rows, row)
 	}
-	return rows, nil
+	return page, nil
 }
--- a/internal/tablestore/http.go
+++ b/internal/tablestore/http.go
@@ -177,11 +177,11 @@
 }
 
 // Range implements Table. Errors: ErrUnavailable, ErrThrottled.
-func (h *HTTP) Range(ctx context.Context, start, end string, limit int) ([]Row, error) {
+func (h *HTTP) Range(ctx context.Context, start, end string, limit int) (Page, error) {
 	query := url.Values{"start": {start}, "end": {end}, "limit": {strconv.Itoa(limit)}}
-	var rows []Row
-	err := h.readJSON(ctx, http.MethodGet, "/table/range?"+query.Encode(), nil, &rows)
-	return rows, err
+	var page Page
+	err := h.readJSON(ctx, http.MethodGet, "/table/range?"+query.Encode(), nil, &page)
+	return page, err
 }
 
 // PutObject implements Objects. Storing the same content again is harmless,
--- a/internal/tablestore/http_test.go
+++ b/internal/tablestore/http_test.go
@@ -122,8 +122,8 @@
 	if !errors.As(err, &conflict) || conflict.Current.Revision != row.Revision {
 		t.Errorf("second create returned %v", err)
 	}
-	if rows, err := store.Range(t.Context(), "row/", "row0", 10); err != nil || len(rows) != 1 {
-		t.Errorf("range %+v, %v", rows, err)
+	if page, err := store.Range(t.Context(), "row/", "row0", 10); err != nil || len(page.Rows) != 1 || page.More {
+		t.Errorf("range %+v, %v", page, err)
 	}
 	table.Announce(tablestore.Machine{Name: "engine-1", Zone: "z1"})
 	if machines, err := client.List(t.Context()); err != nil || len(machines) != 1 || machines[0].Zone != "z1" {
--- a/internal/tablestore/reads.go
+++ b/internal/tablestore/reads.go
@@ -24,8 +24,8 @@
 }
 
 // Range implements Table. Errors: ErrUnavailable, ErrThrottled, ErrRejected.
-func (s *GroupStore) Range(ctx context.Context, start, end string, limit int) ([]Row, error) {
-	return retryRead(ctx, s, func() ([]Row, error) { return s.table.Range(ctx, start, end, limit) })
+func (s *GroupStore) Range(ctx context.Context, start, end string, limit int) (Page, error) {
+	return retryRead(ctx, s, func() (Page, error) { return s.table.Range(ctx, start, end, limit) })
 }
 
 // PutObject implements Objects. Storing the same content again is harmless,
--- a/internal/tablestore/tablestore.go
+++ b/internal/tablestore/tablestore.go
@@ -99,8 +99,9 @@
 	Commit(ctx context.Context, transaction Transaction) (Receipt, error)
 	// Get returns the row, with Revision 0 if absent.
 	Get(ctx context.Context, key string) (Row, error)
-	// Range returns at most limit rows with start <= key < end, in key order.
-	Range(ctx context.Context, start, end string, limit int) ([]Row, error)
+	// Range returns at most limit rows with start <= key < end, in key order, as of one moment. The service may
+	// return fewer rows than there are; ReadAll reads the rest as well.
+	Range(ctx context.Context, start, end string, limit int) (Page, error)
 }
 
 // Change is a row as of its revision. Gone means that this revision removed it.
