backend, client: answers without an end are aborted

Ruled out: one limit on all bytes of a stream: a text in small chunks takes forty times its own size on the wire.

Evidence: TestBackendAnswerWithoutEndIsAborted sends twelve forms for a chat and a tool call; each back end got rid of less than 48 MB and the outcome is unknown.

--- a/internal/backend/chat_stream.go
+++ b/internal/backend/chat_stream.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	maxEventBytes = 1 << 20
-	maxTextBytes  = 32 << 20
+	maxLineBytes    = 256 << 10
+	maxTextBytes    = 4 << 20
+	maxSkippedBytes = 1 << 20 // in a row, without new text
 	// endTimeout is how long a connection may stay open after a stream's last chunk; a connection
 	// whose response ends in time can be reused.
 	endTimeout = 100 * time.Millisecond
@@ -76,19 +77,27 @@
 	watchdog := time.AfterFunc(idleTimeout, func() { _ = body.Close() })
 	defer watchdog.Stop()
 	scanner := bufio.NewScanner(body)
-	scanner.Buffer(nil, maxEventBytes)
+	scanner.Buffer(nil, maxLineBytes)
+	var skipped int
 	for scanner.Scan() {
 		watchdog.Reset(idleTimeout)
+		before := s.offset()
 		data, isData := bytes.CutPrefix(scanner.Bytes(), []byte("data:"))
-		if !isData {
-			continue
-		}
-		if err := s.handleEvent(bytes.TrimSpace(data)); err != nil {
-			return err
+		if isData {
+			if err := s.handleEvent(bytes.TrimSpace(data)); err != nil {
+				return err
+			}
 		}
 		if s.complete {
 			watchdog.Reset(endTimeout)
 		}
+		skipped += len(scanner.Bytes()) + 1
+		if s.offset() > before {
+			skipped = 0
+		}
+		if skipped > maxSkippedBytes {
+			return s.endWithoutProgress(ctx)
+		}
 	}
 	if s.complete {
 		return nil
@@ -102,6 +111,14 @@
 	return wrapAs(ctx, errStreamInterrupted, io.ErrUnexpectedEOF)
 }
 
+// endWithoutProgress ends the reading of a connection on which the engine sends nothing that belongs to the response.
+func (s *chatStream) endWithoutProgress(ctx context.Context) error {
+	if s.complete {
+		return nil
+	}
+	return wrapAs(ctx, errStreamInterrupted, errors.Newf("%d bytes in a row have no text", maxSkippedBytes))
+}
+
 func (s *chatStream) handleEvent(data []byte) error {
 	if s.complete || string(data) == StreamEnd {
 		return nil
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -21,7 +21,8 @@
 	keepAlivePeriod     = 15 * time.Second
 	idleConnTimeout     = 90 * time.Second
 	maxIdleConnsPerHost = 256
-	maxResponseBytes    = 64 << 20
+	maxHeadBytes        = 64 << 10
+	maxResponseBytes    = 8 << 20
 	maxErrorBytes       = 64 << 10
 )
 
@@ -35,6 +36,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -31,6 +31,7 @@
 	transport.MaxIdleConns = 0 // no limit except the one per node
 	transport.MaxIdleConnsPerHost = maxIdleConnectionsPerNode
 	transport.DisableCompression = true
+	transport.MaxResponseHeaderBytes = maxHeadBytes
 	return NewWithHTTP(baseURLs, key, &http.Client{Transport: transport})
 }
 
--- a/internal/client/transport.go
+++ b/internal/client/transport.go
@@ -20,7 +20,8 @@
 
 // Limits on what is read from a node.
 const (
-	maxResponseBytes = 256 << 20
+	maxHeadBytes     = 64 << 10
+	maxResponseBytes = 64 << 20
 	maxProblemBytes  = 1 << 20
 )
 
