ingress: an event may have 256 KiB, and unfinished answers are held to memory

Change: 256 KiB for one event. TestManyUnfinishedAnswersFitIntoMemory has 64 answers at once stop just below a limit (header, event, event of many lines, body) and stay so.

--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -12,7 +12,7 @@
 // Limits of reading events.
 const (
 	eventBuffer   = 4 << 10
-	maxEventBytes = 128 << 10
+	maxEventBytes = 256 << 10
 )
 
 // errEventTooLarge reports that an engine sent an event of more than maxEventBytes.
--- a/internal/serving/endless_answers_test.go
+++ b/internal/serving/endless_answers_test.go
@@ -55,7 +55,9 @@
 	// two ends of a connection hold in their buffers.
 	endlessBound = 32 << 20
 	// memoryLimit is the smallest memory limit of a process on the operators' platform.
-	memoryLimit = 254 << 20
+	memoryLimit = 112 << 20
+	// answersAtOnce is how many answers without an end a process gets at once.
+	answersAtOnce = 64
 )
 
 // answerEndlessly returns a handler that answers in a form. sent gets the bytes that each answer sent.
@@ -151,7 +153,6 @@
 
 // TestManyAnswersWithoutEndFitIntoMemory has 64 requests at once answered in each form, and watches the heap.
 func TestManyAnswersWithoutEndFitIntoMemory(t *testing.T) {
-	const atOnce = 64
 	for _, route := range []string{"kept", "unsafe"} {
 		t.Run(route, func(t *testing.T) {
 			d := serve(t)
@@ -159,7 +160,7 @@
 				d.handleAll("", answerEndlessly(form, func(int) {}))
 				var requests sync.WaitGroup
 				ended := make(chan struct{})
-				for request := range atOnce {
+				for request := range answersAtOnce {
 					requests.Go(func() { discardAnswer(d, route, fmt.Sprintf("%s-%d-%d", route, number, request)) })
 				}
 				go func() {
@@ -167,13 +168,69 @@
 					close(ended)
 				}()
 				if peak := peakHeap(ended); peak > memoryLimit {
-					t.Errorf("%s: %d MB of heap with %d answers at once, want %d at most", form.name, peak>>20, atOnce, memoryLimit>>20)
+					t.Errorf("%s: %d MB of heap with %d answers at once, want %d at most", form.name, peak>>20, answersAtOnce, memoryLimit>>20)
 				}
 			}
 		})
 	}
 }
 
+// TestManyUnfinishedAnswersFitIntoMemory has 64 answers at once stop just below a limit, and stay so: the process waits for
+// the rest of each.
+func TestManyUnfinishedAnswersFitIntoMemory(t *testing.T) {
+	for _, test := range []struct {
+		name, route string
+		endlessForm
+		bytes int
+	}{
+		{"header", "kept", endlessForm{"", "HTTP/1.1 200 OK\r\nX: ", "x"}, 30 << 10},
+		{"event", "kept", endlessForm{"", streamHead + "\r\ndata: ", "x"}, 254 << 10},
+		{"event of many lines", "kept", endlessForm{"", streamHead + "\r\n", "data: x\n"}, 254 << 10},
+		{"body", "unsafe", endlessForm{"", streamHead + "\r\n", "x"}, 255 << 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := prepare(t)
+			for number := range answersAtOnce / 4 { // an engine works on twelve requests at a time, and may get fewer
+				d.addEngine(fmt.Sprintf("m-more-%d", number), "models")
+				d.addEngine(fmt.Sprintf("p-more-%d", number), "portal")
+			}
+			d.store.Put("op", "", "config", standard())
+			d.run("node-1", "")
+			d.eventually("ready", d.process.Ready)
+			var holding sync.WaitGroup
+			holding.Add(answersAtOnce)
+			release := make(chan struct{})
+			d.handleAll("", func(writer http.ResponseWriter, request *http.Request) bool {
+				connection, _, err := http.NewResponseController(writer).Hijack()
+				if err != nil {
+					return false
+				}
+				defer connection.Close()
+				head := strings.ReplaceAll(test.head, "REQUEST", request.Header.Get("X-Request-Id"))
+				_, _ = io.WriteString(connection, head+strings.Repeat(test.repeated, test.bytes/len(test.repeated)))
+				holding.Done()
+				<-release
+				return true
+			})
+			var requests sync.WaitGroup
+			for request := range answersAtOnce {
+				requests.Go(func() { discardAnswer(d, test.route, fmt.Sprintf("held-%d", request)) })
+			}
+			held := make(chan struct{})
+			go func() {
+				holding.Wait()
+				close(held)
+			}()
+			peak := peakHeap(held)
+			close(release)
+			requests.Wait()
+			if peak > memoryLimit {
+				t.Errorf("%d MB of heap with %d answers at once, want %d at most", peak>>20, answersAtOnce, memoryLimit>>20)
+			}
+		})
+	}
+}
+
 // peakHeap returns the largest heap until a channel is closed.
 func peakHeap(ended <-chan struct{}) uint64 {
 	var peak uint64
