ingress: a resumed turn is recorded with the events that its client had

What is recorded was what this attempt had forwarded.

Change: if the route records turns, the engine makes the resumed stream from its start (no Last-Event-Id), all its events are recorded, and the client gets those behind the one that it names. If the stream ends before that event, the answer is cut and nothing is recorded. Breaks within that stream are resumed behind the last event that was made.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -316,6 +316,7 @@
 		Engine:    engine.Name,
 		Remaining: time.Until(r.deadline),
 		LastEvent: lastEvent,
+		FromStart: lastEvent == "" && r.needsEarlierEvents(),
 		StripKey:  r.view.Table.Configuration.RequiresKeys,
 		Tenant:    r.tenantName(),
 	})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -49,6 +49,7 @@
 	Engine    string        // name of the engine that the request is for
 	Remaining time.Duration // how long the answer is of use
 	LastEvent string        // event after which to continue; empty for the one that the client named
+	FromStart bool          // remove the event that the client named: the engine makes the whole stream
 	StripKey  bool          // remove the caller's key, which engines must not see
 	Tenant    string        // of the request; empty if it has none
 }
--- a/internal/ingress/optimistic.go
+++ b/internal/ingress/optimistic.go
@@ -229,6 +229,6 @@
 	r := s.request
 	r.handler.bufferedBytes.Add(-int64(len(s.optimistic.buffered)))
 	s.optimistic.buffered, s.optimistic.firstResponse = nil, nil
-	s.output, s.events, s.lastEvent = nil, 0, r.call.LastEvent
+	s.output, s.events, s.lastEvent, s.reachedClient = nil, 0, s.startAfter(), false
 	r.origin = streamOrigin{announced: r.origin.announced, replication: r.origin.replication}
 }
--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -50,12 +50,13 @@
 
 // stream is the answer of one turn in progress.
 type stream struct {
-	request   *request
-	run       *ledger.RunningTurn // nil if the request is not a program's turn
-	input     []byte              // as sent by the client
-	output    []byte              // data of the events forwarded, if the turn is retained
-	events    int64               // with data, forwarded or buffered
-	lastEvent string
+	request       *request
+	run           *ledger.RunningTurn // nil if the request is not a program's turn
+	input         []byte              // as sent by the client
+	output        []byte              // data of the events forwarded, if the turn is retained
+	events        int64               // with data, forwarded or buffered
+	lastEvent     string
+	reachedClient bool // the engine has made the event that the client had received before
 	// eventsWithoutData counts the other events of all engines.
 	eventsWithoutData int64
 	optimistic        *optimisticRun // nil if the turn's reservation is confirmed
@@ -64,7 +65,8 @@
 // serveTurn serves a request whose answer is a stream of events: a turn of a program, or a stream
 // outside any program.
 func (r *request) serveTurn(ctx context.Context) *api.Error {
-	s := &stream{request: r, input: r.body, lastEvent: r.call.LastEvent}
+	s := &stream{request: r, input: r.body}
+	s.lastEvent = s.startAfter()
 	if problem := r.findOrigin(ctx); problem != nil {
 		return problem
 	}
@@ -98,6 +100,10 @@
 		}
 		err := s.pass(current)
 		if err == nil {
+			if problem := s.checkReachedClient(); problem != nil {
+				current.finish(placement.Cancelled, problem.Detail)
+				return s.failed(ctx, problem, true)
+			}
 			return s.complete(ctx, current)
 		}
 		var ledgerProblem *api.Error
@@ -202,6 +208,9 @@
 func (s *stream) passEvent(current *attempt, next event) error {
 	current.recordActivity()
 	s.recordEvent(current, next)
+	if !s.clientLacks(next) {
+		return nil
+	}
 	if s.optimistic != nil {
 		return s.passOptimistic(current, next)
 	}
