serve: settings that change without a signal are followed

Cause: the settings file was read again on SIGHUP only, and it may change without one.

Change: a watch examines the file twice a second (identity, time, size) and reads it again if it has changed, on SIGHUP at once, and also while the process stops. Settings that cannot be read change nothing and are tried again; each reason is logged once. A change of other fields is logged as one that needs a restart.

Ruled out: notification by the kernel: a file that is replaced by another system's means need not cause one, and a look costs two calls a second.

--- a/cmd/pewtermill/serve.go
+++ b/cmd/pewtermill/serve.go
@@ -44,6 +44,7 @@
 	store := platform.NewStore(settings.StoreAddress, func(call platform.StoreCall) {
 		metrics.ObserveStoreCall(call.Name, call.Duration, call.AnswerBytes, call.Err)
 	})
+	watch := newSettingsWatch(s.Settings, settings, store, logger)
 	if s.MetricsPort != 0 {
 		settings.Serving.MetricsAddress = net.JoinHostPort(settings.Serving.IP, strconv.Itoa(s.MetricsPort))
 	}
@@ -68,11 +69,14 @@
 	if err := process.Start(context.Background()); err != nil {
 		return err
 	}
+	watchContext, endWatch := context.WithCancel(context.Background())
+	defer endWatch()
+	go watch.run(watchContext) // also while the process stops: it still records turns
 	for received := range signals {
 		if received != syscall.SIGHUP {
 			break
 		}
-		s.reload(store, logger)
+		watch.reload()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go cancelOnSecondSignal(signals, cancel)
@@ -90,18 +94,6 @@
 	}
 }
 
-// reload reads the settings file again and applies the settings that can
-// change while the process runs.
-func (s *serveCommand) reload(store *platform.Store, logger *slog.Logger) {
-	settings, err := platform.ReadSettings(s.Settings)
-	if err != nil {
-		logger.Warn("settings not reloaded", "error", err.Error())
-		return
-	}
-	store.SetAddress(settings.StoreAddress)
-	logger.Info("settings reloaded", "store", settings.StoreAddress)
-}
-
 // level returns the log level that the flag names.
 func (s *serveCommand) level() slog.Level {
 	switch s.LogLevel {
