soak: the store moves, and settings files name it without a signal

Cause: no soak moved the store, so that a process that reads its settings on SIGHUP only passed them all.

Drawn from a sequence of its own.

--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -62,6 +62,7 @@
 	links           links
 	evacuationMutex sync.Mutex
 	configMutex     sync.Mutex
+	moveMutex       sync.Mutex // held while the store moves
 	version         int
 	variant         settingsVariant
 	engineVersions  int     // number of engine software versions; 0 for softwareVersions
@@ -161,8 +162,7 @@
 	for _, p := range d.processes {
 		p.kill()
 		p.forwarder.close()
-		p.endpoint.Server.CloseClientConnections()
-		_ = p.endpoint.Server.Listener.Close() // no process sends requests any more
+		p.endpoint.Close() // no process sends requests any more
 	}
 	for _, s := range d.slots {
 		s.current.terminate()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -86,6 +86,8 @@
 		injected = d.hangParts(fault)
 	case StoreCompaction:
 		injected = d.dropHistory()
+	case StoreMoves:
+		injected = d.moveStore(fault)
 	case ZoneEvacuated:
 		injected = d.evacuateZone(fault)
 	case ConfigurationReroute, ConfigurationWeights, ConfigurationTimeout, ConfigurationIdle:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -50,6 +50,7 @@
 	ConfigurationIdle     Kind = "configuration_idle"    // idle timeout of connections
 	ForeignEntries        Kind = "strangers"             // entries that name no engine, one of them in place of an engine's own
 	EngineEndless         Kind = "engine_endless"        // half of its answers are bytes without an end
+	StoreMoves            Kind = "store_moves"           // to other addresses, which settings files name without a signal
 	FaultSeries           Kind = "series"                // signals, configuration changes and leaving engines in close succession
 )
 
@@ -68,7 +69,7 @@
 
 // Kinds returns all kinds.
 func Kinds() []Kind {
-	return append(slices.Concat(Disruptions, Operations), FaultSeries, EngineEndless)
+	return append(slices.Concat(Disruptions, Operations), FaultSeries, EngineEndless, StoreMoves)
 }
 
 // Fault is one planned fault.
@@ -116,6 +117,7 @@
 	var planned []Fault
 	seriesRandom := rand.New(rand.NewPCG(seed, 1))  // separate, so that other kinds are drawn the same without a series
 	endlessRandom := rand.New(rand.NewPCG(seed, 2)) // separate for the same reason
+	moveRandom := rand.New(rand.NewPCG(seed, 3))    // likewise
 	for start := time.Duration(0); start < duration; start += cycle {
 		planned = append(planned, draw(random, disruptions, 1+random.IntN(maxDisruptions), start, disruptionsUntil)...)
 		planned = append(planned, draw(random, operations, 2+random.IntN(maxOperations-1), start, operationsUntil)...)
@@ -125,6 +127,9 @@
 		if slices.Contains(kinds, EngineEndless) {
 			planned = append(planned, draw(endlessRandom, []Kind{EngineEndless}, endlessPerCycle, start, disruptionsUntil)...)
 		}
+		if slices.Contains(kinds, StoreMoves) {
+			planned = append(planned, draw(moveRandom, []Kind{StoreMoves}, 1, start, disruptionsUntil)...)
+		}
 	}
 	planned = slices.DeleteFunc(planned, func(f Fault) bool { return f.At >= duration })
 	slices.SortStableFunc(planned, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -91,17 +91,36 @@
 	ip := fmt.Sprintf("%s%d", d.subnet, firstProcessHost+number)
 	p := &process{programs: options.programsOf(number), secondProgram: options.SecondProgram, carryFrom: options.CarryFrom, endpoint: endpoint, log: &tail{}, settings: operators.ProcessSettings{
 		Node: fmt.Sprintf("node-%d", number+1), IP: ip, Zone: zones[number%len(zones)], Zones: inOneRegion(zones),
-		ClientAddress: ip + ":7100", ReadyAddress: ip + ":7101", FirstPort: 7110, LastPort: 7119, StoreAddress: endpoint.Address(), GracePeriod: gracePeriod,
+		ClientAddress: ip + ":7100", ReadyAddress: ip + ":7101", FirstPort: 7110, LastPort: 7119, GracePeriod: gracePeriod,
 		ColdFactor: coldFactor, ColdSlack: coldSlack, ContactBound: contactBound, DrainBound: drainBound, EvacuationBound: evacuationBound, ConfigurationBound: configurationBound,
 		QuotaWindow: limitWindow, QuotaFraction: limitFraction, QuotaSlack: limitSlack,
 	}}
 	p.forwarder = newForwarder(&d.links, p.settings.Node, net.JoinHostPort(ip, peersPort), net.JoinHostPort(fmt.Sprintf("%s%d", d.subnet, firstPeerHost+number), peersPort))
 	p.settingsPath = filepath.Join(directory, p.settings.Node+".json")
-	content, err := json.Marshal(p.settings.SettingsFile())
+	return p, p.writeSettings(p.settingsPath)
+}
+
+// writeSettings writes the settings to a file.
+func (p *process) writeSettings(path string) error {
+	settings := p.settings
+	settings.StoreAddress = p.endpoint.Address()
+	content, err := json.Marshal(settings.SettingsFile())
 	if err != nil {
-		return nil, errors.Wrap(err, "encode the settings")
+		return errors.Wrap(err, "encode the settings")
+	}
+	return errors.Wrap(os.WriteFile(path, content, 0o600), "write the settings")
+}
+
+// replaceSettings replaces the settings file: at once, or in place, so that it is incomplete for a moment.
+func (p *process) replaceSettings(inPlace bool) error {
+	if inPlace {
+		return p.writeSettings(p.settingsPath)
+	}
+	draft := p.settingsPath + ".draft"
+	if err := p.writeSettings(draft); err != nil {
+		return err
 	}
-	return p, errors.Wrap(os.WriteFile(p.settingsPath, content, 0o600), "write the settings")
+	return errors.Wrap(os.Rename(draft, p.settingsPath), "replace the settings")
 }
 
 // programsOf returns the programs that the starts of a process alternate between. With two builds, every second
--- a/internal/standin/operators/endpoint.go
+++ b/internal/standin/operators/endpoint.go
@@ -1,18 +1,22 @@
 package operators
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 )
 
 // Endpoint is an additional address of a store. Its calls can be rejected while those
 // to the other addresses are served.
 type Endpoint struct {
-	Server *httptest.Server
+	Server *httptest.Server // at its first address
 
+	mutex    sync.Mutex
+	moved    *httptest.Server // at its current address; nil if it never moved
 	fault    atomic.Int64
 	rejected atomic.Int64
 }
@@ -21,7 +25,13 @@
 // Server.
 func (s *Store) NewEndpoint() *Endpoint {
 	e := &Endpoint{}
-	e.Server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	e.Server = httptest.NewServer(e.handler(s))
+	return e
+}
+
+// handler returns the handler of an endpoint of a store.
+func (e *Endpoint) handler(s *Store) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		fault := Fault(e.fault.Load())
 		if fault != Healthy {
 			e.rejected.Add(1)
@@ -30,12 +40,36 @@
 		if !applyFault(fault, writer, request) {
 			s.Server.Config.Handler.ServeHTTP(writer, request)
 		}
-	}))
-	return e
+	})
+}
+
+// current returns the server at the endpoint's current address.
+func (e *Endpoint) current() *httptest.Server {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return cmp.Or(e.moved, e.Server)
 }
 
-// Address returns the endpoint's IP:port.
-func (e *Endpoint) Address() string { return strings.TrimPrefix(e.Server.URL, "http://") }
+// Address returns the endpoint's current IP:port.
+func (e *Endpoint) Address() string { return strings.TrimPrefix(e.current().URL, "http://") }
+
+// Move gives the endpoint another address. It serves at the former one as well until leave is called.
+func (e *Endpoint) Move() (leave func()) {
+	former := e.current()
+	server := httptest.NewServer(former.Config.Handler)
+	e.mutex.Lock()
+	e.moved = server
+	e.mutex.Unlock()
+	return func() { closeServer(former) }
+}
+
+// Close ends the endpoint at its current address, without waiting for calls in flight.
+func (e *Endpoint) Close() { closeServer(e.current()) }
+
+func closeServer(server *httptest.Server) {
+	server.CloseClientConnections()
+	_ = server.Listener.Close() // fails only if it is closed already
+}
 
 // SetFault sets the fault of all later calls: Unavailable, Throttle, LoseRequest or
 // Hang, or Healthy for none.
