--- a/internal/ingress/answer_limits.go
+++ b/internal/ingress/answer_limits.go
@@ -26,9 +26,9 @@
 
 // Errors of answers that exceed a limit.
 var (
-	errTooManyEvents = errors.New("the engine sent more events than the answer has tokens")
-	errTooManyBlanks = errors.New("the engine sent too many events without data")
-	errTurnTooLarge  = errors.New("the answer is too large to be recorded with its input")
+	errTooManyEvents            = errors.New("the engine sent more events than the answer has tokens")
+	errTooManyEventsWithoutData = errors.New("the engine sent too many events without data")
+	errTurnTooLarge             = errors.New("the answer is too large to be recorded with its input")
 )
 
 // answerLimit returns how many bytes the body of the request's answer may have.
@@ -54,7 +54,7 @@
 	if !next.hasData {
 		s.eventsWithoutData++
 		if s.eventsWithoutData > maxEventsWithoutTokens {
-			return errTooManyBlanks
+			return errTooManyEventsWithoutData
 		}
 		return nil
 	}
