--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -53,8 +53,8 @@
 	request       *request
 	run           *ledger.RunningTurn // nil if the request is not a program's turn
 	input         []byte              // as sent by the client
-	output        []byte              // data of the events forwarded, if the turn is retained
-	events        int64               // with data, forwarded or buffered
+	output        []byte              // data of the turn's events, if it is retained
+	events        int64               // with data, also those that the client had received before
 	lastEvent     string
 	reachedClient bool // the engine has made the event that the client had received before
 	// eventsWithoutData counts the other events of all engines.
