relay: a page that arrives through a peer is waited for

A peer that reads for another process sends keep-alives while the store has answered it anything within .5 s. A page of 1 MB that arrives for longer did not count, and no keep-alive was sent while the outcome was encoded, so that the peer was left after .25 s and the process, which the store rejects, could not read a program of that size.

Change: keep-alives are sent also while the answer to the call itself is arriving, and until the outcome is encoded. The server's method is split into taking a slot, the call and the reply. The tests' peers have a context of their own: progress of a peer's call was seen by the process that asked, which hid the fault.

--- a/internal/relay/keepalive.go
+++ b/internal/relay/keepalive.go
@@ -12,8 +12,9 @@
 	// keepAliveInterval is the interval at which a peer sends keep-alives while the service has not answered a call. They
 	// let the requesting node distinguish a slow service from a peer that has failed.
 	keepAliveInterval = 100 * time.Millisecond
-	// servedWindow is how recently the service must have answered a peer for that peer to send keep-alives. A peer to
-	// which the service does not respond either is abandoned as fast as one that has failed.
+	// servedWindow is how recently the service must have answered a peer for that peer to send keep-alives, unless the
+	// answer to the call itself is arriving. A peer to which the service does not respond either is abandoned as fast
+	// as one that has failed.
 	servedWindow = 500 * time.Millisecond
 )
 
--- a/internal/relay/keepalive_test.go
+++ b/internal/relay/keepalive_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pewtermill/pewtermill/internal/progress"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -20,8 +22,11 @@
 func (s serverPeers) Do(ctx context.Context, address string, request *wirepb.Request, onPart func(int64, []byte)) (*wirepb.Reply, error) {
 	replies := make(chan *wirepb.Reply, 1)
 	parts := make(chan struct{}, 100)
+	// A peer has a context of its own: only its keep-alives show the requesting process that its call makes progress.
+	peerContext, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	go func() {
-		replies <- s[address].ServePeer(ctx, request, func(int64, []byte) { parts <- struct{}{} })
+		replies <- s[address].ServePeer(peerContext, request, func(int64, []byte) { parts <- struct{}{} })
 	}()
 	for {
 		select {
@@ -107,3 +112,43 @@
 		}
 	})
 }
+
+// arrivingService is a table service whose answers to reads arrive in parts over a while.
+type arrivingService struct {
+	unresponsiveService
+	took time.Duration
+}
+
+// partInterval is the time between two parts of an answer.
+const partInterval = 50 * time.Millisecond
+
+// Range implements tablestore.Table.
+func (s arrivingService) Range(ctx context.Context, start, _ string, _ int) (tablestore.Page, error) {
+	for range s.took / partInterval {
+		time.Sleep(partInterval) // virtual time
+		progress.Report(ctx)
+	}
+	return tablestore.Page{Rows: []tablestore.Row{{Key: start, Revision: 1}}}, ctx.Err()
+}
+
+// TestPageThatArrivesThroughAPeerIsWaitedFor guards against leaving a peer while the page that it reads is arriving: a peer
+// to which the service has answered nothing else for half a second sent no keep-alives, and a process that the service
+// rejects could read no program of 1 MB.
+func TestPageThatArrivesThroughAPeerIsWaitedFor(t *testing.T) {
+	for _, took := range []time.Duration{200, 400, 600, 900} {
+		took *= time.Millisecond
+		t.Run(took.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service := arrivingService{took: took}
+				peer := NewTable(service, service, "p", ignoringObserver{})
+				defer peer.Close()
+				table := newRejectedTable(t, serverPeers{"p": NewServer(peer)})
+				defer table.Close()
+				page, err := table.Range(t.Context(), "t/p/a", "t/p/b", 1)
+				if err != nil || len(page.Rows) != 1 || page.More {
+					t.Errorf("got %+v, %v", page, err)
+				}
+			})
+		})
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -54,44 +54,62 @@
 // lost, the limit of calls in flight was reached, or the node was stopping.
 func (s *Server) Declined() uint64 { return s.declined.Load() }
 
-// ServePeer implements wire.ServerHandler.
+// ServePeer implements wire.ServerHandler. It makes the call if this node may, and sends keep-alives until the outcome is
+// encoded, which takes a slow machine a while for a page of 1 MB.
 func (s *Server) ServePeer(ctx context.Context, request *wirepb.Request, onPart func(int64, []byte)) *wirepb.Reply {
-	body, err := json.Marshal(s.outcome(ctx, request, onPart))
+	wait := waitOf(request)
+	release, declined := s.begin(request)
+	if declined != nil {
+		s.declined.Add(1)
+		return replyOf(*declined)
+	}
+	defer release()
+	s.served.Add(1)
+	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + serveTimeout, Idle: serveTimeout, Total: wait + replyTimeout})
+	defer cancel()
+	isServed := func() bool { return progress.Recent(ctx) || s.table.recentlyServed() }
+	sender := startKeepAlive(wait, isServed, onPart)
+	defer sender.end()
+	return replyOf(s.outcome(ctx, request, wait))
+}
+
+// replyOf encodes an outcome.
+func replyOf(outcome Outcome) *wirepb.Reply {
+	body, err := json.Marshal(outcome)
 	if err != nil {
 		body = []byte(`{"failure":"unknown"}`)
 	}
 	return &wirepb.Reply{Body: body}
 }
 
-// outcome makes the call if this node may, and sends keep-alives until it has ended.
-func (s *Server) outcome(ctx context.Context, request *wirepb.Request, onPart func(int64, []byte)) Outcome {
-	watch := request.GetWatchTable()
-	slots, wait := s.calls, time.Duration(0)
-	if watch != nil {
+// waitOf returns how long a call waits by itself; 0 unless it is a watch.
+func waitOf(request *wirepb.Request) time.Duration {
+	return min(maxWatchWait, time.Duration(request.GetWatchTable().GetWaitMillis())*time.Millisecond)
+}
+
+// begin takes a slot for a call, which release returns, or declines the call.
+func (s *Server) begin(request *wirepb.Request) (release func(), declined *Outcome) {
+	slots := s.calls
+	if request.GetWatchTable() != nil {
 		slots = s.watches
-		wait = min(maxWatchWait, time.Duration(watch.GetWaitMillis())*time.Millisecond)
 	}
 	if s.stopping.Load() {
-		s.declined.Add(1)
-		return Outcome{Failure: Busy, Detail: "the peer is stopping"}
+		return nil, &Outcome{Failure: Busy, Detail: "the peer is stopping"}
 	}
 	if s.table.DirectPathLost() {
-		s.declined.Add(1)
-		return Outcome{Failure: Unreachable, Detail: "the peer has lost its own way"}
+		return nil, &Outcome{Failure: Unreachable, Detail: "the peer has lost its own way"}
 	}
 	select {
 	case slots <- struct{}{}:
-		defer func() { <-slots }()
+		return func() { <-slots }, nil
 	default:
-		s.declined.Add(1)
-		return Outcome{Failure: Busy, Detail: "the peer makes as many calls for others as it may"}
+		return nil, &Outcome{Failure: Busy, Detail: "the peer makes as many calls for others as it may"}
 	}
-	s.served.Add(1)
-	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + serveTimeout, Idle: serveTimeout, Total: wait + replyTimeout})
-	defer cancel()
-	sender := startKeepAlive(wait, s.table.recentlyServed, onPart)
+}
+
+// outcome makes the call and returns its outcome.
+func (s *Server) outcome(ctx context.Context, request *wirepb.Request, wait time.Duration) Outcome {
 	outcome, err := s.call(ctx, request, wait)
-	sender.end()
 	s.table.recordAnswer(err)
 	if errors.As(err, &outcome.Conflict) {
 		return outcome
