--- a/internal/client/retry_test.go
+++ b/internal/client/retry_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/client"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // failTimes returns an operation that fails with err the given number of times.
@@ -46,7 +46,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				attempts := 0
 				policy := client.RetryPolicy{Idempotent: test.idempotent}
 				err := client.Retry(t.Context(), policy, failTimes(2, test.err, &attempts))
@@ -59,7 +59,7 @@
 }
 
 func TestRetryHonoursRetryAfter(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		started, attempts := time.Now(), 0
 		busy := api.Errorf(api.Overloaded, "").WithRetryAfter(20 * time.Second)
 		err := client.Retry(t.Context(), client.RetryPolicy{}, failTimes(3, busy, &attempts))
@@ -72,7 +72,7 @@
 }
 
 func TestRetryNeverPassesTheDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 25*time.Second)
 		defer cancel()
 		started, attempts := time.Now(), 0
@@ -86,7 +86,7 @@
 }
 
 func TestRetryRemembersThatAnAttemptMayHaveRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		results := []error{
 			&client.TransportError{MaybeSent: true, Err: errors.New("cut")},
 			api.Errorf(api.ProgramEnded, ""),
--- a/internal/dispatch/observe_test.go
+++ b/internal/dispatch/observe_test.go
@@ -15,6 +15,7 @@
 	"github.com/pewtermill/pewtermill/internal/bundle"
 	"github.com/pewtermill/pewtermill/internal/membership"
 	"github.com/pewtermill/pewtermill/internal/scheduler"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -86,7 +87,7 @@
 
 // runInVirtualTime runs a test with an observer and another node in virtual time.
 func runInVirtualTime(t *testing.T, run func(t *testing.T, observing, other *testNode)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		observing, other := newTestNode(t, true), newTestNode(t, false)
 		run(t, observing, other)
 		observing.fleet.close()
--- a/internal/dispatch/status_test.go
+++ b/internal/dispatch/status_test.go
@@ -10,6 +10,7 @@
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/explain"
 	"github.com/pewtermill/pewtermill/internal/scheduler"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // engineStatus returns the status of one engine.
@@ -33,7 +34,7 @@
 // TestStatusMatchesTheScheduler checks that an engine shown as ready accepts calls at once, and that the
 // status shows own calls and ejection.
 func TestStatusMatchesTheScheduler(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		n := newTestNode(t, true)
 		defer synctest.Wait()
 		defer n.fleet.close()
--- a/internal/loads/mixed_builds_test.go
+++ b/internal/loads/mixed_builds_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +11,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -77,7 +77,7 @@
 	properties := newProperties(60)
 	properties.Property("all agree once the network is lossless", prop.ForAll(func(seed uint64) string {
 		failure := ""
-		synctest.Test(t, func(*testing.T) { failure = runMixedBuilds(seed) })
+		virtualtime.Test(t, func(*testing.T) { failure = runMixedBuilds(seed) })
 		return failure
 	}, gen.UInt64()))
 	properties.TestingRun(t)
@@ -213,7 +213,7 @@
 
 // TestRejectedDeltaIsFollowedByFullForm has nodes fall back to the form that all builds understand.
 func TestRejectedDeltaIsFollowedByFullForm(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		m, nodes := newFleet(1, 2)
 		r := &rejectingNetwork{network: m, rejected: make(map[linkKey]int)}
 		for _, n := range nodes {
--- a/internal/loads/other_regions_test.go
+++ b/internal/loads/other_regions_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // TestOtherRegionsExchangeLessOften has the single nodes of three zones report for a second, the
 // third zone being in another region. All must receive the calls of the others.
 func TestOtherRegionsExchangeLessOften(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		m, nodes := newFleet(3, 1)
 		for i, n := range nodes {
 			n.placer.own[1] = 1
--- a/internal/loads/report_size_test.go
+++ b/internal/loads/report_size_test.go
@@ -7,8 +7,9 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // Limits in bytes per second.
@@ -167,7 +168,7 @@
 func TestNewsOfLoadsKeepsToItsShare(t *testing.T) {
 	for name, l := range map[string]scenario{"12 nodes": nodes12, "66 nodes": nodes66, "300 nodes": nodes300, "420 nodes": nodes420} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				measured := run(l, false)
 				t.Logf("%.0f bytes per second at the median node, %.0f at the busiest, %.0f on average; maximum error %.3f", measured.median, measured.busiest, measured.mean, measured.maxError)
 				if measured.median > l.limit {
--- a/internal/owners/waiting_test.go
+++ b/internal/owners/waiting_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,6 +11,7 @@
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/owners"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -52,7 +52,7 @@
 		keepsAlive bool
 		requests   int
 	}{{true, 1}, {false, 2}} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			nodes := &withoutTable{keepsAlive: test.keepsAlive}
 			client := owners.NewClient(nodes, "n", "run", "self", nil, nodes)
 			client.SetPeers([]string{"a", "b", "c", "d", "e", "f", "g", "h"})
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -17,6 +17,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 const propertySeed = 20260102
@@ -100,7 +101,7 @@
 // TestLostRepliesMayApplyLate: about half of the writes whose reply is lost
 // are applied at once, the others within LateApplyMillis.
 func TestLostRepliesMayApplyLate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := New(Options{})
 		p.SetFaults(Faults{LoseRepliesNext: 100, LateApplyMillis: 1000, Seed: 1})
 		for i := range 100 {
@@ -124,7 +125,7 @@
 
 // TestMachineListLags: a change becomes visible only after the lag.
 func TestMachineListLags(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		p := New(Options{MachineLag: 10 * time.Second})
 		p.Announce(tablestore.Machine{Name: "engine-1"})
 		time.Sleep(9 * time.Second) // virtual
--- /dev/null
+++ b/internal/virtualtime/race_off.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package virtualtime
+
+const raceEnabled = false
