wire, tablestore, standin: replies that have arrived, and paused processes

Cause: a reply that had arrived was dropped as its exchange was abandoned, and connections were closed for a pause of the own process. Class: a timeout and the event that it waits for are decided in two places, so that both can win.

--- a/internal/standin/operators/store.go
+++ b/internal/standin/operators/store.go
@@ -64,6 +64,8 @@
 	changed chan struct{} // closed at the next change
 	fault   func(path, part string) Fault
 	calls   map[string]int // by path
+	lists   map[string]int // reads of a whole table that were not given a fault, by table
+	commits map[string]int // transactions, by the tables whose rows they name, one a line
 }
 
 // NewStore returns a running store. The caller closes its Server.
@@ -72,6 +74,8 @@
 		rows:    make(map[tablePart]map[string]Row),
 		changed: make(chan struct{}),
 		calls:   make(map[string]int),
+		commits: make(map[string]int),
+		lists:   make(map[string]int),
 		version: 100,
 	}
 	mux := http.NewServeMux()
@@ -99,6 +103,13 @@
 	return s.calls[path]
 }
 
+// ListCount returns how often all rows of a table without a part were read, or their first page.
+func (s *Store) ListCount(table string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lists[table]
+}
+
 // TotalCalls returns the number of calls to all paths.
 func (s *Store) TotalCalls() int {
 	s.mutex.Lock()
@@ -259,6 +270,7 @@
 		http.Error(writer, `{"error":"several parts"}`, http.StatusBadRequest)
 		return
 	}
+	s.recordCommit(entries)
 	parts := partsOf(change.Puts)
 	if len(change.Puts) == 0 {
 		parts = partsOf(entries) // a transaction without puts checks conditions or removes rows
@@ -323,6 +335,9 @@
 	s.mutex.Lock()
 	matching := []Row{}
 	from, to, bounded := query.Get("from"), query.Get("target_version"), query.Has("target_version")
+	if from == "" && !bounded {
+		s.lists[query.Get("table")]++
+	}
 	for _, row := range s.rows[tablePart{query.Get("table"), query.Get("part")}] {
 		if row.Key >= from && (!bounded || row.Key < to) {
 			matching = append(matching, row)
--- a/internal/standin/operators/work.go
+++ b/internal/standin/operators/work.go
@@ -70,6 +70,14 @@
 	Body     string   // if the response is not a stream
 	Complete bool
 	Err      error // if no response began
+	Progress Progress
+}
+
+// Progress is how far an exchange on a new connection had got when its caller left or had the reply. Times that did not
+// come are zero.
+type Progress struct {
+	Connected, Sent, Begun time.Time // connection open, request written, first byte of the response read
+	Unread                 int       // bytes that had arrived and were not read when the caller left
 }
 
 // maxReplyBytes limits how much of a response body is read.
@@ -77,6 +85,19 @@
 
 // Send sends a request to a process on a new connection and reads the response.
 func Send(ctx context.Context, address, host string, clientRequest ClientRequest) Reply {
+	watch := &exchangeWatch{}
+	requestContext, leave := context.WithCancel(context.WithoutCancel(ctx))
+	defer leave()
+	defer context.AfterFunc(ctx, func() {
+		watch.left()
+		leave()
+	})()
+	reply := exchange(watch.observe(requestContext), address, host, clientRequest)
+	reply.Progress = watch.current()
+	return reply
+}
+
+func exchange(ctx context.Context, address, host string, clientRequest ClientRequest) Reply {
 	request, err := clientRequest.request(ctx, address, host)
 	if err != nil {
 		return Reply{Err: err}
--- a/internal/tablestore/group_property_test.go
+++ b/internal/tablestore/group_property_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +15,7 @@
 
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 const (
@@ -227,7 +227,7 @@
 	properties := gopter.NewProperties(parameters)
 	property := func(seed uint64, clients, keys int) (string, error) {
 		var violation error
-		synctest.Test(t, func(*testing.T) {
+		virtualtime.Test(t, func(*testing.T) {
 			r := newRun(clients, keys, 12)
 			r.runToEnd(seed)
 			violation = r.check()
--- a/internal/tablestore/group_test.go
+++ b/internal/tablestore/group_test.go
@@ -12,6 +12,7 @@
 
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // scriptedTable forwards to a stand-in, but each commit goes to the next step
@@ -88,7 +89,7 @@
 func TestConflictAfterLostReply(t *testing.T) {
 	for _, applies := range []bool{true, false} {
 		t.Run(fmt.Sprintf("late apply %t", applies), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				table := &scriptedTable{Platform: standin.New(standin.Options{})}
 				var lost tablestore.Transaction
 				otherCreates := func() { put(t, table.Platform, tablestore.Write{Key: "row"}) }
@@ -116,7 +117,7 @@
 // TestRejectedAfterLostReply: a group whose reply was lost and that is then
 // rejected must not hold its lane for ever, nor be applied later.
 func TestRejectedAfterLostReply(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := &scriptedTable{Platform: standin.New(standin.Options{})}
 		var lost tablestore.Transaction
 		reject := func(tablestore.Transaction) (tablestore.Receipt, error) {
@@ -162,7 +163,7 @@
 // TestGrouping: transactions submitted while a group is in flight share the
 // next groups, none larger than MaxGroup.
 func TestGrouping(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := standin.New(standin.Options{HistoryLimit: 1000})
 		table.SetFaults(standin.Faults{SlowMillis: 20})
 		store := tablestore.NewStore(table, table, tablestore.StoreOptions{MaxGroup: 40})
@@ -189,7 +190,7 @@
 // TestOutage: while the service is down submissions are rejected, after a few
 // failures without a request to it; once it is back they are committed.
 func TestOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := standin.New(standin.Options{})
 		table.SetFaults(standin.Faults{Down: true})
 		store := newStore(t, table, tablestore.StoreOptions{})
@@ -214,7 +215,7 @@
 // TestReadRetries: a read is retried while throttled, fails after a few
 // unavailable responses, and then fails without a request.
 func TestReadRetries(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		down, throttled := tablestore.ErrUnavailable, tablestore.ErrThrottled
 		table := &scriptedTable{Platform: standin.New(standin.Options{})}
 		store := newStore(t, table, tablestore.StoreOptions{})
@@ -234,7 +235,7 @@
 // TestThrottling: groups grow until the rate limit is kept; a submission whose
 // context ends before that gets ErrThrottled and is not applied.
 func TestThrottling(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := standin.New(standin.Options{})
 		table.SetFaults(standin.Faults{TransactionsPerSecond: 1e-6})
 		store := newStore(t, table, tablestore.StoreOptions{MaxGroup: 10})
@@ -261,7 +262,7 @@
 // members is cancelled in between, the others form a partial group, which must wait as well. Sent at once, it would load
 // a service that has just throttled, and members whose context ends at that moment would get an unknown outcome.
 func TestPaceHoldsForPartialGroups(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := standin.New(standin.Options{})
 		table.SetFaults(standin.Faults{TransactionsPerSecond: 1e-6})
 		const fullGroup = 10
@@ -299,7 +300,7 @@
 // TestForeignLaneWrite: if another writer changes the lane row, the outcome of a
 // lost reply cannot be resolved, and the result is ErrUnknownOutcome.
 func TestForeignLaneWrite(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := &scriptedTable{Platform: standin.New(standin.Options{})}
 		table.steps = append(table.steps, func(transaction tablestore.Transaction) (tablestore.Receipt, error) {
 			put(t, table.Platform, tablestore.Write{Key: transaction.Conditions[0].Key})
@@ -317,7 +318,7 @@
 
 // TestCloseDuringSettlement: closing ends the resolution of an unknown outcome while the service is down.
 func TestCloseDuringSettlement(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := &scriptedTable{Platform: standin.New(standin.Options{})}
 		table.steps = append(table.steps, func(tablestore.Transaction) (tablestore.Receipt, error) {
 			table.SetFaults(standin.Faults{Down: true})
--- a/internal/tablestore/history_test.go
+++ b/internal/tablestore/history_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -15,6 +14,7 @@
 
 	standin "github.com/pewtermill/pewtermill/internal/standin/platform"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // registerInput is a read or a compare-and-set. Values are unique, and empty
@@ -129,7 +129,7 @@
 func TestRegistersAreLinearizable(t *testing.T) {
 	for seed := range uint64(20) {
 		history := &historyRecorder{}
-		synctest.Test(t, func(*testing.T) {
+		virtualtime.Test(t, func(*testing.T) {
 			table := standin.New(standin.Options{})
 			table.SetFaults(standin.Faults{LoseReplyShare: 0.4, LateApplyMillis: 200, SlowMillis: 2, Seed: seed})
 			var clients sync.WaitGroup
--- a/internal/tablestore/tablestore.go
+++ b/internal/tablestore/tablestore.go
@@ -62,6 +62,9 @@
 	// ErrUnreachable: this node could not establish or keep a connection to the
 	// service. It comes together with ErrUnavailable or ErrUnknownOutcome.
 	ErrUnreachable = errors.New("table service unreachable")
+	// ErrConnectTimedOut: nothing responded to the attempt to connect in time. It comes together with
+	// ErrUnreachable. Unlike a refused connection, one that times out may only be late, as behind a queue on a link.
+	ErrConnectTimedOut = errors.New("no response to the attempt to connect to the table service")
 	// ErrThrottled: rejected by the service's rate limit, not applied.
 	ErrThrottled = errors.New("table service over its rate limit")
 	// ErrWasThrottled: the service throttled the call, which was in flight again when its context
--- a/internal/wire/liveness.go
+++ b/internal/wire/liveness.go
@@ -14,6 +14,10 @@
 // cancel earlier for reasons of their own.
 const minWait = 50 * time.Millisecond
 
+// unreadGrace is how long a connection on which nothing was received stays open for what has arrived and was not read yet: a
+// process that stood still notices timeouts before it reads.
+const unreadGrace = 100 * time.Millisecond
+
 // liveness detects an unresponsive connection: bytes are sent, and nothing is received. The kernel
 // reports this only once data has been unacknowledged for DeadPeerTimeout, and never if a device
 // on the path acknowledges the data. Safe for concurrent use.
@@ -21,6 +25,27 @@
 	mutex        sync.Mutex
 	lastFrameAt  time.Time
 	waitingSince time.Time // since when requests wait without a reply; not after lastFrameAt if none does
+	checking     bool      // unreadGrace is running
+}
+
+// afterGrace calls fail once unreadGrace is over, unless a frame arrives meanwhile.
+func (s *liveness) afterGrace(fail func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.checking {
+		return
+	}
+	s.checking = true
+	lastFrameAt := s.lastFrameAt
+	time.AfterFunc(unreadGrace, func() {
+		s.mutex.Lock()
+		s.checking = false
+		isSilent := s.lastFrameAt.Equal(lastFrameAt)
+		s.mutex.Unlock()
+		if isSilent {
+			fail()
+		}
+	})
 }
 
 // connected records that the connection was established.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -176,6 +176,10 @@
 		select {
 		case <-opened.wake:
 		case <-ctx.Done():
+			reply, err := s.deliver(opened, onPart) // both may have happened since this process last ran
+			if reply != nil || err != nil {
+				return reply, err
+			}
 			return nil, s.abandon(ctx, opened, frame, sentAt)
 		case <-s.down:
 			reply, err := s.deliver(opened, onPart)
@@ -260,7 +264,7 @@
 		return errors.Mark(errors.Wrap(ctx.Err(), "request withdrawn"), ErrNotSent)
 	}
 	if s.link.liveness.abandoned(sentAt, s.link.options.UnresponsiveTimeout) {
-		s.link.fail(errUnresponsive)
+		s.link.liveness.afterGrace(func() { s.link.fail(errUnresponsive) })
 	}
 	s.cancel(opened)
 	return errors.Mark(errors.Wrap(ctx.Err(), "request abandoned"), ErrLinkBroken)
