--- a/internal/discovery/deferred_test.go
+++ b/internal/discovery/deferred_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // write is a record of the engines, and when it is written after the start of a test.
@@ -60,7 +62,7 @@
 		"a clock that was set back, after an end": {[]write{{2 * time.Second, deletedRecord("a", 11)}, {3 * time.Second, engineRecord("a", 100, 12)}}, []int64{100}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				source := &scriptedSource{started: time.Now(), writes: append([]write{{0, initial}}, test.writes...)}
 				f := New(Options{Source: source, Observer: ignoringObserver{}})
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -77,6 +77,7 @@
 	Evacuations evacuations // by zone, including cancelled ones
 
 	seenVersions seenVersions // of the services' software
+	movedRoutes  movedRoutes  // services whose routes led elsewhere
 }
 
 // HasService reports whether the active configuration names a service.
@@ -143,7 +144,8 @@
 	incarnations incarnations // guarded by mutex
 	healthy      [collectionCount]atomic.Bool
 	lastAnswers  [collectionCount]atomic.Pointer[time.Time] // when the source last answered; nil before the first answer
-	firstListed  atomic.Pointer[time.Time]                  // when engines were first listed; nil before
+	coverages    [collectionCount]atomic.Pointer[coverage]  // nil before the first list
+	earlier      atomic.Pointer[earlierKnowledge]           // nil if nothing is known
 	readVersions [collectionCount]atomic.Uint64             // up to which the view has all changes
 }
 
@@ -182,14 +184,6 @@
 	return time.Time{}
 }
 
-// FirstListed returns when engines were first listed; zero if they never were.
-func (f *Follower) FirstListed() time.Time {
-	if listed := f.firstListed.Load(); listed != nil {
-		return *listed
-	}
-	return time.Time{}
-}
-
 // Run follows a collection until ctx ends.
 func (f *Follower) Run(ctx context.Context, collection Collection) {
 	loop := &collectionLoop{follower: f, collection: collection, lastSuccess: time.Now()}
@@ -256,6 +250,7 @@
 func (s *collectionLoop) list(ctx context.Context) error {
 	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: listTimeout, Idle: answerIdle, Total: answerTimeout})
 	defer cancel()
+	begun := time.Now()
 	records, version, err := s.follower.options.Source.List(ctx, s.collection)
 	if err != nil {
 		return err
@@ -264,6 +259,7 @@
 		return errors.Wrapf(errStaleList, "list of %s: version %d, already read %d", s.collection, version, s.after)
 	}
 	s.follower.replace(s.collection, records, version)
+	s.follower.confirm(s.collection, begun, false)
 	if s.listed {
 		s.relistAt = time.Time{}
 	}
@@ -285,6 +281,7 @@
 	}
 	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + watchAllowance, Idle: answerIdle, Total: wait + answerTimeout})
 	defer cancel()
+	begun := time.Now()
 	records, version, err := s.follower.options.Source.Changes(ctx, s.collection, s.after, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		s.listed = false
@@ -303,6 +300,9 @@
 		s.follower.change(s.collection, records, version)
 		s.pause = coalescePause
 	}
+	if err == nil {
+		s.follower.confirm(s.collection, begun, len(records) == 0)
+	}
 	return err // ErrUnconfirmed: the records are applied, but the store did not answer
 }
 
@@ -340,9 +340,6 @@
 		next.Evacuations = next.Evacuations.withList(records, version)
 	}
 	f.apply(next, collection, records, version)
-	if now := time.Now(); collection == Engines {
-		f.firstListed.CompareAndSwap(nil, &now)
-	}
 	f.mutex.Unlock()
 	f.options.Observer.ViewChanged(collection, next)
 }
@@ -389,7 +386,9 @@
 			f.incarnations.update(next.Engines, *record.Engine, record.Version, now, next.mayServe)
 		case record.Configuration != nil:
 			if next.Table == nil || record.Configuration.Version > next.Table.Configuration.Version {
-				next.Table = routing.NewTable(record.Configuration)
+				table := routing.NewTable(record.Configuration)
+				next.movedRoutes = next.movedRoutes.updated(next.Table, table, now)
+				next.Table = table
 			}
 		}
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/routing"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // source is a scripted source of one configuration.
@@ -101,7 +101,7 @@
 // withFollower runs a test in virtual time with a running follower of configurations.
 func withFollower(t *testing.T, s *source, test func(f *discovery.Follower)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := discovery.New(discovery.Options{Source: s, Observer: ignoringObserver{}})
 		done := make(chan struct{})
@@ -119,7 +119,7 @@
 // withBothCollections runs a test in virtual time with a running follower of both collections.
 func withBothCollections(t *testing.T, s *source, test func(f *discovery.Follower)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := discovery.New(discovery.Options{Source: s, Observer: ignoringObserver{}})
 		var loops sync.WaitGroup
--- a/internal/discovery/incarnations_test.go
+++ b/internal/discovery/incarnations_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/leanovate/gopter"
@@ -12,6 +11,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/pewtermill/pewtermill/internal/routing"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // ignoringObserver ignores what it is notified of.
@@ -111,7 +111,7 @@
 
 // TestUnlistedIncarnationExpires accepts an engine whose clock was set back once its earlier incarnation has expired.
 func TestUnlistedIncarnationExpires(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFollower()
 		applyUpdates(f, []storeUpdate{
 			{fullList: true, version: 10, records: []Record{engineRecord("a", 200, 10)}},
@@ -145,7 +145,7 @@
 
 // TestIncarnationWithAClockSetBackIsAccepted restarts an engine, long after its start, with an earlier start time.
 func TestIncarnationWithAClockSetBackIsAccepted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFollower()
 		applyUpdates(f, []storeUpdate{{fullList: true, version: 10, records: []Record{engineRecord("a", 200, 10)}}})
 		time.Sleep(lateWriteWindow) // virtual
--- a/internal/discovery/masked_test.go
+++ b/internal/discovery/masked_test.go
@@ -4,8 +4,9 @@
 	"maps"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // TestOverwrittenIncarnationIsMasked overwrites the entry of an engine that reports its start time with one that
@@ -46,7 +47,7 @@
 // in the configuration and a later start time. The engine's next entry must be accepted at once, and the incarnation is
 // masked until then.
 func TestStartIsHiddenByAnEntryOfNobodysService(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFollower()
 		f.replace(Configurations, []Record{configurationWith(1, "s")}, 1)
 		foreign := func(version uint64) Record {
@@ -100,7 +101,7 @@
 // TestNoIncarnationIsMaskedForLong replaces an engine's entry with that of another writer, of a service not in the
 // configuration, which is rewritten with a later start time every 30 s. The engine must not stay masked as long as that continues.
 func TestNoIncarnationIsMaskedForLong(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFollower()
 		f.replace(Configurations, []Record{configurationWith(1, "s")}, 1)
 		f.change(Engines, []Record{engineRecord("a", 100, 10)}, 10)
--- a/internal/discovery/versions.go
+++ b/internal/discovery/versions.go
@@ -11,13 +11,16 @@
 // long for a stream that an engine of it began.
 const VersionRetention = time.Minute
 
+// versionMemory is how long it is known when a version's last engine was removed.
+const versionMemory = 10 * time.Minute
+
 // seenVersion is one software version of a service.
 type seenVersion struct {
 	service, version string
 	unlistedSince    time.Time // when its last engine was removed; zero while one is listed
 }
 
-// seenVersions are the versions that are listed, or were within VersionRetention. It is immutable.
+// seenVersions are the versions that are listed, or were within versionMemory. It is immutable.
 type seenVersions []seenVersion
 
 // updated returns the versions after a change of the listed engines.
@@ -35,7 +38,7 @@
 		if previous.unlistedSince.IsZero() {
 			previous.unlistedSince = now
 		}
-		if now.Sub(previous.unlistedSince) < VersionRetention {
+		if now.Sub(previous.unlistedSince) < versionMemory {
 			next = append(next, previous)
 		}
 	}
@@ -59,6 +62,35 @@
 	return versions
 }
 
+// versionStableFor returns how long ago an engine of a service was last listed with a version that is not retained, up to
+// versionMemory. It is 0 if a route that leads to the service led elsewhere within VersionRetention.
+func (v *View) versionStableFor(service string, now time.Time) time.Duration {
+	stable := versionMemory
+	for _, one := range v.seenVersions {
+		if one.service != service || one.unlistedSince.IsZero() {
+			continue
+		}
+		if age := now.Sub(one.unlistedSince); age >= VersionRetention {
+			stable = min(stable, age)
+		}
+	}
+	if movedAt, moved := v.movedRoutes[service]; moved {
+		age := now.Sub(movedAt)
+		if age < VersionRetention {
+			return 0
+		}
+		stable = min(stable, age)
+	}
+	return stable
+}
+
+// ListsVersion reports whether an engine of a service is listed that runs a software version.
+func (v *View) ListsVersion(service, version string) bool {
+	return slices.ContainsFunc(v.seenVersions, func(one seenVersion) bool {
+		return one.is(service, version) && one.unlistedSince.IsZero()
+	})
+}
+
 // HasVersion reports whether an engine of a service is listed that runs a software version and accepts new requests.
 func (v *View) HasVersion(service, version string) bool {
 	for _, engine := range v.Engines {
--- a/internal/discovery/versions_test.go
+++ b/internal/discovery/versions_test.go
@@ -3,8 +3,9 @@
 import (
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // versionedRecord returns an engine's record with a software version.
@@ -17,7 +18,7 @@
 // TestVersionsAreRetained replaces the engines of a service by a release. The removed version is retained for as long
 // as clients may ask for its streams.
 func TestVersionsAreRetained(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFollower()
 		versions := func(within time.Duration) []string {
 			return f.View().SoftwareVersions("s", time.Now(), within)
@@ -48,7 +49,7 @@
 // TestVersionOfAStartIsCertain restarts an engine under its name with another version and without a start time. A
 // request sent to it about that time may have reached either incarnation.
 func TestVersionOfAStartIsCertain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFollower()
 		applyUpdates(f, []storeUpdate{{fullList: true, version: 1, records: []Record{versionedRecord("a", "v1", 1)}}})
 		time.Sleep(10 * time.Second)
