--- a/internal/origins/bench_test.go
+++ b/internal/origins/bench_test.go
@@ -18,7 +18,7 @@
 		peers = append(peers, Peer{Zone: fmt.Sprintf("zone-%d", number%5), Address: fmt.Sprintf("10.0.0.%d:7240", number)})
 	}
 	memory := NewMemory()
-	server := NewServer(memory, func(string) []string { return []string{"v1.1", "v1.2"} }, func() bool { return true })
+	server := NewServer(memory, func(string) []string { return []string{"v1.1", "v1.2"} }, func(string) time.Duration { return time.Hour })
 	bytes := 0
 	for number := 0; b.Loop(); number++ {
 		stored := origin(fmt.Sprintf("%016x", number), "v1.2", 1)
--- a/internal/origins/client.go
+++ b/internal/origins/client.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync/atomic"
@@ -41,14 +42,23 @@
 	Memory *Memory
 	// Versions returns the software versions of a service that this node lists or listed recently.
 	Versions func(service string) []string
-	// EngineListFresh reports whether the list of engines was confirmed recently.
-	EngineListFresh func() bool
-	// WarmedUp reports whether this node has listed engines for longer than clients may take to resume a stream. A node
-	// that has not may never have listed the version that started it.
-	WarmedUp func() bool
+	// KnownFor returns for how long until now a service has certainly had no other versions than these, and has shared no
+	// route with another service; 0 if that is unknown.
+	KnownFor func(service string) time.Duration
+	// FixedWindow replaces ResumeWindow of each call, unless it is 0.
+	FixedWindow time.Duration
 	// Suspected reports whether a peer is excluded, because its zone is suspected to be lost.
 	Suspected func(address string) bool
 	Observer  Observer
+	Record    Record // nil for none
+}
+
+// Record states in the store which streams nodes began. It is asked once no other source knows a stream's origin.
+type Record interface {
+	// Find returns a stream's origin, and false if it is not recorded. With an error, that is unknown.
+	Find(ctx context.Context, stream string) (Origin, bool, error)
+	// Wake makes the node record a stream that it begins. It does not block.
+	Wake()
 }
 
 // Client replicates the origins of streams to peers, and queries peers for them. Safe for concurrent use.
@@ -60,6 +70,7 @@
 // peerSet is the client for requests to peers, and the peers that store origins.
 type peerSet struct {
 	client   peerClient
+	count    int // of peers
 	replicas []Peer
 }
 
@@ -68,7 +79,15 @@
 
 // SetPeers replaces the peers to which origins are replicated and that are queried.
 func (c *Client) SetPeers(client peerClient, peers []Peer) {
-	c.peers.Store(&peerSet{client: client, replicas: replicaPeers(peers)})
+	c.peers.Store(&peerSet{client: client, count: len(peers), replicas: replicaPeers(peers)})
+}
+
+// PeerCount returns the number of peers.
+func (c *Client) PeerCount() int {
+	if peers := c.peers.Load(); peers != nil {
+		return peers.count
+	}
+	return 0
 }
 
 // reachable returns the addresses of the peers that may store a stream's origin, in order of preference and without
@@ -88,6 +107,7 @@
 const (
 	ByMemory      Basis = "memory"       // this node has the origin
 	ByPeer        Basis = "peer"         // a peer has the origin
+	ByStore       Basis = "store"        // the process that started the stream recorded the origin in the store
 	ByOnlyVersion Basis = "only_version" // all queried nodes list the same single version of the service
 	Unknown       Basis = "unknown"      // none of these
 )
@@ -95,11 +115,12 @@
 // Finding is the result of looking up where a stream started.
 type Finding struct {
 	Basis         Basis
-	Origin        Origin   // without an engine if ByOnlyVersion; empty if Unknown
-	PeersAsked    int      // number of peers queried
-	PeersAnswered int      // number of peers that responded before the origin was found
-	Versions      []string // of the service, as listed by this node and the peers that responded
-	WarmedUp      bool     // one of these nodes has listed engines for long enough to know all versions that streams started at
+	Origin        Origin        // without an engine if ByOnlyVersion; empty if Unknown
+	PeersAsked    int           // number of peers queried
+	PeersAnswered int           // number of peers that responded before the origin was found
+	Versions      []string      // of the service, as listed by this node and the peers that responded
+	KnownFor      time.Duration // the longest time for which one of these nodes knows that there were no other versions
+	StoreError    error         // why it is unknown what the store says; nil if it was read, or was not needed
 }
 
 // response is the response of one peer.
@@ -109,29 +130,54 @@
 	hasOrigin bool
 }
 
-// Find returns where a stream started, by its ID and the service that would serve it now. It never guesses: if the origin
-// is not found and several versions are listed, the finding is Unknown.
-func (c *Client) Find(ctx context.Context, stream, service string) Finding {
+// Query identifies a stream that a client resumes.
+type Query struct {
+	Stream       string        // its ID; empty if the client does not name it
+	Service      string        // that would serve it now
+	ResumeWindow time.Duration // how long ago the stream may have started, and a little longer
+	RouteSplit   bool          // the stream's route has several services
+}
+
+// Find returns where a stream started. It never guesses: if no queried node has its origin, it started at the version that
+// the nodes list only if they list one, and one of them knows that there was no other within the resume window. Else only
+// what a process recorded in the store is certain.
+func (c *Client) Find(ctx context.Context, query Query) Finding {
 	now := time.Now()
-	if origin, found := c.options.Memory.Get(stream, now); found {
+	if origin, found := c.options.Memory.Get(query.Stream, now); found {
 		return Finding{Basis: ByMemory, Origin: origin}
 	}
-	finding := c.query(ctx, stream, service)
+	finding := c.query(ctx, query.Stream, query.Service)
 	switch {
 	case finding.Basis == ByPeer:
 		c.options.Memory.Put(finding.Origin, now)
-	case len(finding.Versions) == 1 && finding.WarmedUp && (finding.PeersAnswered > 0 || finding.PeersAsked == 0 || c.options.EngineListFresh()):
+	case len(finding.Versions) == 1 && !query.RouteSplit && finding.KnownFor >= c.window(query.ResumeWindow):
 		finding.Basis = ByOnlyVersion
-		finding.Origin = Origin{Stream: stream, Service: service, Version: finding.Versions[0]}
+		finding.Origin = Origin{Stream: query.Stream, Service: query.Service, Version: finding.Versions[0]}
+	case query.Stream != "" && c.options.Record != nil:
+		finding.findInStore(ctx, c.options.Record, query.Stream)
 	}
 	return finding
 }
 
+// findInStore completes a finding by what the store says of a stream.
+func (f *Finding) findInStore(ctx context.Context, record Record, stream string) {
+	origin, found, err := record.Find(ctx, stream)
+	f.StoreError = err
+	if err == nil && found {
+		f.Basis, f.Origin = ByStore, origin
+	}
+}
+
+// window returns the resume window that applies.
+func (c *Client) window(window time.Duration) time.Duration {
+	return cmp.Or(c.options.FixedWindow, window)
+}
+
 // query queries peers until one has the stream's origin, or all have responded or failed.
 func (c *Client) query(ctx context.Context, stream, service string) Finding {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	finding := Finding{Basis: Unknown, WarmedUp: c.options.WarmedUp(), Versions: slices.Clone(c.options.Versions(service))}
+	finding := Finding{Basis: Unknown, KnownFor: c.options.KnownFor(service), Versions: slices.Clone(c.options.Versions(service))}
 	peers := c.reachable(stream)
 	peers = peers[:min(maxQueried, len(peers))]
 	finding.PeersAsked = len(peers)
@@ -150,7 +196,7 @@
 			return finding
 		}
 		finding.Versions = append(finding.Versions, reply.body.GetVersions()...)
-		finding.WarmedUp = finding.WarmedUp || reply.body.GetSettled()
+		finding.KnownFor = max(finding.KnownFor, millis(reply.body.GetKnownMillis()))
 	}
 	slices.Sort(finding.Versions)
 	finding.Versions = slices.Compact(finding.Versions)
--- a/internal/origins/origin.go
+++ b/internal/origins/origin.go
@@ -4,8 +4,8 @@
 //
 // A node that starts a stream while several versions serve replicates the origin to some peers before the first event is
 // sent. The peers are chosen by rendezvous hashing of the stream's ID and spread over zones, so that a node that resumes
-// the stream knows which peers to query. While one version serves, nothing is replicated, except for some time after a
-// node's start: a node that finds neither the stream's origin nor a second version can infer its version. All state is
+// the stream knows which peers to query. While one version serves, and has for as long as clients may come back, nothing is
+// replicated: a node that finds neither the stream's origin nor a second version can infer its version. All state is
 // in memory, and is dropped once no client can resume the stream any more.
 package origins
 
@@ -17,15 +17,29 @@
 
 // Origin identifies where a stream started.
 type Origin struct {
-	Stream    string // ID of the client's attempt that received its first event
-	Service   string
-	Version   string    // of the engine's software
-	Engine    string    // name of the engine
-	SentAt    time.Time // when the attempt was sent to it
-	ExpiresAt time.Time // until when the client may resume the stream
-	Attempt   int       // number of the send within that attempt, from 1; a later one replaces an earlier one
+	Stream  string // ID of the client's attempt that received its first event
+	Service string
+	Version string // of the engine's software
+	Engine  string // name of the engine
+	// EngineStart identifies the engine's start, in Unix milliseconds by its clock; 0 if it is unknown. Peers are not sent it.
+	EngineStart int64
+	SentAt      time.Time // when the attempt was sent to it
+	ExpiresAt   time.Time // until when the client may resume the stream
+	Attempt     int       // number of the send within that attempt, from 1; a later one replaces an earlier one
+	// NotInferable is set if the stream's version could not be inferred as it was sent, so that only a record of the origin tells it.
+	// Peers are not sent it.
+	NotInferable bool
 }
 
+// sameSend reports whether two origins are of the same send of a stream to an engine.
+func (o Origin) sameSend(other Origin) bool {
+	return o.Stream == other.Stream && o.Attempt == other.Attempt && o.Engine == other.Engine && o.Version == other.Version && o.SentAt.Equal(other.SentAt)
+}
+
+// MinResumeWindow is the least time within which a stream counts as possibly resumed. It is longer than the deadlines of
+// clients and the times for which nodes may list different engines.
+const MinResumeWindow = 15 * time.Second
+
 // maxRetention limits how long a peer can make a node store an origin.
 const maxRetention = 10 * time.Minute
 
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -14,18 +14,19 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
+	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
 // node is one of several nodes that replicate origins to each other and query each other.
 type node struct {
 	*Client
-	server    *Server
-	memory    *Memory
-	versions  []string
-	listFresh bool
-	warmedUp  bool
-	state     state
+	server   *Server
+	memory   *Memory
+	versions []string
+	knownFor time.Duration // see Options
+	state    state
 }
 
 // state is how a node responds to its peers.
@@ -35,9 +36,14 @@
 	healthy      state = iota
 	refusing           // its connections are refused
 	unresponsive       // it never responds
+	late               // like unresponsive, and it handles requests lateBy after they were sent
+	unconnected        // there is no connection to it, so that requests are certainly not sent
 	earlierBuild       // it responds like a build that knows none of the messages
 )
 
+// lateBy is longer than any request waits, and shorter than streams last.
+const lateBy = time.Second
+
 // fleet is a set of nodes by address. It implements peerClient and Observer.
 type fleet struct {
 	mutex         sync.Mutex
@@ -58,13 +64,24 @@
 	case unresponsive:
 		<-ctx.Done()
 		return nil, ctx.Err()
+	case late:
+		time.AfterFunc(lateBy, func() { target.handle(request) })
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case unconnected:
+		return nil, errors.Mark(errors.New("no connection"), wire.ErrNotSent)
 	case earlierBuild:
 		return &wirepb.Reply{Body: []byte(`{"failure":"unknown"}`)}, nil
 	}
+	return target.handle(request), nil
+}
+
+// handle handles a peer's request.
+func (n *node) handle(request *wirepb.Request) *wirepb.Reply {
 	if stored := request.GetTellOrigins(); stored != nil {
-		return target.server.Store(stored), nil
+		return n.server.Store(stored)
 	}
-	return target.server.Find(request.GetFindOrigin()), nil
+	return n.server.Find(request.GetFindOrigin())
 }
 
 // OriginNotReplicated implements Observer.
@@ -94,12 +111,12 @@
 		all = append(all, Peer{Zone: fmt.Sprintf("zone-%d", i%3), Address: fmt.Sprintf("10.0.0.%d:1", i)})
 	}
 	for _, peer := range all {
-		created := &node{memory: NewMemory(), versions: []string{"v1", "v2"}, listFresh: true, warmedUp: true}
+		created := &node{memory: NewMemory(), versions: []string{"v1", "v2"}, knownFor: time.Hour}
 		versions := func(string) []string { return created.versions }
-		warmedUp := func() bool { return created.warmedUp }
-		created.server = NewServer(created.memory, versions, warmedUp)
+		knownFor := func(string) time.Duration { return created.knownFor }
+		created.server = NewServer(created.memory, versions, knownFor)
 		created.Client = NewClient(Options{Node: peer.Address, Memory: created.memory, Versions: versions,
-			EngineListFresh: func() bool { return created.listFresh }, WarmedUp: warmedUp, Suspected: func(string) bool { return false }, Observer: f})
+			KnownFor: knownFor, Suspected: func(string) bool { return false }, Observer: f})
 		created.SetPeers(f, slices.DeleteFunc(slices.Clone(all), func(other Peer) bool { return other == peer }))
 		f.nodes[peer.Address] = created
 	}
@@ -107,7 +124,10 @@
 }
 
 // node returns a node by its number.
-func (f *fleet) node(number int) *node { return f.nodes[fmt.Sprintf("10.0.0.%d:1", number)] }
+func (f *fleet) node(number int) *node { return f.nodes[f.address(number)] }
+
+// address returns the address of a node by its number.
+func (f *fleet) address(number int) string { return fmt.Sprintf("10.0.0.%d:1", number) }
 
 // setVersions sets the versions that all nodes list.
 func (f *fleet) setVersions(versions ...string) {
@@ -122,10 +142,15 @@
 	return Origin{Stream: stream, Service: "s", Version: version, Engine: "engine", SentAt: now, ExpiresAt: now.Add(6 * time.Second), Attempt: attempt}
 }
 
+// query returns the query for a stream of service s.
+func query(stream string) Query {
+	return Query{Stream: stream, Service: "s", ResumeWindow: MinResumeWindow}
+}
+
 // expectVersion checks where a stream started, as found by a node.
 func expectVersion(t *testing.T, member *node, stream, version string, basis Basis) {
 	t.Helper()
-	finding := member.Find(t.Context(), stream, "s")
+	finding := member.Find(t.Context(), query(stream))
 	if finding.Basis != basis || finding.Origin.Version != version {
 		t.Errorf("stream %s: found %+v, want %q by %s", stream, finding, version, basis)
 	}
@@ -134,11 +159,11 @@
 // TestResumedStreamFindsItsVersion has one node start streams and another one find them: while all nodes are healthy, once
 // the first has failed, and once a whole zone has failed as well. After their expiry no node has them any more.
 func TestResumedStreamFindsItsVersion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(12)
 		first, second := f.node(0), f.node(4)
 		for number := range 40 {
-			replication := first.Begin(origin(fmt.Sprint(number), "v2", 1), BeginOptions{})
+			replication := first.Begin(origin(fmt.Sprint(number), "v2", 1), BeginOptions{ResumeWindow: MinResumeWindow})
 			if replication.Wait(t.Context()); replication.Confirmed() == 0 {
 				t.Fatal("the first event may be sent before any peer has stored where the stream started")
 			}
@@ -149,7 +174,7 @@
 		f.set(unresponsive, "10.0.0.0:1")
 		f.set(refusing, "10.0.0.2:1", "10.0.0.5:1", "10.0.0.8:1", "10.0.0.11:1")
 		for number := range 40 {
-			finding := second.Find(t.Context(), fmt.Sprint(number), "s")
+			finding := second.Find(t.Context(), query(fmt.Sprint(number)))
 			if finding.Origin.Version != "v2" || finding.Basis != ByPeer && finding.Basis != ByMemory {
 				t.Errorf("stream %d: found %+v", number, finding)
 			}
@@ -175,17 +200,23 @@
 		"peers of an earlier build":   {func(f *fleet) { f.setVersions("v1"); f.setOthers(earlierBuild) }, "v1", ByOnlyVersion},
 		"of an earlier build, two":    {func(f *fleet) { f.setOthers(earlierBuild) }, "", Unknown},
 		"all silent, list current":    {func(f *fleet) { f.setVersions("v1"); f.setOthers(unresponsive) }, "v1", ByOnlyVersion},
-		"all silent, list not so":     {func(f *fleet) { f.setVersions("v1"); f.setOthers(unresponsive); f.node(0).listFresh = false }, "", Unknown},
-		"some silent, list not so":    {func(f *fleet) { f.setVersions("v1"); f.set(unresponsive, "10.0.0.1:1"); f.node(0).listFresh = false }, "v1", ByOnlyVersion},
-		"started just now, peers not": {func(f *fleet) { f.setVersions("v1"); f.node(0).warmedUp = false }, "v1", ByOnlyVersion},
+		"all silent, list not so":     {func(f *fleet) { f.setVersions("v1"); f.setOthers(unresponsive); f.node(0).knownFor = 0 }, "", Unknown},
+		"some silent, list not so":    {func(f *fleet) { f.setVersions("v1"); f.set(unresponsive, "10.0.0.1:1"); f.node(0).knownFor = 0 }, "v1", ByOnlyVersion},
+		"started just now, peers not": {func(f *fleet) { f.setVersions("v1"); f.node(0).knownFor = time.Second }, "v1", ByOnlyVersion},
 		"all started just now":        {func(f *fleet) { f.setVersions("v1"); f.restartAll() }, "", Unknown},
-		"started just now, alone":     {func(f *fleet) { f.setVersions("v1"); f.node(0).warmedUp = false; f.node(0).SetPeers(f, nil) }, "", Unknown},
+		"started just now, alone":     {func(f *fleet) { f.setVersions("v1"); f.node(0).knownFor = time.Second; f.node(0).SetPeers(f, nil) }, "", Unknown},
+		"a peer for a shorter time": {func(f *fleet) {
+			f.setVersions("v1")
+			f.restartAll()
+			f.node(3).knownFor = MinResumeWindow - time.Millisecond
+		}, "", Unknown},
+		"a peer for long enough":      {func(f *fleet) { f.setVersions("v1"); f.restartAll(); f.node(3).knownFor = MinResumeWindow }, "v1", ByOnlyVersion},
 		"alone for long":              {func(f *fleet) { f.setVersions("v1"); f.node(0).SetPeers(f, nil) }, "v1", ByOnlyVersion},
 		"all silent, two are known":   {func(f *fleet) { f.setOthers(unresponsive) }, "", Unknown},
-		"refused by all, list not so": {func(f *fleet) { f.setVersions("v1"); f.setOthers(refusing); f.node(0).listFresh = false }, "", Unknown},
+		"refused by all, list not so": {func(f *fleet) { f.setVersions("v1"); f.setOthers(refusing); f.node(0).knownFor = 0 }, "", Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				f := newFleet(6)
 				test.prepare(f)
 				start := time.Now()
@@ -210,18 +241,18 @@
 // restartAll makes all nodes appear to have started just now.
 func (f *fleet) restartAll() {
 	for _, member := range f.nodes {
-		member.warmedUp = false
+		member.knownFor = time.Second
 	}
 }
 
 // TestRestartedNodesReplicate restarts all nodes while one version serves, so that none of them can infer which version
 // started an earlier stream. Streams that start after that can be resumed.
 func TestRestartedNodesReplicate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(6)
 		f.setVersions("v1")
 		f.restartAll()
-		f.node(0).Begin(origin("a", "v1", 1), BeginOptions{}).Wait(t.Context())
+		f.node(0).Begin(origin("a", "v1", 1), BeginOptions{ResumeWindow: MinResumeWindow}).Wait(t.Context())
 		f.set(refusing, "10.0.0.0:1")
 		expectVersion(t, f.node(1), "a", "v1", f.node(1).expectedBasis("a"))
 	})
@@ -230,13 +261,20 @@
 // TestLaterSendReplacesTheEarlierOne has a stream's first send fail before any event, and the second one go to another
 // version. No node has the origin of the first send once the event of the second one may be sent.
 func TestLaterSendReplacesTheEarlierOne(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(12)
 		first := f.node(0)
-		first.Begin(origin("a", "v1", 1), BeginOptions{})
-		first.Begin(origin("a", "v2", 2), BeginOptions{Replaces: true}).Wait(t.Context())
-		for number := range 12 {
-			expectNoOtherVersion(t, f.node(number).memory, "a", "v2")
+		earlier := first.Begin(origin("a", "v1", 1), BeginOptions{ResumeWindow: MinResumeWindow})
+		later := first.Begin(origin("a", "v2", 2), BeginOptions{Earlier: earlier, ResumeWindow: MinResumeWindow})
+		if err := later.AwaitReplaced(t.Context()); err != nil {
+			t.Errorf("all peers respond, and the stream must not begin: %v", err)
+		}
+		later.Wait(t.Context())
+		for range 2 { // also once all messages have arrived
+			for number := range 12 {
+				expectNoOtherVersion(t, f.node(number).memory, "a", "v2")
+			}
+			time.Sleep(replicateTimeout)
 		}
 	})
 }
@@ -251,11 +289,11 @@
 
 // TestUnreplicatedStreamIsReported has a node start a stream while no peer responds. The wait for confirmations is bounded.
 func TestUnreplicatedStreamIsReported(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(6)
 		f.setOthers(unresponsive)
 		start := time.Now()
-		replication := f.node(0).Begin(origin("a", "v1", 1), BeginOptions{})
+		replication := f.node(0).Begin(origin("a", "v1", 1), BeginOptions{ResumeWindow: MinResumeWindow})
 		replication.Wait(t.Context())
 		synctest.Wait()
 		if duration := time.Since(start); duration < replicateTimeout || duration > replicateTimeout+5*time.Millisecond || replication.Confirmed() != 0 || len(f.notReplicated) != 1 {
@@ -267,14 +305,14 @@
 // TestNothingIsReplicatedWhileOneVersionServes starts streams while one version is listed. Their origins are replicated when
 // a second one is listed, and when the node stops, but not after they have expired.
 func TestNothingIsReplicatedWhileOneVersionServes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(6)
 		f.setVersions("v1")
 		first := f.node(0)
-		first.Begin(origin("old", "v1", 1), BeginOptions{})
+		first.Begin(origin("old", "v1", 1), BeginOptions{ResumeWindow: MinResumeWindow})
 		time.Sleep(7 * time.Second)
-		first.Begin(origin("a", "v1", 1), BeginOptions{}).Wait(t.Context())
-		first.Begin(origin("split", "v1", 1), BeginOptions{RouteSplit: true}).Wait(t.Context())
+		first.Begin(origin("a", "v1", 1), BeginOptions{ResumeWindow: MinResumeWindow}).Wait(t.Context())
+		first.Begin(origin("split", "v1", 1), BeginOptions{RouteSplit: true, ResumeWindow: MinResumeWindow}).Wait(t.Context())
 		time.Sleep(time.Second)
 		if count := f.holders("a"); count != 1 {
 			t.Errorf("%d nodes store the stream's origin while one version serves, want 1", count)
@@ -392,7 +430,7 @@
 // TestInvalidOriginsAreDeclined has peers send invalid origins.
 func TestInvalidOriginsAreDeclined(t *testing.T) {
 	memory := NewMemory()
-	server := NewServer(memory, func(string) []string { return nil }, func() bool { return true })
+	server := NewServer(memory, func(string) []string { return nil }, func(string) time.Duration { return time.Hour })
 	for _, invalid := range []*wirepb.StreamOrigin{
 		{}, {Stream: "a", Service: "s"}, {Stream: "a", Version: "v1"}, {Service: "s", Version: "v1"},
 	} {
--- a/internal/origins/server.go
+++ b/internal/origins/server.go
@@ -15,13 +15,13 @@
 	memory *Memory
 	// versions returns the software versions of a service that the node lists or listed recently.
 	versions func(service string) []string
-	warmedUp func() bool // see Options.WarmedUp
+	knownFor func(service string) time.Duration // see Options.KnownFor
 	stopping atomic.Bool
 }
 
 // NewServer returns a server for a memory.
-func NewServer(memory *Memory, versions func(service string) []string, warmedUp func() bool) *Server {
-	return &Server{memory: memory, versions: versions, warmedUp: warmedUp}
+func NewServer(memory *Memory, versions func(service string) []string, knownFor func(service string) time.Duration) *Server {
+	return &Server{memory: memory, versions: versions, knownFor: knownFor}
 }
 
 // StopAccepting makes Store decline from now on, since the node is stopping. Find responds until the end.
@@ -47,7 +47,9 @@
 
 // Find handles a peer's query for where a stream started.
 func (s *Server) Find(request *wirepb.FindOrigin) *wirepb.Reply {
-	result := &wirepb.OriginFound{Understood: true, Settled: s.warmedUp(), Versions: s.versions(request.GetService())}
+	known := s.knownFor(request.GetService())
+	result := &wirepb.OriginFound{Understood: true, Settled: known >= MinResumeWindow, KnownMillis: known.Milliseconds(),
+		Versions: s.versions(request.GetService())}
 	now := time.Now()
 	if origin, found := s.memory.Get(request.GetStream(), now); found {
 		result.Origin = origin.toMessage(now)
