--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -21,6 +21,12 @@
 	First time.Duration // until the first part of the answer
 	Idle  time.Duration // between two parts
 	Total time.Duration // for the whole call, even if parts arrive
+	// Late, if not nil, is called when no part has arrived within First or Idle, and returns how much longer to wait;
+	// 0 ends the call. silent is the time since the last part, or since the call began. Total holds all the same.
+	Late func(silent time.Duration) time.Duration
+	// Standstill, if not 0, is how much later than First or Idle this process may notice that it has passed. If it does so
+	// later, it stood still and may not have read what has arrived: the call gets Idle from then on. Total holds all the same.
+	Standstill time.Duration
 }
 
 // bounded is a context that ends with its parent, or when its call exceeds its limits.
@@ -29,6 +35,7 @@
 	cancel          context.CancelCauseFunc
 	parent          *bounded // nearest bounded context among its ancestors; nil if there is none
 	limits          Limits
+	began           time.Time
 	latestEnd       time.Time // by Limits.Total
 	done            chan struct{}
 
@@ -45,7 +52,7 @@
 // exceeds the limits. The reader of the answer calls Report for each part.
 func WithLimits(parent context.Context, limits Limits) (context.Context, context.CancelFunc) {
 	now := time.Now()
-	b := &bounded{limits: limits, latestEnd: now.Add(limits.Total), deadline: now.Add(min(limits.First, limits.Total)), done: make(chan struct{})}
+	b := &bounded{limits: limits, began: now, latestEnd: now.Add(limits.Total), deadline: now.Add(min(limits.First, limits.Total)), done: make(chan struct{})}
 	b.parent, _ = parent.Value(boundedKey{}).(*bounded)
 	b.Context, b.cancel = context.WithCancelCause(parent)
 	context.AfterFunc(b.Context, func() { close(b.done) })
@@ -78,6 +85,17 @@
 	return !b.lastReceived.IsZero() && time.Since(b.lastReceived) <= b.limits.Idle
 }
 
+// Begun reports whether a part of the call's answer has arrived, under the nearest limits. It returns false without limits.
+func Begun(ctx context.Context) bool {
+	b, _ := ctx.Value(boundedKey{}).(*bounded)
+	if b == nil {
+		return false
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return !b.lastReceived.IsZero()
+}
+
 // recordPart extends the deadline after a part has arrived.
 func (b *bounded) recordPart(now time.Time) {
 	b.mutex.Lock()
@@ -91,8 +109,20 @@
 	}
 }
 
-// checkDeadline ends the context if its deadline has passed, and otherwise checks again at the deadline.
+// checkDeadline ends the context if its deadline has passed and Limits.Late does not extend it, and otherwise checks
+// again at the deadline.
 func (b *bounded) checkDeadline() {
+	if b.Context.Err() != nil {
+		return // the call has ended, and Late has nothing to decide
+	}
+	silent, overdue := b.silence()
+	switch {
+	case overdue < 0:
+	case b.limits.Standstill > 0 && overdue > b.limits.Standstill:
+		b.extend(b.limits.Idle)
+	case b.limits.Late != nil:
+		b.extend(b.limits.Late(silent))
+	}
 	b.mutex.Lock()
 	remaining := time.Until(b.deadline)
 	if remaining > 0 {
@@ -104,7 +134,31 @@
 	}
 }
 
-// Deadline implements context.Context. It returns the current deadline, which Report may extend.
+// silence returns for how long no part has arrived, and for how long the deadline has passed; negative if it has not.
+func (b *bounded) silence() (silent, overdue time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	last := b.began
+	if !b.lastReceived.IsZero() {
+		last = b.lastReceived
+	}
+	return time.Since(last), time.Since(b.deadline)
+}
+
+// extend moves the deadline to the given time from now, unless a part has moved it further.
+func (b *bounded) extend(longer time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if next := time.Now().Add(longer); longer > 0 && next.After(b.deadline) {
+		b.deadline = next
+	}
+	if b.deadline.After(b.latestEnd) {
+		b.deadline = b.latestEnd
+	}
+}
+
+// Deadline implements context.Context. It returns the current deadline, which Report and
+// Limits.Late may extend.
 func (b *bounded) Deadline() (time.Time, bool) {
 	b.mutex.Lock()
 	own := b.deadline
--- a/internal/progress/progress_test.go
+++ b/internal/progress/progress_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +11,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/pewtermill/pewtermill/internal/progress"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 var limits = progress.Limits{First: 400 * time.Millisecond, Idle: 100 * time.Millisecond, Total: 2 * time.Second}
@@ -23,7 +23,7 @@
 	properties := gopter.NewProperties(parameters)
 	properties.Property("ends by its limits", prop.ForAll(func(gaps []int) bool {
 		matches := true
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			ctx, cancel := progress.WithLimits(t.Context(), limits)
 			defer cancel()
 			started := time.Now()
@@ -58,7 +58,7 @@
 // TestStalledContextEndsAsByDeadline lets a context end because no part arrives. It and its derived contexts must
 // report an exceeded deadline, and the cause.
 func TestStalledContextEndsAsByDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := progress.WithLimits(t.Context(), limits)
 		defer cancel()
 		child, cancelChild := context.WithCancel(ctx)
@@ -75,7 +75,7 @@
 // TestOuterLimitsAreExtendedToo reports parts for a call inside two limits: both are extended, also with another
 // context between them.
 func TestOuterLimitsAreExtendedToo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		outer, cancelOuter := progress.WithLimits(t.Context(), limits)
 		defer cancelOuter()
 		middle, cancelMiddle := context.WithCancel(outer)
@@ -107,3 +107,33 @@
 		t.Error("Recent is true for a context without limits")
 	}
 }
+
+// TestLateCallContinuesForAsLongAsItsCallerSays has no part arrive in time. The call continues for the times that Late
+// returns, and ends when that is none, or at Limits.Total; a part begins a new silence.
+func TestLateCallContinuesForAsLongAsItsCallerSays(t *testing.T) {
+	for name, c := range map[string]struct {
+		maxSilent, partAt, want time.Duration
+	}{
+		"none":               {0, 0, limits.First},
+		"no part":            {700 * time.Millisecond, 0, 700 * time.Millisecond},
+		"a part meanwhile":   {700 * time.Millisecond, 600 * time.Millisecond, 1300 * time.Millisecond},
+		"longer than a call": {time.Minute, 0, limits.Total},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				late := limits
+				late.Late = func(silent time.Duration) time.Duration { return min(50*time.Millisecond, c.maxSilent-silent) }
+				started := time.Now()
+				ctx, cancel := progress.WithLimits(t.Context(), late)
+				defer cancel()
+				if c.partAt > 0 {
+					time.AfterFunc(c.partAt, func() { progress.Report(ctx) })
+				}
+				<-ctx.Done()
+				if took := time.Since(started); took != c.want || !errors.Is(context.Cause(ctx), progress.ErrStalled) {
+					t.Errorf("ended after %s with %v, want %s", took, context.Cause(ctx), c.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/relay/direct_path.go
+++ b/internal/relay/direct_path.go
@@ -41,10 +41,11 @@
 type callEnd int
 
 const (
-	abandoned   callEnd = iota // cancelled by its caller: shows nothing
-	answered                   // the service executed or declined the request
-	failed                     // rejected, aborted or not answered: for all nodes, or for this one
-	unreachable                // no connection
+	abandoned       callEnd = iota // cancelled by its caller: shows nothing
+	answered                       // the service executed or declined the request
+	failed                         // rejected, aborted or not answered: for all nodes, or for this one
+	unreachable                    // no connection
+	connectTimedOut                // no response to the attempt to connect: the link may be cut, or only busy
 )
 
 // classify derives the end of a call from its error.
@@ -53,6 +54,8 @@
 	switch {
 	case err == nil, errors.As(err, &conflict), errors.Is(err, tablestore.ErrRejected), errors.Is(err, tablestore.ErrHistoryTruncated):
 		return answered
+	case errors.Is(err, tablestore.ErrConnectTimedOut):
+		return connectTimedOut
 	case errors.Is(err, tablestore.ErrUnreachable):
 		return unreachable
 	case errors.Is(err, context.Canceled):
@@ -64,8 +67,8 @@
 // directPath is the state of a node's direct path to the table service, derived from how calls over it end. It does no
 // I/O and has no clock. Not safe for concurrent use.
 //
-// The path is lost when a call finds no connection, or when several calls in a row fail
-// and the service answers a peer that checks it. It is restored when a probe is answered.
+// The path is lost when a call finds no connection, or when several calls in a row fail, or an attempt to connect
+// times out, and the service answers a peer that checks it and not this node. It is restored when a probe is answered.
 type directPath struct {
 	lost         bool
 	failures     int                 // calls that failed in a row
@@ -79,7 +82,7 @@
 	switch end {
 	case answered:
 		p.failures = 0
-	case failed:
+	case failed, connectTimedOut:
 		p.recordFailure(now)
 	case unreachable:
 		p.recordFailure(now)
@@ -109,6 +112,15 @@
 	return p.startCheck(byFailures, now)
 }
 
+// startCheckAfter reports whether to ask a peer now because of how a call ended, and records the time of the check. An
+// attempt to connect has taken longer than a call may go unanswered, so a single one that timed out is enough.
+func (p *directPath) startCheckAfter(end callEnd, now time.Time) bool {
+	if end == connectTimedOut && p.startCheck(byUnansweredCall, now) {
+		return true
+	}
+	return p.startFailureCheck(now)
+}
+
 // startCheck reports whether a check may start now, and records its time.
 func (p *directPath) startCheck(by trigger, now time.Time) bool {
 	if p.lost || now.Sub(p.checkedAt[by]) < checkInterval {
--- a/internal/relay/direct_path_test.go
+++ b/internal/relay/direct_path_test.go
@@ -30,6 +30,7 @@
 		{"no answer in time", errors.Mark(context.DeadlineExceeded, tablestore.ErrUnknownOutcome), failed},
 		{"cancelled", errors.Mark(context.Canceled, tablestore.ErrUnknownOutcome), abandoned},
 		{"no connection", errors.Mark(errors.Mark(errors.New("no"), tablestore.ErrUnavailable), tablestore.ErrUnreachable), unreachable},
+		{"no response to the attempt to connect", errors.Mark(errors.Mark(errors.Mark(errors.New("no"), tablestore.ErrUnavailable), tablestore.ErrUnreachable), tablestore.ErrConnectTimedOut), connectTimedOut},
 	} {
 		if got := classify(test.err); got != test.want {
 			t.Errorf("%s: %d, want %d", test.name, got, test.want)
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,15 @@
 	Processors float64 // of its machine, in cores; 0 if unknown
 }
 
+// Listing is what one read of the directory showed.
+type Listing struct {
+	Peers  []Peer   // the zones in the order of Directory.Zones, and within a zone in an order that differs from node to node
+	Unread []string // zones that could not be read, of which Peers has none
+}
+
+// Complete reports whether all zones were read.
+func (l Listing) Complete() bool { return len(l.Unread) == 0 }
+
 // memberKey is the key of a node's entry.
 func memberKey(zone, node string) string { return "relay-members/" + zone + "/" + node }
 
@@ -90,22 +100,24 @@
 	return errors.Wrap(err, "join the directory")
 }
 
-// Peers returns the other nodes, by zone, and within a zone in
-// an order that differs from node to node. Zones that cannot be read are left out
-// if another one can be read; complete reports whether all zones were read.
-func (d Directory) Peers(ctx context.Context) (peers []Peer, complete bool, problem error) {
-	var lastErr error
-	for _, zone := range d.Zones {
-		listed, err := d.zonePeers(ctx, zone)
-		if err != nil {
-			lastErr = err
+// Peers returns the other nodes. Zones that cannot be read are left out; it is an error if no node is found then.
+func (d Directory) Peers(ctx context.Context) (Listing, error) {
+	listed, errs := make([][]Peer, len(d.Zones)), make([]error, len(d.Zones))
+	var reads sync.WaitGroup
+	for i, zone := range d.Zones {
+		reads.Go(func() { listed[i], errs[i] = d.zonePeers(ctx, zone) })
+	}
+	reads.Wait()
+	listing := Listing{Peers: slices.Concat(listed...)}
+	for i, zone := range d.Zones {
+		if errs[i] != nil {
+			listing.Unread = append(listing.Unread, zone)
 		}
-		peers = append(peers, listed...)
 	}
-	if len(peers) == 0 && lastErr != nil {
-		return nil, false, errors.Wrap(lastErr, "list the directory")
+	if len(listing.Peers) == 0 && !listing.Complete() {
+		return Listing{}, errors.Wrap(errors.Join(errs...), "list the directory")
 	}
-	return peers, lastErr == nil, nil
+	return listing, nil
 }
 
 // zonePeers returns the other nodes of one zone.
--- a/internal/relay/directory_test.go
+++ b/internal/relay/directory_test.go
@@ -23,12 +23,12 @@
 		store.Put("relay-members", "zone-a", node, value)
 	}
 	directory := relay.Directory{Table: platform.NewStore(store.Address(), nil), Node: "own", Zones: []string{"zone-a"}, Address: "10.0.0.9:7"}
-	peers, complete, err := directory.Peers(t.Context())
-	if err != nil || !complete {
-		t.Fatal(complete, err)
+	listing, err := directory.Peers(t.Context())
+	if err != nil || !listing.Complete() {
+		t.Fatal(listing.Unread, err)
 	}
 	var addresses []string
-	for _, peer := range peers {
+	for _, peer := range listing.Peers {
 		addresses = append(addresses, peer.Address)
 		if !(peer.Processors >= 0 && peer.Processors <= 1024) {
 			t.Errorf("peer %+v: processors are not within 0 and 1024", peer)
--- a/internal/relay/keepalive.go
+++ b/internal/relay/keepalive.go
@@ -12,9 +12,9 @@
 	// keepAliveInterval is the interval at which a peer sends keep-alives while the service has not answered a call. They
 	// let the requesting node distinguish a slow service from a peer that has failed.
 	keepAliveInterval = 100 * time.Millisecond
-	// servedWindow is how recently the service must have answered a peer for that peer to send keep-alives, unless the
-	// answer to the call itself is arriving. A peer to which the service does not respond either is abandoned as fast
-	// as one that has failed.
+	// servedWindow is for how long the service may leave a peer's calls unanswered until that peer sends no keep-alives any more,
+	// unless the answer to the call itself has begun to arrive. A peer to which the service does not respond either is then
+	// abandoned as fast as one that has failed.
 	servedWindow = 500 * time.Millisecond
 )
 
@@ -53,9 +53,10 @@
 }
 
 // keepAliveHandler returns a handler for keep-alives of a call that a peer makes. Each extends the wait for the
-// peer, until the time at which the peer itself abandons the call.
+// peer, until the latest time at which the peer itself abandons the call: it does so earlier if the service does not answer it
+// within serveTimeout.
 func keepAliveHandler(ctx context.Context, wait time.Duration) func(offset int64, text []byte) {
-	deadline := time.Now().Add(wait + serveTimeout)
+	deadline := time.Now().Add(wait + replyTimeout)
 	return func(int64, []byte) {
 		if time.Now().Before(deadline) {
 			progress.Report(ctx)
--- a/internal/relay/keepalive_test.go
+++ b/internal/relay/keepalive_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -63,7 +63,7 @@
 	for _, delay := range []time.Duration{100, 240, 300, 400, 600} {
 		delay *= time.Millisecond
 		t.Run(delay.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				service := slowService{delay: delay}
 				peer := NewTable(service, service, "p", ignoringObserver{})
 				defer peer.Close()
@@ -97,7 +97,7 @@
 // service answered them, each was waited for a second, and the process learned that much later that its direct path
 // was lost.
 func TestPeerWithASilentServiceIsLeftSoon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		first, second := NewTable(unresponsiveService{}, unresponsiveService{}, "p", ignoringObserver{}), NewTable(unresponsiveService{}, unresponsiveService{}, "q", ignoringObserver{})
 		defer first.Close()
 		defer second.Close()
@@ -138,7 +138,7 @@
 	for _, took := range []time.Duration{200, 400, 600, 900} {
 		took *= time.Millisecond
 		t.Run(took.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				service := arrivingService{took: took}
 				peer := NewTable(service, service, "p", ignoringObserver{})
 				defer peer.Close()
@@ -152,3 +152,82 @@
 		})
 	}
 }
+
+// TestLongPageThatArrivesThroughAPeerIsWaitedFor does so with pages that take longer than a call may go unanswered, over a busy link.
+func TestLongPageThatArrivesThroughAPeerIsWaitedFor(t *testing.T) {
+	for _, took := range []time.Duration{1200, 1500, 3000} {
+		took *= time.Millisecond
+		t.Run(took.String(), func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				service := arrivingService{took: took}
+				peer := NewTable(service, service, "p", ignoringObserver{})
+				defer peer.Close()
+				table := newRejectedTable(t, serverPeers{"p": NewServer(peer)})
+				defer table.Close()
+				page, err := table.Range(t.Context(), "t/p/a", "t/p/b", 1)
+				if err != nil || len(page.Rows) != 1 || page.More {
+					t.Errorf("got %+v, %v", page, err)
+				}
+			})
+		})
+	}
+}
+
+// decodingService is a table service whose answers to reads arrive at once, in a process that takes a while to decode them.
+type decodingService struct {
+	unresponsiveService
+	took time.Duration
+}
+
+// Range implements tablestore.Table.
+func (s decodingService) Range(ctx context.Context, start, _ string, _ int) (tablestore.Page, error) {
+	progress.Report(ctx)
+	time.Sleep(s.took) // virtual time
+	return tablestore.Page{Rows: []tablestore.Row{{Key: start, Revision: 1}}}, nil
+}
+
+// TestPageThatAPeerDecodesIsWaitedFor guards against leaving a peer that has the whole page and still decodes it. Without
+// processor time that took 1.5 s for 1 MB; the peer sent no keep-alives from 1 s after the last part on.
+func TestPageThatAPeerDecodesIsWaitedFor(t *testing.T) {
+	for _, took := range []time.Duration{600, 1200, 1500, 3000} {
+		took *= time.Millisecond
+		t.Run(took.String(), func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				service := decodingService{took: took}
+				peer := NewTable(service, service, "p", ignoringObserver{})
+				defer peer.Close()
+				table := newRejectedTable(t, serverPeers{"p": NewServer(peer)})
+				defer table.Close()
+				page, err := table.Range(t.Context(), "t/p/a", "t/p/b", 1)
+				if err != nil || len(page.Rows) != 1 || page.More {
+					t.Errorf("got %+v, %v", page, err)
+				}
+			})
+		})
+	}
+}
+
+// stallingService is a table service whose answers to reads begin to arrive and never end.
+type stallingService struct{ unresponsiveService }
+
+// Range implements tablestore.Table.
+func (s stallingService) Range(ctx context.Context, _, _ string, _ int) (tablestore.Page, error) {
+	progress.Report(ctx)
+	return tablestore.Page{}, s.wait(ctx)
+}
+
+// TestPageThatStallsAtAPeerIsGivenUp bounds how long a peer is waited for whose page has begun to arrive: until the peer
+// gives its call up.
+func TestPageThatStallsAtAPeerIsGivenUp(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		peer := NewTable(stallingService{}, stallingService{}, "p", ignoringObserver{})
+		defer peer.Close()
+		table := newRejectedTable(t, serverPeers{"p": NewServer(peer)})
+		defer table.Close()
+		started := time.Now()
+		_, err := table.Range(t.Context(), "t/p/a", "t/p/b", 1)
+		if took := time.Since(started); err == nil || took > serveTimeout+peerTimeout {
+			t.Errorf("got %v after %s, want an error within %s", err, took, serveTimeout+peerTimeout)
+		}
+	})
+}
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -37,6 +37,15 @@
 	Unknown     Failure = "unknown"
 )
 
+// isAnswer reports whether the table service answered the call.
+func (o Outcome) isAnswer() bool {
+	switch o.Failure {
+	case "", Throttled, Rejected, HistoryGone:
+		return true
+	}
+	return false
+}
+
 // page returns the result of a range read. A peer of an older build does not state that its rows are complete, so
 // rows without that statement are read on from.
 func (o Outcome) page() tablestore.Page {
--- a/internal/relay/path_check_test.go
+++ b/internal/relay/path_check_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -92,7 +92,7 @@
 		{"peers take as long as a slow service", []string{"a", "b"}, []string{"a"}, 200 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				table := NewTable(unresponsiveService{}, unresponsiveService{}, "n", ignoringObserver{})
 				defer table.Close()
 				table.SetPeers(fakePeers{c.unresponsive, c.delay}, c.peers)
@@ -128,7 +128,7 @@
 // result and go through peers as well. If they fail at once, the reader of 32 parts takes the store for down:
 // TestTurnedAwayProcessServesOn, case many, failed so in 2 of 21 runs under load.
 func TestCallsThatFailTogetherWaitForOneVerdict(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := NewTable(throttlingService{}, unresponsiveService{}, "n", ignoringObserver{})
 		defer table.Close()
 		table.SetPeers(fakePeers{delay: 30 * time.Millisecond}, []string{"a", "b"})
@@ -160,7 +160,7 @@
 // would come after its client's deadline. TestTurnedAwayProcessServesOn, case many, failed without this in 3 of 112
 // runs under load: two reads of one turn were rejected, 223 ms apart, and the turn with them.
 func TestFewCallsLearnToo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := NewTable(throttlingService{}, unresponsiveService{}, "n", ignoringObserver{})
 		defer table.Close()
 		table.SetPeers(fakePeers{delay: 5 * time.Millisecond}, []string{"a"})
@@ -202,7 +202,7 @@
 func TestSlowMomentHidesNoRefusals(t *testing.T) {
 	for _, checkRead := range []time.Duration{time.Millisecond, 40 * time.Millisecond, 90 * time.Millisecond} {
 		t.Run(checkRead.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				service := slowThenUnavailable{unavailableAt: time.Now().Add(unansweredLimit + 30*time.Millisecond), checkRead: checkRead}
 				table := NewTable(service, unresponsiveService{}, "n", ignoringObserver{})
 				defer table.Close()
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -17,7 +17,10 @@
 const (
 	// peerTimeout is how long one peer may take, beyond the wait of the call itself, until its first keep-alive
 	// or the first part of its reply, and then between two keep-alives or parts.
-	peerTimeout    = 250 * time.Millisecond
+	peerTimeout = 250 * time.Millisecond
+	// maxStandstill is how late this process may notice that a peer, or the service, has been silent. If it is later, keep-alives
+	// or an answer may have arrived meanwhile; it is half of the interval of keep-alives.
+	maxStandstill  = keepAliveInterval / 2
 	replyTimeout   = 10 * time.Second       // for a whole reply
 	peerRetryPause = 500 * time.Millisecond // after none of the peers reached the table service
 	// maxPeers is how many peers one call tries. If the table service rejects a third of the nodes,
@@ -38,7 +41,8 @@
 	mutex    sync.Mutex
 	client   peerClient // nil before any peer is known
 	peers    []string   // addresses, in order of preference
-	failedAt time.Time  // when no peer reached the table service
+	failedAt time.Time  // when no peer reached the table service; zero if one has reached it since
+	servedAt time.Time  // when a peer last returned an answer of the table service
 	relayed  uint64     // calls that peers made
 	invalid  uint64     // invalid outcomes
 }
@@ -86,13 +90,14 @@
 // reply was lost may be made again through the next peer. The error is marked
 // ErrUnreachable if no peer reaches the service, and ErrUnknownOutcome if a peer may have made the call.
 func (p *peerPool) call(ctx context.Context, request *wirepb.Request, wait time.Duration, repeatable bool) (Outcome, error) {
+	begun := time.Now()
 	client, peers := p.candidates()
 	request.From = p.node
 	lastErr := errors.Newf("%d peers available", len(peers))
 	for i, peer := range peers {
 		outcome, err := p.callPeer(ctx, client, peer, request, wait)
 		if err == nil && outcome.Failure != Unreachable && outcome.Failure != Busy {
-			p.prefer(peer)
+			p.recordRelayed(peer, outcome)
 			return outcome, nil
 		}
 		if ctx.Err() == nil || i == 0 { // a later peer only had the time that the earlier ones left
@@ -109,25 +114,26 @@
 			lastErr = err
 		}
 	}
-	p.recordAllFailed(len(peers))
+	p.recordAllFailed(len(peers), begun)
 	return Outcome{}, errors.Mark(errors.Mark(errors.Wrap(lastErr, "table service reached neither directly nor through peers"),
 		tablestore.ErrUnavailable), tablestore.ErrUnreachable)
 }
 
 // recordAllFailed records that none of the tried peers reached the table service, so that calls
-// within peerRetryPause fail at once.
-func (p *peerPool) recordAllFailed(tried int) {
-	if tried == 0 {
-		return
-	}
+// within peerRetryPause fail at once. It does not if a peer has reached it for another call since this one began: then
+// only this call was late.
+func (p *peerPool) recordAllFailed(tried int, begun time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if tried == 0 || p.servedAt.After(begun) {
+		return
+	}
 	p.failedAt = time.Now()
 }
 
 // callPeer makes a call through one peer. An invalid outcome counts as a lost reply.
 func (p *peerPool) callPeer(ctx context.Context, client peerClient, peer string, request *wirepb.Request, wait time.Duration) (Outcome, error) {
-	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + peerTimeout, Idle: peerTimeout, Total: wait + replyTimeout})
+	ctx, cancel := progress.WithLimits(ctx, peerLimits(wait))
 	defer cancel()
 	reply, err := client.Do(ctx, peer, request, keepAliveHandler(ctx, wait))
 	if err != nil {
@@ -141,6 +147,11 @@
 	return outcome, nil
 }
 
+// peerLimits returns the limits of a call through one peer. wait is how long the call itself may take.
+func peerLimits(wait time.Duration) progress.Limits {
+	return progress.Limits{First: wait + peerTimeout, Idle: peerTimeout, Total: wait + replyTimeout, Standstill: maxStandstill}
+}
+
 // recordInvalid counts and reports an invalid outcome.
 func (p *peerPool) recordInvalid(peer string, problem error) {
 	p.mutex.Lock()
@@ -149,10 +160,14 @@
 	p.onInvalid(peer, problem)
 }
 
-// prefer counts a relayed call and moves its peer to the front.
-func (p *peerPool) prefer(peer string) {
+// recordRelayed counts a relayed call and moves its peer to the front. If the table service answered it, calls need not
+// wait for the end of peerRetryPause.
+func (p *peerPool) recordRelayed(peer string, outcome Outcome) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if outcome.isAnswer() {
+		p.servedAt, p.failedAt = time.Now(), time.Time{}
+	}
 	p.relayed++
 	p.peers = moveToEnd(p.peers, peer, true)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -102,12 +102,12 @@
 // setPeers makes the other nodes of the directory known to a node, after some unreachable addresses.
 func (n *node) setPeers(t *testing.T, unreachable ...string) {
 	t.Helper()
-	peers, _, err := n.directory.Peers(t.Context())
+	listing, err := n.directory.Peers(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
 	addresses := slices.Clone(unreachable)
-	for _, peer := range peers {
+	for _, peer := range listing.Peers {
 		addresses = append(addresses, peer.Address)
 	}
 	n.table.SetPeers(n.client, addresses)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -65,14 +65,20 @@
 	}
 	defer release()
 	s.served.Add(1)
-	ctx, cancel := progress.WithLimits(ctx, progress.Limits{First: wait + serveTimeout, Idle: serveTimeout, Total: wait + replyTimeout})
+	ctx, cancel := progress.WithLimits(ctx, serveLimits(wait))
 	defer cancel()
-	isServed := func() bool { return progress.Recent(ctx) || s.table.recentlyServed() }
+	// Once the answer begins to arrive, the call ends by its own limits, and what has arrived is decoded.
+	isServed := func() bool { return progress.Begun(ctx) || s.table.recentlyServed() }
 	sender := startKeepAlive(wait, isServed, onPart)
 	defer sender.end()
 	return replyOf(s.outcome(ctx, request, wait))
 }
 
+// serveLimits returns the limits of a call for a peer. wait is how long the call itself may take.
+func serveLimits(wait time.Duration) progress.Limits {
+	return progress.Limits{First: wait + serveTimeout, Idle: serveTimeout, Total: wait + replyTimeout, Standstill: maxStandstill}
+}
+
 // replyOf encodes an outcome.
 func replyOf(outcome Outcome) *wirepb.Reply {
 	body, err := json.Marshal(outcome)
@@ -109,8 +115,7 @@
 
 // outcome makes the call and returns its outcome.
 func (s *Server) outcome(ctx context.Context, request *wirepb.Request, wait time.Duration) Outcome {
-	outcome, err := s.call(ctx, request, wait)
-	s.table.recordAnswer(err)
+	outcome, err := observe(s.table, wait > 0, func() (Outcome, error) { return s.call(ctx, request, wait) })
 	if errors.As(err, &outcome.Conflict) {
 		return outcome
 	}
--- a/internal/relay/slow_test.go
+++ b/internal/relay/slow_test.go
@@ -4,10 +4,10 @@
 	"context"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // slowService is a table service that answers all calls of this process after a delay.
@@ -46,7 +46,7 @@
 	for _, delay := range []time.Duration{120, 160, 200, 240, 400} {
 		delay *= time.Millisecond
 		t.Run(delay.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				service := slowService{delay: delay}
 				table := NewTable(service, service, "n", ignoringObserver{})
 				defer table.Close()
@@ -82,7 +82,7 @@
 		{nil, unansweredLimit + directReadHeadStart + 50*time.Millisecond},
 		{[]string{"a", "b"}, unansweredLimit + directReadHeadStart + 3*peerTimeout + 50*time.Millisecond},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			table := NewTable(unresponsiveService{}, unresponsiveService{}, "n", ignoringObserver{})
 			defer table.Close()
 			table.SetPeers(fakePeers{c.unresponsive, 5 * time.Millisecond}, []string{"a", "b", "c"})
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -34,6 +34,8 @@
 	// with a probability of one half. They are directReadPause apart.
 	directReads     = 2
 	directReadPause = 20 * time.Millisecond
+	// connectAttempts is how long the attempts to connect of a path check's own reads may take in all.
+	connectAttempts = 700 * time.Millisecond
 )
 
 // Observer is notified of changes of the path to the table service. Its methods must not block.
@@ -57,7 +59,8 @@
 	closing  context.Context // cancelled by Close
 	close    context.CancelFunc
 
-	lastAnswerAt atomic.Pointer[time.Time] // when the service last answered a call over the direct path; nil if it never did
+	silence      silence                   // of the service, towards this node
+	answeredSent atomic.Pointer[time.Time] // when the newest of the answered calls over the direct path began; nil if there is none
 
 	mutex       sync.Mutex
 	path        directPath
@@ -175,7 +178,9 @@
 	if suspectAfter > 0 {
 		defer time.AfterFunc(suspectAfter, func() { t.suspectUnanswered(callContext) }).Stop()
 	}
-	value, err := call(callContext)
+	begun := time.Now()
+	value, err := observe(t, suspectAfter == 0, func() (T, error) { return call(callContext) })
+	t.recordAnsweredCall(begun, err)
 	if path.Err() != nil && err != nil && ctx.Err() == nil {
 		return value, err, !t.pool.hasPeers() // the path was lost during the call
 	}
@@ -185,6 +190,20 @@
 	return value, err, !t.pool.hasPeers()
 }
 
+// observe makes a call over the direct path, and records whether the service was silent. isWatch means that the call waits for
+// changes.
+func observe[T any](t *Table, isWatch bool, call func() (T, error)) (T, error) {
+	if isWatch {
+		value, err := call()
+		t.silence.endWatch(classify(err) == answered, time.Now())
+		return value, err
+	}
+	t.silence.begin(time.Now())
+	value, err := call()
+	t.silence.end(classify(err) == answered, time.Now())
+	return value, err
+}
+
 // directContext returns a context that ends when the direct path is lost, or nil if it is lost. A node
 // that knows no peer always uses its direct path.
 func (t *Table) directContext() context.Context {
@@ -204,30 +223,18 @@
 	return t.path.lost
 }
 
-// recordAnswer records the time of a call's end if the service answered it.
-func (t *Table) recordAnswer(err error) {
-	if classify(err) == answered {
-		now := time.Now()
-		t.lastAnswerAt.Store(&now)
-	}
-}
-
-// recentlyServed reports whether the service has answered this node within servedWindow.
-func (t *Table) recentlyServed() bool {
-	lastAnswer := t.lastAnswerAt.Load()
-	return lastAnswer != nil && time.Since(*lastAnswer) < servedWindow
-}
+// recentlyServed reports whether the service answers this node: it has answered, and no call since has waited for servedWindow.
+func (t *Table) recentlyServed() bool { return !t.silence.lasts(servedWindow, time.Now()) }
 
 // recordEnd records the end of a call over the direct path and starts a path check if one is
 // due. It reports whether the path is lost; if a check is in progress, it waits for its result.
 func (t *Table) recordEnd(ctx context.Context, err error) bool {
-	t.recordAnswer(err)
 	t.mutex.Lock()
 	lostNow := t.path.recordEnd(classify(err), time.Now())
 	if lostNow {
 		t.abandonPath()
 	}
-	if t.check == nil && t.path.startFailureCheck(time.Now()) {
+	if t.check == nil && t.path.startCheckAfter(classify(err), time.Now()) {
 		t.startCheck(err)
 	}
 	lost, check := t.path.lost, t.check
@@ -284,60 +291,84 @@
 	}
 }
 
-// evaluatePath reports whether the service answers a peer and not this node; the direct path is
-// then lost. A slow service answers a peer's read as late as this node's. So the own read
+// evaluatePath reports whether the direct path is lost: the service answers a peer and not this node, or this node cannot
+// connect. A slow service answers a peer's read as late as this node's. So the own read
 // continues during the peer's, and then for as long again as the peer's took: it was
-// sent first, and an answer that is only late must not count as missing.
+// sent first, and an answer that is only late must not count as missing. An answer to another call that began since
+// counts as well: the own read may need a new connection, which is later than an answer.
 func (t *Table) evaluatePath(cause error) bool {
 	ctx, cancel := context.WithCancel(t.closing)
 	defer cancel()
-	direct := make(chan bool, 1)
-	go func() { direct <- t.isDirectServed(ctx) }()
-	served, ended := waitAtMost(direct, directReadHeadStart)
-	if served {
+	begun := time.Now()
+	direct := make(chan callEnd, 1)
+	go func() { direct <- t.readDirectly(ctx) }()
+	end, ended := waitAtMost(direct, directReadHeadStart)
+	if end == answered {
 		return false
 	}
 	started := time.Now()
-	if !t.isPeerServed() {
-		return false
-	}
-	if !ended {
+	peerServed := t.isPeerServed()
+	switch {
+	case ended:
+	case peerServed:
 		// The time of peers that were queried before and did not answer does not count.
-		served, _ = waitAtMost(direct, min(time.Since(started), peerTimeout))
+		end, _ = waitAtMost(direct, min(time.Since(started), peerTimeout))
+	default:
+		end, _ = waitAtMost(direct, connectAttempts)
 	}
-	return !served && t.markLost(cause)
+	lost := peerServed || end == connectTimedOut // nothing goes over a path on which there is no connection
+	return lost && end != answered && !t.answersCallsSince(begun) && t.markLost(cause)
+}
+
+// recordAnsweredCall records when a call over the direct path began if the service answered it.
+func (t *Table) recordAnsweredCall(begun time.Time, err error) {
+	if classify(err) != answered {
+		return
+	}
+	if newest := t.answeredSent.Load(); newest == nil || newest.Before(begun) {
+		t.answeredSent.Store(&begun)
+	}
+}
+
+// answersCallsSince reports whether the service has answered a call over the direct path that began after a time. An answer
+// to an earlier call, such as one that waits for changes, shows nothing of the present.
+func (t *Table) answersCallsSince(since time.Time) bool {
+	newest := t.answeredSent.Load()
+	return newest != nil && newest.After(since)
 }
 
 // waitAtMost waits for a result until a timeout. It returns the result, and whether there was one.
-func waitAtMost(result <-chan bool, timeout time.Duration) (value, ended bool) {
+func waitAtMost[T any](result <-chan T, timeout time.Duration) (value T, ended bool) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case value = <-result:
 		return value, true
 	case <-timer.C:
-		return false, false
+		return value, false
 	}
 }
 
-// isDirectServed reports whether the service answers a small read over the direct path. The service throttles
+// readDirectly returns how a small read over the direct path ends. The service throttles
 // writes and reads separately, executes the writes of a part one after another, and
 // a single part may be down. So a peer whose read is answered is no evidence about the writes that
 // fail here. A service that rejects this node rejects its reads, too.
-func (t *Table) isDirectServed(ctx context.Context) bool {
+func (t *Table) readDirectly(ctx context.Context) callEnd {
+	end := failed
 	for attempt := range directReads {
 		if attempt > 0 && !backoff.Wait(ctx, backoff.Jitter(directReadPause)) {
-			return false
+			return end
 		}
 		_, err := t.direct.Range(ctx, secretKey, secretKey+"\x00", 1)
-		if classify(err) == answered {
+		end = classify(err)
+		if end == answered {
 			t.mutex.Lock()
 			t.path.recordEnd(answered, time.Now())
 			t.mutex.Unlock()
-			return true
+			return answered
 		}
 	}
-	return false
+	return end
 }
 
 // isPeerServed reads one row through a peer and reports whether the service answers the peer.
--- a/internal/zonefeed/answer.go
+++ b/internal/zonefeed/answer.go
@@ -28,9 +28,9 @@
 	// follower to read the table from the service if only this process receives it slowly.
 	maxUnconfirmedWait = 1500 * time.Millisecond
 	// maxListsBytes is the maximum total size, as sent, of the snapshots that all processes of the zone may
-	// request at the same moment, as they do when the service truncates its history. On the slowest
-	// link, 30 Mbit/s, that takes half a second. Each process reads a larger table from the service.
-	maxListsBytes = 2 << 20
+	// request at the same moment, as they do after a start of all, or when the service truncates its history. On the
+	// slowest link, 30 Mbit/s, that takes 1.1 s. Each process reads a larger table from the service.
+	maxListsBytes = 4 << 20
 )
 
 // StopAccepting declines further requests of other processes, because this one is stopping, so that they
@@ -56,7 +56,7 @@
 	wait := min(followWait, time.Duration(query.GetWaitMillis())*time.Millisecond)
 	end := time.NewTimer(wait)
 	defer end.Stop()
-	confirmTimer := time.NewTimer(f.confirmWait())
+	confirmTimer := time.NewTimer(f.confirmWait(query))
 	defer confirmTimer.Stop()
 	confirmedAt := time.Now()
 	for woken, timedOut := false, false; ; {
@@ -77,7 +77,7 @@
 		case <-end.C:
 			timedOut = true
 		case <-confirmTimer.C:
-			if time.Since(confirmedAt) > maxUnconfirmedWait || !f.awaitsAnswer(query.GetTable(), timedOut) {
+			if waited := time.Since(confirmedAt); waited > maxUnconfirmedWait || (waited >= confirmTimeout && !f.awaitsAnswer(query.GetTable(), timedOut)) {
 				return f.decline("the table service has not answered of late")
 			}
 			keepAlive()
@@ -88,24 +88,28 @@
 	}
 }
 
-// confirmWait returns how long a request waits before the state of the call to the service is checked.
-func (f *Feed) confirmWait() time.Duration {
+// confirmWait returns how long a request waits until its first keep-alive, if it is not answered before.
+func (f *Feed) confirmWait(query *wirepb.FollowTable) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.isReceiving() {
+	switch {
+	case f.isReceiving():
 		return 0
+	case query.GetSnapshot(), f.table(query.GetTable()).journal.listCount == 0:
+		return receivingKeepAlive // the request makes this process read the table, if it does not do so already
 	}
 	return confirmTimeout
 }
 
 // awaitsAnswer reports whether a request for a table whose data is not current is to wait on: its call to the service is
-// still in time, or an answer of the service is arriving. If all followers were declined meanwhile, each of them would read
+// still in time, the table is being read for the first time, or an answer of the service is arriving. If all followers were declined meanwhile, each of them would read
 // the same row over the same link. An answer for another table shows that the service is reachable over a busy link; that
 // holds until the request's wait is over.
 func (f *Feed) awaitsAnswer(name string, timedOut bool) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.contact.awaitsCall(name, time.Now()) || f.table(name).isReceiving() || (!timedOut && f.isReceiving())
+	entry := f.table(name)
+	return f.contact.awaitsCall(name, time.Now()) || entry.isFirstListPending() || entry.isReceiving() || (!timedOut && f.isReceiving())
 }
 
 // isReceiving reports whether an answer of the service for any table is arriving. The mutex is held.
--- a/internal/zonefeed/feed.go
+++ b/internal/zonefeed/feed.go
@@ -27,6 +27,11 @@
 	maxAnswerTime = 10 * time.Second
 	// pollWait is the wait of a call that should return the changes at once.
 	pollWait = time.Millisecond
+	// maxSilence is for how long watchers may have sent nothing, in requests for a whole table one after another, before
+	// the process reads it from the service: it may be the process itself that reaches none of them.
+	maxSilence = 1200 * time.Millisecond
+	// listRetryTime is the longest time between two attempts to read a table; it equals discovery's maxBackoff.
+	listRetryTime = 400 * time.Millisecond
 	// pauseAfterChanges is how long the reader of a feed pauses after changes; it equals
 	// discovery's settlePause.
 	pauseAfterChanges = 200 * time.Millisecond
@@ -52,6 +57,8 @@
 	Node     string
 	RunID    uint64 // unique for each run of a process
 	Observer Observer
+	// Standalone means that the process has no peers to wait for at its start: SetPeers will not be called.
+	Standalone bool
 }
 
 // Stats are the counters of a Feed.
@@ -79,7 +86,12 @@
 	peerUpdates    atomic.Uint64
 	stopping       atomic.Bool
 
+	peersKnown      context.Context // ends with the first SetPeers
+	setPeersKnown   context.CancelFunc
+	serviceReturned chan struct{} // see ServiceReturned
+
 	mutex         sync.Mutex
+	firstPeers    firstPeers
 	watcherClient peerClient // nil before SetPeers
 	choice        choice
 	contact       contact
@@ -109,6 +121,9 @@
 	newest        uint64 // version of a row that another process reported in answer to a query
 	// call is the context of the call to the service in progress, with its progress limits; nil if there is none.
 	call context.Context
+	// calledAt is when a call to the service last began or ended.
+	calledAt time.Time
+	silence  time.Duration // see silenceOf
 	// stableAt is the time from which this process returns unconfirmed data to others.
 	stableAt time.Time
 }
@@ -121,9 +136,11 @@
 
 // NewFeed returns a feed that calls the service only, until SetPeers.
 func NewFeed(options Options) *Feed {
+	now := time.Now()
 	f := &Feed{options: options, slots: make(chan struct{}, maxAnswers), choice: newChoice(),
-		tables: make(map[string]*table), assignedAt: time.Now()}
+		tables: make(map[string]*table), assignedAt: now, serviceReturned: make(chan struct{}), firstPeers: newFirstPeers(now, options.Standalone)}
 	f.fallbackPeers = newNeighbourhood()
+	f.peersKnown, f.setPeersKnown = context.WithCancel(context.Background())
 	f.following, f.stopFollowing = context.WithCancel(context.Background())
 	f.closing, f.close = context.WithCancel(context.Background())
 	return f
@@ -136,6 +153,7 @@
 func (f *Feed) SetPeers(client peerClient, own string, peers []string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.setPeersKnown()
 	f.watcherClient = client
 	f.choice.setPeers(own, peers)
 }
@@ -179,15 +197,16 @@
 
 // Snapshot implements tablestore.Feed.
 func (f *Feed) Snapshot(ctx context.Context, name string) ([]tablestore.Change, uint64, error) {
-	if assignment, following := f.updateAssignment(); assignment.Role == Follower {
-		answer, err := f.requestWatcher(ctx, following, assignment.Watcher, &wirepb.FollowTable{Table: name, Snapshot: true, ReadsPacked: true})
-		if err == nil {
-			f.applySnapshot(name, answer)
-			return answer.rows, answer.version, nil
-		}
-		if ctx.Err() != nil {
-			return nil, 0, errors.Wrap(err, "watcher of the zone")
-		}
+	if err := f.awaitFirstPeers(ctx, name); err != nil {
+		return nil, 0, err
+	}
+	answer, err := f.requestSnapshot(ctx, name)
+	switch {
+	case err == nil:
+		f.applySnapshot(name, answer)
+		return answer.rows, answer.version, nil
+	case !errors.Is(err, errReadDirectly):
+		return nil, 0, errors.Wrap(err, "watcher of the zone")
 	}
 	f.setCall(name, ctx)
 	rows, version, err := f.options.Feed.Snapshot(ctx, name)
@@ -199,6 +218,52 @@
 	return rows, version, err
 }
 
+// requestSnapshot requests a whole table from the watcher of the zone, and from the next one if it declines, cannot be
+// reached or is silent: all followers of a failed watcher come here at once, and the link to the service would carry the
+// table once for each of them. The error is marked errReadDirectly if this process is to read the table from the service.
+// With any other error, the time of the call is over; the next call goes on with the next watcher.
+func (f *Feed) requestSnapshot(ctx context.Context, name string) (update, error) {
+	for {
+		assignment, following := f.updateAssignment()
+		if assignment.Role != Follower || f.silenceOf(name) > maxSilence {
+			f.setSilence(name, 0)
+			return update{}, errReadDirectly
+		}
+		query := &wirepb.FollowTable{Table: name, Snapshot: true, ReadsPacked: true}
+		if idleTimeoutWithin(ctx, query) < minSnapshotTime {
+			return update{}, errNoTimeLeft
+		}
+		begun := time.Now()
+		answer, err := f.requestWatcher(ctx, following, assignment.Watcher, query)
+		switch {
+		case err == nil:
+			f.setSilence(name, 0)
+			return answer, nil
+		case following.Err() != nil, errors.Is(err, errTooLarge): // others wait for this process, or no watcher can send it
+			return update{}, errors.Mark(err, errReadDirectly)
+		case errors.Is(err, errUnresponsive):
+			f.setSilence(name, f.silenceOf(name)+time.Since(begun))
+		}
+		if ctx.Err() != nil {
+			return update{}, err
+		}
+	}
+}
+
+// silenceOf returns for how long watchers have sent nothing of a table, in requests for it one after another.
+func (f *Feed) silenceOf(name string) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.table(name).silence
+}
+
+// setSilence sets what silenceOf returns.
+func (f *Feed) setSilence(name string, silence time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.table(name).silence = silence
+}
+
 // Changes implements tablestore.Feed.
 func (f *Feed) Changes(ctx context.Context, name string, after uint64, wait time.Duration) ([]tablestore.Change, uint64, error) {
 	assignment, following := f.updateAssignment()
@@ -276,7 +341,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	entry := f.table(name)
-	entry.call = nil
+	entry.call, entry.calledAt = nil, time.Now()
 	f.failures.Store = reasonOf(err)
 	switch {
 	case errors.Is(err, tablestore.ErrHistoryTruncated):
@@ -298,7 +363,8 @@
 func (f *Feed) setCall(name string, ctx context.Context) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.table(name).call = ctx
+	entry := f.table(name)
+	entry.call, entry.calledAt = ctx, time.Now()
 }
 
 // recordServed records that the service answered a call for a table without a confirmation.
@@ -361,10 +427,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
-	assignment := Assignment{}
-	if f.watcherClient != nil {
-		assignment = f.choice.assignment(now)
-	}
+	assignment := f.choice.assignment(now) // a watcher may be requested before it knows its peers
 	if assignment.Role != Watcher && f.following.Err() != nil {
 		f.following, f.stopFollowing = context.WithCancel(context.Background())
 	}
@@ -389,6 +452,12 @@
 // The mutex is held.
 func (t *table) hasNewList(now basis) bool { return t.basis.run == now.run && t.basis != now }
 
+// isFirstListPending reports whether the service has been called for a table of which nothing is known yet, or is about to
+// be called again after a failure. The mutex is held.
+func (t *table) isFirstListPending() bool {
+	return t.journal.listCount == 0 && (t.call != nil || time.Since(t.calledAt) < listRetryTime)
+}
+
 // isReceiving reports whether an answer of the service for this table is arriving. The mutex is held.
 func (t *table) isReceiving() bool { return t.call != nil && progress.Recent(t.call) }
 
--- a/internal/zonefeed/fleet_test.go
+++ b/internal/zonefeed/fleet_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +16,7 @@
 	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -32,6 +32,7 @@
 	stale     uint64 // lists are as of this version, if not 0
 	changes   int    // calls
 	lists     int
+	throttled int  // calls of any kind
 	padding   int  // bytes appended to the value
 	isText    bool // the padding compresses to a tenth, as a configuration does
 }
@@ -118,6 +119,7 @@
 	mutex             sync.Mutex
 	storeUnresponsive bool                            // its calls to the service get no answer
 	storeFails        bool                            // its calls to the service fail
+	storeThrottles    bool                            // its calls to the service are throttled
 	isolated          bool                            // it reaches no other process, and none reaches it
 	reachable         []string                        // the only processes that it reaches; nil for all
 	dead              bool                            // it refuses connections
@@ -164,7 +166,7 @@
 // call makes a call to the service.
 func (n *node) call(ctx context.Context) error {
 	n.mutex.Lock()
-	unresponsive, fails, delay := n.storeUnresponsive, n.storeFails, n.storeDelay
+	unresponsive, fails, throttles, delay := n.storeUnresponsive, n.storeFails, n.storeThrottles, n.storeDelay
 	n.mutex.Unlock()
 	if !backoff.Wait(ctx, storeLatency+delay) { // virtual time
 		return errors.Mark(ctx.Err(), tablestore.ErrUnknownOutcome)
@@ -175,6 +177,9 @@
 		return errors.Mark(ctx.Err(), tablestore.ErrUnknownOutcome)
 	case fails:
 		return errors.Mark(errors.New("refused"), tablestore.ErrUnavailable)
+	case throttles:
+		n.store.set(func(s *store) { s.throttled++ })
+		return errors.Mark(errors.New("throttled"), tablestore.ErrThrottled)
 	}
 	return ctx.Err()
 }
@@ -349,7 +354,7 @@
 // runFleet runs a test in virtual time with size processes that know each other.
 func runFleet(t *testing.T, size int, test func(f *fleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		f := &fleet{t: t, ctx: ctx, store: &store{version: 10}, nodes: make(map[string]*node)}
 		var addresses []string
--- a/internal/zonefeed/region_test.go
+++ b/internal/zonefeed/region_test.go
@@ -5,7 +5,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +12,7 @@
 	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // Parameters of the incident that TestLargeConfigurationReachesAnotherRegion reproduces.
@@ -104,7 +104,7 @@
 func runFarRegion(t *testing.T, zones int, test func(f *fleet, link *bandwidth)) {
 	t.Helper()
 	const size = 11
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		link := &bandwidth{bytesPerSecond: regionLinkBytes}
 		f := &fleet{t: t, ctx: ctx, store: &store{version: 10}, nodes: make(map[string]*node)}
--- a/internal/zonefeed/watcher_request.go
+++ b/internal/zonefeed/watcher_request.go
@@ -21,6 +21,11 @@
 	// idleTimeout is the maximum time without data from a watcher. A watcher sends a keep-alive with
 	// each answer of the service, so every pauseAfterChanges plus watchWait plus the answer's latency.
 	idleTimeout = 900 * time.Millisecond
+	// snapshotIdleTimeout is idleTimeout for a request for a whole table. A watcher replies, declines, or sends a
+	// keep-alive each receivingKeepAlive. Waiting longer for one that is silent would delay the start of a process.
+	snapshotIdleTimeout = 3 * receivingKeepAlive
+	// minSnapshotTime is the shortest idle timeout with which a whole table is requested: one keep-alive must be able to arrive.
+	minSnapshotTime = receivingKeepAlive * 3 / 2
 	// maxServiceLatency is the maximum latency of the service that the platform announces.
 	// reservedForService is the time reserved for a call to the service when a watcher did not respond.
 	maxServiceLatency  = 200 * time.Millisecond
@@ -33,6 +38,8 @@
 	errDeclined     = errors.New("the watcher of the zone declined the request")
 	errTooLarge     = errors.New("the table is too large for the watcher of the zone to send as a whole")
 	errMalformed    = errors.New("the watcher's reply is malformed")
+	errReadDirectly = errors.New("no watcher of the zone sends the table")
+	errNoTimeLeft   = errors.New("too little time is left to request the table from a watcher")
 )
 
 // update is what a watcher, or the service, reports of a table.
@@ -75,13 +82,17 @@
 // waits for changes. Of the time that the caller has beyond the wait, it leaves a quarter, and at least
 // reservedForService, for a call to the service.
 func idleTimeoutWithin(ctx context.Context, query *wirepb.FollowTable) time.Duration {
+	longest := idleTimeout
+	if query.GetSnapshot() {
+		longest = snapshotIdleTimeout
+	}
 	deadline, hasDeadline := ctx.Deadline()
 	if !hasDeadline {
-		return idleTimeout
+		return longest
 	}
 	wait := time.Duration(query.GetWaitMillis()) * time.Millisecond
 	spare := time.Until(deadline) - wait
-	return min(idleTimeout, wait+max(0, min(spare*3/4, spare-reservedForService)))
+	return min(longest, wait+max(0, min(spare*3/4, spare-reservedForService)))
 }
 
 // recordResult records the result of a request to a watcher.
--- a/internal/zonewatch/detector.go
+++ b/internal/zonewatch/detector.go
@@ -4,12 +4,13 @@
 // A node sends requests to its peers and engines all the time. One that does not respond within a tenth
 // of a second is unresponsive; that alone is weak evidence. It makes the node probe some more peers of that
 // zone, and some of each other zone. A zone is suspected once several of its peers have been unresponsive
-// for minSilence, none of them responded in that time, and somebody elsewhere did. Then all of the zone is skipped
-// at once. The first response from it ends the suspicion of the zone; each of its peers is trusted again when it
+// for some time, none of them responded in that time, and somebody elsewhere did. That time is minSilence where other
+// zones respond, longer by as much as the zone's own responses have taken of late, and maxSilence where several zones
+// are silent: their responses may be late together, on one link. Then all of the zone is skipped at once. The first response from it ends the suspicion of the zone; each of its peers is trusted again when it
 // responds itself.
 //
-// A node that gets no response from most other zones, and none from the store, is itself
-// isolated, together with its zone or alone.
+// A node that gets no response from most other zones for maxSilence, and none from the store, is itself
+// isolated, together with its zone or alone. Until then it may be.
 //
 // Detector decides, without I/O and without a clock. Watch feeds it. Each node decides for
 // itself, and a decision may only affect which peers are tried first.
@@ -88,8 +89,8 @@
 // source is a peer or an engine.
 type source struct {
 	peer            bool
-	unansweredSince time.Time // when the last unanswered request was sent; zero if it responded since
-	timedOutAt      time.Time // when that request timed out
+	unansweredSince time.Time // when the first request was sent that nobody of the zone has responded after; zero if it responded
+	timedOutAt      time.Time // when its last request timed out
 	suspectedAt     time.Time // when it was suspected with its zone; zero if it is trusted
 	probedAt        time.Time // when Actions last contained it
 }
@@ -102,6 +103,7 @@
 	referenceProbedAt time.Time          // when they last contained peers of it as a reference for another zone
 	checking          bool               // some of it may be lost
 	suspectedSince    time.Time          // since when there was no response; zero if it is trusted
+	responseTimes     responseTimes      // of its peers
 }
 
 // Detector decides which zones are suspected from responses and timeouts. Not safe for concurrent use.
@@ -112,6 +114,9 @@
 	storeProbedAt        time.Time // when Actions last requested a probe of the store
 	storeUnansweredSince time.Time // when a probe was sent that the store did not answer; zero if it answered since
 	isolatedSince        time.Time // zero if this node is not isolated
+	mayBeIsolated        bool      // as of the last step
+	mostSilentSince      time.Time // since when more other zones are unresponsive than responsive; zero if they are not
+	storeAnsweredSentAt  time.Time // when the last probe was sent that the store answered
 }
 
 // NewDetector returns a detector for a node in a zone, without peers.
@@ -162,7 +167,7 @@
 			delete(z.sources, address)
 		}
 	}
-	return !z.suspectedSince.IsZero() || !d.isolatedSince.IsZero()
+	return !z.suspectedSince.IsZero() || !d.isolatedSince.IsZero() || d.mayBeIsolated
 }
 
 // RecordTimeout records that a peer or an engine has not responded to a request that was sent at sentAt.
@@ -175,7 +180,10 @@
 	if !src.suspectedAt.IsZero() && !z.suspectedSince.IsZero() {
 		return // skipped with its zone, which is probed all the time
 	}
-	src.unansweredSince, src.timedOutAt = sentAt, now
+	if !src.unansweredSince.After(z.lastResponse) || now.Sub(src.timedOutAt) > evidenceLifetime {
+		src.unansweredSince = sentAt
+	}
+	src.timedOutAt = now
 	if src.suspectedAt.IsZero() {
 		z.checking = true
 	} // else its connection may be as old as the loss of its zone: alone it is no evidence
@@ -204,6 +212,9 @@
 	switch {
 	case answered:
 		d.lastStoreResponse, d.storeUnansweredSince = now, time.Time{}
+		if sentAt.After(d.storeAnsweredSentAt) {
+			d.storeAnsweredSentAt = sentAt
+		}
 	case sentAt.After(d.lastStoreResponse):
 		d.storeUnansweredSince = sentAt
 	}
@@ -233,6 +244,9 @@
 // IsolatedSince returns since when this node is isolated; zero if it is not.
 func (d *Detector) IsolatedSince() time.Time { return d.isolatedSince }
 
+// MayBeIsolated reports whether this node is isolated, or will be unless responses arrive that may only be late.
+func (d *Detector) MayBeIsolated() bool { return d.mayBeIsolated }
+
 // Step evaluates all zones and this node, and returns what the caller has to do.
 func (d *Detector) Step(now time.Time) Actions {
 	var actions Actions
@@ -270,13 +284,10 @@
 // unresponsiveSince returns since when nobody of a zone responds, and how many requests are unanswered. The time is
 // zero if there are too few, or only requests to sources that are still suspected.
 func (z *zone) unresponsiveSince(now time.Time) (time.Time, int) {
-	var first time.Time
-	unresponsive, unresponsivePeers, allPeers, trusted := 0, 0, 0, 0
+	first, _ := z.firstUnanswered(now)
+	unresponsive, unresponsivePeers, trusted := 0, 0, 0
 	for _, src := range z.sources {
-		if src.peer {
-			allPeers++
-		}
-		if !src.unansweredSince.After(z.lastResponse) || now.Sub(src.timedOutAt) > evidenceLifetime {
+		if !z.isUnanswered(src, now) {
 			continue
 		}
 		unresponsive++
@@ -286,11 +297,8 @@
 		if src.suspectedAt.IsZero() {
 			trusted++
 		}
-		if first.IsZero() || src.unansweredSince.Before(first) {
-			first = src.unansweredSince
-		}
 	}
-	if unresponsivePeers == 0 || unresponsivePeers < min(allPeers, probesPerZone) || unresponsive < minUnresponsive || trusted == 0 || now.Sub(first) < minSilence {
+	if unresponsivePeers == 0 || unresponsivePeers < min(z.countPeers(), probesPerZone) || unresponsive < minUnresponsive || trusted == 0 || now.Sub(first) < minSilence {
 		return time.Time{}, unresponsive
 	}
 	return first, unresponsive
@@ -304,6 +312,9 @@
 		if name == d.ownZone || first.IsZero() || !z.suspectedSince.IsZero() || !d.respondsElsewhere(name, first) {
 			continue
 		}
+		if now.Sub(first) < d.requiredSilence(name, z, first, now) {
+			continue
+		}
 		z.suspect(name, first, unresponsive, now, actions)
 	}
 }
@@ -337,12 +348,18 @@
 // three zones is lost, nobody is isolated. An isolated node suspects the zones that do not
 // respond, even if it gets no response from anybody.
 func (d *Detector) detectIsolation(now time.Time, actions *Actions) {
-	unresponsive, sources, responsive, since := d.countZones(now)
-	isolated := unresponsive > responsive && now.Sub(d.storeUnansweredSince) <= evidenceLifetime
+	storeUnanswered := now.Sub(d.storeUnansweredSince) <= evidenceLifetime
+	counted := d.countZones(now)
+	d.mostSilentSince = time.Time{}
+	if counted.unresponsive > counted.responsive {
+		d.mostSilentSince = counted.since
+	}
+	d.mayBeIsolated = storeUnanswered && !d.mostSilentSince.IsZero()
+	isolated := storeUnanswered && counted.lost > counted.responsive
 	switch {
 	case isolated && d.isolatedSince.IsZero():
 		d.isolatedSince = now
-		actions.Changes = append(actions.Changes, Change{Kind: NodeIsolated, Duration: now.Sub(since), Unresponsive: sources, UnresponsiveZones: unresponsive})
+		actions.Changes = append(actions.Changes, Change{Kind: NodeIsolated, Duration: now.Sub(counted.since), Unresponsive: counted.sources, UnresponsiveZones: counted.unresponsive})
 		d.suspectUnresponsive(now, actions)
 	case !isolated && !d.isolatedSince.IsZero():
 		actions.Changes = append(actions.Changes, Change{Kind: NodeRejoined, Duration: now.Sub(d.isolatedSince)})
@@ -361,40 +378,50 @@
 	}
 }
 
-// countZones counts the other zones that are unresponsive and those that are responsive. sources is the number of
-// unanswered requests; since is the start of the longest time without a response.
-func (d *Detector) countZones(now time.Time) (unresponsive, sources, responsive int, since time.Time) {
+// zoneCounts are the numbers of other zones by whether they respond.
+type zoneCounts struct {
+	responsive   int
+	unresponsive int       // for minSilence and longer
+	lost         int       // of those, for maxSilence and longer
+	sources      int       // unanswered requests to unresponsive zones
+	since        time.Time // start of the longest time without a response
+}
+
+// countZones counts the other zones.
+func (d *Detector) countZones(now time.Time) zoneCounts {
+	var counts zoneCounts
 	for name, z := range d.zones {
 		if name == d.ownZone || !z.hasPeers() {
 			continue
 		}
-		first, count := z.unresponsiveSince(now)
+		first, sources := z.unresponsiveSince(now)
 		if !z.suspectedSince.IsZero() {
 			first = z.suspectedSince
 		}
 		switch {
 		case !first.IsZero():
-			unresponsive++
-			sources += count
-			if since.IsZero() || first.Before(since) {
-				since = first
-			}
+			counts.addUnresponsive(first, sources, now)
 		case now.Sub(z.lastResponse) < responseLifetime:
-			responsive++
+			counts.responsive++
 		}
 	}
-	return unresponsive, sources, responsive, since
+	return counts
 }
 
-func (z *zone) hasPeers() bool {
-	for _, src := range z.sources {
-		if src.peer {
-			return true
-		}
+// addUnresponsive counts a zone that has given no response since first.
+func (c *zoneCounts) addUnresponsive(first time.Time, sources int, now time.Time) {
+	c.unresponsive++
+	c.sources += sources
+	if now.Sub(first) >= maxSilence {
+		c.lost++
+	}
+	if c.since.IsZero() || first.Before(c.since) {
+		c.since = first
 	}
-	return false
 }
 
+func (z *zone) hasPeers() bool { return z.countPeers() > 0 }
+
 // anySuspected reports whether any peer is suspected.
 func (d *Detector) anySuspected() bool {
 	for _, z := range d.zones {
--- a/internal/zonewatch/observed_client.go
+++ b/internal/zonewatch/observed_client.go
@@ -20,12 +20,13 @@
 // requests to which a peer sends the first part of its reply, or a keep-alive, at once. Safe for concurrent use.
 type ObservedClient struct {
 	client
-	watch *Watch
+	watch     *Watch
+	afterFunc func(d time.Duration, f func()) *time.Timer // time.AfterFunc
 }
 
 // NewObservedClient returns a client that reports to a watch, on top of a client of the peer protocol.
 func NewObservedClient(peers client, watch *Watch) *ObservedClient {
-	return &ObservedClient{client: peers, watch: watch}
+	return &ObservedClient{client: peers, watch: watch, afterFunc: time.AfterFunc}
 }
 
 // Do sends a request and waits for its reply.
@@ -35,18 +36,23 @@
 		return c.client.Do(ctx, address, request, onPart)
 	}
 	sentAt := time.Now()
-	timeout := time.AfterFunc(responseTimeout, func() { c.watch.recordUnanswered(address, zone, sentAt) })
-	defer timeout.Stop()
+	timeout := startResponseTimer(sentAt, c.afterFunc, func() { c.watch.recordUnanswered(address, zone, sentAt) })
+	defer timeout.stop()
+	responded := false
 	reply, err := c.client.Do(ctx, address, request, func(offset int64, text []byte) {
-		if timeout.Stop() {
-			c.watch.recordResponse(address, zone)
+		if !responded {
+			responded = true
+			timeout.stop()
+			c.watch.recordFirstResponse(address, zone, timeout)
 		}
 		if onPart != nil {
 			onPart(offset, text)
 		}
 	})
-	pending := timeout.Stop()
+	pending := timeout.stop()
 	switch {
+	case err == nil && !responded:
+		c.watch.recordFirstResponse(address, zone, timeout)
 	case err == nil, errors.Is(err, syscall.ECONNREFUSED):
 		c.watch.recordResponse(address, zone) // a machine that refuses connections is up
 	case pending && time.Since(sentAt) >= cancelledTimeout:
--- a/internal/zonewatch/probes.go
+++ b/internal/zonewatch/probes.go
@@ -38,14 +38,17 @@
 	}
 }
 
-// chooseStoreProbe adds a probe of the store if one is due and this node may be isolated, or is.
+// chooseStoreProbe adds a probe of the store if one is due and this node may be isolated, or is. While most zones are
+// silent the store is probed until it answers a probe that was sent once they count as lost: a late answer to an earlier one
+// does not show that it is still reachable.
 func (d *Detector) chooseStoreProbe(now time.Time, actions *Actions, checking bool) {
 	interval := storeProbeInterval
-	if checking && d.isolatedSince.IsZero() {
+	if d.isolatedSince.IsZero() {
 		interval = probeInterval
 	}
-	mayBeIsolated := checking && len(actions.Probe) > 0 || !d.isolatedSince.IsZero()
-	if mayBeIsolated && now.Sub(d.storeProbedAt) >= interval {
+	awaited := !d.mostSilentSince.IsZero() && !d.storeAnsweredSentAt.After(d.mostSilentSince.Add(maxSilence))
+	due := checking && len(actions.Probe) > 0 || awaited || d.mayBeIsolated || !d.isolatedSince.IsZero()
+	if due && now.Sub(d.storeProbedAt) >= interval {
 		d.storeProbedAt = now
 		actions.ProbeStore = true
 	}
@@ -110,7 +113,7 @@
 // nextStep returns the time until the next step is due; 0 if none is.
 func (d *Detector) nextStep() time.Duration {
 	wait := time.Duration(0)
-	if !d.isolatedSince.IsZero() {
+	if d.mayBeIsolated || !d.isolatedSince.IsZero() {
 		wait = probeInterval
 	}
 	for _, z := range d.zones {
--- a/internal/zonewatch/watch.go
+++ b/internal/zonewatch/watch.go
@@ -18,9 +18,9 @@
 	// maxTimerDelay is how late the end of that time may be noticed. If it is noticed later, this
 	// process itself was paused, and the response may have arrived unread.
 	maxTimerDelay = 50 * time.Millisecond
-	// probeTimeout is how long a probed peer may take: longer than
-	// responseTimeout, as a late response still shows that it is alive.
-	probeTimeout = 400 * time.Millisecond
+	// probeTimeout is how long the response to a probe is waited for: longer than maxSilence, as a late
+	// response still shows that the peer is alive, and the zone's response times are measured by it.
+	probeTimeout = time.Second
 	// storeResponseTimeout is how long the store may take to answer a read of one row before it counts
 	// as unresponsive. It normally takes 4 ms.
 	storeResponseTimeout = 150 * time.Millisecond
@@ -52,6 +52,7 @@
 	anySuspected  atomic.Bool                     // some peer is suspected
 	suspected     atomic.Pointer[map[string]bool] // zones
 	isolatedSince atomic.Pointer[time.Time]       // nil if this node is not isolated
+	mayBeIsolated atomic.Bool
 }
 
 // New returns a watch without peers.
@@ -94,6 +95,9 @@
 	return *since, true
 }
 
+// MayBeIsolated reports whether this node is isolated, or will be unless responses arrive that may only be late.
+func (w *Watch) MayBeIsolated() bool { return w.mayBeIsolated.Load() }
+
 // ProbeAllZones requests probes of all zones, because the path to the store was lost.
 func (w *Watch) ProbeAllZones() {
 	w.mutex.Lock()
@@ -129,6 +133,17 @@
 	}
 }
 
+// recordFirstResponse records the first response to a request, and how long it took, unless this process was paused
+// meanwhile: it may have arrived unread.
+func (w *Watch) recordFirstResponse(address, zone string, timer *responseTimer) {
+	if took, measured := timer.responded(time.Now()); measured {
+		w.mutex.Lock()
+		w.detector.RecordResponseTime(zone, took)
+		w.mutex.Unlock()
+	}
+	w.recordResponse(address, zone)
+}
+
 func (w *Watch) recordTimeout(address, zone string, sentAt time.Time) {
 	w.mutex.Lock()
 	w.detector.RecordTimeout(address, zone, sentAt, time.Now())
@@ -186,6 +201,7 @@
 	suspected := w.detector.SuspectedZones()
 	w.suspected.Store(&suspected)
 	w.anySuspected.Store(w.detector.anySuspected())
+	w.mayBeIsolated.Store(w.detector.MayBeIsolated())
 	if since := w.detector.IsolatedSince(); since.IsZero() {
 		w.isolatedSince.Store(nil)
 	} else {
--- a/internal/zonewatch/watch_test.go
+++ b/internal/zonewatch/watch_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -147,7 +148,7 @@
 
 // runWatch runs a test in virtual time.
 func runWatch(t *testing.T, test func(t *testing.T, w *testWatch)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		test(t, newTestWatch(ctx))
 		cancel()
