--- a/internal/commitgroup/aging_test.go
+++ b/internal/commitgroup/aging_test.go
@@ -8,10 +8,10 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // variableLatencyService is a table service whose calls take a time that the test changes.
@@ -41,7 +41,7 @@
 // TestOneFastPartEndsTableSlowness: after a slow period only one part is written, with fast responses. The old times of
 // other parts must not keep the service slow.
 func TestOneFastPartEndsTableSlowness(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := slowTable(t)
 		for range 10000 {
 			time.Sleep(time.Second) // virtual
@@ -57,7 +57,7 @@
 
 // TestOneFastPartEndsGroupSlowness is the same for a group.
 func TestOneFastPartEndsGroupSlowness(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := &variableLatencyService{faultyTable: newFaultyTable(1, 0)}
 		service.latency.Store(int64(500 * time.Millisecond))
 		group := NewGroup(service, true, nil)
@@ -92,7 +92,7 @@
 // TestDistantWritersDoNotKeepTableSlow: while the service is slow, the path to the writers of single parts alone takes
 // 160 ms, and that to the writer of the node's zone 10 ms. The slow state must end.
 func TestDistantWritersDoNotKeepTableSlow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := slowTable(t)
 		for i := range 10000 {
 			end := table.measureTime(fmt.Sprint(i % 32))
--- a/internal/commitgroup/budget_history_test.go
+++ b/internal/commitgroup/budget_history_test.go
@@ -8,13 +8,13 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // readableTable is a faulty table whose rows can be read; some of the reads fail.
@@ -57,7 +57,7 @@
 func TestBudgetsHoldOverLostGroups(t *testing.T) {
 	const maxTokens = 100
 	for seed := range uint64(96) {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 7))
 			service := readableTable{newFaultyTable(seed, []float64{0, .1, .3, .5}[seed%4])}
 			if seed >= 64 {
--- a/internal/commitgroup/budget_stops_test.go
+++ b/internal/commitgroup/budget_stops_test.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // intermittentlySlowTable is a faulty table that is slow for three seconds in six.
@@ -111,7 +111,7 @@
 func TestBudgetsHoldOverStopsAndCrashes(t *testing.T) {
 	const nodes, programs, clients, turns, budget, maxTokens = 4, 12, 36, 16, 1200, 100
 	for seed := range uint64(20) {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 11))
 			service := intermittentlySlowTable{readableTable{newFaultyTable(seed, []float64{0, .1, .3}[seed%3])}, time.Now()}
 			cluster := &restartingNodes{recallingOwners: recallingOwners{make(map[string]*ledger.Ledger)}, tables: newFleet(service, nodes, random, []float64{0, .1}[seed%2])}
--- a/internal/commitgroup/group.go
+++ b/internal/commitgroup/group.go
@@ -32,8 +32,9 @@
 	maxSendDelay = 400 * time.Millisecond
 	// responseTimeSmoothing is the weight of the newest sample in the smoothed response time.
 	responseTimeSmoothing = 0.2
-	// commitTimeout bounds one call. The callers of its members may time out before.
-	commitTimeout = 1500 * time.Millisecond
+	// commitTimeout bounds one call. The callers of its members may time out before: they wait 2 s for the end of an
+	// answer, and a response that arrives until then still counts.
+	commitTimeout = 2 * time.Second
 )
 
 // Stats holds the counters of a group since its start.
@@ -63,10 +64,14 @@
 	inFlight     map[*inFlightGroup]bool
 	times        partTimes     // of the newest responses
 	responseTime time.Duration // smoothed
-	// lastAnsweredSentAt is when the newest of the answered groups was sent. lastTrialAt is when an overdue
-	// group was last resent while the service answered no group.
+	// lastAnsweredSentAt is when the newest of the answered groups was sent, and lastAnsweredTook how long it took. lastProbeAt is when the service was last
+	// probed for an overdue group while it answered no group.
 	lastAnsweredSentAt time.Time
-	lastTrialAt        time.Time
+	lastAnsweredTook   time.Duration
+	lastProbeAt        time.Time
+	lastResponseAt     time.Time // of any group
+	trialLosses        int       // groups of one part that were lost while nothing was answered, since the last trial began
+	path               latePath
 	throttledParts     map[string]throttledPart // parts that rejected their last groups while the service was slow
 	wake               *time.Timer
 	stats              Stats
@@ -109,6 +114,14 @@
 		return tablestore.Receipt{}, err
 	}
 	select {
+	case result := <-m.answers:
+		return result.receipt, result.err
+	case <-m.sentLate:
+		tablestore.ReportSent(ctx)
+	case <-ctx.Done():
+		return g.handleCancelled(ctx, m)
+	}
+	select {
 	case result := <-m.answers:
 		return result.receipt, result.err
 	case <-ctx.Done():
@@ -130,7 +143,7 @@
 		g.stats.Refused++
 		return errors.Mark(errors.Newf("%d transactions wait, which takes %s", len(g.queue.waiting), wait), tablestore.ErrThrottled)
 	}
-	m.queuedAt = now
+	m.queuedAt, m.deadline = now, deadline
 	g.queue.push(m)
 	g.schedule(now)
 	return nil
@@ -147,24 +160,21 @@
 	}
 	if !m.dequeued {
 		g.queue.remove(m)
+		m.throttled = m.throttled || g.sendRate.isReduced()
 		if m.unconfirmed {
 			m.cancelled = true
 			g.cancelUnneeded()
-			return tablestore.Receipt{}, markUnconfirmed(errors.Wrap(ctx.Err(), "still waiting for a group"))
+			return tablestore.Receipt{}, m.markUnconfirmed(errors.Wrap(ctx.Err(), "still waiting for a group"))
 		}
 		kind := tablestore.ErrUnavailable
-		if m.throttled || g.sendRate.isReduced() {
+		if m.throttled {
 			kind = tablestore.ErrThrottled
 		}
 		return tablestore.Receipt{}, errors.Mark(errors.Wrap(ctx.Err(), "still waiting for a group"), kind)
 	}
 	g.releaseCancelled(m)
 	g.schedule(time.Now())
-	err := errors.Mark(errors.Wrap(ctx.Err(), "under way"), tablestore.ErrUnknownOutcome)
-	if m.throttled {
-		err = errors.Mark(err, tablestore.ErrWasThrottled)
-	}
-	return tablestore.Receipt{}, err
+	return tablestore.Receipt{}, m.markThrottled(errors.Mark(errors.Wrap(ctx.Err(), "under way"), tablestore.ErrUnknownOutcome))
 }
 
 // releaseCancelled unlocks the keys of a member whose caller has cancelled, and cancels calls that no caller
@@ -229,15 +239,19 @@
 
 // due returns when the next group may be sent: as the send rate allows, and once the newest group in flight
 // is answered or overdue. An urgent group waits only if the service has throttled, for the send rate. The
-// mutex is held.
+// parts of a lost group do not wait for each other's responses, only for the send rate. The mutex is held.
 func (g *Group) due(now time.Time) time.Time {
 	due := g.sendRate.due()
-	if g.isUrgent(now) {
+	first := g.queue.first(now)
+	if g.isUrgent(first) {
 		if g.sendRate.isReduced() {
 			return due
 		}
 		return now
 	}
+	if first != nil && first.ownPartOnly {
+		return due
+	}
 	if g.isSlow() {
 		return due // each part waits for its own groups only
 	}
@@ -283,6 +297,7 @@
 	g.stats.Members += uint64(len(members))
 	for _, m := range members {
 		g.stats.QueueTime += now.Sub(m.queuedAt)
+		m.recordSent(now)
 	}
 	go func() {
 		defer cancel()
--- a/internal/commitgroup/group_end.go
+++ b/internal/commitgroup/group_end.go
@@ -49,7 +49,11 @@
 	case shouldSplit(f.members, err):
 		g.stats.Split++
 		g.split(f.members, err, now)
+	case g.mayResendLost(f, err, now):
+		g.stats.Split++
+		g.resendLost(f)
 	default:
+		g.recordLost(f, err, now)
 		answerAll(f.members, tablestore.Receipt{}, err)
 	}
 	g.cancelUnneeded()
@@ -98,6 +102,7 @@
 // recordResponse records that the service processed a group. The mutex is held.
 func (g *Group) recordResponse(f *inFlightGroup, now time.Time) {
 	g.sendRate.accepted()
+	g.lastResponseAt, g.trialLosses = now, 0
 	part := severalParts
 	if !spansParts(f.members) {
 		part = f.members[0].part
@@ -110,8 +115,8 @@
 	}
 	// An overdue response shows that the service is slow, not that another part is unresponsive.
 	if g.lastAnsweredSentAt.Before(f.sentAt) && !f.overdue {
-		g.lastAnsweredSentAt = f.sentAt
-		g.resendOverdue(now)
+		g.lastAnsweredSentAt, g.lastAnsweredTook = f.sentAt, now.Sub(f.sentAt)
+		g.resendOverdueSoon(now)
 	}
 }
 
--- a/internal/commitgroup/group_test.go
+++ b/internal/commitgroup/group_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -70,7 +71,7 @@
 // TestOneConflictReportsAllFailedConditions: the conditions of some members fail. One call reports all of them, the
 // next one carries the others, and each member that failed gets its own row.
 func TestOneConflictReportsAllFailedConditions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := &scriptedService{faultyTable: newFaultyTable(1, 0)}
 		service.answer = func(call int, transaction tablestore.Transaction) error {
 			if call != 2 {
@@ -101,7 +102,7 @@
 
 // TestPartThatIsDownFailsAlone: one part is unavailable. Writes to the others must commit.
 func TestPartThatIsDownFailsAlone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := newFaultyTable(1, 0)
 		service.downPart = "2"
 		group := NewGroup(service, true, nil)
@@ -116,7 +117,7 @@
 
 // TestRejectedTransactionFailsAlone: the service rejects one transaction permanently. The others must commit.
 func TestRejectedTransactionFailsAlone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := newFaultyTable(1, 0)
 		service.rejectedKey = "t/2/b"
 		group := NewGroup(service, true, nil)
@@ -158,7 +159,7 @@
 // TestThrottlingServiceGetsFewCalls: the service throttles everything. It must get few calls, callers that waited
 // must get ErrThrottled, and transactions that could not be sent in time must be rejected at once.
 func TestThrottlingServiceGetsFewCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		throttled := errors.Mark(errors.New("429"), tablestore.ErrThrottled)
 		service := &scriptedService{faultyTable: newFaultyTable(1, 0), answer: func(int, tablestore.Transaction) error { return throttled }}
 		var mutex sync.Mutex
@@ -241,7 +242,7 @@
 		{"not sent, direct path works", notSent, nil, nil},
 		{"not sent, direct path unavailable", notSent, unavailable, tablestore.ErrUnavailable},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			service := &scriptedService{faultyTable: newFaultyTable(1, 0), answer: func(int, tablestore.Transaction) error { return test.own }}
 			table := withWriter(t, service, func(*wirepb.Request) (*wirepb.Reply, error) { return nil, test.writer })
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -316,7 +317,7 @@
 // TestWriterWithoutTablePathDeclines: a node without a direct path to the service declines peers' transactions, and the
 // peer then commits directly.
 func TestWriterWithoutTablePathDeclines(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := newFaultyTable(1, 0)
 		random := rand.New(rand.NewPCG(1, 1))
 		fleet := newFleet(service, 2, random, 0)
@@ -334,7 +335,7 @@
 // TestStoppingWriterDeclines stops a writer while it commits a peer's transaction: it must complete that
 // transaction and decline others, so that its peers use another writer before it has stopped.
 func TestStoppingWriterDeclines(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := newFaultyTable(1, 0)
 		writer := NewTable(Options{Table: service, DirectPathLost: func() bool { return false }, Observer: silentObserver{}})
 		replies := make(chan *wirepb.Reply, 1)
@@ -363,7 +364,7 @@
 // TestWriterRejectedByServiceFallsBack: the service is unavailable to the writer and accepts what the node sends
 // directly. The writer applied nothing, so the node must commit directly.
 func TestWriterRejectedByServiceFallsBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		transaction := row(1, "a", 0)
 		unavailable := encodeOutcome(transaction, tablestore.Receipt{}, errors.Mark(errors.New("503"), tablestore.ErrUnavailable))
 		service := &scriptedService{faultyTable: newFaultyTable(1, 0)}
--- a/internal/commitgroup/history_test.go
+++ b/internal/commitgroup/history_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -16,6 +15,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -369,7 +369,7 @@
 
 // runHistory has clients of a fleet write rows concurrently. It returns the first violation.
 func runHistory(t *testing.T, seed uint64, faults, linkFaults, lateShare float64) (counts map[string]int, violation string) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		h := &history{service: newFaultyTable(seed, faults), counts: make(map[string]int)}
 		h.service.lateShare = lateShare
 		fleet := newFleet(h.service, 4, rand.New(rand.NewPCG(seed, 2)), linkFaults)
--- a/internal/commitgroup/ledger_test.go
+++ b/internal/commitgroup/ledger_test.go
@@ -7,12 +7,12 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/commitgroup"
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // healthyTable is a table service with normal response times: reads take 4 ms, and transactions of several parts 15 ms,
@@ -79,7 +79,7 @@
 // TestGatheringIsNoSlowness: programs run turns over a table with normal response times. Their writes wait for a group,
 // which must not count as a slow table and cause reads of accounts before the writes or in parallel with them.
 func TestGatheringIsNoSlowness(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := &healthyTable{rows: make(map[string]tablestore.Row)}
 		grouped := commitgroup.NewTable(commitgroup.Options{Table: service, Node: "n", AllowMultiPart: true, DirectPathLost: func() bool { return false }, Observer: ignoringObserver{}})
 		l := ledger.New(ledger.Options{Table: grouped, RunID: "a", BatchDelay: commitgroup.MaxGroupDelay})
--- a/internal/commitgroup/lost_group_test.go
+++ b/internal/commitgroup/lost_group_test.go
@@ -6,12 +6,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // hangingService is a table service some of whose parts do not respond. A call to one of them ends with the context of
@@ -38,7 +38,7 @@
 // transaction again must not wait for another member of the same group whose caller waits longer, and that member must
 // commit as soon as the service responds to anything.
 func TestLostGroupDoesNotBlockRetries(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var outage atomic.Bool
 		service := &hangingService{faultyTable: newFaultyTable(1, 0), hangs: func(string) bool { return outage.Load() }}
 		group := NewGroup(service, true, nil)
@@ -72,7 +72,7 @@
 // other parts must be on time, the unresponsive parts must get few calls, and waiting writes must commit soon after
 // these parts recover.
 func TestUnresponsivePartsDelayOnlyTheirOwnWrites(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var down atomic.Bool
 		down.Store(true)
 		service := &hangingService{faultyTable: newFaultyTable(1, 0), hangs: func(part string) bool { return len(part)%2 == 0 && down.Load() }}
@@ -115,7 +115,7 @@
 // TestSlowServiceGetsLittleTwice: the service becomes forty times as slow for all parts. Groups are overdue then, and
 // only few transactions may be resent.
 func TestSlowServiceGetsLittleTwice(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := &slowedService{faultyTable: newFaultyTable(1, 0)}
 		group := NewGroup(service, true, nil)
 		var callers sync.WaitGroup
--- a/internal/commitgroup/overdue.go
+++ b/internal/commitgroup/overdue.go
@@ -1,6 +1,7 @@
 package commitgroup
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -17,9 +18,15 @@
 	minOverdue = 40 * time.Millisecond
 	// overdueFactor is this time as a multiple of the smoothed response time.
 	overdueFactor = 4
-	// resendTrialInterval is the time between two overdue groups that are resent while nothing is answered:
-	// a service that has become slow for all parts must not get everything twice.
-	resendTrialInterval = 150 * time.Millisecond
+	// reorderTime is how much later than the response to a group that of a group sent before may arrive: they may be
+	// on different connections, and leave a queue on the path together.
+	reorderTime = 10 * time.Millisecond
+	// probeInterval is the time between two overdue groups for which the service is probed while nothing is
+	// answered: a service that has become slow for all parts must not get everything twice.
+	probeInterval = 150 * time.Millisecond
+	// probeReads is the number of parts of an overdue group that a probe reads. One of them may be the part that does
+	// not respond.
+	probeReads = 2
 	// maxUnanswered bounds the groups in flight, including the overdue ones.
 	maxUnanswered = 96
 )
@@ -28,8 +35,8 @@
 func (g *Group) overdueAfter() time.Duration { return max(minOverdue, overdueFactor*g.responseTime) }
 
 // markOverdue marks a group that got no response in time. It no longer holds back other groups. Its members are
-// resent if the service has answered a later group, which means that one of its parts is unresponsive, or else
-// as a trial. A result of the overdue group still counts.
+// resent if the service has answered a later group, which means that one of its parts is unresponsive. While nothing
+// sent later is answered, reads show whether the service responds. A result of the overdue group still counts.
 func (g *Group) markOverdue(f *inFlightGroup) {
 	now := time.Now()
 	g.mutex.Lock()
@@ -40,25 +47,102 @@
 	f.overdue = true
 	switch {
 	case f.sentAt.Before(g.lastAnsweredSentAt):
-		g.resend(f, now)
-	case spansParts(f.members) && now.Sub(g.lastTrialAt) >= resendTrialInterval:
-		g.lastTrialAt = now
-		g.resend(f, now)
+		g.resendOverdueSoon(now)
+	case spansParts(f.members) && now.Sub(g.lastProbeAt) >= probeInterval:
+		g.lastProbeAt = now
+		go g.probe(f, g.overdueAfter())
 	}
 	g.schedule(now)
 }
 
-// isUrgent reports whether the next group starts with a member that was sent before, and the service is known
-// to respond: one group is split into several, which need not wait for each other. The mutex is held.
-func (g *Group) isUrgent(now time.Time) bool {
-	return !g.lastAnsweredSentAt.Before(g.lastTrialAt) && g.queue.startsUnconfirmed(now)
+// probe reads a row of some parts of an overdue group, and resends its members if one of the reads is answered in
+// time: the service responds, and the group waits for one of its parts. If none is, the service, or the path to it, has
+// probably become slow for all, and everything that were resent would wait there as well.
+func (g *Group) probe(f *inFlightGroup, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	keys := probeKeys(f.members)
+	answered := make(chan bool, len(keys))
+	for _, key := range keys {
+		go func() {
+			_, err := g.table.Get(ctx, key)
+			answered <- err == nil
+		}()
+	}
+	for range keys {
+		if <-answered {
+			g.resendProbed(f)
+			return
+		}
+	}
+}
+
+// probeKeys returns a key of each of the first probeReads parts of a group.
+func probeKeys(members []*member) []string {
+	var keys []string
+	for i, m := range members {
+		isFirst := !slices.ContainsFunc(members[:i], func(other *member) bool { return other.part == m.part })
+		if isFirst && len(keys) < probeReads {
+			keys = append(keys, m.transaction.Conditions[0].Key)
+		}
+	}
+	return keys
 }
 
-// resendOverdue resends the members of all overdue groups that were sent before the newest answered group. The
-// mutex is held.
-func (g *Group) resendOverdue(now time.Time) {
+// resendProbed resends the members of an overdue group, unless it has ended or was resent.
+func (g *Group) resendProbed(f *inFlightGroup) {
+	now := time.Now()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.inFlight[f] || f.resent {
+		return
+	}
+	g.resend(f, now)
+	g.schedule(now)
+}
+
+// isUrgent reports whether the next group starts with a member of an overdue group, and the service is known to
+// respond: one group is split into several, which need not wait for each other. The mutex is held.
+func (g *Group) isUrgent(first *member) bool {
+	return first != nil && first.urgent && !g.lastAnsweredSentAt.Before(g.lastProbeAt)
+}
+
+// resendOverdueSoon resends the members of overdue groups that were sent before the newest answered group: at once if that
+// one was answered fast, and otherwise after reorderTime if they have no response by then, since their responses may be
+// in the same queue on the path. The mutex is held.
+func (g *Group) resendOverdueSoon(now time.Time) {
+	passed := g.passedGroups(g.lastAnsweredSentAt)
+	if g.lastAnsweredTook < minOverdue {
+		g.resendAll(passed, now)
+		return
+	}
+	if len(passed) == 0 {
+		return
+	}
+	time.AfterFunc(reorderTime, func() {
+		now := time.Now()
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		g.resendAll(passed, now)
+		g.schedule(now)
+	})
+}
+
+// passedGroups returns the overdue groups that were sent before an answered group, and were not resent. The mutex is held.
+func (g *Group) passedGroups(answeredSentAt time.Time) []*inFlightGroup {
+	var passed []*inFlightGroup
 	for f := range g.inFlight {
-		if f.overdue && !f.resent && f.sentAt.Before(g.lastAnsweredSentAt) {
+		if f.overdue && !f.resent && f.sentAt.Before(answeredSentAt) {
+			passed = append(passed, f)
+		}
+	}
+	return passed
+}
+
+// resendAll resends those of the groups that are still in flight and were not resent. The mutex is held.
+func (g *Group) resendAll(groups []*inFlightGroup, now time.Time) {
+	for _, f := range groups {
+		if g.inFlight[f] && !f.resent {
 			g.resend(f, now)
 		}
 	}
@@ -76,7 +160,7 @@
 	}
 	pending := unanswered(f.members)
 	for _, m := range pending {
-		m.unconfirmed = true
+		m.unconfirmed, m.urgent = true, true
 	}
 	g.queue.unlock(activeMembers(f.members))
 	g.queue.requeue(pending)
--- a/internal/commitgroup/part_times_test.go
+++ b/internal/commitgroup/part_times_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -56,7 +56,7 @@
 // go to writers of the node's zone: all of them with one slow part, almost all with two.
 func TestOneSlowPartSendsNothingElsewhere(t *testing.T) {
 	for slow := 1; slow <= 2; slow++ {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			writers := &timedWriters{latency: func(part string) time.Duration {
 				if number, err := strconv.Atoi(part); err == nil && number < slow {
 					return time.Second
@@ -111,7 +111,7 @@
 // they take 13 ms without a slow part.
 func TestOneSlowPartHoldsNoOtherBack(t *testing.T) {
 	for _, latency := range []time.Duration{300 * time.Millisecond, time.Second} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			group := NewGroup(&oneSlowPart{faultyTable: newFaultyTable(1, 0), latency: latency}, true, nil)
 			var callers sync.WaitGroup
 			var mutex sync.Mutex
--- a/internal/commitgroup/queue.go
+++ b/internal/commitgroup/queue.go
@@ -35,12 +35,25 @@
 	bytes       int
 	throttled   bool // rejected by the service's rate limit at least once
 	queuedAt    time.Time
-	dequeued    bool // out of the queue
-	cancelled   bool // its caller no longer waits
-	sendAlone   bool // was in a group that the service rejected, and is sent on its own
-	unconfirmed bool // was in a group without a response, which may have applied it
+	deadline    time.Time // when its caller leaves; zero if unknown
+	dequeued    bool      // out of the queue
+	cancelled   bool      // its caller no longer waits
+	sendAlone   bool      // was in a group that the service rejected, and is sent on its own
+	unconfirmed bool      // was in a group without a response, which may have applied it
+	urgent      bool      // was in an overdue group, and need not wait for the send rate
+	ownPartOnly bool      // was in a group of several parts that was lost, and is sent with others of its part only
 	answered    bool
 	answers     chan answer
+	wasSent     bool
+	sentLate    chan struct{} // closed when it is first sent, if it was queued for longer than ackAfter
+}
+
+// recordSent records that the member is sent.
+func (m *member) recordSent(now time.Time) {
+	if !m.wasSent && now.Sub(m.queuedAt) > ackAfter {
+		close(m.sentLate)
+	}
+	m.wasSent = true
 }
 
 // answer sends the result to the member's caller, once.
@@ -50,15 +63,15 @@
 	}
 	m.answered = true
 	if m.unconfirmed {
-		outcome.err = markUnconfirmed(outcome.err)
+		outcome.err = m.markUnconfirmed(outcome.err)
 	}
 	m.answers <- outcome
 }
 
-// markUnconfirmed returns the error for a transaction that was sent more than once. If the last attempt was not
+// markUnconfirmed returns the error for a member that was sent more than once. If the last attempt was not
 // applied, an earlier one may have been: a conflict returns the current row, which may be what the transaction
 // itself wrote, or what others have written since.
-func markUnconfirmed(err error) error {
+func (m *member) markUnconfirmed(err error) error {
 	var conflict *tablestore.ConflictError
 	switch {
 	case err == nil:
@@ -66,7 +79,15 @@
 	case errors.As(err, &conflict):
 		return errors.Mark(err, tablestore.ErrUnknownOutcome)
 	}
-	return errors.Mark(errors.Newf("sent again, since the first group gave no answer: %v", err), tablestore.ErrUnknownOutcome)
+	return m.markThrottled(errors.Mark(errors.Newf("sent again, since the first group gave no answer: %v", err), tablestore.ErrUnknownOutcome))
+}
+
+// markThrottled marks the error for a member of unknown outcome that the service has throttled: it is up.
+func (m *member) markThrottled(err error) error {
+	if m.throttled {
+		return errors.Mark(err, tablestore.ErrWasThrottled)
+	}
+	return err
 }
 
 // answer is the result of a member.
@@ -82,6 +103,7 @@
 		transaction: transaction,
 		entries:     len(transaction.Conditions) + len(transaction.Writes),
 		answers:     make(chan answer, 1),
+		sentLate:    make(chan struct{}),
 	}
 	if m.entries > maxMemberEntries || len(transaction.Conditions) == 0 || len(transaction.Writes) == 0 {
 		return nil
@@ -154,14 +176,14 @@
 	}
 }
 
-// startsUnconfirmed reports whether the next group starts with a member that was sent before.
-func (q *queue) startsUnconfirmed(now time.Time) bool {
+// first returns the member with which the next group starts, or nil.
+func (q *queue) first(now time.Time) *member {
 	for _, m := range q.waiting {
 		if q.unresponsive.mayWrite(m.part, now) && !q.locks.Collides(m.transaction) {
-			return m.unconfirmed
+			return m
 		}
 	}
-	return false
+	return nil
 }
 
 // remove removes members from the queue.
@@ -232,6 +254,9 @@
 	if group[0].part == m.part {
 		return true
 	}
+	if m.ownPartOnly || group[0].ownPartOnly {
+		return false
+	}
 	return q.multiPart && !q.isIsolated(m.part, now) && !q.isIsolated(group[0].part, now)
 }
 
@@ -262,6 +287,14 @@
 	}
 }
 
+// recordLost isolates a part whose own group was lost.
+func (q *queue) recordLost(part string, now time.Time) {
+	q.isolatedUntil[part] = now.Add(isolationTime)
+}
+
+// endIsolation ends the isolation of all parts.
+func (q *queue) endIsolation() { clear(q.isolatedUntil) }
+
 // updateIsolation records a response from a part and ends its isolation. A part whose response was overdue stays
 // isolated: it would make a group of several parts overdue.
 func (q *queue) updateIsolation(part string, overdue bool, now time.Time) {
--- a/internal/commitgroup/rate_test.go
+++ b/internal/commitgroup/rate_test.go
@@ -8,12 +8,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // rateLimitedService is a table service that accepts a limited rate of calls, each taking 110 ms, and throttles the
@@ -90,7 +90,7 @@
 		members = 100 // per node; in total nearly twice what the rate limit allows one by one
 		period  = 5 * time.Second
 	)
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := &rateLimitedService{faultyTable: newFaultyTable(1, 0), rate: rate, at: time.Now()}
 		var callers sync.WaitGroup
 		var written atomic.Int64
@@ -133,7 +133,7 @@
 // the others must be committed in time.
 func TestThrottledPartsOfSlowServiceDelayNoOthers(t *testing.T) {
 	for throttling := 1; throttling <= 4; throttling++ {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			group := NewGroup(&throttlingPartsService{faultyTable: newFaultyTable(1, 0), throttling: throttling}, true, nil)
 			var callers sync.WaitGroup
 			commitAtRandom(t, group, &callers, 9, 500, 5*time.Second, func(part int, took time.Duration, err error) {
@@ -150,7 +150,7 @@
 // TestSlowServiceThrottlingAllGetsFewCalls: all parts throttle for five seconds. The send rate of all calls must
 // fall, although each part is also paused on its own.
 func TestSlowServiceThrottlingAllGetsFewCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		group := NewGroup(&throttlingPartsService{faultyTable: newFaultyTable(1, 0), throttling: 32}, true, nil)
 		var callers sync.WaitGroup
 		commitAtRandom(t, group, &callers, 9, 1000, 5*time.Second, func(int, time.Duration, error) {})
@@ -165,7 +165,7 @@
 // TestOldThrottlingDoesNotHideNew: all parts throttle, and again an hour later without an accepted group of a
 // single part in between. The second time must reduce the send rate as well.
 func TestOldThrottlingDoesNotHideNew(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		group := NewGroup(newFaultyTable(1, 0), true, nil)
 		for round := range 2 {
 			group.responseTime = 300 * time.Millisecond
--- a/internal/commitgroup/reply_test.go
+++ b/internal/commitgroup/reply_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"testing"
-	"testing/synctest"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -22,7 +22,7 @@
 		{"", tablestore.ErrUnknownOutcome},
 		{api.NotRun, tablestore.ErrUnavailable},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			unavailable := errors.Mark(errors.New("503"), tablestore.ErrUnavailable)
 			service := &scriptedService{faultyTable: newFaultyTable(1, 0), answer: func(int, tablestore.Transaction) error { return unavailable }}
 			table := withWriter(t, service, func(*wirepb.Request) (*wirepb.Reply, error) {
--- a/internal/commitgroup/resend_rate_test.go
+++ b/internal/commitgroup/resend_rate_test.go
@@ -5,12 +5,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // throttlingService is a table service that accepts some calls, and then throttles all of them, each after 4 ms,
@@ -40,7 +40,7 @@
 // answered, the service throttles all calls for two seconds. Resends must keep the reduced send rate as all other
 // groups do.
 func TestResendsKeepReducedSendRate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := &throttlingService{hangingService: &hangingService{faultyTable: newFaultyTable(1, 0), hangs: func(part string) bool { return part == "0" }}}
 		service.remaining.Store(2) // the first, and one part
 		group := NewGroup(service, true, nil)
--- a/internal/commitgroup/return_allowances_test.go
+++ b/internal/commitgroup/return_allowances_test.go
@@ -7,11 +7,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // slowReadsService is a table service whose rows can be read, as slowly as they are written.
@@ -66,7 +66,7 @@
 		drainNotice = 2500 * time.Millisecond
 		flushTime   = 500 * time.Millisecond
 	)
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := slowReadsService{&serialParts{faultyTable: newFaultyTable(1, 0), free: make(map[string]time.Time)}}
 		table := NewTable(Options{Table: service, Node: "n", AllowMultiPart: true, DirectPathLost: func() bool { return false }, Observer: silentObserver{}})
 		l := ledger.New(ledger.Options{Table: table, RunID: "a", BatchDelay: MaxGroupDelay})
--- a/internal/commitgroup/server.go
+++ b/internal/commitgroup/server.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -17,8 +18,9 @@
 // it has accepted complete. If a writer ended without this, each of its peers would need ackTimeout to notice.
 func (t *Table) StopAccepting() { t.stopping.Store(true) }
 
-// Answer commits a peer's transaction with this node's group. It calls ack if the commit takes longer than ackAfter.
-// A node without a direct path to the service declines: the path of its peer may work.
+// Answer commits a peer's transaction with this node's group. It calls ack if the commit takes longer than ackAfter, and
+// once more when the transaction is sent to the service, if it is still queued then. A node without a direct path to
+// the service declines: the path of its peer may work.
 func (t *Table) Answer(ctx context.Context, peer string, request *wirepb.GroupedCommit, ack func()) *wirepb.Reply {
 	if t.stopping.Load() {
 		return &wirepb.Reply{Code: int32(api.NotReady), Execution: string(api.NotRun), Detail: "the writer is stopping"}
@@ -33,9 +35,19 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	ackTimer := time.AfterFunc(ackAfter, ack)
+	acked := make(chan struct{})
+	ackTimer := time.AfterFunc(ackAfter, func() {
+		ack()
+		close(acked)
+	})
 	defer ackTimer.Stop()
-	receipt, err := t.group.Commit(ctx, transaction)
+	receipt, err := t.group.Commit(tablestore.WithSentReport(ctx, func() {
+		select {
+		case <-acked:
+			ack()
+		default:
+		}
+	}), transaction)
 	body, err := proto.Marshal(encodeOutcome(transaction, receipt, err))
 	if err != nil {
 		return &wirepb.Reply{} // malformed, so the peer treats the reply as lost
--- a/internal/commitgroup/slow.go
+++ b/internal/commitgroup/slow.go
@@ -19,6 +19,10 @@
 	slowCommit = 250 * time.Millisecond
 	// maxInFlightPerPart is the number of groups of one part that may be in flight.
 	maxInFlightPerPart = 2
+	// silenceThreshold is the time without any response after which one more group of a part may be in flight. A part
+	// of a slow service takes less for maxInFlightPerPart groups. A service that is silent for longer has either
+	// stopped, or its responses are late for all: the queue at the part is not what the next group would wait in.
+	silenceThreshold = 450 * time.Millisecond
 	// throttledPartPause is how long a part is not written to after it throttled a group of its own: more
 	// than a second's worth of writes are queued there.
 	throttledPartPause = 300 * time.Millisecond
@@ -62,20 +66,30 @@
 
 // partDue returns when the next group of a part may be sent to a slow service. A second group may be in flight, but
 // is sent no earlier than half a response time after the first: half of that time is the path and the call, the
-// other half is the part's own work. ok is false if two groups are in flight. The mutex is held.
+// other half is the part's own work. A third one may be, silenceThreshold after the first, if no group at all was
+// answered since. ok is false if no group may be sent. The mutex is held.
 func (g *Group) partDue(part string) (due time.Time, ok bool) {
 	due = g.throttledParts[part].until
-	unanswered := 0
+	unanswered, oldest := 0, time.Time{}
 	for f := range g.inFlight {
 		if f.resent || !slices.ContainsFunc(f.members, func(m *member) bool { return m.part == part }) {
 			continue
 		}
 		unanswered++
+		if oldest.IsZero() || f.sentAt.Before(oldest) {
+			oldest = f.sentAt
+		}
 		if next := f.sentAt.Add(max(slowResponse, g.responseTime) / maxInFlightPerPart); due.Before(next) {
 			due = next
 		}
 	}
-	return due, unanswered < maxInFlightPerPart
+	if unanswered != maxInFlightPerPart || !g.lastResponseAt.Before(oldest) {
+		return due, unanswered < maxInFlightPerPart
+	}
+	if next := oldest.Add(silenceThreshold); due.Before(next) {
+		due = next
+	}
+	return due, true
 }
 
 // throttledPart is a part of a slow service that throttled its last group.
@@ -130,6 +144,9 @@
 			continue
 		}
 		partDue, ok := g.partDue(m.part)
+		if lateDue, isLate := g.lateDueIfBlocked(m.part, partDue, ok, now); isLate {
+			partDue, ok = lateDue, true
+		}
 		parts[m.part] = partDue
 		if !ok {
 			continue
@@ -141,6 +158,7 @@
 			continue
 		}
 		if members := g.queue.nextOf(m.part, now); len(members) > 0 {
+			g.readPathBeside(members, now)
 			return members, time.Time{}
 		}
 	}
--- a/internal/commitgroup/slow_test.go
+++ b/internal/commitgroup/slow_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // serialParts is a table service whose parts commit their writes one after another while it is slow: each write
@@ -82,7 +83,7 @@
 // TestSlowPartsAreWrittenInTime: the service becomes slow while more is written than its parts can commit one by
 // one. All of it must be written within the time for which callers wait for the final write of an answer.
 func TestSlowPartsAreWrittenInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		service := &serialParts{faultyTable: newFaultyTable(1, 0), free: make(map[string]time.Time)}
 		group := NewGroup(service, true, nil)
 		const (
@@ -169,7 +170,7 @@
 // TestTransactionTimesAreRecorded checks when the service counts as slow: while transactions of two parts are slow,
 // and until those of two parts are fast.
 func TestTransactionTimesAreRecorded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := NewTable(Options{DirectPathLost: func() bool { return false }, Observer: silentObserver{}})
 		first, second := table.measureTime("1"), table.measureTime("1")
 		time.Sleep(slowCommit + time.Millisecond)
--- a/internal/commitgroup/table.go
+++ b/internal/commitgroup/table.go
@@ -355,13 +355,20 @@
 }
 
 // exchange sends a request to a writer. It cancels the request with errNoAck if neither an acknowledgement nor a
-// reply arrives within ackTimeout.
+// reply arrives within ackTimeout. The second acknowledgement means that the writer sends the transaction to the
+// service.
 func exchange(ctx context.Context, client peerClient, address string, ackTimeout time.Duration, request *wirepb.Request) (*wirepb.Reply, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	ackTimer := time.AfterFunc(ackTimeout, func() { cancel(errNoAck) })
 	defer ackTimer.Stop()
-	return client.Do(ctx, address, request, func(int64, []byte) { ackTimer.Stop() })
+	acks := 0
+	return client.Do(ctx, address, request, func(int64, []byte) {
+		ackTimer.Stop()
+		if acks++; acks == 2 {
+			tablestore.ReportSent(ctx)
+		}
+	})
 }
 
 // ForwardCounts returns how many transactions were forwarded to writers, how many of these got no usable response, and
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"maps"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -41,6 +42,9 @@
 	Spent      int64                `json:"s"`
 	Least      int64                `json:"l"` // smallest MaxTokens of any turn so far
 	Allowances map[string]Allowance `json:"a,omitempty"`
+	// RetentionMillis is the longest retention time of any turn so far, as far as it exceeds minRetention: whichever
+	// run removes the rows has to keep them for it.
+	RetentionMillis int64 `json:"r,omitempty"`
 	// Needs names row content, other than these fields, that a reader must understand. A build that wrote the row back
 	// without understanding it would lose what another build keeps in it.
 	Needs []string `json:"needs,omitempty"`
@@ -65,14 +69,15 @@
 
 // Change is an update of an account by one run of a node.
 type Change struct {
-	Node           string // run of a node
-	Address        string // where it serves its peers
-	Write          uint64 // increases with each write of the run
-	Settled        int64  // tokens used since the last write, to be charged
-	InFlightTokens int64  // sum of the max tokens of the turns that run on the old allowance
-	MaxTokens      int64  // max tokens of the turn that requests to run; 0 if none does
-	ReserveAhead   bool   // whether to reserve tokens for later turns
-	ShareDivisor   int64  // at most the unspent budget divided by this number is reserved ahead; 0: aheadDivisor
+	Node           string        // run of a node
+	Address        string        // where it serves its peers
+	Write          uint64        // increases with each write of the run
+	Settled        int64         // tokens used since the last write, to be charged
+	InFlightTokens int64         // sum of the max tokens of the turns that run on the old allowance
+	MaxTokens      int64         // max tokens of the turn that requests to run; 0 if none does
+	ReserveAhead   bool          // whether to reserve tokens for later turns
+	Retention      time.Duration // longest of the run's turns
+	ShareDivisor   int64         // at most the unspent budget divided by this number is reserved ahead; 0: aheadDivisor
 }
 
 // Apply returns the account after a change. It replaces the node's old allowance by a new one that covers
@@ -86,6 +91,9 @@
 	}
 	delete(next.Allowances, change.Node)
 	next.Spent += change.Settled
+	if change.Retention > minRetention {
+		next.RetentionMillis = max(next.RetentionMillis, change.Retention.Milliseconds())
+	}
 	if change.MaxTokens > 0 && (next.Least == 0 || change.MaxTokens < next.Least) {
 		next.Least = change.MaxTokens
 	}
--- a/internal/ledger/account_row.go
+++ b/internal/ledger/account_row.go
@@ -29,8 +29,8 @@
 	if len(account.Needs) > 0 {
 		return Account{}, errors.Wrapf(errAccountNewer, "%q", account.Needs)
 	}
-	if account.Budget < 0 || account.Least < 0 || account.Spent < 0 {
-		return Account{}, errors.Wrap(errAccountCorrupt, "negative number of tokens")
+	if account.Budget < 0 || account.Least < 0 || account.Spent < 0 || account.RetentionMillis < 0 {
+		return Account{}, errors.Wrap(errAccountCorrupt, "negative number of tokens, or retention")
 	}
 	sum := account.Spent
 	for _, allowance := range account.Allowances {
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -14,7 +14,7 @@
 // neither that nor an error, the caller prepares the change again.
 func (l *Ledger) commit(ctx context.Context, e *entry, part int, transaction tablestore.Transaction, write uint64, request TurnRequest, counts *writeCounts) (bool, error) {
 	began := l.options.Now()
-	receipt, row, err := l.commitOrRead(ctx, transaction, request.giveUpAt)
+	receipt, row, err := l.commitUnlessSilent(ctx, transaction, request.giveUpAt, l.reportSilence(ctx, part, began, request.onSilence))
 	counts.add(row, err)
 	defer e.clearCurrentWrite()
 	throttled := e.countThrottled(err)
@@ -58,17 +58,23 @@
 // waits, see pendingWrite. If no read gets a response either, while other parts respond fast, the part is unresponsive,
 // and the write is abandoned. giveUpAt, if not zero, is when the caller would rather do without the write.
 func (l *Ledger) commitOrRead(ctx context.Context, transaction tablestore.Transaction, giveUpAt time.Time) (tablestore.Receipt, *tablestore.Row, error) {
+	return l.commitUnlessSilent(ctx, transaction, giveUpAt, nil)
+}
+
+// commitUnlessSilent is commitOrRead with a function that is called, if it is not nil, where commitOrRead would abandon
+// the write since nothing is answered at all. The write then stays in flight until ctx ends.
+func (l *Ledger) commitUnlessSilent(ctx context.Context, transaction tablestore.Transaction, giveUpAt time.Time, onSilence func()) (tablestore.Receipt, *tablestore.Row, error) {
 	timeout := l.health.currentCallTimeout()
 	callerDeadline, _ := ctx.Deadline()
 	ctx, cancel := context.WithTimeout(ctx, max(timeout, queuedTimeout))
 	defer cancel()
-	pending := &pendingWrite{health: l.health, began: l.options.Now(), sentAt: time.Now(), abandon: cancel}
+	pending := &pendingWrite{health: l.health, now: l.options.Now, began: l.options.Now(), sentAt: time.Now(), abandon: cancel, onSilence: onSilence}
 	defer pending.limit(timeout, giveUpAt, callerDeadline)()
 	polled := make(chan *tablestore.Row, 1)
 	hedgeTimer := time.AfterFunc(l.health.hedgeDelay(), func() {
 		polled <- l.watchRow(ctx, transaction.Conditions[0], pending)
 	})
-	receipt, err := l.options.Table.Commit(ctx, transaction)
+	receipt, err := l.options.Table.Commit(tablestore.WithSentReport(ctx, pending.recordSent), transaction)
 	var conflict *tablestore.ConflictError
 	if err == nil || errors.As(err, &conflict) {
 		l.health.recordAnswer(writing, time.Since(pending.sentAt), l.options.Now())
@@ -124,6 +130,7 @@
 // the write is lost: it may be queued at its writer behind others, and would lose its place in the queue if it were
 // abandoned. The interval doubles, so that the row is read at most four times before the write times out.
 func (l *Ledger) pollUntilChanged(ctx context.Context, condition tablestore.Condition, interval time.Duration, pending *pendingWrite) pollResult {
+	pending.recordReadSent()
 	for ; ; interval *= 2 {
 		read := l.readDuringWrite(ctx, condition.Key, pending.isPartUnresponsive)
 		if read.err != nil {
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -58,7 +58,8 @@
 	lastErr         error // of the last call that failed
 	lastErrAt       time.Time
 	answeredAt      time.Time                // when a call was last answered
-	fastAnswerAt    time.Time                // when a call was last answered within fastAnswer
+	fastSentAt      time.Time                // when the newest of the calls that were answered within fastAnswer was sent
+	newestSentAt    time.Time                // when the newest of the answered calls was sent
 	writeAnsweredAt time.Time                // when a write was last answered
 	smoothedTime    time.Duration            // smoothed response time of all calls
 	fastest         time.Duration            // shortest response time so far; 0 before the first answer
@@ -205,8 +206,12 @@
 	if kind == writing {
 		h.writeAnsweredAt = now
 	}
-	if took < fastAnswer {
-		h.fastAnswerAt = now
+	sentAt := now.Add(-took)
+	if took < fastAnswer && h.fastSentAt.Before(sentAt) {
+		h.fastSentAt = sentAt
+	}
+	if h.newestSentAt.Before(sentAt) {
+		h.newestSentAt = sentAt
 	}
 	h.smoothedTime = smoothed(h.smoothedTime, took, h.fastest == 0)
 	h.smoothedByKind[kind] = smoothed(h.smoothedByKind[kind], took, h.smoothedByKind[kind] == 0)
@@ -294,12 +299,21 @@
 	return h.answeredAt.After(began)
 }
 
-// answeredFastSince reports whether any call was answered fast after the given time. If so, a call sent at that time
-// that timed out was sent to an unresponsive part, and not to a table that is slow as a whole.
-func (h *health) answeredFastSince(began time.Time) bool {
+// answeredFastSince reports whether any call that was sent after the given time was answered fast. If so, a call sent
+// at that time that timed out was sent to an unresponsive part, and not to a table that is slow as a whole. An answer to
+// a call that was sent before does not show it: the table may have become slow in between.
+func (h *health) answeredFastSince(sentAt time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.fastSentAt.After(sentAt)
+}
+
+// answersLate reports whether a call was answered after the given time, and none of the calls sent since the newest of
+// these was answered fast: answers arrive, but to calls that were sent a while ago.
+func (h *health) answersLate(began time.Time) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.fastAnswerAt.After(began)
+	return h.answeredAt.After(began) && h.newestSentAt.After(h.fastSentAt)
 }
 
 // recoveredSince reports whether the table answered again after it counted as lost, after the given time.
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,15 +17,17 @@
 	maxRangeRows     = 500   // rows of one read
 	maxChainTurns    = 1_000 // turns of one chain
 	maxParallelReads = 8     // parts that are searched in parallel for a turn
+	// lateSearchRead is the time from which the read of a part no longer counts for maxParallelReads. A read usually takes 10 ms.
+	lateSearchRead = 40 * time.Millisecond
 	// maxUnansweredReads is how many reads in a row may time out before the call fails. A
 	// caller whose turn can't be read does better to retry at another node, or to run optimistically.
 	maxUnansweredReads = 2
 )
 
-// history returns the inputs and outputs of a turn and its ancestors, oldest first.
+// history returns a turn and its ancestors, newest first.
 // The error is marked ErrNotFound only if it is certain that a turn of the
 // chain does not exist.
-func (l *Ledger) history(ctx context.Context, e *entry, last string) ([]byte, error) {
+func (l *Ledger) history(ctx context.Context, e *entry, last string) ([]*Turn, error) {
 	var chain []*Turn
 	for id := last; id != ""; {
 		turn, err := l.turn(ctx, e, id)
@@ -37,7 +40,7 @@
 		chain = append(chain, turn)
 		id = turn.Parent
 	}
-	return historyOf(chain), nil
+	return chain, nil
 }
 
 // turn returns a turn from memory, from its program's rows, or, if another
@@ -141,24 +144,29 @@
 		if err := l.health.admit(reading, part, l.options.Now()); err != nil {
 			return tablestore.Page{}, err
 		}
-		// A long history that keeps arriving is not cancelled: a retry would start over, and get no further.
 		idleLimit := l.health.currentReadTimeout()
-		callContext, cancel := progress.WithLimits(ctx, progress.Limits{First: idleLimit, Idle: idleLimit, Total: maxReadTime})
-		sentAt, began := time.Now(), l.options.Now()
+		pending := l.newPendingRead(ctx, part, start, attempts, idleLimit)
+		// A long history that keeps arriving is not cancelled: a retry would start over, and get no further.
+		callContext, cancel := progress.WithLimits(ctx, progress.Limits{First: idleLimit, Idle: idleLimit, Total: maxReadTime, Late: pending.waitLonger})
+		sentAt := time.Now()
 		page, err := l.options.Table.Range(callContext, start, end, maxRangeRows)
 		unanswered := err != nil && ctx.Err() == nil && callContext.Err() != nil
-		if unanswered && l.health.answeredFastSince(began) {
+		if unanswered && l.health.answeredFastSince(pending.began) {
 			err = errors.Mark(err, errNoAnswer)
 		}
 		cancel()
+		pending.end()
 		if err == nil {
 			l.health.recordAnswer(reading, time.Since(sentAt), l.options.Now())
 		}
-		l.callEnded(ctx, reading, part, err, began)
+		if !pending.isCounted(err) {
+			l.callEnded(ctx, reading, part, err, pending.began)
+		}
 		if err == nil {
 			return page, nil
 		}
-		if (unanswered && attempts+1 >= maxUnansweredReads) || !mayRetry(ctx, err, attempts, l.health.answerTime(reading)) {
+		isLast := attempts+1 >= maxUnansweredReads || pending.waitedInstead.Load()
+		if (unanswered && isLast) || !mayRetry(ctx, err, attempts, l.health.answerTime(reading)) {
 			return tablestore.Page{}, err
 		}
 	}
@@ -170,6 +178,8 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	pieces := make(map[string][][]byte)
+	inherited := make(map[string][][]byte)
+	var program string // of the rows
 	for _, row := range rows {
 		if row.Key == accountRowKey {
 			if err := e.observe(runID, row); err != nil {
@@ -177,18 +187,27 @@
 			}
 			continue
 		}
-		if id, _, ok := turnOfPiece(row.Key); ok {
+		if recordedBy, id, _, ok := pieceOf(row.Key); ok {
+			program = recordedBy
 			pieces[id] = append(pieces[id], row.Value)
+			continue
+		}
+		if storedBy, id, piece, ok := inheritedPieceOf(row.Key); ok && piece == len(inherited[id]) {
+			program = storedBy
+			inherited[id] = append(inherited[id], row.Value)
 		}
 	}
+	for id, chainPieces := range inherited {
+		e.keepInherited(program, id, chainPieces)
+	}
 	for id, turnPieces := range pieces {
 		turn, err := decodeTurn(id, turnPieces)
 		if err != nil {
 			e.corrupt[id] = errors.Wrapf(err, "turn %s", id)
 			continue
 		}
-		e.turns[id] = turn
-		delete(e.corrupt, id)
+		turn.Program = program
+		e.keepTurn(turn)
 	}
 	return nil
 }
@@ -231,16 +250,18 @@
 
 // findTurn searches every part for the program that recorded a turn, among those of the tenant
 // of the requesting program. The error is marked ErrNotFound if every part answered and none has
-// the turn. A failing part does not prevent the search of the others, and once one part has the turn, the
-// remaining reads are cancelled.
+// the turn. Failing parts, which may not answer, do not prevent or delay the search of the others, and once one part has the
+// turn, the remaining reads are cancelled.
 func (l *Ledger) findTurn(ctx context.Context, requester, id string) (part int, program string, err error) {
 	programs := make([]string, Parts)
 	ctx, cancelOthers := context.WithCancel(ctx)
 	defer cancelOthers()
 	var group errgroup.Group
-	group.SetLimit(maxParallelReads)
+	slots := make(chan struct{}, maxParallelReads)
 	for part := range Parts {
+		release := acquire(ctx, slots)
 		group.Go(func() error {
+			defer release()
 			key := indexKey(part, requester, id)
 			page, err := l.readRange(ctx, part, key, key+"\x00")
 			if err != nil || len(page.Rows) == 0 {
@@ -264,6 +285,21 @@
 	return 0, "", errors.Wrapf(tablestore.ErrNotFound, "turn %s is in none of %d parts", id, Parts)
 }
 
+// acquire waits for a slot until ctx ends. The slot is released by release, or after lateSearchRead.
+func acquire(ctx context.Context, slots chan struct{}) (release func()) {
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		return func() {} // a read ends at once
+	}
+	free := sync.OnceFunc(func() { <-slots })
+	late := time.AfterFunc(lateSearchRead, free)
+	return func() {
+		late.Stop()
+		free()
+	}
+}
+
 // errIndexCorrupt reports that the row that names the program of a turn is malformed.
 var errIndexCorrupt = errors.New("malformed index row of a turn")
 
--- a/internal/ledger/keys.go
+++ b/internal/ledger/keys.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -106,6 +107,32 @@
 	return turn, piece, err == nil
 }
 
+// inheritedPrefix starts the last segment of the keys of inherited turns. No ID of a turn contains a '.', so the segment
+// is not that of a turn's piece, also for builds that do not know these rows.
+const inheritedPrefix = ".~"
+
+// inheritedKey returns the key of one piece of the turns that turns of a program inherit by continuing from a turn of
+// another program.
+func inheritedKey(part int, program, turn string, piece int) string {
+	return fmt.Sprintf("%s%s%s.%04d", accountKey(part, program), inheritedPrefix, turn, piece)
+}
+
+// inheritedPieceOf returns the program, the turn and the piece number of an inherited turn's key; ok is false for other
+// keys.
+func inheritedPieceOf(key string) (program, turn string, piece int, ok bool) {
+	fields := strings.Split(key, "/")
+	if len(fields) != 4 || fields[0] != turnTable {
+		return "", "", 0, false
+	}
+	name, ok := strings.CutPrefix(fields[3], inheritedPrefix)
+	if !ok {
+		return "", "", 0, false
+	}
+	turn, number, _ := strings.Cut(name, ".")
+	piece, err := strconv.Atoi(number)
+	return fields[2], turn, piece, err == nil
+}
+
 // indexKey returns the key of the index row of a turn, which names the program that recorded it. Turns are indexed
 // per tenant. The row is in the part that holds the turn.
 func indexKey(part int, program, turn string) string {
--- a/internal/ledger/landed_rows_test.go
+++ b/internal/ledger/landed_rows_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
@@ -33,6 +34,28 @@
 	}
 }
 
+// TestLongRetentionIsReadAndWrittenBack pins the encoding of a retention time that is longer than the shortest one, which accounts
+// of other programs do not have.
+func TestLongRetentionIsReadAndWrittenBack(t *testing.T) {
+	const row = `{"b":2304,"s":301,"l":120,"a":{"node-1/5f2c":{"t":480,"w":7}},"r":600000}`
+	account, err := decodeAccount(tablestore.Row{Value: []byte(row), Revision: 1})
+	if err != nil || account.RetentionMillis != 600_000 {
+		t.Fatalf("read %+v (%v)", account, err)
+	}
+	for retention, want := range map[time.Duration]int64{time.Minute: 600_000, time.Hour: 3_600_000} {
+		next, err := account.Apply(Change{Node: "node-2", Retention: retention})
+		if err != nil || next.RetentionMillis != want {
+			t.Errorf("after a turn that is kept for %s: %+v (%v)", retention, next, err)
+		}
+	}
+	if written, err := json.Marshal(account); err != nil || string(written) != row {
+		t.Errorf("written back as %s (%v)", written, err)
+	}
+	if _, err := decodeAccount(tablestore.Row{Value: []byte(`{"b":1,"r":-1}`), Revision: 1}); err == nil {
+		t.Error("a negative retention was accepted")
+	}
+}
+
 // TestLandedTurnIsReadAndWrittenBack pins the encoding of turns. Bytes that a newer build appends are ignored.
 func TestLandedTurnIsReadAndWrittenBack(t *testing.T) {
 	piece, err := hex.DecodeString(landedTurn)
--- a/internal/ledger/late_reads_test.go
+++ b/internal/ledger/late_reads_test.go
@@ -4,11 +4,11 @@
 	"context"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // slowTableWithLateRead is a table that takes 1.1 s for a write and 150 ms for a read, but late for the first read
@@ -49,7 +49,7 @@
 func TestLateReadIsNoGroundToSendAQueuedWriteAgain(t *testing.T) {
 	for _, late := range []time.Duration{290 * time.Millisecond, 310 * time.Millisecond, 600 * time.Millisecond, time.Hour} {
 		t.Run(late.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				table := &slowTableWithLateRead{delayedTable: newDelayedTable(), late: late}
 				table.set(fastWrite)
 				l := ledger.New(ledger.Options{Table: table, RunID: "a"})
--- a/internal/ledger/late_retry_test.go
+++ b/internal/ledger/late_retry_test.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // throttlingTable throttles each call, with a response after responseTime.
@@ -34,7 +34,7 @@
 // table that throttles calls. A call is retried only if it can be answered before
 // its caller's deadline, so each caller gets its error before that.
 func TestNoRetryIsTooLateForItsAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		const callers = 400
 		var all sync.WaitGroup
 		for i := range callers {
--- a/internal/ledger/late_store_test.go
+++ b/internal/ledger/late_store_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +16,7 @@
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/relay"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
@@ -332,7 +332,7 @@
 		for _, late := range []time.Duration{500, 600, 700, 800, 900} {
 			late *= time.Millisecond
 			t.Run(fmt.Sprintf("%d_programs/%s", count, late), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
 					store, run := playLateStore(t, count, func() time.Duration { return late })
 					check(t, store, run)
 				})
@@ -340,7 +340,7 @@
 		}
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%d_programs/drawn/%d", count, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
 					random := rand.New(rand.NewPCG(seed, 0))
 					store, run := playLateStore(t, count, func() time.Duration {
 						return 500*time.Millisecond + time.Duration(random.Int64N(int64(400*time.Millisecond)))
@@ -355,13 +355,21 @@
 // playLateStore has programs run turns in a zone while the answers of the store are late. late is called with the mutex
 // of the store held.
 func playLateStore(t *testing.T, programs int, late func() time.Duration) (*lateStore, *lateRun) {
-	store := &lateStore{start: time.Now(), rows: make(map[string]tablestore.Row), sent: make(map[string][]time.Duration)}
-	store.late = func(since time.Duration) time.Duration {
+	store := newLateStore(func(since time.Duration) time.Duration {
 		if since < calmBefore || since >= calmBefore+lateFor {
 			return 0
 		}
 		return late()
-	}
+	})
+	return store, playZone(t, store, programs)
+}
+
+func newLateStore(late func(sinceStart time.Duration) time.Duration) *lateStore {
+	return &lateStore{start: time.Now(), late: late, rows: make(map[string]tablestore.Row), sent: make(map[string][]time.Duration)}
+}
+
+// playZone has programs run turns in a zone over a store.
+func playZone(t *testing.T, store *lateStore, programs int) *lateRun {
 	nodes := newZone(t, store, 8)
 	run := &lateRun{}
 	var callers sync.WaitGroup
@@ -382,5 +390,5 @@
 	for _, line := range nodes[0].events.lines {
 		t.Log(line)
 	}
-	return store, run
+	return run
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -50,6 +50,7 @@
 type Ledger struct {
 	options    Options
 	health     *health
+	probes     readProbes
 	owners     atomic.Pointer[Owners]     // nil: this node holds all its allowances itself
 	turnSource atomic.Pointer[TurnSource] // nil: turns come from memory or the table only
 
@@ -86,7 +87,8 @@
 	currentWrite   *inFlightWrite // the write in flight; nil if none is
 	pending        []*turnRecord  // turns that wait to be recorded
 	turns          map[string]*Turn
-	corrupt        map[string]error // decoding errors of turns whose rows were malformed when last read
+	inherited      map[string]*inheritance // by the turn of another program that turns of this one continue from
+	corrupt        map[string]error        // decoding errors of turns whose rows were malformed when last read
 	recalls        recallState
 	throttled      int  // writes in a row that the table throttled; guarded by commit
 	contended      bool // the last write conflicted with one of another run; guarded by commit
@@ -98,6 +100,7 @@
 	atSlowShare bool  // the allowance is reserved at slowDivisor
 	charges     int64 // uncharged tokens that the write charges
 	records     []*turnRecord
+	inherited   []*inheritance // that it stores
 }
 
 // inFlightWrite is the effect that the write in flight will have on the allowance.
@@ -151,6 +154,9 @@
 	// giveUpAt, if not zero, is when the write is given up, so that its caller can do without it in the time that is
 	// left; see Ledger.commitOrRead.
 	giveUpAt time.Time
+	// onSilence, if not nil, is called if the table answers nothing for so long that the write would be abandoned
+	// otherwise.
+	onSilence func()
 }
 
 // untilGivenUp returns a context that ends at giveUpAt, or with ctx.
@@ -211,11 +217,12 @@
 		}
 	}
 	if request.Previous != "" {
-		history, err := l.history(ctx, e, request.Previous)
+		chain, err := l.history(ctx, e, request.Previous)
 		if err != nil {
 			return nil, l.notRunError(e, err)
 		}
-		running.History = history
+		running.History = historyOf(chain)
+		e.inherit(chain)
 	}
 	if request.Budget <= 0 {
 		return running, nil
@@ -228,6 +235,7 @@
 		return nil, l.notRunError(e, err)
 	}
 	running.grant = grant
+	l.storeEarly(ctx, e, request)
 	return running, nil
 }
 
@@ -277,6 +285,8 @@
 			attempts: make(map[uint64]attempt),
 			turns:    make(map[string]*Turn),
 			corrupt:  make(map[string]error),
+
+			inherited: make(map[string]*inheritance),
 		}
 		l.entries[program] = e
 	}
@@ -365,6 +375,7 @@
 		e.outcomeUnknown = false // a write with an unknown outcome was conditional on the old revision
 	}
 	e.account, e.revision, e.loaded = account, row.Revision, true
+	e.retention = max(e.retention, time.Duration(account.RetentionMillis)*time.Millisecond)
 	own := account.Allowances[runID]
 	e.held = own.Tokens
 	e.confirm(own.Write)
@@ -385,6 +396,9 @@
 		for _, rec := range applied.records {
 			rec.durable = true
 		}
+		for _, chain := range applied.inherited {
+			chain.markStored()
+		}
 	}
 	for number := range e.attempts {
 		if number <= write {
--- a/internal/ledger/long_reads_test.go
+++ b/internal/ledger/long_reads_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // chunkedTable is a table whose reads arrive in ten chunks, each after chunkDelay.
@@ -35,7 +35,7 @@
 // read times out after 0.3 s without a chunk, and not 0.3 s after its start: a retry would start over, and get no
 // further. A timeout from the start kept a configuration from reaching a region.
 func TestLongHistoryIsReadWhileItArrives(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		l := New(Options{Table: &chunkedTable{chunkDelay: 100 * time.Millisecond}, RunID: "run"})
 		// 33 reads of one second, eight in parallel, take 5 s.
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
--- a/internal/ledger/recorded.go
+++ b/internal/ledger/recorded.go
@@ -30,7 +30,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for _, turn := range turns {
-		e.turns[turn.ID] = turn
+		e.keepTurn(turn)
 	}
 }
 
@@ -53,6 +53,7 @@
 		if err != nil {
 			return turns, errors.Wrapf(err, "turn %s", id)
 		}
+		turn.Program = program
 		turns = append(turns, RecordedTurn{Program: program, Turn: turn})
 	}
 	return turns, nil
--- a/internal/ledger/reserve.go
+++ b/internal/ledger/reserve.go
@@ -73,16 +73,9 @@
 // recordWithoutAccount makes a turn durable without its program's account, which another node
 // writes: in the program's part, or, if that fails, in another part.
 func (l *Ledger) recordWithoutAccount(ctx context.Context, e *entry, turn *Turn) error {
-	part := partOf(e.program)
-	err := l.health.admit(writing, part, l.options.Now())
-	if err == nil {
-		began := l.options.Now()
-		err = l.putTurn(ctx, part, e.program, turn)
-		l.callEnded(ctx, writing, part, err, began)
-	}
-	if err != nil {
-		err = l.recordInOtherPart(ctx, e, turn, err)
-	}
+	err := l.recordInAnyPart(ctx, e, turn, func(ctx context.Context, onSilence func()) error {
+		return l.recordInOwnPart(ctx, e, turn, onSilence)
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/ledger/return_allowances_test.go
+++ b/internal/ledger/return_allowances_test.go
@@ -7,13 +7,13 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // delayedTable is a table in memory that answers after a delay, in virtual time.
@@ -175,7 +175,7 @@
 // TestStopGivesBackBesideTurns stops a node while its table is slow. Half of the programs are idle, the
 // turns of the others end one after another. After the last one has ended, all allowances have been returned.
 func TestStopGivesBackBesideTurns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		l, table, runs := reserveWhileSlow(t)
 		settleAll(t, runs[:manyPrograms/2])
 		before := table.heldTokens(t)
@@ -201,7 +201,7 @@
 // TestReturnToAnUnresponsiveTableEnds makes the table unresponsive while allowances are held. The stop must not
 // take as long as its grace period because of that.
 func TestReturnToAnUnresponsiveTableEnds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		l, table, runs := reserveWhileSlow(t)
 		settleAll(t, runs)
 		table.set(time.Hour)
@@ -224,7 +224,7 @@
 	)
 	for name, others := range map[string]bool{"busy": true, "idle": false} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				l, table, runs := reserveWhileSlow(t)
 				settleAll(t, runs[1:])
 				l.ShrinkAllowances(t.Context())
@@ -260,7 +260,7 @@
 
 // TestHeldTokensStayWhileTheTableIsSlow counts the writes that ShrinkAllowances costs a slow table.
 func TestHeldTokensStayWhileTheTableIsSlow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		l, table, runs := reserveWhileSlow(t)
 		settleAll(t, runs)
 		table.set(slowWrite)
@@ -301,7 +301,7 @@
 // TestRecallWaitsForSlowWrites starts a turn that needs tokens that another node has reserved ahead, while a write
 // takes longer than the timeout of a recall with a fast table.
 func TestRecallWaitsForSlowWrites(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := newDelayedTable()
 		nodes := make(map[string]*ledger.Ledger)
 		for _, name := range []string{"a", "b"} {
@@ -333,7 +333,7 @@
 		{slowWrite, 1600 * time.Millisecond},
 		{2 * slowWrite, 2300 * time.Millisecond},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			table := newDelayedTable()
 			a := ledger.New(ledger.Options{Table: table, RunID: "a", Address: func() string { return "a" }})
 			b := ledger.New(ledger.Options{Table: table, RunID: "b"})
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -17,6 +17,9 @@
 // If turn is nil, Settle writes nothing unless little of the budget is left.
 func (r *RunningTurn) Settle(ctx context.Context, tokens int64, turn *Turn) error {
 	e := r.entry
+	if turn != nil {
+		turn.Program = e.program
+	}
 	if r.grant != nil {
 		r.grant.Settle(tokens, r.location)
 		if turn == nil {
@@ -65,11 +68,14 @@
 	r.finish(0, nil)
 }
 
-// finish moves a turn's tokens from in flight to uncharged, and queues its record if turn is not nil.
+// finish moves a turn's tokens from in flight to uncharged, and queues its record if turn is not nil. The program's
+// retention counts from now on: a turn may run for longer than it is kept.
 func (r *RunningTurn) finish(tokens int64, turn *Turn) *turnRecord {
 	e := r.entry
+	now := r.ledger.options.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.usedAt = now
 	if r.request.Budget > 0 {
 		e.inFlight -= r.request.MaxTokens
 		e.uncharged += tokens
@@ -130,13 +136,13 @@
 // later stay held. Where records did compete, during a stop of whole zones, they lost to writes of other nodes until
 // their callers had disconnected.
 func (l *Ledger) record(ctx context.Context, e *entry, rec *turnRecord) error {
-	durable, err := l.recordWithAccount(ctx, e, rec)
-	switch {
-	case err != nil:
-		err = l.recordInOtherPart(ctx, e, rec.turn, err)
-	case !durable:
-		err = l.recordWithoutAccount(ctx, e, rec.turn)
-	}
+	err := l.recordInAnyPart(ctx, e, rec.turn, func(ctx context.Context, onSilence func()) error {
+		durable, err := l.recordWithAccount(ctx, e, rec, onSilence)
+		if durable || err != nil {
+			return err
+		}
+		return l.recordInOwnPart(ctx, e, rec.turn, onSilence)
+	})
 	if err == nil {
 		e.markDurable(rec)
 	}
@@ -148,13 +154,16 @@
 // holds the right to write for longer than accountWait, and it stops after its first conflict. It retries only writes
 // that the table throttled. Most records do go with the account: a node whose write of the account is the last one
 // eventually removes the program's rows.
-func (l *Ledger) recordWithAccount(ctx context.Context, e *entry, rec *turnRecord) (durable bool, err error) {
-	var request TurnRequest
+func (l *Ledger) recordWithAccount(ctx context.Context, e *entry, rec *turnRecord, onSilence func()) (durable bool, err error) {
+	request := TurnRequest{onSilence: onSilence}
 	if deadline, bounded := ctx.Deadline(); bounded {
 		request.giveUpAt = time.Now().Add(time.Until(deadline) / accountTimeDivisor)
 	}
 	limited, cancel := request.untilGivenUp(ctx)
 	defer cancel()
+	if err := l.storeLarge(limited, e, partOf(e.program), rec.turn); err != nil {
+		return false, err
+	}
 	if e.lockWithin(limited, l.accountWait()) != nil {
 		return e.isDurable(rec), nil
 	}
@@ -209,11 +218,11 @@
 	own := partOf(e.program)
 	for step := 1; step < Parts && ctx.Err() == nil; step += 2 {
 		part := (own + step) % Parts
-		if l.health.admit(writing, part, l.options.Now()) != nil {
+		if l.health.admit(writing, part, l.options.Now()) != nil || l.storeLarge(ctx, e, part, turn) != nil {
 			continue
 		}
 		began := l.options.Now()
-		err := l.putTurn(ctx, part, e.program, turn)
+		err := l.putTurn(ctx, part, e, turn, nil)
 		l.callEnded(ctx, writing, part, err, began)
 		if err == nil {
 			return nil
@@ -222,16 +231,27 @@
 	return cause
 }
 
-// putTurn writes a turn into a part, unless the turn is there already.
-func (l *Ledger) putTurn(ctx context.Context, part int, program string, turn *Turn) error {
-	_, row, err := l.commitOrRead(ctx, tablestore.Transaction{
+// putTurn writes a turn, with what it inherits if that fits, into a part, unless the turn is there already. For onSilence
+// see commitUnlessSilent.
+func (l *Ledger) putTurn(ctx context.Context, part int, e *entry, turn *Turn, onSilence func()) error {
+	writes, chain := e.recordWrites(part, turn)
+	err := l.putOnce(ctx, tablestore.Transaction{
 		WriteID:    l.options.RunID + "/" + turn.ID,
-		Conditions: []tablestore.Condition{{Key: pieceKey(part, program, turn.ID, 0)}},
-		Writes:     turnWrites(part, program, turn),
-	}, time.Time{})
+		Conditions: []tablestore.Condition{{Key: pieceKey(part, e.program, turn.ID, 0)}},
+		Writes:     writes,
+	}, onSilence)
+	if err == nil && part == partOf(e.program) {
+		e.markStored(chain)
+	}
+	return err
+}
+
+// putOnce writes rows, unless they are there already. The first row is the condition: it must be absent.
+func (l *Ledger) putOnce(ctx context.Context, transaction tablestore.Transaction, onSilence func()) error {
+	_, row, err := l.commitUnlessSilent(ctx, transaction, time.Time{}, onSilence)
 	var conflict *tablestore.ConflictError
 	if errors.As(err, &conflict) || (row != nil && row.Revision != 0) {
-		return nil // this write, or an earlier one of the same turn, took effect
+		return nil // this write, or an earlier one of the same rows, took effect
 	}
 	return err
 }
--- a/internal/ledger/slow_reads_test.go
+++ b/internal/ledger/slow_reads_test.go
@@ -6,13 +6,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // delayedTable is a table without rows that answers calls after a delay, and stores nothing.
@@ -57,7 +57,7 @@
 // and does not treat it as down for as long as it is slow.
 func TestSlowTableIsReadByNodesThatWriteNothing(t *testing.T) {
 	for _, delay := range []time.Duration{350 * time.Millisecond, 600 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			const programs = 20
 			table := &delayedTable{}
 			l := New(Options{Table: table, RunID: "a"})
@@ -104,7 +104,7 @@
 // One late answer does not show that the parts of the calls still in flight are unresponsive:
 // no call is abandoned or sent again.
 func TestTableThatBecomesSlowHasNoUnresponsiveParts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := &delayedTable{}
 		l := New(Options{Table: table, RunID: "a"})
 		begin := func(program string) *api.Error {
--- a/internal/ledger/sweep.go
+++ b/internal/ledger/sweep.go
@@ -35,6 +35,16 @@
 	}
 }
 
+// ExtendRetention keeps the turns that are kept for one time for a longer one, since their route now keeps turns for that
+// long. It extends the retention of all programs between the two times, which may have used that route.
+func (l *Ledger) ExtendRetention(from, to time.Duration) {
+	for _, e := range l.entriesWhere(func(e *entry) bool { return e.retention >= from && e.retention < to }) {
+		e.mutex.Lock()
+		e.retention = max(e.retention, to)
+		e.mutex.Unlock()
+	}
+}
+
 // removeIdle removes the idle programs from memory and returns them.
 func (l *Ledger) removeIdle() []*entry {
 	now := l.options.Now()
--- a/internal/ledger/turn.go
+++ b/internal/ledger/turn.go
@@ -26,8 +26,11 @@
 type Turn struct {
 	ID     string
 	Parent string // turn that it continues from; empty for the first turn of a conversation
-	Input  []byte // body of the caller's request
-	Output []byte // data of each event of the answer, each followed by a line feed
+	// Program is the program under whose key the turn is stored, see ProgramKey; empty if that is unknown. It is
+	// part of the rows' keys, and not of their values.
+	Program string
+	Input   []byte // body of the caller's request
+	Output  []byte // data of each event of the answer, each followed by a line feed
 }
 
 // encode returns the turn in pieces, one for each row. The first piece starts with
@@ -38,6 +41,11 @@
 		content = binary.AppendUvarint(content, uint64(len(field)))
 		content = append(content, field...)
 	}
+	return splitContent(content)
+}
+
+// splitContent splits content into pieces, one for each row. The first piece starts with the number of pieces.
+func splitContent(content []byte) [][]byte {
 	count := max(1, (len(content)+pieceBytes-1)/pieceBytes)
 	pieces := make([][]byte, count)
 	for i := range pieces {
@@ -51,15 +59,23 @@
 func decodeTurn(id string, pieces [][]byte) (*Turn, error) {
 	content := bytes.Join(pieces, nil)
 	_, used := binary.Uvarint(content)
-	content = content[max(0, used):]
-	fields := make([][]byte, 3)
+	fields, _, ok := cutFields(content[max(0, used):], 3)
+	if !ok {
+		return nil, errTurnCorrupt
+	}
+	return &Turn{ID: id, Parent: string(fields[0]), Input: fields[1], Output: fields[2]}, nil
+}
+
+// cutFields cuts fields, each preceded by its length, off the start of content. ok is false if content is malformed.
+func cutFields(content []byte, count int) (fields [][]byte, rest []byte, ok bool) {
+	fields = make([][]byte, count)
 	for i := range fields {
 		length, used := binary.Uvarint(content)
 		if used <= 0 || length > uint64(len(content)-used) {
-			return nil, errTurnCorrupt
+			return nil, nil, false
 		}
 		fields[i] = content[used : used+int(length)]
 		content = content[used+int(length):]
 	}
-	return &Turn{ID: id, Parent: string(fields[0]), Input: fields[1], Output: fields[2]}, nil
+	return fields, content, true
 }
--- a/internal/ledger/two_holders_test.go
+++ b/internal/ledger/two_holders_test.go
@@ -7,12 +7,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/platform"
 )
 
@@ -69,7 +69,7 @@
 	const budget, tokensPerTurn = 324, 36
 	for seed := range uint64(400) {
 		var used atomic.Int64
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			table := &flakyTable{delayedTable: newDelayedTable(), random: rand.New(rand.NewPCG(seed, 1))}
 			nodes := []*ledger.Ledger{
 				ledger.New(ledger.Options{Table: table, RunID: "a"}), ledger.New(ledger.Options{Table: table, RunID: "b"}),
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -138,6 +138,7 @@
 		Address:        options.address(),
 		Write:          e.lastWrite,
 		Settled:        e.uncharged,
+		Retention:      e.retention,
 		InFlightTokens: e.inFlight,
 		MaxTokens:      request.MaxTokens,
 		ReserveAhead:   policy.reserve,
@@ -156,15 +157,13 @@
 		Conditions: []tablestore.Condition{{Key: key, Revision: e.revision}},
 		Writes:     []tablestore.Write{{Key: key, Value: value}},
 	}
-	records := e.pendingRecords()
+	records := e.nextRecords(part)
 	// Writes that free budget, or record a turn that has run, take precedence over writes that admit a turn.
-	transaction.Deferrable = (request.MaxTokens > 0 || request.deferrable) && len(records) == 0
-	for _, rec := range records {
-		transaction.Writes = append(transaction.Writes, turnWrites(part, e.program, rec.turn)...)
-	}
+	transaction.Deferrable = (request.MaxTokens > 0 || request.deferrable) && len(records.turns) == 0
+	transaction.Writes = append(transaction.Writes, records.writes...)
 	e.migrateLegacy(part, &transaction)
 	tokens := next.Allowances[runID].Tokens
-	e.attempts[e.lastWrite] = attempt{held: tokens, atSlowShare: policy.reserve && policy.divisor == slowDivisor, charges: e.uncharged, records: records}
+	e.attempts[e.lastWrite] = attempt{held: tokens, atSlowShare: policy.reserve && policy.divisor == slowDivisor, charges: e.uncharged, records: records.turns, inherited: records.inherited}
 	e.currentWrite = &inFlightWrite{write: e.lastWrite, held: tokens, requested: request.MaxTokens, charges: e.uncharged}
 	return transaction, e.lastWrite, nil
 }
--- a/internal/turncache/cache_test.go
+++ b/internal/turncache/cache_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pewtermill/pewtermill/internal/ledger"
 	"github.com/pewtermill/pewtermill/internal/progress"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
@@ -73,6 +75,41 @@
 	}
 }
 
+// oldPeer is a peer of a build that does not name the programs of turns.
+type oldPeer struct{ peer }
+
+func (o oldPeer) Do(ctx context.Context, address string, request *wirepb.Request, onPart func(int64, []byte)) (*wirepb.Reply, error) {
+	reply, err := o.peer.Do(ctx, address, request, onPart)
+	var fetched wirepb.TurnsFetched
+	if err := proto.Unmarshal(reply.GetBody(), &fetched); err != nil {
+		return nil, err
+	}
+	for _, turn := range fetched.GetTurns() {
+		turn.Program = ""
+	}
+	body, _ := proto.Marshal(&fetched) // it was decoded, so it can be encoded
+	return &wirepb.Reply{Body: body}, err
+}
+
+// TestFetchedTurnsNameTheirProgram checks that a turn that is fetched names the program that recorded it, whichever program
+// asks, and that a peer of an earlier build is understood.
+func TestFetchedTurnsNameTheirProgram(t *testing.T) {
+	writer := NewCache()
+	writer.AddCommitted(recordTurn(t, "tenant.p", newTurn("t1", "", 10)))
+	writer.AddCommitted(recordTurn(t, "tenant.q", newTurn("u1", "t1", 10)))
+	for name, c := range map[string]struct {
+		peer          peerClient
+		first, second string
+	}{"this build": {peer{writer}, "tenant.q", "tenant.p"}, "earlier build": {oldPeer{peer{writer}}, "", ""}} {
+		client := NewClient(Options{Cache: NewCache(), Writers: func(string) []string { return []string{"writer"} }})
+		client.Enable(c.peer)
+		chain := client.TurnsUpTo(t.Context(), "tenant.other", "u1")
+		if len(chain) != 2 || chain[0].Program != c.first || chain[1].Program != c.second {
+			t.Errorf("%s: fetched %v", name, chain)
+		}
+	}
+}
+
 // TestOldTurnsAreEvicted fills a cache beyond its limit.
 func TestOldTurnsAreEvicted(t *testing.T) {
 	c := NewCache()
@@ -125,7 +162,7 @@
 // TestLongReplyIsWaitedForWhileItArrives fetches a turn from a peer over a slow link. The fetch succeeds, and the
 // peer does not count as unresponsive, for which it would be skipped as a writer too.
 func TestLongReplyIsWaitedForWhileItArrives(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		writer := NewCache()
 		writer.AddCommitted(recordTurn(t, "p", newTurn("t0", "", 300_000)))
 		client := NewClient(Options{Cache: NewCache(),
--- a/internal/turncache/peers.go
+++ b/internal/turncache/peers.go
@@ -137,7 +137,7 @@
 	var response wirepb.TurnsFetched
 	for _, turn := range c.TurnsUpTo(request.GetProgram(), request.GetTurn()) {
 		response.Turns = append(response.Turns, &wirepb.TurnsFetched_Turn{
-			Id: turn.ID, Parent: turn.Parent, Input: turn.Input, Output: turn.Output,
+			Id: turn.ID, Parent: turn.Parent, Input: turn.Input, Output: turn.Output, Program: turn.Program,
 		})
 	}
 	body, err := proto.Marshal(&response)
@@ -159,7 +159,7 @@
 		if next.GetId() != turn {
 			return nil, errors.Wrapf(errNotAChain, "got turn %q instead of %q", next.GetId(), turn)
 		}
-		chain = append(chain, &ledger.Turn{ID: next.GetId(), Parent: next.GetParent(), Input: next.GetInput(), Output: next.GetOutput()})
+		chain = append(chain, &ledger.Turn{ID: next.GetId(), Parent: next.GetParent(), Program: next.GetProgram(), Input: next.GetInput(), Output: next.GetOutput()})
 		turn = next.GetParent()
 	}
 	return chain, nil
