poison, quota, coldstart, placement: reports, holders and senders that are late

Cause: an end that was presumed and withdrawn was told to peers late; an engine that was given up at the deadline did not count; a holder of limits in another region cost refusals from .2 s on; limits of cold engines were divided by a list that is read once a minute.

--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -32,6 +32,10 @@
 // SetNodes sets the addresses of this node and all others.
 func (g *Gate) SetNodes(own string, others []string) { g.senders.set(own, others) }
 
+// AddNode adds a node that has joined and that the list of SetNodes does not name yet. Without a list, this node still
+// admits nothing.
+func (g *Gate) AddNode(address string) { g.senders.add(address) }
+
 // SetMasked sets the ids of engines that the next list lacks only because a foreign entry, written by another
 // writer, masks their own.
 func (g *Gate) SetMasked(engines map[string]bool) { g.tracker.SetMasked(engines) }
--- a/internal/coldstart/senders.go
+++ b/internal/coldstart/senders.go
@@ -1,6 +1,7 @@
 package coldstart
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -22,6 +23,8 @@
 	// lists of nodes may select different senders; as long as the lists have more than half of their
 	// nodes in common, the additional senders are less than half as many again.
 	reserveFactor = 1.5
+	// maxAnnounced is the maximum number of nodes that are known to have joined but not listed yet.
+	maxAnnounced = 512
 )
 
 // planned returns how many requests all senders together admit to a cold engine within a window:
@@ -42,6 +45,9 @@
 	own     string
 	members []string // addresses of all nodes, including this one; nil until they are known
 	shares  map[shareKey]int
+	// announced are nodes that have joined since the last list was requested; the value is how many more lists may lack
+	// them, since they may have been read before.
+	announced map[string]int
 }
 
 // shareKey is what a node's share depends on while the members do not change.
@@ -53,9 +59,33 @@
 // set sets the addresses of this node and of all others.
 func (s *senders) set(own string, others []string) {
 	s.own = own
-	s.members = append(slices.Clone(others), own)
-	slices.Sort(s.members)
-	s.members = slices.Compact(s.members)
+	s.setMembers(append(slices.Clone(others), own))
+	for address := range s.announced {
+		if s.announced[address]--; s.announced[address] < 0 || slices.Contains(others, address) {
+			delete(s.announced, address)
+		}
+	}
+	s.setMembers(slices.AppendSeq(s.members, maps.Keys(s.announced)))
+}
+
+// add adds a node that has joined. It may be sending before the next list names it.
+func (s *senders) add(address string) {
+	if slices.Contains(s.members, address) || len(s.announced) >= maxAnnounced {
+		return
+	}
+	if s.announced == nil {
+		s.announced = make(map[string]int)
+	}
+	s.announced[address] = 1
+	if s.members != nil {
+		s.setMembers(append(s.members, address))
+	}
+}
+
+// setMembers replaces the members and recomputes the shares.
+func (s *senders) setMembers(members []string) {
+	slices.Sort(members)
+	s.members = slices.Compact(members)
 	s.shares = make(map[shareKey]int)
 }
 
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -26,6 +26,13 @@
 	p.cold.SetNodes(own, others)
 }
 
+// AddNode adds a node that has joined and that the list of SetNodes does not name yet.
+func (p *Placer) AddNode(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.cold.AddNode(address)
+}
+
 // SetMasked sets the ids of engines that the next SetEngines lacks only because a foreign entry,
 // written by another writer, masks their own. Their state is kept. The caller must not modify the
 // map afterwards.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -363,7 +363,7 @@
 	}
 	p.core.Finish(placement.callID, scheduler.Result{
 		Engine:    id,
-		Succeeded: result.Outcome == Served || result.Outcome == Cancelled || result.Outcome == CarrierLost,
+		Succeeded: result.Outcome == Served || result.Outcome == Cancelled || result.Outcome == Yielded || result.Outcome == CarrierLost,
 		Shed:      result.Outcome == Shed || result.Outcome == SendExpired,
 		Duration:  now.Sub(placement.start),
 	}, now)
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -62,10 +62,11 @@
 	Unresponsive                // the engine stopped responding after it had the request, and accepts no connections
 	ServerError                 // the engine responded with a server error
 	SendExpired                 // not sent: the deadline for sending it to a cold engine had passed
+	Yielded                     // not sent, for a reason other than the engine, such as another request that it is left to
 	CarrierLost                 // the connection to the carrier, the peer that forwarded it, was lost; not evidence about the engine
 )
 
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "unreachable", "replaced", "shed", "cancelled", "dark", "erred", "late", "carrier_lost"}[o]
+	return [...]string{"served", "failed", "unreachable", "replaced", "shed", "cancelled", "dark", "erred", "late", "yielded", "carrier_lost"}[o]
 }
--- a/internal/poison/client.go
+++ b/internal/poison/client.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,11 +27,18 @@
 	// firstRetry and maxRetry are the pauses before a report that a peer has not confirmed is sent again.
 	firstRetry = 250 * time.Millisecond
 	maxRetry   = 4 * time.Second
+	// flushTimeout is how long Flush repeats a report to peers that do not confirm it.
+	flushTimeout = 500 * time.Millisecond
+	// flushPause is the pause before a report that is waited for is repeated.
+	flushPause = 20 * time.Millisecond
 	// maxAsked is how many peers a node asks, of those that it has newly listed, and thereby how many connections it opens.
 	maxAsked = 32
 	// maxAsks is how many times a peer is asked that does not answer, and askPause the pause between two of them.
 	maxAsks  = 4
 	askPause = 500 * time.Millisecond
+	// maxAnswerWait is how long a request waits at most, at a node that has just started, for the first answer of a peer: as long as
+	// it takes a node to find that the others are lost, or that it is cut off.
+	maxAnswerWait = 600 * time.Millisecond
 	// announcementTTL is how long a peer that has asked gets reports although it is not listed. Nodes refresh their lists of
 	// peers more often.
 	announcementTTL = 3 * time.Minute
@@ -51,7 +62,10 @@
 	Memory  *Memory
 	// Suspected reports whether a peer is not waited for, because its zone is suspected to be lost.
 	Suspected func(address string) bool
-	Observer  Observer
+	// Asked is called with the address of a peer that asks, which is how one that has started makes itself known. It must not
+	// block.
+	Asked    func(address string)
+	Observer Observer
 }
 
 // Client reports to all peers which engines ended under which requests, so that each of them knows when it gets the
@@ -59,9 +73,11 @@
 type Client struct {
 	options Options
 
-	mutex  sync.Mutex
-	client peerClient // nil before SetPeers
-	peers  map[string]*peer
+	mutex    sync.Mutex
+	client   peerClient // nil before SetPeers
+	peers    map[string]*peer
+	asked    bool                         // peers have been asked
+	informed atomic.Pointer[firstAnswers] // nil except while the first peers are asked
 }
 
 // peer is what a Client knows of one peer.
@@ -71,10 +87,12 @@
 	removed     context.Context // ends when the peer is no longer listed
 	remove      context.CancelFunc
 
-	sending   sync.Mutex // held while a report is sent
-	confirmed uint64     // sequence number of the last change that the peer has confirmed; guarded by sending
+	sending   chan struct{} // holds an element while a report is sent
+	confirmed uint64        // sequence number of the last change that the peer has confirmed; guarded by sending
 	mutex     sync.Mutex
 	retrying  bool // a goroutine repeats the report until the peer confirms; guarded by mutex
+	// again holds an element if there is something new to report while retrying is set.
+	again chan struct{}
 }
 
 // NewClient returns a client without peers.
@@ -99,8 +117,10 @@
 		}
 	}
 	rand.Shuffle(len(added), func(i, j int) { added[i], added[j] = added[j], added[i] })
-	for _, address := range added[:min(len(added), maxAsked)] {
-		go c.ask(address)
+	added = added[:min(len(added), maxAsked)]
+	first := c.beginAsking(len(added))
+	for _, address := range added {
+		go c.ask(address, first)
 	}
 	for address, existing := range c.peers {
 		if !listed[address] && time.Since(existing.announcedAt) > announcementTTL {
@@ -110,11 +130,38 @@
 	}
 }
 
+// beginAsking returns the answers of a number of peers that are about to be asked, if they are the first ones, and nil otherwise:
+// the first ones, or this node's reports, have told it what others know. The mutex must be held.
+func (c *Client) beginAsking(count int) *firstAnswers {
+	if count == 0 || c.asked {
+		return nil
+	}
+	c.asked = true
+	first := newFirstAnswers(count, func() { c.informed.Store(nil) })
+	c.informed.Store(first)
+	return first
+}
+
+// AwaitAnswers waits until the first peers that this node has found have told which engines ended, so that a client's next try
+// is not sent on because this node has just started. A peer may take reportTimeout for that; if none has answered by then, it
+// waits for the first one that does, maxAnswerWait at most. It returns at once at any other time, and if all peers have ended.
+func (c *Client) AwaitAnswers(ctx context.Context) {
+	first := c.informed.Load()
+	if first == nil {
+		return
+	}
+	select {
+	case <-first.done:
+	case <-ctx.Done():
+	}
+}
+
 // addPeer adds a peer that has asked. One that is known may have restarted, and gets everything again.
 func (c *Client) addPeer(address string, now time.Time) {
 	if address == "" {
 		return
 	}
+	c.options.Asked(address)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.client == nil {
@@ -128,7 +175,7 @@
 
 // add adds a peer, and reports to it what this node has recorded. The mutex must be held.
 func (c *Client) add(address string) *peer {
-	added := &peer{address: address}
+	added := &peer{address: address, sending: make(chan struct{}, 1), again: make(chan struct{}, 1)}
 	added.removed, added.remove = context.WithCancel(context.Background())
 	c.peers[address] = added
 	if !c.options.Memory.Empty() {
@@ -147,13 +194,29 @@
 }
 
 // Report reports to all peers what this node has recorded and they have not confirmed yet. It returns once each has
-// confirmed or failed to, or ctx ends. A report that a peer has not confirmed is sent again later.
+// confirmed or failed to, or ctx ends. A report that a peer has not confirmed is sent again later; a peer that has not confirmed
+// an earlier one gets both at once, and is not waited for.
 func (c *Client) Report(ctx context.Context) {
+	c.reportToAll(ctx, func(listed *peer) { c.report(context.WithoutCancel(ctx), listed) })
+}
+
+// ReportWithdrawal is like Report, for ends that do not count any more. It is sent at once also to a peer that has not confirmed
+// an earlier report, again and again until it confirms or ctx ends, which must have a deadline: that peer may know the end, and would
+// refuse the client's next try.
+func (c *Client) ReportWithdrawal(ctx context.Context) {
+	c.reportToAll(ctx, func(listed *peer) {
+		c.report(context.WithoutCancel(ctx), listed)
+		// The observer has been notified of the first failure, and the retries go on in the background.
+		for listed.isRetrying() && listed.removed.Err() == nil && c.deliver(ctx, listed) != nil && backoff.Wait(ctx, flushPause) {
+		}
+	})
+}
+
+// reportToAll reports to all peers in a given way. It returns once that has returned for each that is not suspected to be lost, or
+// ctx ends.
+func (c *Client) reportToAll(ctx context.Context, report func(listed *peer)) {
 	c.mutex.Lock()
-	peers := make([]*peer, 0, len(c.peers))
-	for _, listed := range c.peers {
-		peers = append(peers, listed)
-	}
+	peers := slices.Collect(maps.Values(c.peers))
 	c.mutex.Unlock()
 	var awaited sync.WaitGroup
 	for _, listed := range peers {
@@ -161,7 +224,7 @@
 			c.retry(listed)
 			continue
 		}
-		awaited.Go(func() { c.report(context.WithoutCancel(ctx), listed) })
+		awaited.Go(func() { report(listed) })
 	}
 	confirmed := make(chan struct{})
 	go func() {
@@ -174,9 +237,36 @@
 	}
 }
 
-// report reports to a peer once, unless a goroutine does so repeatedly already.
+// Flush reports all that this node knows of failed requests before it stops, since its retries end with it. It waits for the
+// checks in progress, and until the peers have confirmed, flushTimeout has passed or ctx ends.
+func (c *Client) Flush(ctx context.Context) {
+	if c.options.Memory.Empty() {
+		return
+	}
+	c.options.Memory.awaitChecks(ctx)
+	c.options.Memory.shareAll()
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	c.mutex.Lock()
+	peers := slices.Collect(maps.Values(c.peers))
+	c.mutex.Unlock()
+	var awaited sync.WaitGroup
+	for _, listed := range peers {
+		awaited.Go(func() {
+			for c.deliver(ctx, listed) != nil && backoff.Wait(ctx, flushPause) {
+			}
+		})
+	}
+	awaited.Wait()
+}
+
+// report reports to a peer once. If a goroutine does so repeatedly already, that one does it at once.
 func (c *Client) report(ctx context.Context, listed *peer) {
 	if listed.isRetrying() {
+		select {
+		case listed.again <- struct{}{}:
+		default: // it is about to
+		}
 		return
 	}
 	if err := c.deliver(ctx, listed); err != nil && listed.removed.Err() == nil {
@@ -200,13 +290,14 @@
 	return changed
 }
 
-// retry repeats the report to a peer, with growing pauses, until it confirms or is no longer listed.
+// retry repeats the report to a peer until it confirms or is no longer listed, with growing pauses, and at once if there is
+// something new to report.
 func (c *Client) retry(listed *peer) {
 	if !listed.setRetrying(true) {
 		return
 	}
 	go func() {
-		for pause := firstRetry; backoff.Wait(listed.removed, backoff.Jitter(pause)); pause = min(maxRetry, 2*pause) {
+		for pause := firstRetry; listed.awaitRetry(&pause); {
 			if c.deliver(listed.removed, listed) == nil {
 				break
 			}
@@ -218,10 +309,28 @@
 	}()
 }
 
+// awaitRetry waits for a pause, which it doubles, or until there is something new to report. It reports whether the peer is still
+// listed.
+func (p *peer) awaitRetry(pause *time.Duration) bool {
+	timer := time.NewTimer(backoff.Jitter(*pause))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		*pause = min(maxRetry, 2**pause)
+	case <-p.again:
+	case <-p.removed.Done():
+	}
+	return p.removed.Err() == nil
+}
+
 // deliver sends a peer all changes that it has not confirmed.
 func (c *Client) deliver(ctx context.Context, listed *peer) error {
-	listed.sending.Lock()
-	defer listed.sending.Unlock()
+	select {
+	case listed.sending <- struct{}{}:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "another report was being sent")
+	}
+	defer func() { <-listed.sending }()
 	for {
 		requests, upTo := c.options.Memory.changesAfter(listed.confirmed, maxReported, time.Now())
 		if len(requests) == 0 {
@@ -229,7 +338,7 @@
 			return nil
 		}
 		message := &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_ReportEnds{ReportEnds: &wirepb.ReportEnds{Requests: requests}}}
-		reply, err := c.do(ctx, listed.address, message)
+		reply, err := c.do(ctx, listed.address, message, reportTimeout)
 		if err != nil {
 			return err
 		}
@@ -241,30 +350,52 @@
 	}
 }
 
-func (c *Client) do(ctx context.Context, address string, message *wirepb.Request) (*wirepb.Reply, error) {
+func (c *Client) do(ctx context.Context, address string, message *wirepb.Request, timeout time.Duration) (*wirepb.Reply, error) {
 	c.mutex.Lock()
 	client := c.client
 	c.mutex.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return client.Do(ctx, address, message, nil)
 }
 
-// ask asks a peer for what it has recorded. One that does not answer is asked again by maxAsks.
-func (c *Client) ask(address string) {
-	question := &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_ListEnds{ListEnds: &wirepb.ListEnds{Address: c.options.Address()}}}
+// ask asks a peer for what it has recorded. One that does not answer is asked again by maxAsks. It records in first whether the
+// peer has answered.
+func (c *Client) ask(address string, first *firstAnswers) {
+	timeout := reportTimeout
+	if first != nil {
+		timeout = maxAnswerWait // a request may wait so long for the answer
+	}
+	ended := false
 	for attempt := range maxAsks {
 		if attempt > 0 {
 			backoff.Wait(context.Background(), backoff.Jitter(askPause))
+			timeout = reportTimeout
 		}
-		reply, err := c.do(context.Background(), address, question)
-		if err != nil {
-			continue
-		}
-		var recorded wirepb.EndsRecorded
-		if proto.Unmarshal(reply.GetBody(), &recorded) == nil && recorded.GetUnderstood() {
-			c.options.Memory.merge(recorded.GetRequests(), time.Now())
+		err := c.askOnce(address, timeout)
+		switch {
+		case err == nil && ended:
+			return
+		case err == nil:
+			first.peerAnswered()
+			return
+		case errors.Is(err, syscall.ECONNREFUSED) && !ended:
+			ended = true
+			first.peerEnded()
 		}
-		return // a peer whose build does not know the message cannot be asked at all
 	}
 }
+
+// askOnce asks a peer once. An error means that it has not answered.
+func (c *Client) askOnce(address string, timeout time.Duration) error {
+	question := &wirepb.Request{From: c.options.Node, Body: &wirepb.Request_ListEnds{ListEnds: &wirepb.ListEnds{Address: c.options.Address()}}}
+	reply, err := c.do(context.Background(), address, question, timeout)
+	if err != nil {
+		return err
+	}
+	var recorded wirepb.EndsRecorded
+	if proto.Unmarshal(reply.GetBody(), &recorded) == nil && recorded.GetUnderstood() {
+		c.options.Memory.merge(recorded.GetRequests(), time.Now())
+	}
+	return nil // a peer whose build does not know the message cannot be asked at all
+}
--- a/internal/poison/memory.go
+++ b/internal/poison/memory.go
@@ -25,6 +25,7 @@
 type endRecord struct {
 	End
 	cleared  bool   // it does not count: the request was answered since, or the engine has not ended
+	presumed bool   // a check by this node is to show whether the engine has ended
 	shared   bool   // other nodes have it, or are to get it
 	sequence uint64 // of the last change by this node that others are to get; 0 if there is none
 }
@@ -73,13 +74,17 @@
 	return &Check{memory: m, key: key, engine: engine}
 }
 
-// Presume records an end before the check shows whether the engine has ended.
+// Presume records an end before the check shows whether the engine has ended. It may be called again with a later time.
 func (c *Check) Presume(end End) {
 	m := c.memory
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	record := m.suspects[c.key]
+	if c.presumed == (End{}) && record.find(end) != nil {
+		return // another check has settled it, or will
+	}
 	c.presumed = end
-	m.suspects[c.key].add(endRecord{End: end})
+	record.add(endRecord{End: end, presumed: true})
 }
 
 // Finish ends the check of an engine that has ended. It reports whether the end was recorded: it is not if the request was
@@ -104,7 +109,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	record := m.suspects[c.key]
-	changesShared := m.clear(record, func(end End) bool { return end == c.presumed })
+	changesShared := m.clear(record, c.presumed.same)
 	m.endCheck(c, record)
 	return changesShared
 }
@@ -124,9 +129,11 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	record := m.suspects[key]
-	if record == nil {
-		return false
-	}
+	return record != nil && m.share(record)
+}
+
+// share does so for a record. The mutex must be held.
+func (m *Memory) share(record *suspect) bool {
 	selected := false
 	for i := range record.ends {
 		if end := &record.ends[i]; !end.shared && !end.cleared {
@@ -138,6 +145,38 @@
 	return selected
 }
 
+// shareAll selects the ends that are recorded under any request for the next report to other nodes.
+func (m *Memory) shareAll() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, record := range m.suspects {
+		m.share(record)
+	}
+}
+
+// awaitChecks returns once no check is in progress, or ctx ends.
+func (m *Memory) awaitChecks(ctx context.Context) {
+	for changed := m.anyCheck(); changed != nil; changed = m.anyCheck() {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// anyCheck returns a channel that is closed when a check ends; nil if none is in progress.
+func (m *Memory) anyCheck() <-chan struct{} {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, record := range m.suspects {
+		if len(record.checks) > 0 {
+			return record.changed
+		}
+	}
+	return nil
+}
+
 // clear records that the selected ends do not count. It reports whether other nodes are to learn that of any. The mutex
 // must be held.
 func (m *Memory) clear(record *suspect, selects func(end End) bool) bool {
@@ -147,7 +186,7 @@
 		if end.cleared || !selects(end.End) {
 			continue
 		}
-		end.cleared = true
+		end.cleared, end.presumed = true, false
 		if end.shared {
 			m.sequence++
 			end.sequence = m.sequence
@@ -176,7 +215,8 @@
 
 // Standing is what is known of a request.
 type Standing struct {
-	Ended   int      // engines that ended under it one after another, or under one try
+	Ended   int      // engines that ended under it one after another, or under one try; presumed ends count
+	Settled int      // the same, without the ends that this node presumes
 	Checks  int      // engines that are being checked
 	Engines []string // IDs of all engines that ended under it, in order
 	LastEnd time.Time
@@ -199,7 +239,7 @@
 	if record == nil || record.expired(now) {
 		return Standing{}, nil
 	}
-	standing := Standing{Ended: record.ended, Checks: len(record.checks), LastEnd: record.lastEnd}
+	standing := Standing{Ended: record.ended, Settled: record.countSettled(), Checks: len(record.checks), LastEnd: record.lastEnd}
 	for _, end := range record.inOrder() {
 		if !end.cleared && !slices.Contains(standing.Engines, end.Engine) {
 			standing.Engines = append(standing.Engines, end.Engine)
@@ -216,7 +256,7 @@
 func (m *Memory) AwaitStanding(ctx context.Context, key Key, limit int) Standing {
 	for {
 		standing, changed := m.look(key, time.Now())
-		if changed == nil || standing.Ended >= limit || standing.Ended+standing.Checks < limit {
+		if changed == nil || standing.Settled >= limit || standing.Ended+standing.Checks < limit {
 			return standing
 		}
 		select {
@@ -308,41 +348,57 @@
 	s.changed = make(chan struct{})
 }
 
-// add stores an end, or adds what it states to the stored end of the same engine under the same try. It reports whether
-// anything changed.
-func (s *suspect) add(next endRecord) bool {
+// find returns the stored end of the same engine under the same try; nil if there is none.
+func (s *suspect) find(end End) *endRecord {
 	for i := range s.ends {
-		stored := &s.ends[i]
-		if stored.Engine != next.Engine || stored.Try != next.Try {
-			continue
-		}
-		if stored.cleared || !next.cleared {
-			return false
+		if s.ends[i].same(end) {
+			return &s.ends[i]
 		}
-		stored.cleared, stored.shared = true, stored.shared || next.shared
-		s.ended = s.countEnded()
-		return true
 	}
-	if len(s.ends) >= maxEnds && !s.dropOldest(next.EndedAt) {
-		return false
+	return nil
+}
+
+// add stores an end, or adds what it states to the stored end of the same engine under the same try. A cleared end stays
+// cleared.
+func (s *suspect) add(next endRecord) {
+	stored := s.find(next.End)
+	switch {
+	case stored != nil:
+		stored.update(next)
+	case len(s.ends) < maxEnds || s.dropOldest(next.EndedAt):
+		s.ends = append(s.ends, next)
+		stored = &s.ends[len(s.ends)-1]
+	default:
+		return
 	}
-	s.ends = append(s.ends, next)
-	if next.EndedAt.After(s.lastEnd) {
-		s.lastEnd = next.EndedAt
+	if stored.EndedAt.After(s.lastEnd) {
+		s.lastEnd = stored.EndedAt
 	}
 	s.ended = s.countEnded()
-	return true
 }
 
-// dropOldest drops the stored end that is the oldest, unless it is later than a time. It reports whether it did.
+// update adds what another record of the same end states.
+func (e *endRecord) update(next endRecord) {
+	if e.cleared {
+		return
+	}
+	if e.presumed && next.EndedAt.After(e.EndedAt) { // of others the first record is the most exact, by the delay of messages
+		e.EndedAt = next.EndedAt
+	}
+	e.cleared, e.shared, e.presumed = next.cleared, e.shared || next.shared, e.presumed && next.presumed
+}
+
+// dropOldest drops the stored end that is the oldest, of the cleared ones if there are any; one that counts only if it is not later than
+// a time. It reports whether it did.
 func (s *suspect) dropOldest(before time.Time) bool {
 	oldest := 0
-	for i := range s.ends {
-		if s.ends[i].EndedAt.Before(s.ends[oldest].EndedAt) {
+	for i, end := range s.ends {
+		first := s.ends[oldest]
+		if end.cleared != first.cleared && end.cleared || end.cleared == first.cleared && end.EndedAt.Before(first.EndedAt) {
 			oldest = i
 		}
 	}
-	if !s.ends[oldest].EndedAt.Before(before) {
+	if !s.ends[oldest].cleared && !s.ends[oldest].EndedAt.Before(before) {
 		return false
 	}
 	s.ends = slices.Delete(s.ends, oldest, oldest+1)
@@ -358,11 +414,19 @@
 // countEnded returns how many engines ended under the request one after another. Tries that overlap count as one, the one
 // with the most engines: when several engines are lost at the same time, clients that happen to ask for the same thing
 // there are not the cause.
-func (s *suspect) countEnded() int {
+func (s *suspect) countEnded() int { return s.count(func(endRecord) bool { return true }) }
+
+// countSettled returns the same without the ends that this node presumes.
+func (s *suspect) countSettled() int {
+	return s.count(func(end endRecord) bool { return !end.presumed })
+}
+
+// count returns how many engines ended one after another, by the selected ends.
+func (s *suspect) count(selects func(end endRecord) bool) int {
 	byTry := make(map[string]*tryEnds)
 	counted := make(map[string]bool) // by engine
 	for _, end := range s.inOrder() {
-		if end.cleared || counted[end.Engine] {
+		if end.cleared || counted[end.Engine] || !selects(end) {
 			continue
 		}
 		counted[end.Engine] = true
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -52,3 +52,6 @@
 	SentAt  time.Time // when the request was sent to the engine
 	EndedAt time.Time // when the engine last sent anything, or its connection was lost
 }
+
+// same reports whether both are the end of the same engine under the same try.
+func (e End) same(other End) bool { return e.Engine == other.Engine && e.Try == other.Try }
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -17,9 +17,16 @@
 
 // Bounds of a client.
 const (
-	// requestTimeout bounds one request to a holder. A process on a machine that has used up its
-	// CPU quota is stalled for the rest of a period of 100 ms.
+	// requestTimeout is how long the response of a peer is waited for. A process on a machine that
+	// has used up its CPU quota is stalled for the rest of a period of 100 ms.
 	requestTimeout = 150 * time.Millisecond
+	// holderTimeout is how long requests wait for the answer of a holder that answered the last
+	// request to it: about as long as for the next holder of a free shard, nextHolderWait. Its machine
+	// may stand still for a moment, and answers of another region may wait in a queue on the link.
+	holderTimeout = 450 * time.Millisecond
+	// lateAnswerTimeout is how long an answer may take that nobody waits for any longer. It returns its
+	// tokens to the holder, and shows that the holder answers.
+	lateAnswerTimeout = time.Second
 	// peerContactTimeout is how long a node that holds a shard may go without a response of any
 	// peer. After that it probes peerSampleSize random peers to find out whether it is isolated.
 	peerContactTimeout = 400 * time.Millisecond
@@ -40,8 +47,8 @@
 // errNotHolder means that the queried node does not hold the shard.
 var errNotHolder = errors.New("the node does not hold the tenant's shard")
 
-// errHolderTimeout means that the holder did not respond, and may be queried once more before it counts as lost.
-var errHolderTimeout = errors.New("the node that holds the tenant's shard does not respond")
+// errTimeout means that a node has not responded in time.
+var errTimeout = errors.New("the node does not respond in time")
 
 // errIsolated means that this node holds the shard and reaches no peer.
 var errIsolated = errors.New("this node reaches no peer")
@@ -70,6 +77,9 @@
 	// Isolated reports whether this node's zone is partitioned from the other zones; nil if there
 	// is no such check.
 	Isolated func() bool
+	// MayBeIsolated reports whether it is partitioned or will be unless responses arrive that may
+	// only be late; nil if there is no such check.
+	MayBeIsolated func() bool
 	// Suspected reports whether a node is skipped because its zone is suspected; nil if none is.
 	Suspected func(address string) bool
 	Observer  Observer
@@ -175,10 +185,12 @@
 	}
 }
 
-// requestTokens sends a request to the holder of a tenant's shard. With mayRetry, a holder that
-// does not respond in time is not yet counted as lost, and the error is errHolderTimeout.
-func (c *Client) requestTokens(tenant string, request Request, mayRetry bool) (Grant, error) {
-	holder, own, queryable := c.options.Holdings.holder(time.Now(), tenant)
+// requestTokens sends a request to the holder of a tenant's shard, and waits up to timeout for the
+// answer. A holder that does not answer by then counts as lost. If it answers later after all, late is
+// called with its grant.
+func (c *Client) requestTokens(tenant string, request Request, timeout time.Duration, late func(grant Grant)) (Grant, error) {
+	sentAt := time.Now()
+	holder, own, queryable := c.options.Holdings.holder(sentAt, tenant)
 	peers, _ := c.peers()
 	switch {
 	case own:
@@ -191,16 +203,16 @@
 	}
 	grant, err := Grant{}, errSuspected
 	if c.options.Suspected == nil || !c.options.Suspected(holder.Address) {
-		grant, err = c.exchange(peers, holder.Address, encodeRequest(c.options.Node, tenant, request), request)
-	}
-	if mayRetry && errors.Is(err, context.DeadlineExceeded) {
-		return Grant{}, errHolderTimeout
+		grant, err = c.exchange(peers, holder.Address, encodeRequest(c.options.Node, tenant, request), request, timeout, func(grant Grant) {
+			c.options.Holdings.holderAnswered(tenant, holder, sentAt)
+			late(grant)
+		})
 	}
 	if err != nil {
 		c.noteHolderLost(tenant, holder, err)
 		return Grant{}, err
 	}
-	c.options.Holdings.holderAnswered(tenant, holder)
+	c.options.Holdings.holderAnswered(tenant, holder, sentAt)
 	return grant, nil
 }
 
@@ -208,7 +220,7 @@
 // does not use the account, because the other nodes then continue in local mode. A node whose
 // last poll found no peer uses it while its row is valid: no other node takes the shard over then.
 func (c *Client) requestFromOwnAccount(tenant string, request Request) (Grant, error) {
-	if !c.ReachesPeer() && !(c.knowsNoPeer() && c.options.Holdings.rowValid(time.Now(), tenant)) {
+	if !c.mayUseOwnAccount(tenant) {
 		return Grant{}, errIsolated
 	}
 	grant, held := c.requestFromHoldings(tenant, request)
@@ -219,6 +231,19 @@
 	return grant, nil
 }
 
+// mayUseOwnAccount reports whether this node may decide by the account that it holds. One whose zone
+// may be isolated may while its row is valid: responses of the other zones may only be late.
+func (c *Client) mayUseOwnAccount(tenant string) bool {
+	rowValid := c.options.Holdings.rowValid(time.Now(), tenant)
+	switch {
+	case rowValid && c.knowsNoPeer():
+		return true
+	case rowValid:
+		return !isTrue(c.options.Isolated) && c.reachesAnyPeer()
+	}
+	return c.ReachesPeer()
+}
+
 // requestFromHoldings takes tokens from an account that this node holds. If the recorded level
 // limits the grant, it first waits up to recordTimeout until a new level is recorded. It returns
 // false if this node may not answer for the tenant's shard.
@@ -253,12 +278,17 @@
 // a sample responds now, or its machine refuses the connection because the process has ended.
 // Requests received from peers do not count, as they do not show that the peers get the answers.
 // The only node counts as reaching peers; one that has merely not found another node yet does not.
-// A node in an isolated zone does not either, even if peers of its zone respond: outside the zone
-// another node may take its shards, since their rows are no longer renewed.
+// A node in a zone that may be isolated does not either, even if peers of its zone respond: outside
+// the zone another node may take its shards, since their rows are no longer renewed.
 func (c *Client) ReachesPeer() bool {
-	if c.options.Isolated != nil && c.options.Isolated() {
-		return false
-	}
+	return !isTrue(c.options.Isolated) && !isTrue(c.options.MayBeIsolated) && c.reachesAnyPeer()
+}
+
+// isTrue returns the result of a check; false if there is none.
+func isTrue(check func() bool) bool { return check != nil && check() }
+
+// reachesAnyPeer reports whether any peer responds, of whatever zone.
+func (c *Client) reachesAnyPeer() bool {
 	peers, _ := c.peers()
 	if c.onlyNode() || c.hasRecentPeerResponse() {
 		return true
@@ -303,17 +333,27 @@
 
 // probe returns an error if a node does not respond. Any response will do.
 func (c *Client) probe(peers peerClient, address string) error {
-	_, err := c.exchange(peers, address, encodeRequest(c.options.Node, "", Request{}), Request{})
+	_, err := c.exchange(peers, address, encodeRequest(c.options.Node, "", Request{}), Request{}, requestTimeout, func(Grant) {})
 	if errors.Is(err, errNotHolder) {
 		return nil
 	}
 	return err
 }
 
-// notePeerResponse records that a peer has responded.
-func (c *Client) notePeerResponse() {
-	now := time.Now()
-	c.peerRespondedAt.Store(&now)
+// notePeerResponse records that a peer has responded to a request that was sent at sentAt. A late
+// response counts as one at the end of requestTimeout: for how long before it arrived the peer has been
+// out of reach is not known.
+func (c *Client) notePeerResponse(sentAt time.Time) {
+	respondedAt := time.Now()
+	if latest := sentAt.Add(requestTimeout); respondedAt.After(latest) {
+		respondedAt = latest
+	}
+	for {
+		previous := c.peerRespondedAt.Load()
+		if previous != nil && !respondedAt.After(*previous) || c.peerRespondedAt.CompareAndSwap(previous, &respondedAt) {
+			return
+		}
+	}
 }
 
 // hasRecentPeerResponse reports whether a peer has responded within peerContactTimeout.
@@ -322,15 +362,47 @@
 	return respondedAt != nil && time.Since(*respondedAt) < peerContactTimeout
 }
 
-// exchange sends one message to another node and decodes the grant; request is the content of the message.
-func (c *Client) exchange(peers peerClient, address string, message *wirepb.Request, request Request) (Grant, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+// exchangeResult is the result of an exchange.
+type exchangeResult struct {
+	grant Grant
+	err   error
+}
+
+// exchange sends one message to another node, waits up to timeout for the answer, and decodes the
+// grant; request is the content of the message. The request stays in flight after that, since sending it
+// again would take longer: late is called if it is answered within lateAnswerTimeout.
+func (c *Client) exchange(peers peerClient, address string, message *wirepb.Request, request Request, timeout time.Duration, late func(grant Grant)) (Grant, error) {
+	results := make(chan exchangeResult, 1)
+	go func() {
+		grant, err := c.exchangeUnbounded(peers, address, message, request)
+		results <- exchangeResult{grant, err}
+	}()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case result := <-results:
+		return result.grant, result.err
+	case <-timer.C:
+	}
+	go func() {
+		// Without an answer, or with an invalid one, nothing is left to do: the node already counts as lost.
+		if result := <-results; result.err == nil {
+			late(result.grant)
+		}
+	}()
+	return Grant{}, errors.Wrapf(errTimeout, "%s after %s", address, timeout)
+}
+
+// exchangeUnbounded sends one message and waits for the answer for as long as it may be of use.
+func (c *Client) exchangeUnbounded(peers peerClient, address string, message *wirepb.Request, request Request) (Grant, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), lateAnswerTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	reply, err := peers.Do(ctx, address, message, nil)
 	if err != nil {
 		return Grant{}, err
 	}
-	c.notePeerResponse()
+	c.notePeerResponse(sentAt)
 	if code := api.Code(reply.GetCode()); code != api.OK {
 		return Grant{}, errors.Mark(errors.Newf("%s returned %s: %s", address, code, reply.GetDetail()), errNotHolder)
 	}
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // gate decides on the requests of one tenant at one node. Requests that arrive while a request to
@@ -73,24 +71,20 @@
 	g.share.ReturnToken(granted)
 }
 
-// requestTokens sends requests to the holder until none waits. A holder that does not respond is
-// queried once more before the node switches to local mode: without tokens the node would refuse a
-// tenant that is within its limit, and a machine may be paused for longer than requestTimeout. In
-// local mode the holder is queried only once.
+// requestTokens sends requests to the holder until none waits. A holder that answered the last request
+// is waited for longer before the node switches to local mode: without tokens the node would refuse a
+// tenant that is within its limit. In local mode requests do not wait that long.
 func (g *gate) requestTokens() {
-	mayRetry := g.followsHolder()
 	for {
 		request, pending := g.nextRequest()
 		if !pending {
 			return
 		}
-		grant, err := g.client.requestTokens(g.tenant, request, mayRetry)
+		sentAt := time.Now()
+		grant, err := g.client.requestTokens(g.tenant, request, g.holderTimeout(), func(grant Grant) { g.applyLateGrant(request, grant, sentAt) })
 		switch {
-		case errors.Is(err, errHolderTimeout):
-			mayRetry = false
 		case err == nil:
 			g.applyGrant(request, grant)
-			mayRetry = true
 		case g.client.awaitsHolder(g.tenant, err):
 			time.Sleep(nextHolderPoll)
 		default:
@@ -99,11 +93,14 @@
 	}
 }
 
-// followsHolder reports whether the holder answered the last request.
-func (g *gate) followsHolder() bool {
+// holderTimeout returns how long the holder's answer is waited for.
+func (g *gate) holderTimeout() time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.share.followsHolder()
+	if g.share.followsHolder() {
+		return holderTimeout
+	}
+	return requestTimeout
 }
 
 // nextRequest returns the request to the holder for all waiters. If there are none, pending is
@@ -136,6 +133,13 @@
 	g.decide(now)
 }
 
+// applyLateGrant applies the holder's answer to a request, sent at sentAt, whose waiters are decided.
+func (g *gate) applyLateGrant(request Request, grant Grant, sentAt time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.share.AnsweredLate(time.Now(), request, grant, sentAt)
+}
+
 // fallBackToLocal switches the node to local mode and decides on the waiters.
 func (g *gate) fallBackToLocal(request Request) {
 	peers, nodes := g.client.peers()
--- a/internal/quota/holdings.go
+++ b/internal/quota/holdings.go
@@ -153,12 +153,12 @@
 	return l.row.Holder, l.mine, l.mine || l.queryNow(now)
 }
 
-// holderAnswered records that the holder of a tenant's shard answered.
-func (h *Holdings) holderAnswered(tenant string, holder Holder) {
+// holderAnswered records that the holder of a tenant's shard answered a request that was sent at sentAt.
+func (h *Holdings) holderAnswered(tenant string, holder Holder, sentAt time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if l := &h.leases[ShardOf(tenant)]; l.row.Holder == holder {
-		l.answered()
+		l.answered(sentAt)
 	}
 }
 
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -130,8 +130,19 @@
 	return first
 }
 
-// answered records that the row's holder answered.
-func (l *lease) answered() { l.lost, l.freeSince, l.missingSince = notLost, time.Time{}, time.Time{} }
+// answered records that the row's holder answered a request that was sent at sentAt. A late answer to a request that was
+// sent before the holder was found to have ended does not show that it runs.
+func (l *lease) answered(sentAt time.Time) {
+	if l.lost == ended && sentAt.Before(l.freeSince) {
+		return
+	}
+	l.holderFound()
+}
+
+// holderFound records that the row's holder is not lost.
+func (l *lease) holderFound() {
+	l.lost, l.freeSince, l.missingSince = notLost, time.Time{}, time.Time{}
+}
 
 // nextHolderExpected reports whether the next holder will be known soon, after a query found none.
 // The successor of an unresponsive holder comes too late to wait for it.
@@ -198,7 +209,7 @@
 		}
 	}
 	l.row, l.unchangedSince, l.read, l.mine = row, now, true, true
-	l.answered()
+	l.holderFound()
 	l.expires = startedAt.Add(leaseDuration)
 	l.answerUntil = l.expires
 }
--- a/internal/quota/lease_manager.go
+++ b/internal/quota/lease_manager.go
@@ -186,13 +186,7 @@
 			changes = append(changes, k.holdings.renewal(shard, l, now))
 		}
 	})
-	for len(changes) > 0 {
-		conflicting := k.write(ctx, changes)
-		if conflicting < 0 {
-			return
-		}
-		changes = append(changes[:conflicting:conflicting], changes[conflicting+1:]...)
-	}
+	k.writeUnchanged(ctx, changes)
 }
 
 // readRows reads the rows, and claims the shards that this node may take.
@@ -209,11 +203,35 @@
 	if k.stopping.Load() {
 		return
 	}
+	k.takeShards(ctx)
+}
+
+// takeShards writes this node into the rows of the shards that it may take: of all free ones by one transaction. If each had
+// its own, no row would be renewed and no level recorded in the meantime, and leases would expire while the table is slow.
+// A holder that did not respond is probed just before its row is written.
+func (k *LeaseManager) takeShards(ctx context.Context) {
+	var free []change
 	for _, claim := range k.claims() {
-		if claim.unresponsive.Address != "" && !k.confirmUnresponsive(claim.unresponsive) {
-			continue
+		if claim.unresponsive.Address == "" {
+			free = append(free, claim.change)
+		}
+	}
+	k.writeUnchanged(ctx, free)
+	for _, claim := range k.claims() {
+		if claim.unresponsive.Address != "" && k.confirmUnresponsive(claim.unresponsive) {
+			k.write(ctx, []change{claim.change})
+		}
+	}
+}
+
+// writeUnchanged writes rows in one transaction, without those that another node has changed.
+func (k *LeaseManager) writeUnchanged(ctx context.Context, changes []change) {
+	for len(changes) > 0 {
+		conflicting := k.write(ctx, changes)
+		if conflicting < 0 {
+			return
 		}
-		k.write(ctx, []change{claim.change})
+		changes = append(changes[:conflicting:conflicting], changes[conflicting+1:]...)
 	}
 }
 
@@ -403,11 +421,5 @@
 			changes = append(changes, k.holdings.release(shard, l, now))
 		}
 	})
-	for len(changes) > 0 {
-		conflicting := k.write(ctx, changes)
-		if conflicting < 0 {
-			return
-		}
-		changes = append(changes[:conflicting:conflicting], changes[conflicting+1:]...)
-	}
+	k.writeUnchanged(ctx, changes)
 }
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -86,11 +86,12 @@
 	admittedLocally  int // requests admitted without the holder
 
 	// State of local mode.
-	localUntil     time.Time
-	localTokens    float64   // requests that the node may admit
-	localCountedAt time.Time // up to which localTokens are counted
-	nodes          int
-	reachesPeer    bool // as of the last failed request to the holder
+	localUntil      time.Time
+	localTokens     float64   // requests that the node may admit
+	localCountedAt  time.Time // up to which localTokens are counted
+	nodes           int
+	reachesPeer     bool      // as of the last failed request to the holder
+	failedRequestAt time.Time // when that request was sent
 }
 
 // NewShare returns a share without tokens. random draws numbers from 0 to 1.
@@ -182,13 +183,38 @@
 	s.retryAfter, s.newProgramRetryAfter = grant.RetryAfter, grant.NewProgramRetryAfter
 }
 
-// followsHolder reports whether the last request to the holder was answered.
-func (s *Share) followsHolder() bool { return !s.answeredAt.IsZero() && s.localUntil.IsZero() }
+// AnsweredLate applies the holder's answer to a request, sent at sentAt, for which nobody waited any
+// longer. Its tokens are returned unused: others may have been issued to the node since, and the programs
+// that it allows are decided. If requests may wait for as long as the answer took, the node follows the holder again.
+func (s *Share) AnsweredLate(now time.Time, request Request, grant Grant, sentAt time.Time) {
+	s.expire(now)
+	if grant.Term < s.term {
+		return // of a former holder
+	}
+	if grant.Term > s.term {
+		s.tokens, s.unused = 0, 0 // issued by a former holder
+		s.term = grant.Term
+	}
+	if grant.Tokens > 0 {
+		s.noteUnused(grant.Tokens, sentAt)
+	}
+	s.admittedLocally = max(0, s.admittedLocally-request.AdmittedLocally)
+	if now.Sub(sentAt) <= holderTimeout {
+		s.remaining, s.answeredAt = grant.Remaining, now
+		s.localUntil = time.Time{}
+	}
+}
+
+// followsHolder reports whether the holder has answered since the last failed request to it was sent.
+func (s *Share) followsHolder() bool {
+	return !s.answeredAt.IsZero() && (s.failedRequestAt.IsZero() || s.answeredAt.After(s.failedRequestAt))
+}
 
 // Unanswered records a failed request to the holder, the number of nodes, and whether this node
 // reaches any other. It switches the node to local mode for localPeriod.
 func (s *Share) Unanswered(now time.Time, limit Limit, nodes int, reachesPeer bool) {
 	s.nodes, s.reachesPeer = max(1, nodes), reachesPeer
+	s.failedRequestAt = s.requestedAt
 	if s.localCountedAt.IsZero() || now.Sub(s.localCountedAt) >= s.tolerance.Window {
 		s.localTokens = s.initialLocalTokens(limit)
 	}
