carry, callers, ingress: an attempt that was given up begins no answer

Class: a timeout and the event that it waits for are decided in two places. Change: the head of a cancelled exchange is an answer only if all of it has arrived; a request that may run once asks a late carrier and waits; headers that arrived during a stall are read before their deadline is applied. Ruled out: the engine (its run had ended well by the log of 14.3 s), the configuration (no route of the request changed).

--- a/internal/callers/connection.go
+++ b/internal/callers/connection.go
@@ -9,6 +9,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// unreadTimeout bounds the time to read bytes that arrived before a deadline passed. They are there already, but the
+// process may be waiting for a processor.
+const unreadTimeout = 100 * time.Millisecond
+
 // connection is a tracked connection of a caller. It replaces the read deadlines that the server sets
 // by those of the current limits, except deadlines in the past, by which the server ends a read.
 type connection struct {
@@ -38,8 +42,9 @@
 	}
 }
 
-// handleRead records the result of a read. It reports whether to read again, which is so if the
-// idle time is over but a request arrived at the same moment.
+// handleRead records the result of a read. It reports whether to read again, which is so if a deadline has passed
+// but bytes had arrived before that: a request at the moment at which the idle time is over, or the rest of a header
+// while this process got no processor time.
 func (c *connection) handleRead(count int, err error) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -49,14 +54,27 @@
 	if err == nil || c.ended || c.cause != "" {
 		return false
 	}
-	if c.state == Idle && errors.Is(err, os.ErrDeadlineExceeded) && hasUnread(c.Conn) {
-		c.cancelClose()
+	if errors.Is(err, os.ErrDeadlineExceeded) && hasUnread(c.Conn) && c.extendDeadline() {
 		return true
 	}
 	c.recordReadError(err)
 	return false
 }
 
+// extendDeadline lets the server read bytes that have arrived though the deadline has passed. It returns false while a
+// request is being served: the server ends its own reads then. The mutex is held.
+func (c *connection) extendDeadline() bool {
+	switch c.state {
+	case Idle:
+		c.cancelClose()
+	case Receiving:
+		_ = c.Conn.SetReadDeadline(time.Now().Add(unreadTimeout)) // a closed connection fails at the next read
+	default:
+		return false
+	}
+	return true
+}
+
 // recordBytes records that bytes of a request were read. The mutex is held.
 func (c *connection) recordBytes() {
 	c.readAt = time.Now()
--- a/internal/callers/listener.go
+++ b/internal/callers/listener.go
@@ -14,7 +14,7 @@
 const (
 	// finalAcceptWait is how long Accept still waits after StopAccepting for a connection whose handshake
 	// is in progress: its client takes it for established while the last packet of the handshake is in
-	// flight. It is longer than a round trip within a region, but not much longer: whoever connects in the
+	// flight. It is longer than a round trip within a region, but not much longer: a client that connects in the
 	// meantime is refused only a second later, when its system sends the request again.
 	finalAcceptWait = 2 * time.Millisecond
 	// maxFinalAccept bounds how long a series of new connections can delay the end where the system
--- a/internal/carry/client.go
+++ b/internal/carry/client.go
@@ -160,7 +160,8 @@
 
 // Send sends a request through a peer, and returns the engine's answer once its head has arrived.
 // The caller must close its body. Errors are marked ErrNotRun, ErrLost or upstream.ErrNoAnswer.
-// When ctx ends, the request is cancelled at the engine.
+// When ctx ends, the request is cancelled at the engine. A request whose run is its last one waits for a peer
+// that is late as long as the peer answers that it runs.
 func (c *Client) Send(ctx context.Context, peer string, request Request) (*http.Response, error) {
 	c.mutex.Lock()
 	client := c.client
@@ -169,6 +170,9 @@
 		return nil, errors.Mark(errors.New("no peers are set"), ErrNotRun)
 	}
 	call := newExchange(ctx)
+	if request.LastRun {
+		call.alive = func() bool { return c.overdueAlive(call.ctx, peer) }
+	}
 	c.states.begin(peer)
 	go func() {
 		defer c.states.end(peer)
@@ -183,6 +187,12 @@
 	return response, nil
 }
 
+// overdueAlive reports whether a peer whose acknowledgement is overdue still runs. Other requests skip the peer meanwhile.
+func (c *Client) overdueAlive(ctx context.Context, peer string) bool {
+	c.states.recordLate(peer, time.Now())
+	return c.Alive(ctx, peer)
+}
+
 // recordResult updates the state of a peer after an exchange with it.
 func (c *Client) recordResult(ctx context.Context, peer string, call *exchange, err error) {
 	now := time.Now()
--- a/internal/carry/exchange.go
+++ b/internal/carry/exchange.go
@@ -27,14 +27,18 @@
 type exchange struct {
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
+	alive    func() bool // asks the peer whether it runs, once its acknowledgement is overdue; nil to give up then
 	unhook   func() bool
 	start    time.Time
 	ackNanos atomic.Int64        // time until the peer's acknowledgement, in ns; 0 if there was none
 	heads    chan *http.Response // the answer, once its head has arrived
 	ended    chan struct{}       // closed at the end of the exchange
 	err      error               // nil if the answer is complete; valid once ended is closed
+	// cancelled is whether the exchange was cancelled before its end; valid once ended is closed.
+	cancelled bool
 
 	hasHead bool // used by the exchange's goroutine only
+	dropped bool // a piece of the body found no reader; used by the exchange's goroutine only
 	reader  *io.PipeReader
 	writer  *io.PipeWriter
 }
@@ -57,6 +61,10 @@
 	if e.err == nil {
 		e.handlePart(0, reply.GetBody()) // the last part
 	}
+	if e.err == nil && e.dropped {
+		e.err = errors.Mark(context.Cause(e.ctx), ErrLost)
+	}
+	e.cancelled = e.ctx.Err() != nil
 	_ = e.writer.CloseWithError(e.err) // nil: the answer is complete
 	close(e.ended)
 	e.unhook()
@@ -69,7 +77,8 @@
 	switch {
 	case len(part) == 0:
 	case e.hasHead:
-		_, _ = e.writer.Write(part) // fails once the reader is closed, which ends the exchange as well
+		_, err := e.writer.Write(part) // fails once the exchange is cancelled or its reader is closed
+		e.dropped = e.dropped || err != nil
 	default:
 		e.hasHead = true
 		response, first, err := decodeHead(part)
@@ -103,15 +112,15 @@
 	return errors.Mark(failure, ErrNotRun)
 }
 
-// head waits for the head of the answer and returns it, or the error of the exchange.
+// head waits for the head of the answer and returns it, or the error of the exchange. The head of a cancelled exchange is
+// an answer only if the rest of it has arrived as well.
 func (e *exchange) head(ctx context.Context) (*http.Response, error) {
-	if response := e.awaitHead(); response != nil {
-		return response, nil
+	response := e.awaitHead()
+	if response == nil {
+		response = e.arrivedHead()
 	}
-	select {
-	case response := <-e.heads: // the whole answer has arrived
+	if response != nil && !e.isCut() {
 		return response, nil
-	default:
 	}
 	switch {
 	case e.err == nil:
@@ -124,8 +133,38 @@
 	return nil, e.err
 }
 
-// awaitHead waits for the head of the answer, or for the end of the exchange, and cancels the exchange
-// if the peer does not acknowledge it in time. It returns nil at the end of the exchange.
+// isComplete reports whether the exchange has ended with a whole answer.
+func (e *exchange) isComplete() bool {
+	select {
+	case <-e.ended:
+		return e.err == nil
+	default:
+		return false
+	}
+}
+
+// arrivedHead returns the head if it has arrived, or nil.
+func (e *exchange) arrivedHead() *http.Response {
+	select {
+	case response := <-e.heads:
+		return response
+	default:
+		return nil
+	}
+}
+
+// isCut reports whether the exchange was cancelled before the whole answer had arrived. After a cancellation it waits for the
+// end of the exchange, which follows at once.
+func (e *exchange) isCut() bool {
+	if e.ctx.Err() == nil {
+		return false
+	}
+	<-e.ended
+	return e.cancelled && e.err != nil
+}
+
+// awaitHead waits for the head of the answer, or for the end of the exchange. If the peer does not acknowledge it in time, and
+// does not answer alive either, awaitHead cancels the exchange. It returns nil at the end of the exchange.
 func (e *exchange) awaitHead() *http.Response {
 	start, wait := time.Now(), ackTimeout
 	timer := time.NewTimer(wait)
@@ -144,8 +183,11 @@
 			// This process was paused: what has arrived during the pause was not read yet.
 			start, wait = time.Now(), ackAfter
 			timer.Reset(wait)
+		case e.alive != nil && e.alive():
+			start, wait = time.Now(), ackTimeout
+			timer.Reset(wait)
 		default:
-			e.cancel(errors.Mark(errNoAck, ErrLost)) // the head may have arrived by now
+			e.cancel(errors.Mark(errNoAck, ErrLost))
 		}
 	}
 }
@@ -168,14 +210,22 @@
 	first    []byte // piece that came with the head, as far as it was not read yet
 }
 
-// Read implements io.Reader. io.EOF means that the body is complete.
+// Read implements io.Reader. io.EOF means that the body is complete. After a cancellation it returns nothing of a body whose
+// rest has not arrived.
 func (b *body) Read(buffer []byte) (int, error) {
+	if b.exchange.isCut() {
+		return 0, b.exchange.err
+	}
 	if len(b.first) > 0 {
 		count := copy(buffer, b.first)
 		b.first = b.first[count:]
 		return count, nil
 	}
-	return b.exchange.reader.Read(buffer)
+	count, err := b.exchange.reader.Read(buffer)
+	if err != nil && b.exchange.isComplete() {
+		return count, io.EOF // cancelled after all of it had arrived
+	}
+	return count, err
 }
 
 // Close implements io.Closer.
--- a/internal/carry/message.go
+++ b/internal/carry/message.go
@@ -26,6 +26,8 @@
 	LastEvent string // event after which a stream continues; empty if the client's own event applies
 	Tenant    string
 	Deadline  time.Time // after which the answer is of no use
+	// LastRun means that the request may run on no other engine if this send ends without an answer.
+	LastRun bool
 }
 
 // destination returns the destination of connections for the request.
--- a/internal/carry/peers.go
+++ b/internal/carry/peers.go
@@ -23,7 +23,8 @@
 // peerState is the record of one peer.
 type peerState struct {
 	inFlight  int
-	skipUntil time.Time
+	skipUntil time.Time     // after a late answer, or none yet, or one that declined
+	lostUntil time.Time     // until when it is skipped after a loss
 	lossSkip  time.Duration // for how long it was skipped after the last loss; 0 if it has answered since
 }
 
@@ -37,7 +38,7 @@
 	for _, address := range addresses {
 		candidate := Candidate{Address: address}
 		if peer := p.peers[address]; peer != nil {
-			candidate.Unavailable = now.Before(peer.skipUntil)
+			candidate.Unavailable = now.Before(peer.skipUntil) || now.Before(peer.lostUntil)
 			candidate.InFlight = peer.inFlight
 		}
 		found = append(found, candidate)
@@ -80,6 +81,13 @@
 	}
 }
 
+// recordLate records that a peer has not acknowledged a request in time.
+func (p *peerStates) recordLate(address string, now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.state(address).skipUntil = now.Add(declineSkip)
+}
+
 // recordDecline records that a peer declined a request.
 func (p *peerStates) recordDecline(address string, now time.Time) {
 	p.mutex.Lock()
@@ -95,11 +103,11 @@
 	defer p.mutex.Unlock()
 	peer := p.state(address)
 	first := peer.lossSkip == 0
-	if now.Before(peer.skipUntil) && !first {
+	if now.Before(peer.lostUntil) && !first {
 		return false
 	}
 	peer.lossSkip = min(maxLossSkip, max(minLossSkip, 2*peer.lossSkip))
-	peer.skipUntil = now.Add(peer.lossSkip)
+	peer.lostUntil = now.Add(peer.lossSkip)
 	return first
 }
 
--- a/internal/ingress/buffered.go
+++ b/internal/ingress/buffered.go
@@ -51,7 +51,7 @@
 			return bufferedResponse{problem: problem}
 		}
 		if r.mayRetryAfter(current, attempts) {
-			attempts.countRun(placement.ServerError)
+			attempts.countRun(current, placement.ServerError)
 			current.finish(placement.ServerError, current.serverErrorText())
 			continue
 		}
@@ -63,7 +63,7 @@
 			return bufferedResponse{current: current, content: content}
 		}
 		outcome := current.classifyFailure(ctx, err)
-		attempts.countRun(outcome)
+		attempts.countRun(current, outcome)
 		current.finish(outcome, errorText(err))
 		if ctx.Err() != nil || !r.route.Repeatable() {
 			return bufferedResponse{problem: r.unknownOutcomeProblem(ctx, err)}
@@ -82,6 +82,10 @@
 
 // passBuffered forwards an answer: the buffered part, and the rest if there is more.
 func (r *request) passBuffered(current *attempt, content []byte) {
+	if len(content) < maxBufferedAnswer { // the client may have all of it before this function returns
+		current.recordEnd(current.finalOutcome(), false)
+		r.awaitWithdrawals(maxReportWait)
+	}
 	r.firstByte()
 	if len(content) < maxBufferedAnswer && r.http.Method != http.MethodHead {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
--- a/internal/ingress/carried.go
+++ b/internal/ingress/carried.go
@@ -40,7 +40,12 @@
 	if decision.Peer == "" {
 		return t.sendDirectly(lastEvent)
 	}
+	t.reportLastSend()
+	if t.leftToRival() {
+		return nil, errLeftToRival
+	}
 	t.peer.Store(&decision.Peer)
+	t.sent = true
 	response, err := carrier.Send(t.ctx, decision.Peer, t.carriedRequest(lastEvent))
 	switch {
 	case err == nil:
@@ -49,6 +54,7 @@
 		return nil, err
 	}
 	t.peer.Store(nil)
+	t.sent = false
 	t.recordVia(carry.Decision{Peer: decision.Peer, Reason: carry.Declined})
 	return t.sendDirectly(lastEvent)
 }
@@ -74,6 +80,7 @@
 		LastEvent: lastEvent,
 		Tenant:    r.tenantName(),
 		Deadline:  r.deadline,
+		LastRun:   t.lastRun,
 	}
 }
 
@@ -87,10 +94,16 @@
 	if err != nil {
 		return nil, err
 	}
+	t.reportLastSend()
+	if t.leftToRival() {
+		options.Pool.Release(conn)
+		return nil, errLeftToRival
+	}
 	if !t.placed.MaySend(time.Now()) {
 		options.Pool.Release(conn)
 		return nil, errSendExpired
 	}
+	t.sent = true
 	answer, err := options.Pool.Send(t.ctx, conn, t.request.outgoing(t.placed.Engine, lastEvent))
 	if err != nil {
 		return nil, err
--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -25,11 +26,14 @@
 
 // Limits of recording ended engines.
 const (
-	// maxEndCheck is how long the examination of one engine may take.
-	maxEndCheck = time.Second
+	// maxEndCheck is how long the examination of one engine may take: five connection attempts, one after another, and a pause.
+	maxEndCheck = 5*probeTimeout + probeInterval + 100*time.Millisecond
 	// maxReportWait is how long the answer to a failed request waits until the peers, one of which may get the next
 	// try, know which engines ended.
 	maxReportWait = 250 * time.Millisecond
+	// maxWithdrawalWait is how long a refusal waits until the peers know which presumed ends do not count: the client is about to
+	// come back. An answer waits for maxReportWait.
+	maxWithdrawalWait = time.Second
 	// lateReportWait is how long it waits if the request's deadline has passed.
 	lateReportWait = 60 * time.Millisecond
 )
@@ -47,8 +51,17 @@
 type EndReporter interface {
 	// Report returns once the peers know what this node has recorded, or ctx ends.
 	Report(ctx context.Context)
+	// ReportWithdrawal is like Report, for ends that do not count any more. It repeats the report until ctx ends, which must
+	// have a deadline.
+	ReportWithdrawal(ctx context.Context)
+	// AwaitAnswers returns once a node that has just started knows what its peers do, or ctx ends; at any other time at
+	// once.
+	AwaitAnswers(ctx context.Context)
 }
 
+// errLeftToRival is the reason why a request was not sent to an engine: see leftToRival.
+var errLeftToRival = errors.New("the engine was left to another request under which engines ended")
+
 // EndKind is how an engine ended, in logs and metrics.
 type EndKind string
 
@@ -77,6 +90,7 @@
 // checkEndedEngines returns a problem if so many engines have ended under the request that no other one may get it.
 // underWay is how many other sends of the request are in progress. It waits for examinations that decide this.
 func (r *request) checkEndedEngines(ctx context.Context, mayHaveRun bool, underWay int) *api.Error {
+	r.handler.options.EndReporter.AwaitAnswers(ctx)
 	memory := r.handler.options.EndedEngines
 	if memory.Empty() {
 		return nil
@@ -117,20 +131,57 @@
 	return memory.Isolate(r.poisonKey(), usable, time.Now())
 }
 
-// recordEnd records whether the attempt's engine ended under the request, or that it answered it. It does not block.
+// reportLastSend presumes that the engine ends, and reports that, before the request is sent to the last engine that it may
+// end. If this node is lost together with the engine, no other engine gets the request. recordEnd ends the check. It is called
+// once there is a connection, since engines that cannot be reached run nothing.
+func (t *attempt) reportLastSend() {
+	r, memory := t.request, t.request.handler.options.EndedEngines
+	if memory.Empty() || t.lastSend != nil || memory.StandingOf(r.poisonKey(), time.Now()).Ended != poison.MaxEngines-1 {
+		return
+	}
+	t.lastSend = memory.BeginCheck(r.poisonKey(), t.placed.Engine.ID, time.Now())
+	t.lastSend.Presume(poison.End{Engine: t.placed.Engine.ID, Try: r.call.ID, SentAt: t.startedAt, EndedAt: t.startedAt})
+	ctx, cancel := context.WithTimeout(t.ctx, maxReportWait)
+	defer cancel()
+	r.reportEnds(ctx)
+}
+
+// leftToRival reports whether the engine is left to another request under which as many engines ended: both were placed there before
+// either node knew of the other one's. It is called once the presumed end has been reported, so that at least one of two nodes that
+// confirm each other's reports knows of both requests.
+func (t *attempt) leftToRival() bool {
+	return t.lastSend != nil && slices.Contains(t.request.enginesOfRivals(), t.placed.Engine.ID)
+}
+
+// recordEnd records whether the attempt's engine ended under the request, or that it answered it. It does not block. Further
+// calls have no effect.
 func (t *attempt) recordEnd(outcome placement.Outcome, lostHedge bool) {
 	r, memory := t.request, t.request.handler.options.EndedEngines
+	if t.endRecorded {
+		return
+	}
+	t.endRecorded = true
 	if outcome == placement.Served {
-		if !memory.Empty() && memory.Answered(r.poisonKey(), time.Now()) {
-			go r.handler.options.EndReporter.Report(context.Background())
+		cleared := !memory.Empty() && memory.Answered(r.poisonKey(), time.Now())
+		switch {
+		case t.lastSend != nil:
+			r.reportWithdrawn(t.lastSend.Withdraw() || cleared)
+		case cleared:
+			go r.handler.reportWithdrawal()
 		}
 		return
 	}
 	if lostHedge || !t.mayHaveEnded(outcome) {
+		if t.lastSend != nil {
+			r.reportWithdrawn(t.lastSend.Withdraw())
+		}
 		return
 	}
 	end := poison.End{Engine: t.placed.Engine.ID, Try: r.call.ID, SentAt: t.startedAt, EndedAt: t.lastActivity()}
-	check := memory.BeginCheck(r.poisonKey(), end.Engine, time.Now())
+	check := t.lastSend
+	if check == nil {
+		check = memory.BeginCheck(r.poisonKey(), end.Engine, time.Now())
+	}
 	reported := make(chan struct{})
 	r.addEndReport(reported)
 	if outcome == placement.Cancelled && memory.StandingOf(r.poisonKey(), time.Now()).Ended > 0 {
@@ -145,17 +196,23 @@
 
 // presume records and reports that the engine ended, and examines it then. It is used where an engine sent nothing until
 // the request's time was over, and others ended under the request before: the next try would reach a peer before the
-// examination is over. The end counts unless the engine responds.
+// examination is over. The end counts unless the engine responds. It is examined once it has been silent for stallAfter, as one
+// whose request goes on is: a try may be given up so early that the request has not ended the engine yet.
 func (t *attempt) presume(check *poison.Check, end poison.End, reported chan<- struct{}) {
 	check.Presume(end)
 	t.request.reportEnds(context.Background())
 	close(reported)
+	backoff.Wait(context.Background(), time.Until(t.lastActivity().Add(stallAfter)))
 	t.examine(check, end, t.howEnded(placement.Cancelled))
 }
 
-// mayHaveEnded reports whether the engine may have ended, after a send with this outcome. A client that leaves shows
-// nothing about an engine that sent something just before.
+// mayHaveEnded reports whether the engine may have ended under the request, after a send with this outcome. A client that leaves
+// shows nothing about an engine that sent something just before, nor about one that was not sent the request. One that was left
+// since its zone is suspected is not examined: a lost one does not count, and the probes would end the suspicion if it is at work.
 func (t *attempt) mayHaveEnded(outcome placement.Outcome) bool {
+	if !t.sent || t.leftOnSuspicion() {
+		return false
+	}
 	switch outcome {
 	case placement.Failed, placement.Unresponsive, placement.CarrierLost:
 		return true
@@ -190,7 +247,7 @@
 	}
 	if how == notEnded || how == endUnknown || handler.leftAsPlanned(engine) {
 		if check.Withdraw() {
-			handler.options.EndReporter.Report(context.Background())
+			handler.reportWithdrawal()
 		}
 		return
 	}
@@ -216,22 +273,72 @@
 	}
 }
 
-// howEnded returns how an engine ended to which a request was sent at a time.
+// reportWithdrawal reports that ends that others know do not count.
+func (h *Handler) reportWithdrawal() {
+	ctx, cancel := context.WithTimeout(context.Background(), maxWithdrawalWait)
+	defer cancel()
+	h.options.EndReporter.ReportWithdrawal(ctx)
+}
+
+// reportWithdrawn reports in the background that an end that was presumed does not count, if other nodes are to learn that.
+// awaitWithdrawals waits for it, as long as the answer can still reach its client in time.
+func (r *request) reportWithdrawn(changed bool) {
+	if !changed {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), min(maxWithdrawalWait, time.Until(r.deadline)-answerEndMargin))
+	known := make(chan struct{})
+	r.reportMutex.Lock()
+	r.withdrawals = append(r.withdrawals, known)
+	r.reportMutex.Unlock()
+	go func() {
+		defer cancel()
+		defer close(known)
+		r.handler.options.EndReporter.ReportWithdrawal(ctx)
+	}()
+}
+
+// awaitWithdrawals waits until the peers know that ends presumed by reportLastSend do not count. It is called before the client
+// gets the last byte of an answer or of a refusal, since a peer that does not know it yet refuses the client's next try. Only
+// requests whose presumed end was reported wait, each up to the limit.
+func (r *request) awaitWithdrawals(limit time.Duration) {
+	r.reportMutex.Lock()
+	withdrawals := r.withdrawals
+	r.reportMutex.Unlock()
+	timeout := time.After(limit)
+	for _, known := range withdrawals {
+		select {
+		case <-known:
+		case <-timeout:
+			return
+		case <-r.http.Context().Done():
+			return
+		}
+	}
+}
+
+// howEnded returns how an engine ended to which a request was sent at a time. A connection attempt that times out, while none of the
+// further ones does, shows nothing: this node may have had no processor time. It is repeated then, until ctx ends.
 func (h *Handler) howEnded(ctx context.Context, engine routing.Engine, sentAt time.Time) EndKind {
 	if h.options.View().ReplacedAfter(engine, sentAt) {
 		return endRestarted
 	}
-	start := time.Now()
-	err := h.options.Pool.Probe(ctx, destinationOf(engine), probeTimeout)
-	switch {
-	case err == nil:
-		return h.whetherRestarted(ctx, engine)
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return endRefused
-	case upstream.IsDialTimeout(err) && h.prober.unresponsiveSince(ctx, engine, start):
-		return endUnresponsive
+	for {
+		start := time.Now()
+		err := h.options.Pool.Probe(ctx, destinationOf(engine), probeTimeout)
+		switch {
+		case err == nil:
+			return h.whetherRestarted(ctx, engine)
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return endRefused
+		case !upstream.IsDialTimeout(err):
+			return endUnknown
+		case h.prober.unresponsiveSince(ctx, engine, start):
+			return endUnresponsive
+		case ctx.Err() != nil:
+			return endUnknown
+		}
 	}
-	return endUnknown
 }
 
 // whetherRestarted returns endRestarted if another incarnation responds at the engine's address, notEnded otherwise.
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -36,6 +36,19 @@
 	return &eventReader{content: bufio.NewReaderSize(content, eventBuffer)}
 }
 
+// readRest reads the stream to its end, and returns a reader of what it has read. It returns an error if the stream does not
+// arrive whole, and tooLong if it is longer than maxBufferedAnswer.
+func (e *eventReader) readRest(tooLong error) (*eventReader, error) {
+	rest, err := io.ReadAll(io.LimitReader(e.content, maxBufferedAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(rest) > maxBufferedAnswer {
+		return nil, tooLong
+	}
+	return newEventReader(bytes.NewReader(rest)), nil
+}
+
 // next returns the next complete event. Empty lines before an event are part of it, since a client gets nothing from them
 // alone; at the end of the stream they are an event without fields. io.EOF means that the stream ended between two events;
 // io.ErrUnexpectedEOF that it ended within an event.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -117,6 +117,9 @@
 	Quota    Quota
 	// Origins stores which software version started a stream.
 	Origins Origins
+	// VersionRecord states which software versions may have started streams, after all nodes have ended. *versionrecord.Keeper
+	// implements it.
+	VersionRecord VersionRecord
 	// EndedEngines records which engines ended under which requests, and EndReporter reports it to other nodes.
 	EndedEngines *poison.Memory
 	EndReporter  EndReporter
@@ -165,33 +168,35 @@
 
 // request is one request in progress.
 type request struct {
-	handler     *Handler
-	writer      http.ResponseWriter
-	http        *http.Request
-	call        Call
-	view        *discovery.View
-	route       *routing.Route
-	tenant      *bundle.Tenant // of the caller's key; nil if there is none
-	service     string         // backend of the route that serves it
-	regions     []string       // regions in which it may be served; nil for all, empty for none
-	input       []byte         // the body as the client sent it
-	body        []byte         // as it is sent to the engine
-	bodyRead    bool           // the client's body has been read to its end
-	arrived     time.Time
-	deadline    time.Time      // of the client or the route, whichever is earlier
-	headWritten bool           // the answer's head has been written
-	granted     quota.Decision // by which it counts against its tenant's limit; Undecided if it does not
-	origin      streamOrigin   // of the stream that the request starts or resumes
-	endPending  func()         // ends the pending count of the program that it starts; nil if there is none
-	report      Report
+	handler        *Handler
+	writer         http.ResponseWriter
+	http           *http.Request
+	call           Call
+	view           *discovery.View
+	route          *routing.Route
+	tenant         *bundle.Tenant // of the caller's key; nil if there is none
+	service        string         // backend of the route that serves it
+	regions        []string       // regions in which it may be served; nil for all, empty for none
+	input          []byte         // the body as the client sent it
+	body           []byte         // as it is sent to the engine
+	bodyRead       bool           // the client's body has been read to its end
+	arrived        time.Time
+	deadline       time.Time      // of the client or the route, whichever is earlier
+	headWritten    bool           // the answer's head has been written
+	granted        quota.Decision // by which it counts against its tenant's limit; Undecided if it does not
+	origin         streamOrigin   // of the stream that the request starts or resumes
+	recordDeadline time.Time      // until when the stream waits for its version to be in the record; zero before it first does
+	endPending     func()         // ends the pending count of the program that it starts; nil if there is none
+	report         Report
 
 	keyOnce       sync.Once
 	key           poison.Key   // see poisonKey
 	sendsUnderWay atomic.Int32 // to engines
 	failed        atomic.Bool  // its client gets no complete answer, and may try again
 
-	reportMutex sync.Mutex        // guards report.Attempts while two sends are in flight, and endReports
+	reportMutex sync.Mutex        // guards report.Attempts while two sends are in flight, endReports and withdrawals
 	endReports  []<-chan struct{} // closed once it is known, here and at peers, whether an engine ended
+	withdrawals []<-chan struct{} // see reportWithdrawn; closed once peers know it, or need not be waited for any more
 }
 
 // ServeHTTP implements http.Handler.
@@ -205,9 +210,12 @@
 	if problem != nil || r.report.Truncated {
 		r.awaitEndReports()
 	}
-	if problem != nil {
-		r.refuse(problem)
+	if problem == nil {
+		r.awaitWithdrawals(maxReportWait)
+		return
 	}
+	r.awaitWithdrawals(maxWithdrawalWait)
+	r.refuse(problem)
 }
 
 // serve handles the request. It returns a problem only if no answer has started.
--- /dev/null
+++ b/internal/ingress/only_engine_test.go
@@ -0,0 +1,80 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/api"
+	"github.com/pewtermill/pewtermill/internal/carry"
+	"github.com/pewtermill/pewtermill/internal/conversations"
+	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/placement"
+	"github.com/pewtermill/pewtermill/internal/poison"
+	"github.com/pewtermill/pewtermill/internal/routing"
+	"github.com/pewtermill/pewtermill/internal/upstream"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
+)
+
+// pausedPeer is a carrier that is paused for 400 ms. It gives up a request that may run on another engine after 300 ms, as carry.Client does.
+type pausedPeer struct{}
+
+func (pausedPeer) Choose(carry.Request, string, bool) carry.Decision {
+	return carry.Decision{Peer: "carrier", Reason: carry.Carried}
+}
+
+func (pausedPeer) Alive(context.Context, string) bool { return true }
+
+func (pausedPeer) Send(_ context.Context, _ string, request carry.Request) (*http.Response, error) {
+	if !request.LastRun {
+		time.Sleep(300 * time.Millisecond)
+		return nil, errors.Mark(errors.New("no sign of life"), carry.ErrLost)
+	}
+	time.Sleep(400 * time.Millisecond)
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("whole"))}, nil
+}
+
+// fullPlacer places a request at its only engine, and at none afterwards.
+type fullPlacer struct {
+	onePlacer
+}
+
+func (p fullPlacer) Place(ctx context.Context, request placement.Request) (placement.Placement, *api.Error) {
+	if len(request.Excluded) > 0 {
+		return placement.Placement{}, api.Errorf(api.NoReadyBackend, "the other engines were tried")
+	}
+	return p.onePlacer.Place(ctx, request)
+}
+
+// TestRequestOfTheOnlyEngineWaitsForItsCarrier guards against requests that fail although their carrier was only paused: the route
+// allows another attempt, but the service has no other engine, so that the request was given up for nothing.
+func TestRequestOfTheOnlyEngineWaitsForItsCarrier(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		engine := routing.Engine{ID: "e@1", Service: "models", Address: "127.0.0.1:1", Zone: "z"}
+		view := &discovery.View{
+			Table: routing.NewTable(&routing.Configuration{
+				Routes: []routing.Route{{Name: "check", Host: "site.example", PathPrefix: "/", Kind: routing.Safe, MaxAttempts: 2,
+					Backends: []routing.Backend{{Service: "models", Weight: 1}}}},
+				Services: map[string]routing.Service{"models": {Name: "models"}},
+			}),
+			Engines: map[string]routing.Engine{engine.ID: engine},
+		}
+		handler := New(Options{
+			Protocol: plainProtocol{}, View: func() *discovery.View { return view }, Placer: fullPlacer{onePlacer{engine: engine}},
+			Pool: upstream.NewPool(upstream.Options{DialTimeout: time.Second}), Carrier: pausedPeer{}, Lines: conversations.NewCache(),
+			EndedEngines: poison.NewMemory(), EndReporter: silentReporter{}, Observer: silentObserver{},
+		})
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodGet, "http://site.example/check", nil).WithContext(t.Context())
+		cut := serveUntilAborted(handler, recorder, request)
+		if cut || recorder.Code != http.StatusOK || recorder.Body.String() != "whole" {
+			t.Errorf("the client got status %d and %q, cut: %v; want the answer of the only engine", recorder.Code, recorder.Body, cut)
+		}
+	})
+}
--- a/internal/ingress/optimistic.go
+++ b/internal/ingress/optimistic.go
@@ -203,6 +203,7 @@
 	if len(buffered) == 0 {
 		return nil
 	}
+	r.recordBegun()
 	if _, err := r.writer.Write(buffered); err != nil {
 		return err
 	}
--- a/internal/ingress/prober_test.go
+++ b/internal/ingress/prober_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -40,6 +41,56 @@
 	}
 }
 
+// TestReferencesThatDidNotRespondAreAskedLast guards against taking an engine that fell silent for one at work since the three
+// others that are asked have fallen silent as well. Each of thirty others is asked within ten examinations; one responds.
+func TestReferencesThatDidNotRespondAreAskedLast(t *testing.T) {
+	const plays, others = 20, 30
+	for play := range plays {
+		prober, silent := newProberBeside(t, others)
+		examinations := 1
+		for ; examinations <= others && !prober.reachesAnother(t.Context(), silent); examinations++ {
+		}
+		if want := others/(maxReferences+maxFurtherReferences) + 1; examinations > want {
+			t.Errorf("play %d: reached another engine in examination %d, want %d at most", play, examinations, want)
+		}
+	}
+}
+
+// TestSilentEngineIsFoundAtOnceWhereMostOthersAreLost guards against a request that waits for a silent engine until its deadline, since
+// none of the first engines that are asked responds: one of twelve others does, and the first examination shows it.
+func TestSilentEngineIsFoundAtOnceWhereMostOthersAreLost(t *testing.T) {
+	const plays, others = 20, 12
+	for play := range plays {
+		prober, silent := newProberBeside(t, others)
+		if !prober.reachesAnother(t.Context(), silent) {
+			t.Errorf("play %d: the engine that responds was not asked", play)
+		}
+	}
+}
+
+// newProberBeside returns a prober, an engine that is silent, and in the view of the prober a number of others, of which one
+// accepts connections.
+func newProberBeside(t *testing.T, others int) (*prober, routing.Engine) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	pool := upstream.NewPool(upstream.Options{DialTimeout: time.Second, AckTimeout: time.Second})
+	t.Cleanup(pool.Close)
+	view := &discovery.View{
+		Table:   routing.NewTable(&routing.Configuration{Version: 1, Services: map[string]routing.Service{"s": {Name: "s"}}}),
+		Engines: map[string]routing.Engine{"silent": {ID: "silent", Service: "s", Address: "127.0.0.1:9"}},
+	}
+	for number := range others {
+		id := strconv.Itoa(number)
+		view.Engines[id] = routing.Engine{ID: id, Service: "s", Address: "127.0.0.1:" + strconv.Itoa(10+number)}
+	}
+	view.Engines["0"] = routing.Engine{ID: "0", Service: "s", Address: listener.Addr().String()}
+	return newProber(pool, func() *discovery.View { return view }, ""), view.Engines["silent"]
+}
+
 // TestANodeCutOffWithItsZoneHoldsNoEngineForGone has an engine of another zone stop responding while
 // this node reaches its own zone only, a third one as well, and where there is no third one.
 //
--- a/internal/ingress/refuse.go
+++ b/internal/ingress/refuse.go
@@ -15,6 +15,8 @@
 const (
 	notReadyRetryAfter = 500 * time.Millisecond
 	fullRetryAfter     = 150 * time.Millisecond
+	// recordUnreadRetryAfter is for clients whose streams the store may have a record of, while it could not be read.
+	recordUnreadRetryAfter = 300 * time.Millisecond
 	// elsewhereRetryAfter is for clients whose next connection reaches another process.
 	elsewhereRetryAfter = 20 * time.Millisecond
 )
--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -89,7 +89,7 @@
 			return s.failed(ctx, problem, attempts.mayHaveRun)
 		}
 		if s.mayRetryAfter(current, &attempts) {
-			attempts.countRun(placement.ServerError)
+			attempts.countRun(current, placement.ServerError)
 			current.finish(placement.ServerError, current.serverErrorText())
 			continue
 		}
@@ -112,7 +112,7 @@
 			return s.failed(ctx, ledgerProblem, true)
 		}
 		outcome := current.classifyFailure(ctx, err)
-		attempts.countRun(outcome)
+		attempts.countRun(current, outcome)
 		current.finish(outcome, errorText(err))
 		if ctx.Err() != nil || !r.route.Repeatable() {
 			return s.failed(ctx, r.unknownOutcomeProblem(ctx, err), attempts.mayHaveRun)
@@ -198,6 +198,12 @@
 		if err := s.checkEvent(next); err != nil {
 			return err
 		}
+		current.recordActivity()
+		if !s.request.headWritten && current.ctx.Err() != nil {
+			if reader, err = reader.readRest(context.Cause(current.ctx)); err != nil {
+				return err // nothing was sent that lacks its end
+			}
+		}
 		if err := s.passEvent(current, next); err != nil {
 			return err
 		}
@@ -206,7 +212,6 @@
 
 // passEvent forwards one event at once.
 func (s *stream) passEvent(current *attempt, next event) error {
-	current.recordActivity()
 	s.recordEvent(current, next)
 	if !s.clientLacks(next) {
 		return nil
@@ -225,6 +230,7 @@
 		r.firstByte()
 		r.writeHead(current.answer.StatusCode, current.answer.Header)
 	}
+	r.recordBegun()
 	if _, err := r.writer.Write(next.raw); err != nil {
 		return err
 	}
--- a/internal/ingress/zones.go
+++ b/internal/ingress/zones.go
@@ -110,18 +110,21 @@
 	return lost != nil && clientCanRetry && lost(t.placed.Engine.Zone)
 }
 
-// mayAbandon reports whether an attempt may be abandoned at an engine of a zone that this node considers
-// lost. That may be wrong: a request that its client may not repeat is abandoned only at an engine that
-// accepts no connections. An engine that does ends the suspicion. A request that may run on one engine
-// only is abandoned only if that engine is unresponsive: before a node detects that it is itself
-// isolated, it considers other zones lost.
+// mayRunElsewhere reports whether the request may run on more than one engine. It leaves an engine of a zone that this node
+// considers lost at once, and the run there counts: the engine may be at work.
+func (t *attempt) mayRunElsewhere() bool {
+	route := t.request.route
+	return route.Repeatable() && route.MaxAttempts > 1
+}
+
+// mayAbandon reports whether an attempt of a request that may run on one engine only may be abandoned at an engine of a zone
+// that this node considers lost. That may be wrong: a request that its client may not repeat is abandoned only at an engine that
+// accepts no connections. An engine that does ends the suspicion. Another one is abandoned only if that engine is
+// unresponsive: before a node detects that it is itself isolated, it considers other zones lost.
 func (t *attempt) mayAbandon() bool {
-	activity, route := t.activity.Load(), t.request.route
-	switch {
-	case route.Repeatable() && route.MaxAttempts > 1:
-		return true
-	case route.Repeatable():
-		return !t.evacuated() && t.request.handler.prober.unresponsive(t.ctx, t.placed.Engine) && t.activity.Load() == activity
+	activity := t.activity.Load()
+	if t.request.route.Repeatable() {
+		return t.request.foundUnresponsive(t.ctx, t.placed.Engine) && t.activity.Load() == activity
 	}
 	return !t.evacuated() && t.request.handler.prober.connectTimesOut(t.ctx, t.placed.Engine) && t.activity.Load() == activity
 }
