--- a/internal/ingress/cancelled_attempt_test.go
+++ b/internal/ingress/cancelled_attempt_test.go
@@ -80,26 +80,31 @@
 func (silentObserver) RequestEnded(Report)   {}
 func (silentObserver) EngineEnded(EngineEnd) {}
 
+// newHandlerOfOneEngine returns a handler whose configuration has one route, for all paths of site.example, to a service of one engine.
+func newHandlerOfOneEngine(route routing.Route, carrier Carrier, place func(onePlacer) Placer) http.Handler {
+	engine := routing.Engine{ID: "e@1", Service: "models", Address: "127.0.0.1:1", Zone: "z"}
+	route.Host, route.PathPrefix = "site.example", "/"
+	route.Backends = []routing.Backend{{Service: engine.Service, Weight: 1}}
+	view := &discovery.View{
+		Table: routing.NewTable(&routing.Configuration{Routes: []routing.Route{route},
+			Services: map[string]routing.Service{engine.Service: {Name: engine.Service}}}),
+		Engines: map[string]routing.Engine{engine.ID: engine},
+	}
+	return New(Options{
+		Protocol: plainProtocol{}, View: func() *discovery.View { return view }, Placer: place(onePlacer{engine: engine}),
+		Pool: upstream.NewPool(upstream.Options{DialTimeout: time.Second}), Carrier: carrier, Lines: conversations.NewCache(),
+		EndedEngines: poison.NewMemory(), EndReporter: silentReporter{}, Observer: silentObserver{},
+	})
+}
+
 // TestCancelledSendBeginsNoAnswer guards against answers that begin and are cut: the watchdog had given a send up, whose head arrived at
 // the same moment, and its first event was sent to the client although the rest could not follow. Nothing was sent until
 // then, so the client of a stream that may run once is owed a refusal.
 func TestCancelledSendBeginsNoAnswer(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
-		engine := routing.Engine{ID: "e@1", Service: "models", Address: "127.0.0.1:1", Zone: "z"}
-		view := &discovery.View{
-			Table: routing.NewTable(&routing.Configuration{
-				Routes: []routing.Route{{Name: "chat", Host: "site.example", PathPrefix: "/", Kind: routing.Stream, MaxAttempts: 1,
-					Backends: []routing.Backend{{Service: "models", Weight: 1}}}},
-				Services: map[string]routing.Service{"models": {Name: "models"}},
-			}),
-			Engines: map[string]routing.Engine{engine.ID: engine},
-		}
 		carrier := &lateCarrier{}
-		handler := New(Options{
-			Protocol: plainProtocol{}, View: func() *discovery.View { return view }, Placer: onePlacer{engine: engine},
-			Pool: upstream.NewPool(upstream.Options{DialTimeout: time.Second}), Carrier: carrier, Lines: conversations.NewCache(),
-			EndedEngines: poison.NewMemory(), EndReporter: silentReporter{}, Observer: silentObserver{},
-		})
+		route := routing.Route{Name: "chat", Kind: routing.Stream, MaxAttempts: 1}
+		handler := newHandlerOfOneEngine(route, carrier, func(only onePlacer) Placer { return only })
 		recorder := httptest.NewRecorder()
 		request := httptest.NewRequest(http.MethodPost, "http://site.example/chat", nil).WithContext(t.Context())
 		start := time.Now()
--- a/internal/ingress/only_engine_test.go
+++ b/internal/ingress/only_engine_test.go
@@ -13,12 +13,8 @@
 
 	"github.com/pewtermill/pewtermill/api"
 	"github.com/pewtermill/pewtermill/internal/carry"
-	"github.com/pewtermill/pewtermill/internal/conversations"
-	"github.com/pewtermill/pewtermill/internal/discovery"
 	"github.com/pewtermill/pewtermill/internal/placement"
-	"github.com/pewtermill/pewtermill/internal/poison"
 	"github.com/pewtermill/pewtermill/internal/routing"
-	"github.com/pewtermill/pewtermill/internal/upstream"
 	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
@@ -56,20 +52,8 @@
 // allows another attempt, but the service has no other engine, so that the request was given up for nothing.
 func TestRequestOfTheOnlyEngineWaitsForItsCarrier(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
-		engine := routing.Engine{ID: "e@1", Service: "models", Address: "127.0.0.1:1", Zone: "z"}
-		view := &discovery.View{
-			Table: routing.NewTable(&routing.Configuration{
-				Routes: []routing.Route{{Name: "check", Host: "site.example", PathPrefix: "/", Kind: routing.Safe, MaxAttempts: 2,
-					Backends: []routing.Backend{{Service: "models", Weight: 1}}}},
-				Services: map[string]routing.Service{"models": {Name: "models"}},
-			}),
-			Engines: map[string]routing.Engine{engine.ID: engine},
-		}
-		handler := New(Options{
-			Protocol: plainProtocol{}, View: func() *discovery.View { return view }, Placer: fullPlacer{onePlacer{engine: engine}},
-			Pool: upstream.NewPool(upstream.Options{DialTimeout: time.Second}), Carrier: pausedPeer{}, Lines: conversations.NewCache(),
-			EndedEngines: poison.NewMemory(), EndReporter: silentReporter{}, Observer: silentObserver{},
-		})
+		route := routing.Route{Name: "check", Kind: routing.Safe, MaxAttempts: 2}
+		handler := newHandlerOfOneEngine(route, pausedPeer{}, func(only onePlacer) Placer { return fullPlacer{only} })
 		recorder := httptest.NewRecorder()
 		request := httptest.NewRequest(http.MethodGet, "http://site.example/check", nil).WithContext(t.Context())
 		cut := serveUntilAborted(handler, recorder, request)
--- a/internal/zonewatch/late_link_test.go
+++ b/internal/zonewatch/late_link_test.go
@@ -47,10 +47,7 @@
 					w.network.storeDelay = delay
 				})
 				w.client = NewObservedClient(lateLink{w.network, otherRegion, delay}, w.Watch)
-				w.SetPeers(w.network.zones, func(ctx context.Context, address string) error {
-					_, err := w.client.Do(ctx, address, &wirepb.Request{}, nil)
-					return err
-				})
+				w.watchPeers()
 				for range int(2 * time.Second / requestPause) {
 					for _, zone := range otherRegion {
 						go func() {
--- a/internal/zonewatch/late_responses_test.go
+++ b/internal/zonewatch/late_responses_test.go
@@ -49,10 +49,7 @@
 		}
 		w.network.change(func() { w.network.zones = peersOf(5, zones...) })
 		w.client = NewObservedClient(queuedLink{w.network, late, length}, w.Watch)
-		w.SetPeers(w.network.zones, func(ctx context.Context, address string) error {
-			_, err := w.client.Do(ctx, address, &wirepb.Request{}, nil)
-			return err
-		})
+		w.watchPeers()
 		test(t, w)
 		cancel()
 		time.Sleep(2 * time.Second) // virtual time, in which requests end
--- a/internal/zonewatch/own_pause_test.go
+++ b/internal/zonewatch/own_pause_test.go
@@ -26,10 +26,7 @@
 					t.Fatal(err)
 				}
 				w.client = NewObservedClient(w.network, w.Watch)
-				w.SetPeers(w.network.zones, func(ctx context.Context, address string) error {
-					_, err := w.client.Do(ctx, address, &wirepb.Request{}, nil)
-					return err
-				})
+				w.watchPeers()
 				w.network.change(func() { w.network.unresponsive["b"] = true })
 				lost := time.Now()
 				for !w.ZoneSuspected("b") && time.Since(lost) < 2*time.Second {
--- a/internal/zonewatch/silent_process_test.go
+++ b/internal/zonewatch/silent_process_test.go
@@ -6,9 +6,21 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/virtualtime"
-	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
+// expectSuspicionAtOnce loses a zone, which must be suspected sooner than zones that fall silent together.
+func (w *testWatch) expectSuspicionAtOnce(t *testing.T, zone string) {
+	t.Helper()
+	w.network.change(func() { w.network.unresponsive[zone] = true })
+	lost := time.Now()
+	for !w.ZoneSuspected(zone) && time.Since(lost) < 2*time.Second {
+		w.sendRound()
+	}
+	if took := time.Since(lost); took >= maxSilence {
+		t.Errorf("suspected after %s, want less than %s, which is for zones that fall silent together", took, maxSilence)
+	}
+}
+
 // TestSilentProcessDelaysNoSuspicion loses a zone while the only process of another one has been silent for seconds. That one
 // cannot be suspected, as a single peer is too little evidence, and says nothing about a zone that falls silent now: all other zones
 // respond, so that no queue on a link to several is to be waited for.
@@ -21,19 +33,9 @@
 			w.network.zones["d-0"] = "d"
 			w.network.unresponsive["d"] = true
 		})
-		w.SetPeers(w.network.zones, func(ctx context.Context, address string) error {
-			_, err := w.client.Do(ctx, address, &wirepb.Request{}, nil)
-			return err
-		})
+		w.watchPeers()
 		w.sendRequests(4 * time.Second)
-		w.network.change(func() { w.network.unresponsive["b"] = true })
-		lost := time.Now()
-		for !w.ZoneSuspected("b") && time.Since(lost) < 2*time.Second {
-			w.sendRound()
-		}
-		if took := time.Since(lost); took >= maxSilence {
-			t.Errorf("suspected after %s, want less than %s, which is for zones that fall silent together", took, maxSilence)
-		}
+		w.expectSuspicionAtOnce(t, "b")
 		cancel()
 		time.Sleep(2 * time.Second) // virtual time, in which requests end
 	})
@@ -47,22 +49,12 @@
 		defer cancel()
 		w := newTestWatch(ctx)
 		w.network.change(func() { w.network.zones["d-0"] = "d" })
-		w.SetPeers(w.network.zones, func(ctx context.Context, address string) error {
-			_, err := w.client.Do(ctx, address, &wirepb.Request{}, nil)
-			return err
-		})
+		w.watchPeers()
 		noDelay := func() time.Duration { return 0 }
 		w.sendToAll([]string{"d"}, noDelay, time.Second)
 		w.network.change(func() { w.network.unresponsive["d"] = true })
 		w.sendToAll([]string{"d"}, noDelay, 3*time.Second)
-		w.network.change(func() { w.network.unresponsive["b"] = true })
-		lost := time.Now()
-		for !w.ZoneSuspected("b") && time.Since(lost) < 2*time.Second {
-			w.sendRound()
-		}
-		if took := time.Since(lost); took >= maxSilence {
-			t.Errorf("suspected after %s, want less than %s, which is for zones that fall silent together", took, maxSilence)
-		}
+		w.expectSuspicionAtOnce(t, "b")
 		cancel()
 		time.Sleep(2 * time.Second) // virtual time, in which requests end
 	})
--- a/internal/zonewatch/watch_test.go
+++ b/internal/zonewatch/watch_test.go
@@ -92,12 +92,17 @@
 		w.changes = append(w.changes, change)
 	}})
 	w.client = NewObservedClient(w.network, w.Watch)
+	w.watchPeers()
+	go w.Run(ctx)
+	return w
+}
+
+// watchPeers has the watch send its own requests to the peers that the network has.
+func (w *testWatch) watchPeers() {
 	w.SetPeers(w.network.zones, func(ctx context.Context, address string) error {
 		_, err := w.client.Do(ctx, address, &wirepb.Request{}, nil)
 		return err
 	})
-	go w.Run(ctx)
-	return w
 }
 
 // sendRequests sends a request to a peer of each zone every 50 ms, as clients' requests do: with 80 ms for a first response.
