discovery: a change of the view is reported once the view counts as seen

Cause: the follower reported a new view before it recorded that everything in it was seen (coverage). What looked at both, the keeper of the record of versions, found the lists incomplete and looked again only a second later. Change: the view is published, then counted as seen, then reported. Ruled out: counting it as seen before it is published: the versions in it would be missing in what is concluded meanwhile.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -101,7 +101,7 @@
 // Observer is notified of changes. Its methods are called one at a time for
 // each collection and must not block.
 type Observer interface {
-	// ViewChanged is called after a new view is published.
+	// ViewChanged is called after a new view is published, and once CoveredSince counts its records as seen.
 	ViewChanged(collection Collection, view *View)
 	// RecordUnreadable is called once for each version of a record that cannot be read. Such a record
 	// defines nothing: an engine that had its key is removed.
@@ -258,8 +258,9 @@
 	if version < s.after {
 		return errors.Wrapf(errStaleList, "list of %s: version %d, already read %d", s.collection, version, s.after)
 	}
-	s.follower.replace(s.collection, records, version)
+	view := s.follower.replace(s.collection, records, version)
 	s.follower.confirm(s.collection, begun, false)
+	s.follower.options.Observer.ViewChanged(s.collection, view)
 	if s.listed {
 		s.relistAt = time.Time{}
 	}
@@ -296,13 +297,17 @@
 	}
 	s.unchangedSinceList = false
 	s.after = max(s.after, version)
+	var changed *View
 	if len(records) > 0 || (!deferredDue.IsZero() && !time.Now().Before(deferredDue)) {
-		s.follower.change(s.collection, records, version)
+		changed = s.follower.change(s.collection, records, version)
 		s.pause = coalescePause
 	}
 	if err == nil {
 		s.follower.confirm(s.collection, begun, len(records) == 0)
 	}
+	if changed != nil {
+		s.follower.options.Observer.ViewChanged(s.collection, changed)
+	}
 	return err // ErrUnconfirmed: the records are applied, but the store did not answer
 }
 
@@ -330,9 +335,10 @@
 	backoff.Wait(ctx, s.backoff)
 }
 
-// replace applies a whole list and publishes the new view.
-func (f *Follower) replace(collection Collection, records []Record, version uint64) {
+// replace applies a whole list, and publishes and returns the new view.
+func (f *Follower) replace(collection Collection, records []Record, version uint64) *View {
 	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	next := f.copyView()
 	if collection == Engines {
 		f.incarnations.removeUnlisted(next.Engines, records, version, time.Now())
@@ -340,17 +346,16 @@
 		next.Evacuations = next.Evacuations.withList(records, version)
 	}
 	f.apply(next, collection, records, version)
-	f.mutex.Unlock()
-	f.options.Observer.ViewChanged(collection, next)
+	return next
 }
 
-// change applies changes and publishes the new view.
-func (f *Follower) change(collection Collection, records []Record, version uint64) {
+// change applies changes, and publishes and returns the new view.
+func (f *Follower) change(collection Collection, records []Record, version uint64) *View {
 	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	next := f.copyView()
 	f.apply(next, collection, records, version)
-	f.mutex.Unlock()
-	f.options.Observer.ViewChanged(collection, next)
+	return next
 }
 
 // copyView returns a copy of the view that may be modified. The mutex is held.
