versionrecord: streams wait for a record that was not read yet

Cause: a process that had not read the record of versions let streams start at a version that the record lacks. After a kill of all, the next processes conclude from it that another version began them (ORDER). Ruled out: the same at once for one listed version: a process without the record would start no stream in an outage of the store.

--- a/internal/versionrecord/keeper.go
+++ b/internal/versionrecord/keeper.go
@@ -276,27 +276,35 @@
 type versionKey struct{ service, version string }
 
 // Await waits until a version of a service that is listed is in the record, or the context ends. Then it returns an error if the
-// record is known and lacks the version: no stream that clients may resume is to start there yet. It returns nil at once if the version
-// is in the record, and also while the record is empty or has never been read: nothing is concluded from it then.
+// record lacks the version, or was never read while several versions of the service are listed: no stream that clients may resume is to
+// start there yet. It returns nil at once if the version is in the record, and also while the record is empty: nothing is concluded from
+// it then.
 func (k *Keeper) Await(ctx context.Context, service, version string) error {
 	for {
-		has, updated := k.has(service, version)
-		if has {
+		mayStart, updated := k.mayStart(service, version)
+		if mayStart {
 			return nil
 		}
 		select {
 		case <-updated:
 		case <-ctx.Done():
-			return errors.Newf("version %s of service %s is not in the record of software versions yet", version, service)
+			return errors.Newf("version %s of service %s is not in the record of software versions yet, as far as that was read", version, service)
 		}
 	}
 }
 
-// has reports whether a version is in the record as this node knows it, or nothing is concluded from the record. The channel is
-// closed when that may have changed.
-func (k *Keeper) has(service, version string) (bool, <-chan struct{}) {
+// mayStart reports whether streams may start at a version, by the record as this node knows it. The channel is closed when that may
+// have changed.
+func (k *Keeper) mayStart(service, version string) (bool, <-chan struct{}) {
 	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	has := k.record.has(service, version) && !k.unlisted[versionKey{service, version}]
-	return has || len(k.record.Services) == 0, k.updated
+	read, updated := k.read, k.updated
+	recorded := len(k.record.Services) == 0 || k.record.has(service, version) && !k.unlisted[versionKey{service, version}]
+	k.mutex.Unlock()
+	return read && recorded || !read && !k.listsSeveral(service), updated
+}
+
+// listsSeveral reports whether several versions of a service are listed.
+func (k *Keeper) listsSeveral(service string) bool {
+	seen, _ := k.options.Observe()
+	return len(seen.Services[service].Versions) > 1
 }
