wire: the test of a large reply in progress runs in virtual time

The test gives a request .2 s of real time between two parts of a reply that a proxy of the same process throttles: a process that stands still for longer notices the timeout before it reads. Change: the same sizes, times and bounds, at one connection (net.Pipe) in virtual time, where no time passes unseen; the replies are written to the connection, in place of a server behind a proxy. Conclusion: the test demanded time of the machine; the same verdict each run now.

--- a/internal/wire/large_reply_test.go
+++ b/internal/wire/large_reply_test.go
@@ -1,94 +1,80 @@
 package wire
 
 import (
-	"context"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/progress"
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
-// throttledProxy forwards connections to the target; replies pass at the given number of bytes per step.
-func throttledProxy(t *testing.T, target string, bytes int, step time.Duration) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		clientConn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		serverConn, err := net.Dial("tcp4", target)
-		if err != nil {
-			_ = clientConn.Close()
-			return
-		}
-		go forward(clientConn, serverConn, make(chan struct{}))
-		defer clientConn.Close()
-		defer serverConn.Close()
-		buffer := make([]byte, bytes)
-		steps := time.NewTicker(step)
-		defer steps.Stop()
-		for range steps.C {
-			count, err := serverConn.Read(buffer)
-			if err != nil {
-				return
-			}
-			if _, err := clientConn.Write(buffer[:count]); err != nil {
-				return
-			}
+// writeThrottled writes bytes to a connection, a number of them at each step.
+func writeThrottled(conn net.Conn, content []byte, stepBytes int, step time.Duration) error {
+	for len(content) > 0 {
+		time.Sleep(step) // virtual
+		next := content[:min(stepBytes, len(content))]
+		if _, err := conn.Write(next); err != nil {
+			return err
 		}
-	}()
-	return listener.Addr().String()
-}
-
-// largeReply answers each request with a reply of the given number of bytes.
-type largeReply int
-
-// ServePeer implements ServerHandler.
-func (l largeReply) ServePeer(context.Context, *wirepb.Request, func(int64, []byte)) *wirepb.Reply {
-	return &wirepb.Reply{Body: make([]byte, l)}
+		content = content[len(next):]
+	}
+	return nil
 }
 
-// TestLargeReplyInProgressDoesNotTimeOut sends a reply of 640 KB that takes about .8 s, with an idle timeout of .2 s.
+// TestLargeReplyInProgressDoesNotTimeOut sends replies of 640 KB that take .8 s each, with an idle timeout of .2 s.
 // The requests that wait on the connection, for that reply or for another one, must not time out, and the connection
 // must not count as unresponsive. Otherwise followers of a configuration time out on a watcher that is sending it.
 func TestLargeReplyInProgressDoesNotTimeOut(t *testing.T) {
 	const (
+		requests   = 2
 		replyBytes = 640 << 10
 		stepBytes  = 16 << 10
 		step       = 20 * time.Millisecond
 		timeout    = 200 * time.Millisecond
 	)
-	options := Options{Node: "n", ClusterKey: []byte("key"), UnresponsiveTimeout: timeout}
-	server, err := Listen("127.0.0.1:0", options, largeReply(replyBytes))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
-	client := NewClient(options)
-	defer client.Close()
-	address := throttledProxy(t, server.Address(), stepBytes, step)
-	replies := make(chan error, 2)
-	for range cap(replies) {
-		go func() {
-			ctx, cancel := progress.WithLimits(t.Context(), progress.Limits{First: timeout, Idle: timeout, Total: 20 * time.Second})
-			defer cancel()
-			reply, err := client.Do(ctx, address, &wirepb.Request{}, nil)
-			if err == nil && len(reply.GetBody()) != replyBytes {
-				t.Errorf("got %d bytes", len(reply.GetBody()))
+	virtualtime.Test(t, func(t *testing.T) {
+		own, remote := net.Pipe()
+		options := testOptions("a").withDefaults()
+		options.UnresponsiveTimeout = timeout
+		s := newSession(newLink(own, "peer", options, &traffic{}, nil))
+		go s.run()
+		replies := make(chan error, requests)
+		for range requests {
+			go func() {
+				ctx, cancel := progress.WithLimits(t.Context(), progress.Limits{First: timeout, Idle: timeout, Total: 20 * time.Second})
+				defer cancel()
+				reply, err := s.exchange(ctx, &wirepb.Request{}, nil)
+				if err == nil && len(reply.GetBody()) != replyBytes {
+					t.Errorf("got %d bytes", len(reply.GetBody()))
+				}
+				replies <- err
+			}()
+		}
+		var content []byte
+		for range requests {
+			request, _, err := readFrame(remote, DefaultMaxFrameBytes)
+			if err != nil {
+				t.Fatal(err)
 			}
-			replies <- err
-		}()
-	}
-	for range cap(replies) {
-		if err := <-replies; err != nil {
-			t.Errorf("request failed while its reply was being received: %v", err)
+			reply := &wirepb.Frame_Reply{Reply: &wirepb.Reply{Body: make([]byte, replyBytes)}}
+			encoded, err := encodeFrame(&wirepb.Frame{Correlation: request.GetCorrelation(), Body: reply}, DefaultMaxFrameBytes)
+			if err != nil {
+				t.Fatal(err)
+			}
+			content = append(content, encoded...)
 		}
-	}
+		if err := writeThrottled(remote, content, stepBytes, step); err != nil {
+			t.Errorf("the connection was closed while a reply was being received: %v", err)
+		}
+		for range requests {
+			if err := <-replies; err != nil {
+				t.Errorf("request failed while its reply was being received: %v", err)
+			}
+		}
+		s.link.fail(errClientClosed)
+		_ = remote.Close()
+		<-s.down
+	})
 }
