soak: a release that ends with a kill of all processes

Cause: the soak ran two versions all the time and killed all processes at any moment, so that no process that started ever listed one version while clients held streams of another. That is the moment in which streams were joined from two versions. Change: release_kill, drawn from a random stream of its own so that other kinds are drawn as before. Callers of broken streams go on trying until the stream's deadline while no process takes a connection; before, all their attempts were over until one did. Ruled out: engines that drain: their entries still name the version, so nothing is concluded.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -132,13 +132,15 @@
 	c.stream(ctx, conv)
 }
 
-// stream starts a stream and resumes it after each interruption, at any process. Each attempt names the first one.
+// stream starts a stream and resumes it after each interruption, at any process. Each attempt names the first one. Attempts that reach no
+// process do not count until the stream's deadline: all processes may be starting.
 func (c *caller) stream(ctx context.Context, conv *conversation) {
 	body, firstID, received := c.name("body "), c.name("o"), 0
-	for number := range attemptsPerTurn {
+	deadline := c.deployment.now() + callerDeadline
+	for attempts := 0; attempts < attemptsPerTurn; {
 		sent := Attempt{ID: firstID, Route: routeOnce, Body: body, Program: conv.program, Budget: conv.budget, MaxTokens: maxTokens, Events: eventsPerTurn, Repeatable: true}
 		request := operators.ClientRequest{Method: http.MethodPost, Body: body, Session: conv.session}
-		if number > 0 {
+		if received > 0 {
 			sent.ID, sent.ResumesID, sent.EventsReceived = c.name("o"), firstID, received
 			request.ResumesID, request.LastEventID = firstID, received
 		}
@@ -147,6 +149,9 @@
 		if reply.Complete && reply.Status == http.StatusOK || received == 0 || received >= eventsPerTurn || !backoff.Wait(ctx, c.randomUpTo(maxRetryDelay)) {
 			return
 		}
+		if !connectFailed(reply.Err) || c.deployment.now() > deadline {
+			attempts++
+		}
 	}
 }
 
--- a/internal/soak/engines.go
+++ b/internal/soak/engines.go
@@ -39,6 +39,7 @@
 	number      int          // index among the slots of the service
 	engineCount int          // engines started so far
 	restarts    int          // of the current engine
+	released    string       // software version of the next engine; empty for the next one in turn
 	current     *incarnation // guarded by busy while the soak runs
 }
 
@@ -52,9 +53,12 @@
 // softwareVersions is the number of engine software versions unless the options set it.
 const softwareVersions = 3
 
-// version returns the software version of the slot's engine, one of the given number of versions. Two of them are in
-// use from the start, every second replacement moves on to the next one, and so does each restart under the same ID.
+// version returns the software version of the slot's engine, one of the given number of versions, unless one is released. Two of
+// them are in use from the start, every second replacement moves on to the next one, and so does each restart under the same ID.
 func (s *slot) version(versions int) string {
+	if s.released != "" {
+		return s.released
+	}
 	return fmt.Sprintf("v%d", 1+(s.number%2+(s.engineCount-1)/2+s.restarts)%versions)
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -77,7 +77,9 @@
 	case ProcessStop, ProcessPause, ProcessStopPause, ProcessKill:
 		injected = d.injectProcessFault(fault)
 	case ProcessKillAll:
-		injected = d.killAll()
+		injected = d.killAll(func() { backoff.Wait(d.context, untilBurstSpent(d.now())) })
+	case ReleaseKillAll:
+		injected = d.releaseAndKillAll(fault)
 	case LinkDelay, LinkReset, LinkOneWay, LinkBlackhole, ZonePartition:
 		injected = d.injectLinkFault(fault)
 	case StoreRejectsProcesses:
@@ -224,14 +226,14 @@
 }
 
 // killAll kills all processes at once and restarts them after restartAllAfter, as after a power failure of all
-// machines. It first waits until faults of single processes have ended and a tenant has just used up its burst.
-func (d *deployment) killAll() bool {
+// machines. It first waits until faults of single processes have ended, and calls prepare.
+func (d *deployment) killAll(prepare func()) bool {
 	for _, p := range d.processes {
 		p.faultMutex.Lock()
 		defer p.faultMutex.Unlock()
 		d.checker.DisruptionStarted(p.settings.Node, false)
 	}
-	backoff.Wait(d.context, untilBurstSpent(d.now()))
+	prepare()
 	for _, p := range d.processes {
 		if p.ended() {
 			d.reportEnded(p) // it exited by itself before the kill
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -51,6 +51,7 @@
 	ForeignEntries        Kind = "strangers"             // entries that name no engine, one of them in place of an engine's own
 	EngineEndless         Kind = "engine_endless"        // half of its answers are bytes without an end
 	StoreMoves            Kind = "store_moves"           // to other addresses, which settings files name without a signal
+	ReleaseKillAll        Kind = "release_kill"          // the models' engines get one version, then SIGKILL to all processes at once
 	FaultSeries           Kind = "series"                // signals, configuration changes and leaving engines in close succession
 )
 
@@ -69,7 +70,7 @@
 
 // Kinds returns all kinds.
 func Kinds() []Kind {
-	return append(slices.Concat(Disruptions, Operations), FaultSeries, EngineEndless, StoreMoves)
+	return append(slices.Concat(Disruptions, Operations), FaultSeries, EngineEndless, StoreMoves, ReleaseKillAll)
 }
 
 // Fault is one planned fault.
@@ -118,6 +119,7 @@
 	seriesRandom := rand.New(rand.NewPCG(seed, 1))  // separate, so that other kinds are drawn the same without a series
 	endlessRandom := rand.New(rand.NewPCG(seed, 2)) // separate for the same reason
 	moveRandom := rand.New(rand.NewPCG(seed, 3))    // likewise
+	releaseRandom := rand.New(rand.NewPCG(seed, 4)) // likewise
 	for start := time.Duration(0); start < duration; start += cycle {
 		planned = append(planned, draw(random, disruptions, 1+random.IntN(maxDisruptions), start, disruptionsUntil)...)
 		planned = append(planned, draw(random, operations, 2+random.IntN(maxOperations-1), start, operationsUntil)...)
@@ -130,6 +132,9 @@
 		if slices.Contains(kinds, StoreMoves) {
 			planned = append(planned, draw(moveRandom, []Kind{StoreMoves}, 1, start, disruptionsUntil)...)
 		}
+		if slices.Contains(kinds, ReleaseKillAll) {
+			planned = append(planned, draw(releaseRandom, []Kind{ReleaseKillAll}, 1, start, disruptionsUntil)...)
+		}
 	}
 	planned = slices.DeleteFunc(planned, func(f Fault) bool { return f.At >= duration })
 	slices.SortStableFunc(planned, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
