versionrecord: peers that have read the record tell what is in it

Callers: while two versions of a service are listed, a process that starts while the store does not answer it, or rejects it, refused all new streams that clients may resume (503 after .25 s each) until it had read the record: for the whole outage, and up to 2.5 s more. Cause: since streams wait for a record that was not read, the store alone could end the wait. Lists come through peers in that time. Change: with each attempt to read the record for the first time, the node asks eight peers, for each service of which it lists several versions, at which versions they let streams start (OriginFound.recorded_versions, a new field of a message that all builds know). A peer that has not read the record itself names none, so that no word is passed on. What was told is dropped once the version has left for 30 s, as are versions that were read, and once the record is read. Ruled out: to ask for each stream: eight messages a stream for a whole outage. To ask only after a failed read: a silent store takes .5 s to fail, and streams wait for .25 s. To pass the row through peers' relays: no peer reaches the store then.

--- a/internal/origins/server.go
+++ b/internal/origins/server.go
@@ -16,6 +16,7 @@
 	// versions returns the software versions of a service that the node lists or listed recently.
 	versions func(service string) []string
 	knownFor func(service string) time.Duration // see Options.KnownFor
+	recorded func(service string) []string      // see SetRecorded; nil for none
 	stopping atomic.Bool
 }
 
@@ -24,6 +25,10 @@
 	return &Server{memory: memory, versions: versions, knownFor: knownFor}
 }
 
+// SetRecorded sets a function that returns at which versions of a service the node lets streams start, by the record of versions that
+// it has read. It must be called before the first request.
+func (s *Server) SetRecorded(recorded func(service string) []string) { s.recorded = recorded }
+
 // StopAccepting makes Store decline from now on, since the node is stopping. Find responds until the end.
 func (s *Server) StopAccepting() { s.stopping.Store(true) }
 
@@ -50,6 +55,9 @@
 	known := s.knownFor(request.GetService())
 	result := &wirepb.OriginFound{Understood: true, Settled: known >= MinResumeWindow, KnownMillis: known.Milliseconds(),
 		Versions: s.versions(request.GetService())}
+	if s.recorded != nil {
+		result.RecordedVersions = s.recorded(request.GetService())
+	}
 	now := time.Now()
 	if origin, found := s.memory.Get(request.GetStream(), now); found {
 		result.Origin = origin.toMessage(now)
--- a/internal/serving/only_version_test.go
+++ b/internal/serving/only_version_test.go
@@ -16,7 +16,6 @@
 	"github.com/pewtermill/pewtermill/internal/routing"
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/topology"
-	"github.com/pewtermill/pewtermill/internal/versionrecord"
 	"github.com/pewtermill/pewtermill/internal/virtualtime"
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 	"github.com/pewtermill/pewtermill/internal/zonewatch"
@@ -241,8 +240,7 @@
 		follower: discovery.New(discovery.Options{Source: started.source, Observer: started}),
 	}
 	started.initOrigins()
-	started.versionRecord = versionrecord.New(versionrecord.Options{Table: f.records, RunID: address, Observe: started.observeVersions,
-		Writes: started.writesVersionRecord, SetEarlier: started.follower.SetEarlier, Observer: started})
+	started.initVersionRecord(f.records, address)
 	var ctx context.Context
 	ctx, started.stop = context.WithCancel(f.t.Context())
 	started.loops.Go(func() { started.follower.Run(ctx, discovery.Configurations) })
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -257,7 +257,7 @@
 	p.leases.SetSuspected(p.zones.PeerSuspected)
 	p.initOriginRecord(p.relayTable, dependencies.RunID)
 	p.initOrigins()
-	p.initVersionRecord()
+	p.initVersionRecord(p.relayTable, dependencies.RunID)
 	p.initEndedEngines()
 	p.collector = loads.NewCollector(xxhash.Sum64String(dependencies.RunID), time.Now, p)
 	p.handler = ingress.New(ingress.Options{
--- a/internal/serving/version_record.go
+++ b/internal/serving/version_record.go
@@ -5,20 +5,23 @@
 	"time"
 
 	"github.com/pewtermill/pewtermill/internal/discovery"
+	"github.com/pewtermill/pewtermill/internal/tablestore"
 	"github.com/pewtermill/pewtermill/internal/versionrecord"
 	"github.com/pewtermill/pewtermill/internal/zonefeed"
 )
 
 // initVersionRecord sets up the record of software versions at which streams may have started.
-func (p *Process) initVersionRecord() {
+func (p *Process) initVersionRecord(table tablestore.Table, runID string) {
 	p.versionRecord = versionrecord.New(versionrecord.Options{
-		Table:      p.relayTable,
-		RunID:      p.dependencies.RunID,
+		Table:      table,
+		RunID:      runID,
 		Observe:    p.observeVersions,
 		Writes:     p.writesVersionRecord,
 		SetEarlier: p.follower.SetEarlier,
+		AskPeers:   p.originClient.RecordedVersions,
 		Observer:   p,
 	})
+	p.originServer.SetRecorded(p.versionRecord.Recorded)
 }
 
 // writesVersionRecord reports whether this process writes the record: those that watch the store for their zones do, and one
--- a/internal/versionrecord/keeper.go
+++ b/internal/versionrecord/keeper.go
@@ -47,7 +47,10 @@
 	// SetEarlier is called with for how long each service certainly had no other versions before this node saw every change,
 	// which it has done since a time.
 	SetEarlier func(since time.Time, known map[string]time.Duration)
-	Observer   Observer
+	// AskPeers returns what Recorded returns at peers for a service, as far as they respond soon. Queries of different names go to
+	// different peers.
+	AskPeers func(ctx context.Context, service, query string) []string
+	Observer Observer
 }
 
 // Observer is notified of calls that failed. It must not block.
@@ -66,7 +69,8 @@
 	record   Record
 	revision uint64
 	unlisted map[versionKey]bool // versions of the record that were not recent at some time since
-	updated  chan struct{}       // closed when the record is next read or written
+	told     map[versionKey]bool // versions of the record by peers that have read it, while this node has not
+	updated  chan struct{}       // closed when the record is next read or written, or peers have told of it
 
 	// Of the goroutine of Run.
 	appliedSince time.Time // Observation.Since for which SetEarlier was called
@@ -76,7 +80,8 @@
 
 // New returns a keeper that has not read the record.
 func New(options Options) *Keeper {
-	return &Keeper{options: options, wake: make(chan struct{}, 1), unlisted: make(map[versionKey]bool), updated: make(chan struct{})}
+	return &Keeper{options: options, wake: make(chan struct{}, 1), unlisted: make(map[versionKey]bool),
+		told: make(map[versionKey]bool), updated: make(chan struct{})}
 }
 
 // Wake makes Run look at once whether the record is to be read or written, since engines or configuration have changed.
@@ -115,7 +120,9 @@
 	}
 	next, changed := record.updated(seen)
 	switch {
-	case !wasRead || !k.appliedSince.Equal(seen.Since):
+	case !wasRead:
+		return k.afterCall(k.readFirst(ctx, seen))
+	case !k.appliedSince.Equal(seen.Since):
 		return k.afterCall(k.readRecord(ctx, seen))
 	case urgent && (k.options.Writes() || k.reads >= maxReads):
 		return k.afterCall(k.write(ctx, next))
@@ -222,6 +229,12 @@
 	defer k.mutex.Unlock()
 	k.record, k.revision, k.read = record, revision, true
 	clear(k.unlisted)
+	clear(k.told)
+	k.notifyUpdated()
+}
+
+// notifyUpdated wakes streams that wait. The mutex is held.
+func (k *Keeper) notifyUpdated() {
 	close(k.updated)
 	k.updated = make(chan struct{})
 }
@@ -257,8 +270,8 @@
 	return errors.Wrap(err, "write the record of software versions")
 }
 
-// forgetUnlisted drops versions that are not recent from the record as this node knows it. Others may remove them from the
-// row, so it is read again if engines of them come back.
+// forgetUnlisted drops versions that are not recent from the record as this node, or a peer for it, has read it. Others may remove
+// them from the row, so it is read again if engines of them come back.
 func (k *Keeper) forgetUnlisted(seen Observation) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -269,42 +282,11 @@
 			}
 		}
 	}
+	maps.DeleteFunc(k.told, func(key versionKey, _ bool) bool {
+		return !slices.Contains(seen.Services[key.service].Recent, key.version)
+	})
 	maps.DeleteFunc(k.unlisted, func(key versionKey, _ bool) bool { return !k.record.has(key.service, key.version) })
 }
 
 // versionKey identifies a version of a service.
 type versionKey struct{ service, version string }
-
-// Await waits until a version of a service that is listed is in the record, or the context ends. Then it returns an error if the
-// record lacks the version, or was never read while several versions of the service are listed: no stream that clients may resume is to
-// start there yet. It returns nil at once if the version is in the record, and also while the record is empty: nothing is concluded from
-// it then.
-func (k *Keeper) Await(ctx context.Context, service, version string) error {
-	for {
-		mayStart, updated := k.mayStart(service, version)
-		if mayStart {
-			return nil
-		}
-		select {
-		case <-updated:
-		case <-ctx.Done():
-			return errors.Newf("version %s of service %s is not in the record of software versions yet, as far as that was read", version, service)
-		}
-	}
-}
-
-// mayStart reports whether streams may start at a version, by the record as this node knows it. The channel is closed when that may
-// have changed.
-func (k *Keeper) mayStart(service, version string) (bool, <-chan struct{}) {
-	k.mutex.Lock()
-	read, updated := k.read, k.updated
-	recorded := len(k.record.Services) == 0 || k.record.has(service, version) && !k.unlisted[versionKey{service, version}]
-	k.mutex.Unlock()
-	return read && recorded || !read && !k.listsSeveral(service), updated
-}
-
-// listsSeveral reports whether several versions of a service are listed.
-func (k *Keeper) listsSeveral(service string) bool {
-	seen, _ := k.options.Observe()
-	return len(seen.Services[service].Versions) > 1
-}
