callers: the deadline of a header is extended five times at most

Callers: a connection whose header goes on slowly was held up to its greatest size (1 MB) in place of the header timeout, and at a stop as well. Change: five extensions for each header. They are counted, not timed, so that a process that stands still again in between has them too. Ruled out: one extension: a process that stands still twice would close a header that was sent whole in time.

--- a/internal/callers/connection.go
+++ b/internal/callers/connection.go
@@ -9,9 +9,14 @@
 	"github.com/cockroachdb/errors"
 )
 
-// unreadTimeout bounds the time to read bytes that arrived before a deadline passed. They are there already, but the
-// process may be waiting for a processor.
-const unreadTimeout = 100 * time.Millisecond
+// Limits of reading bytes that arrived before a deadline passed.
+const (
+	// unreadTimeout bounds the time to read them. They are there already, but the process may be waiting for a processor.
+	unreadTimeout = 100 * time.Millisecond
+	// maxExtensions is how often the deadline of one header may be extended. A caller that sends on slowly would hold the connection
+	// otherwise, since some bytes have always arrived.
+	maxExtensions = 5
+)
 
 // connection is a tracked connection of a caller. It replaces the read deadlines that the server sets
 // by those of the current limits, except deadlines in the past, by which the server ends a read.
@@ -26,6 +31,7 @@
 	readAt           time.Time     // when a byte was last read, or the connection was opened
 	requestStartedAt time.Time     // when the first byte of the request was read
 	idleSince        time.Time     // when it last became idle
+	extensions       int           // of the deadline of the request's header
 	keepAlive        time.Duration // keep-alive timeout that was announced to the caller
 	closePending     bool          // its idle time is over; a request that arrives anyway is served
 	cause            Cause         // empty until the cause of its end is known
@@ -61,13 +67,17 @@
 	return false
 }
 
-// extendDeadline lets the server read bytes that have arrived though the deadline has passed. It returns false while a
-// request is being served: the server ends its own reads then. The mutex is held.
+// extendDeadline lets the server read bytes that have arrived though the deadline has passed. It returns false after
+// maxExtensions, and while a request is being served: the server ends its own reads then. The mutex is held.
 func (c *connection) extendDeadline() bool {
 	switch c.state {
 	case Idle:
 		c.cancelClose()
 	case Receiving:
+		if c.extensions == maxExtensions {
+			return false
+		}
+		c.extensions++
 		_ = c.Conn.SetReadDeadline(time.Now().Add(unreadTimeout)) // a closed connection fails at the next read
 	default:
 		return false
@@ -83,6 +93,7 @@
 	}
 	c.state = Receiving
 	c.requestStartedAt = c.readAt
+	c.extensions = 0
 	c.cancelClose()
 }
 
--- a/internal/callers/stalled_reader_test.go
+++ b/internal/callers/stalled_reader_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -133,3 +135,72 @@
 		t.Errorf("got %+v", report)
 	}
 }
+
+// tricklingConnection gets one more byte whenever a read has failed since its deadline has passed.
+type tricklingConnection struct {
+	*net.TCPConn
+	client net.Conn // the other end
+}
+
+// Read implements net.Conn.
+func (c *tricklingConnection) Read(buffer []byte) (int, error) {
+	count, err := c.TCPConn.Read(buffer)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		_, _ = io.WriteString(c.client, "a") // fails once the connection is closed
+	}
+	return count, err
+}
+
+// tricklingListener accepts one such connection.
+type tricklingListener struct {
+	*net.TCPListener
+	clients <-chan net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *tricklingListener) Accept() (net.Conn, error) {
+	connection, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &tricklingConnection{TCPConn: connection, client: <-l.clients}, nil
+}
+
+// TestHeaderThatTricklesOnIsTooSlow guards against a caller that holds a connection without end by a header that it sends slowly: one more
+// byte has always arrived when a deadline passes.
+func TestHeaderThatTricklesOnIsTooSlow(t *testing.T) {
+	const bound = 2 * time.Second // for a header timeout of 50 ms, and a slow machine
+	reports := make(chan callers.Unanswered, 1)
+	tracker := callers.NewTracker(callers.Options{
+		Unanswered: func(report callers.Unanswered) { reports <- report },
+		KeepAlive:  time.Second,
+		Limits:     func() callers.Limits { return callers.Limits{HeaderTimeout: 50 * time.Millisecond} },
+	})
+	inner, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients := make(chan net.Conn, 1)
+	tracked, err := tracker.WrapListener(&tricklingListener{TCPListener: inner, clients: clients})
+	if err != nil {
+		t.Fatal(err)
+	}
+	startServer(t, tracker, tracked, hello)
+	client, err := net.Dial("tcp4", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	clients <- client
+	if _, err := io.WriteString(client, "GET / HTTP/1.1\r\nX: "); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case report := <-reports:
+		if report.Cause != callers.HeaderTimedOut {
+			t.Errorf("got %+v", report)
+		}
+	case <-time.After(bound):
+		t.Errorf("the connection is still open after %s", bound)
+	}
+}
