carry: an acknowledgement that comes during the query of a late carrier counts

Callers: a request that may run on one engine only was given up (its run may go on: 401, or nothing) though its carrier had acknowledged it. Cause: once the acknowledgement is overdue, the carrier is asked whether it runs, .3 s at most; that it acknowledged the request in that time was not looked at when the query failed. Class: a timeout and the event that it waits for are decided in two places. Change: the acknowledgement is looked at again after the query. Ruled out: an end of the query at the acknowledgement: nothing waits for it, and the peer's state wants its result. Measured: TestAcknowledgementDuringTheQueryCounts (acknowledged after .35 s, query unanswered) failed with "no sign of life"; passes, package with -race.

--- a/internal/carry/exchange.go
+++ b/internal/carry/exchange.go
@@ -183,7 +183,7 @@
 			// This process was paused: what has arrived during the pause was not read yet.
 			start, wait = time.Now(), ackAfter
 			timer.Reset(wait)
-		case e.alive != nil && e.alive():
+		case e.alive != nil && (e.alive() || e.acked()): // acknowledged meanwhile
 			start, wait = time.Now(), ackTimeout
 			timer.Reset(wait)
 		default:
