ingress: an answer that arrives is a sign of life of its engine

Callers: an answer that is not a stream and takes over .25 s to arrive was given up, and run again or refused with 502, while its engine's zone was suspected to be lost or its carrier did not answer a query, though its bytes kept arriving; one longer than 256 KB is cut once it has begun. Cause: the watchdog counts events of streams only. Class: absence of news taken for news of absence. Change: whatever arrives of an answer's body counts. Ruled out: no watchdog once the head has arrived: an engine that is lost in the middle of a body would be waited for to the deadline.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -120,9 +120,9 @@
 	ctx           context.Context // ends with the request's, or when the engine is found to be unresponsive
 	cancel        context.CancelCauseFunc
 	watchdog      *time.Timer
-	abandonMutex  sync.Mutex   // held while an event is counted, and while the watchdog decides to cancel the send
-	activity      atomic.Int64 // number of events received from the engine
-	activityAfter atomic.Int64 // ns from startedAt to the last event; 0 before the first
+	abandonMutex  sync.Mutex   // held while activity is counted, and while the watchdog decides to cancel the send
+	activity      atomic.Int64 // how often something of the answer was received from the engine
+	activityAfter atomic.Int64 // ns from startedAt to the last time; 0 before the first
 	stalled       atomic.Bool  // nothing was received for zoneCheckAfter
 
 	lastSend    *poison.Check // see reportLastSend; nil if the request may end another engine
@@ -363,6 +363,7 @@
 	if err := t.confirmIncarnation(ctx); err != nil {
 		return placement.Cancelled, err
 	}
+	answer.Body = &watchedBody{answer.Body, t}
 	options.Placer.Answered(&t.placed)
 	return placement.Served, nil
 }
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -67,7 +68,22 @@
 	t.watchdog.Reset(zoneCheckAfter)
 }
 
-// abandon cancels the send, unless the engine has sent something since the count of its events was taken: an event that was
+// watchedBody is the body of an engine's answer. Whatever arrives of it is activity: an answer that is not a stream has no events.
+type watchedBody struct {
+	io.ReadCloser
+	attempt *attempt
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(buffer []byte) (int, error) {
+	count, err := b.ReadCloser.Read(buffer)
+	if count > 0 {
+		b.attempt.recordActivity()
+	}
+	return count, err
+}
+
+// abandon cancels the send, unless the engine has sent something since that was counted: what was
 // counted first is not followed by the cancellation.
 func (t *attempt) abandon(activity int64, cause error) (abandoned bool) {
 	t.abandonMutex.Lock()
