ingress: a request on its last run does not leave an engine on suspicion

Callers: 502 with an unknown outcome, though the engine was at work and its answer under way: its zone was suspected to be lost, and the request was given up for another engine where the service has none, or the route allows no further run. Cause: whether it may run elsewhere was taken from the route (two attempts or more), not from what is left of it. Class: absence of news taken for news of absence. Change: a request on its last run leaves an engine of a suspected zone only if that accepts no connections, as one whose route allows one attempt does already. That it is the last run is known before the watchdog starts. Ruled out: no watchdog for them: a lost engine would be waited for to the deadline. Measured: TestRequestOfTheOnlyEngineIsNotLeftOnSuspicion (answer after .6 s, suspected from the start) failed with 502; passes; package with -race.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -147,8 +147,8 @@
 		}
 		attempts.offers++
 		attempts.tried = append(attempts.tried, placed.Engine.ID)
-		current := r.startAttempt(ctx, placed)
-		current.lastRun = !r.route.Repeatable() || attempts.remaining(r.route.MaxAttempts) <= 1 || !r.anotherMayRun(attempts.tried)
+		lastRun := !r.route.Repeatable() || attempts.remaining(r.route.MaxAttempts) <= 1 || !r.anotherMayRun(attempts.tried)
+		current := r.startAttempt(ctx, placed, lastRun)
 		if err := r.awaitVersionRecord(ctx, placed.Engine); err != nil {
 			current.finish(placement.Yielded, err.Error())
 			continue
@@ -297,7 +297,7 @@
 func (r *request) program() string { return ledger.ProgramKey(r.tenantName(), r.call.Program) }
 
 // startAttempt adds an attempt to the report and starts to watch its engine.
-func (r *request) startAttempt(ctx context.Context, placed placement.Placement) *attempt {
+func (r *request) startAttempt(ctx context.Context, placed placement.Placement, lastRun bool) *attempt {
 	r.reportMutex.Lock()
 	defer r.reportMutex.Unlock()
 	r.report.Attempts = append(r.report.Attempts, Attempt{
@@ -306,7 +306,7 @@
 		Reason:  placed.Decision.Reason,
 		At:      time.Since(r.arrived),
 	})
-	current := &attempt{placed: placed, request: r, index: len(r.report.Attempts) - 1, startedAt: time.Now()}
+	current := &attempt{placed: placed, request: r, index: len(r.report.Attempts) - 1, startedAt: time.Now(), lastRun: lastRun}
 	current.watch(ctx)
 	return current
 }
--- a/internal/ingress/only_engine_test.go
+++ b/internal/ingress/only_engine_test.go
@@ -62,3 +62,31 @@
 		}
 	})
 }
+
+// slowPeer is a carrier that runs, and whose engine answers after 600 ms.
+type slowPeer struct{ pausedPeer }
+
+func (slowPeer) Send(ctx context.Context, _ string, _ carry.Request) (*http.Response, error) {
+	select {
+	case <-time.After(600 * time.Millisecond): // virtual time
+	case <-ctx.Done():
+		return nil, errors.Mark(context.Cause(ctx), carry.ErrLost)
+	}
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("whole"))}, nil
+}
+
+// TestRequestOfTheOnlyEngineIsNotLeftOnSuspicion guards against requests that fail although their engine is at work: its zone was suspected to be
+// lost, and the request was given up for another engine, though the service has none.
+func TestRequestOfTheOnlyEngineIsNotLeftOnSuspicion(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		route := routing.Route{Name: "check", Kind: routing.Safe, MaxAttempts: 2}
+		handler := newHandlerOfOneEngine(route, slowPeer{}, func(only onePlacer) Placer { return fullPlacer{only} })
+		handler.(*Handler).options.ZoneLost = func(string) bool { return true }
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodGet, "http://site.example/check", nil).WithContext(t.Context())
+		cut := serveUntilAborted(handler, recorder, request)
+		if cut || recorder.Code != http.StatusOK || recorder.Body.String() != "whole" {
+			t.Errorf("the client got status %d and %q, cut: %v; want the answer of the only engine", recorder.Code, recorder.Body, cut)
+		}
+	})
+}
--- a/internal/ingress/zones.go
+++ b/internal/ingress/zones.go
@@ -110,14 +110,14 @@
 	return lost != nil && clientCanRetry && lost(t.placed.Engine.Zone)
 }
 
-// mayRunElsewhere reports whether the request may run on more than one engine. It leaves an engine of a zone that this node
-// considers lost at once, and the run there counts: the engine may be at work.
+// mayRunElsewhere reports whether the request may run on another engine after this one. It leaves an engine of a zone that this
+// node considers lost at once, and the run there counts: the engine may be at work.
 func (t *attempt) mayRunElsewhere() bool {
 	route := t.request.route
-	return route.Repeatable() && route.MaxAttempts > 1
+	return route.Repeatable() && route.MaxAttempts > 1 && !t.lastRun
 }
 
-// mayAbandon reports whether an attempt of a request that may run on one engine only may be abandoned at an engine of a zone
+// mayAbandon reports whether an attempt of a request that may run on no other engine may be abandoned at an engine of a zone
 // that this node considers lost. That may be wrong: a request that its client may not repeat is abandoned only at an engine that
 // accepts no connections. An engine that does ends the suspicion. Another one is abandoned only if that engine is
 // unresponsive: before a node detects that it is itself isolated, it considers other zones lost.
