ingress: an answer that has begun is not cut on suspicion

Callers: an answer over 256 KB that is not a stream was cut in its middle as its engine paused for .25 s while its zone was suspected to be lost (LOST). Cause: the engine was left for another one, which the route allows, though no other engine can go on with the answer. Class: absence of news taken for news of absence; and a decision in two places: the watchdog may decide while the beginning is about to be sent. Change: once such an answer is to begin, its engine is left only if it accepts no connections; a send that was given up before that begins no answer and runs again. Ruled out: longer buffers: they move the size. Measured: TestAnswerThatHasBegunIsNotCutOnSuspicion (400 KB, a pause of 1 s at 300 KB, a second engine listed) failed: 307,200 bytes, cut; whole now; package with -race.

--- a/internal/ingress/buffered.go
+++ b/internal/ingress/buffered.go
@@ -56,6 +56,9 @@
 			continue
 		}
 		content, err := io.ReadAll(io.LimitReader(current.answer.Body, maxBufferedAnswer))
+		if err == nil && len(content) == maxBufferedAnswer {
+			err = current.begin()
+		}
 		if err == nil {
 			if len(content) < maxBufferedAnswer {
 				current.answer.Body.Close() // before its context ends, so that the connection is reused
--- a/internal/ingress/long_answer_test.go
+++ b/internal/ingress/long_answer_test.go
@@ -67,3 +67,57 @@
 		}
 	}
 }
+
+// pausingAnswer is the body of an answer whose engine pauses once it has sent a part, until the request is cancelled.
+type pausingAnswer struct {
+	slowAnswer
+	pauseAt int // bytes left
+}
+
+// Read implements io.Reader.
+func (p *pausingAnswer) Read(buffer []byte) (int, error) {
+	if p.left > p.pauseAt {
+		count := min(len(buffer), p.left-p.pauseAt)
+		p.left -= count
+		return count, nil
+	}
+	if p.left == p.pauseAt {
+		select {
+		case <-time.After(time.Second): // virtual time
+		case <-p.ctx.Done():
+			return 0, context.Cause(p.ctx)
+		}
+	}
+	return p.slowAnswer.Read(buffer)
+}
+
+// pausingCarrier passes on such answers. It answers that it runs.
+type pausingCarrier struct{ lateCarrier }
+
+func (*pausingCarrier) Alive(context.Context, string) bool { return true }
+
+func (*pausingCarrier) Send(ctx context.Context, _ string, _ carry.Request) (*http.Response, error) {
+	body := &pausingAnswer{slowAnswer{ctx, longAnswer}, longAnswer - 300<<10}
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body)}, nil
+}
+
+// longAnswer is the size of an answer that begins before all of it has arrived.
+const longAnswer = 400 << 10
+
+// TestAnswerThatHasBegunIsNotCutOnSuspicion guards against answers that are cut in the middle: the engine's zone was suspected to be lost, and the
+// engine was left for another one, which cannot go on with an answer that is not a stream.
+func TestAnswerThatHasBegunIsNotCutOnSuspicion(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		route := routing.Route{Name: "check", Kind: routing.Safe, MaxAttempts: 2}
+		handler := newHandlerOfOneEngine(route, &pausingCarrier{}, func(only onePlacer) Placer { return only })
+		options := &handler.(*Handler).options
+		options.ZoneLost = func(string) bool { return true }
+		options.View().Engines["other@1"] = routing.Engine{ID: "other@1", Service: "models", Address: "127.0.0.1:2", Zone: "y"}
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, "http://site.example/check", nil).WithContext(t.Context())
+		cut := serveUntilAborted(handler, recorder, request)
+		if cut || recorder.Code != http.StatusOK || recorder.Body.Len() != longAnswer {
+			t.Errorf("status %d, %d bytes of %d, cut: %t", recorder.Code, recorder.Body.Len(), longAnswer, cut)
+		}
+	})
+}
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -95,6 +95,14 @@
 	return true
 }
 
+// begin records that the client is about to get the beginning of an answer whose rest can come from this engine only. It returns an error if
+// the send was cancelled before.
+func (t *attempt) begin() error {
+	t.begun.Store(true)
+	t.recordActivity()
+	return context.Cause(t.ctx)
+}
+
 // checkEngine checks whether an engine that sends nothing still accepts connections.
 func (t *attempt) checkEngine() {
 	activity := t.activity.Load()
--- a/internal/ingress/zones.go
+++ b/internal/ingress/zones.go
@@ -110,11 +110,11 @@
 	return lost != nil && clientCanRetry && lost(t.placed.Engine.Zone)
 }
 
-// mayRunElsewhere reports whether the request may run on another engine after this one. It leaves an engine of a zone that this
+// mayRunElsewhere reports whether the request may still run on another engine after this one. It leaves an engine of a zone that this
 // node considers lost at once, and the run there counts: the engine may be at work.
 func (t *attempt) mayRunElsewhere() bool {
 	route := t.request.route
-	return route.Repeatable() && route.MaxAttempts > 1 && !t.lastRun
+	return route.Repeatable() && route.MaxAttempts > 1 && !t.lastRun && !t.begun.Load()
 }
 
 // mayAbandon reports whether an attempt of a request that may run on no other engine may be abandoned at an engine of a zone
