--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -67,7 +68,22 @@
 	t.watchdog.Reset(zoneCheckAfter)
 }
 
-// abandon cancels the send, unless the engine has sent something since the count of its events was taken: an event that was
+// watchedBody is the body of an engine's answer. Whatever arrives of it is activity: an answer that is not a stream has no events.
+type watchedBody struct {
+	io.ReadCloser
+	attempt *attempt
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(buffer []byte) (int, error) {
+	count, err := b.ReadCloser.Read(buffer)
+	if count > 0 {
+		b.attempt.recordActivity()
+	}
+	return count, err
+}
+
+// abandon cancels the send, unless the engine has sent something since that was counted: what was
 // counted first is not followed by the cancellation.
 func (t *attempt) abandon(activity int64, cause error) (abandoned bool) {
 	t.abandonMutex.Lock()
@@ -79,6 +95,14 @@
 	return true
 }
 
+// begin records that the client is about to get the beginning of an answer whose rest can come from this engine only. It returns an error if
+// the send was cancelled before.
+func (t *attempt) begin() error {
+	t.begun.Store(true)
+	t.recordActivity()
+	return context.Cause(t.ctx)
+}
+
 // checkEngine checks whether an engine that sends nothing still accepts connections.
 func (t *attempt) checkEngine() {
 	activity := t.activity.Load()
