ingress: a request leaves an engine of a zone that is suspected only briefly

TestTurnLeavesAnEngineOfALostZone, with -race: 2 of 20 runs failed (four at once, load 21 to 34), 504 after 4 s. By both logs the zone was suspected .4 and .6 s after the turn began, and counted as well again 14 and 73 ms later, after the first answer of its engine to an attempt to connect, which the watchdog itself makes after half a second. The watchdog looked at its zone at .25 s and .5 s and each half second after only, so it missed the suspicion; the zone's peers then count as suspected for 10 s, so that no second one follows.

Change: the attempts in progress are kept by the zone of their engine. When a zone becomes suspected, those that may run on several engines leave it there and then, if their engine has sent nothing for zoneCheckAfter, as the design says. The watchdog's checks stay, also for requests of one engine, which probe it first.

Ruled out: an answer that was on its way, and the node's own pause; neither is in the traces at the time of the recovery. Weighed: to ask whether the zone was suspected at any time since the last check; that leaves up to half a second later, on a conclusion that is known to be wrong by then.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -314,6 +314,7 @@
 // finish ends an attempt: its watchdog, its connection, its placement and its entry in the report.
 func (t *attempt) finish(outcome placement.Outcome, detail string) {
 	t.watchdog.Stop()
+	t.request.handler.zoneAttempts.remove(t)
 	if t.answer != nil {
 		t.answer.Body.Close()
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -132,7 +132,8 @@
 	KeysCurrent func() bool
 	RegionOf    func(zone string) string // empty if unknown
 	Zone        string                   // of this node
-	// ZoneLost reports whether nothing in a zone responds; nil if zones are never lost.
+	// ZoneLost reports whether nothing in a zone responds; nil if zones are never lost. When one begins to be lost,
+	// Handler.ZoneSuspected has to be called.
 	ZoneLost func(zone string) bool
 	// Isolated reports whether this node's zone is partitioned from the others and from the store, and
 	// after what time a retry reaches another zone; nil if it cannot be.
@@ -147,6 +148,7 @@
 	conversations *conversations.Cache
 	hedges        *hedges
 	prober        *prober
+	zoneAttempts  zoneAttempts
 	bufferedBytes atomic.Int64              // bytes of answers that wait for confirmation
 	drainUntil    atomic.Pointer[time.Time] // when a planned stop ends; nil while there is none
 }
--- a/internal/ingress/watchdog.go
+++ b/internal/ingress/watchdog.go
@@ -50,11 +50,12 @@
 // errRestarted is the reason why a send to an engine that has restarted is cancelled.
 var errRestarted = errors.New("the engine stopped responding and has restarted since")
 
-// watch gives the attempt its own context and starts to watch the engine.
+// watch gives the attempt its own context and starts to watch the engine. finish ends that.
 func (t *attempt) watch(ctx context.Context) {
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
 	t.watchdog = time.AfterFunc(stallAfter, t.checkEngine)
 	t.watchdog.Reset(zoneCheckAfter) // set here, since checkEngine must not run before the field is assigned
+	t.request.handler.zoneAttempts.add(t)
 }
 
 // recordActivity records that the engine has sent something.
--- a/internal/serving/zones.go
+++ b/internal/serving/zones.go
@@ -37,7 +37,8 @@
 	return err
 }
 
-// zoneChanged counts and logs a detected change of a zone, and updates the zones that the placer avoids.
+// zoneChanged counts and logs a detected change of a zone, and updates the zones that the placer avoids. Requests leave a zone
+// that is suspected.
 func (p *Process) zoneChanged(change zonewatch.Change) {
 	p.metrics.zoneChanges.WithLabelValues(string(change.Kind)).Inc()
 	level := slog.LevelWarn
@@ -47,6 +48,9 @@
 	p.logger.Log(context.Background(), level, string(change.Kind), "zone_concerned", change.Zone,
 		"for_ms", millis(change.Duration), "silent", change.Unresponsive, "zones_silent", change.UnresponsiveZones)
 	p.placer.SetLostZones(p.zones.SuspectedZones())
+	if change.Kind == zonewatch.ZoneSuspected {
+		p.handler.ZoneSuspected(change.Zone)
+	}
 }
 
 // isIsolated reports whether this process's zone is partitioned from the other zones and from the store.
