zonewatch: a response of an engine does not end the questions to silent peers

By a trace of all requests and responses of the zone's peers and engines: the only signs of life were connections that the engine accepted, mostly one a second, from the watchdog's own probes. Each ended the check of the zone, whose two peers had been silent for 225 and 230 ms of the 258 required; nobody asked them any more for up to .9 s, as their owners counted as lost, and the evidence began anew just before the next probe of the engine.

Change: only a response of a peer ends a zone's check. After one of an engine the peers are still probed, each .25 s, until one responds, or until no request was unanswered for 1 s. That somebody of the zone was heard counts as before: silence starts anew with each response.

Cost: where all peers of a zone are silent for long while its engines work, each node goes on with a round of probes each .25 s. After one suspicion its peers count as suspected for 10 s, and are probed as before.

--- a/internal/zonewatch/detector.go
+++ b/internal/zonewatch/detector.go
@@ -160,8 +160,10 @@
 func (d *Detector) RecordResponse(address, name string, now time.Time) bool {
 	z := d.zoneOf(name)
 	z.lastResponse = now
-	z.checking = false
 	if src := z.sources[address]; src != nil {
+		if src.peer {
+			z.checking = false // peers that may be lost are still probed after the response of an engine
+		}
 		src.unansweredSince, src.timedOutAt, src.suspectedAt = time.Time{}, time.Time{}, time.Time{}
 		if !src.peer {
 			delete(z.sources, address)
--- a/internal/zonewatch/watch_test.go
+++ b/internal/zonewatch/watch_test.go
@@ -67,6 +67,13 @@
 	return ctx.Err()
 }
 
+// sent returns how many requests were sent to peers.
+func (n *network) sent() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.requests
+}
+
 func (n *network) change(modify func()) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
