relay: a search for a turn leaves its peer calls for others

Since late reads of a search free their slot, all 32 are in flight at once at a store that takes 160 ms or more for a read: all that a peer makes for others. One other read of the process, or a search of another process, was declined; the search then failed with 503, and the declined call counted as a path that is lost, so that calls failed for half a second. Change: a process has 32 reads through peers at a time, further ones wait; a peer makes 64 calls for others, as it makes watches, so that the searches of two processes fit, or one and as many writes. On a calm store nothing changes; the number of calls does not either. Ruled out: 24 reads for a peer's 32 calls (a trial): at 400 ms a search no longer ends in a caller's 1.2 s. That a further try goes on from the parts that answered: a turn recorded between two tries would be answered 404.

--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -26,6 +26,10 @@
 	// maxPeers is how many peers one call tries. If the table service rejects a third of the nodes,
 	// one call in eighty finds only rejected peers.
 	maxPeers = 4
+	// maxRelayedReads is how many reads of this process peers make at a time; further ones wait. At a slow service, a search
+	// for a turn reads all 32 parts of the table at once. A peer that declines a call because of this process's own reads
+	// would fail the search, and count as one that has no path. The other half is left to writes and other processes.
+	maxRelayedReads = maxCalls / 2
 )
 
 // peerClient sends a request to a peer. *wire.Client implements it.
@@ -37,6 +41,7 @@
 type peerPool struct {
 	node      string
 	onInvalid func(peer string, fault error) // called for each invalid outcome
+	reads     chan struct{}                  // semaphore of maxRelayedReads
 
 	mutex    sync.Mutex
 	client   peerClient // nil before any peer is known
@@ -47,6 +52,11 @@
 	invalid  uint64     // invalid outcomes
 }
 
+// newPeerPool returns a pool without peers. node is this node's name.
+func newPeerPool(node string, onInvalid func(peer string, fault error)) *peerPool {
+	return &peerPool{node: node, onInvalid: onInvalid, reads: make(chan struct{}, maxRelayedReads)}
+}
+
 // setPeers replaces the peers.
 func (p *peerPool) setPeers(client peerClient, peers []string) {
 	p.mutex.Lock()
@@ -131,6 +141,17 @@
 	p.failedAt = time.Now()
 }
 
+// read makes a read through peers once fewer than maxRelayedReads are in flight.
+func (p *peerPool) read(ctx context.Context, request *wirepb.Request) (Outcome, error) {
+	select {
+	case p.reads <- struct{}{}:
+	case <-ctx.Done():
+		return Outcome{}, errors.Mark(errors.Wrap(ctx.Err(), "wait for other reads through peers"), tablestore.ErrUnknownOutcome)
+	}
+	defer func() { <-p.reads }()
+	return p.call(ctx, request, 0, true)
+}
+
 // callPeer makes a call through one peer. An invalid outcome counts as a lost reply.
 func (p *peerPool) callPeer(ctx context.Context, client peerClient, peer string, request *wirepb.Request, wait time.Duration) (Outcome, error) {
 	ctx, cancel := progress.WithLimits(ctx, peerLimits(wait))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -20,8 +20,8 @@
 	serveTimeout = time.Second
 	// maxCalls and maxWatches are how many calls may be in flight for peers. If a third
 	// of 300 nodes is rejected and spread over the others, each needs two of both; the rest is a reserve for
-	// fleets of which only few nodes are served.
-	maxCalls   = 32
+	// fleets of which only few nodes are served, and for two nodes that search all parts of the table at once.
+	maxCalls   = 64
 	maxWatches = 64
 	// maxWatchWait bounds how long a watch for a peer waits.
 	maxWatchWait = 10 * time.Second
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -54,7 +54,7 @@
 type Table struct {
 	direct   tablestore.Table
 	feed     tablestore.Feed
-	pool     peerPool
+	pool     *peerPool
 	observer Observer
 	closing  context.Context // cancelled by Close
 	close    context.CancelFunc
@@ -78,8 +78,7 @@
 
 // NewTable returns a table that is reached over the direct path only, until SetPeers.
 func NewTable(direct tablestore.Table, feed tablestore.Feed, node string, observer Observer) *Table {
-	t := &Table{direct: direct, feed: feed, observer: observer}
-	t.pool = peerPool{node: node, onInvalid: observer.OutcomeDropped}
+	t := &Table{direct: direct, feed: feed, observer: observer, pool: newPeerPool(node, observer.OutcomeDropped)}
 	t.closing, t.close = context.WithCancel(context.Background())
 	t.pathContext, t.cancelPath = context.WithCancel(t.closing)
 	return t
@@ -138,7 +137,7 @@
 	if final {
 		return page, err
 	}
-	outcome, err := t.pool.call(ctx, rangeRequest(start, end, limit), 0, true)
+	outcome, err := t.pool.read(ctx, rangeRequest(start, end, limit))
 	if err != nil {
 		return tablestore.Page{}, err
 	}
