ledger: a program goes on whose account was removed after it was read

Cause: an absent row has revision 0, and observe ignores rows older than the one that is loaded. So a process that had read an account, which its last writer removed then, took the absent row in the conflict of its own write for an older one: all further writes of the account expected the removed row, until the program was dropped from memory.

Change: a conflict with an absent row resets the revision if the write's condition was the revision that is loaded: the row was there before the write was sent, so its absence is newer.

Ruled out: to reset on any absent row. A read that was sent before the account was written may be answered after it.

--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -37,7 +37,7 @@
 		l.health.recordResult(writing, part, nil, l.options.Now())
 		e.markOutcomeUnknown()
 		e.markRead(l.options.Now())
-		return e.applyConflict(l.options.RunID, write, *row, request)
+		return e.applyConflict(l.options.RunID, write, transaction.Conditions[0].Revision, *row, request)
 	}
 	limited, cancel := request.untilGivenUp(ctx)
 	defer cancel()
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -259,10 +259,13 @@
 
 // applyConflict applies the row that made a write's condition fail. It reports
 // whether that row shows that the write itself had taken effect, with its
-// response lost.
-func (e *entry) applyConflict(runID string, write uint64, current tablestore.Row, request TurnRequest) (bool, error) {
+// response lost. expected is the revision of the condition.
+func (e *entry) applyConflict(runID string, write, expected uint64, current tablestore.Row, request TurnRequest) (bool, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	if current.Revision == 0 && expected == e.revision {
+		e.revision = 0 // the row was there, and has been removed since; an absent row is otherwise taken for an older one
+	}
 	before := len(e.attempts)
 	if err := e.observe(runID, current); err != nil {
 		return false, err
