ingress: whether a run is the last one is asked when it counts

Change: the attempt keeps what was tried and at which version it must run, and looks at the engines that are listed at the moment of the decision; the carrier's LastRun is decided as the request is sent, as before. Ruled out: the request's own list of what was tried: the watchdog runs beside the request, which changes that. Measured: package with -race; TestRequestOfTheOnlyEngineIsNotLeftOnSuspicion passes.

--- a/internal/ingress/carried.go
+++ b/internal/ingress/carried.go
@@ -80,7 +80,7 @@
 		LastEvent: lastEvent,
 		Tenant:    r.tenantName(),
 		Deadline:  r.deadline,
-		LastRun:   t.lastRun,
+		LastRun:   t.isLastRun(),
 	}
 }
 
--- a/internal/ingress/zones.go
+++ b/internal/ingress/zones.go
@@ -114,7 +114,7 @@
 // node considers lost at once, and the run there counts: the engine may be at work.
 func (t *attempt) mayRunElsewhere() bool {
 	route := t.request.route
-	return route.Repeatable() && route.MaxAttempts > 1 && !t.lastRun && !t.begun.Load()
+	return route.Repeatable() && route.MaxAttempts > 1 && !t.isLastRun() && !t.begun.Load()
 }
 
 // mayAbandon reports whether an attempt of a request that may run on no other engine may be abandoned at an engine of a zone
