poison, ingress: the confirmation of a reported end tells of further ends under the request

A client's next try may reach a node before the report of the third engine's end does: the report waits for a confirmation of 150 ms, the answer at a passed deadline for 60 ms, and what is not confirmed is repeated later. That node knew of two ends, presumed and reported one of its own, and sent the try to a fourth engine, although the node that knew of the third one had confirmed its report in time.

Change: the reply to a report holds the ends under the same requests that the peer has shared and the report lacks. What a node presumes itself is not counted, and is not sent back to it, so that it does not settle its own presumption. Of two sends at the same time only the later one yields. Nothing more is sent or waited for. Builds before this one send and read no such body.

The late link of TestFurtherTryAfterALateWithdrawalIsServed takes the delay of requests as a parameter now; its value there is as before. The model of the ingress in TestNoRequestBesideAFatalOneIsStopped looks as the ingress does.

Left: a node to which neither the second nor the third end was told does not presume its own, so is told nothing; and a report that is not confirmed within .15 s does not hold the send to the last engine.

Weighed: to send to the last engine only once all peers have confirmed: an engine would be refused to an innocent request for as long as a peer is silent (TestFurtherTryAfterALateWithdrawalIsServed has confirmations that are always late).

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -340,7 +340,7 @@
 	switch {
 	case errors.Is(err, errSendExpired):
 		return placement.SendExpired, err
-	case errors.Is(err, errLeftToRival):
+	case errors.Is(err, errLeftToRival), errors.Is(err, errEnginesEnded):
 		return placement.Yielded, err
 	case errors.Is(err, upstream.ErrNoConnection) && ctx.Err() != nil:
 		return placement.Cancelled, err
--- a/internal/ingress/carried.go
+++ b/internal/ingress/carried.go
@@ -41,8 +41,8 @@
 		return t.sendDirectly(lastEvent)
 	}
 	t.reportLastSend()
-	if t.leftToRival() {
-		return nil, errLeftToRival
+	if err := t.checkLastSend(); err != nil {
+		return nil, err
 	}
 	t.peer.Store(&decision.Peer)
 	t.sent = true
@@ -95,9 +95,9 @@
 		return nil, err
 	}
 	t.reportLastSend()
-	if t.leftToRival() {
+	if err := t.checkLastSend(); err != nil {
 		options.Pool.Release(conn)
-		return nil, errLeftToRival
+		return nil, err
 	}
 	if !t.placed.MaySend(time.Now()) {
 		options.Pool.Release(conn)
--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -59,8 +59,11 @@
 	AwaitAnswers(ctx context.Context)
 }
 
-// errLeftToRival is the reason why a request was not sent to an engine: see leftToRival.
-var errLeftToRival = errors.New("the engine was left to another request under which engines ended")
+// Reasons why a request was not sent to an engine: see checkLastSend.
+var (
+	errLeftToRival  = errors.New("the engine was left to another request under which engines ended")
+	errEnginesEnded = errors.New("as many engines as may end have ended under the request, as a peer told")
+)
 
 // EndKind is how an engine ended, in logs and metrics.
 type EndKind string
@@ -146,11 +149,21 @@
 	r.reportEnds(ctx)
 }
 
-// leftToRival reports whether the engine is left to another request under which as many engines ended: both were placed there before
-// either node knew of the other one's. It is called once the presumed end has been reported, so that at least one of two nodes that
-// confirm each other's reports knows of both requests.
-func (t *attempt) leftToRival() bool {
-	return t.lastSend != nil && slices.Contains(t.request.enginesOfRivals(), t.placed.Engine.ID)
+// checkLastSend returns why the request must not be sent to the last engine that it may end; nil if it may be. It is called once the
+// presumed end has been reported, and the peers that confirmed that have told what they know. Either the engine is left to another
+// request under which as many engines ended: both were placed there before either node knew of the other one's, and at least one of two
+// nodes that confirm each other's reports knows of both requests. Or another engine has ended, or is presumed to, under an earlier send
+// of this request at another node, whose report had not arrived.
+func (t *attempt) checkLastSend() error {
+	switch r := t.request; {
+	case t.lastSend == nil:
+		return nil
+	case slices.Contains(r.enginesOfRivals(), t.placed.Engine.ID):
+		return errLeftToRival
+	case r.handler.options.EndedEngines.SettledBefore(r.poisonKey(), t.startedAt) >= poison.MaxEngines:
+		return errEnginesEnded
+	}
+	return nil
 }
 
 // recordEnd records whether the attempt's engine ended under the request, or that it answered it. It does not block. Further
--- a/internal/poison/client.go
+++ b/internal/poison/client.go
@@ -346,10 +346,19 @@
 		if code := api.Code(reply.GetCode()); code != api.OK && code != api.UnknownMessage {
 			return errors.Newf("refused with code %d: %s", code, reply.GetDetail())
 		}
+		c.mergeRecorded(reply)
 		listed.confirmed = upTo
 	}
 }
 
+// mergeRecorded adds what a peer's reply tells. That of a build that does not know the message tells nothing.
+func (c *Client) mergeRecorded(reply *wirepb.Reply) {
+	var recorded wirepb.EndsRecorded
+	if proto.Unmarshal(reply.GetBody(), &recorded) == nil && recorded.GetUnderstood() {
+		c.options.Memory.merge(recorded.GetRequests(), time.Now())
+	}
+}
+
 func (c *Client) do(ctx context.Context, address string, message *wirepb.Request, timeout time.Duration) (*wirepb.Reply, error) {
 	c.mutex.Lock()
 	client := c.client
@@ -393,9 +402,6 @@
 	if err != nil {
 		return err
 	}
-	var recorded wirepb.EndsRecorded
-	if proto.Unmarshal(reply.GetBody(), &recorded) == nil && recorded.GetUnderstood() {
-		c.options.Memory.merge(recorded.GetRequests(), time.Now())
-	}
+	c.mergeRecorded(reply)
 	return nil // a peer whose build does not know the message cannot be asked at all
 }
--- a/internal/poison/memory.go
+++ b/internal/poison/memory.go
@@ -228,6 +228,18 @@
 	return standing
 }
 
+// SettledBefore returns how many engines ended under a request one after another that it was sent to before a time. Ends that this
+// node presumes do not count.
+func (m *Memory) SettledBefore(key Key, sentBefore time.Time) int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	record := m.suspects[key]
+	if record == nil {
+		return 0
+	}
+	return record.count(func(end endRecord) bool { return !end.presumed && end.SentAt.Before(sentBefore) })
+}
+
 // look returns what is known of a request, and a channel that is closed when a check ends; nil if none is in progress.
 func (m *Memory) look(key Key, now time.Time) (Standing, <-chan struct{}) {
 	if m.Empty() {
--- a/internal/poison/message.go
+++ b/internal/poison/message.go
@@ -58,6 +58,34 @@
 	return messages
 }
 
+// sharedBeside returns the ends that are recorded under reported requests and shared with other nodes, without those that are reported.
+func (m *Memory) sharedBeside(reported []*wirepb.RequestEnds, now time.Time) []*wirepb.RequestEnds {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var messages []*wirepb.RequestEnds
+	for _, message := range reported {
+		key, valid := keyOf(message)
+		record := m.suspects[key]
+		if !valid || record == nil {
+			continue
+		}
+		further := slices.DeleteFunc(slices.Clone(record.ends), func(end endRecord) bool {
+			return !end.shared || slices.ContainsFunc(message.GetEnds(), func(other *wirepb.EngineEnd) bool {
+				return end.same(receivedEnd(other, now).End)
+			})
+		})
+		if len(further) > 0 {
+			messages = append(messages, toMessage(key, further, now))
+		}
+	}
+	return messages
+}
+
+// keyOf returns the key of the request in a message, and whether it has one.
+func keyOf(message *wirepb.RequestEnds) (key Key, valid bool) {
+	return key, copy(key[:], message.GetKey()) == len(key)
+}
+
 // toMessage converts the ends of a request to the message sent to peers.
 func toMessage(key Key, ends []endRecord, now time.Time) *wirepb.RequestEnds {
 	message := &wirepb.RequestEnds{Key: key[:]}
@@ -79,8 +107,8 @@
 	defer m.mutex.Unlock()
 	m.expire(now)
 	for _, message := range messages {
-		var key Key
-		if copy(key[:], message.GetKey()) != len(key) {
+		key, valid := keyOf(message)
+		if !valid {
 			continue
 		}
 		record := m.suspectOf(key)
--- a/internal/poison/orders_test.go
+++ b/internal/poison/orders_test.go
@@ -119,8 +119,9 @@
 				return true
 			}
 			engine := y.place()
+			startedAt := time.Now()
 			last := y.presume(engine)
-			if !slices.Contains(y.live(), engine) || last != nil && slices.Contains(y.node.memory.Isolate(y.key, y.live(), time.Now()), engine) {
+			if !slices.Contains(y.live(), engine) || last != nil && !y.mayEnd(engine, startedAt) {
 				y.withdraw(last)
 				continue
 			}
@@ -193,6 +194,12 @@
 	return check
 }
 
+// mayEnd reports whether the request may be sent to the last engine that it may end, by what the peers that confirmed that have told.
+func (y *playedTry) mayEnd(engine string, startedAt time.Time) bool {
+	memory := y.node.memory
+	return !slices.Contains(memory.Isolate(y.key, y.live(), time.Now()), engine) && memory.SettledBefore(y.key, startedAt) < MaxEngines
+}
+
 // report reports the ends under the request, for some time at most.
 func (y *playedTry) report(wait time.Duration) {
 	if y.node.memory.Share(y.key) {
--- a/internal/serving/late_withdrawal_test.go
+++ b/internal/serving/late_withdrawal_test.go
@@ -63,8 +63,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var reply atomic.Int64
-			first, second, ended := serveFatalBehindLateLink(t, 8, &reply)
+			var request, reply atomic.Int64
+			request.Store(int64(lateLinkDelay))
+			first, second, ended := serveFatalBehindLateLink(t, 8, &request, &reply)
 			var reached atomic.Int64
 			var recovered atomic.Bool // the engines that are left answer
 			for id, engine := range first.engines {
@@ -99,15 +100,15 @@
 }
 
 // serveFatalBehindLateLink is like serveFatal, for engines that refuse connections, with a late link from the first process to the
-// second, and replies that are late by a delay in ns.
-func serveFatalBehindLateLink(t *testing.T, engines int, reply *atomic.Int64) (first, second *deployment, ended *endedEngines) {
+// second: requests and replies there are late by delays in ns.
+func serveFatalBehindLateLink(t *testing.T, engines int, request, reply *atomic.Int64) (first, second *deployment, ended *endedEngines) {
 	t.Helper()
 	first = prepare(t)
 	ended = first.addFatalEngines(engines, ending{})
 	first.store.Put("op", "", "config", configuration(7, fatalRoutes()...))
 	first.run("node-1", anyPort)
 	second = &deployment{t: t, store: first.store, engines: first.engines, peerListenAddress: ownLoopbackAddress()}
-	second.run("node-2", lateLink(t, second.peerListenAddress, lateLinkDelay, reply))
+	second.run("node-2", lateLink(t, second.peerListenAddress, request, reply))
 	for _, d := range []*deployment{first, second} {
 		d.eventually("ready, with the peer found", func() bool {
 			return d.process.Ready() && strings.Contains(d.log.String(), `"msg":"peers found","count":1`)
@@ -126,9 +127,9 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", 128+process>>16&63, process>>8&255, process&255, firstPort+loopbackAddresses.Add(1))
 }
 
-// lateLink returns an address at which connections are forwarded to the target. What is sent there arrives late, by the delay, and
-// so does what the target sends, by that of replies, in ns.
-func lateLink(t *testing.T, target string, delay time.Duration, reply *atomic.Int64) string {
+// lateLink returns an address at which connections are forwarded to the target. What is sent there arrives late, by the delay of
+// requests, and so does what the target sends, by that of replies, in ns.
+func lateLink(t *testing.T, target string, request, reply *atomic.Int64) string {
 	t.Helper()
 	listener, err := net.Listen("tcp4", anyPort)
 	if err != nil {
@@ -146,7 +147,7 @@
 				_ = client.Close()
 				continue
 			}
-			go forwardLate(client, server, func() time.Duration { return delay })
+			go forwardLate(client, server, func() time.Duration { return time.Duration(request.Load()) })
 			go forwardLate(server, client, func() time.Duration { return time.Duration(reply.Load()) })
 		}
 	}()
