--- a/internal/ingress/zone_attempts_test.go
+++ b/internal/ingress/zone_attempts_test.go
@@ -103,23 +103,27 @@
 }
 
 // TestSuspicionLeavesActiveAndOnlyEngines shows which requests stay at an engine when its zone becomes suspected: those that may run on
-// one engine only, those whose engine has sent something of late, and those at engines of other zones.
+// one engine only, or have been offered to all, those whose engine has sent something of late, and those at engines of other zones.
 func TestSuspicionLeavesActiveAndOnlyEngines(t *testing.T) {
 	for name, test := range map[string]struct {
 		maxAttempts int
 		zone        string
 		silentFor   time.Duration
+		tried       []string // beside the engine itself
 		leaves      bool
 	}{
 		"silent":                 {maxAttempts: 2, zone: "zone-b", silentFor: zoneCheckAfter, leaves: true},
 		"active":                 {maxAttempts: 2, zone: "zone-b", silentFor: zoneCheckAfter - time.Millisecond},
 		"only engine":            {maxAttempts: 1, zone: "zone-b", silentFor: zoneCheckAfter},
+		"no other engine":        {maxAttempts: 2, zone: "zone-b", silentFor: zoneCheckAfter, tried: []string{"second"}},
 		"engine of another zone": {maxAttempts: 2, zone: "zone-c", silentFor: zoneCheckAfter},
 	} {
 		t.Run(name, func(t *testing.T) {
 			virtualtime.Test(t, func(t *testing.T) {
-				r := &request{handler: &Handler{}, route: &routing.Route{Kind: routing.Safe, MaxAttempts: test.maxAttempts}}
-				current := &attempt{placed: placement.Placement{Engine: routing.Engine{ID: "e", Zone: test.zone}}, request: r, startedAt: time.Now()}
+				route := routing.Route{Name: "safe", Kind: routing.Safe, MaxAttempts: test.maxAttempts}
+				r := &request{handler: newHandlerOfTwoZones(route), route: &route}
+				current := &attempt{placed: placement.Placement{Engine: routing.Engine{ID: "first", Service: "models", Zone: test.zone}}, request: r,
+					startedAt: time.Now(), lastAllowed: test.maxAttempts == 1, tried: append(test.tried, "first")}
 				current.watch(t.Context())
 				defer func() { current.watchdog.Stop() }()
 				time.Sleep(zoneCheckAfter / 2)
