wire: a drain waits a second for peers that stand still

Callers: at a planned stop, requests between processes ended with an unknown outcome although they did not run: those that a peer had sent until it read the notice of the drain. Cause: a drain closes connections that peers have not closed .3 s after all requests were answered. Processes stand still for longer on a machine that is busy. Change: one second. It is used up only if a peer is lost or stands still, and the grace period bounds it as before. Ruled out: to wait for the whole grace period: each stop beside a lost peer would take all of it. Conclusion: a peer that stands still for over a second still loses them; that is known as an unknown outcome, never as 'not run'.

--- a/internal/wire/drain.go
+++ b/internal/wire/drain.go
@@ -13,9 +13,10 @@
 
 // peerCloseTimeout bounds the wait for peers to close their connections in a
 // drain, once all their requests are answered. The notice and the close take one
-// round trip, a few ms between regions; the rest covers a process that
-// waits for CPU time. Peers of earlier versions do not close their connections at all.
-const peerCloseTimeout = 300 * time.Millisecond
+// round trip, a few ms between regions; the rest covers a peer that
+// stands still: what it has sent until it reads the notice would have an unknown outcome.
+// Peers that are lost do not close their connections at all.
+const peerCloseTimeout = time.Second
 
 // ErrPeersConnected means that peers did not close their connections in a drain.
 var ErrPeersConnected = errors.New("peers keep their connections")
