progress: a standstill that ends just after the deadline is noticed

Cause: a page read through a peer was given up beside load, 'request abandoned: context deadline exceeded'. By a line for each sign, check and chunk (trial on a copy, -race, two at once, load 34 to 43) 3 of 16 runs of TestRangeOfSeveralPagesIsReadThroughAPeer failed, all alike: no event of any goroutine for .21 to .26 s, then the deadline's check 0, 12 and 12 ms late, and the signs of the peer right after it. Limits.Standstill took only a deadline that was noticed over 50 ms late for a standstill, so that one which began before the deadline and ended up to 50 ms after it ended the call with the answer unread. Change: with Standstill, a call is checked that often; a check that is later than Standstill shows that the process stood still, whether or not the deadline passed meanwhile, and the call gets Idle from then on, within Total as before. Ruled out: a longer peerTimeout or a fixed grace at the deadline, which every silent peer would cost; the store as silent: in no trace a sign was withheld for it.

--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -24,8 +24,9 @@
 	// Late, if not nil, is called when no part has arrived within First or Idle, and returns how much longer to wait;
 	// 0 ends the call. silent is the time since the last part, or since the call began. Total holds all the same.
 	Late func(silent time.Duration) time.Duration
-	// Standstill, if not 0, is how much later than First or Idle this process may notice that it has passed. If it does so
-	// later, it stood still and may not have read what has arrived: the call gets Idle from then on. Total holds all the same.
+	// Standstill, if not 0, is how late this process may run its checks of the call, which are as far apart. If one is
+	// later, the process stood still and may not have read what has arrived, whether or not First or Idle passed meanwhile:
+	// the call gets Idle from then on. Total holds all the same.
 	Standstill time.Duration
 }
 
@@ -43,6 +44,7 @@
 	deadline     time.Time
 	lastReceived time.Time // when the last part arrived; zero before the first
 	timer        *time.Timer
+	checkAt      time.Time // when the timer is due
 }
 
 // boundedKey is the context key of the nearest bounded context.
@@ -58,7 +60,8 @@
 	context.AfterFunc(b.Context, func() { close(b.done) })
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.timer = time.AfterFunc(time.Until(b.deadline), b.checkDeadline)
+	b.checkAt = b.nextCheck(now)
+	b.timer = time.AfterFunc(time.Until(b.checkAt), b.checkDeadline)
 	return b, func() {
 		b.timer.Stop()
 		b.cancel(context.Canceled)
@@ -115,23 +118,43 @@
 	if b.Context.Err() != nil {
 		return // the call has ended, and Late has nothing to decide
 	}
-	silent, overdue := b.silence()
-	switch {
-	case overdue < 0:
-	case b.limits.Standstill > 0 && overdue > b.limits.Standstill:
+	if b.stoodStill(time.Now()) {
 		b.extend(b.limits.Idle)
-	case b.limits.Late != nil:
+	} else if silent, overdue := b.silence(); overdue >= 0 && b.limits.Late != nil {
 		b.extend(b.limits.Late(silent))
 	}
+	if !b.checkAgain(time.Now()) {
+		b.cancel(ErrStalled)
+	}
+}
+
+// stoodStill reports whether this process runs the check that is due later than Limits.Standstill.
+func (b *bounded) stoodStill(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.limits.Standstill > 0 && now.Sub(b.checkAt) > b.limits.Standstill
+}
+
+// checkAgain sets the timer for the next check. It returns false if the deadline has passed.
+func (b *bounded) checkAgain(now time.Time) bool {
 	b.mutex.Lock()
-	remaining := time.Until(b.deadline)
-	if remaining > 0 {
-		b.timer.Reset(remaining)
+	defer b.mutex.Unlock()
+	if !b.deadline.After(now) {
+		return false
 	}
-	b.mutex.Unlock()
-	if remaining <= 0 {
-		b.cancel(ErrStalled)
+	b.checkAt = b.nextCheck(now)
+	b.timer.Reset(b.checkAt.Sub(now))
+	return true
+}
+
+// nextCheck returns when the next check is due: at the deadline, or earlier to notice that this process stands still. The
+// mutex is held.
+func (b *bounded) nextCheck(now time.Time) time.Time {
+	next := now.Add(b.limits.Standstill)
+	if b.limits.Standstill == 0 || next.After(b.deadline) {
+		return b.deadline
 	}
+	return next
 }
 
 // silence returns for how long no part has arrived, and for how long the deadline has passed; negative if it has not.
