ingress: the silence of an engine that was given up begins with the send

An engine that was given up is presumed to have ended, examined once it has been silent for half a second, and the end withdrawn if it takes a connection. The half second counted from the start of the attempt, before the wait for reports, which comes before the send to the last engine: an engine that gets the request late may take a connection then and end after that. That this withdrew f11's end is likely, not shown: a withdrawal leaves no line.

Change: lastActivity counts from the send. Test first, in virtual time: TestSilenceBeginsWithTheSend, 250 ms too early before.

Tried and dropped: the send to the last engine waits .6 s for confirmations instead of .25 s, and also for peers that have not confirmed an earlier report.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -123,6 +123,7 @@
 	abandonMutex  sync.Mutex   // held while an event is counted, and while the watchdog decides to cancel the send
 	activity      atomic.Int64 // number of events received from the engine
 	activityAfter atomic.Int64 // ns from startedAt to the last event; 0 before the first
+	sentAfter     atomic.Int64 // ns from startedAt to the send, before which reports may be waited for; 0 before it
 	stalled       atomic.Bool  // nothing was received for zoneCheckAfter
 
 	lastSend    *poison.Check // see reportLastSend; nil if the request may end another engine
--- a/internal/ingress/carried.go
+++ b/internal/ingress/carried.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	t.peer.Store(&decision.Peer)
-	t.sent = true
+	t.markSent()
 	response, err := carrier.Send(t.ctx, decision.Peer, t.carriedRequest(lastEvent))
 	switch {
 	case err == nil:
@@ -103,7 +103,7 @@
 		options.Pool.Release(conn)
 		return nil, errSendExpired
 	}
-	t.sent = true
+	t.markSent()
 	answer, err := options.Pool.Send(t.ctx, conn, t.request.outgoing(t.placed.Engine, lastEvent))
 	if err != nil {
 		return nil, err
@@ -111,6 +111,12 @@
 	return answer.Response, nil
 }
 
+// markSent records that the engine, or a peer that carries the request there, is given the request now.
+func (t *attempt) markSent() {
+	t.sent = true
+	t.sentAfter.Store(int64(time.Since(t.startedAt)))
+}
+
 // recordVia records in the report whether the request was sent directly or through a peer.
 func (t *attempt) recordVia(decision carry.Decision) {
 	t.request.reportMutex.Lock()
--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -238,7 +238,7 @@
 
 // lastActivity returns when the engine last sent anything; when the request was sent if it has sent nothing.
 func (t *attempt) lastActivity() time.Time {
-	return t.startedAt.Add(time.Duration(t.activityAfter.Load()))
+	return t.startedAt.Add(time.Duration(max(t.sentAfter.Load(), t.activityAfter.Load())))
 }
 
 // howEnded returns how the engine ended, after a send with this outcome.
