commitgroup: tests of parts that fail share a service and a loop, and also play failing reads

Cause: two services whose parts reset or reject, and the loop that collects how many writes failed and the slowest, stood in these tests several times. Both services said "each call" and answered reads: the case of parts that fail reads, too, was missing, which is what a part that is down does. Change: one service (failingService), one loop, one check for writes to the others. Each test of parts that fail is played twice, with parts that fail all calls and with parts that fail writes only, as before. All cases and bounds are kept.

--- a/internal/commitgroup/failing_parts_test.go
+++ b/internal/commitgroup/failing_parts_test.go
@@ -2,20 +2,13 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/pewtermill/pewtermill/internal/tablestore"
-	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
-// oddPart reports whether a part is one of every second one.
-func oddPart(part string) bool { return strings.ContainsAny(part[len(part)-1:], "13579") }
-
 // timedService records when it is called.
 type timedService struct {
 	tablestore.Table
@@ -43,15 +36,14 @@
 	return most
 }
 
-// TestLostGroupsKeepToTheSendRateInAnySecond: half of 32 parts reset all calls, from the start or after one or two seconds.
-// The groups that find them must not exceed the send rate in any second.
+// TestLostGroupsKeepToTheSendRateInAnySecond: half of 32 parts reset all calls, or all writes, from the start or after one
+// or two seconds. The groups that find them must not exceed the send rate in any second.
 func TestLostGroupsKeepToTheSendRateInAnySecond(t *testing.T) {
 	for _, quiet := range []time.Duration{0, time.Second, 2 * time.Second} {
-		virtualtime.Test(t, func(t *testing.T) {
-			fails := time.Now().Add(quiet)
-			resetting := &resettingService{faultyTable: newFaultyTable(1, 0), resets: func(part string) bool { return oddPart(part) && !time.Now().Before(fails) }}
+		eachKindOfCalls(t, newResettingService, func(t *testing.T, resetting *failingService) {
+			resetting.fails = oddPartAfter(quiet)
 			service := &timedService{Table: resetting}
-			writesOfManyParts(t, NewGroup(service, true, nil), func(int, time.Duration, error) {})
+			writesOfManyParts(t, service, oddPart)
 			if most, allowed := mostInASecond(service.calls), int(time.Second/minGroupInterval); most > allowed {
 				t.Errorf("parts fail after %s: %d calls in a second, the send rate allows %d", quiet, most, allowed)
 			}
@@ -59,81 +51,41 @@
 	}
 }
 
-// TestPartsThatFailAtABusyWriterDelayNoOthers: half of 32 parts reset all calls, after a second or two in which the writer sent as
-// many groups as the send rate allows. All writes to the others must commit, on time.
-func TestPartsThatFailAtABusyWriterDelayNoOthers(t *testing.T) {
-	for _, quiet := range []time.Duration{time.Second, 2 * time.Second} {
-		virtualtime.Test(t, func(t *testing.T) {
-			fails := time.Now().Add(quiet)
-			service := &resettingService{faultyTable: newFaultyTable(1, 0), resets: func(part string) bool { return oddPart(part) && !time.Now().Before(fails) }}
-			failed, slowest := 0, time.Duration(0)
-			writesOfManyParts(t, NewGroup(service, true, nil), func(part int, took time.Duration, err error) {
-				if part%2 == 1 {
-					return
-				}
-				slowest = max(slowest, took)
-				if err != nil {
-					failed++
-				}
-			})
-			if failed > 0 || slowest > onTime {
-				t.Errorf("parts fail after %s: of the writes to the others, %d failed, and the slowest took %s", quiet, failed, slowest)
-			}
-		})
-	}
+// oddPartAfter returns a function that reports whether a part is one of every second one, from a time from now.
+func oddPartAfter(quiet time.Duration) func(part string) bool {
+	fails := time.Now().Add(quiet)
+	return func(part string) bool { return oddPart(part) && !time.Now().Before(fails) }
 }
 
-// TestPartThatResetsHasTurns: one part resets all calls, while the others have as many writes as fill all groups. Its write must
-// have a result on time, too.
-func TestPartThatResetsHasTurns(t *testing.T) {
-	virtualtime.Test(t, func(t *testing.T) {
-		service := &resettingService{faultyTable: newFaultyTable(1, 0), resets: func(part string) bool { return part == "1" }}
-		slowest := time.Duration(0)
-		writesOfManyParts(t, NewGroup(service, true, nil), func(part int, took time.Duration, _ error) {
-			if part == 1 {
-				slowest = max(slowest, took)
-			}
-		})
-		if slowest > onTime {
-			t.Errorf("a write to the part that resets had its result after %s", slowest)
+// TestPartsThatFailAtABusyWriterDelayNoOthers: half of 32 parts reset all calls, or all writes, after a second or two in
+// which the writer sent as many groups as the send rate allows. All writes to the others must commit, on time.
+func TestPartsThatFailAtABusyWriterDelayNoOthers(t *testing.T) {
+	eachKindOfCalls(t, newResettingService, func(t *testing.T, kind *failingService) {
+		for _, quiet := range []time.Duration{time.Second, 2 * time.Second} {
+			service := newResettingService(oddPartAfter(quiet))
+			service.readable = kind.readable
+			failed, slowest := writesOfManyParts(t, service, evenPart)
+			expectOthersOnTime(t, failed, slowest)
 		}
 	})
 }
 
-// unavailableService is a table service some of whose parts reject each call to them after 4 ms.
-type unavailableService struct {
-	*faultyTable
-	rejects func(part string) bool
-}
-
-// Commit implements tablestore.Table.
-func (u *unavailableService) Commit(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, error) {
-	for _, write := range transaction.Writes {
-		if u.rejects(partOf(write.Key)) {
-			time.Sleep(4 * time.Millisecond) // virtual
-			return tablestore.Receipt{}, errors.Mark(errors.New("503"), tablestore.ErrUnavailable)
+// TestPartThatResetsHasTurns: one part resets all calls, or all writes, while the others have as many writes as fill all
+// groups. Its write must have a result on time, too.
+func TestPartThatResetsHasTurns(t *testing.T) {
+	eachKindOfCalls(t, newResettingService, func(t *testing.T, service *failingService) {
+		service.fails = func(part string) bool { return part == "1" }
+		if _, slowest := writesOfManyParts(t, service, service.fails); slowest > onTime {
+			t.Errorf("a write to the part that resets had its result after %s", slowest)
 		}
-	}
-	return u.faultyTable.Commit(ctx, transaction)
+	})
 }
 
-// TestHalfOfManyPartsThatRejectDelayNoOthers: every second one of 32 parts rejects all calls for three seconds. All writes
-// to the others must commit, on time.
+// TestHalfOfManyPartsThatRejectDelayNoOthers: every second one of 32 parts rejects all calls, or all writes, for three
+// seconds. All writes to the others must commit, on time.
 func TestHalfOfManyPartsThatRejectDelayNoOthers(t *testing.T) {
-	virtualtime.Test(t, func(t *testing.T) {
-		service := &unavailableService{faultyTable: newFaultyTable(1, 0), rejects: oddPart}
-		failed, slowest := 0, time.Duration(0)
-		writesOfManyParts(t, NewGroup(service, true, nil), func(part int, took time.Duration, err error) {
-			if part%2 == 1 {
-				return
-			}
-			slowest = max(slowest, took)
-			if err != nil {
-				failed++
-			}
-		})
-		if failed > 0 || slowest > onTime {
-			t.Errorf("of the writes to parts that are well, %d failed, and the slowest took %s", failed, slowest)
-		}
+	eachKindOfCalls(t, newRejectingService, func(t *testing.T, service *failingService) {
+		failed, slowest := writesOfManyParts(t, service, evenPart)
+		expectOthersOnTime(t, failed, slowest)
 	})
 }
--- a/internal/commitgroup/lost_response_test.go
+++ b/internal/commitgroup/lost_response_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,39 +13,13 @@
 	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
-// resettingService is a table service some of whose parts reset the connection of each call to them. It does nothing
-// for such a call, or all of it if applies is set.
-type resettingService struct {
-	*faultyTable
-	resets  func(part string) bool
-	applies bool
-	calls   atomic.Int64 // calls that were reset
-	written atomic.Int64 // transactions of one row each
-}
-
-// Commit implements tablestore.Table.
-func (r *resettingService) Commit(ctx context.Context, transaction tablestore.Transaction) (tablestore.Receipt, error) {
-	r.written.Add(int64(len(transaction.Writes)))
-	for _, write := range transaction.Writes {
-		if !r.resets(partOf(write.Key)) {
-			continue
-		}
-		r.calls.Add(1)
-		time.Sleep(4 * time.Millisecond) // virtual
-		if r.applies {
-			_, _ = r.apply(transaction)
-		}
-		return tablestore.Receipt{}, errors.Mark(errors.New("reset"), tablestore.ErrUnknownOutcome)
-	}
-	return r.faultyTable.Commit(ctx, transaction)
-}
-
 // TestPartThatResetsFailsAlone: one part resets all calls. Writes to the others must commit, whichever part it is, and
 // the outcome of its own write must be unknown.
 func TestPartThatResetsFailsAlone(t *testing.T) {
-	for resetting := range 4 {
-		virtualtime.Test(t, func(t *testing.T) {
-			service := &resettingService{faultyTable: newFaultyTable(1, 0), resets: func(part string) bool { return part == fmt.Sprint(resetting) }}
+	eachKindOfCalls(t, newResettingService, func(t *testing.T, service *failingService) {
+		for resetting := range 4 {
+			service.faultyTable = newFaultyTable(1, 0)
+			service.fails = func(part string) bool { return part == fmt.Sprint(resetting) }
 			group := NewGroup(service, true, nil)
 			errs := commitAll(t, group, time.Second, row(1, "a", 0), row(2, "b", 0), row(3, "c", 0))
 			for i, err := range errs {
@@ -54,17 +27,16 @@
 					t.Errorf("part %d resets, part %d: %v", resetting, i+1, err)
 				}
 			}
-		})
-	}
+		}
+	})
 }
 
 // TestLostGroupThatWasAppliedConflictsAsUnknown: a group takes effect and its response is lost. Its members are sent
 // again, and their conflict is with themselves: it must be reported as of unknown outcome, with the row as it is.
 func TestLostGroupThatWasAppliedConflictsAsUnknown(t *testing.T) {
-	virtualtime.Test(t, func(t *testing.T) {
+	eachKindOfCalls(t, newResettingService, func(t *testing.T, service *failingService) {
 		var down atomic.Bool
-		service := &resettingService{faultyTable: newFaultyTable(1, 0), applies: true}
-		service.resets = func(part string) bool { return part == "2" && !down.Swap(true) }
+		service.fails, service.applies = func(part string) bool { return part == "2" && !down.Swap(true) }, true
 		group := NewGroup(service, true, nil)
 		for i, err := range commitAll(t, group, time.Second, row(1, "a", 0), row(2, "b", 0)) {
 			var conflict *tablestore.ConflictError
@@ -100,32 +72,13 @@
 	})
 }
 
-// writesOf commits a write to one of 15 parts each 5 ms for three seconds, and calls each with the result.
-func writesOf(t *testing.T, group *Group, each func(part int, took time.Duration, err error)) {
-	var callers sync.WaitGroup
-	var mutex sync.Mutex
-	for i := range 600 {
-		callers.Go(func() {
-			time.Sleep(time.Duration(i) * 5 * time.Millisecond) // virtual
-			start := time.Now()
-			_, err := group.Commit(t.Context(), row(i%15, fmt.Sprint(i), 0))
-			took := time.Since(start)
-			mutex.Lock()
-			defer mutex.Unlock()
-			each(i%15, took, err)
-		})
-	}
-	callers.Wait()
-}
-
-// TestPartsThatResetFailOnlyTheirOwnWrites: a third of the parts reset all calls for three seconds. All writes to the
-// others must commit, on time, and the parts that reset must get few calls more than they have writes.
+// TestPartsThatResetFailOnlyTheirOwnWrites: a third of the parts reset all calls, or all writes, for three seconds. All
+// writes to the others must commit, on time, and the parts that reset must get few calls more than they have writes.
 func TestPartsThatResetFailOnlyTheirOwnWrites(t *testing.T) {
-	virtualtime.Test(t, func(t *testing.T) {
-		service := &resettingService{faultyTable: newFaultyTable(1, 0), resets: func(part string) bool { return len(part) == 2 }}
-		group := NewGroup(service, true, nil)
+	eachKindOfCalls(t, newResettingService, func(t *testing.T, service *failingService) {
+		service.fails = func(part string) bool { return len(part) == 2 }
 		own := int64(0)
-		writesOf(t, group, func(part int, took time.Duration, err error) {
+		writesEach(t, NewGroup(service, true, nil), 15, 5*time.Millisecond, func(part int, took time.Duration, err error) {
 			switch {
 			case part >= 10:
 				own++
@@ -134,7 +87,7 @@
 				}
 			case err != nil:
 				t.Errorf("part %d: %v", part, err)
-			case took > 100*time.Millisecond:
+			case took > onTime:
 				t.Errorf("part %d: committed after %s", part, took)
 			}
 		})
@@ -147,16 +100,16 @@
 // TestServiceThatResetsAllGetsLittleTwice: all parts reset all calls for three seconds. Only few transactions may be
 // sent again, and once the service answers, all writes must commit.
 func TestServiceThatResetsAllGetsLittleTwice(t *testing.T) {
-	virtualtime.Test(t, func(t *testing.T) {
+	eachKindOfCalls(t, newResettingService, func(t *testing.T, service *failingService) {
 		var down atomic.Bool
-		service := &resettingService{faultyTable: newFaultyTable(1, 0), resets: func(string) bool { return down.Load() }}
+		service.fails = func(string) bool { return down.Load() }
 		group := NewGroup(service, true, nil)
 		if _, err := group.Commit(t.Context(), row(0, "first", 0)); err != nil {
 			t.Fatal(err)
 		}
 		down.Store(true)
 		lost := int64(0)
-		writesOf(t, group, func(_ int, _ time.Duration, err error) {
+		writesEach(t, group, 15, 5*time.Millisecond, func(_ int, _ time.Duration, err error) {
 			lost++
 			if !errors.Is(err, tablestore.ErrUnknownOutcome) {
 				t.Errorf("all parts reset: %v", err)
