ledger, ingress: a retained input up to the body limit is served

Cause: a recorded turn is one transaction (1 MB, 100 entries), so input of over 500 KB got 413, whatever body_bytes is.

Change: a long input is stored before its turn: a head, then its pieces, from the turn's admission on, and the record is conditional on the head. Turns of up to 500 KB are written as before. The record of a long input may take until the request's deadline.

--- a/internal/ingress/answer_limits.go
+++ b/internal/ingress/answer_limits.go
@@ -61,12 +61,20 @@
 	if s.events >= s.maxEvents() {
 		return errTooManyEvents
 	}
-	if s.request.route.Retain && len(s.input)+len(s.output)+len(next.data) >= ledger.MaxTurnBytes {
+	if s.request.route.Retain && s.recordedInput()+len(s.output)+len(next.data) >= ledger.MaxTurnBytes {
 		return errTurnTooLarge
 	}
 	return nil
 }
 
+// recordedInput returns how many bytes of the input are recorded together with the output.
+func (s *stream) recordedInput() int {
+	if ledger.IsLongInput(len(s.input)) {
+		return 0
+	}
+	return len(s.input)
+}
+
 // maxEvents returns how many events with data the answer may have.
 func (s *stream) maxEvents() int64 {
 	maxTokens, perEvent := s.request.call.MaxTokens, s.tokensPerEvent()
--- a/internal/ingress/turn.go
+++ b/internal/ingress/turn.go
@@ -37,6 +37,16 @@
 	return max(minSettleTimeout, min(r.clientTimeout(), r.deadline.Sub(now))-answerEndMargin)
 }
 
+// recordTimeout is settleTimeout for a turn that is recorded. A long input takes several writes, so its record has all the
+// time that the client has stated.
+func (s *stream) recordTimeout(now time.Time) time.Duration {
+	r := s.request
+	if !ledger.IsLongInput(len(s.input)) {
+		return r.settleTimeout(now)
+	}
+	return max(r.settleTimeout(now), r.deadline.Sub(now)-answerEndMargin)
+}
+
 // clientTimeout returns how long the client waits for a stream to start or to continue.
 func (r *request) clientTimeout() time.Duration {
 	return max(minClientTimeout, clientTimeoutGoals*r.route.LatencyGoal, clientTimeoutGaps*r.route.EventGapGoal)
@@ -140,6 +150,7 @@
 	turn := ledger.TurnRequest{Program: r.program(), Session: r.call.Session, Budget: r.call.Budget, MaxTokens: r.call.MaxTokens, Deadline: r.deadline}
 	if r.route.Retain {
 		turn.Previous, turn.InputBytes, turn.Retention = r.call.PreviousTurn, len(s.input), r.route.RetainFor
+		turn.Turn, turn.Input = r.call.ID, s.input
 	}
 	beginContext, cancel := context.WithTimeout(ctx, maxBeginWait)
 	defer cancel()
@@ -303,7 +314,11 @@
 	}
 	run := s.run
 	s.run = nil
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.request.settleTimeout(time.Now()))
+	timeout := s.request.settleTimeout(time.Now())
+	if record != nil {
+		timeout = s.recordTimeout(time.Now())
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
 	return run.Settle(ctx, s.events*s.tokensPerEvent(), record)
 }
--- a/internal/ledger/any_part.go
+++ b/internal/ledger/any_part.go
@@ -53,16 +53,21 @@
 // recordInOwnPart writes a turn, without the account, into its program's part.
 func (l *Ledger) recordInOwnPart(ctx context.Context, e *entry, turn *Turn, onSilence func()) error {
 	part := partOf(e.program)
-	if err := l.health.admit(writing, part, l.options.Now()); err != nil {
-		return err
-	}
-	if err := l.storeLarge(ctx, e, part, turn); err != nil {
+	for {
+		if err := l.health.admit(writing, part, l.options.Now()); err != nil {
+			return err
+		}
+		if err := l.storeBefore(ctx, e, part, turn); err != nil {
+			return err
+		}
+		began := l.options.Now()
+		err := l.putTurn(ctx, part, e, turn, l.reportSilence(ctx, part, began, onSilence))
+		if errors.Is(err, errInputRemoved) && ctx.Err() == nil {
+			continue // it is stored again
+		}
+		l.callEnded(ctx, writing, part, err, began)
 		return err
 	}
-	began := l.options.Now()
-	err := l.putTurn(ctx, part, e, turn, l.reportSilence(ctx, part, began, onSilence))
-	l.callEnded(ctx, writing, part, err, began)
-	return err
 }
 
 // reportSilence returns onSilence, preceded by recording that a write of a part was not answered; nil if it is nil.
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -25,6 +25,9 @@
 		l.health.recordResult(writing, part, nil, l.options.Now())
 		e.markRead(l.options.Now())
 		return true, e.applyWritten(l.options.RunID, write, receipt, transaction, request)
+	case errors.As(err, &conflict) && e.forgetInput(part, conflict.Current):
+		l.health.recordResult(writing, part, nil, l.options.Now())
+		return false, nil
 	case errors.As(err, &conflict):
 		isLegacy, err := e.observeLegacy(part, conflict.Current)
 		if isLegacy || err != nil {
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -29,8 +29,9 @@
 // chain does not exist.
 func (l *Ledger) history(ctx context.Context, e *entry, last string) ([]*Turn, error) {
 	var chain []*Turn
+	read := make(turnsRead)
 	for id := last; id != ""; {
-		turn, err := l.turn(ctx, e, id)
+		turn, err := l.turn(ctx, e, id, read)
 		if err != nil {
 			return nil, err
 		}
@@ -43,17 +44,23 @@
 	return chain, nil
 }
 
+// turnsRead are the turns that were read for one chain, by ID. Not all of them stay in memory.
+type turnsRead map[string]*Turn
+
 // turn returns a turn from memory, from its program's rows, or, if another
 // program recorded it or the program's part failed at the time, from whichever part holds it.
-func (l *Ledger) turn(ctx context.Context, e *entry, id string) (*Turn, error) {
+func (l *Ledger) turn(ctx context.Context, e *entry, id string, read turnsRead) (*Turn, error) {
+	if turn := read[id]; turn != nil {
+		return turn, nil
+	}
 	if turn := l.cachedTurn(ctx, e, id); turn != nil {
 		return turn, nil
 	}
 	part := partOf(e.program)
-	if err := l.load(ctx, e, part, e.program); err != nil && !l.health.isFailing(part) {
+	if err := l.load(ctx, e, part, e.program, read); err != nil && !l.health.isFailing(part) {
 		return nil, err // otherwise the turn may have been recorded in another part, since its own fails
 	}
-	if turn, err := e.loadedTurn(id); turn != nil || err != nil {
+	if turn, err := e.loadedOr(read, id); turn != nil || err != nil {
 		return turn, err
 	}
 	if l.confirmedAbsent(ctx, e.program, id) {
@@ -61,15 +68,15 @@
 	}
 	foundIn, program, err := l.findTurn(ctx, e.program, id)
 	if errors.Is(err, tablestore.ErrNotFound) {
-		return l.turnWithoutTenant(ctx, e, id, err)
+		return l.turnWithoutTenant(ctx, e, id, read, err)
 	}
 	if err != nil {
 		return nil, err
 	}
-	if err := l.load(ctx, e, foundIn, program); err != nil {
+	if err := l.load(ctx, e, foundIn, program, read); err != nil {
 		return nil, err
 	}
-	if turn, err := e.loadedTurn(id); turn != nil || err != nil {
+	if turn, err := e.loadedOr(read, id); turn != nil || err != nil {
 		return turn, err
 	}
 	// The index row names a turn whose rows are not there: they were removed after the index row was read, or are lost.
@@ -106,9 +113,17 @@
 	return nil, e.corrupt[id]
 }
 
-// load reads the rows of a program from one part into the entry: its turns,
+// loadedOr returns a turn that was read, or is in memory; see loadedTurn.
+func (e *entry) loadedOr(read turnsRead, id string) (*Turn, error) {
+	if turn := read[id]; turn != nil {
+		return turn, nil
+	}
+	return e.loadedTurn(id)
+}
+
+// load reads the rows of a program from one part into the entry and into read: its turns,
 // and its account if program and part are the entry's own.
-func (l *Ledger) load(ctx context.Context, e *entry, part int, program string) error {
+func (l *Ledger) load(ctx context.Context, e *entry, part int, program string, read turnsRead) error {
 	rows, accountReadAt, err := l.readProgram(ctx, part, program)
 	if err != nil {
 		return err
@@ -116,7 +131,12 @@
 	if program == e.program && part == partOf(e.program) {
 		e.markRead(accountReadAt)
 	}
-	return e.applyRows(l.options.RunID, accountKey(partOf(e.program), e.program), rows)
+	turns, err := e.applyTurns(l.options.RunID, accountKey(partOf(e.program), e.program), rows)
+	for _, turn := range turns {
+		read[turn.ID] = turn
+	}
+	l.limitInputs(e, turns...)
+	return err
 }
 
 // readProgram reads all rows of a program in one part, its account first. It fails if the rest of the rows could not be
@@ -175,18 +195,28 @@
 // applyRows stores the turns among the rows, and the account. A malformed turn does not affect the
 // other turns of its program.
 func (e *entry) applyRows(runID, accountRowKey string, rows []tablestore.Row) error {
+	_, err := e.applyTurns(runID, accountRowKey, rows)
+	return err
+}
+
+// applyTurns is applyRows. It returns the turns among the rows.
+func (e *entry) applyTurns(runID, accountRowKey string, rows []tablestore.Row) (read []*Turn, err error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	inputs := make(longInputs)
 	pieces := make(map[string][][]byte)
 	inherited := make(map[string][][]byte)
 	var program string // of the rows
 	for _, row := range rows {
 		if row.Key == accountRowKey {
 			if err := e.observe(runID, row); err != nil {
-				return err
+				return nil, err
 			}
 			continue
 		}
+		if inputs.add(row) {
+			continue
+		}
 		if recordedBy, id, _, ok := pieceOf(row.Key); ok {
 			program = recordedBy
 			pieces[id] = append(pieces[id], row.Value)
@@ -198,18 +228,19 @@
 		}
 	}
 	for id, chainPieces := range inherited {
-		e.keepInherited(program, id, chainPieces)
+		read = append(read, e.keepInherited(program, id, chainPieces)...)
 	}
 	for id, turnPieces := range pieces {
-		turn, err := decodeTurn(id, turnPieces)
+		turn, err := decodeWithInputs(id, turnPieces, inputs)
 		if err != nil {
 			e.corrupt[id] = errors.Wrapf(err, "turn %s", id)
 			continue
 		}
 		turn.Program = program
 		e.keepTurn(turn)
+		read = append(read, turn)
 	}
-	return nil
+	return read, nil
 }
 
 // confirmedAbsent reports whether it is certain that no part has a turn, neither under the tenant of the
--- a/internal/ledger/inherited.go
+++ b/internal/ledger/inherited.go
@@ -49,7 +49,7 @@
 
 // fitsBeside reports whether the transaction that records a turn can store the chain too.
 func (i *inheritance) fitsBeside(turn *Turn) bool {
-	return i.size+len(turn.Input)+len(turn.Output) <= MaxTurnBytes
+	return i.size+turn.recordedBytes() <= MaxTurnBytes
 }
 
 func (i *inheritance) markStored() { i.stored, i.chain = true, nil }
@@ -132,17 +132,18 @@
 }
 
 // keepInherited keeps the turns that a program has inherited in memory, with those that it recorded. A malformed chain
-// must not be taken for turns that do not exist. The mutex is held.
-func (e *entry) keepInherited(program, newest string, pieces [][]byte) {
+// must not be taken for turns that do not exist. It returns them. The mutex is held.
+func (e *entry) keepInherited(program, newest string, pieces [][]byte) []*Turn {
 	chain, err := decodeInherited(pieces)
 	if err != nil {
 		e.corrupt[newest] = errors.Wrapf(err, "turns of another program up to %s", newest)
-		return
+		return nil
 	}
 	for _, turn := range chain {
 		turn.Program = program
 		e.keepTurn(turn)
 	}
+	return chain
 }
 
 // missingChain returns what a turn inherits; nil if it inherits nothing that is not stored yet. The mutex is held.
@@ -154,27 +155,27 @@
 	return chain
 }
 
-// recordWrites returns the rows of a turn in a part, with those of the chain that it inherits, if they fit, and that
-// chain, if so.
-func (e *entry) recordWrites(part int, turn *Turn) ([]tablestore.Write, *inheritance) {
+// recordOf returns what records a turn in a part: its rows, with those of the chain that it inherits, if they fit. ok is false
+// if its input is not stored.
+func (e *entry) recordOf(part int, turn *Turn) (batch recordBatch, ok bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	writes := turnWrites(part, e.program, turn)
+	batch.writes, batch.conditions, ok = rowsOf(part, e.program, turn)
 	chain := e.missingChain(turn)
-	if chain == nil || !chain.fitsBeside(turn) {
-		return writes, nil
+	if chain != nil && chain.fitsBeside(turn) {
+		batch.writes = append(batch.writes, chain.writes(part, e.program)...)
+		batch.inherited = append(batch.inherited, chain)
 	}
-	return append(writes, chain.writes(part, e.program)...), chain
+	return batch, ok
 }
 
-// markStored records that the program's part has the rows of a chain.
-func (e *entry) markStored(chain *inheritance) {
-	if chain == nil {
-		return
-	}
+// markStored records that the program's part has the rows of chains.
+func (e *entry) markStored(chains ...*inheritance) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	chain.markStored()
+	for _, chain := range chains {
+		chain.markStored()
+	}
 }
 
 // recordBatch is what the next write of the account records with it.
@@ -182,15 +183,24 @@
 	turns     []*turnRecord
 	inherited []*inheritance // chains that the turns continue from
 	writes    []tablestore.Write
+	// conditions are that the long inputs of the turns are stored.
+	conditions []tablestore.Condition
 }
 
+// entries returns how many entries of a transaction the batch takes.
+func (b *recordBatch) entries() int { return len(b.writes) + len(b.conditions) }
+
 // nextRecords returns the turns that wait to be recorded, as many as fit into one transaction, with the chains that they
-// inherit. Turns whose chain has to be stored before them are left out. The mutex is held.
+// inherit. Turns whose chain or input has to be stored before them are left out. The mutex is held.
 func (e *entry) nextRecords(part int) recordBatch {
 	var batch recordBatch
 	size := 0
 	for _, rec := range e.pendingRecords() {
-		writes, added := turnWrites(part, e.program, rec.turn), len(rec.turn.Input)+len(rec.turn.Output)
+		writes, conditions, ok := rowsOf(part, e.program, rec.turn)
+		if !ok {
+			continue
+		}
+		added := rec.turn.recordedBytes()
 		chain := e.missingChain(rec.turn)
 		if chain != nil && !chain.fitsBeside(rec.turn) {
 			continue
@@ -200,10 +210,11 @@
 		} else {
 			chain = nil
 		}
-		if len(batch.turns) > 0 && (size+added > MaxTurnBytes || len(batch.writes)+len(writes) > maxBatchRows) {
+		if len(batch.turns) > 0 && (size+added > MaxTurnBytes || batch.entries()+len(writes)+len(conditions) > maxBatchRows) {
 			continue
 		}
 		batch.turns, batch.writes, size = append(batch.turns, rec), append(batch.writes, writes...), size+added
+		batch.conditions = append(batch.conditions, conditions...)
 		if chain != nil {
 			batch.inherited = append(batch.inherited, chain)
 		}
@@ -233,7 +244,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	chain := e.inherited[request.Previous]
-	if request.InputBytes == 0 || chain == nil || chain.stored || chain.early != nil || request.InputBytes+chain.size <= maxBesideRecord {
+	if request.InputBytes == 0 || chain == nil || chain.stored || chain.early != nil || request.recordedInput()+chain.size <= maxBesideRecord {
 		return nil
 	}
 	chain.early = make(chan struct{})
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -54,6 +54,10 @@
 	owners     atomic.Pointer[Owners]     // nil: this node holds all its allowances itself
 	turnSource atomic.Pointer[TurnSource] // nil: turns come from memory or the table only
 
+	inputNames  atomic.Uint64 // number of names of long inputs that this run has given
+	pieceWrites chan struct{} // semaphore of the writes of long inputs
+	heldInputs  heldInputs
+
 	lastLookupAt atomic.Int64 // Unix time in ns at which a turn was last looked up in all parts by one call
 	draining     atomic.Bool  // the node is stopping, and reserves nothing ahead; see Drain
 	finalReturn  atomic.Bool  // the last step of a planned stop has begun; see ReturnAllowances
@@ -132,6 +136,8 @@
 		options: options,
 		health:  newHealth(options.BatchDelay),
 		entries: make(map[string]*entry),
+
+		pieceWrites: make(chan struct{}, maxPieceWrites),
 	}
 }
 
@@ -143,6 +149,8 @@
 	MaxTokens  int64         // largest number of tokens that the turn may use
 	Previous   string        // turn that it continues from; empty for none
 	InputBytes int           // bytes of input to record; 0 if the turn is not recorded
+	Turn       string        // ID of the turn to record
+	Input      []byte        // to record; if it is set and long, it is stored while the turn runs
 	Retention  time.Duration // for how long later turns may continue from this one
 	Deadline   time.Time     // when the caller stops waiting; zero if unknown
 
@@ -159,6 +167,14 @@
 	onSilence func()
 }
 
+// recordedInput returns how many bytes of input the transaction takes that records the turn.
+func (r TurnRequest) recordedInput() int {
+	if IsLongInput(r.InputBytes) {
+		return 0
+	}
+	return r.InputBytes
+}
+
 // untilGivenUp returns a context that ends at giveUpAt, or with ctx.
 func (r TurnRequest) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
 	if r.giveUpAt.IsZero() {
@@ -176,6 +192,7 @@
 	request  TurnRequest
 	grant    Grant // nil if this node's own allowance covers the turn
 	location conversations.Location
+	long     *longInput // nil if the request has no long input
 }
 
 // LastLocation returns where the conversation's last turn was served, according to the node whose allowance covers
@@ -207,10 +224,10 @@
 func (l *Ledger) Begin(ctx context.Context, request TurnRequest) (*RunningTurn, *api.Error) {
 	e := l.entryOf(request.Program)
 	e.touch(l.options.Now(), request.Retention)
-	if request.InputBytes > maxInputBytes {
-		return nil, api.Errorf(api.RequestTooLarge, "input of a recorded turn is limited to %d bytes, got %d", maxInputBytes, request.InputBytes)
+	if request.InputBytes > MaxInputBytes {
+		return nil, api.Errorf(api.RequestTooLarge, "input of a recorded turn is limited to %d bytes, got %d", MaxInputBytes, request.InputBytes)
 	}
-	running := &RunningTurn{ledger: l, entry: e, request: request}
+	running := &RunningTurn{ledger: l, entry: e, request: request, long: newLongInput(request.Turn, request.Input)}
 	if request.InputBytes > 0 {
 		if err := l.checkRecordable(ctx, e, request.Deadline); err != nil {
 			return nil, l.notRunError(e, err)
@@ -225,6 +242,7 @@
 		e.inherit(chain)
 	}
 	if request.Budget <= 0 {
+		l.storeInputEarly(ctx, e, running.long, false)
 		return running, nil
 	}
 	grant, err := l.grant(ctx, request)
@@ -236,6 +254,7 @@
 	}
 	running.grant = grant
 	l.storeEarly(ctx, e, request)
+	l.storeInputEarly(ctx, e, running.long, true)
 	return running, nil
 }
 
--- a/internal/ledger/legacy_rows.go
+++ b/internal/ledger/legacy_rows.go
@@ -18,7 +18,7 @@
 // turnWithoutTenant returns a turn of the program that a build without tenants recorded.
 // The tenant of another program's turn cannot be determined, so for such a turn the result is neither the turn
 // nor ErrNotFound. missing is the error to return if no build recorded the turn.
-func (l *Ledger) turnWithoutTenant(ctx context.Context, e *entry, id string, missing error) (*Turn, error) {
+func (l *Ledger) turnWithoutTenant(ctx context.Context, e *entry, id string, read turnsRead, missing error) (*Turn, error) {
 	tenant, program := splitProgram(e.program)
 	if tenant == "" {
 		return nil, missing
@@ -32,10 +32,10 @@
 	case recordedBy != program:
 		return nil, errors.Mark(errors.Wrapf(errTenantUnknown, "turn %s", id), tablestore.ErrUnavailable)
 	}
-	if err := l.load(ctx, e, part, program); err != nil {
+	if err := l.load(ctx, e, part, program, read); err != nil {
 		return nil, err
 	}
-	if turn, err := e.loadedTurn(id); turn != nil || err != nil {
+	if turn, err := e.loadedOr(read, id); turn != nil || err != nil {
 		return turn, err
 	}
 	return nil, errors.Mark(errors.Wrapf(errIndexedTurnMissing, "turn %s of program %s", id, program), tablestore.ErrUnavailable)
--- a/internal/ledger/recorded.go
+++ b/internal/ledger/recorded.go
@@ -50,6 +50,9 @@
 			continue
 		}
 		turn, err := decodeTurn(id, piecesFrom(transaction.Writes[i:], id))
+		if errors.Is(err, errInputElsewhere) {
+			continue // the transaction does not hold the whole turn
+		}
 		if err != nil {
 			return turns, errors.Wrapf(err, "turn %s", id)
 		}
--- a/internal/ledger/reserve.go
+++ b/internal/ledger/reserve.go
@@ -80,7 +80,8 @@
 		return err
 	}
 	e.mutex.Lock()
-	defer e.mutex.Unlock()
 	e.turns[turn.ID] = turn
+	e.mutex.Unlock()
+	l.limitInputs(e, turn)
 	return nil
 }
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -19,6 +20,9 @@
 	e := r.entry
 	if turn != nil {
 		turn.Program = e.program
+		turn.long = r.inputOf(turn)
+	} else if r.long != nil {
+		r.long.stopEarly()
 	}
 	if r.grant != nil {
 		r.grant.Settle(tokens, r.location)
@@ -61,6 +65,9 @@
 
 // Abandon ends a turn that reached no engine: no tokens are charged for it.
 func (r *RunningTurn) Abandon() {
+	if r.long != nil {
+		r.long.stopEarly()
+	}
 	if r.grant != nil {
 		r.grant.Settle(0, conversations.Location{})
 		return
@@ -68,6 +75,14 @@
 	r.finish(0, nil)
 }
 
+// inputOf returns the long input of the turn to be recorded, which may be partly stored; nil if its input is not long.
+func (r *RunningTurn) inputOf(turn *Turn) *longInput {
+	if r.long != nil && r.long.turn == turn.ID && bytes.Equal(r.long.input, turn.Input) {
+		return r.long
+	}
+	return newLongInput(turn.ID, turn.Input)
+}
+
 // finish moves a turn's tokens from in flight to uncharged, and queues its record if turn is not nil. The program's
 // retention counts from now on: a turn may run for longer than it is kept.
 func (r *RunningTurn) finish(tokens int64, turn *Turn) *turnRecord {
@@ -145,6 +160,7 @@
 	})
 	if err == nil {
 		e.markDurable(rec)
+		l.limitInputs(e, rec.turn)
 	}
 	return err
 }
@@ -161,7 +177,7 @@
 	}
 	limited, cancel := request.untilGivenUp(ctx)
 	defer cancel()
-	if err := l.storeLarge(limited, e, partOf(e.program), rec.turn); err != nil {
+	if err := l.storeBefore(limited, e, partOf(e.program), rec.turn); err != nil {
 		return false, err
 	}
 	if e.lockWithin(limited, l.accountWait()) != nil {
@@ -199,6 +215,9 @@
 	defer e.mutex.Unlock()
 	rec.durable = true
 	e.turns[rec.turn.ID] = rec.turn
+	if rec.turn.long != nil {
+		e.pendingRecords() // which drops this one
+	}
 }
 
 // discard drops the record of a turn whose answer will not be completed. The turn may have become
@@ -218,7 +237,7 @@
 	own := partOf(e.program)
 	for step := 1; step < Parts && ctx.Err() == nil; step += 2 {
 		part := (own + step) % Parts
-		if l.health.admit(writing, part, l.options.Now()) != nil || l.storeLarge(ctx, e, part, turn) != nil {
+		if l.health.admit(writing, part, l.options.Now()) != nil || l.storeBefore(ctx, e, part, turn) != nil {
 			continue
 		}
 		began := l.options.Now()
@@ -234,24 +253,42 @@
 // putTurn writes a turn, with what it inherits if that fits, into a part, unless the turn is there already. For onSilence
 // see commitUnlessSilent.
 func (l *Ledger) putTurn(ctx context.Context, part int, e *entry, turn *Turn, onSilence func()) error {
-	writes, chain := e.recordWrites(part, turn)
+	batch, ok := e.recordOf(part, turn)
+	if !ok {
+		return errInputRemoved
+	}
 	err := l.putOnce(ctx, tablestore.Transaction{
 		WriteID:    l.options.RunID + "/" + turn.ID,
-		Conditions: []tablestore.Condition{{Key: pieceKey(part, e.program, turn.ID, 0)}},
-		Writes:     writes,
+		Conditions: append([]tablestore.Condition{{Key: pieceKey(part, e.program, turn.ID, 0)}}, batch.conditions...),
+		Writes:     batch.writes,
 	}, onSilence)
+	var conflict *tablestore.ConflictError
+	if errors.As(err, &conflict) && forgetInput(part, conflict.Current, turn) {
+		return errInputRemoved
+	}
 	if err == nil && part == partOf(e.program) {
-		e.markStored(chain)
+		e.markStored(batch.inherited...)
 	}
 	return err
 }
 
-// putOnce writes rows, unless they are there already. The first row is the condition: it must be absent.
+// putOnce writes rows, unless they are there already. The first condition is that a row of them is absent.
 func (l *Ledger) putOnce(ctx context.Context, transaction tablestore.Transaction, onSilence func()) error {
-	_, row, err := l.commitUnlessSilent(ctx, transaction, time.Time{}, onSilence)
+	_, err := l.putRows(ctx, transaction, onSilence)
+	return err
+}
+
+// putRows is putOnce. It returns the revision of the row of the first condition. The error is a ConflictError only if another
+// condition does not hold.
+func (l *Ledger) putRows(ctx context.Context, transaction tablestore.Transaction, onSilence func()) (revision uint64, err error) {
+	first := transaction.Conditions[0].Key
+	receipt, row, err := l.commitUnlessSilent(ctx, transaction, time.Time{}, onSilence)
 	var conflict *tablestore.ConflictError
-	if errors.As(err, &conflict) || (row != nil && row.Revision != 0) {
-		return nil // this write, or an earlier one of the same rows, took effect
+	switch {
+	case errors.As(err, &conflict) && (conflict.Index == 0 || conflict.Current.Key == first):
+		return conflict.Current.Revision, nil // this write, or an earlier one of the same rows, took effect
+	case row != nil && row.Revision != 0:
+		return row.Revision, nil
 	}
-	return err
+	return receipt.Revisions[first], err
 }
--- a/internal/ledger/turn.go
+++ b/internal/ledger/turn.go
@@ -10,12 +10,12 @@
 // pieceBytes is the size limit of one row of a turn.
 const pieceBytes = 48 << 10
 
-// maxInputBytes is the size limit of the input of a recorded turn, so that the
-// turn fits into one transaction of 1 MB in the table's encoding.
+// maxInputBytes is the size up to which the input of a turn is recorded in the turn's own rows, so that the turn fits into one
+// transaction of 1 MB in the table's encoding. A longer input is stored before; see longInput.
 const maxInputBytes = 500 << 10
 
-// MaxTurnBytes is the size limit of the input and output of a turn that can be recorded: encoded, they fit into one
-// transaction of 1 MB.
+// MaxTurnBytes is the size limit of what one transaction records of a turn: its output, and its input unless that is
+// long. Encoded, they fit into one transaction of 1 MB.
 const MaxTurnBytes = 700 << 10
 
 // errTurnCorrupt reports that the rows of a turn cannot be decoded.
@@ -31,6 +31,16 @@
 	Program string
 	Input   []byte // body of the caller's request
 	Output  []byte // data of each event of the answer, each followed by a line feed
+
+	long *longInput // while the turn is recorded; nil if its input is not long
+}
+
+// recordedBytes returns how many bytes of its input and output a turn takes in the transaction that records it.
+func (t *Turn) recordedBytes() int {
+	if t.long != nil {
+		return len(t.Output)
+	}
+	return len(t.Input) + len(t.Output)
 }
 
 // encode returns the turn in pieces, one for each row. The first piece starts with
@@ -55,11 +65,18 @@
 	return pieces
 }
 
-// decodeTurn decodes a turn from its pieces.
-func decodeTurn(id string, pieces [][]byte) (*Turn, error) {
+// decodeTurn decodes a turn from its pieces. The error is errInputElsewhere if its input is long.
+func decodeTurn(id string, pieces [][]byte) (*Turn, error) { return decodeWithInputs(id, pieces, nil) }
+
+// decodeWithInputs decodes a turn from its pieces. If its input is long, it is one of inputs.
+func decodeWithInputs(id string, pieces [][]byte, inputs longInputs) (*Turn, error) {
 	content := bytes.Join(pieces, nil)
 	_, used := binary.Uvarint(content)
-	fields, _, ok := cutFields(content[max(0, used):], 3)
+	content = content[max(0, used):]
+	if marker, used := binary.Uvarint(content); used > 0 && marker == longMarker {
+		return decodeReference(id, content[used:], inputs)
+	}
+	fields, _, ok := cutFields(content, 3)
 	if !ok {
 		return nil, errTurnCorrupt
 	}
--- a/internal/ledger/write.go
+++ b/internal/ledger/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -161,6 +162,7 @@
 	// Writes that free budget, or record a turn that has run, take precedence over writes that admit a turn.
 	transaction.Deferrable = (request.MaxTokens > 0 || request.deferrable) && len(records.turns) == 0
 	transaction.Writes = append(transaction.Writes, records.writes...)
+	transaction.Conditions = append(transaction.Conditions, records.conditions...)
 	e.migrateLegacy(part, &transaction)
 	tokens := next.Allowances[runID].Tokens
 	e.attempts[e.lastWrite] = attempt{held: tokens, atSlowShare: policy.reserve && policy.divisor == slowDivisor, charges: e.uncharged, records: records.turns, inherited: records.inherited}
@@ -170,24 +172,17 @@
 
 // pendingRecords returns the turns that are not durable yet. The mutex is held.
 func (e *entry) pendingRecords() []*turnRecord {
-	remaining := e.pending[:0]
-	for _, rec := range e.pending {
-		if !rec.durable {
-			remaining = append(remaining, rec)
-		}
-	}
-	e.pending = remaining
-	return append([]*turnRecord(nil), remaining...)
+	e.pending = slices.DeleteFunc(e.pending, func(rec *turnRecord) bool { return rec.durable })
+	return slices.Clone(e.pending)
 }
 
-// turnWrites returns the rows of a turn.
-func turnWrites(part int, program string, turn *Turn) []tablestore.Write {
-	pieces := turn.encode()
+// turnWrites returns the rows of a turn with these pieces.
+func turnWrites(part int, program, turn string, pieces [][]byte) []tablestore.Write {
 	writes := make([]tablestore.Write, 0, len(pieces)+1)
 	for i, piece := range pieces {
-		writes = append(writes, tablestore.Write{Key: pieceKey(part, program, turn.ID, i), Value: piece})
+		writes = append(writes, tablestore.Write{Key: pieceKey(part, program, turn, i), Value: piece})
 	}
-	return append(writes, tablestore.Write{Key: indexKey(part, program, turn.ID), Value: []byte(program)})
+	return append(writes, tablestore.Write{Key: indexKey(part, program, turn), Value: []byte(program)})
 }
 
 // mayRetry reports whether to retry a failed call now, after the delay that its error requires. A call that timed
