--- a/internal/ledger/long_input.go
+++ b/internal/ledger/long_input.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// pieces returns how many pieces an input of this size has.
+// longPieces returns how many pieces an input of this size has.
 func longPieces(size uint64) uint64 { return (size + pieceBytes - 1) / pieceBytes }
 
 // transactions returns how many transactions store the pieces.
