--- a/internal/discovery/covered_view_test.go
+++ b/internal/discovery/covered_view_test.go
@@ -45,8 +45,8 @@
 	o.seen = append(o.seen, o.follower.CoveredSince())
 }
 
-// TestViewIsCoveredWhenItsChangeIsReported guards against an observer that looks at a view too early: it was told of the first lists
-// before they counted as seen, and would look again a second later.
+// TestViewIsCoveredWhenItsChangeIsReported guards against an observer that looks at a view too early: the first lists were reported
+// before they counted as seen, and it looked again a second later.
 func TestViewIsCoveredWhenItsChangeIsReported(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
