poison: rows of the store hold which engines ended under which requests

What callers and operators saw: a request under which three engines had ended was sent to further ones after all processes were killed, or at a process that reached no peer.

Cause: what is known of ends was in the memory of processes and told by peers. A process that had no news took the request for a new one (absence of news taken for news of absence, as streams of two versions after a kill of all).

Change: the store is told what the peers are told, by a row for each request and run of a process. A process reads all rows at its start, before it sends a request (.6 s at most after a first failure), and follows their changes by one call of 10 s. Before a request is sent to the last engine that it may end, its presumed end is written and the request's rows are read, so of two processes that do so one sees the other. If neither the store nor a peer confirms, the request is not sent. Rows are merged as reports are: an end that was cleared stays cleared; rows without an end that counts are removed after 10 s, those of ended processes after 11 minutes. Times are by the writer's clock and are shifted by an end that both know. On the way: IDs of tries of over 64 bytes were different at peers (TestLongTryIsTheSameAtPeers, failed before).

Ruled out: a read for each request; a row for each process, which is written as a whole at each end and read by all. Nothing is written while no engine ends (TestNothingIsWrittenWhileNoEngineEnds).

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -348,7 +348,7 @@
 	switch {
 	case errors.Is(err, errSendExpired):
 		return placement.SendExpired, err
-	case errors.Is(err, errLeftToRival), errors.Is(err, errEnginesEnded):
+	case errors.Is(err, errLeftToRival), errors.Is(err, errEnginesEnded), errors.Is(err, errUnconfirmed):
 		return placement.Yielded, err
 	case errors.Is(err, upstream.ErrNoConnection) && ctx.Err() != nil:
 		return placement.Cancelled, err
--- a/internal/ingress/cancelled_attempt_test.go
+++ b/internal/ingress/cancelled_attempt_test.go
@@ -70,9 +70,10 @@
 // silentReporter reports nothing.
 type silentReporter struct{}
 
-func (silentReporter) Report(context.Context)           {}
-func (silentReporter) ReportWithdrawal(context.Context) {}
-func (silentReporter) AwaitAnswers(context.Context)     {}
+func (silentReporter) Report(context.Context) bool                     { return true }
+func (silentReporter) ReportLastSend(context.Context, poison.Key) bool { return true }
+func (silentReporter) ReportWithdrawal(context.Context)                {}
+func (silentReporter) AwaitAnswers(context.Context)                    {}
 
 // silentObserver observes nothing.
 type silentObserver struct{}
--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -49,8 +49,12 @@
 
 // EndReporter reports to other nodes which engines ended under which requests. *poison.Client implements it.
 type EndReporter interface {
-	// Report returns once the peers know what this node has recorded, or ctx ends.
-	Report(ctx context.Context)
+	// Report returns once the peers know what this node has recorded and the store has it, or ctx ends. It reports whether any
+	// of them has confirmed.
+	Report(ctx context.Context) bool
+	// ReportLastSend is like Report, and reads then what the store has of a request that is about to be sent to the last engine
+	// that it may end.
+	ReportLastSend(ctx context.Context, key poison.Key) bool
 	// ReportWithdrawal is like Report, for ends that do not count any more. It repeats the report until ctx ends, which must
 	// have a deadline.
 	ReportWithdrawal(ctx context.Context)
@@ -62,7 +66,8 @@
 // Reasons why a request was not sent to an engine: see checkLastSend.
 var (
 	errLeftToRival  = errors.New("the engine was left to another request under which engines ended")
-	errEnginesEnded = errors.New("as many engines as may end have ended under the request, as a peer told")
+	errEnginesEnded = errors.New("as many engines as may end have ended under the request, as a peer or the store told")
+	errUnconfirmed  = errors.New("neither a peer nor the store has confirmed that the request is sent to the last engine that it may end")
 )
 
 // EndKind is how an engine ended, in logs and metrics.
@@ -106,11 +111,14 @@
 		backoff.Wait(ctx, time.Until(standing.LastEnd.Add(poison.GatherPeriod)))
 	}
 	standing = memory.AwaitStanding(ctx, r.poisonKey(), limit)
-	if standing.Ended == 0 || standing.Ended < limit {
+	detail := "%d engines ended one after another while they ran request %s: %s"
+	switch {
+	case standing.Ended == poison.MaxEngines-1 && r.unconfirmed.Load():
+		detail += "; " + errUnconfirmed.Error()
+	case standing.Ended == 0, standing.Ended < limit:
 		return nil
 	}
-	problem := api.Errorf(api.RequestEndsEngines, "%d engines ended one after another while they ran request %s: %s",
-		standing.Ended, r.poisonKey(), strings.Join(standing.Engines, ", "))
+	problem := api.Errorf(api.RequestEndsEngines, detail, standing.Ended, r.poisonKey(), strings.Join(standing.Engines, ", "))
 	problem.Execution = api.NotRun
 	if mayHaveRun {
 		problem.Execution = api.Unknown
@@ -146,14 +154,17 @@
 	t.lastSend.Presume(poison.End{Engine: t.placed.Engine.ID, Try: r.call.ID, SentAt: t.startedAt, EndedAt: t.startedAt})
 	ctx, cancel := context.WithTimeout(t.ctx, maxReportWait)
 	defer cancel()
-	r.reportEnds(ctx)
+	if memory.Share(r.poisonKey()) && !r.handler.options.EndReporter.ReportLastSend(ctx, r.poisonKey()) {
+		r.unconfirmed.Store(true)
+	}
 }
 
 // checkLastSend returns why the request must not be sent to the last engine that it may end; nil if it may be. It is called once the
 // presumed end has been reported, and the peers that confirmed that have told what they know. Either the engine is left to another
 // request under which as many engines ended: both were placed there before either node knew of the other one's, and at least one of two
 // nodes that confirm each other's reports knows of both requests. Or another engine has ended, or is presumed to, under an earlier send
-// of this request at another node, whose report had not arrived.
+// of this request at another node, whose report had not arrived. Or nobody else knows of the send: if this node is lost with the engine,
+// the next node would take it for the second to last one.
 func (t *attempt) checkLastSend() error {
 	switch r := t.request; {
 	case t.lastSend == nil:
@@ -162,6 +173,8 @@
 		return errLeftToRival
 	case r.handler.options.EndedEngines.SettledBefore(r.poisonKey(), t.startedAt) >= poison.MaxEngines:
 		return errEnginesEnded
+	case r.unconfirmed.Load():
+		return errUnconfirmed
 	}
 	return nil
 }
--- a/internal/ingress/lost_zone_test.go
+++ b/internal/ingress/lost_zone_test.go
@@ -19,9 +19,10 @@
 // noReports reports to no peers.
 type noReports struct{}
 
-func (noReports) Report(context.Context)           {}
-func (noReports) ReportWithdrawal(context.Context) {}
-func (noReports) AwaitAnswers(context.Context)     {}
+func (noReports) Report(context.Context) bool                     { return true }
+func (noReports) ReportLastSend(context.Context, poison.Key) bool { return true }
+func (noReports) ReportWithdrawal(context.Context)                {}
+func (noReports) AwaitAnswers(context.Context)                    {}
 
 // TestAttemptInASuspectedZoneCounts guards against running a safe request of two attempts on three engines: the first one is still at
 // work when its zone is suspected, as nothing else in the zone responds, and the second one aborts the request.
--- a/internal/poison/client.go
+++ b/internal/poison/client.go
@@ -22,6 +22,8 @@
 const (
 	// reportTimeout is how long a peer, also one in another region, may take to confirm.
 	reportTimeout = 150 * time.Millisecond
+	// maxWriteWait is how long a report waits for the store.
+	maxWriteWait = 250 * time.Millisecond
 	// maxReported is how many requests one message holds at most.
 	maxReported = 200
 	// firstRetry and maxRetry are the pauses before a report that a peer has not confirmed is sent again.
@@ -65,9 +67,20 @@
 	// Asked is called with the address of a peer that asks, which is how one that has started makes itself known. It must not
 	// block.
 	Asked    func(address string)
+	Rows     Rows // in the store
 	Observer Observer
 }
 
+// Rows are the ends in the store. *Keeper implements it.
+type Rows interface {
+	// Write returns once the store has confirmed what is recorded now, or with an error.
+	Write(ctx context.Context) error
+	// AwaitRead returns once the rows have been read, or have not been for so long that requests wait no longer, or ctx ends.
+	AwaitRead(ctx context.Context)
+	// ReadRequest reads the rows of one request.
+	ReadRequest(ctx context.Context, key Key) error
+}
+
 // Client reports to all peers which engines ended under which requests, so that each of them knows when it gets the
 // client's next try. Safe for concurrent use.
 type Client struct {
@@ -142,10 +155,11 @@
 	return first
 }
 
-// AwaitAnswers waits until the first peers that this node has found have told which engines ended, so that a client's next try
-// is not sent on because this node has just started. A peer may take reportTimeout for that; if none has answered by then, it
+// AwaitAnswers waits until this node has read the rows of the store, and the first peers that it has found have told which engines ended,
+// so that a client's next try is not sent on because this node has just started. A peer may take reportTimeout for that; if none has answered by then, it
 // waits for the first one that does, maxAnswerWait at most. It returns at once at any other time, and if all peers have ended.
 func (c *Client) AwaitAnswers(ctx context.Context) {
+	c.options.Rows.AwaitRead(ctx)
 	first := c.informed.Load()
 	if first == nil {
 		return
@@ -193,48 +207,82 @@
 	}
 }
 
-// Report reports to all peers what this node has recorded and they have not confirmed yet. It returns once each has
-// confirmed or failed to, or ctx ends. A report that a peer has not confirmed is sent again later; a peer that has not confirmed
-// an earlier one gets both at once, and is not waited for.
-func (c *Client) Report(ctx context.Context) {
-	c.reportToAll(ctx, func(listed *peer) { c.report(context.WithoutCancel(ctx), listed) })
+// Report reports to all peers what this node has recorded and they have not confirmed yet, and writes it to the store. It returns once
+// each has confirmed or failed to, or ctx ends. It reports whether any has confirmed. A report that a peer has not confirmed is sent
+// again later; a peer that has not confirmed an earlier one gets both at once, and is not waited for.
+func (c *Client) Report(ctx context.Context) bool {
+	return c.reportToAll(ctx, func(listed *peer) bool { return c.report(context.WithoutCancel(ctx), listed) })
 }
 
 // ReportWithdrawal is like Report, for ends that do not count any more. It is sent at once also to a peer that has not confirmed
 // an earlier report, again and again until it confirms or ctx ends, which must have a deadline: that peer may know the end, and would
 // refuse the client's next try.
 func (c *Client) ReportWithdrawal(ctx context.Context) {
-	c.reportToAll(ctx, func(listed *peer) {
-		c.report(context.WithoutCancel(ctx), listed)
+	c.reportToAll(ctx, func(listed *peer) bool {
+		confirmed := c.report(context.WithoutCancel(ctx), listed)
 		// The observer has been notified of the first failure, and the retries go on in the background.
 		for listed.isRetrying() && listed.removed.Err() == nil && c.deliver(ctx, listed) != nil && backoff.Wait(ctx, flushPause) {
 		}
+		return confirmed
 	})
 }
 
-// reportToAll reports to all peers in a given way. It returns once that has returned for each that is not suspected to be lost, or
-// ctx ends.
-func (c *Client) reportToAll(ctx context.Context, report func(listed *peer)) {
+// ReportLastSend is like Report, before a request is sent to the last engine that it may end. It then reads what the store has of the
+// request: of two nodes that write their ends before they read, one reads those of the other.
+func (c *Client) ReportLastSend(ctx context.Context, key Key) bool {
+	write := func(ctx context.Context) bool {
+		return c.write(ctx) && c.options.Rows.ReadRequest(ctx, key) == nil
+	}
+	return c.reportTo(ctx, write, func(listed *peer) bool { return c.report(context.WithoutCancel(ctx), listed) })
+}
+
+// reportToAll is reportTo with the usual way of writing to the store.
+func (c *Client) reportToAll(ctx context.Context, report func(listed *peer) bool) bool {
+	return c.reportTo(ctx, c.write, report)
+}
+
+// reportTo reports to all peers and writes to the store in given ways, which report whether that is confirmed. It returns once that
+// has returned for the store and each peer that is not suspected to be lost, or ctx ends. It reports whether any has confirmed.
+func (c *Client) reportTo(ctx context.Context, write func(ctx context.Context) bool, report func(listed *peer) bool) bool {
 	c.mutex.Lock()
 	peers := slices.Collect(maps.Values(c.peers))
 	c.mutex.Unlock()
 	var awaited sync.WaitGroup
+	var confirmed atomic.Bool
+	awaited.Go(func() {
+		if write(ctx) {
+			confirmed.Store(true)
+		}
+	})
 	for _, listed := range peers {
 		if c.options.Suspected(listed.address) {
 			c.retry(listed)
 			continue
 		}
-		awaited.Go(func() { report(listed) })
+		awaited.Go(func() {
+			if report(listed) {
+				confirmed.Store(true)
+			}
+		})
 	}
-	confirmed := make(chan struct{})
+	returned := make(chan struct{})
 	go func() {
 		awaited.Wait()
-		close(confirmed)
+		close(returned)
 	}()
 	select {
-	case <-confirmed:
+	case <-returned:
 	case <-ctx.Done():
 	}
+	return confirmed.Load()
+}
+
+// write writes to the store what is recorded. It reports whether the store has confirmed that. The observer of the rows is notified of a
+// failure.
+func (c *Client) write(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxWriteWait)
+	defer cancel()
+	return c.options.Rows.Write(ctx) == nil
 }
 
 // Flush reports all that this node knows of failed requests before it stops, since its retries end with it. It waits for the
@@ -251,6 +299,7 @@
 	peers := slices.Collect(maps.Values(c.peers))
 	c.mutex.Unlock()
 	var awaited sync.WaitGroup
+	awaited.Go(func() { c.write(ctx) })
 	for _, listed := range peers {
 		awaited.Go(func() {
 			for c.deliver(ctx, listed) != nil && backoff.Wait(ctx, flushPause) {
@@ -260,19 +309,22 @@
 	awaited.Wait()
 }
 
-// report reports to a peer once. If a goroutine does so repeatedly already, that one does it at once.
-func (c *Client) report(ctx context.Context, listed *peer) {
+// report reports to a peer once, and reports whether it has confirmed. If a goroutine does so repeatedly already, that one does it at once,
+// and is not waited for.
+func (c *Client) report(ctx context.Context, listed *peer) bool {
 	if listed.isRetrying() {
 		select {
 		case listed.again <- struct{}{}:
 		default: // it is about to
 		}
-		return
+		return false
 	}
-	if err := c.deliver(ctx, listed); err != nil && listed.removed.Err() == nil {
+	err := c.deliver(ctx, listed)
+	if err != nil && listed.removed.Err() == nil {
 		c.options.Observer.ReportFailed(listed.address, err)
 		c.retry(listed)
 	}
+	return err == nil
 }
 
 func (p *peer) isRetrying() bool {
--- a/internal/poison/client_test.go
+++ b/internal/poison/client_test.go
@@ -17,6 +17,13 @@
 	"github.com/pewtermill/pewtermill/internal/wire/wirepb"
 )
 
+// noRows is a store that is away.
+type noRows struct{}
+
+func (noRows) Write(context.Context) error            { return errWriteFailed }
+func (noRows) AwaitRead(context.Context)              {}
+func (noRows) ReadRequest(context.Context, Key) error { return errWriteFailed }
+
 // state is how a node responds to its peers.
 type state int
 
@@ -113,7 +120,7 @@
 // add adds a node that knows nothing, or replaces one that has that number.
 func (f *fleet) add(number int) *node {
 	created := &node{memory: NewMemory()}
-	created.Client = NewClient(Options{Node: address(number), Address: func() string { return address(number) }, Memory: created.memory, Suspected: func(string) bool { return false }, Asked: func(string) {}, Observer: f})
+	created.Client = NewClient(Options{Node: address(number), Address: func() string { return address(number) }, Memory: created.memory, Suspected: func(string) bool { return false }, Asked: func(string) {}, Rows: noRows{}, Observer: f})
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.nodes[address(number)] = created
--- a/internal/poison/memory.go
+++ b/internal/poison/memory.go
@@ -32,6 +32,7 @@
 
 // suspect is the state of one request under which engines ended, or may have ended.
 type suspect struct {
+	key        Key
 	ends       []endRecord
 	checks     map[string]int // checks in progress, by engine
 	changed    chan struct{}  // closed when a check ends, and replaced by another one
@@ -46,13 +47,16 @@
 
 	mutex      sync.Mutex
 	suspects   map[Key]*suspect
-	sequence   uint64 // of the last change by this node
+	sequence   uint64           // of the last change by this node
+	unwritten  map[Key]struct{} // requests with changes by this node that are not in the store; see Keeper
 	lastExpiry time.Time
 	dropped    uint64 // requests that were dropped because of maxRequests
 }
 
 // NewMemory returns an empty Memory.
-func NewMemory() *Memory { return &Memory{suspects: make(map[Key]*suspect)} }
+func NewMemory() *Memory {
+	return &Memory{suspects: make(map[Key]*suspect), unwritten: make(map[Key]struct{})}
+}
 
 // Empty reports whether no request is recorded. It takes no lock.
 func (m *Memory) Empty() bool { return m.size.Load() == 0 }
@@ -77,6 +81,7 @@
 // Presume records an end before the check shows whether the engine has ended. It may be called again with a later time.
 func (c *Check) Presume(end End) {
 	m := c.memory
+	end.Try = truncateTry(end.Try)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	record := m.suspects[c.key]
@@ -91,6 +96,7 @@
 // answered after it was sent to the engine.
 func (c *Check) Finish(end End) bool {
 	m := c.memory
+	end.Try = truncateTry(end.Try)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	record := m.suspects[c.key]
@@ -137,8 +143,7 @@
 	selected := false
 	for i := range record.ends {
 		if end := &record.ends[i]; !end.shared && !end.cleared {
-			m.sequence++
-			end.shared, end.sequence = true, m.sequence
+			end.shared, end.sequence = true, m.noteChange(record.key)
 			selected = true
 		}
 	}
@@ -188,8 +193,7 @@
 		}
 		end.cleared, end.presumed = true, false
 		if end.shared {
-			m.sequence++
-			end.sequence = m.sequence
+			end.sequence = m.noteChange(record.key)
 			changesShared = true
 		}
 	}
@@ -300,7 +304,7 @@
 		if len(m.suspects) >= maxRequests {
 			m.dropLeast()
 		}
-		record = &suspect{checks: make(map[string]int), changed: make(chan struct{})}
+		record = &suspect{key: key, checks: make(map[string]int), changed: make(chan struct{})}
 		m.suspects[key] = record
 		m.size.Store(int64(len(m.suspects)))
 	}
--- a/internal/poison/message.go
+++ b/internal/poison/message.go
@@ -11,6 +11,9 @@
 // maxTryBytes limits the length of a client's ID for a try as it is stored and sent.
 const maxTryBytes = 64
 
+// truncateTry returns a client's ID for a try as it is stored and sent.
+func truncateTry(try string) string { return try[:min(len(try), maxTryBytes)] }
+
 // changesAfter returns the changes of this node after a sequence number, as sent to peers, and the sequence number of
 // the last one. It returns those of at most limit requests, the earliest changes first.
 func (m *Memory) changesAfter(sequence uint64, limit int, now time.Time) ([]*wirepb.RequestEnds, uint64) {
@@ -92,7 +95,7 @@
 	for _, end := range ends {
 		message.Ends = append(message.Ends, &wirepb.EngineEnd{
 			Engine:         end.Engine,
-			Try:            end.Try[:min(len(end.Try), maxTryBytes)],
+			Try:            truncateTry(end.Try),
 			SentMillisAgo:  now.Sub(end.SentAt).Milliseconds(),
 			EndedMillisAgo: now.Sub(end.EndedAt).Milliseconds(),
 			Cleared:        end.cleared,
--- a/internal/serving/ended_engines.go
+++ b/internal/serving/ended_engines.go
@@ -13,15 +13,25 @@
 const maxEndRecords = 20
 
 // initEndedEngines sets up the record of engines that ended under requests.
-func (p *Process) initEndedEngines() {
+func (p *Process) initEndedEngines(store *relay.Table) {
 	p.endLog.maxPerSecond = maxEndRecords
 	p.endedEngines, p.joinedPeers = poison.NewMemory(), newJoinedPeers()
+	p.endKeeper = poison.NewKeeper(poison.KeeperOptions{
+		Table:    store,
+		Feed:     store,
+		RunID:    p.dependencies.RunID,
+		Memory:   p.endedEngines,
+		Nodes:    func() int { return p.originClient.PeerCount() + 1 },
+		Sweeps:   p.writesVersionRecord,
+		Observer: p,
+	})
 	p.endClient = poison.NewClient(poison.Options{
 		Node:      p.settings.Node,
 		Address:   p.PeerAddress,
 		Memory:    p.endedEngines,
 		Suspected: p.zones.PeerSuspected,
 		Asked:     p.peerAsked,
+		Rows:      p.endKeeper,
 		Observer:  p,
 	})
 	p.endServer = poison.NewServer(p.endedEngines, p.endClient)
@@ -43,6 +53,14 @@
 	}
 }
 
+// EndRowsFailed implements poison.KeeperObserver.
+func (p *Process) EndRowsFailed(cause error) {
+	p.metrics.endRowFailures.WithLabelValues().Inc()
+	if suppressed, allowed := p.endLog.allow(time.Now()); allowed {
+		p.logger.Warn("ended engines not read from or written to the store", "error", cause.Error(), "left_out", suppressed)
+	}
+}
+
 // setEndPeers sets the peers that get reports of engines that ended under requests.
 func (p *Process) setEndPeers(services *peerServices, peers []relay.Peer) {
 	addresses := make([]string, 0, len(peers))
@@ -62,6 +80,9 @@
 		_, stopped, _ := p.endedEngines.Len(time.Now())
 		return float64(stopped)
 	})
+	p.metrics.RegisterGauge("pewtermill_serve_end_transactions", "Transactions in which this process wrote or removed rows of engines that ended under requests.", func() float64 {
+		return float64(p.endKeeper.Transactions())
+	})
 	p.metrics.RegisterGauge("pewtermill_serve_suspect_requests_dropped", "Requests under which engines ended that are not remembered, since there were too many.", func() float64 {
 		_, _, dropped := p.endedEngines.Len(time.Now())
 		return float64(dropped)
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -74,6 +74,7 @@
 	engineEnds     *prometheus.CounterVec
 
 	originRecordFailures *prometheus.CounterVec
+	endRowFailures       *prometheus.CounterVec
 }
 
 // boundedLabels limits the values of a label: the first maxValues values have metrics of their own, further ones are
@@ -144,7 +145,8 @@
 	m.unreplicated = counters("pewtermill_serve_origins_untold_total", "Streams of which no peer confirmed to know the origin while several software versions served.")
 	m.originRecordFailures = counters("pewtermill_serve_origin_rows_failed_total", "Times that rows of the streams that processes began could not be read or written, or were invalid.")
 	m.engineEnds = counters("pewtermill_serve_engine_ends_total", "Engines that ended under requests of this process, by how they ended.", "how")
-	m.registry.MustRegister(m.resumedStreams, m.unreplicated, m.originRecordFailures, m.engineEnds)
+	m.endRowFailures = counters("pewtermill_serve_end_rows_failed_total", "Times that rows of engines that ended under requests could not be read or written, or were invalid.")
+	m.registry.MustRegister(m.resumedStreams, m.unreplicated, m.originRecordFailures, m.endRowFailures, m.engineEnds)
 	m.registry.MustRegister(m.admissions, m.ejections, m.zoneChanges, m.sendPaths, m.carriersLost, m.connections, m.unanswered, m.unreadable)
 	return m
 }
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -143,6 +143,7 @@
 	watchRole           atomic.Int64   // zonefeed.Role of this process
 	endedEngines        *poison.Memory // engines that ended under requests
 	endClient           *poison.Client // reports them to peers
+	endKeeper           *poison.Keeper // keeps them in the store
 	endServer           *poison.Server // records what peers report
 	joinedPeers         joinedPeers
 	endLog              logLimiter
@@ -258,7 +259,7 @@
 	p.initOriginRecord(p.relayTable, dependencies.RunID)
 	p.initOrigins()
 	p.initVersionRecord(p.relayTable, dependencies.RunID)
-	p.initEndedEngines()
+	p.initEndedEngines(p.relayTable)
 	p.collector = loads.NewCollector(xxhash.Sum64String(dependencies.RunID), time.Now, p)
 	p.handler = ingress.New(ingress.Options{
 		Protocol:      dependencies.Protocol,
@@ -312,6 +313,8 @@
 	p.loops.Go(func() { p.monitorUpdates(ctx) })
 	p.loops.Go(func() { p.versionRecord.Run(ctx) })
 	p.loops.Go(func() { p.originRecord.Run(ctx) })
+	p.loops.Go(func() { p.endKeeper.Run(ctx) })
+	p.loops.Go(func() { p.endKeeper.Follow(ctx) })
 	p.startPeers(ctx)
 	p.startMetrics()
 	p.logger.Info("started", "zone", p.settings.Topology.Zone(), "run", p.dependencies.RunID,
