ingress: an engine that leaves or is lost with its zone has ended under its requests

What operators saw: a request each of whose engines stated that it leaves .3 s before it ended was sent to all 16.

Cause: an end with another explanation did not count, however often it happened to one request. The limit is on engines that end, whatever the cause.

Change: an engine that leaves counts. Of engines that are lost with their zone or in an evacuated one, one counts for each try: several that a try was sent to may be lost at one time. A request that is not at fault is served by its third engine, which clears it.

TestEnginesThatEndOtherwiseDoNotCount demanded that five draining engines may end under one request, which contradicts the rule; in its place TestRequestIsServedAfterTwoDrainingEnginesEnded (two ends excuse, and the third engine serves each further try) and TestRequestIsNotRefusedForEnginesThatBreakOff (its other half, unchanged).

--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -20,9 +20,9 @@
 
 // A request that ends every engine that runs it must not reach one after the other, neither within one try of its client
 // nor over several. So after each send that ended without an answer this node finds out whether the engine has ended, and
-// records that with the request. Engines that leave as planned, or are lost with their zone, do not count. One that
-// cannot be distinguished from these does: a wrong count matters only if it happens to the same request again and again, and a
-// missed one costs an engine.
+// records that with the request, whatever the engine's end is caused by: one that stated that it leaves, or that is lost with its zone,
+// may have ended under the request all the same. A wrong count matters only if it happens to the same request again and again, and
+// a missed one costs an engine.
 
 // Limits of recording ended engines.
 const (
@@ -271,7 +271,7 @@
 	if how == endUnknown && handler.options.EndedEngines.StandingOf(key, time.Now()).Ended > 0 {
 		how = endUnresponsive
 	}
-	if how == notEnded || how == endUnknown || handler.leftAsPlanned(engine) {
+	if how == notEnded || how == endUnknown || handler.lostWithZone(engine) && !t.request.lostWithZone.CompareAndSwap(false, true) {
 		if check.Withdraw() {
 			handler.reportWithdrawal()
 		}
@@ -380,15 +380,10 @@
 	return endRestarted
 }
 
-// leftAsPlanned reports whether an engine's end has another cause than its requests: it was leaving, or its zone is
-// lost or evacuated.
-func (h *Handler) leftAsPlanned(engine routing.Engine) bool {
-	view := h.options.View()
-	listed, found := view.EngineOf(engine.Name)
-	if found && listed.Incarnation == engine.Incarnation && listed.Draining {
-		return true
-	}
-	return view.Evacuated(engine.Zone) || h.options.ZoneLost != nil && h.options.ZoneLost(engine.Zone)
+// lostWithZone reports whether an engine's zone is lost or evacuated. Several engines that a try was sent to may be lost so at one time,
+// which says nothing about the request: one of them counts for each try.
+func (h *Handler) lostWithZone(engine routing.Engine) bool {
+	return h.options.View().Evacuated(engine.Zone) || h.options.ZoneLost != nil && h.options.ZoneLost(engine.Zone)
 }
 
 // addEndReport adds an examination of an engine to those of the request.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -196,6 +196,7 @@
 	sendsUnderWay atomic.Int32 // to engines
 	failed        atomic.Bool  // its client gets no complete answer, and may try again
 	unconfirmed   atomic.Bool  // see errUnconfirmed
+	lostWithZone  atomic.Bool  // an engine counts as ended under it that was lost with its zone
 
 	reportMutex sync.Mutex        // guards report.Attempts while two sends are in flight, endReports and withdrawals
 	endReports  []<-chan struct{} // closed once it is known, here and at peers, whether an engine ended
--- a/internal/serving/fatal_request_tries_test.go
+++ b/internal/serving/fatal_request_tries_test.go
@@ -118,45 +118,59 @@
 	}
 }
 
-// TestEnginesThatEndOtherwiseDoNotCount has every engine break off its answer, and either live on or end after it announced
-// that. The request is not at fault and is not refused for it.
-func TestEnginesThatEndOtherwiseDoNotCount(t *testing.T) {
-	for name, end := range map[string]func(d *deployment, id string, number int){
-		"they live on": func(*deployment, string, int) {},
-		"they were draining": func(d *deployment, id string, number int) {
-			d.store.Put("servers", "", id, d.engines[id].StoreEntry("models", "draining"))
-			d.eventually("draining", func() bool {
-				return strings.Contains(d.log.String(), fmt.Sprintf(`"engines_ready":%d`, len(d.engines)-number))
-			})
-			d.engines[id].End()
-		},
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			d := prepare(t)
-			for number := range 6 {
-				d.addEngine("x"+strconv.Itoa(number), "models")
-			}
-			d.store.Put("op", "", "config", configuration(7, fatalRoutes()...))
-			d.run("node-1", anyPort)
-			d.eventually("ready", d.process.Ready)
-			var ended atomic.Int64
-			for id, engine := range d.engines {
-				engine.SetHandler(func(_ http.ResponseWriter, request *http.Request) bool {
-					if request.URL.Path != "/plain1/" {
-						return false
-					}
-					end(d, id, int(ended.Add(1)))
-					panic(http.ErrAbortHandler)
-				})
-			}
-			for number := range 5 {
-				if got := d.try("/plain1/", fmt.Sprint("try-", number), "x"); strings.Contains(got.body, `"code":316`) {
-					t.Fatalf("try %d was refused: %s", number, got.body)
-				}
+// TestRequestIsNotRefusedForEnginesThatBreakOff has every engine break off its answer and live on. The request is not refused for it.
+func TestRequestIsNotRefusedForEnginesThatBreakOff(t *testing.T) {
+	d := serveDraining(t, func(string, int) { panic(http.ErrAbortHandler) })
+	for number := range 5 {
+		if got := d.try("/plain1/", fmt.Sprint("try-", number), "x"); strings.Contains(got.body, `"code":316`) {
+			t.Fatalf("try %d was refused: %s", number, got.body)
+		}
+	}
+}
+
+// TestRequestIsServedAfterTwoDrainingEnginesEnded has two engines end under a request after they announced that. The request is not at
+// fault: the third engine gets it, and all later tries are served.
+func TestRequestIsServedAfterTwoDrainingEnginesEnded(t *testing.T) {
+	var d *deployment
+	d = serveDraining(t, func(id string, number int) {
+		if number >= maxEnginesEnded {
+			return
+		}
+		d.store.Put("servers", "", id, d.engines[id].StoreEntry("models", "draining"))
+		d.eventually("draining", func() bool {
+			return strings.Contains(d.log.String(), fmt.Sprintf(`"engines_ready":%d`, len(d.engines)-number))
+		})
+		d.engines[id].End()
+		panic(http.ErrAbortHandler)
+	})
+	for number := range 5 {
+		got := d.try("/plain1/", fmt.Sprint("try-", number), "x")
+		if want := number >= maxEnginesEnded-1; (got.status == http.StatusOK) != want {
+			t.Fatalf("try %d: got status %d and %q, served: want %t", number, got.status, got.body, want)
+		}
+	}
+}
+
+// serveDraining starts a process with several engines of models. run is called with each request that one of them gets, and its number.
+func serveDraining(t *testing.T, run func(id string, number int)) *deployment {
+	t.Helper()
+	d := prepare(t)
+	for number := range 6 {
+		d.addEngine("x"+strconv.Itoa(number), "models")
+	}
+	d.store.Put("op", "", "config", configuration(7, fatalRoutes()...))
+	d.run("node-1", anyPort)
+	d.eventually("ready", d.process.Ready)
+	var requests atomic.Int64
+	for id, engine := range d.engines {
+		engine.SetHandler(func(_ http.ResponseWriter, request *http.Request) bool {
+			if request.URL.Path == "/plain1/" {
+				run(id, int(requests.Add(1)))
 			}
+			return false
 		})
 	}
+	return d
 }
 
 // TestFatalRequestsWhileProcessesAreReplaced has clients try requests that end their engines, while processes end at once and
