soak: requests that end their engines, with kills of all processes beside them

A caller sends one request 8 times or more, each engine that gets it refuses connections, falls silent, or states that it leaves and ends; for half of them all processes are killed after one of the first tries. The promise engines_ended is broken if it reaches an engine after three have ended under it.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -68,6 +68,7 @@
 	checked        map[Promise]int64
 	broken         map[Promise]int64
 	brokenByEngine map[enginePromise]int64
+	endedUnder     map[string][]string // engines that ended under requests which end all, by the body
 	findings       []Finding
 	lastSweep      time.Duration
 }
@@ -90,6 +91,7 @@
 		checked:        make(map[Promise]int64),
 		broken:         make(map[Promise]int64),
 		brokenByEngine: make(map[enginePromise]int64),
+		endedUnder:     make(map[string][]string),
 	}
 }
 
--- a/internal/soak/engines.go
+++ b/internal/soak/engines.go
@@ -103,6 +103,9 @@
 		return
 	}
 	d.checker.RequestArrived(d.now(), Arrival{ID: parsed.ID, Engine: engine.name, Path: parsed.Path, Body: parsed.Body})
+	if d.endUnder(engine, request, parsed) {
+		panic(http.ErrAbortHandler)
+	}
 	if mode == EngineErrors {
 		d.checker.EngineAnswers(engine.name, parsed.ID, http.StatusInternalServerError)
 		operators.WriteAnswerHeader(writer, parsed.ID, Seal(engine.name, parsed.ID), http.StatusInternalServerError, false)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -96,6 +96,8 @@
 		injected = d.reconfigure(fault)
 	case ForeignEntries:
 		injected = d.injectForeignEntries(fault)
+	case FatalRequest:
+		injected = d.sendFatalRequest(fault)
 	case EngineDrain, EngineDeregister, EngineCrash, EngineCold, EngineRestart, EngineErrors, EngineRefuse, EngineAbort, EngineEndless:
 		injected = d.injectEngineFault(fault)
 	default:
--- a/internal/soak/observe.go
+++ b/internal/soak/observe.go
@@ -35,6 +35,7 @@
 	StreamResumes  Promise = "goes_on"         // streams that callers resume continue while engines of their version serve
 	WithinMemory   Promise = "memory"          // a process stays within its memory
 	EndlessAborted Promise = "endless"         // an answer without an end is aborted
+	EnginesEnded   Promise = "engines_ended"   // a request that ends its engines reaches a limited number of them
 	KeepsServing   Promise = "serves_on"       // other engines of a service with a foreign entry keep serving, and a restarted engine serves again
 )
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -52,6 +52,7 @@
 	EngineEndless         Kind = "engine_endless"        // half of its answers are bytes without an end
 	StoreMoves            Kind = "store_moves"           // to other addresses, which settings files name without a signal
 	ReleaseKillAll        Kind = "release_kill"          // the models' engines get one version, then SIGKILL to all processes at once
+	FatalRequest          Kind = "fatal_request"         // a caller sends a request again and again that ends every engine that runs it
 	FaultSeries           Kind = "series"                // signals, configuration changes and leaving engines in close succession
 )
 
@@ -70,7 +71,7 @@
 
 // Kinds returns all kinds.
 func Kinds() []Kind {
-	return append(slices.Concat(Disruptions, Operations), FaultSeries, EngineEndless, StoreMoves, ReleaseKillAll)
+	return append(slices.Concat(Disruptions, Operations), FaultSeries, EngineEndless, StoreMoves, ReleaseKillAll, FatalRequest)
 }
 
 // Fault is one planned fault.
@@ -99,6 +100,8 @@
 	maxOperations  = 4
 	// endlessPerCycle is how many engines send bytes without an end in each cycle, beside the disruptions.
 	endlessPerCycle = 4
+	// fatalPerCycle is how many requests end their engines in each cycle, beside the disruptions.
+	fatalPerCycle = 2
 )
 
 // Steps of a series and the times between them. A step can still be in progress when the next ones start.
@@ -120,6 +123,7 @@
 	endlessRandom := rand.New(rand.NewPCG(seed, 2)) // separate for the same reason
 	moveRandom := rand.New(rand.NewPCG(seed, 3))    // likewise
 	releaseRandom := rand.New(rand.NewPCG(seed, 4)) // likewise
+	fatalRandom := rand.New(rand.NewPCG(seed, 5))   // likewise
 	for start := time.Duration(0); start < duration; start += cycle {
 		planned = append(planned, draw(random, disruptions, 1+random.IntN(maxDisruptions), start, disruptionsUntil)...)
 		planned = append(planned, draw(random, operations, 2+random.IntN(maxOperations-1), start, operationsUntil)...)
@@ -135,6 +139,9 @@
 		if slices.Contains(kinds, ReleaseKillAll) {
 			planned = append(planned, draw(releaseRandom, []Kind{ReleaseKillAll}, 1, start, disruptionsUntil)...)
 		}
+		if slices.Contains(kinds, FatalRequest) {
+			planned = append(planned, draw(fatalRandom, []Kind{FatalRequest}, fatalPerCycle, start, disruptionsUntil)...)
+		}
 	}
 	planned = slices.DeleteFunc(planned, func(f Fault) bool { return f.At >= duration })
 	slices.SortStableFunc(planned, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
