ingress: an engine that a request left on a suspicion of its zone counts as ended, once for each try

Cause: an attempt that leaves on a suspicion examined nothing and counted nothing.

Change: it counts without examination, since probes would end the suspicion; of several engines that one try left so, one counts, as they may be lost at one time.

Test: TestEnginesLeftOnSuspicionCountOncePerTry, none counted before.

--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -78,7 +78,8 @@
 	endRefused      EndKind = "refuses_connections"
 	endRestarted    EndKind = "restarted"
 	endUnresponsive EndKind = "unresponsive"
-	endUnknown      EndKind = "unknown" // it does not respond, nor does any other engine that shows that this node is not isolated
+	endLeft         EndKind = "zone_suspected" // it was left, and is not examined
+	endUnknown      EndKind = "unknown"        // it does not respond, nor does any other engine that shows that this node is not isolated
 	notEnded        EndKind = ""
 )
 
@@ -197,17 +198,17 @@
 		}
 		return
 	}
+	if !lostHedge && t.sent && t.leftOnSuspicion() {
+		t.recordLeft()
+		return
+	}
 	if lostHedge || !t.mayHaveEnded(outcome) {
 		if t.lastSend != nil {
 			r.reportWithdrawn(t.lastSend.Withdraw())
 		}
 		return
 	}
-	end := poison.End{Engine: t.placed.Engine.ID, Try: r.call.ID, SentAt: t.startedAt, EndedAt: t.lastActivity()}
-	check := t.lastSend
-	if check == nil {
-		check = memory.BeginCheck(r.poisonKey(), end.Engine, time.Now())
-	}
+	check, end := t.beginCheck()
 	reported := make(chan struct{})
 	r.addEndReport(reported)
 	if outcome == placement.Cancelled && memory.StandingOf(r.poisonKey(), time.Now()).Ended > 0 {
@@ -220,6 +221,32 @@
 	}()
 }
 
+// beginCheck begins the examination of the attempt's engine, and returns the end that it may find.
+func (t *attempt) beginCheck() (*poison.Check, poison.End) {
+	r := t.request
+	end := poison.End{Engine: t.placed.Engine.ID, Try: r.call.ID, SentAt: t.startedAt, EndedAt: t.lastActivity()}
+	if t.lastSend != nil {
+		return t.lastSend, end
+	}
+	return r.handler.options.EndedEngines.BeginCheck(r.poisonKey(), end.Engine, time.Now()), end
+}
+
+// recordLeft records the end of an engine that was left since its zone is suspected to be lost: one for each try, as such engines are lost
+// at one time. It is not examined, since the probes would end the suspicion if it is at work.
+func (t *attempt) recordLeft() {
+	check, end := t.beginCheck()
+	if !t.request.lostWithZone.CompareAndSwap(false, true) {
+		t.request.reportWithdrawn(check.Withdraw())
+		return
+	}
+	reported := make(chan struct{})
+	t.request.addEndReport(reported)
+	go func() {
+		defer close(reported)
+		t.conclude(check, end, endLeft)
+	}()
+}
+
 // presume records and reports that the engine ended, and examines it then. It is used where an engine sent nothing until
 // the request's time was over, and others ended under the request before: the next try would reach a peer before the
 // examination is over. The end counts unless the engine responds. It is examined once it has been silent for stallAfter, as one
@@ -233,10 +260,9 @@
 }
 
 // mayHaveEnded reports whether the engine may have ended under the request, after a send with this outcome. A client that leaves
-// shows nothing about an engine that sent something just before, nor about one that was not sent the request. One that was left
-// since its zone is suspected is not examined: a lost one does not count, and the probes would end the suspicion if it is at work.
+// shows nothing about an engine that sent something just before, nor about one that was not sent the request.
 func (t *attempt) mayHaveEnded(outcome placement.Outcome) bool {
-	if !t.sent || t.leftOnSuspicion() {
+	if !t.sent {
 		return false
 	}
 	switch outcome {
@@ -280,9 +306,15 @@
 	if how != endUnresponsive {
 		end.EndedAt = time.Now()
 	}
+	t.conclude(check, end, how)
+}
+
+// conclude ends the examination of an engine that has ended, and reports the end if others are to know it.
+func (t *attempt) conclude(check *poison.Check, end poison.End, how EndKind) {
 	if !check.Finish(end) {
 		return
 	}
+	handler, engine, key := t.request.handler, t.placed.Engine, t.request.poisonKey()
 	standing := handler.options.EndedEngines.StandingOf(key, time.Now())
 	handler.options.Observer.EngineEnded(EngineEnd{Key: key, Try: end.Try, Engine: engine, How: how, Standing: standing})
 	// A request that is served elsewhere within this try concerns no other node.
--- a/internal/ingress/lost_zone_test.go
+++ b/internal/ingress/lost_zone_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -85,9 +88,32 @@
 	}
 	viewOf := func() *discovery.View { return view }
 	handler := &Handler{
-		options: Options{View: viewOf, Pool: pool, EndedEngines: poison.NewMemory(), EndReporter: noReports{},
+		options: Options{View: viewOf, Pool: pool, EndedEngines: poison.NewMemory(), EndReporter: noReports{}, Observer: silentObserver{},
 			ZoneLost: func(zone string) bool { return zone == engine.Zone }},
 		prober: newProber(pool, viewOf, "zone-a"),
 	}
 	return &request{handler: handler, service: "s", route: &routing.Route{Kind: routing.Safe, MaxAttempts: 2}}, engine
 }
+
+// TestEnginesLeftOnSuspicionCountOncePerTry guards against losing a fourth engine to a request one of whose engines fell silent under it
+// while its zone was suspected to be lost. Of several engines that one try left, one counts.
+func TestEnginesLeftOnSuspicionCountOncePerTry(t *testing.T) {
+	r, engine := requestInLostZone(t, false)
+	r.http = httptest.NewRequest(http.MethodGet, "http://site.example/safe", nil)
+	memory := r.handler.options.EndedEngines
+	for try := range poison.MaxEngines {
+		r := &request{handler: r.handler, service: r.service, route: r.route, http: r.http, call: Call{ID: fmt.Sprint("try-", try)}}
+		for number := range 2 {
+			left := engine
+			left.ID = fmt.Sprint("engine-", try, "-", number)
+			current := &attempt{placed: placement.Placement{Engine: left}, request: r, startedAt: time.Now(), sent: true}
+			current.watch(t.Context())
+			current.watchdog.Stop()
+			current.cancel(errZoneSuspected)
+			current.recordEnd(placement.Unresponsive, false)
+		}
+		if got := memory.AwaitStanding(t.Context(), r.poisonKey(), try+1).Ended; got != try+1 {
+			t.Errorf("%d engines count after %d tries, want %d", got, try+1, try+1)
+		}
+	}
+}
