ingress: an engine whose carrier was lost is examined once it has been silent

Cause: an examination shows how an engine is, not what the request is about to do to it. It waited for silence where a client leaves, not where a carrier is lost.

The presumption is recorded before the attempt ends, no longer by the goroutine that examines.

Test: TestEngineThatEndsAfterItsCarrierCounts, one engine counted before, two now; an engine that lives is withdrawn.

--- a/internal/ingress/ended_engines.go
+++ b/internal/ingress/ended_engines.go
@@ -211,8 +211,10 @@
 	check, end := t.beginCheck()
 	reported := make(chan struct{})
 	r.addEndReport(reported)
-	if outcome == placement.Cancelled && memory.StandingOf(r.poisonKey(), time.Now()).Ended > 0 {
-		go t.presume(check, end, reported)
+	leftAtWork := outcome == placement.Cancelled || outcome == placement.CarrierLost
+	if leftAtWork && memory.StandingOf(r.poisonKey(), time.Now()).Ended > 0 {
+		check.Presume(end)
+		go t.examinePresumed(check, end, outcome, reported)
 		return
 	}
 	go func() {
@@ -247,16 +249,15 @@
 	}()
 }
 
-// presume records and reports that the engine ended, and examines it then. It is used where an engine sent nothing until
-// the request's time was over, and others ended under the request before: the next try would reach a peer before the
-// examination is over. The end counts unless the engine responds. It is examined once it has been silent for stallAfter, as one
-// whose request goes on is: a try may be given up so early that the request has not ended the engine yet.
-func (t *attempt) presume(check *poison.Check, end poison.End, reported chan<- struct{}) {
-	check.Presume(end)
+// examinePresumed reports that the engine is presumed to have ended, and examines it then. It is used where an engine sent nothing until
+// the request's time was over, or its carrier was lost, and others ended under the request before: the next try would reach a peer
+// before the examination is over. The end counts unless the engine responds. It is examined once it has been silent for stallAfter, as
+// one whose request goes on is: it may be at work, and the request may not have ended it yet.
+func (t *attempt) examinePresumed(check *poison.Check, end poison.End, outcome placement.Outcome, reported chan<- struct{}) {
 	t.request.reportEnds(context.Background())
 	close(reported)
 	backoff.Wait(context.Background(), time.Until(t.lastActivity().Add(stallAfter)))
-	t.examine(check, end, t.howEnded(placement.Cancelled))
+	t.examine(check, end, t.howEnded(outcome))
 }
 
 // mayHaveEnded reports whether the engine may have ended under the request, after a send with this outcome. A client that leaves
--- a/internal/ingress/lost_zone_test.go
+++ b/internal/ingress/lost_zone_test.go
@@ -117,3 +117,40 @@
 		}
 	}
 }
+
+// TestEngineThatEndsAfterItsCarrierCounts guards against losing a fourth engine to a request whose carrier is killed while the engine is
+// at work on it: the engine takes connections then, and ends under the request a little later.
+func TestEngineThatEndsAfterItsCarrierCounts(t *testing.T) {
+	for name, test := range map[string]struct {
+		ends bool
+		want int // engines that count at last
+	}{"the engine ends": {true, 2}, "the engine lives": {false, 1}} {
+		t.Run(name, func(t *testing.T) {
+			r, engine := requestInLostZone(t, true)
+			r.handler.options.ZoneLost = nil
+			r.http, r.call = httptest.NewRequest(http.MethodGet, "http://site.example/safe", nil), Call{ID: "second"}
+			r.deadline = time.Now().Add(time.Minute)
+			standIn := operators.NewEngine("second", 1)
+			t.Cleanup(standIn.Server.CloseClientConnections)
+			engine.Address = standIn.Address()
+			memory, now := r.handler.options.EndedEngines, time.Now()
+			memory.BeginCheck(r.poisonKey(), "earlier", now).Finish(poison.End{Engine: "earlier", Try: "first", SentAt: now.Add(-2 * time.Second), EndedAt: now.Add(-time.Second)})
+			current := &attempt{placed: placement.Placement{Engine: engine}, request: r, startedAt: now, sent: true}
+			current.watch(t.Context())
+			current.watchdog.Stop()
+			current.recordEnd(placement.CarrierLost, false)
+			if got := memory.StandingOf(r.poisonKey(), time.Now()).Ended; got != 2 {
+				t.Errorf("%d engines count at once, want 2", got)
+			}
+			if test.ends {
+				standIn.End()
+			}
+			for memory.StandingOf(r.poisonKey(), time.Now()).Checks > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if got := memory.StandingOf(r.poisonKey(), time.Now()).Ended; got != test.want {
+				t.Errorf("%d engines count at last, want %d", got, test.want)
+			}
+		})
+	}
+}
