origins: the only listed version is concluded once the store has no change that this process missed

By the request's line: ground only_version, one peer asked, none answered.

Cause: a list counts as current for 3 s after its last confirmation, as nothing can come and go unseen within that time. But a version that has come and is still there is unseen as well, and a stream may have begun at it.

Change: before it concludes, the process asks the store for changes that it has not read: engines of another version, ones that are gone and that it never listed, and configurations. If the store does not tell, a peer must have answered, unless there is none.

Ruled out: a shorter 3 s, which leaves a shorter window; the record of versions, which lacks a version while it is empty.

What remains: a zone that is cut off as a whole, whose processes answer each other, within 3 s. Class: absence of news taken for news of absence, as in streams joined after a kill.

--- a/internal/originrecord/calm_test.go
+++ b/internal/originrecord/calm_test.go
@@ -1,6 +1,7 @@
 package originrecord
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -24,7 +25,8 @@
 		}
 		keeper := New(options)
 		p.client = origins.NewClient(origins.Options{Node: "a", Memory: p.memory, Record: keeper,
-			Versions: func(string) []string { return []string{"v1"} }, KnownFor: func(string) time.Duration { return time.Hour }})
+			Versions: func(string) []string { return []string{"v1"} }, KnownFor: func(string) time.Duration { return time.Hour },
+			HasUnreadChange: func(context.Context, string, string) (bool, error) { return false, nil }})
 		go keeper.Run(t.Context())
 		start := time.Now()
 		for range streams {
--- a/internal/originrecord/fleet_test.go
+++ b/internal/originrecord/fleet_test.go
@@ -157,8 +157,9 @@
 		Observer:   p,
 	})
 	p.client = origins.NewClient(origins.Options{Node: run, Memory: p.memory, Record: p.keeper,
-		Versions: func(string) []string { return p.listedVersions() },
-		KnownFor: func(string) time.Duration { return time.Hour }})
+		Versions:        func(string) []string { return p.listedVersions() },
+		KnownFor:        func(string) time.Duration { return time.Hour },
+		HasUnreadChange: func(context.Context, string, string) (bool, error) { return false, nil }})
 	var ctx context.Context
 	ctx, p.stop = context.WithCancel(t.Context())
 	go func() {
--- a/internal/origins/client.go
+++ b/internal/origins/client.go
@@ -45,6 +45,9 @@
 	// KnownFor returns for how long until now a service has certainly had no other versions than these, and has shared no
 	// route with another service; 0 if that is unknown.
 	KnownFor func(service string) time.Duration
+	// HasUnreadChange reports whether the store has a change that this node has not read yet and by which a service may have, or
+	// have had, another version than the given one. With an error, that is unknown.
+	HasUnreadChange func(ctx context.Context, service, version string) (bool, error)
 	// FixedWindow replaces ResumeWindow of each call, unless it is 0.
 	FixedWindow time.Duration
 	// Suspected reports whether a peer is excluded, because its zone is suspected to be lost.
@@ -139,8 +142,8 @@
 }
 
 // Find returns where a stream started. It never guesses: if no queried node has its origin, it started at the version that
-// the nodes list only if they list one, and one of them knows that there was no other within the resume window. Else only
-// what a process recorded in the store is certain.
+// the nodes list only if they list one, one of them knows that there was no other within the resume window, and the store has no change
+// that this node missed. Else only what a process recorded in the store is certain.
 func (c *Client) Find(ctx context.Context, query Query) Finding {
 	now := time.Now()
 	if origin, found := c.options.Memory.Get(query.Stream, now); found {
@@ -150,7 +153,7 @@
 	switch {
 	case finding.Basis == ByPeer:
 		c.options.Memory.Put(finding.Origin, now)
-	case len(finding.Versions) == 1 && !query.RouteSplit && finding.KnownFor >= c.window(query.ResumeWindow):
+	case len(finding.Versions) == 1 && !query.RouteSplit && finding.KnownFor >= c.window(query.ResumeWindow) && c.missedNothing(ctx, query.Service, finding):
 		finding.Basis = ByOnlyVersion
 		finding.Origin = Origin{Stream: query.Stream, Service: query.Service, Version: finding.Versions[0]}
 	case query.Stream != "" && c.options.Record != nil:
@@ -159,6 +162,16 @@
 	return finding
 }
 
+// missedNothing reports whether the version that the nodes list is the only one of the service now: a node that is cut off does not see
+// which versions join. While the store does not tell, a peer's answer shows that this node is not cut off by itself.
+func (c *Client) missedNothing(ctx context.Context, service string, finding Finding) bool {
+	unread, err := c.options.HasUnreadChange(ctx, service, finding.Versions[0])
+	if err != nil {
+		return finding.PeersAnswered > 0 || finding.PeersAsked == 0
+	}
+	return !unread && slices.Equal(c.options.Versions(service), finding.Versions) // read meanwhile
+}
+
 // findInStore completes a finding by what the store says of a stream.
 func (f *Finding) findInStore(ctx context.Context, record Record, stream string) {
 	origin, found, err := record.Find(ctx, stream)
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -116,7 +116,7 @@
 		knownFor := func(string) time.Duration { return created.knownFor }
 		created.server = NewServer(created.memory, versions, knownFor)
 		created.Client = NewClient(Options{Node: peer.Address, Memory: created.memory, Versions: versions,
-			KnownFor: knownFor, Suspected: func(string) bool { return false }, Observer: f})
+			KnownFor: knownFor, HasUnreadChange: func(context.Context, string, string) (bool, error) { return false, nil }, Suspected: func(string) bool { return false }, Observer: f})
 		created.SetPeers(f, slices.DeleteFunc(slices.Clone(all), func(other Peer) bool { return other == peer }))
 		f.nodes[peer.Address] = created
 	}
--- a/internal/serving/only_version_test.go
+++ b/internal/serving/only_version_test.go
@@ -239,7 +239,7 @@
 		zones:    zonewatch.New(zonewatch.Options{Zone: "zone-a"}),
 		follower: discovery.New(discovery.Options{Source: started.source, Observer: started}),
 	}
-	started.initOrigins()
+	started.initOrigins(started.source)
 	started.initVersionRecord(f.records, address)
 	var ctx context.Context
 	ctx, started.stop = context.WithCancel(f.t.Context())
--- a/internal/serving/origins.go
+++ b/internal/serving/origins.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -15,8 +16,8 @@
 const maxOriginRecords = 5
 
 // initOrigins sets up the store, the server and the client of stream origins. An origin is the engine and software
-// version that first served a stream.
-func (p *Process) initOrigins() {
+// version that first served a stream. store is the source that reads the store itself.
+func (p *Process) initOrigins(store discovery.Source) {
 	p.originLog.maxPerSecond = maxOriginRecords
 	p.originStore = origins.NewMemory()
 	p.originServer = origins.NewServer(p.originStore, p.softwareVersions, p.versionKnownFor)
@@ -26,8 +27,11 @@
 		Versions:    p.softwareVersions,
 		KnownFor:    p.versionKnownFor,
 		FixedWindow: p.settings.StreamWarmUp,
-		Suspected:   p.zones.PeerSuspected,
-		Observer:    p,
+		HasUnreadChange: func(ctx context.Context, service, version string) (bool, error) {
+			return p.follower.HasUnreadChange(ctx, store, service, version)
+		},
+		Suspected: p.zones.PeerSuspected,
+		Observer:  p,
 	}
 	if p.originRecord != nil {
 		options.Record = p.originRecord
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -257,7 +257,7 @@
 	p.leases.SetProber(p.quota)
 	p.leases.SetSuspected(p.zones.PeerSuspected)
 	p.initOriginRecord(p.relayTable, dependencies.RunID)
-	p.initOrigins()
+	p.initOrigins(dependencies.NewSource(p.relayTable))
 	p.initVersionRecord(p.relayTable, dependencies.RunID)
 	p.initEndedEngines(p.relayTable)
 	p.collector = loads.NewCollector(xxhash.Sum64String(dependencies.RunID), time.Now, p)
