--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -6,7 +6,8 @@
 // distinguishes a poisonous request is that engines end under it one after another. An answer to a request, by any
 // engine, clears it of the ends that were recorded before.
 //
-// All state is in memory and expires. Nothing is computed or sent for a request while no engine has ended.
+// State is in memory, and in rows of the store for nodes that no peer can tell: those that start after all others have ended, and those
+// that reach no peer. All of it expires. Nothing is computed, sent or written for a request while no engine has ended.
 package poison
 
 import (
