carry, commitgroup, owners: errors name the acknowledgement or keep-alive that is missing

Cause: "no sign of life" is a metaphor that the glossary had to explain. Change: "no acknowledgement in time", "no keep-alive in time"; the glossary keeps the old text for older logs. Nothing matches on the text (searched).

--- a/internal/carry/client.go
+++ b/internal/carry/client.go
@@ -39,7 +39,7 @@
 )
 
 // errNoAck is the cause of cancelling a request that the carrier did not acknowledge in time.
-var errNoAck = errors.New("no sign of life")
+var errNoAck = errors.New("no acknowledgement in time")
 
 // peerClient sends requests to peers. *wire.Client implements it.
 type peerClient interface {
--- a/internal/commitgroup/table.go
+++ b/internal/commitgroup/table.go
@@ -36,7 +36,7 @@
 )
 
 // errNoAck is the cause of a request that was cancelled because the writer sent no acknowledgement in time.
-var errNoAck = errors.New("no sign of life")
+var errNoAck = errors.New("no acknowledgement in time")
 
 // peerClient sends a request to a peer. *wire.Client implements it.
 type peerClient interface {
--- a/internal/ingress/only_engine_test.go
+++ b/internal/ingress/only_engine_test.go
@@ -30,7 +30,7 @@
 func (pausedPeer) Send(_ context.Context, _ string, request carry.Request) (*http.Response, error) {
 	if !request.LastRun {
 		time.Sleep(300 * time.Millisecond)
-		return nil, errors.Mark(errors.New("no sign of life"), carry.ErrLost)
+		return nil, errors.Mark(errors.New("no acknowledgement in time"), carry.ErrLost)
 	}
 	time.Sleep(400 * time.Millisecond)
 	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("whole"))}, nil
--- a/internal/owners/client.go
+++ b/internal/owners/client.go
@@ -48,7 +48,7 @@
 var errStopping = errors.New("the owner is stopping")
 
 // errNoKeepAlive is the cause of a request that is cancelled because the owner sent no keep-alive.
-var errNoKeepAlive = errors.New("no sign of life")
+var errNoKeepAlive = errors.New("no keep-alive in time")
 
 // errWaitsForTable reports that an owner sent a keep-alive, but no reply in time: it waits for the table.
 var errWaitsForTable = errors.New("the owner waits for the table")
