serving: tests of odd entries and of engines that end share their set-up

Cause: two set-ups stood twice (a process behind a relay, engines that end under a request). Change: serveThroughRelay, endEachEngine; no assertion changed.

--- a/internal/serving/fatal_request_kill_test.go
+++ b/internal/serving/fatal_request_kill_test.go
@@ -41,6 +41,15 @@
 // killWithEngine has the process end at once, as if it were killed, when the given number of engines has ended under the
 // request with fatalBody, before it notices the last one.
 func (d *deployment) killWithEngine(number int, ended *endedEngines) {
+	d.endEachEngine(ended, func(string) {
+		if ended.count() == number {
+			d.process.Close()
+		}
+	})
+}
+
+// endEachEngine has each engine end under a request with fatalBody, after a function that is called with its ID.
+func (d *deployment) endEachEngine(ended *endedEngines, before func(id string)) {
 	for id, engine := range d.engines {
 		if !strings.HasPrefix(id, "f") {
 			continue
@@ -51,9 +60,7 @@
 				return false
 			}
 			ended.record(parsed.Body, id)
-			if ended.count() == number {
-				d.process.Close()
-			}
+			before(id)
 			engine.End()
 			panic(http.ErrAbortHandler)
 		})
--- a/internal/serving/foreign_entries_test.go
+++ b/internal/serving/foreign_entries_test.go
@@ -112,9 +112,9 @@
 	}
 }
 
-// TestEntriesOfAnotherWriterArriveThroughARelay makes the store reject one process, which watches
-// by itself and then receives an entry that overwrites an engine's own through a call that its peer makes.
-func TestEntriesOfAnotherWriterArriveThroughARelay(t *testing.T) {
+// serveThroughRelay starts a process that the store rejects, and that watches through its peer.
+func serveThroughRelay(t *testing.T) *deployment {
+	t.Helper()
 	d := prepare(t)
 	endpoint := d.store.NewEndpoint()
 	t.Cleanup(endpoint.Server.Close)
@@ -127,6 +127,13 @@
 	})
 	endpoint.SetFault(operators.Unavailable)
 	d.eventually("watching through its peer", func() bool { return !d.hasMetric("pewtermill_serve_calls_relayed", "0") })
+	return d
+}
+
+// TestEntriesOfAnotherWriterArriveThroughARelay makes the store reject one process, which watches
+// by itself and then receives an entry that overwrites an engine's own through a call that its peer makes.
+func TestEntriesOfAnotherWriterArriveThroughARelay(t *testing.T) {
+	d := serveThroughRelay(t)
 	d.store.Put("servers", "", "x", "no record")
 	d.store.Put("servers", "", "p1", foreignEntries(d.engines["p1"].Address())["cold_left_ms"])
 	d.eventually("without p1", func() bool { return d.hasMetric("pewtermill_serve_engines", "3") })
--- a/internal/serving/forgotten_ends_test.go
+++ b/internal/serving/forgotten_ends_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"fmt"
-	"net/http"
-	"strings"
 	"testing"
 	"time"
-
-	"github.com/pewtermill/pewtermill/internal/standin/operators"
 )
 
 // closedPort is an address for peers at which nobody listens.
@@ -109,22 +105,10 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			first, second, ended := serveFatal(t, 16, ending{})
-			for id, engine := range first.engines {
-				if !strings.HasPrefix(id, "f") {
-					continue
-				}
-				engine.SetHandler(func(_ http.ResponseWriter, request *http.Request) bool {
-					parsed, _ := operators.ParseRequest(request)
-					if parsed.Body != fatalBody {
-						return false
-					}
-					ended.record(parsed.Body, id)
-					first.store.Put("servers", "", id, engine.StoreEntry("models", "draining"))
-					<-time.After(leavesBefore)
-					engine.End()
-					panic(http.ErrAbortHandler)
-				})
-			}
+			first.endEachEngine(ended, func(id string) {
+				first.store.Put("servers", "", id, first.engines[id].StoreEntry("models", "draining"))
+				<-time.After(leavesBefore)
+			})
 			last := tryUntilRefused([]*deployment{first, second}, path, 0, 8)
 			expectNoFourthEngine(t, last, ended, first, second)
 		})
--- a/internal/serving/odd_entries_test.go
+++ b/internal/serving/odd_entries_test.go
@@ -5,9 +5,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
-
-	"github.com/pewtermill/pewtermill/internal/standin/operators"
 )
 
 // maxOddRow is how many bytes a row of the store may hold.
@@ -90,18 +87,7 @@
 
 // TestProcessFollowsListsBesideOddEntriesThroughARelay does so at a process that the store rejects.
 func TestProcessFollowsListsBesideOddEntriesThroughARelay(t *testing.T) {
-	d := prepare(t)
-	endpoint := d.store.NewEndpoint()
-	t.Cleanup(endpoint.Server.Close)
-	d.storeAddress, d.keysValidFor = endpoint.Address(), time.Hour // keys that expire make each process watch by itself
-	d.run("node-1", anyPort)
-	d.runAnother("node-2", anyPort)
-	d.store.Put("op", "", "config", standard())
-	d.eventually("ready, with the peer found", func() bool {
-		return d.process.Ready() && strings.Contains(d.log.String(), `"msg":"peers found","count":1`)
-	})
-	endpoint.SetFault(operators.Unavailable)
-	d.eventually("watching through its peer", func() bool { return !d.hasMetric("pewtermill_serve_calls_relayed", "0") })
+	d := serveThroughRelay(t)
 	for name, value := range oddEntries(d.engines["p1"].Address()) {
 		d.store.PutBytes("servers", "", "odd-"+name, value)
 	}
