upstream: an early answer that is broken off does not count as whole

What callers saw: an engine answers an upload before it has read it, with a 200 that has no length, sends a part of its body, and its connection fails while the upload is being written. The client gets the part as a complete answer, and a turn is recorded so.

Cause: the kernel reports the failure of a connection to one call only. A large upload is written while the answer is read; the write got the failure, and the read the end of the stream, which ends a body without a length. An engine that closes before it has got all of an upload ends its own direction first, and resets the connection only as more arrives.

Change: CheckEnd. The end of the stream is returned only if the peer has ended its direction and has not rejected the request since; until then the connection asks the kernel every millisecond, at most until the deadline. A write's error is what the read returns then, also in the head of an answer, where a missing acknowledgement was lost to the write in the same way.

Whole answers, as before: TestAnswerThatEndsWithItsConnectionIsComplete and TestEarlyAnswerThatEndsProperlyIsPassedOn (upload read before, after, never).

Tried and left: a first form asked the kernel once for state and counters. It asks twice since.

Ruled out: waiting for the end of the upload, which a peer may never read; asking once at the end of the answer, which misses a peer that closes at once; a fixed wait.

Where the kernel does not tell the state, the result of the write alone counts.

--- a/internal/standin/operators/engine.go
+++ b/internal/standin/operators/engine.go
@@ -51,6 +51,7 @@
 	restarts       int                                           // since New
 	requests       []Request                                     // since the last start
 	handler        func(http.ResponseWriter, *http.Request) bool // true: it has answered
+	earlyHandler   func(http.ResponseWriter, *http.Request) bool // true: it has answered
 }
 
 // NewEngine returns a running engine that reports no start time. The caller closes its Server.
@@ -166,6 +167,13 @@
 	e.handler = handler
 }
 
+// SetEarlyHandler is like SetHandler for a function that sees each request before its body is read.
+func (e *Engine) SetEarlyHandler(handler func(http.ResponseWriter, *http.Request) bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.earlyHandler = handler
+}
+
 // Connections returns how many connections were made to the engine.
 func (e *Engine) Connections() int64 { return e.connections.Load() }
 
@@ -193,6 +201,12 @@
 		e.answerHealthCheck(writer)
 		return
 	}
+	e.mutex.Lock()
+	earlyHandler := e.earlyHandler
+	e.mutex.Unlock()
+	if earlyHandler != nil && earlyHandler(writer, request) {
+		return
+	}
 	body, _ := io.ReadAll(request.Body)
 	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != e.ID {
 		e.writeIdentity(writer, http.StatusMisdirectedRequest)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -70,9 +70,12 @@
 	return count, err
 }
 
-// SyscallConn implements syscall.Conn, for checking whether the peer has closed the connection.
-func (c countedConn) SyscallConn() (syscall.RawConn, error) {
-	syscallConn, ok := c.Conn.(syscall.Conn)
+// SyscallConn implements syscall.Conn.
+func (c countedConn) SyscallConn() (syscall.RawConn, error) { return rawConnOf(c.Conn) }
+
+// rawConnOf returns access to the descriptor of a connection.
+func rawConnOf(conn net.Conn) (syscall.RawConn, error) {
+	syscallConn, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil, errors.New("the connection has no descriptor")
 	}
@@ -123,6 +126,7 @@
 	Destination
 	Reused bool // it has been used for a request before
 
+	checked   *endCheckedConn // below Conn
 	reader    *bufio.Reader
 	heads     *headLimiter // source of reader
 	idleSince time.Time
@@ -169,6 +173,8 @@
 	if p.options.OnConnect != nil {
 		p.options.OnConnect(to.Address, time.Since(start))
 	}
+	checked := &endCheckedConn{Conn: connection}
+	connection = checked
 	if p.options.NewByteCounter != nil {
 		connection = countedConn{Conn: connection, counter: p.options.NewByteCounter(to.Address)}
 	}
@@ -176,6 +182,7 @@
 	return &Conn{
 		Conn:        connection,
 		Destination: to,
+		checked:     checked,
 		reader:      bufio.NewReaderSize(heads, bufferBytes),
 		heads:       heads,
 		idleLimit:   defaultIdleTime,
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -96,8 +96,10 @@
 	}
 	conn, writing := a.conn, make(chan error, 1) // abort sets a.conn to nil
 	a.writing = writing
+	conn.checked.beginWrite() // here, since the peer may end the answer before the goroutine begins
 	go func() {
 		_, err := conn.Write(request.Body)
+		conn.checked.endWrite()
 		writing <- err
 	}()
 	return nil
