upstream: an answer with a status below 200 is not skipped as an interim one

What callers saw: an engine in trouble sends an answer whose status is 000. Alone it reached no client. But what the engine sends next was read as the head of the answer: where the body held the bytes of a 200 with the request's id and a seal, the client got those as the answer, events as well, and turns were recorded so.

Cause: every status below 200 was skipped as an interim one, with whatever body it states.

Change: only 100 and 102 to 199 are interim, and only if they state no body; any other status below 200 fails the answer at once. A length of zero is allowed. CheckHeads brings the same to the clients of back ends, the table service and nodes, whose net/http transport reads the bytes behind an interim answer in the same way.

Tried and left: a hook for interim answers without a count of its own.

Ruled out: skipping the body that such an answer states: what it is worth is unknown. Conclusion: what is skipped has no body. Health checks, incarnations and the platform's store read by the same code; peers decode statuses from 200 on only.

--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/upstream"
 )
 
 const (
@@ -31,14 +33,14 @@
 // long.
 func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: upstream.CheckHeads(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	})}
 }
 
 // endpoint sends requests to one back end's base URL.
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+
+	"github.com/pewtermill/pewtermill/internal/upstream"
 )
 
 const maxIdleConnectionsPerNode = 256
@@ -32,7 +34,7 @@
 	transport.MaxIdleConnsPerHost = maxIdleConnectionsPerNode
 	transport.DisableCompression = true
 	transport.MaxResponseHeaderBytes = maxHeadBytes
-	return NewWithHTTP(baseURLs, key, &http.Client{Transport: transport})
+	return NewWithHTTP(baseURLs, key, &http.Client{Transport: upstream.CheckHeads(transport)})
 }
 
 // NewWithHTTP is like NewFailover with the caller's own HTTP client, which should have no overall timeout
--- a/internal/tablestore/http.go
+++ b/internal/tablestore/http.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/upstream"
 )
 
 // ErrRejected means that the service rejected the request as malformed or too large; it
@@ -56,12 +58,12 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
 		Timeout: requestTimeout,
-		Transport: &http.Transport{
+		Transport: upstream.CheckHeads(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConns:        idleConnections,
 			MaxIdleConnsPerHost: idleConnections,
 			IdleConnTimeout:     idleTimeout,
-		},
+		}),
 	}
 }
 
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -91,7 +91,7 @@
 	return count, err
 }
 
-// readHead reads one head. It fails as soon as the bytes cannot be those of an answer: a line that has begun otherwise may
+// readHead reads and checks one head. It fails as soon as the bytes cannot be those of an answer: a line that has begun otherwise may
 // never end.
 func (c *Conn) readHead(request *http.Request) (*http.Response, error) {
 	c.heads.reading = true
@@ -108,6 +108,9 @@
 		// The line that the limit cut off may be reported as malformed instead.
 		err = &LimitError{Place: Head, Limit: maxHeadBytes}
 	}
+	if err == nil {
+		err = checkHead(response)
+	}
 	return response, shortened(err)
 }
 
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -33,7 +33,7 @@
 	return errors.As(err, &failure) && failure.Timeout()
 }
 
-// maxStaleResponses is how many responses to other requests are skipped.
+// maxStaleResponses is how many interim answers, and responses to other requests, are skipped.
 const maxStaleResponses = 4
 
 // largeBody is the size from which a body is written concurrently with reading the answer, since the
@@ -146,7 +146,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
+		if isInterim(response.StatusCode) {
 			continue
 		}
 		if request.Accept == nil || request.Accept(response.Header) {
