upstream: an answer with an invalid header name is no answer

What callers saw: an engine in trouble sends an answer in whose head the name of a field holds a blank. The client got the answer without that line; with a blank before the colon of Content-Length or Transfer-Encoding the body ended with the connection, so that a body in chunks reached the client with its framing, and turns were recorded so.

Cause: the parser of heads accepts blanks in names and keeps such lines under names that nobody asks for; the writer of heads leaves them out.

Change: a head with a name that is not a token fails the answer, interim ones and those to other requests included, and CheckHeads brings the same to the clients of back ends, the table service and nodes. A carried head is checked as well, since a peer of an earlier build sends on what its engine has sent; it then counts as lost, as with an invalid status.

Ruled out: passing the line on, or reading it without its blank: RFC 9112, section 5.1, has a proxy remove such blanks, but what the engine meant is then a guess that other readers do not share. Conclusion: no line of a head is ignored for its name. Trailers are not passed on, and not checked.

--- a/internal/carry/message.go
+++ b/internal/carry/message.go
@@ -111,5 +111,9 @@
 		return nil, nil, errors.Newf("the peer's answer has invalid status %d", head.GetStatus())
 	}
 	response := &http.Response{StatusCode: int(head.GetStatus()), Header: decodeHeaders(head.GetHeaders())}
+	// A peer of an earlier build sends on what its engine has sent.
+	if err := upstream.CheckHeaderNames(response.Header); err != nil {
+		return nil, nil, err
+	}
 	return response, head.GetBody(), nil
 }
--- a/internal/client/invalid_head_test.go
+++ b/internal/client/invalid_head_test.go
@@ -7,7 +7,7 @@
 	"github.com/pewtermill/pewtermill/internal/standin/rawanswer"
 )
 
-// TestInvalidHeadIsNoResponse checks that a node's answer with an invalid status is no response.
+// TestInvalidHeadIsNoResponse checks that a node's answer with an invalid status or header name is no response.
 func TestInvalidHeadIsNoResponse(t *testing.T) {
 	rawanswer.CheckClient(t, "{}", func(url string) error {
 		_, err := client.New(url, "key").Program(t.Context(), "p")
--- a/internal/serving/odd_heads_test.go
+++ b/internal/serving/odd_heads_test.go
@@ -23,6 +23,18 @@
 	}}
 }
 
+// lineForm returns the form of a whole answer with a further line in its head.
+func lineForm(line string) headForm {
+	return headForm{line, func(_, whole string) string { return strings.Replace(whole, "\r\n", "\r\n"+line+"\r\n", 1) }}
+}
+
+// framingForm returns the form of a whole answer in which the line that frames its body has another name.
+func framingForm(length, encoding string) headForm {
+	return headForm{length + " or " + encoding, func(_, whole string) string {
+		return strings.NewReplacer("\r\nContent-Length:", "\r\n"+length+":", "\r\nTransfer-Encoding:", "\r\n"+encoding+":").Replace(whole)
+	}}
+}
+
 // answerInForm returns a handler that answers requests whose id starts with "odd-" in a form, and counts them.
 func answerInForm(t *testing.T, framing string, form headForm, answers *atomic.Int64) func(http.ResponseWriter, *http.Request) bool {
 	return func(writer http.ResponseWriter, request *http.Request) bool {
@@ -81,3 +93,12 @@
 func TestAnswerWithStatusBelow200IsNotPassedOn(t *testing.T) {
 	expectNoOddAnswers(t, []headForm{statusForm("000"), statusForm("001"), statusForm("099"), statusForm("+20"), statusForm("101"), statusForm("102")})
 }
+
+// TestAnswerWithAnInvalidHeaderNameIsNotPassedOn guards against ignoring a line of a head: the client would get a body that is not the engine's.
+func TestAnswerWithAnInvalidHeaderNameIsNotPassedOn(t *testing.T) {
+	expectNoOddAnswers(t, []headForm{
+		lineForm("X-Other : 1"), lineForm("X Other: 1"), lineForm("X-Other\x00: 1"), lineForm("X-Other\x01: 1"), lineForm("X-Other\x7f: 1"),
+		lineForm("X-Request-Id : other"), lineForm("Content-Length : 2"), lineForm("Content Length: 2"), lineForm("Transfer-Encoding : chunked"),
+		framingForm("Content-Length ", "Transfer-Encoding "), framingForm("Content Length", "Transfer Encoding"),
+	})
+}
--- a/internal/standin/rawanswer/rawanswer.go
+++ b/internal/standin/rawanswer/rawanswer.go
@@ -18,12 +18,15 @@
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", jsonHead, len(content), content)
 }
 
-// WithInvalidHeads returns answers with an invalid status, by what is invalid. Each holds the bytes of a proper answer.
+// WithInvalidHeads returns answers with an invalid status or header name, by what is invalid. Each holds the bytes of a proper answer.
 func WithInvalidHeads(content string) map[string]string {
 	answers := make(map[string]string)
 	for _, status := range []string{"000", "001", "099", "+20", "101", "102"} {
 		answers["status "+status] = fmt.Sprintf("HTTP/1.1 %s Trouble\r\nContent-Length: %d\r\n\r\n%s", status, len(Proper(content)), Proper(content))
 	}
+	for _, line := range []string{"X-Own : 1", "X Own: 1", "X-Own\x01: 1", "Content-Length : 2", "Transfer-Encoding : chunked"} {
+		answers["line "+line] = jsonHead + line + "\r\n\r\n" + content
+	}
 	return answers
 }
 
--- a/internal/tablestore/invalid_head_test.go
+++ b/internal/tablestore/invalid_head_test.go
@@ -7,7 +7,7 @@
 	"github.com/pewtermill/pewtermill/internal/tablestore"
 )
 
-// TestInvalidHeadIsNoReceipt checks that an answer of the table service with an invalid status is no receipt.
+// TestInvalidHeadIsNoReceipt checks that an answer of the table service with an invalid status or header name is no receipt.
 func TestInvalidHeadIsNoReceipt(t *testing.T) {
 	rawanswer.CheckClient(t, "{}", func(url string) error {
 		_, err := tablestore.NewHTTP(url, nil).Commit(t.Context(), tablestore.Transaction{})
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -9,7 +9,7 @@
 )
 
 // CheckHeads returns a round tripper that returns an error for an answer whose head is invalid, or that is preceded by an invalid interim one.
-// The transport itself reads the bytes behind an interim answer as the head of the next one.
+// The transport itself ignores lines with an invalid name, and reads the bytes behind an interim answer as the head of the next one.
 func CheckHeads(transport *http.Transport) http.RoundTripper { return checkedTransport{transport} }
 
 // checkedTransport implements CheckHeads.
