upstream: the connection that checks its end is not exported

Cause: read again as a newcomer, CheckEnd had no user outside its package. Change: its comment stands at the type, with its use by two goroutines; the test of a write in progress is one of the package. No assertion is changed. Ruled out: using it for the clients of back ends, the table service and nodes: what they read is complete only as whole JSON, with a digest or with a last event. Before and after: the tests of the package passed, one run each. Conclusion: no change in behavior.

--- a/internal/upstream/ending.go
+++ b/internal/upstream/ending.go
@@ -15,10 +15,10 @@
 // Times of checking how a peer has ended its direction of a connection.
 const (
 	endCheckInterval = time.Millisecond
-	maxEndCheck      = 10 * time.Second
+	maxEndCheck      = 10 * time.Second // of a connection without a read deadline
 )
 
-// CheckEnd returns a connection whose Read returns io.EOF only if the peer has ended its direction, and has not rejected what was sent to it
+// endCheckedConn is a connection whose Read returns io.EOF only if the peer has ended its direction, and has not rejected what was sent to it
 // since. Without that, an answer whose body ends with the connection may look complete although it was broken off:
 //
 //   - The kernel reports the failure of a connection to one call only. If a concurrent Write gets it, Read returns io.EOF.
@@ -26,10 +26,8 @@
 //     request arrives.
 //
 // While the request is on its way, Read therefore waits until the peer has accepted more of it or has stopped to read, until the connection has
-// failed, or until its read deadline. At the deadline it returns io.EOF if the connection has not failed.
-func CheckEnd(conn net.Conn) net.Conn { return &endCheckedConn{Conn: conn} }
-
-// endCheckedConn implements CheckEnd.
+// failed, or until its read deadline. At the deadline it returns io.EOF if the connection has not failed. Read and Write may be used concurrently,
+// by one goroutine each.
 type endCheckedConn struct {
 	net.Conn
 	writes     atomic.Int32          // in progress, or about to begin
--- a/internal/upstream/ending_test.go
+++ b/internal/upstream/ending_test.go
@@ -1,4 +1,4 @@
-package upstream_test
+package upstream
 
 import (
 	"io"
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/pewtermill/pewtermill/internal/upstream"
 )
 
 // endedConn is a connection without a descriptor whose peer has ended its direction. Its writes block until their result is sent.
@@ -54,7 +52,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ended := &endedConn{results: make(chan error, 1)}
-				conn := upstream.CheckEnd(ended)
+				conn := &endCheckedConn{Conn: ended}
 				start := time.Now()
 				_ = conn.SetReadDeadline(start.Add(deadline)) // endedConn returns no error
 				written := make(chan struct{})
