upstream: the test of a write in progress runs in virtual time as the others do

Change: it uses virtualtime.Test. No assertion is changed. Ruled out: nothing. Conclusion: the test was at fault, not the product.

--- a/internal/upstream/ending_test.go
+++ b/internal/upstream/ending_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pewtermill/pewtermill/internal/virtualtime"
 )
 
 // endedConn is a connection without a descriptor whose peer has ended its direction. Its writes block until their result is sent.
@@ -50,7 +52,7 @@
 		{name: "stuck", isStuck: true, want: io.EOF, wantTime: deadline},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				ended := &endedConn{results: make(chan error, 1)}
 				conn := &endCheckedConn{Conn: ended}
 				start := time.Now()
