--- a/review/probe/engines.go
+++ b/review/probe/engines.go
@@ -43,6 +43,7 @@
 	e := &engine{world: w, id: id, service: service, zone: zone, version: "v1", state: "ready", listener: listener, stop: make(chan struct{}),
 		work: 20 * time.Millisecond, events: 4, pause: 20 * time.Millisecond}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
+	w.engines = append(w.engines, e)
 	go func() { _ = e.server.Serve(listener) }()
 	e.beat()
 	go e.heartbeat()
@@ -117,20 +118,30 @@
 
 // answer answers as a sound engine does.
 func (e *engine) answer(writer http.ResponseWriter, request *http.Request) {
-	header := writer.Header()
-	header.Set("X-Request-Id", request.Header.Get("X-Request-Id"))
-	header.Set("X-Response-Seal", "seal-"+e.id)
-	if request.Header.Get("X-Token-Usage") == "" {
-		if !sleep(request, e.work) {
-			return
-		}
-		_, _ = io.WriteString(writer, "answer of "+e.id)
+	if request.Header.Get("X-Token-Usage") != "" {
+		e.stream(writer, request, e.events, e.pause)
 		return
 	}
-	header.Set("Content-Type", "text/event-stream")
+	e.sign(writer, request)
+	if sleep(request, e.work) {
+		_, _ = io.WriteString(writer, "answer of "+e.id)
+	}
+}
+
+// sign sets the headers of an answer.
+func (e *engine) sign(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+	writer.Header().Set("X-Response-Seal", "seal-"+e.id)
+}
+
+// stream answers with events, each after a pause, until the caller leaves.
+func (e *engine) stream(writer http.ResponseWriter, request *http.Request, events int, pause time.Duration) {
+	e.sign(writer, request)
+	writer.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	for number := first + 1; number <= e.events; number++ {
-		if !sleep(request, e.pause) {
+	for number := first + 1; number <= events; number++ {
+		if !sleep(request, pause) {
+			e.world.logf("left    %s by its caller after %d events", request.Header.Get("X-Request-Id"), number-1)
 			return
 		}
 		fmt.Fprintf(writer, "id: %d\ndata: %s-%d\n\n", number, request.Header.Get("X-Request-Id"), number)
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -20,6 +20,7 @@
 	"lost-machine": lostMachine,
 	"restarted":    restarted,
 	"silent":       silent,
+	"planned-stop": plannedStop,
 }
 
 func main() {
--- a/review/probe/world.go
+++ b/review/probe/world.go
@@ -31,6 +31,7 @@
 	runs    []run
 	beats   map[string]chan struct{}
 	nodes   []*node
+	engines []*engine
 	version int64
 }
 
