--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption.
 set -u
 cd "$(dirname "$0")/../.."
-exec target/review-2/probe restarted review/5/record.txt
+exec target/review-2/probe planned-stop review/5/record.txt
--- a/review/probe/clients.go
+++ b/review/probe/clients.go
@@ -93,17 +93,6 @@
 	return result
 }
 
-// outputOf returns the data of the events of a stream, each followed by a line feed.
-func outputOf(stream string) string {
-	var output strings.Builder
-	for _, line := range strings.Split(stream, "\n") {
-		if data, found := strings.CutPrefix(line, "data: "); found {
-			output.WriteString(data + "\n")
-		}
-	}
-	return output.String()
-}
-
 // ready waits until a process is ready.
 func (n *node) ready(limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/review/probe/engines.go
+++ b/review/probe/engines.go
@@ -75,21 +75,6 @@
 	}
 }
 
-// crash ends the engine. Its entry stays until it has been silent for three heartbeats.
-func (e *engine) crash() {
-	close(e.stop)
-	_ = e.server.Close()
-	time.AfterFunc(3600*time.Millisecond, func() { e.world.store.Remove("servers", "", e.id) })
-}
-
-// drain announces that the engine leaves.
-func (e *engine) drain() {
-	e.mutex.Lock()
-	e.state = "draining"
-	e.mutex.Unlock()
-	e.beat()
-}
-
 func (e *engine) serve(writer http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/health" {
 		writer.Header().Set("X-Instance-Id", e.id)
--- a/review/probe/world.go
+++ b/review/probe/world.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -86,13 +85,6 @@
 	return found
 }
 
-// forget drops the runs of a request.
-func (w *world) forget(id string) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.runs = slices.DeleteFunc(w.runs, func(r run) bool { return r.id == id })
-}
-
 // close ends all processes.
 func (w *world) close() {
 	for _, n := range w.nodes {
