--- a/review/probe/budget.go
+++ b/review/probe/budget.go
@@ -13,6 +13,7 @@
 	programCount  = 60
 	tokensPerTurn = 36 // four events of nine tokens
 	turnsBefore   = 2  // of each program, before the process is lost
+	engineSlots   = 12 // as the engines state
 	firstTurns    = 40 // of other programs, meanwhile
 )
 
@@ -169,7 +170,7 @@
 		switch {
 		case got.last.status == 402 && p.handed+tokensPerTurn <= budget:
 			p.result.denied.Add(1)
-		case got.tries >= 5 && !got.reached && p.previous != "":
+		case from >= turnsBefore && got.tries >= 5 && !got.reached && p.previous != "" && time.Since(p.begunAt) < programTime:
 			p.result.lostTurns.Add(1)
 		}
 		return false
@@ -177,8 +178,8 @@
 	return true
 }
 
-// lostMachine loses one of three machines for good. A kept turn is lost if it makes five tries or more and reaches no engine, while nine
-// tenths of first turns reach one.
+// lostMachine loses one of three machines for good. A kept turn is lost if it makes five tries or more and reaches no engine, while the
+// engines are under half full and nine tenths of first turns reach one.
 func lostMachine(w *world, trouble bool) (int, error) {
 	if err := fleet(w); err != nil {
 		return notPlayed, err
@@ -192,7 +193,10 @@
 	if err != nil {
 		return notPlayed, err
 	}
-	if result.lostTurns.Load() > 0 && result.firstReached.Load()*10 >= firstTurns*9 {
+	places := int64(len(w.engines)) * engineSlots
+	w.logf("count   engines worked on %d requests at once at most, of %d places", w.mostRunning.Load(), places)
+	underHalfFull := 2*w.mostRunning.Load() < places
+	if result.lostTurns.Load() > 0 && underHalfFull && result.firstReached.Load()*10 >= firstTurns*9 {
 		return broken, nil
 	}
 	return held, nil
--- a/review/probe/engines.go
+++ b/review/probe/engines.go
@@ -94,6 +94,8 @@
 		return
 	}
 	id := request.Header.Get("X-Request-Id")
+	e.world.beginRun()
+	defer e.world.running.Add(-1)
 	e.world.addRun(run{engine: e.id, service: e.service, id: id, target: request.RequestURI, body: string(body), previous: request.Header.Get("X-Previous-Turn"), at: time.Now()})
 	if e.handle != nil && e.handle(writer, request, body) {
 		return
--- a/review/probe/world.go
+++ b/review/probe/world.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,6 +27,9 @@
 	begun  time.Time
 	store  *operators.Store
 
+	running     atomic.Int64 // requests that engines work on
+	mostRunning atomic.Int64 // the most of them at once
+
 	mutex   sync.Mutex
 	runs    []run
 	beats   map[string]chan struct{}
@@ -72,6 +76,14 @@
 	w.logf("run     %s at %s (%s) %s", r.id, r.engine, r.service, r.target)
 }
 
+// beginRun counts a request that an engine works on.
+func (w *world) beginRun() {
+	now := w.running.Add(1)
+	for most := w.mostRunning.Load(); now > most && !w.mostRunning.CompareAndSwap(most, now); most = w.mostRunning.Load() {
+		continue
+	}
+}
+
 // runsOf returns the runs of a request.
 func (w *world) runsOf(id string) []run {
 	w.mutex.Lock()
